--- /dev/null
+++ b/crates/jb-cli/src/lib.rs
@@ -0,0 +1,1 @@
+//! placeholder
--- /dev/null
+++ b/crates/jb-daemon/src/admin/edit.rs
@@ -0,0 +1,79 @@
+//! Reads and edits the tree.
+
+use std::sync::Arc;
+
+use jb_policy::call::Call;
+use jb_protocol::error::{Kind, Outcome};
+use jb_protocol::problem::Document;
+use jb_tree::edit::Edit;
+use poem::web::{Data, Json};
+use poem::{Body, Response, handler};
+use serde::Serialize;
+
+use crate::context::Context;
+use crate::follow::{self, Accepted};
+use crate::serve::refusal;
+
+/// Longest edit.
+const MOST_BYTES: usize = 4 << 20;
+
+/// The tree in force at one box.
+#[derive(Serialize)]
+struct TreeInForce {
+    revision: u64,
+    edits: Vec<String>,
+    tree: jb_tree::Tree,
+}
+
+/// The tree in force.
+#[handler]
+pub fn show_tree(Data(context): Data<&Arc<Context>>) -> Response {
+    let current = context.store.current();
+    let body = TreeInForce {
+        revision: current.head.revision,
+        edits: current.head.edits.clone(),
+        tree: current.tree.clone(),
+    };
+    json(&body)
+}
+
+/// Commits an edit.
+#[handler]
+pub async fn accept_edit(body: Body, Data(context): Data<&Arc<Context>>) -> Response {
+    let bytes = match body.into_bytes_limit(MOST_BYTES).await {
+        Ok(bytes) => bytes,
+        Err(error) => return refuse(Kind::Malformed, error.to_string(), ""),
+    };
+    let edit: Edit = match serde_json::from_slice(&bytes) {
+        Ok(edit) => edit,
+        Err(error) => return refuse(Kind::Malformed, error.to_string(), ""),
+    };
+    match follow::commit(context, &edit).await {
+        Ok(accepted) => json::<Accepted>(&accepted),
+        Err(rejected) => refuse(rejected.kind, rejected.detail, &edit.id),
+    }
+}
+
+/// Begins a planned stop.
+#[handler]
+pub fn begin_drain(Data(context): Data<&Arc<Context>>) -> Json<bool> {
+    context.stop.begin();
+    Json(true)
+}
+
+fn refuse(kind: Kind, detail: String, edit: &str) -> Response {
+    // An edit whose write had no answer may have been accepted.
+    if kind == Kind::PlatformUnavailable {
+        return refusal::answer(&Document::new(kind, Outcome::MayHaveRun, detail, edit.to_owned()));
+    }
+    let refused = Call::new(edit.to_owned(), false).refuse(kind, detail);
+    refusal::answer(&refusal::document(&refused, edit))
+}
+
+/// An answer in JSON.
+pub fn json<T: Serialize>(value: &T) -> Response {
+    match serde_json::to_vec(value) {
+        Ok(body) => Response::builder().content_type("application/json").body(body),
+        Err(error) => refuse(Kind::Malformed, error.to_string(), ""),
+    }
+}
--- /dev/null
+++ b/crates/jb-daemon/src/admin/mod.rs
@@ -0,0 +1,9 @@
+//! Answers operators.
+
+mod edit;
+mod explain;
+mod routes;
+mod status;
+
+pub use routes::app;
+pub use status::{BoxStatus, Status, UpstreamStatus};
--- /dev/null
+++ b/crates/jb-daemon/src/admin/routes.rs
@@ -0,0 +1,68 @@
+//! Paths for operators.
+
+use std::sync::Arc;
+
+use jb_policy::call::Call;
+use jb_protocol::error::Kind;
+use jb_tree::key::Digest;
+use poem::{
+    Endpoint, EndpointExt as _, IntoEndpoint, IntoResponse as _, Middleware, Request, Response, Route, get,
+    post,
+};
+
+use super::edit::{accept_edit, begin_drain, show_tree};
+use super::explain::explain;
+use super::status::status;
+use crate::context::Context;
+use crate::serve::refusal;
+
+/// Everything that operators can ask for.
+pub fn app(context: Arc<Context>) -> impl IntoEndpoint {
+    let key = Digest::parse(&context.settings.admin_key);
+    Route::new()
+        .at("/admin/tree", get(show_tree))
+        .at("/admin/edit", post(accept_edit))
+        .at("/admin/status", get(status))
+        .at("/admin/explain", post(explain))
+        .at("/admin/drain", post(begin_drain))
+        .data(context)
+        .with(Lock { key })
+        .into_endpoint()
+}
+
+/// Lets in who shows the operators' key, or everybody where none is set.
+struct Lock {
+    key: Option<Digest>,
+}
+
+struct Locked<E> {
+    key: Option<Digest>,
+    inner: E,
+}
+
+impl<E: Endpoint> Middleware<E> for Lock {
+    type Output = Locked<E>;
+
+    fn transform(&self, inner: E) -> Locked<E> {
+        Locked { key: self.key, inner }
+    }
+}
+
+impl<E: Endpoint> Endpoint for Locked<E> {
+    type Output = Response;
+
+    async fn call(&self, request: Request) -> poem::Result<Response> {
+        let shown = request
+            .header("authorization")
+            .and_then(|h| h.strip_prefix("Bearer "));
+        let open = self
+            .key
+            .is_none_or(|key| shown.is_some_and(|shown| Digest::of(shown).matches(&key)));
+        if !open {
+            let refused =
+                Call::new(String::new(), false).refuse(Kind::Unauthenticated, "not the operators' key");
+            return Ok(refusal::answer(&refusal::document(&refused, "")));
+        }
+        Ok(self.inner.call(request).await?.into_response())
+    }
+}
--- /dev/null
+++ b/crates/jb-daemon/src/decide/worker.rs
@@ -0,0 +1,247 @@
+//! The thread that decides: it owns all state of the decisions.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::thread;
+
+use jb_policy::hall::Summary;
+use jb_policy::health::Change;
+use jb_policy::limit::{Limits, Over};
+use jb_policy::route::{Choice, Pool, Refused};
+use jb_protocol::error::Kind;
+use jb_protocol::{event, id};
+use jb_tree::view::View;
+use slog::Logger;
+use tokio::sync::mpsc;
+
+use super::message::{Admission, Choosing, Ending, Explanation, Message, Outcome, ServiceSummary, Started};
+use super::ring::Ring;
+use crate::clock::Clock;
+use crate::emit;
+
+struct Worker {
+    hall: id::Hall,
+    clock: Clock,
+    logger: Logger,
+    view: Arc<View>,
+    pools: BTreeMap<id::Service, Pool>,
+    limits: Limits,
+    boxes: u32,
+    leaving: Vec<id::Upstream>,
+}
+
+/// Starts the thread and gives the ring that leads to it.
+///
+/// # Errors
+/// When the system gives no thread.
+pub fn start(hall: &str, capacity: usize, clock: Clock, logger: Logger) -> std::io::Result<Ring> {
+    let (sender, receiver) = mpsc::channel(capacity);
+    let worker = Worker {
+        hall: hall.to_owned(),
+        clock,
+        logger,
+        view: Arc::default(),
+        pools: BTreeMap::new(),
+        limits: Limits::default(),
+        boxes: 1,
+        leaving: Vec::new(),
+    };
+    thread::Builder::new()
+        .name("decide".to_owned())
+        .spawn(move || worker.work(receiver))?;
+    Ok(Ring::new(sender))
+}
+
+impl Worker {
+    fn work(mut self, mut receiver: mpsc::Receiver<Message>) {
+        while let Some(message) = receiver.blocking_recv() {
+            self.take(message);
+        }
+    }
+
+    // An asker that has gone away needs no answer, so failed replies are ignored.
+    fn take(&mut self, message: Message) {
+        match message {
+            Message::Admit(admission) => self.admit(admission),
+            Message::Choose(choosing) => self.choose(choosing),
+            Message::Explain(explanation) => self.explain(explanation),
+            Message::Started(started) => self.started(&started),
+            Message::Ended(ending) => self.ended(&ending),
+            Message::Configure(view) => self.configure(view),
+            Message::Report {
+                service,
+                upstream,
+                report,
+            } => self.reported(&service, &upstream, &report),
+            Message::Leaving(upstreams) => self.note_leaving(upstreams),
+            Message::Boxes(boxes) => self.boxes = boxes,
+            Message::Summarize(reply) => {
+                let _ = reply.send(self.summarize());
+            }
+        }
+    }
+
+    fn admit(&mut self, admission: Admission) {
+        let now = self.clock.now();
+        let result = match self.view.customers.get(&admission.customer) {
+            Some(customer) => self.limits.admit(customer, self.boxes, admission.tokens, now),
+            None => Err(Over {
+                kind: Kind::Unauthenticated,
+                after: std::time::Duration::ZERO,
+            }),
+        };
+        let admitted = result.is_ok();
+        if admission.reply.send(result).is_err() && admitted {
+            self.limits.refund(&admission.customer, admission.tokens);
+            self.limits.end(&admission.customer);
+        }
+    }
+
+    fn choose(&mut self, choosing: Choosing) {
+        let now = self.clock.now();
+        let result = match self.pools.get_mut(&choosing.service) {
+            Some(pool) => choose_in(pool, &choosing, now),
+            None => Err(Refused {
+                kind: Kind::NoUpstream,
+                after: std::time::Duration::from_secs(2),
+            }),
+        };
+        if let Err(Ok(choice)) = choosing.reply.send(result)
+            && let Some(pool) = self.pools.get_mut(&choosing.service)
+        {
+            pool.abandoned(&choice.upstream);
+        }
+    }
+
+    fn explain(&mut self, explanation: Explanation) {
+        let pool = self.pools.get(&explanation.service);
+        let candidates = pool.map(|p| p.explain(&explanation.ask, self.clock.now()));
+        let _ = explanation.reply.send(candidates.unwrap_or_default());
+    }
+
+    fn started(&mut self, started: &Started) {
+        let now = self.clock.now();
+        let Some(pool) = self.pools.get_mut(&started.service) else {
+            return;
+        };
+        if pool.started(&started.upstream, &started.ask.chain, &started.start, now) {
+            self.log_incarnation(&started.upstream);
+        }
+    }
+
+    fn ended(&mut self, ending: &Ending) {
+        match ending {
+            Ending::Request { customer, refund } => {
+                self.limits.refund(customer, *refund);
+                self.limits.end(customer);
+            }
+            Ending::Attempt {
+                service,
+                upstream,
+                outcome,
+            } => self.attempt_ended(service, upstream, *outcome),
+        }
+    }
+
+    fn attempt_ended(&mut self, service: &str, upstream: &str, outcome: Outcome) {
+        let now = self.clock.now();
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        let change = match outcome {
+            Outcome::Succeeded => pool.succeeded(upstream),
+            Outcome::Failed => pool.failed(upstream, now),
+            Outcome::Abandoned | Outcome::Denied => {
+                pool.abandoned(upstream);
+                Change::None
+            }
+        };
+        match change {
+            Change::Ejected => emit!(self.logger, warn, event::UPSTREAM_EJECTED, "upstream" => upstream),
+            Change::Returned => emit!(self.logger, info, event::UPSTREAM_RETURNED, "upstream" => upstream),
+            Change::None => {}
+        }
+    }
+
+    fn configure(&mut self, view: Arc<View>) {
+        self.pools.retain(|name, _| view.services.contains_key(name));
+        for (name, service) in &view.services {
+            self.pools
+                .entry(name.clone())
+                .and_modify(|pool| pool.configure(service, &self.hall))
+                .or_insert_with(|| Pool::new(service, &self.hall));
+        }
+        self.view = view;
+        let leaving = std::mem::take(&mut self.leaving);
+        self.note_leaving(leaving);
+    }
+
+    fn reported(&mut self, service: &str, upstream: &str, report: &jb_protocol::engine::Report) {
+        let now = self.clock.now();
+        let Some(pool) = self.pools.get_mut(service) else {
+            return;
+        };
+        let was_leaving = pool.upstream_mut(upstream).is_some_and(|u| u.leaving.by_itself);
+        let new = pool.reported(upstream, report, now);
+        if report.leaving && !was_leaving {
+            emit!(self.logger, info, event::UPSTREAM_LEAVING, "upstream" => upstream, "by" => "itself");
+        }
+        if new {
+            self.log_incarnation(upstream);
+        }
+    }
+
+    fn log_incarnation(&self, upstream: &str) {
+        emit!(self.logger, info, event::UPSTREAM_INCARNATION, "upstream" => upstream);
+    }
+
+    fn note_leaving(&mut self, leaving: Vec<id::Upstream>) {
+        for upstream in &leaving {
+            if !self.leaving.contains(upstream) {
+                emit!(self.logger, info, event::UPSTREAM_LEAVING,
+                    "upstream" => upstream, "by" => "box list");
+            }
+        }
+        for pool in self.pools.values_mut() {
+            let ids: Vec<id::Upstream> = pool.upstreams().iter().map(|u| u.id.clone()).collect();
+            for id in ids {
+                if let Some(upstream) = pool.upstream_mut(&id) {
+                    upstream.leaving.by_list = leaving.contains(&id);
+                }
+            }
+        }
+        self.leaving = leaving;
+    }
+
+    fn summarize(&self) -> Vec<ServiceSummary> {
+        let now = self.clock.now();
+        let summary = |(service, pool): (&id::Service, &Pool)| {
+            let usable = pool.upstreams().iter().filter(|u| u.is_usable(now)).count();
+            let leaving = pool.upstreams().iter().filter(|u| u.leaving.is_leaving());
+            ServiceSummary {
+                service: service.clone(),
+                summary: Summary {
+                    hall: self.hall.clone(),
+                    usable: usable > 0,
+                    wait_ms: u32::try_from(pool.least_wait(now).as_millis()).unwrap_or(u32::MAX),
+                },
+                usable: u32::try_from(usable).unwrap_or(u32::MAX),
+                leaving: leaving.map(|u| u.id.clone()).collect(),
+            }
+        };
+        self.pools.iter().map(summary).collect()
+    }
+}
+
+fn choose_in(pool: &mut Pool, choosing: &Choosing, now: jb_policy::Moment) -> Result<Choice, Refused> {
+    if choosing.retry && !pool.spend_retry() {
+        return Err(Refused {
+            kind: Kind::UpstreamRefused,
+            after: std::time::Duration::from_secs(1),
+        });
+    }
+    if !choosing.retry {
+        pool.earn_retries();
+    }
+    pool.choose(&choosing.ask, now)
+}
--- /dev/null
+++ b/crates/jb-daemon/src/follow/edit.rs
@@ -0,0 +1,182 @@
+//! Commits an operator's edit through compare-and-swap.
+
+use jb_platform::Error as PlatformError;
+use jb_platform::port::Swap;
+use jb_protocol::error::Kind;
+use jb_protocol::{event, id};
+use jb_tree::edit::{Edit, apply};
+use jb_tree::head::{self, HEAD_KEY, Head, Part};
+use serde::{Deserialize, Serialize};
+
+use super::platform::{fetch, offer, put_parts};
+use crate::context::Context;
+use crate::emit;
+
+/// Times that an edit is tried against a newer tree or an unknown answer.
+const TRIES: u32 = 12;
+
+/// An accepted edit.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Accepted {
+    /// Revision that holds the edit.
+    pub revision: id::Revision,
+    /// Whether an earlier try had been accepted already.
+    pub already: bool,
+}
+
+/// Why an edit was not accepted.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Rejected {
+    /// Kind of error.
+    pub kind: Kind,
+    /// What happened.
+    pub detail: String,
+}
+
+impl From<jb_tree::Error> for Rejected {
+    fn from(error: jb_tree::Error) -> Self {
+        Self {
+            kind: error.kind(),
+            detail: error.to_string(),
+        }
+    }
+}
+
+impl From<PlatformError> for Rejected {
+    fn from(error: PlatformError) -> Self {
+        Self {
+            kind: Kind::PlatformUnavailable,
+            detail: error.to_string(),
+        }
+    }
+}
+
+enum Attempt {
+    Done(Accepted),
+    Again(Rejected),
+}
+
+/// Commits an edit; the same edit id takes effect once.
+///
+/// # Errors
+/// When it conflicts, would make the tree invalid, or the platform is out.
+pub async fn commit(context: &Context, edit: &Edit) -> Result<Accepted, Rejected> {
+    let result = commit_with_retries(context, edit).await;
+    match &result {
+        Ok(accepted) => emit!(context.logger, info, event::EDIT_ACCEPTED,
+            "edit" => &edit.id, "author" => &edit.author, "revision" => accepted.revision),
+        Err(rejected) => emit!(context.logger, warn, event::EDIT_REFUSED,
+            "edit" => &edit.id, "author" => &edit.author, "why" => &rejected.detail),
+    }
+    result
+}
+
+async fn commit_with_retries(context: &Context, edit: &Edit) -> Result<Accepted, Rejected> {
+    let mut last = Rejected {
+        kind: Kind::PlatformUnavailable,
+        detail: "the edit was not tried".to_owned(),
+    };
+    for _ in 0..TRIES {
+        match try_once(context, edit).await? {
+            Attempt::Done(accepted) => return Ok(accepted),
+            Attempt::Again(rejected) => last = rejected,
+        }
+    }
+    Err(last)
+}
+
+async fn try_once(context: &Context, edit: &Edit) -> Result<Attempt, Rejected> {
+    context.metrics.platform_calls.inc();
+    let value = match context.platform.get(HEAD_KEY).await {
+        Ok(value) => value,
+        Err(error) => return Ok(Attempt::Again(error.into())),
+    };
+    let version = value.as_ref().map_or(0, |v| v.version);
+    let head = read_head(value.as_ref().map(|v| v.body.as_slice()))?;
+    let newest = newest_known(context);
+    if head.revision < newest {
+        return Err(Rejected {
+            kind: Kind::PlatformUnavailable,
+            detail: format!(
+                "the platform holds revision {}, the boxes {newest}; it is being put back",
+                head.revision
+            ),
+        });
+    }
+    let fetched = match fetch(context, &head).await {
+        Ok(parts) => parts,
+        Err(error) => return Ok(Attempt::Again(error.into())),
+    };
+    if head.has_edit(&edit.id) {
+        let revision = head.revision;
+        offer(context, head, fetched, "edit").await;
+        return Ok(Attempt::Done(Accepted {
+            revision,
+            already: true,
+        }));
+    }
+    write_next(context, edit, &head, &fetched, version).await
+}
+
+async fn write_next(
+    context: &Context,
+    edit: &Edit,
+    head: &Head,
+    fetched: &[Part],
+    version: u64,
+) -> Result<Attempt, Rejected> {
+    let held = context.store.current();
+    let body_of = |digest: &str| {
+        let fetched = fetched.iter().find(|part| part.digest == digest);
+        fetched
+            .or_else(|| held.parts.get(digest))
+            .map(|part| part.body.as_slice())
+    };
+    let tree = head::join(head, body_of)?;
+    let cut = head::cut(&apply(&tree, edit)?)?;
+    let next = head.next(&edit.id, cut.references);
+    let new = cut
+        .parts
+        .iter()
+        .filter(|p| !head.parts.iter().any(|r| r.digest == p.digest));
+    if let Err(error) = put_parts(context, new).await {
+        return Ok(Attempt::Again(error.into()));
+    }
+    let body = serde_json::to_vec(&next).map_err(|e| PlatformError::Protocol(e.to_string()))?;
+    context.metrics.platform_calls.inc();
+    match context.platform.swap(HEAD_KEY, version, body).await {
+        Ok(Swap::Written(_)) => {
+            let revision = next.revision;
+            offer(context, next, cut.parts, "edit").await;
+            Ok(Attempt::Done(Accepted {
+                revision,
+                already: false,
+            }))
+        }
+        Ok(Swap::Conflict) => Ok(Attempt::Again(Rejected {
+            kind: Kind::EditConflict,
+            detail: "other edits came first each time; send the edit again".to_owned(),
+        })),
+        // The write may have taken effect; the next try finds its id if so.
+        Err(error) => Ok(Attempt::Again(error.into())),
+    }
+}
+
+fn read_head(body: Option<&[u8]>) -> Result<Head, Rejected> {
+    let Some(body) = body else {
+        return Ok(Head::default());
+    };
+    serde_json::from_slice(body).map_err(|e| PlatformError::Protocol(e.to_string()).into())
+}
+
+/// Highest revision that this box or any box it has heard of has in force.
+fn newest_known(context: &Context) -> id::Revision {
+    let told = context
+        .directory
+        .alive()
+        .iter()
+        .map(|m| m.revision)
+        .max()
+        .unwrap_or(0);
+    told.max(context.store.revision())
+}
--- /dev/null
+++ b/crates/jb-daemon/src/follow/platform.rs
@@ -0,0 +1,164 @@
+//! Follows the tree in the platform, and puts a lost one back.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jb_platform::Error;
+use jb_platform::port::{Swap, Value};
+use jb_protocol::event;
+use jb_tree::head::{HEAD_KEY, Head, Part};
+
+use super::store::Offer;
+use crate::context::Context;
+use crate::decide::Message;
+use crate::emit;
+
+/// Time for which one watch waits.
+const WATCH: Duration = Duration::from_secs(20);
+/// First pause after a failure; it doubles up to the longest.
+const FIRST_PAUSE: Duration = Duration::from_millis(100);
+const LONGEST_PAUSE: Duration = Duration::from_secs(2);
+
+/// Follows the head for as long as the box runs.
+pub async fn follow(context: Arc<Context>) {
+    let mut pause = FIRST_PAUSE;
+    let mut known = 0;
+    let mut lost = false;
+    loop {
+        match step(&context, known).await {
+            Ok(version) => {
+                if std::mem::take(&mut lost) {
+                    emit!(context.logger, info, event::PLATFORM_FOUND);
+                }
+                pause = FIRST_PAUSE;
+                if version == 0 {
+                    tokio::time::sleep(pause).await;
+                }
+                known = version;
+            }
+            Err(error) => {
+                if !std::mem::replace(&mut lost, true) {
+                    emit!(context.logger, warn, event::PLATFORM_LOST, "why" => error.to_string());
+                }
+                known = 0;
+                tokio::time::sleep(pause).await;
+                pause = (pause * 2).min(LONGEST_PAUSE);
+            }
+        }
+    }
+}
+
+/// One watch and what follows from it; gives the version that is known now.
+async fn step(context: &Context, known: u64) -> Result<u64, Error> {
+    context.metrics.platform_calls.inc();
+    let value = if known == 0 {
+        context.platform.get(HEAD_KEY).await?
+    } else {
+        match context.platform.watch(HEAD_KEY, known, WATCH).await? {
+            Some(value) => Some(value),
+            // Nothing has changed, or the value is gone: a read tells which.
+            None => return read_again(context, known).await,
+        }
+    };
+    take(context, value).await
+}
+
+async fn read_again(context: &Context, known: u64) -> Result<u64, Error> {
+    context.metrics.platform_calls.inc();
+    match context.platform.get(HEAD_KEY).await? {
+        Some(value) if value.version == known => Ok(known),
+        other => take(context, other).await,
+    }
+}
+
+async fn take(context: &Context, value: Option<Value>) -> Result<u64, Error> {
+    let Some(value) = value else {
+        return restore(context, 0).await;
+    };
+    context.metrics.control_bytes.inc_by(value.body.len() as u64);
+    let head: Head = serde_json::from_slice(&value.body).map_err(|e| Error::Protocol(e.to_string()))?;
+    let ours = context.store.revision();
+    if head.revision < ours {
+        emit!(context.logger, warn, event::TREE_OLDER, "platform" => head.revision, "ours" => ours);
+        return restore(context, value.version).await;
+    }
+    if head.revision > ours {
+        let parts = fetch(context, &head).await?;
+        offer(context, head, parts, "platform").await;
+    }
+    Ok(value.version)
+}
+
+/// Fetches the parts of a head that the box does not hold yet.
+pub(super) async fn fetch(context: &Context, head: &Head) -> Result<Vec<Part>, Error> {
+    let held = context.store.current();
+    let mut parts = Vec::new();
+    for reference in &head.parts {
+        if held.parts.contains_key(&reference.digest) {
+            continue;
+        }
+        context.metrics.platform_calls.inc();
+        let value = context.platform.get(&Part::key(&reference.digest)).await?;
+        let missing = || Error::Protocol(format!("the part `{}` is missing", reference.name));
+        let value = value.ok_or_else(missing)?;
+        context.metrics.control_bytes.inc_by(value.body.len() as u64);
+        parts.push(Part {
+            digest: reference.digest.clone(),
+            body: value.body,
+        });
+    }
+    Ok(parts)
+}
+
+/// Offers a tree to the store and puts it in force.
+pub async fn offer(context: &Context, head: Head, parts: Vec<Part>, from: &str) {
+    let revision = head.revision;
+    match context.store.offer(head, parts) {
+        Ok(Offer::Taken) => {
+            context
+                .ring
+                .send_surely(Message::Configure(context.store.view()))
+                .await;
+            context
+                .metrics
+                .revision
+                .set(i64::try_from(revision).unwrap_or(i64::MAX));
+            emit!(context.logger, info, event::TREE_IN_FORCE, "revision" => revision, "from" => from);
+        }
+        Ok(Offer::NotNewer) => {}
+        Err(error) => {
+            emit!(context.logger, error, event::TREE_REJECTED,
+                "revision" => revision, "from" => from, "why" => error.to_string());
+        }
+    }
+}
+
+/// Writes the box's newer tree over an older or missing one.
+async fn restore(context: &Context, version: u64) -> Result<u64, Error> {
+    let ours = context.store.current();
+    if ours.head.revision == 0 {
+        return Ok(0);
+    }
+    put_parts(context, ours.parts.values()).await?;
+    let body = serde_json::to_vec(&ours.head).map_err(|e| Error::Protocol(e.to_string()))?;
+    context.metrics.platform_calls.inc();
+    match context.platform.swap(HEAD_KEY, version, body).await? {
+        Swap::Written(version) => {
+            emit!(context.logger, info, event::TREE_RESTORED, "revision" => ours.head.revision);
+            Ok(version)
+        }
+        Swap::Conflict => Ok(0),
+    }
+}
+
+/// Writes parts that may be there already: they never change.
+pub(super) async fn put_parts(context: &Context, parts: impl Iterator<Item = &Part>) -> Result<(), Error> {
+    for part in parts {
+        context.metrics.platform_calls.inc();
+        context
+            .platform
+            .swap(&Part::key(&part.digest), 0, part.body.clone())
+            .await?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/jb-daemon/src/lib.rs
@@ -0,0 +1,23 @@
+//! The daemon of junctionbend.
+//!
+//! Every box runs the same program. Its duties run on threads of their own,
+//! joined by bounded rings: `accept` serves callers and other boxes, `decide`
+//! owns the decisions, `tree` follows the settings, `members` probes other
+//! boxes, `probe` asks engines for their load, and `claims` writes claims.
+
+pub mod admin;
+pub mod claims;
+pub mod clock;
+pub mod context;
+pub mod decide;
+pub mod follow;
+pub mod log;
+pub mod members;
+pub mod metrics;
+pub mod peer;
+pub mod probe;
+pub mod run;
+pub mod serve;
+pub mod settings;
+pub mod start;
+pub mod stop;
--- /dev/null
+++ b/crates/jb-daemon/src/members.rs
@@ -0,0 +1,339 @@
+//! The thread that probes other boxes, and what it has found.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+
+use jb_policy::hall::Summary;
+use jb_policy::member::{Change, Member, Members};
+use jb_protocol::platform::{Entry, State};
+use jb_protocol::{event, id};
+use jb_tree::head::{Head, Part};
+use jb_wire::peer::{self, FetchTreeRequest, ProbeReply, ProbeRequest, ServiceLoad};
+use prost::Message as _;
+use tokio::time::MissedTickBehavior;
+
+use crate::context::Context;
+use crate::decide::{Message, ServiceSummary};
+use crate::emit;
+use crate::follow;
+
+/// Ticks between two readings of the box list.
+const TICKS_PER_LIST: u64 = 2;
+
+/// What is known of the other boxes and of their halls.
+pub struct Directory {
+    state: Mutex<Inner>,
+}
+
+struct Inner {
+    members: Members,
+    loads: HashMap<HallService, Summary>,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct HallService {
+    hall: id::Hall,
+    service: id::Service,
+}
+
+impl Directory {
+    /// A directory that knows only the box itself.
+    pub fn new(me: Member) -> Self {
+        Self {
+            state: Mutex::new(Inner {
+                members: Members::new(me),
+                loads: HashMap::new(),
+            }),
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The box itself as it is told to others.
+    pub fn me(&self) -> Member {
+        self.lock().members.me().clone()
+    }
+
+    /// Other boxes taken for alive.
+    pub fn alive(&self) -> Vec<Member> {
+        self.lock().members.alive().cloned().collect()
+    }
+
+    /// Boxes that serve in a hall.
+    pub fn serving_in(&self, hall: &str) -> u32 {
+        self.lock().members.serving_in(hall)
+    }
+
+    /// Notes that a box did not answer.
+    pub fn failed(&self, id: &str) -> Change {
+        self.lock().members.failed(id)
+    }
+
+    /// Other halls that have a live box, with what is known of a service there.
+    pub fn other_halls(&self, own: &str, service: &str) -> Vec<Summary> {
+        let state = self.lock();
+        let alive = state.members.alive().filter(|m| !m.leaving && m.hall != own);
+        let mut halls: Vec<id::Hall> = alive.map(|m| m.hall.clone()).collect();
+        halls.sort();
+        halls.dedup();
+        let summary = |hall: id::Hall| {
+            let key = HallService {
+                hall: hall.clone(),
+                service: service.to_owned(),
+            };
+            let known = state.loads.get(&key).cloned();
+            // A hall of which nothing was heard yet is worth a try.
+            known.unwrap_or(Summary {
+                hall,
+                usable: true,
+                wait_ms: 0,
+            })
+        };
+        halls.into_iter().map(summary).collect()
+    }
+
+    /// Live boxes of a hall, in the order in which this request tries them.
+    pub fn boxes_in(&self, hall: &str, turn: u64) -> Vec<Member> {
+        let mut boxes: Vec<Member> = self.alive();
+        boxes.retain(|m| m.hall == hall && !m.leaving);
+        if !boxes.is_empty() {
+            let first = turn as usize % boxes.len();
+            boxes.rotate_left(first);
+        }
+        boxes
+    }
+
+    /// Takes what another box told of itself, of others, and of its hall.
+    pub fn hear(
+        &self,
+        context: &Context,
+        sender: Option<peer::Member>,
+        heard: Vec<peer::Member>,
+        loads: Vec<ServiceLoad>,
+    ) {
+        let now = context.clock.now();
+        let mut state = self.lock();
+        if let Some(sender) = &sender {
+            for load in loads {
+                state.note_load(&sender.hall, load);
+            }
+        }
+        for member in sender.into_iter().chain(heard) {
+            let id = member.id.clone();
+            if state.members.hear(from_wire(member), now) == Change::Found {
+                emit!(context.logger, info, event::PEER_FOUND, "peer" => id);
+            }
+        }
+    }
+
+    /// What to tell another box.
+    pub fn tell(&self) -> Vec<peer::Member> {
+        let told = self.lock().members.told();
+        told.into_iter().map(to_wire).collect()
+    }
+
+    fn beat(&self, revision: id::Revision, leaving: bool) {
+        self.lock().members.beat(revision, leaving);
+    }
+
+    fn tick(&self, context: &Context) -> Vec<Member> {
+        self.lock().members.tick(context.clock.now())
+    }
+}
+
+impl Inner {
+    fn note_load(&mut self, hall: &str, load: ServiceLoad) {
+        let key = HallService {
+            hall: hall.to_owned(),
+            service: load.service,
+        };
+        let summary = Summary {
+            hall: hall.to_owned(),
+            usable: load.engines > 0,
+            wait_ms: load.wait_ms,
+        };
+        self.loads.insert(key, summary);
+    }
+}
+
+/// A member as it goes over the wire.
+pub fn to_wire(member: Member) -> peer::Member {
+    peer::Member {
+        id: member.id,
+        hall: member.hall,
+        peer_address: member.peer_address,
+        heartbeat: member.heartbeat,
+        leaving: member.leaving,
+        revision: member.revision,
+        admin_address: member.admin_address,
+    }
+}
+
+fn from_wire(member: peer::Member) -> Member {
+    Member {
+        id: member.id,
+        hall: member.hall,
+        peer_address: member.peer_address,
+        admin_address: member.admin_address,
+        heartbeat: member.heartbeat,
+        leaving: member.leaving,
+        revision: member.revision,
+    }
+}
+
+/// The own hall's state as it is told to others.
+pub fn loads(summaries: &[ServiceSummary]) -> Vec<ServiceLoad> {
+    let load = |s: &ServiceSummary| ServiceLoad {
+        service: s.service.clone(),
+        wait_ms: s.summary.wait_ms,
+        engines: s.usable,
+    };
+    summaries.iter().map(load).collect()
+}
+
+/// Probes other boxes for as long as the box runs.
+pub async fn probe(context: Arc<Context>) {
+    let mut ticks = tokio::time::interval(context.settings.probe_every());
+    ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    let mut count = 0_u64;
+    loop {
+        ticks.tick().await;
+        context
+            .directory
+            .beat(context.store.revision(), context.stop.is_stopping());
+        if count.is_multiple_of(TICKS_PER_LIST) {
+            read_list(&context).await;
+        }
+        count += 1;
+        probe_some(&context).await;
+        let boxes = context.directory.serving_in(&context.settings.hall);
+        context.metrics.boxes.set(boxes.into());
+        // A number that is lost is sent again at the next tick.
+        let _ = context.ring.send(Message::Boxes(boxes));
+    }
+}
+
+/// Probes the boxes whose turn it is, and the seeds while nobody is known.
+async fn probe_some(context: &Arc<Context>) {
+    let mut targets: Vec<Target> = context
+        .directory
+        .tick(context)
+        .into_iter()
+        .filter_map(Target::of)
+        .collect();
+    if context.directory.alive().is_empty() {
+        let own = context.directory.me().peer_address;
+        let seeds = context.settings.peers.iter().filter(|a| a.to_string() != own);
+        targets.extend(seeds.map(|address| Target {
+            id: String::new(),
+            address: *address,
+        }));
+    }
+    let probes = targets
+        .into_iter()
+        .map(|target| probe_one(Arc::clone(context), target));
+    futures_util::future::join_all(probes).await;
+}
+
+#[derive(Clone, Debug)]
+struct Target {
+    id: id::Box,
+    address: SocketAddr,
+}
+
+impl Target {
+    fn of(member: Member) -> Option<Self> {
+        let address = member.peer_address.parse().ok()?;
+        Some(Self {
+            id: member.id,
+            address,
+        })
+    }
+}
+
+async fn probe_one(context: Arc<Context>, target: Target) {
+    let summaries = context.ring.summarize().await.unwrap_or_default();
+    let request = ProbeRequest {
+        version: jb_wire::VERSION,
+        sender: Some(to_wire(context.directory.me())),
+        heard: context.directory.tell(),
+        loads: loads(&summaries),
+        leaving_upstreams: Vec::new(),
+    };
+    let sent = request.encoded_len();
+    match context.dialer.probe(target.address, request).await {
+        Ok(reply) => {
+            context
+                .metrics
+                .control_bytes
+                .inc_by((sent + reply.encoded_len()) as u64);
+            take_reply(&context, target.address, reply).await;
+        }
+        Err(_) => {
+            if context.directory.failed(&target.id) == Change::Lost {
+                emit!(context.logger, warn, event::PEER_LOST, "peer" => &target.id);
+            }
+        }
+    }
+}
+
+async fn take_reply(context: &Arc<Context>, address: SocketAddr, reply: ProbeReply) {
+    let theirs = reply.receiver.as_ref().map_or(0, |m| m.revision);
+    context
+        .directory
+        .hear(context, reply.receiver, reply.heard, reply.loads);
+    if theirs > context.store.revision() {
+        fetch_tree(context, address).await;
+    }
+}
+
+/// Takes a newer tree from another box.
+async fn fetch_tree(context: &Arc<Context>, address: SocketAddr) {
+    let held = context.store.current().parts.keys().cloned().collect();
+    let request = FetchTreeRequest {
+        version: jb_wire::VERSION,
+        held,
+    };
+    let Ok(reply) = context.dialer.fetch_tree(address, request).await else {
+        return;
+    };
+    context.metrics.control_bytes.inc_by(reply.encoded_len() as u64);
+    let Ok(head) = serde_json::from_slice::<Head>(&reply.head) else {
+        return;
+    };
+    let parts = reply.parts.into_iter().map(|p| Part {
+        digest: p.digest,
+        body: p.body,
+    });
+    follow::offer(context, head, parts.collect(), "peer").await;
+}
+
+/// Reads the box list: other boxes to probe, and upstreams that leave.
+async fn read_list(context: &Arc<Context>) {
+    context.metrics.platform_calls.inc();
+    let Ok(entries) = context.platform.list().await else {
+        return;
+    };
+    let leaving = entries.iter().filter(|e| !e.entry && e.state == State::Leaving);
+    let leaving: Vec<id::Upstream> = leaving.map(|e| e.id.clone()).collect();
+    let _ = context.ring.send(Message::Leaving(leaving));
+    let now = context.clock.now();
+    let mut state = context.directory.lock();
+    for entry in entries.into_iter().filter(|e| e.entry) {
+        state.members.hear(from_entry(entry), now);
+    }
+}
+
+/// A box that is only listed has heartbeat 0: its own word counts for more.
+fn from_entry(entry: Entry) -> Member {
+    Member {
+        id: entry.id,
+        hall: entry.hall,
+        peer_address: entry.address,
+        leaving: entry.state == State::Leaving,
+        ..Member::default()
+    }
+}
--- /dev/null
+++ b/crates/jb-daemon/src/peer/mod.rs
@@ -0,0 +1,7 @@
+//! Talks with other boxes over gRPC.
+
+mod dial;
+mod server;
+
+pub use dial::Dialer;
+pub use server::serve;
--- /dev/null
+++ b/crates/jb-daemon/src/peer/server.rs
@@ -0,0 +1,202 @@
+//! Answers other boxes.
+
+use std::pin::Pin;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_stream::stream;
+use bytes::Bytes;
+use futures_util::Stream;
+use jb_policy::call::Call;
+use jb_protocol::error::Kind;
+use jb_protocol::event;
+use jb_protocol::priority::Priority;
+use jb_tree::key::Digest;
+use jb_wire::peer::peer_server::{Peer, PeerServer};
+use jb_wire::peer::relay_frame::Frame;
+use jb_wire::peer::{
+    self, ClaimReply, ClaimRequest, FetchTreeReply, FetchTreeRequest, Part, ProbeReply, ProbeRequest,
+    RelayFrame, RelayRequest,
+};
+use tokio::net::TcpListener;
+use tokio_stream::wrappers::TcpListenerStream;
+use tonic::{Request, Response, Status};
+
+use super::dial::{MOST_BYTES, SECRET};
+use crate::context::Context;
+use crate::emit;
+use crate::members::{loads, to_wire};
+use crate::run::{Delivery, Ending, Reach, Request as RunRequest, Session, resolve};
+use crate::serve::{body, refusal};
+
+struct Server {
+    context: Arc<Context>,
+    secret: Digest,
+}
+
+/// Answers other boxes on a listener for as long as the box runs.
+///
+/// # Errors
+/// When the listener fails.
+pub async fn serve(context: Arc<Context>, listener: TcpListener) -> Result<(), tonic::transport::Error> {
+    let server = Server {
+        secret: Digest::of(&context.settings.peer_secret),
+        context,
+    };
+    let service = PeerServer::new(server)
+        .max_decoding_message_size(MOST_BYTES)
+        .max_encoding_message_size(MOST_BYTES);
+    tonic::transport::Server::builder()
+        .tcp_nodelay(true)
+        .add_service(service)
+        .serve_with_incoming(TcpListenerStream::new(listener))
+        .await
+}
+
+impl Server {
+    /// Refuses senders without the secret or with another protocol version.
+    fn check<T>(&self, request: &Request<T>, version: u32) -> Result<(), Status> {
+        let shown = request.metadata().get(SECRET).and_then(|v| v.to_str().ok());
+        if !shown.is_some_and(|shown| Digest::of(shown).matches(&self.secret)) {
+            emit!(self.context.logger, warn, event::PEER_REFUSED, "why" => "unknown sender");
+            return Err(Status::unauthenticated("unknown sender"));
+        }
+        if version != jb_wire::VERSION {
+            emit!(self.context.logger, warn, event::PEER_REFUSED, "why" => "another version", "version" => version);
+            return Err(Status::failed_precondition(Kind::PeerVersion.answer().title));
+        }
+        Ok(())
+    }
+}
+
+type Frames = Pin<Box<dyn Stream<Item = Result<RelayFrame, Status>> + Send>>;
+
+#[tonic::async_trait]
+impl Peer for Server {
+    async fn probe(&self, request: Request<ProbeRequest>) -> Result<Response<ProbeReply>, Status> {
+        self.check(&request, request.get_ref().version)?;
+        let probe = request.into_inner();
+        let directory = &self.context.directory;
+        directory.hear(&self.context, probe.sender, probe.heard, probe.loads);
+        let summaries = self.context.ring.summarize().await.unwrap_or_default();
+        Ok(Response::new(ProbeReply {
+            receiver: Some(to_wire(directory.me())),
+            heard: directory.tell(),
+            loads: loads(&summaries),
+            leaving_upstreams: Vec::new(),
+        }))
+    }
+
+    async fn fetch_tree(
+        &self,
+        request: Request<FetchTreeRequest>,
+    ) -> Result<Response<FetchTreeReply>, Status> {
+        self.check(&request, request.get_ref().version)?;
+        let held = request.into_inner().held;
+        let ours = self.context.store.current();
+        if ours.head.revision == 0 {
+            return Ok(Response::new(FetchTreeReply::default()));
+        }
+        let head = serde_json::to_vec(&ours.head).map_err(|e| Status::internal(e.to_string()))?;
+        let wanted = ours.parts.values().filter(|part| !held.contains(&part.digest));
+        let parts = wanted.map(|part| Part {
+            digest: part.digest.clone(),
+            body: part.body.clone(),
+        });
+        Ok(Response::new(FetchTreeReply {
+            head,
+            parts: parts.collect(),
+        }))
+    }
+
+    type RelayStream = Frames;
+
+    async fn relay(&self, request: Request<RelayRequest>) -> Result<Response<Frames>, Status> {
+        self.check(&request, request.get_ref().version)?;
+        let relayed = request.into_inner();
+        let context = Arc::clone(&self.context);
+        let Some(open) = context.stop.enter() else {
+            return Ok(Response::new(refuse(
+                &relayed,
+                Kind::Stopping,
+                "the box is stopping",
+            )));
+        };
+        let Some(request) = understand(&context, &relayed) else {
+            return Ok(Response::new(refuse(
+                &relayed,
+                Kind::UnknownModel,
+                "the route is not known here",
+            )));
+        };
+        let frames = stream! {
+            let _open = open;
+            let mut session = Session::new(context, request);
+            loop {
+                let result = session.next().await;
+                let last = !matches!(result, Ok(Delivery::Token { .. }));
+                yield Ok(frame(result, &session));
+                if last {
+                    return;
+                }
+            }
+        };
+        Ok(Response::new(Box::pin(frames)))
+    }
+
+    async fn claim(&self, _request: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
+        Err(Status::unimplemented("claims are written by each box itself"))
+    }
+}
+
+fn understand(context: &Context, relayed: &RelayRequest) -> Option<RunRequest> {
+    let parsed = body::parse(&relayed.endpoint, &relayed.body).ok()?;
+    let view = context.store.view();
+    let resolved = resolve(&view, &relayed.customer, &parsed)?;
+    Some(RunRequest {
+        id: relayed.request_id.clone(),
+        customer: relayed.customer.clone(),
+        route: resolved.route,
+        service: resolved.service,
+        revision: view.revision,
+        parsed,
+        chain: resolved.chain,
+        salt: resolved.salt,
+        class: Priority::from_index(relayed.priority as usize),
+        deadline: Duration::from_millis(relayed.deadline_ms.into()),
+        once: relayed.once,
+        traceparent: Some(relayed.traceparent.clone()).filter(|t| !t.is_empty()),
+        resume_at: relayed.resume_at,
+        reach: Reach::Own,
+        body: Bytes::new(),
+        endpoint: relayed.endpoint.clone(),
+    })
+}
+
+fn frame(result: Result<Delivery, jb_policy::call::Refusal>, session: &Session) -> RelayFrame {
+    let frame = match result {
+        Ok(Delivery::Token { index, text }) => Frame::Token(peer::Token { index, text }),
+        Ok(Delivery::Ended(ending)) => Frame::Ending(to_wire_ending(ending)),
+        Err(refused) => Frame::Refusal(refusal::body(&refused, &session.request().id)),
+    };
+    RelayFrame { frame: Some(frame) }
+}
+
+fn to_wire_ending(ending: Ending) -> peer::Ending {
+    peer::Ending {
+        prompt_tokens: ending.prompt_tokens,
+        cached_tokens: ending.cached_tokens,
+        completion_tokens: ending.completion_tokens,
+        engine: ending.engine,
+        finish_reason: ending.finish_reason,
+    }
+}
+
+fn refuse(relayed: &RelayRequest, kind: Kind, detail: &str) -> Frames {
+    let call = Call::new(relayed.request_id.clone(), relayed.once);
+    let body = refusal::body(&call.refuse(kind, detail), &relayed.request_id);
+    let frame = RelayFrame {
+        frame: Some(Frame::Refusal(body)),
+    };
+    Box::pin(tokio_stream::once(Ok(frame)))
+}
--- /dev/null
+++ b/crates/jb-daemon/src/run/plain.rs
@@ -0,0 +1,129 @@
+//! Runs one call to a plain service.
+
+use std::time::Duration;
+
+use jb_policy::call::{Call, Denied, Refusal, Sent, Unsent};
+use jb_policy::prefix::Chain;
+use jb_policy::route::Ask;
+use jb_protocol::error::Kind;
+use jb_protocol::event;
+use jb_protocol::priority::Priority;
+use jb_tree::view::Service;
+use jb_upstream::Failure;
+use jb_upstream::plain::{Answer, Request};
+
+use crate::context::Context;
+use crate::decide::Outcome;
+use crate::emit;
+
+/// Most attempts for one call.
+const ATTEMPTS: u32 = 4;
+
+/// Where a call stands between two attempts.
+enum Standing {
+    /// Nothing of it can have run.
+    Unsent(Call<Unsent>),
+    /// An attempt may have run, and the call may be repeated.
+    Sent(Call<Sent>),
+}
+
+impl Standing {
+    fn attempts(&self) -> u32 {
+        match self {
+            Self::Unsent(call) => call.attempts(),
+            Self::Sent(call) => call.attempts(),
+        }
+    }
+
+    fn send(self) -> Call<Sent> {
+        match self {
+            Self::Unsent(call) => call.send(),
+            Self::Sent(call) => call,
+        }
+    }
+
+    fn give_up(&self, kind: Kind, detail: &str) -> Refusal {
+        match self {
+            Self::Unsent(call) => call.refuse(kind, detail),
+            Self::Sent(call) => call.lose(kind, detail),
+        }
+    }
+
+    /// Where the call stands after a failed attempt.
+    fn after(sent: Call<Sent>, failure: Failure) -> Result<Self, Refusal> {
+        let (kind, detail) = match failure {
+            Failure::Denied(denial) | Failure::Unreachable(denial) => match sent.deny(&denial) {
+                Denied::Clean(call) => return Ok(Self::Unsent(call)),
+                Denied::Tainted(call) => {
+                    return Ok(Self::Sent(call.resend(Kind::UpstreamLost, denial.reason())?));
+                }
+            },
+            Failure::Lost(detail) => (Kind::UpstreamLost, detail),
+            Failure::Silent => (Kind::UpstreamTimeout, "the upstream kept silent".to_owned()),
+            Failure::Protocol(detail) => (Kind::UpstreamProtocol, detail),
+        };
+        Ok(Self::Sent(sent.resend(kind, &detail)?))
+    }
+}
+
+/// Runs a call; a lost attempt is followed by another only where the call
+/// may be repeated.
+///
+/// # Errors
+/// The final refusal.
+pub async fn run(
+    context: &Context,
+    service: &Service,
+    mut request: Request,
+    call: Call<Unsent>,
+    deadline: Duration,
+) -> Result<Answer, Refusal> {
+    let mut ask = Ask {
+        chain: Chain::default(),
+        class: Priority::Normal,
+        deadline,
+        tried: Vec::new(),
+    };
+    let mut standing = Standing::Unsent(call);
+    loop {
+        if standing.attempts() >= ATTEMPTS {
+            return Err(standing.give_up(Kind::UpstreamRefused, "every attempt failed"));
+        }
+        let chosen = context
+            .ring
+            .choose(&service.id, &ask, standing.attempts() > 0)
+            .await;
+        let (choice, ticket) = match chosen {
+            Err(full) => return Err(standing.give_up(Kind::Busy, &full.to_string())),
+            Ok(Err(none)) => {
+                let refusal = standing.give_up(none.kind, "no upstream is left to try");
+                return Err(refusal.with_after(none.after));
+            }
+            Ok(Ok(chosen)) => chosen,
+        };
+        ask.tried.push(choice.upstream.clone());
+        let Some(upstream) = service.upstreams.iter().find(|u| u.id == choice.upstream) else {
+            continue;
+        };
+        let sent = standing.send();
+        request.attempt = sent.attempt();
+        match context
+            .services
+            .call(upstream.address, &request, service.silence)
+            .await
+        {
+            Ok(answer) => {
+                ticket.end(Outcome::Succeeded);
+                return Ok(answer);
+            }
+            Err(failure) => {
+                context.metrics.failed_attempts.inc();
+                emit!(context.logger, warn, event::ATTEMPT_FAILED,
+                    "request" => sent.id(), "upstream" => &choice.upstream, "why" => format!("{failure:?}"));
+                let denied = matches!(failure, Failure::Denied(_));
+                ticket.end(if denied { Outcome::Denied } else { Outcome::Failed });
+                standing = Standing::after(sent, failure)?;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/jb-daemon/src/run/session.rs
@@ -0,0 +1,459 @@
+//! A request on its way: attempts follow each other until the answer is
+//! complete or the request is given up.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jb_policy::call::{Call, Denied, Refusal, Sent, Streaming, Unsent};
+use jb_policy::hall;
+use jb_policy::route::Ask;
+use jb_policy::stream::Reader;
+use jb_protocol::engine::Call as EngineCall;
+use jb_protocol::error::Kind;
+use jb_protocol::{event, id};
+use jb_wire::peer::RelayRequest;
+
+use super::attempt::{AtEngine, AtPeer, Attempt, Part, Trouble};
+use super::request::{Reach, Request};
+use crate::context::Context;
+use crate::decide::{Outcome, Ticket};
+use crate::emit;
+
+/// Most attempts for one request.
+const ATTEMPTS: u32 = 5;
+
+/// Facts of a complete answer.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Ending {
+    /// Tokens of the prompt.
+    pub prompt_tokens: u32,
+    /// Tokens of the prompt that were found cached.
+    pub cached_tokens: u32,
+    /// Tokens of the answer.
+    pub completion_tokens: u32,
+    /// Engine that ended it.
+    pub engine: id::Upstream,
+    /// Why it ended.
+    pub finish_reason: String,
+}
+
+/// What the caller is owed next.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Delivery {
+    /// A token.
+    Token {
+        /// Place in the answer.
+        index: u32,
+        /// Text.
+        text: String,
+    },
+    /// The explicit end.
+    Ended(Ending),
+}
+
+enum Phase {
+    Unsent(Call<Unsent>),
+    Sent(Call<Sent>),
+    Streaming(Call<Streaming>),
+    Over,
+}
+
+/// Where the next attempt goes.
+enum Target {
+    Engine {
+        upstream: id::Upstream,
+        ticket: Ticket,
+    },
+    Peer {
+        id: id::Box,
+        address: String,
+        hall: id::Hall,
+    },
+}
+
+struct NoTarget {
+    kind: Kind,
+    after: Option<Duration>,
+}
+
+/// One request on its way.
+pub struct Session {
+    context: Arc<Context>,
+    request: Request,
+    phase: Phase,
+    attempt: Option<Attempt>,
+    next: u32,
+    tried: Vec<id::Upstream>,
+    tried_boxes: Vec<id::Box>,
+    tried_halls: Vec<id::Hall>,
+    refused: Option<NoTarget>,
+    tried_before: bool,
+}
+
+impl Session {
+    /// A session for a request that has not been sent.
+    pub fn new(context: Arc<Context>, request: Request) -> Self {
+        let call = Call::new(request.id.clone(), request.once);
+        Self {
+            next: request.resume_at,
+            context,
+            request,
+            phase: Phase::Unsent(call),
+            attempt: None,
+            tried: Vec::new(),
+            tried_boxes: Vec::new(),
+            tried_halls: Vec::new(),
+            refused: None,
+            tried_before: false,
+        }
+    }
+
+    /// The request.
+    pub fn request(&self) -> &Request {
+        &self.request
+    }
+
+    /// What the caller is owed next. After an end or a refusal there is
+    /// nothing more.
+    ///
+    /// # Errors
+    /// The final refusal.
+    pub async fn next(&mut self) -> Result<Delivery, Refusal> {
+        loop {
+            let step = match &mut self.attempt {
+                None => self.begin().await?,
+                Some(attempt) => attempt.read(&self.context).await,
+            };
+            match step {
+                Ok(Part::Progress) => {}
+                Ok(Part::Token(text)) => return Ok(self.token(text)),
+                Ok(Part::Ended(ending)) => return Ok(self.ended(ending)),
+                Err(trouble) => self.troubled(trouble)?,
+            }
+        }
+    }
+
+    fn token(&mut self, text: String) -> Delivery {
+        let index = self.next;
+        self.next += 1;
+        self.phase = match std::mem::replace(&mut self.phase, Phase::Over) {
+            Phase::Sent(call) => Phase::Streaming(call.deliver()),
+            Phase::Streaming(mut call) => {
+                call.deliver();
+                Phase::Streaming(call)
+            }
+            other => other,
+        };
+        Delivery::Token { index, text }
+    }
+
+    fn ended(&mut self, ending: Ending) -> Delivery {
+        self.phase = Phase::Over;
+        self.end_attempt(Outcome::Succeeded);
+        Delivery::Ended(ending)
+    }
+
+    fn end_attempt(&mut self, outcome: Outcome) {
+        if let Some(attempt) = self.attempt.take() {
+            attempt.end(outcome);
+        }
+    }
+
+    /// Chooses where the next attempt goes and sends it there.
+    async fn begin(&mut self) -> Result<Result<Part, Trouble>, Refusal> {
+        let target = match self.pick().await {
+            Ok(target) => target,
+            Err(none) => return Err(self.give_up(none.kind, "no upstream is left to try", none.after)),
+        };
+        self.tried_before = true;
+        let id = match std::mem::replace(&mut self.phase, Phase::Over) {
+            Phase::Unsent(call) => {
+                let call = call.send();
+                let id = call.attempt();
+                self.phase = Phase::Sent(call);
+                id
+            }
+            Phase::Sent(call) => {
+                let id = call.attempt();
+                self.phase = Phase::Sent(call);
+                id
+            }
+            Phase::Streaming(call) => {
+                let id = call.attempt();
+                self.phase = Phase::Streaming(call);
+                id
+            }
+            Phase::Over => {
+                return Err(
+                    Call::new(self.request.id.clone(), true).refuse(Kind::Malformed, "the request is over")
+                );
+            }
+        };
+        let sent = match target {
+            Target::Engine { upstream, ticket } => self.send_to_engine(id, upstream, ticket).await,
+            Target::Peer { id, address, hall } => self.send_to_peer(id, &address, hall).await,
+        };
+        Ok(sent.map(|()| Part::Progress))
+    }
+
+    async fn send_to_engine(
+        &mut self,
+        attempt: id::Attempt,
+        upstream: id::Upstream,
+        ticket: Ticket,
+    ) -> Result<(), Trouble> {
+        let service = &self.request.service;
+        self.tried.push(upstream.clone());
+        let Some(config) = service.upstreams.iter().find(|u| u.id == upstream) else {
+            return Err(Trouble::Denied {
+                denial: jb_policy::call::Denial::from_upstream("the upstream has left the tree"),
+                kind: Kind::NoUpstream,
+                after: None,
+            });
+        };
+        let call = EngineCall {
+            attempt: attempt.clone(),
+            model: service.model.clone(),
+            weights: service.weights.clone(),
+            salt: self.request.salt.clone(),
+            prompt: self.request.parsed.levels.concat(),
+            max_tokens: self.request.parsed.max_tokens,
+            priority: self.request.class,
+            resume_at: self.next,
+        };
+        let frames = match self
+            .context
+            .engines
+            .run(config.address, &call, service.silence)
+            .await
+        {
+            Ok(frames) => frames,
+            Err(failure) => {
+                let denied = matches!(failure, jb_upstream::Failure::Denied(_));
+                ticket.end(if denied { Outcome::Denied } else { Outcome::Failed });
+                return Err(failure.into());
+            }
+        };
+        self.attempt = Some(Attempt::Engine(Box::new(AtEngine {
+            service: service.id.clone(),
+            upstream,
+            ask: Arc::new(self.ask()),
+            frames,
+            reader: Reader::new(attempt, service.weights.clone(), self.next),
+            ticket,
+            cached_tokens: 0,
+        })));
+        Ok(())
+    }
+
+    async fn send_to_peer(&mut self, peer: id::Box, address: &str, hall: id::Hall) -> Result<(), Trouble> {
+        self.tried_boxes.push(peer.clone());
+        let request = RelayRequest {
+            version: jb_wire::VERSION,
+            customer: self.request.customer.clone(),
+            route: self.request.route.id.clone(),
+            body: self.request.body.to_vec(),
+            endpoint: self.request.endpoint.clone(),
+            priority: u32::try_from(self.request.class.index()).unwrap_or(u32::MAX),
+            deadline_ms: u32::try_from(self.request.deadline.as_millis()).unwrap_or(u32::MAX),
+            once: self.request.once,
+            traceparent: self.request.traceparent.clone().unwrap_or_default(),
+            request_id: self.request.id.clone(),
+            resume_at: self.next,
+            revision: self.request.revision,
+        };
+        match self.context.dialer.relay(address, request).await {
+            Ok(frames) => {
+                self.attempt = Some(Attempt::Peer(Box::new(AtPeer {
+                    peer,
+                    frames,
+                    next: self.next,
+                    silence: self.request.service.silence,
+                })));
+                Ok(())
+            }
+            Err(failure) => {
+                self.context.directory.failed(&peer);
+                if self.context.directory.boxes_in(&hall, 0).is_empty() {
+                    self.tried_halls.push(hall);
+                }
+                Err(failure.into())
+            }
+        }
+    }
+
+    fn ask(&self) -> Ask {
+        Ask {
+            chain: self.request.chain.as_ref().clone(),
+            class: self.request.class,
+            deadline: self.request.deadline,
+            tried: self.tried.clone(),
+        }
+    }
+
+    /// Tries the halls in their order; the first refusal is the one reported.
+    async fn pick(&mut self) -> Result<Target, NoTarget> {
+        let mut first = self.refused.take();
+        for hall in self.halls().await {
+            if self.tried_halls.contains(&hall) {
+                continue;
+            }
+            let result = if hall == self.context.settings.hall {
+                self.pick_engine().await
+            } else {
+                self.pick_peer(&hall)
+            };
+            match result {
+                Ok(target) => return Ok(target),
+                Err(none) => {
+                    first.get_or_insert(none);
+                }
+            }
+        }
+        Err(first.unwrap_or(NoTarget {
+            kind: Kind::NoUpstream,
+            after: None,
+        }))
+    }
+
+    async fn halls(&mut self) -> Vec<id::Hall> {
+        let own = self.context.settings.hall.clone();
+        if self.request.reach == Reach::Own {
+            return vec![own];
+        }
+        let service = &self.request.service.id;
+        let mut halls = self.context.directory.other_halls(&own, service);
+        let has_upstreams = |hall: &str| {
+            self.request
+                .service
+                .upstreams
+                .iter()
+                .any(|u| u.hall == hall && !u.leaving)
+        };
+        halls.retain(|summary| has_upstreams(&summary.hall));
+        if has_upstreams(&own) {
+            let summaries = self.context.ring.summarize().await.unwrap_or_default();
+            halls.extend(
+                summaries
+                    .into_iter()
+                    .filter(|s| s.service == *service)
+                    .map(|s| s.summary),
+            );
+        }
+        hall::order(&self.request.route, self.request.chain.family.hash, &own, &halls)
+    }
+
+    async fn pick_engine(&mut self) -> Result<Target, NoTarget> {
+        let chosen = self
+            .context
+            .ring
+            .choose(&self.request.service.id, &self.ask(), self.tried_before)
+            .await;
+        match chosen {
+            Err(_) => Err(NoTarget {
+                kind: Kind::Busy,
+                after: None,
+            }),
+            Ok(Err(refused)) => Err(NoTarget {
+                kind: refused.kind,
+                after: Some(refused.after),
+            }),
+            Ok(Ok((choice, ticket))) => Ok(Target::Engine {
+                upstream: choice.upstream,
+                ticket,
+            }),
+        }
+    }
+
+    fn pick_peer(&self, hall: &str) -> Result<Target, NoTarget> {
+        let turn = self.request.chain.family.hash;
+        let boxes = self.context.directory.boxes_in(hall, turn);
+        let peer = boxes.into_iter().find(|m| !self.tried_boxes.contains(&m.id));
+        let target = peer.map(|m| Target::Peer {
+            id: m.id,
+            address: m.peer_address,
+            hall: hall.to_owned(),
+        });
+        target.ok_or(NoTarget {
+            kind: Kind::HallUnreachable,
+            after: None,
+        })
+    }
+
+    /// Decides whether another attempt may follow a failed one.
+    fn troubled(&mut self, trouble: Trouble) -> Result<(), Refusal> {
+        self.context.metrics.failed_attempts.inc();
+        let from = self.tried.last().cloned().unwrap_or_default();
+        match trouble {
+            Trouble::Denied { denial, kind, after } => {
+                emit!(self.context.logger, info, event::ATTEMPT_FAILED,
+                    "request" => &self.request.id, "upstream" => from, "why" => denial.reason());
+                self.end_attempt(Outcome::Denied);
+                self.refused = Some(NoTarget { kind, after });
+                self.after_denial(&denial, kind)
+            }
+            Trouble::Lost { kind, detail } => {
+                emit!(self.context.logger, warn, event::ATTEMPT_FAILED,
+                    "request" => &self.request.id, "upstream" => from, "why" => &detail);
+                self.end_attempt(Outcome::Failed);
+                self.after_loss(kind, &detail)
+            }
+        }
+    }
+
+    fn after_denial(&mut self, denial: &jb_policy::call::Denial, kind: Kind) -> Result<(), Refusal> {
+        let phase = std::mem::replace(&mut self.phase, Phase::Over);
+        self.phase = match phase {
+            Phase::Sent(call) => match call.deny(denial) {
+                Denied::Clean(call) => Phase::Unsent(call),
+                Denied::Tainted(call) => Phase::Sent(call.resend(kind, denial.reason())?),
+            },
+            Phase::Streaming(call) => Phase::Streaming(call.resume(denial.reason())?),
+            other => other,
+        };
+        self.check_attempts(kind, denial.reason())
+    }
+
+    fn after_loss(&mut self, kind: Kind, detail: &str) -> Result<(), Refusal> {
+        let phase = std::mem::replace(&mut self.phase, Phase::Over);
+        self.phase = match phase {
+            Phase::Sent(call) => Phase::Sent(call.resend(kind, detail)?),
+            Phase::Streaming(call) => {
+                let call = call.resume(detail)?;
+                self.context.metrics.resumed.inc();
+                emit!(self.context.logger, info, event::STREAM_RESUMED,
+                    "request" => &self.request.id, "index" => self.next);
+                Phase::Streaming(call)
+            }
+            other => other,
+        };
+        self.check_attempts(kind, detail)
+    }
+
+    fn check_attempts(&mut self, kind: Kind, detail: &str) -> Result<(), Refusal> {
+        let attempts = match &self.phase {
+            Phase::Unsent(call) => call.attempts(),
+            Phase::Sent(call) => call.attempts(),
+            Phase::Streaming(call) => call.attempts(),
+            Phase::Over => 0,
+        };
+        if attempts < ATTEMPTS {
+            return Ok(());
+        }
+        Err(self.give_up(kind, detail, None))
+    }
+
+    /// The final refusal; what it says of the outcome follows from the phase.
+    fn give_up(&mut self, kind: Kind, detail: &str, after: Option<Duration>) -> Refusal {
+        let refusal = match std::mem::replace(&mut self.phase, Phase::Over) {
+            Phase::Unsent(call) => call.refuse(kind, detail),
+            Phase::Sent(call) => call.lose(kind, detail),
+            Phase::Streaming(call) => call.cut(Kind::StreamBroken, detail),
+            Phase::Over => Call::new(self.request.id.clone(), true).send().lose(kind, detail),
+        };
+        match after {
+            Some(after) => refusal.with_after(after),
+            None => refusal,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jb-daemon/src/serve/completions.rs
@@ -0,0 +1,308 @@
+//! Chat and text completions, whole and streamed.
+
+use std::sync::Arc;
+use std::time::{Duration, Instant};
+
+use async_stream::stream;
+use bytes::Bytes;
+use jb_policy::call::{Call, Refusal};
+use jb_policy::claim::{self, Verdict, Wish};
+use jb_protocol::error::{Kind, Outcome};
+use jb_protocol::{event, header};
+use poem::web::Data;
+use poem::{Body, Request, Response, handler};
+
+use super::body::{self, Shape};
+use super::caller::{self, Wishes};
+use super::refusal;
+use crate::context::Context;
+use crate::decide::Ticket;
+use crate::emit;
+use crate::run::{Delivery, Ending, Reach, Request as RunRequest, Session, resolve};
+use crate::stop::Guard;
+
+/// Time in which a caller must have sent its body.
+const BODY_PATIENCE: Duration = Duration::from_secs(10);
+
+/// What a request holds until its end.
+struct Held {
+    _open: Guard,
+    _limit: Ticket,
+    started: Instant,
+}
+
+/// Answers `/v1/chat/completions` and `/v1/completions`.
+#[handler]
+pub async fn completions(request: &Request, body: Body, Data(context): Data<&Arc<Context>>) -> Response {
+    let id = caller::request_id(&context.settings.id);
+    match begin(context, request, body, &id).await {
+        Ok((session, held)) => answer(context, session, held).await,
+        Err(refused) => refuse(context, &refused, &id),
+    }
+}
+
+/// Counts and logs a refusal, and makes its answer.
+pub fn refuse(context: &Context, refused: &Refusal, id: &str) -> Response {
+    note_refusal(context, refused, id);
+    refusal::answer(&refusal::document(refused, id))
+}
+
+fn note_refusal(context: &Context, refused: &Refusal, id: &str) {
+    context.metrics.refuse(refused.kind());
+    emit!(context.logger, info, event::REQUEST_REFUSED,
+        "request" => id, "kind" => refused.kind().code(), "why" => refused.detail());
+}
+
+async fn begin(
+    context: &Arc<Context>,
+    request: &Request,
+    body: Body,
+    id: &str,
+) -> Result<(Session, Held), Refusal> {
+    let call = Call::new(id.to_owned(), false);
+    let started = Instant::now();
+    let open = context
+        .stop
+        .enter()
+        .ok_or_else(|| call.refuse(Kind::Stopping, "the box is stopping"))?;
+    let run = understand(context, request, body, id).await?;
+    let limit = admit(context, &call, &run.customer, run.tokens()).await?;
+    let key = request.header(header::IDEMPOTENCY_KEY);
+    if run.once {
+        let claimed = claim_key(context, &call, &run.customer, &run.route.service, key, id).await;
+        if let Err(refused) = claimed {
+            return Err(refused);
+        }
+    }
+    let held = Held {
+        _open: open,
+        _limit: limit,
+        started,
+    };
+    Ok((Session::new(Arc::clone(context), run), held))
+}
+
+/// Reads headers and body, and finds customer, route and service.
+async fn understand(
+    context: &Context,
+    request: &Request,
+    body: Body,
+    id: &str,
+) -> Result<RunRequest, Refusal> {
+    let call = Call::new(id.to_owned(), false);
+    let view = context.store.view();
+    if view.revision == 0 {
+        return Err(call.refuse(Kind::TreeMissing, "the box has not got its tree yet"));
+    }
+    let customer = caller::customer(request, &view)
+        .ok_or_else(|| call.refuse(Kind::Unauthenticated, "no customer has this key"))?;
+    let wishes = caller::wishes(request).map_err(|e| call.refuse(Kind::Malformed, e.to_string()))?;
+    let most = view.routes.values().map(|r| r.max_body_bytes).max().unwrap_or(0);
+    let bytes = read_body(&call, body, most).await?;
+    let endpoint = request.uri().path().to_owned();
+    let parsed = body::parse(&endpoint, &bytes).map_err(|e| call.refuse(Kind::Malformed, e.to_string()))?;
+    let resolved = resolve(&view, &customer.id, &parsed).ok_or_else(|| {
+        call.refuse(
+            Kind::UnknownModel,
+            format!("no model `{}` for this customer", parsed.model),
+        )
+    })?;
+    let limit = resolved.route.max_body_bytes;
+    if bytes.len() > limit as usize {
+        return Err(call.refuse(
+            Kind::BodyTooLarge,
+            format!("the route takes at most {limit} bytes"),
+        ));
+    }
+    let Wishes {
+        once,
+        class,
+        deadline,
+        traceparent,
+        ..
+    } = wishes;
+    Ok(RunRequest {
+        id: id.to_owned(),
+        customer: customer.id.clone(),
+        class: class.or(customer.priority).unwrap_or(resolved.route.priority),
+        deadline: deadline.unwrap_or(resolved.route.deadline),
+        route: resolved.route,
+        service: resolved.service,
+        revision: view.revision,
+        parsed,
+        chain: resolved.chain,
+        salt: resolved.salt,
+        once: once.unwrap_or(false),
+        traceparent,
+        resume_at: 0,
+        reach: Reach::Any,
+        body: bytes,
+        endpoint,
+    })
+}
+
+/// Reads a body of at most `most` bytes from a caller that may be slow.
+pub async fn read_body(
+    call: &Call<jb_policy::call::Unsent>,
+    body: Body,
+    most: u32,
+) -> Result<Bytes, Refusal> {
+    let read = tokio::time::timeout(BODY_PATIENCE, body.into_bytes_limit(most as usize)).await;
+    match read {
+        Err(_) => Err(call.refuse(Kind::Malformed, "the body did not come in time")),
+        Ok(Err(poem::error::ReadBodyError::PayloadTooLarge)) => {
+            Err(call.refuse(Kind::BodyTooLarge, format!("at most {most} bytes are taken")))
+        }
+        Ok(Err(error)) => Err(call.refuse(Kind::Malformed, error.to_string())),
+        Ok(Ok(bytes)) => Ok(bytes),
+    }
+}
+
+/// Applies the customer's limits.
+pub async fn admit(
+    context: &Context,
+    call: &Call<jb_policy::call::Unsent>,
+    customer: &str,
+    tokens: u32,
+) -> Result<Ticket, Refusal> {
+    match context.ring.admit(customer, tokens).await {
+        Err(full) => Err(call.refuse(Kind::Busy, full.to_string())),
+        Ok(Err(over)) => Err(call
+            .refuse(over.kind, "over the customer's limit")
+            .with_after(over.after)),
+        Ok(Ok(ticket)) => Ok(ticket),
+    }
+}
+
+/// Claims a request that runs at most once under the caller's key.
+///
+/// Without a key there is no resend to guard against, only this one sending.
+pub async fn claim_key(
+    context: &Context,
+    call: &Call<jb_policy::call::Unsent>,
+    customer: &str,
+    service: &str,
+    key: Option<&str>,
+    id: &str,
+) -> Result<(), Refusal> {
+    let Some(key) = key else {
+        return Ok(());
+    };
+    let wish = Wish {
+        key: claim::key(customer, service, key),
+        claimant: jb_policy::place::name_hash(id),
+    };
+    match context.claims.claim(wish).await {
+        Ok(Verdict::Granted) => Ok(()),
+        // Whoever holds the claim may have run the request.
+        Ok(Verdict::Taken) => Err(call.refuse_claimed("a request with this key came before")),
+        Ok(Verdict::Full) => Err(call.refuse(Kind::ClaimUnavailable, "too many claims are remembered")),
+        Err(error) => Err(call.refuse(Kind::ClaimUnavailable, error.to_string())),
+    }
+}
+
+async fn answer(context: &Arc<Context>, mut session: Session, held: Held) -> Response {
+    let id = session.request().id.clone();
+    // The status depends on the first delivery, so nothing is said before it.
+    let first = match session.next().await {
+        Ok(first) => first,
+        Err(refused) => return refuse(context, &refused, &id),
+    };
+    context.metrics.first(held.started.elapsed());
+    if session.request().parsed.stream {
+        streamed(Arc::clone(context), session, held, first)
+    } else {
+        whole(context, session, held, first).await
+    }
+}
+
+fn shape(session: &Session) -> Shape<'_> {
+    let request = session.request();
+    Shape {
+        chat: request.endpoint == body::CHAT,
+        id: &request.id,
+        model: &request.parsed.model,
+    }
+}
+
+async fn whole(context: &Context, mut session: Session, held: Held, first: Delivery) -> Response {
+    let mut text = String::new();
+    let mut delivery = first;
+    let ending = loop {
+        match delivery {
+            Delivery::Ended(ending) => break ending,
+            Delivery::Token { text: token, .. } => text.push_str(&token),
+        }
+        delivery = match session.next().await {
+            Ok(delivery) => delivery,
+            // Nothing was delivered to this caller, whatever ran.
+            Err(refused) => {
+                note_refusal(context, &refused, &session.request().id);
+                let mut document = refusal::document(&refused, &session.request().id);
+                if document.outcome == Outcome::RanPartly {
+                    document.outcome = Outcome::MayHaveRun;
+                }
+                return refusal::answer(&document);
+            }
+        };
+    };
+    completed(context, &session, &held, &ending);
+    let body = serde_json::to_vec(&shape(&session).whole(&text, &ending)).unwrap_or_default();
+    Response::builder()
+        .content_type("application/json")
+        .header(header::REQUEST_ID, &session.request().id)
+        .header(header::SERVED_BY, &ending.engine)
+        .body(body)
+}
+
+fn streamed(context: Arc<Context>, mut session: Session, held: Held, first: Delivery) -> Response {
+    let id = session.request().id.clone();
+    let events = stream! {
+        let held = held;
+        let mut delivery = first;
+        loop {
+            match &delivery {
+                Delivery::Token { text, .. } => yield Ok::<_, std::io::Error>(data(&shape(&session).token(text))),
+                Delivery::Ended(ending) => {
+                    completed(&context, &session, &held, ending);
+                    yield Ok(data(&shape(&session).end(ending)));
+                    yield Ok(Bytes::from_static(b"data: [DONE]\n\n"));
+                    return;
+                }
+            }
+            delivery = match session.next().await {
+                Ok(delivery) => delivery,
+                Err(refused) => {
+                    note_refusal(&context, &refused, &session.request().id);
+                    let document = refusal::document(&refused, &session.request().id);
+                    let mut event = b"event: error\ndata: ".to_vec();
+                    event.extend_from_slice(&refusal::json(&document));
+                    event.extend_from_slice(b"\n\n");
+                    yield Ok(Bytes::from(event));
+                    return;
+                }
+            };
+        }
+    };
+    Response::builder()
+        .content_type("text/event-stream")
+        .header("cache-control", "no-cache")
+        .header(header::REQUEST_ID, id)
+        .body(Body::from_bytes_stream(events))
+}
+
+fn data(answer: &body::Answer<'_>) -> Bytes {
+    let mut event = b"data: ".to_vec();
+    event.extend_from_slice(&serde_json::to_vec(answer).unwrap_or_default());
+    event.extend_from_slice(b"\n\n");
+    Bytes::from(event)
+}
+
+fn completed(context: &Context, session: &Session, held: &Held, ending: &Ending) {
+    context.metrics.completed.inc();
+    let request = session.request();
+    emit!(context.logger, debug, event::REQUEST_ENDED,
+        "request" => &request.id, "customer" => &request.customer, "route" => &request.route.id,
+        "upstream" => &ending.engine, "prompt_tokens" => ending.prompt_tokens,
+        "cached_tokens" => ending.cached_tokens, "ms" => held.started.elapsed().as_secs_f64() * 1e3);
+}
--- /dev/null
+++ b/crates/jb-daemon/src/serve/mod.rs
@@ -0,0 +1,12 @@
+//! Answers callers.
+
+pub mod body;
+mod caller;
+mod completions;
+mod health;
+mod models;
+mod plain;
+pub mod refusal;
+mod routes;
+
+pub use routes::app;
--- /dev/null
+++ b/crates/jb-daemon/src/serve/plain.rs
@@ -0,0 +1,115 @@
+//! Calls to plain services.
+
+use std::sync::Arc;
+
+use jb_policy::call::{Call, Refusal};
+use jb_protocol::error::Kind;
+use jb_protocol::header;
+use jb_protocol::service;
+use jb_tree::view::Service;
+use jb_upstream::plain::{Answer, Request as PlainRequest};
+use poem::http::{Method, StatusCode};
+use poem::web::{Data, Path};
+use poem::{Body, Request, Response, handler};
+
+use super::caller;
+use super::completions::{admit, claim_key, read_body, refuse};
+use crate::context::Context;
+use crate::run::run_plain;
+
+/// Tokens that a call to a plain service counts against the rate.
+const TOKENS: u32 = 1;
+
+/// Answers `/services/{service}/{path}`.
+#[handler]
+pub async fn plain(
+    request: &Request,
+    body: Body,
+    Path((service, path)): Path<(String, String)>,
+    Data(context): Data<&Arc<Context>>,
+) -> Response {
+    let id = caller::request_id(&context.settings.id);
+    match call(context, request, body, &service, &path, &id).await {
+        Ok(answer) => pass_on(context, answer, &id),
+        Err(refused) => refuse(context, &refused, &id),
+    }
+}
+
+async fn call(
+    context: &Arc<Context>,
+    request: &Request,
+    body: Body,
+    name: &str,
+    path: &str,
+    id: &str,
+) -> Result<Answer, Refusal> {
+    let unsure = Call::new(id.to_owned(), true);
+    let _open = context
+        .stop
+        .enter()
+        .ok_or_else(|| unsure.refuse(Kind::Stopping, "the box is stopping"))?;
+    let view = context.store.view();
+    if view.revision == 0 {
+        return Err(unsure.refuse(Kind::TreeMissing, "the box has not got its tree yet"));
+    }
+    let customer = caller::customer(request, &view)
+        .ok_or_else(|| unsure.refuse(Kind::Unauthenticated, "no customer has this key"))?;
+    let wishes = caller::wishes(request).map_err(|e| unsure.refuse(Kind::Malformed, e.to_string()))?;
+    let service = plain_service(&view.services, name)
+        .filter(|_| customer.may_use(name))
+        .ok_or_else(|| {
+            unsure.refuse(
+                Kind::UnknownPath,
+                format!("no service `{name}` for this customer"),
+            )
+        })?;
+    let bytes = read_body(&unsure, body, service.max_body_bytes).await?;
+    let mut limit = admit(context, &unsure, &customer.id, TOKENS).await?;
+    let once = wishes.once.unwrap_or(!is_repeatable(request.method()));
+    if once {
+        let key = wishes.key.as_deref();
+        claim_key(context, &unsure, &customer.id, name, key, id).await?;
+    }
+    let query = request.uri().query().map(|q| format!("?{q}")).unwrap_or_default();
+    let onward = PlainRequest {
+        method: request.method().to_string(),
+        path: format!("{path}{query}"),
+        content_type: request.content_type().map(str::to_owned),
+        body: bytes,
+        attempt: String::new(),
+        customer: customer.id.clone(),
+        idempotency_key: wishes.key,
+        traceparent: wishes.traceparent,
+    };
+    let deadline = wishes.deadline.unwrap_or(service.silence);
+    let result = run_plain(context, service, onward, Call::new(id.to_owned(), once), deadline).await;
+    if result.is_err() {
+        limit.refund(TOKENS);
+    }
+    result
+}
+
+fn plain_service<'v>(
+    services: &'v std::collections::BTreeMap<jb_protocol::id::Service, Service>,
+    name: &str,
+) -> Option<&'v Service> {
+    services.get(name).filter(|s| s.kind == service::Kind::Plain)
+}
+
+/// Methods that HTTP itself calls idempotent (RFC 9110, section 9.2.2).
+fn is_repeatable(method: &Method) -> bool {
+    matches!(
+        *method,
+        Method::GET | Method::HEAD | Method::PUT | Method::DELETE | Method::OPTIONS
+    )
+}
+
+fn pass_on(context: &Context, answer: Answer, id: &str) -> Response {
+    context.metrics.completed.inc();
+    let status = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
+    let mut builder = Response::builder().status(status).header(header::REQUEST_ID, id);
+    if let Some(content_type) = &answer.content_type {
+        builder = builder.content_type(content_type);
+    }
+    builder.body(answer.body)
+}
--- /dev/null
+++ b/crates/jb-daemon/src/start.rs
@@ -0,0 +1,184 @@
+//! Starts the threads of a box and joins them.
+
+use std::future::Future;
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+
+use jb_platform::Platform;
+use jb_policy::member::Member;
+use jb_protocol::event;
+use jb_upstream::engine::http_client;
+use jb_upstream::{engine, plain};
+use miette::{IntoDiagnostic as _, WrapErr as _};
+use poem::listener::TcpAcceptor;
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+
+use crate::clock::Clock;
+use crate::context::Context;
+use crate::follow::{self, Store};
+use crate::log::{self, Log};
+use crate::members::{self, Directory};
+use crate::metrics::Metrics;
+use crate::peer::{self, Dialer};
+use crate::settings::Settings;
+use crate::{admin, claims, decide, emit, probe, serve};
+
+struct Listeners {
+    callers: TcpListener,
+    peers: TcpListener,
+    operators: TcpListener,
+}
+
+/// Runs the box until it is stopped.
+///
+/// # Errors
+/// When an address cannot be bound, or the system gives no thread.
+pub fn run(settings: Settings) -> miette::Result<()> {
+    let runtime = tokio::runtime::Builder::new_multi_thread()
+        .worker_threads(settings.workers)
+        .thread_name("accept")
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    let Log { logger, guard } = log::start(&settings.id, &settings.hall);
+    let result = runtime.block_on(serve_until_stopped(settings, logger));
+    drop(guard);
+    result
+}
+
+async fn serve_until_stopped(settings: Settings, logger: slog::Logger) -> miette::Result<()> {
+    let mut terminate = signal(SignalKind::terminate()).into_diagnostic()?;
+    let listeners = bind(&settings).await?;
+    let grace = Duration::from_secs(settings.stop_grace_s);
+    let context = build(settings, logger, &listeners)?;
+    announce(&context, &listeners)?;
+    start_duties(&context)?;
+    serve_on(&context, listeners);
+    tokio::select! {
+        _ = terminate.recv() => context.stop.begin(),
+        () = drained(&context) => {}
+    }
+    emit!(context.logger, info, event::BOX_STOPPING, "open" => context.stop.open());
+    // Whoever is still served after the grace was told of it in the settings.
+    let _ = tokio::time::timeout(grace, context.stop.wait_idle()).await;
+    emit!(context.logger, info, event::BOX_STOPPED, "open" => context.stop.open());
+    Ok(())
+}
+
+/// Waits until an operator has begun the stop and nothing is open any more.
+async fn drained(context: &Context) {
+    const LOOK: Duration = Duration::from_millis(50);
+    while !context.stop.is_stopping() {
+        tokio::time::sleep(LOOK).await;
+    }
+}
+
+async fn bind(settings: &Settings) -> miette::Result<Listeners> {
+    let bind = |key: &'static str, address: SocketAddr| async move {
+        let bound = TcpListener::bind(address).await.into_diagnostic();
+        bound.wrap_err_with(|| format!("`{key}` = {address} cannot be listened on"))
+    };
+    Ok(Listeners {
+        callers: bind("caller_address", settings.caller_address).await?,
+        peers: bind("peer_address", settings.peer_address).await?,
+        operators: bind("admin_address", settings.admin_address).await?,
+    })
+}
+
+fn build(settings: Settings, logger: slog::Logger, listeners: &Listeners) -> miette::Result<Arc<Context>> {
+    let clock = Clock::start();
+    let platform: Arc<dyn Platform> =
+        Arc::new(jb_platform::http::Client::new(settings.platform).into_diagnostic()?);
+    let http = http_client().into_diagnostic()?;
+    let ring = decide::start(&settings.hall, settings.ring, clock, logger.clone()).into_diagnostic()?;
+    let (claims, inbox) = claims::ring();
+    {
+        let (platform, logger) = (Arc::clone(&platform), logger.clone());
+        on_thread("claims", move || claims::work(inbox, platform, clock, logger))?;
+    }
+    let dialer = Dialer::new(&settings.peer_secret)
+        .ok_or_else(|| miette::miette!("`peer_secret` may hold printable ASCII characters only"))?;
+    let me = Member {
+        id: settings.id.clone(),
+        hall: settings.hall.clone(),
+        peer_address: listeners.peers.local_addr().into_diagnostic()?.to_string(),
+        admin_address: listeners.operators.local_addr().into_diagnostic()?.to_string(),
+        // A restarted box must be heard over its earlier self.
+        heartbeat: clock.wall_s(),
+        leaving: false,
+        revision: 0,
+    };
+    Ok(Arc::new(Context {
+        settings,
+        clock,
+        logger,
+        metrics: Metrics::default(),
+        store: Store::default(),
+        ring,
+        claims,
+        directory: Directory::new(me),
+        dialer,
+        platform,
+        engines: Arc::new(engine::Client::new(http.clone())),
+        services: Arc::new(plain::Client::new(http)),
+        stop: Arc::default(),
+    }))
+}
+
+fn announce(context: &Context, listeners: &Listeners) -> miette::Result<()> {
+    let text = |listener: &TcpListener| listener.local_addr().map(|a| a.to_string()).into_diagnostic();
+    emit!(context.logger, info, event::BOX_STARTED,
+        "callers" => text(&listeners.callers)?,
+        "peers" => text(&listeners.peers)?,
+        "operators" => text(&listeners.operators)?);
+    Ok(())
+}
+
+fn start_duties(context: &Arc<Context>) -> miette::Result<()> {
+    let shared = Arc::clone(context);
+    on_thread("tree", move || follow::follow(shared))?;
+    let shared = Arc::clone(context);
+    on_thread("members", move || members::probe(shared))?;
+    let shared = Arc::clone(context);
+    on_thread("probe", move || probe::work(shared))?;
+    let shared = Arc::clone(context);
+    tokio::spawn(async move {
+        let mut revisions = shared.store.subscribe();
+        if revisions.wait_for(|revision| *revision > 0).await.is_ok() {
+            emit!(shared.logger, info, event::BOX_READY, "revision" => shared.store.revision());
+        }
+    });
+    Ok(())
+}
+
+fn serve_on(context: &Arc<Context>, listeners: Listeners) {
+    let callers = serve::app(Arc::clone(context));
+    let operators = admin::app(Arc::clone(context));
+    let peers = peer::serve(Arc::clone(context), listeners.peers);
+    if let Ok(acceptor) = TcpAcceptor::from_tokio(listeners.callers) {
+        tokio::spawn(poem::Server::new_with_acceptor(acceptor).run(callers));
+    }
+    if let Ok(acceptor) = TcpAcceptor::from_tokio(listeners.operators) {
+        tokio::spawn(poem::Server::new_with_acceptor(acceptor).run(operators));
+    }
+    tokio::spawn(peers);
+}
+
+/// Runs one duty on a thread and a runtime of its own.
+fn on_thread<F, W>(name: &str, work: W) -> miette::Result<()>
+where
+    W: FnOnce() -> F + Send + 'static,
+    F: Future<Output = ()>,
+{
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .into_diagnostic()?;
+    let spawned = thread::Builder::new()
+        .name(name.to_owned())
+        .spawn(move || runtime.block_on(work()));
+    spawned.into_diagnostic().map(|_| ())
+}
--- /dev/null
+++ b/crates/jb-policy/src/lib.rs
@@ -0,0 +1,23 @@
+//! Every decision of junctionbend, as a pure library.
+//!
+//! There is no I/O, no clock, no randomness and no thread in here: the caller
+//! passes in what happened and when, and gets back what to do. Times are
+//! [`Moment`]s, durations since a start of the caller's choice.
+
+pub mod call;
+pub mod claim;
+pub mod hall;
+pub mod health;
+pub mod knowledge;
+pub mod limit;
+pub mod load;
+pub mod member;
+pub mod place;
+pub mod prefix;
+pub mod retry;
+pub mod route;
+pub mod stream;
+pub mod upstream;
+
+/// A point in time, as the duration since the process started.
+pub type Moment = std::time::Duration;
--- /dev/null
+++ b/crates/jb-policy/src/limit.rs
@@ -0,0 +1,92 @@
+//! Limits of a customer, shared over the boxes of a hall without a message
+//! for each request: each box grants an even part of them.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use jb_protocol::error::Kind;
+use jb_protocol::id;
+use jb_tree::view::Customer;
+
+use crate::Moment;
+
+/// Time over which a customer may save up unused tokens.
+const BURST: Duration = Duration::from_secs(2);
+/// Time after which to come back when too many requests are open.
+const CONCURRENCY_PAUSE: Duration = Duration::from_secs(1);
+
+/// A refusal by a limit.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Over {
+    /// The limit.
+    pub kind: Kind,
+    /// When the request would be admitted if nothing else came.
+    pub after: Duration,
+}
+
+#[derive(Clone, Debug)]
+struct Use {
+    tokens: f64,
+    refilled_at: Moment,
+    open: u32,
+}
+
+/// The use of all customers at one box.
+#[derive(Clone, Debug, Default)]
+pub struct Limits {
+    uses: HashMap<id::Customer, Use>,
+}
+
+impl Limits {
+    /// Admits a request of `tokens` tokens, or says when to come back.
+    ///
+    /// `boxes` is the number of boxes that share the hall's callers.
+    ///
+    /// # Errors
+    /// The limit that is exceeded.
+    pub fn admit(&mut self, customer: &Customer, boxes: u32, tokens: u32, now: Moment) -> Result<(), Over> {
+        let boxes = boxes.max(1);
+        let rate = f64::from(customer.tokens_per_second) / f64::from(boxes);
+        let room = rate * BURST.as_secs_f64();
+        let used = self.uses.entry(customer.id.clone()).or_insert(Use {
+            tokens: room,
+            refilled_at: now,
+            open: 0,
+        });
+        let idle = now.saturating_sub(used.refilled_at);
+        used.tokens = (used.tokens + idle.as_secs_f64() * rate).min(room);
+        used.refilled_at = now;
+        if used.open >= customer.max_concurrent.div_ceil(boxes) {
+            return Err(Over {
+                kind: Kind::ConcurrencyLimited,
+                after: CONCURRENCY_PAUSE,
+            });
+        }
+        // A request longer than the whole room is admitted when the room is full.
+        let needed = f64::from(tokens).min(room);
+        if used.tokens < needed {
+            let seconds = (needed - used.tokens) / rate.max(f64::MIN_POSITIVE);
+            return Err(Over {
+                kind: Kind::RateLimited,
+                after: Duration::try_from_secs_f64(seconds).unwrap_or(Duration::MAX),
+            });
+        }
+        used.tokens -= f64::from(tokens);
+        used.open += 1;
+        Ok(())
+    }
+
+    /// Notes the end of an admitted request.
+    pub fn end(&mut self, customer: &str) {
+        if let Some(used) = self.uses.get_mut(customer) {
+            used.open = used.open.saturating_sub(1);
+        }
+    }
+
+    /// Gives back what a request took that no engine could take.
+    pub fn refund(&mut self, customer: &str, tokens: u32) {
+        if let Some(used) = self.uses.get_mut(customer) {
+            used.tokens += f64::from(tokens);
+        }
+    }
+}
--- /dev/null
+++ b/crates/jb-policy/src/member.rs
@@ -0,0 +1,166 @@
+//! Soft membership between boxes.
+//!
+//! Each tick a box probes a constant number of others, in turn, and tells
+//! each a constant number of what it has heard. So the cost of a box does not
+//! grow with their number. Being taken for dead only turns traffic away; no
+//! promise rests on it.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jb_protocol::id;
+
+use crate::Moment;
+
+/// Boxes probed at each tick.
+pub const PROBES_PER_TICK: usize = 2;
+/// Heartbeats told with each probe.
+pub const TOLD_PER_PROBE: usize = 6;
+/// Failed probes in a row after which a box is taken for dead.
+const FAILURES: u32 = 2;
+/// Time after which a dead box that nobody heard of is forgotten.
+const FORGET: Duration = Duration::from_secs(120);
+
+/// What is told of a box.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Member {
+    /// Name.
+    pub id: id::Box,
+    /// Data hall.
+    pub hall: id::Hall,
+    /// Address of its peer port.
+    pub peer_address: String,
+    /// Address of its admin port.
+    pub admin_address: String,
+    /// Heartbeat; the box raises it, and a restart raises it far.
+    pub heartbeat: u64,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Revision of the tree that it has in force.
+    pub revision: id::Revision,
+}
+
+#[derive(Clone, Debug)]
+struct Seen {
+    member: Member,
+    heard_at: Moment,
+    failures: u32,
+}
+
+/// The boxes as one box sees them.
+#[derive(Clone, Debug)]
+pub struct Members {
+    me: Member,
+    others: BTreeMap<id::Box, Seen>,
+    turn: usize,
+}
+
+/// What hearing of a box changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// Nothing.
+    None,
+    /// A box is alive that was unknown or taken for dead.
+    Found,
+    /// A box is taken for dead from now on.
+    Lost,
+}
+
+impl Members {
+    /// A view that knows only the box itself.
+    pub fn new(me: Member) -> Self {
+        Self {
+            me,
+            others: BTreeMap::new(),
+            turn: 0,
+        }
+    }
+
+    /// The box itself as it is told to others.
+    pub fn me(&self) -> &Member {
+        &self.me
+    }
+
+    /// Raises the own heartbeat and sets what is told with it.
+    pub fn beat(&mut self, revision: id::Revision, leaving: bool) {
+        self.me.heartbeat += 1;
+        self.me.revision = revision;
+        self.me.leaving = leaving;
+    }
+
+    /// Takes what was heard of a box. Only a newer heartbeat counts.
+    pub fn hear(&mut self, member: Member, now: Moment) -> Change {
+        if member.id == self.me.id || member.id.is_empty() {
+            return Change::None;
+        }
+        match self.others.get_mut(&member.id) {
+            Some(seen) if seen.member.heartbeat >= member.heartbeat => Change::None,
+            Some(seen) => {
+                let was_dead = seen.failures >= FAILURES;
+                seen.member = member;
+                seen.heard_at = now;
+                seen.failures = 0;
+                if was_dead { Change::Found } else { Change::None }
+            }
+            None => {
+                let seen = Seen {
+                    member: member.clone(),
+                    heard_at: now,
+                    failures: 0,
+                };
+                self.others.insert(member.id, seen);
+                Change::Found
+            }
+        }
+    }
+
+    /// Notes that a box did not answer.
+    pub fn failed(&mut self, id: &str) -> Change {
+        let Some(seen) = self.others.get_mut(id) else {
+            return Change::None;
+        };
+        seen.failures = seen.failures.saturating_add(1);
+        if seen.failures == FAILURES {
+            Change::Lost
+        } else {
+            Change::None
+        }
+    }
+
+    /// Boxes to probe at this tick; dead ones too, so that they are found again.
+    pub fn tick(&mut self, now: Moment) -> Vec<Member> {
+        self.others
+            .retain(|_, s| s.failures < FAILURES || now.saturating_sub(s.heard_at) < FORGET);
+        self.next(PROBES_PER_TICK, |_| true)
+    }
+
+    /// What to tell with a probe.
+    pub fn told(&mut self) -> Vec<Member> {
+        self.next(TOLD_PER_PROBE, |s| s.failures < FAILURES)
+    }
+
+    /// Boxes taken for alive, the box itself not among them.
+    pub fn alive(&self) -> impl Iterator<Item = &Member> {
+        self.others
+            .values()
+            .filter(|s| s.failures < FAILURES)
+            .map(|s| &s.member)
+    }
+
+    /// Boxes alive and not stopping in a hall, the box itself counted.
+    pub fn serving_in(&self, hall: &str) -> u32 {
+        let others = self.alive().filter(|m| m.hall == hall && !m.leaving).count();
+        let me = usize::from(self.me.hall == hall && !self.me.leaving);
+        u32::try_from(others + me).unwrap_or(u32::MAX)
+    }
+
+    fn next(&mut self, count: usize, wanted: impl Fn(&Seen) -> bool) -> Vec<Member> {
+        let all: Vec<&Seen> = self.others.values().filter(|s| wanted(s)).collect();
+        let count = count.min(all.len());
+        let picked = (0..count)
+            .map(|k| all[(self.turn + k) % all.len()].member.clone())
+            .collect();
+        self.turn = self.turn.wrapping_add(count.max(1));
+        picked
+    }
+}
--- /dev/null
+++ b/crates/jb-policy/src/place.rs
@@ -0,0 +1,36 @@
+//! Rendezvous hashing: the same order of members on every box, without a
+//! message and without any state to warm up.
+
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Hash of a member's name, computed once per member.
+pub fn name_hash(name: &str) -> u64 {
+    xxh3_64(name.as_bytes())
+}
+
+/// Weight of a member for a key; the greatest weight owns the key.
+///
+/// The mixing steps are the finalizer of MurmurHash3 (Appleby, 2008).
+pub fn weight(key: u64, member: u64) -> u64 {
+    let mut x = key ^ member.rotate_left(32);
+    x ^= x >> 33;
+    x = x.wrapping_mul(0xff51_afd7_ed55_8ccd);
+    x ^= x >> 33;
+    x = x.wrapping_mul(0xc4ce_b9fe_1a85_ec53);
+    x ^ (x >> 33)
+}
+
+/// The `count` members of the greatest weight, the greatest first.
+pub fn top(key: u64, members: impl Iterator<Item = (usize, u64)>, count: usize) -> Vec<usize> {
+    let mut best: Vec<(u64, usize)> = Vec::with_capacity(count + 1);
+    for (index, member) in members {
+        let weight = weight(key, member);
+        if best.len() == count && best.last().is_some_and(|(least, _)| weight <= *least) {
+            continue;
+        }
+        let at = best.partition_point(|(other, _)| *other > weight);
+        best.insert(at, (weight, index));
+        best.truncate(count);
+    }
+    best.into_iter().map(|(_, index)| index).collect()
+}
--- /dev/null
+++ b/crates/jb-policy/src/route.rs
@@ -0,0 +1,393 @@
+//! Choice of the upstream for a request, for one service in one hall.
+
+use std::time::Duration;
+
+use jb_protocol::engine::Report;
+use jb_protocol::error::Kind;
+use jb_protocol::id;
+use jb_protocol::priority::Priority;
+use jb_protocol::service::Policy;
+use jb_protocol::token::TOKENS_PER_BLOCK;
+use jb_tree::view::Service;
+use serde::{Deserialize, Serialize};
+
+use crate::Moment;
+use crate::health::Change;
+use crate::knowledge::{Holder, Index, Knowledge, Known};
+use crate::place;
+use crate::prefix::Chain;
+use crate::retry::Budget;
+use crate::stream::Start;
+use crate::upstream::Upstream;
+
+/// Up to this many upstreams, each one is weighed for every request.
+const WEIGH_ALL: usize = 16;
+/// Upstreams weighed by their rank for the family, where there are more.
+const RANKED: usize = 6;
+/// Prefixes remembered for each block that an engine can hold, divided by 8.
+const MARKS_PER_ENGINE_BLOCK: usize = 4;
+/// Most prefixes remembered in each generation, which bounds the memory.
+const MOST_MARKS: usize = 200_000;
+/// Age given to the load in an answer's start, for the way it has come.
+const ANSWER_AGE: Duration = Duration::from_millis(2);
+/// Time after which to come back when no upstream is usable.
+const NO_UPSTREAM_PAUSE: Duration = Duration::from_secs(2);
+
+/// A request as the choice sees it.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Prefixes of the prompt.
+    pub chain: Chain,
+    /// Priority class.
+    pub class: Priority,
+    /// Time within which the first token is due.
+    pub deadline: Duration,
+    /// Upstreams that have failed this request already.
+    pub tried: Vec<id::Upstream>,
+}
+
+/// One upstream as it was weighed.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Candidate {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// Estimated waiting time in milliseconds.
+    pub wait_ms: f64,
+    /// Tokens of the prompt believed to be cached there.
+    pub cached_tokens: u32,
+    /// Whether that belief comes from placement alone.
+    pub presumed: bool,
+    /// Weighed cost in milliseconds; the least is chosen.
+    pub cost_ms: f64,
+}
+
+/// The chosen upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// Tokens believed to be cached.
+    pub cached_tokens: u32,
+    /// Estimated time to the first token.
+    pub expected: Duration,
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Kind of error.
+    pub kind: Kind,
+    /// When to come back.
+    pub after: Duration,
+}
+
+struct Weighed {
+    index: usize,
+    wait: Duration,
+    cached: u32,
+    presumed: bool,
+    expected: Duration,
+    cost: f64,
+}
+
+/// State of one service's upstreams in one hall.
+pub struct Pool {
+    service: Service,
+    upstreams: Vec<Upstream>,
+    knowledge: Knowledge,
+    budget: Budget,
+    turn: usize,
+}
+
+impl Pool {
+    /// A pool of the service's upstreams in `hall`.
+    pub fn new(service: &Service, hall: &str) -> Self {
+        let mut pool = Self {
+            knowledge: Knowledge::default(),
+            service: service.clone(),
+            upstreams: Vec::new(),
+            budget: Budget::default(),
+            turn: 0,
+        };
+        pool.configure(service, hall);
+        pool
+    }
+
+    /// Takes new settings; what is known of remaining upstreams is kept.
+    pub fn configure(&mut self, service: &Service, hall: &str) {
+        let weights_changed = self.service.weights != service.weights || self.service.model != service.model;
+        let before: Vec<id::Upstream> = self.upstreams.iter().map(|u| u.id.clone()).collect();
+        let mut next = Vec::new();
+        for config in service.upstreams.iter().filter(|u| u.hall == hall) {
+            let known = self.upstreams.iter().find(|u| u.id == config.id);
+            let mut upstream = known.cloned().unwrap_or_else(|| Upstream::new(config.id.clone()));
+            upstream.leaving.by_tree = config.leaving;
+            next.push(upstream);
+        }
+        let after: Vec<id::Upstream> = next.iter().map(|u| u.id.clone()).collect();
+        self.upstreams = next;
+        self.service = service.clone();
+        // Facts name upstreams by their place, and weights by their version.
+        if before != after || weights_changed || self.knowledge.is_empty() {
+            self.knowledge = Knowledge::new(self.marks());
+        }
+    }
+
+    fn marks(&self) -> usize {
+        let blocks = self.service.cache_tokens / TOKENS_PER_BLOCK;
+        let wanted = blocks as usize * MARKS_PER_ENGINE_BLOCK * self.upstreams.len() / 8;
+        wanted.clamp(1024, MOST_MARKS)
+    }
+
+    /// The upstreams.
+    pub fn upstreams(&self) -> &[Upstream] {
+        &self.upstreams
+    }
+
+    /// An upstream by name.
+    pub fn upstream_mut(&mut self, id: &str) -> Option<&mut Upstream> {
+        self.upstreams.iter_mut().find(|u| u.id == id)
+    }
+
+    /// Whether any upstream can take work.
+    pub fn is_usable(&self, now: Moment) -> bool {
+        self.upstreams.iter().any(|u| u.is_usable(now))
+    }
+
+    /// The least waiting time of any usable upstream.
+    pub fn least_wait(&self, now: Moment) -> Duration {
+        let usable = self.upstreams.iter().filter(|u| u.is_usable(now));
+        usable
+            .map(|u| u.backlog.wait(Priority::Normal, now))
+            .min()
+            .unwrap_or(Duration::MAX)
+    }
+
+    /// Earns retries for a new request.
+    pub fn earn_retries(&mut self) {
+        self.budget.earn(self.service.retry_percent);
+    }
+
+    /// Takes one retry of the budget; `false` when it is spent.
+    pub fn spend_retry(&mut self) -> bool {
+        self.budget.spend()
+    }
+
+    /// Chooses an upstream and counts the request there.
+    ///
+    /// # Errors
+    /// Why there is none, and when to come back.
+    pub fn choose(&mut self, ask: &Ask, now: Moment) -> Result<Choice, Refused> {
+        let weighed = self.weigh(ask, now);
+        let best = self.pick(&weighed, ask);
+        let Some(best) = best else {
+            return Err(Refused {
+                kind: Kind::NoUpstream,
+                after: NO_UPSTREAM_PAUSE,
+            });
+        };
+        self.admit(best, ask)?;
+        let choice = Choice {
+            upstream: self.upstreams[best.index].id.clone(),
+            cached_tokens: best.cached,
+            expected: best.expected,
+        };
+        let cost = self.prefill(ask.chain.tokens - best.cached);
+        let upstream = &mut self.upstreams[best.index];
+        upstream.backlog.send(ask.class, cost, now);
+        upstream.health.sent();
+        upstream.open += 1;
+        self.turn = self.turn.wrapping_add(1);
+        Ok(choice)
+    }
+
+    /// Weighs the upstreams without choosing, for operators.
+    pub fn explain(&self, ask: &Ask, now: Moment) -> Vec<Candidate> {
+        let mut weighed = self.weigh(ask, now);
+        weighed.sort_by(|a, b| a.cost.total_cmp(&b.cost));
+        let show = |w: Weighed| Candidate {
+            upstream: self.upstreams[w.index].id.clone(),
+            wait_ms: w.wait.as_secs_f64() * 1e3,
+            cached_tokens: w.cached,
+            presumed: w.presumed,
+            cost_ms: w.cost * 1e3,
+        };
+        weighed.into_iter().map(show).collect()
+    }
+
+    /// Takes the start of an answer: the engine's incarnation, its load, and
+    /// how much of the prompt it had cached.
+    pub fn started(&mut self, id: &str, chain: &Chain, start: &Start, now: Moment) -> bool {
+        let Some(index) = self.index_of(id) else {
+            return false;
+        };
+        let upstream = &mut self.upstreams[index];
+        let new = upstream.note_incarnation(start.incarnation);
+        upstream
+            .backlog
+            .report(&start.load, now.saturating_sub(ANSWER_AGE));
+        let holder = Holder {
+            engine: engine_index(index),
+            epoch: upstream.epoch,
+        };
+        self.knowledge.unlearn(chain, holder.engine, start.cached_tokens);
+        self.knowledge.learn(chain, holder, chain.tokens);
+        new
+    }
+
+    /// Takes an engine's report; `true` when it shows a new incarnation.
+    pub fn reported(&mut self, id: &str, report: &Report, now: Moment) -> bool {
+        let (model, weights) = (self.service.model.clone(), self.service.weights.clone());
+        self.upstream_mut(id)
+            .is_some_and(|u| u.note_report(report, &model, &weights, now))
+    }
+
+    /// Notes that a request ended well.
+    pub fn succeeded(&mut self, id: &str) -> Change {
+        self.close(id).map_or(Change::None, |u| u.health.succeeded())
+    }
+
+    /// Notes that a request failed through the upstream's fault.
+    pub fn failed(&mut self, id: &str, now: Moment) -> Change {
+        self.close(id).map_or(Change::None, |u| u.health.failed(now))
+    }
+
+    /// Notes that a request ended for another reason, such as a caller gone.
+    pub fn abandoned(&mut self, id: &str) {
+        if let Some(upstream) = self.close(id) {
+            upstream.health.undecided();
+        }
+    }
+
+    fn close(&mut self, id: &str) -> Option<&mut Upstream> {
+        let upstream = self.upstream_mut(id)?;
+        upstream.open = upstream.open.saturating_sub(1);
+        Some(upstream)
+    }
+
+    fn index_of(&self, id: &str) -> Option<usize> {
+        self.upstreams.iter().position(|u| u.id == id)
+    }
+
+    fn prefill(&self, tokens: u32) -> Duration {
+        Duration::from_secs_f64(f64::from(tokens) * self.service.prefill_us_per_token / 1e6)
+    }
+
+    fn admit(&self, best: &Weighed, ask: &Ask) -> Result<(), Refused> {
+        if best.wait > self.service.max_wait {
+            return Err(Refused {
+                kind: Kind::Overloaded,
+                after: best.wait - self.service.max_wait,
+            });
+        }
+        if best.expected > ask.deadline {
+            return Err(Refused {
+                kind: Kind::DeadlineUnreachable,
+                after: best.expected - ask.deadline,
+            });
+        }
+        Ok(())
+    }
+
+    fn weigh(&self, ask: &Ask, now: Moment) -> Vec<Weighed> {
+        let epoch_of = |index: Index| self.upstreams.get(index as usize).map_or(0, |u| u.epoch);
+        let known = self.knowledge.lookup(&ask.chain, epoch_of);
+        let home = self.home(&ask.chain, &known, now);
+        self.candidates(ask, &known)
+            .into_iter()
+            .filter(|index| self.upstreams[*index].is_usable(now))
+            .filter(|index| !ask.tried.contains(&self.upstreams[*index].id))
+            .map(|index| self.weigh_one(index, ask, &known, home, now))
+            .collect()
+    }
+
+    /// Owner of the family by placement, as long as no engine is known to
+    /// hold it: a box that has just started agrees with all others.
+    fn home(&self, chain: &Chain, known: &[Known], now: Moment) -> Option<usize> {
+        if known.iter().any(|k| k.tokens >= chain.family.tokens) {
+            return None;
+        }
+        let usable = self
+            .upstreams
+            .iter()
+            .enumerate()
+            .filter(|(_, u)| u.is_usable(now));
+        let members = usable.map(|(index, u)| (index, u.hash));
+        place::top(chain.family.hash, members, 1).first().copied()
+    }
+
+    fn candidates(&self, ask: &Ask, known: &[Known]) -> Vec<usize> {
+        if self.upstreams.len() <= WEIGH_ALL || self.service.policy != Policy::Junctionbend {
+            return (0..self.upstreams.len()).collect();
+        }
+        let members = self
+            .upstreams
+            .iter()
+            .enumerate()
+            .map(|(index, u)| (index, u.hash));
+        let mut out = place::top(ask.chain.family.hash, members, RANKED);
+        out.extend(known.iter().map(|k| k.engine as usize));
+        out.sort_unstable();
+        out.dedup();
+        out.retain(|index| *index < self.upstreams.len());
+        out
+    }
+
+    fn weigh_one(
+        &self,
+        index: usize,
+        ask: &Ask,
+        known: &[Known],
+        home: Option<usize>,
+        now: Moment,
+    ) -> Weighed {
+        let upstream = &self.upstreams[index];
+        let wait = upstream.backlog.wait(ask.class, now);
+        let held = known
+            .iter()
+            .find(|k| k.engine as usize == index)
+            .map_or(0, |k| k.tokens);
+        let presumed = home == Some(index) && held < ask.chain.family.tokens;
+        let cached = if presumed { ask.chain.family.tokens } else { held };
+        let cached = cached.min(ask.chain.tokens);
+        let prefill = self.prefill(ask.chain.tokens - cached);
+        let expected = wait + prefill;
+        Weighed {
+            index,
+            wait,
+            cached,
+            presumed,
+            expected,
+            cost: expected.as_secs_f64() + self.service.cache_weight * prefill.as_secs_f64(),
+        }
+    }
+
+    fn pick<'w>(&self, weighed: &'w [Weighed], ask: &Ask) -> Option<&'w Weighed> {
+        match self.service.policy {
+            Policy::RoundRobin => weighed.get(self.turn % weighed.len().max(1)),
+            Policy::LeastLoaded => weighed
+                .iter()
+                .min_by_key(|w| (w.wait, self.upstreams[w.index].open, self.turns_until(w))),
+            Policy::PrefixHash => weighed.iter().min_by_key(|w| self.rank(w, ask)),
+            Policy::Junctionbend => weighed.iter().min_by(|a, b| {
+                a.cost
+                    .total_cmp(&b.cost)
+                    .then_with(|| self.rank(a, ask).cmp(&self.rank(b, ask)))
+            }),
+        }
+    }
+
+    /// Smaller for upstreams whose turn comes sooner.
+    fn turns_until(&self, weighed: &Weighed) -> usize {
+        weighed.index.wrapping_sub(self.turn) % self.upstreams.len().max(1)
+    }
+
+    /// Smaller for upstreams that placement prefers for the family.
+    fn rank(&self, weighed: &Weighed, ask: &Ask) -> u64 {
+        u64::MAX - place::weight(ask.chain.family.hash, self.upstreams[weighed.index].hash)
+    }
+}
+
+fn engine_index(index: usize) -> Index {
+    Index::try_from(index).unwrap_or(Index::MAX)
+}
--- /dev/null
+++ b/crates/jb-protocol/src/event.rs
@@ -0,0 +1,51 @@
+//! The numbered log events; `docs/LOGS.md` is their catalogue.
+
+/// One numbered log event.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Event {
+    /// Number, never used again for another event.
+    pub number: u16,
+    /// Name in snake case.
+    pub name: &'static str,
+}
+
+macro_rules! events {
+    ($($constant:ident = $number:literal, $name:literal, $doc:literal;)*) => {
+        $(#[doc = $doc] pub const $constant: Event = Event { number: $number, name: $name };)*
+        /// Every event, in the order of its number.
+        pub const ALL: &[Event] = &[$($constant),*];
+    };
+}
+
+events! {
+    BOX_STARTED = 1001, "box_started", "The box has started; its addresses are given.";
+    BOX_READY = 1002, "box_ready", "The box holds a tree and serves.";
+    BOX_STOPPING = 1003, "box_stopping", "A planned stop has begun; no new work is taken.";
+    BOX_STOPPED = 1004, "box_stopped", "The last open request has ended.";
+    REQUEST_ENDED = 2001, "request_ended", "A request was answered completely.";
+    REQUEST_REFUSED = 2002, "request_refused", "A request was refused.";
+    ATTEMPT_FAILED = 2003, "attempt_failed", "One attempt at an upstream failed.";
+    STREAM_RESUMED = 2004, "stream_resumed", "A stream goes on at another engine.";
+    FRAME_DROPPED = 2005, "frame_dropped", "A frame of another attempt was dropped.";
+    UPSTREAM_PROTOCOL = 2006, "upstream_protocol", "An upstream broke the protocol.";
+    CALLER_GONE = 2007, "caller_gone", "The caller went away before the end.";
+    TREE_IN_FORCE = 3001, "tree_in_force", "A newer revision of the tree is in force.";
+    TREE_REJECTED = 3002, "tree_rejected", "A tree was not taken: invalid, or incomplete.";
+    TREE_OLDER = 3003, "tree_older", "The platform holds an older tree than the box.";
+    TREE_RESTORED = 3004, "tree_restored", "The box wrote its newer tree back to the platform.";
+    EDIT_ACCEPTED = 3005, "edit_accepted", "An operator's edit was accepted.";
+    EDIT_REFUSED = 3006, "edit_refused", "An operator's edit was refused.";
+    PLATFORM_LOST = 4001, "platform_lost", "The platform stopped answering.";
+    PLATFORM_FOUND = 4002, "platform_found", "The platform answers again.";
+    PEER_LOST = 4003, "peer_lost", "Another box is taken for dead.";
+    PEER_FOUND = 4004, "peer_found", "Another box is taken for alive.";
+    PEER_REFUSED = 4005, "peer_refused", "A message of another box was refused.";
+    UPSTREAM_LEAVING = 5001, "upstream_leaving", "An upstream gets no new work.";
+    UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
+    UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream is left out after failures.";
+    UPSTREAM_RETURNED = 5004, "upstream_returned", "An upstream is tried again.";
+    CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
+    STEWARD_TAKEN = 7001, "steward_taken", "The box has become its hall's steward.";
+    STEWARD_LOST = 7002, "steward_lost", "The box is no longer its hall's steward.";
+    ORDER_GIVEN = 7003, "order_given", "An engine was given an order.";
+}
--- /dev/null
+++ b/crates/jb-tree/src/check.rs
@@ -0,0 +1,151 @@
+//! The check of a whole tree before it is accepted.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use jb_protocol::service::Kind;
+
+use crate::error::Error;
+use crate::key::Digest;
+use crate::path::{Branch, Path};
+use crate::settings::Settings;
+use crate::tree::Tree;
+
+const FULL_SHARE: u32 = 100;
+
+/// Checks everything that one node's types cannot say.
+///
+/// # Errors
+/// [`Error::Check`] with every fault found.
+pub fn check(tree: &Tree) -> Result<(), Error> {
+    let mut faults = Vec::new();
+    let mut owners = HashMap::new();
+    let mut names = HashMap::new();
+    for (path, own) in tree.nodes() {
+        let settings = tree.effective(path);
+        check_place(path, own, &mut faults);
+        match path.branch() {
+            Branch::Customers => check_customer(path, own, &mut owners, &mut names, &mut faults),
+            Branch::Services => check_service(path, &settings, &mut faults),
+            Branch::Routes => check_route(tree, path, own, &settings, &mut names, &mut faults),
+            Branch::Root => {}
+        }
+    }
+    if faults.is_empty() {
+        Ok(())
+    } else {
+        Err(Error::Check { faults })
+    }
+}
+
+/// Settings that have a meaning at one kind of node only.
+fn check_place(path: &Path, own: &Settings, faults: &mut Vec<String>) {
+    let depth = path.segments().count();
+    let upstream = path.branch() == Branch::Services && depth == 3;
+    let customer = path.branch() == Branch::Customers && depth > 1;
+    if own.keys.is_some() && !customer {
+        faults.push(format!("`{path}` sets `keys`, which only a customer may"));
+    }
+    if (own.address.is_some() || own.leaving.is_some()) && !upstream {
+        faults.push(format!(
+            "`{path}` sets `address` or `leaving`, which only an upstream may"
+        ));
+    }
+    if own.service.is_some() && path.branch() != Branch::Routes {
+        faults.push(format!("`{path}` sets `service`, which only a route may"));
+    }
+}
+
+fn check_customer(
+    path: &Path,
+    own: &Settings,
+    owners: &mut HashMap<Digest, Path>,
+    names: &mut HashMap<(u8, String), Path>,
+    faults: &mut Vec<String>,
+) {
+    let Some(keys) = &own.keys else {
+        return;
+    };
+    check_name(0, path, names, faults);
+    for key in keys {
+        let Some(digest) = Digest::parse(key) else {
+            faults.push(format!(
+                "`{path}` has a key that is not `sha256:` and 64 hex digits"
+            ));
+            continue;
+        };
+        if let Some(other) = owners.insert(digest, path.clone()) {
+            faults.push(format!("`{path}` and `{other}` share a key"));
+        }
+    }
+}
+
+/// The last segment is the id, so two nodes of a branch may not share it.
+fn check_name(branch: u8, path: &Path, names: &mut HashMap<(u8, String), Path>, faults: &mut Vec<String>) {
+    let name = (branch, path.name().to_owned());
+    if let Some(other) = names.insert(name, path.clone()) {
+        faults.push(format!("`{path}` and `{other}` have the same name"));
+    }
+}
+
+fn check_service(path: &Path, settings: &Settings, faults: &mut Vec<String>) {
+    match path.segments().count() {
+        2 => {
+            let engine = settings.kind.unwrap_or_default() == Kind::Engine;
+            if engine && settings.model.is_none() {
+                faults.push(format!("`{path}` has engines but no `model`"));
+            }
+            let weight = settings.cache_weight.unwrap_or(0.0);
+            if !(0.0..=100.0).contains(&weight) {
+                faults.push(format!("`{path}`: `cache_weight` must be from 0 to 100"));
+            }
+            if settings
+                .prefill_us_per_token
+                .is_some_and(|us| !us.is_finite() || us <= 0.0)
+            {
+                faults.push(format!("`{path}`: `prefill_us_per_token` must be above 0"));
+            }
+        }
+        3 => check_upstream(path, settings, faults),
+        _ => {}
+    }
+}
+
+fn check_upstream(path: &Path, settings: &Settings, faults: &mut Vec<String>) {
+    match &settings.address {
+        None => faults.push(format!("`{path}` has no `address`")),
+        Some(address) if address.parse::<SocketAddr>().is_err() => {
+            faults.push(format!("`{path}`: `{address}` is not an IP address with a port"));
+        }
+        Some(_) => {}
+    }
+    if settings.hall.is_none() {
+        faults.push(format!("`{path}` has no `hall`"));
+    }
+}
+
+fn check_route(
+    tree: &Tree,
+    path: &Path,
+    own: &Settings,
+    settings: &Settings,
+    names: &mut HashMap<(u8, String), Path>,
+    faults: &mut Vec<String>,
+) {
+    if own.service.is_some() {
+        check_name(1, path, names, faults);
+    }
+    if let Some(service) = &settings.service {
+        let node = format!("/services/{service}").parse::<Path>();
+        let known = node.is_ok_and(|node| tree.node(&node).is_some());
+        if !known {
+            faults.push(format!("`{path}` leads to `{service}`, which is no service"));
+        }
+    }
+    if settings.share.is_some_and(|share| share > FULL_SHARE) {
+        faults.push(format!("`{path}`: `share` must be from 0 to 100"));
+    }
+    if settings.target.is_some() && settings.home.is_none() {
+        faults.push(format!("`{path}` has a `target` but no `home` to move from"));
+    }
+}
--- /dev/null
+++ b/crates/jb-tree/src/key.rs
@@ -0,0 +1,36 @@
+//! Bearer keys: the tree holds only their hashes.
+
+use sha2::{Digest as _, Sha256};
+use subtle::ConstantTimeEq as _;
+
+/// Prefix of a key's hash in the tree.
+pub const SCHEME: &str = "sha256:";
+
+/// Digest of a bearer key.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub struct Digest([u8; 32]);
+
+impl Digest {
+    /// Hashes a key as a caller sends it.
+    pub fn of(key: &str) -> Self {
+        Self(Sha256::digest(key.as_bytes()).into())
+    }
+
+    /// Reads the form in the tree, `sha256:` and 64 hex digits.
+    pub fn parse(text: &str) -> Option<Self> {
+        let digits = text.strip_prefix(SCHEME)?;
+        let bytes = hex::decode(digits).ok()?;
+        Some(Self(bytes.try_into().ok()?))
+    }
+
+    /// Compares in constant time.
+    pub fn matches(&self, other: &Self) -> bool {
+        self.0.ct_eq(&other.0).into()
+    }
+}
+
+impl std::fmt::Display for Digest {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{SCHEME}{}", hex::encode(self.0))
+    }
+}
--- /dev/null
+++ b/crates/jb-upstream/src/lib.rs
@@ -0,0 +1,8 @@
+//! Engines and plain services as ports, with their HTTP adapters.
+
+pub mod engine;
+pub mod error;
+pub mod plain;
+pub mod sse;
+
+pub use error::Failure;
