Serve a request from caller to engine and back, as processes

Cause: everything later is built on the whole path, so it comes first. Change: stand-ins for the platform, engines and plain services; a fleet starter; a load tool that knows the right answer to each request; the demo on two halls with two boxes and three engines each.

--- /dev/null
+++ b/crates/jb-cli/src/main.rs
@@ -0,0 +1,2 @@
+//! placeholder
+fn main() {}
--- a/crates/jb-daemon/src/run/attempt.rs
+++ b/crates/jb-daemon/src/run/attempt.rs
@@ -118,6 +118,14 @@
         }
     }
 
+    /// Name of the engine or the box to which it went.
+    pub fn name(&self) -> &str {
+        match self {
+            Self::Engine(attempt) => &attempt.upstream,
+            Self::Peer(attempt) => &attempt.peer,
+        }
+    }
+
     /// Ends the attempt, telling the decisions how.
     pub fn end(self, outcome: Outcome) {
         if let Self::Engine(attempt) = self {
--- a/crates/jb-daemon/src/run/session.rs
+++ b/crates/jb-daemon/src/run/session.rs
@@ -383,18 +383,22 @@
     /// Decides whether another attempt may follow a failed one.
     fn troubled(&mut self, trouble: Trouble) -> Result<(), Refusal> {
         self.context.metrics.failed_attempts.inc();
-        let from = self.tried.last().cloned().unwrap_or_default();
+        let to = self
+            .attempt
+            .as_ref()
+            .map(|a| a.name().to_owned())
+            .unwrap_or_default();
         match trouble {
             Trouble::Denied { denial, kind, after } => {
                 emit!(self.context.logger, info, event::ATTEMPT_FAILED,
-                    "request" => &self.request.id, "upstream" => from, "why" => denial.reason());
+                    "request" => &self.request.id, "to" => to, "why" => denial.reason());
                 self.end_attempt(Outcome::Denied);
                 self.refused = Some(NoTarget { kind, after });
                 self.after_denial(&denial, kind)
             }
             Trouble::Lost { kind, detail } => {
                 emit!(self.context.logger, warn, event::ATTEMPT_FAILED,
-                    "request" => &self.request.id, "upstream" => from, "why" => &detail);
+                    "request" => &self.request.id, "to" => to, "why" => &detail);
                 self.end_attempt(Outcome::Failed);
                 self.after_loss(kind, &detail)
             }
--- a/crates/jb-daemon/src/settings.rs
+++ b/crates/jb-daemon/src/settings.rs
@@ -56,6 +56,8 @@
     pub caller_address: SocketAddr,
     /// Address for other boxes.
     pub peer_address: SocketAddr,
+    /// Address that other boxes are told, where it differs from `peer_address`.
+    pub peer_advertise: Option<SocketAddr>,
     /// Address for operators.
     pub admin_address: SocketAddr,
     /// Address of the platform's service.
@@ -86,6 +88,7 @@
             hall: String::new(),
             caller_address: any,
             peer_address: any,
+            peer_advertise: None,
             admin_address: any,
             platform: any,
             peers: Vec::new(),
--- a/crates/jb-daemon/src/start.rs
+++ b/crates/jb-daemon/src/start.rs
@@ -101,10 +101,11 @@
     }
     let dialer = Dialer::new(&settings.peer_secret)
         .ok_or_else(|| miette::miette!("`peer_secret` may hold printable ASCII characters only"))?;
+    let peer_bound = listeners.peers.local_addr().into_diagnostic()?;
     let me = Member {
         id: settings.id.clone(),
         hall: settings.hall.clone(),
-        peer_address: listeners.peers.local_addr().into_diagnostic()?.to_string(),
+        peer_address: settings.peer_advertise.unwrap_or(peer_bound).to_string(),
         admin_address: listeners.operators.local_addr().into_diagnostic()?.to_string(),
         // A restarted box must be heard over its earlier self.
         heartbeat: clock.wall_s(),
--- /dev/null
+++ b/crates/jb-fakes/src/fleet/layout.rs
@@ -0,0 +1,136 @@
+//! Whole fleets: halls with boxes, engines and plain services, and the tree
+//! of settings that goes with them.
+
+use std::fmt::Write as _;
+use std::net::SocketAddr;
+
+use jb_protocol::service::Policy;
+use jb_tree::key::Digest;
+use miette::IntoDiagnostic as _;
+
+use super::build::Programs;
+use super::rig::{EngineOptions, Rig};
+use crate::load::Customer;
+
+/// Service with the model engines.
+pub const ENGINES: &str = "quill-models";
+/// Plain service.
+pub const PLAIN: &str = "post-room";
+/// Route to the engines.
+pub const ROUTE: &str = "wording";
+
+/// One hall.
+#[derive(Clone, Debug)]
+pub struct Hall {
+    /// Name.
+    pub name: String,
+    /// Number of boxes.
+    pub boxes: usize,
+    /// Number of engines.
+    pub engines: usize,
+    /// Number of plain services.
+    pub plain: usize,
+}
+
+/// A fleet.
+#[derive(Clone, Debug)]
+pub struct Layout {
+    /// Halls.
+    pub halls: Vec<Hall>,
+    /// Tokens that each engine's cache holds.
+    pub cache_tokens: u32,
+    /// Microseconds for each prompt token.
+    pub prefill_us: u64,
+}
+
+impl Default for Layout {
+    fn default() -> Self {
+        Self {
+            halls: Vec::new(),
+            cache_tokens: 24_000,
+            prefill_us: 25,
+        }
+    }
+}
+
+/// Settings of the tree that differ from run to run.
+#[derive(Clone, Debug, Default)]
+pub struct TreeOptions {
+    /// Customers.
+    pub customers: Vec<Customer>,
+    /// Policy of the engines' service.
+    pub policy: Policy,
+    /// Weight of recomputed tokens.
+    pub cache_weight: f64,
+    /// Further settings of the route, as TOML lines.
+    pub route: String,
+}
+
+/// Starts a fleet and puts its tree in force.
+///
+/// # Errors
+/// When a process does not start, or the tree is refused.
+pub async fn start(programs: &Programs, layout: &Layout, options: &TreeOptions) -> miette::Result<Rig> {
+    let mut rig = Rig::new(programs.clone())?;
+    rig.start_platform()?;
+    for hall in &layout.halls {
+        for n in 1..=hall.engines {
+            let arguments = [
+                "--cache-tokens".to_owned(),
+                layout.cache_tokens.to_string(),
+                "--prefill-us".to_owned(),
+                layout.prefill_us.to_string(),
+            ];
+            let options = EngineOptions {
+                arguments: arguments.to_vec(),
+            };
+            rig.start_engine(&format!("{}-engine-{n}", hall.name), ENGINES, &hall.name, options)?;
+        }
+        for n in 1..=hall.plain {
+            rig.start_plain(&format!("{}-plain-{n}", hall.name), PLAIN, &hall.name)?;
+        }
+        for n in 1..=hall.boxes {
+            rig.start_box(&format!("{}-box-{n}", hall.name), &hall.name)
+                .await?;
+        }
+    }
+    rig.put_tree(&tree(layout, options)?).await?;
+    rig.wait_members().await?;
+    Ok(rig)
+}
+
+/// The tree of a fleet, without its upstreams.
+///
+/// # Errors
+/// Never in practice: text is written to a string.
+pub fn tree(layout: &Layout, options: &TreeOptions) -> miette::Result<String> {
+    let mut text = format!(
+        "[\"/services/{ENGINES}\"]\nmodel = \"quill\"\nweights = \"w1\"\npolicy = \"{}\"\n\
+         cache_weight = {:?}\nprefill_us_per_token = {:?}\ncache_tokens = {}\n\n\
+         [\"/services/{PLAIN}\"]\nkind = \"plain\"\n\n\
+         [\"/routes/{ROUTE}\"]\nservice = \"{ENGINES}\"\n{}\n",
+        options.policy.name(),
+        options.cache_weight,
+        layout.prefill_us as f64,
+        layout.cache_tokens,
+        options.route,
+    );
+    for customer in &options.customers {
+        let digest = Digest::of(&customer.key);
+        write!(
+            text,
+            "\n[\"/customers/{}\"]\nkeys = [\"{digest}\"]\n",
+            customer.id
+        )
+        .into_diagnostic()?;
+        if let Some(limit) = customer.tokens_per_second {
+            writeln!(text, "tokens_per_second = {limit}").into_diagnostic()?;
+        }
+    }
+    Ok(text)
+}
+
+/// Callers' addresses of all boxes.
+pub fn caller_addresses(rig: &Rig) -> Vec<SocketAddr> {
+    rig.boxes().map(|(_, ports)| ports.callers).collect()
+}
--- /dev/null
+++ b/crates/jb-fakes/src/fleet/mod.rs
@@ -0,0 +1,12 @@
+//! Starts daemons and stand-ins as processes on loopback, and handles them.
+
+mod build;
+mod client;
+pub mod layout;
+mod process;
+mod rig;
+
+pub use build::{Programs, build};
+pub use client::{Client, wait_until};
+pub use process::Process;
+pub use rig::{BoxPorts, EngineOptions, Rig};
--- /dev/null
+++ b/crates/jb-fakes/src/load/mod.rs
@@ -0,0 +1,15 @@
+//! The load tool: seeded workloads, callers, and what they have seen.
+
+mod caller;
+mod ceiling;
+mod prompt;
+mod tally;
+mod trace;
+mod workload;
+
+pub use caller::{Callers, Request, Seen, chat, send};
+pub use ceiling::hit_rate as ceiling;
+pub use prompt::Library;
+pub use tally::{Tally, tally};
+pub use trace::{Shot, What, prompt_text};
+pub use workload::{Customer, Name, Workload, workload};
--- /dev/null
+++ b/crates/jb-fakes/src/plain.rs
@@ -0,0 +1,106 @@
+//! A plain service whose calls may not be repeated; it counts its runs.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use jb_protocol::header;
+use poem::http::StatusCode;
+use poem::web::{Data, Json};
+use poem::{Body, EndpointExt as _, Request, Response, Route, get, handler};
+
+use crate::control::{self, PlainCounts, PlainFault};
+use crate::listen;
+
+#[derive(Default)]
+struct State {
+    counts: PlainCounts,
+    lose_answers: u32,
+    cross: u32,
+    refuse: bool,
+    slow: Duration,
+}
+
+#[derive(Default)]
+struct Plain {
+    state: Mutex<State>,
+}
+
+impl Plain {
+    fn lock(&self) -> MutexGuard<'_, State> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+#[handler]
+async fn call(request: &Request, body: Body, Data(plain): Data<&Arc<Plain>>) -> poem::Result<Response> {
+    if plain.lock().refuse {
+        return Ok(Response::builder()
+            .status(StatusCode::SERVICE_UNAVAILABLE)
+            .header(header::NOT_RUN, "true")
+            .finish());
+    }
+    let text = body.into_string().await.unwrap_or_default();
+    let slow = {
+        let mut state = plain.lock();
+        *state.counts.runs.entry(text.clone()).or_insert(0) += 1;
+        state.slow
+    };
+    tokio::time::sleep(slow).await;
+    let mut attempt = request.header(header::ATTEMPT).unwrap_or_default().to_owned();
+    {
+        let mut state = plain.lock();
+        if state.lose_answers > 0 {
+            state.lose_answers -= 1;
+            drop(state);
+            return Ok(cut());
+        }
+        if state.cross > 0 {
+            state.cross -= 1;
+            attempt = "another".to_owned();
+        }
+    }
+    Ok(Response::builder()
+        .header(header::ATTEMPT, attempt)
+        .body(format!("done: {text}")))
+}
+
+/// An answer that breaks off before its body, so that the caller learns nothing.
+fn cut() -> Response {
+    let broken = futures_util::stream::once(async {
+        Err::<bytes::Bytes, _>(std::io::Error::other("the answer is lost"))
+    });
+    Response::builder()
+        .header("content-length", "100")
+        .body(Body::from_bytes_stream(broken))
+}
+
+#[handler]
+fn set_fault(Json(fault): Json<PlainFault>, Data(plain): Data<&Arc<Plain>>) -> StatusCode {
+    let mut state = plain.lock();
+    state.lose_answers = fault.lose_answers.unwrap_or(state.lose_answers);
+    state.cross = fault.cross.unwrap_or(state.cross);
+    state.refuse = fault.refuse.unwrap_or(state.refuse);
+    state.slow = fault.slow_ms.map_or(state.slow, Duration::from_millis);
+    StatusCode::OK
+}
+
+#[handler]
+fn show_counts(Data(plain): Data<&Arc<Plain>>) -> Json<PlainCounts> {
+    Json(plain.lock().counts.clone())
+}
+
+/// Runs the service until the process ends.
+///
+/// # Errors
+/// When the address cannot be bound.
+pub async fn run(address: SocketAddr) -> miette::Result<()> {
+    let plain: Arc<Plain> = Arc::default();
+    let app = Route::new()
+        .at(
+            control::PATH,
+            get(show_counts).post(set_fault).data(Arc::clone(&plain)),
+        )
+        .at("*", call.data(plain));
+    listen::serve(address, app).await
+}
