--- a/crates/jb-daemon/src/serve/completions.rs
+++ b/crates/jb-daemon/src/serve/completions.rs
@@ -69,10 +69,7 @@
     let limit = admit(context, &call, &run.customer, run.tokens()).await?;
     let key = request.header(header::IDEMPOTENCY_KEY);
     if run.once {
-        let claimed = claim_key(context, &call, &run.customer, &run.route.service, key, id).await;
-        if let Err(refused) = claimed {
-            return Err(refused);
-        }
+        claim_key(context, &call, &run.customer, &run.route.service, key, id).await?;
     }
     let held = Held {
         _open: open,
--- a/crates/jb-fakes/src/engine/batch.rs
+++ b/crates/jb-fakes/src/engine/batch.rs
@@ -9,6 +9,9 @@
 /// Time after which a waiting job rises by one class, so that none starves.
 const AGING: Duration = Duration::from_secs(1);
 
+/// Calls that generate which together halve the speed of prefill.
+const RUNNING_PER_SLOWDOWN: u64 = 64;
+
 /// Speed of an engine.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct Speed {
@@ -20,6 +23,15 @@
     pub decode_ms: u64,
 }
 
+impl Speed {
+    /// The time that a chunk takes while `running` calls generate beside it.
+    pub fn chunk(self, tokens: u32, running: u32) -> Duration {
+        let alone = u64::from(tokens) * self.prefill_us;
+        let shared = alone * u64::from(running) / RUNNING_PER_SLOWDOWN;
+        Duration::from_micros(alone + shared)
+    }
+}
+
 impl Default for Speed {
     fn default() -> Self {
         Self {
--- a/crates/jb-fakes/src/engine/server.rs
+++ b/crates/jb-fakes/src/engine/server.rs
@@ -30,26 +30,33 @@
     giant: bool,
 }
 
-/// Counts a call as running until dropped, and as cancelled unless ended.
+/// Counts a call as open until dropped, and as cancelled unless ended.
 struct Running {
     engine: Arc<Engine>,
+    generating: bool,
     ended: bool,
 }
 
 impl Running {
     fn new(engine: &Arc<Engine>) -> Self {
         let mut inner = engine.lock();
-        inner.running += 1;
         inner.counts.open += 1;
         drop(inner);
         Self {
             engine: Arc::clone(engine),
+            generating: false,
             ended: false,
         }
     }
 }
 
 impl Running {
+    /// Notes that the call generates from now on.
+    fn generate(&mut self) {
+        self.engine.lock().running += 1;
+        self.generating = true;
+    }
+
     /// Notes that the call ends by itself.
     fn finish(&mut self) {
         self.ended = true;
@@ -59,7 +66,7 @@
 impl Drop for Running {
     fn drop(&mut self) {
         let mut inner = self.engine.lock();
-        inner.running = inner.running.saturating_sub(1);
+        inner.running -= u32::from(self.generating);
         inner.counts.open = inner.counts.open.saturating_sub(1);
         if !self.ended {
             inner.counts.cancelled += 1;
@@ -146,6 +153,7 @@
             return yield Err(broken());
         };
         yield event(&start(&engine, &call, cached_tokens));
+        running.generate();
         let mut due = tokio::time::Instant::now();
         for index in call.resume_at..call.max_tokens {
             due += Duration::from_millis(engine.lock().settings.speed.decode_ms);
--- a/crates/jb-fakes/src/engine/state.rs
+++ b/crates/jb-fakes/src/engine/state.rs
@@ -162,7 +162,7 @@
         let left = job.left.unwrap_or(job.tokens.saturating_sub(job.cached));
         let chunk = left.min(speed.chunk_tokens);
         job.left = Some(left - chunk);
-        Duration::from_micros(u64::from(chunk) * speed.prefill_us)
+        speed.chunk(chunk, inner.running)
     }
 
     fn end_step(&self, job: Job) {
--- a/crates/jb-fakes/src/lib.rs
+++ b/crates/jb-fakes/src/lib.rs
@@ -4,6 +4,7 @@
 pub mod answer;
 pub mod control;
 pub mod engine;
+pub mod experiment;
 pub mod fleet;
 pub mod listen;
 pub mod load;
--- a/crates/jb-policy/src/prefix.rs
+++ b/crates/jb-policy/src/prefix.rs
@@ -10,16 +10,18 @@
 
 /// Blocks between two marks inside a level.
 const BLOCKS_PER_MARK: usize = 8;
+/// Level whose end names the root: the house style.
+const ROOT_LEVEL: usize = 0;
 /// Level whose end names the family: the tenant's template.
 const FAMILY_LEVEL: usize = 1;
-/// Tokens that name the family of a prompt without levels.
+/// Tokens that name root and family of a prompt without levels.
 const FAMILY_TOKENS: u32 = 512;
 
 /// Hash of a prefix.
 pub type Hash = u64;
 
 /// A prefix at which cached state is remembered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Mark {
     /// Hash of the prefix.
     pub hash: Hash,
@@ -62,16 +64,14 @@
     pub marks: Vec<Mark>,
     /// Length of the whole prompt in tokens.
     pub tokens: u32,
-    /// The prefix whose owner decides where the prompt belongs.
+    /// The outermost shared prefix; it decides where a prompt goes of which
+    /// nothing is known to be cached anywhere.
+    pub root: Mark,
+    /// The prefix that moves as a whole in a migration, and that decides
+    /// between engines that cost about the same.
     pub family: Mark,
 }
 
-impl Default for Mark {
-    fn default() -> Self {
-        Self { hash: 0, tokens: 0 }
-    }
-}
-
 impl Chain {
     /// Hashes a prompt given as its nested levels, the outermost first.
     pub fn new(scope: &Scope<'_>, levels: &[String]) -> Self {
@@ -80,10 +80,12 @@
         let hashes = hash_blocks(seed, text.as_bytes());
         let ends = level_ends(levels);
         let marks = place_marks(&hashes, &ends);
-        let family = family_of(seed, &marks, &ends);
+        let root = end_of(ROOT_LEVEL, seed, &marks, &ends);
+        let family = end_of(FAMILY_LEVEL, seed, &marks, &ends);
         Self {
             marks,
             tokens: token::count(text.len()),
+            root,
             family,
         }
     }
@@ -130,14 +132,14 @@
     }
 }
 
-fn family_of(seed: Hash, marks: &[Mark], ends: &[usize]) -> Mark {
-    let level = ends.get(FAMILY_LEVEL).or(ends.last());
-    let tokens = match level {
+/// The last mark before the end of a level, or of the last shared level.
+fn end_of(level: usize, seed: Hash, marks: &[Mark], ends: &[usize]) -> Mark {
+    let tokens = match ends.get(level).or(ends.last()) {
         Some(blocks) if *blocks > 0 => mark(0, *blocks).tokens,
         _ => FAMILY_TOKENS,
     };
-    let family = marks.iter().rev().find(|m| m.tokens <= tokens);
-    family.or(marks.first()).copied().unwrap_or(Mark {
+    let end = marks.iter().rev().find(|m| m.tokens <= tokens);
+    end.or(marks.first()).copied().unwrap_or(Mark {
         hash: seed,
         tokens: 0,
     })
--- a/crates/jb-tree/src/document.rs
+++ b/crates/jb-tree/src/document.rs
@@ -1,5 +1,7 @@
 //! The tree as a TOML document: one table per node, headed by its path.
 
+use std::sync::Arc;
+
 use miette::NamedSource;
 
 use crate::error::Error;
@@ -13,7 +15,7 @@
 pub fn read(name: &str, text: &str) -> Result<Tree, Error> {
     toml::from_str(text).map_err(|e| Error::Document {
         message: e.message().to_owned(),
-        source_code: NamedSource::new(name, text.to_owned()),
+        source_code: Arc::new(NamedSource::new(name, text.to_owned())),
         at: e.span().map(Into::into),
     })
 }
@@ -25,7 +27,7 @@
 pub fn write(tree: &Tree) -> Result<String, Error> {
     toml::to_string_pretty(tree).map_err(|e| Error::Document {
         message: e.to_string(),
-        source_code: NamedSource::new("tree", String::new()),
+        source_code: Arc::new(NamedSource::new("tree", String::new())),
         at: None,
     })
 }
--- a/crates/jb-tree/src/error.rs
+++ b/crates/jb-tree/src/error.rs
@@ -18,7 +18,7 @@
         message: String,
         /// The document.
         #[source_code]
-        source_code: miette::NamedSource<String>,
+        source_code: std::sync::Arc<miette::NamedSource<String>>,
         /// Where it found it.
         #[label("here")]
         at: Option<miette::SourceSpan>,
