Choose by known prefixes alone, count what is on its way, ask one engine a tick

Cause: (1) the family's owner by placement was presumed to hold it even where others were known to hold its house style, so each template paid for the style once more; (2) a prompt on its way was not known, so a burst of one new prefix scattered; (3) every box asked every engine twice a second. Change: presume the root's owner only where nothing is known; learn at the choice; costs within 4 ms are equal and placement decides; one report a tick.

--- a/crates/jb-daemon/src/probe.rs
+++ b/crates/jb-daemon/src/probe.rs
@@ -10,9 +10,10 @@
 use crate::context::Context;
 use crate::decide::Message;
 
-/// Engines asked at each tick; more wait for their turn, so that the cost of
-/// a box does not grow with the hall.
-const ENGINES_PER_TICK: usize = 16;
+/// Engines asked at each tick; the others wait for their turn, so that the
+/// cost of a box does not grow with the hall. The load that decides comes
+/// with each answer; a report only shows what no answer does.
+const ENGINES_PER_TICK: usize = 1;
 /// Bytes of the head of a small HTTP exchange, both ways, for the count of
 /// control bytes.
 const HEAD_BYTES: u64 = 200;
--- a/crates/jb-daemon/src/settings.rs
+++ b/crates/jb-daemon/src/settings.rs
@@ -72,7 +72,7 @@
     pub stop_grace_s: u64,
     /// Milliseconds between two probes of other boxes.
     pub probe_ms: u64,
-    /// Milliseconds between two reports of each engine.
+    /// Milliseconds between two reports, each of another engine.
     pub report_ms: u64,
     /// Messages that one ring holds.
     pub ring: usize,
@@ -96,7 +96,7 @@
             admin_key: String::new(),
             stop_grace_s: 300,
             probe_ms: 1000,
-            report_ms: 500,
+            report_ms: 300,
             ring: 8192,
             workers: 2,
         }
@@ -109,7 +109,7 @@
         Duration::from_millis(self.probe_ms)
     }
 
-    /// Time between two reports of each engine.
+    /// Time between two reports.
     pub fn report_every(&self) -> Duration {
         Duration::from_millis(self.report_ms)
     }
--- a/crates/jb-fakes/src/experiment/run.rs
+++ b/crates/jb-fakes/src/experiment/run.rs
@@ -10,7 +10,7 @@
 use crate::control::EngineFault;
 use crate::fleet::layout::{self, ENGINES, Hall, Layout, PLAIN, ROUTE, TreeOptions};
 use crate::fleet::{Programs, Rig};
-use crate::load::{self, Callers, LENGTH, Name, Seen, Shot, Workload};
+use crate::load::{self, Callers, FLOODING, LENGTH, Name, Seen, Shot, Workload};
 
 const CACHE_TOKENS: u32 = 24_000;
 const ENGINES_IN_ALL: usize = 8;
@@ -70,6 +70,7 @@
     let layout = Layout {
         halls: case.halls(),
         cache_tokens: CACHE_TOKENS,
+        usual_pace: true,
         ..Layout::default()
     };
     let options = options(&trace, policy, case);
@@ -151,14 +152,16 @@
 
 fn row(case: Case, policy: Policy, trace: &Workload, seen: &[Seen]) -> Row {
     let pairs = || trace.shots.iter().zip(seen);
-    let others = load::tally(pairs().filter(|(shot, _)| !shot.flood).map(|(_, seen)| seen));
+    // In the overload only the customers within their limits count.
+    let counts = |shot: &Shot| case.name != Name::Overload || shot.customer != FLOODING;
+    let others = load::tally(pairs().filter(|(shot, _)| counts(shot)).map(|(_, seen)| seen));
     let urgent = load::tally(
         pairs()
             .filter(|(shot, _)| shot.class == Priority::Urgent)
             .map(|(_, seen)| seen),
     );
     let flood = load::tally(pairs().filter(|(shot, _)| shot.flood).map(|(_, seen)| seen));
-    let shots: Vec<&Shot> = trace.shots.iter().filter(|shot| !shot.flood).collect();
+    let shots: Vec<&Shot> = trace.shots.iter().filter(|shot| counts(shot)).collect();
     let capacity = CACHE_TOKENS * u32::try_from(ENGINES_IN_ALL).unwrap_or(1);
     Row {
         policy: policy.name(),
--- a/crates/jb-fakes/src/fleet/layout.rs
+++ b/crates/jb-fakes/src/fleet/layout.rs
@@ -41,6 +41,8 @@
     pub cache_tokens: u32,
     /// Microseconds for each prompt token.
     pub prefill_us: u64,
+    /// Whether the boxes keep the usual pace of control, as in production.
+    pub usual_pace: bool,
 }
 
 impl Default for Layout {
@@ -49,6 +51,7 @@
             halls: Vec::new(),
             cache_tokens: 24_000,
             prefill_us: 25,
+            usual_pace: false,
         }
     }
 }
@@ -72,6 +75,9 @@
 /// When a process does not start, or the tree is refused.
 pub async fn start(programs: &Programs, layout: &Layout, options: &TreeOptions) -> miette::Result<Rig> {
     let mut rig = Rig::new(programs.clone())?;
+    if layout.usual_pace {
+        rig.keep_usual_pace();
+    }
     rig.start_platform()?;
     for hall in &layout.halls {
         for n in 1..=hall.engines {
--- a/crates/jb-fakes/src/fleet/rig.rs
+++ b/crates/jb-fakes/src/fleet/rig.rs
@@ -68,8 +68,12 @@
     relays: BTreeMap<String, SocketAddr>,
     platform: Option<SocketAddr>,
     edits: u32,
+    pace: &'static str,
 }
 
+/// Settings of boxes that are quicker than usual, for short tests.
+const QUICK: &str = "probe_ms = 200\nreport_ms = 50\n";
+
 impl Rig {
     /// An empty fleet.
     ///
@@ -86,9 +90,15 @@
             relays: BTreeMap::new(),
             platform: None,
             edits: 0,
+            pace: QUICK,
         })
     }
 
+    /// Has boxes started from now on keep the usual pace of control.
+    pub fn keep_usual_pace(&mut self) {
+        self.pace = "";
+    }
+
     /// Starts the platform.
     ///
     /// # Errors
@@ -268,7 +278,7 @@
         if let Some(advertise) = record.advertise {
             writeln!(text, "peer_advertise = \"{advertise}\"").into_diagnostic()?;
         }
-        writeln!(text, "peers = {seeds:?}\nprobe_ms = 200\nreport_ms = 200").into_diagnostic()?;
+        writeln!(text, "peers = {seeds:?}\n{}", self.pace).into_diagnostic()?;
         let path = self.folder.path().join(format!("{name}.toml"));
         std::fs::write(&path, text).into_diagnostic()?;
         Ok(path)
--- a/crates/jb-fakes/src/load/mod.rs
+++ b/crates/jb-fakes/src/load/mod.rs
@@ -12,4 +12,4 @@
 pub use prompt::Library;
 pub use tally::{Tally, tally};
 pub use trace::{Shot, What, prompt_text};
-pub use workload::{Customer, LENGTH, Name, Workload, workload};
+pub use workload::{Customer, FLOODING, LENGTH, Name, Workload, workload};
--- a/crates/jb-fakes/src/load/workload.rs
+++ b/crates/jb-fakes/src/load/workload.rs
@@ -104,9 +104,11 @@
 /// Share of chat requests that are streamed.
 const STREAMED: f64 = 0.5;
 /// Tokens a second that the flooding customer may use in one hall.
-const FLOOD_LIMIT: u32 = 60_000;
-/// What it offers, as a multiple of that.
-const FLOOD_FACTOR: f64 = 3.0;
+const FLOOD_LIMIT: u32 = 180_000;
+/// What it offers beyond that, as a multiple of it.
+const FLOOD_FACTOR: f64 = 2.0;
+/// Place of the flooding customer.
+pub const FLOODING: usize = 0;
 
 const LARKSPUR: Shape = Shape {
     style: 2000,
@@ -171,7 +173,7 @@
         Name::Overload => {
             maker.add(&LARKSPUR, "", Duration::ZERO, LENGTH);
             maker.flood();
-            customers[0].tokens_per_second = Some(FLOOD_LIMIT);
+            customers[FLOODING].tokens_per_second = Some(FLOOD_LIMIT);
             1.0
         }
     };
@@ -223,7 +225,7 @@
             if at >= LENGTH {
                 return;
             }
-            let mut shot = self.shot(&LARKSPUR, "flood", 0, at);
+            let mut shot = self.shot(&LARKSPUR, "flood", FLOODING, at);
             shot.flood = true;
             self.shots.push(shot);
         }
--- a/crates/jb-policy/src/route.rs
+++ b/crates/jb-policy/src/route.rs
@@ -30,6 +30,9 @@
 const MOST_MARKS: usize = 200_000;
 /// Age given to the load in an answer's start, for the way it has come.
 const ANSWER_AGE: Duration = Duration::from_millis(2);
+/// Costs that differ by no more count as equal, so that boxes with slightly
+/// different views choose the same upstream.
+const TIE: Duration = Duration::from_millis(4);
 /// Time after which to come back when no upstream is usable.
 const NO_UPSTREAM_PAUSE: Duration = Duration::from_secs(2);
 
@@ -197,6 +200,13 @@
         upstream.backlog.send(ask.class, cost, now);
         upstream.health.sent();
         upstream.open += 1;
+        // What is on its way counts as cached: the next prompt with the same
+        // prefix waits behind this one. The answer corrects it.
+        let holder = Holder {
+            engine: engine_index(best.index),
+            epoch: upstream.epoch,
+        };
+        self.knowledge.learn(&ask.chain, holder, ask.chain.tokens);
         self.turn = self.turn.wrapping_add(1);
         Ok(choice)
     }
@@ -301,10 +311,10 @@
             .collect()
     }
 
-    /// Owner of the family by placement, as long as no engine is known to
-    /// hold it: a box that has just started agrees with all others.
+    /// Owner of the root by placement, as long as no engine is known to hold
+    /// any of the prompt: a box that has just started agrees with all others.
     fn home(&self, chain: &Chain, known: &[Known], now: Moment) -> Option<usize> {
-        if known.iter().any(|k| k.tokens >= chain.family.tokens) {
+        if !known.is_empty() {
             return None;
         }
         let usable = self
@@ -313,7 +323,7 @@
             .enumerate()
             .filter(|(_, u)| u.is_usable(now));
         let members = usable.map(|(index, u)| (index, u.hash));
-        place::top(chain.family.hash, members, 1).first().copied()
+        place::top(chain.root.hash, members, 1).first().copied()
     }
 
     fn candidates(&self, ask: &Ask, known: &[Known]) -> Vec<usize> {
@@ -325,7 +335,7 @@
             .iter()
             .enumerate()
             .map(|(index, u)| (index, u.hash));
-        let mut out = place::top(ask.chain.family.hash, members, RANKED);
+        let mut out = place::top(ask.chain.root.hash, members, RANKED);
         out.extend(known.iter().map(|k| k.engine as usize));
         out.sort_unstable();
         out.dedup();
@@ -347,8 +357,8 @@
             .iter()
             .find(|k| k.engine as usize == index)
             .map_or(0, |k| k.tokens);
-        let presumed = home == Some(index) && held < ask.chain.family.tokens;
-        let cached = if presumed { ask.chain.family.tokens } else { held };
+        let presumed = home == Some(index);
+        let cached = if presumed { ask.chain.root.tokens } else { held };
         let cached = cached.min(ask.chain.tokens);
         let prefill = self.prefill(ask.chain.tokens - cached);
         let expected = wait + prefill;
@@ -369,11 +379,11 @@
                 .iter()
                 .min_by_key(|w| (w.wait, self.upstreams[w.index].open, self.turns_until(w))),
             Policy::PrefixHash => weighed.iter().min_by_key(|w| self.rank(w, ask)),
-            Policy::Junctionbend => weighed.iter().min_by(|a, b| {
-                a.cost
-                    .total_cmp(&b.cost)
-                    .then_with(|| self.rank(a, ask).cmp(&self.rank(b, ask)))
-            }),
+            Policy::Junctionbend => {
+                let least = weighed.iter().map(|w| w.cost).min_by(f64::total_cmp)?;
+                let close = weighed.iter().filter(|w| w.cost <= least + TIE.as_secs_f64());
+                close.min_by_key(|w| self.rank(w, ask))
+            }
         }
     }
 
