Let one box of a hall decide for a cell of engines

Change: a service's prefixes are spread over cells of up to 16 engines; by rendezvous hashing one live box of the hall decides for a cell, and the others pass requests on to it. The choice also counts how fast a cache fills. The stand-in's load report counts the job worked on.

--- a/crates/jb-daemon/src/members.rs
+++ b/crates/jb-daemon/src/members.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
+use jb_policy::cell::{self, Cell};
 use jb_policy::hall::Summary;
 use jb_policy::member::{Change, Member, Members};
 use jb_protocol::platform::{Entry, State};
@@ -95,14 +96,14 @@
         halls.into_iter().map(summary).collect()
     }
 
-    /// Live boxes of a hall, in the order in which this request tries them.
-    pub fn boxes_in(&self, hall: &str, turn: u64) -> Vec<Member> {
-        let mut boxes: Vec<Member> = self.alive();
+    /// Live boxes of a hall, this one among them in its own hall, the box
+    /// that decides for a service's cell first.
+    pub fn boxes_for(&self, hall: &str, service: &str, cell: Cell) -> Vec<Member> {
+        let state = self.lock();
+        let me = state.members.me();
+        let mut boxes: Vec<Member> = state.members.alive().chain([me]).cloned().collect();
         boxes.retain(|m| m.hall == hall && !m.leaving);
-        if !boxes.is_empty() {
-            let first = turn as usize % boxes.len();
-            boxes.rotate_left(first);
-        }
+        boxes.sort_by_key(|m| std::cmp::Reverse(cell::preference(service, cell, &m.id)));
         boxes
     }
 
--- a/crates/jb-daemon/src/run/attempt.rs
+++ b/crates/jb-daemon/src/run/attempt.rs
@@ -93,6 +93,8 @@
 pub struct AtPeer {
     /// The other box.
     pub peer: id::Box,
+    /// Its hall.
+    pub hall: id::Hall,
     /// Its frames.
     pub frames: Streaming<RelayFrame>,
     /// Index due next.
--- a/crates/jb-daemon/src/run/session.rs
+++ b/crates/jb-daemon/src/run/session.rs
@@ -5,11 +5,14 @@
 use std::time::Duration;
 
 use jb_policy::call::{Call, Denied, Refusal, Sent, Streaming, Unsent};
+use jb_policy::cell;
 use jb_policy::hall;
+use jb_policy::member::Member;
 use jb_policy::route::Ask;
 use jb_policy::stream::Reader;
 use jb_protocol::engine::Call as EngineCall;
 use jb_protocol::error::Kind;
+use jb_protocol::service::Policy;
 use jb_protocol::{event, id};
 use jb_wire::peer::RelayRequest;
 
@@ -266,6 +269,7 @@
             Ok(frames) => {
                 self.attempt = Some(Attempt::Peer(Box::new(AtPeer {
                     peer,
+                    hall,
                     frames,
                     next: self.next,
                     silence: self.request.service.silence,
@@ -274,9 +278,6 @@
             }
             Err(failure) => {
                 self.context.directory.failed(&peer);
-                if self.context.directory.boxes_in(&hall, 0).is_empty() {
-                    self.tried_halls.push(hall);
-                }
                 Err(failure.into())
             }
         }
@@ -298,10 +299,17 @@
             if self.tried_halls.contains(&hall) {
                 continue;
             }
-            let result = if hall == self.context.settings.hall {
-                self.pick_engine().await
-            } else {
-                self.pick_peer(&hall)
+            let result = match self.box_for(&hall) {
+                Some(member) => Ok(Target::Peer {
+                    id: member.id,
+                    address: member.peer_address,
+                    hall: hall.clone(),
+                }),
+                None if hall == self.context.settings.hall => self.pick_engine().await,
+                None => Err(NoTarget {
+                    kind: Kind::HallUnreachable,
+                    after: None,
+                }),
             };
             match result {
                 Ok(target) => return Ok(target),
@@ -365,19 +373,32 @@
         }
     }
 
-    fn pick_peer(&self, hall: &str) -> Result<Target, NoTarget> {
-        let turn = self.request.chain.family.hash;
-        let boxes = self.context.directory.boxes_in(hall, turn);
-        let peer = boxes.into_iter().find(|m| !self.tried_boxes.contains(&m.id));
-        let target = peer.map(|m| Target::Peer {
-            id: m.id,
-            address: m.peer_address,
-            hall: hall.to_owned(),
-        });
-        target.ok_or(NoTarget {
-            kind: Kind::HallUnreachable,
-            after: None,
-        })
+    /// The box to which a request for a hall is passed on; `None` when this
+    /// box is to decide itself, or when no box is left to try.
+    fn box_for(&self, hall: &str) -> Option<Member> {
+        let own = hall == self.context.settings.hall;
+        if own && !self.is_passed_on() {
+            return None;
+        }
+        let service = &self.request.service;
+        let engines = service.upstreams.iter().filter(|u| u.hall == hall).count();
+        let cell = cell::of(self.request.chain.root.hash, cell::count(engines));
+        let boxes = self.context.directory.boxes_for(hall, &service.id, cell);
+        if own {
+            // Only the first counts: where it fails, this box decides itself.
+            let first = boxes.into_iter().next()?;
+            let other = first.id != self.context.settings.id && !self.tried_boxes.contains(&first.id);
+            return other.then_some(first);
+        }
+        boxes.into_iter().find(|m| !self.tried_boxes.contains(&m.id))
+    }
+
+    /// Whether another box of the own hall may decide. A request that runs at
+    /// most once is not put at the risk of one more box.
+    fn is_passed_on(&self) -> bool {
+        self.request.reach == Reach::Any
+            && !self.request.once
+            && self.request.service.policy == Policy::Junctionbend
     }
 
     /// Decides whether another attempt may follow a failed one.
@@ -392,6 +413,7 @@
             Trouble::Denied { denial, kind, after } => {
                 emit!(self.context.logger, info, event::ATTEMPT_FAILED,
                     "request" => &self.request.id, "to" => to, "why" => denial.reason());
+                self.note_full_hall(kind);
                 self.end_attempt(Outcome::Denied);
                 self.refused = Some(NoTarget { kind, after });
                 self.after_denial(&denial, kind)
@@ -405,6 +427,17 @@
         }
     }
 
+    /// A hall whose deciding box has refused for want of room is not asked again.
+    fn note_full_hall(&mut self, kind: Kind) {
+        let full = matches!(
+            kind,
+            Kind::Overloaded | Kind::DeadlineUnreachable | Kind::NoUpstream
+        );
+        if let (true, Some(Attempt::Peer(attempt))) = (full, &self.attempt) {
+            self.tried_halls.push(attempt.hall.clone());
+        }
+    }
+
     fn after_denial(&mut self, denial: &jb_policy::call::Denial, kind: Kind) -> Result<(), Refusal> {
         let phase = std::mem::replace(&mut self.phase, Phase::Over);
         self.phase = match phase {
--- a/crates/jb-fakes/src/engine/batch.rs
+++ b/crates/jb-fakes/src/engine/batch.rs
@@ -80,6 +80,14 @@
 #[derive(Debug, Default)]
 pub struct Queue {
     jobs: Vec<Job>,
+    active: Option<Active>,
+}
+
+/// The job that is worked on: it is not in the queue, but it counts as load.
+#[derive(Clone, Copy, Debug)]
+struct Active {
+    class: Priority,
+    left: u32,
 }
 
 impl Queue {
@@ -96,6 +104,16 @@
         Some(self.jobs.swap_remove(next))
     }
 
+    /// Notes the job that is worked on, and what is left of it.
+    pub fn begin(&mut self, class: Priority, left: u32) {
+        self.active = Some(Active { class, left });
+    }
+
+    /// Notes that no job is worked on.
+    pub fn end(&mut self) {
+        self.active = None;
+    }
+
     /// Forgets all jobs.
     pub fn clear(&mut self) {
         self.jobs.clear();
@@ -104,9 +122,13 @@
     /// Work that waits.
     pub fn load(&self, speed: Speed, running: u32) -> Load {
         let mut waiting_us = [0_u64; jb_protocol::priority::CLASSES];
-        for job in &self.jobs {
-            let left = job.left.unwrap_or(job.expected);
-            waiting_us[job.class.index()] += u64::from(left) * speed.prefill_us;
+        let queued = self
+            .jobs
+            .iter()
+            .map(|job| (job.class, job.left.unwrap_or(job.expected)));
+        let active = self.active.iter().map(|active| (active.class, active.left));
+        for (class, left) in queued.chain(active) {
+            waiting_us[class.index()] += u64::from(left) * speed.prefill_us;
         }
         Load {
             waiting_ms: waiting_us.map(|us| u32::try_from(us / 1000).unwrap_or(u32::MAX)),
--- a/crates/jb-fakes/src/engine/state.rs
+++ b/crates/jb-fakes/src/engine/state.rs
@@ -162,11 +162,13 @@
         let left = job.left.unwrap_or(job.tokens.saturating_sub(job.cached));
         let chunk = left.min(speed.chunk_tokens);
         job.left = Some(left - chunk);
+        inner.queue.begin(job.class, left);
         speed.chunk(chunk, inner.running)
     }
 
     fn end_step(&self, job: Job) {
         let mut inner = self.lock();
+        inner.queue.end();
         if job.left.unwrap_or(0) > 0 {
             inner.queue.push(job);
             return;
--- a/crates/jb-fakes/src/load/workload.rs
+++ b/crates/jb-fakes/src/load/workload.rs
@@ -162,13 +162,13 @@
         Name::Courier => {
             maker.add(&MANIFESTS, "", Duration::ZERO, LENGTH);
             maker.add(&RIDERS, "riders", Duration::ZERO, LENGTH);
-            0.25
+            3.0
         }
         Name::HotShift => {
             maker.add(&MANIFESTS, "", Duration::ZERO, LENGTH / 2);
             maker.add(&MANIFESTS, "later", LENGTH / 2, LENGTH);
             maker.add(&RIDERS, "riders", Duration::ZERO, LENGTH);
-            0.25
+            3.0
         }
         Name::Overload => {
             maker.add(&LARKSPUR, "", Duration::ZERO, LENGTH);
--- a/crates/jb-policy/src/knowledge.rs
+++ b/crates/jb-policy/src/knowledge.rs
@@ -19,6 +19,8 @@
 pub type Index = u32;
 /// Count of an engine's incarnations as this box has seen them.
 pub type Epoch = u32;
+/// Blocks that have been put into an engine's cache so far; it wraps around.
+pub type Fill = u32;
 
 /// An engine that holds a prefix.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -27,6 +29,8 @@
     pub engine: Index,
     /// Its epoch when the fact was learned.
     pub epoch: Epoch,
+    /// Its fill when the fact was learned.
+    pub fill: Fill,
 }
 
 /// A known length of a prompt at one engine.
@@ -68,7 +72,11 @@
 impl Holders {
     const EMPTY: Self = Self {
         count: 0,
-        list: [Holder { engine: 0, epoch: 0 }; HOLDERS],
+        list: [Holder {
+            engine: 0,
+            epoch: 0,
+            fill: 0,
+        }; HOLDERS],
     };
 
     fn as_slice(&self) -> &[Holder] {
@@ -123,8 +131,9 @@
         self.len() == 0
     }
 
-    /// The longest known prefix of a prompt at each engine that holds any.
-    pub fn lookup(&self, chain: &Chain, epoch_of: impl Fn(Index) -> Epoch) -> Vec<Known> {
+    /// The longest known prefix of a prompt at each engine that holds any;
+    /// `is_valid` tells the facts that still hold.
+    pub fn lookup(&self, chain: &Chain, is_valid: impl Fn(&Holder) -> bool) -> Vec<Known> {
         let mut found: Vec<Known> = Vec::with_capacity(HOLDERS);
         for mark in chain.marks.iter().rev() {
             let Some(holders) = self.get(mark.hash) else {
@@ -132,7 +141,7 @@
             };
             for holder in holders.as_slice() {
                 let seen = found.iter().any(|k| k.engine == holder.engine);
-                if !seen && epoch_of(holder.engine) == holder.epoch {
+                if !seen && is_valid(holder) {
                     found.push(Known {
                         engine: holder.engine,
                         tokens: mark.tokens,
--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Moment`]s, durations since a start of the caller's choice.
 
 pub mod call;
+pub mod cell;
 pub mod claim;
 pub mod hall;
 pub mod health;
@@ -14,6 +15,7 @@
 pub mod member;
 pub mod place;
 pub mod prefix;
+pub mod pressure;
 pub mod retry;
 pub mod route;
 pub mod stream;
--- a/crates/jb-policy/src/route.rs
+++ b/crates/jb-policy/src/route.rs
@@ -12,6 +12,7 @@
 use serde::{Deserialize, Serialize};
 
 use crate::Moment;
+use crate::cell;
 use crate::health::Change;
 use crate::knowledge::{Holder, Index, Knowledge, Known};
 use crate::place;
@@ -20,14 +21,18 @@
 use crate::stream::Start;
 use crate::upstream::Upstream;
 
-/// Up to this many upstreams, each one is weighed for every request.
-const WEIGH_ALL: usize = 16;
-/// Upstreams weighed by their rank for the family, where there are more.
-const RANKED: usize = 6;
+/// Upstreams weighed beside those of the cell.
+const SPARE: usize = 2;
 /// Prefixes remembered for each block that an engine can hold, divided by 8.
 const MARKS_PER_ENGINE_BLOCK: usize = 4;
 /// Most prefixes remembered in each generation, which bounds the memory.
 const MOST_MARKS: usize = 200_000;
+/// Times that a cache may be filled anew before a prefix unused since counts
+/// as evicted; above 1, because the filling is only estimated.
+const KEPT: f64 = 1.5;
+/// Bounds of the churn of a cache, as it counts in the cost of filling it.
+const LEAST_CHURN: f64 = 0.25;
+const MOST_CHURN: f64 = 4.0;
 /// Age given to the load in an answer's start, for the way it has come.
 const ANSWER_AGE: Duration = Duration::from_millis(2);
 /// Costs that differ by no more count as equal, so that boxes with slightly
@@ -100,6 +105,7 @@
     knowledge: Knowledge,
     budget: Budget,
     turn: usize,
+    cells: Vec<Vec<usize>>,
 }
 
 impl Pool {
@@ -111,6 +117,7 @@
             upstreams: Vec::new(),
             budget: Budget::default(),
             turn: 0,
+            cells: Vec::new(),
         };
         pool.configure(service, hall);
         pool
@@ -129,6 +136,7 @@
         }
         let after: Vec<id::Upstream> = next.iter().map(|u| u.id.clone()).collect();
         self.upstreams = next;
+        self.cells = cells_of(&self.upstreams);
         self.service = service.clone();
         // Facts name upstreams by their place, and weights by their version.
         if before != after || weights_changed || self.knowledge.is_empty() {
@@ -195,17 +203,16 @@
             cached_tokens: best.cached,
             expected: best.expected,
         };
-        let cost = self.prefill(ask.chain.tokens - best.cached);
+        let missing = ask.chain.tokens - best.cached;
+        let cost = self.prefill(missing);
         let upstream = &mut self.upstreams[best.index];
         upstream.backlog.send(ask.class, cost, now);
         upstream.health.sent();
         upstream.open += 1;
         // What is on its way counts as cached: the next prompt with the same
         // prefix waits behind this one. The answer corrects it.
-        let holder = Holder {
-            engine: engine_index(best.index),
-            epoch: upstream.epoch,
-        };
+        upstream.insert(missing, now);
+        let holder = upstream.holder(engine_index(best.index));
         self.knowledge.learn(&ask.chain, holder, ask.chain.tokens);
         self.turn = self.turn.wrapping_add(1);
         Ok(choice)
@@ -236,10 +243,7 @@
         upstream
             .backlog
             .report(&start.load, now.saturating_sub(ANSWER_AGE));
-        let holder = Holder {
-            engine: engine_index(index),
-            epoch: upstream.epoch,
-        };
+        let holder = upstream.holder(engine_index(index));
         self.knowledge.unlearn(chain, holder.engine, start.cached_tokens);
         self.knowledge.learn(chain, holder, chain.tokens);
         new
@@ -299,9 +303,16 @@
         Ok(())
     }
 
+    fn still_holds(&self, holder: &Holder) -> bool {
+        let blocks = f64::from(self.service.cache_tokens / TOKENS_PER_BLOCK) * KEPT;
+        let upstream = self.upstreams.get(holder.engine as usize);
+        upstream.is_some_and(|u| u.still_holds(holder, blocks as u32))
+    }
+
     fn weigh(&self, ask: &Ask, now: Moment) -> Vec<Weighed> {
-        let epoch_of = |index: Index| self.upstreams.get(index as usize).map_or(0, |u| u.epoch);
-        let known = self.knowledge.lookup(&ask.chain, epoch_of);
+        let known = self
+            .knowledge
+            .lookup(&ask.chain, |holder| self.still_holds(holder));
         let home = self.home(&ask.chain, &known, now);
         self.candidates(ask, &known)
             .into_iter()
@@ -312,7 +323,7 @@
     }
 
     /// Owner of the root by placement, as long as no engine is known to hold
-    /// any of the prompt: a box that has just started agrees with all others.
+    /// any of the prompt: a box that takes a cell over starts from there.
     fn home(&self, chain: &Chain, known: &[Known], now: Moment) -> Option<usize> {
         if !known.is_empty() {
             return None;
@@ -326,20 +337,23 @@
         place::top(chain.root.hash, members, 1).first().copied()
     }
 
+    /// The engines of the prompt's cell, those known to hold a prefix of it,
+    /// and a few of other cells for when the own cell has too much work.
     fn candidates(&self, ask: &Ask, known: &[Known]) -> Vec<usize> {
-        if self.upstreams.len() <= WEIGH_ALL || self.service.policy != Policy::Junctionbend {
+        if self.cells.len() <= 1 || self.service.policy != Policy::Junctionbend {
             return (0..self.upstreams.len()).collect();
         }
+        let cell = cell::of(ask.chain.root.hash, cell_count(&self.cells));
+        let mut out = self.cells.get(cell as usize).cloned().unwrap_or_default();
         let members = self
             .upstreams
             .iter()
             .enumerate()
             .map(|(index, u)| (index, u.hash));
-        let mut out = place::top(ask.chain.root.hash, members, RANKED);
+        out.extend(place::top(ask.chain.root.hash, members, SPARE));
         out.extend(known.iter().map(|k| k.engine as usize));
         out.sort_unstable();
         out.dedup();
-        out.retain(|index| *index < self.upstreams.len());
         out
     }
 
@@ -362,13 +376,16 @@
         let cached = cached.min(ask.chain.tokens);
         let prefill = self.prefill(ask.chain.tokens - cached);
         let expected = wait + prefill;
+        // Filling a cache that churns drives out what will be missed.
+        let churn = upstream.pressure.tokens(now) / f64::from(self.service.cache_tokens.max(1));
+        let churn = churn.clamp(LEAST_CHURN, MOST_CHURN);
         Weighed {
             index,
             wait,
             cached,
             presumed,
             expected,
-            cost: expected.as_secs_f64() + self.service.cache_weight * prefill.as_secs_f64(),
+            cost: expected.as_secs_f64() + self.service.cache_weight * churn * prefill.as_secs_f64(),
         }
     }
 
@@ -398,6 +415,19 @@
     }
 }
 
+fn cells_of(upstreams: &[Upstream]) -> Vec<Vec<usize>> {
+    let count = cell::count(upstreams.len());
+    let mut cells = vec![Vec::new(); count as usize];
+    for (index, upstream) in upstreams.iter().enumerate() {
+        cells[cell::of(upstream.hash, count) as usize].push(index);
+    }
+    cells
+}
+
+fn cell_count(cells: &[Vec<usize>]) -> u32 {
+    u32::try_from(cells.len()).unwrap_or(1)
+}
+
 fn engine_index(index: usize) -> Index {
     Index::try_from(index).unwrap_or(Index::MAX)
 }
--- a/crates/jb-policy/src/upstream.rs
+++ b/crates/jb-policy/src/upstream.rs
@@ -4,12 +4,14 @@
 
 use jb_protocol::engine::Report;
 use jb_protocol::id;
+use jb_protocol::token::TOKENS_PER_BLOCK;
 
 use crate::Moment;
 use crate::health::Health;
-use crate::knowledge::Epoch;
+use crate::knowledge::{Epoch, Fill, Holder, Index};
 use crate::load::Backlog;
 use crate::place;
+use crate::pressure::Pressure;
 
 /// Why an upstream gets no new work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -46,6 +48,10 @@
     pub open: u32,
     /// Count of its incarnations.
     pub epoch: Epoch,
+    /// Blocks put into its cache so far.
+    pub fill: Fill,
+    /// How fast its cache fills.
+    pub pressure: Pressure,
     incarnation: Option<id::Incarnation>,
     fits: bool,
 }
@@ -62,6 +68,8 @@
             backlog: Backlog::default(),
             open: 0,
             epoch: 0,
+            fill: 0,
+            pressure: Pressure::default(),
             incarnation: None,
             fits: true,
         }
@@ -72,6 +80,27 @@
         self.fits && !self.leaving.is_leaving() && self.health.is_open(now)
     }
 
+    /// Notes that a prompt brings `tokens` new tokens into the cache.
+    pub fn insert(&mut self, tokens: u32, now: Moment) {
+        self.fill = self.fill.wrapping_add(tokens / TOKENS_PER_BLOCK);
+        self.pressure.add(tokens, now);
+    }
+
+    /// The upstream as the holder of what it caches now.
+    pub fn holder(&self, engine: Index) -> Holder {
+        Holder {
+            engine,
+            epoch: self.epoch,
+            fill: self.fill,
+        }
+    }
+
+    /// Whether a fact about its cache still holds: the same incarnation, and
+    /// fewer than `blocks` blocks put in since.
+    pub fn still_holds(&self, holder: &Holder, blocks: u32) -> bool {
+        holder.epoch == self.epoch && self.fill.wrapping_sub(holder.fill) < blocks
+    }
+
     /// Notes which incarnation answers; `true` when it is a new one.
     ///
     /// A new incarnation starts with an empty cache and nothing waiting, so
@@ -82,6 +111,7 @@
         if new {
             self.epoch += 1;
             self.backlog.clear();
+            self.pressure = Pressure::default();
         }
         new
     }
