Send small segments at once on every HTTP listener

Cause: the median time to the first token was 42 ms where the engine needs 4: neither the daemon's nor the stand-ins' listeners set TCP_NODELAY, so a token waited for the delayed acknowledgement. Change: one listener for both, in jb-net.

--- a/crates/jb-daemon/src/start.rs
+++ b/crates/jb-daemon/src/start.rs
@@ -6,13 +6,13 @@
 use std::thread;
 use std::time::Duration;
 
+use jb_net::Prompt;
 use jb_platform::Platform;
 use jb_policy::member::Member;
 use jb_protocol::event;
 use jb_upstream::engine::http_client;
 use jb_upstream::{engine, plain};
 use miette::{IntoDiagnostic as _, WrapErr as _};
-use poem::listener::TcpAcceptor;
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
@@ -159,10 +159,10 @@
     let callers = serve::app(Arc::clone(context));
     let operators = admin::app(Arc::clone(context));
     let peers = peer::serve(Arc::clone(context), listeners.peers);
-    if let Ok(acceptor) = TcpAcceptor::from_tokio(listeners.callers) {
+    if let Ok(acceptor) = Prompt::new(listeners.callers) {
         tokio::spawn(poem::Server::new_with_acceptor(acceptor).run(callers));
     }
-    if let Ok(acceptor) = TcpAcceptor::from_tokio(listeners.operators) {
+    if let Ok(acceptor) = Prompt::new(listeners.operators) {
         tokio::spawn(poem::Server::new_with_acceptor(acceptor).run(operators));
     }
     tokio::spawn(peers);
--- a/crates/jb-fakes/src/listen.rs
+++ b/crates/jb-fakes/src/listen.rs
@@ -2,9 +2,9 @@
 
 use std::net::SocketAddr;
 
+use jb_net::Prompt;
 use miette::IntoDiagnostic as _;
 use poem::Route;
-use poem::listener::TcpAcceptor;
 use serde::{Deserialize, Serialize};
 use tokio::net::TcpListener;
 
@@ -32,7 +32,7 @@
 pub async fn serve(address: SocketAddr, app: Route) -> miette::Result<()> {
     let listener = TcpListener::bind(address).await.into_diagnostic()?;
     announce(listener.local_addr().into_diagnostic()?)?;
-    let acceptor = TcpAcceptor::from_tokio(listener).into_diagnostic()?;
+    let acceptor = Prompt::new(listener).into_diagnostic()?;
     poem::Server::new_with_acceptor(acceptor)
         .run(app)
         .await
