Let a customer that lives on its savings wait behind the others

Cause: in overload the flooding customer's saved-up tokens let its burst in at full priority, and the others' prompts waited behind it. Change: a customer with less than half of its saved-up tokens runs one priority class lower. The load tool takes the time to the first token from streamed answers only, since a whole answer does not show it.

--- a/crates/jb-daemon/src/decide/message.rs
+++ b/crates/jb-daemon/src/decide/message.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use jb_policy::hall::Summary;
-use jb_policy::limit::Over;
+use jb_policy::limit::{Admitted, Over};
 use jb_policy::route::{Ask, Candidate, Choice, Refused};
 use jb_policy::stream::Start;
 use jb_protocol::engine::Report;
@@ -18,7 +18,7 @@
     /// Tokens of prompt and answer.
     pub tokens: u32,
     /// Where to answer.
-    pub reply: oneshot::Sender<Result<(), Over>>,
+    pub reply: oneshot::Sender<Result<Admitted, Over>>,
 }
 
 /// Asks for an upstream.
--- a/crates/jb-daemon/src/decide/ring.rs
+++ b/crates/jb-daemon/src/decide/ring.rs
@@ -1,6 +1,6 @@
 //! The bounded ring to the thread that decides.
 
-use jb_policy::limit::Over;
+use jb_policy::limit::{Admitted, Over};
 use jb_policy::route::{Ask, Candidate, Choice, Refused};
 use tokio::sync::{mpsc, oneshot};
 
@@ -63,7 +63,7 @@
     ///
     /// # Errors
     /// [`Full`], or in the inner result the limit exceeded.
-    pub async fn admit(&self, customer: &str, tokens: u32) -> Result<Result<Ticket, Over>, Full> {
+    pub async fn admit(&self, customer: &str, tokens: u32) -> Result<Result<(Admitted, Ticket), Over>, Full> {
         let permit = self.reserve()?;
         let (reply, answer) = oneshot::channel();
         self.send(Message::Admit(Admission {
@@ -76,9 +76,12 @@
             customer: customer.to_owned(),
             refund: 0,
         };
-        Ok(admitted.map(|()| Ticket {
-            permit: Some(permit),
-            ending: Some(ending),
+        Ok(admitted.map(|admitted| {
+            let ticket = Ticket {
+                permit: Some(permit),
+                ending: Some(ending),
+            };
+            (admitted, ticket)
         }))
     }
 
--- a/crates/jb-daemon/src/serve/completions.rs
+++ b/crates/jb-daemon/src/serve/completions.rs
@@ -7,6 +7,7 @@
 use bytes::Bytes;
 use jb_policy::call::{Call, Refusal};
 use jb_policy::claim::{self, Verdict, Wish};
+use jb_policy::limit::Admitted;
 use jb_protocol::error::{Kind, Outcome};
 use jb_protocol::{event, header};
 use poem::web::Data;
@@ -65,8 +66,11 @@
         .stop
         .enter()
         .ok_or_else(|| call.refuse(Kind::Stopping, "the box is stopping"))?;
-    let run = understand(context, request, body, id).await?;
-    let limit = admit(context, &call, &run.customer, run.tokens()).await?;
+    let mut run = understand(context, request, body, id).await?;
+    let (admitted, limit) = admit(context, &call, &run.customer, run.tokens()).await?;
+    if admitted.strained {
+        run.class = run.class.lower();
+    }
     let key = request.header(header::IDEMPOTENCY_KEY);
     if run.once {
         claim_key(context, &call, &run.customer, &run.route.service, key, id).await?;
@@ -161,13 +165,13 @@
     call: &Call<jb_policy::call::Unsent>,
     customer: &str,
     tokens: u32,
-) -> Result<Ticket, Refusal> {
+) -> Result<(Admitted, Ticket), Refusal> {
     match context.ring.admit(customer, tokens).await {
         Err(full) => Err(call.refuse(Kind::Busy, full.to_string())),
         Ok(Err(over)) => Err(call
             .refuse(over.kind, "over the customer's limit")
             .with_after(over.after)),
-        Ok(Ok(ticket)) => Ok(ticket),
+        Ok(Ok(admitted)) => Ok(admitted),
     }
 }
 
--- a/crates/jb-daemon/src/serve/plain.rs
+++ b/crates/jb-daemon/src/serve/plain.rs
@@ -64,7 +64,7 @@
             )
         })?;
     let bytes = read_body(&unsure, body, service.max_body_bytes).await?;
-    let mut limit = admit(context, &unsure, &customer.id, TOKENS).await?;
+    let (_, mut limit) = admit(context, &unsure, &customer.id, TOKENS).await?;
     let once = wishes.once.unwrap_or(!is_repeatable(request.method()));
     if once {
         let key = wishes.key.as_deref();
--- a/crates/jb-fakes/src/load/caller.rs
+++ b/crates/jb-fakes/src/load/caller.rs
@@ -28,8 +28,8 @@
 pub enum Seen {
     /// The whole answer to the own request.
     Complete {
-        /// Time to the first token.
-        first: Duration,
+        /// Time to the first token; only a streamed answer shows it.
+        first: Option<Duration>,
         /// Tokens of the prompt.
         prompt_tokens: u64,
         /// Tokens of the prompt found cached.
@@ -202,7 +202,7 @@
     match media {
         Some(MEDIA_TYPE) => refused(answer).await,
         Some("text/event-stream") => streamed(answer, started, &request.expected).await,
-        _ => whole(answer, started, &request.expected).await,
+        _ => whole(answer, &request.expected).await,
     }
 }
 
@@ -216,21 +216,20 @@
     }
 }
 
-async fn whole(answer: reqwest::Response, started: Instant, expected: &str) -> Seen {
+async fn whole(answer: reqwest::Response, expected: &str) -> Seen {
     let text = match answer.text().await {
         Ok(text) => text,
         Err(error) => return Seen::Lost(error.without_url().to_string()),
     };
-    let first = started.elapsed();
     let value: Value = serde_json::from_str(&text).unwrap_or(Value::Null);
     let content = value["choices"][0]["message"]["content"].as_str();
     if content.unwrap_or(&text) != expected {
         return Seen::Lost("the answer is not that of the request".to_owned());
     }
-    complete(first, &value)
+    complete(None, &value)
 }
 
-fn complete(first: Duration, value: &Value) -> Seen {
+fn complete(first: Option<Duration>, value: &Value) -> Seen {
     let usage = &value["usage"];
     Seen::Complete {
         first,
@@ -261,7 +260,7 @@
             let data = event.strip_prefix("data: ").unwrap_or_default();
             if data == "[DONE]" {
                 return if text == expected {
-                    complete(first.unwrap_or_default(), &last)
+                    complete(first, &last)
                 } else {
                     Seen::Lost("the stream is not that of the request".to_owned())
                 };
--- a/crates/jb-fakes/src/load/tally.rs
+++ b/crates/jb-fakes/src/load/tally.rs
@@ -55,7 +55,7 @@
                 sum.complete += 1;
                 sum.prompt_tokens += prompt_tokens;
                 sum.cached_tokens += cached_tokens;
-                times.push(*first);
+                times.extend(first);
             }
             Seen::Refused { .. } => sum.refused += 1,
             Seen::Lost(_) => sum.lost += 1,
--- a/crates/jb-policy/src/limit.rs
+++ b/crates/jb-policy/src/limit.rs
@@ -12,6 +12,8 @@
 
 /// Time over which a customer may save up unused tokens.
 const BURST: Duration = Duration::from_secs(2);
+/// Part of the saved-up tokens below which a customer counts as strained.
+const STRAINED: f64 = 0.5;
 /// Time after which to come back when too many requests are open.
 const CONCURRENCY_PAUSE: Duration = Duration::from_secs(1);
 
@@ -24,6 +26,14 @@
     pub after: Duration,
 }
 
+/// An admitted request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Admitted {
+    /// The customer uses more than it is entitled to over time. Its request
+    /// runs one priority class lower, so that others do not wait for it.
+    pub strained: bool,
+}
+
 #[derive(Clone, Debug)]
 struct Use {
     tokens: f64,
@@ -44,7 +54,13 @@
     ///
     /// # Errors
     /// The limit that is exceeded.
-    pub fn admit(&mut self, customer: &Customer, boxes: u32, tokens: u32, now: Moment) -> Result<(), Over> {
+    pub fn admit(
+        &mut self,
+        customer: &Customer,
+        boxes: u32,
+        tokens: u32,
+        now: Moment,
+    ) -> Result<Admitted, Over> {
         let boxes = boxes.max(1);
         let rate = f64::from(customer.tokens_per_second) / f64::from(boxes);
         let room = rate * BURST.as_secs_f64();
@@ -73,7 +89,9 @@
         }
         used.tokens -= f64::from(tokens);
         used.open += 1;
-        Ok(())
+        Ok(Admitted {
+            strained: used.tokens < room * STRAINED,
+        })
     }
 
     /// Notes the end of an admitted request.
--- a/crates/jb-protocol/src/priority.rs
+++ b/crates/jb-protocol/src/priority.rs
@@ -32,6 +32,11 @@
         Self::ALL.get(index).copied().unwrap_or(Self::Bulk)
     }
 
+    /// The class below this one; the last class stays.
+    pub fn lower(self) -> Self {
+        Self::from_index(self.index() + 1)
+    }
+
     /// Reads the name that callers and the tree use.
     pub fn parse(name: &str) -> Option<Self> {
         match name {
