Prove each promise by a scripted scenario, and mend what they found

Cause: the promises had no proof. Change: a small test language and ten scenarios as real processes; an upstream is tried again once all have been; with all left out, trying one beats refusing; plain services get the least loaded upstream; a denial costs no retry and the engine is left alone for a second. Ruled out: a larger retry budget (the denials would have used it too).

--- a/crates/jb-daemon/src/decide/worker.rs
+++ b/crates/jb-daemon/src/decide/worker.rs
@@ -151,10 +151,14 @@
         let change = match outcome {
             Outcome::Succeeded => pool.succeeded(upstream),
             Outcome::Failed => pool.failed(upstream, now),
-            Outcome::Abandoned | Outcome::Denied => {
+            Outcome::Abandoned => {
                 pool.abandoned(upstream);
                 Change::None
             }
+            Outcome::Denied => {
+                pool.denied(upstream, now);
+                Change::None
+            }
         };
         match change {
             Change::Ejected => emit!(self.logger, warn, event::UPSTREAM_EJECTED, "upstream" => upstream),
@@ -222,7 +226,8 @@
                 service: service.clone(),
                 summary: Summary {
                     hall: self.hall.clone(),
-                    usable: usable > 0,
+                    // The own hall is worth a try even when all have failed.
+                    usable: pool.upstreams().iter().any(|u| u.is_willing(now)),
                     wait_ms: u32::try_from(pool.least_wait(now).as_millis()).unwrap_or(u32::MAX),
                 },
                 usable: u32::try_from(usable).unwrap_or(u32::MAX),
--- a/crates/jb-daemon/src/run/plain.rs
+++ b/crates/jb-daemon/src/run/plain.rs
@@ -35,6 +35,11 @@
         }
     }
 
+    /// Whether an attempt was lost; a denial costs no retry.
+    fn was_lost(&self) -> bool {
+        matches!(self, Self::Sent(_))
+    }
+
     fn send(self) -> Call<Sent> {
         match self {
             Self::Unsent(call) => call.send(),
@@ -89,10 +94,7 @@
         if standing.attempts() >= ATTEMPTS {
             return Err(standing.give_up(Kind::UpstreamRefused, "every attempt failed"));
         }
-        let chosen = context
-            .ring
-            .choose(&service.id, &ask, standing.attempts() > 0)
-            .await;
+        let chosen = context.ring.choose(&service.id, &ask, standing.was_lost()).await;
         let (choice, ticket) = match chosen {
             Err(full) => return Err(standing.give_up(Kind::Busy, &full.to_string())),
             Ok(Err(none)) => {
--- a/crates/jb-daemon/src/run/session.rs
+++ b/crates/jb-daemon/src/run/session.rs
@@ -90,7 +90,8 @@
     tried_boxes: Vec<id::Box>,
     tried_halls: Vec<id::Hall>,
     refused: Option<NoTarget>,
-    tried_before: bool,
+    /// Whether an attempt was lost; a denial costs no retry.
+    lost_before: bool,
 }
 
 impl Session {
@@ -107,7 +108,7 @@
             tried_boxes: Vec::new(),
             tried_halls: Vec::new(),
             refused: None,
-            tried_before: false,
+            lost_before: false,
         }
     }
 
@@ -168,7 +169,6 @@
             Ok(target) => target,
             Err(none) => return Err(self.give_up(none.kind, "no upstream is left to try", none.after)),
         };
-        self.tried_before = true;
         let id = match std::mem::replace(&mut self.phase, Phase::Over) {
             Phase::Unsent(call) => {
                 let call = call.send();
@@ -355,7 +355,7 @@
         let chosen = self
             .context
             .ring
-            .choose(&self.request.service.id, &self.ask(), self.tried_before)
+            .choose(&self.request.service.id, &self.ask(), self.lost_before)
             .await;
         match chosen {
             Err(_) => Err(NoTarget {
@@ -452,6 +452,7 @@
     }
 
     fn after_loss(&mut self, kind: Kind, detail: &str) -> Result<(), Refusal> {
+        self.lost_before = true;
         let phase = std::mem::replace(&mut self.phase, Phase::Over);
         self.phase = match phase {
             Phase::Sent(call) => Phase::Sent(call.resend(kind, detail)?),
--- a/crates/jb-policy/src/route.rs
+++ b/crates/jb-policy/src/route.rs
@@ -6,7 +6,7 @@
 use jb_protocol::error::Kind;
 use jb_protocol::id;
 use jb_protocol::priority::Priority;
-use jb_protocol::service::Policy;
+use jb_protocol::service::{self, Policy};
 use jb_protocol::token::TOKENS_PER_BLOCK;
 use jb_tree::view::Service;
 use serde::{Deserialize, Serialize};
@@ -273,6 +273,20 @@
         }
     }
 
+    /// Notes that an upstream denied a request without running it.
+    pub fn denied(&mut self, id: &str, now: Moment) {
+        if let Some(upstream) = self.close(id) {
+            upstream.health.undecided();
+        }
+        // A plain service may deny one call and take the next; an engine
+        // denies when it leaves or has other weights.
+        if self.service.kind == service::Kind::Engine
+            && let Some(upstream) = self.upstream_mut(id)
+        {
+            upstream.note_denial(now);
+        }
+    }
+
     fn close(&mut self, id: &str) -> Option<&mut Upstream> {
         let upstream = self.upstream_mut(id)?;
         upstream.open = upstream.open.saturating_sub(1);
@@ -314,12 +328,21 @@
             .knowledge
             .lookup(&ask.chain, |holder| self.still_holds(holder));
         let home = self.home(&ask.chain, &known, now);
-        self.candidates(ask, &known)
-            .into_iter()
-            .filter(|index| self.upstreams[*index].is_usable(now))
-            .filter(|index| !ask.tried.contains(&self.upstreams[*index].id))
-            .map(|index| self.weigh_one(index, ask, &known, home, now))
-            .collect()
+        let mut indexes = self.candidates(ask, &known);
+        // With every one left out after failures, trying one beats refusing.
+        let usable = |index: &usize| self.upstreams[*index].is_usable(now);
+        if indexes.iter().any(usable) {
+            indexes.retain(usable);
+        } else {
+            indexes.retain(|index| self.upstreams[*index].is_willing(now));
+        }
+        // Each one is tried before any is tried again.
+        let untried = |index: &usize| !ask.tried.contains(&self.upstreams[*index].id);
+        if indexes.iter().any(untried) {
+            indexes.retain(untried);
+        }
+        let weigh = |index| self.weigh_one(index, ask, &known, home, now);
+        indexes.into_iter().map(weigh).collect()
     }
 
     /// Owner of the root by placement, as long as no engine is known to hold
@@ -390,7 +413,11 @@
     }
 
     fn pick<'w>(&self, weighed: &'w [Weighed], ask: &Ask) -> Option<&'w Weighed> {
-        match self.service.policy {
+        let policy = match self.service.kind {
+            service::Kind::Engine => self.service.policy,
+            service::Kind::Plain => Policy::LeastLoaded,
+        };
+        match policy {
             Policy::RoundRobin => weighed.get(self.turn % weighed.len().max(1)),
             Policy::LeastLoaded => weighed
                 .iter()
--- a/crates/jb-policy/src/upstream.rs
+++ b/crates/jb-policy/src/upstream.rs
@@ -13,6 +13,9 @@
 use crate::place;
 use crate::pressure::Pressure;
 
+/// Time for which an upstream that denied a request is left alone.
+const DENIAL: Duration = Duration::from_secs(1);
+
 /// Why an upstream gets no new work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Leaving {
@@ -54,6 +57,7 @@
     pub pressure: Pressure,
     incarnation: Option<id::Incarnation>,
     fits: bool,
+    denies_until: Moment,
 }
 
 impl Upstream {
@@ -72,12 +76,18 @@
             pressure: Pressure::default(),
             incarnation: None,
             fits: true,
+            denies_until: Moment::ZERO,
         }
     }
 
     /// Whether it may get a new request now.
     pub fn is_usable(&self, now: Moment) -> bool {
-        self.fits && !self.leaving.is_leaving() && self.health.is_open(now)
+        self.is_willing(now) && self.health.is_open(now)
+    }
+
+    /// Whether it takes work, as far as is known; it may be failing.
+    pub fn is_willing(&self, now: Moment) -> bool {
+        self.fits && now >= self.denies_until && !self.leaving.is_leaving()
     }
 
     /// Notes that a prompt brings `tokens` new tokens into the cache.
@@ -101,6 +111,12 @@
         holder.epoch == self.epoch && self.fill.wrapping_sub(holder.fill) < blocks
     }
 
+    /// Notes that it denied a request: it leaves or has other weights, and
+    /// gets nothing more for a while.
+    pub fn note_denial(&mut self, now: Moment) {
+        self.denies_until = now + DENIAL;
+    }
+
     /// Notes which incarnation answers; `true` when it is a new one.
     ///
     /// A new incarnation starts with an empty cache and nothing waiting, so
--- /dev/null
+++ b/crates/jb-scenario/src/expect.rs
@@ -0,0 +1,190 @@
+//! What a scenario can expect.
+
+use std::collections::BTreeMap;
+
+use jb_fakes::control::PlainCounts;
+use jb_fakes::fleet::layout::PLAIN;
+use jb_fakes::fleet::wait_until;
+use jb_fakes::load::Seen;
+use jb_protocol::error::Outcome;
+use miette::{ensure, miette};
+use serde_json::Value;
+
+use crate::run::{PATIENCE, Run};
+use crate::step::Expectation;
+
+impl Run {
+    /// Checks an expectation; what takes time is waited for.
+    pub(crate) async fn expect(&mut self, expectation: &Expectation) -> miette::Result<()> {
+        match expectation {
+            Expectation::Complete(group) => {
+                self.each(group, "a whole answer", |s| matches!(s, Seen::Complete { .. }))
+                    .await
+            }
+            Expectation::Refused { group, kind, outcome } => self.expect_refused(group, kind, outcome).await,
+            Expectation::Answered(group) => {
+                self.each(group, "a whole answer or a refusal", |s| {
+                    !matches!(s, Seen::Lost(_))
+                })
+                .await
+            }
+            Expectation::Uncached(group) => {
+                let cached = self.cached(group).await?;
+                ensure!(cached == 0, "{cached} tokens were cached");
+                Ok(())
+            }
+            Expectation::Cached(group) => {
+                let cached = self.cached(group).await?;
+                ensure!(cached > 0, "no token was cached");
+                Ok(())
+            }
+            Expectation::Truth(group) => self.expect_truth(group).await,
+            Expectation::Unchanged(name) => {
+                let (now, before) = (self.calls(name).await?, self.notes.get(name).copied());
+                ensure!(Some(now) == before, "{now} calls, {before:?} were noted");
+                Ok(())
+            }
+            Expectation::Revision { name, least } => self.expect_revision(name, *least).await,
+            Expectation::Setting {
+                name,
+                path,
+                key,
+                value,
+            } => self.expect_setting(name, path, key, value).await,
+            Expectation::Log { name, event } => self.expect_log(name, event).await,
+            Expectation::Ready(name) => self.expect_ready(name).await,
+            Expectation::Ended(name) => self.expect_ended(name).await,
+            Expectation::Edited(status) => {
+                ensure!(
+                    self.edited == *status,
+                    "the edit was answered with {}",
+                    self.edited
+                );
+                Ok(())
+            }
+        }
+    }
+
+    async fn each(&mut self, group: &str, what: &str, holds: impl Fn(&Seen) -> bool) -> miette::Result<()> {
+        for (n, seen) in self.group(group)?.finish().await.iter().enumerate() {
+            ensure!(holds(seen), "request {n} got {seen:?}, not {what}");
+        }
+        Ok(())
+    }
+
+    async fn expect_refused(&mut self, group: &str, kind: &str, outcome: &str) -> miette::Result<()> {
+        let what = format!("a refusal `{kind}` that says `{outcome}`");
+        let name = |outcome: Outcome| match outcome {
+            Outcome::NotRun => "not_run",
+            Outcome::MayHaveRun => "may_have_run",
+            Outcome::RanPartly => "ran_partly",
+        };
+        let is = |seen: &Seen| match seen {
+            Seen::Refused {
+                kind: got,
+                outcome: ran,
+            } => got.code() == kind && name(*ran) == outcome,
+            _ => false,
+        };
+        self.each(group, &what, is).await
+    }
+
+    async fn cached(&mut self, group: &str) -> miette::Result<u64> {
+        let seen = self.group(group)?.finish().await;
+        let cached = seen.iter().map(|s| match s {
+            Seen::Complete { cached_tokens, .. } => *cached_tokens,
+            _ => 0,
+        });
+        Ok(cached.sum())
+    }
+
+    /// Runs by body; the counts of a killed service are gone with it.
+    async fn runs(&mut self) -> miette::Result<BTreeMap<String, u32>> {
+        let mut all = BTreeMap::new();
+        for (name, at) in self.rig.upstreams_of(PLAIN) {
+            if self.rig.process_mut(&name)?.has_ended() {
+                continue;
+            }
+            let counts: PlainCounts = self.rig.client.counts(at).await?;
+            for (body, runs) in counts.runs {
+                *all.entry(body).or_insert(0) += runs;
+            }
+        }
+        Ok(all)
+    }
+
+    async fn expect_truth(&mut self, group: &str) -> miette::Result<()> {
+        self.group(group)?.finish().await;
+        let runs = self.runs().await?;
+        let group = self.group(group)?;
+        for (request, seen) in group.requests.iter().zip(&group.seen) {
+            let ran = runs.get(&request.body).copied().unwrap_or(0);
+            ensure!(ran <= 1, "`{}` ran {ran} times", request.body);
+            let told = match seen {
+                Seen::Complete { .. } => ran == 1,
+                Seen::Refused {
+                    outcome: Outcome::NotRun,
+                    ..
+                } => ran == 0,
+                Seen::Refused { .. } => true,
+                Seen::Lost(_) => false,
+            };
+            ensure!(
+                told,
+                "`{}` ran {ran} times, but its caller got {seen:?}",
+                request.body
+            );
+        }
+        Ok(())
+    }
+
+    async fn expect_revision(&self, name: &str, least: u64) -> miette::Result<()> {
+        let ports = self.rig.box_ports(name)?;
+        wait_until(&format!("`{name}` has revision {least}"), PATIENCE, || async {
+            self.rig.revision(ports).await.is_some_and(|r| r >= least)
+        })
+        .await
+    }
+
+    async fn expect_setting(&self, name: &str, path: &str, key: &str, value: &Value) -> miette::Result<()> {
+        let operators = self.rig.box_ports(name)?.operators;
+        wait_until(
+            &format!("`{key}` at `{path}` is {value} at `{name}`"),
+            PATIENCE,
+            || async {
+                let shown: miette::Result<Value> = self.rig.client.get(operators, "/admin/tree").await;
+                shown.is_ok_and(|shown| shown["tree"][path][key] == *value)
+            },
+        )
+        .await
+    }
+
+    async fn expect_log(&self, name: &str, event: &str) -> miette::Result<()> {
+        let process = self.rig.process(name)?;
+        let quoted = format!("\"{event}\"");
+        wait_until(&format!("`{name}` logs `{event}`"), PATIENCE, || async {
+            !process.lines_with(&quoted).is_empty()
+        })
+        .await
+    }
+
+    async fn expect_ready(&self, name: &str) -> miette::Result<()> {
+        let callers = self.rig.box_ports(name)?.callers;
+        wait_until(&format!("`{name}` is ready"), PATIENCE, || async {
+            let text = self.rig.client.text(callers, "/readyz").await;
+            text.is_ok_and(|text| text == "ready\n")
+        })
+        .await
+    }
+
+    async fn expect_ended(&mut self, name: &str) -> miette::Result<()> {
+        let until = std::time::Instant::now() + PATIENCE;
+        while !self.rig.process_mut(name)?.has_ended() {
+            if std::time::Instant::now() > until {
+                return Err(miette!("`{name}` has not ended"));
+            }
+            tokio::time::sleep(std::time::Duration::from_millis(20)).await;
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/jb-scenario/src/run.rs
@@ -0,0 +1,216 @@
+//! Runs the steps of a scenario against real processes.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jb_fakes::control::{EngineCounts, RelayFault};
+use jb_fakes::fleet::layout::{self, ENGINES, Layout, PLAIN, TreeOptions};
+use jb_fakes::fleet::{EngineOptions, Programs, Rig, wait_until};
+use jb_fakes::load::Customer;
+use jb_tree::edit::{Change, Edit};
+use miette::{IntoDiagnostic as _, WrapErr as _, miette};
+use rustix::process::Signal;
+use serde_json::Value;
+
+use crate::send::{Group, requests};
+use crate::step::{Line, Step};
+
+/// Time within which a condition must hold.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Customers of the usual tree.
+const CUSTOMERS: [&str; 2] = ["ann", "bob"];
+
+/// A scenario on its way.
+pub struct Run {
+    /// The fleet.
+    pub rig: Rig,
+    /// Groups of requests.
+    pub groups: BTreeMap<String, Group>,
+    /// Calls that engines had got when noted.
+    pub notes: BTreeMap<String, u64>,
+    /// Status of the last edit.
+    pub edited: u16,
+    http: reqwest::Client,
+}
+
+/// Runs a scenario to its end.
+///
+/// # Errors
+/// The first step that fails, with its line.
+pub fn run(programs: &Programs, steps: &[Line]) -> miette::Result<()> {
+    let runtime = tokio::runtime::Runtime::new().into_diagnostic()?;
+    runtime.block_on(async {
+        let mut run = Run {
+            rig: Rig::new(programs.clone())?,
+            groups: BTreeMap::new(),
+            notes: BTreeMap::new(),
+            edited: 0,
+            http: reqwest::Client::builder().no_proxy().build().into_diagnostic()?,
+        };
+        for line in steps {
+            let result = run.take(&line.step).await;
+            result
+                .wrap_err_with(|| format!("line {}: {:?}", line.number, line.step))
+                .inspect_err(|_| run.print_logs())?;
+        }
+        Ok(())
+    })
+}
+
+impl Run {
+    /// Prints what the boxes logged at warning or above, for a failed scenario.
+    fn print_logs(&self) {
+        for (name, _) in self.rig.boxes() {
+            let lines = self.rig.process(name).map(|p| p.lines_with("\"level\":\"WARN\""));
+            for line in lines.unwrap_or_default() {
+                eprintln!("{line}");
+            }
+        }
+    }
+
+    async fn take(&mut self, step: &Step) -> miette::Result<()> {
+        match step {
+            Step::Proves(_) | Step::When(_) => Ok(()),
+            Step::StartPlatform => self.rig.start_platform(),
+            Step::StartEngine { name, hall } => {
+                self.rig
+                    .start_engine(name, ENGINES, hall, EngineOptions::default())
+            }
+            Step::StartPlain { name, hall } => self.rig.start_plain(name, PLAIN, hall),
+            Step::StartBox { name, hall, linked } => self.start_box(name, hall, *linked).await,
+            Step::Tree => self.put_tree().await,
+            Step::Send(sending) => self.send(&sending.group, &sending.to, requests(sending)),
+            Step::Resend { of, group, to } => {
+                let requests = self.group(of)?.requests.clone();
+                self.send(group, to, requests)
+            }
+            Step::AwaitOpen { count } => self.await_open(*count).await,
+            Step::AwaitGroup(group) => {
+                self.group(group)?.finish().await;
+                Ok(())
+            }
+            Step::Fault { name, fault } => self.fault(name, fault).await,
+            Step::ListLeaving(name) => self.rig.list_leaving(name).await,
+            Step::Kill(name) => self.rig.process_mut(name)?.kill(),
+            Step::Stop(name) => self.rig.process(name)?.signal(Signal::TERM),
+            Step::Freeze(name) => self.rig.process(name)?.signal(Signal::STOP),
+            Step::Thaw(name) => self.rig.process(name)?.signal(Signal::CONT),
+            Step::Restart(name) => self.rig.restart(name),
+            Step::Cut(name) => self.cut(name, true).await,
+            Step::Heal(name) => self.cut(name, false).await,
+            Step::Edit { .. } => self.edit(step).await,
+            Step::Note(name) => {
+                let calls = self.calls(name).await?;
+                self.notes.insert(name.clone(), calls);
+                Ok(())
+            }
+            Step::Expect(expectation) => self.expect(expectation).await,
+        }
+    }
+
+    /// A linked box reaches the platform through `NAME-platform`, and others
+    /// reach it through `NAME-link`.
+    async fn start_box(&mut self, name: &str, hall: &str, linked: bool) -> miette::Result<()> {
+        if !linked {
+            return self.rig.start_box(name, hall).await;
+        }
+        let platform = self.rig.platform()?;
+        let relayed = self.rig.start_relay(&format!("{name}-platform"), platform)?;
+        self.rig.start_box_behind(name, hall, relayed, true).await
+    }
+
+    async fn put_tree(&mut self) -> miette::Result<()> {
+        let customers = CUSTOMERS.map(|id| Customer {
+            id: id.to_owned(),
+            key: format!("key-{id}"),
+            tokens_per_second: None,
+        });
+        let options = TreeOptions {
+            customers: customers.to_vec(),
+            ..TreeOptions::default()
+        };
+        let base = layout::tree(&Layout::default(), &options)?;
+        self.rig.put_tree(&base).await?;
+        self.rig.wait_members().await
+    }
+
+    fn send(&mut self, group: &str, to: &str, requests: Vec<jb_fakes::load::Request>) -> miette::Result<()> {
+        let at = self.rig.box_ports(to)?.callers;
+        let sent = Group::send(&self.http, at, requests);
+        self.groups.insert(group.to_owned(), sent);
+        Ok(())
+    }
+
+    /// A group by name.
+    pub fn group(&mut self, name: &str) -> miette::Result<&mut Group> {
+        self.groups
+            .get_mut(name)
+            .ok_or_else(|| miette!("no group is named `{name}`"))
+    }
+
+    /// Calls that an engine has got.
+    pub async fn calls(&self, name: &str) -> miette::Result<u64> {
+        let counts: EngineCounts = self.rig.client.counts(self.rig.upstream(name)?).await?;
+        Ok(counts.calls)
+    }
+
+    async fn await_open(&self, count: u64) -> miette::Result<()> {
+        let engines = self.rig.upstreams_of(ENGINES);
+        wait_until(&format!("{count} calls are open"), PATIENCE, || async {
+            let mut open = 0;
+            for (_, at) in &engines {
+                let counts: miette::Result<EngineCounts> = self.rig.client.counts(*at).await;
+                open += counts.map_or(0, |c| c.open);
+            }
+            open >= count
+        })
+        .await
+    }
+
+    async fn fault(&self, name: &str, fault: &Value) -> miette::Result<()> {
+        let at = if name == "platform" {
+            self.rig.platform()?
+        } else {
+            self.rig.upstream(name)?
+        };
+        self.rig.client.fault(at, fault).await
+    }
+
+    async fn cut(&self, name: &str, cut: bool) -> miette::Result<()> {
+        let control = self.rig.relay_control(name)?;
+        self.rig.client.fault(control, &RelayFault { cut }).await
+    }
+
+    async fn edit(&mut self, step: &Step) -> miette::Result<()> {
+        let Step::Edit {
+            name,
+            path,
+            key,
+            from,
+            to,
+            id,
+        } = step
+        else {
+            return Ok(());
+        };
+        let value = |value: &Value| (!value.is_null()).then(|| value.clone());
+        let edit = Edit {
+            id: id.clone(),
+            author: "scenario".to_owned(),
+            changes: vec![Change {
+                path: path.parse()?,
+                key: key.clone(),
+                from: value(from),
+                to: value(to),
+            }],
+        };
+        let operators = self.rig.box_ports(name)?.operators;
+        self.edited = self
+            .rig
+            .client
+            .post(operators, "/admin/edit", &edit)
+            .await?
+            .status;
+        Ok(())
+    }
+}
