--- /dev/null
+++ b/crates/jb-cli/src/command/explain.rs
@@ -0,0 +1,73 @@
+//! `explain`: where a request would go, and why.
+
+use argh::FromArgs;
+use serde::Serialize;
+
+use super::Context;
+use crate::answer::Explanation;
+use crate::error::Error;
+use crate::show;
+
+/// Tell where a request would go and why, without running it.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "explain")]
+pub struct Explain {
+    /// customer
+    #[argh(option)]
+    customer: String,
+    /// route, as callers name it in `model`
+    #[argh(option)]
+    route: String,
+    /// levels of the prompt, the outermost first, `role: text` each
+    #[argh(positional)]
+    levels: Vec<String>,
+}
+
+#[derive(Serialize)]
+struct Question {
+    customer: String,
+    route: String,
+    levels: Vec<String>,
+}
+
+/// Runs the command.
+pub async fn run(context: &Context, arguments: Explain) -> Result<(), Error> {
+    let question = Question {
+        customer: arguments.customer,
+        route: arguments.route,
+        levels: arguments
+            .levels
+            .into_iter()
+            .map(|level| format!("{level}\n"))
+            .collect(),
+    };
+    let explanation: Explanation = context.client.post("/admin/explain", &question).await?;
+    if context.json {
+        show::json(&explanation);
+        return Ok(());
+    }
+    println!(
+        "service {}, hall {}, {} tokens, family of {} tokens at point {}",
+        explanation.service,
+        explanation.hall,
+        explanation.prompt_tokens,
+        explanation.family_tokens,
+        explanation.point
+    );
+    let row = |c: &crate::answer::Candidate| {
+        let cached = if c.presumed {
+            format!("{} presumed", c.cached_tokens)
+        } else {
+            c.cached_tokens.to_string()
+        };
+        vec![
+            c.upstream.clone(),
+            format!("{:.1}", c.wait_ms),
+            cached,
+            format!("{:.1}", c.cost_ms),
+        ]
+    };
+    let rows: Vec<Vec<String>> = explanation.candidates.iter().map(row).collect();
+    show::table(&["upstream", "wait ms", "cached", "cost ms"], &rows);
+    Ok(())
+}
--- /dev/null
+++ b/crates/jb-cli/src/command/mod.rs
@@ -0,0 +1,84 @@
+//! The commands.
+
+mod check;
+mod drain;
+mod edit;
+mod explain;
+mod migrate;
+mod status;
+mod tree;
+
+use argh::FromArgs;
+
+use crate::client::Client;
+use crate::error::Error;
+
+/// Variable that names the box to ask.
+const BOX_VARIABLE: &str = "JUNCTIONBEND_BOX";
+/// Variable that holds the operators' key.
+const KEY_VARIABLE: &str = "JUNCTIONBEND_KEY";
+
+/// Operates junctionbend by editing its tree of settings.
+///
+/// Exit codes: 0 done, 2 wrong input, 3 no box answers, 4 refused,
+/// 5 conflict with another edit, 6 accepted but not in force everywhere.
+#[derive(FromArgs)]
+pub struct Arguments {
+    /// admin address of any box; JUNCTIONBEND_BOX when left out
+    #[argh(option, long = "box")]
+    address: Option<String>,
+    /// print JSON
+    #[argh(switch)]
+    json: bool,
+    #[argh(subcommand)]
+    command: Command,
+}
+
+#[derive(FromArgs)]
+#[argh(subcommand)]
+enum Command {
+    Check(check::Check),
+    Drain(drain::Drain),
+    Explain(explain::Explain),
+    Migrate(migrate::Migrate),
+    Status(status::Status),
+    Tree(tree::Tree),
+}
+
+/// What every command is given.
+pub struct Context {
+    client: Client,
+    json: bool,
+}
+
+/// Runs a command.
+///
+/// # Errors
+/// Why it failed.
+pub fn run(arguments: Arguments) -> Result<(), Error> {
+    if let Command::Check(check) = &arguments.command {
+        return check::run(check);
+    }
+    let address = arguments.address.or_else(|| std::env::var(BOX_VARIABLE).ok());
+    let address = address.ok_or_else(|| Error::Input {
+        what: format!("no box is named: give --box ADDRESS or set {BOX_VARIABLE}"),
+    })?;
+    let context = Context {
+        client: Client::new(&address, std::env::var(KEY_VARIABLE).ok())?,
+        json: arguments.json,
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.map_err(|e| Error::Input { what: e.to_string() })?;
+    runtime.block_on(dispatch(&context, arguments.command))
+}
+
+async fn dispatch(context: &Context, command: Command) -> Result<(), Error> {
+    match command {
+        Command::Check(check) => check::run(&check),
+        Command::Drain(drain) => drain::run(context, &drain).await,
+        Command::Explain(explain) => explain::run(context, explain).await,
+        Command::Migrate(migrate) => migrate::run(context, &migrate).await,
+        Command::Status(_) => status::run(context).await,
+        Command::Tree(tree) => tree::run(context, tree).await,
+    }
+}
--- /dev/null
+++ b/crates/jb-cli/src/command/status.rs
@@ -0,0 +1,48 @@
+//! `status`: boxes, revisions and services.
+
+use argh::FromArgs;
+
+use super::Context;
+use crate::answer;
+use crate::error::Error;
+use crate::show;
+
+/// Show the boxes, the revision that each has in force, and the services.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "status")]
+pub struct Status {}
+
+/// Runs the command.
+pub async fn run(context: &Context) -> Result<(), Error> {
+    let status: answer::Status = context.client.get("/admin/status").await?;
+    if context.json {
+        show::json(&status);
+        return Ok(());
+    }
+    let state = |leaving: bool| if leaving { "leaving" } else { "live" }.to_owned();
+    let row = |b: &answer::BoxStatus| {
+        vec![
+            b.id.clone(),
+            b.hall.clone(),
+            b.revision.to_string(),
+            state(b.leaving),
+        ]
+    };
+    let boxes: Vec<Vec<String>> = std::iter::once(&status.me)
+        .chain(&status.boxes)
+        .map(row)
+        .collect();
+    show::table(&["box", "hall", "revision", "state"], &boxes);
+    println!("\nservices in {}:", status.me.hall);
+    let row = |s: &answer::ServiceStatus| {
+        vec![
+            s.service.clone(),
+            s.usable.to_string(),
+            s.wait_ms.to_string(),
+            s.leaving.join(" "),
+        ]
+    };
+    let services: Vec<Vec<String>> = status.services.iter().map(row).collect();
+    show::table(&["service", "usable", "wait ms", "leaving"], &services);
+    Ok(())
+}
--- a/crates/jb-cli/src/lib.rs
+++ b/crates/jb-cli/src/lib.rs
@@ -1,1 +1,7 @@
-//! placeholder
+//! The operators' client: one command per file.
+
+pub mod answer;
+pub mod client;
+pub mod command;
+pub mod error;
+pub mod show;
