--- /dev/null
+++ b/crates/jb-policy/tests/route.rs
@@ -0,0 +1,195 @@
+//! Choice of an upstream.
+
+use std::time::Duration;
+
+use jb_policy::health::Change;
+use jb_policy::prefix::{Chain, Scope};
+use jb_policy::route::{Ask, Choice, Pool};
+use jb_policy::stream::Start;
+use jb_protocol::engine::{Load, Report};
+use jb_protocol::error::Kind;
+use jb_protocol::priority::Priority;
+use jb_tree::document;
+use jb_tree::view::{Service, View};
+
+fn service(engines: usize, more: &str) -> Service {
+    let mut text = format!("[\"/services/s\"]\nmodel = \"m\"\nweights = \"w1\"\n{more}\n");
+    for n in 0..engines {
+        text.push_str(&format!(
+            "[\"/services/s/e{n}\"]\naddress = \"127.0.0.1:{}\"\nhall = \"h\"\n",
+            1000 + n
+        ));
+    }
+    let tree = document::read("test", &text).expect("a tree");
+    View::compile(&tree, 1).services["s"].clone()
+}
+
+fn ask(customer: &str, event: usize) -> Ask {
+    let scope = Scope {
+        customer,
+        model: "m",
+        weights: "w1",
+    };
+    let levels = [
+        "style ".repeat(1000),
+        format!("event {event} ").repeat(300),
+        "now".to_owned(),
+    ];
+    Ask {
+        chain: Chain::new(&scope, &levels),
+        class: Priority::Normal,
+        deadline: Duration::from_secs(30),
+        tried: Vec::new(),
+    }
+}
+
+fn at(ms: u64) -> Duration {
+    Duration::from_millis(ms)
+}
+
+fn start(incarnation: u64, cached_tokens: u32) -> Start {
+    Start {
+        incarnation,
+        prompt_tokens: 3000,
+        cached_tokens,
+        load: Load::default(),
+    }
+}
+
+fn choose(pool: &mut Pool, ask: &Ask, now: Duration) -> Choice {
+    pool.choose(ask, now).expect("an upstream")
+}
+
+#[test]
+fn customers_and_weights_never_share_a_prefix() {
+    let levels = ["the same text ".repeat(200), "now".to_owned()];
+    let chain = |customer, weights| {
+        let scope = Scope {
+            customer,
+            model: "m",
+            weights,
+        };
+        Chain::new(&scope, &levels)
+    };
+    let hashes = |c: &Chain| c.marks.iter().map(|m| m.hash).collect::<Vec<_>>();
+    let own = hashes(&chain("ann", "w1"));
+    for other in [hashes(&chain("bob", "w1")), hashes(&chain("ann", "w2"))] {
+        assert!(own.iter().all(|hash| !other.contains(hash)));
+    }
+}
+
+#[test]
+fn boxes_that_know_nothing_agree() {
+    let service = service(9, "");
+    let first = choose(&mut Pool::new(&service, "h"), &ask("ann", 1), at(0));
+    let second = choose(&mut Pool::new(&service, "h"), &ask("ann", 1), at(0));
+    assert_eq!(first.upstream, second.upstream);
+}
+
+#[test]
+fn a_known_prefix_is_used_until_waiting_costs_more() {
+    let mut pool = Pool::new(
+        &service(4, "prefill_us_per_token = 100.0\ncache_weight = 0.0"),
+        "h",
+    );
+    let home = choose(&mut pool, &ask("ann", 1), at(0)).upstream;
+    let start = start(1, 0);
+    pool.started(&home, &ask("ann", 1).chain, &start, at(300));
+    assert_eq!(choose(&mut pool, &ask("ann", 1), at(310)).upstream, home);
+    let busy = Start {
+        load: Load {
+            waiting_ms: [0, 2000, 0],
+            running: 0,
+        },
+        ..start
+    };
+    pool.started(&home, &ask("ann", 1).chain, &busy, at(320));
+    assert_ne!(choose(&mut pool, &ask("ann", 1), at(330)).upstream, home);
+}
+
+#[test]
+fn a_new_incarnation_voids_what_was_known() {
+    let mut pool = Pool::new(&service(4, ""), "h");
+    let ask = ask("ann", 1);
+    let home = choose(&mut pool, &ask, at(0)).upstream;
+    pool.started(&home, &ask.chain, &start(1, 0), at(100));
+    let cached = |pool: &Pool| {
+        let all = pool.explain(&ask, at(200));
+        all.iter().filter(|c| !c.presumed).map(|c| c.cached_tokens).max()
+    };
+    assert!(cached(&pool) > Some(0));
+    let report = Report {
+        incarnation: 2,
+        model: "m".to_owned(),
+        weights: "w1".to_owned(),
+        leaving: false,
+        age_ms: 0,
+        load: Load::default(),
+        fence: 0,
+    };
+    assert!(pool.reported(&home, &report, at(150)));
+    assert_eq!(cached(&pool), Some(0));
+}
+
+#[test]
+fn an_upstream_that_leaves_by_any_signal_gets_nothing() {
+    for signal in 0..3 {
+        let mut pool = Pool::new(&service(2, ""), "h");
+        let home = choose(&mut pool, &ask("ann", 1), at(0)).upstream;
+        let leaving = &mut pool.upstream_mut(&home).expect("it is there").leaving;
+        match signal {
+            0 => leaving.by_tree = true,
+            1 => leaving.by_list = true,
+            _ => leaving.by_itself = true,
+        }
+        assert_ne!(choose(&mut pool, &ask("ann", 1), at(10)).upstream, home);
+    }
+}
+
+#[test]
+fn failing_upstreams_are_left_out_and_return_one_request_at_a_time() {
+    let mut pool = Pool::new(&service(2, ""), "h");
+    let home = choose(&mut pool, &ask("ann", 1), at(0)).upstream;
+    pool.failed(&home, at(1));
+    choose(&mut pool, &ask("ann", 1), at(2));
+    assert_eq!(pool.failed(&home, at(3)), Change::Ejected);
+    assert_ne!(choose(&mut pool, &ask("ann", 1), at(10)).upstream, home);
+    let later = at(600);
+    let upstream = pool.upstream_mut(&home).expect("it is there");
+    assert!(upstream.is_usable(later));
+    upstream.health.sent();
+    assert!(!upstream.is_usable(later));
+    assert_eq!(pool.succeeded(&home), Change::Returned);
+}
+
+#[test]
+fn with_all_left_out_one_is_tried_all_the_same() {
+    let mut pool = Pool::new(&service(1, ""), "h");
+    for _ in 0..3 {
+        let chosen = choose(&mut pool, &ask("ann", 1), at(0)).upstream;
+        pool.failed(&chosen, at(0));
+    }
+}
+
+#[test]
+fn a_deadline_that_cannot_be_met_is_refused_at_once_with_a_time() {
+    let mut pool = Pool::new(&service(1, "prefill_us_per_token = 1000.0"), "h");
+    let hurried = Ask {
+        deadline: at(100),
+        ..ask("ann", 1)
+    };
+    let refused = pool.choose(&hurried, at(0)).expect_err("too slow");
+    assert_eq!(refused.kind, Kind::DeadlineUnreachable);
+    assert!(refused.after > Duration::ZERO);
+}
+
+#[test]
+fn urgent_requests_do_not_wait_for_others() {
+    let mut pool = Pool::new(&service(1, "prefill_us_per_token = 1000.0"), "h");
+    for event in 0..3 {
+        choose(&mut pool, &ask("ann", event), at(0));
+    }
+    let upstream = &pool.upstreams()[0];
+    assert_eq!(upstream.backlog.wait(Priority::Urgent, at(0)), Duration::ZERO);
+    assert!(upstream.backlog.wait(Priority::Normal, at(0)) > Duration::from_secs(1));
+}
--- /dev/null
+++ b/crates/jb-policy/tests/stream.rs
@@ -0,0 +1,88 @@
+//! Streams: whatever an engine sends, the caller gets its tokens in order
+//! and without a gap, or the attempt has failed.
+
+use jb_policy::stream::{Reader, Step};
+use jb_protocol::engine::{Frame, Load};
+use quickcheck::{Arbitrary as _, Gen};
+
+const ROUNDS: u64 = 500;
+const TOKENS: u32 = 8;
+
+fn start(attempt: &str) -> Frame {
+    Frame::Start {
+        attempt: attempt.to_owned(),
+        incarnation: 1,
+        weights: "w1".to_owned(),
+        prompt_tokens: 10,
+        cached_tokens: 0,
+        load: Load::default(),
+    }
+}
+
+fn token(attempt: &str, index: u32) -> Frame {
+    Frame::Token {
+        attempt: attempt.to_owned(),
+        index,
+        text: index.to_string(),
+    }
+}
+
+fn end(attempt: &str, count: u32) -> Frame {
+    Frame::End {
+        attempt: attempt.to_owned(),
+        count,
+        finish_reason: "stop".to_owned(),
+    }
+}
+
+/// A frame that may be right, late, early, repeated or another attempt's.
+fn any_frame(kind: u8, number: u8) -> Frame {
+    let attempt = if kind.is_multiple_of(5) { "other" } else { "own" };
+    match kind % 4 {
+        0 => end(attempt, u32::from(number) % (TOKENS + 1)),
+        1 if number == 0 => start(attempt),
+        _ => token(attempt, u32::from(number) % TOKENS),
+    }
+}
+
+#[test]
+fn tokens_are_delivered_in_order_without_gap_whatever_comes() {
+    for seed in 0..ROUNDS {
+        let mut source = Gen::from_size_and_seed(200, seed);
+        let noise = Vec::<(u8, u8)>::arbitrary(&mut source);
+        let mut reader = Reader::new("own".to_owned(), "w1".to_owned(), 0);
+        assert!(matches!(reader.take(start("own")), Step::Started(_)));
+        let mut delivered = Vec::new();
+        for (kind, number) in noise {
+            match reader.take(any_frame(kind, number)) {
+                Step::Token(text) => delivered.push(text),
+                Step::Ended(_) | Step::Broken(_) => break,
+                Step::Started(_) | Step::Dropped => {}
+            }
+        }
+        let expected: Vec<String> = (0..delivered.len()).map(|n| n.to_string()).collect();
+        assert_eq!(delivered, expected, "seed {seed}");
+    }
+}
+
+#[test]
+fn an_end_with_a_wrong_count_is_no_end() {
+    let mut reader = Reader::new("own".to_owned(), "w1".to_owned(), 0);
+    reader.take(start("own"));
+    reader.take(token("own", 0));
+    assert!(matches!(reader.take(end("own", 2)), Step::Broken(_)));
+}
+
+#[test]
+fn a_resumed_stream_drops_what_was_delivered() {
+    let mut reader = Reader::new("own".to_owned(), "w1".to_owned(), 3);
+    reader.take(start("own"));
+    assert_eq!(reader.take(token("own", 2)), Step::Dropped);
+    assert_eq!(reader.take(token("own", 3)), Step::Token("3".to_owned()));
+}
+
+#[test]
+fn other_weights_than_asked_for_break_the_answer() {
+    let mut reader = Reader::new("own".to_owned(), "w2".to_owned(), 0);
+    assert!(matches!(reader.take(start("own")), Step::Broken(_)));
+}
--- /dev/null
+++ b/crates/jb-scenario/tests/bad_input.rs
@@ -0,0 +1,225 @@
+//! Broken and hostile input of callers and other boxes: each gets a defined
+//! answer, and the box goes on serving.
+
+use std::io::{Read as _, Write as _};
+use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
+
+use jb_fakes::fleet::layout::{self, Hall, Layout, ROUTE, TreeOptions};
+use jb_fakes::fleet::{self, Rig};
+use jb_fakes::load::{Customer, chat};
+use jb_wire::peer::ProbeRequest;
+use jb_wire::peer::peer_client::PeerClient;
+use serde_json::{Value, json};
+
+const KEY: &str = "key-ann";
+
+/// One request and what must come back.
+struct Case {
+    name: &'static str,
+    path: &'static str,
+    key: &'static str,
+    header: Option<(&'static str, &'static str)>,
+    body: Vec<u8>,
+    status: u16,
+    kind: &'static str,
+}
+
+fn case(name: &'static str, status: u16, kind: &'static str) -> Case {
+    Case {
+        name,
+        path: "/v1/chat/completions",
+        key: KEY,
+        header: None,
+        body: good_body(),
+        status,
+        kind,
+    }
+}
+
+fn good_body() -> Vec<u8> {
+    chat(ROUTE, &["style".to_owned(), "now".to_owned()], 2, false)
+        .to_string()
+        .into_bytes()
+}
+
+fn cases() -> Vec<Case> {
+    let with = |body: Value| body.to_string().into_bytes();
+    vec![
+        Case {
+            body: b"{\"model\": ".to_vec(),
+            ..case("cut JSON", 400, "malformed")
+        },
+        Case {
+            body: vec![0xff; 100],
+            ..case("bytes", 400, "malformed")
+        },
+        Case {
+            body: with(json!({"model": ROUTE, "messages": []})),
+            ..case("no prompt", 400, "malformed")
+        },
+        Case {
+            body: with(
+                json!({"model": ROUTE, "messages": [{"role": "user", "content": "x"}], "max_tokens": 0}),
+            ),
+            ..case("no tokens", 400, "malformed")
+        },
+        Case {
+            body: with(json!({"model": "other", "messages": [{"role": "user", "content": "x"}]})),
+            ..case("unknown model", 404, "unknown_model")
+        },
+        Case {
+            body: vec![b'x'; 2 << 20],
+            ..case("long body", 413, "body_too_large")
+        },
+        Case {
+            key: "key-nobody",
+            ..case("wrong key", 401, "unauthenticated")
+        },
+        Case {
+            path: "/v1/nothing",
+            ..case("unknown path", 404, "unknown_path")
+        },
+        Case {
+            path: "/services/nowhere/do",
+            ..case("unknown service", 404, "unknown_path")
+        },
+        Case {
+            header: Some(("x-priority", "highest")),
+            ..case("bad priority", 400, "malformed")
+        },
+        Case {
+            header: Some(("x-deadline-ms", "-1")),
+            ..case("bad deadline", 400, "malformed")
+        },
+        Case {
+            header: Some(("x-repeat", "maybe")),
+            ..case("bad mark", 400, "malformed")
+        },
+        Case {
+            header: Some(("x-deadline-ms", "0")),
+            ..case("no time", 503, "deadline_unreachable")
+        },
+    ]
+}
+
+async fn fleet() -> Rig {
+    let programs = fleet::build().expect("the programs build");
+    let layout = Layout {
+        halls: vec![Hall {
+            name: "hall-a".to_owned(),
+            boxes: 1,
+            engines: 1,
+            plain: 0,
+        }],
+        ..Layout::default()
+    };
+    let options = TreeOptions {
+        customers: vec![Customer {
+            id: "ann".to_owned(),
+            key: KEY.to_owned(),
+            tokens_per_second: None,
+        }],
+        ..TreeOptions::default()
+    };
+    layout::start(&programs, &layout, &options)
+        .await
+        .expect("the fleet starts")
+}
+
+async fn check(http: &reqwest::Client, at: SocketAddr, case: &Case) {
+    let mut request = http
+        .post(format!("http://{at}{}", case.path))
+        .bearer_auth(case.key)
+        .body(case.body.clone());
+    if let Some((name, value)) = case.header {
+        request = request.header(name, value);
+    }
+    let answer = request
+        .send()
+        .await
+        .unwrap_or_else(|e| panic!("{}: {e}", case.name));
+    assert_eq!(answer.status().as_u16(), case.status, "{}", case.name);
+    let document: Value = answer
+        .json()
+        .await
+        .unwrap_or_else(|e| panic!("{}: {e}", case.name));
+    assert_eq!(document["kind"], case.kind, "{}", case.name);
+    assert_eq!(document["outcome"], "not_run", "{}", case.name);
+}
+
+/// A caller that sends half a request and goes, and one that is no HTTP.
+fn broken_callers(at: SocketAddr) {
+    for bytes in [
+        &b"POST /v1/chat/completions HTTP/1.1\r\ncontent-length: 99\r\n\r\n{"[..],
+        b"\x16\x03\x01\x00",
+    ] {
+        let mut stream = TcpStream::connect(at).expect("the box listens");
+        stream.write_all(bytes).expect("it reads");
+        drop(stream);
+    }
+    let mut stream = TcpStream::connect(at).expect("the box listens");
+    stream.write_all(b"NONSENSE\r\n\r\n").expect("it reads");
+    stream
+        .set_read_timeout(Some(Duration::from_secs(20)))
+        .expect("a timeout");
+    let mut answer = String::new();
+    // An answer or an end; either way the connection is over.
+    let _ = stream.read_to_string(&mut answer);
+    assert!(
+        answer.is_empty() || answer.starts_with("HTTP/1.1 400"),
+        "{answer}"
+    );
+}
+
+/// A box without the secret, and one with another version of the protocol.
+async fn broken_peers(at: SocketAddr) {
+    let mut client = PeerClient::connect(format!("http://{at}"))
+        .await
+        .expect("the box listens");
+    let unknown = client
+        .probe(ProbeRequest::default())
+        .await
+        .expect_err("no secret");
+    assert_eq!(unknown.message(), "unknown sender");
+    let mut old = tonic::Request::new(ProbeRequest {
+        version: 99,
+        ..ProbeRequest::default()
+    });
+    old.metadata_mut()
+        .insert("x-peer-secret", "loopback".parse().expect("a header"));
+    let refused = client.probe(old).await.expect_err("another version");
+    assert!(refused.message().contains("version"), "{refused}");
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn broken_input_gets_a_defined_answer_and_the_box_goes_on() {
+    let rig = fleet().await;
+    let ports = rig.box_ports("hall-a-box-1").expect("a box");
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+    for case in cases() {
+        check(&http, ports.callers, &case).await;
+    }
+    broken_callers(ports.callers);
+    broken_peers(ports.peers).await;
+    let good = http.post(format!("http://{}/v1/chat/completions", ports.callers));
+    let answer = good
+        .bearer_auth(KEY)
+        .body(good_body())
+        .send()
+        .await
+        .expect("an answer");
+    assert_eq!(answer.status(), 200);
+    let list = http
+        .get(format!("http://{}/v1/models", ports.callers))
+        .bearer_auth(KEY)
+        .send()
+        .await;
+    let list: Value = list.expect("an answer").json().await.expect("JSON");
+    assert_eq!(list["data"][0]["id"], ROUTE);
+    let metrics = rig.client.text(ports.callers, "/metrics").await.expect("metrics");
+    assert!(
+        metrics.contains("junctionbend_requests_refused_total{kind=\"malformed\"}"),
+        "{metrics}"
+    );
+}
