--- /dev/null
+++ b/crates/jb-daemon/tests/store.rs
@@ -0,0 +1,47 @@
+//! The tree in force only moves to a higher revision that holds together.
+
+use jb_daemon::follow::{Offer, Store};
+use jb_tree::head::{self, Head, Part};
+use jb_tree::{Tree, document};
+
+fn offer_of(revision: u64, tree: &Tree) -> (Head, Vec<Part>) {
+    let cut = head::cut(tree).expect("parts");
+    let head = Head {
+        revision,
+        parts: cut.references,
+        edits: Vec::new(),
+    };
+    (head, cut.parts)
+}
+
+fn tree(limit: u32) -> Tree {
+    document::read("test", &format!("[\"/customers\"]\nmax_concurrent = {limit}\n")).expect("a tree")
+}
+
+#[test]
+fn an_older_or_equal_revision_is_never_taken() {
+    let store = Store::default();
+    for (revision, taken) in [(5, true), (4, false), (5, false), (6, true), (1, false)] {
+        let (head, parts) = offer_of(revision, &tree(u32::try_from(revision).expect("small")));
+        let expected = if taken { Offer::Taken } else { Offer::NotNewer };
+        assert_eq!(
+            store.offer(head, parts).expect("whole"),
+            expected,
+            "revision {revision}"
+        );
+    }
+    assert_eq!(store.revision(), 6);
+}
+
+#[test]
+fn an_incomplete_or_invalid_tree_leaves_the_one_in_force() {
+    let store = Store::default();
+    let (head, parts) = offer_of(1, &tree(1));
+    store.offer(head, parts).expect("whole");
+    let (head, _) = offer_of(2, &tree(2));
+    assert!(store.offer(head, Vec::new()).is_err(), "a part is missing");
+    let broken = document::read("test", "[\"/routes/r\"]\nservice = \"nowhere\"\n").expect("readable");
+    let (head, parts) = offer_of(3, &broken);
+    assert!(store.offer(head, parts).is_err(), "the tree is invalid");
+    assert_eq!(store.revision(), 1);
+}
--- a/crates/jb-fakes/src/control.rs
+++ b/crates/jb-fakes/src/control.rs
@@ -87,6 +87,8 @@
     pub repeated: BTreeMap<String, u32>,
     /// Calls open.
     pub open: u64,
+    /// Calls that generate.
+    pub streaming: u64,
 }
 
 /// Faults of a plain service. A field that is left out stays as it was.
--- a/crates/jb-fakes/src/engine/server.rs
+++ b/crates/jb-fakes/src/engine/server.rs
@@ -156,7 +156,10 @@
         running.generate();
         let mut due = tokio::time::Instant::now();
         for index in call.resume_at..call.max_tokens {
-            due += Duration::from_millis(engine.lock().settings.speed.decode_ms);
+            // Processing the prompt yields the first token.
+            if index > call.resume_at {
+                due += Duration::from_millis(engine.lock().settings.speed.decode_ms);
+            }
             tokio::select! {
                 () = tokio::time::sleep_until(due) => {}
                 _ = crashes.changed() => return yield Err(broken()),
@@ -259,6 +262,7 @@
     let inner = engine.lock();
     let repeated = inner.prompts.iter().filter(|(_, calls)| **calls > 1);
     let mut counts = inner.counts.clone();
+    counts.streaming = inner.running.into();
     counts.repeated = repeated
         .map(|(hash, calls)| (format!("{hash:016x}"), *calls))
         .collect();
--- a/crates/jb-scenario/src/parse.rs
+++ b/crates/jb-scenario/src/parse.rs
@@ -159,9 +159,10 @@
     Ok(Step::Resend { of, group, to })
 }
 
-/// `await 3 open`, `await GROUP`.
+/// `await 3 open`, `await 3 streaming`, `await GROUP`.
 fn awaiting(input: &mut &str) -> PResult<Step> {
     alt((
+        terminated(number, (space1, "streaming")).map(|count| Step::AwaitStreaming { count }),
         terminated(number, (space1, "open")).map(|count| Step::AwaitOpen { count }),
         word.map(Step::AwaitGroup),
     ))
--- a/crates/jb-scenario/src/run.rs
+++ b/crates/jb-scenario/src/run.rs
@@ -84,7 +84,8 @@
                 let requests = self.group(of)?.requests.clone();
                 self.send(group, to, requests)
             }
-            Step::AwaitOpen { count } => self.await_open(*count).await,
+            Step::AwaitOpen { count } => self.await_calls(*count, "open", |c| c.open).await,
+            Step::AwaitStreaming { count } => self.await_calls(*count, "streaming", |c| c.streaming).await,
             Step::AwaitGroup(group) => {
                 self.group(group)?.finish().await;
                 Ok(())
@@ -154,15 +155,20 @@
         Ok(counts.calls)
     }
 
-    async fn await_open(&self, count: u64) -> miette::Result<()> {
+    async fn await_calls(
+        &self,
+        least: u64,
+        what: &str,
+        of: impl Fn(&EngineCounts) -> u64,
+    ) -> miette::Result<()> {
         let engines = self.rig.upstreams_of(ENGINES);
-        wait_until(&format!("{count} calls are open"), PATIENCE, || async {
-            let mut open = 0;
+        wait_until(&format!("{least} calls are {what}"), PATIENCE, || async {
+            let mut sum = 0;
             for (_, at) in &engines {
                 let counts: miette::Result<EngineCounts> = self.rig.client.counts(*at).await;
-                open += counts.map_or(0, |c| c.open);
+                sum += counts.as_ref().map_or(0, &of);
             }
-            open >= count
+            sum >= least
         })
         .await
     }
--- a/crates/jb-scenario/src/step.rs
+++ b/crates/jb-scenario/src/step.rs
@@ -131,7 +131,12 @@
         /// Box.
         to: String,
     },
-    /// Waits until upstreams have at least this many calls open.
+    /// Waits until engines stream the answers of at least this many calls.
+    AwaitStreaming {
+        /// Number of calls.
+        count: u64,
+    },
+    /// Waits until engines have at least this many calls open.
     AwaitOpen {
         /// Number of calls.
         count: u64,
