--- a/crates/jb-daemon/tests/store.rs
+++ b/crates/jb-daemon/tests/store.rs
@@ -1,5 +1,7 @@
 //! The tree in force only moves to a higher revision that holds together.
 
+#![allow(clippy::expect_used)]
+
 use jb_daemon::follow::{Offer, Store};
 use jb_tree::head::{self, Head, Part};
 use jb_tree::{Tree, document};
--- a/crates/jb-policy/tests/call.rs
+++ b/crates/jb-policy/tests/call.rs
@@ -1,5 +1,7 @@
 //! Life cycle of a call: what its refusal says follows from what was sent.
 
+#![allow(clippy::expect_used)]
+
 use jb_policy::call::{Call, Denial, Denied};
 use jb_protocol::error::{Kind, Outcome};
 
--- a/crates/jb-policy/tests/claim.rs
+++ b/crates/jb-policy/tests/claim.rs
@@ -1,6 +1,8 @@
 //! Claims: however writers interleave, stop and lose answers, a key is
 //! granted to one claimant only.
 
+#![allow(clippy::expect_used)]
+
 use std::collections::HashMap;
 
 use jb_policy::claim::{Claimant, Key, Plan, Shard, Verdict, Wish};
--- a/crates/jb-policy/tests/route.rs
+++ b/crates/jb-policy/tests/route.rs
@@ -1,5 +1,7 @@
 //! Choice of an upstream.
 
+#![allow(clippy::expect_used)]
+
 use std::time::Duration;
 
 use jb_policy::health::Change;
--- a/crates/jb-policy/tests/spread.rs
+++ b/crates/jb-policy/tests/spread.rs
@@ -1,5 +1,7 @@
 //! Limits, migration, cells and membership.
 
+#![allow(clippy::expect_used)]
+
 use std::time::Duration;
 
 use jb_policy::cell;
--- a/crates/jb-protocol/tests/catalogue.rs
+++ b/crates/jb-protocol/tests/catalogue.rs
@@ -1,5 +1,7 @@
 //! The documentation names what the code has, and nothing else.
 
+#![allow(clippy::expect_used)]
+
 use std::collections::BTreeSet;
 use std::path::Path;
 
--- a/crates/jb-scenario/tests/bad_input.rs
+++ b/crates/jb-scenario/tests/bad_input.rs
@@ -1,6 +1,8 @@
 //! Broken and hostile input of callers and other boxes: each gets a defined
 //! answer, and the box goes on serving.
 
+#![allow(clippy::expect_used)]
+
 use std::io::{Read as _, Write as _};
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
--- a/crates/jb-scenario/tests/client.rs
+++ b/crates/jb-scenario/tests/client.rs
@@ -1,5 +1,7 @@
 //! The operators' client against a running box.
 
+#![allow(clippy::expect_used)]
+
 use std::path::Path;
 use std::process::Command;
 
--- a/crates/jb-scenario/tests/language.rs
+++ b/crates/jb-scenario/tests/language.rs
@@ -1,5 +1,7 @@
 //! The test language itself.
 
+#![allow(clippy::expect_used)]
+
 use jb_scenario::parse::parse;
 use jb_scenario::step::{Expectation, Shape, Step};
 
--- a/crates/jb-tree/src/head.rs
+++ b/crates/jb-tree/src/head.rs
@@ -142,7 +142,8 @@
 fn part_of(path: &Path) -> String {
     match path.branch() {
         Branch::Root => "root".to_owned(),
-        Branch::Services => "services".to_owned(),
+        // One service is one part: its upstreams change together.
+        Branch::Services => format!("service-{}", path.segments().nth(1).unwrap_or_default()),
         Branch::Routes => "routes".to_owned(),
         Branch::Customers => {
             let first = Sha256::digest(path.as_str().as_bytes())[0];
--- a/crates/jb-tree/tests/tree.rs
+++ b/crates/jb-tree/tests/tree.rs
@@ -1,5 +1,7 @@
 //! The tree: inheritance, checks, edits, parts.
 
+#![allow(clippy::expect_used)]
+
 use jb_tree::edit::{Change, Edit, apply, between};
 use jb_tree::head::{self, Head};
 use jb_tree::key::Digest;
--- a/crates/jb-upstream/tests/sse.rs
+++ b/crates/jb-upstream/tests/sse.rs
@@ -1,5 +1,7 @@
 //! Reader of server-sent events.
 
+#![allow(clippy::expect_used)]
+
 use jb_upstream::sse::{MOST_BYTES, Reader};
 
 #[test]
