--- a/crates/jb-daemon/src/lib.rs
+++ b/crates/jb-daemon/src/lib.rs
@@ -3,7 +3,8 @@
 //! Every box runs the same program. Its duties run on threads of their own,
 //! joined by bounded rings: `accept` serves callers and other boxes, `decide`
 //! owns the decisions, `tree` follows the settings, `members` probes other
-//! boxes, `probe` asks engines for their load, and `claims` writes claims.
+//! boxes, `probe` asks engines for their load, `claims` writes claims, and `steward` gives engines
+//! their orders.
 
 pub mod admin;
 pub mod claims;
@@ -20,4 +21,5 @@
 pub mod serve;
 pub mod settings;
 pub mod start;
+pub mod steward;
 pub mod stop;
--- a/crates/jb-daemon/src/members.rs
+++ b/crates/jb-daemon/src/members.rs
@@ -19,8 +19,11 @@
 use crate::emit;
 use crate::follow;
 
-/// Ticks between two readings of the box list.
+/// Least number of ticks between two readings of the box list.
 const TICKS_PER_LIST: u64 = 2;
+/// Listed boxes for which one tick more is waited, because the list is read
+/// whole: its cost must not grow with the fleet.
+const LISTED_PER_TICK: u64 = 6;
 
 /// What is known of the other boxes and of their halls.
 pub struct Directory {
@@ -199,16 +202,17 @@
 pub async fn probe(context: Arc<Context>) {
     let mut ticks = tokio::time::interval(context.settings.probe_every());
     ticks.set_missed_tick_behavior(MissedTickBehavior::Delay);
-    let mut count = 0_u64;
+    let mut until_list = 0_u64;
     loop {
         ticks.tick().await;
         context
             .directory
             .beat(context.store.revision(), context.stop.is_stopping());
-        if count.is_multiple_of(TICKS_PER_LIST) {
-            read_list(&context).await;
+        if until_list == 0 {
+            let listed = read_list(&context).await;
+            until_list = TICKS_PER_LIST.max(listed / LISTED_PER_TICK);
         }
-        count += 1;
+        until_list -= 1;
         probe_some(&context).await;
         let boxes = context.directory.serving_in(&context.settings.hall);
         context.metrics.boxes.set(boxes.into());
@@ -312,12 +316,16 @@
     follow::offer(context, head, parts.collect(), "peer").await;
 }
 
-/// Reads the box list: other boxes to probe, and upstreams that leave.
-async fn read_list(context: &Arc<Context>) {
+/// Reads the box list: other boxes to probe, and upstreams that leave. Gives
+/// the number of entries.
+async fn read_list(context: &Arc<Context>) -> u64 {
     context.metrics.platform_calls.inc();
     let Ok(entries) = context.platform.list().await else {
-        return;
+        return 0;
     };
+    let listed = entries.len() as u64;
+    let bytes = serde_json::to_vec(&entries).map_or(0, |body| body.len() as u64);
+    context.metrics.control_bytes.inc_by(bytes);
     let leaving = entries.iter().filter(|e| !e.entry && e.state == State::Leaving);
     let leaving: Vec<id::Upstream> = leaving.map(|e| e.id.clone()).collect();
     let _ = context.ring.send(Message::Leaving(leaving));
@@ -326,6 +334,7 @@
     for entry in entries.into_iter().filter(|e| e.entry) {
         state.members.hear(from_entry(entry), now);
     }
+    listed
 }
 
 /// A box that is only listed has heartbeat 0: its own word counts for more.
--- a/crates/jb-daemon/src/peer/server.rs
+++ b/crates/jb-daemon/src/peer/server.rs
@@ -18,6 +18,7 @@
     self, ClaimReply, ClaimRequest, FetchTreeReply, FetchTreeRequest, Part, ProbeReply, ProbeRequest,
     RelayFrame, RelayRequest,
 };
+use prost::Message as _;
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
 use tonic::{Request, Response, Status};
@@ -76,15 +77,19 @@
     async fn probe(&self, request: Request<ProbeRequest>) -> Result<Response<ProbeReply>, Status> {
         self.check(&request, request.get_ref().version)?;
         let probe = request.into_inner();
+        let received = probe.encoded_len();
         let directory = &self.context.directory;
         directory.hear(&self.context, probe.sender, probe.heard, probe.loads);
         let summaries = self.context.ring.summarize().await.unwrap_or_default();
-        Ok(Response::new(ProbeReply {
+        let reply = ProbeReply {
             receiver: Some(to_wire(directory.me())),
             heard: directory.tell(),
             loads: loads(&summaries),
             leaving_upstreams: Vec::new(),
-        }))
+        };
+        let bytes = (received + reply.encoded_len()) as u64;
+        self.context.metrics.control_bytes.inc_by(bytes);
+        Ok(Response::new(reply))
     }
 
     async fn fetch_tree(
--- a/crates/jb-daemon/src/settings.rs
+++ b/crates/jb-daemon/src/settings.rs
@@ -96,7 +96,7 @@
             admin_key: String::new(),
             stop_grace_s: 300,
             probe_ms: 1000,
-            report_ms: 300,
+            report_ms: 500,
             ring: 8192,
             workers: 2,
         }
--- a/crates/jb-daemon/src/start.rs
+++ b/crates/jb-daemon/src/start.rs
@@ -24,7 +24,7 @@
 use crate::metrics::Metrics;
 use crate::peer::{self, Dialer};
 use crate::settings::Settings;
-use crate::{admin, claims, decide, emit, probe, serve};
+use crate::{admin, claims, decide, emit, probe, serve, steward};
 
 struct Listeners {
     callers: TcpListener,
@@ -146,6 +146,8 @@
     let shared = Arc::clone(context);
     on_thread("probe", move || probe::work(shared))?;
     let shared = Arc::clone(context);
+    on_thread("steward", move || steward::work(shared))?;
+    let shared = Arc::clone(context);
     tokio::spawn(async move {
         let mut revisions = shared.store.subscribe();
         if revisions.wait_for(|revision| *revision > 0).await.is_ok() {
--- /dev/null
+++ b/crates/jb-daemon/src/steward.rs
@@ -0,0 +1,128 @@
+//! The thread that gives the hall's engines their orders, when this box is
+//! the hall's steward.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use jb_platform::port::Grant;
+use jb_policy::steward::{self, LEASE, Loaded, Planned, Steward, Wanted};
+use jb_protocol::event;
+use jb_protocol::platform::Hold;
+use jb_protocol::service::Kind;
+use jb_tree::view::{Service, Upstream};
+use jb_upstream::Failure;
+use tokio::time::MissedTickBehavior;
+
+use crate::context::Context;
+use crate::emit;
+
+/// Pause between two rounds: renewal, reading back, orders.
+const ROUND: Duration = Duration::from_secs(1);
+
+/// Acts as steward whenever this box holds the lease.
+pub async fn work(context: Arc<Context>) {
+    let mut state = Steward::default();
+    let mut rounds = tokio::time::interval(ROUND);
+    rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
+    loop {
+        rounds.tick().await;
+        renew(&context, &mut state).await;
+        give_orders(&context, &mut state).await;
+    }
+}
+
+/// Holds the lease while some service wants orders and this box is the most
+/// preferred live one; else lets it lapse.
+async fn renew(context: &Context, state: &mut Steward) {
+    let hall = &context.settings.hall;
+    if !wants_orders(context) || !is_preferred(context) || context.stop.is_stopping() {
+        note_lost(context, state);
+        return;
+    }
+    let hold = Hold {
+        holder: context.settings.id.clone(),
+        ttl_ms: u64::try_from(LEASE.as_millis()).unwrap_or(0),
+    };
+    let asked_at = context.clock.now();
+    context.metrics.platform_calls.inc();
+    match context.platform.hold(&steward::lease(hall), &hold).await {
+        Ok(Grant::Held(lease)) => {
+            if state.granted(&lease, asked_at) {
+                emit!(context.logger, info, event::STEWARD_TAKEN, "fence" => lease.fence);
+            }
+        }
+        Ok(Grant::Taken(_)) => note_lost(context, state),
+        // The lease runs on until its end; no order is given near that.
+        Err(_) => {}
+    }
+}
+
+fn note_lost(context: &Context, state: &mut Steward) {
+    if state.lost() {
+        emit!(context.logger, info, event::STEWARD_LOST);
+    }
+}
+
+fn wants_orders(context: &Context) -> bool {
+    context
+        .store
+        .view()
+        .services
+        .values()
+        .any(|service| service.orders)
+}
+
+fn is_preferred(context: &Context) -> bool {
+    let hall = &context.settings.hall;
+    let own = steward::preference(hall, &context.settings.id);
+    let others = context.directory.alive();
+    let mut rivals = others.iter().filter(|m| m.hall == *hall && !m.leaving);
+    rivals.all(|m| steward::preference(hall, &m.id) < own)
+}
+
+async fn give_orders(context: &Context, state: &mut Steward) {
+    let view = context.store.view();
+    let ordered = view
+        .services
+        .values()
+        .filter(|s| s.orders && s.kind == Kind::Engine);
+    for service in ordered {
+        for upstream in service
+            .upstreams
+            .iter()
+            .filter(|u| u.hall == context.settings.hall)
+        {
+            if !state.may_order(context.clock.now()) {
+                return;
+            }
+            check_engine(context, state, service, upstream).await;
+        }
+    }
+}
+
+/// Reads an engine back and orders it to what the tree wants.
+async fn check_engine(context: &Context, state: &mut Steward, service: &Service, upstream: &Upstream) {
+    let Ok(report) = context.engines.report(upstream.address).await else {
+        return;
+    };
+    let wanted = Wanted {
+        upstream: upstream.id.clone(),
+        model: service.model.clone(),
+        weights: service.weights.clone(),
+        checks_fence: upstream.checks_fence,
+    };
+    let loaded = Loaded {
+        model: report.model,
+        weights: report.weights,
+    };
+    let Some(Planned { order, .. }) = state.plan(&wanted, &loaded, context.clock.now()) else {
+        return;
+    };
+    let outcome = match context.engines.order(upstream.address, &order).await {
+        Ok(()) => "taken".to_owned(),
+        Err(Failure::Denied(denial)) => denial.reason().to_owned(),
+        Err(failure) => format!("{failure:?}"),
+    };
+    emit!(context.logger, info, event::ORDER_GIVEN,
+        "upstream" => &upstream.id, "weights" => &order.weights, "fence" => order.fence, "outcome" => outcome);
+}
--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod pressure;
 pub mod retry;
 pub mod route;
+pub mod steward;
 pub mod stream;
 pub mod upstream;
 
--- /dev/null
+++ b/crates/jb-policy/src/steward.rs
@@ -0,0 +1,139 @@
+//! The steward of a hall: the one box that gives its engines orders.
+//!
+//! The platform's lease names it. It gives no order near the end of its
+//! lease, measured from before it asked; each order carries the lease's
+//! fencing token. For engines that do not check tokens, a new steward first
+//! waits until every order of the one before must have arrived, and what an
+//! engine reports is compared with the tree again and again, so that a stray
+//! order is undone. Nothing is routed by what was ordered, only by what an
+//! engine reports.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jb_protocol::engine::Order;
+use jb_protocol::id;
+use jb_protocol::platform::Lease;
+
+use crate::Moment;
+use crate::place;
+
+/// Time for which the lease is asked.
+pub const LEASE: Duration = Duration::from_secs(6);
+/// Longest time from the decision on an order to its arrival.
+const ORDER: Duration = Duration::from_secs(2);
+/// Time after which an order that shows no effect is given again.
+const AGAIN: Duration = Duration::from_secs(5);
+
+/// Name of a hall's lease.
+pub fn lease(hall: &str) -> String {
+    format!("steward/{hall}")
+}
+
+/// How much a box is preferred as steward; only the most preferred live box
+/// asks for the lease, so the platform gets one call for a hall.
+pub fn preference(hall: &str, name: &str) -> u64 {
+    place::weight(place::name_hash(&lease(hall)), place::name_hash(name))
+}
+
+/// What an engine is to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Wanted {
+    /// Engine.
+    pub upstream: id::Upstream,
+    /// Model.
+    pub model: String,
+    /// Version of the weights.
+    pub weights: id::Weights,
+    /// Whether it refuses orders with an old fencing token.
+    pub checks_fence: bool,
+}
+
+/// What an engine reports to run.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loaded {
+    /// Model.
+    pub model: String,
+    /// Version of the weights.
+    pub weights: id::Weights,
+}
+
+/// An order to be given now.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Planned {
+    /// Engine.
+    pub upstream: id::Upstream,
+    /// The order.
+    pub order: Order,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Term {
+    fence: id::Fence,
+    since: Moment,
+    until: Moment,
+}
+
+/// What a box knows of its own stewardship.
+#[derive(Clone, Debug, Default)]
+pub struct Steward {
+    term: Option<Term>,
+    ordered: BTreeMap<id::Upstream, Moment>,
+}
+
+impl Steward {
+    /// Takes a lease that was asked for at `asked_at`; `true` when the box
+    /// was not steward before.
+    pub fn granted(&mut self, lease: &Lease, asked_at: Moment) -> bool {
+        let until = asked_at + Duration::from_millis(lease.ttl_ms);
+        let same = self.term.filter(|term| term.fence == lease.fence);
+        let since = same.map_or(asked_at, |term| term.since);
+        self.term = Some(Term {
+            fence: lease.fence,
+            since,
+            until,
+        });
+        if same.is_none() {
+            self.ordered.clear();
+        }
+        same.is_none()
+    }
+
+    /// Notes that the box is not steward; `true` when it was.
+    pub fn lost(&mut self) -> bool {
+        self.term.take().is_some()
+    }
+
+    /// Whether an order that is decided on now arrives within the lease.
+    pub fn may_order(&self, now: Moment) -> bool {
+        self.term.is_some_and(|term| now + ORDER < term.until)
+    }
+
+    /// The order for an engine that reports something other than is wanted.
+    pub fn plan(&mut self, wanted: &Wanted, loaded: &Loaded, now: Moment) -> Option<Planned> {
+        let term = self.term.filter(|term| now + ORDER < term.until)?;
+        if loaded.model == wanted.model && loaded.weights == wanted.weights {
+            self.ordered.remove(&wanted.upstream);
+            return None;
+        }
+        // An order of the steward before may still be on its way.
+        if !wanted.checks_fence && now < term.since + LEASE + ORDER {
+            return None;
+        }
+        let before = self.ordered.get(&wanted.upstream);
+        if before.is_some_and(|at| now < *at + AGAIN) {
+            return None;
+        }
+        self.ordered.insert(wanted.upstream.clone(), now);
+        let left = term.until.saturating_sub(now).min(ORDER);
+        Some(Planned {
+            upstream: wanted.upstream.clone(),
+            order: Order {
+                fence: term.fence,
+                model: wanted.model.clone(),
+                weights: wanted.weights.clone(),
+                expires_ms: u64::try_from(left.as_millis()).unwrap_or(0),
+            },
+        })
+    }
+}
--- a/crates/jb-scenario/src/expect.rs
+++ b/crates/jb-scenario/src/expect.rs
@@ -5,13 +5,15 @@
 use jb_fakes::control::PlainCounts;
 use jb_fakes::fleet::layout::PLAIN;
 use jb_fakes::fleet::wait_until;
-use jb_fakes::load::Seen;
+use jb_fakes::load::{self, Seen};
+use jb_protocol::engine::{PATH_REPORT, Report};
 use jb_protocol::error::Outcome;
 use miette::{ensure, miette};
 use serde_json::Value;
 
 use crate::run::{PATIENCE, Run};
-use crate::step::Expectation;
+use crate::send::requests;
+use crate::step::{Expectation, Sending, Shape};
 
 impl Run {
     /// Checks an expectation; what takes time is waited for.
@@ -52,6 +54,8 @@
                 value,
             } => self.expect_setting(name, path, key, value).await,
             Expectation::Log { name, event } => self.expect_log(name, event).await,
+            Expectation::Weights { name, weights } => self.expect_weights(name, weights).await,
+            Expectation::Serving { name, customer } => self.expect_serving(name, customer).await,
             Expectation::Ready(name) => self.expect_ready(name).await,
             Expectation::Ended(name) => self.expect_ended(name).await,
             Expectation::Edited(status) => {
@@ -168,6 +172,38 @@
         .await
     }
 
+    async fn expect_weights(&self, name: &str, weights: &str) -> miette::Result<()> {
+        let at = self.rig.upstream(name)?;
+        wait_until(
+            &format!("`{name}` reports the weights {weights}"),
+            PATIENCE,
+            || async {
+                let report: miette::Result<Report> = self.rig.client.get(at, PATH_REPORT).await;
+                report.is_ok_and(|report| report.weights == weights)
+            },
+        )
+        .await
+    }
+
+    async fn expect_serving(&self, name: &str, customer: &str) -> miette::Result<()> {
+        let at = self.rig.box_ports(name)?.callers;
+        let sending = Sending {
+            group: "probe".to_owned(),
+            count: 1,
+            shape: Shape::Whole,
+            customer: customer.to_owned(),
+            to: name.to_owned(),
+        };
+        let requests = requests(&sending);
+        wait_until(&format!("`{name}` serves `{customer}`"), PATIENCE, || async {
+            matches!(
+                load::send(&self.http, at, &requests[0]).await,
+                Seen::Complete { .. }
+            )
+        })
+        .await
+    }
+
     async fn expect_ready(&self, name: &str) -> miette::Result<()> {
         let callers = self.rig.box_ports(name)?.callers;
         wait_until(&format!("`{name}` is ready"), PATIENCE, || async {
--- a/crates/jb-scenario/src/parse.rs
+++ b/crates/jb-scenario/src/parse.rs
@@ -112,7 +112,8 @@
     .parse_next(input)
 }
 
-/// `start platform`, `start engine NAME in HALL`, `start box NAME in HALL linked`.
+/// `start platform`, `start engine NAME in HALL unfenced`, `start box NAME in
+/// HALL linked`; the last words may be left out.
 fn start(input: &mut &str) -> PResult<Step> {
     let what = word.parse_next(input)?;
     if what == "platform" {
@@ -120,8 +121,9 @@
     }
     let (name, hall) = (terminated(word, key("in")), word).parse_next(input)?;
     let linked = opt(key("linked")).parse_next(input)?.is_some();
+    let unfenced = opt(key("unfenced")).parse_next(input)?.is_some();
     match what.as_str() {
-        "engine" => Ok(Step::StartEngine { name, hall }),
+        "engine" => Ok(Step::StartEngine { name, hall, unfenced }),
         "plain" => Ok(Step::StartPlain { name, hall }),
         "box" => Ok(Step::StartBox { name, hall, linked }),
         _ => winnow::combinator::fail.parse_next(input),
@@ -209,6 +211,9 @@
         }),
         preceded(key("log"), (word, word)).map(|(name, event)| Expectation::Log { name, event }),
         preceded(key("ready"), word).map(Expectation::Ready),
+        preceded(key("weights"), (word, word)).map(|(name, weights)| Expectation::Weights { name, weights }),
+        preceded(key("serving"), (word, word))
+            .map(|(name, customer)| Expectation::Serving { name, customer }),
         preceded(key("ended"), word).map(Expectation::Ended),
         preceded(key("edited"), number).map(|status| Expectation::Edited(u16::try_from(status).unwrap_or(0))),
     ))
--- a/crates/jb-scenario/src/run.rs
+++ b/crates/jb-scenario/src/run.rs
@@ -30,7 +30,8 @@
     pub notes: BTreeMap<String, u64>,
     /// Status of the last edit.
     pub edited: u16,
-    http: reqwest::Client,
+    /// HTTP client of the callers.
+    pub http: reqwest::Client,
 }
 
 /// Runs a scenario to its end.
@@ -72,9 +73,12 @@
         match step {
             Step::Proves(_) | Step::When(_) => Ok(()),
             Step::StartPlatform => self.rig.start_platform(),
-            Step::StartEngine { name, hall } => {
-                self.rig
-                    .start_engine(name, ENGINES, hall, EngineOptions::default())
+            Step::StartEngine { name, hall, unfenced } => {
+                let arguments = unfenced.then(|| "--unfenced".to_owned());
+                let options = EngineOptions {
+                    arguments: arguments.into_iter().collect(),
+                };
+                self.rig.start_engine(name, ENGINES, hall, options)
             }
             Step::StartPlain { name, hall } => self.rig.start_plain(name, PLAIN, hall),
             Step::StartBox { name, hall, linked } => self.start_box(name, hall, *linked).await,
--- a/crates/jb-scenario/src/step.rs
+++ b/crates/jb-scenario/src/step.rs
@@ -80,6 +80,20 @@
     },
     /// A box serves.
     Ready(String),
+    /// An engine reports a version of the weights.
+    Weights {
+        /// Engine.
+        name: String,
+        /// Version.
+        weights: String,
+    },
+    /// A box answers a customer's request completely.
+    Serving {
+        /// Box.
+        name: String,
+        /// Customer.
+        customer: String,
+    },
     /// A process has ended by itself.
     Ended(String),
     /// The last edit was answered with this status.
@@ -101,6 +115,8 @@
         name: String,
         /// Hall.
         hall: String,
+        /// Whether it takes orders with an old fencing token.
+        unfenced: bool,
     },
     /// Starts a plain service in a hall.
     StartPlain {
--- a/crates/jb-tree/src/view.rs
+++ b/crates/jb-tree/src/view.rs
@@ -91,6 +91,8 @@
     pub retry_percent: u32,
     /// Silence after which an upstream is given up.
     pub silence: Duration,
+    /// Whether its engines are ordered to its model and weights.
+    pub orders: bool,
     /// Longest request body of a plain service, in bytes.
     pub max_body_bytes: u32,
     /// Upstreams of all halls.
@@ -231,6 +233,7 @@
         max_wait: millis(settings.max_wait_ms, DEFAULT_WAIT_MS),
         retry_percent: settings.retry_percent.unwrap_or(DEFAULT_RETRY_PERCENT),
         silence: millis(settings.silence_ms, DEFAULT_SILENCE_MS),
+        orders: settings.orders.unwrap_or(false),
         max_body_bytes: settings.max_body_bytes.unwrap_or(DEFAULT_BODY_BYTES),
         upstreams: Vec::new(),
     }
