--- a/crates/jb-daemon/src/context.rs
+++ b/crates/jb-daemon/src/context.rs
@@ -16,6 +16,7 @@
 use crate::peer::Dialer;
 use crate::settings::Settings;
 use crate::stop::Stop;
+use crate::trace::Traces;
 
 /// Shared parts of one box.
 pub struct Context {
@@ -43,6 +44,8 @@
     pub engines: Arc<dyn Engine>,
     /// Plain services.
     pub services: Arc<dyn Plain>,
+    /// Spans.
+    pub traces: Traces,
     /// Planned stop.
     pub stop: Arc<Stop>,
 }
--- a/crates/jb-daemon/src/lib.rs
+++ b/crates/jb-daemon/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod start;
 pub mod steward;
 pub mod stop;
+pub mod trace;
--- a/crates/jb-daemon/src/members.rs
+++ b/crates/jb-daemon/src/members.rs
@@ -19,6 +19,8 @@
 use crate::emit;
 use crate::follow;
 
+/// Services whose load is told with each probe.
+const LOADS_PER_PROBE: usize = 4;
 /// Least number of ticks between two readings of the box list.
 const TICKS_PER_LIST: u64 = 2;
 /// Listed boxes for which one tick more is waited, because the list is read
@@ -188,14 +190,20 @@
     }
 }
 
-/// The own hall's state as it is told to others.
-pub fn loads(summaries: &[ServiceSummary]) -> Vec<ServiceLoad> {
+/// The own hall's state as it is told to others: a few services at a time,
+/// in turn, so that a probe does not grow with their number.
+pub fn loads(summaries: &[ServiceSummary], turn: u64) -> Vec<ServiceLoad> {
     let load = |s: &ServiceSummary| ServiceLoad {
         service: s.service.clone(),
         wait_ms: s.summary.wait_ms,
         engines: s.usable,
     };
-    summaries.iter().map(load).collect()
+    let first = turn as usize * LOADS_PER_PROBE % summaries.len().max(1);
+    let in_turn = summaries.iter().cycle().skip(first);
+    in_turn
+        .take(LOADS_PER_PROBE.min(summaries.len()))
+        .map(load)
+        .collect()
 }
 
 /// Probes other boxes for as long as the box runs.
@@ -261,11 +269,12 @@
 
 async fn probe_one(context: Arc<Context>, target: Target) {
     let summaries = context.ring.summarize().await.unwrap_or_default();
+    let me = context.directory.me();
     let request = ProbeRequest {
         version: jb_wire::VERSION,
-        sender: Some(to_wire(context.directory.me())),
+        loads: loads(&summaries, me.heartbeat),
+        sender: Some(to_wire(me)),
         heard: context.directory.tell(),
-        loads: loads(&summaries),
         leaving_upstreams: Vec::new(),
     };
     let sent = request.encoded_len();
--- a/crates/jb-daemon/src/peer/server.rs
+++ b/crates/jb-daemon/src/peer/server.rs
@@ -18,6 +18,7 @@
     self, ClaimReply, ClaimRequest, FetchTreeReply, FetchTreeRequest, Part, ProbeReply, ProbeRequest,
     RelayFrame, RelayRequest,
 };
+use opentelemetry::trace::SpanKind;
 use prost::Message as _;
 use tokio::net::TcpListener;
 use tokio_stream::wrappers::TcpListenerStream;
@@ -81,10 +82,11 @@
         let directory = &self.context.directory;
         directory.hear(&self.context, probe.sender, probe.heard, probe.loads);
         let summaries = self.context.ring.summarize().await.unwrap_or_default();
+        let me = directory.me();
         let reply = ProbeReply {
-            receiver: Some(to_wire(directory.me())),
+            loads: loads(&summaries, me.heartbeat),
+            receiver: Some(to_wire(me)),
             heard: directory.tell(),
-            loads: loads(&summaries),
             leaving_upstreams: Vec::new(),
         };
         let bytes = (received + reply.encoded_len()) as u64;
@@ -127,15 +129,18 @@
                 "the box is stopping",
             )));
         };
-        let Some(request) = understand(&context, &relayed) else {
+        let parent = Some(relayed.traceparent.as_str());
+        let hop = context.traces.begin("relay", SpanKind::Server, parent);
+        let Some(mut request) = understand(&context, &relayed) else {
             return Ok(Response::new(refuse(
                 &relayed,
                 Kind::UnknownModel,
                 "the route is not known here",
             )));
         };
+        request.traceparent = hop.traceparent();
         let frames = stream! {
-            let _open = open;
+            let _held = (open, hop);
             let mut session = Session::new(context, request);
             loop {
                 let result = session.next().await;
--- a/crates/jb-daemon/src/run/plain.rs
+++ b/crates/jb-daemon/src/run/plain.rs
@@ -12,6 +12,8 @@
 use jb_upstream::Failure;
 use jb_upstream::plain::{Answer, Request};
 
+use opentelemetry::trace::SpanKind;
+
 use crate::context::Context;
 use crate::decide::Outcome;
 use crate::emit;
@@ -89,6 +91,7 @@
         deadline,
         tried: Vec::new(),
     };
+    let parent = request.traceparent.clone();
     let mut standing = Standing::Unsent(call);
     loop {
         if standing.attempts() >= ATTEMPTS {
@@ -109,6 +112,11 @@
         };
         let sent = standing.send();
         request.attempt = sent.attempt();
+        let mut hop = context
+            .traces
+            .begin("attempt", SpanKind::Client, parent.as_deref());
+        hop.note("to", &choice.upstream);
+        request.traceparent = hop.traceparent();
         match context
             .services
             .call(upstream.address, &request, service.silence)
--- a/crates/jb-daemon/src/run/session.rs
+++ b/crates/jb-daemon/src/run/session.rs
@@ -16,11 +16,14 @@
 use jb_protocol::{event, id};
 use jb_wire::peer::RelayRequest;
 
+use opentelemetry::trace::SpanKind;
+
 use super::attempt::{AtEngine, AtPeer, Attempt, Part, Trouble};
 use super::request::{Reach, Request};
 use crate::context::Context;
 use crate::decide::{Outcome, Ticket};
 use crate::emit;
+use crate::trace::Hop;
 
 /// Most attempts for one request.
 const ATTEMPTS: u32 = 5;
@@ -85,6 +88,7 @@
     request: Request,
     phase: Phase,
     attempt: Option<Attempt>,
+    hop: Option<Hop>,
     next: u32,
     tried: Vec<id::Upstream>,
     tried_boxes: Vec<id::Box>,
@@ -104,6 +108,7 @@
             request,
             phase: Phase::Unsent(call),
             attempt: None,
+            hop: None,
             tried: Vec::new(),
             tried_boxes: Vec::new(),
             tried_halls: Vec::new(),
@@ -158,6 +163,7 @@
     }
 
     fn end_attempt(&mut self, outcome: Outcome) {
+        self.hop = None;
         if let Some(attempt) = self.attempt.take() {
             attempt.end(outcome);
         }
@@ -192,6 +198,7 @@
                 );
             }
         };
+        self.begin_hop(&target);
         let sent = match target {
             Target::Engine { upstream, ticket } => self.send_to_engine(id, upstream, ticket).await,
             Target::Peer { id, address, hall } => self.send_to_peer(id, &address, hall).await,
@@ -199,6 +206,24 @@
         Ok(sent.map(|()| Part::Progress))
     }
 
+    fn begin_hop(&mut self, target: &Target) {
+        let parent = self.request.traceparent.as_deref();
+        let mut hop = self.context.traces.begin("attempt", SpanKind::Client, parent);
+        hop.note(
+            "to",
+            match target {
+                Target::Engine { upstream, .. } => upstream,
+                Target::Peer { id, .. } => id,
+            },
+        );
+        self.hop = Some(hop);
+    }
+
+    /// Trace context of the present attempt.
+    fn traceparent(&self) -> Option<String> {
+        self.hop.as_ref().and_then(Hop::traceparent)
+    }
+
     async fn send_to_engine(
         &mut self,
         attempt: id::Attempt,
@@ -223,6 +248,7 @@
             max_tokens: self.request.parsed.max_tokens,
             priority: self.request.class,
             resume_at: self.next,
+            traceparent: self.traceparent(),
         };
         let frames = match self
             .context
@@ -260,7 +286,7 @@
             priority: u32::try_from(self.request.class.index()).unwrap_or(u32::MAX),
             deadline_ms: u32::try_from(self.request.deadline.as_millis()).unwrap_or(u32::MAX),
             once: self.request.once,
-            traceparent: self.request.traceparent.clone().unwrap_or_default(),
+            traceparent: self.traceparent().unwrap_or_default(),
             request_id: self.request.id.clone(),
             resume_at: self.next,
             revision: self.request.revision,
--- a/crates/jb-daemon/src/serve/completions.rs
+++ b/crates/jb-daemon/src/serve/completions.rs
@@ -10,6 +10,7 @@
 use jb_policy::limit::Admitted;
 use jb_protocol::error::{Kind, Outcome};
 use jb_protocol::{event, header};
+use opentelemetry::trace::SpanKind;
 use poem::web::Data;
 use poem::{Body, Request, Response, handler};
 
@@ -21,6 +22,7 @@
 use crate::emit;
 use crate::run::{Delivery, Ending, Reach, Request as RunRequest, Session, resolve};
 use crate::stop::Guard;
+use crate::trace::Hop;
 
 /// Time in which a caller must have sent its body.
 const BODY_PATIENCE: Duration = Duration::from_secs(10);
@@ -29,6 +31,7 @@
 struct Held {
     _open: Guard,
     _limit: Ticket,
+    _hop: Hop,
     started: Instant,
 }
 
@@ -62,12 +65,16 @@
 ) -> Result<(Session, Held), Refusal> {
     let call = Call::new(id.to_owned(), false);
     let started = Instant::now();
+    let parent = request.header(header::TRACEPARENT);
+    let mut hop = context.traces.begin("request", SpanKind::Server, parent);
+    hop.note("request", id);
     let open = context
         .stop
         .enter()
         .ok_or_else(|| call.refuse(Kind::Stopping, "the box is stopping"))?;
     let mut run = understand(context, request, body, id).await?;
     let (admitted, limit) = admit(context, &call, &run.customer, run.tokens()).await?;
+    run.traceparent = hop.traceparent();
     if admitted.strained {
         run.class = run.class.lower();
     }
@@ -78,6 +85,7 @@
     let held = Held {
         _open: open,
         _limit: limit,
+        _hop: hop,
         started,
     };
     Ok((Session::new(Arc::clone(context), run), held))
--- a/crates/jb-daemon/src/serve/plain.rs
+++ b/crates/jb-daemon/src/serve/plain.rs
@@ -8,6 +8,7 @@
 use jb_protocol::service;
 use jb_tree::view::Service;
 use jb_upstream::plain::{Answer, Request as PlainRequest};
+use opentelemetry::trace::SpanKind;
 use poem::http::{Method, StatusCode};
 use poem::web::{Data, Path};
 use poem::{Body, Request, Response, handler};
@@ -70,6 +71,9 @@
         let key = wishes.key.as_deref();
         claim_key(context, &unsure, &customer.id, name, key, id).await?;
     }
+    let hop = context
+        .traces
+        .begin("request", SpanKind::Server, wishes.traceparent.as_deref());
     let query = request.uri().query().map(|q| format!("?{q}")).unwrap_or_default();
     let onward = PlainRequest {
         method: request.method().to_string(),
@@ -79,7 +83,7 @@
         attempt: String::new(),
         customer: customer.id.clone(),
         idempotency_key: wishes.key,
-        traceparent: wishes.traceparent,
+        traceparent: hop.traceparent(),
     };
     let deadline = wishes.deadline.unwrap_or(service.silence);
     let result = run_plain(context, service, onward, Call::new(id.to_owned(), once), deadline).await;
--- a/crates/jb-daemon/src/settings.rs
+++ b/crates/jb-daemon/src/settings.rs
@@ -64,6 +64,8 @@
     pub platform: SocketAddr,
     /// Peer addresses of boxes to ask first, before the box list is known.
     pub peers: Vec<SocketAddr>,
+    /// Address of an OpenTelemetry collector (OTLP over HTTP, JSON).
+    pub traces: Option<SocketAddr>,
     /// Secret that boxes show each other.
     pub peer_secret: String,
     /// Hash of the operators' key, `sha256:` and 64 hex digits; none when empty.
@@ -92,11 +94,12 @@
             admin_address: any,
             platform: any,
             peers: Vec::new(),
+            traces: None,
             peer_secret: String::new(),
             admin_key: String::new(),
             stop_grace_s: 300,
             probe_ms: 1000,
-            report_ms: 500,
+            report_ms: 1000,
             ring: 8192,
             workers: 2,
         }
--- a/crates/jb-daemon/src/start.rs
+++ b/crates/jb-daemon/src/start.rs
@@ -24,6 +24,7 @@
 use crate::metrics::Metrics;
 use crate::peer::{self, Dialer};
 use crate::settings::Settings;
+use crate::trace::Traces;
 use crate::{admin, claims, decide, emit, probe, serve, steward};
 
 struct Listeners {
@@ -99,6 +100,10 @@
         let (platform, logger) = (Arc::clone(&platform), logger.clone());
         on_thread("claims", move || claims::work(inbox, platform, clock, logger))?;
     }
+    let traces = match settings.traces {
+        Some(address) => Traces::to(address, &settings.id, &settings.hall)?,
+        None => Traces::default(),
+    };
     let dialer = Dialer::new(&settings.peer_secret)
         .ok_or_else(|| miette::miette!("`peer_secret` may hold printable ASCII characters only"))?;
     let peer_bound = listeners.peers.local_addr().into_diagnostic()?;
@@ -125,6 +130,7 @@
         platform,
         engines: Arc::new(engine::Client::new(http.clone())),
         services: Arc::new(plain::Client::new(http)),
+        traces,
         stop: Arc::default(),
     }))
 }
--- a/crates/jb-fakes/src/bin/fakes.rs
+++ b/crates/jb-fakes/src/bin/fakes.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use argh::FromArgs;
-use jb_fakes::{engine, plain, platform, relay};
+use jb_fakes::{collector, engine, plain, platform, relay};
 use miette::IntoDiagnostic as _;
 
 /// Stand-ins for the systems that junctionbend meets.
@@ -19,6 +19,7 @@
 #[derive(FromArgs)]
 #[argh(subcommand)]
 enum Role {
+    Collector(Collector),
     Platform(Platform),
     Engine(Engine),
     Plain(Plain),
@@ -30,6 +31,11 @@
 #[argh(subcommand, name = "platform")]
 struct Platform {}
 
+/// A collector of traces.
+#[derive(FromArgs)]
+#[argh(subcommand, name = "collector")]
+struct Collector {}
+
 /// A model engine.
 #[derive(FromArgs)]
 #[argh(subcommand, name = "engine")]
@@ -80,6 +86,7 @@
 async fn run(arguments: Arguments) -> miette::Result<()> {
     let listen = arguments.listen;
     match arguments.role {
+        Role::Collector(_) => collector::run(listen).await,
         Role::Platform(_) => platform::run(listen).await,
         Role::Engine(role) => engine::run(listen, settings(role)).await,
         Role::Plain(_) => plain::run(listen).await,
--- a/crates/jb-fakes/src/fleet/rig.rs
+++ b/crates/jb-fakes/src/fleet/rig.rs
@@ -67,6 +67,7 @@
     upstreams: BTreeMap<String, UpstreamRecord>,
     relays: BTreeMap<String, SocketAddr>,
     platform: Option<SocketAddr>,
+    collector: Option<SocketAddr>,
     edits: u32,
     pace: &'static str,
 }
@@ -89,6 +90,7 @@
             upstreams: BTreeMap::new(),
             relays: BTreeMap::new(),
             platform: None,
+            collector: None,
             edits: 0,
             pace: QUICK,
         })
@@ -109,6 +111,16 @@
         Ok(())
     }
 
+    /// Starts a collector of traces; boxes started from now on export to it.
+    ///
+    /// # Errors
+    /// When it does not start.
+    pub fn start_collector(&mut self) -> miette::Result<SocketAddr> {
+        let address = self.start_fake("collector", &["collector".to_owned()])?;
+        self.collector = Some(address);
+        Ok(address)
+    }
+
     /// Address of the platform.
     ///
     /// # Errors
@@ -278,6 +290,9 @@
         if let Some(advertise) = record.advertise {
             writeln!(text, "peer_advertise = \"{advertise}\"").into_diagnostic()?;
         }
+        if let Some(collector) = self.collector {
+            writeln!(text, "traces = \"{collector}\"").into_diagnostic()?;
+        }
         writeln!(text, "peers = {seeds:?}\n{}", self.pace).into_diagnostic()?;
         let path = self.folder.path().join(format!("{name}.toml"));
         std::fs::write(&path, text).into_diagnostic()?;
--- a/crates/jb-fakes/src/lib.rs
+++ b/crates/jb-fakes/src/lib.rs
@@ -2,6 +2,7 @@
 //! the load tool. For tests and measurements only; no box runs any of it.
 
 pub mod answer;
+pub mod collector;
 pub mod control;
 pub mod engine;
 pub mod experiment;
--- a/crates/jb-policy/src/member.rs
+++ b/crates/jb-policy/src/member.rs
@@ -15,7 +15,7 @@
 /// Boxes probed at each tick.
 pub const PROBES_PER_TICK: usize = 1;
 /// Heartbeats told with each probe.
-pub const TOLD_PER_PROBE: usize = 3;
+pub const TOLD_PER_PROBE: usize = 2;
 /// Failed probes in a row after which a box is taken for dead.
 const FAILURES: u32 = 2;
 /// Time after which a dead box that nobody heard of is forgotten.
--- a/crates/jb-protocol/src/engine.rs
+++ b/crates/jb-protocol/src/engine.rs
@@ -35,6 +35,9 @@
     /// First index wanted, when a stream is resumed.
     #[serde(default)]
     pub resume_at: u32,
+    /// Trace context; it goes into the header.
+    #[serde(skip)]
+    pub traceparent: Option<String>,
 }
 
 /// One event of an engine's answer.
--- a/crates/jb-upstream/src/engine.rs
+++ b/crates/jb-upstream/src/engine.rs
@@ -9,6 +9,7 @@
 use futures_util::{Stream, StreamExt as _};
 use jb_policy::call::Denial;
 use jb_protocol::engine::{Call, Frame, Order, PATH_ORDER, PATH_REPORT, PATH_RUN, Refusal, Report};
+use jb_protocol::header;
 use reqwest::Response;
 use tokio::time::timeout;
 
@@ -68,8 +69,13 @@
 #[async_trait]
 impl Engine for Client {
     async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Result<Frames, Failure> {
-        let request = self.http.post(format!("http://{at}{PATH_RUN}")).json(call).send();
-        let answer = timeout(silence, request).await.map_err(|_| Failure::Silent)?;
+        let mut request = self.http.post(format!("http://{at}{PATH_RUN}")).json(call);
+        if let Some(traceparent) = &call.traceparent {
+            request = request.header(header::TRACEPARENT, traceparent);
+        }
+        let answer = timeout(silence, request.send())
+            .await
+            .map_err(|_| Failure::Silent)?;
         let answer = answer.map_err(Failure::from_http)?;
         if !answer.status().is_success() {
             return Err(refused(answer).await);
