--- a/crates/jb-cli/src/command/edit.rs
+++ b/crates/jb-cli/src/command/edit.rs
@@ -2,10 +2,11 @@
 
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
+use jb_protocol::admin::{Accepted, Status};
 use jb_tree::edit::{Change, Edit};
+use jb_tree::tree::Shown;
 
 use super::Context;
-use crate::answer::{Accepted, Status, TreeInForce};
 use crate::error::Error;
 use crate::show;
 
@@ -22,7 +23,7 @@
 }
 
 /// The tree in force at the box asked.
-pub async fn tree(context: &Context) -> Result<TreeInForce, Error> {
+pub async fn tree(context: &Context) -> Result<Shown, Error> {
     context.client.get("/admin/tree").await
 }
 
--- a/crates/jb-cli/src/command/explain.rs
+++ b/crates/jb-cli/src/command/explain.rs
@@ -1,10 +1,9 @@
 //! `explain`: where a request would go, and why.
 
 use argh::FromArgs;
-use serde::Serialize;
+use jb_protocol::admin::{Candidate, Explanation, Question};
 
 use super::Context;
-use crate::answer::Explanation;
 use crate::error::Error;
 use crate::show;
 
@@ -23,13 +22,6 @@
     levels: Vec<String>,
 }
 
-#[derive(Serialize)]
-struct Question {
-    customer: String,
-    route: String,
-    levels: Vec<String>,
-}
-
 /// Runs the command.
 pub async fn run(context: &Context, arguments: Explain) -> Result<(), Error> {
     let question = Question {
@@ -54,7 +46,7 @@
         explanation.family_tokens,
         explanation.point
     );
-    let row = |c: &crate::answer::Candidate| {
+    let row = |c: &Candidate| {
         let cached = if c.presumed {
             format!("{} presumed", c.cached_tokens)
         } else {
--- a/crates/jb-cli/src/command/status.rs
+++ b/crates/jb-cli/src/command/status.rs
@@ -1,9 +1,9 @@
 //! `status`: boxes, revisions and services.
 
 use argh::FromArgs;
+use jb_protocol::admin::{BoxStatus, ServiceStatus, Status as Answer};
 
 use super::Context;
-use crate::answer;
 use crate::error::Error;
 use crate::show;
 
@@ -14,13 +14,13 @@
 
 /// Runs the command.
 pub async fn run(context: &Context) -> Result<(), Error> {
-    let status: answer::Status = context.client.get("/admin/status").await?;
+    let status: Answer = context.client.get("/admin/status").await?;
     if context.json {
         show::json(&status);
         return Ok(());
     }
     let state = |leaving: bool| if leaving { "leaving" } else { "live" }.to_owned();
-    let row = |b: &answer::BoxStatus| {
+    let row = |b: &BoxStatus| {
         vec![
             b.id.clone(),
             b.hall.clone(),
@@ -34,7 +34,7 @@
         .collect();
     show::table(&["box", "hall", "revision", "state"], &boxes);
     println!("\nservices in {}:", status.me.hall);
-    let row = |s: &answer::ServiceStatus| {
+    let row = |s: &ServiceStatus| {
         vec![
             s.service.clone(),
             s.usable.to_string(),
--- a/crates/jb-cli/src/lib.rs
+++ b/crates/jb-cli/src/lib.rs
@@ -1,6 +1,5 @@
 //! The operators' client: one command per file.
 
-pub mod answer;
 pub mod client;
 pub mod command;
 pub mod error;
--- a/crates/jb-daemon/src/admin/edit.rs
+++ b/crates/jb-daemon/src/admin/edit.rs
@@ -3,33 +3,27 @@
 use std::sync::Arc;
 
 use jb_policy::call::Call;
+use jb_protocol::admin::Accepted;
 use jb_protocol::error::{Kind, Outcome};
 use jb_protocol::problem::Document;
 use jb_tree::edit::Edit;
+use jb_tree::tree::Shown;
 use poem::web::{Data, Json};
 use poem::{Body, Response, handler};
 use serde::Serialize;
 
 use crate::context::Context;
-use crate::follow::{self, Accepted};
+use crate::follow;
 use crate::serve::refusal;
 
 /// Longest edit.
 const MOST_BYTES: usize = 4 << 20;
 
-/// The tree in force at one box.
-#[derive(Serialize)]
-struct TreeInForce {
-    revision: u64,
-    edits: Vec<String>,
-    tree: jb_tree::Tree,
-}
-
 /// The tree in force.
 #[handler]
 pub fn show_tree(Data(context): Data<&Arc<Context>>) -> Response {
     let current = context.store.current();
-    let body = TreeInForce {
+    let body = Shown {
         revision: current.head.revision,
         edits: current.head.edits.clone(),
         tree: current.tree.clone(),
--- a/crates/jb-daemon/src/admin/explain.rs
+++ b/crates/jb-daemon/src/admin/explain.rs
@@ -4,46 +4,17 @@
 
 use jb_policy::call::Call;
 use jb_policy::hall;
-use jb_policy::route::{Ask, Candidate};
+use jb_policy::route::Ask;
+use jb_protocol::admin::{Explanation, Question};
 use jb_protocol::error::Kind;
-use jb_protocol::id;
 use poem::web::{Data, Json};
 use poem::{Response, handler};
-use serde::{Deserialize, Serialize};
 
 use super::edit::json;
 use crate::context::Context;
 use crate::run::{Parsed, resolve};
 use crate::serve::refusal;
 
-/// A request to explain.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Question {
-    /// Customer.
-    pub customer: id::Customer,
-    /// Route.
-    pub route: id::Route,
-    /// Levels of the prompt, the outermost first.
-    pub levels: Vec<String>,
-}
-
-/// Where it would go.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct Explanation {
-    /// Service.
-    pub service: id::Service,
-    /// Tokens of the prompt.
-    pub prompt_tokens: u32,
-    /// Tokens that name the prompt's family.
-    pub family_tokens: u32,
-    /// Point of the family in a migration, 0 to 99.
-    pub point: u32,
-    /// Hall where the tree wants it.
-    pub hall: id::Hall,
-    /// Upstreams of the asked box's hall as weighed, the best first.
-    pub candidates: Vec<Candidate>,
-}
-
 /// Explains a request without running it.
 #[handler]
 pub async fn explain(Json(question): Json<Question>, Data(context): Data<&Arc<Context>>) -> Response {
--- a/crates/jb-daemon/src/admin/mod.rs
+++ b/crates/jb-daemon/src/admin/mod.rs
@@ -6,4 +6,3 @@
 mod status;
 
 pub use routes::app;
-pub use status::{BoxStatus, Status, UpstreamStatus};
--- a/crates/jb-daemon/src/decide/message.rs
+++ b/crates/jb-daemon/src/decide/message.rs
@@ -4,8 +4,9 @@
 
 use jb_policy::hall::Summary;
 use jb_policy::limit::{Admitted, Over};
-use jb_policy::route::{Ask, Candidate, Choice, Refused};
+use jb_policy::route::{Ask, Choice, Refused};
 use jb_policy::stream::Start;
+use jb_protocol::admin::Candidate;
 use jb_protocol::engine::Report;
 use jb_protocol::id;
 use jb_tree::view::View;
--- a/crates/jb-daemon/src/decide/ring.rs
+++ b/crates/jb-daemon/src/decide/ring.rs
@@ -1,7 +1,8 @@
 //! The bounded ring to the thread that decides.
 
 use jb_policy::limit::{Admitted, Over};
-use jb_policy::route::{Ask, Candidate, Choice, Refused};
+use jb_policy::route::{Ask, Choice, Refused};
+use jb_protocol::admin::Candidate;
 use tokio::sync::{mpsc, oneshot};
 
 use super::message::{Admission, Choosing, Ending, Explanation, Message, Outcome, ServiceSummary};
--- a/crates/jb-daemon/src/follow/edit.rs
+++ b/crates/jb-daemon/src/follow/edit.rs
@@ -2,11 +2,11 @@
 
 use jb_platform::Error as PlatformError;
 use jb_platform::port::Swap;
+use jb_protocol::admin::Accepted;
 use jb_protocol::error::Kind;
 use jb_protocol::{event, id};
 use jb_tree::edit::{Edit, apply};
 use jb_tree::head::{self, HEAD_KEY, Head, Part};
-use serde::{Deserialize, Serialize};
 
 use super::platform::{fetch, offer, put_parts};
 use crate::context::Context;
@@ -15,15 +15,6 @@
 /// Times that an edit is tried against a newer tree or an unknown answer.
 const TRIES: u32 = 12;
 
-/// An accepted edit.
-#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
-pub struct Accepted {
-    /// Revision that holds the edit.
-    pub revision: id::Revision,
-    /// Whether an earlier try had been accepted already.
-    pub already: bool,
-}
-
 /// Why an edit was not accepted.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Rejected {
--- a/crates/jb-daemon/src/follow/mod.rs
+++ b/crates/jb-daemon/src/follow/mod.rs
@@ -4,6 +4,6 @@
 mod platform;
 mod store;
 
-pub use edit::{Accepted, commit};
+pub use edit::{Rejected, commit};
 pub use platform::{follow, offer};
 pub use store::{InForce, Offer, Store};
--- a/crates/jb-fakes/src/fleet/layout.rs
+++ b/crates/jb-fakes/src/fleet/layout.rs
@@ -69,6 +69,21 @@
     pub route: String,
 }
 
+impl TreeOptions {
+    /// Customers without limits; the key of each is `key-` and its name.
+    pub fn with_customers(names: &[&str]) -> Self {
+        let customer = |id: &&str| Customer {
+            id: (*id).to_owned(),
+            key: format!("key-{id}"),
+            tokens_per_second: None,
+        };
+        Self {
+            customers: names.iter().map(customer).collect(),
+            ..Self::default()
+        }
+    }
+}
+
 /// Starts a fleet and puts its tree in force.
 ///
 /// # Errors
--- /dev/null
+++ b/crates/jb-policy/src/route/mod.rs
@@ -0,0 +1,45 @@
+//! Choice of the upstream for a request, for one service in one hall.
+
+mod pool;
+
+use std::time::Duration;
+
+use jb_protocol::error::Kind;
+use jb_protocol::id;
+use jb_protocol::priority::Priority;
+
+pub use self::pool::Pool;
+use crate::prefix::Chain;
+
+/// A request as the choice sees it.
+#[derive(Clone, Debug)]
+pub struct Ask {
+    /// Prefixes of the prompt.
+    pub chain: Chain,
+    /// Priority class.
+    pub class: Priority,
+    /// Time within which the first token is due.
+    pub deadline: Duration,
+    /// Upstreams that have failed this request already.
+    pub tried: Vec<id::Upstream>,
+}
+
+/// The chosen upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Choice {
+    /// The upstream.
+    pub upstream: id::Upstream,
+    /// Tokens believed to be cached.
+    pub cached_tokens: u32,
+    /// Estimated time to the first token.
+    pub expected: Duration,
+}
+
+/// Why no upstream was chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Refused {
+    /// Kind of error.
+    pub kind: Kind,
+    /// When to come back.
+    pub after: Duration,
+}
--- a/crates/jb-policy/src/route.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -1,103 +1,38 @@
-//! Choice of the upstream for a request, for one service in one hall.
+//! State of one service's upstreams, and what happens to it.
+
+mod weigh;
 
 use std::time::Duration;
 
+use jb_protocol::admin::Candidate;
 use jb_protocol::engine::Report;
 use jb_protocol::error::Kind;
 use jb_protocol::id;
 use jb_protocol::priority::Priority;
-use jb_protocol::service::{self, Policy};
+use jb_protocol::service;
 use jb_protocol::token::TOKENS_PER_BLOCK;
 use jb_tree::view::Service;
-use serde::{Deserialize, Serialize};
 
+use self::weigh::Weighed;
+use super::{Ask, Choice, Refused};
 use crate::Moment;
 use crate::cell;
 use crate::health::Change;
-use crate::knowledge::{Holder, Index, Knowledge, Known};
-use crate::place;
+use crate::knowledge::{Index, Knowledge};
 use crate::prefix::Chain;
 use crate::retry::Budget;
 use crate::stream::Start;
 use crate::upstream::Upstream;
 
-/// Upstreams weighed beside those of the cell.
-const SPARE: usize = 2;
 /// Prefixes remembered for each block that an engine can hold, divided by 8.
 const MARKS_PER_ENGINE_BLOCK: usize = 4;
 /// Most prefixes remembered in each generation, which bounds the memory.
 const MOST_MARKS: usize = 200_000;
-/// Times that a cache may be filled anew before a prefix unused since counts
-/// as evicted; above 1, because the filling is only estimated.
-const KEPT: f64 = 1.5;
-/// Bounds of the churn of a cache, as it counts in the cost of filling it.
-const LEAST_CHURN: f64 = 0.25;
-const MOST_CHURN: f64 = 4.0;
 /// Age given to the load in an answer's start, for the way it has come.
 const ANSWER_AGE: Duration = Duration::from_millis(2);
-/// Costs that differ by no more count as equal, so that boxes with slightly
-/// different views choose the same upstream.
-const TIE: Duration = Duration::from_millis(4);
 /// Time after which to come back when no upstream is usable.
 const NO_UPSTREAM_PAUSE: Duration = Duration::from_secs(2);
 
-/// A request as the choice sees it.
-#[derive(Clone, Debug)]
-pub struct Ask {
-    /// Prefixes of the prompt.
-    pub chain: Chain,
-    /// Priority class.
-    pub class: Priority,
-    /// Time within which the first token is due.
-    pub deadline: Duration,
-    /// Upstreams that have failed this request already.
-    pub tried: Vec<id::Upstream>,
-}
-
-/// One upstream as it was weighed.
-#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
-pub struct Candidate {
-    /// The upstream.
-    pub upstream: id::Upstream,
-    /// Estimated waiting time in milliseconds.
-    pub wait_ms: f64,
-    /// Tokens of the prompt believed to be cached there.
-    pub cached_tokens: u32,
-    /// Whether that belief comes from placement alone.
-    pub presumed: bool,
-    /// Weighed cost in milliseconds; the least is chosen.
-    pub cost_ms: f64,
-}
-
-/// The chosen upstream.
-#[derive(Clone, Debug, PartialEq)]
-pub struct Choice {
-    /// The upstream.
-    pub upstream: id::Upstream,
-    /// Tokens believed to be cached.
-    pub cached_tokens: u32,
-    /// Estimated time to the first token.
-    pub expected: Duration,
-}
-
-/// Why no upstream was chosen.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Refused {
-    /// Kind of error.
-    pub kind: Kind,
-    /// When to come back.
-    pub after: Duration,
-}
-
-struct Weighed {
-    index: usize,
-    wait: Duration,
-    cached: u32,
-    presumed: bool,
-    expected: Duration,
-    cost: f64,
-}
-
 /// State of one service's upstreams in one hall.
 pub struct Pool {
     service: Service,
@@ -297,10 +232,6 @@
         self.upstreams.iter().position(|u| u.id == id)
     }
 
-    fn prefill(&self, tokens: u32) -> Duration {
-        Duration::from_secs_f64(f64::from(tokens) * self.service.prefill_us_per_token / 1e6)
-    }
-
     fn admit(&self, best: &Weighed, ask: &Ask) -> Result<(), Refused> {
         if best.wait > self.service.max_wait {
             return Err(Refused {
@@ -316,130 +247,6 @@
         }
         Ok(())
     }
-
-    fn still_holds(&self, holder: &Holder) -> bool {
-        let blocks = f64::from(self.service.cache_tokens / TOKENS_PER_BLOCK) * KEPT;
-        let upstream = self.upstreams.get(holder.engine as usize);
-        upstream.is_some_and(|u| u.still_holds(holder, blocks as u32))
-    }
-
-    fn weigh(&self, ask: &Ask, now: Moment) -> Vec<Weighed> {
-        let known = self
-            .knowledge
-            .lookup(&ask.chain, |holder| self.still_holds(holder));
-        let home = self.home(&ask.chain, &known, now);
-        let mut indexes = self.candidates(ask, &known);
-        // With every one left out after failures, trying one beats refusing.
-        let usable = |index: &usize| self.upstreams[*index].is_usable(now);
-        if indexes.iter().any(usable) {
-            indexes.retain(usable);
-        } else {
-            indexes.retain(|index| self.upstreams[*index].is_willing(now));
-        }
-        // Each one is tried before any is tried again.
-        let untried = |index: &usize| !ask.tried.contains(&self.upstreams[*index].id);
-        if indexes.iter().any(untried) {
-            indexes.retain(untried);
-        }
-        let weigh = |index| self.weigh_one(index, ask, &known, home, now);
-        indexes.into_iter().map(weigh).collect()
-    }
-
-    /// Owner of the root by placement, as long as no engine is known to hold
-    /// any of the prompt: a box that takes a cell over starts from there.
-    fn home(&self, chain: &Chain, known: &[Known], now: Moment) -> Option<usize> {
-        if !known.is_empty() {
-            return None;
-        }
-        let usable = self
-            .upstreams
-            .iter()
-            .enumerate()
-            .filter(|(_, u)| u.is_usable(now));
-        let members = usable.map(|(index, u)| (index, u.hash));
-        place::top(chain.root.hash, members, 1).first().copied()
-    }
-
-    /// The engines of the prompt's cell, those known to hold a prefix of it,
-    /// and a few of other cells for when the own cell has too much work.
-    fn candidates(&self, ask: &Ask, known: &[Known]) -> Vec<usize> {
-        if self.cells.len() <= 1 || self.service.policy != Policy::Junctionbend {
-            return (0..self.upstreams.len()).collect();
-        }
-        let cell = cell::of(ask.chain.root.hash, cell_count(&self.cells));
-        let mut out = self.cells.get(cell as usize).cloned().unwrap_or_default();
-        let members = self
-            .upstreams
-            .iter()
-            .enumerate()
-            .map(|(index, u)| (index, u.hash));
-        out.extend(place::top(ask.chain.root.hash, members, SPARE));
-        out.extend(known.iter().map(|k| k.engine as usize));
-        out.sort_unstable();
-        out.dedup();
-        out
-    }
-
-    fn weigh_one(
-        &self,
-        index: usize,
-        ask: &Ask,
-        known: &[Known],
-        home: Option<usize>,
-        now: Moment,
-    ) -> Weighed {
-        let upstream = &self.upstreams[index];
-        let wait = upstream.backlog.wait(ask.class, now);
-        let held = known
-            .iter()
-            .find(|k| k.engine as usize == index)
-            .map_or(0, |k| k.tokens);
-        let presumed = home == Some(index);
-        let cached = if presumed { ask.chain.root.tokens } else { held };
-        let cached = cached.min(ask.chain.tokens);
-        let prefill = self.prefill(ask.chain.tokens - cached);
-        let expected = wait + prefill;
-        // Filling a cache that churns drives out what will be missed.
-        let churn = upstream.pressure.tokens(now) / f64::from(self.service.cache_tokens.max(1));
-        let churn = churn.clamp(LEAST_CHURN, MOST_CHURN);
-        Weighed {
-            index,
-            wait,
-            cached,
-            presumed,
-            expected,
-            cost: expected.as_secs_f64() + self.service.cache_weight * churn * prefill.as_secs_f64(),
-        }
-    }
-
-    fn pick<'w>(&self, weighed: &'w [Weighed], ask: &Ask) -> Option<&'w Weighed> {
-        let policy = match self.service.kind {
-            service::Kind::Engine => self.service.policy,
-            service::Kind::Plain => Policy::LeastLoaded,
-        };
-        match policy {
-            Policy::RoundRobin => weighed.get(self.turn % weighed.len().max(1)),
-            Policy::LeastLoaded => weighed
-                .iter()
-                .min_by_key(|w| (w.wait, self.upstreams[w.index].open, self.turns_until(w))),
-            Policy::PrefixHash => weighed.iter().min_by_key(|w| self.rank(w, ask)),
-            Policy::Junctionbend => {
-                let least = weighed.iter().map(|w| w.cost).min_by(f64::total_cmp)?;
-                let close = weighed.iter().filter(|w| w.cost <= least + TIE.as_secs_f64());
-                close.min_by_key(|w| self.rank(w, ask))
-            }
-        }
-    }
-
-    /// Smaller for upstreams whose turn comes sooner.
-    fn turns_until(&self, weighed: &Weighed) -> usize {
-        weighed.index.wrapping_sub(self.turn) % self.upstreams.len().max(1)
-    }
-
-    /// Smaller for upstreams that placement prefers for the family.
-    fn rank(&self, weighed: &Weighed, ask: &Ask) -> u64 {
-        u64::MAX - place::weight(ask.chain.family.hash, self.upstreams[weighed.index].hash)
-    }
 }
 
 fn cells_of(upstreams: &[Upstream]) -> Vec<Vec<usize>> {
--- a/crates/jb-cli/src/answer.rs
+++ b/crates/jb-protocol/src/admin.rs
@@ -1,22 +1,11 @@
-//! What boxes answer to operators.
+//! Messages spoken with operators, JSON over HTTP.
 
-use jb_protocol::id;
-use jb_tree::Tree;
 use serde::{Deserialize, Serialize};
 
-/// The tree in force at a box.
-#[derive(Debug, Serialize, Deserialize)]
-pub struct TreeInForce {
-    /// Revision.
-    pub revision: id::Revision,
-    /// Ids of the newest edits, the newest last.
-    pub edits: Vec<id::Edit>,
-    /// The tree.
-    pub tree: Tree,
-}
+use crate::id;
 
 /// An accepted edit.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Accepted {
     /// Revision that holds it.
     pub revision: id::Revision,
@@ -25,7 +14,7 @@
 }
 
 /// One box.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct BoxStatus {
     /// Name.
     pub id: id::Box,
@@ -40,7 +29,7 @@
 }
 
 /// One service in the hall of the box asked.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct ServiceStatus {
     /// Service.
     pub service: id::Service,
@@ -53,7 +42,7 @@
 }
 
 /// What a box knows.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Status {
     /// The box asked.
     pub me: BoxStatus,
@@ -66,7 +55,7 @@
 }
 
 /// One upstream as it was weighed.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Candidate {
     /// The upstream.
     pub upstream: id::Upstream,
@@ -81,7 +70,7 @@
 }
 
 /// Where a request would go.
-#[derive(Debug, Serialize, Deserialize)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Explanation {
     /// Service.
     pub service: id::Service,
@@ -96,3 +85,14 @@
     /// Upstreams as weighed, the best first.
     pub candidates: Vec<Candidate>,
 }
+
+/// A request to explain.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Question {
+    /// Customer.
+    pub customer: id::Customer,
+    /// Route.
+    pub route: id::Route,
+    /// Levels of the prompt, the outermost first.
+    pub levels: Vec<String>,
+}
--- a/crates/jb-protocol/src/lib.rs
+++ b/crates/jb-protocol/src/lib.rs
@@ -3,6 +3,7 @@
 //!
 //! Every other crate depends on this one; it depends on none of them.
 
+pub mod admin;
 pub mod engine;
 pub mod error;
 pub mod event;
--- a/crates/jb-scenario/src/run.rs
+++ b/crates/jb-scenario/src/run.rs
@@ -6,7 +6,6 @@
 use jb_fakes::control::{EngineCounts, RelayFault};
 use jb_fakes::fleet::layout::{self, ENGINES, Layout, PLAIN, TreeOptions};
 use jb_fakes::fleet::{EngineOptions, Programs, Rig, wait_until};
-use jb_fakes::load::Customer;
 use jb_tree::edit::{Change, Edit};
 use miette::{IntoDiagnostic as _, WrapErr as _, miette};
 use rustix::process::Signal;
@@ -125,15 +124,7 @@
     }
 
     async fn put_tree(&mut self) -> miette::Result<()> {
-        let customers = CUSTOMERS.map(|id| Customer {
-            id: id.to_owned(),
-            key: format!("key-{id}"),
-            tokens_per_second: None,
-        });
-        let options = TreeOptions {
-            customers: customers.to_vec(),
-            ..TreeOptions::default()
-        };
+        let options = TreeOptions::with_customers(&CUSTOMERS);
         let base = layout::tree(&Layout::default(), &options)?;
         self.rig.put_tree(&base).await?;
         self.rig.wait_members().await
--- a/crates/jb-scenario/tests/bad_input.rs
+++ b/crates/jb-scenario/tests/bad_input.rs
@@ -9,7 +9,7 @@
 
 use jb_fakes::fleet::layout::{self, Hall, Layout, ROUTE, TreeOptions};
 use jb_fakes::fleet::{self, Rig};
-use jb_fakes::load::{Customer, chat};
+use jb_fakes::load::chat;
 use jb_wire::peer::ProbeRequest;
 use jb_wire::peer::peer_client::PeerClient;
 use serde_json::{Value, json};
@@ -116,14 +116,7 @@
         }],
         ..Layout::default()
     };
-    let options = TreeOptions {
-        customers: vec![Customer {
-            id: "ann".to_owned(),
-            key: KEY.to_owned(),
-            tokens_per_second: None,
-        }],
-        ..TreeOptions::default()
-    };
+    let options = TreeOptions::with_customers(&["ann"]);
     layout::start(&programs, &layout, &options)
         .await
         .expect("the fleet starts")
--- a/crates/jb-scenario/tests/client.rs
+++ b/crates/jb-scenario/tests/client.rs
@@ -7,7 +7,6 @@
 
 use jb_fakes::fleet::layout::{self, Hall, Layout, TreeOptions};
 use jb_fakes::fleet::{self, Programs};
-use jb_fakes::load::Customer;
 
 struct Ran {
     code: i32,
@@ -40,14 +39,7 @@
         }],
         ..Layout::default()
     };
-    let options = TreeOptions {
-        customers: vec![Customer {
-            id: "ann".to_owned(),
-            key: "key-ann".to_owned(),
-            tokens_per_second: None,
-        }],
-        ..TreeOptions::default()
-    };
+    let options = TreeOptions::with_customers(&["ann"]);
     let rig = layout::start(&programs, &layout, &options)
         .await
         .expect("the fleet starts");
--- a/crates/jb-scenario/tests/together.rs
+++ b/crates/jb-scenario/tests/together.rs
@@ -10,7 +10,7 @@
 use jb_fakes::control::{EngineFault, PlainCounts, PlatformFault};
 use jb_fakes::fleet::layout::{self, ENGINES, Hall, Layout, PLAIN, ROUTE, TreeOptions};
 use jb_fakes::fleet::{self, Programs, Rig, wait_until};
-use jb_fakes::load::{self, Customer, Library, Request, Seen};
+use jb_fakes::load::{self, Library, Request, Seen};
 use jb_protocol::error::Outcome;
 use jb_protocol::priority::Priority;
 use jb_tree::edit::{Change, Edit};
@@ -51,14 +51,7 @@
         halls: vec![hall("hall-a"), hall("hall-b")],
         ..Layout::default()
     };
-    let options = TreeOptions {
-        customers: vec![Customer {
-            id: "ann".to_owned(),
-            key: "key-ann".to_owned(),
-            tokens_per_second: None,
-        }],
-        ..TreeOptions::default()
-    };
+    let options = TreeOptions::with_customers(&["ann"]);
     Chaos {
         rig: layout::start(programs, &layout, &options)
             .await
--- a/crates/jb-scenario/tests/traces.rs
+++ b/crates/jb-scenario/tests/traces.rs
@@ -7,7 +7,7 @@
 use jb_fakes::collector::Collected;
 use jb_fakes::fleet::layout::{self, ENGINES, Layout, ROUTE, TreeOptions};
 use jb_fakes::fleet::{self, EngineOptions, Rig, wait_until};
-use jb_fakes::load::{Customer, chat};
+use jb_fakes::load::chat;
 
 const TRACE: &str = "0af7651916cd43dd8448eb211c80319c";
 const CALLER: &str = "b7ad6b7169203331";
@@ -21,14 +21,7 @@
         .expect("an engine");
     rig.start_box("box-1", "hall-a").await.expect("a box");
     rig.start_box("box-2", "hall-b").await.expect("a box");
-    let options = TreeOptions {
-        customers: vec![Customer {
-            id: "ann".to_owned(),
-            key: "key-ann".to_owned(),
-            tokens_per_second: None,
-        }],
-        ..TreeOptions::default()
-    };
+    let options = TreeOptions::with_customers(&["ann"]);
     rig.put_tree(&layout::tree(&Layout::default(), &options).expect("a tree"))
         .await
         .expect("in force");
--- a/crates/jb-tree/src/tree.rs
+++ b/crates/jb-tree/src/tree.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use jb_protocol::id;
 use serde::{Deserialize, Serialize};
 
 use crate::path::Path;
@@ -25,6 +26,17 @@
     pub from: Path,
 }
 
+/// A tree as a box shows it to operators.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Shown {
+    /// Revision.
+    pub revision: id::Revision,
+    /// Ids of the newest edits, the newest last.
+    pub edits: Vec<id::Edit>,
+    /// The tree.
+    pub tree: Tree,
+}
+
 impl Tree {
     /// Own settings of a node.
     pub fn node(&self, path: &Path) -> Option<&Settings> {
