Tell engines and logs when a caller goes away, and close three gaps

Cause: reading the code anew: event 2007 was never logged; with several cells, a cell whose engines are all out had no upstream although others had; a claim's key was a hash that a caller could aim at another's. Measured: a caller that leaves its stream is seen as one cancelled call at the engine; all tests pass.

--- a/crates/jb-daemon/src/run/session/mod.rs
+++ b/crates/jb-daemon/src/run/session/mod.rs
@@ -78,6 +78,14 @@
     lost_before: bool,
 }
 
+impl Drop for Session {
+    fn drop(&mut self) {
+        if !matches!(self.phase, Phase::Over) {
+            emit!(self.context.logger, info, event::CALLER_GONE, "request" => &self.request.id);
+        }
+    }
+}
+
 impl Session {
     /// A session for a request that has not been sent.
     pub fn new(context: Arc<Context>, request: Request) -> Self {
--- a/crates/jb-daemon/src/run/session/pick.rs
+++ b/crates/jb-daemon/src/run/session/pick.rs
@@ -92,6 +92,9 @@
                 .any(|u| u.hall == hall && !u.leaving)
         };
         halls.retain(|summary| has_upstreams(&summary.hall));
+        if halls.is_empty() {
+            return vec![own];
+        }
         if has_upstreams(&own) {
             let summaries = self.context.ring.summarize().await.unwrap_or_default();
             halls.extend(
--- a/crates/jb-policy/src/claim.rs
+++ b/crates/jb-policy/src/claim.rs
@@ -8,7 +8,7 @@
 
 use std::collections::HashMap;
 
-use xxhash_rust::xxh3::xxh3_128;
+use sha2::{Digest as _, Sha256};
 
 /// Shards over which the claims are spread.
 pub const SHARDS: u32 = 16;
@@ -76,13 +76,19 @@
 pub struct Damaged(usize);
 
 /// Key of a customer's request.
+///
+/// The hash is a cryptographic one: callers choose their keys, and nobody may
+/// choose one that takes another customer's place.
 pub fn key(customer: &str, service: &str, caller_key: &str) -> Key {
-    let mut text = Vec::new();
+    let mut hash = Sha256::new();
     for part in [customer, service, caller_key] {
-        text.extend_from_slice(&(part.len() as u64).to_le_bytes());
-        text.extend_from_slice(part.as_bytes());
+        hash.update((part.len() as u64).to_le_bytes());
+        hash.update(part.as_bytes());
     }
-    xxh3_128(&text)
+    let digest = hash.finalize();
+    let mut half = [0; size_of::<Key>()];
+    half.copy_from_slice(&digest[..size_of::<Key>()]);
+    Key::from_le_bytes(half)
 }
 
 /// Shard of a key.
--- a/crates/jb-policy/src/route/pool/weigh.rs
+++ b/crates/jb-policy/src/route/pool/weigh.rs
@@ -52,8 +52,17 @@
         let known = self
             .knowledge
             .lookup(&ask.chain, |holder| self.still_holds(holder));
-        let home = self.home(&ask.chain, &known, now);
-        let mut indexes = self.candidates(ask, &known);
+        let mut indexes = self.open_to(ask, self.candidates(ask, &known), now);
+        if indexes.is_empty() {
+            indexes = self.open_to(ask, (0..self.upstreams.len()).collect(), now);
+        }
+        let home = self.home(&ask.chain, &known, &indexes);
+        let weigh = |index| self.weigh_one(index, ask, &known, home, now);
+        indexes.into_iter().map(weigh).collect()
+    }
+
+    /// Those of the upstreams that may get the request now.
+    fn open_to(&self, ask: &Ask, mut indexes: Vec<usize>, now: Moment) -> Vec<usize> {
         // With every one left out after failures, trying one beats refusing.
         let usable = |index: &usize| self.upstreams[*index].is_usable(now);
         if indexes.iter().any(usable) {
@@ -66,22 +75,16 @@
         if indexes.iter().any(untried) {
             indexes.retain(untried);
         }
-        let weigh = |index| self.weigh_one(index, ask, &known, home, now);
-        indexes.into_iter().map(weigh).collect()
+        indexes
     }
 
     /// Owner of the root by placement, as long as no engine is known to hold
     /// any of the prompt: a box that takes a cell over starts from there.
-    fn home(&self, chain: &Chain, known: &[Known], now: Moment) -> Option<usize> {
+    fn home(&self, chain: &Chain, known: &[Known], indexes: &[usize]) -> Option<usize> {
         if !known.is_empty() {
             return None;
         }
-        let usable = self
-            .upstreams
-            .iter()
-            .enumerate()
-            .filter(|(_, u)| u.is_usable(now));
-        let members = usable.map(|(index, u)| (index, u.hash));
+        let members = indexes.iter().map(|index| (*index, self.upstreams[*index].hash));
         place::top(chain.root.hash, members, 1).first().copied()
     }
 
--- a/crates/jb-scenario/tests/bad_input.rs
+++ b/crates/jb-scenario/tests/bad_input.rs
@@ -7,8 +7,9 @@
 use std::net::{SocketAddr, TcpStream};
 use std::time::Duration;
 
+use jb_fakes::control::{EngineCounts, EngineFault};
 use jb_fakes::fleet::layout::{self, Hall, Layout, ROUTE, TreeOptions};
-use jb_fakes::fleet::{self, Rig};
+use jb_fakes::fleet::{self, Rig, wait_until};
 use jb_fakes::load::chat;
 use jb_wire::peer::ProbeRequest;
 use jb_wire::peer::peer_client::PeerClient;
@@ -167,6 +168,47 @@
     );
 }
 
+/// A caller that goes away in the middle of its stream: the engine is told.
+async fn vanishing_caller(rig: &Rig, at: SocketAddr) {
+    let engine = rig.upstream("hall-a-engine-1").expect("an engine");
+    let slow = EngineFault {
+        decode_ms: Some(200),
+        ..EngineFault::default()
+    };
+    rig.client.fault(engine, &slow).await.expect("a fault");
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let body = chat(ROUTE, &["style".to_owned(), "later".to_owned()], 500, true);
+    let request = http
+        .post(format!("http://{at}/v1/chat/completions"))
+        .bearer_auth(KEY);
+    let mut answer = request.body(body.to_string()).send().await.expect("a stream");
+    answer.chunk().await.expect("a chunk").expect("a token");
+    drop(answer);
+    drop(http);
+    let cancelled = wait_until(
+        "the engine's call is cancelled",
+        Duration::from_secs(30),
+        || async {
+            let counts: miette::Result<EngineCounts> = rig.client.counts(engine).await;
+            counts.is_ok_and(|c| c.cancelled == 1 && c.open == 0)
+        },
+    );
+    cancelled.await.expect("it is cancelled");
+    let logged = || {
+        !rig.process("hall-a-box-1")
+            .expect("a box")
+            .lines_with("\"caller_gone\"")
+            .is_empty()
+    };
+    let told = wait_until("the box logs it", Duration::from_secs(30), || async { logged() });
+    told.await.expect("it is logged");
+    let quick = EngineFault {
+        decode_ms: Some(1),
+        ..EngineFault::default()
+    };
+    rig.client.fault(engine, &quick).await.expect("a fault");
+}
+
 /// A box without the secret, and one with another version of the protocol.
 async fn broken_peers(at: SocketAddr) {
     let mut client = PeerClient::connect(format!("http://{at}"))
@@ -197,6 +239,7 @@
     }
     broken_callers(ports.callers);
     broken_peers(ports.peers).await;
+    vanishing_caller(&rig, ports.callers).await;
     let good = http.post(format!("http://{}/v1/chat/completions", ports.callers));
     let answer = good
         .bearer_auth(KEY)
