Put an older platform's tree back as part of an edit, wait for first tokens

Cause: two scenarios failed once in four runs. p9: an edit that came before the follower had put the newer tree back was refused. p2_hall_cut: the scenario waited for the engines to stream, not for the box to have got the first token, so the cut could come before any stream was open and there was nothing to resume; its expectation was right, its waiting wrong. Ruled out: a lost edit or a reverted setting (neither was seen). Change: a box that holds the newest tree puts it back and goes on with the edit; p9 now expects that edit to be accepted. await N streaming waits for first tokens at the entry boxes.

--- a/crates/jb-daemon/src/follow/edit.rs
+++ b/crates/jb-daemon/src/follow/edit.rs
@@ -8,7 +8,7 @@
 use jb_tree::edit::{Edit, apply};
 use jb_tree::head::{self, HEAD_KEY, Head, Part};
 
-use super::platform::{fetch, offer, put_parts};
+use super::platform::{fetch, offer, put_parts, restore};
 use crate::context::Context;
 use crate::emit;
 
@@ -86,13 +86,7 @@
     let head = read_head(value.as_ref().map(|v| v.body.as_slice()))?;
     let newest = newest_known(context);
     if head.revision < newest {
-        return Err(Rejected {
-            kind: Kind::PlatformUnavailable,
-            detail: format!(
-                "the platform holds revision {}, the boxes {newest}; it is being put back",
-                head.revision
-            ),
-        });
+        return put_back(context, &head, newest, version).await;
     }
     let fetched = match fetch(context, &head).await {
         Ok(parts) => parts,
@@ -109,6 +103,25 @@
     write_next(context, edit, &head, &fetched, version).await
 }
 
+/// The platform came back older: the newer tree is put back before the edit,
+/// by this box if it has it.
+async fn put_back(context: &Context, head: &Head, newest: u64, version: u64) -> Result<Attempt, Rejected> {
+    let rejected = Rejected {
+        kind: Kind::PlatformUnavailable,
+        detail: format!(
+            "the platform holds revision {}, the boxes {newest}; it is being put back",
+            head.revision
+        ),
+    };
+    if context.store.revision() < newest {
+        return Err(rejected);
+    }
+    Ok(match restore(context, version).await {
+        Ok(_) => Attempt::Again(rejected),
+        Err(error) => Attempt::Again(error.into()),
+    })
+}
+
 async fn write_next(
     context: &Context,
     edit: &Edit,
--- a/crates/jb-daemon/src/follow/platform.rs
+++ b/crates/jb-daemon/src/follow/platform.rs
@@ -134,7 +134,7 @@
 }
 
 /// Writes the box's newer tree over an older or missing one.
-async fn restore(context: &Context, version: u64) -> Result<u64, Error> {
+pub(super) async fn restore(context: &Context, version: u64) -> Result<u64, Error> {
     let ours = context.store.current();
     if ours.head.revision == 0 {
         return Ok(0);
--- a/crates/jb-daemon/src/members.rs
+++ b/crates/jb-daemon/src/members.rs
@@ -275,7 +275,6 @@
         loads: loads(&summaries, me.heartbeat),
         sender: Some(to_wire(me)),
         heard: context.directory.tell(),
-        leaving_upstreams: Vec::new(),
     };
     let sent = request.encoded_len();
     match context.dialer.probe(target.address, request).await {
--- a/crates/jb-daemon/src/peer/server.rs
+++ b/crates/jb-daemon/src/peer/server.rs
@@ -15,8 +15,7 @@
 use jb_wire::peer::peer_server::{Peer, PeerServer};
 use jb_wire::peer::relay_frame::Frame;
 use jb_wire::peer::{
-    self, ClaimReply, ClaimRequest, FetchTreeReply, FetchTreeRequest, Part, ProbeReply, ProbeRequest,
-    RelayFrame, RelayRequest,
+    self, FetchTreeReply, FetchTreeRequest, Part, ProbeReply, ProbeRequest, RelayFrame, RelayRequest,
 };
 use opentelemetry::trace::SpanKind;
 use prost::Message as _;
@@ -87,7 +86,6 @@
             loads: loads(&summaries, me.heartbeat),
             receiver: Some(to_wire(me)),
             heard: directory.tell(),
-            leaving_upstreams: Vec::new(),
         };
         let bytes = (received + reply.encoded_len()) as u64;
         self.context.metrics.control_bytes.inc_by(bytes);
@@ -153,10 +151,6 @@
         };
         Ok(Response::new(Box::pin(frames)))
     }
-
-    async fn claim(&self, _request: Request<ClaimRequest>) -> Result<Response<ClaimReply>, Status> {
-        Err(Status::unimplemented("claims are written by each box itself"))
-    }
 }
 
 fn understand(context: &Context, relayed: &RelayRequest) -> Option<RunRequest> {
@@ -168,7 +162,6 @@
         customer: relayed.customer.clone(),
         route: resolved.route,
         service: resolved.service,
-        revision: view.revision,
         parsed,
         chain: resolved.chain,
         salt: resolved.salt,
--- a/crates/jb-daemon/src/run/request.rs
+++ b/crates/jb-daemon/src/run/request.rs
@@ -42,8 +42,6 @@
     pub route: Route,
     /// Service that the route leads to.
     pub service: Service,
-    /// Revision of the tree that the above come from.
-    pub revision: id::Revision,
     /// What the body says.
     pub parsed: Parsed,
     /// Prefixes of the prompt.
--- a/crates/jb-daemon/src/run/session/mod.rs
+++ b/crates/jb-daemon/src/run/session/mod.rs
@@ -277,7 +277,6 @@
             traceparent: self.traceparent().unwrap_or_default(),
             request_id: self.request.id.clone(),
             resume_at: self.next,
-            revision: self.request.revision,
         };
         match self.context.dialer.relay(address, request).await {
             Ok(frames) => {
--- a/crates/jb-daemon/src/serve/completions.rs
+++ b/crates/jb-daemon/src/serve/completions.rs
@@ -137,7 +137,6 @@
         deadline: deadline.unwrap_or(resolved.route.deadline),
         route: resolved.route,
         service: resolved.service,
-        revision: view.revision,
         parsed,
         chain: resolved.chain,
         salt: resolved.salt,
--- a/crates/jb-scenario/src/run.rs
+++ b/crates/jb-scenario/src/run.rs
@@ -16,6 +16,8 @@
 
 /// Time within which a condition must hold.
 pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Metric that counts the first tokens at an entry box.
+const FIRST_TOKENS: &str = "junctionbend_first_token_seconds_count";
 /// Customers of the usual tree.
 const CUSTOMERS: [&str; 2] = ["ann", "bob"];
 
@@ -31,6 +33,9 @@
     pub edited: u16,
     /// HTTP client of the callers.
     pub http: reqwest::Client,
+    /// First tokens that boxes had got before the sends that come last.
+    before: u64,
+    sending: bool,
 }
 
 /// Runs a scenario to its end.
@@ -45,6 +50,8 @@
             groups: BTreeMap::new(),
             notes: BTreeMap::new(),
             edited: 0,
+            before: 0,
+            sending: false,
             http: reqwest::Client::builder().no_proxy().build().into_diagnostic()?,
         };
         for line in steps {
@@ -69,6 +76,11 @@
     }
 
     async fn take(&mut self, step: &Step) -> miette::Result<()> {
+        let sends = matches!(step, Step::Send(_) | Step::Resend { .. });
+        if sends && !self.sending {
+            self.before = self.first_tokens().await;
+        }
+        self.sending = sends;
         match step {
             Step::Proves(_) | Step::When(_) => Ok(()),
             Step::StartPlatform => self.rig.start_platform(),
@@ -88,7 +100,7 @@
                 self.send(group, to, requests)
             }
             Step::AwaitOpen { count } => self.await_calls(*count, "open", |c| c.open).await,
-            Step::AwaitStreaming { count } => self.await_calls(*count, "streaming", |c| c.streaming).await,
+            Step::AwaitStreaming { count } => self.await_streaming(*count).await,
             Step::AwaitGroup(group) => {
                 self.group(group)?.finish().await;
                 Ok(())
@@ -150,6 +162,33 @@
         Ok(counts.calls)
     }
 
+    /// First tokens that the boxes that answer have got for their callers.
+    async fn first_tokens(&self) -> u64 {
+        let mut sum = 0;
+        for (_, ports) in self.rig.boxes() {
+            let text = self
+                .rig
+                .client
+                .text(ports.callers, "/metrics")
+                .await
+                .unwrap_or_default();
+            let line = text.lines().find_map(|l| l.strip_prefix(FIRST_TOKENS));
+            sum += line
+                .and_then(|count| count.trim().parse::<u64>().ok())
+                .unwrap_or(0);
+        }
+        sum
+    }
+
+    /// Waits until the entry boxes have the first tokens of this many of the
+    /// requests that were sent last.
+    async fn await_streaming(&self, least: u64) -> miette::Result<()> {
+        wait_until(&format!("{least} calls are streaming"), PATIENCE, || async {
+            self.first_tokens().await >= self.before + least
+        })
+        .await
+    }
+
     async fn await_calls(
         &self,
         least: u64,
--- a/crates/jb-scenario/src/step.rs
+++ b/crates/jb-scenario/src/step.rs
@@ -147,7 +147,8 @@
         /// Box.
         to: String,
     },
-    /// Waits until engines stream the answers of at least this many calls.
+    /// Waits until entry boxes have got the first token of at least this many
+    /// of the requests sent last.
     AwaitStreaming {
         /// Number of calls.
         count: u64,
