--- a/crates/jb-daemon/src/run/session/mod.rs
+++ b/crates/jb-daemon/src/run/session/mod.rs
@@ -135,10 +135,6 @@
         self.next += 1;
         self.phase = match std::mem::replace(&mut self.phase, Phase::Over) {
             Phase::Sent(call) => Phase::Streaming(call.deliver()),
-            Phase::Streaming(mut call) => {
-                call.deliver();
-                Phase::Streaming(call)
-            }
             other => other,
         };
         Delivery::Token { index, text }
--- a/crates/jb-fakes/src/fleet/client.rs
+++ b/crates/jb-fakes/src/fleet/client.rs
@@ -60,12 +60,7 @@
     /// # Errors
     /// When there is no answer, or not that JSON.
     pub async fn get<T: DeserializeOwned>(&self, at: SocketAddr, path: &str) -> miette::Result<T> {
-        let answer = self
-            .http
-            .get(format!("http://{at}{path}"))
-            .send()
-            .await
-            .into_diagnostic()?;
+        let answer = self.read(at, path).await?;
         answer.json().await.into_diagnostic()
     }
 
@@ -74,15 +69,15 @@
     /// # Errors
     /// When there is no answer.
     pub async fn text(&self, at: SocketAddr, path: &str) -> miette::Result<String> {
-        let answer = self
-            .http
-            .get(format!("http://{at}{path}"))
-            .send()
-            .await
-            .into_diagnostic()?;
+        let answer = self.read(at, path).await?;
         answer.text().await.into_diagnostic()
     }
 
+    async fn read(&self, at: SocketAddr, path: &str) -> miette::Result<reqwest::Response> {
+        let request = self.http.get(format!("http://{at}{path}"));
+        request.send().await.into_diagnostic()
+    }
+
     /// Posts JSON; gives the status and the answer's JSON.
     ///
     /// # Errors
--- a/crates/jb-policy/src/call.rs
+++ b/crates/jb-policy/src/call.rs
@@ -20,9 +20,7 @@
 }
 /// A part of the answer has been delivered.
 #[derive(Debug)]
-pub struct Streaming {
-    delivered: u32,
-}
+pub struct Streaming(());
 
 /// One request of a caller.
 #[derive(Debug)]
@@ -116,11 +114,6 @@
         &self.id
     }
 
-    /// Whether it may run at most once.
-    pub fn is_once(&self) -> bool {
-        self.once
-    }
-
     /// Attempts made.
     pub fn attempts(&self) -> u32 {
         self.attempts
@@ -197,7 +190,7 @@
 
     /// The first part of the answer is delivered.
     pub fn deliver(self) -> Call<Streaming> {
-        self.into_state(Streaming { delivered: 1 })
+        self.into_state(Streaming(()))
     }
 
     /// Gives the request up. The answer says that it may have run.
@@ -207,16 +200,6 @@
 }
 
 impl Call<Streaming> {
-    /// One more part is delivered.
-    pub fn deliver(&mut self) {
-        self.state.delivered += 1;
-    }
-
-    /// Parts delivered.
-    pub fn delivered(&self) -> u32 {
-        self.state.delivered
-    }
-
     /// Begins another attempt that goes on at the next index.
     ///
     /// # Errors
--- a/crates/jb-policy/src/route/pool.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -95,11 +95,6 @@
         self.upstreams.iter_mut().find(|u| u.id == id)
     }
 
-    /// Whether any upstream can take work.
-    pub fn is_usable(&self, now: Moment) -> bool {
-        self.upstreams.iter().any(|u| u.is_usable(now))
-    }
-
     /// The least waiting time of any usable upstream.
     pub fn least_wait(&self, now: Moment) -> Duration {
         let usable = self.upstreams.iter().filter(|u| u.is_usable(now));
