--- a/crates/jb-daemon/src/lib.rs
+++ b/crates/jb-daemon/src/lib.rs
@@ -6,6 +6,8 @@
 //! boxes, `probe` asks engines for their load, `claims` writes claims, and `steward` gives engines
 //! their orders.
 
+pub use jb_protocol::emit;
+
 pub mod admin;
 pub mod claims;
 pub mod clock;
@@ -20,6 +22,7 @@
 pub mod run;
 pub mod serve;
 pub mod settings;
+pub mod site;
 pub mod start;
 pub mod steward;
 pub mod stop;
--- a/crates/jb-daemon/src/log.rs
+++ b/crates/jb-daemon/src/log.rs
@@ -31,11 +31,3 @@
     );
     Log { logger, guard }
 }
-
-/// Writes one numbered event: `emit!(logger, info, EVENT, "key" => value)`.
-#[macro_export]
-macro_rules! emit {
-    ($logger:expr, $level:ident, $event:expr $(, $key:literal => $value:expr)* $(,)?) => {
-        ::slog::$level!($logger, "{}", $event.name; "event" => $event.number $(, $key => $value)*)
-    };
-}
--- a/crates/jb-daemon/src/main.rs
+++ b/crates/jb-daemon/src/main.rs
@@ -3,14 +3,14 @@
 use std::path::PathBuf;
 
 use argh::FromArgs;
-use jb_daemon::{settings, start};
+use jb_daemon::{settings, site, start};
 
 /// The daemon of junctionbend: one per entry box.
 #[derive(FromArgs)]
 struct Arguments {
-    /// file with the box's settings, in TOML
+    /// file with the box's settings, in TOML; left out where the platform gives them
     #[argh(option)]
-    settings: PathBuf,
+    settings: Option<PathBuf>,
     /// check the settings and exit
     #[argh(switch)]
     check: bool,
@@ -18,7 +18,16 @@
 
 fn main() -> miette::Result<()> {
     let arguments: Arguments = argh::from_env();
-    let settings = settings::read(&arguments.settings)?;
+    let Some(path) = arguments.settings else {
+        let help = "give --settings FILE, or run where the platform gives the settings";
+        let path = jb_site::path().ok_or_else(|| miette::miette!(help = help, "no settings"))?;
+        if arguments.check {
+            jb_site::read(&path)?;
+            return Ok(());
+        }
+        return site::run(&path);
+    };
+    let settings = settings::read(&path)?;
     if arguments.check {
         return Ok(());
     }
--- /dev/null
+++ b/crates/jb-daemon/src/site.rs
@@ -0,0 +1,31 @@
+//! The daemon on a platform that gives it its settings.
+
+use std::path::Path;
+use std::rc::Rc;
+
+use jb_relay::core::Parts;
+use jb_relay::start;
+use miette::IntoDiagnostic as _;
+
+use crate::log::{self, Log};
+
+/// Runs the box until it is stopped.
+///
+/// # Errors
+/// When the settings cannot be used, or an address cannot be listened on.
+pub fn run(path: &Path) -> miette::Result<()> {
+    let settings = jb_site::read(path)?;
+    let Log { logger, guard } = log::start(&settings.id, &settings.hall);
+    let store = Rc::new(jb_site::Store::new(settings.store));
+    let engines = Rc::new(jb_site::Engines::default());
+    let parts = Parts {
+        settings,
+        names: jb_site::NAMES,
+        store,
+        engines,
+        logger,
+    };
+    let result = start::run(parts).into_diagnostic();
+    drop(guard);
+    result
+}
--- /dev/null
+++ b/crates/jb-policy/src/choose.rs
@@ -0,0 +1,130 @@
+//! The choice of an upstream by estimated time, from what one box knows.
+//!
+//! The cost of a candidate is the time until its first token: prompt tokens
+//! that wait before it, prompt tokens that it must read itself, and the drag of
+//! running requests. Bytes to another data hall are a small cost on top, so
+//! that the own hall wins among equals.
+
+use crate::kept::Piece;
+use crate::place;
+
+/// Weights of the choice. Times in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Tuning {
+    /// Prompt tokens that an engine reads in a millisecond; from measured first tokens.
+    pub tokens_per_ms: f64,
+    /// Drag of one running request on the next token.
+    pub per_running: f64,
+    /// Cost of a place that is taken at a plain service, as a share of all places.
+    pub per_place: f64,
+    /// Cost of sending to another data hall.
+    pub other_hall: f64,
+    /// Cost of each kilobyte that goes to another data hall.
+    pub other_hall_per_kb: f64,
+    /// Cost of a candidate whose places are all taken.
+    pub full: f64,
+}
+
+impl Default for Tuning {
+    fn default() -> Self {
+        Self {
+            tokens_per_ms: 50.0,
+            per_running: 0.5,
+            per_place: 60.0,
+            other_hall: 3.0,
+            other_hall_per_kb: 0.5,
+            full: 400.0,
+        }
+    }
+}
+
+/// One upstream that could serve.
+#[derive(Clone, Copy, Debug)]
+pub struct Candidate {
+    /// Hash of its name, for the order that all boxes agree on.
+    pub name: u64,
+    /// Whether it is in the box's own data hall.
+    pub own_hall: bool,
+    /// Requests that are believed to run there.
+    pub running: u32,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Prompt tokens that are believed to wait there.
+    pub waiting: u64,
+    /// Tokens of the prompt that it is believed to keep.
+    pub found: u64,
+    /// Time for which it is still slow, as a factor on its work.
+    pub slowness: f64,
+}
+
+/// What a request asks of an upstream.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Demand<'a> {
+    /// Parts of the prompt; empty for plain services.
+    pub prompt: &'a [Piece],
+    /// Bytes that go there.
+    pub bytes: usize,
+}
+
+impl Demand<'_> {
+    /// Tokens of the whole prompt.
+    pub fn tokens(&self) -> u64 {
+        self.prompt.iter().map(|piece| piece.tokens).sum()
+    }
+
+    /// Tokens of the parts that other requests share: all but the last part.
+    pub fn shared(&self) -> u64 {
+        self.tokens() - self.prompt.last().map_or(0, |piece| piece.tokens)
+    }
+
+    /// Number of the deepest shared part, which names the prompt's family.
+    pub fn family(&self) -> Option<u64> {
+        let shared = self.prompt.len().checked_sub(2)?;
+        Some(self.prompt[shared].part)
+    }
+}
+
+/// Position of the candidate with the least cost.
+pub fn best(candidates: &[Candidate], demand: &Demand<'_>, tuning: &Tuning) -> Option<usize> {
+    let home = demand.family().and_then(|family| home(candidates, family));
+    let costs = candidates.iter().enumerate().map(|(at, candidate)| {
+        let found = if home == Some(at) {
+            candidate.found.max(demand.shared())
+        } else {
+            candidate.found
+        };
+        (at, cost(candidate, found, demand, tuning))
+    });
+    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
+}
+
+/// Position of the candidate that all boxes expect to keep a family.
+fn home(candidates: &[Candidate], family: u64) -> Option<usize> {
+    let weights = candidates.iter().map(|c| place::weight(family, c.name));
+    weights
+        .enumerate()
+        .max_by_key(|(_, weight)| *weight)
+        .map(|(at, _)| at)
+}
+
+fn cost(candidate: &Candidate, found: u64, demand: &Demand<'_>, tuning: &Tuning) -> f64 {
+    let unread = demand.tokens().saturating_sub(found);
+    let reading = (candidate.waiting + unread) as f64 / tuning.tokens_per_ms;
+    let running = f64::from(candidate.running);
+    let drag = if demand.prompt.is_empty() {
+        tuning.per_place * running / f64::from(candidate.slots.max(1))
+    } else {
+        tuning.per_running * running
+    };
+    let distance = if candidate.own_hall {
+        0.0
+    } else {
+        tuning.other_hall + tuning.other_hall_per_kb * demand.bytes as f64 / 1024.0
+    };
+    let full = if candidate.running >= candidate.slots {
+        tuning.full
+    } else {
+        0.0
+    };
+    (reading + drag) * candidate.slowness + distance + full
+}
--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -6,9 +6,11 @@
 
 pub mod call;
 pub mod cell;
+pub mod choose;
 pub mod claim;
 pub mod hall;
 pub mod health;
+pub mod kept;
 pub mod knowledge;
 pub mod limit;
 pub mod load;
@@ -18,6 +20,7 @@
 pub mod pressure;
 pub mod retry;
 pub mod route;
+pub mod share;
 pub mod steward;
 pub mod stream;
 pub mod upstream;
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -22,6 +22,7 @@
     BOX_READY = 1002, "box_ready", "The box holds a tree and serves.";
     BOX_STOPPING = 1003, "box_stopping", "A planned stop has begun; no new work is taken.";
     BOX_STOPPED = 1004, "box_stopped", "The last open request has ended.";
+    SETTINGS_CHANGED = 1005, "settings_changed", "The settings file has changed; it counts at the next start.";
     REQUEST_ENDED = 2001, "request_ended", "A request was answered completely.";
     REQUEST_REFUSED = 2002, "request_refused", "A request was refused.";
     ATTEMPT_FAILED = 2003, "attempt_failed", "One attempt at an upstream failed.";
@@ -29,23 +30,42 @@
     FRAME_DROPPED = 2005, "frame_dropped", "A frame of another attempt was dropped.";
     UPSTREAM_PROTOCOL = 2006, "upstream_protocol", "An upstream broke the protocol.";
     CALLER_GONE = 2007, "caller_gone", "The caller went away before the end.";
+    ACCEPT_FAILED = 2008, "accept_failed", "A caller's connection could not be taken.";
     TREE_IN_FORCE = 3001, "tree_in_force", "A newer revision of the tree is in force.";
     TREE_REJECTED = 3002, "tree_rejected", "A tree was not taken: invalid, or incomplete.";
     TREE_OLDER = 3003, "tree_older", "The platform holds an older tree than the box.";
     TREE_RESTORED = 3004, "tree_restored", "The box wrote its newer tree back to the platform.";
     EDIT_ACCEPTED = 3005, "edit_accepted", "An operator's edit was accepted.";
     EDIT_REFUSED = 3006, "edit_refused", "An operator's edit was refused.";
+    RULES_IN_FORCE = 3007, "rules_in_force", "A newer configuration of the platform is in force.";
+    WEIGHTS_NAMED = 3008, "weights_named", "Newer weights of a model are named.";
     PLATFORM_LOST = 4001, "platform_lost", "The platform stopped answering.";
     PLATFORM_FOUND = 4002, "platform_found", "The platform answers again.";
     PEER_LOST = 4003, "peer_lost", "Another box is taken for dead.";
     PEER_FOUND = 4004, "peer_found", "Another box is taken for alive.";
     PEER_REFUSED = 4005, "peer_refused", "A message of another box was refused.";
+    PEER_UNREGISTERED = 4006, "peer_unregistered", "The own address could not be written to the store.";
+    HISTORY_GONE = 4007, "history_gone", "The store has forgotten its history; all is read again.";
+    STORE_UNREADABLE = 4008, "store_unreadable", "A value in the store cannot be read; the one before stays.";
     UPSTREAM_LEAVING = 5001, "upstream_leaving", "An upstream gets no new work.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream is left out after failures.";
     UPSTREAM_RETURNED = 5004, "upstream_returned", "An upstream is tried again.";
+    UPSTREAM_SEEN = 5005, "upstream_seen", "A new incarnation of an upstream is known.";
+    UPSTREAM_GONE = 5006, "upstream_gone", "An upstream's entry has gone.";
     CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
     STEWARD_TAKEN = 7001, "steward_taken", "The box has become its hall's steward.";
     STEWARD_LOST = 7002, "steward_lost", "The box is no longer its hall's steward.";
     ORDER_GIVEN = 7003, "order_given", "An engine was given an order.";
+    STEWARD_NOT_TAKEN = 7004, "steward_not_taken", "The box asked to be steward and did not get it.";
+    ORDER_FAILED = 7005, "order_failed", "An engine could not be brought to newer weights for now.";
+}
+
+/// Writes one numbered event: `emit!(logger, info, EVENT, "key" => value)`; `%` before a
+/// value shows it, `?` debugs it.
+#[macro_export]
+macro_rules! emit {
+    ($logger:expr, $level:ident, $event:expr $(, $($fields:tt)+)?) => {
+        ::slog::$level!($logger, "{}", $event.name; "event" => $event.number $(, $($fields)+)?)
+    };
 }
--- /dev/null
+++ b/crates/jb-relay/src/attempt.rs
@@ -0,0 +1,219 @@
+//! One send of a request to one upstream, up to the head of its answer.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+
+use crate::core::{Core, Shared};
+use crate::http::{self, Answer, Body, Framing, Query, Step, write_query};
+use crate::link::{self, Link};
+use crate::port::Entry;
+use crate::ticket::Ticket;
+use crate::upstream::Id;
+
+/// Longest head of an answer, in bytes.
+const LONGEST_HEAD: usize = 64 * 1024;
+/// Answers to other requests that are passed over before the own one.
+const MOST_FOREIGN: u32 = 4;
+/// Longest foreign answer that is passed over, in bytes.
+const LONGEST_FOREIGN: usize = 256 * 1024;
+/// What is taken off the time left, for the way of the answer back.
+const WAY_BACK: Duration = Duration::from_millis(5);
+
+/// What a send came to.
+pub enum Outcome {
+    /// Nothing was sent.
+    Unsent(String),
+    /// The upstream says that it has not run the request.
+    NotRun(u16),
+    /// The request may have run; nothing of an answer can be used.
+    Failed(String),
+    /// An answer of the upstream to this request.
+    Answered(Box<Reply>),
+}
+
+/// An answer with the connection that its body comes on.
+pub struct Reply {
+    /// Head.
+    pub answer: Answer,
+    /// Body.
+    pub body: Body,
+    /// Connection.
+    pub link: Link,
+    /// Whether the connection may be kept afterwards.
+    pub clean: bool,
+}
+
+/// A request with its body, ready to be sent as often as it takes.
+pub struct Message<'a> {
+    /// Head.
+    pub query: &'a Query,
+    /// Body.
+    pub body: &'a Bytes,
+    /// Its facts.
+    pub ticket: &'a Ticket,
+    /// Last event that the caller has, where a stream goes on.
+    pub last_event: Option<u64>,
+}
+
+/// Sends a request and waits for the head of its answer.
+pub async fn send(core: &Shared, id: &Id, message: &Message<'_>) -> Outcome {
+    let entry = core
+        .upstreams
+        .borrow()
+        .get(id)
+        .map(|upstream| upstream.entry.clone());
+    let Some(entry) = entry else {
+        return Outcome::Unsent("the upstream has gone".to_owned());
+    };
+    let once = !message.ticket.route.repeatable();
+    let mut link = match link::take(core, id, once).await {
+        Ok(link) => link,
+        Err(why) => return Outcome::Unsent(why.to_string()),
+    };
+    let head = head(core, id, &entry, message);
+    let mut clean = true;
+    match exchange(&mut link, &head, message.body, &mut clean).await {
+        Ok(()) => {}
+        Err(why) => return Outcome::Failed(why.to_string()),
+    }
+    match own_answer(core, &mut link, message.ticket, &mut clean).await {
+        Ok(answer) => judge(core, id, answer, link, clean).await,
+        Err(why) => Outcome::Failed(why.to_string()),
+    }
+}
+
+/// The head as the upstream gets it.
+fn head(core: &Core, id: &str, entry: &Entry, message: &Message<'_>) -> BytesMut {
+    let names = &core.names;
+    let ticket = message.ticket;
+    let left = ticket
+        .until
+        .saturating_sub(core.now() + WAY_BACK)
+        .as_millis()
+        .to_string();
+    let urgency = ticket.urgency.to_string();
+    let last = message.last_event.map(|last| last.to_string());
+    let mut own: Vec<(&[u8], &[u8])> = vec![
+        (names.deadline.as_bytes(), left.as_bytes()),
+        (names.incarnation.as_bytes(), id.as_bytes()),
+    ];
+    if let Some(customer) = &ticket.customer {
+        own.push((names.customer.as_bytes(), customer.as_bytes()));
+    }
+    if !entry.models.is_empty() {
+        own.push((names.salt.as_bytes(), ticket.salt.as_bytes()));
+        own.push((names.urgency.as_bytes(), urgency.as_bytes()));
+    }
+    if let Some(last) = &last {
+        own.push((names.last_event.as_bytes(), last.as_bytes()));
+    }
+    let replaced = |name: &[u8]| {
+        let reserved = names
+            .reserved
+            .iter()
+            .any(|r| name.eq_ignore_ascii_case(r.as_bytes()));
+        reserved
+            || name.eq_ignore_ascii_case(names.deadline.as_bytes())
+            || (last.is_some() && name.eq_ignore_ascii_case(names.last_event.as_bytes()))
+    };
+    let passed = message.query.headers.end_to_end().filter(|h| !replaced(&h.name));
+    let lines = passed.map(|h| (h.name.as_ref(), h.value.as_ref())).chain(own);
+    let bodiless = message.body.is_empty() && message.query.framing == Framing::Length(0);
+    let stated = message.query.headers.get("content-length").is_some();
+    let framing = (!bodiless || stated).then(|| Framing::Length(message.body.len() as u64));
+    let mut out = BytesMut::with_capacity(1024);
+    write_query(
+        &mut out,
+        &message.query.method,
+        &message.query.target,
+        lines,
+        framing,
+    );
+    out
+}
+
+/// Writes the request; stops early when the upstream answers before it has read all.
+async fn exchange(link: &mut Link, head: &[u8], body: &[u8], clean: &mut bool) -> Result<(), http::Error> {
+    use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+    let (read, write, buffer) = link.connection.halves();
+    let whole = [head, body].concat();
+    let mut early = [0_u8; 1024];
+    tokio::select! {
+        biased;
+        written = write.write_all(&whole) => {
+            // An upstream may have answered and closed before it read all.
+            *clean &= written.is_ok();
+        }
+        got = read.read(&mut early) => {
+            *clean = false;
+            let got = got?;
+            if got == 0 {
+                return Err(http::Error::Cut);
+            }
+            buffer.extend_from_slice(&early[..got]);
+        }
+    }
+    Ok(())
+}
+
+/// Reads answers until the one to this request comes.
+async fn own_answer(
+    core: &Core,
+    link: &mut Link,
+    ticket: &Ticket,
+    clean: &mut bool,
+) -> Result<Answer, http::Error> {
+    for _ in 0..MOST_FOREIGN {
+        let answer = link.connection.answer(LONGEST_HEAD).await?;
+        if answer.status < 200 {
+            continue;
+        }
+        if answer.headers.text(core.names.request) == Some(ticket.id.as_str()) {
+            return Ok(answer);
+        }
+        // An extra answer to an earlier request on this connection.
+        *clean = false;
+        if answer.framing == Framing::UntilClose {
+            return Err(http::Error::Malformed("an answer to another request"));
+        }
+        link.connection
+            .whole(Body::new(answer.framing), LONGEST_FOREIGN)
+            .await?;
+    }
+    Err(http::Error::Malformed("too many answers to other requests"))
+}
+
+async fn judge(core: &Shared, id: &str, answer: Answer, mut link: Link, clean: bool) -> Outcome {
+    let not_run = answer.headers.get(core.names.not_run).is_some() || answer.status == 421;
+    if !not_run {
+        let body = Body::new(answer.framing);
+        return Outcome::Answered(Box::new(Reply {
+            answer,
+            body,
+            link,
+            clean,
+        }));
+    }
+    if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
+        upstream.pause(core.now());
+        // Another incarnation has the address.
+        upstream.refused |= answer.status == 421;
+    }
+    let mut body = Body::new(answer.framing);
+    let complete = matches!(body.step(&mut link.connection.buffer), Ok(Step::End))
+        || link.connection.whole(body, LONGEST_FOREIGN).await.is_ok();
+    if clean && complete && answer.keep_alive {
+        link::give(core, link, rest(&answer));
+    }
+    Outcome::NotRun(answer.status)
+}
+
+/// Rest after which the upstream closes an idle connection, if it says so.
+pub fn rest(answer: &Answer) -> Option<Duration> {
+    let value = answer.headers.text("keep-alive")?;
+    let named = value
+        .split(',')
+        .find_map(|part| part.trim().strip_prefix("timeout="))?;
+    named.trim().parse().ok().map(Duration::from_secs)
+}
--- /dev/null
+++ b/crates/jb-relay/src/core.rs
@@ -0,0 +1,138 @@
+//! What the duties of a box share. All of them run on one thread.
+
+use std::cell::{Cell, RefCell};
+use std::collections::{BTreeMap, HashMap};
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use jb_policy::Moment;
+use jb_policy::choose::Tuning;
+use jb_policy::share::{Bound, Budget};
+use jb_protocol::id;
+use slog::Logger;
+
+use crate::metrics::Metrics;
+use crate::names::Names;
+use crate::peers::Peers;
+use crate::port::{Engines, Item, Store};
+use crate::rules::Rules;
+use crate::settings::Settings;
+use crate::stop::Stop;
+use crate::upstream::Registry;
+
+/// Reference to the shared state.
+pub type Shared = Rc<Core>;
+
+/// State that the duties share.
+pub struct Core {
+    /// Settings of the box.
+    pub settings: Settings,
+    /// Header names of the platform.
+    pub names: Names,
+    /// Weights of the choice.
+    pub tuning: Tuning,
+    /// Store of the platform.
+    pub store: Rc<dyn Store>,
+    /// Control calls to engines.
+    pub engines: Rc<dyn Engines>,
+    /// Log.
+    pub logger: Logger,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Planned stop.
+    pub stop: Stop,
+    /// Configuration in force; `None` before the first.
+    pub rules: RefCell<Option<Rc<Rules>>>,
+    /// When the call was sent whose answer proves what is in force.
+    pub proven: Cell<Option<Moment>>,
+    /// Upstreams.
+    pub upstreams: RefCell<Registry>,
+    /// Newest version of each model's weights.
+    pub weights: RefCell<BTreeMap<String, u64>>,
+    /// Items that the boxes keep in the store.
+    pub own: RefCell<BTreeMap<String, Item>>,
+    /// Other boxes.
+    pub peers: RefCell<Peers>,
+    /// Retry budget of each service.
+    pub budgets: RefCell<HashMap<id::Service, Budget>>,
+    /// Bytes of request bodies held.
+    pub held: Cell<usize>,
+    started: Instant,
+}
+
+/// What a box is made of.
+pub struct Parts {
+    /// Settings.
+    pub settings: Settings,
+    /// Header names.
+    pub names: Names,
+    /// Store.
+    pub store: Rc<dyn Store>,
+    /// Control calls to engines.
+    pub engines: Rc<dyn Engines>,
+    /// Log.
+    pub logger: Logger,
+}
+
+impl Core {
+    /// Puts the parts of a box together.
+    pub fn new(parts: Parts) -> Shared {
+        Rc::new(Self {
+            settings: parts.settings,
+            names: parts.names,
+            tuning: Tuning::default(),
+            store: parts.store,
+            engines: parts.engines,
+            logger: parts.logger,
+            metrics: Metrics::default(),
+            stop: Stop::default(),
+            rules: RefCell::default(),
+            proven: Cell::default(),
+            upstreams: RefCell::default(),
+            weights: RefCell::default(),
+            own: RefCell::default(),
+            peers: RefCell::default(),
+            budgets: RefCell::default(),
+            held: Cell::default(),
+            started: Instant::now(),
+        })
+    }
+
+    /// Time since the start, by the steady clock.
+    pub fn now(&self) -> Moment {
+        self.started.elapsed()
+    }
+
+    /// Age of what the box knows; `None` when it knows nothing.
+    pub fn age(&self) -> Option<Duration> {
+        self.proven.get().map(|at| self.now().saturating_sub(at))
+    }
+
+    /// Configuration in force.
+    pub fn rules(&self) -> Option<Rc<Rules>> {
+        self.rules.borrow().clone()
+    }
+
+    /// Counts a new request of a service.
+    pub fn earn(&self, service: &str) {
+        let mut budgets = self.budgets.borrow_mut();
+        let budget = budgets.entry(service.to_owned()).or_default();
+        budget.request(self.now(), self.settings.bounds.retry_window);
+    }
+
+    /// Takes one send beyond the first from a service's budget.
+    pub fn spend(&self, service: &str) -> bool {
+        let bounds = &self.settings.bounds;
+        let bound = Bound {
+            ratio: bounds.retry_ratio,
+            extra: bounds.retry_extra,
+            window: bounds.retry_window,
+        };
+        let boxes = self.peers.borrow().boxes();
+        let mut budgets = self.budgets.borrow_mut();
+        budgets
+            .entry(service.to_owned())
+            .or_default()
+            .spend(self.now(), &bound, boxes)
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/deliver.rs
@@ -0,0 +1,247 @@
+//! Delivery of an upstream's answer to the caller.
+
+use std::time::Duration;
+
+use bytes::{BufMut as _, Bytes, BytesMut};
+use tokio::time::sleep;
+
+use crate::attempt::{self, Message, Reply};
+use crate::core::Shared;
+use crate::events::Splitter;
+use crate::http::{self, Answer, Connection, Framing, write_answer};
+use crate::link;
+use crate::ticket::Ticket;
+
+/// Longest answer that is held whole, so that one that breaks off never reaches the caller.
+const LONGEST_WHOLE: usize = 512 * 1024;
+/// Silence within a stream, in longest wanted pauses, after which it goes on elsewhere.
+const SILENCE: f64 = 2.0;
+/// The last chunk of a chunked body.
+const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// How a delivery ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Delivered {
+    /// The caller has all of it.
+    Complete,
+    /// The answer broke off before a byte of it was passed on.
+    Nothing(&'static str),
+    /// The answer broke off after a part of it was passed on.
+    Partly(&'static str),
+    /// The time was over.
+    Late,
+    /// The caller has gone.
+    CallerGone,
+}
+
+/// What an upstream gave next.
+enum Part {
+    Data(Bytes),
+    End,
+    Broken(&'static str),
+    Silent,
+    Late,
+    CallerGone,
+}
+
+/// Waits for the next part of a body, for the caller's close, and for the time.
+async fn next(reply: &mut Reply, client: &mut Connection, left: Duration, silence: Option<Duration>) -> Part {
+    let wait = silence.map_or(left, |silence| silence.min(left));
+    tokio::select! {
+        part = reply.link.connection.part(&mut reply.body) => match part {
+            Ok(Some(data)) => Part::Data(data),
+            Ok(None) => Part::End,
+            Err(http::Error::Malformed(why)) => Part::Broken(why),
+            Err(_) => Part::Broken("the connection ended within the answer"),
+        },
+        () = client.closed() => Part::CallerGone,
+        () = sleep(wait) => if wait == left { Part::Late } else { Part::Silent },
+    }
+}
+
+fn head(core: &Shared, answer: &Answer, framing: Framing) -> BytesMut {
+    let mut out = BytesMut::with_capacity(1024);
+    let lines = answer
+        .headers
+        .end_to_end()
+        .map(|h| (h.name.as_ref(), h.value.as_ref()));
+    write_answer(&mut out, answer.status, lines, framing, !core.stop.is_stopping());
+    out
+}
+
+fn keep(core: &Shared, reply: Reply) {
+    if reply.clean && reply.answer.keep_alive {
+        let rest = attempt::rest(&reply.answer);
+        link::give(core, reply.link, rest);
+    }
+}
+
+/// Delivers an answer that fits into memory in one piece.
+pub async fn whole(core: &Shared, ticket: &Ticket, mut reply: Reply, client: &mut Connection) -> Delivered {
+    let mut body = BytesMut::new();
+    loop {
+        let left = ticket.until.saturating_sub(core.now());
+        match next(&mut reply, client, left, None).await {
+            Part::Data(data) if body.len() + data.len() > LONGEST_WHOLE => {
+                body.extend_from_slice(&data);
+                return long(core, ticket, reply, client, body).await;
+            }
+            Part::Data(data) => body.extend_from_slice(&data),
+            Part::End => break,
+            Part::Broken(why) => return Delivered::Nothing(why),
+            Part::Silent | Part::Late => return Delivered::Nothing("the time is over"),
+            Part::CallerGone => return Delivered::CallerGone,
+        }
+    }
+    let mut out = head(core, &reply.answer, Framing::Length(body.len() as u64));
+    out.put_slice(&body);
+    keep(core, reply);
+    match client.send(&out).await {
+        Ok(()) => Delivered::Complete,
+        Err(_) => Delivered::CallerGone,
+    }
+}
+
+/// Passes on an answer that is too long to be held.
+async fn long(
+    core: &Shared,
+    ticket: &Ticket,
+    mut reply: Reply,
+    client: &mut Connection,
+    first: BytesMut,
+) -> Delivered {
+    let framing = match reply.answer.framing {
+        Framing::Length(length) => Framing::Length(length),
+        Framing::Chunked | Framing::UntilClose => Framing::Chunked,
+    };
+    let mut out = head(core, &reply.answer, framing);
+    put(&mut out, framing, &first);
+    loop {
+        if client.send(&out).await.is_err() {
+            return Delivered::CallerGone;
+        }
+        out.clear();
+        let left = ticket.until.saturating_sub(core.now());
+        match next(&mut reply, client, left, None).await {
+            Part::Data(data) => put(&mut out, framing, &data),
+            Part::End => break,
+            Part::Broken(why) => return Delivered::Partly(why),
+            Part::Silent | Part::Late => return Delivered::Late,
+            Part::CallerGone => return Delivered::CallerGone,
+        }
+    }
+    if framing == Framing::Chunked && client.send(LAST_CHUNK).await.is_err() {
+        return Delivered::CallerGone;
+    }
+    keep(core, reply);
+    Delivered::Complete
+}
+
+fn put(out: &mut BytesMut, framing: Framing, data: &[u8]) {
+    if framing != Framing::Chunked {
+        out.put_slice(data);
+        return;
+    }
+    out.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    out.put_slice(data);
+    out.put_slice(b"\r\n");
+}
+
+/// Delivers a stream, event by event where it may go on elsewhere.
+pub async fn stream(
+    core: &Shared,
+    message: &mut Message<'_>,
+    mut reply: Reply,
+    client: &mut Connection,
+    mut started: impl FnMut(),
+) -> Delivered {
+    let ticket = message.ticket;
+    let mut events = Splitter::default();
+    // The head goes out with the first event; a stream that goes on has one already.
+    let mut out = match message.last_event {
+        Some(_) => BytesMut::new(),
+        None => head(core, &reply.answer, Framing::Chunked),
+    };
+    let mut begun = message.last_event.is_some();
+    let silence = ticket
+        .route
+        .resumable
+        .then(|| ticket.route.pause.mul_f64(SILENCE));
+    loop {
+        let left = ticket.until.saturating_sub(core.now());
+        let patience = if begun { silence } else { None };
+        match next(&mut reply, client, left, patience).await {
+            Part::Data(data) => {
+                started();
+                let before = out.len();
+                if ticket.route.resumable {
+                    events.push(&data);
+                    if events.is_overfull() {
+                        return broken(begun, "an event without an end");
+                    }
+                    if let Err(why) = take_events(&mut events, message, &mut out) {
+                        return broken(begun, why);
+                    }
+                } else {
+                    put(&mut out, Framing::Chunked, &data);
+                }
+                if out.len() == before {
+                    continue;
+                }
+                if !begun {
+                    core.metrics
+                        .first_byte
+                        .observe(core.now().saturating_sub(ticket.arrived).as_secs_f64());
+                }
+                begun = true;
+                if client.send(&out).await.is_err() {
+                    return Delivered::CallerGone;
+                }
+                out.clear();
+            }
+            Part::End if !events.is_empty() => return broken(begun, "the stream ended within an event"),
+            Part::End => break,
+            Part::Broken(why) => return broken(begun, why),
+            Part::Silent => return broken(begun, "silent within the stream"),
+            Part::Late if begun => return Delivered::Late,
+            Part::Late => return Delivered::Nothing("the time is over"),
+            Part::CallerGone => return Delivered::CallerGone,
+        }
+    }
+    out.put_slice(LAST_CHUNK);
+    keep(core, reply);
+    match client.send(&out).await {
+        Ok(()) => Delivered::Complete,
+        Err(_) => Delivered::CallerGone,
+    }
+}
+
+fn broken(begun: bool, why: &'static str) -> Delivered {
+    if begun {
+        Delivered::Partly(why)
+    } else {
+        Delivered::Nothing(why)
+    }
+}
+
+/// Passes on the whole events at hand, each once and in order.
+fn take_events(
+    events: &mut Splitter,
+    message: &mut Message<'_>,
+    out: &mut BytesMut,
+) -> Result<(), &'static str> {
+    while let Some(event) = events.next_event() {
+        if let Some(id) = event.id {
+            let expected = message.last_event.map(|last| last + 1);
+            if expected.is_some_and(|expected| id < expected) {
+                continue;
+            }
+            if expected.is_some_and(|expected| id > expected) {
+                return Err("an event is missing");
+            }
+            message.last_event = Some(id);
+        }
+        put(out, Framing::Chunked, &event.bytes);
+    }
+    Ok(())
+}
--- /dev/null
+++ b/crates/jb-relay/src/exchange.rs
@@ -0,0 +1,395 @@
+//! One request from its admission to its last byte.
+
+use std::time::Duration;
+
+use bytes::{Bytes, BytesMut};
+use jb_policy::Moment;
+use jb_policy::choose::{self, Demand};
+use jb_policy::health::Change;
+use jb_protocol::{emit, event};
+use tokio::time::sleep;
+
+use crate::attempt::{self, Message, Outcome, Reply};
+use crate::core::Shared;
+use crate::deliver::{self, Delivered};
+use crate::http::{Connection, Query};
+use crate::rules::Kind;
+use crate::ticket::Ticket;
+use crate::upstream::Id;
+
+/// Sends of one request at most, with those that were turned away.
+const MOST_SENDS: u32 = 4;
+/// Pause before the upstreams are looked through again when none is open.
+const LOOK_AGAIN: Duration = Duration::from_millis(40);
+/// Share of the wanted time for which a request waits in the box for an upstream.
+const WAIT_SHARE: f64 = 0.2;
+/// Silence of an upstream, in wanted times, after which a request that may run again goes elsewhere.
+const PATIENCE: f64 = 1.5;
+
+/// How a request ended.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    /// The upstream's answer was delivered.
+    Answered(u16),
+    /// Nothing has run.
+    NotRun(&'static str),
+    /// It may have run, and there is no answer.
+    Lost(&'static str),
+    /// The time was over.
+    Late,
+    /// The answer broke off on its way to the caller.
+    Broken(&'static str),
+    /// The caller has gone.
+    CallerGone,
+}
+
+/// Progress of a request over its sends.
+pub struct Exchange<'a> {
+    core: &'a Shared,
+    message: Message<'a>,
+    tried: Vec<Id>,
+    sends: u32,
+    runs: u32,
+}
+
+/// Load of one request at one upstream, counted until dropped.
+struct Counted<'a> {
+    core: &'a Shared,
+    id: &'a Id,
+    waiting: u64,
+}
+
+impl<'a> Counted<'a> {
+    fn new(core: &'a Shared, id: &'a Id, waiting: u64) -> Self {
+        if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
+            upstream.running += 1;
+            upstream.waiting += waiting;
+            upstream.health.sent();
+        }
+        Self { core, id, waiting }
+    }
+
+    /// The first token has come.
+    fn started(&mut self) {
+        if let Some(upstream) = self.core.upstreams.borrow_mut().get_mut(self.id) {
+            upstream.waiting = upstream.waiting.saturating_sub(self.waiting);
+        }
+        self.waiting = 0;
+    }
+}
+
+impl Drop for Counted<'_> {
+    fn drop(&mut self) {
+        self.started();
+        if let Some(upstream) = self.core.upstreams.borrow_mut().get_mut(self.id) {
+            upstream.running = upstream.running.saturating_sub(1);
+            upstream.health.undecided();
+        }
+    }
+}
+
+/// What follows a send.
+enum Next {
+    /// Another upstream may try.
+    Again,
+    /// The request has ended.
+    End(Ending),
+}
+
+impl<'a> Exchange<'a> {
+    /// A request that nothing has been done for yet.
+    pub fn new(core: &'a Shared, query: &'a Query, body: &'a Bytes, ticket: &'a Ticket) -> Self {
+        let message = Message {
+            query,
+            body,
+            ticket,
+            last_event: None,
+        };
+        Self {
+            core,
+            message,
+            tried: Vec::new(),
+            sends: 0,
+            runs: 0,
+        }
+    }
+
+    /// Runs the request to its end. Everything but the answer itself is left to the caller.
+    pub async fn run(&mut self, client: &mut Connection) -> Ending {
+        let ticket = self.message.ticket;
+        self.core.earn(&ticket.service);
+        let mut why = "no_upstream";
+        loop {
+            if self.left().is_zero() {
+                return self.give_up(why, true);
+            }
+            let Some(id) = self.pick(client).await else {
+                return self.give_up(why, false);
+            };
+            if self.sends > 0 && !self.core.spend(&ticket.service) {
+                return self.give_up("retry_budget", false);
+            }
+            match self.attempt(&id, client).await {
+                Ok(Next::End(ending)) => return ending,
+                Ok(Next::Again) => {}
+                Err(cause) => why = cause,
+            }
+            if self.tried.len() as u32 >= MOST_SENDS {
+                return self.give_up(why, false);
+            }
+            if self.runs > 0 && (!ticket.route.repeatable() || self.runs >= ticket.route.attempts) {
+                return self.give_up(why, false);
+            }
+        }
+    }
+
+    fn left(&self) -> Duration {
+        self.message.ticket.until.saturating_sub(self.core.now())
+    }
+
+    /// Ending of a request that goes no further.
+    fn give_up(&self, why: &'static str, late: bool) -> Ending {
+        match (self.runs, late) {
+            (0, _) => Ending::NotRun(why),
+            (_, true) => Ending::Late,
+            (_, false) => Ending::Lost(why),
+        }
+    }
+
+    /// The upstream for the next send; waits a little when none is open.
+    async fn pick(&self, client: &mut Connection) -> Option<Id> {
+        let until = self.message.ticket.arrived + self.message.ticket.route.target.mul_f64(WAIT_SHARE);
+        loop {
+            if let Some(id) = self.choose() {
+                return Some(id);
+            }
+            if self.core.now() >= until {
+                return None;
+            }
+            tokio::select! {
+                () = sleep(LOOK_AGAIN) => {}
+                () = client.closed() => return None,
+            }
+        }
+    }
+
+    fn choose(&self) -> Option<Id> {
+        let ticket = self.message.ticket;
+        let core = self.core;
+        let now = core.now();
+        let upstreams = core.upstreams.borrow();
+        let hall = &core.settings.hall;
+        let (ids, candidates) = upstreams.candidates(&ticket.service, hall, &ticket.prompt, &self.tried, now);
+        let demand = Demand {
+            prompt: &ticket.prompt,
+            bytes: self.message.body.len(),
+        };
+        let at = choose::best(&candidates, &demand, &core.tuning)?;
+        Some(ids[at].clone())
+    }
+
+    /// One send, and the delivery of its answer.
+    async fn attempt(&mut self, id: &Id, client: &mut Connection) -> Result<Next, &'static str> {
+        let core = self.core;
+        let ticket = self.message.ticket;
+        let waiting = self.note_prompt(id);
+        let mut counted = Counted::new(core, id, waiting);
+        self.tried.push(id.clone());
+        let outcome = tokio::select! {
+            outcome = self.patiently(id) => outcome,
+            () = client.closed() => return Ok(Next::End(Ending::CallerGone)),
+        };
+        match outcome {
+            Outcome::Unsent(why) => {
+                self.blame(id, "unsent", &why);
+                Err("unreachable")
+            }
+            Outcome::NotRun(status) => {
+                self.sends += 1;
+                emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
+                    "upstream" => id, "outcome" => "not_run", "status" => status);
+                Err("turned_away")
+            }
+            Outcome::Failed(why) => {
+                self.sends += 1;
+                self.runs += 1;
+                self.blame(id, "may_have_run", &why);
+                Err("upstream_failed")
+            }
+            Outcome::Answered(reply) => {
+                self.sends += 1;
+                self.runs += 1;
+                self.hear(id, &reply);
+                self.deliver(id, *reply, client, &mut counted).await
+            }
+        }
+    }
+
+    /// Sends; a request that may run again does not wait for a silent upstream to the end.
+    async fn patiently(&self, id: &Id) -> Outcome {
+        let ticket = self.message.ticket;
+        let more = ticket.route.repeatable() && self.runs + 1 < ticket.route.attempts;
+        let patience = ticket.route.target.mul_f64(PATIENCE);
+        let sent = attempt::send(self.core, id, &self.message);
+        tokio::pin!(sent);
+        if more || !ticket.route.repeatable() {
+            tokio::select! {
+                outcome = &mut sent => return outcome,
+                () = sleep(patience.min(self.left())) => {}
+            }
+            if more || self.left().is_zero() {
+                return Outcome::Failed("silent for longer than it should take".to_owned());
+            }
+            self.blame(id, "waits", "silent for longer than it should take");
+        }
+        tokio::select! {
+            outcome = sent => outcome,
+            () = sleep(self.left()) => Outcome::Failed("the time is over".to_owned()),
+        }
+    }
+
+    /// Notes what the engine reads; returns the tokens that it must read itself.
+    fn note_prompt(&self, id: &Id) -> u64 {
+        let ticket = self.message.ticket;
+        if ticket.prompt.is_empty() {
+            return 0;
+        }
+        let service = ticket.rules.services.get(&ticket.service);
+        let capacity = service
+            .and_then(|s| s.engine.as_ref())
+            .map_or(0, |e| e.memory_tokens);
+        let mut upstreams = self.core.upstreams.borrow_mut();
+        let Some(upstream) = upstreams.get_mut(id) else {
+            return 0;
+        };
+        let found = upstream.kept.found(&ticket.prompt);
+        upstream.kept.read(&ticket.prompt, self.core.now(), capacity);
+        ticket.tokens().saturating_sub(found)
+    }
+
+    fn blame(&self, id: &Id, outcome: &'static str, why: &str) {
+        let core = self.core;
+        emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.ticket.id,
+            "upstream" => id, "outcome" => outcome, "why" => why);
+        if core.upstreams.borrow_mut().judged(id, false, core.now()) == Change::Ejected {
+            emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => id, "why" => why);
+        }
+    }
+
+    fn praise(&self, id: &Id) {
+        let core = self.core;
+        if core.upstreams.borrow_mut().judged(id, true, core.now()) == Change::Returned {
+            emit!(core.logger, info, event::UPSTREAM_RETURNED, "upstream" => id);
+        }
+    }
+
+    /// Takes what an answer says about the engine's weights.
+    fn hear(&self, id: &Id, reply: &Reply) {
+        let Some(model) = &self.message.ticket.model else {
+            return;
+        };
+        let Some(version) = reply.answer.headers.number(self.core.names.made_by) else {
+            return;
+        };
+        if let Some(upstream) = self.core.upstreams.borrow_mut().get_mut(id) {
+            upstream.heard_weights(model, version);
+        }
+    }
+
+    async fn deliver(
+        &mut self,
+        id: &Id,
+        reply: Reply,
+        client: &mut Connection,
+        counted: &mut Counted<'_>,
+    ) -> Result<Next, &'static str> {
+        let core = self.core;
+        let ticket = self.message.ticket;
+        let status = reply.answer.status;
+        let success = (200..300).contains(&status);
+        let signed = reply.answer.headers.get(core.names.signature).is_some();
+        if success && (!signed || reply.answer.headers.get("content-encoding").is_some()) {
+            self.blame(id, "may_have_run", "a success that the engine has not signed");
+            return Err("spoiled");
+        }
+        let again = status >= 500 && ticket.route.repeatable() && self.runs < ticket.route.attempts;
+        if again && self.core.spend(&ticket.service) {
+            // The repeat is paid for here; the loop's own charge is for turned-away sends.
+            self.sends = 0;
+            emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
+                "upstream" => id, "outcome" => "ran", "status" => status);
+            return Err("upstream_error");
+        }
+        let delivered = if success && ticket.route.kind == Kind::Stream {
+            deliver::stream(core, &mut self.message, reply, client, || counted.started()).await
+        } else {
+            deliver::whole(core, ticket, reply, client).await
+        };
+        match delivered {
+            Delivered::Complete => {
+                if status < 500 {
+                    self.praise(id);
+                }
+                Ok(Next::End(Ending::Answered(status)))
+            }
+            Delivered::Nothing(why) => {
+                self.blame(id, "may_have_run", why);
+                Err("broke_off")
+            }
+            Delivered::Partly(why) => {
+                self.blame(id, "ran_partly", why);
+                let more = ticket.route.resumable && self.runs < ticket.route.attempts;
+                if more && self.message.last_event.is_some() {
+                    emit!(core.logger, info, event::STREAM_RESUMED, "request" => &ticket.id,
+                        "after" => self.message.last_event, "why" => why);
+                    return Ok(Next::Again);
+                }
+                Ok(Next::End(Ending::Broken(why)))
+            }
+            Delivered::Late => Ok(Next::End(Ending::Broken("the time is over"))),
+            Delivered::CallerGone => Ok(Next::End(Ending::CallerGone)),
+        }
+    }
+
+    /// Whether a part of an answer has been delivered.
+    pub fn has_begun(&self) -> bool {
+        self.message.last_event.is_some()
+    }
+
+    /// Time of the request so far.
+    pub fn took(&self) -> Moment {
+        self.core.now().saturating_sub(self.message.ticket.arrived)
+    }
+
+    /// Upstreams that were tried.
+    pub fn tried(&self) -> &[Id] {
+        &self.tried
+    }
+}
+
+/// Answer without a body of an upstream, for the caller.
+pub fn own_answer(
+    status: u16,
+    names: &[(&str, &str)],
+    after: Option<Duration>,
+    keep_alive: bool,
+) -> BytesMut {
+    let mut out = BytesMut::with_capacity(256);
+    let after = after.map(|after| format!("{:.3}", after.as_secs_f64()));
+    let lines = names
+        .iter()
+        .map(|(name, value)| (name.as_bytes(), value.as_bytes()));
+    let lines = lines.chain(
+        after
+            .as_deref()
+            .map(|after| (b"Retry-After".as_slice(), after.as_bytes())),
+    );
+    crate::http::write_answer(
+        &mut out,
+        status,
+        lines,
+        crate::http::Framing::Length(0),
+        keep_alive,
+    );
+    out
+}
--- /dev/null
+++ b/crates/jb-relay/src/follow.rs
@@ -0,0 +1,172 @@
+//! Follows the platform's store: the configuration, upstreams, weights, and the boxes' own items.
+//!
+//! A call that waits proves nothing until it answers, so calls are short: what
+//! an answer shows was true when the call was sent, at the earliest.
+
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_protocol::{emit, event};
+use tokio::time::sleep;
+
+use crate::core::{Core, Shared};
+use crate::port::{Entry, Fact, Item, News, Revision, StoreError};
+use crate::upstream::Seen;
+
+/// Pause between two calls: with the way there and back well under the time in which a
+/// configuration must be in force and a leaving upstream be known.
+pub const PERIOD: Duration = Duration::from_millis(700);
+/// Pause after a call that failed.
+const AFTER_FAILURE: Duration = Duration::from_millis(400);
+/// Time after an outage in which entries that lapsed meanwhile come back.
+const COME_BACK: Duration = Duration::from_millis(2300);
+
+/// Progress of following.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Revision after which to ask; `None` when all must be read.
+    after: Option<Revision>,
+    /// Since when calls fail.
+    failing: Option<Moment>,
+    /// When they went well again.
+    returned: Option<Moment>,
+}
+
+/// Follows the store for ever.
+pub async fn run(core: Shared) {
+    let mut progress = Progress::default();
+    loop {
+        let asked = core.now();
+        core.metrics.store_calls.inc();
+        let news = match progress.after {
+            Some(after) => core.store.changes(after, PERIOD).await,
+            None => core.store.all().await,
+        };
+        match news {
+            Ok(news) => {
+                found(&core, &mut progress);
+                take(&core, &mut progress, news, asked);
+                sleep((asked + PERIOD).saturating_sub(core.now())).await;
+            }
+            Err(StoreError::HistoryGone) => {
+                emit!(core.logger, info, event::HISTORY_GONE, "after" => progress.after);
+                progress.after = None;
+            }
+            Err(why) => {
+                lost(&core, &mut progress, &why);
+                sleep(AFTER_FAILURE).await;
+            }
+        }
+    }
+}
+
+fn lost(core: &Core, progress: &mut Progress, why: &StoreError) {
+    core.metrics.store_failures.inc();
+    if progress.failing.is_none() {
+        progress.failing = Some(core.now());
+        emit!(core.logger, warn, event::PLATFORM_LOST, "why" => %why);
+    }
+}
+
+fn found(core: &Core, progress: &mut Progress) {
+    if let Some(since) = progress.failing.take() {
+        progress.returned = Some(core.now());
+        emit!(core.logger, info, event::PLATFORM_FOUND,
+            "after_ms" => core.now().saturating_sub(since).as_millis() as u64);
+    }
+}
+
+/// Puts what the store says in force.
+fn take(core: &Core, progress: &mut Progress, news: News, asked: Moment) {
+    let whole = progress.after.is_none();
+    let returning = progress.returned.is_some_and(|at| core.now() < at + COME_BACK);
+    let mut seen = Vec::new();
+    for fact in news.facts {
+        if let Fact::Upstream(id, Some(_)) = &fact {
+            seen.push(id.clone());
+        }
+        apply(core, fact, returning);
+    }
+    if whole {
+        for id in core.upstreams.borrow().ids() {
+            if !seen.contains(&id) {
+                apply(core, Fact::Upstream(id, None), returning);
+            }
+        }
+    }
+    if !returning {
+        for id in core.upstreams.borrow().lapsed_before(core.now()) {
+            gone(core, &id);
+        }
+    }
+    progress.after = Some(news.revision);
+    core.proven.set(Some(asked));
+}
+
+fn apply(core: &Core, fact: Fact, returning: bool) {
+    match fact {
+        Fact::Rules(rules) => put_rules(core, *rules),
+        Fact::Upstream(id, Some(entry)) => put_upstream(core, &id, entry),
+        Fact::Upstream(id, None) => {
+            let leaving = core.upstreams.borrow().get(&id).is_some_and(|u| u.entry.leaving);
+            if returning && !leaving {
+                core.upstreams.borrow_mut().lapse(&id, core.now());
+            } else {
+                gone(core, &id);
+            }
+        }
+        Fact::Weights(named) => {
+            let mut weights = core.weights.borrow_mut();
+            let newest = weights.entry(named.model.clone()).or_default();
+            if named.version > *newest {
+                *newest = named.version;
+                emit!(core.logger, info, event::WEIGHTS_NAMED, "model" => named.model, "version" => named.version);
+            }
+        }
+        Fact::Own(item) => own(core, item),
+        Fact::Unreadable { key, why } => {
+            emit!(core.logger, error, event::STORE_UNREADABLE, "key" => key, "why" => why);
+        }
+    }
+}
+
+fn put_rules(core: &Core, rules: crate::rules::Rules) {
+    let known = core.rules().map_or(0, |rules| rules.version);
+    if core.rules().is_some() && rules.version <= known {
+        return;
+    }
+    emit!(core.logger, info, event::RULES_IN_FORCE, "version" => rules.version, "before" => known,
+        "routes" => rules.routes());
+    core.metrics
+        .version
+        .set(i64::try_from(rules.version).unwrap_or(i64::MAX));
+    *core.rules.borrow_mut() = Some(std::rc::Rc::new(rules));
+}
+
+fn put_upstream(core: &Core, id: &str, entry: Entry) {
+    let seen = core.upstreams.borrow_mut().put(id, entry.clone());
+    match seen {
+        Seen::New => emit!(core.logger, info, event::UPSTREAM_SEEN, "upstream" => id,
+            "service" => entry.service, "address" => %entry.address, "hall" => entry.hall),
+        Seen::Leaving => {
+            emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => id, "why" => "entry")
+        }
+        Seen::Same | Seen::Gone => {}
+    }
+}
+
+fn gone(core: &Core, id: &str) {
+    if core.upstreams.borrow_mut().remove(id) == Seen::Gone {
+        emit!(core.logger, info, event::UPSTREAM_GONE, "upstream" => id);
+    }
+}
+
+fn own(core: &Core, item: Item) {
+    let mut own = core.own.borrow_mut();
+    let newer = own
+        .get(&item.key)
+        .is_none_or(|known| known.revision < item.revision);
+    if newer {
+        own.insert(item.key.clone(), item);
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/front.rs
@@ -0,0 +1,244 @@
+//! Callers' connections.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jb_protocol::{emit, event};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use crate::core::Shared;
+use crate::exchange::{Ending, Exchange, own_answer};
+use crate::http::{Body, Connection, Error, Framing, Query};
+use crate::rules::Limits;
+use crate::stop;
+use crate::ticket::{self, Refusal, Ticket};
+
+/// Longest time for the body of one request.
+const BODY_TIME: Duration = Duration::from_secs(10);
+/// Time for which bytes are still read after a refusal, so that it is not lost in a reset.
+const LINGER: Duration = Duration::from_millis(300);
+/// Share of the box's memory that bodies of requests may take.
+const BODY_SHARE: usize = 4;
+/// When callers are to come back after a refusal of a box that may soon serve, or to another box.
+const COME_BACK: Duration = Duration::from_millis(50);
+/// Time before the end of the grace after which a request is no longer begun.
+const LAST_START: Duration = Duration::from_millis(4000);
+/// Rest of a connection after which it is closed in a planned stop.
+const STOP_REST: Duration = Duration::from_millis(500);
+
+/// Accepts callers for ever.
+pub async fn serve(core: Shared, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(Rc::clone(&core), stream));
+            }
+            Err(why) => {
+                emit!(core.logger, warn, event::ACCEPT_FAILED, "why" => %why);
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn connection(core: Shared, stream: TcpStream) {
+    let _open = core.stop.enter();
+    if let Err(why) = stream.set_nodelay(true) {
+        emit!(core.logger, debug, event::ACCEPT_FAILED, "why" => %why);
+    }
+    let mut client = Connection::new(stream);
+    while one_request(&core, &mut client).await {}
+}
+
+/// Serves one request; whether the connection goes on.
+async fn one_request(core: &Shared, client: &mut Connection) -> bool {
+    let limits = core.rules().map(|rules| rules.limits).unwrap_or_default();
+    if client.buffer.is_empty() && !rested(core, client, &limits).await {
+        return false;
+    }
+    let query = match timeout(limits.head_time, client.query(limits.head)).await {
+        Ok(Ok(query)) => query,
+        Ok(Err(why)) => return refuse_head(core, client, &why).await,
+        Err(_) => return refuse(core, client, 408, "slow_head").await,
+    };
+    let arrived = core.now();
+    let body = match body(core, client, &query, &limits).await {
+        Ok(body) => body,
+        Err(Some(status)) => return refuse(core, client, status, "body").await,
+        Err(None) => return false,
+    };
+    let size = body.len();
+    core.held.set(core.held.get() + size);
+    let goes_on = answer(core, client, &query, &body, arrived).await;
+    core.held.set(core.held.get() - size);
+    goes_on && query.keep_alive && !core.stop.is_stopping()
+}
+
+/// Waits for the first byte of a request.
+async fn rested(core: &Shared, client: &mut Connection, limits: &Limits) -> bool {
+    tokio::select! {
+        filled = client.fill() => matches!(filled, Ok(read) if read > 0),
+        () = sleep(limits.idle) => false,
+        () = stopped(core) => false,
+    }
+}
+
+/// Waits until an idle connection may be closed in a planned stop.
+async fn stopped(core: &Shared) {
+    core.stop.begun().await;
+    let since = core.stop.since().unwrap_or_default();
+    let noticed = (since + stop::NOTICED).saturating_sub(core.now());
+    sleep(noticed.max(STOP_REST)).await;
+}
+
+/// Reads the whole body. `Err(None)`: the caller has gone.
+async fn body(
+    core: &Shared,
+    client: &mut Connection,
+    query: &Query,
+    limits: &Limits,
+) -> Result<Bytes, Option<u16>> {
+    let room = (core.settings.capacity.memory / BODY_SHARE).saturating_sub(core.held.get());
+    let most = limits.body.min(room);
+    if let Framing::Length(length) = query.framing {
+        if length > limits.body as u64 {
+            return Err(Some(413));
+        }
+        if length > most as u64 {
+            return Err(Some(503));
+        }
+    }
+    if query.headers.has_token("expect", "100-continue") {
+        client
+            .send(b"HTTP/1.1 100 Continue\r\n\r\n")
+            .await
+            .map_err(|_| None)?;
+    }
+    match timeout(BODY_TIME, client.whole(Body::new(query.framing), most)).await {
+        Ok(Ok(body)) => Ok(body),
+        Ok(Err(Error::BodyTooLong(_))) if most < limits.body => Err(Some(503)),
+        Ok(Err(Error::BodyTooLong(_))) => Err(Some(413)),
+        Ok(Err(Error::Malformed(_))) => Err(Some(400)),
+        Ok(Err(_)) => Err(None),
+        Err(_) => Err(Some(408)),
+    }
+}
+
+async fn refuse_head(core: &Shared, client: &mut Connection, why: &Error) -> bool {
+    match why {
+        Error::HeadTooLong(_) => refuse(core, client, 431, "long_head").await,
+        Error::Malformed(why) => refuse(core, client, 400, why).await,
+        _ => false,
+    }
+}
+
+/// Refuses a request that was not read whole, and closes.
+async fn refuse(core: &Shared, client: &mut Connection, status: u16, why: &str) -> bool {
+    core.metrics.ended("bad_input", status);
+    emit!(core.logger, info, event::REQUEST_REFUSED, "status" => status, "why" => why);
+    if client.send(&own_answer(status, &[], None, false)).await.is_ok() {
+        client.finish().await;
+        let drained = async {
+            while matches!(client.fill().await, Ok(read) if read > 0) {
+                client.buffer.clear()
+            }
+        };
+        // A caller that goes on sending is cut off here.
+        let _ = timeout(LINGER, drained).await;
+    }
+    false
+}
+
+/// Whether a request comes too late in a planned stop to be finished.
+fn too_late(core: &Shared) -> bool {
+    let grace = core.settings.bounds.grace;
+    core.stop
+        .since()
+        .is_some_and(|since| core.now() + LAST_START > since + grace)
+}
+
+async fn answer(
+    core: &Shared,
+    client: &mut Connection,
+    query: &Query,
+    body: &Bytes,
+    arrived: jb_policy::Moment,
+) -> bool {
+    let ticket = match ticket::admit(core, query, arrived) {
+        Ok(_) if too_late(core) => return turn_away(core, client, query, Refusal::NotReady).await,
+        Ok(ticket) => ticket,
+        Err(refusal) => return turn_away(core, client, query, refusal).await,
+    };
+    let mut exchange = Exchange::new(core, query, body, &ticket);
+    let ending = exchange.run(client).await;
+    let begun = exchange.has_begun();
+    report(core, &ticket, &exchange, ending);
+    match ending {
+        Ending::Answered(_) => true,
+        Ending::CallerGone | Ending::Broken(_) => false,
+        Ending::NotRun(_) => final_answer(core, client, &ticket.id, 503, Some(COME_BACK)).await,
+        // The head is out already: only the missing end tells the caller.
+        Ending::Lost(_) | Ending::Late if begun => false,
+        Ending::Lost(_) => final_answer(core, client, &ticket.id, 502, None).await,
+        Ending::Late => final_answer(core, client, &ticket.id, 504, None).await,
+    }
+}
+
+async fn turn_away(core: &Shared, client: &mut Connection, query: &Query, refusal: Refusal) -> bool {
+    let id = query.headers.text(core.names.request).unwrap_or_default();
+    let status = refusal.status();
+    core.metrics.ended(refusal.name(), status);
+    emit!(core.logger, info, event::REQUEST_REFUSED, "request" => id, "status" => status,
+        "why" => refusal.name(), "version" => core.rules().map(|rules| rules.version),
+        "age_ms" => core.age().map(|age| age.as_millis() as u64));
+    let after = (status == 503).then_some(COME_BACK);
+    let keep_alive = status != 503;
+    let sent = send_own(core, client, id, status, after, keep_alive).await;
+    sent && keep_alive
+}
+
+async fn final_answer(
+    core: &Shared,
+    client: &mut Connection,
+    id: &str,
+    status: u16,
+    after: Option<Duration>,
+) -> bool {
+    send_own(core, client, id, status, after, true).await
+}
+
+async fn send_own(
+    core: &Shared,
+    client: &mut Connection,
+    id: &str,
+    status: u16,
+    after: Option<Duration>,
+    keep_alive: bool,
+) -> bool {
+    let keep_alive = keep_alive && !core.stop.is_stopping();
+    let lines = [(core.names.request, id)];
+    let lines = if id.is_empty() { &lines[..0] } else { &lines[..] };
+    client
+        .send(&own_answer(status, lines, after, keep_alive))
+        .await
+        .is_ok()
+        && keep_alive
+}
+
+fn report(core: &Shared, ticket: &Ticket, exchange: &Exchange<'_>, ending: Ending) {
+    let (name, status, why) = match ending {
+        Ending::Answered(status) => ("answered", status, ""),
+        Ending::NotRun(why) => ("not_run", 503, why),
+        Ending::Lost(why) => ("may_have_run", 502, why),
+        Ending::Late => ("late", 504, "the time is over"),
+        Ending::Broken(why) => ("broken", 0, why),
+        Ending::CallerGone => ("caller_gone", 0, ""),
+    };
+    core.metrics.ended(name, status);
+    emit!(core.logger, info, event::REQUEST_ENDED, "request" => &ticket.id, "route" => &ticket.route.name,
+        "service" => &ticket.service, "ending" => name, "status" => status, "why" => why,
+        "ms" => exchange.took().as_millis() as u64, "tried" => exchange.tried().join(","),
+        "version" => ticket.rules.version);
+}
--- /dev/null
+++ b/crates/jb-relay/src/http/head.rs
@@ -0,0 +1,334 @@
+//! Heads of requests and answers.
+
+use bytes::{BufMut as _, Bytes, BytesMut};
+
+use super::{Error, Framing};
+
+/// Header lines in one head at most; more are refused as malformed.
+const MOST_HEADERS: usize = 96;
+/// Headers that concern one connection only and are never passed on (RFC 9110, 7.6.1).
+const PER_CONNECTION: &[&str] = &[
+    "connection",
+    "content-length",
+    "expect",
+    "keep-alive",
+    "proxy-authenticate",
+    "proxy-authorization",
+    "proxy-connection",
+    "te",
+    "trailer",
+    "transfer-encoding",
+    "upgrade",
+];
+
+/// One header line.
+#[derive(Clone, Debug)]
+pub struct Header {
+    /// Name as it was written.
+    pub name: Bytes,
+    /// Value without surrounding blanks.
+    pub value: Bytes,
+}
+
+/// Header lines in their order.
+#[derive(Clone, Debug, Default)]
+pub struct Headers(pub Vec<Header>);
+
+impl Headers {
+    /// Value of the first line with the name, without regard to case.
+    pub fn get(&self, name: &str) -> Option<&[u8]> {
+        let found = self
+            .0
+            .iter()
+            .find(|h| h.name.eq_ignore_ascii_case(name.as_bytes()));
+        found.map(|h| h.value.as_ref())
+    }
+
+    /// Value of the first line with the name, as text.
+    pub fn text(&self, name: &str) -> Option<&str> {
+        std::str::from_utf8(self.get(name)?).ok().map(str::trim)
+    }
+
+    /// Value of the first line with the name, as a number.
+    pub fn number(&self, name: &str) -> Option<u64> {
+        self.text(name)?.parse().ok()
+    }
+
+    /// Whether a comma-separated header holds the token.
+    pub fn has_token(&self, name: &str, token: &str) -> bool {
+        let lines = self
+            .0
+            .iter()
+            .filter(|h| h.name.eq_ignore_ascii_case(name.as_bytes()));
+        lines
+            .filter_map(|h| std::str::from_utf8(&h.value).ok())
+            .flat_map(|value| value.split(','))
+            .any(|part| part.trim().eq_ignore_ascii_case(token))
+    }
+
+    /// Lines that may travel on: neither about the connection nor named by `Connection`.
+    pub fn end_to_end(&self) -> impl Iterator<Item = &Header> {
+        self.0.iter().filter(|h| {
+            let name = std::str::from_utf8(&h.name).unwrap_or_default();
+            !PER_CONNECTION.iter().any(|own| own.eq_ignore_ascii_case(name))
+                && !self.has_token("connection", name)
+        })
+    }
+
+    fn count(&self, name: &str) -> usize {
+        self.0
+            .iter()
+            .filter(|h| h.name.eq_ignore_ascii_case(name.as_bytes()))
+            .count()
+    }
+
+    /// Length and coding as stated; `None` when neither is.
+    fn framing(&self) -> Result<Option<Framing>, Error> {
+        let codings = self.count("transfer-encoding");
+        let lengths = self.count("content-length");
+        if codings > 1 || lengths > 1 || (codings > 0 && lengths > 0) {
+            return Err(Error::Malformed("two statements of the body's length"));
+        }
+        if codings == 1 {
+            let chunked = self
+                .text("transfer-encoding")
+                .is_some_and(|c| c.eq_ignore_ascii_case("chunked"));
+            return if chunked {
+                Ok(Some(Framing::Chunked))
+            } else {
+                Err(Error::Malformed("unknown transfer coding"))
+            };
+        }
+        let Some(length) = self.get("content-length") else {
+            return Ok(None);
+        };
+        let digits = !length.is_empty() && length.len() < 19 && length.iter().all(u8::is_ascii_digit);
+        let length = std::str::from_utf8(length)
+            .ok()
+            .filter(|_| digits)
+            .and_then(|l| l.parse().ok());
+        length
+            .map(|l| Some(Framing::Length(l)))
+            .ok_or(Error::Malformed("length is not a number"))
+    }
+}
+
+/// Head of a request.
+#[derive(Clone, Debug)]
+pub struct Query {
+    /// Method, as written.
+    pub method: Bytes,
+    /// Path with the query, as written.
+    pub target: Bytes,
+    /// Header lines.
+    pub headers: Headers,
+    /// Framing of the body.
+    pub framing: Framing,
+    /// Whether the connection may carry another request.
+    pub keep_alive: bool,
+}
+
+impl Query {
+    /// Takes one complete head off the front of `buffer`; `None` while it is incomplete.
+    ///
+    /// # Errors
+    /// [`Error::Malformed`] for anything that two readers could understand differently.
+    pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, Error> {
+        let Some(raw) = take_head(buffer)? else {
+            return Ok(None);
+        };
+        let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut parsed = httparse::Request::new(&mut lines);
+        let status = parsed.parse(&raw).map_err(|_| Error::Malformed("request head"))?;
+        if status.is_partial() {
+            return Err(Error::Malformed("request head"));
+        }
+        let method = raw.slice_ref(parsed.method.unwrap_or_default().as_bytes());
+        let target = raw.slice_ref(parsed.path.unwrap_or_default().as_bytes());
+        if !target.starts_with(b"/") {
+            return Err(Error::Malformed("target is no path"));
+        }
+        let old = parsed.version == Some(0);
+        let headers = own(&raw, parsed.headers);
+        if headers.count("host") != 1 {
+            return Err(Error::Malformed("no host, or several"));
+        }
+        let framing = headers.framing()?.unwrap_or(Framing::Length(0));
+        let keep_alive = !old && !headers.has_token("connection", "close");
+        Ok(Some(Self {
+            method,
+            target,
+            headers,
+            framing,
+            keep_alive,
+        }))
+    }
+
+    /// The target without its query.
+    pub fn path(&self) -> &[u8] {
+        let end = memchr::memchr(b'?', &self.target).unwrap_or(self.target.len());
+        &self.target[..end]
+    }
+}
+
+/// Head of an answer.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status code.
+    pub status: u16,
+    /// Header lines.
+    pub headers: Headers,
+    /// Framing of the body.
+    pub framing: Framing,
+    /// Whether the connection may carry another request.
+    pub keep_alive: bool,
+}
+
+impl Answer {
+    /// Takes one complete head off the front of `buffer`; `None` while it is incomplete.
+    ///
+    /// # Errors
+    /// [`Error::Malformed`] for bytes that are no answer.
+    pub fn take(buffer: &mut BytesMut) -> Result<Option<Self>, Error> {
+        let Some(raw) = take_head(buffer)? else {
+            return Ok(None);
+        };
+        let mut lines = [httparse::EMPTY_HEADER; MOST_HEADERS];
+        let mut parsed = httparse::Response::new(&mut lines);
+        let status = parsed.parse(&raw).map_err(|_| Error::Malformed("answer head"))?;
+        if status.is_partial() {
+            return Err(Error::Malformed("answer head"));
+        }
+        let status = parsed.code.unwrap_or_default();
+        let old = parsed.version == Some(0);
+        let headers = own(&raw, parsed.headers);
+        let empty = status < 200 || status == 204 || status == 304;
+        let stated = headers.framing()?;
+        let framing = if empty {
+            Framing::Length(0)
+        } else {
+            stated.unwrap_or(Framing::UntilClose)
+        };
+        let keep_alive =
+            !old && !headers.has_token("connection", "close") && !matches!(framing, Framing::UntilClose);
+        Ok(Some(Self {
+            status,
+            headers,
+            framing,
+            keep_alive,
+        }))
+    }
+}
+
+/// Takes the bytes up to and with the blank line.
+fn take_head(buffer: &mut BytesMut) -> Result<Option<Bytes>, Error> {
+    if buffer.first().is_some_and(|b| !b.is_ascii_alphabetic()) {
+        return Err(Error::Malformed("a head begins with a letter"));
+    }
+    let Some(end) = memchr::memmem::find(buffer, b"\r\n\r\n") else {
+        return if has_bare_line_end(buffer) {
+            Err(Error::Malformed("line end without CR"))
+        } else {
+            Ok(None)
+        };
+    };
+    let raw = buffer.split_to(end + 4).freeze();
+    if has_bare_line_end(&raw) {
+        return Err(Error::Malformed("line end without CR"));
+    }
+    Ok(Some(raw))
+}
+
+fn has_bare_line_end(bytes: &[u8]) -> bool {
+    memchr::memchr_iter(b'\n', bytes).any(|at| at == 0 || bytes[at - 1] != b'\r')
+}
+
+fn own(raw: &Bytes, lines: &[httparse::Header<'_>]) -> Headers {
+    let own = |line: &httparse::Header<'_>| Header {
+        name: raw.slice_ref(line.name.as_bytes()),
+        value: if line.value.is_empty() {
+            Bytes::new()
+        } else {
+            raw.slice_ref(line.value)
+        },
+    };
+    Headers(lines.iter().map(own).collect())
+}
+
+/// Writes one header line.
+fn line(out: &mut BytesMut, name: &[u8], value: &[u8]) {
+    out.put_slice(name);
+    out.put_slice(b": ");
+    out.put_slice(value);
+    out.put_slice(b"\r\n");
+}
+
+fn write_framing(out: &mut BytesMut, framing: Framing) {
+    match framing {
+        Framing::Length(length) => line(out, b"Content-Length", length.to_string().as_bytes()),
+        Framing::Chunked | Framing::UntilClose => line(out, b"Transfer-Encoding", b"chunked"),
+    }
+}
+
+/// Writes the head of a request; `framing` is `None` for one without a body.
+pub fn write_query<'a>(
+    out: &mut BytesMut,
+    method: &[u8],
+    target: &[u8],
+    lines: impl Iterator<Item = (&'a [u8], &'a [u8])>,
+    framing: Option<Framing>,
+) {
+    out.put_slice(method);
+    out.put_u8(b' ');
+    out.put_slice(target);
+    out.put_slice(b" HTTP/1.1\r\n");
+    for (name, value) in lines {
+        line(out, name, value);
+    }
+    if let Some(framing) = framing {
+        write_framing(out, framing);
+    }
+    out.put_slice(b"\r\n");
+}
+
+/// Writes the head of an answer.
+pub fn write_answer<'a>(
+    out: &mut BytesMut,
+    status: u16,
+    lines: impl Iterator<Item = (&'a [u8], &'a [u8])>,
+    framing: Framing,
+    keep_alive: bool,
+) {
+    out.put_slice(b"HTTP/1.1 ");
+    out.put_slice(status.to_string().as_bytes());
+    out.put_u8(b' ');
+    out.put_slice(reason(status).as_bytes());
+    out.put_slice(b"\r\n");
+    for (name, value) in lines {
+        line(out, name, value);
+    }
+    write_framing(out, framing);
+    if !keep_alive {
+        line(out, b"Connection", b"close");
+    }
+    out.put_slice(b"\r\n");
+}
+
+fn reason(status: u16) -> &'static str {
+    match status {
+        200 => "OK",
+        400 => "Bad Request",
+        401 => "Unauthorized",
+        404 => "Not Found",
+        408 => "Request Timeout",
+        413 => "Content Too Large",
+        421 => "Misdirected Request",
+        429 => "Too Many Requests",
+        431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
+        502 => "Bad Gateway",
+        503 => "Service Unavailable",
+        504 => "Gateway Timeout",
+        _ => "Status",
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/lib.rs
@@ -0,0 +1,27 @@
+//! The opaque request path of junctionbend.
+//!
+//! A request passes through byte for byte; its facts (route, customer, prompt
+//! parts, deadline) travel beside it. This crate knows its platform only by
+//! [`port`] and [`names`]; the decisions are in `jb-policy`.
+
+pub mod attempt;
+pub mod core;
+pub mod deliver;
+pub mod events;
+pub mod exchange;
+pub mod follow;
+pub mod front;
+pub mod http;
+pub mod link;
+pub mod metrics;
+pub mod names;
+pub mod peers;
+pub mod port;
+pub mod ready;
+pub mod rules;
+pub mod settings;
+pub mod start;
+pub mod steward;
+pub mod stop;
+pub mod ticket;
+pub mod upstream;
--- /dev/null
+++ b/crates/jb-relay/src/link.rs
@@ -0,0 +1,163 @@
+//! Connections to upstreams: one request at a time, kept for the next one.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jb_policy::Moment;
+use tokio::net::{TcpSocket, TcpStream};
+use tokio::time::timeout;
+
+use crate::core::Shared;
+use crate::http::Connection;
+use crate::upstream::Id;
+
+/// Time for a connection to come up: several round trips inside a region.
+const CONNECT: Duration = Duration::from_millis(300);
+/// Rest after which an idle connection is not used again, unless the upstream names less.
+pub const LONGEST_IDLE: Duration = Duration::from_secs(8);
+/// The same for requests that run at most once: a connection that the upstream
+/// has just closed would leave it open whether they ran.
+const LONGEST_IDLE_ONCE: Duration = Duration::from_secs(3);
+/// Share of the rest that an upstream names which is used.
+const IDLE_SHARE: f64 = 0.7;
+/// Idle connections that are kept to one upstream.
+const MOST_IDLE: usize = 24;
+
+/// An idle connection.
+#[derive(Debug)]
+pub struct Idle {
+    connection: Connection,
+    since: Moment,
+    rest: Duration,
+}
+
+/// A connection in use; it counts as open until dropped.
+pub struct Link {
+    /// The connection.
+    pub connection: Connection,
+    /// Upstream.
+    pub upstream: Id,
+    /// Whether it has served a request before.
+    pub used: bool,
+}
+
+/// Why there is no connection.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// The upstream is no longer known.
+    #[error("the upstream has gone")]
+    Gone,
+    /// It accepts no connection.
+    #[error("no connection: {0}")]
+    Refused(std::io::Error),
+    /// It gives no word.
+    #[error("no connection within {CONNECT:?}")]
+    Silent,
+}
+
+/// An idle connection, or a new one.
+///
+/// # Errors
+/// When none comes up; nothing has been sent then.
+pub async fn take(core: &Shared, upstream: &str, once: bool) -> Result<Link, Error> {
+    if let Some(connection) = idle(core, upstream, once) {
+        return Ok(Link {
+            connection,
+            upstream: upstream.to_owned(),
+            used: true,
+        });
+    }
+    let address = core
+        .upstreams
+        .borrow()
+        .get(upstream)
+        .map(|u| u.entry.address)
+        .ok_or(Error::Gone)?;
+    let stream = match timeout(CONNECT, connect(address)).await {
+        Ok(stream) => stream.map_err(Error::Refused)?,
+        Err(_) => return Err(Error::Silent),
+    };
+    core.metrics.connections_opened.inc();
+    Ok(Link {
+        connection: Connection::new(stream),
+        upstream: upstream.to_owned(),
+        used: false,
+    })
+}
+
+/// Time without an acknowledgement after which the system gives a connection up.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(2500);
+
+/// Connects with the options that every connection of a box has.
+///
+/// # Errors
+/// What the operating system reports.
+pub async fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_nodelay(true)?;
+    socket2::SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    socket.connect(address).await
+}
+
+fn idle(core: &Shared, upstream: &str, once: bool) -> Option<Connection> {
+    let now = core.now();
+    let mut upstreams = core.upstreams.borrow_mut();
+    let pool = &mut upstreams.get_mut(upstream)?.idle;
+    while let Some(mut idle) = pool.pop() {
+        let rest = if once {
+            idle.rest.min(LONGEST_IDLE_ONCE)
+        } else {
+            idle.rest
+        };
+        if now.saturating_sub(idle.since) > rest {
+            if once && now.saturating_sub(idle.since) <= idle.rest {
+                // Still good for a request that may run again.
+                pool.push(idle);
+                return None;
+            }
+            continue;
+        }
+        if idle.connection.is_quiet() {
+            return Some(idle.connection);
+        }
+    }
+    None
+}
+
+/// Keeps a connection for the next request.
+pub fn give(core: &Shared, link: Link, rest: Option<Duration>) {
+    let Link {
+        connection, upstream, ..
+    } = link;
+    if !connection.buffer.is_empty() {
+        // Bytes after a whole answer belong to no request.
+        return;
+    }
+    let mut upstreams = core.upstreams.borrow_mut();
+    let Some(known) = upstreams.get_mut(&upstream) else {
+        return;
+    };
+    if known.idle.len() >= MOST_IDLE {
+        return;
+    }
+    let rest = rest.map_or(LONGEST_IDLE, |named| named.mul_f64(IDLE_SHARE).min(LONGEST_IDLE));
+    known.idle.push(Idle {
+        connection,
+        since: core.now(),
+        rest,
+    });
+}
+
+/// Closes connections that have rested too long.
+pub fn sweep(core: &Shared) {
+    let now = core.now();
+    for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
+        upstream
+            .idle
+            .retain(|idle| now.saturating_sub(idle.since) <= idle.rest);
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/metrics.rs
@@ -0,0 +1,106 @@
+//! Counters and histograms of the opaque path.
+
+use prometheus_client::encoding::text::encode;
+use prometheus_client::encoding::{EncodeLabelSet, LabelSetEncoder};
+use prometheus_client::metrics::counter::Counter;
+use prometheus_client::metrics::family::Family;
+use prometheus_client::metrics::gauge::Gauge;
+use prometheus_client::metrics::histogram::{Histogram, exponential_buckets};
+use prometheus_client::registry::Registry;
+
+/// Label of an ending.
+#[derive(Clone, Debug, Hash, PartialEq, Eq)]
+pub struct Ending {
+    /// How the request ended.
+    pub ending: &'static str,
+    /// Status that the caller got; 0 for none.
+    pub status: u16,
+}
+
+impl EncodeLabelSet for Ending {
+    fn encode(&self, encoder: &mut LabelSetEncoder<'_>) -> Result<(), std::fmt::Error> {
+        [
+            ("ending", self.ending.to_owned()),
+            ("status", self.status.to_string()),
+        ]
+        .encode(encoder)
+    }
+}
+
+/// Metrics of a box.
+#[derive(Debug)]
+pub struct Metrics {
+    /// Requests by ending.
+    pub requests: Family<Ending, Counter>,
+    /// Seconds from a request's head to the first byte of its answer.
+    pub first_byte: Histogram,
+    /// Sends beyond the first.
+    pub retries: Counter,
+    /// Connections opened to upstreams.
+    pub connections_opened: Counter,
+    /// Calls to the store.
+    pub store_calls: Counter,
+    /// Calls to the store that failed.
+    pub store_failures: Counter,
+    /// Version of the configuration in force.
+    pub version: Gauge,
+    registry: Registry,
+}
+
+/// First bucket of the latency histogram, in seconds, the factor between buckets and their number.
+const BUCKETS: (f64, f64, u16) = (0.005, 2.0, 12);
+
+impl Default for Metrics {
+    fn default() -> Self {
+        let mut registry = Registry::with_prefix("junctionbend");
+        let requests = Family::default();
+        let first_byte = Histogram::new(exponential_buckets(BUCKETS.0, BUCKETS.1, BUCKETS.2));
+        let retries = Counter::default();
+        let connections_opened = Counter::default();
+        let store_calls = Counter::default();
+        let store_failures = Counter::default();
+        let version = Gauge::default();
+        registry.register("requests", "Requests by ending", requests.clone());
+        registry.register("first_byte_seconds", "Time to the first byte", first_byte.clone());
+        registry.register("retries", "Sends beyond the first", retries.clone());
+        registry.register(
+            "upstream_connections",
+            "Connections opened",
+            connections_opened.clone(),
+        );
+        registry.register(
+            "store_calls",
+            "Calls to the platform's store",
+            store_calls.clone(),
+        );
+        registry.register("store_failures", "Calls that failed", store_failures.clone());
+        registry.register("configuration_version", "Version in force", version.clone());
+        Self {
+            requests,
+            first_byte,
+            retries,
+            connections_opened,
+            store_calls,
+            store_failures,
+            version,
+            registry,
+        }
+    }
+}
+
+impl Metrics {
+    /// Counts one ended request.
+    pub fn ended(&self, ending: &'static str, status: u16) {
+        self.requests.get_or_create(&Ending { ending, status }).inc();
+    }
+
+    /// All metrics in the text format.
+    ///
+    /// # Errors
+    /// Never for these metrics; the encoder's interface allows one.
+    pub fn text(&self) -> Result<String, std::fmt::Error> {
+        let mut text = String::new();
+        encode(&mut text, &self.registry)?;
+        Ok(text)
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/names.rs
@@ -0,0 +1,40 @@
+//! Names of the headers that a platform's callers and engines use.
+
+/// Header names, given by the platform's adapter.
+#[derive(Clone, Copy, Debug)]
+pub struct Names {
+    /// Id of a request; an answer carries it back.
+    pub request: &'static str,
+    /// Milliseconds that the receiver may take.
+    pub deadline: &'static str,
+    /// Model of a request.
+    pub model: &'static str,
+    /// Prompt tokens and the most tokens out, as `IN,OUT`.
+    pub size: &'static str,
+    /// Parts of the prompt, as `ID:TOKENS` joined by commas.
+    pub parts: &'static str,
+    /// Last event that the receiver of a stream has.
+    pub last_event: &'static str,
+    /// Proof that an engine made the answer.
+    pub signature: &'static str,
+    /// Customer of a request.
+    pub customer: &'static str,
+    /// Incarnation of the upstream that a request is meant for.
+    pub incarnation: &'static str,
+    /// Version of the weights that a request is meant for.
+    pub weights: &'static str,
+    /// An upstream's word that it did not run the request.
+    pub not_run: &'static str,
+    /// Text under which an engine keeps a prompt's parts.
+    pub salt: &'static str,
+    /// Urgency of a request at an engine, 0 first.
+    pub urgency: &'static str,
+    /// Versions of the weights behind an answer.
+    pub made_by: &'static str,
+    /// Engine or store from which kept parts are taken first.
+    pub import: &'static str,
+    /// Store to which parts are sent once they have been read.
+    pub export: &'static str,
+    /// Every header that only a box may set, in lower case.
+    pub reserved: &'static [&'static str],
+}
--- /dev/null
+++ b/crates/jb-relay/src/peers.rs
@@ -0,0 +1,287 @@
+//! What boxes tell each other: the load that each puts on upstreams, and which
+//! engine is loading weights. Datagrams, lost without harm.
+
+use std::collections::BTreeMap;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jb_policy::Moment;
+use jb_protocol::{emit, event, id};
+use serde::{Deserialize, Serialize};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::core::{Core, Shared};
+use crate::port::Write;
+use crate::upstream::Load;
+
+/// Beginning of the keys under which boxes give their addresses.
+pub const KEYS: &str = "junctionbend/box/";
+/// Pause between two tellings in a small fleet.
+const PERIOD: Duration = Duration::from_millis(200);
+/// Datagrams that a box sends in a second at most; larger fleets tell more rarely.
+const MOST_PER_S: f64 = 40.0;
+/// Time after which what a box told is no longer believed.
+const BELIEVED: Duration = Duration::from_millis(1500);
+/// Longest datagram, in bytes: one packet.
+const LONGEST: usize = 1400;
+/// Time for which an engine that loads weights gets nothing, unless it is told done before.
+pub const LOADING: Duration = Duration::from_millis(2500);
+/// Pause before the own address is written again after a failure.
+const REGISTER_AGAIN: Duration = Duration::from_secs(2);
+
+/// What a box tells.
+#[derive(Debug, Serialize, Deserialize)]
+struct Told {
+    /// Box.
+    from: id::Box,
+    /// Loads, only of upstreams that have some.
+    loads: Vec<ToldLoad>,
+    /// What engines do with their weights.
+    weights: Vec<ToldWeights>,
+}
+
+/// Load that a box puts on an upstream.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+struct ToldLoad {
+    /// Hash of the upstream's id.
+    upstream: u64,
+    /// Requests under way.
+    running: u32,
+    /// Prompt tokens that wait.
+    waiting: u64,
+}
+
+/// An engine begins to load weights, or has them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ToldWeights {
+    /// Hash of the engine's id.
+    upstream: u64,
+    /// Model.
+    model: String,
+    /// Version that it has now; 0 while it loads.
+    version: u64,
+}
+
+/// Other boxes, and what they told last.
+#[derive(Debug, Default)]
+pub struct Peers {
+    addresses: BTreeMap<id::Box, SocketAddr>,
+    told: BTreeMap<id::Box, Heard>,
+}
+
+#[derive(Debug)]
+struct Heard {
+    at: Moment,
+    loads: Vec<ToldLoad>,
+}
+
+impl Peers {
+    /// Boxes that may be alive, this one with them.
+    pub fn boxes(&self) -> usize {
+        self.addresses.len().max(1)
+    }
+
+    /// Boxes that were heard of lately, without this one.
+    pub fn heard(&self, now: Moment) -> impl Iterator<Item = &id::Box> {
+        self.told
+            .iter()
+            .filter(move |(_, heard)| now < heard.at + BELIEVED)
+            .map(|(id, _)| id)
+    }
+}
+
+/// Key of a box's address.
+fn key(id: &str) -> String {
+    format!("{KEYS}{id}")
+}
+
+/// Writes the own address into the store, again whenever it is missing there.
+pub async fn register(core: Shared, port: u16) {
+    let address = SocketAddr::new(core.settings.ip, port).to_string();
+    let key = key(&core.settings.id);
+    loop {
+        read_addresses(&core);
+        let known = core.own.borrow().get(&key).cloned();
+        let value = known.as_ref().and_then(|item| item.value.clone());
+        if core.age().is_some() && value.as_deref() != Some(address.as_bytes()) {
+            let expected = if value.is_some() {
+                known.map_or(0, |item| item.revision)
+            } else {
+                0
+            };
+            let value = Bytes::from(address.clone());
+            let write = Write {
+                key: key.clone(),
+                value,
+                expected,
+                lease: 0,
+            };
+            core.metrics.store_calls.inc();
+            if let Err(why) = core.store.write(&[write]).await {
+                emit!(core.logger, info, event::PEER_UNREGISTERED, "why" => %why);
+            }
+            sleep(REGISTER_AGAIN).await;
+        }
+        sleep(PERIOD).await;
+    }
+}
+
+fn read_addresses(core: &Core) {
+    let own = core.own.borrow();
+    let items = own
+        .range(KEYS.to_owned()..)
+        .take_while(|(key, _)| key.starts_with(KEYS));
+    let addresses = items.filter_map(|(key, item)| {
+        let value = std::str::from_utf8(item.value.as_deref()?).ok()?;
+        Some((key[KEYS.len()..].to_owned(), value.parse().ok()?))
+    });
+    core.peers.borrow_mut().addresses = addresses.collect();
+}
+
+/// The socket for tellings: the first free port of the range.
+///
+/// # Errors
+/// When no port is free.
+pub async fn bind(ip: IpAddr, ports: std::ops::RangeInclusive<u16>) -> std::io::Result<UdpSocket> {
+    let mut last = std::io::Error::other("no port for messages between boxes");
+    for port in ports {
+        match UdpSocket::bind((ip, port)).await {
+            Ok(socket) => return Ok(socket),
+            Err(why) => last = why,
+        }
+    }
+    Err(last)
+}
+
+/// Tells the other boxes from time to time.
+pub async fn tell(core: Shared, socket: Rc<UdpSocket>) {
+    let mut quiet = false;
+    loop {
+        let others = core.peers.borrow().boxes() as f64;
+        sleep(PERIOD.max(Duration::from_secs_f64(others / MOST_PER_S))).await;
+        let loads = own_loads(&core);
+        // Nothing to tell is told once.
+        if loads.is_empty() && quiet {
+            continue;
+        }
+        quiet = loads.is_empty();
+        send(&core, &socket, loads, Vec::new()).await;
+    }
+}
+
+/// Tells at once that an engine loads weights, or has them.
+pub async fn tell_weights(
+    core: &Core,
+    socket: &UdpSocket,
+    upstream: &str,
+    model: &str,
+    version: Option<u64>,
+) {
+    let told = ToldWeights {
+        upstream: jb_policy::place::name_hash(upstream),
+        model: model.to_owned(),
+        version: version.unwrap_or(0),
+    };
+    take_weights(core, &told);
+    send(core, socket, own_loads(core), vec![told]).await;
+}
+
+fn own_loads(core: &Core) -> Vec<ToldLoad> {
+    let upstreams = core.upstreams.borrow();
+    let busy = upstreams.iter().filter(|(_, u)| u.running > 0);
+    busy.map(|(_, u)| ToldLoad {
+        upstream: u.name,
+        running: u.running,
+        waiting: u.waiting,
+    })
+    .collect()
+}
+
+async fn send(core: &Core, socket: &UdpSocket, loads: Vec<ToldLoad>, weights: Vec<ToldWeights>) {
+    let told = Told {
+        from: core.settings.id.clone(),
+        loads,
+        weights,
+    };
+    let Ok(bytes) = postcard::to_allocvec(&told) else {
+        return;
+    };
+    if bytes.len() > LONGEST {
+        emit!(core.logger, debug, event::PEER_REFUSED, "why" => "more to tell than a packet holds");
+        return;
+    }
+    let addresses: Vec<SocketAddr> = {
+        let peers = core.peers.borrow();
+        let others = peers.addresses.iter().filter(|(id, _)| **id != core.settings.id);
+        others.map(|(_, address)| *address).collect()
+    };
+    for address in addresses {
+        if let Err(why) = socket.send_to(&bytes, address).await {
+            emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %address, "why" => %why);
+        }
+    }
+}
+
+/// Hears the other boxes for ever.
+pub async fn hear(core: Shared, socket: Rc<UdpSocket>) {
+    let mut buffer = [0_u8; LONGEST];
+    loop {
+        match socket.recv_from(&mut buffer).await {
+            Ok((length, from)) => match postcard::from_bytes::<Told>(&buffer[..length]) {
+                Ok(told) => take(&core, told),
+                Err(why) => {
+                    emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => %why);
+                }
+            },
+            Err(why) => {
+                emit!(core.logger, debug, event::PEER_REFUSED, "why" => %why);
+                sleep(PERIOD).await;
+            }
+        }
+    }
+}
+
+fn take(core: &Core, told: Told) {
+    for weights in &told.weights {
+        take_weights(core, weights);
+    }
+    let heard = Heard {
+        at: core.now(),
+        loads: told.loads,
+    };
+    core.peers.borrow_mut().told.insert(told.from, heard);
+    sum_up(core);
+}
+
+fn take_weights(core: &Core, told: &ToldWeights) {
+    let now = core.now();
+    let mut upstreams = core.upstreams.borrow_mut();
+    let Some((_, upstream)) = upstreams.iter_mut().find(|(_, u)| u.name == told.upstream) else {
+        return;
+    };
+    if told.version == 0 {
+        upstream.loading_until = now + LOADING;
+    } else {
+        upstream.loading_until = now;
+        upstream.heard_weights(&told.model, told.version);
+    }
+}
+
+/// Adds up what all others have told, and forgets what is old.
+fn sum_up(core: &Core) {
+    let now = core.now();
+    let mut peers = core.peers.borrow_mut();
+    peers.told.retain(|_, heard| now < heard.at + BELIEVED);
+    let mut sums: BTreeMap<u64, Load> = BTreeMap::new();
+    for load in peers.told.values().flat_map(|heard| &heard.loads) {
+        let sum = sums.entry(load.upstream).or_default();
+        sum.running += load.running;
+        sum.waiting += load.waiting;
+    }
+    for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
+        upstream.others = sums.get(&upstream.name).copied().unwrap_or_default();
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/port.rs
@@ -0,0 +1,185 @@
+//! Ports: what the relay needs of a platform, in the relay's own words.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use async_trait::async_trait;
+use bytes::Bytes;
+use jb_protocol::id;
+
+use crate::rules::Rules;
+
+/// Revision of the platform's store.
+pub type Revision = u64;
+/// Number of a lease.
+pub type Lease = u64;
+
+/// What an upstream says of itself in the store.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Entry {
+    /// Service.
+    pub service: id::Service,
+    /// Address.
+    pub address: SocketAddr,
+    /// Data hall.
+    pub hall: id::Hall,
+    /// Requests that it works on at once.
+    pub slots: u32,
+    /// Whether it is about to end.
+    pub leaving: bool,
+    /// Time for which it is slow after its start.
+    pub cold: Duration,
+    /// Models with the version of their weights.
+    pub models: Vec<Loaded>,
+}
+
+/// A model as an engine has it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Loaded {
+    /// Model.
+    pub model: String,
+    /// Version of its weights.
+    pub version: u64,
+}
+
+/// One thing that the store holds.
+#[derive(Clone, Debug)]
+pub enum Fact {
+    /// The configuration.
+    Rules(Box<Rules>),
+    /// An upstream, or its going.
+    Upstream(String, Option<Entry>),
+    /// The newest version of a model's weights.
+    Weights(Loaded),
+    /// An item of the boxes themselves.
+    Own(Item),
+    /// A value that could not be read; the one before stays in force.
+    Unreadable {
+        /// Key.
+        key: String,
+        /// What is wrong with it.
+        why: String,
+    },
+}
+
+/// An item that the boxes keep in the store.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Item {
+    /// Key.
+    pub key: String,
+    /// Value; `None` when it has gone.
+    pub value: Option<Bytes>,
+    /// Revision of its last change.
+    pub revision: Revision,
+    /// Revision of its creation.
+    pub created: Revision,
+}
+
+/// What has changed in the store, or all that it holds.
+#[derive(Debug)]
+pub struct News {
+    /// Facts, the older first.
+    pub facts: Vec<Fact>,
+    /// Revision after which to ask next.
+    pub revision: Revision,
+}
+
+/// Why a call to the store gave nothing.
+#[derive(Debug, thiserror::Error)]
+pub enum StoreError {
+    /// The history that was asked for is gone; read all again.
+    #[error("the history is gone")]
+    HistoryGone,
+    /// The condition of a write does not hold.
+    #[error("the condition does not hold")]
+    Conflict,
+    /// There is no such lease.
+    #[error("no such lease")]
+    NoLease,
+    /// The store turned the call away; nothing was done.
+    #[error("the store refused with status {0}")]
+    Refused(u16),
+    /// The answer makes no sense.
+    #[error("the answer cannot be read: {0}")]
+    Unreadable(String),
+    /// No answer in time, or none at all; the call may have been done.
+    #[error("no answer: {0}")]
+    Lost(String),
+}
+
+/// A write under a condition.
+#[derive(Clone, Debug)]
+pub struct Write {
+    /// Key.
+    pub key: String,
+    /// Value.
+    pub value: Bytes,
+    /// Revision that the key must have; 0 for none there.
+    pub expected: Revision,
+    /// Lease that the key goes with; 0 for none.
+    pub lease: Lease,
+}
+
+/// The platform's store.
+#[async_trait(?Send)]
+pub trait Store {
+    /// All that it holds.
+    async fn all(&self) -> Result<News, StoreError>;
+    /// What has changed after a revision; waits up to `wait` for something.
+    async fn changes(&self, after: Revision, wait: Duration) -> Result<News, StoreError>;
+    /// Takes out a lease.
+    async fn lease(&self, time: Duration) -> Result<Lease, StoreError>;
+    /// Renews a lease.
+    async fn renew(&self, lease: Lease) -> Result<(), StoreError>;
+    /// Writes all items or none.
+    async fn write(&self, writes: &[Write]) -> Result<Revision, StoreError>;
+}
+
+/// What an engine reports of itself.
+#[derive(Clone, Debug)]
+pub struct Report {
+    /// Models with the version of their weights.
+    pub models: Vec<Loaded>,
+    /// Whether an order is under way.
+    pub busy: bool,
+    /// Orders taken since its start.
+    pub orders: u64,
+}
+
+/// An order to load other weights.
+#[derive(Clone, Debug)]
+pub struct Order {
+    /// Model.
+    pub model: String,
+    /// Version wanted.
+    pub version: u64,
+    /// Box that gives it.
+    pub holder: id::Box,
+    /// Fencing token.
+    pub fence: id::Fence,
+    /// Orders that the engine must have taken before.
+    pub orders: u64,
+}
+
+/// How an engine answered an order.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Taken {
+    /// It is being done.
+    Started,
+    /// It holds already.
+    Holds,
+    /// Another order came first, or is under way.
+    Conflict,
+    /// It was refused for good.
+    Refused(u16),
+}
+
+/// Control calls to model engines.
+#[async_trait(?Send)]
+pub trait Engines {
+    /// Asks for the engine's report.
+    async fn report(&self, address: SocketAddr) -> Result<Report, StoreError>;
+    /// Gives an order to an incarnation of an engine.
+    async fn order(&self, address: SocketAddr, incarnation: &str, order: &Order)
+    -> Result<Taken, StoreError>;
+}
--- /dev/null
+++ b/crates/jb-relay/src/ready.rs
@@ -0,0 +1,69 @@
+//! Readiness for the balancer in front of the boxes, and the metrics page.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_protocol::{emit, event};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::time::{sleep, timeout};
+
+use crate::core::{Core, Shared};
+use crate::http::{Connection, Framing, write_answer};
+
+/// Longest head of a check, in bytes.
+const LONGEST_HEAD: usize = 4096;
+/// Rest of a connection of the balancer.
+const REST: Duration = Duration::from_secs(10);
+/// Part of the bound on keys after which the box calls itself not ready.
+const STALE_SHARE: f64 = 0.7;
+/// Path of the metrics.
+const METRICS: &[u8] = b"/metrics";
+
+/// Whether the box can serve new callers.
+pub fn is_ready(core: &Core) -> bool {
+    let fresh = core
+        .age()
+        .is_some_and(|age| age < core.settings.bounds.revoke.mul_f64(STALE_SHARE));
+    fresh && core.rules().is_some() && !core.stop.is_stopping()
+}
+
+/// Answers checks for ever.
+pub async fn serve(core: Shared, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(connection(Rc::clone(&core), stream));
+            }
+            Err(why) => {
+                emit!(core.logger, warn, event::ACCEPT_FAILED, "why" => %why);
+                sleep(Duration::from_millis(20)).await;
+            }
+        }
+    }
+}
+
+async fn connection(core: Shared, stream: TcpStream) {
+    let mut client = Connection::new(stream);
+    while let Ok(Ok(query)) = timeout(REST, client.query(LONGEST_HEAD)).await {
+        let (status, text) = if query.path() == METRICS {
+            (200, core.metrics.text().unwrap_or_default())
+        } else if is_ready(&core) {
+            (200, String::new())
+        } else {
+            (503, String::new())
+        };
+        let mut out = bytes::BytesMut::new();
+        let none = std::iter::empty();
+        write_answer(
+            &mut out,
+            status,
+            none,
+            Framing::Length(text.len() as u64),
+            query.keep_alive,
+        );
+        out.extend_from_slice(text.as_bytes());
+        if client.send(&out).await.is_err() || !query.keep_alive {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/rules.rs
@@ -0,0 +1,213 @@
+//! The configuration in force, compiled for look-up.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jb_protocol::id;
+
+/// What may be done again with a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+pub enum Kind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    Once,
+    /// Answered by a series of events.
+    Stream,
+}
+
+/// One route.
+#[derive(Clone, Debug)]
+pub struct Route {
+    /// Name.
+    pub name: id::Route,
+    /// Host that it serves.
+    pub host: String,
+    /// Beginning of the paths that it serves; begins and ends with a slash.
+    pub prefix: String,
+    /// What may be done again.
+    pub kind: Kind,
+    /// Longest time that a request is held.
+    pub timeout: Duration,
+    /// Time in which an answer, or a stream's first event, is wanted.
+    pub target: Duration,
+    /// Longest pause between a stream's events that is still in time.
+    pub pause: Duration,
+    /// Rank; 0 is the most urgent.
+    pub rank: u8,
+    /// Services with their weights.
+    pub services: Vec<Share>,
+    /// Upstreams that one request may be sent to.
+    pub attempts: u32,
+    /// Whether it is open without a key.
+    pub public: bool,
+    /// Whether a stream may go on at another engine.
+    pub resumable: bool,
+}
+
+impl Route {
+    /// Whether a request that may have run may be sent again.
+    pub fn repeatable(&self) -> bool {
+        match self.kind {
+            Kind::Idempotent => true,
+            Kind::Once => false,
+            Kind::Stream => self.resumable,
+        }
+    }
+
+    /// Service for a request; `draw` is any number, the same for the same request.
+    pub fn service(&self, draw: u64) -> Option<&id::Service> {
+        let sum: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
+        let mut at = draw.checked_rem(sum)?;
+        for share in &self.services {
+            let weight = u64::from(share.weight);
+            if at < weight {
+                return Some(&share.service);
+            }
+            at -= weight;
+        }
+        None
+    }
+}
+
+/// Share of a route's requests that goes to one service.
+#[derive(Clone, Debug)]
+pub struct Share {
+    /// Service.
+    pub service: id::Service,
+    /// Weight among the shares of the route.
+    pub weight: u32,
+}
+
+/// One service.
+#[derive(Clone, Debug, Default)]
+pub struct Service {
+    /// Connections that one upstream accepts from all callers together.
+    pub connections: usize,
+    /// What model engines of the service can do; `None` for plain services.
+    pub engine: Option<Engine>,
+}
+
+/// What the model engines of a service can do.
+#[derive(Clone, Debug, Default)]
+pub struct Engine {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Tokens that the memory holds.
+    pub memory_tokens: u64,
+    /// Bytes of one token in memory.
+    pub token_bytes: u64,
+    /// Models that the service runs.
+    pub models: Vec<String>,
+}
+
+/// A store of kept KV cache.
+#[derive(Clone, Debug)]
+pub struct KeptCache {
+    /// Address.
+    pub address: SocketAddr,
+    /// Data hall.
+    pub hall: id::Hall,
+}
+
+/// One customer.
+#[derive(Clone, Debug)]
+pub struct Customer {
+    /// Name.
+    pub name: id::Customer,
+    /// Rank that goes before the route's.
+    pub rank: Option<u8>,
+    /// Whether it shares no cache with other customers.
+    pub isolated: bool,
+}
+
+/// What callers may send, and how slowly.
+#[derive(Clone, Copy, Debug)]
+pub struct Limits {
+    /// Longest head, in bytes.
+    pub head: usize,
+    /// Longest body, in bytes.
+    pub body: usize,
+    /// Longest time for a head.
+    pub head_time: Duration,
+    /// Longest rest of a connection.
+    pub idle: Duration,
+}
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            head: 16 << 10,
+            body: 4 << 20,
+            head_time: Duration::from_secs(3),
+            idle: Duration::from_secs(15),
+        }
+    }
+}
+
+/// One whole configuration.
+#[derive(Clone, Debug, Default)]
+pub struct Rules {
+    /// Version; it only rises.
+    pub version: u64,
+    /// Routes of each host, the longest prefix first.
+    hosts: HashMap<String, Vec<Route>>,
+    /// Services.
+    pub services: HashMap<id::Service, Service>,
+    /// Stores of kept KV cache.
+    pub kept: Vec<KeptCache>,
+    /// Customers.
+    customers: Vec<Customer>,
+    /// Position of the customer of each key.
+    keys: HashMap<String, usize>,
+    /// Limits for callers.
+    pub limits: Limits,
+}
+
+impl Rules {
+    /// Compiles a configuration.
+    pub fn new(version: u64, routes: Vec<Route>, customers: Vec<(Customer, Vec<String>)>) -> Self {
+        let mut rules = Self {
+            version,
+            ..Self::default()
+        };
+        for route in routes {
+            rules.hosts.entry(route.host.clone()).or_default().push(route);
+        }
+        for routes in rules.hosts.values_mut() {
+            routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
+        }
+        for (customer, keys) in customers {
+            let position = rules.customers.len();
+            rules.customers.push(customer);
+            rules.keys.extend(keys.into_iter().map(|key| (key, position)));
+        }
+        rules
+    }
+
+    /// The route of a request, by host and longest prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Route> {
+        let name = host
+            .rsplit_once(':')
+            .map_or(host, |(name, _)| name)
+            .to_ascii_lowercase();
+        let routes = self.hosts.get(&name)?;
+        routes.iter().find(|route| path.starts_with(&route.prefix))
+    }
+
+    /// The customer that holds a key.
+    pub fn customer(&self, key: &str) -> Option<&Customer> {
+        self.customers.get(*self.keys.get(key)?)
+    }
+
+    /// Whether requests need a key at all.
+    pub fn wants_keys(&self) -> bool {
+        !self.customers.is_empty()
+    }
+
+    /// Number of routes.
+    pub fn routes(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/start.rs
@@ -0,0 +1,100 @@
+//! Starts the duties of a box and waits for the planned stop.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_protocol::{emit, event};
+use tokio::net::{TcpListener, TcpSocket};
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::task::{LocalSet, spawn_local};
+use tokio::time::sleep;
+
+use crate::core::{Core, Parts, Shared};
+use crate::steward::Steward;
+use crate::{follow, front, link, peers, ready, stop};
+
+/// New connections that wait to be accepted.
+const BACKLOG: u32 = 1024;
+/// Pause between sweeps of idle connections.
+const SWEEP: Duration = Duration::from_secs(1);
+/// Part of the grace that is left for the process to end.
+const LAST: Duration = Duration::from_millis(300);
+/// Pause between looks at what is still open in a planned stop.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Runs a box until it is stopped. All duties are tasks of one thread: a box has a part
+/// of one core, so threads would only take turns.
+///
+/// # Errors
+/// When an address cannot be listened on.
+pub fn run(parts: Parts) -> std::io::Result<()> {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, serve(Core::new(parts)))
+}
+
+async fn serve(core: Shared) -> std::io::Result<()> {
+    let mut terminate = signal(SignalKind::terminate())?;
+    let mut reload = signal(SignalKind::hangup())?;
+    let callers = listen(core.settings.callers)?;
+    let checks = listen(core.settings.ready)?;
+    let socket = Rc::new(peers::bind(core.settings.ip, core.settings.ports.clone()).await?);
+    let port = socket.local_addr()?.port();
+    emit!(core.logger, info, event::BOX_STARTED, "callers" => %core.settings.callers,
+        "peers" => port, "store" => %core.settings.store);
+
+    spawn_local(follow::run(Rc::clone(&core)));
+    spawn_local(front::serve(Rc::clone(&core), callers));
+    spawn_local(ready::serve(Rc::clone(&core), checks));
+    spawn_local(peers::register(Rc::clone(&core), port));
+    spawn_local(peers::tell(Rc::clone(&core), Rc::clone(&socket)));
+    spawn_local(peers::hear(Rc::clone(&core), Rc::clone(&socket)));
+    spawn_local(Steward::new(Rc::clone(&core), socket).run());
+    spawn_local(sweep(Rc::clone(&core)));
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => break,
+            // The settings that a running box uses do not change; the new file counts at its next start.
+            _ = reload.recv() => emit!(core.logger, info, event::SETTINGS_CHANGED),
+        }
+    }
+    leave(&core).await;
+    Ok(())
+}
+
+async fn sweep(core: Shared) {
+    loop {
+        sleep(SWEEP).await;
+        link::sweep(&core);
+    }
+}
+
+/// Answers everything that is open, then returns.
+async fn leave(core: &Shared) {
+    let since = core.now();
+    core.stop.begin(since);
+    emit!(core.logger, info, event::BOX_STOPPING, "open" => core.stop.connections());
+    let end = (since + core.settings.bounds.grace).saturating_sub(LAST);
+    loop {
+        sleep(LOOK).await;
+        let now = core.now();
+        let idle = core.stop.connections() == 0 && now > since + stop::NOTICED;
+        if idle || now > end {
+            break;
+        }
+    }
+    emit!(core.logger, info, event::BOX_STOPPED, "open" => core.stop.connections());
+}
+
+fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+    let socket = if address.is_ipv4() {
+        TcpSocket::new_v4()?
+    } else {
+        TcpSocket::new_v6()?
+    };
+    socket.set_reuseaddr(true)?;
+    socket.bind(address)?;
+    socket.listen(BACKLOG)
+}
--- /dev/null
+++ b/crates/jb-relay/src/steward.rs
@@ -0,0 +1,300 @@
+//! The duty to bring engines to the newest weights.
+//!
+//! One box has it, by a lease in the platform's store. The fencing token of
+//! its orders is the revision at which it took the lease. Engines may not
+//! check tokens; so a box that takes over from another one first waits until
+//! orders of the two cannot follow each other too closely.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jb_policy::Moment;
+use jb_policy::place;
+use jb_protocol::{emit, event};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use crate::core::Shared;
+use crate::peers;
+use crate::port::{Lease, Order, Revision, StoreError, Taken, Write};
+use crate::upstream::Id;
+
+/// Item that stands while a box has the duty.
+const HOLDER: &str = "junctionbend/steward/holder";
+/// Item that names the last box that had the duty.
+const LAST: &str = "junctionbend/steward/last";
+/// Time of the lease.
+const LEASE: Duration = Duration::from_millis(2500);
+/// Pause between renewals.
+const RENEW: Duration = Duration::from_millis(800);
+/// Part of the lease at its end in which no order is given: an order's way and a late timer.
+const MARGIN: Duration = Duration::from_millis(600);
+/// Pause between two looks at what is to do.
+const LOOK: Duration = Duration::from_millis(150);
+/// Pause by which a less preferred box asks for the lease later.
+const RANK_PAUSE: Duration = Duration::from_millis(250);
+/// Share of a service's engines that load at once.
+const AT_ONCE: f64 = 0.2;
+/// Engines that load at once at least.
+const AT_ONCE_LEAST: usize = 2;
+/// Time after which an engine that does not get done makes room for others.
+const LOAD_TIME: Duration = Duration::from_secs(8);
+/// Added to the pause between orders of two boxes, for the steady clocks of both.
+const GAP_SLACK: Duration = Duration::from_millis(200);
+
+#[derive(Clone, Copy, Debug)]
+struct Term {
+    lease: Lease,
+    fence: Revision,
+    /// Until when orders may be given.
+    until: Moment,
+    /// From when orders may be given.
+    from: Moment,
+    renewed: Moment,
+}
+
+/// The duty at one box.
+pub struct Steward {
+    core: Shared,
+    socket: Rc<UdpSocket>,
+    term: Cell<Option<Term>>,
+    loading: RefCell<BTreeSet<Id>>,
+    vacant_since: Cell<Option<Moment>>,
+}
+
+impl Steward {
+    /// The duty, not held.
+    pub fn new(core: Shared, socket: Rc<UdpSocket>) -> Rc<Self> {
+        Rc::new(Self {
+            core,
+            socket,
+            term: Cell::new(None),
+            loading: RefCell::default(),
+            vacant_since: Cell::new(None),
+        })
+    }
+
+    /// Looks after the duty for ever.
+    pub async fn run(self: Rc<Self>) {
+        loop {
+            sleep(LOOK).await;
+            if self.core.stop.is_stopping() {
+                continue;
+            }
+            match self.term.get() {
+                Some(term) => self.hold(term).await,
+                None => self.try_take().await,
+            }
+            self.start_loads();
+        }
+    }
+
+    async fn hold(&self, term: Term) {
+        let now = self.core.now();
+        if now >= term.until + MARGIN {
+            self.lose("the lease ran out");
+            return;
+        }
+        if now < term.renewed + RENEW {
+            return;
+        }
+        self.core.metrics.store_calls.inc();
+        match self.core.store.renew(term.lease).await {
+            Ok(()) => self.term.set(Some(Term {
+                until: now + LEASE - MARGIN,
+                renewed: now,
+                ..term
+            })),
+            Err(StoreError::NoLease) => self.lose("the store has no such lease"),
+            // Tried again with the next look; the term ends by itself.
+            Err(_) => self.term.set(Some(Term { renewed: now, ..term })),
+        }
+    }
+
+    fn lose(&self, why: &str) {
+        self.term.set(None);
+        emit!(self.core.logger, warn, event::STEWARD_LOST, "why" => why);
+    }
+
+    /// Takes the duty when nobody has it, the most preferred box first.
+    async fn try_take(&self) {
+        let core = &self.core;
+        let holder = core.own.borrow().get(HOLDER).cloned();
+        let held = holder.as_ref().is_some_and(|item| item.value.is_some());
+        if held || core.age().is_none_or(|age| age > 2 * crate::follow::PERIOD) {
+            self.vacant_since.set(None);
+            return;
+        }
+        let now = core.now();
+        let since = self.vacant_since.get().unwrap_or(now);
+        self.vacant_since.set(Some(since));
+        if now < since + RANK_PAUSE * self.rank() {
+            return;
+        }
+        if let Err(why) = self.take().await {
+            emit!(core.logger, info, event::STEWARD_NOT_TAKEN, "why" => %why);
+            self.vacant_since.set(None);
+            sleep(crate::follow::PERIOD).await;
+        }
+    }
+
+    /// Boxes that are preferred to this one, of those that were heard.
+    fn rank(&self) -> u32 {
+        let key = place::name_hash(HOLDER);
+        let weight = |name: &str| place::weight(key, place::name_hash(name));
+        let own = weight(&self.core.settings.id);
+        let peers = self.core.peers.borrow();
+        let before = peers.heard(self.core.now()).filter(|id| weight(id) > own).count();
+        u32::try_from(before).unwrap_or(u32::MAX).min(20)
+    }
+
+    async fn take(&self) -> Result<(), StoreError> {
+        let core = &self.core;
+        let asked = core.now();
+        core.metrics.store_calls.inc();
+        let lease = core.store.lease(LEASE).await?;
+        let last = core.own.borrow().get(LAST).cloned();
+        let value = Bytes::from(core.settings.id.clone());
+        let before = last.as_ref().and_then(|item| item.value.clone());
+        let holder = Write {
+            key: HOLDER.to_owned(),
+            value: value.clone(),
+            expected: 0,
+            lease,
+        };
+        let expected = if before.is_some() {
+            last.map_or(0, |item| item.revision)
+        } else {
+            0
+        };
+        let last = Write {
+            key: LAST.to_owned(),
+            value: value.clone(),
+            expected,
+            lease: 0,
+        };
+        core.metrics.store_calls.inc();
+        let fence = core.store.write(&[holder, last]).await?;
+        let now = core.now();
+        let other = before.is_some_and(|before| before != value);
+        let gap = if other {
+            core.settings.bounds.order_gap + GAP_SLACK
+        } else {
+            Duration::ZERO
+        };
+        self.term.set(Some(Term {
+            lease,
+            fence,
+            until: asked + LEASE - MARGIN,
+            from: now + gap,
+            renewed: asked,
+        }));
+        self.vacant_since.set(None);
+        emit!(core.logger, info, event::STEWARD_TAKEN, "fence" => fence, "waits_ms" => gap.as_millis() as u64);
+        Ok(())
+    }
+
+    /// Fencing token, when an order may be given now.
+    fn may_order(&self) -> Option<Revision> {
+        let now = self.core.now();
+        self.term
+            .get()
+            .filter(|term| term.from <= now && now < term.until)
+            .map(|term| term.fence)
+    }
+
+    /// Begins to load engines that have older weights, a few at a time.
+    fn start_loads(self: &Rc<Self>) {
+        if self.may_order().is_none() {
+            return;
+        }
+        let weights = self.core.weights.borrow().clone();
+        for (model, version) in weights {
+            for id in self.next_engines(&model, version) {
+                self.loading.borrow_mut().insert(id.clone());
+                let (steward, model) = (Rc::clone(self), model.clone());
+                tokio::task::spawn_local(async move {
+                    let loaded = tokio::time::timeout(LOAD_TIME, steward.load(&id, &model)).await;
+                    if loaded.is_err() {
+                        emit!(steward.core.logger, warn, event::ORDER_FAILED, "upstream" => &id,
+                            "why" => "not done in time");
+                    }
+                    steward.loading.borrow_mut().remove(&id);
+                });
+            }
+        }
+    }
+
+    /// Engines to load next, those with the least to do first.
+    fn next_engines(&self, model: &str, version: u64) -> Vec<Id> {
+        let upstreams = self.core.upstreams.borrow();
+        let loading = self.loading.borrow();
+        let with_model = upstreams.iter().filter(|(_, u)| u.weights(model).is_some());
+        let (mut all, mut behind) = (0, Vec::new());
+        for (id, upstream) in with_model {
+            all += 1;
+            let old = upstream.weights(model).is_some_and(|has| has < version);
+            if old && !upstream.entry.leaving && upstream.lapsed.is_none() && !loading.contains(id) {
+                let unsound = !upstream.health.is_open(self.core.now());
+                behind.push((unsound, upstream.running + upstream.others.running, id.clone()));
+            }
+        }
+        let most = ((f64::from(all) * AT_ONCE) as usize).max(AT_ONCE_LEAST);
+        behind.sort();
+        let room = most.saturating_sub(loading.len());
+        behind.into_iter().take(room).map(|(_, _, id)| id).collect()
+    }
+
+    /// Brings one engine to the newest weights.
+    async fn load(&self, id: &Id, model: &str) {
+        let core = &self.core;
+        let mut told = false;
+        loop {
+            let Some(address) = core.upstreams.borrow().get(id).map(|u| u.entry.address) else {
+                return;
+            };
+            let version = core.weights.borrow().get(model).copied().unwrap_or_default();
+            let report = match core.engines.report(address).await {
+                Ok(report) => report,
+                Err(why) => {
+                    emit!(core.logger, info, event::ORDER_FAILED, "upstream" => id, "why" => %why);
+                    return;
+                }
+            };
+            let has = report
+                .models
+                .iter()
+                .find(|loaded| loaded.model == model)
+                .map_or(0, |l| l.version);
+            if has >= version && !report.busy {
+                peers::tell_weights(core, &self.socket, id, model, Some(has)).await;
+                return;
+            }
+            let Some(fence) = self.may_order() else { return };
+            if !told {
+                peers::tell_weights(core, &self.socket, id, model, None).await;
+                told = true;
+            }
+            if !report.busy {
+                let holder = core.settings.id.clone();
+                let order = Order {
+                    model: model.to_owned(),
+                    version,
+                    holder,
+                    fence,
+                    orders: report.orders,
+                };
+                let taken = core.engines.order(address, id, &order).await;
+                emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => id, "version" => version,
+                    "fence" => fence, "had" => has, "answer" => ?taken);
+                if matches!(taken, Ok(Taken::Refused(_))) {
+                    return;
+                }
+            }
+            sleep(LOOK).await;
+        }
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/ticket.rs
@@ -0,0 +1,193 @@
+//! Admission: what a request is, who sent it, and what it may do.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::kept::Piece;
+use jb_policy::place;
+use jb_protocol::id;
+
+use crate::core::Core;
+use crate::http::Query;
+use crate::rules::{Route, Rules};
+
+/// Part of the bound on keys after which a box that hears nothing refuses them;
+/// the rest covers requests that are on their way to an engine.
+const REVOKE_SHARE: f64 = 0.85;
+/// Tokens out of a request that does not say how many it wants.
+const DEFAULT_OUT: u64 = 64;
+/// Salt of everything that customers may share.
+const SHARED_SALT: &str = "shared";
+
+/// A request that was let in.
+#[derive(Debug)]
+pub struct Ticket {
+    /// Id that the caller gave.
+    pub id: String,
+    /// Configuration that it was judged by.
+    pub rules: Rc<Rules>,
+    /// Its route.
+    pub route: Route,
+    /// Its service.
+    pub service: id::Service,
+    /// Its customer; `None` on public routes.
+    pub customer: Option<id::Customer>,
+    /// Text under which engines keep its prompt.
+    pub salt: String,
+    /// Urgency at an engine, 0 first.
+    pub urgency: u8,
+    /// Model that it names.
+    pub model: Option<String>,
+    /// Parts of its prompt.
+    pub prompt: Vec<Piece>,
+    /// Most tokens out.
+    pub out: u64,
+    /// When its head had come.
+    pub arrived: Moment,
+    /// When the caller stops waiting.
+    pub deadline: Moment,
+    /// When it must be answered: the deadline, or the route's time-out before it.
+    pub until: Moment,
+}
+
+/// Why a request is not let in. None of these has run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Refusal {
+    /// It names no id.
+    NoId,
+    /// The box knows no configuration yet.
+    NotReady,
+    /// What the box knows is too old to tell whether the key still holds.
+    Stale,
+    /// There is no such route.
+    NoRoute,
+    /// The key is not known.
+    NoKey,
+    /// The route leads to no service.
+    NoService,
+    /// Its body does not fit into the box's memory now.
+    NoRoom,
+}
+
+impl Refusal {
+    /// Status of the answer.
+    pub fn status(self) -> u16 {
+        match self {
+            Self::NoId => 400,
+            Self::NoRoute => 404,
+            Self::NoKey => 401,
+            Self::NotReady | Self::Stale | Self::NoService | Self::NoRoom => 503,
+        }
+    }
+
+    /// Name for logs and metrics.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NoId => "no_id",
+            Self::NotReady => "not_ready",
+            Self::Stale => "stale",
+            Self::NoRoute => "no_route",
+            Self::NoKey => "no_key",
+            Self::NoService => "no_service",
+            Self::NoRoom => "no_room",
+        }
+    }
+}
+
+/// Judges a request by what is in force.
+///
+/// # Errors
+/// The refusal.
+pub fn admit(core: &Core, query: &Query, arrived: Moment) -> Result<Ticket, Refusal> {
+    let names = &core.names;
+    let id = query
+        .headers
+        .text(names.request)
+        .filter(|id| !id.is_empty())
+        .ok_or(Refusal::NoId)?;
+    let rules = core.rules().ok_or(Refusal::NotReady)?;
+    let age = core.age().ok_or(Refusal::NotReady)?;
+    // What is missing here may stand in a configuration that this box has not heard of.
+    let unsure = age > core.settings.bounds.config;
+    let missing = |refusal: Refusal| if unsure { Refusal::Stale } else { refusal };
+
+    let host = query.headers.text("host").unwrap_or_default();
+    let path = std::str::from_utf8(query.path()).unwrap_or_default();
+    let route = rules.route(host, path).ok_or(missing(Refusal::NoRoute))?.clone();
+    let mut customer = None;
+    if !route.public && rules.wants_keys() {
+        if core.settings.bounds.strict_revoke && age > core.settings.bounds.revoke.mul_f64(REVOKE_SHARE) {
+            return Err(Refusal::Stale);
+        }
+        let key = query
+            .headers
+            .text("authorization")
+            .and_then(bearer)
+            .unwrap_or_default();
+        customer = Some(rules.customer(key).ok_or(missing(Refusal::NoKey))?.clone());
+    }
+
+    let service = route
+        .service(place::name_hash(id))
+        .cloned()
+        .ok_or(Refusal::NoService)?;
+    let salt = match &customer {
+        Some(customer) if customer.isolated => format!("of {}", customer.name),
+        _ => SHARED_SALT.to_owned(),
+    };
+    let rank = customer.as_ref().and_then(|c| c.rank).unwrap_or(route.rank);
+    let wait = query.headers.number(names.deadline).map(Duration::from_millis);
+    let deadline = arrived + wait.unwrap_or(route.timeout);
+    let until = deadline.min(arrived + route.timeout);
+    let model = query.headers.text(names.model).map(str::to_owned);
+    let prompt = parts(query.headers.text(names.parts).unwrap_or_default(), &salt);
+    let out = query
+        .headers
+        .text(names.size)
+        .and_then(|size| size.split_once(','));
+    let out = out
+        .and_then(|(_, out)| out.trim().parse().ok())
+        .unwrap_or(DEFAULT_OUT);
+    Ok(Ticket {
+        id: id.to_owned(),
+        service,
+        customer: customer.map(|c| c.name),
+        salt,
+        urgency: rank.min(9),
+        model,
+        prompt,
+        out,
+        arrived,
+        deadline,
+        until,
+        rules,
+        route,
+    })
+}
+
+fn bearer(value: &str) -> Option<&str> {
+    let (scheme, key) = value.split_once(' ')?;
+    scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
+}
+
+/// Parts of a prompt as `ID:TOKENS,...`; what does not read as a part ends the list.
+fn parts(text: &str, salt: &str) -> Vec<Piece> {
+    let apart = place::name_hash(salt);
+    let piece = |part: &str| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        let part = u64::from_str_radix(id, 16).unwrap_or_else(|_| place::name_hash(id));
+        Some(Piece {
+            part: place::weight(part, apart),
+            tokens: tokens.parse().ok()?,
+        })
+    };
+    text.split(',').map_while(piece).collect()
+}
+
+impl Ticket {
+    /// Tokens of the prompt.
+    pub fn tokens(&self) -> u64 {
+        self.prompt.iter().map(|piece| piece.tokens).sum()
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/upstream.rs
@@ -0,0 +1,241 @@
+//! The upstreams that a box knows, and what it believes of each.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::choose::Candidate;
+use jb_policy::health::{Change, Health};
+use jb_policy::kept::{Kept, Piece};
+use jb_policy::place;
+use jb_protocol::id;
+
+use crate::link::Idle;
+use crate::port::Entry;
+
+/// Id of one incarnation of an upstream.
+pub type Id = String;
+
+/// Time for which an upstream that refused a request for lack of room gets no other.
+const REFUSED_PAUSE: Duration = Duration::from_millis(150);
+
+/// One incarnation of an upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Its last entry in the store.
+    pub entry: Entry,
+    /// Hash of its id, for the choice.
+    pub name: u64,
+    /// Record of failures.
+    pub health: Health,
+    /// Requests of this box under way there.
+    pub running: u32,
+    /// Prompt tokens of this box that wait for their first token there.
+    pub waiting: u64,
+    /// The same of all other boxes, as they last told.
+    pub others: Load,
+    /// Until when it gets nothing because it refused.
+    pub paused_until: Moment,
+    /// Until when it gets nothing because it loads weights.
+    pub loading_until: Moment,
+    /// Since when its entry is missing after an outage of the store.
+    pub lapsed: Option<Moment>,
+    /// Whether it said itself that it leaves or has another id now.
+    pub refused: bool,
+    /// What it is believed to keep.
+    pub kept: Kept,
+    /// Idle connections, the last used at the end.
+    pub idle: Vec<Idle>,
+}
+
+/// Load of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests under way.
+    pub running: u32,
+    /// Prompt tokens that wait for their first token.
+    pub waiting: u64,
+}
+
+impl Upstream {
+    fn new(id: &str, entry: Entry) -> Self {
+        Self {
+            entry,
+            name: place::name_hash(id),
+            health: Health::default(),
+            running: 0,
+            waiting: 0,
+            others: Load::default(),
+            paused_until: Moment::ZERO,
+            loading_until: Moment::ZERO,
+            lapsed: None,
+            refused: false,
+            kept: Kept::default(),
+            idle: Vec::new(),
+        }
+    }
+
+    /// Whether it may get a new request.
+    pub fn is_open(&self, now: Moment) -> bool {
+        let rests = now < self.paused_until || now < self.loading_until;
+        !self.entry.leaving && !self.refused && !rests && self.health.is_open(now)
+    }
+
+    /// Version of a model's weights, as last heard.
+    pub fn weights(&self, model: &str) -> Option<u64> {
+        let found = self.entry.models.iter().find(|loaded| loaded.model == model);
+        found.map(|loaded| loaded.version)
+    }
+
+    /// Takes a version heard of; the cache goes with the old weights.
+    pub fn heard_weights(&mut self, model: &str, version: u64) {
+        let loaded = self.entry.models.iter_mut().find(|loaded| loaded.model == model);
+        let Some(loaded) = loaded else { return };
+        if loaded.version != version {
+            loaded.version = version;
+            self.kept.clear();
+        }
+    }
+
+    /// Gives it nothing for a while after a refusal.
+    pub fn pause(&mut self, now: Moment) {
+        self.paused_until = self.paused_until.max(now + REFUSED_PAUSE);
+    }
+
+    fn candidate(&self, hall: &str, prompt: &[Piece]) -> Candidate {
+        Candidate {
+            name: self.name,
+            own_hall: self.entry.hall == hall,
+            running: self.running + self.others.running,
+            slots: self.entry.slots,
+            waiting: self.waiting + self.others.waiting,
+            found: self.kept.found(prompt),
+            slowness: if self.entry.cold.is_zero() { 1.0 } else { COLD },
+        }
+    }
+}
+
+/// Factor on the time of an upstream that says it is still slow from its start.
+const COLD: f64 = 2.0;
+
+/// All upstreams.
+#[derive(Debug, Default)]
+pub struct Registry {
+    all: BTreeMap<Id, Upstream>,
+    services: HashMap<id::Service, Vec<Id>>,
+}
+
+/// What an entry changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Seen {
+    /// Nothing that matters for the choice.
+    Same,
+    /// A new incarnation.
+    New,
+    /// It has begun to leave.
+    Leaving,
+    /// Its entry has gone.
+    Gone,
+}
+
+impl Registry {
+    /// Takes an entry of the store.
+    pub fn put(&mut self, id: &str, entry: Entry) -> Seen {
+        if let Some(known) = self.all.get_mut(id) {
+            let leaves = entry.leaving && !known.entry.leaving;
+            if known.entry.models != entry.models {
+                known.kept.clear();
+            }
+            known.entry = entry;
+            known.lapsed = None;
+            return if leaves { Seen::Leaving } else { Seen::Same };
+        }
+        self.services
+            .entry(entry.service.clone())
+            .or_default()
+            .push(id.to_owned());
+        self.all.insert(id.to_owned(), Upstream::new(id, entry));
+        Seen::New
+    }
+
+    /// Notes that an entry is missing right after an outage of the store; it may come back.
+    pub fn lapse(&mut self, id: &str, now: Moment) {
+        if let Some(known) = self.all.get_mut(id) {
+            known.lapsed.get_or_insert(now);
+        }
+    }
+
+    /// Takes an upstream off.
+    pub fn remove(&mut self, id: &str) -> Seen {
+        let Some(known) = self.all.remove(id) else {
+            return Seen::Same;
+        };
+        if let Some(ids) = self.services.get_mut(&known.entry.service) {
+            ids.retain(|other| other != id);
+        }
+        Seen::Gone
+    }
+
+    /// Ids whose entries lapsed before `moment`.
+    pub fn lapsed_before(&self, moment: Moment) -> Vec<Id> {
+        let old = self
+            .all
+            .iter()
+            .filter(|(_, u)| u.lapsed.is_some_and(|at| at < moment));
+        old.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Ids of all that are known.
+    pub fn ids(&self) -> Vec<Id> {
+        self.all.keys().cloned().collect()
+    }
+
+    /// All upstreams.
+    pub fn iter(&self) -> impl Iterator<Item = (&Id, &Upstream)> {
+        self.all.iter()
+    }
+
+    /// All upstreams, to change them.
+    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&Id, &mut Upstream)> {
+        self.all.iter_mut()
+    }
+
+    /// One upstream.
+    pub fn get(&self, id: &str) -> Option<&Upstream> {
+        self.all.get(id)
+    }
+
+    /// One upstream, to change it.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
+        self.all.get_mut(id)
+    }
+
+    /// Candidates of a service that may get a request, with their ids.
+    pub fn candidates(
+        &self,
+        service: &str,
+        hall: &str,
+        prompt: &[Piece],
+        except: &[Id],
+        now: Moment,
+    ) -> (Vec<Id>, Vec<Candidate>) {
+        let ids = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        let open = ids.iter().filter(|id| !except.contains(id));
+        let open = open.filter_map(|id| self.all.get(id).map(|u| (id, u)));
+        let open = open.filter(|(_, upstream)| upstream.is_open(now));
+        open.map(|(id, upstream)| (id.clone(), upstream.candidate(hall, prompt)))
+            .unzip()
+    }
+
+    /// Notes an ending of a request at an upstream.
+    pub fn judged(&mut self, id: &str, well: bool, now: Moment) -> Change {
+        let Some(upstream) = self.all.get_mut(id) else {
+            return Change::None;
+        };
+        if well {
+            upstream.health.succeeded()
+        } else {
+            upstream.health.failed(now)
+        }
+    }
+}
