--- a/crates/jb-policy/src/choose.rs
+++ b/crates/jb-policy/src/choose.rs
@@ -13,6 +13,13 @@
 pub struct Tuning {
     /// Prompt tokens that an engine reads in a millisecond; from measured first tokens.
     pub tokens_per_ms: f64,
+    /// Cost of bringing shared parts from another engine that keeps them: the move,
+    /// and the memory that the copy takes from other parts.
+    pub import: f64,
+    /// Cost of each thousand tokens so brought.
+    pub import_per_k: f64,
+    /// Cost of older weights than the newest that are named, whose answers are worth less.
+    pub behind: f64,
     /// Drag of one running request on the next token.
     pub per_running: f64,
     /// Cost of a place that is taken at a plain service, as a share of all places.
@@ -21,6 +28,8 @@
     pub other_hall: f64,
     /// Cost of each kilobyte that goes to another data hall.
     pub other_hall_per_kb: f64,
+    /// Cost of an engine that is not the prompt family's own.
+    pub away: f64,
     /// Cost of a candidate whose places are all taken.
     pub full: f64,
 }
@@ -29,10 +38,14 @@
     fn default() -> Self {
         Self {
             tokens_per_ms: 50.0,
+            import: 10.0,
+            import_per_k: 1.0,
+            behind: 60.0,
             per_running: 0.5,
             per_place: 60.0,
             other_hall: 3.0,
             other_hall_per_kb: 0.5,
+            away: 5.0,
             full: 400.0,
         }
     }
@@ -53,6 +66,10 @@
     pub waiting: u64,
     /// Tokens of the prompt that it is believed to keep.
     pub found: u64,
+    /// Tokens of the prompt that another engine of the same weights is believed to keep.
+    pub elsewhere: u64,
+    /// Whether newer weights than it has are named.
+    pub behind: bool,
     /// Time for which it is still slow, as a factor on its work.
     pub slowness: f64,
 }
@@ -87,14 +104,18 @@
 /// Position of the candidate with the least cost.
 pub fn best(candidates: &[Candidate], demand: &Demand<'_>, tuning: &Tuning) -> Option<usize> {
     let home = demand.family().and_then(|family| home(candidates, family));
-    let costs = candidates.iter().enumerate().map(|(at, candidate)| {
-        let found = if home == Some(at) {
-            candidate.found.max(demand.shared())
+    // Among engines that keep nothing of it yet, all boxes take the same one.
+    let away = |at| {
+        if home.is_some() && home != Some(at) {
+            tuning.away
         } else {
-            candidate.found
-        };
-        (at, cost(candidate, found, demand, tuning))
-    });
+            0.0
+        }
+    };
+    let costs = candidates
+        .iter()
+        .enumerate()
+        .map(|(at, c)| (at, cost(c, demand, tuning) + away(at)));
     costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
 }
 
@@ -107,8 +128,14 @@
         .map(|(at, _)| at)
 }
 
-fn cost(candidate: &Candidate, found: u64, demand: &Demand<'_>, tuning: &Tuning) -> f64 {
-    let unread = demand.tokens().saturating_sub(found);
+fn cost(candidate: &Candidate, demand: &Demand<'_>, tuning: &Tuning) -> f64 {
+    let brought = candidate.elsewhere.saturating_sub(candidate.found);
+    let unread = demand.tokens().saturating_sub(candidate.found + brought);
+    let import = if brought > 0 {
+        tuning.import + tuning.import_per_k * brought as f64 / 1000.0
+    } else {
+        0.0
+    };
     let reading = (candidate.waiting + unread) as f64 / tuning.tokens_per_ms;
     let running = f64::from(candidate.running);
     let drag = if demand.prompt.is_empty() {
@@ -126,5 +153,6 @@
     } else {
         0.0
     };
-    (reading + drag) * candidate.slowness + distance + full
+    let behind = if candidate.behind { tuning.behind } else { 0.0 };
+    (reading + drag + import) * candidate.slowness + distance + full + behind
 }
--- a/crates/jb-policy/src/kept.rs
+++ b/crates/jb-policy/src/kept.rs
@@ -1,13 +1,12 @@
 //! What an engine is believed to keep of the prompts that it has read.
 //!
-//! A box knows only what went through it. The belief is bounded by the
-//! engine's memory: the parts that were unused the longest are forgotten
-//! first, as the engine itself does it.
+//! Engines drop the parts that were unused the longest. So a part is believed
+//! to be kept until more tokens than the memory holds have come in since its
+//! last use. Boxes tell each other what they send, so the belief covers all
+//! of them but for what is on its way.
 
 use std::collections::HashMap;
 
-use crate::Moment;
-
 /// Number of one prompt part, mixed with everything that keeps caches apart.
 pub type Part = u64;
 
@@ -20,53 +19,56 @@
     pub tokens: u64,
 }
 
-#[derive(Clone, Copy, Debug)]
-struct Use {
-    tokens: u64,
-    at: Moment,
-}
-
-/// Parts that one engine is believed to keep.
+/// Parts that one engine or store is believed to keep.
 #[derive(Clone, Debug, Default)]
 pub struct Kept {
-    parts: HashMap<Part, Use>,
-    tokens: u64,
+    /// Tokens that had come in when each part was last used.
+    parts: HashMap<Part, u64>,
+    /// Tokens that have come in.
+    inflow: u64,
+    /// Tokens that the memory holds for parts.
+    capacity: u64,
 }
 
+/// Parts above which those that have gone are cleared away.
+const CLEAR_ABOVE: usize = 512;
+
 impl Kept {
-    /// Notes that the engine reads a prompt, and forgets what no longer fits.
-    pub fn read(&mut self, prompt: &[Piece], now: Moment, capacity: u64) {
-        for piece in prompt {
-            let fresh = Use {
-                tokens: piece.tokens,
-                at: now,
-            };
-            if let Some(old) = self.parts.insert(piece.part, fresh) {
-                self.tokens -= old.tokens;
+    /// Sets what the memory holds for parts.
+    pub fn set_capacity(&mut self, tokens: u64) {
+        self.capacity = tokens;
+    }
+
+    /// Notes that a prompt is read: its shared parts, and tokens of its own.
+    pub fn read(&mut self, shared: impl Iterator<Item = Piece>, own: u64) {
+        self.inflow += own;
+        for piece in shared {
+            if !self.holds(piece.part) {
+                self.inflow += piece.tokens;
             }
-            self.tokens += piece.tokens;
+            self.parts.insert(piece.part, self.inflow);
         }
-        while self.tokens > capacity {
-            let Some((&part, _)) = self.parts.iter().min_by_key(|(_, used)| used.at) else {
-                return;
-            };
-            if let Some(old) = self.parts.remove(&part) {
-                self.tokens -= old.tokens;
-            }
+        if self.parts.len() > CLEAR_ABOVE {
+            let oldest = self.inflow.saturating_sub(self.capacity);
+            self.parts.retain(|_, used| *used >= oldest);
         }
     }
 
+    /// Whether a part is believed to be kept.
+    pub fn holds(&self, part: Part) -> bool {
+        self.parts
+            .get(&part)
+            .is_some_and(|used| used + self.capacity >= self.inflow)
+    }
+
     /// Tokens of the prompt that need not be read: the leading parts that are kept.
     pub fn found(&self, prompt: &[Piece]) -> u64 {
-        let leading = prompt
-            .iter()
-            .take_while(|piece| self.parts.contains_key(&piece.part));
+        let leading = prompt.iter().take_while(|piece| self.holds(piece.part));
         leading.map(|piece| piece.tokens).sum()
     }
 
-    /// Forgets all: the engine has dropped its cache.
+    /// Forgets all: the memory is empty.
     pub fn clear(&mut self) {
         self.parts.clear();
-        self.tokens = 0;
     }
 }
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -1,5 +1,6 @@
 //! One send of a request to one upstream, up to the head of its answer.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -54,6 +55,8 @@
     pub ticket: &'a Ticket,
     /// Last event that the caller has, where a stream goes on.
     pub last_event: Option<u64>,
+    /// Where the engine takes parts of the prompt from that it lacks.
+    pub source: Option<SocketAddr>,
 }
 
 /// Sends a request and waits for the head of its answer.
@@ -101,9 +104,19 @@
     if let Some(customer) = &ticket.customer {
         own.push((names.customer.as_bytes(), customer.as_bytes()));
     }
-    if !entry.models.is_empty() {
-        own.push((names.salt.as_bytes(), ticket.salt.as_bytes()));
+    // The version in the salt keeps apart what was read under other weights, also where
+    // parts are brought from elsewhere; the engine confirms the version.
+    let weights = entry.weights(ticket.model.as_deref().unwrap_or_default());
+    let version = weights.map(|version| version.to_string());
+    let salt = format!("{} v{}", ticket.salt, weights.unwrap_or_default());
+    let source = message.source.map(|source| source.to_string());
+    if let Some(version) = &version {
+        own.push((names.weights.as_bytes(), version.as_bytes()));
+        own.push((names.salt.as_bytes(), salt.as_bytes()));
         own.push((names.urgency.as_bytes(), urgency.as_bytes()));
+        if let Some(source) = &source {
+            own.push((names.import.as_bytes(), source.as_bytes()));
+        }
     }
     if let Some(last) = &last {
         own.push((names.last_event.as_bytes(), last.as_bytes()));
@@ -197,8 +210,9 @@
     }
     if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
         upstream.pause(core.now());
-        // Another incarnation has the address.
-        upstream.refused |= answer.status == 421;
+        // Another incarnation has the address; the same one only has other weights.
+        let answering = answer.headers.text(core.names.answering);
+        upstream.refused |= answer.status == 421 && answering.is_some_and(|other| other != id);
     }
     let mut body = Body::new(answer.framing);
     let complete = matches!(body.step(&mut link.connection.buffer), Ok(Step::End))
--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange.rs
@@ -1,5 +1,6 @@
 //! One request from its admission to its last byte.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -13,9 +14,10 @@
 use crate::core::Shared;
 use crate::deliver::{self, Delivered};
 use crate::http::{Connection, Query};
+use crate::peers;
 use crate::rules::Kind;
 use crate::ticket::Ticket;
-use crate::upstream::Id;
+use crate::upstream::{Id, Wanted};
 
 /// Sends of one request at most, with those that were turned away.
 const MOST_SENDS: u32 = 4;
@@ -26,6 +28,11 @@
 /// Silence of an upstream, in wanted times, after which a request that may run again goes elsewhere.
 const PATIENCE: f64 = 1.5;
 
+/// Tokens for which a move from another engine is worth its wait.
+const LEAST_IMPORT: u64 = 64;
+/// Percent of an engine's memory that keeps parts while requests run in the rest.
+const KEPT_PERCENT: u64 = 70;
+
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -104,6 +111,7 @@
             body,
             ticket,
             last_event: None,
+            source: None,
         };
         Self {
             core,
@@ -174,24 +182,35 @@
     }
 
     fn choose(&self) -> Option<Id> {
-        let ticket = self.message.ticket;
         let core = self.core;
-        let now = core.now();
-        let upstreams = core.upstreams.borrow();
-        let hall = &core.settings.hall;
-        let (ids, candidates) = upstreams.candidates(&ticket.service, hall, &ticket.prompt, &self.tried, now);
-        let demand = Demand {
-            prompt: &ticket.prompt,
-            bytes: self.message.body.len(),
-        };
-        let at = choose::best(&candidates, &demand, &core.tuning)?;
+        let wanted = self.wanted();
+        let (ids, candidates) = core.upstreams.borrow().candidates(&wanted, core.now());
+        let at = choose::best(&candidates, &wanted.demand, &core.tuning)?;
         Some(ids[at].clone())
     }
 
+    fn wanted(&self) -> Wanted<'_> {
+        let ticket = self.message.ticket;
+        let model = ticket.model.as_deref();
+        let newest = model.and_then(|model| self.core.weights.borrow().get(model).copied());
+        Wanted {
+            service: &ticket.service,
+            model,
+            newest: newest.unwrap_or_default(),
+            hall: &self.core.settings.hall,
+            demand: Demand {
+                prompt: &ticket.prompt,
+                bytes: self.message.body.len(),
+            },
+            except: &self.tried,
+        }
+    }
+
     /// One send, and the delivery of its answer.
     async fn attempt(&mut self, id: &Id, client: &mut Connection) -> Result<Next, &'static str> {
         let core = self.core;
         let ticket = self.message.ticket;
+        self.message.source = self.source(id);
         let waiting = self.note_prompt(id);
         let mut counted = Counted::new(core, id, waiting);
         self.tried.push(id.clone());
@@ -248,12 +267,23 @@
         }
     }
 
+    /// Where the engine takes parts from that it lacks, when that is worth a move.
+    fn source(&self, id: &Id) -> Option<SocketAddr> {
+        let wanted = self.wanted();
+        let source = self
+            .core
+            .upstreams
+            .borrow()
+            .source(id, &wanted, self.core.now())?;
+        (source.tokens >= LEAST_IMPORT).then_some(source.address)
+    }
+
     /// Notes what the engine reads; returns the tokens that it must read itself.
     fn note_prompt(&self, id: &Id) -> u64 {
         let ticket = self.message.ticket;
-        if ticket.prompt.is_empty() {
+        let Some((last, shared)) = ticket.prompt.split_last() else {
             return 0;
-        }
+        };
         let service = ticket.rules.services.get(&ticket.service);
         let capacity = service
             .and_then(|s| s.engine.as_ref())
@@ -263,8 +293,17 @@
             return 0;
         };
         let found = upstream.kept.found(&ticket.prompt);
-        upstream.kept.read(&ticket.prompt, self.core.now(), capacity);
-        ticket.tokens().saturating_sub(found)
+        upstream.kept.set_capacity(capacity * KEPT_PERCENT / 100);
+        upstream
+            .kept
+            .read(shared.iter().copied(), last.tokens + ticket.out);
+        peers::note_use(self.core, upstream.name, shared, last.tokens + ticket.out);
+        let read = if self.message.source.is_some() {
+            last.tokens
+        } else {
+            ticket.tokens() - found
+        };
+        read.max(last.tokens)
     }
 
     fn blame(&self, id: &Id, outcome: &'static str, why: &str) {
--- a/crates/jb-relay/src/follow.rs
+++ b/crates/jb-relay/src/follow.rs
@@ -88,14 +88,16 @@
         apply(core, fact, returning);
     }
     if whole {
-        for id in core.upstreams.borrow().ids() {
+        let known = core.upstreams.borrow().ids();
+        for id in known {
             if !seen.contains(&id) {
                 apply(core, Fact::Upstream(id, None), returning);
             }
         }
     }
     if !returning {
-        for id in core.upstreams.borrow().lapsed_before(core.now()) {
+        let lapsed = core.upstreams.borrow().lapsed_before(core.now());
+        for id in lapsed {
             gone(core, &id);
         }
     }
--- a/crates/jb-relay/src/names.rs
+++ b/crates/jb-relay/src/names.rs
@@ -21,6 +21,8 @@
     pub customer: &'static str,
     /// Incarnation of the upstream that a request is meant for.
     pub incarnation: &'static str,
+    /// Incarnation that answers.
+    pub answering: &'static str,
     /// Version of the weights that a request is meant for.
     pub weights: &'static str,
     /// An upstream's word that it did not run the request.
--- a/crates/jb-relay/src/peers.rs
+++ b/crates/jb-relay/src/peers.rs
@@ -8,6 +8,7 @@
 
 use bytes::Bytes;
 use jb_policy::Moment;
+use jb_policy::kept::Piece;
 use jb_protocol::{emit, event, id};
 use serde::{Deserialize, Serialize};
 use tokio::net::UdpSocket;
@@ -20,7 +21,9 @@
 /// Beginning of the keys under which boxes give their addresses.
 pub const KEYS: &str = "junctionbend/box/";
 /// Pause between two tellings in a small fleet.
-const PERIOD: Duration = Duration::from_millis(200);
+const PERIOD: Duration = Duration::from_millis(100);
+/// Uses that are held for the next telling; more are left out.
+const MOST_USES: usize = 32;
 /// Datagrams that a box sends in a second at most; larger fleets tell more rarely.
 const MOST_PER_S: f64 = 40.0;
 /// Time after which what a box told is no longer believed.
@@ -41,6 +44,19 @@
     loads: Vec<ToldLoad>,
     /// What engines do with their weights.
     weights: Vec<ToldWeights>,
+    /// Prompts that were sent to engines since the last telling.
+    uses: Vec<ToldUse>,
+}
+
+/// A prompt that was sent to an engine.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+struct ToldUse {
+    /// Hash of the engine's id.
+    upstream: u64,
+    /// Shared parts with their tokens.
+    shared: Vec<(u64, u32)>,
+    /// Tokens of its own, read and made.
+    own: u32,
 }
 
 /// Load that a box puts on an upstream.
@@ -70,6 +86,7 @@
 pub struct Peers {
     addresses: BTreeMap<id::Box, SocketAddr>,
     told: BTreeMap<id::Box, Heard>,
+    uses: Vec<ToldUse>,
 }
 
 #[derive(Debug)]
@@ -163,12 +180,23 @@
         let others = core.peers.borrow().boxes() as f64;
         sleep(PERIOD.max(Duration::from_secs_f64(others / MOST_PER_S))).await;
         let loads = own_loads(&core);
+        let uses = std::mem::take(&mut core.peers.borrow_mut().uses);
         // Nothing to tell is told once.
-        if loads.is_empty() && quiet {
+        let nothing = loads.is_empty() && uses.is_empty();
+        if nothing && quiet {
             continue;
         }
-        quiet = loads.is_empty();
-        send(&core, &socket, loads, Vec::new()).await;
+        quiet = nothing;
+        send(
+            &core,
+            &socket,
+            Told {
+                loads,
+                uses,
+                ..Told::from(&core)
+            },
+        )
+        .await;
     }
 }
 
@@ -186,7 +214,16 @@
         version: version.unwrap_or(0),
     };
     take_weights(core, &told);
-    send(core, socket, own_loads(core), vec![told]).await;
+    send(
+        core,
+        socket,
+        Told {
+            loads: own_loads(core),
+            weights: vec![told],
+            ..Told::from(core)
+        },
+    )
+    .await;
 }
 
 fn own_loads(core: &Core) -> Vec<ToldLoad> {
@@ -200,12 +237,36 @@
     .collect()
 }
 
-async fn send(core: &Core, socket: &UdpSocket, loads: Vec<ToldLoad>, weights: Vec<ToldWeights>) {
-    let told = Told {
-        from: core.settings.id.clone(),
-        loads,
-        weights,
-    };
+impl Told {
+    /// Nothing told yet.
+    fn from(core: &Core) -> Self {
+        Self {
+            from: core.settings.id.clone(),
+            loads: Vec::new(),
+            weights: Vec::new(),
+            uses: Vec::new(),
+        }
+    }
+}
+
+/// Notes a prompt that is sent to an engine, for the next telling.
+pub fn note_use(core: &Core, upstream: u64, shared: &[Piece], own: u64) {
+    let mut peers = core.peers.borrow_mut();
+    if peers.uses.len() < MOST_USES {
+        let short = |tokens| u32::try_from(tokens).unwrap_or(u32::MAX);
+        let shared = shared
+            .iter()
+            .map(|piece| (piece.part, short(piece.tokens)))
+            .collect();
+        peers.uses.push(ToldUse {
+            upstream,
+            shared,
+            own: short(own),
+        });
+    }
+}
+
+async fn send(core: &Core, socket: &UdpSocket, told: Told) {
     let Ok(bytes) = postcard::to_allocvec(&told) else {
         return;
     };
@@ -248,6 +309,9 @@
     for weights in &told.weights {
         take_weights(core, weights);
     }
+    for used in &told.uses {
+        take_use(core, used);
+    }
     let heard = Heard {
         at: core.now(),
         loads: told.loads,
@@ -270,6 +334,18 @@
     }
 }
 
+fn take_use(core: &Core, told: &ToldUse) {
+    let mut upstreams = core.upstreams.borrow_mut();
+    let Some((_, upstream)) = upstreams.iter_mut().find(|(_, u)| u.name == told.upstream) else {
+        return;
+    };
+    let shared = told.shared.iter().map(|&(part, tokens)| Piece {
+        part,
+        tokens: u64::from(tokens),
+    });
+    upstream.kept.read(shared, u64::from(told.own));
+}
+
 /// Adds up what all others have told, and forgets what is old.
 fn sum_up(core: &Core) {
     let now = core.now();
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -33,6 +33,14 @@
     pub models: Vec<Loaded>,
 }
 
+impl Entry {
+    /// Version of a model's weights.
+    pub fn weights(&self, model: &str) -> Option<u64> {
+        let found = self.models.iter().find(|loaded| loaded.model == model);
+        found.map(|loaded| loaded.version)
+    }
+}
+
 /// A model as an engine has it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Loaded {
--- a/crates/jb-relay/src/steward.rs
+++ b/crates/jb-relay/src/steward.rs
@@ -36,6 +36,8 @@
 const LOOK: Duration = Duration::from_millis(150);
 /// Pause by which a less preferred box asks for the lease later.
 const RANK_PAUSE: Duration = Duration::from_millis(250);
+/// Pause before an engine that refused an order, or gave no report, is tried again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(600);
 /// Share of a service's engines that load at once.
 const AT_ONCE: f64 = 0.2;
 /// Engines that load at once at least.
@@ -228,7 +230,7 @@
         }
     }
 
-    /// Engines to load next, those with the least to do first.
+    /// Engines to load next: those with the oldest weights, then those with the least to do.
     fn next_engines(&self, model: &str, version: u64) -> Vec<Id> {
         let upstreams = self.core.upstreams.borrow();
         let loading = self.loading.borrow();
@@ -236,16 +238,17 @@
         let (mut all, mut behind) = (0, Vec::new());
         for (id, upstream) in with_model {
             all += 1;
-            let old = upstream.weights(model).is_some_and(|has| has < version);
+            let old = upstream.weights(model).is_some_and(|has| has < version) && !upstream.refused;
             if old && !upstream.entry.leaving && upstream.lapsed.is_none() && !loading.contains(id) {
                 let unsound = !upstream.health.is_open(self.core.now());
-                behind.push((unsound, upstream.running + upstream.others.running, id.clone()));
+                let running = upstream.running + upstream.others.running;
+                behind.push((unsound, upstream.weights(model), running, id.clone()));
             }
         }
         let most = ((f64::from(all) * AT_ONCE) as usize).max(AT_ONCE_LEAST);
         behind.sort();
         let room = most.saturating_sub(loading.len());
-        behind.into_iter().take(room).map(|(_, _, id)| id).collect()
+        behind.into_iter().take(room).map(|(_, _, _, id)| id).collect()
     }
 
     /// Brings one engine to the newest weights.
@@ -261,6 +264,7 @@
                 Ok(report) => report,
                 Err(why) => {
                     emit!(core.logger, info, event::ORDER_FAILED, "upstream" => id, "why" => %why);
+                    sleep(REFUSED_PAUSE).await;
                     return;
                 }
             };
@@ -290,7 +294,12 @@
                 let taken = core.engines.order(address, id, &order).await;
                 emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => id, "version" => version,
                     "fence" => fence, "had" => has, "answer" => ?taken);
-                if matches!(taken, Ok(Taken::Refused(_))) {
+                if let Ok(Taken::Refused(status)) = taken {
+                    if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
+                        // Another incarnation has the address.
+                        upstream.refused |= status == 421;
+                    }
+                    sleep(REFUSED_PAUSE).await;
                     return;
                 }
             }
--- a/crates/jb-relay/src/upstream.rs
+++ b/crates/jb-relay/src/upstream.rs
@@ -1,12 +1,13 @@
 //! The upstreams that a box knows, and what it believes of each.
 
 use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use jb_policy::Moment;
-use jb_policy::choose::Candidate;
+use jb_policy::choose::{Candidate, Demand};
 use jb_policy::health::{Change, Health};
-use jb_policy::kept::{Kept, Piece};
+use jb_policy::kept::Kept;
 use jb_policy::place;
 use jb_protocol::id;
 
@@ -81,10 +82,15 @@
         !self.entry.leaving && !self.refused && !rests && self.health.is_open(now)
     }
 
+    /// Whether another engine can take parts from it.
+    fn hands_on(&self, now: Moment) -> bool {
+        let loads = now < self.loading_until;
+        !loads && !self.refused && self.lapsed.is_none() && self.health.is_open(now)
+    }
+
     /// Version of a model's weights, as last heard.
     pub fn weights(&self, model: &str) -> Option<u64> {
-        let found = self.entry.models.iter().find(|loaded| loaded.model == model);
-        found.map(|loaded| loaded.version)
+        self.entry.weights(model)
     }
 
     /// Takes a version heard of; the cache goes with the old weights.
@@ -102,14 +108,16 @@
         self.paused_until = self.paused_until.max(now + REFUSED_PAUSE);
     }
 
-    fn candidate(&self, hall: &str, prompt: &[Piece]) -> Candidate {
+    fn candidate(&self, hall: &str, demand: &Demand<'_>, behind: bool) -> Candidate {
         Candidate {
             name: self.name,
             own_hall: self.entry.hall == hall,
             running: self.running + self.others.running,
             slots: self.entry.slots,
             waiting: self.waiting + self.others.waiting,
-            found: self.kept.found(prompt),
+            found: self.kept.found(demand.prompt),
+            elsewhere: 0,
+            behind,
             slowness: if self.entry.cold.is_zero() { 1.0 } else { COLD },
         }
     }
@@ -118,6 +126,39 @@
 /// Factor on the time of an upstream that says it is still slow from its start.
 const COLD: f64 = 2.0;
 
+/// What a request asks of the choice.
+#[derive(Clone, Copy, Debug)]
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Model that it names.
+    pub model: Option<&'a str>,
+    /// Newest version of the model's weights.
+    pub newest: u64,
+    /// Own data hall.
+    pub hall: &'a str,
+    /// Its prompt and size.
+    pub demand: Demand<'a>,
+    /// Upstreams that were tried.
+    pub except: &'a [Id],
+}
+
+/// Where parts of a prompt are brought from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// Address.
+    pub address: SocketAddr,
+    /// Tokens that it has beyond the target's own.
+    pub tokens: u64,
+}
+
+struct Holder<'a> {
+    id: &'a str,
+    found: u64,
+    weights: u64,
+    hall: &'a str,
+}
+
 /// All upstreams.
 #[derive(Debug, Default)]
 pub struct Registry {
@@ -211,20 +252,67 @@
     }
 
     /// Candidates of a service that may get a request, with their ids.
-    pub fn candidates(
-        &self,
-        service: &str,
-        hall: &str,
-        prompt: &[Piece],
-        except: &[Id],
-        now: Moment,
-    ) -> (Vec<Id>, Vec<Candidate>) {
-        let ids = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
-        let open = ids.iter().filter(|id| !except.contains(id));
-        let open = open.filter_map(|id| self.all.get(id).map(|u| (id, u)));
+    pub fn candidates(&self, wanted: &Wanted<'_>, now: Moment) -> (Vec<Id>, Vec<Candidate>) {
+        let holders = self.holders(wanted, now);
+        let open = self
+            .of_service(wanted.service)
+            .filter(|(id, _)| !wanted.except.contains(*id));
         let open = open.filter(|(_, upstream)| upstream.is_open(now));
-        open.map(|(id, upstream)| (id.clone(), upstream.candidate(hall, prompt)))
-            .unzip()
+        let candidate = |(id, upstream): (&Id, &Upstream)| {
+            let has = wanted.model.and_then(|model| upstream.weights(model));
+            let behind = has.is_some_and(|has| has < wanted.newest);
+            let mut candidate = upstream.candidate(wanted.hall, &wanted.demand, behind);
+            let others = holders
+                .iter()
+                .filter(|holder| holder.id != *id && Some(holder.weights) == has);
+            candidate.elsewhere = others.map(|holder| holder.found).max().unwrap_or(0);
+            (id.clone(), candidate)
+        };
+        open.map(candidate).unzip()
+    }
+
+    /// The engine that a prompt's parts are best brought from to another one.
+    pub fn source(&self, target: &str, wanted: &Wanted<'_>, now: Moment) -> Option<Source> {
+        let upstream = self.all.get(target)?;
+        let has = wanted.model.and_then(|model| upstream.weights(model))?;
+        let found = upstream.kept.found(wanted.demand.prompt);
+        let holders = self.holders(wanted, now);
+        let better = holders
+            .iter()
+            .filter(|h| h.weights == has && h.found > found && h.id != target);
+        let best = better.max_by_key(|h| (h.found, h.hall == upstream.entry.hall))?;
+        let address = self.all.get(best.id)?.entry.address;
+        Some(Source {
+            address,
+            tokens: best.found - found,
+        })
+    }
+
+    fn of_service(&self, service: &str) -> impl Iterator<Item = (&Id, &Upstream)> {
+        let ids = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
+        ids.iter()
+            .filter_map(|id| self.all.get(id).map(|upstream| (id, upstream)))
+    }
+
+    /// Engines that keep something of a prompt and can hand it on.
+    fn holders(&self, wanted: &Wanted<'_>, now: Moment) -> Vec<Holder<'_>> {
+        let Some(model) = wanted.model else {
+            return Vec::new();
+        };
+        let mut holders = Vec::new();
+        for (id, upstream) in self.of_service(wanted.service) {
+            let found = upstream.kept.found(wanted.demand.prompt);
+            let weights = upstream.weights(model);
+            if let Some(weights) = weights.filter(|_| found > 0 && upstream.hands_on(now)) {
+                holders.push(Holder {
+                    id,
+                    found,
+                    weights,
+                    hall: &upstream.entry.hall,
+                });
+            }
+        }
+        holders
     }
 
     /// Notes an ending of a request at an upstream.
