Roll-out empties engines before it loads them and cuts only what goes on elsewhere

Cause: an order that lets running requests end took 2 to 4 s an engine, one of a version's engines after the other. Change: the steward tells boxes to send nothing there, waits for requests that cannot go on elsewhere, then resets the rest, which boxes resume at other engines.

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -58,6 +58,7 @@
     STEWARD_LOST = 7002, "steward_lost", "The box is no longer its hall's steward.";
     ORDER_GIVEN = 7003, "order_given", "An engine was given an order.";
     STEWARD_NOT_TAKEN = 7004, "steward_not_taken", "The box asked to be steward and did not get it.";
+    WEIGHTS_LOADED = 7006, "weights_loaded", "An engine has the newest weights.";
     ORDER_FAILED = 7005, "order_failed", "An engine could not be brought to newer weights for now.";
 }
 
--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange.rs
@@ -17,7 +17,7 @@
 use crate::peers;
 use crate::rules::Kind;
 use crate::ticket::Ticket;
-use crate::upstream::{Id, Wanted};
+use crate::upstream::{Id, Upstream, Wanted};
 
 /// Sends of one request at most, with those that were turned away.
 const MOST_SENDS: u32 = 4;
@@ -64,16 +64,19 @@
     core: &'a Shared,
     id: &'a Id,
     waiting: u64,
+    fixed: u32,
 }
 
 impl<'a> Counted<'a> {
-    fn new(core: &'a Shared, id: &'a Id, waiting: u64) -> Self {
+    fn new(core: &'a Shared, id: &'a Id, waiting: u64, fixed: bool) -> Self {
+        let fixed = u32::from(fixed);
         if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
             upstream.running += 1;
+            upstream.fixed += fixed;
             upstream.waiting += waiting;
             upstream.health.sent();
         }
-        Self { core, id, waiting }
+        Self { core, id, waiting, fixed }
     }
 
     /// The first token has come.
@@ -90,6 +93,7 @@
         self.started();
         if let Some(upstream) = self.core.upstreams.borrow_mut().get_mut(self.id) {
             upstream.running = upstream.running.saturating_sub(1);
+            upstream.fixed = upstream.fixed.saturating_sub(self.fixed);
             upstream.health.undecided();
         }
     }
@@ -212,7 +216,7 @@
         let ticket = self.message.ticket;
         self.message.source = self.source(id);
         let waiting = self.note_prompt(id);
-        let mut counted = Counted::new(core, id, waiting);
+        let mut counted = Counted::new(core, id, waiting, !ticket.route.repeatable());
         self.tried.push(id.clone());
         let outcome = tokio::select! {
             outcome = self.patiently(id) => outcome,
@@ -310,6 +314,11 @@
         let core = self.core;
         emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.ticket.id,
             "upstream" => id, "outcome" => outcome, "why" => why);
+        let loads = |upstream: &Upstream| core.now() < upstream.loading_until;
+        if core.upstreams.borrow().get(id).is_some_and(loads) {
+            // Streams that are reset for new weights are no fault of the engine.
+            return;
+        }
         if core.upstreams.borrow_mut().judged(id, false, core.now()) == Change::Ejected {
             emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => id, "why" => why);
         }
--- a/crates/jb-relay/src/peers.rs
+++ b/crates/jb-relay/src/peers.rs
@@ -66,6 +66,8 @@
     upstream: u64,
     /// Requests under way.
     running: u32,
+    /// Those of them that cannot go on elsewhere.
+    fixed: u32,
     /// Prompt tokens that wait.
     waiting: u64,
 }
@@ -231,8 +233,7 @@
     let busy = upstreams.iter().filter(|(_, u)| u.running > 0);
     busy.map(|(_, u)| ToldLoad {
         upstream: u.name,
-        running: u.running,
-        waiting: u.waiting,
+        running: u.running, fixed: u.fixed, waiting: u.waiting,
     })
     .collect()
 }
@@ -355,6 +356,7 @@
     for load in peers.told.values().flat_map(|heard| &heard.loads) {
         let sum = sums.entry(load.upstream).or_default();
         sum.running += load.running;
+        sum.fixed += load.fixed;
         sum.waiting += load.waiting;
     }
     for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -154,6 +154,15 @@
     pub orders: u64,
 }
 
+/// What happens to requests that run while an engine is told to load other weights.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Mode {
+    /// They end first.
+    Finish,
+    /// Their streams are reset; the boxes go on with them at other engines.
+    Cut,
+}
+
 /// An order to load other weights.
 #[derive(Clone, Debug)]
 pub struct Order {
@@ -161,6 +170,8 @@
     pub model: String,
     /// Version wanted.
     pub version: u64,
+    /// What happens to running requests.
+    pub mode: Mode,
     /// Box that gives it.
     pub holder: id::Box,
     /// Fencing token.
--- a/crates/jb-relay/src/steward.rs
+++ b/crates/jb-relay/src/steward.rs
@@ -7,6 +7,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeSet;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -15,11 +16,12 @@
 use jb_policy::place;
 use jb_protocol::{emit, event};
 use tokio::net::UdpSocket;
+use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
 use crate::core::Shared;
 use crate::peers;
-use crate::port::{Lease, Order, Revision, StoreError, Taken, Write};
+use crate::port::{Lease, Mode, Order, Revision, StoreError, Taken, Write};
 use crate::upstream::Id;
 
 /// Item that stands while a box has the duty.
@@ -42,6 +44,18 @@
 const AT_ONCE: f64 = 0.2;
 /// Engines that load at once at least.
 const AT_ONCE_LEAST: usize = 2;
+/// Engines that are emptied meanwhile, to load next.
+const EMPTYING: usize = 1;
+/// Longest wait for requests that cannot go on elsewhere to end.
+const EMPTY_TIME: Duration = Duration::from_millis(900);
+/// Time in which all boxes hear that an engine gets nothing more, and tell what they have there.
+const HEARD_TIME: Duration = Duration::from_millis(220);
+/// Pause between two looks at an engine that is being emptied.
+const LOOK_EMPTY: Duration = Duration::from_millis(30);
+/// Pause between two reports of an engine that loads.
+const LOOK_BUSY: Duration = Duration::from_millis(120);
+/// Time that a load takes at least.
+const LOAD_LEAST: Duration = Duration::from_millis(600);
 /// Time after which an engine that does not get done makes room for others.
 const LOAD_TIME: Duration = Duration::from_secs(8);
 /// Added to the pause between orders of two boxes, for the steady clocks of both.
@@ -64,6 +78,8 @@
     socket: Rc<UdpSocket>,
     term: Cell<Option<Term>>,
     loading: RefCell<BTreeSet<Id>>,
+    places: Semaphore,
+    granted: Cell<usize>,
     vacant_since: Cell<Option<Moment>>,
 }
 
@@ -75,6 +91,8 @@
             socket,
             term: Cell::new(None),
             loading: RefCell::default(),
+            places: Semaphore::new(0),
+            granted: Cell::new(0),
             vacant_since: Cell::new(None),
         })
     }
@@ -247,19 +265,27 @@
         }
         let most = ((f64::from(all) * AT_ONCE) as usize).max(AT_ONCE_LEAST);
         behind.sort();
-        let room = most.saturating_sub(loading.len());
+        if most > self.granted.get() {
+            self.places.add_permits(most - self.granted.get());
+            self.granted.set(most);
+        }
+        let room = (most + EMPTYING).saturating_sub(loading.len());
         behind.into_iter().take(room).map(|(_, _, _, id)| id).collect()
     }
 
     /// Brings one engine to the newest weights.
     async fn load(&self, id: &Id, model: &str) {
         let core = &self.core;
-        let mut told = false;
+        let began = core.now();
+        self.empty(id, model).await;
+        let _place = self.place().await;
+        let mut last_told = began;
         loop {
-            let Some(address) = core.upstreams.borrow().get(id).map(|u| u.entry.address) else {
-                return;
-            };
-            let version = core.weights.borrow().get(model).copied().unwrap_or_default();
+            if core.now() > last_told + peers::LOADING / 2 {
+                last_told = core.now();
+                peers::tell_weights(core, &self.socket, id, model, None).await;
+            }
+            let Some(address) = core.upstreams.borrow().get(id).map(|u| u.entry.address) else { return };
             let report = match core.engines.report(address).await {
                 Ok(report) => report,
                 Err(why) => {
@@ -268,42 +294,67 @@
                     return;
                 }
             };
-            let has = report
-                .models
-                .iter()
-                .find(|loaded| loaded.model == model)
-                .map_or(0, |l| l.version);
+            let version = core.weights.borrow().get(model).copied().unwrap_or_default();
+            let has = report.models.iter().find(|loaded| loaded.model == model).map_or(0, |l| l.version);
             if has >= version && !report.busy {
+                emit!(core.logger, info, event::WEIGHTS_LOADED, "upstream" => id, "version" => has,
+                    "ms" => core.now().saturating_sub(began).as_millis() as u64);
                 peers::tell_weights(core, &self.socket, id, model, Some(has)).await;
                 return;
             }
-            let Some(fence) = self.may_order() else { return };
-            if !told {
-                peers::tell_weights(core, &self.socket, id, model, None).await;
-                told = true;
+            if report.busy {
+                sleep(LOOK_BUSY).await;
+            } else if !self.order(id, address, model, version, report.orders).await {
+                return;
             }
-            if !report.busy {
-                let holder = core.settings.id.clone();
-                let order = Order {
-                    model: model.to_owned(),
-                    version,
-                    holder,
-                    fence,
-                    orders: report.orders,
-                };
-                let taken = core.engines.order(address, id, &order).await;
-                emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => id, "version" => version,
-                    "fence" => fence, "had" => has, "answer" => ?taken);
-                if let Ok(Taken::Refused(status)) = taken {
-                    if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
-                        // Another incarnation has the address.
-                        upstream.refused |= status == 421;
-                    }
-                    sleep(REFUSED_PAUSE).await;
-                    return;
+        }
+    }
+
+    /// Has the boxes send nothing more there, and waits until what cannot go on elsewhere has ended.
+    async fn empty(&self, id: &Id, model: &str) {
+        let core = &self.core;
+        peers::tell_weights(core, &self.socket, id, model, None).await;
+        let until = core.now() + EMPTY_TIME;
+        sleep(HEARD_TIME).await;
+        while core.now() < until && self.fixed(id) > 0 {
+            sleep(LOOK_EMPTY).await;
+        }
+    }
+
+    /// Requests at an engine that cannot go on elsewhere.
+    fn fixed(&self, id: &Id) -> u32 {
+        let upstreams = self.core.upstreams.borrow();
+        upstreams.get(id).map_or(0, |upstream| upstream.fixed + upstream.others.fixed)
+    }
+
+    /// A place among the engines that load at the same time.
+    async fn place(&self) -> Option<tokio::sync::SemaphorePermit<'_>> {
+        // The semaphore is never closed.
+        self.places.acquire().await.ok()
+    }
+
+    /// Gives one order; whether to go on with the engine.
+    async fn order(&self, id: &Id, address: SocketAddr, model: &str, version: u64, orders: u64) -> bool {
+        let core = &self.core;
+        let Some(fence) = self.may_order() else { return false };
+        let mode = if self.fixed(id) == 0 { Mode::Cut } else { Mode::Finish };
+        let holder = core.settings.id.clone();
+        let order = Order { model: model.to_owned(), version, mode, holder, fence, orders };
+        let taken = core.engines.order(address, id, &order).await;
+        emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => id, "version" => version,
+            "fence" => fence, "mode" => ?mode, "answer" => ?taken);
+        match taken {
+            Ok(Taken::Started) => sleep(LOAD_LEAST).await,
+            Ok(Taken::Refused(status)) => {
+                if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
+                    // Another incarnation has the address.
+                    upstream.refused |= status == 421;
                 }
+                sleep(REFUSED_PAUSE).await;
+                return false;
             }
-            sleep(LOOK).await;
+            Ok(Taken::Holds | Taken::Conflict) | Err(_) => sleep(LOOK).await,
         }
+        true
     }
 }
--- a/crates/jb-relay/src/upstream.rs
+++ b/crates/jb-relay/src/upstream.rs
@@ -31,6 +31,8 @@
     pub health: Health,
     /// Requests of this box under way there.
     pub running: u32,
+    /// Those of them that cannot go on at another upstream.
+    pub fixed: u32,
     /// Prompt tokens of this box that wait for their first token there.
     pub waiting: u64,
     /// The same of all other boxes, as they last told.
@@ -54,6 +56,8 @@
 pub struct Load {
     /// Requests under way.
     pub running: u32,
+    /// Those of them that cannot go on at another upstream.
+    pub fixed: u32,
     /// Prompt tokens that wait for their first token.
     pub waiting: u64,
 }
@@ -65,6 +69,7 @@
             name: place::name_hash(id),
             health: Health::default(),
             running: 0,
+            fixed: 0,
             waiting: 0,
             others: Load::default(),
             paused_until: Moment::ZERO,
