Keep shared parts in the store of kept cache; nothing goes to weights past their time

Change: parts that the store lacks are exported to it, and it is the source when no engine is believed to keep them; engines with weights older than most of the bound get nothing.

--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -57,6 +57,8 @@
     pub last_event: Option<u64>,
     /// Where the engine takes parts of the prompt from that it lacks.
     pub source: Option<SocketAddr>,
+    /// Store that the engine sends the prompt's parts to once they are read.
+    pub keep: Option<SocketAddr>,
 }
 
 /// Sends a request and waits for the head of its answer.
@@ -110,6 +112,7 @@
     let version = weights.map(|version| version.to_string());
     let salt = format!("{} v{}", ticket.salt, weights.unwrap_or_default());
     let source = message.source.map(|source| source.to_string());
+    let keep = message.keep.map(|keep| keep.to_string());
     if let Some(version) = &version {
         own.push((names.weights.as_bytes(), version.as_bytes()));
         own.push((names.salt.as_bytes(), salt.as_bytes()));
@@ -117,6 +120,9 @@
         if let Some(source) = &source {
             own.push((names.import.as_bytes(), source.as_bytes()));
         }
+        if let Some(keep) = &keep {
+            own.push((names.export.as_bytes(), keep.as_bytes()));
+        }
     }
     if let Some(last) = &last {
         own.push((names.last_event.as_bytes(), last.as_bytes()));
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -11,6 +11,7 @@
 use jb_protocol::id;
 use slog::Logger;
 
+use crate::keep::Keeps;
 use crate::metrics::Metrics;
 use crate::names::Names;
 use crate::peers::Peers;
@@ -47,8 +48,10 @@
     pub proven: Cell<Option<Moment>>,
     /// Upstreams.
     pub upstreams: RefCell<Registry>,
+    /// Stores of kept KV cache.
+    pub keeps: RefCell<Keeps>,
     /// Newest version of each model's weights.
-    pub weights: RefCell<BTreeMap<String, u64>>,
+    pub weights: RefCell<BTreeMap<String, Named>>,
     /// Items that the boxes keep in the store.
     pub own: RefCell<BTreeMap<String, Item>>,
     /// Other boxes.
@@ -60,6 +63,15 @@
     started: Instant,
 }
 
+/// The newest version of a model's weights.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Named {
+    /// Version.
+    pub version: u64,
+    /// When the box heard of it.
+    pub heard: Moment,
+}
+
 /// What a box is made of.
 pub struct Parts {
     /// Settings.
@@ -89,6 +101,7 @@
             rules: RefCell::default(),
             proven: Cell::default(),
             upstreams: RefCell::default(),
+            keeps: RefCell::default(),
             weights: RefCell::default(),
             own: RefCell::default(),
             peers: RefCell::default(),
--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange.rs
@@ -1,6 +1,5 @@
 //! One request from its admission to its last byte.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -28,6 +27,8 @@
 /// Silence of an upstream, in wanted times, after which a request that may run again goes elsewhere.
 const PATIENCE: f64 = 1.5;
 
+/// Part of the bound on older weights after which nothing is sent to them.
+const WEIGHTS_SHARE: f64 = 0.85;
 /// Tokens for which a move from another engine is worth its wait.
 const LEAST_IMPORT: u64 = 64;
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
@@ -76,7 +77,12 @@
             upstream.waiting += waiting;
             upstream.health.sent();
         }
-        Self { core, id, waiting, fixed }
+        Self {
+            core,
+            id,
+            waiting,
+            fixed,
+        }
     }
 
     /// The first token has come.
@@ -116,6 +122,7 @@
             ticket,
             last_event: None,
             source: None,
+            keep: None,
         };
         Self {
             core,
@@ -197,10 +204,13 @@
         let ticket = self.message.ticket;
         let model = ticket.model.as_deref();
         let newest = model.and_then(|model| self.core.weights.borrow().get(model).copied());
+        let oldest = self.core.settings.bounds.weights.mul_f64(WEIGHTS_SHARE);
+        let core_now = self.core.now();
         Wanted {
             service: &ticket.service,
             model,
             newest: newest.unwrap_or_default(),
+            newest_only: newest.is_some_and(|named| core_now >= named.heard + oldest),
             hall: &self.core.settings.hall,
             demand: Demand {
                 prompt: &ticket.prompt,
@@ -214,8 +224,7 @@
     async fn attempt(&mut self, id: &Id, client: &mut Connection) -> Result<Next, &'static str> {
         let core = self.core;
         let ticket = self.message.ticket;
-        self.message.source = self.source(id);
-        let waiting = self.note_prompt(id);
+        let waiting = self.place_prompt(id);
         let mut counted = Counted::new(core, id, waiting, !ticket.route.repeatable());
         self.tried.push(id.clone());
         let outcome = tokio::select! {
@@ -271,43 +280,59 @@
         }
     }
 
-    /// Where the engine takes parts from that it lacks, when that is worth a move.
-    fn source(&self, id: &Id) -> Option<SocketAddr> {
-        let wanted = self.wanted();
-        let source = self
-            .core
-            .upstreams
-            .borrow()
-            .source(id, &wanted, self.core.now())?;
-        (source.tokens >= LEAST_IMPORT).then_some(source.address)
-    }
-
-    /// Notes what the engine reads; returns the tokens that it must read itself.
-    fn note_prompt(&self, id: &Id) -> u64 {
+    /// Settles where the engine takes parts from that it lacks, and whether it sends
+    /// them to a store; returns the tokens that it must read itself.
+    fn place_prompt(&mut self, id: &Id) -> u64 {
         let ticket = self.message.ticket;
+        let core = self.core;
         let Some((last, shared)) = ticket.prompt.split_last() else {
             return 0;
         };
-        let service = ticket.rules.services.get(&ticket.service);
-        let capacity = service
-            .and_then(|s| s.engine.as_ref())
-            .map_or(0, |e| e.memory_tokens);
-        let mut upstreams = self.core.upstreams.borrow_mut();
+        let demand = Demand {
+            prompt: &ticket.prompt,
+            bytes: self.message.body.len(),
+        };
+        let source = core.upstreams.borrow().source(id, &self.wanted(), core.now());
+        let source = source.filter(|source| source.tokens >= LEAST_IMPORT);
+        let mut upstreams = core.upstreams.borrow_mut();
         let Some(upstream) = upstreams.get_mut(id) else {
             return 0;
         };
         let found = upstream.kept.found(&ticket.prompt);
-        upstream.kept.set_capacity(capacity * KEPT_PERCENT / 100);
-        upstream
-            .kept
-            .read(shared.iter().copied(), last.tokens + ticket.out);
-        peers::note_use(self.core, upstream.name, shared, last.tokens + ticket.out);
-        let read = if self.message.source.is_some() {
-            last.tokens
-        } else {
-            ticket.tokens() - found
-        };
-        read.max(last.tokens)
+        let own = last.tokens + ticket.out;
+        upstream.kept.set_capacity(self.memory() * KEPT_PERCENT / 100);
+        upstream.kept.read(shared.iter().copied(), own);
+        peers::note_use(core, upstream.name, 0, shared, own);
+
+        let mut brought = source.map_or(0, |source| source.tokens);
+        self.message.source = source.map(|source| source.address);
+        self.message.keep = None;
+        let version = ticket.model.as_deref().and_then(|model| upstream.weights(model));
+        let mut keeps = core.keeps.borrow_mut();
+        let keep = demand.family().and_then(|family| keeps.of(family));
+        if let (Some(keep), Some(version)) = (keep, version) {
+            let held = keep.found(shared, version);
+            if held < demand.shared() {
+                self.message.keep = Some(keep.address);
+                keep.used(shared.iter().copied(), version, own);
+                peers::note_use(core, keep.name, version, shared, own);
+            }
+            // What the engine is believed to keep may have given way to running requests.
+            if self.message.source.is_none() && held > 0 {
+                self.message.source = Some(keep.address);
+                brought = held.saturating_sub(found);
+            }
+        }
+        ticket.tokens().saturating_sub(found + brought).max(last.tokens)
+    }
+
+    /// Tokens that an engine of the service holds.
+    fn memory(&self) -> u64 {
+        let ticket = self.message.ticket;
+        let service = ticket.rules.services.get(&ticket.service);
+        service
+            .and_then(|s| s.engine.as_ref())
+            .map_or(0, |engine| engine.memory_tokens)
     }
 
     fn blame(&self, id: &Id, outcome: &'static str, why: &str) {
--- a/crates/jb-relay/src/follow.rs
+++ b/crates/jb-relay/src/follow.rs
@@ -9,7 +9,7 @@
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
-use crate::core::{Core, Shared};
+use crate::core::{Core, Named, Shared};
 use crate::port::{Entry, Fact, Item, News, Revision, StoreError};
 use crate::upstream::Seen;
 
@@ -120,8 +120,11 @@
         Fact::Weights(named) => {
             let mut weights = core.weights.borrow_mut();
             let newest = weights.entry(named.model.clone()).or_default();
-            if named.version > *newest {
-                *newest = named.version;
+            if named.version > newest.version {
+                *newest = Named {
+                    version: named.version,
+                    heard: core.now(),
+                };
                 emit!(core.logger, info, event::WEIGHTS_NAMED, "model" => named.model, "version" => named.version);
             }
         }
@@ -139,6 +142,7 @@
     }
     emit!(core.logger, info, event::RULES_IN_FORCE, "version" => rules.version, "before" => known,
         "routes" => rules.routes());
+    core.keeps.borrow_mut().put(&rules.kept);
     core.metrics
         .version
         .set(i64::try_from(rules.version).unwrap_or(i64::MAX));
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod follow;
 pub mod front;
 pub mod http;
+pub mod keep;
 pub mod link;
 pub mod metrics;
 pub mod names;
--- a/crates/jb-relay/src/peers.rs
+++ b/crates/jb-relay/src/peers.rs
@@ -51,8 +51,10 @@
 /// A prompt that was sent to an engine.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 struct ToldUse {
-    /// Hash of the engine's id.
-    upstream: u64,
+    /// Hash of the engine's id, or of a store's address.
+    place: u64,
+    /// Version of the weights, for a store; 0 for an engine.
+    version: u64,
     /// Shared parts with their tokens.
     shared: Vec<(u64, u32)>,
     /// Tokens of its own, read and made.
@@ -233,7 +235,9 @@
     let busy = upstreams.iter().filter(|(_, u)| u.running > 0);
     busy.map(|(_, u)| ToldLoad {
         upstream: u.name,
-        running: u.running, fixed: u.fixed, waiting: u.waiting,
+        running: u.running,
+        fixed: u.fixed,
+        waiting: u.waiting,
     })
     .collect()
 }
@@ -250,8 +254,9 @@
     }
 }
 
-/// Notes a prompt that is sent to an engine, for the next telling.
-pub fn note_use(core: &Core, upstream: u64, shared: &[Piece], own: u64) {
+/// Notes a prompt that is sent to an engine, or kept by a store under a version of the
+/// weights, for the next telling.
+pub fn note_use(core: &Core, place: u64, version: u64, shared: &[Piece], own: u64) {
     let mut peers = core.peers.borrow_mut();
     if peers.uses.len() < MOST_USES {
         let short = |tokens| u32::try_from(tokens).unwrap_or(u32::MAX);
@@ -260,7 +265,8 @@
             .map(|piece| (piece.part, short(piece.tokens)))
             .collect();
         peers.uses.push(ToldUse {
-            upstream,
+            place,
+            version,
             shared,
             own: short(own),
         });
@@ -336,15 +342,21 @@
 }
 
 fn take_use(core: &Core, told: &ToldUse) {
-    let mut upstreams = core.upstreams.borrow_mut();
-    let Some((_, upstream)) = upstreams.iter_mut().find(|(_, u)| u.name == told.upstream) else {
-        return;
-    };
     let shared = told.shared.iter().map(|&(part, tokens)| Piece {
         part,
         tokens: u64::from(tokens),
     });
-    upstream.kept.read(shared, u64::from(told.own));
+    let own = u64::from(told.own);
+    if told.version > 0 {
+        if let Some(keep) = core.keeps.borrow_mut().named(told.place) {
+            keep.used(shared, told.version, own);
+        }
+        return;
+    }
+    let mut upstreams = core.upstreams.borrow_mut();
+    if let Some((_, upstream)) = upstreams.iter_mut().find(|(_, u)| u.name == told.place) {
+        upstream.kept.read(shared, own);
+    }
 }
 
 /// Adds up what all others have told, and forgets what is old.
--- a/crates/jb-relay/src/rules.rs
+++ b/crates/jb-relay/src/rules.rs
@@ -109,6 +109,8 @@
     pub address: SocketAddr,
     /// Data hall.
     pub hall: id::Hall,
+    /// Tokens that it holds.
+    pub tokens: u64,
 }
 
 /// One customer.
--- a/crates/jb-relay/src/settings.rs
+++ b/crates/jb-relay/src/settings.rs
@@ -69,6 +69,8 @@
     pub retry_window: Duration,
     /// Least pause between orders of two boxes to one engine.
     pub order_gap: Duration,
+    /// Time after which nothing may begin on older weights than the newest named.
+    pub weights: Duration,
     /// Time after which callers may be told to come back at the latest.
     pub retry_after: Duration,
     /// Pause between two signs of life of an upstream in the store.
@@ -86,6 +88,7 @@
             retry_extra: 50.0,
             retry_window: Duration::from_secs(10),
             order_gap: Duration::from_secs(3),
+            weights: Duration::from_secs(10),
             retry_after: Duration::from_secs(10),
             heartbeat: Duration::from_millis(1200),
         }
--- a/crates/jb-relay/src/steward.rs
+++ b/crates/jb-relay/src/steward.rs
@@ -232,8 +232,8 @@
             return;
         }
         let weights = self.core.weights.borrow().clone();
-        for (model, version) in weights {
-            for id in self.next_engines(&model, version) {
+        for (model, named) in weights {
+            for id in self.next_engines(&model, named.version) {
                 self.loading.borrow_mut().insert(id.clone());
                 let (steward, model) = (Rc::clone(self), model.clone());
                 tokio::task::spawn_local(async move {
@@ -285,7 +285,9 @@
                 last_told = core.now();
                 peers::tell_weights(core, &self.socket, id, model, None).await;
             }
-            let Some(address) = core.upstreams.borrow().get(id).map(|u| u.entry.address) else { return };
+            let Some(address) = core.upstreams.borrow().get(id).map(|u| u.entry.address) else {
+                return;
+            };
             let report = match core.engines.report(address).await {
                 Ok(report) => report,
                 Err(why) => {
@@ -294,8 +296,18 @@
                     return;
                 }
             };
-            let version = core.weights.borrow().get(model).copied().unwrap_or_default();
-            let has = report.models.iter().find(|loaded| loaded.model == model).map_or(0, |l| l.version);
+            let version = core
+                .weights
+                .borrow()
+                .get(model)
+                .copied()
+                .unwrap_or_default()
+                .version;
+            let has = report
+                .models
+                .iter()
+                .find(|loaded| loaded.model == model)
+                .map_or(0, |l| l.version);
             if has >= version && !report.busy {
                 emit!(core.logger, info, event::WEIGHTS_LOADED, "upstream" => id, "version" => has,
                     "ms" => core.now().saturating_sub(began).as_millis() as u64);
@@ -324,7 +336,9 @@
     /// Requests at an engine that cannot go on elsewhere.
     fn fixed(&self, id: &Id) -> u32 {
         let upstreams = self.core.upstreams.borrow();
-        upstreams.get(id).map_or(0, |upstream| upstream.fixed + upstream.others.fixed)
+        upstreams
+            .get(id)
+            .map_or(0, |upstream| upstream.fixed + upstream.others.fixed)
     }
 
     /// A place among the engines that load at the same time.
@@ -336,10 +350,23 @@
     /// Gives one order; whether to go on with the engine.
     async fn order(&self, id: &Id, address: SocketAddr, model: &str, version: u64, orders: u64) -> bool {
         let core = &self.core;
-        let Some(fence) = self.may_order() else { return false };
-        let mode = if self.fixed(id) == 0 { Mode::Cut } else { Mode::Finish };
+        let Some(fence) = self.may_order() else {
+            return false;
+        };
+        let mode = if self.fixed(id) == 0 {
+            Mode::Cut
+        } else {
+            Mode::Finish
+        };
         let holder = core.settings.id.clone();
-        let order = Order { model: model.to_owned(), version, mode, holder, fence, orders };
+        let order = Order {
+            model: model.to_owned(),
+            version,
+            mode,
+            holder,
+            fence,
+            orders,
+        };
         let taken = core.engines.order(address, id, &order).await;
         emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => id, "version" => version,
             "fence" => fence, "mode" => ?mode, "answer" => ?taken);
--- a/crates/jb-relay/src/upstream.rs
+++ b/crates/jb-relay/src/upstream.rs
@@ -11,6 +11,7 @@
 use jb_policy::place;
 use jb_protocol::id;
 
+use crate::core::Named;
 use crate::link::Idle;
 use crate::port::Entry;
 
@@ -139,7 +140,9 @@
     /// Model that it names.
     pub model: Option<&'a str>,
     /// Newest version of the model's weights.
-    pub newest: u64,
+    pub newest: Named,
+    /// Whether engines with older weights get nothing any more.
+    pub newest_only: bool,
     /// Own data hall.
     pub hall: &'a str,
     /// Its prompt and size.
@@ -263,9 +266,14 @@
             .of_service(wanted.service)
             .filter(|(id, _)| !wanted.except.contains(*id));
         let open = open.filter(|(_, upstream)| upstream.is_open(now));
+        let current = |upstream: &Upstream| {
+            let has = wanted.model.and_then(|model| upstream.weights(model));
+            has.is_none_or(|has| has >= wanted.newest.version)
+        };
+        let open = open.filter(|(_, upstream)| !wanted.newest_only || current(upstream));
         let candidate = |(id, upstream): (&Id, &Upstream)| {
             let has = wanted.model.and_then(|model| upstream.weights(model));
-            let behind = has.is_some_and(|has| has < wanted.newest);
+            let behind = has.is_some_and(|has| has < wanted.newest.version);
             let mut candidate = upstream.candidate(wanted.hall, &wanted.demand, behind);
             let others = holders
                 .iter()
