--- a/crates/jb-policy/src/choose.rs
+++ b/crates/jb-policy/src/choose.rs
@@ -38,14 +38,14 @@
     fn default() -> Self {
         Self {
             tokens_per_ms: 50.0,
-            import: 10.0,
-            import_per_k: 1.0,
+            import: 60.0,
+            import_per_k: 10.0,
             behind: 60.0,
             per_running: 0.5,
             per_place: 60.0,
             other_hall: 3.0,
             other_hall_per_kb: 0.5,
-            away: 5.0,
+            away: 40.0,
             full: 400.0,
         }
     }
--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange.rs
@@ -32,7 +32,7 @@
 /// Tokens for which a move from another engine is worth its wait.
 const LEAST_IMPORT: u64 = 64;
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
-const KEPT_PERCENT: u64 = 70;
+const KEPT_PERCENT: u64 = 90;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
