Send only prompts with small own parts to the store of kept cache

Cause: every second prompt was sent there with its own part, and 9,000 tokens a prompt pushed the shared parts out of the store's 635,000 within seconds.

--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange.rs
@@ -31,6 +31,9 @@
 const WEIGHTS_SHARE: f64 = 0.85;
 /// Tokens for which a move from another engine is worth its wait.
 const LEAST_IMPORT: u64 = 64;
+/// Shared tokens for each own token that a prompt must have to be sent to a store. The own part
+/// goes there too and pushes out parts that others could use.
+const OWN_OF_SHARED: u64 = 3;
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
 const KEPT_PERCENT: u64 = 90;
 
@@ -312,7 +315,7 @@
         let keep = demand.family().and_then(|family| keeps.of(family));
         if let (Some(keep), Some(version)) = (keep, version) {
             let held = keep.found(shared, version);
-            if held < demand.shared() {
+            if held < demand.shared() && own * OWN_OF_SHARED <= demand.shared() {
                 self.message.keep = Some(keep.address);
                 keep.used(shared.iter().copied(), version, own);
                 peers::note_use(core, keep.name, version, shared, own);
@@ -323,7 +326,13 @@
                 brought = held.saturating_sub(found);
             }
         }
-        ticket.tokens().saturating_sub(found + brought).max(last.tokens)
+        let unread = ticket.tokens().saturating_sub(found + brought).max(last.tokens);
+        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => id,
+            "tokens" => ticket.tokens(), "found" => found, "brought" => brought, "unread" => unread,
+            "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
+            "family" => demand.family(), "running" => upstream.running + upstream.others.running,
+            "waiting" => upstream.waiting + upstream.others.waiting, "weights" => version);
+        unread
     }
 
     /// Tokens that an engine of the service holds.
