--- a/crates/jb-policy/src/kept.rs
+++ b/crates/jb-policy/src/kept.rs
@@ -41,11 +41,11 @@
 
     /// Notes that a prompt is read: its shared parts, and tokens of its own.
     pub fn read(&mut self, shared: impl Iterator<Item = Piece>, own: u64) {
-        self.inflow += own;
-        for piece in shared {
-            if !self.holds(piece.part) {
-                self.inflow += piece.tokens;
-            }
+        let pieces: Vec<Piece> = shared.collect();
+        let fresh = pieces.iter().filter(|piece| !self.holds(piece.part));
+        let fresh: u64 = fresh.map(|piece| piece.tokens).sum();
+        self.inflow += own + fresh;
+        for piece in pieces {
             self.parts.insert(piece.part, self.inflow);
         }
         if self.parts.len() > CLEAR_ABOVE {
--- /dev/null
+++ b/crates/jb-policy/tests/choose.rs
@@ -0,0 +1,133 @@
+//! The choice of an upstream, what engines keep, and the shared retry budget.
+
+#![allow(clippy::expect_used)]
+
+use std::time::Duration;
+
+use jb_policy::choose::{Candidate, Demand, Tuning, best};
+use jb_policy::kept::{Kept, Piece};
+use jb_policy::share::{Bound, Budget};
+
+fn candidate(name: u64) -> Candidate {
+    Candidate {
+        name,
+        own_hall: true,
+        running: 0,
+        slots: 8,
+        waiting: 0,
+        found: 0,
+        elsewhere: 0,
+        behind: false,
+        slowness: 1.0,
+    }
+}
+
+fn prompt(parts: &[(u64, u64)]) -> Vec<Piece> {
+    parts
+        .iter()
+        .map(|&(part, tokens)| Piece { part, tokens })
+        .collect()
+}
+
+#[test]
+fn all_boxes_take_the_same_engine_for_a_new_family() {
+    let prompt = prompt(&[(1, 2500), (2, 3800), (3, 900)]);
+    let demand = Demand {
+        prompt: &prompt,
+        bytes: 0,
+    };
+    let mut engines: Vec<_> = (1..=9).map(candidate).collect();
+    let chosen = best(&engines, &demand, &Tuning::default()).map(|at| engines[at].name);
+    engines.reverse();
+    assert_eq!(
+        best(&engines, &demand, &Tuning::default()).map(|at| engines[at].name),
+        chosen
+    );
+}
+
+#[test]
+fn engine_that_keeps_the_prompt_wins_until_its_queue_costs_more_than_reading() {
+    let prompt = prompt(&[(1, 2500), (2, 3800), (3, 900)]);
+    let demand = Demand {
+        prompt: &prompt,
+        bytes: 0,
+    };
+    let mut engines = [candidate(1), candidate(2)];
+    engines[0].found = 6300;
+    engines[1].elsewhere = 6300;
+    assert_eq!(best(&engines, &demand, &Tuning::default()), Some(0));
+    engines[0].waiting = 20_000;
+    assert_eq!(best(&engines, &demand, &Tuning::default()), Some(1));
+}
+
+#[test]
+fn full_slow_old_and_far_upstreams_come_later() {
+    let demand = Demand::default();
+    let worse: [fn(&mut Candidate); 4] = [
+        |c| c.running = 8,
+        |c| c.behind = true,
+        |c| c.own_hall = false,
+        |c| (c.running, c.slowness) = (4, 2.0),
+    ];
+    for change in worse {
+        let mut pair = [candidate(1), candidate(2)];
+        change(&mut pair[0]);
+        assert_eq!(best(&pair, &demand, &Tuning::default()), Some(1), "{pair:?}");
+    }
+    assert_eq!(best(&[], &demand, &Tuning::default()), None);
+}
+
+#[test]
+fn part_is_kept_until_as_much_as_the_memory_holds_came_after_it() {
+    let first = prompt(&[(1, 100), (2, 200)]);
+    let mut kept = Kept::default();
+    kept.set_capacity(1000);
+    kept.read(first.iter().copied(), 50);
+    assert_eq!(kept.found(&first), 300);
+    assert_eq!(kept.found(&prompt(&[(1, 100), (9, 10), (2, 200)])), 100);
+    kept.read(std::iter::empty(), 900);
+    assert_eq!(kept.found(&first), 300);
+    // Used again, they stay; unused, they go.
+    kept.read(first.iter().copied(), 0);
+    kept.read(std::iter::empty(), 1001);
+    assert_eq!(kept.found(&first), 0);
+    kept.read(first.iter().copied(), 0);
+    kept.clear();
+    assert_eq!(kept.found(&first), 0);
+}
+
+#[test]
+fn shares_of_all_boxes_together_stay_within_the_bound() {
+    let bound = Bound {
+        ratio: 0.2,
+        extra: 56.0,
+        window: Duration::from_secs(10),
+    };
+    let (boxes, requests) = (8, 50);
+    let mut spent = 0;
+    for _ in 0..boxes {
+        let mut budget = Budget::default();
+        for number in 0..requests {
+            let now = Duration::from_millis(number * 100);
+            budget.request(now, bound.window);
+            spent += u32::from(budget.spend(now, &bound, boxes));
+            spent += u32::from(budget.spend(now, &bound, boxes));
+        }
+    }
+    let allowed = bound.ratio * f64::from(8 * 50) + bound.extra;
+    assert!(spent > 0 && f64::from(spent) <= allowed, "{spent} of {allowed}");
+}
+
+#[test]
+fn budget_comes_back_when_the_window_has_passed() {
+    let bound = Bound {
+        ratio: 0.2,
+        extra: 8.0,
+        window: Duration::from_secs(10),
+    };
+    let mut budget = Budget::default();
+    let start = Duration::from_secs(1);
+    let spent = (0..100).filter(|_| budget.spend(start, &bound, 1)).count();
+    assert_eq!(spent, 6);
+    assert!(budget.spend(start + Duration::from_secs(11), &bound, 1));
+}
--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange.rs
@@ -143,13 +143,13 @@
         let mut why = "no_upstream";
         loop {
             if self.left().is_zero() {
-                return self.give_up(why, true);
+                return self.give_up(why);
             }
             let Some(id) = self.pick(client).await else {
-                return self.give_up(why, false);
+                return self.give_up(why);
             };
             if self.sends > 0 && !self.core.spend(&ticket.service) {
-                return self.give_up("retry_budget", false);
+                return self.give_up("retry_budget");
             }
             match self.attempt(&id, client).await {
                 Ok(Next::End(ending)) => return ending,
@@ -157,10 +157,10 @@
                 Err(cause) => why = cause,
             }
             if self.tried.len() as u32 >= MOST_SENDS {
-                return self.give_up(why, false);
+                return self.give_up(why);
             }
             if self.runs > 0 && (!ticket.route.repeatable() || self.runs >= ticket.route.attempts) {
-                return self.give_up(why, false);
+                return self.give_up(why);
             }
         }
     }
@@ -170,8 +170,8 @@
     }
 
     /// Ending of a request that goes no further.
-    fn give_up(&self, why: &'static str, late: bool) -> Ending {
-        match (self.runs, late) {
+    fn give_up(&self, why: &'static str) -> Ending {
+        match (self.runs, self.left().is_zero()) {
             (0, _) => Ending::NotRun(why),
             (_, true) => Ending::Late,
             (_, false) => Ending::Lost(why),
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -5,12 +5,13 @@
 use std::time::Duration;
 
 use jb_protocol::{emit, event};
-use tokio::net::{TcpListener, TcpSocket};
+use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
 use crate::core::{Core, Parts, Shared};
+use crate::settings::Settings;
 use crate::steward::Steward;
 use crate::{follow, front, link, peers, ready, stop};
 
@@ -35,24 +36,52 @@
     LocalSet::new().block_on(&runtime, serve(Core::new(parts)))
 }
 
+/// What a box listens on.
+#[derive(Debug)]
+pub struct Bound {
+    callers: TcpListener,
+    checks: TcpListener,
+    socket: Rc<UdpSocket>,
+}
+
+impl Bound {
+    /// Binds the addresses of the settings.
+    ///
+    /// # Errors
+    /// When an address cannot be listened on.
+    pub async fn new(settings: &Settings) -> std::io::Result<Self> {
+        let callers = listen(settings.callers)?;
+        let checks = listen(settings.ready)?;
+        let socket = Rc::new(peers::bind(settings.ip, settings.ports.clone()).await?);
+        Ok(Self {
+            callers,
+            checks,
+            socket,
+        })
+    }
+
+    /// Address for callers.
+    ///
+    /// # Errors
+    /// What the operating system reports.
+    pub fn callers(&self) -> std::io::Result<SocketAddr> {
+        self.callers.local_addr()
+    }
+
+    /// Address of the readiness check.
+    ///
+    /// # Errors
+    /// What the operating system reports.
+    pub fn checks(&self) -> std::io::Result<SocketAddr> {
+        self.checks.local_addr()
+    }
+}
+
 async fn serve(core: Shared) -> std::io::Result<()> {
     let mut terminate = signal(SignalKind::terminate())?;
     let mut reload = signal(SignalKind::hangup())?;
-    let callers = listen(core.settings.callers)?;
-    let checks = listen(core.settings.ready)?;
-    let socket = Rc::new(peers::bind(core.settings.ip, core.settings.ports.clone()).await?);
-    let port = socket.local_addr()?.port();
-    emit!(core.logger, info, event::BOX_STARTED, "callers" => %core.settings.callers,
-        "peers" => port, "store" => %core.settings.store);
-
-    spawn_local(follow::run(Rc::clone(&core)));
-    spawn_local(front::serve(Rc::clone(&core), callers));
-    spawn_local(ready::serve(Rc::clone(&core), checks));
-    spawn_local(peers::register(Rc::clone(&core), port));
-    spawn_local(peers::tell(Rc::clone(&core), Rc::clone(&socket)));
-    spawn_local(peers::hear(Rc::clone(&core), Rc::clone(&socket)));
-    spawn_local(Steward::new(Rc::clone(&core), socket).run());
-    spawn_local(sweep(Rc::clone(&core)));
+    let bound = Bound::new(&core.settings).await?;
+    start(&core, bound)?;
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -64,6 +93,30 @@
     Ok(())
 }
 
+/// Starts all duties on the present [`LocalSet`].
+///
+/// # Errors
+/// What the operating system reports of the addresses.
+pub fn start(core: &Shared, bound: Bound) -> std::io::Result<()> {
+    let Bound {
+        callers,
+        checks,
+        socket,
+    } = bound;
+    let port = socket.local_addr()?.port();
+    emit!(core.logger, info, event::BOX_STARTED, "callers" => %callers.local_addr()?,
+        "peers" => port, "store" => %core.settings.store);
+    spawn_local(follow::run(Rc::clone(core)));
+    spawn_local(front::serve(Rc::clone(core), callers));
+    spawn_local(ready::serve(Rc::clone(core), checks));
+    spawn_local(peers::register(Rc::clone(core), port));
+    spawn_local(peers::tell(Rc::clone(core), Rc::clone(&socket)));
+    spawn_local(peers::hear(Rc::clone(core), Rc::clone(&socket)));
+    spawn_local(Steward::new(Rc::clone(core), socket).run());
+    spawn_local(sweep(Rc::clone(core)));
+    Ok(())
+}
+
 async fn sweep(core: Shared) {
     loop {
         sleep(SWEEP).await;
@@ -72,7 +125,7 @@
 }
 
 /// Answers everything that is open, then returns.
-async fn leave(core: &Shared) {
+pub async fn leave(core: &Shared) {
     let since = core.now();
     core.stop.begin(since);
     emit!(core.logger, info, event::BOX_STOPPING, "open" => core.stop.connections());
--- /dev/null
+++ b/crates/jb-relay/tests/http.rs
@@ -0,0 +1,112 @@
+//! Heads and bodies on the byte level.
+
+#![allow(clippy::expect_used)]
+
+use bytes::{Bytes, BytesMut};
+use jb_relay::events::Splitter;
+use jb_relay::http::{Answer, Body, Framing, Query, Step};
+use quickcheck::{Gen, QuickCheck};
+
+/// Decodes a body that comes in pieces of the given sizes.
+fn decode(framing: Framing, bytes: &[u8], sizes: &[usize]) -> Option<(Bytes, usize)> {
+    let mut body = Body::new(framing);
+    let (mut buffer, mut whole, mut at) = (BytesMut::new(), BytesMut::new(), 0);
+    let mut sizes = sizes.iter().cycle();
+    loop {
+        match body.step(&mut buffer).ok()? {
+            Step::Data(data) => whole.extend_from_slice(&data),
+            Step::End => return Some((whole.freeze(), bytes.len() - at + buffer.len())),
+            Step::More => {
+                let size = (1 + sizes.next().unwrap_or(&0) % 7).min(bytes.len() - at);
+                if size == 0 {
+                    return None;
+                }
+                buffer.extend_from_slice(&bytes[at..at + size]);
+                at += size;
+            }
+        }
+    }
+}
+
+fn check<A: quickcheck::Testable>(property: A) {
+    // The seed is fixed, so each run tries the same cases.
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(64, 7))
+        .tests(300)
+        .quickcheck(property);
+}
+
+#[test]
+fn chunked_body_is_the_same_however_it_is_cut() {
+    fn holds(chunks: Vec<Vec<u8>>, sizes: Vec<usize>) -> bool {
+        let chunks: Vec<_> = chunks.into_iter().filter(|chunk| !chunk.is_empty()).collect();
+        let mut coded = Vec::new();
+        for chunk in &chunks {
+            coded.extend_from_slice(format!("{:x};x=y\r\n", chunk.len()).as_bytes());
+            coded.extend_from_slice(chunk);
+            coded.extend_from_slice(b"\r\n");
+        }
+        coded.extend_from_slice(b"0\r\nTrailer: t\r\n\r\nleft");
+        let decoded = decode(Framing::Chunked, &coded, &sizes);
+        decoded == Some((Bytes::from(chunks.concat()), 4))
+    }
+    check(holds as fn(Vec<Vec<u8>>, Vec<usize>) -> bool);
+}
+
+#[test]
+fn events_are_the_same_however_they_are_cut() {
+    fn holds(count: u8, sizes: Vec<usize>) -> bool {
+        let text: Vec<String> = (0..count)
+            .map(|id| format!("id: {id}\ndata: {}\n\n", "x".repeat(id.into())))
+            .collect();
+        let bytes = text.concat().into_bytes();
+        let (mut splitter, mut got, mut at) = (Splitter::default(), Vec::new(), 0);
+        let mut sizes = sizes.iter().cycle();
+        while at < bytes.len() {
+            let size = (1 + sizes.next().unwrap_or(&0) % 9).min(bytes.len() - at);
+            splitter.push(&bytes[at..at + size]);
+            at += size;
+            while let Some(event) = splitter.next_event() {
+                got.push(event);
+            }
+        }
+        let ids: Vec<_> = got.iter().filter_map(|event| event.id).collect();
+        let whole: Vec<u8> = got.iter().flat_map(|event| event.bytes.to_vec()).collect();
+        ids == (0..u64::from(count)).collect::<Vec<_>>() && whole == bytes && splitter.is_empty()
+    }
+    check(holds as fn(u8, Vec<usize>) -> bool);
+}
+
+#[test]
+fn any_bytes_are_a_head_or_an_error_or_incomplete_and_never_a_panic() {
+    fn holds(bytes: Vec<u8>) -> bool {
+        let mut buffer = BytesMut::from(&bytes[..]);
+        let _ = Query::take(&mut buffer.clone());
+        let _ = Answer::take(&mut buffer.clone());
+        let mut body = Body::new(Framing::Chunked);
+        while matches!(body.step(&mut buffer), Ok(Step::Data(_))) {}
+        true
+    }
+    check(holds as fn(Vec<u8>) -> bool);
+}
+
+#[test]
+fn answer_without_a_length_ends_with_its_connection() {
+    let mut buffer = BytesMut::from("HTTP/1.1 200 OK\r\nA: b\r\n\r\nrest");
+    let answer = Answer::take(&mut buffer).expect("a head").expect("complete");
+    assert_eq!((answer.framing, answer.keep_alive), (Framing::UntilClose, false));
+    let mut buffer = BytesMut::from("HTTP/1.1 204 No Content\r\n\r\n");
+    let answer = Answer::take(&mut buffer).expect("a head").expect("complete");
+    assert_eq!((answer.framing, answer.keep_alive), (Framing::Length(0), true));
+}
+
+#[test]
+fn headers_of_one_connection_do_not_travel() {
+    let head = "GET /a HTTP/1.1\r\nHost: h\r\nConnection: x-hop, close\r\nX-Hop: 1\r\nTE: trailers\r\nX-Own: 2\r\n\r\n";
+    let query = Query::take(&mut BytesMut::from(head))
+        .expect("a head")
+        .expect("complete");
+    let names: Vec<_> = query.headers.end_to_end().map(|h| h.name.clone()).collect();
+    assert_eq!(names, ["Host", "X-Own"]);
+    assert!(!query.keep_alive);
+}
