One box of a hall asks the store; stewards hand over; loads through leads in large fleets

Change: the lead of a hall passes news on with an age counted from the question; a stopping steward ends its lease, a quiet one says so, leases are shorter; a large fleet tells loads to the hall's lead and hears the sum of the others.

--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -14,8 +14,8 @@
 use crate::keep::Keeps;
 use crate::metrics::Metrics;
 use crate::names::Names;
-use crate::peers::Peers;
-use crate::port::{Engines, Item, Store};
+use crate::peers::{Book, Loads, Log, Relayed};
+use crate::port::{Change, Engines, Store};
 use crate::rules::Rules;
 use crate::settings::Settings;
 use crate::stop::Stop;
@@ -53,9 +53,15 @@
     /// Newest version of each model's weights.
     pub weights: RefCell<BTreeMap<String, Named>>,
     /// Items that the boxes keep in the store.
-    pub own: RefCell<BTreeMap<String, Item>>,
-    /// Other boxes.
-    pub peers: RefCell<Peers>,
+    pub own: RefCell<BTreeMap<String, Change>>,
+    /// Boxes that may be alive.
+    pub book: RefCell<Book>,
+    /// What other boxes told of their load.
+    pub loads: RefCell<Loads>,
+    /// Latest changes of the store, for other boxes.
+    pub log: RefCell<Log>,
+    /// News that another box is asked for.
+    pub relayed: Relayed,
     /// Retry budget of each service.
     pub budgets: RefCell<HashMap<id::Service, Budget>>,
     /// Bytes of request bodies held.
@@ -104,7 +110,10 @@
             keeps: RefCell::default(),
             weights: RefCell::default(),
             own: RefCell::default(),
-            peers: RefCell::default(),
+            book: RefCell::default(),
+            loads: RefCell::default(),
+            log: RefCell::default(),
+            relayed: Relayed::default(),
             budgets: RefCell::default(),
             held: Cell::default(),
             started: Instant::now(),
@@ -141,7 +150,7 @@
             extra: bounds.retry_extra,
             window: bounds.retry_window,
         };
-        let boxes = self.peers.borrow().boxes();
+        let boxes = self.book.borrow().boxes();
         let mut budgets = self.budgets.borrow_mut();
         budgets
             .entry(service.to_owned())
--- a/crates/jb-relay/src/follow.rs
+++ b/crates/jb-relay/src/follow.rs
@@ -3,19 +3,24 @@
 //! A call that waits proves nothing until it answers, so calls are short: what
 //! an answer shows was true when the call was sent, at the earliest.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use jb_policy::Moment;
 use jb_protocol::{emit, event};
+use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use crate::core::{Core, Named, Shared};
-use crate::port::{Entry, Fact, Item, News, Revision, StoreError};
+use crate::peers;
+use crate::port::{Change, Entry, Fact, News, Revision, StoreError};
 use crate::upstream::Seen;
 
 /// Pause between two calls: with the way there and back well under the time in which a
 /// configuration must be in force and a leaving upstream be known.
 pub const PERIOD: Duration = Duration::from_millis(700);
+/// Pause between two questions to the lead of the data hall, which add to the age of its own call.
+const ASK_PERIOD: Duration = Duration::from_millis(350);
 /// Pause after a call that failed.
 const AFTER_FAILURE: Duration = Duration::from_millis(400);
 /// Time after an outage in which entries that lapsed meanwhile come back.
@@ -32,30 +37,48 @@
     returned: Option<Moment>,
 }
 
-/// Follows the store for ever.
-pub async fn run(core: Shared) {
+/// Follows the store for ever, through the lead of the data hall where it can.
+pub async fn run(core: Shared, socket: Rc<UdpSocket>) {
     let mut progress = Progress::default();
     loop {
-        let asked = core.now();
-        core.metrics.store_calls.inc();
-        let news = match progress.after {
-            Some(after) => core.store.changes(after, PERIOD).await,
-            None => core.store.all().await,
+        let heard = match progress.after {
+            Some(after) => peers::ask(&core, &socket, after).await,
+            None => None,
         };
-        match news {
-            Ok(news) => {
-                found(&core, &mut progress);
-                take(&core, &mut progress, news, asked);
-                sleep((asked + PERIOD).saturating_sub(core.now())).await;
-            }
-            Err(StoreError::HistoryGone) => {
-                emit!(core.logger, info, event::HISTORY_GONE, "after" => progress.after);
-                progress.after = None;
-            }
-            Err(why) => {
-                lost(&core, &mut progress, &why);
-                sleep(AFTER_FAILURE).await;
+        match heard {
+            Some(heard) => {
+                let whole = heard.proven.is_some();
+                take(&core, &mut progress, &heard.changes, heard.revision, heard.proven);
+                if whole {
+                    sleep(ASK_PERIOD).await;
+                }
             }
+            None => read(&core, &mut progress).await,
+        }
+    }
+}
+
+/// Reads the store itself.
+async fn read(core: &Core, progress: &mut Progress) {
+    let asked = core.now();
+    core.metrics.store_calls.inc();
+    let news = match progress.after {
+        Some(after) => core.store.changes(after, PERIOD).await,
+        None => core.store.all().await,
+    };
+    match news {
+        Ok(News { changes, revision }) => {
+            found(core, progress);
+            take(core, progress, &changes, revision, Some(asked));
+            sleep((asked + PERIOD).saturating_sub(core.now())).await;
+        }
+        Err(StoreError::HistoryGone) => {
+            emit!(core.logger, info, event::HISTORY_GONE, "after" => progress.after);
+            progress.after = None;
+        }
+        Err(why) => {
+            lost(core, progress, &why);
+            sleep(AFTER_FAILURE).await;
         }
     }
 }
@@ -76,24 +99,32 @@
     }
 }
 
-/// Puts what the store says in force.
-fn take(core: &Core, progress: &mut Progress, news: News, asked: Moment) {
+/// Puts what the store says in force; `proven`: when it was true, at the earliest.
+fn take(
+    core: &Core,
+    progress: &mut Progress,
+    changes: &[Change],
+    revision: Revision,
+    proven: Option<Moment>,
+) {
     let whole = progress.after.is_none();
     let returning = progress.returned.is_some_and(|at| core.now() < at + COME_BACK);
     let mut seen = Vec::new();
-    for fact in news.facts {
+    for change in changes {
+        let fact = core.store.decode(change);
         if let Fact::Upstream(id, Some(_)) = &fact {
             seen.push(id.clone());
         }
         apply(core, fact, returning);
     }
     if whole {
+        core.log.borrow_mut().reset(revision);
         let known = core.upstreams.borrow().ids();
-        for id in known {
-            if !seen.contains(&id) {
-                apply(core, Fact::Upstream(id, None), returning);
-            }
+        for id in known.into_iter().filter(|id| !seen.contains(id)) {
+            apply(core, Fact::Upstream(id, None), returning);
         }
+    } else {
+        core.log.borrow_mut().add(changes, revision);
     }
     if !returning {
         let lapsed = core.upstreams.borrow().lapsed_before(core.now());
@@ -101,8 +132,8 @@
             gone(core, &id);
         }
     }
-    progress.after = Some(news.revision);
-    core.proven.set(Some(asked));
+    progress.after = Some(revision);
+    core.proven.set(proven.max(core.proven.get()));
 }
 
 fn apply(core: &Core, fact: Fact, returning: bool) {
@@ -167,7 +198,7 @@
     }
 }
 
-fn own(core: &Core, item: Item) {
+fn own(core: &Core, item: Change) {
     let mut own = core.own.borrow_mut();
     let newer = own
         .get(&item.key)
--- /dev/null
+++ b/crates/jb-relay/src/peers/book.rs
@@ -0,0 +1,105 @@
+//! The boxes that may be alive, and the one of a data hall that leads.
+//!
+//! The lead reads the store for its hall and adds up loads in a large fleet.
+//! It is only a choice that each box makes by itself: the box of the greatest
+//! weight that has not been silent lately. Two leads cost a few calls more.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::place;
+use jb_protocol::id;
+
+/// Boxes up to which each tells all others directly.
+const SMALL: usize = 16;
+/// Time for which a box that gave no answer is passed over.
+const PASSED_OVER: Duration = Duration::from_secs(8);
+
+/// Another box, or this one.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Peer {
+    /// Address of its datagrams.
+    pub address: SocketAddr,
+    /// Data hall.
+    pub hall: id::Hall,
+}
+
+/// All boxes that have given their address.
+#[derive(Debug, Default)]
+pub struct Book {
+    peers: BTreeMap<id::Box, Peer>,
+    silent: BTreeMap<id::Box, Moment>,
+}
+
+impl Book {
+    /// Takes the addresses as they stand in the store.
+    pub fn put(&mut self, peers: BTreeMap<id::Box, Peer>) {
+        self.silent.retain(|id, _| peers.contains_key(id));
+        self.peers = peers;
+    }
+
+    /// Boxes that may be alive, this one with them.
+    pub fn boxes(&self) -> usize {
+        self.peers.len().max(1)
+    }
+
+    /// Whether each box tells all others directly.
+    pub fn is_small(&self) -> bool {
+        self.boxes() <= SMALL
+    }
+
+    /// All boxes but one.
+    pub fn others<'a>(&'a self, own: &'a str) -> impl Iterator<Item = (&'a id::Box, &'a Peer)> {
+        self.peers.iter().filter(move |(id, _)| id.as_str() != own)
+    }
+
+    /// Address of a box.
+    pub fn address(&self, id: &str) -> Option<SocketAddr> {
+        self.peers.get(id).map(|peer| peer.address)
+    }
+
+    /// Notes that a box gave no answer.
+    pub fn missed(&mut self, id: &str, now: Moment) {
+        self.silent.insert(id.to_owned(), now + PASSED_OVER);
+    }
+
+    /// Notes that a box was heard.
+    pub fn heard(&mut self, id: &str) {
+        self.silent.remove(id);
+    }
+
+    /// The box that leads a data hall.
+    pub fn lead(&self, hall: &str, now: Moment) -> Option<&id::Box> {
+        let in_hall = self.peers.iter().filter(|(_, peer)| peer.hall == hall);
+        let not_silent = in_hall.filter(|(id, _)| !self.is_silent(id, now));
+        not_silent.map(|(id, _)| id).max_by_key(|id| weight(hall, id))
+    }
+
+    /// The leads of the other data halls.
+    pub fn other_leads(&self, hall: &str, now: Moment) -> Vec<id::Box> {
+        let mut halls: Vec<&str> = self.peers.values().map(|peer| peer.hall.as_str()).collect();
+        halls.sort_unstable();
+        halls.dedup();
+        let others = halls.into_iter().filter(|other| *other != hall);
+        others
+            .filter_map(|other| self.lead(other, now).cloned())
+            .collect()
+    }
+
+    /// Boxes that are preferred to one for a duty of the whole fleet.
+    pub fn before(&self, own: &str, duty: &str, now: Moment) -> usize {
+        let mine = weight(duty, own);
+        let preferred = self.others(own).filter(|(id, _)| weight(duty, id) > mine);
+        preferred.filter(|(id, _)| !self.is_silent(id, now)).count()
+    }
+
+    fn is_silent(&self, id: &str, now: Moment) -> bool {
+        self.silent.get(id).is_some_and(|until| now < *until)
+    }
+}
+
+fn weight(duty: &str, id: &str) -> u64 {
+    place::weight(place::name_hash(duty), place::name_hash(id))
+}
--- /dev/null
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -0,0 +1,405 @@
+//! Loads, prompts placed, and engines that load weights.
+//!
+//! In a small fleet each box tells all others. In a large one it tells the
+//! lead of its data hall, which tells it the sum of all others in return;
+//! leads tell each other the sums of their halls. So what a box sends and
+//! hears does not grow with the fleet.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::kept::Piece;
+use jb_protocol::id;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use super::message::{Message, Told, ToldLoad, ToldUse, ToldWeights};
+use super::socket::send;
+use crate::core::{Core, Shared};
+use crate::upstream::{Load, Upstream};
+
+/// Pause between two tellings.
+const PERIOD: Duration = Duration::from_millis(100);
+/// The same in a large fleet.
+const LARGE_PERIOD: Duration = Duration::from_millis(200);
+/// Time after which what a box told is no longer believed.
+const BELIEVED: Duration = Duration::from_millis(1500);
+/// Time without an answer of the lead after which another box leads.
+const LEAD_SILENT: Duration = Duration::from_millis(700);
+/// Prompts in one telling; more are left out.
+const MOST_USES: usize = 20;
+/// Prompts that wait for one receiver.
+const MOST_WAITING: usize = 100;
+/// Upstreams whose load is told, the busiest first.
+const MOST_LOADS: usize = 60;
+/// Time for which an engine that loads weights gets nothing, unless it is told done before.
+pub const LOADING: Duration = Duration::from_millis(2500);
+
+/// What other boxes told, and what is to be told.
+#[derive(Debug, Default)]
+pub struct Loads {
+    told: BTreeMap<id::Box, Heard>,
+    /// Prompts of this box since the last telling.
+    own: Vec<ToldUse>,
+    /// Prompts to be passed on, by receiver.
+    passed: BTreeMap<id::Box, Vec<ToldUse>>,
+    /// When the lead last told its sum.
+    lead_heard: Moment,
+}
+
+#[derive(Debug)]
+struct Heard {
+    at: Moment,
+    /// Whether it comes from a box that this one tells sums.
+    member: bool,
+    loads: Vec<ToldLoad>,
+}
+
+/// Notes a prompt that is sent to an engine, or kept by a store under a version of the
+/// weights, for the next telling.
+pub fn note_use(core: &Core, place: u64, version: u64, shared: &[Piece], own: u64) {
+    let short = |tokens| u32::try_from(tokens).unwrap_or(u32::MAX);
+    let shared = shared
+        .iter()
+        .map(|piece| (piece.part, short(piece.tokens)))
+        .collect();
+    let mut loads = core.loads.borrow_mut();
+    if loads.own.len() < MOST_WAITING {
+        loads.own.push(ToldUse {
+            place,
+            version,
+            shared,
+            own: short(own),
+        });
+    }
+}
+
+/// Tells from time to time.
+pub async fn tell(core: Shared, socket: Rc<UdpSocket>) {
+    let mut quiet = false;
+    loop {
+        if core.book.borrow().is_small() {
+            sleep(PERIOD).await;
+            quiet = tell_all(&core, &socket, quiet).await;
+        } else {
+            sleep(LARGE_PERIOD).await;
+            tell_lead(&core, &socket).await;
+        }
+    }
+}
+
+/// Tells all other boxes; whether there was nothing to tell.
+async fn tell_all(core: &Core, socket: &UdpSocket, quiet: bool) -> bool {
+    let uses = std::mem::take(&mut core.loads.borrow_mut().own);
+    let told = Told {
+        loads: own_loads(core),
+        uses,
+        ..Told::new(core)
+    };
+    let nothing = told.loads.is_empty() && told.uses.is_empty();
+    if !(nothing && quiet) {
+        let others = addresses(core);
+        for message in messages(told) {
+            for address in &others {
+                send(core, socket, *address, &message).await;
+            }
+        }
+    }
+    nothing
+}
+
+/// Tells the lead of the hall; the lead itself tells the other halls' leads.
+async fn tell_lead(core: &Core, socket: &UdpSocket) {
+    let now = core.now();
+    let lead = core.book.borrow().lead(&core.settings.hall, now).cloned();
+    let Some(lead) = lead else { return };
+    if lead == core.settings.id {
+        core.loads.borrow_mut().lead_heard = now;
+        tell_leads(core, socket).await;
+        return;
+    }
+    if now > core.loads.borrow().lead_heard + LEAD_SILENT {
+        core.book.borrow_mut().missed(&lead, now);
+        core.loads.borrow_mut().lead_heard = now;
+        return;
+    }
+    let uses = std::mem::take(&mut core.loads.borrow_mut().own);
+    let told = Told {
+        wants_sum: true,
+        loads: own_loads(core),
+        uses,
+        ..Told::new(core)
+    };
+    tell_one(core, socket, &lead, told).await;
+}
+
+async fn tell_leads(core: &Core, socket: &UdpSocket) {
+    let own = std::mem::take(&mut core.loads.borrow_mut().own);
+    let leads = core.book.borrow().other_leads(&core.settings.hall, core.now());
+    pass_on(core, &own, None, true);
+    for lead in leads {
+        let uses = core.loads.borrow_mut().passed.remove(&lead).unwrap_or_default();
+        let loads = sum(core, own_loads(core), |heard, _| heard.member);
+        tell_one(
+            core,
+            socket,
+            &lead,
+            Told {
+                loads,
+                uses,
+                ..Told::new(core)
+            },
+        )
+        .await;
+    }
+}
+
+async fn tell_one(core: &Core, socket: &UdpSocket, id: &str, told: Told) {
+    let address = core.book.borrow().address(id);
+    let Some(address) = address else { return };
+    for message in messages(told) {
+        send(core, socket, address, &message).await;
+    }
+}
+
+/// Splits a telling into messages that each fit into a packet.
+fn messages(mut told: Told) -> Vec<Message> {
+    told.loads
+        .sort_by_key(|load| std::cmp::Reverse((load.waiting, load.running)));
+    told.loads.truncate(MOST_LOADS);
+    let mut rest = told.uses.split_off(told.uses.len().min(MOST_USES));
+    rest.truncate(MOST_USES);
+    if told.loads.len() <= MOST_LOADS / 2 && rest.is_empty() {
+        return vec![Message::Told(told)];
+    }
+    // Loads in one message; prompts in others, which repeat no loads.
+    let from = told.from.clone();
+    let uses = [std::mem::take(&mut told.uses), rest];
+    let mut all = vec![Message::Told(told)];
+    for uses in uses.into_iter().filter(|uses| !uses.is_empty()) {
+        let (loads, weights) = (Vec::new(), Vec::new());
+        all.push(Message::Told(Told {
+            from: from.clone(),
+            wants_sum: false,
+            loads,
+            weights,
+            uses,
+        }));
+    }
+    all
+}
+
+/// Tells all boxes at once that an engine loads weights, or has them.
+pub async fn tell_weights(
+    core: &Core,
+    socket: &UdpSocket,
+    upstream: &str,
+    model: &str,
+    version: Option<u64>,
+) {
+    let told = ToldWeights {
+        upstream: short(jb_policy::place::name_hash(upstream)),
+        model: model.to_owned(),
+        version: version.unwrap_or(0),
+    };
+    take_weights(core, &told);
+    let message = Message::Told(Told {
+        weights: vec![told],
+        ..Told::new(core)
+    });
+    for address in addresses(core) {
+        send(core, socket, address, &message).await;
+    }
+}
+
+fn addresses(core: &Core) -> Vec<SocketAddr> {
+    let book = core.book.borrow();
+    book.others(&core.settings.id)
+        .map(|(_, peer)| peer.address)
+        .collect()
+}
+
+/// Lower half of a hash.
+fn short(hash: u64) -> u32 {
+    hash as u32
+}
+
+fn own_loads(core: &Core) -> Vec<ToldLoad> {
+    let upstreams = core.upstreams.borrow();
+    let busy = upstreams.iter().filter(|(_, u)| u.running > 0);
+    let told = |u: &Upstream| ToldLoad {
+        upstream: short(u.name),
+        running: u.running,
+        fixed: u.fixed,
+        waiting: u.waiting,
+    };
+    busy.map(|(_, u)| told(u)).collect()
+}
+
+impl Told {
+    /// Nothing told yet.
+    fn new(core: &Core) -> Self {
+        let from = core.settings.id.clone();
+        Self {
+            from,
+            wants_sum: false,
+            loads: Vec::new(),
+            weights: Vec::new(),
+            uses: Vec::new(),
+        }
+    }
+
+    /// Whether it says something of loads: a message with prompts or weights alone does not.
+    fn tells_loads(&self) -> bool {
+        self.wants_sum || !self.loads.is_empty() || (self.uses.is_empty() && self.weights.is_empty())
+    }
+}
+
+/// Takes what another box tells.
+pub(super) async fn take(core: &Core, socket: &UdpSocket, from: SocketAddr, told: Told) {
+    let now = core.now();
+    core.book.borrow_mut().heard(&told.from);
+    for weights in &told.weights {
+        take_weights(core, weights);
+    }
+    for used in &told.uses {
+        take_use(core, used);
+    }
+    if !core.book.borrow().is_small() {
+        let own_hall = told.wants_sum;
+        pass_on(core, &told.uses, Some(&told.from), own_hall);
+        let lead = core.book.borrow().lead(&core.settings.hall, now) == Some(&told.from);
+        if lead {
+            core.loads.borrow_mut().lead_heard = now;
+        }
+    }
+    if told.tells_loads() {
+        let (member, loads) = (told.wants_sum, told.loads);
+        core.loads.borrow_mut().told.insert(
+            told.from.clone(),
+            Heard {
+                at: now,
+                member,
+                loads,
+            },
+        );
+        sum_up(core);
+    }
+    if told.wants_sum {
+        let uses = core
+            .loads
+            .borrow_mut()
+            .passed
+            .remove(&told.from)
+            .unwrap_or_default();
+        let loads = sum(core, own_loads(core), |_, id| *id != told.from);
+        for message in messages(Told {
+            loads,
+            uses,
+            ..Told::new(core)
+        }) {
+            send(core, socket, from, &message).await;
+        }
+    }
+}
+
+/// Keeps prompts for the boxes that hear of them through this one.
+fn pass_on(core: &Core, uses: &[ToldUse], from: Option<&str>, own_hall: bool) {
+    if uses.is_empty() {
+        return;
+    }
+    let leads = if own_hall {
+        core.book.borrow().other_leads(&core.settings.hall, core.now())
+    } else {
+        Vec::new()
+    };
+    let mut loads = core.loads.borrow_mut();
+    let members = loads
+        .told
+        .iter()
+        .filter(|(_, heard)| heard.member)
+        .map(|(id, _)| id.clone());
+    let receivers: Vec<id::Box> = members
+        .chain(leads)
+        .filter(|id| Some(id.as_str()) != from)
+        .collect();
+    for receiver in receivers {
+        let waiting = loads.passed.entry(receiver).or_default();
+        let room = MOST_WAITING.saturating_sub(waiting.len());
+        waiting.extend(uses.iter().take(room).cloned());
+    }
+}
+
+fn take_weights(core: &Core, told: &ToldWeights) {
+    let now = core.now();
+    let mut upstreams = core.upstreams.borrow_mut();
+    let Some((_, upstream)) = upstreams.iter_mut().find(|(_, u)| short(u.name) == told.upstream) else {
+        return;
+    };
+    if told.version == 0 {
+        upstream.loading_until = now + LOADING;
+    } else {
+        upstream.loading_until = now;
+        upstream.heard_weights(&told.model, told.version);
+    }
+}
+
+fn take_use(core: &Core, told: &ToldUse) {
+    let shared = told.shared.iter().map(|&(part, tokens)| Piece {
+        part,
+        tokens: u64::from(tokens),
+    });
+    let own = u64::from(told.own);
+    if told.version > 0 {
+        if let Some(keep) = core.keeps.borrow_mut().named(told.place) {
+            keep.used(shared, told.version, own);
+        }
+        return;
+    }
+    let mut upstreams = core.upstreams.borrow_mut();
+    if let Some((_, upstream)) = upstreams.iter_mut().find(|(_, u)| u.name == told.place) {
+        upstream.kept.read(shared, own);
+    }
+}
+
+/// Adds to `own` what the chosen boxes have told.
+fn sum(core: &Core, own: Vec<ToldLoad>, chosen: impl Fn(&Heard, &id::Box) -> bool) -> Vec<ToldLoad> {
+    let mut sums: BTreeMap<u32, ToldLoad> = own.into_iter().map(|load| (load.upstream, load)).collect();
+    let loads = core.loads.borrow();
+    let heard = loads.told.iter().filter(|(id, heard)| chosen(heard, id));
+    for load in heard.flat_map(|(_, heard)| &heard.loads) {
+        let sum = sums.entry(load.upstream).or_insert(ToldLoad {
+            running: 0,
+            fixed: 0,
+            waiting: 0,
+            ..*load
+        });
+        sum.running += load.running;
+        sum.fixed += load.fixed;
+        sum.waiting += load.waiting;
+    }
+    sums.into_values().collect()
+}
+
+/// Adds up what all others have told, and forgets what is old.
+fn sum_up(core: &Core) {
+    let now = core.now();
+    core.loads
+        .borrow_mut()
+        .told
+        .retain(|_, heard| now < heard.at + BELIEVED);
+    let sums = sum(core, Vec::new(), |_, _| true);
+    let sums: BTreeMap<u32, ToldLoad> = sums.into_iter().map(|load| (load.upstream, load)).collect();
+    for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
+        let told = sums.get(&short(upstream.name));
+        let load = |t: &ToldLoad| Load {
+            running: t.running,
+            fixed: t.fixed,
+            waiting: t.waiting,
+        };
+        upstream.others = told.map(load).unwrap_or_default();
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/peers/message.rs
@@ -0,0 +1,140 @@
+//! Messages between boxes.
+
+use bytes::Bytes;
+use jb_protocol::id;
+use serde::{Deserialize, Serialize};
+
+use crate::port::{Change, Revision};
+
+/// Longest datagram, in bytes: one packet.
+pub(super) const LONGEST: usize = 1400;
+
+/// One datagram.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum Message {
+    /// Loads, prompts and weights.
+    Told(Told),
+    /// A box asks for what has changed in the store.
+    Ask(Ask),
+    /// What has changed.
+    News(News),
+}
+
+/// What a box tells of itself, or a lead of many.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Told {
+    /// Box.
+    pub from: id::Box,
+    /// Whether the receiver is to tell the sum of the others in return.
+    pub wants_sum: bool,
+    /// Loads, only of upstreams that have some.
+    pub loads: Vec<ToldLoad>,
+    /// What engines do with their weights.
+    pub weights: Vec<ToldWeights>,
+    /// Prompts that were sent to engines since the last telling.
+    pub uses: Vec<ToldUse>,
+}
+
+/// Load that boxes put on an upstream.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct ToldLoad {
+    /// Lower half of the hash of the upstream's id.
+    pub upstream: u32,
+    /// Requests under way.
+    pub running: u32,
+    /// Those of them that cannot go on elsewhere.
+    pub fixed: u32,
+    /// Prompt tokens that wait.
+    pub waiting: u64,
+}
+
+/// An engine begins to load weights, or has them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct ToldWeights {
+    /// Lower half of the hash of the engine's id.
+    pub upstream: u32,
+    /// Model.
+    pub model: String,
+    /// Version that it has now; 0 while it loads.
+    pub version: u64,
+}
+
+/// A prompt that was sent to an engine, or is kept by a store.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct ToldUse {
+    /// Hash of the engine's id, or of a store's address.
+    pub place: u64,
+    /// Version of the weights, for a store; 0 for an engine.
+    pub version: u64,
+    /// Shared parts with their tokens.
+    pub shared: Vec<(u64, u32)>,
+    /// Tokens of its own, read and made.
+    pub own: u32,
+}
+
+/// A question for news of the store.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct Ask {
+    /// Number that the answer repeats.
+    pub nonce: u64,
+    /// Revision that the asker has.
+    pub after: Revision,
+}
+
+/// News of the store from another box.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct News {
+    /// Number of the question.
+    pub nonce: u64,
+    /// Age of what the other box knows, in milliseconds.
+    pub age_ms: u64,
+    /// What can be told.
+    pub answer: Answer,
+}
+
+/// Answer to a question for news.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) enum Answer {
+    /// The changes since then, the older first; `whole` when there are no more.
+    Changes {
+        /// Changes.
+        changes: Vec<ToldChange>,
+        /// Revision after them.
+        revision: Revision,
+        /// Whether these are all.
+        whole: bool,
+    },
+    /// The asker must read the store itself.
+    ReadYourself,
+}
+
+/// A change of one item.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct ToldChange {
+    key: String,
+    value: Option<Vec<u8>>,
+    revision: Revision,
+    created: Revision,
+}
+
+impl From<&Change> for ToldChange {
+    fn from(change: &Change) -> Self {
+        Self {
+            key: change.key.clone(),
+            value: change.value.as_ref().map(|value| value.to_vec()),
+            revision: change.revision,
+            created: change.created,
+        }
+    }
+}
+
+impl From<ToldChange> for Change {
+    fn from(told: ToldChange) -> Self {
+        Self {
+            key: told.key,
+            value: told.value.map(Bytes::from),
+            revision: told.revision,
+            created: told.created,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -0,0 +1,15 @@
+//! What boxes tell each other, in datagrams that may be lost without harm:
+//! loads, prompts placed, engines that load weights, and news of the store.
+
+mod book;
+mod gossip;
+mod message;
+mod register;
+mod relay;
+mod socket;
+
+pub use book::{Book, Peer};
+pub use gossip::{LOADING, Loads, note_use, tell, tell_weights};
+pub use register::{KEYS, register};
+pub use relay::{Log, Relayed, ask};
+pub use socket::{bind, hear};
--- /dev/null
+++ b/crates/jb-relay/src/peers/register.rs
@@ -0,0 +1,70 @@
+//! Each box keeps its own address in the store, where the others find it.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use jb_protocol::{emit, event, id};
+use tokio::time::sleep;
+
+use super::Peer;
+use crate::core::{Core, Shared};
+use crate::port::Write;
+
+/// Beginning of the keys under which boxes give their addresses.
+pub const KEYS: &str = "junctionbend/box/";
+/// Pause between two looks at the addresses.
+const LOOK: Duration = Duration::from_millis(200);
+/// Pause before the own address is written again after a failure.
+const AGAIN: Duration = Duration::from_secs(2);
+
+/// Writes the own address and data hall into the store, again whenever they are missing there.
+pub async fn register(core: Shared, port: u16) {
+    let address = SocketAddr::new(core.settings.ip, port);
+    let own = format!("{address} {}", core.settings.hall);
+    let key = format!("{KEYS}{}", core.settings.id);
+    loop {
+        core.book.borrow_mut().put(read(&core));
+        let known = core.own.borrow().get(&key).cloned();
+        let value = known.as_ref().and_then(|item| item.value.clone());
+        if core.age().is_some() && value.as_deref() != Some(own.as_bytes()) {
+            let expected = if value.is_some() {
+                known.map_or(0, |item| item.revision)
+            } else {
+                0
+            };
+            let write = Write {
+                key: key.clone(),
+                value: Bytes::from(own.clone()),
+                expected,
+                lease: 0,
+            };
+            core.metrics.store_calls.inc();
+            if let Err(why) = core.store.write(&[write]).await {
+                emit!(core.logger, info, event::PEER_UNREGISTERED, "why" => %why);
+            }
+            sleep(AGAIN).await;
+        }
+        sleep(LOOK).await;
+    }
+}
+
+fn read(core: &Core) -> BTreeMap<id::Box, Peer> {
+    let own = core.own.borrow();
+    let items = own
+        .range(KEYS.to_owned()..)
+        .take_while(|(key, _)| key.starts_with(KEYS));
+    let peer = |value: &str| {
+        let (address, hall) = value.split_once(' ')?;
+        Some(Peer {
+            address: address.parse().ok()?,
+            hall: hall.to_owned(),
+        })
+    };
+    let peers = items.filter_map(|(key, item)| {
+        let value = std::str::from_utf8(item.value.as_deref()?).ok()?;
+        Some((key[KEYS.len()..].to_owned(), peer(value)?))
+    });
+    peers.collect()
+}
--- /dev/null
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -0,0 +1,66 @@
+//! The socket that boxes talk over.
+
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_protocol::{emit, event};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use super::message::{LONGEST, Message};
+use super::{gossip, relay};
+use crate::core::{Core, Shared};
+
+/// Pause after an error of the socket.
+const AFTER_ERROR: Duration = Duration::from_millis(100);
+
+/// Binds the first free port of the range.
+///
+/// # Errors
+/// When no port is free.
+pub async fn bind(ip: IpAddr, ports: std::ops::RangeInclusive<u16>) -> std::io::Result<UdpSocket> {
+    let mut last = std::io::Error::other("no port for messages between boxes");
+    for port in ports {
+        match UdpSocket::bind((ip, port)).await {
+            Ok(socket) => return Ok(socket),
+            Err(why) => last = why,
+        }
+    }
+    Err(last)
+}
+
+/// Sends a message; one that is lost is made up for by the next.
+pub(super) async fn send(core: &Core, socket: &UdpSocket, to: SocketAddr, message: &Message) {
+    let Ok(bytes) = postcard::to_allocvec(message) else {
+        return;
+    };
+    if bytes.len() > LONGEST {
+        emit!(core.logger, debug, event::PEER_REFUSED, "why" => "more to tell than a packet holds");
+        return;
+    }
+    if let Err(why) = socket.send_to(&bytes, to).await {
+        emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %to, "why" => %why);
+    }
+}
+
+/// Hears the other boxes for ever.
+pub async fn hear(core: Shared, socket: Rc<UdpSocket>) {
+    let mut buffer = [0_u8; LONGEST];
+    loop {
+        let (length, from) = match socket.recv_from(&mut buffer).await {
+            Ok(received) => received,
+            Err(why) => {
+                emit!(core.logger, debug, event::PEER_REFUSED, "why" => %why);
+                sleep(AFTER_ERROR).await;
+                continue;
+            }
+        };
+        match postcard::from_bytes::<Message>(&buffer[..length]) {
+            Ok(Message::Told(told)) => gossip::take(&core, &socket, from, told).await,
+            Ok(Message::Ask(ask)) => relay::answer(&core, &socket, from, ask).await,
+            Ok(Message::News(news)) => core.relayed.deliver(news),
+            Err(why) => emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => %why),
+        }
+    }
+}
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -60,7 +60,7 @@
     /// The newest version of a model's weights.
     Weights(Loaded),
     /// An item of the boxes themselves.
-    Own(Item),
+    Own(Change),
     /// A value that could not be read; the one before stays in force.
     Unreadable {
         /// Key.
@@ -70,24 +70,24 @@
     },
 }
 
-/// An item that the boxes keep in the store.
+/// An item as it was written, or its going.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct Item {
+pub struct Change {
     /// Key.
     pub key: String,
     /// Value; `None` when it has gone.
     pub value: Option<Bytes>,
-    /// Revision of its last change.
+    /// Revision of the change.
     pub revision: Revision,
-    /// Revision of its creation.
+    /// Revision of the item's creation.
     pub created: Revision,
 }
 
 /// What has changed in the store, or all that it holds.
 #[derive(Debug)]
 pub struct News {
-    /// Facts, the older first.
-    pub facts: Vec<Fact>,
+    /// Changes, the older first.
+    pub changes: Vec<Change>,
     /// Revision after which to ask next.
     pub revision: Revision,
 }
@@ -131,6 +131,8 @@
 /// The platform's store.
 #[async_trait(?Send)]
 pub trait Store {
+    /// What a change says.
+    fn decode(&self, change: &Change) -> Fact;
     /// All that it holds.
     async fn all(&self) -> Result<News, StoreError>;
     /// What has changed after a revision; waits up to `wait` for something.
@@ -139,6 +141,8 @@
     async fn lease(&self, time: Duration) -> Result<Lease, StoreError>;
     /// Renews a lease.
     async fn renew(&self, lease: Lease) -> Result<(), StoreError>;
+    /// Ends a lease; its keys go with it.
+    async fn end(&self, lease: Lease) -> Result<(), StoreError>;
     /// Writes all items or none.
     async fn write(&self, writes: &[Write]) -> Result<Revision, StoreError>;
 }
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -106,7 +106,7 @@
     let port = socket.local_addr()?.port();
     emit!(core.logger, info, event::BOX_STARTED, "callers" => %callers.local_addr()?,
         "peers" => port, "store" => %core.settings.store);
-    spawn_local(follow::run(Rc::clone(core)));
+    spawn_local(follow::run(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(front::serve(Rc::clone(core), callers));
     spawn_local(ready::serve(Rc::clone(core), checks));
     spawn_local(peers::register(Rc::clone(core), port));
@@ -133,7 +133,7 @@
     loop {
         sleep(LOOK).await;
         let now = core.now();
-        let idle = core.stop.connections() == 0 && now > since + stop::NOTICED;
+        let idle = core.stop.is_done() && now > since + stop::NOTICED;
         if idle || now > end {
             break;
         }
--- a/crates/jb-relay/src/steward.rs
+++ b/crates/jb-relay/src/steward.rs
@@ -13,7 +13,6 @@
 
 use bytes::Bytes;
 use jb_policy::Moment;
-use jb_policy::place;
 use jb_protocol::{emit, event};
 use tokio::net::UdpSocket;
 use tokio::sync::Semaphore;
@@ -28,10 +27,12 @@
 const HOLDER: &str = "junctionbend/steward/holder";
 /// Item that names the last box that had the duty.
 const LAST: &str = "junctionbend/steward/last";
+/// Value of that item when the last order is too long ago for the next box to wait.
+const NOBODY: &str = "";
 /// Time of the lease.
-const LEASE: Duration = Duration::from_millis(2500);
+const LEASE: Duration = Duration::from_millis(1800);
 /// Pause between renewals.
-const RENEW: Duration = Duration::from_millis(800);
+const RENEW: Duration = Duration::from_millis(450);
 /// Part of the lease at its end in which no order is given: an order's way and a late timer.
 const MARGIN: Duration = Duration::from_millis(600);
 /// Pause between two looks at what is to do.
@@ -40,6 +41,8 @@
 const RANK_PAUSE: Duration = Duration::from_millis(250);
 /// Pause before an engine that refused an order, or gave no report, is tried again.
 const REFUSED_PAUSE: Duration = Duration::from_millis(600);
+/// Boxes before this one that are waited for at the most.
+const MOST_BEFORE: usize = 8;
 /// Share of a service's engines that load at once.
 const AT_ONCE: f64 = 0.2;
 /// Engines that load at once at least.
@@ -70,6 +73,10 @@
     /// From when orders may be given.
     from: Moment,
     renewed: Moment,
+    /// Revision of the item that names the last box with the duty.
+    last: Revision,
+    /// Whether that item names this box, as it must before an order.
+    named: bool,
 }
 
 /// The duty at one box.
@@ -81,6 +88,7 @@
     places: Semaphore,
     granted: Cell<usize>,
     vacant_since: Cell<Option<Moment>>,
+    ordered: Cell<Moment>,
 }
 
 impl Steward {
@@ -94,22 +102,33 @@
             places: Semaphore::new(0),
             granted: Cell::new(0),
             vacant_since: Cell::new(None),
+            ordered: Cell::default(),
         })
     }
 
-    /// Looks after the duty for ever.
+    /// Looks after the duty until the box has stopped.
     pub async fn run(self: Rc<Self>) {
         loop {
             sleep(LOOK).await;
-            if self.core.stop.is_stopping() {
-                continue;
-            }
+            let stopping = self.core.stop.is_stopping();
             match self.term.get() {
+                Some(term) if stopping && self.loading.borrow().is_empty() => self.release(term).await,
                 Some(term) => self.hold(term).await,
+                None if stopping => self.core.stop.set_duty(false),
                 None => self.try_take().await,
             }
-            self.start_loads();
+            if !stopping {
+                self.start_loads().await;
+            }
+        }
+    }
+
+    async fn release(&self, term: Term) {
+        self.core.metrics.store_calls.inc();
+        if let Err(why) = self.core.store.end(term.lease).await {
+            emit!(self.core.logger, info, event::STEWARD_LOST, "why" => %why);
         }
+        self.lose("the box stops");
     }
 
     async fn hold(&self, term: Term) {
@@ -118,9 +137,16 @@
             self.lose("the lease ran out");
             return;
         }
-        if now < term.renewed + RENEW {
-            return;
+        if now >= term.renewed + RENEW {
+            self.renew(term, now).await;
+        }
+        let quiet = self.loading.borrow().is_empty() && now > self.ordered.get() + self.gap();
+        if quiet && term.named {
+            self.name_last(NOBODY).await;
         }
+    }
+
+    async fn renew(&self, term: Term, now: Moment) {
         self.core.metrics.store_calls.inc();
         match self.core.store.renew(term.lease).await {
             Ok(()) => self.term.set(Some(Term {
@@ -130,12 +156,47 @@
             })),
             Err(StoreError::NoLease) => self.lose("the store has no such lease"),
             // Tried again with the next look; the term ends by itself.
-            Err(_) => self.term.set(Some(Term { renewed: now, ..term })),
+            Err(_) => self.term.set(Some(Term {
+                renewed: now - RENEW / 2,
+                ..term
+            })),
         }
     }
 
+    /// Writes who had the duty last, for the box that has it next.
+    async fn name_last(&self, name: &str) {
+        let Some(term) = self.term.get() else { return };
+        let value = Bytes::from(name.to_owned());
+        let write = Write {
+            key: LAST.to_owned(),
+            value,
+            expected: term.last,
+            lease: 0,
+        };
+        self.core.metrics.store_calls.inc();
+        match self.core.store.write(&[write]).await {
+            Ok(last) => {
+                // The lease may have been renewed meanwhile.
+                let named = name != NOBODY;
+                self.term
+                    .set(self.term.get().map(|term| Term { last, named, ..term }));
+            }
+            // Whether it was written is open, so the item's revision is, too: the duty is given up.
+            Err(why) => {
+                emit!(self.core.logger, info, event::STEWARD_LOST, "why" => %why);
+                self.lose("the last holder could not be written");
+            }
+        }
+    }
+
+    /// Pause that orders of two boxes to one engine must keep.
+    fn gap(&self) -> Duration {
+        self.core.settings.bounds.order_gap + GAP_SLACK
+    }
+
     fn lose(&self, why: &str) {
         self.term.set(None);
+        self.core.stop.set_duty(false);
         emit!(self.core.logger, warn, event::STEWARD_LOST, "why" => why);
     }
 
@@ -144,14 +205,17 @@
         let core = &self.core;
         let holder = core.own.borrow().get(HOLDER).cloned();
         let held = holder.as_ref().is_some_and(|item| item.value.is_some());
-        if held || core.age().is_none_or(|age| age > 2 * crate::follow::PERIOD) {
+        // Without the own address in the list, the others' are missing too.
+        let listed = core.book.borrow().address(&core.settings.id).is_some();
+        if held || !listed || core.age().is_none_or(|age| age > 2 * crate::follow::PERIOD) {
             self.vacant_since.set(None);
             return;
         }
         let now = core.now();
         let since = self.vacant_since.get().unwrap_or(now);
         self.vacant_since.set(Some(since));
-        if now < since + RANK_PAUSE * self.rank() {
+        let before = core.book.borrow().before(&core.settings.id, HOLDER, now);
+        if now < since + RANK_PAUSE * u32::try_from(before.min(MOST_BEFORE)).unwrap_or_default() {
             return;
         }
         if let Err(why) = self.take().await {
@@ -161,16 +225,6 @@
         }
     }
 
-    /// Boxes that are preferred to this one, of those that were heard.
-    fn rank(&self) -> u32 {
-        let key = place::name_hash(HOLDER);
-        let weight = |name: &str| place::weight(key, place::name_hash(name));
-        let own = weight(&self.core.settings.id);
-        let peers = self.core.peers.borrow();
-        let before = peers.heard(self.core.now()).filter(|id| weight(id) > own).count();
-        u32::try_from(before).unwrap_or(u32::MAX).min(20)
-    }
-
     async fn take(&self) -> Result<(), StoreError> {
         let core = &self.core;
         let asked = core.now();
@@ -199,9 +253,12 @@
         core.metrics.store_calls.inc();
         let fence = core.store.write(&[holder, last]).await?;
         let now = core.now();
-        let other = before.is_some_and(|before| before != value);
-        let gap = if other {
-            core.settings.bounds.order_gap + GAP_SLACK
+        let other = before
+            .as_ref()
+            .is_some_and(|before| *before != value && !before.is_empty());
+        // The box before gave no order in the last part of its lease, which has run out.
+        let wait = if other {
+            self.gap().saturating_sub(MARGIN)
         } else {
             Duration::ZERO
         };
@@ -209,11 +266,16 @@
             lease,
             fence,
             until: asked + LEASE - MARGIN,
-            from: now + gap,
+            from: now + wait,
             renewed: asked,
+            last: fence,
+            named: true,
         }));
+        self.ordered.set(now);
+        core.stop.set_duty(true);
         self.vacant_since.set(None);
-        emit!(core.logger, info, event::STEWARD_TAKEN, "fence" => fence, "waits_ms" => gap.as_millis() as u64);
+        emit!(core.logger, info, event::STEWARD_TAKEN, "fence" => fence, "waits_ms" => wait.as_millis() as u64,
+            "before" => before.map(|before| String::from_utf8_lossy(&before).into_owned()));
         Ok(())
     }
 
@@ -222,32 +284,43 @@
         let now = self.core.now();
         self.term
             .get()
-            .filter(|term| term.from <= now && now < term.until)
+            .filter(|term| term.named && term.from <= now && now < term.until)
             .map(|term| term.fence)
     }
 
     /// Begins to load engines that have older weights, a few at a time.
-    fn start_loads(self: &Rc<Self>) {
-        if self.may_order().is_none() {
+    async fn start_loads(self: &Rc<Self>) {
+        let now = self.core.now();
+        if self
+            .term
+            .get()
+            .is_none_or(|term| now < term.from || now >= term.until)
+        {
             return;
         }
         let weights = self.core.weights.borrow().clone();
         for (model, named) in weights {
-            for id in self.next_engines(&model, named.version) {
+            let next = self.next_engines(&model, named.version);
+            if !next.is_empty() && self.term.get().is_some_and(|term| !term.named) {
+                self.name_last(&self.core.settings.id).await;
+            }
+            for id in next {
                 self.loading.borrow_mut().insert(id.clone());
-                let (steward, model) = (Rc::clone(self), model.clone());
-                tokio::task::spawn_local(async move {
-                    let loaded = tokio::time::timeout(LOAD_TIME, steward.load(&id, &model)).await;
-                    if loaded.is_err() {
-                        emit!(steward.core.logger, warn, event::ORDER_FAILED, "upstream" => &id,
-                            "why" => "not done in time");
-                    }
-                    steward.loading.borrow_mut().remove(&id);
-                });
+                tokio::task::spawn_local(Rc::clone(self).load_in_time(id, model.clone()));
             }
         }
     }
 
+    async fn load_in_time(self: Rc<Self>, id: Id, model: String) {
+        if tokio::time::timeout(LOAD_TIME, self.load(&id, &model))
+            .await
+            .is_err()
+        {
+            emit!(self.core.logger, warn, event::ORDER_FAILED, "upstream" => &id, "why" => "not done in time");
+        }
+        self.loading.borrow_mut().remove(&id);
+    }
+
     /// Engines to load next: those with the oldest weights, then those with the least to do.
     fn next_engines(&self, model: &str, version: u64) -> Vec<Id> {
         let upstreams = self.core.upstreams.borrow();
@@ -367,6 +440,7 @@
             fence,
             orders,
         };
+        self.ordered.set(core.now());
         let taken = core.engines.order(address, id, &order).await;
         emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => id, "version" => version,
             "fence" => fence, "mode" => ?mode, "answer" => ?taken);
--- a/crates/jb-relay/src/stop.rs
+++ b/crates/jb-relay/src/stop.rs
@@ -14,6 +14,7 @@
 pub struct Stop {
     since: Cell<Option<Moment>>,
     connections: Cell<usize>,
+    duty: Cell<bool>,
     changed: Notify,
 }
 
@@ -41,6 +42,16 @@
         }
     }
 
+    /// Notes whether the box has a duty of the fleet to finish or hand over.
+    pub fn set_duty(&self, held: bool) {
+        self.duty.set(held);
+    }
+
+    /// Whether nothing keeps the box from ending.
+    pub fn is_done(&self) -> bool {
+        self.connections.get() == 0 && !self.duty.get()
+    }
+
     /// Connections of callers that are open.
     pub fn connections(&self) -> usize {
         self.connections.get()
