Send prompts to the store when their own part is no longer than the shared ones

Cause: with own parts up to a third only 45 percent of first readings went to the store; the rest was read again when engines dropped it.

--- a/crates/jb-policy/src/choose.rs
+++ b/crates/jb-policy/src/choose.rs
@@ -40,7 +40,7 @@
             tokens_per_ms: 50.0,
             import: 60.0,
             import_per_k: 10.0,
-            behind: 60.0,
+            behind: 20.0,
             per_running: 0.5,
             per_place: 60.0,
             other_hall: 3.0,
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::{BufMut as _, Bytes, BytesMut};
+use jb_policy::Moment;
 use tokio::time::sleep;
 
 use crate::attempt::{self, Message, Reply};
@@ -147,12 +148,37 @@
     out.put_slice(b"\r\n");
 }
 
+/// Pace of a stream as the caller sees it.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Pace {
+    /// Time to the first event.
+    pub first: Option<Duration>,
+    /// Longest pause between two events.
+    pub pause: Duration,
+    last: Moment,
+}
+
+impl Pace {
+    fn event(&mut self, core: &Shared, ticket: &Ticket) {
+        let now = core.now();
+        if self.first.is_none() {
+            let first = now.saturating_sub(ticket.arrived);
+            core.metrics.first_byte.observe(first.as_secs_f64());
+            self.first = Some(first);
+        } else {
+            self.pause = self.pause.max(now.saturating_sub(self.last));
+        }
+        self.last = now;
+    }
+}
+
 /// Delivers a stream, event by event where it may go on elsewhere.
 pub async fn stream(
     core: &Shared,
     message: &mut Message<'_>,
     mut reply: Reply,
     client: &mut Connection,
+    pace: &mut Pace,
     mut started: impl FnMut(),
 ) -> Delivered {
     let ticket = message.ticket;
@@ -188,11 +214,7 @@
                 if out.len() == before {
                     continue;
                 }
-                if !begun {
-                    core.metrics
-                        .first_byte
-                        .observe(core.now().saturating_sub(ticket.arrived).as_secs_f64());
-                }
+                pace.event(core, ticket);
                 begun = true;
                 if client.send(&out).await.is_err() {
                     return Delivered::CallerGone;
--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange.rs
@@ -11,9 +11,9 @@
 
 use crate::attempt::{self, Message, Outcome, Reply};
 use crate::core::Shared;
-use crate::deliver::{self, Delivered};
+use crate::deliver::{self, Delivered, Pace};
 use crate::http::{Connection, Query};
-use crate::peers;
+use crate::peers::{self, Placed};
 use crate::rules::Kind;
 use crate::ticket::Ticket;
 use crate::upstream::{Id, Upstream, Wanted};
@@ -31,9 +31,9 @@
 const WEIGHTS_SHARE: f64 = 0.85;
 /// Tokens for which a move from another engine is worth its wait.
 const LEAST_IMPORT: u64 = 64;
-/// Shared tokens for each own token that a prompt must have to be sent to a store. The own part
+/// Own tokens for each shared token that a prompt sent to a store may have. The own part
 /// goes there too and pushes out parts that others could use.
-const OWN_OF_SHARED: u64 = 3;
+const OWN_OF_SHARED: u64 = 1;
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
 const KEPT_PERCENT: u64 = 90;
 
@@ -61,6 +61,7 @@
     tried: Vec<Id>,
     sends: u32,
     runs: u32,
+    pace: Pace,
 }
 
 /// Load of one request at one upstream, counted until dropped.
@@ -133,6 +134,7 @@
             tried: Vec::new(),
             sends: 0,
             runs: 0,
+            pace: Pace::default(),
         }
     }
 
@@ -305,7 +307,17 @@
         let own = last.tokens + ticket.out;
         upstream.kept.set_capacity(self.memory() * KEPT_PERCENT / 100);
         upstream.kept.read(shared.iter().copied(), own);
-        peers::note_use(core, upstream.name, 0, shared, own);
+        let known = found >= demand.shared();
+        peers::note_use(
+            core,
+            Placed {
+                place: upstream.name,
+                version: 0,
+                shared,
+                own,
+                known,
+            },
+        );
 
         let mut brought = source.map_or(0, |source| source.tokens);
         self.message.source = source.map(|source| source.address);
@@ -315,10 +327,19 @@
         let keep = demand.family().and_then(|family| keeps.of(family));
         if let (Some(keep), Some(version)) = (keep, version) {
             let held = keep.found(shared, version);
-            if held < demand.shared() && own * OWN_OF_SHARED <= demand.shared() {
+            if held < demand.shared() && own <= demand.shared() * OWN_OF_SHARED {
                 self.message.keep = Some(keep.address);
                 keep.used(shared.iter().copied(), version, own);
-                peers::note_use(core, keep.name, version, shared, own);
+                peers::note_use(
+                    core,
+                    Placed {
+                        place: keep.name,
+                        version,
+                        shared,
+                        own,
+                        known: false,
+                    },
+                );
             }
             // What the engine is believed to keep may have given way to running requests.
             if self.message.source.is_none() && held > 0 {
@@ -403,7 +424,10 @@
             return Err("upstream_error");
         }
         let delivered = if success && ticket.route.kind == Kind::Stream {
-            deliver::stream(core, &mut self.message, reply, client, || counted.started()).await
+            deliver::stream(core, &mut self.message, reply, client, &mut self.pace, || {
+                counted.started()
+            })
+            .await
         } else {
             deliver::whole(core, ticket, reply, client).await
         };
@@ -443,6 +467,11 @@
         self.core.now().saturating_sub(self.message.ticket.arrived)
     }
 
+    /// Pace of the stream.
+    pub fn pace(&self) -> Pace {
+        self.pace
+    }
+
     /// Upstreams that were tried.
     pub fn tried(&self) -> &[Id] {
         &self.tried
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -240,5 +240,6 @@
     emit!(core.logger, info, event::REQUEST_ENDED, "request" => &ticket.id, "route" => &ticket.route.name,
         "service" => &ticket.service, "ending" => name, "status" => status, "why" => why,
         "ms" => exchange.took().as_millis() as u64, "tried" => exchange.tried().join(","),
-        "version" => ticket.rules.version);
+        "first_ms" => exchange.pace().first.map(|first| first.as_millis() as u64),
+        "pause_ms" => exchange.pace().pause.as_millis() as u64, "version" => ticket.rules.version);
 }
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -31,10 +31,12 @@
 const LEAD_SILENT: Duration = Duration::from_millis(700);
 /// Prompts in one telling; more are left out.
 const MOST_USES: usize = 20;
+/// Prompts that say nothing new of which one is told in a large fleet.
+const TOLD_OF_KNOWN: u32 = 5;
 /// Prompts that wait for one receiver.
 const MOST_WAITING: usize = 100;
 /// Upstreams whose load is told, the busiest first.
-const MOST_LOADS: usize = 60;
+const MOST_LOADS: usize = 110;
 /// Time for which an engine that loads weights gets nothing, unless it is told done before.
 pub const LOADING: Duration = Duration::from_millis(2500);
 
@@ -46,6 +48,8 @@
     own: Vec<ToldUse>,
     /// Prompts to be passed on, by receiver.
     passed: BTreeMap<id::Box, Vec<ToldUse>>,
+    /// Prompts without news since the last that was told.
+    untold: u32,
     /// When the lead last told its sum.
     lead_heard: Moment,
 }
@@ -58,21 +62,51 @@
     loads: Vec<ToldLoad>,
 }
 
-/// Notes a prompt that is sent to an engine, or kept by a store under a version of the
-/// weights, for the next telling.
-pub fn note_use(core: &Core, place: u64, version: u64, shared: &[Piece], own: u64) {
+/// A prompt that is placed at an engine, or kept by a store.
+#[derive(Clone, Copy, Debug)]
+pub struct Placed<'a> {
+    /// Hash of the engine's id, or of the store's address.
+    pub place: u64,
+    /// Version of the weights, for a store; 0 for an engine.
+    pub version: u64,
+    /// Parts that prompts share.
+    pub shared: &'a [Piece],
+    /// Tokens of its own, read and made.
+    pub own: u64,
+    /// Whether the place is believed to have had all shared parts before.
+    pub known: bool,
+}
+
+/// Notes a prompt that is placed, for the next telling. In a large fleet only a part of
+/// those that say nothing new are told; each then stands for the others.
+pub fn note_use(core: &Core, placed: Placed<'_>) {
+    let mut loads = core.loads.borrow_mut();
+    let small = core.book.borrow().is_small();
+    if placed.known && !small {
+        loads.untold += 1;
+        if loads.untold < TOLD_OF_KNOWN {
+            return;
+        }
+        loads.untold = 0;
+    }
+    let stands_for = if placed.known && !small {
+        u64::from(TOLD_OF_KNOWN)
+    } else {
+        1
+    };
     let short = |tokens| u32::try_from(tokens).unwrap_or(u32::MAX);
-    let shared = shared
+    let shared = placed
+        .shared
         .iter()
         .map(|piece| (piece.part, short(piece.tokens)))
         .collect();
-    let mut loads = core.loads.borrow_mut();
     if loads.own.len() < MOST_WAITING {
+        let own = short(placed.own * stands_for);
         loads.own.push(ToldUse {
-            place,
-            version,
+            place: placed.place,
+            version: placed.version,
             shared,
-            own: short(own),
+            own,
         });
     }
 }
@@ -172,7 +206,7 @@
     told.loads.truncate(MOST_LOADS);
     let mut rest = told.uses.split_off(told.uses.len().min(MOST_USES));
     rest.truncate(MOST_USES);
-    if told.loads.len() <= MOST_LOADS / 2 && rest.is_empty() {
+    if told.loads.len() <= MOST_LOADS / 4 && rest.is_empty() {
         return vec![Message::Told(told)];
     }
     // Loads in one message; prompts in others, which repeat no loads.
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -9,7 +9,7 @@
 mod socket;
 
 pub use book::{Book, Peer};
-pub use gossip::{LOADING, Loads, note_use, tell, tell_weights};
+pub use gossip::{LOADING, Loads, Placed, note_use, tell, tell_weights};
 pub use register::{KEYS, register};
 pub use relay::{Log, Relayed, ask};
 pub use socket::{bind, hear};
