A running request drags by five milliseconds in the choice

Cause: drafts piled up to 67 on an engine whose steps were full of prompt chunks; the choice counted half a millisecond for each.

--- a/crates/jb-policy/src/choose.rs
+++ b/crates/jb-policy/src/choose.rs
@@ -41,7 +41,7 @@
             import: 60.0,
             import_per_k: 10.0,
             behind: 20.0,
-            per_running: 0.5,
+            per_running: 5.0,
             per_place: 60.0,
             other_hall: 3.0,
             other_hall_per_kb: 0.5,
