Trace a request from its id to its cause, check settings and deploy files

junctionbend trace reads logs of several boxes and tells one request's story in order with what stood around it; junctionbend check knows the platform's files.

--- a/crates/jb-cli/src/command/mod.rs
+++ b/crates/jb-cli/src/command/mod.rs
@@ -6,6 +6,7 @@
 mod explain;
 mod migrate;
 mod status;
+mod trace;
 mod tree;
 
 use argh::FromArgs;
@@ -42,6 +43,7 @@
     Explain(explain::Explain),
     Migrate(migrate::Migrate),
     Status(status::Status),
+    Trace(trace::Trace),
     Tree(tree::Tree),
 }
 
@@ -59,6 +61,9 @@
     if let Command::Check(check) = &arguments.command {
         return check::run(check);
     }
+    if let Command::Trace(trace) = &arguments.command {
+        return trace::run(trace, arguments.json);
+    }
     let address = arguments.address.or_else(|| std::env::var(BOX_VARIABLE).ok());
     let address = address.ok_or_else(|| Error::Input {
         what: format!("no box is named: give --box ADDRESS or set {BOX_VARIABLE}"),
@@ -79,6 +84,7 @@
         Command::Explain(explain) => explain::run(context, explain).await,
         Command::Migrate(migrate) => migrate::run(context, &migrate).await,
         Command::Status(_) => status::run(context).await,
+        Command::Trace(trace) => trace::run(&trace, context.json),
         Command::Tree(tree) => tree::run(context, tree).await,
     }
 }
--- a/crates/jb-cli/src/error.rs
+++ b/crates/jb-cli/src/error.rs
@@ -25,6 +25,10 @@
     #[error(transparent)]
     #[diagnostic(transparent)]
     Tree(#[from] jb_tree::Error),
+    /// A platform's settings file is wrong.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
+    Site(#[from] jb_site::SettingsError),
     /// A file cannot be read or written.
     #[error("{path} cannot be used: {message}")]
     #[diagnostic(code(client::file), help("check the path and its permissions"))]
@@ -87,7 +91,7 @@
         Error::Refused(document) if document.kind == Kind::EditConflict => EXIT_CONFLICT,
         Error::Refused(_) | Error::Answer { .. } => EXIT_REFUSED,
         Error::Waiting { .. } => EXIT_WAITING,
-        Error::Tree(_) | Error::File { .. } | Error::Input { .. } => EXIT_INPUT,
+        Error::Tree(_) | Error::Site(_) | Error::File { .. } | Error::Input { .. } => EXIT_INPUT,
     };
     ExitCode::from(code)
 }
--- a/crates/jb-cli/src/lib.rs
+++ b/crates/jb-cli/src/lib.rs
@@ -4,3 +4,4 @@
 pub mod command;
 pub mod error;
 pub mod show;
+pub mod story;
