A stream without attempts left ends before its engine loads new weights

Change: the last attempt counts among the requests that cannot go on elsewhere; a stream that goes on waits for an open engine as long as its route lets it pause.

--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange.rs
@@ -182,7 +182,12 @@
 
     /// The upstream for the next send; waits a little when none is open.
     async fn pick(&self, client: &mut Connection) -> Option<Id> {
-        let until = self.message.ticket.arrived + self.message.ticket.route.target.mul_f64(WAIT_SHARE);
+        let ticket = self.message.ticket;
+        // A stream that goes on may pause for as long as its route allows.
+        let until = match self.message.last_event {
+            Some(_) => self.core.now() + ticket.route.pause,
+            None => ticket.arrived + ticket.route.target.mul_f64(WAIT_SHARE),
+        };
         loop {
             if let Some(id) = self.choose() {
                 return Some(id);
@@ -230,7 +235,8 @@
         let core = self.core;
         let ticket = self.message.ticket;
         let waiting = self.place_prompt(id);
-        let mut counted = Counted::new(core, id, waiting, !ticket.route.repeatable());
+        let last = !ticket.route.repeatable() || self.runs + 1 >= ticket.route.attempts;
+        let mut counted = Counted::new(core, id, waiting, last);
         self.tried.push(id.clone());
         let outcome = tokio::select! {
             outcome = self.patiently(id) => outcome,
