--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange.rs
@@ -226,6 +226,7 @@
                 prompt: &ticket.prompt,
                 bytes: self.message.body.len(),
             },
+            trust: self.core.book.borrow().trust(),
             except: &self.tried,
         }
     }
--- a/crates/jb-relay/src/upstream.rs
+++ b/crates/jb-relay/src/upstream.rs
@@ -63,6 +63,18 @@
     pub waiting: u64,
 }
 
+impl Load {
+    /// The part of it that counts.
+    fn trusted(self, part: f64) -> Self {
+        let waiting = (self.waiting as f64 * part) as u64;
+        Self {
+            running: (f64::from(self.running) * part) as u32,
+            waiting,
+            ..self
+        }
+    }
+}
+
 impl Upstream {
     fn new(id: &str, entry: Entry) -> Self {
         Self {
@@ -114,13 +126,16 @@
         self.paused_until = self.paused_until.max(now + REFUSED_PAUSE);
     }
 
-    fn candidate(&self, hall: &str, demand: &Demand<'_>, behind: bool) -> Candidate {
+    fn candidate(&self, wanted: &Wanted<'_>, behind: bool) -> Candidate {
+        let hall = wanted.hall;
+        let demand = &wanted.demand;
+        let others = self.others.trusted(wanted.trust);
         Candidate {
             name: self.name,
             own_hall: self.entry.hall == hall,
-            running: self.running + self.others.running,
+            running: self.running + others.running,
             slots: self.entry.slots,
-            waiting: self.waiting + self.others.waiting,
+            waiting: self.waiting + others.waiting,
             found: self.kept.found(demand.prompt),
             elsewhere: 0,
             behind,
@@ -147,6 +162,8 @@
     pub hall: &'a str,
     /// Its prompt and size.
     pub demand: Demand<'a>,
+    /// Part of other boxes' loads that counts.
+    pub trust: f64,
     /// Upstreams that were tried.
     pub except: &'a [Id],
 }
@@ -274,7 +291,7 @@
         let candidate = |(id, upstream): (&Id, &Upstream)| {
             let has = wanted.model.and_then(|model| upstream.weights(model));
             let behind = has.is_some_and(|has| has < wanted.newest.version);
-            let mut candidate = upstream.candidate(wanted.hall, &wanted.demand, behind);
+            let mut candidate = upstream.candidate(wanted, behind);
             let others = holders
                 .iter()
                 .filter(|holder| holder.id != *id && Some(holder.weights) == has);
