A fault soak: real boxes, callers, stand-ins, faults drawn from a seed

Signals (kill, stop, pause, reload), links to the store (silent, slow, one way, reset), the store itself, engines that spoil answers, leave and get new weights, keys and configurations. Nine promises are checked from what callers and engines see; the table says which saw no case.

--- /dev/null
+++ b/crates/jb-soak/src/callers.rs
@@ -0,0 +1,109 @@
+//! Callers that keep their connections until a box is gone.
+
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use jb_site_fakes::caller::{Caller, Got, request};
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use tokio::time::{sleep, timeout};
+
+use crate::checks::Promise;
+use crate::run::World;
+
+/// Longest wait for an answer: the longest route's time and a second.
+const PATIENCE: Duration = Duration::from_secs(5);
+/// Time for a connection to come up.
+const CONNECT: Duration = Duration::from_millis(500);
+/// Pause between two requests of one caller.
+const PAUSE: Duration = Duration::from_millis(8);
+/// Paths, one for each kind of route.
+pub const PATHS: [&str; 4] = ["/safe/a", "/once/a", "/stream/a", "/resume/a"];
+
+/// What was asked, and what a caller got.
+pub struct Asked {
+    /// Id of the request.
+    pub id: String,
+    /// Path.
+    pub path: &'static str,
+    /// Key.
+    pub key: &'static str,
+    /// When it was sent.
+    pub sent: Instant,
+    /// Status; `None` without an answer.
+    pub status: Option<u16>,
+}
+
+/// Asks until the world stops.
+pub async fn run(world: Rc<World>, number: u64) {
+    let mut random = ChaCha8Rng::seed_from_u64(world.seed ^ (number << 32));
+    let mut connection: Option<(usize, Caller)> = None;
+    let mut count = 0;
+    while !world.stopped.get() {
+        sleep(PAUSE).await;
+        let (at, mut caller) = match connection.take() {
+            Some(open) => open,
+            None => {
+                let at = random.random_range(0..world.boxes.len());
+                let Some(address) = world.boxes[at].address() else {
+                    continue;
+                };
+                let Ok(Ok(stream)) = timeout(CONNECT, tokio::net::TcpStream::connect(address)).await else {
+                    continue;
+                };
+                (at, Caller(jb_relay::http::Connection::new(stream)))
+            }
+        };
+        count += 1;
+        let path = PATHS[random.random_range(0..PATHS.len())];
+        let key = if random.random_bool(0.8) {
+            "key-ann"
+        } else {
+            "key-cut"
+        };
+        let id = format!("{number}-{count}");
+        let bytes = request("POST", path, &id, MODEL, "hello").replace("key-ann", key);
+        let sent = Instant::now();
+        let got = timeout(PATIENCE, caller.raw(bytes.as_bytes())).await;
+        let got = got.ok().and_then(Result::ok);
+        judge(&world, &id, path, got.as_ref());
+        let status = got.as_ref().map(Got::status);
+        world.asked.borrow_mut().push(Asked {
+            id,
+            path,
+            key,
+            sent,
+            status,
+        });
+        let goes_on = got.is_some_and(|got| got.complete && got.answer.keep_alive);
+        connection = goes_on.then_some((at, caller));
+    }
+}
+
+/// Headers of a request to a model.
+const MODEL: &str = "X-Junctionbend-Model: model-a\r\nX-Junctionbend-Deadline-Ms: 4000\r\n\
+    X-Junctionbend-Prompt-Prefix: a1:1000,b2:500,c3:40\r\n";
+
+/// Checks what can be seen at once.
+fn judge(world: &World, id: &str, path: &str, got: Option<&Got>) {
+    let Some(got) = got else { return };
+    let mut checks = world.checks.borrow_mut();
+    let own = got.answer.headers.text("x-junctionbend-request-id");
+    checks.check(Promise::OwnAnswer, own == Some(id) || got.status() >= 400, || {
+        format!("{id} got an answer to {own:?}")
+    });
+    if got.status() != 200 || !got.complete {
+        return;
+    }
+    if path.starts_with("/safe") || path.starts_with("/once") {
+        let whole = got.body.starts_with(&format!("done {id} at "));
+        checks.check(Promise::OwnAnswer, whole, || format!("{id} got {:?}", got.body));
+    } else {
+        let events = got.events();
+        let rising = events.iter().copied().eq(1..=crate::run::EVENTS);
+        checks.check(Promise::Order, rising, || {
+            format!("{id} got the events {events:?}")
+        });
+    }
+}
--- /dev/null
+++ b/crates/jb-soak/src/faults.rs
@@ -0,0 +1,144 @@
+//! Faults, drawn from the seed.
+
+use std::time::Duration;
+
+use jb_site_fakes::engine::Act;
+use jb_site_fakes::store::Mood;
+use rand::Rng as _;
+use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
+use serde_json::json;
+use tokio::time::sleep;
+
+use crate::proxy::Link;
+use crate::run::{EVENTS, World, config};
+
+/// One fault.
+#[derive(Clone, Copy, Debug)]
+enum Fault {
+    Kill,
+    Stop,
+    Pause,
+    Reload,
+    Link(Link),
+    Store(Mood),
+    Compact,
+    Leases,
+    Engine,
+    Leave,
+    Weights,
+    Revoke,
+    Config,
+}
+
+/// Time for which states that end last.
+const LASTS: std::ops::Range<u64> = 200..3500;
+
+fn draw(random: &mut ChaCha8Rng) -> Fault {
+    match random.random_range(0..20) {
+        0 => Fault::Kill,
+        1 | 2 => Fault::Stop,
+        3 => Fault::Pause,
+        4 => Fault::Reload,
+        5 => Fault::Link(Link::Silent),
+        6 => Fault::Link(Link::OneWay),
+        7 => Fault::Link(Link::Reset),
+        8 => Fault::Link(Link::Slow(Duration::from_millis(150))),
+        9 => Fault::Store(Mood::Reset),
+        10 => Fault::Store(Mood::Status(503)),
+        11 => Fault::Compact,
+        12 => Fault::Leases,
+        13 | 14 => Fault::Engine,
+        15 => Fault::Leave,
+        16 | 17 => Fault::Weights,
+        18 => Fault::Revoke,
+        _ => Fault::Config,
+    }
+}
+
+/// Lets one fault happen, and ends it.
+pub async fn happen(world: std::rc::Rc<World>, mut random: ChaCha8Rng) {
+    let fault = draw(&mut random);
+    let at = random.random_range(0..world.boxes.len());
+    let engine = random.random_range(0..world.engines.len());
+    let lasts = Duration::from_millis(random.random_range(LASTS));
+    world.tell(&format!("{fault:?} box {at} engine {engine} for {lasts:?}"));
+    let target = &world.boxes[at];
+    match fault {
+        Fault::Kill => {
+            target.signal(Signal::KILL);
+            restart(&world, at).await;
+        }
+        Fault::Stop => {
+            target.signal(Signal::TERM);
+            restart(&world, at).await;
+        }
+        Fault::Pause => {
+            target.signal(Signal::STOP);
+            sleep(lasts).await;
+            target.signal(Signal::CONT);
+        }
+        Fault::Reload => target.signal(Signal::HUP),
+        Fault::Link(link) => {
+            target.link(link);
+            sleep(lasts).await;
+            target.link(Link::Well);
+        }
+        Fault::Store(mood) => {
+            world.store.mood.set(mood);
+            sleep(lasts).await;
+            world.store.mood.set(Mood::Well);
+        }
+        Fault::Compact => world.store.compact(),
+        Fault::Leases => world.store.end_leases(),
+        Fault::Engine => spoil(&world, engine, &mut random),
+        Fault::Leave => world.leave(engine),
+        Fault::Weights => {
+            let version = world.weights.get() + 1;
+            world.weights.set(version);
+            world.store.put(
+                "op/version/model-a",
+                &json!({"model": "model-a", "version": version}),
+            );
+        }
+        Fault::Revoke => world.revoke(),
+        Fault::Config => {
+            world.version.set(world.version.get() + 3);
+            let keys = world.keys();
+            world.store.put("op/config", &config(world.version.get(), &keys));
+        }
+    }
+}
+
+/// Starts a box again once its process has ended.
+async fn restart(world: &World, at: usize) {
+    const LOOK: Duration = Duration::from_millis(50);
+    while world.boxes[at].runs() {
+        sleep(LOOK).await;
+    }
+    if !world.stopped.get() {
+        world.boxes[at].start();
+    }
+}
+
+/// Lets an engine do other things than answer well for some requests.
+fn spoil(world: &World, engine: usize, random: &mut ChaCha8Rng) {
+    for _ in 0..random.random_range(3..20) {
+        let act = match random.random_range(0..9) {
+            0 => Act::Unsigned,
+            1 => Act::Fail(500),
+            2 => Act::Refuse,
+            3 => Act::Extra,
+            4 => Act::Garbage,
+            5 => Act::Lose,
+            6 => Act::CutBody,
+            7 => Act::Silent,
+            _ => Act::Stream {
+                events: EVENTS,
+                cut: Some(random.random_range(1..=EVENTS)),
+            },
+        };
+        world.engines[engine].acts.borrow_mut().push_back(act);
+    }
+    world.engines[engine].deaf.set(random.random_range(0..2));
+}
--- /dev/null
+++ b/crates/jb-soak/src/main.rs
@@ -0,0 +1,65 @@
+//! `soak`: plays seeds and tells which promise broke.
+
+use std::process::ExitCode;
+use std::time::Duration;
+
+use argh::FromArgs;
+use jb_soak::run::{Plan, play};
+use miette::IntoDiagnostic as _;
+use tokio::task::LocalSet;
+
+/// Play random faults against real boxes.
+#[derive(FromArgs)]
+struct Arguments {
+    /// first seed (1)
+    #[argh(option, default = "1")]
+    seed: u64,
+    /// number of seeds (1)
+    #[argh(option, default = "1")]
+    seeds: u64,
+    /// seconds of faults in each (10)
+    #[argh(option, default = "10")]
+    seconds: u64,
+    /// boxes (3)
+    #[argh(option, default = "3")]
+    boxes: usize,
+    /// engines (4)
+    #[argh(option, default = "4")]
+    engines: usize,
+    /// callers (8)
+    #[argh(option, default = "8")]
+    callers: u64,
+}
+
+fn main() -> miette::Result<ExitCode> {
+    let arguments: Arguments = argh::from_env();
+    let program = jb_fakes::fleet::build()?.daemon;
+    let mut failed = Vec::new();
+    for seed in arguments.seed..arguments.seed + arguments.seeds {
+        let folder = tempfile::tempdir().into_diagnostic()?;
+        let plan = Plan {
+            seed,
+            boxes: arguments.boxes,
+            engines: arguments.engines,
+            callers: arguments.callers,
+            lasts: Duration::from_secs(arguments.seconds),
+        };
+        println!("seed {seed}");
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_all()
+            .build()
+            .into_diagnostic()?;
+        let checks = LocalSet::new().block_on(&runtime, play(plan, &program, folder.path(), true));
+        print!("{checks}");
+        if !checks.hold() {
+            failed.push(seed);
+            println!("  logs: {}", folder.keep().display());
+        }
+    }
+    println!("soak: seeds={} failed={failed:?}", arguments.seeds);
+    Ok(if failed.is_empty() {
+        ExitCode::SUCCESS
+    } else {
+        ExitCode::FAILURE
+    })
+}
--- /dev/null
+++ b/crates/jb-soak/src/proxy.rs
@@ -0,0 +1,103 @@
+//! A loopback proxy that can be silenced, reset, slowed, or cut one way.
+
+use std::cell::Cell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+/// How the link behaves.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Link {
+    /// It passes everything on.
+    Well,
+    /// It passes everything on after a pause.
+    Slow(Duration),
+    /// It passes nothing on.
+    Silent,
+    /// Answers do not come back.
+    OneWay,
+    /// Connections are reset.
+    Reset,
+}
+
+/// Pause between two looks at a link that passes nothing on.
+const LOOK: Duration = Duration::from_millis(20);
+
+/// A proxy in front of one address.
+pub struct Proxy {
+    /// Address to connect to.
+    pub address: SocketAddr,
+    /// How the link behaves.
+    pub link: Rc<Cell<Link>>,
+}
+
+impl Proxy {
+    /// Starts a proxy on a free port.
+    pub async fn start(target: SocketAddr) -> Self {
+        let listener = TcpListener::bind("127.0.0.1:0").await.expect("a port");
+        let address = listener.local_addr().expect("an address");
+        let link = Rc::new(Cell::new(Link::Well));
+        let shared = Rc::clone(&link);
+        spawn_local(async move {
+            while let Ok((stream, _)) = listener.accept().await {
+                let link = Rc::clone(&shared);
+                if link.get() != Link::Reset {
+                    spawn_local(join(stream, target, link));
+                }
+            }
+        });
+        Self { address, link }
+    }
+}
+
+async fn join(stream: TcpStream, target: SocketAddr, link: Rc<Cell<Link>>) {
+    let Ok(other) = TcpStream::connect(target).await else {
+        return;
+    };
+    let ((a_read, a_write), (b_read, b_write)) = (stream.into_split(), other.into_split());
+    let there = pass(a_read, b_write, Rc::clone(&link), false);
+    let back = pass(b_read, a_write, link, true);
+    tokio::select! {
+        () = there => {}
+        () = back => {}
+    }
+}
+
+/// Passes bytes on until either end closes or the link is reset.
+async fn pass(mut from: OwnedReadHalf, mut to: OwnedWriteHalf, link: Rc<Cell<Link>>, answers: bool) {
+    let mut buffer = [0_u8; 4096];
+    loop {
+        let read = tokio::select! {
+            read = from.read(&mut buffer) => read,
+            () = reset(&link) => return,
+        };
+        let Ok(read @ 1..) = read else { return };
+        loop {
+            match link.get() {
+                Link::Reset => return,
+                Link::Silent => sleep(LOOK).await,
+                Link::OneWay if answers => sleep(LOOK).await,
+                Link::Slow(pause) => {
+                    sleep(pause).await;
+                    break;
+                }
+                Link::Well | Link::OneWay => break,
+            }
+        }
+        if to.write_all(&buffer[..read]).await.is_err() {
+            return;
+        }
+    }
+}
+
+async fn reset(link: &Cell<Link>) {
+    while link.get() != Link::Reset {
+        sleep(LOOK).await;
+    }
+}
--- /dev/null
+++ b/crates/jb-soak/src/run.rs
@@ -0,0 +1,340 @@
+//! One run of the soak.
+
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
+use std::path::Path;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use jb_site_fakes::caller::Caller;
+use jb_site_fakes::engine::Engine;
+use jb_site_fakes::store::{Mood, Store};
+use rand::Rng as _;
+use rand::SeedableRng as _;
+use rand_chacha::ChaCha8Rng;
+use serde_json::{Value, json};
+use tokio::task::spawn_local;
+use tokio::time::{sleep, timeout};
+
+use crate::boxes::Box;
+use crate::callers::{self, Asked};
+use crate::checks::{Checks, Promise};
+use crate::faults;
+use crate::proxy::Link;
+
+/// Events of a whole stream.
+pub const EVENTS: u64 = 6;
+/// Time after a key was taken away in which it may still open something.
+const REVOKE: Duration = Duration::from_millis(5000);
+/// Time after an engine said that it leaves in which boxes in touch still send to it; with
+/// the longest fault on top, since a box that is out of touch is not bound.
+const LEAVE: Duration = Duration::from_millis(9000);
+/// Longest wait for everything to be well again after the last fault.
+const RECOVERY: Duration = Duration::from_secs(40);
+/// Pause between two looks.
+const LOOK: Duration = Duration::from_millis(50);
+
+/// Size and length of a run.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Seed of everything that is drawn.
+    pub seed: u64,
+    /// Boxes.
+    pub boxes: usize,
+    /// Engines.
+    pub engines: usize,
+    /// Callers.
+    pub callers: u64,
+    /// Time in which faults happen.
+    pub lasts: Duration,
+}
+
+impl Default for Plan {
+    fn default() -> Self {
+        Self {
+            seed: 1,
+            boxes: 3,
+            engines: 4,
+            callers: 8,
+            lasts: Duration::from_secs(10),
+        }
+    }
+}
+
+/// Everything that a run is about.
+pub struct World {
+    /// Seed.
+    pub seed: u64,
+    /// Store.
+    pub store: Rc<Store>,
+    /// Engines.
+    pub engines: Vec<Rc<Engine>>,
+    /// Boxes.
+    pub boxes: Vec<Box>,
+    /// What was asked.
+    pub asked: RefCell<Vec<Asked>>,
+    /// Checks.
+    pub checks: RefCell<Checks>,
+    /// Whether callers are to stop.
+    pub stopped: Cell<bool>,
+    /// Version of the configuration.
+    pub version: Cell<u64>,
+    /// Newest version of the weights.
+    pub weights: Cell<u64>,
+    revoked: Cell<Option<Instant>>,
+    left: RefCell<BTreeMap<usize, (Instant, usize)>>,
+    began: Instant,
+    loud: bool,
+}
+
+/// A configuration with a route of each kind.
+pub fn config(version: u64, keys: &[&str]) -> Value {
+    let route = |name: &str, kind: &str, attempts: u32, resumable: bool| {
+        json!({"name": name, "host": "shop.example", "path_prefix": format!("/{name}/"), "kind": kind,
+            "timeout_ms": 4000, "target_latency_ms": 400, "priority": 1, "service": "models",
+            "max_attempts": attempts, "public": false, "sticky": true, "resumable": resumable, "gap_aim_ms": 500})
+    };
+    json!({"version": version,
+        "routes": [route("safe", "idempotent", 2, false), route("once", "non_idempotent", 1, false),
+            route("stream", "stream", 1, false), route("resume", "stream", 2, true)],
+        "services": [{"name": "models", "health_path": "/health", "max_connections": 200, "protocol": "h1",
+            "tls": false, "engine": {"slots": 16, "kv_capacity_tokens": 100_000, "kv_token_bytes": 18432,
+            "models": [{"name": "model-a"}]}}],
+        "limits": {"max_header_bytes": 8192, "max_body_bytes": 100_000, "header_timeout_ms": 2000,
+            "idle_timeout_ms": 10000},
+        "tenants": [{"name": "ann", "api_keys": keys, "priority": 1, "isolated": false}]})
+}
+
+impl World {
+    async fn new(plan: &Plan, program: &Path, folder: &Path, loud: bool) -> Rc<Self> {
+        let store = Store::start().await;
+        store.put("op/config", &config(1, &["key-ann", "key-cut"]));
+        let mut engines = Vec::new();
+        for number in 0..plan.engines {
+            let engine = Engine::start(&format!("engine-{number}")).await;
+            engine.events.set(EVENTS);
+            store.put(
+                &format!("servers/{}", engine.id),
+                &engine.entry("models", "ready"),
+            );
+            engines.push(engine);
+        }
+        let mut boxes = Vec::new();
+        for number in 0..plan.boxes {
+            boxes.push(Box::new(number, program, folder, store.address).await);
+        }
+        Rc::new(Self {
+            seed: plan.seed,
+            store,
+            engines,
+            boxes,
+            asked: RefCell::default(),
+            checks: RefCell::default(),
+            stopped: Cell::default(),
+            version: Cell::new(1),
+            weights: Cell::new(1),
+            revoked: Cell::default(),
+            left: RefCell::default(),
+            began: Instant::now(),
+            loud,
+        })
+    }
+
+    /// Prints a line of the timeline.
+    pub fn tell(&self, what: &str) {
+        if self.loud {
+            println!("  {:6.2} {what}", self.began.elapsed().as_secs_f64());
+        }
+    }
+
+    /// Keys that open something.
+    pub fn keys(&self) -> Vec<&'static str> {
+        if self.revoked.get().is_some() {
+            vec!["key-ann"]
+        } else {
+            vec!["key-ann", "key-cut"]
+        }
+    }
+
+    /// Takes a key away.
+    pub fn revoke(&self) {
+        if self.revoked.get().is_none() {
+            self.revoked.set(Some(Instant::now()));
+            self.version.set(self.version.get() + 3);
+            self.store
+                .put("op/config", &config(self.version.get(), &["key-ann"]));
+        }
+    }
+
+    /// Lets an engine leave; at least half of them stay.
+    pub fn leave(&self, engine: usize) {
+        let mut left = self.left.borrow_mut();
+        if left.len() < self.engines.len() / 2 && !left.contains_key(&engine) {
+            let leaving = &self.engines[engine];
+            self.store.put(
+                &format!("servers/{}", leaving.id),
+                &leaving.entry("models", "draining"),
+            );
+            left.insert(engine, (Instant::now() + LEAVE, 0));
+        }
+    }
+
+    /// Notes how much each leaving engine had run when its time was over.
+    fn watch_leaving(&self) {
+        for (engine, (until, runs)) in self.left.borrow_mut().iter_mut() {
+            if Instant::now() < *until {
+                *runs = self.engines[*engine].runs.borrow().len();
+            }
+        }
+    }
+
+    /// Whether every box serves.
+    async fn serves(&self) -> bool {
+        for (number, one) in self.boxes.iter().enumerate() {
+            if !one.runs() {
+                one.start();
+            }
+            let Some(address) = one.address() else {
+                return false;
+            };
+            let asked = async {
+                let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+                let mut caller = Caller(jb_relay::http::Connection::new(stream));
+                let id = format!("last-{number}-{}", self.began.elapsed().as_millis());
+                caller.ask("POST", "/safe/a", &id, "", "hello").await.ok()
+            };
+            let got = timeout(Duration::from_secs(4), asked).await.ok().flatten();
+            if got.is_none_or(|got| got.status() != 200) {
+                return false;
+            }
+        }
+        true
+    }
+
+    fn weights_reached(&self) -> bool {
+        let left = self.left.borrow();
+        let stay = self
+            .engines
+            .iter()
+            .enumerate()
+            .filter(|(at, _)| !left.contains_key(at));
+        stay.map(|(_, engine)| engine.version.get())
+            .all(|version| version == self.weights.get())
+    }
+}
+
+/// Plays one run; its checks tell how it went.
+pub async fn play(plan: Plan, program: &Path, folder: &Path, loud: bool) -> Checks {
+    let world = World::new(&plan, program, folder, loud).await;
+    for one in &world.boxes {
+        one.start();
+    }
+    recover(&world).await;
+    let callers: Vec<_> = (0..plan.callers)
+        .map(|n| spawn_local(callers::run(Rc::clone(&world), n + 1)))
+        .collect();
+    let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
+    let end = Instant::now() + plan.lasts;
+    let mut faults = Vec::new();
+    while Instant::now() < end {
+        faults.push(spawn_local(faults::happen(
+            Rc::clone(&world),
+            ChaCha8Rng::from_rng(&mut random),
+        )));
+        // Faults come in series and overlap.
+        let pause = Duration::from_millis(random.random_range(50..1200));
+        let next = Instant::now() + pause;
+        while Instant::now() < next {
+            world.watch_leaving();
+            sleep(LOOK).await;
+        }
+    }
+    for fault in faults {
+        fault.await.expect("a fault");
+    }
+    world.store.mood.set(Mood::Well);
+    world.boxes.iter().for_each(|one| one.link(Link::Well));
+    let recovered = recover(&world).await;
+    world.stopped.set(true);
+    for caller in callers {
+        caller.await.expect("a caller");
+    }
+    world.watch_leaving();
+    let mut checks = world.checks.take();
+    checks.check(Promise::Recovery, recovered, || {
+        "not all boxes serve after the last fault".to_owned()
+    });
+    at_the_end(&world, &mut checks);
+    checks
+}
+
+/// Waits until every box serves and the engines have the newest weights.
+async fn recover(world: &World) -> bool {
+    let until = Instant::now() + RECOVERY;
+    // A spoiled engine spoils only what it was told to.
+    while Instant::now() < until {
+        world.watch_leaving();
+        if world.serves().await && world.weights_reached() {
+            return true;
+        }
+        sleep(LOOK).await;
+    }
+    false
+}
+
+/// Checks what only the whole run tells.
+fn at_the_end(world: &World, checks: &mut Checks) {
+    let mut runs: BTreeMap<String, usize> = BTreeMap::new();
+    for engine in &world.engines {
+        for id in engine.ran() {
+            *runs.entry(id).or_default() += 1;
+        }
+    }
+    for asked in world.asked.borrow().iter() {
+        let ran = runs.get(&asked.id).copied().unwrap_or(0);
+        let once = asked.path.starts_with("/once") || asked.path.starts_with("/stream");
+        if once {
+            checks.check(Promise::Once, ran <= 1, || {
+                format!("{} ran {ran} times", asked.id)
+            });
+        }
+        if matches!(asked.status, Some(503 | 429 | 408 | 421)) {
+            let what = || {
+                format!(
+                    "{} was refused with {:?} and ran {ran} times",
+                    asked.id, asked.status
+                )
+            };
+            checks.check(Promise::NotRun, ran == 0, what);
+        }
+        let dead = world
+            .revoked
+            .get()
+            .is_some_and(|at| asked.key == "key-cut" && asked.sent > at + REVOKE);
+        if dead {
+            checks.check(Promise::Revoked, ran == 0, || {
+                format!("{} ran with a key that was gone", asked.id)
+            });
+        }
+    }
+    for (engine, (until, before)) in world.left.borrow().iter() {
+        let after = world.engines[*engine].runs.borrow().len();
+        if Instant::now() > *until {
+            checks.check(Promise::Leaving, after == *before, || {
+                format!("engine {engine} ran {} more", after - before)
+            });
+        }
+    }
+    for engine in &world.engines {
+        let orders = engine.orders.borrow();
+        for pair in orders.windows(2) {
+            let rises = pair[0]["fence"].as_u64() <= pair[1]["fence"].as_u64();
+            checks.check(Promise::Fence, rises, || {
+                format!("{}: {} before {}", engine.id, pair[0], pair[1])
+            });
+        }
+    }
+    checks.check(Promise::Weights, world.weights_reached(), || {
+        "an engine has older weights".to_owned()
+    });
+}
--- /dev/null
+++ b/crates/jb-soak/tests/short.rs
@@ -0,0 +1,43 @@
+//! A short run for CI, with a seed that never changes, and the seeds that ever failed.
+
+use std::time::Duration;
+
+use jb_soak::checks::{Checks, Promise};
+use jb_soak::run::{Plan, play};
+use tokio::task::LocalSet;
+
+/// Seeds that failed once, each with its cause.
+const FAILED: [u64; 0] = [];
+
+fn run(seed: u64) -> Checks {
+    let program = jb_fakes::fleet::build().map(|programs| programs.daemon);
+    let program = program.unwrap_or_else(|why| panic!("{why}"));
+    let folder = tempfile::tempdir().unwrap_or_else(|why| panic!("{why}"));
+    let plan = Plan {
+        seed,
+        lasts: Duration::from_secs(6),
+        ..Plan::default()
+    };
+    let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
+    let runtime = runtime.unwrap_or_else(|why| panic!("{why}"));
+    LocalSet::new().block_on(&runtime, play(plan, &program, folder.path(), true))
+}
+
+#[test]
+fn promises_hold_under_random_faults() {
+    for seed in [1, 2].into_iter().chain(FAILED) {
+        let checks = run(seed);
+        assert!(checks.hold(), "seed {seed}\n{checks}");
+        for promise in [
+            Promise::OwnAnswer,
+            Promise::Once,
+            Promise::Order,
+            Promise::Recovery,
+        ] {
+            assert!(
+                checks.seen(promise) > 0,
+                "seed {seed}: {promise:?} was not exercised"
+            );
+        }
+    }
+}
