The time of old weights runs from the first version after them

Change: jb-policy/weights keeps when each version was named. Test: time_of_old_weights_runs_from_the_first_version_after_them (the type is new with it).

--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod steward;
 pub mod stream;
 pub mod upstream;
+pub mod weights;
 
 /// A point in time, as the duration since the process started.
 pub type Moment = std::time::Duration;
--- a/crates/jb-policy/tests/choose.rs
+++ b/crates/jb-policy/tests/choose.rs
@@ -7,6 +7,7 @@
 use jb_policy::choose::{Candidate, Demand, Tuning, best};
 use jb_policy::kept::{Kept, Piece};
 use jb_policy::share::{Bound, Budget};
+use jb_policy::weights::{History, Overdue};
 
 fn candidate(name: u64) -> Candidate {
     Candidate {
@@ -131,3 +132,22 @@
     assert_eq!(spent, 6);
     assert!(budget.spend(start + Duration::from_secs(11), &bound, 1));
 }
+
+/// A newer version that was named meanwhile made old engines look young again (grown site,
+/// seed 720381528506).
+#[test]
+fn time_of_old_weights_runs_from_the_first_version_after_them() {
+    let (second, bound) = (Duration::from_secs(1), Duration::from_secs(10));
+    let mut history = History::default();
+    assert!(history.note(2, Some(second)));
+    assert!(history.note(5, Some(9 * second)));
+    assert!(!history.note(4, Some(9 * second)));
+    assert_eq!(history.newest(), 5);
+    assert_eq!(history.overdue(1, 10 * second, bound), Overdue::No);
+    assert_eq!(history.overdue(1, 11 * second, bound), Overdue::Yes);
+    assert_eq!(history.overdue(2, 11 * second, bound), Overdue::No);
+    assert_eq!(history.overdue(5, 99 * second, bound), Overdue::No);
+    let mut started = History::default();
+    started.note(3, None);
+    assert_eq!(started.overdue(2, second, bound), Overdue::Unknown);
+}
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -8,6 +8,7 @@
 use jb_policy::Moment;
 use jb_policy::choose::Tuning;
 use jb_policy::share::{Bound, Budget};
+use jb_policy::weights::History;
 use jb_protocol::id;
 use slog::Logger;
 
@@ -50,8 +51,8 @@
     pub upstreams: RefCell<Registry>,
     /// Stores of kept KV cache.
     pub keeps: RefCell<Keeps>,
-    /// Newest version of each model's weights.
-    pub weights: RefCell<BTreeMap<String, Named>>,
+    /// Versions of each model's weights that were named.
+    pub weights: RefCell<BTreeMap<String, History>>,
     /// Items that the boxes keep in the store.
     pub own: RefCell<BTreeMap<String, Change>>,
     /// Boxes that may be alive.
@@ -69,15 +70,6 @@
     started: Instant,
 }
 
-/// The newest version of a model's weights.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Named {
-    /// Version.
-    pub version: u64,
-    /// When it was named, at the earliest; `None` when it was before the box's start.
-    pub named: Option<Moment>,
-}
-
 /// What a box is made of.
 pub struct Parts {
     /// Settings.
--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 use crate::attempt::{self, Message, Outcome, Reply};
-use crate::core::{Named, Shared};
+use crate::core::Shared;
 use crate::deliver::{self, Delivered, Pace};
 use crate::http::{Connection, Query};
 use crate::peers::{self, Placed};
@@ -213,26 +213,14 @@
     fn wanted(&self) -> Wanted<'_> {
         let ticket = self.message.ticket;
         let model = ticket.model.as_deref();
-        let newest = model.and_then(|model| self.core.weights.borrow().get(model).copied());
-        let oldest = self.core.settings.bounds.weights.mul_f64(WEIGHTS_SHARE);
-        let now = self.core.now();
-        let past = |newest: Named| match newest.named {
-            Some(at) => now >= at + oldest,
-            // It may have been named long ago; engines that have it show that it was not just now.
-            None => {
-                model.is_some_and(|model| self.core.upstreams.borrow().has_weights(model, newest.version))
-            }
-        };
+        let bounds = &self.core.settings.bounds;
         Wanted {
             service: &ticket.service,
             model,
-            newest: newest.unwrap_or_default(),
-            newest_only: newest.is_some_and(past),
+            weights: model.and_then(|model| self.core.weights.borrow().get(model).cloned()).unwrap_or_default(),
+            time: bounds.weights.mul_f64(WEIGHTS_SHARE),
             hall: &self.core.settings.hall,
-            demand: Demand {
-                prompt: &ticket.prompt,
-                bytes: self.message.body.len(),
-            },
+            demand: Demand { prompt: &ticket.prompt, bytes: self.message.body.len() },
             trust: self.core.book.borrow().trust(),
             except: &self.tried,
         }
--- a/crates/jb-relay/src/follow.rs
+++ b/crates/jb-relay/src/follow.rs
@@ -11,7 +11,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use crate::core::{Core, Named, Shared};
+use crate::core::{Core, Shared};
 use crate::peers;
 use crate::port::{Change, Entry, Fact, News, Revision, StoreError};
 use crate::upstream::Seen;
@@ -152,12 +152,8 @@
             // What a box hears may have been named at any time since it last heard something.
             let earliest = core.proven.get();
             let mut weights = core.weights.borrow_mut();
-            let newest = weights.entry(named.model.clone()).or_default();
-            if named.version > newest.version {
-                *newest = Named {
-                    version: named.version,
-                    named: earliest,
-                };
+            let history = weights.entry(named.model.clone()).or_default();
+            if history.note(named.version, earliest) {
                 emit!(core.logger, info, event::WEIGHTS_NAMED, "model" => named.model, "version" => named.version);
             }
         }
--- a/crates/jb-relay/src/steward.rs
+++ b/crates/jb-relay/src/steward.rs
@@ -13,6 +13,7 @@
 
 use bytes::Bytes;
 use jb_policy::Moment;
+use jb_policy::weights::History;
 use jb_protocol::{emit, event};
 use tokio::net::UdpSocket;
 use tokio::sync::Semaphore;
@@ -299,8 +300,8 @@
             return;
         }
         let weights = self.core.weights.borrow().clone();
-        for (model, named) in weights {
-            let next = self.next_engines(&model, named.version);
+        for (model, history) in weights {
+            let next = self.next_engines(&model, history.newest());
             if !next.is_empty() && self.term.get().is_some_and(|term| !term.named) {
                 self.name_last(&self.core.settings.id).await;
             }
@@ -369,13 +370,7 @@
                     return;
                 }
             };
-            let version = core
-                .weights
-                .borrow()
-                .get(model)
-                .copied()
-                .unwrap_or_default()
-                .version;
+            let version = core.weights.borrow().get(model).map_or(0, History::newest);
             let has = report
                 .models
                 .iter()
--- a/crates/jb-relay/src/upstream.rs
+++ b/crates/jb-relay/src/upstream.rs
@@ -9,9 +9,9 @@
 use jb_policy::health::{Change, Health};
 use jb_policy::kept::Kept;
 use jb_policy::place;
+use jb_policy::weights::{History, Overdue};
 use jb_protocol::id;
 
-use crate::core::Named;
 use crate::link::Idle;
 use crate::port::Entry;
 
@@ -148,16 +148,16 @@
 const COLD: f64 = 2.0;
 
 /// What a request asks of the choice.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Debug)]
 pub struct Wanted<'a> {
     /// Service.
     pub service: &'a str,
     /// Model that it names.
     pub model: Option<&'a str>,
-    /// Newest version of the model's weights.
-    pub newest: Named,
-    /// Whether engines with older weights get nothing any more.
-    pub newest_only: bool,
+    /// Versions of the model's weights that were named.
+    pub weights: History,
+    /// Time after which weights get nothing any more.
+    pub time: Duration,
     /// Own data hall.
     pub hall: &'a str,
     /// Its prompt and size.
@@ -289,14 +289,10 @@
             .of_service(wanted.service)
             .filter(|(id, _)| !wanted.except.contains(*id));
         let open = open.filter(|(_, upstream)| upstream.is_open(now));
-        let current = |upstream: &Upstream| {
-            let has = wanted.model.and_then(|model| upstream.weights(model));
-            has.is_none_or(|has| has >= wanted.newest.version)
-        };
-        let open = open.filter(|(_, upstream)| !wanted.newest_only || current(upstream));
+        let open = open.filter(|(_, upstream)| self.is_in_time(upstream, wanted, now));
         let candidate = |(id, upstream): (&Id, &Upstream)| {
             let has = wanted.model.and_then(|model| upstream.weights(model));
-            let behind = has.is_some_and(|has| has < wanted.newest.version);
+            let behind = has.is_some_and(|has| has < wanted.weights.newest());
             let mut candidate = upstream.candidate(wanted, behind);
             let others = holders
                 .iter()
@@ -307,6 +303,18 @@
         open.map(candidate).unzip()
     }
 
+    /// Whether an engine's weights are still in their time. Those that were replaced before the
+    /// box's start are, until an engine has the newest: then it was not just now.
+    fn is_in_time(&self, upstream: &Upstream, wanted: &Wanted<'_>, now: Moment) -> bool {
+        let Some(model) = wanted.model else { return true };
+        let Some(has) = upstream.weights(model) else { return true };
+        match wanted.weights.overdue(has, now, wanted.time) {
+            Overdue::No => true,
+            Overdue::Yes => false,
+            Overdue::Unknown => !self.has_weights(model, wanted.weights.newest()),
+        }
+    }
+
     /// The engine that a prompt's parts are best brought from to another one.
     pub fn source(&self, target: &str, wanted: &Wanted<'_>, now: Moment) -> Option<Source> {
         let upstream = self.all.get(target)?;
