--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange.rs
@@ -217,10 +217,15 @@
         Wanted {
             service: &ticket.service,
             model,
-            weights: model.and_then(|model| self.core.weights.borrow().get(model).cloned()).unwrap_or_default(),
+            weights: model
+                .and_then(|model| self.core.weights.borrow().get(model).cloned())
+                .unwrap_or_default(),
             time: bounds.weights.mul_f64(WEIGHTS_SHARE),
             hall: &self.core.settings.hall,
-            demand: Demand { prompt: &ticket.prompt, bytes: self.message.body.len() },
+            demand: Demand {
+                prompt: &ticket.prompt,
+                bytes: self.message.body.len(),
+            },
             trust: self.core.book.borrow().trust(),
             except: &self.tried,
         }
--- a/crates/jb-relay/src/upstream.rs
+++ b/crates/jb-relay/src/upstream.rs
@@ -307,7 +307,9 @@
     /// box's start are, until an engine has the newest: then it was not just now.
     fn is_in_time(&self, upstream: &Upstream, wanted: &Wanted<'_>, now: Moment) -> bool {
         let Some(model) = wanted.model else { return true };
-        let Some(has) = upstream.weights(model) else { return true };
+        let Some(has) = upstream.weights(model) else {
+            return true;
+        };
         match wanted.weights.overdue(has, now, wanted.time) {
             Overdue::No => true,
             Overdue::Yes => false,
--- a/crates/jb-soak/src/boxes.rs
+++ b/crates/jb-soak/src/boxes.rs
@@ -52,6 +52,11 @@
         *self.child.borrow_mut() = Some(child.expect("a process"));
     }
 
+    /// How often it was started.
+    pub fn starts(&self) -> u32 {
+        self.starts.get()
+    }
+
     /// File with the log of the present process.
     pub fn log(&self) -> PathBuf {
         self.folder
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -113,11 +113,14 @@
 /// Starts a box again once its process has ended.
 async fn restart(world: &World, at: usize) {
     const LOOK: Duration = Duration::from_millis(50);
-    while world.boxes[at].runs() {
+    let target = &world.boxes[at];
+    let process = target.starts();
+    while target.runs() && target.starts() == process {
         sleep(LOOK).await;
     }
-    if !world.stopped.get() {
-        world.boxes[at].start();
+    // Another fault that ended the same process may have started the next one.
+    if target.starts() == process && !world.stopped.get() {
+        target.start();
     }
 }
 
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -6,6 +6,7 @@
 use argh::FromArgs;
 use jb_soak::run::{Plan, play};
 use miette::IntoDiagnostic as _;
+use tokio::signal::unix::{SignalKind, signal};
 use tokio::task::LocalSet;
 
 /// Play random faults against real boxes.
@@ -31,6 +32,18 @@
     callers: u64,
 }
 
+/// Waits for SIGTERM or SIGINT.
+async fn interrupted() {
+    let (Ok(mut term), Ok(mut int)) = (signal(SignalKind::terminate()), signal(SignalKind::interrupt()))
+    else {
+        return std::future::pending().await;
+    };
+    tokio::select! {
+        _ = term.recv() => {}
+        _ = int.recv() => {}
+    }
+}
+
 fn main() -> miette::Result<ExitCode> {
     let arguments: Arguments = argh::from_env();
     let program = jb_fakes::fleet::build()?.daemon;
@@ -49,7 +62,17 @@
             .enable_all()
             .build()
             .into_diagnostic()?;
-        let checks = LocalSet::new().block_on(&runtime, play(plan, &program, folder.path(), true));
+        let played = async {
+            tokio::select! {
+                checks = play(plan, &program, folder.path(), true) => Some(checks),
+                // Dropping the run ends the boxes that it started.
+                () = interrupted() => None,
+            }
+        };
+        let Some(checks) = LocalSet::new().block_on(&runtime, played) else {
+            println!("soak: interrupted in seed {seed}");
+            return Ok(ExitCode::FAILURE);
+        };
         print!("{checks}");
         if !checks.hold() {
             failed.push(seed);
