--- /dev/null
+++ b/crates/jb-relay/src/exchange/mod.rs
@@ -0,0 +1,7 @@
+//! One request from its admission to its last byte.
+
+mod count;
+mod place;
+mod run;
+
+pub use run::{Ending, Exchange};
--- a/crates/jb-relay/src/exchange.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -1,22 +1,21 @@
-//! One request from its admission to its last byte.
+//! The sends of one request, up to its ending.
 
 use std::time::Duration;
 
-use bytes::{Bytes, BytesMut};
+use bytes::Bytes;
 use jb_policy::Moment;
-use jb_policy::choose::{self, Demand};
 use jb_policy::health::Change;
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
+use super::count::Counted;
 use crate::attempt::{self, Message, Outcome, Reply};
 use crate::core::Shared;
 use crate::deliver::{self, Delivered, Pace};
 use crate::http::{Connection, Query};
-use crate::peers::{self, Placed};
 use crate::rules::Kind;
 use crate::ticket::Ticket;
-use crate::upstream::{Id, Upstream, Wanted};
+use crate::upstream::{Id, Upstream};
 
 /// Sends of one request at most, with those that were turned away.
 const MOST_SENDS: u32 = 4;
@@ -27,16 +26,6 @@
 /// Silence of an upstream, in wanted times, after which a request that may run again goes elsewhere.
 const PATIENCE: f64 = 1.5;
 
-/// Part of the bound on older weights after which nothing is sent to them.
-const WEIGHTS_SHARE: f64 = 0.85;
-/// Tokens for which a move from another engine is worth its wait.
-const LEAST_IMPORT: u64 = 64;
-/// Own tokens for each shared token that a prompt sent to a store may have. The own part
-/// goes there too and pushes out parts that others could use.
-const OWN_OF_SHARED: u64 = 1;
-/// Percent of an engine's memory that keeps parts while requests run in the rest.
-const KEPT_PERCENT: u64 = 90;
-
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Ending {
@@ -56,57 +45,14 @@
 
 /// Progress of a request over its sends.
 pub struct Exchange<'a> {
-    core: &'a Shared,
-    message: Message<'a>,
-    tried: Vec<Id>,
-    sends: u32,
-    runs: u32,
-    pace: Pace,
-}
-
-/// Load of one request at one upstream, counted until dropped.
-struct Counted<'a> {
-    core: &'a Shared,
-    id: &'a Id,
-    waiting: u64,
-    fixed: u32,
-}
-
-impl<'a> Counted<'a> {
-    fn new(core: &'a Shared, id: &'a Id, waiting: u64, fixed: bool) -> Self {
-        let fixed = u32::from(fixed);
-        if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
-            upstream.running += 1;
-            upstream.fixed += fixed;
-            upstream.waiting += waiting;
-            upstream.health.sent();
-        }
-        Self {
-            core,
-            id,
-            waiting,
-            fixed,
-        }
-    }
-
-    /// The first token has come.
-    fn started(&mut self) {
-        if let Some(upstream) = self.core.upstreams.borrow_mut().get_mut(self.id) {
-            upstream.waiting = upstream.waiting.saturating_sub(self.waiting);
-        }
-        self.waiting = 0;
-    }
-}
-
-impl Drop for Counted<'_> {
-    fn drop(&mut self) {
-        self.started();
-        if let Some(upstream) = self.core.upstreams.borrow_mut().get_mut(self.id) {
-            upstream.running = upstream.running.saturating_sub(1);
-            upstream.fixed = upstream.fixed.saturating_sub(self.fixed);
-            upstream.health.undecided();
-        }
-    }
+    pub(super) core: &'a Shared,
+    pub(super) message: Message<'a>,
+    pub(super) tried: Vec<Id>,
+    pub(super) sends: u32,
+    pub(super) runs: u32,
+    /// Whether the next send is taken from the retry budget already.
+    pub(super) paid: bool,
+    pub(super) pace: Pace,
 }
 
 /// What follows a send.
@@ -134,6 +80,7 @@
             tried: Vec::new(),
             sends: 0,
             runs: 0,
+            paid: false,
             pace: Pace::default(),
         }
     }
@@ -150,7 +97,8 @@
             let Some(id) = self.pick(client).await else {
                 return self.give_up(why);
             };
-            if self.sends > 0 && !self.core.spend(&ticket.service) {
+            let paid = std::mem::take(&mut self.paid) || self.sends == 0;
+            if !paid && !self.core.spend(&ticket.service) {
                 return self.give_up("retry_budget");
             }
             match self.attempt(&id, client).await {
@@ -202,35 +150,6 @@
         }
     }
 
-    fn choose(&self) -> Option<Id> {
-        let core = self.core;
-        let wanted = self.wanted();
-        let (ids, candidates) = core.upstreams.borrow().candidates(&wanted, core.now());
-        let at = choose::best(&candidates, &wanted.demand, &core.tuning)?;
-        Some(ids[at].clone())
-    }
-
-    fn wanted(&self) -> Wanted<'_> {
-        let ticket = self.message.ticket;
-        let model = ticket.model.as_deref();
-        let bounds = &self.core.settings.bounds;
-        Wanted {
-            service: &ticket.service,
-            model,
-            weights: model
-                .and_then(|model| self.core.weights.borrow().get(model).cloned())
-                .unwrap_or_default(),
-            time: bounds.weights.mul_f64(WEIGHTS_SHARE),
-            hall: &self.core.settings.hall,
-            demand: Demand {
-                prompt: &ticket.prompt,
-                bytes: self.message.body.len(),
-            },
-            trust: self.core.book.borrow().trust(),
-            except: &self.tried,
-        }
-    }
-
     /// One send, and the delivery of its answer.
     async fn attempt(&mut self, id: &Id, client: &mut Connection) -> Result<Next, &'static str> {
         let core = self.core;
@@ -292,86 +211,6 @@
         }
     }
 
-    /// Settles where the engine takes parts from that it lacks, and whether it sends
-    /// them to a store; returns the tokens that it must read itself.
-    fn place_prompt(&mut self, id: &Id) -> u64 {
-        let ticket = self.message.ticket;
-        let core = self.core;
-        let Some((last, shared)) = ticket.prompt.split_last() else {
-            return 0;
-        };
-        let demand = Demand {
-            prompt: &ticket.prompt,
-            bytes: self.message.body.len(),
-        };
-        let source = core.upstreams.borrow().source(id, &self.wanted(), core.now());
-        let source = source.filter(|source| source.tokens >= LEAST_IMPORT);
-        let mut upstreams = core.upstreams.borrow_mut();
-        let Some(upstream) = upstreams.get_mut(id) else {
-            return 0;
-        };
-        let found = upstream.kept.found(&ticket.prompt);
-        let own = last.tokens + ticket.out;
-        upstream.kept.set_capacity(self.memory() * KEPT_PERCENT / 100);
-        upstream.kept.read(shared.iter().copied(), own);
-        let known = found >= demand.shared();
-        peers::note_use(
-            core,
-            Placed {
-                place: upstream.name,
-                version: 0,
-                shared,
-                own,
-                known,
-            },
-        );
-
-        let mut brought = source.map_or(0, |source| source.tokens);
-        self.message.source = source.map(|source| source.address);
-        self.message.keep = None;
-        let version = ticket.model.as_deref().and_then(|model| upstream.weights(model));
-        let mut keeps = core.keeps.borrow_mut();
-        let keep = demand.family().and_then(|family| keeps.of(family));
-        if let (Some(keep), Some(version)) = (keep, version) {
-            let held = keep.found(shared, version);
-            if held < demand.shared() && own <= demand.shared() * OWN_OF_SHARED {
-                self.message.keep = Some(keep.address);
-                keep.used(shared.iter().copied(), version, own);
-                peers::note_use(
-                    core,
-                    Placed {
-                        place: keep.name,
-                        version,
-                        shared,
-                        own,
-                        known: false,
-                    },
-                );
-            }
-            // What the engine is believed to keep may have given way to running requests.
-            if self.message.source.is_none() && held > 0 {
-                self.message.source = Some(keep.address);
-                brought = held.saturating_sub(found);
-            }
-        }
-        let unread = ticket.tokens().saturating_sub(found + brought).max(last.tokens);
-        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => id,
-            "tokens" => ticket.tokens(), "found" => found, "brought" => brought, "unread" => unread,
-            "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
-            "family" => demand.family(), "running" => upstream.running + upstream.others.running,
-            "waiting" => upstream.waiting + upstream.others.waiting, "weights" => version);
-        unread
-    }
-
-    /// Tokens that an engine of the service holds.
-    fn memory(&self) -> u64 {
-        let ticket = self.message.ticket;
-        let service = ticket.rules.services.get(&ticket.service);
-        service
-            .and_then(|s| s.engine.as_ref())
-            .map_or(0, |engine| engine.memory_tokens)
-    }
-
     fn blame(&self, id: &Id, outcome: &'static str, why: &str) {
         let core = self.core;
         emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.ticket.id,
@@ -424,8 +263,8 @@
         }
         let again = status >= 500 && ticket.route.repeatable() && self.runs < ticket.route.attempts;
         if again && self.core.spend(&ticket.service) {
-            // The repeat is paid for here; the loop's own charge is for turned-away sends.
-            self.sends = 0;
+            // Without budget the caller gets the engine's failure instead.
+            self.paid = true;
             emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
                 "upstream" => id, "outcome" => "ran", "status" => status);
             return Err("upstream_error");
@@ -484,30 +323,3 @@
         &self.tried
     }
 }
-
-/// Answer without a body of an upstream, for the caller.
-pub fn own_answer(
-    status: u16,
-    names: &[(&str, &str)],
-    after: Option<Duration>,
-    keep_alive: bool,
-) -> BytesMut {
-    let mut out = BytesMut::with_capacity(256);
-    let after = after.map(|after| format!("{:.3}", after.as_secs_f64()));
-    let lines = names
-        .iter()
-        .map(|(name, value)| (name.as_bytes(), value.as_bytes()));
-    let lines = lines.chain(
-        after
-            .as_deref()
-            .map(|after| (b"Retry-After".as_slice(), after.as_bytes())),
-    );
-    crate::http::write_answer(
-        &mut out,
-        status,
-        lines,
-        crate::http::Framing::Length(0),
-        keep_alive,
-    );
-    out
-}
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -1,16 +1,16 @@
 //! Callers' connections.
 
-use std::rc::Rc;
 use std::time::Duration;
 
-use bytes::Bytes;
+use bytes::{Bytes, BytesMut};
 use jb_protocol::{emit, event};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
 
+use crate::accept;
 use crate::core::Shared;
-use crate::exchange::{Ending, Exchange, own_answer};
-use crate::http::{Body, Connection, Error, Framing, Query};
+use crate::exchange::{Ending, Exchange};
+use crate::http::{Body, Connection, Error, Framing, Query, write_answer};
 use crate::rules::Limits;
 use crate::stop;
 use crate::ticket::{self, Refusal, Ticket};
@@ -30,17 +30,7 @@
 
 /// Accepts callers for ever.
 pub async fn serve(core: Shared, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(Rc::clone(&core), stream));
-            }
-            Err(why) => {
-                emit!(core.logger, warn, event::ACCEPT_FAILED, "why" => %why);
-                sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
+    accept::serve(core, listener, connection).await;
 }
 
 async fn connection(core: Shared, stream: TcpStream) {
@@ -243,3 +233,19 @@
         "first_ms" => exchange.pace().first.map(|first| first.as_millis() as u64),
         "pause_ms" => exchange.pace().pause.as_millis() as u64, "version" => ticket.rules.version);
 }
+
+/// An answer of the box itself, without a body.
+fn own_answer(status: u16, names: &[(&str, &str)], after: Option<Duration>, keep_alive: bool) -> BytesMut {
+    let mut out = BytesMut::with_capacity(256);
+    let after = after.map(|after| format!("{:.3}", after.as_secs_f64()));
+    let lines = names
+        .iter()
+        .map(|(name, value)| (name.as_bytes(), value.as_bytes()));
+    let lines = lines.chain(
+        after
+            .as_deref()
+            .map(|after| (b"Retry-After".as_slice(), after.as_bytes())),
+    );
+    write_answer(&mut out, status, lines, Framing::Length(0), keep_alive);
+    out
+}
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! parts, deadline) travel beside it. This crate knows its platform only by
 //! [`port`] and [`names`]; the decisions are in `jb-policy`.
 
+pub mod accept;
 pub mod attempt;
 pub mod core;
 pub mod deliver;
--- a/crates/jb-relay/src/ready.rs
+++ b/crates/jb-relay/src/ready.rs
@@ -1,12 +1,11 @@
 //! Readiness for the balancer in front of the boxes, and the metrics page.
 
-use std::rc::Rc;
 use std::time::Duration;
 
-use jb_protocol::{emit, event};
 use tokio::net::{TcpListener, TcpStream};
-use tokio::time::{sleep, timeout};
+use tokio::time::timeout;
 
+use crate::accept;
 use crate::core::{Core, Shared};
 use crate::http::{Connection, Framing, write_answer};
 
@@ -29,17 +28,7 @@
 
 /// Answers checks for ever.
 pub async fn serve(core: Shared, listener: TcpListener) {
-    loop {
-        match listener.accept().await {
-            Ok((stream, _)) => {
-                tokio::task::spawn_local(connection(Rc::clone(&core), stream));
-            }
-            Err(why) => {
-                emit!(core.logger, warn, event::ACCEPT_FAILED, "why" => %why);
-                sleep(Duration::from_millis(20)).await;
-            }
-        }
-    }
+    accept::serve(core, listener, connection).await;
 }
 
 async fn connection(core: Shared, stream: TcpStream) {
--- a/crates/jb-soak/src/boxes.rs
+++ b/crates/jb-soak/src/boxes.rs
@@ -6,6 +6,7 @@
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 
+use jb_site_fakes::document;
 use rustix::process::{Pid, Signal, kill_process};
 
 use crate::proxy::{Link, Proxy};
@@ -41,10 +42,14 @@
     pub fn start(&self) {
         self.starts.set(self.starts.get() + 1);
         let settings = self.folder.join(format!("{}.toml", self.name));
-        std::fs::write(&settings, self.settings()).expect("settings");
+        std::fs::write(
+            &settings,
+            document::settings(&self.name, &self.hall, self.link.address),
+        )
+        .expect("settings");
         let log = File::create(self.log()).expect("a log");
         let child = Command::new(&self.program)
-            .env("JUNCTIONBEND_BOOT", &settings)
+            .env(document::SETTINGS, &settings)
             .stdin(Stdio::null())
             .stderr(log.try_clone().expect("a log"))
             .stdout(log)
@@ -99,19 +104,6 @@
     pub fn link(&self, link: Link) {
         self.link.link.set(link);
     }
-
-    fn settings(&self) -> String {
-        format!(
-            "node_name = \"{}\"\nzone = \"{}\"\nip = \"127.0.0.1\"\nport_range = [0, 0]\nheartbeat_ms = 1200\n\
-             [zones]\nhall-0 = \"west\"\nhall-1 = \"west\"\n\
-             [listen]\nfront = \"127.0.0.1:0\"\nready = \"127.0.0.1:0\"\n\
-             [limits]\nmemory_mb = 64\nmax_fds = 512\n\
-             [bounds]\ngrace_s = 8\nconfig_ms = 2000\nrevoke_ms = 5000\nstrict_revoke = true\n\
-             retry_budget_ratio = 0.2\nbudget_extra = 50\nbudget_window_s = 10\nlease_ms = 3000\n\
-             retry_after_s = 10\nversion_ms = 10000\n[platform]\naddress = \"{}\"\n",
-            self.name, self.hall, self.link.address
-        )
-    }
 }
 
 impl Drop for Box {
--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -4,6 +4,7 @@
 use std::time::{Duration, Instant};
 
 use jb_site_fakes::caller::{Caller, Got, request};
+use jb_site_fakes::document::{ID, MODEL_HEADERS};
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
@@ -63,7 +64,7 @@
             "key-cut"
         };
         let id = format!("{number}-{count}");
-        let bytes = request("POST", path, &id, MODEL, "hello").replace("key-ann", key);
+        let bytes = request("POST", path, &id, MODEL_HEADERS, "hello").replace("key-ann", key);
         let sent = Instant::now();
         let got = timeout(PATIENCE, caller.raw(bytes.as_bytes())).await;
         let got = got.ok().and_then(Result::ok);
@@ -81,15 +82,11 @@
     }
 }
 
-/// Headers of a request to a model.
-const MODEL: &str = "X-Junctionbend-Model: model-a\r\nX-Junctionbend-Deadline-Ms: 4000\r\n\
-    X-Junctionbend-Prompt-Prefix: a1:1000,b2:500,c3:40\r\n";
-
 /// Checks what can be seen at once.
 fn judge(world: &World, id: &str, path: &str, got: Option<&Got>) {
     let Some(got) = got else { return };
     let mut checks = world.checks.borrow_mut();
-    let own = got.answer.headers.text("x-junctionbend-request-id");
+    let own = got.answer.headers.text(ID);
     checks.check(Promise::OwnAnswer, own == Some(id) || got.status() >= 400, || {
         format!("{id} got an answer to {own:?}")
     });
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -7,7 +7,6 @@
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
-use serde_json::json;
 use tokio::time::sleep;
 
 use crate::proxy::Link;
@@ -96,16 +95,13 @@
         Fault::Weights => {
             let version = world.weights.get() + 1;
             world.weights.set(version);
-            world.store.put(
-                "op/version/model-a",
-                &json!({"model": "model-a", "version": version}),
-            );
+            world.store.put_weights(version);
         }
         Fault::Revoke => world.revoke(),
         Fault::Config => {
             world.version.set(world.version.get() + 3);
             let keys = world.keys();
-            world.store.put("op/config", &config(world.version.get(), &keys));
+            world.store.put_config(&config(world.version.get(), &keys));
         }
     }
 }
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -7,12 +7,13 @@
 use std::time::{Duration, Instant};
 
 use jb_site_fakes::caller::Caller;
+use jb_site_fakes::document::{self, ROUTES};
 use jb_site_fakes::engine::Engine;
 use jb_site_fakes::store::{Mood, Store};
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
-use serde_json::{Value, json};
+use serde_json::Value;
 use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
@@ -89,34 +90,18 @@
 
 /// A configuration with a route of each kind.
 pub fn config(version: u64, keys: &[&str]) -> Value {
-    let route = |name: &str, kind: &str, attempts: u32, resumable: bool| {
-        json!({"name": name, "host": "shop.example", "path_prefix": format!("/{name}/"), "kind": kind,
-            "timeout_ms": 4000, "target_latency_ms": 400, "priority": 1, "service": "models",
-            "max_attempts": attempts, "public": false, "sticky": true, "resumable": resumable, "gap_aim_ms": 500})
-    };
-    json!({"version": version,
-        "routes": [route("safe", "idempotent", 2, false), route("once", "non_idempotent", 1, false),
-            route("stream", "stream", 1, false), route("resume", "stream", 2, true)],
-        "services": [{"name": "models", "health_path": "/health", "max_connections": 200, "protocol": "h1",
-            "tls": false, "engine": {"slots": 16, "kv_capacity_tokens": 100_000, "kv_token_bytes": 18432,
-            "models": [{"name": "model-a"}]}}],
-        "limits": {"max_header_bytes": 8192, "max_body_bytes": 100_000, "header_timeout_ms": 2000,
-            "idle_timeout_ms": 10000},
-        "tenants": [{"name": "ann", "api_keys": keys, "priority": 1, "isolated": false}]})
+    document::config(version, &ROUTES, keys)
 }
 
 impl World {
     async fn new(plan: &Plan, program: &Path, folder: &Path, loud: bool) -> Rc<Self> {
         let store = Store::start().await;
-        store.put("op/config", &config(1, &["key-ann", "key-cut"]));
+        store.put_config(&config(1, &["key-ann", "key-cut"]));
         let mut engines = Vec::new();
         for number in 0..plan.engines {
             let engine = Engine::start(&format!("engine-{number}")).await;
             engine.events.set(EVENTS);
-            store.put(
-                &format!("servers/{}", engine.id),
-                &engine.entry("models", "ready"),
-            );
+            store.put_engine(&engine, false);
             engines.push(engine);
         }
         let mut boxes = Vec::new();
@@ -161,8 +146,7 @@
         if self.revoked.get().is_none() {
             self.revoked.set(Some(Instant::now()));
             self.version.set(self.version.get() + 3);
-            self.store
-                .put("op/config", &config(self.version.get(), &["key-ann"]));
+            self.store.put_config(&config(self.version.get(), &["key-ann"]));
         }
     }
 
@@ -171,10 +155,7 @@
         let mut left = self.left.borrow_mut();
         if left.len() < self.engines.len() / 2 && !left.contains_key(&engine) {
             let leaving = &self.engines[engine];
-            self.store.put(
-                &format!("servers/{}", leaving.id),
-                &leaving.entry("models", "draining"),
-            );
+            self.store.put_engine(leaving, true);
             left.insert(engine, (Instant::now() + LEAVE, 0));
         }
     }
