A stopping box begins nothing later than 2.9 s after the signal

Ruled out: the engine (it ran well), the roll-out (no order to it). Change: later requests are refused as not run, with when to come back.

--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -23,8 +23,9 @@
 const BODY_SHARE: usize = 4;
 /// When callers are to come back after a refusal of a box that may soon serve, or to another box.
 const COME_BACK: Duration = Duration::from_millis(50);
-/// Time before the end of the grace after which a request is no longer begun.
-const LAST_START: Duration = Duration::from_millis(4000);
+/// Time after the begin of a planned stop in which requests are still begun; later ones could
+/// be cut at the end of the grace, and the platform holds the box to them.
+const STILL_BEGUN: Duration = Duration::from_millis(2900);
 /// Rest of a connection after which it is closed in a planned stop.
 const STOP_REST: Duration = Duration::from_millis(500);
 
@@ -143,10 +144,9 @@
 
 /// Whether a request comes too late in a planned stop to be finished.
 fn too_late(core: &Shared) -> bool {
-    let grace = core.settings.bounds.grace;
     core.stop
         .since()
-        .is_some_and(|since| core.now() + LAST_START > since + grace)
+        .is_some_and(|since| core.now() > since + STILL_BEGUN)
 }
 
 async fn answer(
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -6,8 +6,10 @@
 use jb_soak::run::{Plan, play};
 use tokio::task::LocalSet;
 
-/// Seeds that failed once, each with its cause.
-const FAILED: [u64; 0] = [];
+/// Seeds that failed once, each with its cause:
+/// 100: the stand-in's leases did not run out by themselves, so nobody took the duty over;
+/// 122: the stand-in took a write under a lease that had ended, so the holder's item stayed.
+const FAILED: [u64; 2] = [100, 122];
 
 fn run(seed: u64) -> Checks {
     let program = jb_fakes::fleet::build().map(|programs| programs.daemon);
