--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -144,9 +144,11 @@
         };
         let boxes = self.book.borrow().boxes();
         let mut budgets = self.budgets.borrow_mut();
-        budgets
+        let spent = budgets
             .entry(service.to_owned())
             .or_default()
-            .spend(self.now(), &bound, boxes)
+            .spend(self.now(), &bound, boxes);
+        self.metrics.retries.inc_by(u64::from(spent));
+        spent
     }
 }
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -121,9 +121,10 @@
     /// Tokens that an engine of the service holds.
     fn memory(&self) -> u64 {
         let ticket = self.message.ticket;
-        let service = ticket.rules.services.get(&ticket.service);
-        service
-            .and_then(|s| s.engine.as_ref())
-            .map_or(0, |engine| engine.memory_tokens)
+        ticket
+            .rules
+            .services
+            .get(&ticket.service)
+            .map_or(0, |service| service.memory_tokens)
     }
 }
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -19,6 +19,8 @@
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// Time for which bytes are still read after a refusal, so that it is not lost in a reset.
 const LINGER: Duration = Duration::from_millis(300);
+/// Descriptors that are kept for upstreams, the store, checks and files.
+const RESERVED: usize = 400;
 /// Share of the box's memory that bodies of requests may take.
 const BODY_SHARE: usize = 4;
 /// When callers are to come back after a refusal of a box that may soon serve, or to another box.
@@ -35,6 +37,11 @@
 }
 
 async fn connection(core: Shared, stream: TcpStream) {
+    if core.stop.connections() + RESERVED >= core.settings.capacity.descriptors {
+        // The close tells the caller that nothing was read.
+        emit!(core.logger, warn, event::ACCEPT_FAILED, "why" => "all descriptors for callers are in use");
+        return;
+    }
     let _open = core.stop.enter();
     if let Err(why) = stream.set_nodelay(true) {
         emit!(core.logger, debug, event::ACCEPT_FAILED, "why" => %why);
--- a/crates/jb-relay/src/rules.rs
+++ b/crates/jb-relay/src/rules.rs
@@ -83,23 +83,8 @@
 /// One service.
 #[derive(Clone, Debug, Default)]
 pub struct Service {
-    /// Connections that one upstream accepts from all callers together.
-    pub connections: usize,
-    /// What model engines of the service can do; `None` for plain services.
-    pub engine: Option<Engine>,
-}
-
-/// What the model engines of a service can do.
-#[derive(Clone, Debug, Default)]
-pub struct Engine {
-    /// Requests that run at once.
-    pub slots: u32,
-    /// Tokens that the memory holds.
+    /// Tokens that the memory of one of its engines holds; 0 for plain services.
     pub memory_tokens: u64,
-    /// Bytes of one token in memory.
-    pub token_bytes: u64,
-    /// Models that the service runs.
-    pub models: Vec<String>,
 }
 
 /// A store of kept KV cache.
@@ -107,8 +92,6 @@
 pub struct KeptCache {
     /// Address.
     pub address: SocketAddr,
-    /// Data hall.
-    pub hall: id::Hall,
     /// Tokens that it holds.
     pub tokens: u64,
 }
--- a/crates/jb-relay/src/settings.rs
+++ b/crates/jb-relay/src/settings.rs
@@ -1,6 +1,5 @@
 //! Settings of a box on a platform that gives it its place and its bounds.
 
-use std::collections::BTreeMap;
 use std::net::{IpAddr, SocketAddr};
 use std::ops::RangeInclusive;
 use std::time::Duration;
@@ -22,8 +21,6 @@
     pub ready: SocketAddr,
     /// Ports free for messages between boxes.
     pub ports: RangeInclusive<u16>,
-    /// Data halls and the region of each.
-    pub halls: BTreeMap<id::Hall, String>,
     /// Address of the platform's store.
     pub store: SocketAddr,
     /// What a box may use.
@@ -71,10 +68,6 @@
     pub order_gap: Duration,
     /// Time after which nothing may begin on older weights than the newest named.
     pub weights: Duration,
-    /// Time after which callers may be told to come back at the latest.
-    pub retry_after: Duration,
-    /// Pause between two signs of life of an upstream in the store.
-    pub heartbeat: Duration,
 }
 
 impl Default for Bounds {
@@ -89,8 +82,6 @@
             retry_window: Duration::from_secs(10),
             order_gap: Duration::from_secs(3),
             weights: Duration::from_secs(10),
-            retry_after: Duration::from_secs(10),
-            heartbeat: Duration::from_millis(1200),
         }
     }
 }
--- a/crates/jb-relay/src/ticket.rs
+++ b/crates/jb-relay/src/ticket.rs
@@ -45,8 +45,6 @@
     pub out: u64,
     /// When its head had come.
     pub arrived: Moment,
-    /// When the caller stops waiting.
-    pub deadline: Moment,
     /// When it must be answered: the deadline, or the route's time-out before it.
     pub until: Moment,
 }
@@ -159,7 +157,6 @@
         prompt,
         out,
         arrived,
-        deadline,
         until,
         rules,
         route,
