One place says what a request asks of an upstream

The demand of a request was built in two places of exchange/place; no change of behaviour. Seen in the same reading and left: the holders of a prompt's parts and the history of its weights are worked out twice a send, once for the choice and once for the source of parts.

--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -17,7 +17,7 @@
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
 const KEPT_PERCENT: u64 = 90;
 
-impl Exchange<'_> {
+impl<'a> Exchange<'a> {
     pub(super) fn choose(&self) -> Option<Id> {
         let core = self.core;
         let wanted = self.wanted();
@@ -38,15 +38,20 @@
                 .unwrap_or_default(),
             time: bounds.weights.mul_f64(WEIGHTS_SHARE),
             hall: &self.core.settings.hall,
-            demand: Demand {
-                prompt: &ticket.prompt,
-                bytes: self.message.body.len(),
-            },
+            demand: self.demand(),
             trust: self.core.book.borrow().trust(),
             except: &self.tried,
         }
     }
 
+    /// What the request asks of an upstream.
+    fn demand(&self) -> Demand<'a> {
+        Demand {
+            prompt: &self.message.ticket.prompt,
+            bytes: self.message.body.len(),
+        }
+    }
+
     /// Settles where the engine takes parts from that it lacks, and whether it sends
     /// them to a store; returns the tokens that it must read itself.
     pub(super) fn place_prompt(&mut self, id: &Id) -> u64 {
@@ -55,10 +60,7 @@
         let Some((last, shared)) = ticket.prompt.split_last() else {
             return 0;
         };
-        let demand = Demand {
-            prompt: &ticket.prompt,
-            bytes: self.message.body.len(),
-        };
+        let demand = self.demand();
         let source = core.upstreams.borrow().source(id, &self.wanted(), core.now());
         let source = source.filter(|source| source.tokens >= LEAST_IMPORT);
         let mut upstreams = core.upstreams.borrow_mut();
