Take a prompt's parts from the place that has more of them

The store's room was also believed to be a fifth smaller than it is, so parts that were there were read and sent again.

Change: jb-policy/bring decides between another engine and the store; a store that once had the parts is asked, too. The log line of a placed request names the shared tokens and the origin.

--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -1,6 +1,11 @@
 //! The upstream of a send, and where its prompt's parts come from and go to.
 
+use std::net::SocketAddr;
+
+use jb_policy::bring::{self, Holdings, Origin};
 use jb_policy::choose::{self, Demand};
+use jb_policy::kept::Piece;
+use jb_policy::weights::Version;
 use jb_protocol::{emit, event};
 
 use super::run::Exchange;
@@ -9,8 +14,6 @@
 
 /// Part of the bound on older weights after which nothing is sent to them.
 const WEIGHTS_SHARE: f64 = 0.85;
-/// Tokens for which a move from another engine is worth its wait.
-const LEAST_IMPORT: u64 = 64;
 /// Own tokens for each shared token that a prompt sent to a store may have. The own part
 /// goes there too and pushes out parts that others could use.
 const OWN_OF_SHARED: u64 = 1;
@@ -60,64 +63,97 @@
         let Some((last, shared)) = ticket.prompt.split_last() else {
             return 0;
         };
-        let demand = self.demand();
-        let source = core.upstreams.borrow().source(id, &self.wanted(), core.now());
-        let source = source.filter(|source| source.tokens >= LEAST_IMPORT);
-        let mut upstreams = core.upstreams.borrow_mut();
-        let Some(upstream) = upstreams.get_mut(id) else {
+        let other = core.upstreams.borrow().source(id, &self.wanted(), core.now());
+        let Some((found, version)) = self.note_read(id, shared, last.tokens + ticket.out) else {
             return 0;
         };
+        let (store, once_in_store) = self.in_store(shared, version);
+        let plan = bring::plan(&Holdings {
+            own: found,
+            engine: found + other.map_or(0, |source| source.tokens),
+            store,
+            once_in_store,
+        });
+        self.message.source = match plan.origin {
+            Origin::Nowhere => None,
+            Origin::Engine => other.map(|source| source.address),
+            Origin::Store => self.read_from_store(shared, version),
+        };
+        self.message.keep = self.send_to_store(shared, version, last.tokens + ticket.out);
+        let unread = ticket
+            .tokens()
+            .saturating_sub(found + plan.tokens)
+            .max(last.tokens);
+        let upstreams = core.upstreams.borrow();
+        let upstream = upstreams.get(id);
+        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => id,
+            "tokens" => ticket.tokens(), "shared" => self.demand().shared(), "found" => found,
+            "brought" => plan.tokens, "unread" => unread, "origin" => ?plan.origin,
+            "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
+            "family" => self.demand().family(),
+            "running" => upstream.map(|upstream| upstream.running + upstream.others.running),
+            "waiting" => upstream.map(|upstream| upstream.waiting + upstream.others.waiting), "weights" => version);
+        unread
+    }
+
+    /// Notes that an engine reads a prompt; returns the tokens that it had, and its weights.
+    fn note_read(&self, id: &Id, shared: &[Piece], own: u64) -> Option<(u64, Option<Version>)> {
+        let ticket = self.message.ticket;
+        let mut upstreams = self.core.upstreams.borrow_mut();
+        let upstream = upstreams.get_mut(id)?;
         let found = upstream.kept.found(&ticket.prompt);
-        let own = last.tokens + ticket.out;
         upstream.kept.set_capacity(self.memory() * KEPT_PERCENT / 100);
         upstream.kept.read(shared.iter().copied(), own);
-        let known = found >= demand.shared();
-        peers::note_use(
-            core,
-            Placed {
-                place: upstream.name,
-                version: 0,
-                shared,
-                own,
-                known,
-            },
-        );
-
-        let mut brought = source.map_or(0, |source| source.tokens);
-        self.message.source = source.map(|source| source.address);
-        self.message.keep = None;
+        let placed = Placed {
+            place: upstream.name,
+            version: 0,
+            shared,
+            own,
+            known: found >= self.demand().shared(),
+        };
+        peers::note_use(self.core, placed);
         let version = ticket.model.as_deref().and_then(|model| upstream.weights(model));
-        let mut keeps = core.keeps.borrow_mut();
-        let keep = demand.family().and_then(|family| keeps.of(family));
-        if let (Some(keep), Some(version)) = (keep, version) {
-            let held = keep.found(shared, version);
-            if held < demand.shared() && own <= demand.shared() * OWN_OF_SHARED {
-                self.message.keep = Some(keep.address);
-                keep.used(shared.iter().copied(), version, own);
-                peers::note_use(
-                    core,
-                    Placed {
-                        place: keep.name,
-                        version,
-                        shared,
-                        own,
-                        known: false,
-                    },
-                );
-            }
-            // What the engine is believed to keep may have given way to running requests.
-            if self.message.source.is_none() && held > 0 {
-                self.message.source = Some(keep.address);
-                brought = held.saturating_sub(found);
-            }
+        Some((found, version))
+    }
+
+    /// Tokens that the family's store has of the shared parts, and those that it once had.
+    fn in_store(&self, shared: &[Piece], version: Option<Version>) -> (u64, u64) {
+        let mut keeps = self.core.keeps.borrow_mut();
+        let keep = self.demand().family().and_then(|family| keeps.of(family));
+        let (Some(keep), Some(version)) = (keep, version) else {
+            return (0, 0);
+        };
+        (keep.found(shared, version), keep.once_found(shared, version))
+    }
+
+    /// The family's store, to take parts from.
+    fn read_from_store(&self, shared: &[Piece], version: Option<Version>) -> Option<SocketAddr> {
+        let mut keeps = self.core.keeps.borrow_mut();
+        let keep = keeps.of(self.demand().family()?)?;
+        // Parts that it has dropped count again only once it is sent them again.
+        keep.gave(shared, version?);
+        Some(keep.address)
+    }
+
+    /// The family's store, where the engine is to send the parts that the store lacks.
+    fn send_to_store(&self, shared: &[Piece], version: Option<Version>, own: u64) -> Option<SocketAddr> {
+        let mut keeps = self.core.keeps.borrow_mut();
+        let all = self.demand().shared();
+        let keep = keeps.of(self.demand().family()?)?;
+        let version = version?;
+        if keep.found(shared, version) >= all || own > all * OWN_OF_SHARED {
+            return None;
         }
-        let unread = ticket.tokens().saturating_sub(found + brought).max(last.tokens);
-        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => id,
-            "tokens" => ticket.tokens(), "found" => found, "brought" => brought, "unread" => unread,
-            "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
-            "family" => demand.family(), "running" => upstream.running + upstream.others.running,
-            "waiting" => upstream.waiting + upstream.others.waiting, "weights" => version);
-        unread
+        keep.used(shared.iter().copied(), version, own);
+        let placed = Placed {
+            place: keep.name,
+            version,
+            shared,
+            own,
+            known: false,
+        };
+        peers::note_use(self.core, placed);
+        Some(keep.address)
     }
 
     /// Tokens that an engine of the service holds.
--- a/crates/jb-relay/src/keep.rs
+++ b/crates/jb-relay/src/keep.rs
@@ -5,14 +5,11 @@
 
 use std::net::SocketAddr;
 
-use jb_policy::kept::{Kept, Piece};
+use jb_policy::kept::{Kept, Part, Piece};
 use jb_policy::place;
 
 use crate::rules::KeptCache;
 
-/// Percent of a store's room that is believed to be in use for what is asked for again.
-const ROOM_PERCENT: u64 = 80;
-
 /// One store.
 #[derive(Debug)]
 pub struct Keep {
@@ -35,17 +32,36 @@
     }
 }
 
+/// Tokens of the leading parts that meet a condition.
+fn leading(prompt: &[Piece], version: u64, meets: impl Fn(Part) -> bool) -> u64 {
+    let pieces = prompt.iter().map(|piece| under(*piece, version));
+    pieces
+        .take_while(|piece| meets(piece.part))
+        .map(|piece| piece.tokens)
+        .sum()
+}
+
 impl Keep {
     /// Tokens of the leading parts that it holds for a version.
     pub fn found(&self, prompt: &[Piece], version: u64) -> u64 {
-        let leading = prompt.iter().map(|piece| under(*piece, version));
-        leading
-            .take_while(|piece| self.kept.holds(piece.part))
-            .map(|piece| piece.tokens)
-            .sum()
+        leading(prompt, version, |part| self.kept.holds(part))
+    }
+
+    /// The same with parts that it took in once and may have dropped meanwhile.
+    pub fn once_found(&self, prompt: &[Piece], version: u64) -> u64 {
+        leading(prompt, version, |part| self.kept.had(part))
+    }
+
+    /// Notes that it gives out what it has of the shared parts of a prompt.
+    pub fn gave(&mut self, shared: &[Piece], version: u64) {
+        let held = shared
+            .iter()
+            .take_while(|piece| self.kept.holds(under(**piece, version).part));
+        let held: Vec<Piece> = held.copied().collect();
+        self.used(held.into_iter(), version, 0);
     }
 
-    /// Notes that it takes in, or gives out, the shared parts of a prompt.
+    /// Notes that it takes in the shared parts of a prompt.
     pub fn used(&mut self, shared: impl Iterator<Item = Piece>, version: u64, own: u64) {
         self.kept.read(shared.map(|piece| under(piece, version)), own);
     }
@@ -59,7 +75,7 @@
         for store in stores {
             if !self.0.iter().any(|keep| keep.address == store.address) {
                 let mut kept = Kept::default();
-                kept.set_capacity(store.tokens * ROOM_PERCENT / 100);
+                kept.set_capacity(store.tokens);
                 let name = place::name_hash(&store.address.to_string());
                 self.0.push(Keep {
                     address: store.address,
