Weigh a family's own engines in a large fleet, price reading again, ask the store

Cause: on the grown sites a quarter of the long prompts was late while most engines were idle: at placement a box believed 3,600 waiting tokens where there were 45,800. Loads heard through leads counted for an eighth, because boxes that act on them in full flock to the engine that was idle a moment ago. And shared parts were read again because a box does not hear of all that was sent to the store of kept cache.

Change: among more than 16 engines only the family's own two and those that keep most of it are weighed, so no box flocks and loads count in full; shared parts that must be read cost 60 ms a thousand tokens beside the reading (operators pay for it); the store is asked where no engine has all. Two tests of the choice and one of the source, red with the old code.

A limit on a box's part of the store's link: shared tokens read again doubled and more on the first sites; dropped.

--- a/crates/jb-policy/src/bring.rs
+++ b/crates/jb-policy/src/bring.rs
@@ -1,8 +1,8 @@
 //! Where an engine takes the parts of a prompt from that it lacks.
 //!
-//! A move is far cheaper than reading the parts again, and asking a place that
-//! has dropped them costs about a millisecond. So a place that probably has
-//! them is asked, too, where none is known to.
+//! A move is far cheaper than reading the parts again, and asking a store that
+//! lacks them costs about a millisecond. So the store is asked, too, where no
+//! place is known to have them.
 
 /// Tokens of a prompt's leading shared parts, by the place that is believed to have them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
@@ -13,8 +13,10 @@
     pub engine: u64,
     /// In the store of kept KV cache.
     pub store: u64,
-    /// That the store once took in; it may have dropped some of them.
-    pub once_in_store: u64,
+    /// Of all shared parts.
+    pub shared: u64,
+    /// Whether there is a store.
+    pub has_store: bool,
 }
 
 /// Place that parts are taken from.
@@ -40,23 +42,28 @@
 /// Tokens for which a move from another engine is worth its wait.
 const LEAST: u64 = 64;
 
+/// Missing tokens for which a store is asked that is not known to have them: a miss costs
+/// about a millisecond, and boxes do not hear of all that was sent there.
+const LEAST_ASKED: u64 = 512;
+
 /// The move for one prompt.
 pub fn plan(holdings: &Holdings) -> Plan {
     let Holdings {
         own,
         engine,
         store,
-        once_in_store,
+        shared,
+        has_store,
     } = *holdings;
-    let known = own.max(engine).max(store);
-    let by_engine = engine >= own + LEAST && engine >= store;
-    let origin = if once_in_store > known {
+    let by_engine = engine >= own + LEAST;
+    let origin = if by_engine && engine >= shared {
+        Origin::Engine
+    } else if has_store && (store > 0 || shared >= own + LEAST_ASKED) {
+        // Also where the engine is believed to keep all: it may have given way to running
+        // requests. Then nothing moves.
         Origin::Store
     } else if by_engine {
         Origin::Engine
-    } else if store > 0 {
-        // What the engine is believed to keep may have given way to running requests.
-        Origin::Store
     } else {
         Origin::Nowhere
     };
--- a/crates/jb-policy/src/choose.rs
+++ b/crates/jb-policy/src/choose.rs
@@ -18,6 +18,9 @@
     pub import: f64,
     /// Cost of each thousand tokens so brought.
     pub import_per_k: f64,
+    /// Cost of each thousand tokens of shared parts that have to be read, beside the time to
+    /// read them: most were read elsewhere a moment ago, and operators pay for reading again.
+    pub again_per_k: f64,
     /// Cost of older weights than the newest that are named, whose answers are worth less.
     pub behind: f64,
     /// Drag of one running request on the next token.
@@ -40,6 +43,7 @@
             tokens_per_ms: 50.0,
             import: 60.0,
             import_per_k: 10.0,
+            again_per_k: 60.0,
             behind: 20.0,
             per_running: 5.0,
             per_place: 60.0,
@@ -112,13 +116,33 @@
             0.0
         }
     };
-    let costs = candidates
-        .iter()
-        .enumerate()
-        .map(|(at, c)| (at, cost(c, demand, tuning) + away(at)));
+    let listed = shortlist(candidates, demand);
+    let costs = listed
+        .into_iter()
+        .map(|at| (at, cost(&candidates[at], demand, tuning) + away(at)));
     costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
 }
 
+/// Candidates up to which all are weighed.
+const FEW: usize = 16;
+/// Engines that share a family where there are more; measured with 90 and 140 engines.
+const HOMES: usize = 2;
+
+/// Positions of the candidates that are weighed. Among many engines these are the family's
+/// own two and those that keep most of it: what boxes know of the load is older than most
+/// requests last, so all boxes would send to the one that was idle a moment ago.
+fn shortlist(candidates: &[Candidate], demand: &Demand<'_>) -> Vec<usize> {
+    let all = 0..candidates.len();
+    let Some(family) = demand.family().filter(|_| candidates.len() > FEW) else {
+        return all.collect();
+    };
+    let names = candidates.iter().enumerate().map(|(at, c)| (at, c.name));
+    let mut listed = place::top(family, names, HOMES);
+    let most = demand.shared() / 2;
+    listed.extend(all.filter(|at| candidates[*at].found > most));
+    listed
+}
+
 /// Position of the candidate that all boxes expect to keep a family.
 fn home(candidates: &[Candidate], family: u64) -> Option<usize> {
     let weights = candidates.iter().map(|c| place::weight(family, c.name));
@@ -137,6 +161,8 @@
         0.0
     };
     let reading = (candidate.waiting + unread) as f64 / tuning.tokens_per_ms;
+    let unread_shared = demand.shared().saturating_sub(candidate.found + brought);
+    let again = tuning.again_per_k * unread_shared as f64 / 1000.0;
     let running = f64::from(candidate.running);
     let drag = if demand.prompt.is_empty() {
         tuning.per_place * running / f64::from(candidate.slots.max(1))
@@ -154,5 +180,5 @@
         0.0
     };
     let behind = if candidate.behind { tuning.behind } else { 0.0 };
-    (reading + drag + import) * candidate.slowness + distance + full + behind
+    (reading + drag + import) * candidate.slowness + again + distance + full + behind
 }
--- a/crates/jb-policy/src/kept.rs
+++ b/crates/jb-policy/src/kept.rs
@@ -61,11 +61,6 @@
             .is_some_and(|used| used + self.capacity >= self.inflow)
     }
 
-    /// Whether a part came in at some time and has not been cleared away since.
-    pub fn had(&self, part: Part) -> bool {
-        self.parts.contains_key(&part)
-    }
-
     /// Tokens of the prompt that need not be read: the leading parts that are kept.
     pub fn found(&self, prompt: &[Piece]) -> u64 {
         let leading = prompt.iter().take_while(|piece| self.holds(piece.part));
--- a/crates/jb-policy/tests/bring.rs
+++ b/crates/jb-policy/tests/bring.rs
@@ -9,54 +9,63 @@
     assert_eq!(plan(&holdings), Plan { origin, tokens }, "{holdings:?}");
 }
 
+fn holdings() -> Holdings {
+    Holdings {
+        shared: SHARED,
+        has_store: true,
+        ..Holdings::default()
+    }
+}
+
 #[test]
 fn store_with_all_parts_goes_before_an_engine_with_the_first() {
     let holdings = Holdings {
         engine: ROOT,
         store: SHARED,
-        once_in_store: SHARED,
-        ..Holdings::default()
+        ..holdings()
     };
     takes(Origin::Store, SHARED, holdings);
-    takes(
-        Origin::Store,
-        SHARED - ROOT,
-        Holdings {
-            own: ROOT,
-            ..holdings
-        },
-    );
+    let own = ROOT;
+    takes(Origin::Store, SHARED - ROOT, Holdings { own, ..holdings });
 }
 
 #[test]
-fn engine_goes_before_a_store_that_has_no_more() {
+fn engine_with_all_parts_goes_before_the_store() {
     let holdings = Holdings {
         engine: SHARED,
         store: SHARED,
-        once_in_store: SHARED,
-        ..Holdings::default()
+        ..holdings()
     };
     takes(Origin::Engine, SHARED, holdings);
 }
 
 #[test]
-fn store_is_asked_for_parts_that_it_may_have_dropped() {
+fn store_is_asked_for_parts_that_nobody_is_known_to_have() {
     let holdings = Holdings {
         own: ROOT,
         engine: ROOT,
-        store: 0,
-        once_in_store: SHARED,
+        ..holdings()
     };
     // None of them can be counted on.
     takes(Origin::Store, 0, holdings);
 }
 
 #[test]
-fn few_tokens_of_another_engine_are_no_move() {
+fn engine_with_some_parts_is_the_source_where_there_is_no_store() {
     let holdings = Holdings {
-        own: ROOT,
-        engine: ROOT + 40,
-        ..Holdings::default()
+        engine: ROOT,
+        has_store: false,
+        ..holdings()
+    };
+    takes(Origin::Engine, ROOT, holdings);
+}
+
+#[test]
+fn few_missing_tokens_are_no_move() {
+    let holdings = Holdings {
+        own: SHARED - 40,
+        engine: SHARED,
+        ..holdings()
     };
     takes(Origin::Nowhere, 0, holdings);
 }
--- a/crates/jb-policy/tests/choose.rs
+++ b/crates/jb-policy/tests/choose.rs
@@ -151,3 +151,38 @@
     started.note(3, None);
     assert_eq!(started.overdue(2, second, bound), Overdue::Unknown);
 }
+
+#[test]
+fn among_many_engines_a_new_family_stays_at_its_two() {
+    let prompt = prompt(&[(1, 2500), (2, 3800), (3, 900)]);
+    let demand = Demand {
+        prompt: &prompt,
+        bytes: 0,
+    };
+    let mut engines: Vec<_> = (1..=100).map(candidate).collect();
+    let mut taken = Vec::new();
+    for _ in 0..3 {
+        let at = best(&engines, &demand, &Tuning::default()).expect("an engine");
+        // The load of the last choice is known; all other engines look idle.
+        engines[at].waiting += 60_000;
+        taken.push(at);
+    }
+    assert_ne!(taken[0], taken[1], "the second takes what is too much for the first");
+    assert!(taken[..2].contains(&taken[2]), "no third engine reads the parts");
+}
+
+#[test]
+fn reading_shared_parts_again_costs_more_than_a_short_queue() {
+    let prompt = prompt(&[(1, 2500), (2, 3800), (3, 900)]);
+    let demand = Demand {
+        prompt: &prompt,
+        bytes: 0,
+    };
+    let mut engines: Vec<_> = (1..=9).map(candidate).collect();
+    engines[4].found = 6300;
+    // Reading what waits takes longer than reading the shared parts once more.
+    engines[4].waiting = 15_000;
+    assert_eq!(best(&engines, &demand, &Tuning::default()), Some(4));
+    engines[4].waiting = 60_000;
+    assert_ne!(best(&engines, &demand, &Tuning::default()), Some(4));
+}
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -42,7 +42,6 @@
             time: bounds.weights.mul_f64(WEIGHTS_SHARE),
             hall: &self.core.settings.hall,
             demand: self.demand(),
-            trust: self.core.book.borrow().trust(),
             except: &self.tried,
         }
     }
@@ -67,13 +66,9 @@
         let Some((found, version)) = self.note_read(id, shared, last.tokens + ticket.out) else {
             return 0;
         };
-        let (store, once_in_store) = self.in_store(shared, version);
-        let plan = bring::plan(&Holdings {
-            own: found,
-            engine: found + other.map_or(0, |source| source.tokens),
-            store,
-            once_in_store,
-        });
+        let engine = found + other.map_or(0, |source| source.tokens);
+        let holdings = self.holdings(shared, version, found, engine);
+        let plan = bring::plan(&holdings);
         self.message.source = match plan.origin {
             Origin::Nowhere => None,
             Origin::Engine => other.map(|source| source.address),
@@ -116,14 +111,24 @@
         Some((found, version))
     }
 
-    /// Tokens that the family's store has of the shared parts, and those that it once had.
-    fn in_store(&self, shared: &[Piece], version: Option<Version>) -> (u64, u64) {
+    /// Who has how much of the shared parts.
+    fn holdings(&self, shared: &[Piece], version: Option<Version>, own: u64, engine: u64) -> Holdings {
+        let elsewhere = Holdings {
+            own,
+            engine,
+            shared: self.demand().shared(),
+            ..Holdings::default()
+        };
         let mut keeps = self.core.keeps.borrow_mut();
         let keep = self.demand().family().and_then(|family| keeps.of(family));
         let (Some(keep), Some(version)) = (keep, version) else {
-            return (0, 0);
+            return elsewhere;
         };
-        (keep.found(shared, version), keep.once_found(shared, version))
+        Holdings {
+            store: keep.found(shared, version),
+            has_store: true,
+            ..elsewhere
+        }
     }
 
     /// The family's store, to take parts from.
--- a/crates/jb-relay/src/keep.rs
+++ b/crates/jb-relay/src/keep.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use jb_policy::kept::{Kept, Part, Piece};
+use jb_policy::kept::{Kept, Piece};
 use jb_policy::place;
 
 use crate::rules::KeptCache;
@@ -32,24 +32,14 @@
     }
 }
 
-/// Tokens of the leading parts that meet a condition.
-fn leading(prompt: &[Piece], version: u64, meets: impl Fn(Part) -> bool) -> u64 {
-    let pieces = prompt.iter().map(|piece| under(*piece, version));
-    pieces
-        .take_while(|piece| meets(piece.part))
-        .map(|piece| piece.tokens)
-        .sum()
-}
-
 impl Keep {
     /// Tokens of the leading parts that it holds for a version.
     pub fn found(&self, prompt: &[Piece], version: u64) -> u64 {
-        leading(prompt, version, |part| self.kept.holds(part))
-    }
-
-    /// The same with parts that it took in once and may have dropped meanwhile.
-    pub fn once_found(&self, prompt: &[Piece], version: u64) -> u64 {
-        leading(prompt, version, |part| self.kept.had(part))
+        let leading = prompt.iter().map(|piece| under(*piece, version));
+        leading
+            .take_while(|piece| self.kept.holds(piece.part))
+            .map(|piece| piece.tokens)
+            .sum()
     }
 
     /// Notes that it gives out what it has of the shared parts of a prompt.
--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -14,8 +14,6 @@
 
 /// Boxes up to which each tells all others directly.
 const SMALL: usize = 16;
-/// Part of other boxes' loads that counts in a large fleet; measured on grown days.
-const LARGE_TRUST: f64 = 0.12;
 /// Time for which a box that gave no answer is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(8);
 
@@ -52,12 +50,6 @@
         self.boxes() <= SMALL
     }
 
-    /// Part of the loads told by other boxes that counts in the choice of an engine. What comes
-    /// through leads is older than most requests last, and boxes that all act on it flock.
-    pub fn trust(&self) -> f64 {
-        if self.is_small() { 1.0 } else { LARGE_TRUST }
-    }
-
     /// All boxes but one.
     pub fn others<'a>(&'a self, own: &'a str) -> impl Iterator<Item = (&'a id::Box, &'a Peer)> {
         self.peers.iter().filter(move |(id, _)| id.as_str() != own)
--- a/crates/jb-relay/src/upstream.rs
+++ b/crates/jb-relay/src/upstream.rs
@@ -63,18 +63,6 @@
     pub waiting: u64,
 }
 
-impl Load {
-    /// The part of it that counts.
-    fn trusted(self, part: f64) -> Self {
-        let waiting = (self.waiting as f64 * part) as u64;
-        Self {
-            running: (f64::from(self.running) * part) as u32,
-            waiting,
-            ..self
-        }
-    }
-}
-
 impl Upstream {
     fn new(id: &str, entry: Entry) -> Self {
         Self {
@@ -129,13 +117,12 @@
     fn candidate(&self, wanted: &Wanted<'_>, behind: bool) -> Candidate {
         let hall = wanted.hall;
         let demand = &wanted.demand;
-        let others = self.others.trusted(wanted.trust);
         Candidate {
             name: self.name,
             own_hall: self.entry.hall == hall,
-            running: self.running + others.running,
+            running: self.running + self.others.running,
             slots: self.entry.slots,
-            waiting: self.waiting + others.waiting,
+            waiting: self.waiting + self.others.waiting,
             found: self.kept.found(demand.prompt),
             elsewhere: 0,
             behind,
@@ -162,8 +149,6 @@
     pub hall: &'a str,
     /// Its prompt and size.
     pub demand: Demand<'a>,
-    /// Part of other boxes' loads that counts.
-    pub trust: f64,
     /// Upstreams that were tried.
     pub except: &'a [Id],
 }
