Silence of an upstream ends an attempt only where another one can take the request

Ruled out: the engine breaking off (it still worked), a stop of the box.

Change: before a silent upstream is left, another one must be open and the retry budget must grant the send.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -173,6 +173,9 @@
 }
 
 /// Delivers a stream, event by event where it may go on elsewhere.
+///
+/// `started` is called when a part has come; `elsewhere` tells whether another upstream can
+/// go on with a stream that is silent.
 pub async fn stream(
     core: &Shared,
     message: &mut Message<'_>,
@@ -180,6 +183,7 @@
     client: &mut Connection,
     pace: &mut Pace,
     mut started: impl FnMut(),
+    mut elsewhere: impl FnMut() -> bool,
 ) -> Delivered {
     let ticket = message.ticket;
     let mut events = Splitter::default();
@@ -224,7 +228,9 @@
             Part::End if !events.is_empty() => return broken(begun, "the stream ended within an event"),
             Part::End => break,
             Part::Broken(why) => return broken(begun, why),
-            Part::Silent => return broken(begun, "silent within the stream"),
+            Part::Silent if elsewhere() => return broken(begun, "silent within the stream"),
+            // Silence alone is no reason to end a stream.
+            Part::Silent => {}
             Part::Late if begun => return Delivered::Late,
             Part::Late => return Delivered::Nothing("the time is over"),
             Part::CallerGone => return Delivered::CallerGone,
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use bytes::Bytes;
 use jb_policy::bring::{self, Holdings, Origin};
 use jb_policy::choose::{self, Demand};
 use jb_policy::kept::Piece;
@@ -9,7 +10,9 @@
 use jb_protocol::{emit, event};
 
 use super::run::Exchange;
+use crate::core::Core;
 use crate::peers::{self, Placed};
+use crate::ticket::Ticket;
 use crate::upstream::{Id, Wanted};
 
 /// Part of the bound on older weights after which nothing is sent to them.
@@ -20,38 +23,40 @@
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
 const KEPT_PERCENT: u64 = 90;
 
-impl<'a> Exchange<'a> {
-    pub(super) fn choose(&self) -> Option<Id> {
-        let core = self.core;
-        let wanted = self.wanted();
-        let (ids, candidates) = core.upstreams.borrow().candidates(&wanted, core.now());
-        let at = choose::best(&candidates, &wanted.demand, &core.tuning)?;
-        Some(ids[at].clone())
+/// The upstream that a request is sent to next, if one is open.
+pub(super) fn choose(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Id]) -> Option<Id> {
+    let wanted = wanted(core, ticket, body, tried);
+    let (ids, candidates) = core.upstreams.borrow().candidates(&wanted, core.now());
+    let at = choose::best(&candidates, &wanted.demand, &core.tuning)?;
+    Some(ids[at].clone())
+}
+
+fn wanted<'a>(core: &'a Core, ticket: &'a Ticket, body: &Bytes, tried: &'a [Id]) -> Wanted<'a> {
+    let model = ticket.model.as_deref();
+    Wanted {
+        service: &ticket.service,
+        model,
+        weights: model
+            .and_then(|model| core.weights.borrow().get(model).cloned())
+            .unwrap_or_default(),
+        time: core.settings.bounds.weights.mul_f64(WEIGHTS_SHARE),
+        hall: &core.settings.hall,
+        demand: demand(ticket, body),
+        except: tried,
     }
+}
 
-    fn wanted(&self) -> Wanted<'_> {
-        let ticket = self.message.ticket;
-        let model = ticket.model.as_deref();
-        let bounds = &self.core.settings.bounds;
-        Wanted {
-            service: &ticket.service,
-            model,
-            weights: model
-                .and_then(|model| self.core.weights.borrow().get(model).cloned())
-                .unwrap_or_default(),
-            time: bounds.weights.mul_f64(WEIGHTS_SHARE),
-            hall: &self.core.settings.hall,
-            demand: self.demand(),
-            except: &self.tried,
-        }
+/// What a request asks of an upstream.
+fn demand<'a>(ticket: &'a Ticket, body: &Bytes) -> Demand<'a> {
+    Demand {
+        prompt: &ticket.prompt,
+        bytes: body.len(),
     }
+}
 
-    /// What the request asks of an upstream.
+impl<'a> Exchange<'a> {
     fn demand(&self) -> Demand<'a> {
-        Demand {
-            prompt: &self.message.ticket.prompt,
-            bytes: self.message.body.len(),
-        }
+        demand(self.message.ticket, self.message.body)
     }
 
     /// Settles where the engine takes parts from that it lacks, and whether it sends
@@ -62,7 +67,8 @@
         let Some((last, shared)) = ticket.prompt.split_last() else {
             return 0;
         };
-        let other = core.upstreams.borrow().source(id, &self.wanted(), core.now());
+        let wanted = wanted(core, ticket, self.message.body, &self.tried);
+        let other = core.upstreams.borrow().source(id, &wanted, core.now());
         let Some((found, version)) = self.note_read(id, shared, last.tokens + ticket.out) else {
             return 0;
         };
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -9,6 +9,7 @@
 use tokio::time::sleep;
 
 use super::count::Counted;
+use super::place;
 use crate::attempt::{self, Message, Outcome, Reply};
 use crate::core::Shared;
 use crate::deliver::{self, Delivered, Pace};
@@ -137,7 +138,7 @@
             None => ticket.arrived + ticket.route.target.mul_f64(WAIT_SHARE),
         };
         loop {
-            if let Some(id) = self.choose() {
+            if let Some(id) = place::choose(self.core, ticket, self.message.body, &self.tried) {
                 return Some(id);
             }
             if self.core.now() >= until {
@@ -188,26 +189,33 @@
         }
     }
 
-    /// Sends; a request that may run again does not wait for a silent upstream to the end.
-    async fn patiently(&self, id: &Id) -> Outcome {
+    /// Sends; a request that may run again leaves a silent upstream as soon as another one can
+    /// take it. Silence alone ends nothing: the answer may only be late.
+    async fn patiently(&mut self, id: &Id) -> Outcome {
+        const SILENT: &str = "silent for longer than it should take";
         let ticket = self.message.ticket;
         let more = ticket.route.repeatable() && self.runs + 1 < ticket.route.attempts;
         let patience = ticket.route.target.mul_f64(PATIENCE);
         let sent = attempt::send(self.core, id, &self.message);
         tokio::pin!(sent);
-        if more || !ticket.route.repeatable() {
+        let mut blamed = false;
+        loop {
             tokio::select! {
                 outcome = &mut sent => return outcome,
                 () = sleep(patience.min(self.left())) => {}
             }
-            if more || self.left().is_zero() {
-                return Outcome::Failed("silent for longer than it should take".to_owned());
+            if self.left().is_zero() {
+                return Outcome::Failed("the time is over".to_owned());
+            }
+            let other = || place::choose(self.core, ticket, self.message.body, &self.tried);
+            if more && other().is_some() && self.core.spend(&ticket.service) {
+                self.paid = true;
+                return Outcome::Failed(SILENT.to_owned());
+            }
+            if !blamed {
+                self.blame(id, "waits", SILENT);
+                blamed = true;
             }
-            self.blame(id, "waits", "silent for longer than it should take");
-        }
-        tokio::select! {
-            outcome = sent => outcome,
-            () = sleep(self.left()) => Outcome::Failed("the time is over".to_owned()),
         }
     }
 
@@ -270,10 +278,18 @@
             return Err("upstream_error");
         }
         let delivered = if success && ticket.route.kind == Kind::Stream {
-            deliver::stream(core, &mut self.message, reply, client, &mut self.pace, || {
-                counted.started()
-            })
-            .await
+            let body = self.message.body;
+            let more = self.runs < ticket.route.attempts;
+            let elsewhere = || {
+                let other = || place::choose(core, ticket, body, &self.tried).is_some();
+                more && other() && core.spend(&ticket.service) && {
+                    self.paid = true;
+                    true
+                }
+            };
+            let started = || counted.started();
+            let pace = &mut self.pace;
+            deliver::stream(core, &mut self.message, reply, client, pace, started, elsewhere).await
         } else {
             deliver::whole(core, ticket, reply, client).await
         };
