Boxes start by stale reads of the store, and serve once newer changes prove them

Cause: after all boxes of a large fleet were killed they read the store in pages at the same moment; calls beyond the store's rate are refused, and at 300 boxes it took 30 s until they served. Stale reads are not counted in that rate.

Change: the first reading is stale and proves nothing; the call for changes that follows waits for nothing and proves it. After lost history the reading is fresh, since a stale one may be older than what history is left.

--- a/crates/jb-relay/src/follow.rs
+++ b/crates/jb-relay/src/follow.rs
@@ -13,7 +13,7 @@
 
 use crate::core::{Core, Shared};
 use crate::peers;
-use crate::port::{Change, Entry, Fact, News, Revision, StoreError};
+use crate::port::{Age, Change, Entry, Fact, News, Revision, StoreError};
 use crate::upstream::Seen;
 
 /// Pause between two calls: with the way there and back well under the time in which a
@@ -31,6 +31,10 @@
 struct Progress {
     /// Revision after which to ask; `None` when all must be read.
     after: Option<Revision>,
+    /// Whether what is known is still as old as a stale read, and proves nothing.
+    unproven: bool,
+    /// Whether history was gone after the last reading of all.
+    gone: bool,
     /// Since when calls fail.
     failing: Option<Moment>,
     /// When they went well again.
@@ -62,19 +66,26 @@
 async fn read(core: &Core, progress: &mut Progress) {
     let asked = core.now();
     core.metrics.store_calls.inc();
+    // A stale reading may be older than the history that is left.
+    let age = if progress.gone { Age::Fresh } else { Age::Stale };
+    let wait = if progress.unproven { Duration::ZERO } else { PERIOD };
     let news = match progress.after {
-        Some(after) => core.store.changes(after, PERIOD).await,
-        None => core.store.all().await,
+        Some(after) => core.store.changes(after, wait).await,
+        None => core.store.all(age).await,
     };
+    let stale = progress.after.is_none() && age == Age::Stale;
     match news {
         Ok(News { changes, revision }) => {
             found(core, progress);
-            take(core, progress, &changes, revision, Some(asked));
-            sleep((asked + PERIOD).saturating_sub(core.now())).await;
+            take(core, progress, &changes, revision, (!stale).then_some(asked));
+            if !stale {
+                sleep((asked + PERIOD).saturating_sub(core.now())).await;
+            }
         }
         Err(StoreError::HistoryGone) => {
             emit!(core.logger, info, event::HISTORY_GONE, "after" => progress.after);
             progress.after = None;
+            progress.gone = true;
         }
         Err(why) => {
             lost(core, progress, &why);
@@ -133,6 +144,8 @@
         }
     }
     progress.after = Some(revision);
+    progress.unproven = proven.is_none();
+    progress.gone &= proven.is_none();
     core.proven.set(proven.max(core.proven.get()));
 }
 
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -128,13 +128,22 @@
     pub lease: Lease,
 }
 
+/// How old what is read may be.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Age {
+    /// As it stands now.
+    Fresh,
+    /// Some seconds old; costs a tenth and does not count for the store's rate.
+    Stale,
+}
+
 /// The platform's store.
 #[async_trait(?Send)]
 pub trait Store {
     /// What a change says.
     fn decode(&self, change: &Change) -> Fact;
-    /// All that it holds.
-    async fn all(&self) -> Result<News, StoreError>;
+    /// All that it holds, or, at less cost, held some seconds ago.
+    async fn all(&self, age: Age) -> Result<News, StoreError>;
     /// What has changed after a revision; waits up to `wait` for something.
     async fn changes(&self, after: Revision, wait: Duration) -> Result<News, StoreError>;
     /// Takes out a lease.
