A route without times still waits a little before it counts silence

Found in the last reading: since silence alone ends nothing, a route that wants no time or names no longest pause would have looked again without end. The limits of silence are a matter of the route now, with a least one.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -15,8 +15,6 @@
 
 /// Longest answer that is held whole, so that one that breaks off never reaches the caller.
 const LONGEST_WHOLE: usize = 512 * 1024;
-/// Silence within a stream, in longest wanted pauses, after which it goes on elsewhere.
-const SILENCE: f64 = 2.0;
 /// The last chunk of a chunked body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
@@ -193,10 +191,7 @@
         None => head(core, &reply.answer, Framing::Chunked),
     };
     let mut begun = message.last_event.is_some();
-    let silence = ticket
-        .route
-        .resumable
-        .then(|| ticket.route.pause.mul_f64(SILENCE));
+    let silence = ticket.route.resumable.then(|| ticket.route.silence());
     loop {
         let left = ticket.until.saturating_sub(core.now());
         let patience = if begun { silence } else { None };
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -24,8 +24,6 @@
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 /// Share of the wanted time for which a request waits in the box for an upstream.
 const WAIT_SHARE: f64 = 0.2;
-/// Silence of an upstream, in wanted times, after which a request that may run again goes elsewhere.
-const PATIENCE: f64 = 1.5;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -195,7 +193,7 @@
         const SILENT: &str = "silent for longer than it should take";
         let ticket = self.message.ticket;
         let more = ticket.route.repeatable() && self.runs + 1 < ticket.route.attempts;
-        let patience = ticket.route.target.mul_f64(PATIENCE);
+        let patience = ticket.route.patience();
         let sent = attempt::send(self.core, id, &self.message);
         tokio::pin!(sent);
         let mut blamed = false;
--- a/crates/jb-relay/src/rules.rs
+++ b/crates/jb-relay/src/rules.rs
@@ -17,6 +17,13 @@
     Stream,
 }
 
+/// Silence before an answer, in wanted times, after which another upstream may be better.
+const PATIENCE: f64 = 1.5;
+/// The same within a stream, in longest wanted pauses.
+const SILENCE: f64 = 2.0;
+/// Least silence that counts, where a route wants no time or names none.
+const LEAST_SILENCE: Duration = Duration::from_millis(100);
+
 /// One route.
 #[derive(Clone, Debug)]
 pub struct Route {
@@ -56,6 +63,16 @@
         }
     }
 
+    /// Silence of an upstream before its answer after which the request may go elsewhere.
+    pub fn patience(&self) -> Duration {
+        self.target.mul_f64(PATIENCE).max(LEAST_SILENCE)
+    }
+
+    /// Silence within a stream after which it may go on elsewhere.
+    pub fn silence(&self) -> Duration {
+        self.pause.mul_f64(SILENCE).max(LEAST_SILENCE)
+    }
+
     /// Service for a request; `draw` is any number, the same for the same request.
     pub fn service(&self, draw: u64) -> Option<&id::Service> {
         let sum: u64 = self.services.iter().map(|s| u64::from(s.weight)).sum();
