One check for leaving a silent upstream, one walk over a store's leading parts

Found in reading the whole change: whether another upstream takes a silent request was asked in two places, the parts that a store holds were walked by two loops, and what it holds was counted again before sending it the rest.

--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -31,6 +31,12 @@
     Some(ids[at].clone())
 }
 
+/// Whether another upstream takes a request whose upstream is silent: one is open, and the
+/// retry budget has granted the send.
+pub(super) fn goes_on(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Id]) -> bool {
+    choose(core, ticket, body, tried).is_some() && core.spend(&ticket.service)
+}
+
 fn wanted<'a>(core: &'a Core, ticket: &'a Ticket, body: &Bytes, tried: &'a [Id]) -> Wanted<'a> {
     let model = ticket.model.as_deref();
     Wanted {
@@ -80,7 +86,7 @@
             Origin::Engine => other.map(|source| source.address),
             Origin::Store => self.read_from_store(shared, version),
         };
-        self.message.keep = self.send_to_store(shared, version, last.tokens + ticket.out);
+        self.message.keep = self.send_to_store(shared, version, last.tokens + ticket.out, holdings.store);
         let unread = ticket
             .tokens()
             .saturating_sub(found + plan.tokens)
@@ -146,13 +152,20 @@
         Some(keep.address)
     }
 
-    /// The family's store, where the engine is to send the parts that the store lacks.
-    fn send_to_store(&self, shared: &[Piece], version: Option<Version>, own: u64) -> Option<SocketAddr> {
+    /// The family's store, where the engine is to send the parts that the store lacks; `held`
+    /// are the tokens that it has.
+    fn send_to_store(
+        &self,
+        shared: &[Piece],
+        version: Option<Version>,
+        own: u64,
+        held: u64,
+    ) -> Option<SocketAddr> {
         let mut keeps = self.core.keeps.borrow_mut();
         let all = self.demand().shared();
         let keep = keeps.of(self.demand().family()?)?;
         let version = version?;
-        if keep.found(shared, version) >= all || own > all * OWN_OF_SHARED {
+        if held >= all || own > all * OWN_OF_SHARED {
             return None;
         }
         keep.used(shared.iter().copied(), version, own);
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -205,8 +205,7 @@
             if self.left().is_zero() {
                 return Outcome::Failed("the time is over".to_owned());
             }
-            let other = || place::choose(self.core, ticket, self.message.body, &self.tried);
-            if more && other().is_some() && self.core.spend(&ticket.service) {
+            if more && place::goes_on(self.core, ticket, self.message.body, &self.tried) {
                 self.paid = true;
                 return Outcome::Failed(SILENT.to_owned());
             }
@@ -279,11 +278,8 @@
             let body = self.message.body;
             let more = self.runs < ticket.route.attempts;
             let elsewhere = || {
-                let other = || place::choose(core, ticket, body, &self.tried).is_some();
-                more && other() && core.spend(&ticket.service) && {
-                    self.paid = true;
-                    true
-                }
+                self.paid = more && place::goes_on(core, ticket, body, &self.tried);
+                self.paid
             };
             let started = || counted.started();
             let pace = &mut self.pace;
--- a/crates/jb-relay/src/keep.rs
+++ b/crates/jb-relay/src/keep.rs
@@ -35,20 +35,19 @@
 impl Keep {
     /// Tokens of the leading parts that it holds for a version.
     pub fn found(&self, prompt: &[Piece], version: u64) -> u64 {
-        let leading = prompt.iter().map(|piece| under(*piece, version));
-        leading
-            .take_while(|piece| self.kept.holds(piece.part))
-            .map(|piece| piece.tokens)
-            .sum()
+        self.leading(prompt, version).map(|piece| piece.tokens).sum()
+    }
+
+    /// The leading parts that it holds, by their numbers under the version.
+    fn leading(&self, prompt: &[Piece], version: u64) -> impl Iterator<Item = Piece> {
+        let pieces = prompt.iter().map(move |piece| under(*piece, version));
+        pieces.take_while(|piece| self.kept.holds(piece.part))
     }
 
     /// Notes that it gives out what it has of the shared parts of a prompt.
     pub fn gave(&mut self, shared: &[Piece], version: u64) {
-        let held = shared
-            .iter()
-            .take_while(|piece| self.kept.holds(under(**piece, version).part));
-        let held: Vec<Piece> = held.copied().collect();
-        self.used(held.into_iter(), version, 0);
+        let held: Vec<Piece> = self.leading(shared, version).collect();
+        self.kept.read(held.into_iter(), 0);
     }
 
     /// Notes that it takes in the shared parts of a prompt.
