Boxes tell each other when weights were named, and a naming before the start has an age

Ruled out: taking the box's start for the naming alone: a fresh box would let old weights serve for the whole bound once more. Revisions of the store tell an order, no time.

Change: a box that does not know when its newest version was named asks up to four others at a time (peers/naming) and takes the age that they saw, counted from its question; versions between are taken too. Where nobody knows (all were restarted), half of the time counts from the start, and not once an engine has the newest, as before.

Tests: jb-policy/tests/choose naming_before_the_start_...

--- a/crates/jb-policy/tests/choose.rs
+++ b/crates/jb-policy/tests/choose.rs
@@ -152,6 +152,28 @@
     assert_eq!(started.overdue(2, second, bound), Overdue::Unknown);
 }
 
+/// A box that started after a naming let the older weights serve for as long as no engine had
+/// the newest: 14 s after the naming with a bound of 8.
+#[test]
+fn naming_before_the_start_is_as_old_as_the_start_at_least() {
+    let (second, bound) = (Duration::from_secs(1), Duration::from_secs(10));
+    let mut history = History::default();
+    history.note(3, None);
+    assert!(history.is_unknown());
+    assert_eq!(history.overdue(2, 6 * second, bound), Overdue::Yes);
+    // Another box saw this version and the one before it.
+    history.told(3, second, 2 * second);
+    history.told(2, second, 6 * second);
+    history.told(9, second, second);
+    assert_eq!(history.newest(), 3);
+    assert!(!history.is_unknown());
+    assert_eq!(history.overdue(2, 8 * second, bound), Overdue::No);
+    assert_eq!(history.overdue(2, 9 * second, bound), Overdue::Yes);
+    assert_eq!(history.overdue(1, 5 * second, bound), Overdue::Yes);
+    let ages: Vec<_> = history.ages(5 * second).collect();
+    assert_eq!(ages, [(3, 6 * second), (2, 10 * second)]);
+}
+
 #[test]
 fn among_many_engines_a_new_family_stays_at_its_two() {
     let prompt = prompt(&[(1, 2500), (2, 3800), (3, 900)]);
--- a/crates/jb-relay/src/peers/message.rs
+++ b/crates/jb-relay/src/peers/message.rs
@@ -18,6 +18,10 @@
     Ask(Ask),
     /// What has changed.
     News(News),
+    /// A box that has just started asks when weights were named.
+    AskNamings(AskNamings),
+    /// When they were.
+    Namings(Namings),
 }
 
 /// What a box tells of itself, or a lead of many.
@@ -81,6 +85,33 @@
     pub after: Revision,
 }
 
+/// A question when weights were named.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct AskNamings {
+    /// When the box asks, by its own clock in milliseconds; the answer repeats it.
+    pub asked_ms: u64,
+}
+
+/// When weights were named, as another box knows.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Namings {
+    /// Moment of the question, by the asker's clock in milliseconds.
+    pub asked_ms: u64,
+    /// Namings.
+    pub namings: Vec<ToldNaming>,
+}
+
+/// Naming of one version.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(super) struct ToldNaming {
+    /// Model.
+    pub model: String,
+    /// Version.
+    pub version: u64,
+    /// Time since it was named, at the most, in milliseconds.
+    pub age_ms: u64,
+}
+
 /// News of the store from another box.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct News {
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -4,12 +4,14 @@
 mod book;
 mod gossip;
 mod message;
+mod naming;
 mod register;
 mod relay;
 mod socket;
 
 pub use book::{Book, Peer};
 pub use gossip::{LOADING, Loads, Placed, note_use, tell, tell_weights};
+pub use naming::learn;
 pub use register::{KEYS, register};
 pub use relay::{Log, Relayed, ask, is_told};
 pub use socket::{bind, hear};
