A successor in the steward's duty waits only for engines that the box before may have ordered

The pause binds orders of two boxes to one engine; the record for the next box named only the holder.

Ruled out: telling it in datagrams (one that is lost would break the pause); naming the age of orders in the store (no common clock).

Change: the record lists the engines that may have been ordered lately, each with the box; it is written before an engine is emptied. A successor leaves these alone for the pause and begins with the others.

--- /dev/null
+++ b/crates/jb-relay/src/steward/load.rs
@@ -0,0 +1,194 @@
+//! Engines are emptied, told to load, and watched until they have the newest weights.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_policy::weights::History;
+use jb_protocol::{emit, event};
+use tokio::time::sleep;
+
+use super::duty::{LOOK, Steward};
+use crate::peers;
+use crate::port::{Order, Taken};
+use crate::upstream::Id;
+
+/// Pause before an engine that refused an order, or gave no report, is tried again.
+const REFUSED_PAUSE: Duration = Duration::from_millis(600);
+/// Share of a service's engines that load at once.
+const AT_ONCE: f64 = 0.2;
+/// Engines that load at once at least.
+const AT_ONCE_LEAST: usize = 2;
+/// Engines that are emptied meanwhile, to load next.
+const EMPTYING: usize = 1;
+/// Longest wait for requests that cannot go on elsewhere to end. They are cut then: letting
+/// them all end took an engine away for 3 to 6 s on days of high load, 1.3 s serves most.
+const EMPTY_TIME: Duration = Duration::from_millis(1300);
+/// Time in which all boxes hear that an engine gets nothing more, and tell what they have there.
+const HEARD_TIME: Duration = Duration::from_millis(220);
+/// Pause between two looks at an engine that is being emptied.
+const LOOK_EMPTY: Duration = Duration::from_millis(30);
+/// Pause between two reports of an engine that loads.
+const LOOK_BUSY: Duration = Duration::from_millis(120);
+/// Time that a load takes at least.
+const LOAD_LEAST: Duration = Duration::from_millis(600);
+/// Time after which an engine that does not get done makes room for others.
+const LOAD_TIME: Duration = Duration::from_secs(8);
+
+impl Steward {
+    /// Begins to load engines that have older weights, a few at a time.
+    pub(super) async fn start_loads(self: &Rc<Self>) {
+        if !self.holds() {
+            return;
+        }
+        let weights = self.core.weights.borrow().clone();
+        for (model, history) in weights {
+            let next = self.next_engines(&model, history.newest());
+            if next.is_empty() || !self.announce(&next).await {
+                continue;
+            }
+            for id in next {
+                self.loading.borrow_mut().insert(id.clone());
+                tokio::task::spawn_local(Rc::clone(self).load_in_time(id, model.clone()));
+            }
+        }
+    }
+
+    async fn load_in_time(self: Rc<Self>, id: Id, model: String) {
+        if tokio::time::timeout(LOAD_TIME, self.load(&id, &model))
+            .await
+            .is_err()
+        {
+            emit!(self.core.logger, warn, event::ORDER_FAILED, "upstream" => &id, "why" => "not done in time");
+        }
+        self.loading.borrow_mut().remove(&id);
+    }
+
+    /// Engines to load next: those with the oldest weights, then those with the least to do.
+    fn next_engines(&self, model: &str, version: u64) -> Vec<Id> {
+        let upstreams = self.core.upstreams.borrow();
+        let loading = self.loading.borrow();
+        let now = self.core.now();
+        let with_model = upstreams.iter().filter(|(_, u)| u.weights(model).is_some());
+        let (mut all, mut behind) = (0, Vec::new());
+        for (id, upstream) in with_model {
+            all += 1;
+            let old = upstream.weights(model).is_some_and(|has| has < version) && !upstream.refused;
+            let free = !self.record.borrow().is_barred(id, now) && !loading.contains(id);
+            if old && free && !upstream.entry.leaving && upstream.lapsed.is_none() {
+                let unsound = !upstream.health.is_open(now);
+                let running = upstream.running + upstream.others.running;
+                behind.push((unsound, upstream.weights(model), running, id.clone()));
+            }
+        }
+        let most = ((f64::from(all) * AT_ONCE) as usize).max(AT_ONCE_LEAST);
+        behind.sort();
+        if most > self.granted.get() {
+            self.places.add_permits(most - self.granted.get());
+            self.granted.set(most);
+        }
+        let room = (most + EMPTYING).saturating_sub(loading.len());
+        behind.into_iter().take(room).map(|(_, _, _, id)| id).collect()
+    }
+
+    /// Brings one engine to the newest weights.
+    async fn load(&self, id: &Id, model: &str) {
+        let core = &self.core;
+        let began = core.now();
+        self.empty(id, model).await;
+        let _place = self.place().await;
+        let mut last_told = began;
+        loop {
+            if core.now() > last_told + peers::LOADING / 2 {
+                last_told = core.now();
+                peers::tell_weights(core, &self.socket, id, model, None).await;
+            }
+            let Some(address) = core.upstreams.borrow().get(id).map(|u| u.entry.address) else {
+                return;
+            };
+            let report = match core.engines.report(address).await {
+                Ok(report) => report,
+                Err(why) => {
+                    emit!(core.logger, info, event::ORDER_FAILED, "upstream" => id, "why" => %why);
+                    sleep(REFUSED_PAUSE).await;
+                    return;
+                }
+            };
+            let version = core.weights.borrow().get(model).map_or(0, History::newest);
+            let has = report
+                .models
+                .iter()
+                .find(|loaded| loaded.model == model)
+                .map_or(0, |l| l.version);
+            if has >= version && !report.busy {
+                emit!(core.logger, info, event::WEIGHTS_LOADED, "upstream" => id, "version" => has,
+                    "ms" => core.now().saturating_sub(began).as_millis() as u64);
+                peers::tell_weights(core, &self.socket, id, model, Some(has)).await;
+                return;
+            }
+            if report.busy {
+                sleep(LOOK_BUSY).await;
+            } else if !self.order(id, address, model, version, report.orders).await {
+                return;
+            }
+        }
+    }
+
+    /// Has the boxes send nothing more there, and waits until what cannot go on elsewhere has ended.
+    async fn empty(&self, id: &Id, model: &str) {
+        let core = &self.core;
+        peers::tell_weights(core, &self.socket, id, model, None).await;
+        let until = core.now() + EMPTY_TIME;
+        sleep(HEARD_TIME).await;
+        while core.now() < until && self.fixed(id) > 0 {
+            sleep(LOOK_EMPTY).await;
+        }
+    }
+
+    /// Requests at an engine that cannot go on elsewhere.
+    fn fixed(&self, id: &Id) -> u32 {
+        let upstreams = self.core.upstreams.borrow();
+        upstreams
+            .get(id)
+            .map_or(0, |upstream| upstream.fixed + upstream.others.fixed)
+    }
+
+    /// A place among the engines that load at the same time.
+    async fn place(&self) -> Option<tokio::sync::SemaphorePermit<'_>> {
+        // The semaphore is never closed.
+        self.places.acquire().await.ok()
+    }
+
+    /// Gives one order; whether to go on with the engine.
+    async fn order(&self, id: &Id, address: SocketAddr, model: &str, version: u64, orders: u64) -> bool {
+        let core = &self.core;
+        let Some(fence) = self.may_order(id) else {
+            return false;
+        };
+        let holder = core.settings.id.clone();
+        let order = Order {
+            model: model.to_owned(),
+            version,
+            holder,
+            fence,
+            orders,
+        };
+        self.record.borrow_mut().order(id, core.now());
+        let taken = core.engines.order(address, id, &order).await;
+        emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => id, "version" => version,
+            "fence" => fence, "fixed" => self.fixed(id), "answer" => ?taken);
+        match taken {
+            Ok(Taken::Started) => sleep(LOAD_LEAST).await,
+            Ok(Taken::Refused(status)) => {
+                if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
+                    // Another incarnation has the address.
+                    upstream.refused |= status == 421;
+                }
+                sleep(REFUSED_PAUSE).await;
+                return false;
+            }
+            Ok(Taken::Holds | Taken::Conflict) | Err(_) => sleep(LOOK).await,
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/steward/mod.rs
@@ -0,0 +1,12 @@
+//! The duty to bring engines to the newest weights.
+//!
+//! One box has it, by a lease in the platform's store. The fencing token of
+//! its orders is the revision at which it took the lease. Engines may not
+//! check tokens; so a box that takes over leaves alone the engines that the box
+//! before may have ordered, until orders of the two cannot follow each other too closely.
+
+mod duty;
+mod load;
+mod record;
+
+pub use duty::Steward;
