A box that was cut off alone does not wait for entries to come back after an outage of the store

Ruled out: a shorter wait: entries that lapse in an outage are back only within two seconds.

Change: boxes that read the store tell, with their loads, the span in which it answered them without a failure. A box whose calls failed alone takes missing entries for gone at once. Boxes with nothing else to tell say so every 0.8 s.

--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -15,7 +15,7 @@
 use crate::keep::Keeps;
 use crate::metrics::Metrics;
 use crate::names::Names;
-use crate::peers::{Book, Loads, Log, Relayed};
+use crate::peers::{Book, Loads, Log, Relayed, Span};
 use crate::port::{Change, Engines, Store};
 use crate::rules::Rules;
 use crate::settings::Settings;
@@ -47,6 +47,9 @@
     pub rules: RefCell<Option<Rc<Rules>>>,
     /// When the call was sent whose answer proves what is in force.
     pub proven: Cell<Option<Moment>>,
+    /// Span in which the store has answered this box's own calls without a failure; `None`
+    /// while they fail, or while another box reads the store for it.
+    pub store_answers: Cell<Option<Span>>,
     /// Upstreams.
     pub upstreams: RefCell<Registry>,
     /// Stores of kept KV cache.
@@ -98,6 +101,7 @@
             stop: Stop::default(),
             rules: RefCell::default(),
             proven: Cell::default(),
+            store_answers: Cell::default(),
             upstreams: RefCell::default(),
             keeps: RefCell::default(),
             weights: RefCell::default(),
--- a/crates/jb-relay/src/follow.rs
+++ b/crates/jb-relay/src/follow.rs
@@ -12,7 +12,7 @@
 use tokio::time::sleep;
 
 use crate::core::{Core, Shared};
-use crate::peers;
+use crate::peers::{self, Span};
 use crate::port::{Age, Change, Entry, Fact, News, Revision, StoreError};
 use crate::upstream::Seen;
 
@@ -37,8 +37,23 @@
     gone: bool,
     /// Since when calls fail.
     failing: Option<Moment>,
-    /// When they went well again.
-    returned: Option<Moment>,
+    /// The last time in which they failed, up to the first that went well again.
+    outage: Option<Span>,
+}
+
+impl Progress {
+    /// Whether entries of upstreams may be missing only because the store was away.
+    fn is_returning(&self, core: &Core) -> bool {
+        let Some(outage) = self.outage else { return false };
+        // The end of an outage that others saw nothing of is not in their last reading yet.
+        let last_read = outage.until.saturating_sub(2 * PERIOD);
+        let seen = Span {
+            until: last_read.max(outage.from),
+            ..outage
+        };
+        let here_only = core.loads.borrow().store_answered(seen);
+        core.now() < outage.until + COME_BACK && !here_only
+    }
 }
 
 /// Follows the store for ever, through the lead of the data hall where it can.
@@ -51,6 +66,7 @@
         };
         match heard {
             Some(heard) => {
+                core.store_answers.set(None);
                 let whole = heard.proven.is_some();
                 take(&core, &mut progress, &heard.changes, heard.revision, heard.proven);
                 if whole {
@@ -76,7 +92,7 @@
     let stale = progress.after.is_none() && age == Age::Stale;
     match news {
         Ok(News { changes, revision }) => {
-            found(core, progress);
+            found(core, progress, asked);
             take(core, progress, &changes, revision, (!stale).then_some(asked));
             if !stale {
                 sleep((asked + PERIOD).saturating_sub(core.now())).await;
@@ -96,17 +112,24 @@
 
 fn lost(core: &Core, progress: &mut Progress, why: &StoreError) {
     core.metrics.store_failures.inc();
+    core.store_answers.set(None);
     if progress.failing.is_none() {
         progress.failing = Some(core.now());
         emit!(core.logger, warn, event::PLATFORM_LOST, "why" => %why);
     }
 }
 
-fn found(core: &Core, progress: &mut Progress) {
+fn found(core: &Core, progress: &mut Progress, asked: Moment) {
+    let now = core.now();
+    let from = core.store_answers.get().map_or(asked, |span| span.from);
+    core.store_answers.set(Some(Span { from, until: asked }));
     if let Some(since) = progress.failing.take() {
-        progress.returned = Some(core.now());
+        progress.outage = Some(Span {
+            from: since,
+            until: now,
+        });
         emit!(core.logger, info, event::PLATFORM_FOUND,
-            "after_ms" => core.now().saturating_sub(since).as_millis() as u64);
+            "after_ms" => now.saturating_sub(since).as_millis() as u64);
     }
 }
 
@@ -119,7 +142,7 @@
     proven: Option<Moment>,
 ) {
     let whole = progress.after.is_none();
-    let returning = progress.returned.is_some_and(|at| core.now() < at + COME_BACK);
+    let returning = progress.is_returning(core);
     let mut seen = Vec::new();
     for change in changes {
         let fact = core.store.decode(change);
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -16,7 +16,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use super::message::{Message, Told, ToldLoad, ToldUse, ToldWeights};
+use super::message::{Message, Told, ToldLoad, ToldStore, ToldUse, ToldWeights};
 use super::socket::send;
 use crate::core::{Core, Shared};
 use crate::upstream::{Load, Upstream};
@@ -37,6 +37,9 @@
 const MOST_WAITING: usize = 100;
 /// Upstreams whose load is told, the busiest first.
 const MOST_LOADS: usize = 110;
+/// Tellings without anything of which one is sent all the same, where the box reads the store:
+/// another one that was cut off learns from it whether the store was away.
+const QUIET_TOLD: u32 = 8;
 /// Time for which an engine that loads weights gets nothing, unless it is told done before.
 pub const LOADING: Duration = Duration::from_millis(2500);
 
@@ -60,6 +63,26 @@
     /// Whether it comes from a box that this one tells sums.
     member: bool,
     loads: Vec<ToldLoad>,
+    /// Span in which the store answered it without a failure.
+    store: Option<Span>,
+}
+
+/// Span of time by the clock of this box.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Span {
+    /// Begin.
+    pub from: Moment,
+    /// End.
+    pub until: Moment,
+}
+
+impl Loads {
+    /// Whether the store answered another box all through a span.
+    pub fn store_answered(&self, span: Span) -> bool {
+        let spans = self.told.values().filter_map(|heard| heard.store);
+        let mut all = spans.filter(|told| told.from <= span.from && told.until >= span.until);
+        all.next().is_some()
+    }
 }
 
 /// A prompt that is placed at an engine, or kept by a store.
@@ -113,11 +136,12 @@
 
 /// Tells from time to time.
 pub async fn tell(core: Shared, socket: Rc<UdpSocket>) {
-    let mut quiet = false;
+    let mut quiet = 0;
     loop {
         if core.book.borrow().is_small() {
             sleep(PERIOD).await;
-            quiet = tell_all(&core, &socket, quiet).await;
+            let nothing = tell_all(&core, &socket, quiet).await;
+            quiet = if nothing { quiet + 1 } else { 0 };
         } else {
             sleep(LARGE_PERIOD).await;
             tell_lead(&core, &socket).await;
@@ -125,8 +149,8 @@
     }
 }
 
-/// Tells all other boxes; whether there was nothing to tell.
-async fn tell_all(core: &Core, socket: &UdpSocket, quiet: bool) -> bool {
+/// Tells all other boxes; whether there was nothing to tell, as `quiet` times before.
+async fn tell_all(core: &Core, socket: &UdpSocket, quiet: u32) -> bool {
     let uses = std::mem::take(&mut core.loads.borrow_mut().own);
     let told = Told {
         loads: own_loads(core),
@@ -134,7 +158,8 @@
         ..Told::new(core)
     };
     let nothing = told.loads.is_empty() && told.uses.is_empty();
-    if !(nothing && quiet) {
+    let reads = told.store.is_some() && quiet.is_multiple_of(QUIET_TOLD);
+    if !nothing || quiet == 0 || reads {
         let others = addresses(core);
         for message in messages(told) {
             for address in &others {
@@ -221,6 +246,7 @@
             loads,
             weights,
             uses,
+            store: None,
         }));
     }
     all
@@ -273,6 +299,24 @@
     busy.map(|(_, u)| told(u)).collect()
 }
 
+fn told_store(span: Span, now: Moment) -> ToldStore {
+    let before = |at: Moment| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
+    ToldStore {
+        from_ms: before(span.from),
+        until_ms: before(span.until),
+    }
+}
+
+/// A span as another box told it. Its way here makes the span end later than it did, by less
+/// than what one reading of the store takes.
+fn span(told: ToldStore, now: Moment) -> Span {
+    let at = |before| now.saturating_sub(Duration::from_millis(before));
+    Span {
+        from: at(told.from_ms),
+        until: at(told.until_ms),
+    }
+}
+
 impl Told {
     /// Nothing told yet.
     fn new(core: &Core) -> Self {
@@ -283,6 +327,7 @@
             loads: Vec::new(),
             weights: Vec::new(),
             uses: Vec::new(),
+            store: core.store_answers.get().map(|span| told_store(span, core.now())),
         }
     }
 
@@ -312,12 +357,14 @@
     }
     if told.tells_loads() {
         let (member, loads) = (told.wants_sum, told.loads);
+        let store = told.store.map(|told| span(told, now));
         core.loads.borrow_mut().told.insert(
             told.from.clone(),
             Heard {
                 at: now,
                 member,
                 loads,
+                store,
             },
         );
         sum_up(core);
--- a/crates/jb-relay/src/peers/message.rs
+++ b/crates/jb-relay/src/peers/message.rs
@@ -37,6 +37,17 @@
     pub weights: Vec<ToldWeights>,
     /// Prompts that were sent to engines since the last telling.
     pub uses: Vec<ToldUse>,
+    /// How the store answers the box, if it reads the store itself.
+    pub store: Option<ToldStore>,
+}
+
+/// Span of time in which the store answered a box without a failure.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct ToldStore {
+    /// Begin of the span before the telling, in milliseconds.
+    pub from_ms: u64,
+    /// End of the span before the telling, in milliseconds.
+    pub until_ms: u64,
 }
 
 /// Load that boxes put on an upstream.
