Prompts wait in the box while engines have more to read than can be in time

Hypothesis: in the worst seconds what is asked most is late, not lost: engines read prompts in the order in which they come, and boxes send everything.

Change: jb-policy/gate: a prompt goes out where nothing waits, or where it and urgent ones after it can still be in time by the estimate; others wait in the box, late ones behind those that can be in time, and go before their caller leaves. What would come too late for its caller is refused at once with the time until there is room. The estimate uses a reading speed that is learned from first tokens (jb-policy/pace) and the time of a move from the configuration's bytes a token and link. In a small fleet prompts of 1,500 tokens and more to read are told at once, so that boxes do not all send to an engine that has just become idle.

--- a/crates/jb-policy/src/choose.rs
+++ b/crates/jb-policy/src/choose.rs
@@ -5,6 +5,8 @@
 //! running requests. Bytes to another data hall are a small cost on top, so
 //! that the own hall wins among equals.
 
+use std::time::Duration;
+
 use crate::kept::Piece;
 use crate::place;
 
@@ -18,6 +20,8 @@
     pub import: f64,
     /// Cost of each thousand tokens so brought.
     pub import_per_k: f64,
+    /// Time of a move of a thousand tokens, from the bytes of a token and the link.
+    pub move_per_k: f64,
     /// Cost of each thousand tokens of shared parts that have to be read, beside the time to
     /// read them: most were read elsewhere a moment ago, and operators pay for reading again.
     pub again_per_k: f64,
@@ -43,6 +47,7 @@
             tokens_per_ms: 50.0,
             import: 60.0,
             import_per_k: 10.0,
+            move_per_k: 10.0,
             again_per_k: 60.0,
             behind: 20.0,
             per_running: 5.0,
@@ -123,6 +128,20 @@
     costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
 }
 
+/// Drag of one running request on a first token, in milliseconds; from a fit over 18,800 first
+/// tokens, 0.2 to 3 ms. The choice counts more, so that loads spread.
+const DRAG: f64 = 1.5;
+
+/// Time until the first token at a candidate.
+pub fn first_token(candidate: &Candidate, demand: &Demand<'_>, tuning: &Tuning) -> Duration {
+    let brought = candidate.elsewhere.saturating_sub(candidate.found);
+    let unread = demand.tokens().saturating_sub(candidate.found + brought);
+    let moving = tuning.move_per_k * brought as f64 / 1000.0;
+    let reading = (candidate.waiting + unread) as f64 / tuning.tokens_per_ms;
+    let millis = (reading + moving + DRAG * f64::from(candidate.running)) * candidate.slowness;
+    Duration::from_secs_f64(millis / 1000.0)
+}
+
 /// Candidates up to which all are weighed.
 const FEW: usize = 16;
 /// Engines that share a family where there are more; measured with 90 and 140 engines.
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -7,6 +7,7 @@
 
 use jb_policy::Moment;
 use jb_policy::choose::Tuning;
+use jb_policy::pace::Pace;
 use jb_policy::share::{Bound, Budget};
 use jb_policy::weights::History;
 use jb_protocol::id;
@@ -68,6 +69,8 @@
     pub relayed: Relayed,
     /// Retry budget of each service.
     pub budgets: RefCell<HashMap<id::Service, Budget>>,
+    /// Reading speed of each service's engines.
+    pub paces: RefCell<HashMap<id::Service, Pace>>,
     /// Bytes of request bodies held.
     pub held: Cell<usize>,
     started: Instant,
@@ -111,6 +114,7 @@
             log: RefCell::default(),
             relayed: Relayed::default(),
             budgets: RefCell::default(),
+            paces: RefCell::default(),
             held: Cell::default(),
             started: Instant::now(),
         })
--- a/crates/jb-relay/src/exchange/count.rs
+++ b/crates/jb-relay/src/exchange/count.rs
@@ -1,6 +1,9 @@
 //! Load that a request puts on an upstream.
 
+use jb_policy::Moment;
+
 use crate::core::Shared;
+use crate::peers;
 use crate::upstream::Id;
 
 /// Load of one request at one upstream, counted until dropped.
@@ -9,27 +12,48 @@
     id: &'a Id,
     waiting: u64,
     fixed: u32,
+    sent: Moment,
+    /// Tokens to be read before its first one, its own with them.
+    ahead: u64,
 }
 
 impl<'a> Counted<'a> {
     pub(super) fn new(core: &'a Shared, id: &'a Id, waiting: u64, fixed: bool) -> Self {
         let fixed = u32::from(fixed);
+        let mut ahead = waiting;
         if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
+            ahead += upstream.waiting + upstream.others.waiting;
             upstream.running += 1;
             upstream.fixed += fixed;
             upstream.waiting += waiting;
             upstream.health.sent();
+            peers::note_sent(core, upstream, waiting);
         }
         Self {
             core,
             id,
             waiting,
             fixed,
+            sent: core.now(),
+            ahead,
         }
     }
 
-    /// The first token has come.
-    pub(super) fn started(&mut self) {
+    /// The first token has come, to a request of a service.
+    pub(super) fn first_token(&mut self, service: &str) {
+        if self.waiting > 0 {
+            let took = self.core.now().saturating_sub(self.sent);
+            let mut paces = self.core.paces.borrow_mut();
+            paces
+                .entry(service.to_owned())
+                .or_default()
+                .note(self.ahead, took);
+        }
+        self.started();
+    }
+
+    /// Nothing of it waits any more.
+    fn started(&mut self) {
         if let Some(upstream) = self.core.upstreams.borrow_mut().get_mut(self.id) {
             upstream.waiting = upstream.waiting.saturating_sub(self.waiting);
         }
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -4,7 +4,8 @@
 
 use bytes::Bytes;
 use jb_policy::bring::{self, Holdings, Origin};
-use jb_policy::choose::{self, Demand};
+use jb_policy::choose::{self, Demand, Tuning};
+use jb_policy::gate::{self, Estimate, Verdict};
 use jb_policy::kept::Piece;
 use jb_policy::weights::Version;
 use jb_protocol::{emit, event};
@@ -23,12 +24,60 @@
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
 const KEPT_PERCENT: u64 = 90;
 
+/// The upstream that is chosen for a request, with what it would do.
+pub(super) struct Choice {
+    pub(super) id: Id,
+    pub(super) estimate: Estimate,
+}
+
 /// The upstream that a request is sent to next, if one is open.
-pub(super) fn choose(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Id]) -> Option<Id> {
+pub(super) fn choose(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Id]) -> Option<Choice> {
     let wanted = wanted(core, ticket, body, tried);
     let (ids, candidates) = core.upstreams.borrow().candidates(&wanted, core.now());
-    let at = choose::best(&candidates, &wanted.demand, &core.tuning)?;
-    Some(ids[at].clone())
+    let tuning = tuning(core, ticket);
+    let at = choose::best(&candidates, &wanted.demand, &tuning)?;
+    let estimate = Estimate {
+        first: choose::first_token(&candidates[at], &wanted.demand, &tuning),
+        queued: candidates[at].waiting > 0,
+    };
+    Some(Choice {
+        id: ids[at].clone(),
+        estimate,
+    })
+}
+
+/// Weights of the choice, with what is known of the service's engines.
+fn tuning(core: &Core, ticket: &Ticket) -> Tuning {
+    let pace = core
+        .paces
+        .borrow()
+        .get(&ticket.service)
+        .copied()
+        .unwrap_or_default();
+    let service = ticket.rules.services.get(&ticket.service);
+    let moves = service.and_then(|service| service.move_per_k);
+    Tuning {
+        tokens_per_ms: pace.tokens_per_ms(),
+        move_per_k: moves.map_or(core.tuning.move_per_k, |time| time.as_secs_f64() * 1000.0),
+        ..core.tuning
+    }
+}
+
+/// Whether a request that nothing has been done for is sent now.
+pub(super) fn judge(core: &Core, ticket: &Ticket, estimate: &Estimate) -> Verdict {
+    if ticket.prompt.is_empty() {
+        return Verdict::Send;
+    }
+    let target = ticket.route.target;
+    let urgent = ticket.rules.urgent_target(&ticket.service, ticket.route.rank);
+    let left = ticket.until.saturating_sub(ticket.arrived);
+    let request = gate::Request {
+        waited: core.now().saturating_sub(ticket.arrived),
+        target,
+        urgent: urgent.unwrap_or(target),
+        patience: ticket.route.leave().min(left),
+    };
+    gate::judge(&request, estimate)
 }
 
 /// Whether another upstream takes a request whose upstream is silent: one is open, and the
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -4,6 +4,7 @@
 
 use bytes::Bytes;
 use jb_policy::Moment;
+use jb_policy::gate::Verdict;
 use jb_policy::health::Change;
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
@@ -22,6 +23,9 @@
 const MOST_SENDS: u32 = 4;
 /// Pause before the upstreams are looked through again when none is open.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
+/// Pause before a request that waits for a place in time is judged again: loads of other boxes
+/// are told every 100 ms, own first tokens come at any time.
+const LOOK_FOR_PLACE: Duration = Duration::from_millis(20);
 /// Share of the wanted time for which a request waits in the box for an upstream.
 const WAIT_SHARE: f64 = 0.2;
 
@@ -51,6 +55,8 @@
     pub(super) runs: u32,
     /// Whether the next send is taken from the retry budget already.
     pub(super) paid: bool,
+    /// Time after which engines have room again, where they have none.
+    room_after: Option<Duration>,
     pub(super) pace: Pace,
 }
 
@@ -80,6 +86,7 @@
             sends: 0,
             runs: 0,
             paid: false,
+            room_after: None,
             pace: Pace::default(),
         }
     }
@@ -94,7 +101,7 @@
                 return self.give_up(why);
             }
             let Some(id) = self.pick(client).await else {
-                return self.give_up(why);
+                return self.give_up(self.room_after.map_or(why, |_| "no_room"));
             };
             let paid = std::mem::take(&mut self.paid) || self.sends == 0;
             if !paid && !self.core.spend(&ticket.service) {
@@ -127,8 +134,9 @@
         }
     }
 
-    /// The upstream for the next send; waits a little when none is open.
-    async fn pick(&self, client: &mut Connection) -> Option<Id> {
+    /// The upstream for the next send; waits a little when none is open, and for a place in
+    /// time at the first send.
+    async fn pick(&mut self, client: &mut Connection) -> Option<Id> {
         let ticket = self.message.ticket;
         // A stream that goes on may pause for as long as its route allows.
         let until = match self.message.last_event {
@@ -136,14 +144,21 @@
             None => ticket.arrived + ticket.route.target.mul_f64(WAIT_SHARE),
         };
         loop {
-            if let Some(id) = place::choose(self.core, ticket, self.message.body, &self.tried) {
-                return Some(id);
-            }
-            if self.core.now() >= until {
-                return None;
-            }
+            let pause = match place::choose(self.core, ticket, self.message.body, &self.tried) {
+                Some(choice) if !self.tried.is_empty() => return Some(choice.id),
+                Some(choice) => match place::judge(self.core, ticket, &choice.estimate) {
+                    Verdict::Send => return Some(choice.id),
+                    Verdict::Wait => LOOK_FOR_PLACE,
+                    Verdict::Refuse(after) => {
+                        self.room_after = Some(after);
+                        return None;
+                    }
+                },
+                None if self.core.now() >= until => return None,
+                None => LOOK_AGAIN,
+            };
             tokio::select! {
-                () = sleep(LOOK_AGAIN) => {}
+                () = sleep(pause) => {}
                 () = client.closed() => return None,
             }
         }
@@ -281,7 +296,7 @@
                 self.paid = more && place::goes_on(core, ticket, body, &self.tried);
                 self.paid
             };
-            let started = || counted.started();
+            let started = || counted.first_token(&ticket.service);
             let pace = &mut self.pace;
             deliver::stream(core, &mut self.message, reply, client, pace, started, elsewhere).await
         } else {
@@ -328,6 +343,11 @@
         self.pace
     }
 
+    /// Time after which a refused request finds room.
+    pub fn room_after(&self) -> Option<Duration> {
+        self.room_after
+    }
+
     /// Upstreams that were tried.
     pub fn tried(&self) -> &[Id] {
         &self.tried
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -171,11 +171,12 @@
     let mut exchange = Exchange::new(core, query, body, &ticket);
     let ending = exchange.run(client).await;
     let begun = exchange.has_begun();
+    let after = exchange.room_after().unwrap_or_default().max(COME_BACK);
     report(core, &ticket, &exchange, ending);
     match ending {
         Ending::Answered(_) => true,
         Ending::CallerGone | Ending::Broken(_) => false,
-        Ending::NotRun(_) => final_answer(core, client, &ticket.id, 503, Some(COME_BACK)).await,
+        Ending::NotRun(_) => final_answer(core, client, &ticket.id, 503, Some(after)).await,
         // The head is out already: only the missing end tells the caller.
         Ending::Lost(_) | Ending::Late if begun => false,
         Ending::Lost(_) => final_answer(core, client, &ticket.id, 502, None).await,
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -14,9 +14,10 @@
 use jb_policy::kept::Piece;
 use jb_protocol::id;
 use tokio::net::UdpSocket;
-use tokio::time::sleep;
+use tokio::sync::Notify;
+use tokio::time::{sleep, timeout};
 
-use super::message::{Message, Told, ToldLoad, ToldStore, ToldUse, ToldWeights};
+use super::message::{Message, Sent, Told, ToldLoad, ToldStore, ToldUse, ToldWeights};
 use super::socket::send;
 use crate::core::{Core, Shared};
 use crate::upstream::{Load, Upstream};
@@ -55,6 +56,10 @@
     untold: u32,
     /// When the lead last told its sum.
     lead_heard: Moment,
+    /// Long prompts of this box that the others do not know of yet.
+    sent: Vec<(u32, u32)>,
+    /// Wakes the duty that tells of them.
+    wake: Rc<Notify>,
 }
 
 #[derive(Debug)]
@@ -134,12 +139,70 @@
     }
 }
 
+/// Tokens from which on others hear of a prompt at once in a small fleet: with loads told every
+/// 100 ms alone, all boxes sent to an engine that had just become idle.
+const LONG: u64 = 1500;
+
+/// Notes a prompt that has been sent, for the other boxes of a small fleet.
+pub fn note_sent(core: &Core, upstream: &Upstream, tokens: u64) {
+    if tokens < LONG || !core.book.borrow().is_small() {
+        return;
+    }
+    let mut loads = core.loads.borrow_mut();
+    loads
+        .sent
+        .push((short(upstream.name), u32::try_from(tokens).unwrap_or(u32::MAX)));
+    loads.wake.notify_one();
+}
+
+/// Tells of long prompts until the next telling of loads is due.
+async fn tell_sent(core: &Core, socket: &UdpSocket) {
+    let wake = Rc::clone(&core.loads.borrow().wake);
+    let due = core.now() + PERIOD;
+    while timeout(due.saturating_sub(core.now()), wake.notified())
+        .await
+        .is_ok()
+    {
+        let prompts = std::mem::take(&mut core.loads.borrow_mut().sent);
+        if prompts.is_empty() {
+            continue;
+        }
+        let from = core.settings.id.clone();
+        let message = Message::Sent(Sent { from, prompts });
+        for address in addresses(core) {
+            send(core, socket, address, &message).await;
+        }
+    }
+}
+
+/// Takes long prompts that another box has sent, until it tells its loads.
+pub(super) fn take_sent(core: &Core, sent: &Sent) {
+    if let Some(heard) = core.loads.borrow_mut().told.get_mut(&sent.from) {
+        for &(upstream, tokens) in &sent.prompts {
+            let none = ToldLoad {
+                upstream,
+                running: 0,
+                fixed: 0,
+                waiting: 0,
+            };
+            let at = heard.loads.iter().position(|load| load.upstream == upstream);
+            let at = at.unwrap_or_else(|| {
+                heard.loads.push(none);
+                heard.loads.len() - 1
+            });
+            heard.loads[at].running += 1;
+            heard.loads[at].waiting += u64::from(tokens);
+        }
+    }
+    sum_up(core);
+}
+
 /// Tells from time to time.
 pub async fn tell(core: Shared, socket: Rc<UdpSocket>) {
     let mut quiet = 0;
     loop {
         if core.book.borrow().is_small() {
-            sleep(PERIOD).await;
+            tell_sent(&core, &socket).await;
             let nothing = tell_all(&core, &socket, quiet).await;
             quiet = if nothing { quiet + 1 } else { 0 };
         } else {
@@ -152,6 +215,7 @@
 /// Tells all other boxes; whether there was nothing to tell, as `quiet` times before.
 async fn tell_all(core: &Core, socket: &UdpSocket, quiet: u32) -> bool {
     let uses = std::mem::take(&mut core.loads.borrow_mut().own);
+    core.loads.borrow_mut().sent.clear();
     let told = Told {
         loads: own_loads(core),
         uses,
--- a/crates/jb-relay/src/peers/message.rs
+++ b/crates/jb-relay/src/peers/message.rs
@@ -18,6 +18,8 @@
     Ask(Ask),
     /// What has changed.
     News(News),
+    /// Long prompts that a box has just sent.
+    Sent(Sent),
     /// A box that has just started asks when weights were named.
     AskNamings(AskNamings),
     /// When they were.
@@ -96,6 +98,15 @@
     pub after: Revision,
 }
 
+/// Long prompts that a box has sent since its last telling of loads.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Sent {
+    /// Box.
+    pub from: id::Box,
+    /// Upstream of each prompt with the tokens that it has to read.
+    pub prompts: Vec<(u32, u32)>,
+}
+
 /// A question when weights were named.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(super) struct AskNamings {
--- a/crates/jb-relay/src/rules.rs
+++ b/crates/jb-relay/src/rules.rs
@@ -21,6 +21,11 @@
 const PATIENCE: f64 = 1.5;
 /// The same within a stream, in longest wanted pauses.
 const SILENCE: f64 = 2.0;
+/// Time without a first token after which callers leave a stream: the longest of this, of this
+/// many wanted times and of this many longest pauses; from the platform's page.
+const LEAVE_LEAST: Duration = Duration::from_secs(2);
+const LEAVE_TARGETS: f64 = 4.0;
+const LEAVE_PAUSES: f64 = 8.0;
 /// Least silence that counts, where a route wants no time or names none.
 const LEAST_SILENCE: Duration = Duration::from_millis(100);
 
@@ -68,6 +73,13 @@
         self.target.mul_f64(PATIENCE).max(LEAST_SILENCE)
     }
 
+    /// Time without a first token after which the caller of a stream leaves.
+    pub fn leave(&self) -> Duration {
+        let targets = self.target.mul_f64(LEAVE_TARGETS);
+        let pauses = self.pause.mul_f64(LEAVE_PAUSES);
+        LEAVE_LEAST.max(targets).max(pauses)
+    }
+
     /// Silence within a stream after which it may go on elsewhere.
     pub fn silence(&self) -> Duration {
         self.pause.mul_f64(SILENCE).max(LEAST_SILENCE)
@@ -102,6 +114,8 @@
 pub struct Service {
     /// Tokens that the memory of one of its engines holds; 0 for plain services.
     pub memory_tokens: u64,
+    /// Time in which a link moves a thousand tokens; `None` where it is not known.
+    pub move_per_k: Option<Duration>,
 }
 
 /// A store of kept KV cache.
@@ -198,6 +212,14 @@
         routes.iter().find(|route| path.starts_with(&route.prefix))
     }
 
+    /// The least time that a stream route of a service wants, among those of a rank and above.
+    pub fn urgent_target(&self, service: &str, rank: u8) -> Option<Duration> {
+        let routes = self.hosts.values().flatten();
+        let streams = routes.filter(|route| route.kind == Kind::Stream && route.rank <= rank);
+        let same = streams.filter(|route| route.services.iter().any(|share| share.service == service));
+        same.map(|route| route.target).min()
+    }
+
     /// The customer that holds a key.
     pub fn customer(&self, key: &str) -> Option<&Customer> {
         self.customers.get(*self.keys.get(key)?)
