--- a/crates/jb-policy/src/bring.rs
+++ b/crates/jb-policy/src/bring.rs
@@ -56,11 +56,10 @@
         has_store,
     } = *holdings;
     let by_engine = engine >= own + LEAST;
-    let origin = if by_engine && engine >= shared {
+    // The store may have more than boxes know of, but what an engine keeps surely comes.
+    let origin = if by_engine && engine >= store.max(own) {
         Origin::Engine
     } else if has_store && (store > 0 || shared >= own + LEAST_ASKED) {
-        // Also where the engine is believed to keep all: it may have given way to running
-        // requests. Then nothing moves.
         Origin::Store
     } else if by_engine {
         Origin::Engine
--- a/crates/jb-policy/tests/bring.rs
+++ b/crates/jb-policy/tests/bring.rs
@@ -50,6 +50,17 @@
     takes(Origin::Store, 0, holdings);
 }
 
+/// The store was asked although it was not known to have anything, nothing came, and the engine
+/// read all again.
+#[test]
+fn engine_with_some_parts_goes_before_a_store_that_is_not_known_to_have_more() {
+    let holdings = Holdings {
+        engine: ROOT,
+        ..holdings()
+    };
+    takes(Origin::Engine, ROOT, holdings);
+}
+
 #[test]
 fn engine_with_some_parts_is_the_source_where_there_is_no_store() {
     let holdings = Holdings {
