A box that starts asks engines what they keep

Ruled out: slow start: boxes serve 20 ms after it.

Change: recall reads each engine's list once at the start (in a large fleet only boxes that lead a data hall ask, as the question holds up the engine); the text under which parts are kept is made and read in one place (salt). Events 5007, 5008.

--- a/crates/jb-policy/src/kept.rs
+++ b/crates/jb-policy/src/kept.rs
@@ -54,6 +54,13 @@
         }
     }
 
+    /// Notes parts that a place says it keeps; which of them goes first is not known.
+    pub fn recall(&mut self, pieces: &[Piece]) {
+        for piece in pieces {
+            self.parts.insert(piece.part, self.inflow);
+        }
+    }
+
     /// Whether a part is believed to be kept.
     pub fn holds(&self, part: Part) -> bool {
         self.parts
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -54,6 +54,8 @@
     UPSTREAM_RETURNED = 5004, "upstream_returned", "An upstream is tried again.";
     UPSTREAM_SEEN = 5005, "upstream_seen", "A new incarnation of an upstream is known.";
     UPSTREAM_GONE = 5006, "upstream_gone", "An upstream's entry has gone.";
+    KEPT_READ = 5007, "kept_read", "An engine has told the parts of prompts that it keeps.";
+    KEPT_UNREAD = 5008, "kept_unread", "An engine has not told the parts of prompts that it keeps.";
     CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
     STEWARD_TAKEN = 7001, "steward_taken", "The box has become its hall's steward.";
     STEWARD_LOST = 7002, "steward_lost", "The box is no longer its hall's steward.";
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -9,6 +9,7 @@
 use crate::http::{self, Answer, Body, Framing, Query, Step, write_query};
 use crate::link::{self, Link};
 use crate::port::Entry;
+use crate::salt;
 use crate::ticket::Ticket;
 use crate::upstream::Id;
 
@@ -106,11 +107,10 @@
     if let Some(customer) = &ticket.customer {
         own.push((names.customer.as_bytes(), customer.as_bytes()));
     }
-    // The version in the salt keeps apart what was read under other weights, also where
-    // parts are brought from elsewhere; the engine confirms the version.
+    // The engine confirms the version.
     let weights = entry.weights(ticket.model.as_deref().unwrap_or_default());
     let version = weights.map(|version| version.to_string());
-    let salt = format!("{} v{}", ticket.salt, weights.unwrap_or_default());
+    let salt = salt::encode(&ticket.salt, weights);
     let source = message.source.map(|source| source.to_string());
     let keep = message.keep.map(|keep| keep.to_string());
     if let Some(version) = &version {
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -196,9 +196,24 @@
     Refused(u16),
 }
 
+/// A part of a prompt that an engine keeps.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct KeptPart {
+    /// Text under which it is kept.
+    pub salt: String,
+    /// Id as callers name it.
+    pub id: String,
+    /// Tokens of it that are kept.
+    pub tokens: u64,
+    /// Model.
+    pub model: String,
+}
+
 /// Control calls to model engines.
 #[async_trait(?Send)]
 pub trait Engines {
+    /// Asks what the engine keeps of prompts.
+    async fn kept(&self, address: SocketAddr) -> Result<Vec<KeptPart>, StoreError>;
     /// Asks for the engine's report.
     async fn report(&self, address: SocketAddr) -> Result<Report, StoreError>;
     /// Gives an order to an incarnation of an engine.
--- /dev/null
+++ b/crates/jb-relay/src/recall.rs
@@ -0,0 +1,75 @@
+//! What engines keep, read from them when a box starts.
+//!
+//! A box that has just started knows nothing of the parts that engines keep, and would have them
+//! read again elsewhere; after a restart of all boxes nobody could tell it.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_policy::kept::Piece;
+use jb_protocol::{emit, event};
+use tokio::task::spawn_local;
+use tokio::time::sleep;
+
+use crate::core::{Core, Shared};
+use crate::port::KeptPart;
+use crate::salt;
+use crate::upstream::Id;
+
+/// Pause between two looks at whether the box knows the engines.
+const LOOK: Duration = Duration::from_millis(5);
+
+/// Asks all engines once, as soon as the box knows them. In a large fleet only the boxes that
+/// lead a data hall ask: the question holds up an engine's work.
+pub async fn run(core: Shared) {
+    while core.age().is_none() {
+        sleep(LOOK).await;
+    }
+    let asks = {
+        let book = core.book.borrow();
+        let lead = book.lead(&core.settings.hall, core.now());
+        book.is_small() || lead == Some(&core.settings.id)
+    };
+    if asks {
+        for (id, address) in engines(&core) {
+            spawn_local(ask(Rc::clone(&core), id, address));
+        }
+    }
+}
+
+/// Upstreams that keep parts of prompts.
+fn engines(core: &Core) -> Vec<(Id, SocketAddr)> {
+    let upstreams = core.upstreams.borrow();
+    let with_models = upstreams.iter().filter(|(_, u)| !u.entry.models.is_empty());
+    with_models.map(|(id, u)| (id.clone(), u.entry.address)).collect()
+}
+
+async fn ask(core: Shared, id: Id, address: SocketAddr) {
+    match core.engines.kept(address).await {
+        Ok(kept) => take(&core, &id, &kept),
+        Err(why) => emit!(core.logger, info, event::KEPT_UNREAD, "upstream" => id, "why" => %why),
+    }
+}
+
+/// Takes what an engine keeps under the weights that it has.
+fn take(core: &Core, id: &Id, kept: &[KeptPart]) {
+    let mut upstreams = core.upstreams.borrow_mut();
+    let Some(upstream) = upstreams.get_mut(id) else {
+        return;
+    };
+    let mut pieces = Vec::new();
+    for part in kept {
+        let Some((text, version)) = salt::decode(&part.salt) else {
+            continue;
+        };
+        if upstream.weights(&part.model) == Some(version) {
+            pieces.push(Piece {
+                part: salt::part(&part.id, text),
+                tokens: part.tokens,
+            });
+        }
+    }
+    emit!(core.logger, info, event::KEPT_READ, "upstream" => id, "parts" => pieces.len());
+    upstream.kept.recall(&pieces);
+}
--- a/crates/jb-relay/src/ticket.rs
+++ b/crates/jb-relay/src/ticket.rs
@@ -11,6 +11,7 @@
 use crate::core::Core;
 use crate::http::Query;
 use crate::rules::{Route, Rules};
+use crate::salt;
 
 /// Part of the bound on keys after which a box that hears nothing refuses them;
 /// the rest covers requests that are on their way to an engine.
@@ -170,12 +171,10 @@
 
 /// Parts of a prompt as `ID:TOKENS,...`; what does not read as a part ends the list.
 fn parts(text: &str, salt: &str) -> Vec<Piece> {
-    let apart = place::name_hash(salt);
     let piece = |part: &str| {
         let (id, tokens) = part.trim().split_once(':')?;
-        let part = u64::from_str_radix(id, 16).unwrap_or_else(|_| place::name_hash(id));
         Some(Piece {
-            part: place::weight(part, apart),
+            part: salt::part(id, salt),
             tokens: tokens.parse().ok()?,
         })
     };
