Engines that give no report take no place in a roll-out

No engine was loaded from 4.7 to 5.9 s.

Ruled out: sorting them last alone (done already): their pause of health runs out in between.

Change: a report is asked before an engine is emptied; one that gives none, or refuses an order, is passed over for a pause that doubles from 0.6 to 2.4 s.

--- a/crates/jb-relay/src/steward/duty.rs
+++ b/crates/jb-relay/src/steward/duty.rs
@@ -12,6 +12,7 @@
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
+use super::load::Absent;
 use super::record::{self, LAST, NOBODY, Orders, Record};
 use crate::core::Shared;
 use crate::port::{Change, Lease, Revision, StoreError, Write};
@@ -54,6 +55,7 @@
     term: Cell<Option<Term>>,
     pub(super) record: RefCell<Record>,
     pub(super) loading: RefCell<BTreeSet<Id>>,
+    pub(super) absent: RefCell<Absent>,
     pub(super) places: Semaphore,
     pub(super) granted: Cell<usize>,
     vacant_since: Cell<Option<Moment>>,
@@ -69,6 +71,7 @@
             term: Cell::new(None),
             record: RefCell::new(Record::new(own, Orders::new(), Moment::ZERO)),
             loading: RefCell::default(),
+            absent: RefCell::default(),
             places: Semaphore::new(0),
             granted: Cell::new(0),
             vacant_since: Cell::new(None),
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/steward/load.rs
@@ -1,20 +1,25 @@
 //! Engines are emptied, told to load, and watched until they have the newest weights.
 
+use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
+use jb_policy::Moment;
 use jb_policy::weights::History;
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
 use super::duty::{LOOK, Steward};
 use crate::peers;
-use crate::port::{Order, Taken};
+use crate::port::{Order, Report, Taken};
 use crate::upstream::Id;
 
-/// Pause before an engine that refused an order, or gave no report, is tried again.
-const REFUSED_PAUSE: Duration = Duration::from_millis(600);
+/// First pause before an engine that refused an order, or gave no report, is tried again; it
+/// doubles each time.
+const FIRST_PAUSE: Duration = Duration::from_millis(600);
+/// Longest such pause: an engine that is back must be loaded within the bound on old weights.
+const LONGEST_PAUSE: Duration = Duration::from_millis(2400);
 /// Share of a service's engines that load at once.
 const AT_ONCE: f64 = 0.2;
 /// Engines that load at once at least.
@@ -35,6 +40,33 @@
 /// Time after which an engine that does not get done makes room for others.
 const LOAD_TIME: Duration = Duration::from_secs(8);
 
+/// Engines that did not answer, or refused an order: they get no place among those that load.
+#[derive(Debug, Default)]
+pub(super) struct Absent(BTreeMap<Id, Pause>);
+
+#[derive(Clone, Copy, Debug)]
+struct Pause {
+    until: Moment,
+    length: Duration,
+}
+
+impl Absent {
+    fn is_paused(&self, id: &str, now: Moment) -> bool {
+        self.0.get(id).is_some_and(|pause| now < pause.until)
+    }
+
+    fn note(&mut self, id: &Id, now: Moment) {
+        let before = self.0.get(id).map(|pause| pause.length);
+        let length = before.map_or(FIRST_PAUSE, |length| (2 * length).min(LONGEST_PAUSE));
+        let until = now + length;
+        self.0.insert(id.clone(), Pause { until, length });
+    }
+
+    fn answered(&mut self, id: &str) {
+        self.0.remove(id);
+    }
+}
+
 impl Steward {
     /// Begins to load engines that have older weights, a few at a time.
     pub(super) async fn start_loads(self: &Rc<Self>) {
@@ -74,7 +106,8 @@
         for (id, upstream) in with_model {
             all += 1;
             let old = upstream.weights(model).is_some_and(|has| has < version) && !upstream.refused;
-            let free = !self.record.borrow().is_barred(id, now) && !loading.contains(id);
+            let barred = self.record.borrow().is_barred(id, now) || self.absent.borrow().is_paused(id, now);
+            let free = !barred && !loading.contains(id);
             if old && free && !upstream.entry.leaving && upstream.lapsed.is_none() {
                 let unsound = !upstream.health.is_open(now);
                 let running = upstream.running + upstream.others.running;
@@ -91,10 +124,31 @@
         behind.into_iter().take(room).map(|(_, _, _, id)| id).collect()
     }
 
+    /// Report of an engine; `None` when it gave none, or has gone.
+    async fn report(&self, id: &Id) -> Option<(SocketAddr, Report)> {
+        let core = &self.core;
+        let address = core.upstreams.borrow().get(id).map(|u| u.entry.address)?;
+        match core.engines.report(address).await {
+            Ok(report) => {
+                self.absent.borrow_mut().answered(id);
+                Some((address, report))
+            }
+            Err(why) => {
+                emit!(core.logger, info, event::ORDER_FAILED, "upstream" => id, "why" => %why);
+                self.absent.borrow_mut().note(id, core.now());
+                None
+            }
+        }
+    }
+
     /// Brings one engine to the newest weights.
     async fn load(&self, id: &Id, model: &str) {
         let core = &self.core;
         let began = core.now();
+        // An engine that does not answer takes no place from those that do.
+        if self.report(id).await.is_none() {
+            return;
+        }
         self.empty(id, model).await;
         let _place = self.place().await;
         let mut last_told = began;
@@ -103,17 +157,9 @@
                 last_told = core.now();
                 peers::tell_weights(core, &self.socket, id, model, None).await;
             }
-            let Some(address) = core.upstreams.borrow().get(id).map(|u| u.entry.address) else {
+            let Some((address, report)) = self.report(id).await else {
                 return;
             };
-            let report = match core.engines.report(address).await {
-                Ok(report) => report,
-                Err(why) => {
-                    emit!(core.logger, info, event::ORDER_FAILED, "upstream" => id, "why" => %why);
-                    sleep(REFUSED_PAUSE).await;
-                    return;
-                }
-            };
             let version = core.weights.borrow().get(model).map_or(0, History::newest);
             let has = report
                 .models
@@ -184,7 +230,7 @@
                     // Another incarnation has the address.
                     upstream.refused |= status == 421;
                 }
-                sleep(REFUSED_PAUSE).await;
+                self.absent.borrow_mut().note(id, core.now());
                 return false;
             }
             Ok(Taken::Holds | Taken::Conflict) | Err(_) => sleep(LOOK).await,
