Boxes tell each other that another upstream has an address

Ruled out, by reading: sends that are turned away are paid from the budget (all but the first of a request); a first send that meets 421 can't be paid, so there must be few of them.

Change: the first box that is told by another incarnation tells all others in a datagram.

--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -8,6 +8,7 @@
 use crate::core::{Core, Shared};
 use crate::http::{self, Answer, Body, Framing, Query, Step, write_query};
 use crate::link::{self, Link};
+use crate::peers;
 use crate::port::Entry;
 use crate::salt;
 use crate::ticket::Ticket;
@@ -218,7 +219,11 @@
         upstream.pause(core.now());
         // Another incarnation has the address; the same one only has other weights.
         let answering = answer.headers.text(core.names.answering);
-        upstream.refused |= answer.status == 421 && answering.is_some_and(|other| other != id);
+        let replaced = answer.status == 421 && answering.is_some_and(|other| other != id);
+        if replaced && !upstream.refused {
+            upstream.refused = true;
+            peers::note_replaced(core, upstream);
+        }
     }
     let mut body = Body::new(answer.framing);
     let complete = matches!(body.step(&mut link.connection.buffer), Ok(Step::End))
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -17,7 +17,7 @@
 use tokio::sync::Notify;
 use tokio::time::{sleep, timeout};
 
-use super::message::{Message, Sent, Told, ToldLoad, ToldStore, ToldUse, ToldWeights};
+use super::message::{Message, Replaced, Sent, Told, ToldLoad, ToldStore, ToldUse, ToldWeights};
 use super::socket::send;
 use crate::core::{Core, Shared};
 use crate::upstream::{Load, Upstream};
@@ -58,6 +58,8 @@
     lead_heard: Moment,
     /// Long prompts of this box that the others do not know of yet.
     sent: Vec<(u32, u32)>,
+    /// Upstreams whose addresses others have now, and that the other boxes do not know of yet.
+    replaced: Vec<u32>,
     /// Wakes the duty that tells of them.
     wake: Rc<Notify>,
 }
@@ -175,6 +177,31 @@
     }
 }
 
+/// Notes that another incarnation answers at an upstream's address, for the other boxes: each
+/// would find out by a request that is turned away, and these spend the retry budget.
+pub fn note_replaced(core: &Core, upstream: &Upstream) {
+    core.loads.borrow_mut().replaced.push(short(upstream.name));
+}
+
+/// Tells all boxes of replaced upstreams.
+async fn tell_replaced(core: &Core, socket: &UdpSocket) {
+    let upstreams = std::mem::take(&mut core.loads.borrow_mut().replaced);
+    if upstreams.is_empty() {
+        return;
+    }
+    let message = Message::Replaced(Replaced { upstreams });
+    for address in addresses(core) {
+        send(core, socket, address, &message).await;
+    }
+}
+
+/// Takes replaced upstreams.
+pub(super) fn take_replaced(core: &Core, replaced: &Replaced) {
+    for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
+        upstream.refused |= replaced.upstreams.contains(&short(upstream.name));
+    }
+}
+
 /// Takes long prompts that another box has sent, until it tells its loads.
 pub(super) fn take_sent(core: &Core, sent: &Sent) {
     if let Some(heard) = core.loads.borrow_mut().told.get_mut(&sent.from) {
@@ -201,6 +228,7 @@
 pub async fn tell(core: Shared, socket: Rc<UdpSocket>) {
     let mut quiet = 0;
     loop {
+        tell_replaced(&core, &socket).await;
         if core.book.borrow().is_small() {
             tell_sent(&core, &socket).await;
             let nothing = tell_all(&core, &socket, quiet).await;
--- a/crates/jb-relay/src/peers/message.rs
+++ b/crates/jb-relay/src/peers/message.rs
@@ -20,6 +20,8 @@
     News(News),
     /// Long prompts that a box has just sent.
     Sent(Sent),
+    /// Incarnations of upstreams whose addresses others have now.
+    Replaced(Replaced),
     /// A box that has just started asks when weights were named.
     AskNamings(AskNamings),
     /// When they were.
@@ -107,6 +109,13 @@
     pub prompts: Vec<(u32, u32)>,
 }
 
+/// Incarnations of upstreams that are no longer at their addresses.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Replaced {
+    /// Lower halves of the hashes of their ids.
+    pub upstreams: Vec<u32>,
+}
+
 /// A question when weights were named.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(super) struct AskNamings {
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -10,7 +10,7 @@
 mod socket;
 
 pub use book::{Book, Peer};
-pub use gossip::{LOADING, Loads, Placed, Span, note_sent, note_use, tell, tell_weights};
+pub use gossip::{LOADING, Loads, Placed, Span, note_replaced, note_sent, note_use, tell, tell_weights};
 pub use naming::learn;
 pub use register::{KEYS, list, register};
 pub use relay::{Log, Relayed, ask, is_told};
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -61,6 +61,7 @@
             Ok(Message::Ask(ask)) => relay::answer(&core, &socket, from, ask).await,
             Ok(Message::News(news)) => core.relayed.deliver(news),
             Ok(Message::Sent(sent)) => gossip::take_sent(&core, &sent),
+            Ok(Message::Replaced(replaced)) => gossip::take_replaced(&core, &replaced),
             Ok(Message::AskNamings(asked)) => naming::answer(&core, &socket, from, asked).await,
             Ok(Message::Namings(told)) => naming::take(&core, told),
             Err(why) => emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => %why),
