One way to send a message to all boxes, one count of what a candidate brings and reads

The estimate of a first token and the cost of the choice each worked out the tokens that are brought and read; three places sent one message to all boxes.

--- a/crates/jb-policy/src/choose.rs
+++ b/crates/jb-policy/src/choose.rs
@@ -83,6 +83,18 @@
     pub slowness: f64,
 }
 
+impl Candidate {
+    /// Tokens that another engine hands it.
+    fn brought(&self) -> u64 {
+        self.elsewhere.saturating_sub(self.found)
+    }
+
+    /// Of so many leading tokens those that it has to read itself.
+    fn unread(&self, tokens: u64) -> u64 {
+        tokens.saturating_sub(self.found + self.brought())
+    }
+}
+
 /// What a request asks of an upstream.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand<'a> {
@@ -134,8 +146,8 @@
 
 /// Time until the first token at a candidate.
 pub fn first_token(candidate: &Candidate, demand: &Demand<'_>, tuning: &Tuning) -> Duration {
-    let brought = candidate.elsewhere.saturating_sub(candidate.found);
-    let unread = demand.tokens().saturating_sub(candidate.found + brought);
+    let brought = candidate.brought();
+    let unread = candidate.unread(demand.tokens());
     let moving = tuning.move_per_k * brought as f64 / 1000.0;
     let reading = (candidate.waiting + unread) as f64 / tuning.tokens_per_ms;
     let millis = (reading + moving + DRAG * f64::from(candidate.running)) * candidate.slowness;
@@ -172,15 +184,15 @@
 }
 
 fn cost(candidate: &Candidate, demand: &Demand<'_>, tuning: &Tuning) -> f64 {
-    let brought = candidate.elsewhere.saturating_sub(candidate.found);
-    let unread = demand.tokens().saturating_sub(candidate.found + brought);
+    let brought = candidate.brought();
+    let unread = candidate.unread(demand.tokens());
     let import = if brought > 0 {
         tuning.import + tuning.import_per_k * brought as f64 / 1000.0
     } else {
         0.0
     };
     let reading = (candidate.waiting + unread) as f64 / tuning.tokens_per_ms;
-    let unread_shared = demand.shared().saturating_sub(candidate.found + brought);
+    let unread_shared = candidate.unread(demand.shared());
     let again = tuning.again_per_k * unread_shared as f64 / 1000.0;
     let running = f64::from(candidate.running);
     let drag = if demand.prompt.is_empty() {
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -182,11 +182,8 @@
     let nothing = told.loads.is_empty() && told.uses.is_empty();
     let reads = told.store.is_some() && quiet.is_multiple_of(QUIET_TOLD);
     if !nothing || quiet == 0 || reads {
-        let others = addresses(core);
         for message in messages(told) {
-            for address in &others {
-                send(core, socket, *address, &message).await;
-            }
+            tell_everyone(core, socket, &message).await;
         }
     }
     nothing
@@ -292,12 +289,17 @@
         weights: vec![told],
         ..Told::new(core)
     });
+    tell_everyone(core, socket, &message).await;
+}
+
+/// Sends one message to all other boxes.
+pub(super) async fn tell_everyone(core: &Core, socket: &UdpSocket, message: &Message) {
     for address in addresses(core) {
-        send(core, socket, address, &message).await;
+        send(core, socket, address, message).await;
     }
 }
 
-pub(super) fn addresses(core: &Core) -> Vec<SocketAddr> {
+fn addresses(core: &Core) -> Vec<SocketAddr> {
     let book = core.book.borrow();
     book.others(&core.settings.id)
         .map(|(_, peer)| peer.address)
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -7,9 +7,8 @@
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use super::gossip::{addresses, short, sum_up};
+use super::gossip::{short, sum_up, tell_everyone};
 use super::message::{Message, Replaced, Sent};
-use super::socket::send;
 use crate::core::Core;
 use crate::upstream::Upstream;
 
@@ -60,7 +59,7 @@
             continue;
         }
         let from = core.settings.id.clone();
-        tell(core, socket, &Message::Sent(Sent { from, prompts })).await;
+        tell_everyone(core, socket, &Message::Sent(Sent { from, prompts })).await;
     }
 }
 
@@ -84,7 +83,7 @@
 pub(super) async fn tell_replaced(core: &Core, socket: &UdpSocket) {
     let upstreams = std::mem::take(&mut core.notices.borrow_mut().replaced);
     if !upstreams.is_empty() {
-        tell(core, socket, &Message::Replaced(Replaced { upstreams })).await;
+        tell_everyone(core, socket, &Message::Replaced(Replaced { upstreams })).await;
     }
 }
 
@@ -94,9 +93,3 @@
         upstream.refused |= replaced.upstreams.contains(&short(upstream.name));
     }
 }
-
-async fn tell(core: &Core, socket: &UdpSocket, message: &Message) {
-    for address in addresses(core) {
-        send(core, socket, address, message).await;
-    }
-}
