Accounts of engines: one box keeps each, and the others ask it before they send a prompt

Change: a live box of the engine's data hall (rendezvous hashing over boxes that are heard) counts what all boxes have there, what it keeps and how requests end; a box asks the account of the family's own engine, and of three others where that has no room, one datagram there and back; without an answer in 25 ms it decides as before. Prompts are no longer told through leads. Datagrams for accounts count only from boxes that are listed.

--- /dev/null
+++ b/crates/jb-policy/src/account.rs
@@ -0,0 +1,103 @@
+//! The account of one engine: the prompts that all boxes have there, at one box that keeps it.
+//!
+//! In a fleet of hundreds a box sees one request in hundreds, and what it hears of the others is
+//! older than most requests last. So a box asks the account of an engine before it sends a
+//! prompt there. An account that is lost costs speed, never a request: the next box begins an
+//! empty one.
+
+use std::collections::HashMap;
+use std::time::Duration;
+
+use crate::Moment;
+use crate::kept::Part;
+
+/// Id of a place that a box has taken; drawn by the box.
+pub type Place = u64;
+
+/// Time after which a family's parts are sent to a store again: stores drop what is old, and
+/// forget all at a restart, without a word.
+const SEND_AGAIN: Duration = Duration::from_secs(20);
+/// Time for which a family waits for a small prompt to be sent with.
+const WAIT_FOR_SMALL: Duration = Duration::from_secs(3);
+/// Time that an engine needs to read a prompt and to send its parts to a store.
+const SENT_AFTER: Duration = Duration::from_millis(500);
+
+/// One prompt at the engine.
+#[derive(Clone, Copy, Debug)]
+struct Taken {
+    /// Tokens that wait for its first token.
+    waiting: u64,
+    /// When its request must have ended.
+    until: Moment,
+}
+
+/// What is under way at an engine.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests.
+    pub running: u32,
+    /// Prompt tokens that wait for their first token.
+    pub waiting: u64,
+}
+
+/// The account of one engine.
+#[derive(Clone, Debug, Default)]
+pub struct Account {
+    places: HashMap<Place, Taken>,
+    /// When each family's parts were last to be sent to a store.
+    sent: HashMap<Part, Moment>,
+    /// Since when families wait for a small prompt to send their parts with.
+    due: HashMap<Part, Moment>,
+}
+
+impl Account {
+    /// What is under way; places whose time is over were never given back.
+    pub fn load(&mut self, now: Moment) -> Load {
+        self.places.retain(|_, taken| now < taken.until);
+        Load {
+            running: u32::try_from(self.places.len()).unwrap_or(u32::MAX),
+            waiting: self.places.values().map(|taken| taken.waiting).sum(),
+        }
+    }
+
+    /// Takes a place for a prompt with so many tokens to read.
+    pub fn take(&mut self, place: Place, waiting: u64, until: Moment) {
+        self.places.insert(place, Taken { waiting, until });
+    }
+
+    /// The first token has come.
+    pub fn begin(&mut self, place: Place) {
+        if let Some(taken) = self.places.get_mut(&place) {
+            taken.waiting = 0;
+        }
+    }
+
+    /// Gives a place back; whether it was taken.
+    pub fn end(&mut self, place: Place) -> bool {
+        self.places.remove(&place).is_some()
+    }
+
+    /// Whether a prompt's parts are to be sent to a store with this request: `small` ones go
+    /// first, as their own part goes there too and pushes out parts that others could use.
+    pub fn send_due(&mut self, family: Part, small: bool, now: Moment) -> bool {
+        let last = self.sent.get(&family);
+        if last.is_some_and(|at| now < *at + SEND_AGAIN) {
+            return false;
+        }
+        if !small {
+            let since = *self.due.entry(family).or_insert(now);
+            if now < since + WAIT_FOR_SMALL {
+                return false;
+            }
+        }
+        self.due.remove(&family);
+        self.sent.retain(|_, at| now < *at + SEND_AGAIN);
+        self.sent.insert(family, now);
+        true
+    }
+
+    /// Whether a store is believed to have a family's parts.
+    pub fn is_sent(&self, family: Part, now: Moment) -> bool {
+        self.sent.get(&family).is_some_and(|at| now >= *at + SENT_AFTER)
+    }
+}
--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -4,6 +4,7 @@
 //! passes in what happened and when, and gets back what to do. Times are
 //! [`Moment`]s, durations since a start of the caller's choice.
 
+pub mod account;
 pub mod bring;
 pub mod call;
 pub mod cell;
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -16,7 +16,7 @@
 use crate::keep::Keeps;
 use crate::metrics::Metrics;
 use crate::names::Names;
-use crate::peers::{Book, Loads, Log, Notices, Relayed, Span};
+use crate::peers::{Accounts, Book, Loads, Log, Notices, Relayed, Span};
 use crate::port::{Change, Engines, Store};
 use crate::rules::Rules;
 use crate::settings::Settings;
@@ -61,6 +61,8 @@
     pub own: RefCell<BTreeMap<String, Change>>,
     /// Boxes that may be alive.
     pub book: RefCell<Book>,
+    /// Places that this box asks other boxes for.
+    pub accounts: Accounts,
     /// What other boxes told of their load.
     pub loads: RefCell<Loads>,
     /// What the other boxes are to be told at once.
@@ -112,6 +114,7 @@
             weights: RefCell::default(),
             own: RefCell::default(),
             book: RefCell::default(),
+            accounts: Accounts::default(),
             loads: RefCell::default(),
             notices: RefCell::default(),
             log: RefCell::default(),
--- a/crates/jb-relay/src/exchange/count.rs
+++ b/crates/jb-relay/src/exchange/count.rs
@@ -3,7 +3,7 @@
 use jb_policy::Moment;
 
 use crate::core::Shared;
-use crate::peers;
+use crate::peers::{self, Held};
 use crate::upstream::Id;
 
 /// Load of one request at one upstream, counted until dropped.
@@ -15,10 +15,12 @@
     sent: Moment,
     /// Tokens to be read before its first one, its own with them.
     ahead: u64,
+    /// The place in the engine's account.
+    held: Option<Held>,
 }
 
 impl<'a> Counted<'a> {
-    pub(super) fn new(core: &'a Shared, id: &'a Id, waiting: u64, fixed: bool) -> Self {
+    pub(super) fn new(core: &'a Shared, id: &'a Id, waiting: u64, fixed: bool, held: Option<Held>) -> Self {
         let fixed = u32::from(fixed);
         let mut ahead = waiting;
         if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
@@ -36,6 +38,7 @@
             fixed,
             sent: core.now(),
             ahead,
+            held,
         }
     }
 
@@ -50,6 +53,9 @@
                 .note(self.ahead, took);
         }
         self.started();
+        if let Some(held) = &self.held {
+            held.begin();
+        }
     }
 
     /// Nothing of it waits any more.
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -10,8 +10,9 @@
 use jb_policy::weights::Version;
 use jb_protocol::{emit, event};
 
+use super::ask::{self, Advice};
 use super::run::Exchange;
-use crate::core::Core;
+use crate::core::{Core, Shared};
 use crate::peers::{self, Placed};
 use crate::ticket::Ticket;
 use crate::upstream::{Id, Wanted};
@@ -24,10 +25,34 @@
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
 const KEPT_PERCENT: u64 = 90;
 
+/// Tokens for which a move from another engine is worth its wait.
+const LEAST_MOVED: u64 = 64;
+/// Shared tokens from which on a store is asked whatever the engine is believed to keep.
+const LEAST_ASKED: u64 = 64;
+
 /// The upstream that is chosen for a request, with what it would do.
 pub(super) struct Choice {
     pub(super) id: Id,
     pub(super) estimate: Estimate,
+    /// Whether it is sent there now, as the first send.
+    pub(super) verdict: Verdict,
+    /// What its account says, where it was asked.
+    pub(super) advice: Option<Advice>,
+}
+
+/// The upstream that a request is sent to next, by the accounts of engines where boxes are too
+/// many to know from each other what engines do.
+pub(super) async fn choose_advised(
+    core: &Shared,
+    ticket: &Ticket,
+    body: &Bytes,
+    tried: &[Id],
+) -> Option<Choice> {
+    let by_account = !ticket.prompt.is_empty() && !core.book.borrow().is_small();
+    if by_account && let Some(choice) = ask::choose(core, ticket, body, tried).await {
+        return Some(choice);
+    }
+    choose(core, ticket, body, tried)
 }
 
 /// The upstream that a request is sent to next, if one is open.
@@ -42,12 +67,18 @@
     };
     Some(Choice {
         id: ids[at].clone(),
+        verdict: if core.book.borrow().is_small() {
+            judge(core, ticket, &estimate)
+        } else {
+            Verdict::Send
+        },
         estimate,
+        advice: None,
     })
 }
 
 /// Weights of the choice, with what is known of the service's engines.
-fn tuning(core: &Core, ticket: &Ticket) -> Tuning {
+pub(super) fn tuning(core: &Core, ticket: &Ticket) -> Tuning {
     let pace = core
         .paces
         .borrow()
@@ -68,7 +99,7 @@
 /// In a large fleet all are: loads come through leads and are 0.2 to 0.6 s old, and waiting for
 /// engines believed to be busy cost 0.1 of worth (82 boxes, 60 engines, two days played).
 pub(super) fn judge(core: &Core, ticket: &Ticket, estimate: &Estimate) -> Verdict {
-    if ticket.prompt.is_empty() || !core.book.borrow().is_small() {
+    if ticket.prompt.is_empty() {
         return Verdict::Send;
     }
     let target = ticket.route.target;
@@ -89,7 +120,7 @@
     choose(core, ticket, body, tried).is_some() && core.spend(&ticket.service)
 }
 
-fn wanted<'a>(core: &'a Core, ticket: &'a Ticket, body: &Bytes, tried: &'a [Id]) -> Wanted<'a> {
+pub(super) fn wanted<'a>(core: &'a Core, ticket: &'a Ticket, body: &Bytes, tried: &'a [Id]) -> Wanted<'a> {
     let model = ticket.model.as_deref();
     Wanted {
         service: &ticket.service,
@@ -119,12 +150,15 @@
 
     /// Settles where the engine takes parts from that it lacks, and whether it sends
     /// them to a store; returns the tokens that it must read itself.
-    pub(super) fn place_prompt(&mut self, id: &Id) -> u64 {
+    pub(super) fn place_prompt(&mut self, id: &Id, advice: Option<&Advice>) -> u64 {
         let ticket = self.message.ticket;
         let core = self.core;
         let Some((last, shared)) = ticket.prompt.split_last() else {
             return 0;
         };
+        if let Some(advice) = advice {
+            return self.place_advised(id, shared, last.tokens, advice);
+        }
         let wanted = wanted(core, ticket, self.message.body, &self.tried);
         let other = core.upstreams.borrow().source(id, &wanted, core.now());
         let Some((found, version)) = self.note_read(id, shared, last.tokens + ticket.out) else {
@@ -155,6 +189,46 @@
         unread
     }
 
+    /// The same by what the engine's account says.
+    fn place_advised(&mut self, id: &Id, shared: &[Piece], own: u64, advice: &Advice) -> u64 {
+        let ticket = self.message.ticket;
+        let core = self.core;
+        let all = self.demand().shared();
+        let version = {
+            let upstreams = core.upstreams.borrow();
+            let upstream = upstreams.get(id);
+            upstream.and_then(|upstream| ticket.model.as_deref().and_then(|model| upstream.weights(model)))
+        };
+        let keep = {
+            let mut keeps = core.keeps.borrow_mut();
+            self.demand()
+                .family()
+                .and_then(|family| keeps.of(family))
+                .map(|keep| keep.address)
+        };
+        let other = advice
+            .other
+            .filter(|(_, found)| *found >= advice.found + LEAST_MOVED);
+        // The engine may have dropped what its account believes; a question for nothing costs it
+        // about a millisecond.
+        let store = keep.filter(|_| all >= LEAST_ASKED);
+        self.message.source = other.map(|(address, _)| address).or(store);
+        self.message.keep = keep.filter(|_| advice.keep);
+        let brought = match other {
+            Some((_, found)) => found - advice.found,
+            None if advice.stored && store.is_some() => all - advice.found,
+            None => 0,
+        };
+        let unread = ticket.tokens().saturating_sub(advice.found + brought).max(own);
+        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => id,
+            "tokens" => ticket.tokens(), "shared" => shared.len(), "found" => advice.found,
+            "brought" => brought, "unread" => unread, "stored" => advice.stored,
+            "running" => advice.load.running, "waiting" => advice.load.waiting,
+            "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
+            "family" => self.demand().family(), "weights" => version);
+        unread
+    }
+
     /// Notes that an engine reads a prompt; returns the tokens that it had, and its weights.
     fn note_read(&self, id: &Id, shared: &[Piece], own: u64) -> Option<(u64, Option<Version>)> {
         let ticket = self.message.ticket;
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -1,5 +1,7 @@
 //! The sends of one request, up to its ending.
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -10,11 +12,12 @@
 use tokio::time::sleep;
 
 use super::count::Counted;
-use super::place;
+use super::place::{self, Choice};
 use crate::attempt::{self, Message, Outcome, Reply};
 use crate::core::Shared;
 use crate::deliver::{self, Delivered, Pace};
 use crate::http::{Connection, Query};
+use crate::peers::{self, Held};
 use crate::rules::Kind;
 use crate::ticket::Ticket;
 use crate::upstream::{Id, Upstream};
@@ -57,6 +60,8 @@
     pub(super) paid: bool,
     /// Time after which engines have room again, where they have none.
     room_after: Option<Duration>,
+    /// Where the engine's account is told how the request ended.
+    ending: Option<Rc<Cell<peers::Ending>>>,
     pub(super) pace: Pace,
 }
 
@@ -87,6 +92,7 @@
             runs: 0,
             paid: false,
             room_after: None,
+            ending: None,
             pace: Pace::default(),
         }
     }
@@ -100,14 +106,14 @@
             if self.left().is_zero() {
                 return self.give_up(why);
             }
-            let Some(id) = self.pick(client).await else {
+            let Some(choice) = self.pick(client).await else {
                 return self.give_up(self.room_after.map_or(why, |_| "no_room"));
             };
             let paid = std::mem::take(&mut self.paid) || self.sends == 0;
             if !paid && !self.core.spend(&ticket.service) {
                 return self.give_up("retry_budget");
             }
-            match self.attempt(&id, client).await {
+            match self.attempt(choice, client).await {
                 Ok(Next::End(ending)) => return ending,
                 Ok(Next::Again) => {}
                 Err(cause) => why = cause,
@@ -136,7 +142,7 @@
 
     /// The upstream for the next send; waits a little when none is open, and for a place in
     /// time at the first send.
-    async fn pick(&mut self, client: &mut Connection) -> Option<Id> {
+    async fn pick(&mut self, client: &mut Connection) -> Option<Choice> {
         let ticket = self.message.ticket;
         // A stream that goes on may pause for as long as its route allows.
         let until = match self.message.last_event {
@@ -144,10 +150,10 @@
             None => ticket.arrived + ticket.route.target.mul_f64(WAIT_SHARE),
         };
         loop {
-            let pause = match place::choose(self.core, ticket, self.message.body, &self.tried) {
-                Some(choice) if !self.tried.is_empty() => return Some(choice.id),
-                Some(choice) => match place::judge(self.core, ticket, &choice.estimate) {
-                    Verdict::Send => return Some(choice.id),
+            let pause = match place::choose_advised(self.core, ticket, self.message.body, &self.tried).await {
+                Some(choice) if !self.tried.is_empty() => return Some(choice),
+                Some(choice) => match choice.verdict {
+                    Verdict::Send => return Some(choice),
                     Verdict::Wait => LOOK_FOR_PLACE,
                     Verdict::Refuse(after) => {
                         self.room_after = Some(after);
@@ -165,15 +171,21 @@
     }
 
     /// One send, and the delivery of its answer.
-    async fn attempt(&mut self, id: &Id, client: &mut Connection) -> Result<Next, &'static str> {
+    async fn attempt(&mut self, choice: Choice, client: &mut Connection) -> Result<Next, &'static str> {
         let core = self.core;
         let ticket = self.message.ticket;
-        let waiting = self.place_prompt(id);
+        let Choice {
+            id, advice, estimate, ..
+        } = choice;
+        let id = &id;
+        let waiting = self.place_prompt(id, advice.as_ref());
         let last = !ticket.route.repeatable() || self.runs + 1 >= ticket.route.attempts;
-        let mut counted = Counted::new(core, id, waiting, last);
+        let held = advice.map(|advice| advice.held);
+        self.ending = held.as_ref().map(Held::ending);
+        let mut counted = Counted::new(core, id, waiting, last, held);
         self.tried.push(id.clone());
         let outcome = tokio::select! {
-            outcome = self.patiently(id) => outcome,
+            outcome = self.patiently(id, estimate.first) => outcome,
             () = client.closed() => return Ok(Next::End(Ending::CallerGone)),
         };
         match outcome {
@@ -204,11 +216,12 @@
 
     /// Sends; a request that may run again leaves a silent upstream as soon as another one can
     /// take it. Silence alone ends nothing: the answer may only be late.
-    async fn patiently(&mut self, id: &Id) -> Outcome {
+    async fn patiently(&mut self, id: &Id, first: Duration) -> Outcome {
         const SILENT: &str = "silent for longer than it should take";
         let ticket = self.message.ticket;
         let more = ticket.route.repeatable() && self.runs + 1 < ticket.route.attempts;
-        let patience = ticket.route.patience();
+        // Engines that have much to read are silent for as long.
+        let patience = ticket.route.patience().max(2 * first);
         let sent = attempt::send(self.core, id, &self.message);
         tokio::pin!(sent);
         let mut blamed = false;
@@ -231,6 +244,13 @@
         }
     }
 
+    /// Notes how the request ends at its engine, for the engine's account.
+    fn note_ending(&self, ending: peers::Ending) {
+        if let Some(noted) = &self.ending {
+            noted.set(ending);
+        }
+    }
+
     fn blame(&self, id: &Id, outcome: &'static str, why: &str) {
         let core = self.core;
         emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.ticket.id,
@@ -240,6 +260,7 @@
             // Streams that are reset for new weights are no fault of the engine.
             return;
         }
+        self.note_ending(peers::Ending::Failed);
         if core.upstreams.borrow_mut().judged(id, false, core.now()) == Change::Ejected {
             emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => id, "why" => why);
         }
@@ -247,6 +268,7 @@
 
     fn praise(&self, id: &Id) {
         let core = self.core;
+        self.note_ending(peers::Ending::Well);
         if core.upstreams.borrow_mut().judged(id, true, core.now()) == Change::Returned {
             emit!(core.logger, info, event::UPSTREAM_RETURNED, "upstream" => id);
         }
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -36,6 +36,10 @@
     pub first_byte: Histogram,
     /// Sends beyond the first.
     pub retries: Counter,
+    /// Datagrams that were refused: unreadable, or of somebody who is not a box.
+    pub strange: Counter,
+    /// Questions to accounts without an answer in time.
+    pub unadvised: Counter,
     /// Connections opened to upstreams.
     pub connections_opened: Counter,
     /// Calls to the store.
@@ -56,6 +60,8 @@
         let requests = Family::default();
         let first_byte = Histogram::new(exponential_buckets(BUCKETS.0, BUCKETS.1, BUCKETS.2));
         let retries = Counter::default();
+        let unadvised = Counter::default();
+        let strange = Counter::default();
         let connections_opened = Counter::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
@@ -63,6 +69,12 @@
         registry.register("requests", "Requests by ending", requests.clone());
         registry.register("first_byte_seconds", "Time to the first byte", first_byte.clone());
         registry.register("retries", "Sends beyond the first", retries.clone());
+        registry.register("strange", "Datagrams that were refused", strange.clone());
+        registry.register(
+            "unadvised",
+            "Questions to accounts of engines without an answer in time",
+            unadvised.clone(),
+        );
         registry.register(
             "upstream_connections",
             "Connections opened",
@@ -79,6 +91,8 @@
             requests,
             first_byte,
             retries,
+            unadvised,
+            strange,
             connections_opened,
             store_calls,
             store_failures,
--- /dev/null
+++ b/crates/jb-relay/src/peers/account.rs
@@ -0,0 +1,355 @@
+//! Accounts of engines: each is kept by one box of the engine's data hall, and the others ask it
+//! before they send a prompt.
+//!
+//! Which box keeps an account follows from the boxes that are heard, by rendezvous hashing. A
+//! question is one datagram, and so is its answer; without an answer in time the asker decides
+//! by what it knows itself.
+
+use std::cell::{Cell, OnceCell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::account::{Load, Place};
+use jb_policy::health::Change;
+use jb_policy::kept::Piece;
+use jb_policy::place;
+use jb_protocol::{emit, event};
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::message::{Advice, Message, Question, Returned};
+use super::socket::try_send;
+use crate::core::{Core, Shared};
+use crate::upstream::{Id, Upstream};
+
+/// Time in which an account answers: 0.2 to 2 ms on the way, the rest for a box whose part of a
+/// core is spent for the moment.
+const ANSWER: Duration = Duration::from_millis(25);
+/// Share of an engine's memory that keeps parts while requests run in the rest.
+const KEPT_SHARE: f64 = 0.9;
+
+/// How a request ended at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
+pub enum Ending {
+    /// Well.
+    Well,
+    /// Through the engine's fault.
+    Failed,
+    /// Without telling anything about the engine.
+    Undecided,
+}
+
+/// What a box asks for itself.
+#[derive(Debug, Default)]
+pub struct Accounts {
+    socket: OnceCell<Rc<UdpSocket>>,
+    asked: RefCell<HashMap<(Place, u32), oneshot::Sender<Advice>>>,
+    next: Cell<u64>,
+}
+
+impl Accounts {
+    /// Takes the socket to ask over.
+    pub fn open(&self, socket: Rc<UdpSocket>) {
+        // A box is started once.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Id for a new place.
+    fn draw(&self, own: &str) -> Place {
+        self.next.set(self.next.get() + 1);
+        place::weight(self.next.get(), place::name_hash(own))
+    }
+
+    fn deliver(&self, advice: Advice) {
+        let asker = self.asked.borrow_mut().remove(&(advice.place, advice.engine));
+        if let Some(asker) = asker {
+            // An asker that has gone on needs no answer.
+            let _ = asker.send(advice);
+        }
+    }
+}
+
+/// A prompt for which places are asked.
+#[derive(Clone, Copy, Debug)]
+pub struct Prompt<'a> {
+    /// Shared parts.
+    pub shared: &'a [Piece],
+    /// Tokens of its own, read and made.
+    pub own: u64,
+    /// When its request must have ended.
+    pub until: Moment,
+}
+
+/// What an account says of its engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct View {
+    /// Whether the engine may get requests.
+    pub open: bool,
+    /// Whether a place is taken.
+    pub taken: bool,
+    /// Load before.
+    pub load: Load,
+    /// Tokens of the prompt that the engine keeps.
+    pub found: u64,
+    /// Whether the engine is to send the parts to a store.
+    pub keep: bool,
+    /// Whether a store has the parts.
+    pub stored: bool,
+}
+
+/// A place that may have been taken; it is given back when dropped.
+pub struct Held {
+    core: Shared,
+    engine: Id,
+    place: Place,
+    ending: Rc<Cell<Ending>>,
+}
+
+impl Held {
+    /// The first token has come.
+    pub fn begin(&self) {
+        give_back(&self.core, &self.engine, self.place, None);
+    }
+
+    /// Where the ending is noted before the place is given back.
+    pub fn ending(&self) -> Rc<Cell<Ending>> {
+        Rc::clone(&self.ending)
+    }
+}
+
+impl Drop for Held {
+    fn drop(&mut self) {
+        give_back(&self.core, &self.engine, self.place, Some(self.ending.get()));
+    }
+}
+
+/// Id under which a box asks for one send.
+pub fn draw(core: &Core) -> Place {
+    core.accounts.draw(&core.settings.id)
+}
+
+/// A place at an engine, to be given back.
+pub fn hold(core: &Shared, engine: &Id, place: Place) -> Held {
+    Held {
+        core: Rc::clone(core),
+        engine: engine.clone(),
+        place,
+        ending: Rc::new(Cell::new(Ending::Undecided)),
+    }
+}
+
+/// Asks the account of an engine for a place, which is taken where at most `ahead` prompt tokens
+/// wait before it; `None` when no box answers in time.
+pub async fn ask(
+    core: &Core,
+    engine: &Id,
+    place: Place,
+    prompt: &Prompt<'_>,
+    ahead: Option<u64>,
+) -> Option<View> {
+    let (name, keeper) = keeper(core, engine)?;
+    let short = |tokens| u32::try_from(tokens).unwrap_or(u32::MAX);
+    let question = Question {
+        place,
+        engine: name,
+        shared: prompt
+            .shared
+            .iter()
+            .map(|piece| (piece.part, short(piece.tokens)))
+            .collect(),
+        own: short(prompt.own),
+        ahead: ahead.map(short),
+        left_ms: short(prompt.until.saturating_sub(core.now()).as_millis() as u64),
+    };
+    let Some((id, address)) = keeper else {
+        return Some(view(answer(core, &question)?));
+    };
+    let (tell, told) = oneshot::channel();
+    core.accounts.asked.borrow_mut().insert((place, name), tell);
+    send(core, address, &Message::Question(question));
+    let told = timeout(ANSWER, told).await;
+    core.accounts.asked.borrow_mut().remove(&(place, name));
+    match told {
+        Ok(Ok(advice)) => {
+            core.book.borrow_mut().heard(&id);
+            Some(view(advice))
+        }
+        _ => {
+            core.metrics.unadvised.inc();
+            core.book.borrow_mut().gave_no_advice(&id, core.now());
+            None
+        }
+    }
+}
+
+fn view(advice: Advice) -> View {
+    View {
+        open: advice.open,
+        taken: advice.taken,
+        load: Load {
+            running: advice.running,
+            waiting: u64::from(advice.waiting),
+        },
+        found: u64::from(advice.found),
+        keep: advice.keep,
+        stored: advice.stored,
+    }
+}
+
+/// Short name of an engine, and the box that keeps its account with its address; no box when it
+/// is this one.
+type Keeper = (u32, Option<(String, SocketAddr)>);
+
+fn keeper(core: &Core, engine: &Id) -> Option<Keeper> {
+    let upstreams = core.upstreams.borrow();
+    let upstream = upstreams.get(engine)?;
+    let name = super::gossip::short(upstream.name);
+    let book = core.book.borrow();
+    let keeper = book.keeper(upstream.name, &upstream.entry.hall, core.now());
+    let keeper = keeper.filter(|(id, _)| *id != core.settings.id);
+    Some((name, keeper))
+}
+
+fn give_back(core: &Core, engine: &Id, place: Place, ending: Option<Ending>) {
+    let Some((name, keeper)) = keeper(core, engine) else {
+        return;
+    };
+    let returned = Returned {
+        place,
+        engine: name,
+        ending,
+    };
+    match keeper {
+        Some((_, address)) => send(core, address, &Message::Returned(returned)),
+        None => take_back(core, &returned),
+    }
+}
+
+fn send(core: &Core, to: SocketAddr, message: &Message) {
+    if let Some(socket) = core.accounts.socket.get() {
+        try_send(core, socket, to, message);
+    }
+}
+
+/// Takes a question of another box.
+pub(super) fn hear(core: &Core, socket: &UdpSocket, from: SocketAddr, question: &Question) {
+    if !is_known(core, from) {
+        return;
+    }
+    if let Some(advice) = answer(core, question) {
+        try_send(core, socket, from, &Message::Advice(advice));
+    }
+}
+
+/// Takes word of a place from another box.
+pub(super) fn hear_returned(core: &Core, from: SocketAddr, returned: &Returned) {
+    if is_known(core, from) {
+        take_back(core, returned);
+    }
+}
+
+fn is_known(core: &Core, from: SocketAddr) -> bool {
+    let known = core.book.borrow().knows(from);
+    if !known {
+        core.metrics.strange.inc();
+        emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => "not a box that is known");
+    }
+    known
+}
+
+/// Takes the answer to a question of this box.
+pub(super) fn deliver(core: &Core, advice: Advice) {
+    core.accounts.deliver(advice);
+}
+
+fn answer(core: &Core, question: &Question) -> Option<Advice> {
+    let now = core.now();
+    let memory = |service: &str| {
+        let rules = core.rules()?;
+        Some(rules.services.get(service)?.memory_tokens)
+    };
+    let mut upstreams = core.upstreams.borrow_mut();
+    let upstream = upstreams.named_mut(question.engine)?;
+    let memory = memory(&upstream.entry.service).unwrap_or_default();
+    upstream.kept.set_capacity((memory as f64 * KEPT_SHARE) as u64);
+    let shared: Vec<Piece> = question
+        .shared
+        .iter()
+        .map(|&(part, tokens)| Piece {
+            part,
+            tokens: u64::from(tokens),
+        })
+        .collect();
+    let all: u64 = shared.iter().map(|piece| piece.tokens).sum();
+    let found = upstream.kept.found(&shared);
+    let load = upstream.account.load(now);
+    let open = upstream.is_open(now);
+    let fits = question
+        .ahead
+        .is_some_and(|ahead| load.waiting <= u64::from(ahead));
+    let forced = question.ahead == Some(u32::MAX);
+    let taken = forced || (open && fits && load.running < upstream.entry.slots);
+    let family = family(upstream, &shared);
+    let stored = family.is_some_and(|family| upstream.account.is_sent(family, now));
+    let mut keep = false;
+    if taken {
+        keep = family.is_some_and(|family| {
+            upstream
+                .account
+                .send_due(family, u64::from(question.own) <= all / 2, now)
+        });
+        let read = u64::from(question.own) + if stored { 0 } else { all - found };
+        let until = now + Duration::from_millis(question.left_ms.into());
+        upstream.account.take(question.place, read, until);
+        upstream.health.sent();
+        upstream.kept.read(shared.into_iter(), u64::from(question.own));
+    }
+    let short = |tokens| u32::try_from(tokens).unwrap_or(u32::MAX);
+    Some(Advice {
+        place: question.place,
+        engine: question.engine,
+        open,
+        taken,
+        running: load.running,
+        waiting: short(load.waiting),
+        found: short(found),
+        keep,
+        stored,
+    })
+}
+
+/// Number of the prompt's deepest shared part under the engine's weights.
+fn family(upstream: &Upstream, shared: &[Piece]) -> Option<u64> {
+    let version = upstream.entry.models.first()?.version;
+    Some(place::weight(shared.last()?.part, version))
+}
+
+/// Takes a place back.
+fn take_back(core: &Core, returned: &Returned) {
+    let mut upstreams = core.upstreams.borrow_mut();
+    let Some(upstream) = upstreams.named_mut(returned.engine) else {
+        return;
+    };
+    let Some(ending) = returned.ending else {
+        upstream.account.begin(returned.place);
+        return;
+    };
+    upstream.account.end(returned.place);
+    let now = core.now();
+    let change = match ending {
+        Ending::Well => upstream.health.succeeded(),
+        // What was sent before the engine was left out tells nothing new.
+        Ending::Failed if upstream.health.is_open(now) => upstream.health.failed(now),
+        Ending::Failed | Ending::Undecided => {
+            upstream.health.undecided();
+            Change::None
+        }
+    };
+    if change == Change::Ejected {
+        emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => returned.engine, "why" => "several boxes failed");
+    }
+}
--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -4,7 +4,7 @@
 //! It is only a choice that each box makes by itself: the box of the greatest
 //! weight that has not been silent lately. Two leads cost a few calls more.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -24,6 +24,8 @@
     pub address: SocketAddr,
     /// Data hall.
     pub hall: id::Hall,
+    /// Hash of its id.
+    pub name: u64,
 }
 
 /// All boxes that have given their address.
@@ -31,6 +33,8 @@
 pub struct Book {
     peers: BTreeMap<id::Box, Peer>,
     silent: BTreeMap<id::Box, Moment>,
+    /// Boxes that have not answered the last question for an account.
+    unsure: BTreeSet<id::Box>,
 }
 
 impl Book {
@@ -65,8 +69,30 @@
         self.silent.insert(id.to_owned(), now + PASSED_OVER);
     }
 
+    /// Notes that a box gave no answer as the keeper of an account; the second time in a row it
+    /// is passed over, as one datagram may be lost.
+    pub fn gave_no_advice(&mut self, id: &str, now: Moment) {
+        if !self.unsure.insert(id.to_owned()) {
+            self.unsure.remove(id);
+            self.missed(id, now);
+        }
+    }
+
+    /// Whether an address is that of a box.
+    pub fn knows(&self, address: SocketAddr) -> bool {
+        self.peers.values().any(|peer| peer.address == address)
+    }
+
+    /// The box that keeps the account of an engine, with its address.
+    pub fn keeper(&self, engine: u64, hall: &str, now: Moment) -> Option<(id::Box, SocketAddr)> {
+        let heard = self.peers.iter().filter(|(id, _)| !self.is_silent(id, now));
+        let near = heard.max_by_key(|(_, peer)| (peer.hall == hall, place::weight(engine, peer.name)));
+        near.map(|(id, peer)| (id.clone(), peer.address))
+    }
+
     /// Notes that a box was heard.
     pub fn heard(&mut self, id: &str) {
+        self.unsure.remove(id);
         self.silent.remove(id);
     }
 
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -123,6 +123,10 @@
 /// Notes a prompt that is placed, for the next telling. In a large fleet only a part of
 /// those that say nothing new are told; each then stands for the others.
 pub fn note_use(core: &Core, placed: Placed<'_>) {
+    if !core.book.borrow().is_small() {
+        // Accounts know.
+        return;
+    }
     let mut loads = core.loads.borrow_mut();
     let small = core.book.borrow().is_small();
     if placed.known && !small {
--- a/crates/jb-relay/src/peers/message.rs
+++ b/crates/jb-relay/src/peers/message.rs
@@ -1,9 +1,11 @@
 //! Messages between boxes.
 
 use bytes::Bytes;
+use jb_policy::account::Place;
 use jb_protocol::id;
 use serde::{Deserialize, Serialize};
 
+use super::account::Ending;
 use crate::port::{Change, Revision};
 
 /// Longest datagram, in bytes: one packet.
@@ -22,6 +24,12 @@
     Sent(Sent),
     /// Incarnations of upstreams whose addresses others have now.
     Replaced(Replaced),
+    /// A box asks the account of an engine for a place.
+    Question(Question),
+    /// What the account says.
+    Advice(Advice),
+    /// The first token of a prompt has come, or its place is given back.
+    Returned(Returned),
     /// A box that has just started asks when weights were named.
     AskNamings(AskNamings),
     /// When they were.
@@ -116,6 +124,57 @@
     pub upstreams: Vec<u32>,
 }
 
+/// A question to the account of an engine.
+#[derive(Debug, Serialize, Deserialize)]
+pub(super) struct Question {
+    /// Id of the place.
+    pub place: Place,
+    /// Lower half of the hash of the engine's id.
+    pub engine: u32,
+    /// Shared parts of the prompt with their tokens.
+    pub shared: Vec<(u64, u32)>,
+    /// Tokens of its own, read and made.
+    pub own: u32,
+    /// Prompt tokens that may wait before it where a place is to be taken; none for a look alone.
+    pub ahead: Option<u32>,
+    /// Time until its request must have ended.
+    pub left_ms: u32,
+}
+
+/// What the account of an engine says.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct Advice {
+    /// Id of the place.
+    pub place: Place,
+    /// Lower half of the hash of the engine's id.
+    pub engine: u32,
+    /// Whether the engine may get requests.
+    pub open: bool,
+    /// Whether the place is taken.
+    pub taken: bool,
+    /// Requests under way there before.
+    pub running: u32,
+    /// Prompt tokens that wait there before it.
+    pub waiting: u32,
+    /// Tokens of the prompt that the engine keeps.
+    pub found: u32,
+    /// Whether the engine is to send the prompt's parts to a store.
+    pub keep: bool,
+    /// Whether a store has them.
+    pub stored: bool,
+}
+
+/// What became of a place.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(super) struct Returned {
+    /// Id of the place.
+    pub place: Place,
+    /// Lower half of the hash of the engine's id.
+    pub engine: u32,
+    /// How the request ended; none when its first token has come.
+    pub ending: Option<Ending>,
+}
+
 /// A question when weights were named.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(super) struct AskNamings {
--- a/crates/jb-relay/src/peers/register.rs
+++ b/crates/jb-relay/src/peers/register.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use jb_policy::place;
 use jb_protocol::{emit, event, id};
 use tokio::time::sleep;
 
@@ -60,16 +61,18 @@
     let items = own
         .range(KEYS.to_owned()..)
         .take_while(|(key, _)| key.starts_with(KEYS));
-    let peer = |value: &str| {
+    let peer = |id: &str, value: &str| {
         let (address, hall) = value.split_once(' ')?;
         Some(Peer {
             address: address.parse().ok()?,
             hall: hall.to_owned(),
+            name: place::name_hash(id),
         })
     };
     let peers = items.filter_map(|(key, item)| {
         let value = std::str::from_utf8(item.value.as_deref()?).ok()?;
-        Some((key[KEYS.len()..].to_owned(), peer(value)?))
+        let id = &key[KEYS.len()..];
+        Some((id.to_owned(), peer(id, value)?))
     });
     peers.collect()
 }
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::message::{LONGEST, Message};
-use super::{gossip, naming, notice, relay};
+use super::{account, gossip, naming, notice, relay};
 use crate::core::{Core, Shared};
 
 /// Pause after an error of the socket.
@@ -44,6 +44,16 @@
     }
 }
 
+/// Sends a message unless the socket has no room at the moment.
+pub(super) fn try_send(core: &Core, socket: &UdpSocket, to: SocketAddr, message: &Message) {
+    let Ok(bytes) = postcard::to_allocvec(message) else {
+        return;
+    };
+    if let Err(why) = socket.try_send_to(&bytes, to) {
+        emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %to, "why" => %why);
+    }
+}
+
 /// Hears the other boxes for ever.
 pub async fn hear(core: Shared, socket: Rc<UdpSocket>) {
     let mut buffer = [0_u8; LONGEST];
@@ -62,9 +72,15 @@
             Ok(Message::News(news)) => core.relayed.deliver(news),
             Ok(Message::Sent(sent)) => notice::take_sent(&core, &sent),
             Ok(Message::Replaced(replaced)) => notice::take_replaced(&core, &replaced),
+            Ok(Message::Question(question)) => account::hear(&core, &socket, from, &question),
+            Ok(Message::Advice(advice)) => account::deliver(&core, advice),
+            Ok(Message::Returned(returned)) => account::hear_returned(&core, from, &returned),
             Ok(Message::AskNamings(asked)) => naming::answer(&core, &socket, from, asked).await,
             Ok(Message::Namings(told)) => naming::take(&core, told),
-            Err(why) => emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => %why),
+            Err(why) => {
+                core.metrics.strange.inc();
+                emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => %why);
+            }
         }
     }
 }
--- a/crates/jb-relay/src/upstream.rs
+++ b/crates/jb-relay/src/upstream.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
+use jb_policy::account::Account;
 use jb_policy::choose::{Candidate, Demand};
 use jb_policy::health::{Change, Health};
 use jb_policy::kept::Kept;
@@ -48,6 +49,8 @@
     pub refused: bool,
     /// What it is believed to keep.
     pub kept: Kept,
+    /// Its account, where this box keeps it.
+    pub account: Account,
     /// Idle connections, the last used at the end.
     pub idle: Vec<Idle>,
 }
@@ -78,6 +81,7 @@
             lapsed: None,
             refused: false,
             kept: Kept::default(),
+            account: Account::default(),
             idle: Vec::new(),
         }
     }
@@ -114,7 +118,7 @@
         self.paused_until = self.paused_until.max(now + REFUSED_PAUSE);
     }
 
-    fn candidate(&self, wanted: &Wanted<'_>, behind: bool) -> Candidate {
+    pub(crate) fn candidate(&self, wanted: &Wanted<'_>, behind: bool) -> Candidate {
         let hall = wanted.hall;
         let demand = &wanted.demand;
         Candidate {
@@ -267,14 +271,48 @@
         self.all.get_mut(id)
     }
 
+    /// One upstream by the lower half of the hash of its id, to change it.
+    pub fn named_mut(&mut self, name: u32) -> Option<&mut Upstream> {
+        self.all
+            .values_mut()
+            .find(|upstream| upstream.name as u32 == name)
+    }
+
+    /// The engines that come first for a prompt's family, in the order that all boxes agree on.
+    pub fn ranked(&self, family: u64, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Id> {
+        let ids: Vec<&Id> = self.open(wanted, now).map(|(id, _)| id).collect();
+        let names = self
+            .open(wanted, now)
+            .map(|(_, upstream)| upstream.name)
+            .enumerate();
+        let first = place::top(family, names, count);
+        first.into_iter().map(|at| ids[at].clone()).collect()
+    }
+
+    /// The engines that come first for a family among those that can hand parts on.
+    pub fn holders_first(&self, family: u64, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Id> {
+        let all = self
+            .of_service(wanted.service)
+            .filter(|(_, upstream)| upstream.hands_on(now));
+        let (ids, names): (Vec<&Id>, Vec<u64>) = all.map(|(id, upstream)| (id, upstream.name)).unzip();
+        let first = place::top(family, names.into_iter().enumerate(), count);
+        first.into_iter().map(|at| ids[at].clone()).collect()
+    }
+
+    fn open<'a>(
+        &'a self,
+        wanted: &'a Wanted<'_>,
+        now: Moment,
+    ) -> impl Iterator<Item = (&'a Id, &'a Upstream)> {
+        let all = self.of_service(wanted.service);
+        let untried = all.filter(|(id, _)| !wanted.except.contains(*id));
+        let open = untried.filter(move |(_, upstream)| upstream.is_open(now));
+        open.filter(move |(_, upstream)| self.is_in_time(upstream, wanted, now))
+    }
+
     /// Candidates of a service that may get a request, with their ids.
     pub fn candidates(&self, wanted: &Wanted<'_>, now: Moment) -> (Vec<Id>, Vec<Candidate>) {
         let holders = self.holders(wanted, now);
-        let open = self
-            .of_service(wanted.service)
-            .filter(|(id, _)| !wanted.except.contains(*id));
-        let open = open.filter(|(_, upstream)| upstream.is_open(now));
-        let open = open.filter(|(_, upstream)| self.is_in_time(upstream, wanted, now));
         let candidate = |(id, upstream): (&Id, &Upstream)| {
             let has = wanted.model.and_then(|model| upstream.weights(model));
             let behind = has.is_some_and(|has| has < wanted.weights.newest());
@@ -285,7 +323,7 @@
             candidate.elsewhere = others.map(|holder| holder.found).max().unwrap_or(0);
             (id.clone(), candidate)
         };
-        open.map(candidate).unzip()
+        self.open(wanted, now).map(candidate).unzip()
     }
 
     /// Whether an engine's weights are still in their time. Those that were replaced before the
