Store: a box that the store turns away gets long values from any lead, too

Cause, from a log of each call: a key was revoked while the store turned 103 boxes away; the configuration did not come in pieces, so they got nothing after it for 8.5 s, 390 calls a second were made, and they heard of new weights only when the store let them in again. Change: who cannot read the store gets values of up to 512 KB.

--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -206,9 +206,10 @@
                 .and_then(|family| keeps.of(family))
                 .map(|keep| keep.address)
         };
+        // Only an engine with all of it goes before the store, which may have more than is known.
         let other = advice
             .other
-            .filter(|(_, found)| *found >= advice.found + LEAST_MOVED);
+            .filter(|(_, found)| *found >= all && all >= advice.found + LEAST_MOVED);
         // The engine may have dropped what its account believes; a question for nothing costs it
         // about a millisecond.
         let store = keep.filter(|_| all >= LEAST_ASKED);
--- a/crates/jb-relay/src/peers/message.rs
+++ b/crates/jb-relay/src/peers/message.rs
@@ -108,6 +108,8 @@
     pub after: Revision,
     /// Bytes that it has of the next value, where that comes in pieces.
     pub from: u32,
+    /// Whether it takes long values, too, as it cannot read the store itself.
+    pub long: bool,
 }
 
 /// Long prompts that a box has sent since its last telling of loads.
--- a/crates/jb-relay/src/peers/relay.rs
+++ b/crates/jb-relay/src/peers/relay.rs
@@ -23,7 +23,7 @@
 /// Changes that a box keeps for others.
 const MOST_CHANGES: usize = 512;
 /// Bytes of values that it keeps for others.
-const MOST_BYTES: usize = 128 * 1024;
+const MOST_BYTES: usize = LONGEST_OF_ALL;
 /// Time in which the lead answers.
 const ANSWER: Duration = Duration::from_millis(250);
 /// Oldest knowledge that is told. What a lead knows is between one and two pauses of its calls
@@ -38,6 +38,10 @@
 /// 4 KB with 240 engines; all 295 boxes read the store for it, 289 calls each time.
 const LONGEST_IN_PIECES: usize = 16 * 1024;
 
+/// The same for a box that cannot read the store itself: any configuration. To all boxes of a data
+/// hall a lead with a link of 20 Mbit/s would be seconds about it.
+const LONGEST_OF_ALL: usize = 512 * 1024;
+
 /// The latest changes of the store that a box has seen.
 #[derive(Debug, Default)]
 pub struct Log {
@@ -75,9 +79,9 @@
         }
     }
 
-    /// What fits into one datagram of the changes after a revision; `from` are the bytes that the
-    /// asker has of the next value.
-    fn after(&self, after: Revision, from: usize) -> Answer {
+    /// What fits into one datagram of the changes that a box asks for.
+    fn after(&self, ask: &Ask) -> Answer {
+        let after = ask.after;
         if after < self.from {
             return Answer::ReadYourself;
         }
@@ -87,7 +91,7 @@
         for change in self.changes.iter().filter(|change| change.revision > after) {
             let Some(left) = room.checked_sub(size(change)) else {
                 return if changes.is_empty() {
-                    piece(change, from)
+                    piece(change, ask)
                 } else {
                     Answer::Changes {
                         changes,
@@ -109,12 +113,18 @@
 }
 
 /// The next piece of a change that is too long for one datagram.
-fn piece(change: &Change, from: usize) -> Answer {
+fn piece(change: &Change, ask: &Ask) -> Answer {
+    let from = ask.from as usize;
+    let longest = if ask.long {
+        LONGEST_OF_ALL
+    } else {
+        LONGEST_IN_PIECES
+    };
     let value = change.value.as_deref().unwrap_or_default();
     let without = change.key.len() + NUMBERS;
     let rest = value.get(from..).unwrap_or_default();
     let room = (LONGEST - FRAME).saturating_sub(without);
-    if value.len() > LONGEST_IN_PIECES || rest.is_empty() || room == 0 {
+    if value.len() > longest || rest.is_empty() || room == 0 {
         return Answer::ReadYourself;
     }
     Answer::Piece(Piece {
@@ -187,6 +197,7 @@
                 nonce: 0,
                 after,
                 from,
+                long: source == Source::AnyLead,
             },
         )
         .await
@@ -257,9 +268,7 @@
 pub(super) async fn answer(core: &Core, socket: &UdpSocket, from: SocketAddr, ask: Ask) {
     // Without knowledge, or with old knowledge, the asker is better off with the store.
     let age = core.age().filter(|age| is_told(*age));
-    let answer = age.map_or(Answer::ReadYourself, |_| {
-        core.log.borrow().after(ask.after, ask.from as usize)
-    });
+    let answer = age.map_or(Answer::ReadYourself, |_| core.log.borrow().after(&ask));
     let age_ms = age.map_or(0, |age| u64::try_from(age.as_millis() + 1).unwrap_or(u64::MAX));
     send(
         core,
