--- a/crates/jb-policy/src/account.rs
+++ b/crates/jb-policy/src/account.rs
@@ -31,6 +31,15 @@
     until: Moment,
 }
 
+/// Share of a prompt's wanted time that may wait at its family's own engine before others are
+/// asked: an engine with less to read is not worth the parts that it lacks.
+const OWN_SHARE: f64 = 0.25;
+
+/// Prompt tokens that may wait at a family's own engine.
+pub fn ahead(tokens_per_ms: f64, target: Duration) -> u64 {
+    (tokens_per_ms * target.as_secs_f64() * 1000.0 * OWN_SHARE) as u64
+}
+
 /// What is under way at an engine.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Load {
@@ -40,6 +49,14 @@
     pub waiting: u64,
 }
 
+impl Load {
+    /// Whether an engine with so many places has room for a prompt that at most `ahead` tokens
+    /// may wait before.
+    pub fn has_room(&self, slots: u32, ahead: u64) -> bool {
+        self.running < slots && self.waiting <= ahead
+    }
+}
+
 /// The account of one engine.
 #[derive(Clone, Debug, Default)]
 pub struct Account {
--- a/crates/jb-policy/src/bring.rs
+++ b/crates/jb-policy/src/bring.rs
@@ -48,6 +48,40 @@
 /// about a millisecond, and boxes do not hear of all that was sent there.
 const LEAST_ASKED: u64 = 512;
 
+/// Shared tokens from which on a store is asked whatever an engine is believed to keep: it may
+/// have dropped some, and a question for nothing costs it about a millisecond. Reading the parts
+/// of one prompt again cost operators as much as its answer was worth.
+const LEAST_KEPT: u64 = 64;
+
+/// The move for one prompt by the accounts of engines, where a store may have more than is known.
+pub fn plan_advised(holdings: &Holdings) -> Plan {
+    let Holdings {
+        own,
+        engine,
+        store,
+        shared,
+        has_store,
+        ..
+    } = *holdings;
+    // Only an engine with all of it goes before the store.
+    let origin = if engine >= shared && engine >= own + LEAST {
+        Origin::Engine
+    } else if has_store && shared >= LEAST_KEPT {
+        Origin::Store
+    } else {
+        Origin::Nowhere
+    };
+    let there = match origin {
+        Origin::Nowhere => 0,
+        Origin::Engine => engine,
+        Origin::Store => store,
+    };
+    Plan {
+        origin,
+        tokens: there.saturating_sub(own),
+    }
+}
+
 /// The move for one prompt.
 pub fn plan(holdings: &Holdings) -> Plan {
     let Holdings {
--- a/crates/jb-policy/tests/bring.rs
+++ b/crates/jb-policy/tests/bring.rs
@@ -1,6 +1,6 @@
 //! Where an engine takes the parts of a prompt from.
 
-use jb_policy::bring::{Holdings, Origin, Plan, plan};
+use jb_policy::bring::{Holdings, Origin, Plan, plan, plan_advised};
 
 const ROOT: u64 = 2500;
 const SHARED: u64 = 6300;
@@ -84,3 +84,36 @@
     };
     takes(Origin::Nowhere, 0, holdings);
 }
+
+/// An engine that had dropped parts without a word read them again, though a store had them.
+#[test]
+fn store_is_asked_by_account_whatever_the_engine_is_believed_to_keep() {
+    let holdings = Holdings {
+        own: 6300,
+        store: 6300,
+        shared: 6300,
+        has_store: true,
+        ..Holdings::default()
+    };
+    let plan = plan_advised(&holdings);
+    assert_eq!((plan.origin, plan.tokens), (Origin::Store, 0));
+    let few = Holdings {
+        shared: 60,
+        ..holdings
+    };
+    assert_eq!(plan_advised(&few).origin, Origin::Nowhere);
+}
+
+#[test]
+fn engine_goes_before_the_store_only_with_all_of_it() {
+    let head = Holdings {
+        engine: 2520,
+        shared: 6300,
+        has_store: true,
+        ..Holdings::default()
+    };
+    assert_eq!(plan_advised(&head).origin, Origin::Store);
+    let whole = Holdings { engine: 6300, ..head };
+    let plan = plan_advised(&whole);
+    assert_eq!((plan.origin, plan.tokens), (Origin::Engine, 6300));
+}
--- a/crates/jb-relay/src/exchange/ask.rs
+++ b/crates/jb-relay/src/exchange/ask.rs
@@ -5,12 +5,13 @@
 
 use bytes::Bytes;
 use futures_util::future::join_all;
+use jb_policy::account::{self, Load};
 use jb_policy::choose::{self, Candidate, Tuning};
 use jb_policy::gate::{Estimate, Verdict};
 
 use super::place::{self, Choice};
 use crate::core::Shared;
-use crate::peers::{self, Held, Prompt, View};
+use crate::peers::{self, Held, Prompt, Room, View};
 use crate::ticket::Ticket;
 use crate::upstream::{Id, Wanted};
 
@@ -19,13 +20,11 @@
 const ASKED: usize = 4;
 /// Missing tokens from which on other engines are asked for them.
 const LEAST_LOOKED: u64 = 512;
-/// Share of the wanted time that may wait at a family's own engine before others are asked.
-const OWN_SHARE: f64 = 0.25;
 
 /// What the accounts have said of a choice.
 pub(super) struct Advice {
     /// What is under way at the engine.
-    pub load: jb_policy::account::Load,
+    pub load: Load,
     /// The place at the engine.
     pub held: Held,
     /// Tokens of the prompt that the engine keeps.
@@ -57,11 +56,11 @@
         until: ticket.until,
     };
     let tuning = place::tuning(core, ticket);
-    let target = ticket.route.target.as_secs_f64() * 1000.0;
-    let ahead = (tuning.tokens_per_ms * target * OWN_SHARE) as u64;
+    let ahead = account::ahead(tuning.tokens_per_ms, ticket.route.target);
+    let room = Room::Ahead(u32::try_from(ahead).unwrap_or(u32::MAX));
     let place = peers::draw(core);
     let held = peers::hold(core, own, place);
-    let Some(view) = peers::ask_account(core, own, place, &prompt, Some(ahead)).await else {
+    let Some(view) = peers::ask_account(core, own, place, &prompt, room).await else {
         return Some(unadvised(held, own));
     };
     let mut asked: Vec<Asked> = asked(core, &wanted, own, view).into_iter().collect();
@@ -80,7 +79,7 @@
     asked.retain(|asked| asked.view.open);
     let most = asked.iter().map(|asked| asked.view.found).max()?;
     for asked in &mut asked {
-        asked.candidate.elsewhere = most;
+        asked.candidate.elsewhere = asked.candidate.elsewhere.max(most);
     }
     let candidates: Vec<Candidate> = asked.iter().map(|asked| asked.candidate).collect();
     let at = choose::best(&candidates, &wanted.demand, &tuning)?;
@@ -100,7 +99,7 @@
         });
     }
     let held = peers::hold(core, &best.id, place);
-    if let Some(view) = peers::ask_account(core, &best.id, place, &prompt, Some(u64::MAX)).await {
+    if let Some(view) = peers::ask_account(core, &best.id, place, &prompt, Room::Any).await {
         best.view = view;
     }
     Some(chosen(core, best, held, &asked, &wanted, &tuning))
@@ -116,7 +115,7 @@
 /// Looks at the accounts of engines, without taking a place.
 async fn look(core: &Shared, wanted: &Wanted<'_>, prompt: &Prompt<'_>, ids: &[Id]) -> Vec<Asked> {
     let looks = ids.iter().map(|id| async {
-        let view = peers::ask_account(core, id, peers::draw(core), prompt, None).await?;
+        let view = peers::ask_account(core, id, peers::draw(core), prompt, Room::None).await?;
         asked(core, wanted, id, view)
     });
     join_all(looks).await.into_iter().flatten().collect()
@@ -133,7 +132,7 @@
         verdict: Verdict::Send,
         advice: Some(Advice {
             held,
-            load: Default::default(),
+            load: Load::default(),
             found: 0,
             other: None,
             keep: false,
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -25,11 +25,6 @@
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
 const KEPT_PERCENT: u64 = 90;
 
-/// Tokens for which a move from another engine is worth its wait.
-const LEAST_MOVED: u64 = 64;
-/// Shared tokens from which on a store is asked whatever the engine is believed to keep.
-const LEAST_ASKED: u64 = 64;
-
 /// The upstream that is chosen for a request, with what it would do.
 pub(super) struct Choice {
     pub(super) id: Id,
@@ -157,7 +152,7 @@
             return 0;
         };
         if let Some(advice) = advice {
-            return self.place_advised(id, shared, last.tokens, advice);
+            return self.place_advised(id, last.tokens, advice);
         }
         let wanted = wanted(core, ticket, self.message.body, &self.tried);
         let other = core.upstreams.borrow().source(id, &wanted, core.now());
@@ -190,43 +185,39 @@
     }
 
     /// The same by what the engine's account says.
-    fn place_advised(&mut self, id: &Id, shared: &[Piece], own: u64, advice: &Advice) -> u64 {
+    fn place_advised(&mut self, id: &Id, own: u64, advice: &Advice) -> u64 {
         let ticket = self.message.ticket;
         let core = self.core;
-        let all = self.demand().shared();
-        let version = {
-            let upstreams = core.upstreams.borrow();
-            let upstream = upstreams.get(id);
-            upstream.and_then(|upstream| ticket.model.as_deref().and_then(|model| upstream.weights(model)))
-        };
+        let shared = self.demand().shared();
         let keep = {
             let mut keeps = core.keeps.borrow_mut();
-            self.demand()
-                .family()
-                .and_then(|family| keeps.of(family))
-                .map(|keep| keep.address)
+            let keep = self.demand().family().and_then(|family| keeps.of(family));
+            keep.map(|keep| keep.address)
         };
-        // Only an engine with all of it goes before the store, which may have more than is known.
-        let other = advice
-            .other
-            .filter(|(_, found)| *found >= all && all >= advice.found + LEAST_MOVED);
-        // The engine may have dropped what its account believes; a question for nothing costs it
-        // about a millisecond.
-        let store = keep.filter(|_| all >= LEAST_ASKED);
-        self.message.source = other.map(|(address, _)| address).or(store);
-        self.message.keep = keep.filter(|_| advice.keep);
-        let brought = match other {
-            Some((_, found)) => found - advice.found,
-            None if advice.stored && store.is_some() => all - advice.found,
-            None => 0,
+        let plan = bring::plan_advised(&Holdings {
+            own: advice.found,
+            engine: advice.other.map_or(0, |(_, found)| found),
+            store: if advice.stored { shared } else { 0 },
+            shared,
+            has_store: keep.is_some(),
+            sure: true,
+        });
+        self.message.source = match plan.origin {
+            Origin::Nowhere => None,
+            Origin::Engine => advice.other.map(|(address, _)| address),
+            Origin::Store => keep,
         };
-        let unread = ticket.tokens().saturating_sub(advice.found + brought).max(own);
+        self.message.keep = keep.filter(|_| advice.keep);
+        let unread = ticket
+            .tokens()
+            .saturating_sub(advice.found + plan.tokens)
+            .max(own);
         emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => id,
-            "tokens" => ticket.tokens(), "shared" => shared.len(), "found" => advice.found,
-            "brought" => brought, "unread" => unread, "stored" => advice.stored,
-            "running" => advice.load.running, "waiting" => advice.load.waiting,
+            "tokens" => ticket.tokens(), "shared" => shared, "found" => advice.found,
+            "brought" => plan.tokens, "unread" => unread, "origin" => ?plan.origin, "stored" => advice.stored,
             "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
-            "family" => self.demand().family(), "weights" => version);
+            "family" => self.demand().family(), "running" => advice.load.running,
+            "waiting" => advice.load.waiting);
         unread
     }
 
@@ -243,7 +234,6 @@
             version: 0,
             shared,
             own,
-            known: found >= self.demand().shared(),
         };
         peers::note_use(self.core, placed);
         let version = ticket.model.as_deref().and_then(|model| upstream.weights(model));
@@ -302,7 +292,6 @@
             version,
             shared,
             own,
-            known: false,
         };
         peers::note_use(self.core, placed);
         Some(keep.address)
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -21,7 +21,7 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::message::{Advice, Message, Question, Returned};
+use super::message::{Advice, Message, Question, Returned, Room};
 use super::socket::try_send;
 use crate::core::{Core, Shared};
 use crate::upstream::{Id, Upstream};
@@ -142,15 +142,9 @@
     }
 }
 
-/// Asks the account of an engine for a place, which is taken where at most `ahead` prompt tokens
-/// wait before it; `None` when no box answers in time.
-pub async fn ask(
-    core: &Core,
-    engine: &Id,
-    place: Place,
-    prompt: &Prompt<'_>,
-    ahead: Option<u64>,
-) -> Option<View> {
+/// Asks the account of an engine for a place, which is taken as `room` says; `None` when no box
+/// answers in time.
+pub async fn ask(core: &Core, engine: &Id, place: Place, prompt: &Prompt<'_>, room: Room) -> Option<View> {
     let (name, keeper) = keeper(core, engine)?;
     let short = |tokens| u32::try_from(tokens).unwrap_or(u32::MAX);
     let question = Question {
@@ -162,7 +156,7 @@
             .map(|piece| (piece.part, short(piece.tokens)))
             .collect(),
         own: short(prompt.own),
-        ahead: ahead.map(short),
+        room,
         left_ms: short(prompt.until.saturating_sub(core.now()).as_millis() as u64),
     };
     let Some((id, address)) = keeper else {
@@ -238,7 +232,10 @@
     };
     match keeper {
         Some((_, address)) => send(core, address, &Message::Returned(returned)),
-        None => take_back(core, &returned),
+        // What this box saw itself it has judged.
+        None => {
+            take_back(core, &returned);
+        }
     }
 }
 
@@ -260,8 +257,8 @@
 
 /// Takes word of a place from another box.
 pub(super) fn hear_returned(core: &Core, from: SocketAddr, returned: &Returned) {
-    if is_known(core, from) {
-        take_back(core, returned);
+    if is_known(core, from) && take_back(core, returned) {
+        judge(core, returned);
     }
 }
 
@@ -301,11 +298,12 @@
     let found = upstream.kept.found(&shared);
     let load = upstream.account.load(now);
     let open = upstream.is_open(now);
-    let fits = question
-        .ahead
-        .is_some_and(|ahead| load.waiting <= u64::from(ahead));
-    let forced = question.ahead == Some(u32::MAX);
-    let taken = forced || (open && fits && load.running < upstream.entry.slots);
+    let slots = upstream.entry.slots;
+    let taken = match question.room {
+        Room::Any => true,
+        Room::None => false,
+        Room::Ahead(ahead) => open && load.has_room(slots, u64::from(ahead)),
+    };
     let family = family(upstream, &shared);
     let stored = family.is_some_and(|family| upstream.account.is_sent(family, now));
     let mut keep = false;
@@ -342,28 +340,36 @@
     Some(place::weight(shared.last()?.part, version))
 }
 
-/// Takes a place back.
-fn take_back(core: &Core, returned: &Returned) {
+/// Takes a place back, or word of its first token; whether its request has ended.
+fn take_back(core: &Core, returned: &Returned) -> bool {
     let mut upstreams = core.upstreams.borrow_mut();
     let Some(upstream) = upstreams.named_mut(returned.engine) else {
-        return;
+        return false;
     };
-    let Some(ending) = returned.ending else {
+    if returned.ending.is_none() {
         upstream.account.begin(returned.place);
+        return false;
+    }
+    upstream.account.end(returned.place)
+}
+
+/// Judges an engine by how a request of another box has ended there.
+fn judge(core: &Core, returned: &Returned) {
+    let mut upstreams = core.upstreams.borrow_mut();
+    let Some(upstream) = upstreams.named_mut(returned.engine) else {
         return;
     };
-    upstream.account.end(returned.place);
     let now = core.now();
-    let change = match ending {
-        Ending::Well => upstream.health.succeeded(),
+    let change = match returned.ending {
+        Some(Ending::Well) => upstream.health.succeeded(),
         // What was sent before the engine was left out tells nothing new.
-        Ending::Failed if upstream.health.is_open(now) => upstream.health.failed(now),
-        Ending::Failed | Ending::Undecided => {
+        Some(Ending::Failed) if upstream.health.is_open(now) => upstream.health.failed(now),
+        _ => {
             upstream.health.undecided();
             Change::None
         }
     };
     if change == Change::Ejected {
-        emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => returned.engine, "why" => "several boxes failed");
+        emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => returned.engine, "why" => "failed for several boxes");
     }
 }
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -1,4 +1,4 @@
-//! Loads, prompts placed, and engines that load weights.
+//! Loads, and in a small fleet prompts placed.
 //!
 //! In a small fleet each box tells all others. In a large one it tells the
 //! lead of its data hall, which tells it the sum of all others in return;
@@ -32,9 +32,7 @@
 const LEAD_SILENT: Duration = Duration::from_millis(700);
 /// Prompts in one telling; more are left out.
 const MOST_USES: usize = 20;
-/// Prompts that say nothing new of which one is told in a large fleet.
-const TOLD_OF_KNOWN: u32 = 5;
-/// Prompts that wait for one receiver.
+/// Prompts that wait to be told.
 const MOST_WAITING: usize = 100;
 /// Upstreams whose load is told, the busiest first.
 const MOST_LOADS: usize = 110;
@@ -48,10 +46,6 @@
     told: BTreeMap<id::Box, Heard>,
     /// Prompts of this box since the last telling.
     own: Vec<ToldUse>,
-    /// Prompts to be passed on, by receiver.
-    passed: BTreeMap<id::Box, Vec<ToldUse>>,
-    /// Prompts without news since the last that was told.
-    untold: u32,
     /// When the lead last told its sum.
     lead_heard: Moment,
 }
@@ -114,46 +108,27 @@
     pub shared: &'a [Piece],
     /// Tokens of its own, read and made.
     pub own: u64,
-    /// Whether the place is believed to have had all shared parts before.
-    pub known: bool,
 }
 
-/// Notes a prompt that is placed, for the next telling. In a large fleet only a part of
-/// those that say nothing new are told; each then stands for the others.
+/// Notes a prompt that is placed, for the next telling. In a large fleet the accounts of engines
+/// know of it.
 pub fn note_use(core: &Core, placed: Placed<'_>) {
-    if !core.book.borrow().is_small() {
-        // Accounts know.
-        return;
-    }
     let mut loads = core.loads.borrow_mut();
-    let small = core.book.borrow().is_small();
-    if placed.known && !small {
-        loads.untold += 1;
-        if loads.untold < TOLD_OF_KNOWN {
-            return;
-        }
-        loads.untold = 0;
+    if !core.book.borrow().is_small() || loads.own.len() >= MOST_WAITING {
+        return;
     }
-    let stands_for = if placed.known && !small {
-        u64::from(TOLD_OF_KNOWN)
-    } else {
-        1
-    };
     let short = |tokens| u32::try_from(tokens).unwrap_or(u32::MAX);
     let shared = placed
         .shared
         .iter()
         .map(|piece| (piece.part, short(piece.tokens)))
         .collect();
-    if loads.own.len() < MOST_WAITING {
-        let own = short(placed.own * stands_for);
-        loads.own.push(ToldUse {
-            place: placed.place,
-            version: placed.version,
-            shared,
-            own,
-        });
-    }
+    loads.own.push(ToldUse {
+        place: placed.place,
+        version: placed.version,
+        shared,
+        own: short(placed.own),
+    });
 }
 
 /// Tells from time to time.
@@ -206,22 +181,17 @@
         core.loads.borrow_mut().lead_heard = now;
         return;
     }
-    let uses = std::mem::take(&mut core.loads.borrow_mut().own);
     let told = Told {
         wants_sum: true,
         loads: own_loads(core),
-        uses,
         ..Told::new(core)
     };
     tell_one(core, socket, &lead, told).await;
 }
 
 async fn tell_leads(core: &Core, socket: &UdpSocket) {
-    let own = std::mem::take(&mut core.loads.borrow_mut().own);
     let leads = core.book.borrow().other_leads(&core.settings.hall, core.now());
-    pass_on(core, &own, None, true);
     for lead in leads {
-        let uses = core.loads.borrow_mut().passed.remove(&lead).unwrap_or_default();
         let loads = sum(core, own_loads(core), |heard, _| heard.member);
         tell_one(
             core,
@@ -229,7 +199,6 @@
             &lead,
             Told {
                 loads,
-                uses,
                 ..Told::new(core)
             },
         )
@@ -353,8 +322,6 @@
         take_use(core, used);
     }
     if !core.book.borrow().is_small() {
-        let own_hall = told.wants_sum;
-        pass_on(core, &told.uses, Some(&told.from), own_hall);
         let lead = core.book.borrow().lead(&core.settings.hall, now) == Some(&told.from);
         if lead {
             core.loads.borrow_mut().lead_heard = now;
@@ -375,16 +342,9 @@
         sum_up(core);
     }
     if told.wants_sum {
-        let uses = core
-            .loads
-            .borrow_mut()
-            .passed
-            .remove(&told.from)
-            .unwrap_or_default();
         let loads = sum(core, own_loads(core), |_, id| *id != told.from);
         for message in messages(Told {
             loads,
-            uses,
             ..Told::new(core)
         }) {
             send(core, socket, from, &message).await;
@@ -392,33 +352,6 @@
     }
 }
 
-/// Keeps prompts for the boxes that hear of them through this one.
-fn pass_on(core: &Core, uses: &[ToldUse], from: Option<&str>, own_hall: bool) {
-    if uses.is_empty() {
-        return;
-    }
-    let leads = if own_hall {
-        core.book.borrow().other_leads(&core.settings.hall, core.now())
-    } else {
-        Vec::new()
-    };
-    let mut loads = core.loads.borrow_mut();
-    let members = loads
-        .told
-        .iter()
-        .filter(|(_, heard)| heard.member)
-        .map(|(id, _)| id.clone());
-    let receivers: Vec<id::Box> = members
-        .chain(leads)
-        .filter(|id| Some(id.as_str()) != from)
-        .collect();
-    for receiver in receivers {
-        let waiting = loads.passed.entry(receiver).or_default();
-        let room = MOST_WAITING.saturating_sub(waiting.len());
-        waiting.extend(uses.iter().take(room).cloned());
-    }
-}
-
 fn take_use(core: &Core, told: &ToldUse) {
     let shared = told.shared.iter().map(|&(part, tokens)| Piece {
         part,
--- a/crates/jb-relay/src/peers/message.rs
+++ b/crates/jb-relay/src/peers/message.rs
@@ -128,6 +128,17 @@
     pub upstreams: Vec<u32>,
 }
 
+/// Where a box takes a place at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Room {
+    /// Nowhere: it only looks.
+    None,
+    /// Where at most so many prompt tokens wait, and a place is free.
+    Ahead(u32),
+    /// Wherever it asks: it has compared.
+    Any,
+}
+
 /// A question to the account of an engine.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) struct Question {
@@ -139,8 +150,8 @@
     pub shared: Vec<(u64, u32)>,
     /// Tokens of its own, read and made.
     pub own: u32,
-    /// Prompt tokens that may wait before it where a place is to be taken; none for a look alone.
-    pub ahead: Option<u32>,
+    /// Where a place is to be taken.
+    pub room: Room,
     /// Time until its request must have ended.
     pub left_ms: u32,
 }
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -15,6 +15,7 @@
 pub use account::{Accounts, Ending, Held, Prompt, View, ask as ask_account, draw, hold};
 pub use book::{Book, Peer};
 pub use gossip::{Loads, Placed, Span, note_use, tell};
+pub use message::Room;
 pub use naming::learn;
 pub use notice::{Notices, note_replaced, note_sent};
 pub use register::{KEYS, list, register};
