Accounts: an engine on trial is free again when its box dies; families that wait are forgotten; new messages last

Found in reading: a box that died with the one request that tried a failing engine kept the engine out at the account for ever (test red before); families that waited for a small prompt were never forgotten; new kinds of datagrams stood before old ones, so boxes of two versions would have misread each other.

--- a/crates/jb-policy/src/account.rs
+++ b/crates/jb-policy/src/account.rs
@@ -68,9 +68,16 @@
 }
 
 impl Account {
-    /// What is under way; places whose time is over were never given back.
-    pub fn load(&mut self, now: Moment) -> Load {
+    /// Drops places whose time is over: their boxes died, or word of their end was lost. Returns
+    /// how many there were.
+    pub fn expire(&mut self, now: Moment) -> usize {
+        let before = self.places.len();
         self.places.retain(|_, taken| now < taken.until);
+        before - self.places.len()
+    }
+
+    /// What is under way.
+    pub fn load(&self) -> Load {
         Load {
             running: u32::try_from(self.places.len()).unwrap_or(u32::MAX),
             waiting: self.places.values().map(|taken| taken.waiting).sum(),
@@ -102,6 +109,7 @@
             return false;
         }
         if !small {
+            self.due.retain(|_, since| now < *since + SEND_AGAIN);
             let since = *self.due.entry(family).or_insert(now);
             if now < since + WAIT_FOR_SMALL {
                 return false;
--- a/crates/jb-policy/tests/account.rs
+++ b/crates/jb-policy/tests/account.rs
@@ -14,7 +14,7 @@
     account.take(1, 3000, ms(4000));
     account.take(2, 500, ms(4000));
     assert_eq!(
-        account.load(ms(10)),
+        account.load(),
         Load {
             running: 2,
             waiting: 3500
@@ -22,7 +22,7 @@
     );
     account.begin(1);
     assert_eq!(
-        account.load(ms(20)),
+        account.load(),
         Load {
             running: 2,
             waiting: 500
@@ -30,7 +30,7 @@
     );
     assert!(account.end(1));
     assert_eq!(
-        account.load(ms(30)),
+        account.load(),
         Load {
             running: 1,
             waiting: 500
@@ -43,8 +43,10 @@
 fn place_of_a_box_that_died_is_free_once_its_request_must_have_ended() {
     let mut account = Account::default();
     account.take(1, 3000, ms(4000));
-    assert_eq!(account.load(ms(3999)).running, 1);
-    assert_eq!(account.load(ms(4000)), Load::default());
+    assert_eq!(account.expire(ms(3999)), 0);
+    assert_eq!(account.load().running, 1);
+    assert_eq!(account.expire(ms(4000)), 1);
+    assert_eq!(account.load(), Load::default());
 }
 
 /// Two boxes may keep an account for a moment: what was taken at the other one is not counted
--- a/crates/jb-policy/tests/crowd.rs
+++ b/crates/jb-policy/tests/crowd.rs
@@ -98,10 +98,7 @@
                 account.begin(place);
             }
         }
-        let loads: Vec<Load> = engines
-            .iter_mut()
-            .map(|engine| engine.account.load(moment(now)))
-            .collect();
+        let loads: Vec<Load> = engines.iter_mut().map(|engine| engine.account.load()).collect();
         if told.last().is_none_or(|(at, _)| now >= at + TOLD_EVERY) {
             told.push((now, loads.clone()));
         }
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -296,7 +296,7 @@
         .collect();
     let all: u64 = shared.iter().map(|piece| piece.tokens).sum();
     let found = upstream.kept.found(&shared);
-    let load = upstream.account.load(now);
+    let load = upstream.account.load();
     let open = upstream.is_open(now);
     let slots = upstream.entry.slots;
     let taken = match question.room {
@@ -340,6 +340,17 @@
     Some(place::weight(shared.last()?.part, version))
 }
 
+/// Drops places that were never given back.
+pub fn sweep(core: &Core) {
+    let now = core.now();
+    for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
+        if upstream.account.expire(now) > 0 {
+            // One of them may have been the one request that tries a failing engine.
+            upstream.health.undecided();
+        }
+    }
+}
+
 /// Takes a place back, or word of its first token; whether its request has ended.
 fn take_back(core: &Core, returned: &Returned) -> bool {
     let mut upstreams = core.upstreams.borrow_mut();
--- a/crates/jb-relay/src/peers/message.rs
+++ b/crates/jb-relay/src/peers/message.rs
@@ -11,7 +11,7 @@
 /// Longest datagram, in bytes: one packet.
 pub(super) const LONGEST: usize = 1400;
 
-/// One datagram.
+/// One datagram. New kinds come last: boxes of the version before refuse them and read the others.
 #[derive(Debug, Serialize, Deserialize)]
 pub(super) enum Message {
     /// Loads, prompts and weights.
@@ -24,16 +24,16 @@
     Sent(Sent),
     /// Incarnations of upstreams whose addresses others have now.
     Replaced(Replaced),
+    /// A box that has just started asks when weights were named.
+    AskNamings(AskNamings),
+    /// When they were.
+    Namings(Namings),
     /// A box asks the account of an engine for a place.
     Question(Question),
     /// What the account says.
     Advice(Advice),
     /// The first token of a prompt has come, or its place is given back.
     Returned(Returned),
-    /// A box that has just started asks when weights were named.
-    AskNamings(AskNamings),
-    /// When they were.
-    Namings(Namings),
 }
 
 /// What a box tells of itself, or a lead of many.
@@ -242,10 +242,10 @@
         /// Whether these are all.
         whole: bool,
     },
-    /// A piece of the next change, whose value is too long for one datagram.
-    Piece(Piece),
     /// The asker must read the store itself.
     ReadYourself,
+    /// A piece of the next change, whose value is too long for one datagram.
+    Piece(Piece),
 }
 
 /// Piece of a change's value.
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -12,7 +12,7 @@
 mod socket;
 mod weights;
 
-pub use account::{Accounts, Ending, Held, Prompt, View, ask as ask_account, draw, hold};
+pub use account::{Accounts, Ending, Held, Prompt, View, ask as ask_account, draw, hold, sweep};
 pub use book::{Book, Peer};
 pub use gossip::{Loads, Placed, Span, note_use, tell};
 pub use message::Room;
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -124,6 +124,7 @@
     loop {
         sleep(SWEEP).await;
         link::sweep(&core);
+        peers::sweep(&core);
     }
 }
 
