--- a/crates/jb-policy/src/bring.rs
+++ b/crates/jb-policy/src/bring.rs
@@ -41,6 +41,20 @@
     pub tokens: u64,
 }
 
+impl Holdings {
+    fn plan(&self, origin: Origin) -> Plan {
+        let there = match origin {
+            Origin::Nowhere => 0,
+            Origin::Engine => self.engine,
+            Origin::Store => self.store,
+        };
+        Plan {
+            origin,
+            tokens: there.saturating_sub(self.own),
+        }
+    }
+}
+
 /// Tokens for which a move from another engine is worth its wait.
 const LEAST: u64 = 64;
 
@@ -58,7 +72,6 @@
     let Holdings {
         own,
         engine,
-        store,
         shared,
         has_store,
         ..
@@ -71,15 +84,7 @@
     } else {
         Origin::Nowhere
     };
-    let there = match origin {
-        Origin::Nowhere => 0,
-        Origin::Engine => engine,
-        Origin::Store => store,
-    };
-    Plan {
-        origin,
-        tokens: there.saturating_sub(own),
-    }
+    holdings.plan(origin)
 }
 
 /// The move for one prompt.
@@ -104,13 +109,5 @@
     } else {
         Origin::Nowhere
     };
-    let there = match origin {
-        Origin::Nowhere => 0,
-        Origin::Engine => engine,
-        Origin::Store => store,
-    };
-    Plan {
-        origin,
-        tokens: there.saturating_sub(own),
-    }
+    holdings.plan(origin)
 }
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -22,8 +22,6 @@
 /// Own tokens for each shared token that a prompt sent to a store may have. The own part
 /// goes there too and pushes out parts that others could use.
 const OWN_OF_SHARED: u64 = 1;
-/// Percent of an engine's memory that keeps parts while requests run in the rest.
-const KEPT_PERCENT: u64 = 90;
 
 /// The upstream that is chosen for a request, with what it would do.
 pub(super) struct Choice {
@@ -227,7 +225,7 @@
         let mut upstreams = self.core.upstreams.borrow_mut();
         let upstream = upstreams.get_mut(id)?;
         let found = upstream.kept.found(&ticket.prompt);
-        upstream.kept.set_capacity(self.memory() * KEPT_PERCENT / 100);
+        upstream.set_memory(self.memory());
         upstream.kept.read(shared.iter().copied(), own);
         let placed = Placed {
             place: upstream.name,
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -29,8 +29,6 @@
 /// Time in which an account answers: 0.2 to 2 ms on the way, the rest for a box whose part of a
 /// core is spent for the moment.
 const ANSWER: Duration = Duration::from_millis(25);
-/// Share of an engine's memory that keeps parts while requests run in the rest.
-const KEPT_SHARE: f64 = 0.9;
 
 /// How a request ended at an engine.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, serde::Serialize, serde::Deserialize)]
@@ -285,7 +283,7 @@
     let mut upstreams = core.upstreams.borrow_mut();
     let upstream = upstreams.named_mut(question.engine)?;
     let memory = memory(&upstream.entry.service).unwrap_or_default();
-    upstream.kept.set_capacity((memory as f64 * KEPT_SHARE) as u64);
+    upstream.set_memory(memory);
     let shared: Vec<Piece> = question
         .shared
         .iter()
--- a/crates/jb-relay/src/upstream.rs
+++ b/crates/jb-relay/src/upstream.rs
@@ -22,6 +22,9 @@
 /// Time for which an upstream that refused a request for lack of room gets no other.
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
 
+/// Percent of an engine's memory that keeps parts while requests run in the rest.
+const KEPT_PERCENT: u64 = 90;
+
 /// One incarnation of an upstream.
 #[derive(Debug)]
 pub struct Upstream {
@@ -113,6 +116,11 @@
         }
     }
 
+    /// Takes what the engine's memory holds; requests run in a part of it.
+    pub fn set_memory(&mut self, tokens: u64) {
+        self.kept.set_capacity(tokens * KEPT_PERCENT / 100);
+    }
+
     /// Gives it nothing for a while after a refusal.
     pub fn pause(&mut self, now: Moment) {
         self.paused_until = self.paused_until.max(now + REFUSED_PAUSE);
@@ -180,6 +188,13 @@
     services: HashMap<id::Service, Vec<Id>>,
 }
 
+/// Ids of the upstreams that come first for a family, in the order that all boxes agree on.
+fn first<'a>(family: u64, all: impl Iterator<Item = (&'a Id, &'a Upstream)>, count: usize) -> Vec<Id> {
+    let (ids, names): (Vec<&Id>, Vec<u64>) = all.map(|(id, upstream)| (id, upstream.name)).unzip();
+    let first = place::top(family, names.into_iter().enumerate(), count);
+    first.into_iter().map(|at| ids[at].clone()).collect()
+}
+
 /// What an entry changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Seen {
@@ -280,13 +295,7 @@
 
     /// The engines that come first for a prompt's family, in the order that all boxes agree on.
     pub fn ranked(&self, family: u64, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Id> {
-        let ids: Vec<&Id> = self.open(wanted, now).map(|(id, _)| id).collect();
-        let names = self
-            .open(wanted, now)
-            .map(|(_, upstream)| upstream.name)
-            .enumerate();
-        let first = place::top(family, names, count);
-        first.into_iter().map(|at| ids[at].clone()).collect()
+        first(family, self.open(wanted, now), count)
     }
 
     /// The engines that come first for a family among those that can hand parts on.
@@ -294,9 +303,7 @@
         let all = self
             .of_service(wanted.service)
             .filter(|(_, upstream)| upstream.hands_on(now));
-        let (ids, names): (Vec<&Id>, Vec<u64>) = all.map(|(id, upstream)| (id, upstream.name)).unzip();
-        let first = place::top(family, names.into_iter().enumerate(), count);
-        first.into_iter().map(|at| ids[at].clone()).collect()
+        first(family, all, count)
     }
 
     fn open<'a>(
