Customers' limits over all boxes: one box keeps the account of each, asked for every request

Change: jb-policy/quota, a bucket with a share; claims and grants between boxes; leads count who hears whom, so that each side of a cut fills only its share; 429 with the time after which it passes.

--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod place;
 pub mod prefix;
 pub mod pressure;
+pub mod quota;
 pub mod retry;
 pub mod route;
 pub mod share;
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -16,7 +16,7 @@
 use crate::keep::Keeps;
 use crate::metrics::Metrics;
 use crate::names::Names;
-use crate::peers::{Accounts, Book, Gathered, Loads, Log, Notices, Relayed, Span};
+use crate::peers::{Accounts, Book, Census, Gathered, Loads, Log, Notices, Quotas, Relayed, Span};
 use crate::port::{Change, Engines, Store};
 use crate::rules::Rules;
 use crate::settings::Settings;
@@ -63,6 +63,10 @@
     pub book: RefCell<Book>,
     /// Places that this box asks other boxes for.
     pub accounts: Accounts,
+    /// Boxes that hear each other.
+    pub census: RefCell<Census>,
+    /// Customers' limits.
+    pub quotas: Quotas,
     /// What other boxes told of their load.
     pub loads: RefCell<Loads>,
     /// Word of engines and their weights that is about to be told.
@@ -117,6 +121,8 @@
             own: RefCell::default(),
             book: RefCell::default(),
             accounts: Accounts::default(),
+            census: RefCell::default(),
+            quotas: Quotas::default(),
             loads: RefCell::default(),
             gathered: RefCell::default(),
             notices: RefCell::default(),
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -11,6 +11,7 @@
 use crate::core::Shared;
 use crate::exchange::{Ending, Exchange};
 use crate::http::{Body, Connection, Error, Framing, Query, write_answer};
+use crate::peers;
 use crate::rules::Limits;
 use crate::stop;
 use crate::ticket::{self, Refusal, Ticket};
@@ -183,8 +184,15 @@
         Ok(ticket) => ticket,
         Err(refusal) => return turn_away(core, client, query, refusal).await,
     };
+    let claimed = match peers::claim(core, &ticket).await {
+        Ok(claimed) => claimed,
+        Err(after) => return limited(core, client, &ticket, after).await,
+    };
     let mut exchange = Exchange::new(core, query, body, &ticket);
     let ending = exchange.run(client).await;
+    if let Some(claimed) = claimed {
+        claimed.ran(exchange.may_have_run());
+    }
     let begun = exchange.has_begun();
     let after = exchange.room_after().unwrap_or_default().max(COME_BACK);
     report(core, &ticket, &exchange, ending);
@@ -199,6 +207,13 @@
     }
 }
 
+/// Refuses a request beyond its customer's limit.
+async fn limited(core: &Shared, client: &mut Connection, ticket: &Ticket, after: Duration) -> bool {
+    const STATUS: u16 = 429;
+    core.metrics.ended("limited", STATUS);
+    final_answer(core, client, &ticket.id, STATUS, Some(after)).await
+}
+
 async fn turn_away(core: &Shared, client: &mut Connection, query: &Query, refusal: Refusal) -> bool {
     let id = query.headers.text(core.names.request).unwrap_or_default();
     let status = refusal.status();
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -40,6 +40,12 @@
     pub strange: Counter,
     /// Questions to accounts without an answer in time.
     pub unadvised: Counter,
+    /// Requests beyond their customers' limits.
+    pub limited: Counter,
+    /// Claims to accounts of customers without an answer in time.
+    pub limit_unanswered: Counter,
+    /// Requests that this box judged by its own share of a limit, as no other box answered.
+    pub limit_alone: Counter,
     /// Connections opened to upstreams.
     pub connections_opened: Counter,
     /// Calls to the store.
@@ -62,6 +68,9 @@
         let retries = Counter::default();
         let unadvised = Counter::default();
         let strange = Counter::default();
+        let limited = Counter::default();
+        let limit_unanswered = Counter::default();
+        let limit_alone = Counter::default();
         let connections_opened = Counter::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
@@ -75,6 +84,21 @@
             "Questions to accounts of engines without an answer in time",
             unadvised.clone(),
         );
+        registry.register(
+            "limit_refused",
+            "Requests beyond their customers' limits",
+            limited.clone(),
+        );
+        registry.register(
+            "limit_unanswered",
+            "Claims to accounts of customers without an answer in time",
+            limit_unanswered.clone(),
+        );
+        registry.register(
+            "limit_alone",
+            "Requests judged by this box's own share of a limit",
+            limit_alone.clone(),
+        );
         registry.register(
             "upstream_connections",
             "Connections opened",
@@ -93,6 +117,9 @@
             retries,
             unadvised,
             strange,
+            limited,
+            limit_unanswered,
+            limit_alone,
             connections_opened,
             store_calls,
             store_failures,
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -260,7 +260,8 @@
     }
 }
 
-fn is_known(core: &Core, from: SocketAddr) -> bool {
+/// Whether a datagram comes from a box that is listed.
+pub(super) fn is_known(core: &Core, from: SocketAddr) -> bool {
     let known = core.book.borrow().knows(from);
     if !known {
         core.metrics.strange.inc();
--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -59,6 +59,11 @@
         self.peers.iter().filter(move |(id, _)| id.as_str() != own)
     }
 
+    /// Data hall of a box.
+    pub fn hall(&self, id: &str) -> Option<id::Hall> {
+        self.peers.get(id).map(|peer| peer.hall.clone())
+    }
+
     /// Address of a box.
     pub fn address(&self, id: &str) -> Option<SocketAddr> {
         self.peers.get(id).map(|peer| peer.address)
@@ -90,6 +95,19 @@
         near.map(|(id, peer)| (id.clone(), peer.address))
     }
 
+    /// The box that keeps the account of a customer, of all data halls; then the one to ask in a
+    /// data hall where that one gives no answer.
+    pub fn customer_keepers(&self, customer: u64, hall: &str, now: Moment) -> Vec<(id::Box, SocketAddr)> {
+        let heard = || self.peers.iter().filter(|(id, _)| !self.is_silent(id, now));
+        let weight = |peer: &Peer| place::weight(customer, peer.name);
+        let first = heard().max_by_key(|(_, peer)| weight(peer));
+        let near =
+            heard().filter(|(id, peer)| peer.hall == hall && first.is_none_or(|(other, _)| other != *id));
+        let second = near.max_by_key(|(_, peer)| weight(peer));
+        let keeper = |(id, peer): (&id::Box, &Peer)| (id.clone(), peer.address);
+        first.into_iter().chain(second).map(keeper).collect()
+    }
+
     /// Notes that a box was heard.
     pub fn heard(&mut self, id: &str) {
         self.unsure.remove(id);
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -18,7 +18,7 @@
 
 use super::message::{Message, Told, ToldLoad, ToldStore, ToldUse};
 use super::socket::send;
-use super::{notice, weights};
+use super::{census, notice, weights};
 use crate::core::{Core, Shared};
 use crate::upstream::{Load, Upstream};
 
@@ -36,7 +36,7 @@
 const MOST_WAITING: usize = 100;
 /// Upstreams whose load is told, the busiest first.
 const MOST_LOADS: usize = 110;
-/// Tellings without anything of which one is sent all the same, where the box reads the store:
+/// Tellings without anything of which one is sent all the same: the others count the box, and
 /// another one that was cut off learns from it whether the store was away.
 const QUIET_TOLD: u32 = 8;
 
@@ -77,6 +77,21 @@
         all.next().is_some()
     }
 
+    /// Boxes that have told their loads to this one as their lead since a moment.
+    pub(super) fn members(&self, since: Moment) -> Vec<id::Box> {
+        let heard = self
+            .told
+            .iter()
+            .filter(|(_, heard)| heard.member && heard.at >= since);
+        heard.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Boxes that have told anything since a moment.
+    pub(super) fn heard(&self, since: Moment) -> Vec<id::Box> {
+        let heard = self.told.iter().filter(|(_, heard)| heard.at >= since);
+        heard.map(|(id, _)| id.clone()).collect()
+    }
+
     /// Adds a prompt to what a box told, until it tells its loads again.
     pub(super) fn add(&mut self, from: &str, upstream: u32, tokens: u64) {
         let Some(heard) = self.told.get_mut(from) else {
@@ -157,8 +172,7 @@
         ..Told::new(core)
     };
     let nothing = told.loads.is_empty() && told.uses.is_empty();
-    let reads = told.store.is_some() && quiet.is_multiple_of(QUIET_TOLD);
-    if !nothing || quiet == 0 || reads {
+    if !nothing || quiet.is_multiple_of(QUIET_TOLD) {
         for message in messages(told) {
             tell_everyone(core, socket, &message).await;
         }
@@ -174,6 +188,7 @@
     if lead == core.settings.id {
         core.loads.borrow_mut().lead_heard = now;
         tell_leads(core, socket).await;
+        census::tell(core, socket).await;
         return;
     }
     if now > core.loads.borrow().lead_heard + LEAD_SILENT {
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -3,10 +3,12 @@
 
 mod account;
 mod book;
+mod census;
 mod gossip;
 mod message;
 mod naming;
 mod notice;
+mod quota;
 mod register;
 mod relay;
 mod socket;
@@ -14,10 +16,12 @@
 
 pub use account::{Accounts, Ending, Held, Prompt, View, ask as ask_account, draw, hold, sweep};
 pub use book::{Book, Peer};
+pub use census::Census;
 pub use gossip::{Loads, Placed, Span, note_use, tell};
 pub use message::Room;
 pub use naming::learn;
 pub use notice::{Notices, note_replaced, note_sent};
+pub use quota::{Claimed, Quotas, claim};
 pub use register::{KEYS, list, register};
 pub use relay::{Heard, Log, Relayed, Source, ask, is_told};
 pub use socket::{bind, hear};
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::message::{LONGEST, Message};
-use super::{account, gossip, naming, notice, relay};
+use super::{account, census, gossip, naming, notice, quota, relay};
 use crate::core::{Core, Shared};
 
 /// Pause after an error of the socket.
@@ -75,6 +75,9 @@
             Ok(Message::Question(question)) => account::hear(&core, &socket, from, &question),
             Ok(Message::Advice(advice)) => account::deliver(&core, advice),
             Ok(Message::Returned(returned)) => account::hear_returned(&core, from, &returned),
+            Ok(Message::Heard(count)) => census::take(&core, &count),
+            Ok(Message::Claim(claim)) => quota::hear(&core, &socket, from, &claim),
+            Ok(Message::Grant(grant)) => quota::deliver(&core, grant),
             Ok(Message::AskNamings(asked)) => naming::answer(&core, &socket, from, asked).await,
             Ok(Message::Namings(told)) => naming::take(&core, told),
             Err(why) => {
--- a/crates/jb-relay/src/rules.rs
+++ b/crates/jb-relay/src/rules.rs
@@ -4,6 +4,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use jb_policy::place;
+use jb_policy::quota::Limit;
 use jb_protocol::id;
 
 /// What may be done again with a request.
@@ -136,6 +138,34 @@
     pub rank: Option<u8>,
     /// Whether it shares no cache with other customers.
     pub isolated: bool,
+    /// Limit of all its requests together.
+    pub quota: Option<Quota>,
+}
+
+/// What a customer's limit counts.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Unit {
+    /// Each request once.
+    Requests,
+    /// Tokens in and out; requests that name none count for `plain` of them.
+    Tokens {
+        /// Tokens of a request that names none.
+        plain: u64,
+    },
+}
+
+/// Limit of a customer over all boxes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Quota {
+    /// Limit.
+    pub limit: Limit,
+    /// What it counts.
+    pub unit: Unit,
+}
+
+/// Lower half of the hash of a customer's name, under which boxes speak of it.
+pub fn short_name(customer: &str) -> u32 {
+    place::name_hash(customer) as u32
 }
 
 /// What callers may send, and how slowly.
@@ -177,6 +207,8 @@
     customers: Vec<Customer>,
     /// Position of the customer of each key.
     keys: HashMap<String, usize>,
+    /// Position of each customer by its short name.
+    short: HashMap<u32, usize>,
     /// Limits for callers.
     pub limits: Limits,
 }
@@ -196,6 +228,7 @@
         }
         for (customer, keys) in customers {
             let position = rules.customers.len();
+            rules.short.insert(short_name(&customer.name), position);
             rules.customers.push(customer);
             rules.keys.extend(keys.into_iter().map(|key| (key, position)));
         }
@@ -225,6 +258,17 @@
         self.customers.get(*self.keys.get(key)?)
     }
 
+    /// The limit of a customer by its short name.
+    pub fn quota(&self, short: u32) -> Option<Quota> {
+        self.customers.get(*self.short.get(&short)?)?.quota
+    }
+
+    /// The rank of the most urgent routes.
+    pub fn first_rank(&self) -> u8 {
+        let routes = self.hosts.values().flatten();
+        routes.map(|route| route.rank).min().unwrap_or(0)
+    }
+
     /// Whether requests need a key at all.
     pub fn wants_keys(&self) -> bool {
         !self.customers.is_empty()
--- a/crates/jb-relay/src/settings.rs
+++ b/crates/jb-relay/src/settings.rs
@@ -4,6 +4,7 @@
 use std::ops::RangeInclusive;
 use std::time::Duration;
 
+use jb_policy::quota::Tolerance;
 use jb_protocol::id;
 
 /// Everything a box learns about itself at its start.
@@ -68,6 +69,8 @@
     pub order_gap: Duration,
     /// Time after which nothing may begin on older weights than the newest named.
     pub weights: Duration,
+    /// What may run beyond a customer's limit.
+    pub quota: Tolerance,
 }
 
 impl Default for Bounds {
@@ -82,6 +85,11 @@
             retry_window: Duration::from_secs(10),
             order_gap: Duration::from_secs(3),
             weights: Duration::from_secs(10),
+            quota: Tolerance {
+                window: Duration::from_secs(8),
+                over: 0.1,
+                slack: 0.0,
+            },
         }
     }
 }
--- a/crates/jb-relay/src/ticket.rs
+++ b/crates/jb-relay/src/ticket.rs
@@ -10,7 +10,7 @@
 
 use crate::core::Core;
 use crate::http::Query;
-use crate::rules::{Route, Rules};
+use crate::rules::{Route, Rules, Unit};
 use crate::salt;
 
 /// Part of the bound on keys after which a box that hears nothing refuses them;
@@ -34,6 +34,8 @@
     pub service: id::Service,
     /// Its customer; `None` on public routes.
     pub customer: Option<id::Customer>,
+    /// What it counts for in its customer's limit; `None` where there is no limit.
+    pub counts: Option<u64>,
     /// Text under which engines keep its prompt.
     pub salt: String,
     /// Urgency at an engine, 0 first.
@@ -141,17 +143,18 @@
     let until = deadline.min(arrived + route.timeout);
     let model = query.headers.text(names.model).map(str::to_owned);
     let prompt = parts(query.headers.text(names.parts).unwrap_or_default(), &salt);
-    let out = query
-        .headers
-        .text(names.size)
-        .and_then(|size| size.split_once(','));
-    let out = out
-        .and_then(|(_, out)| out.trim().parse().ok())
-        .unwrap_or(DEFAULT_OUT);
+    let size = query.headers.text(names.size).and_then(sizes);
+    let out = size.map_or(DEFAULT_OUT, |(_, out)| out);
+    let quota = customer.as_ref().and_then(|customer| customer.quota);
+    let counts = quota.map(|quota| match quota.unit {
+        Unit::Requests => 1,
+        Unit::Tokens { plain } => size.map_or(plain, |(read, made)| read.saturating_add(made)),
+    });
     Ok(Ticket {
         id: id.to_owned(),
         service,
         customer: customer.map(|c| c.name),
+        counts,
         salt,
         urgency: rank.min(9),
         model,
@@ -169,6 +172,12 @@
     scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
 }
 
+/// Tokens in and most tokens out, as `IN,OUT`.
+fn sizes(text: &str) -> Option<(u64, u64)> {
+    let (read, made) = text.split_once(',')?;
+    Some((read.trim().parse().ok()?, made.trim().parse().ok()?))
+}
+
 /// Parts of a prompt as `ID:TOKENS,...`; what does not read as a part ends the list.
 fn parts(text: &str, salt: &str) -> Vec<Piece> {
     let piece = |part: &str| {
