Overload: a prompt that cannot be in time any more is refused at once

What a piece reads stops an engine's running streams, so places are held three times as long; requests that were late waited for their last call and were sent then, at their highest cost and least worth, before those that could be in time.

--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -95,14 +95,13 @@
     if ticket.prompt.is_empty() {
         return Verdict::Send;
     }
-    let target = ticket.route.target;
-    let urgent = ticket.rules.urgent_target(&ticket.service, ticket.route.rank);
     let left = ticket.until.saturating_sub(ticket.arrived);
+    let target = ticket.route.target.min(left);
+    let urgent = ticket.rules.urgent_target(&ticket.service, ticket.route.rank);
     let request = gate::Request {
         waited: core.now().saturating_sub(ticket.arrived),
         target,
         urgent: urgent.unwrap_or(target),
-        patience: ticket.route.leave().min(left),
     };
     gate::judge(&request, estimate)
 }
--- a/crates/jb-relay/src/rules.rs
+++ b/crates/jb-relay/src/rules.rs
@@ -23,11 +23,6 @@
 const PATIENCE: f64 = 1.5;
 /// The same within a stream, in longest wanted pauses.
 const SILENCE: f64 = 2.0;
-/// Time without a first token after which callers leave a stream: the longest of this, of this
-/// many wanted times and of this many longest pauses; from the platform's page.
-const LEAVE_LEAST: Duration = Duration::from_secs(2);
-const LEAVE_TARGETS: f64 = 4.0;
-const LEAVE_PAUSES: f64 = 8.0;
 /// Least silence that counts, where a route wants no time or names none.
 const LEAST_SILENCE: Duration = Duration::from_millis(100);
 
@@ -75,13 +70,6 @@
         self.target.mul_f64(PATIENCE).max(LEAST_SILENCE)
     }
 
-    /// Time without a first token after which the caller of a stream leaves.
-    pub fn leave(&self) -> Duration {
-        let targets = self.target.mul_f64(LEAVE_TARGETS);
-        let pauses = self.pause.mul_f64(LEAVE_PAUSES);
-        LEAVE_LEAST.max(targets).max(pauses)
-    }
-
     /// Silence within a stream after which it may go on elsewhere.
     pub fn silence(&self) -> Duration {
         self.pause.mul_f64(SILENCE).max(LEAST_SILENCE)
