--- a/crates/jb-policy/src/quota.rs
+++ b/crates/jb-policy/src/quota.rs
@@ -22,7 +22,7 @@
 const URGENT_SHARE: f64 = 0.1;
 /// Share of it that an account holds at its begin when nobody can tell what the one before it had
 /// left: after a restart of all boxes the limit may just have been used up.
-const BEGIN_SHARE: f64 = 0.15;
+const BEGIN_SHARE: f64 = 0.3;
 
 /// A customer's limit.
 #[derive(Clone, Copy, Debug, PartialEq)]
