--- a/crates/jb-policy/tests/overload.rs
+++ b/crates/jb-policy/tests/overload.rs
@@ -193,8 +193,8 @@
     let mut waiting: Vec<Waiting> = Vec::new();
     let mut now = 0.0_f64;
     while now < LENGTH * 1000.0 {
-        let dark = now >= DARK_FROM * 1000.0 && now < DARK_UNTIL * 1000.0;
-        let cold = now >= DARK_FROM * 1000.0 && now < COLD_UNTIL * 1000.0;
+        let dark = (DARK_FROM * 1000.0..DARK_UNTIL * 1000.0).contains(&now);
+        let cold = (DARK_FROM * 1000.0..COLD_UNTIL * 1000.0).contains(&now);
         let live = if dark { ENGINES - DARK } else { ENGINES };
         if dark {
             for engine in &mut engines[live..] {
