--- a/crates/jb-relay/src/peers/census.rs
+++ b/crates/jb-relay/src/peers/census.rs
@@ -4,12 +4,14 @@
 //! each other and their own boxes. A box that is cut off alone hears nobody and counts itself.
 
 use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use jb_policy::Moment;
 use jb_protocol::id;
 use tokio::net::UdpSocket;
 
+use super::account;
 use super::message::{Count, Message};
 use super::socket::send;
 use crate::core::Core;
@@ -26,8 +28,8 @@
 /// What leads have counted.
 #[derive(Debug, Default)]
 pub struct Census {
-    /// Boxes of each lead's data hall.
-    leads: BTreeMap<id::Box, (Moment, u32)>,
+    /// Boxes of each other data hall, as its lead said last.
+    halls: BTreeMap<id::Hall, (Moment, u32)>,
     /// Boxes of the own data hall and of all, as the own lead said.
     lead: Option<(Moment, Fleet)>,
     tellings: u32,
@@ -51,7 +53,7 @@
 
     /// Counts the fleet from the boxes of the own hall and what other leads said.
     fn sum(&self, hall: u32, now: Moment) -> Fleet {
-        let fresh = self.leads.values().filter(|(at, _)| now < *at + COUNTED);
+        let fresh = self.halls.values().filter(|(at, _)| now < *at + COUNTED);
         let others: u32 = fresh.map(|(_, boxes)| boxes).sum();
         Fleet {
             hall,
@@ -85,18 +87,23 @@
 }
 
 /// Takes the count of a lead.
-pub(super) fn take(core: &Core, count: &Count) {
+pub(super) fn take(core: &Core, from: SocketAddr, count: &Count) {
+    if !account::is_known(core, from) {
+        return;
+    }
     let now = core.now();
-    let own_hall = core.book.borrow().hall(&count.from).as_deref() == Some(&core.settings.hall);
+    let Some(hall) = core.book.borrow().hall(&count.from) else {
+        return;
+    };
     let mut census = core.census.borrow_mut();
-    if own_hall {
+    if hall == core.settings.hall {
         let fleet = Fleet {
             hall: count.hall,
             all: count.all,
         };
         census.lead = Some((now, fleet));
     } else {
-        census.leads.insert(count.from.clone(), (now, count.hall));
+        census.halls.insert(hall, (now, count.hall));
     }
 }
 
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -75,7 +75,7 @@
             Ok(Message::Question(question)) => account::hear(&core, &socket, from, &question),
             Ok(Message::Advice(advice)) => account::deliver(&core, advice),
             Ok(Message::Returned(returned)) => account::hear_returned(&core, from, &returned),
-            Ok(Message::Heard(count)) => census::take(&core, &count),
+            Ok(Message::Heard(count)) => census::take(&core, from, &count),
             Ok(Message::Claim(claim)) => quota::hear(&core, &socket, from, &claim),
             Ok(Message::Grant(grant)) => quota::deliver(&core, grant),
             Ok(Message::AskNamings(asked)) => naming::answer(&core, &socket, from, asked).await,
