--- /dev/null
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -0,0 +1,41 @@
+//! One datagram.
+
+use serde::{Deserialize, Serialize};
+
+use super::{
+    Advice, Ask, AskNamings, Claim, Count, Grant, Namings, News, Question, Replaced, Returned, Sent, Told,
+};
+
+/// Longest datagram, in bytes: one packet.
+pub(in crate::peers) const LONGEST: usize = 1400;
+
+/// One datagram. New kinds come last: boxes of the version before refuse them and read the others.
+#[derive(Debug, Serialize, Deserialize)]
+pub(in crate::peers) enum Message {
+    /// Loads, prompts and weights.
+    Told(Told),
+    /// A box asks for what has changed in the store.
+    Ask(Ask),
+    /// What has changed.
+    News(News),
+    /// Long prompts that a box has just sent.
+    Sent(Sent),
+    /// Incarnations of upstreams whose addresses others have now.
+    Replaced(Replaced),
+    /// A box that has just started asks when weights were named.
+    AskNamings(AskNamings),
+    /// When they were.
+    Namings(Namings),
+    /// A box asks the account of an engine for a place.
+    Question(Question),
+    /// What the account says.
+    Advice(Advice),
+    /// The first token of a prompt has come, or its place is given back.
+    Returned(Returned),
+    /// Boxes that a lead hears.
+    Heard(Count),
+    /// A request asks the account of its customer.
+    Claim(Claim),
+    /// What the account says.
+    Grant(Grant),
+}
--- /dev/null
+++ b/crates/jb-relay/src/peers/message/limit.rs
@@ -0,0 +1,47 @@
+//! Claims to accounts of customers, their answers, and the counts of boxes that accounts go by.
+
+use jb_protocol::id;
+use serde::{Deserialize, Serialize};
+
+/// Boxes that a lead of a data hall hears, itself with them.
+#[derive(Clone, Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct Count {
+    /// Lead.
+    pub from: id::Box,
+    /// Boxes of its data hall.
+    pub hall: u32,
+    /// Boxes of all data halls.
+    pub all: u32,
+}
+
+/// A request that counts in its customer's limit.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct Claim {
+    /// Number that the answer repeats.
+    pub nonce: u64,
+    /// Short name of the customer.
+    pub customer: u32,
+    /// What it counts for.
+    pub tokens: u64,
+    /// Whether it is of the most urgent kind.
+    pub urgent: bool,
+    /// Whether the first keeper gave no answer, so that others may ask another one.
+    pub again: bool,
+    /// What ran at this box without being asked for; less than none is given back.
+    pub unasked: i64,
+    /// What the account had left as this box last heard, if that is not long ago.
+    pub left: Option<i64>,
+}
+
+/// What the account of a customer says.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct Grant {
+    /// Number of the claim.
+    pub nonce: u64,
+    /// Short name of the customer.
+    pub customer: u32,
+    /// Time after which the request would be let in; `None` when it is.
+    pub after_ms: Option<u32>,
+    /// What the account has left.
+    pub left: i64,
+}
--- /dev/null
+++ b/crates/jb-relay/src/peers/message/mod.rs
@@ -0,0 +1,17 @@
+//! Messages between boxes.
+
+mod datagram;
+mod limit;
+mod naming;
+mod news;
+mod place;
+mod told;
+
+pub(super) use datagram::{LONGEST, Message};
+pub(super) use limit::{Claim, Count, Grant};
+pub(super) use naming::{AskNamings, Namings, ToldNaming};
+pub(super) use news::{Answer, Ask, News, Piece, ToldChange};
+pub use place::Room;
+pub(super) use place::{Advice, Question, Returned};
+pub use told::ToldWeights;
+pub(super) use told::{Replaced, Sent, Told, ToldLoad, ToldStore, ToldUse};
--- /dev/null
+++ b/crates/jb-relay/src/peers/message/news.rs
@@ -0,0 +1,110 @@
+//! Questions for news of the store, and their answers.
+
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+
+use crate::port::{Change, Revision};
+
+/// A question for news of the store.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct Ask {
+    /// Number that the answer repeats.
+    pub nonce: u64,
+    /// Revision that the asker has.
+    pub after: Revision,
+    /// Bytes that it has of the next value, where that comes in pieces.
+    pub from: u32,
+    /// Whether it takes long values, too, as it cannot read the store itself.
+    pub long: bool,
+}
+
+/// News of the store from another box.
+#[derive(Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct News {
+    /// Number of the question.
+    pub nonce: u64,
+    /// Age of what the other box knows, in milliseconds.
+    pub age_ms: u64,
+    /// What can be told.
+    pub answer: Answer,
+}
+
+/// Answer to a question for news.
+#[derive(Debug, Serialize, Deserialize)]
+pub(in crate::peers) enum Answer {
+    /// The changes since then, the older first; `whole` when there are no more.
+    Changes {
+        /// Changes.
+        changes: Vec<ToldChange>,
+        /// Revision after them.
+        revision: Revision,
+        /// Whether these are all.
+        whole: bool,
+    },
+    /// The asker must read the store itself.
+    ReadYourself,
+    /// A piece of the next change, whose value is too long for one datagram.
+    Piece(Piece),
+}
+
+/// Piece of a change's value.
+#[derive(Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct Piece {
+    /// The change without its value.
+    pub change: ToldChange,
+    /// Bytes of the whole value.
+    pub total: u32,
+    /// Bytes before this piece.
+    pub from: u32,
+    /// The piece.
+    pub bytes: Vec<u8>,
+}
+
+/// A change of one item.
+#[derive(Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct ToldChange {
+    key: String,
+    value: Option<Vec<u8>>,
+    pub revision: Revision,
+    created: Revision,
+}
+
+impl From<&Change> for ToldChange {
+    fn from(change: &Change) -> Self {
+        Self {
+            key: change.key.clone(),
+            value: change.value.as_ref().map(|value| value.to_vec()),
+            revision: change.revision,
+            created: change.created,
+        }
+    }
+}
+
+impl ToldChange {
+    /// A change whose value is told apart.
+    pub fn without_value(change: &Change) -> Self {
+        Self {
+            value: None,
+            ..Self::from(change)
+        }
+    }
+
+    /// The change with the value that was told apart.
+    pub fn with_value(self, value: Vec<u8>) -> Change {
+        Change::from(Self {
+            value: Some(value),
+            ..self
+        })
+    }
+}
+
+impl From<ToldChange> for Change {
+    fn from(told: ToldChange) -> Self {
+        Self {
+            key: told.key,
+            value: told.value.map(Bytes::from),
+            revision: told.revision,
+            created: told.created,
+        }
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/peers/message/place.rs
@@ -0,0 +1,70 @@
+//! Questions to accounts of engines, and their answers.
+
+use jb_policy::account::Place;
+use serde::{Deserialize, Serialize};
+
+use crate::peers::account::Ending;
+
+/// Where a box takes a place at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Room {
+    /// Nowhere: it only looks.
+    None,
+    /// Where at most so many prompt tokens wait, and a place is free.
+    Ahead(u32),
+    /// Wherever it asks: it has compared.
+    Any,
+}
+
+/// A question to the account of an engine.
+#[derive(Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct Question {
+    /// Id of the place.
+    pub place: Place,
+    /// Lower half of the hash of the engine's id.
+    pub engine: u32,
+    /// Shared parts of the prompt with their tokens.
+    pub shared: Vec<(u64, u32)>,
+    /// Tokens of its own, read and made.
+    pub own: u32,
+    /// Where a place is to be taken.
+    pub room: Room,
+    /// Time until its request must have ended.
+    pub left_ms: u32,
+}
+
+/// What the account of an engine says.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct Advice {
+    /// Id of the place.
+    pub place: Place,
+    /// Lower half of the hash of the engine's id.
+    pub engine: u32,
+    /// Whether the engine may get requests.
+    pub open: bool,
+    /// Version of the engine's weights; 0 where it has no model.
+    pub weights: u64,
+    /// Whether the place is taken.
+    pub taken: bool,
+    /// Requests under way there before.
+    pub running: u32,
+    /// Prompt tokens that wait there before it.
+    pub waiting: u32,
+    /// Tokens of the prompt that the engine keeps.
+    pub found: u32,
+    /// Whether the engine is to send the prompt's parts to a store.
+    pub keep: bool,
+    /// Whether a store has them.
+    pub stored: bool,
+}
+
+/// What became of a place.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct Returned {
+    /// Id of the place.
+    pub place: Place,
+    /// Lower half of the hash of the engine's id.
+    pub engine: u32,
+    /// How the request ended; none when its first token has come.
+    pub ending: Option<Ending>,
+}
--- /dev/null
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -0,0 +1,144 @@
+//! One upstream as a box sees it.
+
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::account::Account;
+use jb_policy::choose::Candidate;
+use jb_policy::health::Health;
+use jb_policy::kept::Kept;
+use jb_policy::place;
+
+use super::Wanted;
+use crate::link::Idle;
+use crate::port::Entry;
+
+/// Id of one incarnation of an upstream.
+pub type Id = String;
+
+/// Time for which an upstream that refused a request for lack of room gets no other.
+const REFUSED_PAUSE: Duration = Duration::from_millis(150);
+
+/// Percent of an engine's memory that keeps parts while requests run in the rest.
+const KEPT_PERCENT: u64 = 90;
+
+/// One incarnation of an upstream.
+#[derive(Debug)]
+pub struct Upstream {
+    /// Its last entry in the store.
+    pub entry: Entry,
+    /// Hash of its id, for the choice.
+    pub name: u64,
+    /// Record of failures.
+    pub health: Health,
+    /// Requests of this box under way there.
+    pub running: u32,
+    /// Those of them that cannot go on at another upstream.
+    pub fixed: u32,
+    /// Prompt tokens of this box that wait for their first token there.
+    pub waiting: u64,
+    /// The same of all other boxes, as they last told.
+    pub others: Load,
+    /// Until when it gets nothing because it refused.
+    pub paused_until: Moment,
+    /// Until when it gets nothing because it loads weights.
+    pub loading_until: Moment,
+    /// Since when its entry is missing after an outage of the store.
+    pub lapsed: Option<Moment>,
+    /// Whether it said itself that it leaves or has another id now.
+    pub refused: bool,
+    /// What it is believed to keep.
+    pub kept: Kept,
+    /// Its account, where this box keeps it.
+    pub account: Account,
+    /// Idle connections, the last used at the end.
+    pub idle: Vec<Idle>,
+}
+
+/// Load of an upstream.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Load {
+    /// Requests under way.
+    pub running: u32,
+    /// Those of them that cannot go on at another upstream.
+    pub fixed: u32,
+    /// Prompt tokens that wait for their first token.
+    pub waiting: u64,
+}
+
+impl Upstream {
+    pub(super) fn new(id: &str, entry: Entry) -> Self {
+        Self {
+            entry,
+            name: place::name_hash(id),
+            health: Health::default(),
+            running: 0,
+            fixed: 0,
+            waiting: 0,
+            others: Load::default(),
+            paused_until: Moment::ZERO,
+            loading_until: Moment::ZERO,
+            lapsed: None,
+            refused: false,
+            kept: Kept::default(),
+            account: Account::default(),
+            idle: Vec::new(),
+        }
+    }
+
+    /// Whether it may get a new request.
+    pub fn is_open(&self, now: Moment) -> bool {
+        let rests = now < self.paused_until || now < self.loading_until;
+        !self.entry.leaving && !self.refused && !rests && self.health.is_open(now)
+    }
+
+    /// Whether another engine can take parts from it.
+    pub(super) fn hands_on(&self, now: Moment) -> bool {
+        let loads = now < self.loading_until;
+        !loads && !self.refused && self.lapsed.is_none() && self.health.is_open(now)
+    }
+
+    /// Version of a model's weights, as last heard.
+    pub fn weights(&self, model: &str) -> Option<u64> {
+        self.entry.weights(model)
+    }
+
+    /// Takes a version heard of; the cache goes with the old weights.
+    pub fn heard_weights(&mut self, model: &str, version: u64) {
+        let loaded = self.entry.models.iter_mut().find(|loaded| loaded.model == model);
+        let Some(loaded) = loaded else { return };
+        if loaded.version != version {
+            loaded.version = version;
+            self.kept.clear();
+        }
+    }
+
+    /// Takes what the engine's memory holds; requests run in a part of it.
+    pub fn set_memory(&mut self, tokens: u64) {
+        self.kept.set_capacity(tokens * KEPT_PERCENT / 100);
+    }
+
+    /// Gives it nothing for a while after a refusal.
+    pub fn pause(&mut self, now: Moment) {
+        self.paused_until = self.paused_until.max(now + REFUSED_PAUSE);
+    }
+
+    pub(crate) fn candidate(&self, wanted: &Wanted<'_>, behind: bool) -> Candidate {
+        let hall = wanted.hall;
+        let demand = &wanted.demand;
+        Candidate {
+            name: self.name,
+            own_hall: self.entry.hall == hall,
+            running: self.running + self.others.running,
+            slots: self.entry.slots,
+            waiting: self.waiting + self.others.waiting,
+            found: self.kept.found(demand.prompt),
+            elsewhere: 0,
+            behind,
+            slowness: if self.entry.cold.is_zero() { 1.0 } else { COLD },
+        }
+    }
+}
+
+/// Factor on the time of an upstream that says it is still slow from its start.
+const COLD: f64 = 2.0;
--- /dev/null
+++ b/crates/jb-relay/src/upstream/wanted.rs
@@ -0,0 +1,37 @@
+//! What a request asks of the choice, and where its prompt's parts come from.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jb_policy::choose::Demand;
+use jb_policy::weights::History;
+
+use super::Id;
+
+/// What a request asks of the choice.
+#[derive(Clone, Debug)]
+pub struct Wanted<'a> {
+    /// Service.
+    pub service: &'a str,
+    /// Model that it names.
+    pub model: Option<&'a str>,
+    /// Versions of the model's weights that were named.
+    pub weights: History,
+    /// Time after which weights get nothing any more.
+    pub time: Duration,
+    /// Own data hall.
+    pub hall: &'a str,
+    /// Its prompt and size.
+    pub demand: Demand<'a>,
+    /// Upstreams that were tried.
+    pub except: &'a [Id],
+}
+
+/// Where parts of a prompt are brought from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Source {
+    /// Address.
+    pub address: SocketAddr,
+    /// Tokens that it has beyond the target's own.
+    pub tokens: u64,
+}
