--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -49,6 +49,15 @@
         self.peers.len().max(1)
     }
 
+    /// Boxes of a data hall that may be alive.
+    pub fn boxes_in(&self, hall: &str) -> usize {
+        self.peers
+            .values()
+            .filter(|peer| peer.hall == hall)
+            .count()
+            .max(1)
+    }
+
     /// Whether each box tells all others directly.
     pub fn is_small(&self) -> bool {
         self.boxes() <= SMALL
--- a/crates/jb-relay/src/peers/census.rs
+++ b/crates/jb-relay/src/peers/census.rs
@@ -20,8 +20,10 @@
 const HEARD: Duration = Duration::from_millis(700);
 /// The same for counts of leads, and for boxes of a small fleet, which tell less often.
 const COUNTED: Duration = Duration::from_millis(1500);
-/// Time after the start of a box in which it takes all boxes to be there: nothing was told yet.
-const STARTING: Duration = Duration::from_millis(2000);
+/// Time after the start of a box in which it takes all listed boxes to be there while nothing was
+/// told yet. Boxes that start together are up after 0.2 to 2 s; taken to be alone, accounts of
+/// customers let in next to nothing in the first second after a restart of 90 boxes.
+const STARTING: Duration = Duration::from_millis(4000);
 /// Tellings of loads for one telling of counts.
 const TELLINGS: u32 = 3;
 
@@ -51,6 +53,20 @@
         self.tellings.is_multiple_of(TELLINGS)
     }
 
+    /// Boxes that hear each other in a large fleet; `listed` are those that may be alive.
+    pub fn fleet(&self, listed: Fleet, now: Moment) -> Fleet {
+        match self.lead {
+            Some((at, fleet)) if now < at + COUNTED => fleet,
+            None if now < STARTING => listed,
+            _ => Fleet { hall: 1, all: 1 },
+        }
+    }
+
+    /// Takes what the own lead counts.
+    pub fn note(&mut self, fleet: Fleet, now: Moment) {
+        self.lead = Some((now, fleet));
+    }
+
     /// Counts the fleet from the boxes of the own hall and what other leads said.
     fn sum(&self, hall: u32, now: Moment) -> Fleet {
         let fresh = self.halls.values().filter(|(at, _)| now < *at + COUNTED);
@@ -69,9 +85,9 @@
     }
     let now = core.now();
     let members = core.loads.borrow().members(now.saturating_sub(HEARD));
-    let hall = u32::try_from(members.len()).unwrap_or(u32::MAX).saturating_add(1);
+    let hall = short(members.len() + 1);
     let fleet = core.census.borrow().sum(hall, now);
-    core.census.borrow_mut().lead = Some((now, fleet));
+    core.census.borrow_mut().note(fleet, now);
     let count = Message::Heard(Count {
         from: core.settings.id.clone(),
         hall: fleet.hall,
@@ -101,7 +117,7 @@
             hall: count.hall,
             all: count.all,
         };
-        census.lead = Some((now, fleet));
+        census.note(fleet, now);
     } else {
         census.halls.insert(hall, (now, count.hall));
     }
@@ -111,25 +127,26 @@
 pub(super) fn fleet(core: &Core) -> Fleet {
     let now = core.now();
     let book = core.book.borrow();
-    let listed = u32::try_from(book.boxes()).unwrap_or(u32::MAX);
-    let alone = Fleet { hall: 1, all: 1 };
-    if book.is_small() {
-        let heard = core.loads.borrow().heard(now.saturating_sub(COUNTED));
-        let all = u32::try_from(heard.len()).unwrap_or(u32::MAX).saturating_add(1);
-        let near = heard
-            .iter()
-            .filter(|id| book.hall(id).as_deref() == Some(&core.settings.hall));
-        let hall = u32::try_from(near.count()).unwrap_or(u32::MAX).saturating_add(1);
-        return if now < STARTING {
-            Fleet { hall, all: listed }
-        } else {
-            Fleet { hall, all }
-        };
+    let listed = Fleet {
+        hall: short(book.boxes_in(&core.settings.hall)),
+        all: short(book.boxes()),
+    };
+    if !book.is_small() {
+        return core.census.borrow().fleet(listed, now);
+    }
+    if now < STARTING {
+        return listed;
     }
-    let counted = core.census.borrow().lead;
-    match counted {
-        Some((at, fleet)) if now < at + COUNTED => fleet,
-        _ if now < STARTING => Fleet { all: listed, ..alone },
-        _ => alone,
+    let heard = core.loads.borrow().heard(now.saturating_sub(COUNTED));
+    let near = heard
+        .iter()
+        .filter(|id| book.hall(id).as_deref() == Some(&core.settings.hall));
+    Fleet {
+        hall: short(near.count() + 1),
+        all: short(heard.len() + 1),
     }
 }
+
+fn short(boxes: usize) -> u32 {
+    u32::try_from(boxes).unwrap_or(u32::MAX)
+}
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -16,7 +16,7 @@
 
 pub use account::{Accounts, Ending, Held, Prompt, View, ask as ask_account, draw, hold, sweep};
 pub use book::{Book, Peer};
-pub use census::Census;
+pub use census::{Census, Fleet};
 pub use gossip::{Loads, Placed, Span, note_use, tell};
 pub use message::Room;
 pub use naming::learn;
--- /dev/null
+++ b/crates/jb-relay/tests/census.rs
@@ -0,0 +1,32 @@
+//! For how much of a large fleet a box may speak.
+
+use std::time::Duration;
+
+use jb_relay::peers::{Census, Fleet};
+
+const LISTED: Fleet = Fleet { hall: 25, all: 90 };
+const ALONE: Fleet = Fleet { hall: 1, all: 1 };
+
+const fn ms(millis: u64) -> Duration {
+    Duration::from_millis(millis)
+}
+
+/// Boxes that had just started took themselves to be alone in their hall, and customers' accounts
+/// that they kept for it let in next to nothing.
+#[test]
+fn all_listed_boxes_are_taken_to_be_there_while_nothing_was_told() {
+    let census = Census::default();
+    assert_eq!(census.fleet(LISTED, ms(100)), LISTED);
+    assert_eq!(census.fleet(LISTED, ms(3999)), LISTED);
+    assert_eq!(census.fleet(LISTED, ms(4000)), ALONE);
+}
+
+#[test]
+fn count_of_the_lead_holds_until_it_is_old_and_then_the_box_is_alone() {
+    let mut census = Census::default();
+    let most = Fleet { hall: 25, all: 68 };
+    census.note(most, ms(300));
+    assert_eq!(census.fleet(LISTED, ms(1799)), most);
+    // Also right after the start: it had heard its lead.
+    assert_eq!(census.fleet(LISTED, ms(1800)), ALONE);
+}
