--- a/crates/jb-policy/src/quota.rs
+++ b/crates/jb-policy/src/quota.rs
@@ -91,7 +91,7 @@
 
 /// A request that asks to be let in.
 #[derive(Clone, Copy, Debug)]
-pub struct Claim {
+pub struct Charge {
     /// Tokens that it counts for.
     pub tokens: u64,
     /// Whether it is of the customer's most urgent kind.
@@ -132,14 +132,14 @@
     ///
     /// # Errors
     /// The time after which it would be let in if nothing else came.
-    pub fn take(&mut self, terms: &Terms, claim: Claim, now: Moment) -> Result<(), Duration> {
+    pub fn take(&mut self, terms: &Terms, charge: Charge, now: Moment) -> Result<(), Duration> {
         self.fill(terms, now);
-        let kept = if claim.urgent {
+        let kept = if charge.urgent {
             0.0
         } else {
             terms.overrun(URGENT_SHARE)
         };
-        let tokens = claim.tokens as f64;
+        let tokens = charge.tokens as f64;
         // What is longer than the whole room is let in once the room is full.
         let needed = (kept + tokens).min(terms.room());
         if self.level >= needed {
--- a/crates/jb-policy/tests/quota.rs
+++ b/crates/jb-policy/tests/quota.rs
@@ -10,7 +10,7 @@
 
 use std::time::Duration;
 
-use jb_policy::quota::{Account, Claim, Limit, Terms, Tolerance};
+use jb_policy::quota::{Account, Charge, Limit, Terms, Tolerance};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -88,8 +88,8 @@
     }
 }
 
-fn claim(request: &Request) -> Claim {
-    Claim {
+fn charge(request: &Request) -> Charge {
+    Charge {
         tokens: request.tokens,
         urgent: request.tokens == SHORT,
     }
@@ -104,7 +104,7 @@
     let mut account = Account::full(&terms, Duration::ZERO);
     let mut lets = Let::new();
     for request in all {
-        if account.take(&terms, claim(request), moment(request.at)).is_ok() {
+        if account.take(&terms, charge(request), moment(request.at)).is_ok() {
             lets.push((request.at, request.tokens));
         }
     }
@@ -141,7 +141,7 @@
         let (until, left) = &mut batches[request.at_box];
         if request.at > *until || *left < request.tokens {
             let ahead = request.tokens.max((rate * BATCH * 4.0 / BOXES as f64) as u64);
-            let wanted = Claim {
+            let wanted = Charge {
                 tokens: ahead,
                 urgent: true,
             };
@@ -165,7 +165,7 @@
     let mut lets = Let::new();
     for request in all {
         let account = &mut accounts[request.at_box];
-        if account.take(&terms, claim(request), moment(request.at)).is_ok() {
+        if account.take(&terms, charge(request), moment(request.at)).is_ok() {
             lets.push((request.at, request.tokens));
         }
     }
@@ -302,7 +302,7 @@
         let account = side
             .account
             .get_or_insert_with(|| Account::new(&terms, remembered, now));
-        if account.take(&terms, claim(&request), now).is_ok() {
+        if account.take(&terms, charge(&request), now).is_ok() {
             lets.push((request.at, request.tokens));
         }
         side.left = Some(account.level());
@@ -331,7 +331,7 @@
     let terms = terms(29_000.0, 1.0);
     let now = WINDOW * 2;
     let mut account = Account::new(&terms, Some(0.0), now);
-    let wanted = Claim {
+    let wanted = Charge {
         tokens: LONG,
         urgent: true,
     };
@@ -370,7 +370,7 @@
 fn lower_limit_counts_at_once() {
     let mut account = Account::full(&terms(1_068_000.0, 1.0), Duration::ZERO);
     let lower = terms(29_000.0, 1.0);
-    let small = Claim {
+    let small = Charge {
         tokens: 1,
         urgent: true,
     };
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -184,14 +184,14 @@
         Ok(ticket) => ticket,
         Err(refusal) => return turn_away(core, client, query, refusal).await,
     };
-    let claimed = match peers::claim(core, &ticket).await {
-        Ok(claimed) => claimed,
+    let charged = match peers::charge(core, &ticket).await {
+        Ok(charged) => charged,
         Err(after) => return limited(core, client, &ticket, after).await,
     };
     let mut exchange = Exchange::new(core, query, body, &ticket);
     let ending = exchange.run(client).await;
-    if let Some(claimed) = claimed {
-        claimed.ran(exchange.may_have_run());
+    if let Some(charged) = charged {
+        charged.ran(exchange.may_have_run());
     }
     let begun = exchange.has_begun();
     let after = exchange.room_after().unwrap_or_default().max(COME_BACK);
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -42,7 +42,7 @@
     pub unadvised: Counter,
     /// Requests beyond their customers' limits.
     pub limited: Counter,
-    /// Claims to accounts of customers without an answer in time.
+    /// Charges to accounts of customers without an answer in time.
     pub limit_unanswered: Counter,
     /// Requests that this box judged by its own share of a limit, as no other box answered.
     pub limit_alone: Counter,
@@ -91,7 +91,7 @@
         );
         registry.register(
             "limit_unanswered",
-            "Claims to accounts of customers without an answer in time",
+            "Charges to accounts of customers without an answer in time",
             limit_unanswered.clone(),
         );
         registry.register(
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Advice, Ask, AskNamings, Claim, Count, Grant, Namings, News, Question, Replaced, Returned, Sent, Told,
+    Advice, Ask, AskNamings, Charge, Count, Grant, Namings, News, Question, Replaced, Returned, Sent, Told,
 };
 
 /// Longest datagram, in bytes: one packet.
@@ -35,7 +35,7 @@
     /// Boxes that a lead hears.
     Heard(Count),
     /// A request asks the account of its customer.
-    Claim(Claim),
+    Charge(Charge),
     /// What the account says.
     Grant(Grant),
 }
--- a/crates/jb-relay/src/peers/message/limit.rs
+++ b/crates/jb-relay/src/peers/message/limit.rs
@@ -1,4 +1,4 @@
-//! Claims to accounts of customers, their answers, and the counts of boxes that accounts go by.
+//! Charges to accounts of customers, their answers, and the counts of boxes that accounts go by.
 
 use jb_protocol::id;
 use serde::{Deserialize, Serialize};
@@ -16,7 +16,7 @@
 
 /// A request that counts in its customer's limit.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct Claim {
+pub(in crate::peers) struct Charge {
     /// Number that the answer repeats.
     pub nonce: u64,
     /// Short name of the customer.
@@ -27,8 +27,8 @@
     pub urgent: bool,
     /// Whether the first keeper gave no answer, so that others may ask another one.
     pub again: bool,
-    /// What ran at this box without being asked for; less than none is given back.
-    pub unasked: i64,
+    /// What ran at this box without being charged; less than none is given back.
+    pub uncharged: i64,
     /// What the account had left as this box last heard, if that is not long ago.
     pub left: Option<i64>,
 }
@@ -36,7 +36,7 @@
 /// What the account of a customer says.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(in crate::peers) struct Grant {
-    /// Number of the claim.
+    /// Number of the charge.
     pub nonce: u64,
     /// Short name of the customer.
     pub customer: u32,
--- a/crates/jb-relay/src/peers/message/mod.rs
+++ b/crates/jb-relay/src/peers/message/mod.rs
@@ -8,7 +8,7 @@
 mod told;
 
 pub(super) use datagram::{LONGEST, Message};
-pub(super) use limit::{Claim, Count, Grant};
+pub(super) use limit::{Charge, Count, Grant};
 pub(super) use naming::{AskNamings, Namings, ToldNaming};
 pub(super) use news::{Answer, Ask, News, Piece, ToldChange};
 pub use place::Room;
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -21,7 +21,7 @@
 pub use message::Room;
 pub use naming::learn;
 pub use notice::{Notices, note_replaced, note_sent};
-pub use quota::{Claimed, Quotas, claim};
+pub use quota::{Charged, Quotas, charge};
 pub use register::{KEYS, list, register};
 pub use relay::{Heard, Log, Relayed, Source, ask, is_told};
 pub use socket::{bind, hear};
--- a/crates/jb-relay/src/peers/quota.rs
+++ b/crates/jb-relay/src/peers/quota.rs
@@ -17,7 +17,7 @@
 use tokio::time::timeout;
 
 use super::census;
-use super::message::{Claim, Grant, Message};
+use super::message::{Charge, Grant, Message};
 use super::socket::try_send;
 use crate::core::{Core, Shared};
 use crate::rules::{Quota, short_name};
@@ -32,8 +32,8 @@
 struct Known {
     /// What was left, and when that was told.
     left: Option<(Moment, i64)>,
-    /// What ran here without being asked for, less what is given back.
-    unasked: i64,
+    /// What ran here without being charged, less what is given back.
+    uncharged: i64,
 }
 
 /// The limits as one box sees them.
@@ -65,34 +65,34 @@
         known.entry(grant.customer).or_default().left = Some((now, grant.left));
     }
 
-    /// Counts what ran without being asked for; less than none is given back.
+    /// Counts what ran without being charged; less than none is given back.
     fn count(&self, customer: u32, tokens: i64) {
         let mut known = self.known.borrow_mut();
-        known.entry(customer).or_default().unasked += tokens;
+        known.entry(customer).or_default().uncharged += tokens;
     }
 
-    fn take_unasked(&self, customer: u32) -> i64 {
+    fn take_uncharged(&self, customer: u32) -> i64 {
         let mut known = self.known.borrow_mut();
-        std::mem::take(&mut known.entry(customer).or_default().unasked)
+        std::mem::take(&mut known.entry(customer).or_default().uncharged)
     }
 }
 
 /// A request that was let in; what it counts for is given back when it has not run.
-pub struct Claimed<'a> {
+pub struct Charged<'a> {
     core: &'a Core,
     customer: u32,
     tokens: u64,
     runs: Cell<u32>,
 }
 
-impl Claimed<'_> {
+impl Charged<'_> {
     /// Notes how often the request may have run.
     pub fn ran(&self, runs: u32) {
         self.runs.set(runs);
     }
 }
 
-impl Drop for Claimed<'_> {
+impl Drop for Charged<'_> {
     fn drop(&mut self) {
         let tokens = i64::try_from(self.tokens).unwrap_or(i64::MAX);
         let beyond = i64::from(self.runs.get()) - 1;
@@ -103,28 +103,28 @@
     }
 }
 
-/// Claims a request's part of its customer's limit; `None` where there is no limit.
+/// Charges a request's part of its customer's limit; `None` where there is no limit.
 ///
 /// # Errors
 /// The time after which the request would be let in.
-pub async fn claim<'a>(core: &'a Shared, ticket: &Ticket) -> Result<Option<Claimed<'a>>, Duration> {
+pub async fn charge<'a>(core: &'a Shared, ticket: &Ticket) -> Result<Option<Charged<'a>>, Duration> {
     let Some((name, tokens)) = ticket.customer.as_deref().zip(ticket.counts) else {
         return Ok(None);
     };
     let customer = short_name(name);
-    let mut claim = Claim {
+    let mut charge = Charge {
         nonce: core.quotas.draw(),
         customer,
         tokens,
         urgent: ticket.route.rank <= ticket.rules.first_rank(),
         again: false,
-        unasked: core.quotas.take_unasked(customer),
+        uncharged: core.quotas.take_uncharged(customer),
         left: left(core, customer),
     };
-    let (keeper, grant) = judge(core, &mut claim).await;
+    let (keeper, grant) = judge(core, &mut charge).await;
     core.quotas.heard(&grant, core.now());
     let Some(after) = grant.after_ms else {
-        return Ok(Some(Claimed {
+        return Ok(Some(Charged {
             core,
             customer,
             tokens,
@@ -143,25 +143,25 @@
 }
 
 /// The grant of the account, with the box that keeps it.
-async fn judge(core: &Core, claim: &mut Claim) -> (id::Box, Grant) {
+async fn judge(core: &Core, charge: &mut Charge) -> (id::Box, Grant) {
     let now = core.now();
     let keepers = {
         let book = core.book.borrow();
-        book.customer_keepers(u64::from(claim.customer), &core.settings.hall, now)
+        book.customer_keepers(u64::from(charge.customer), &core.settings.hall, now)
     };
     for (id, address) in keepers {
         if id == core.settings.id {
-            return (id, answer(core, claim, Standing::of(claim)));
+            return (id, answer(core, charge, Standing::of(charge)));
         }
-        if let Some(grant) = ask(core, &id, address, *claim).await {
+        if let Some(grant) = ask(core, &id, address, *charge).await {
             return (id, grant);
         }
-        claim.again = true;
+        charge.again = true;
         // What was reported to a box that gave no answer may be counted twice, not given back twice.
-        claim.unasked = claim.unasked.max(0);
+        charge.uncharged = charge.uncharged.max(0);
     }
     core.metrics.limit_alone.inc();
-    (core.settings.id.clone(), answer(core, claim, Standing::Alone))
+    (core.settings.id.clone(), answer(core, charge, Standing::Alone))
 }
 
 /// What the account had left when that was last told, unless it is long ago.
@@ -171,13 +171,13 @@
     (core.now() < at + core.settings.bounds.quota.window).then_some(left)
 }
 
-async fn ask(core: &Core, id: &id::Box, address: SocketAddr, claim: Claim) -> Option<Grant> {
+async fn ask(core: &Core, id: &id::Box, address: SocketAddr, charge: Charge) -> Option<Grant> {
     let socket = core.quotas.socket.get()?;
     let (tell, told) = oneshot::channel();
-    core.quotas.asked.borrow_mut().insert(claim.nonce, tell);
-    try_send(core, socket, address, &Message::Claim(claim));
+    core.quotas.asked.borrow_mut().insert(charge.nonce, tell);
+    try_send(core, socket, address, &Message::Charge(charge));
     let told = timeout(ANSWER, told).await;
-    core.quotas.asked.borrow_mut().remove(&claim.nonce);
+    core.quotas.asked.borrow_mut().remove(&charge.nonce);
     let mut book = core.book.borrow_mut();
     if let Ok(Ok(grant)) = told {
         book.heard(id);
@@ -188,19 +188,19 @@
     None
 }
 
-/// Takes a claim of another box.
-pub(super) fn hear(core: &Core, socket: &UdpSocket, from: SocketAddr, claim: &Claim) {
+/// Takes a charge of another box.
+pub(super) fn hear(core: &Core, socket: &UdpSocket, from: SocketAddr, charge: &Charge) {
     if super::account::is_known(core, from) {
         try_send(
             core,
             socket,
             from,
-            &Message::Grant(answer(core, claim, Standing::of(claim))),
+            &Message::Grant(answer(core, charge, Standing::of(charge))),
         );
     }
 }
 
-/// Takes the answer to a claim of this box.
+/// Takes the answer to a charge of this box.
 pub(super) fn deliver(core: &Core, grant: Grant) {
     let asker = core.quotas.asked.borrow_mut().remove(&grant.nonce);
     if let Some(asker) = asker {
@@ -221,8 +221,8 @@
 }
 
 impl Standing {
-    fn of(claim: &Claim) -> Self {
-        if claim.again { Self::Other } else { Self::First }
+    fn of(charge: &Charge) -> Self {
+        if charge.again { Self::Other } else { Self::First }
     }
 }
 
@@ -238,13 +238,13 @@
     (f64::from(boxes) / listed.max(1.0)).min(1.0)
 }
 
-/// Judges a claim by the account that this box keeps.
-fn answer(core: &Core, claim: &Claim, standing: Standing) -> Grant {
+/// Judges a charge by the account that this box keeps.
+fn answer(core: &Core, charge: &Charge, standing: Standing) -> Grant {
     let now = core.now();
-    let quota = core.rules().and_then(|rules| rules.quota(claim.customer));
+    let quota = core.rules().and_then(|rules| rules.quota(charge.customer));
     let Some(Quota { limit, .. }) = quota else {
         // The limit was taken away by a configuration that the asker has not heard of yet.
-        return grant(claim, Ok(()), f64::MAX);
+        return grant(charge, Ok(()), f64::MAX);
     };
     let terms = Terms {
         limit,
@@ -252,22 +252,22 @@
         share: share(core, standing),
     };
     let mut accounts = core.quotas.accounts.borrow_mut();
-    let begin = || Account::new(&terms, claim.left.map(|left| left as f64), now);
-    let account = accounts.entry(claim.customer).or_insert_with(begin);
-    account.settle(&terms, claim.unasked as f64);
-    let claimed = quota::Claim {
-        tokens: claim.tokens,
-        urgent: claim.urgent,
+    let begin = || Account::new(&terms, charge.left.map(|left| left as f64), now);
+    let account = accounts.entry(charge.customer).or_insert_with(begin);
+    account.settle(&terms, charge.uncharged as f64);
+    let charged = quota::Charge {
+        tokens: charge.tokens,
+        urgent: charge.urgent,
     };
-    let taken = account.take(&terms, claimed, now);
-    grant(claim, taken, account.level())
+    let taken = account.take(&terms, charged, now);
+    grant(charge, taken, account.level())
 }
 
-fn grant(claim: &Claim, taken: Result<(), Duration>, left: f64) -> Grant {
+fn grant(charge: &Charge, taken: Result<(), Duration>, left: f64) -> Grant {
     let millis = |after: Duration| u32::try_from(after.as_millis()).unwrap_or(u32::MAX);
     Grant {
-        nonce: claim.nonce,
-        customer: claim.customer,
+        nonce: charge.nonce,
+        customer: charge.customer,
         after_ms: taken.err().map(millis),
         left: left as i64,
     }
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -76,7 +76,7 @@
             Ok(Message::Advice(advice)) => account::deliver(&core, advice),
             Ok(Message::Returned(returned)) => account::hear_returned(&core, from, &returned),
             Ok(Message::Heard(count)) => census::take(&core, from, &count),
-            Ok(Message::Claim(claim)) => quota::hear(&core, &socket, from, &claim),
+            Ok(Message::Charge(charge)) => quota::hear(&core, &socket, from, &charge),
             Ok(Message::Grant(grant)) => quota::deliver(&core, grant),
             Ok(Message::AskNamings(asked)) => naming::answer(&core, &socket, from, asked).await,
             Ok(Message::Namings(told)) => naming::take(&core, told),
