--- a/crates/jb-relay/src/peers/census.rs
+++ b/crates/jb-relay/src/peers/census.rs
@@ -24,6 +24,9 @@
 /// told yet. Boxes that start together are up after 0.2 to 2 s; taken to be alone, accounts of
 /// customers let in next to nothing in the first second after a restart of 90 boxes.
 const STARTING: Duration = Duration::from_millis(4000);
+/// Time after its start from which on a lead tells counts: in a fleet that starts together the
+/// boxes have not told it anything yet, and a count of a few of them would cut limits to as little.
+const COUNTS_FROM: Duration = Duration::from_millis(2000);
 /// Tellings of loads for one telling of counts.
 const TELLINGS: u32 = 3;
 
@@ -47,10 +50,10 @@
 }
 
 impl Census {
-    /// Whether it is time to tell the counts.
-    fn is_due(&mut self) -> bool {
+    /// Whether it is time for a lead to tell its counts, asked at each telling of loads.
+    pub fn is_due(&mut self, now: Moment) -> bool {
         self.tellings += 1;
-        self.tellings.is_multiple_of(TELLINGS)
+        now >= COUNTS_FROM && self.tellings.is_multiple_of(TELLINGS)
     }
 
     /// Boxes that hear each other in a large fleet; `listed` are those that may be alive.
@@ -80,10 +83,10 @@
 
 /// Tells the boxes of the own data hall and the other leads what this lead counts.
 pub(super) async fn tell(core: &Core, socket: &UdpSocket) {
-    if !core.census.borrow_mut().is_due() {
+    let now = core.now();
+    if !core.census.borrow_mut().is_due(now) {
         return;
     }
-    let now = core.now();
     let members = core.loads.borrow().members(now.saturating_sub(HEARD));
     let hall = short(members.len() + 1);
     let fleet = core.census.borrow().sum(hall, now);
--- a/crates/jb-relay/tests/census.rs
+++ b/crates/jb-relay/tests/census.rs
@@ -30,3 +30,17 @@
     // Also right after the start: it had heard its lead.
     assert_eq!(census.fleet(LISTED, ms(1800)), ALONE);
 }
+
+/// A lead that had just started counted the few boxes that had told it something by then, and the
+/// limits of all customers were cut to their share.
+#[test]
+fn lead_tells_no_counts_until_boxes_have_had_the_time_to_tell_it() {
+    let mut census = Census::default();
+    let due = (0..40)
+        .map(|telling| ms(200 * telling))
+        .find(|at| census.is_due(*at));
+    assert!(
+        due.is_some_and(|at| (ms(2000)..ms(2600)).contains(&at)),
+        "{due:?}"
+    );
+}
