--- a/crates/jb-daemon/src/serve/refusal.rs
+++ b/crates/jb-daemon/src/serve/refusal.rs
@@ -44,5 +44,9 @@
     if let Some(seconds) = document.retry_after_s {
         builder = builder.header("retry-after", seconds);
     }
+    if status == StatusCode::PAYLOAD_TOO_LARGE {
+        // The rest of the body is not read, so the connection cannot carry another request.
+        builder = builder.header("connection", "close");
+    }
     builder.body(json(document))
 }
--- a/crates/jb-scenario/tests/bad_input.rs
+++ b/crates/jb-scenario/tests/bad_input.rs
@@ -136,6 +136,17 @@
         .await
         .unwrap_or_else(|e| panic!("{}: {e}", case.name));
     assert_eq!(answer.status().as_u16(), case.status, "{}", case.name);
+    if case.status == 413 {
+        // The rest of the body is never read: a caller that kept the connection would lose its next
+        // request there.
+        let connection = answer.headers().get("connection");
+        assert_eq!(
+            connection.map(|value| value.as_bytes()),
+            Some(&b"close"[..]),
+            "{}",
+            case.name
+        );
+    }
     let document: Value = answer
         .json()
         .await
