Last reading: one way to ask the boxes that keep accounts, and less around it

Accounts of engines and of customers each had their own socket, waiting askers and time-out: peers::inquiry serves both. The book ranks boxes in one place, and the second keeper is looked for only when the first was silent. A charge is settled by a call, not by a drop with a cell; a send that its caller left counts as a run, in place of a flag beside it. The most urgent rank is found once a configuration, not by all routes at each request. The search for an engine asks by methods.

--- a/crates/jb-policy/src/place.rs
+++ b/crates/jb-policy/src/place.rs
@@ -8,6 +8,11 @@
     xxh3_64(name.as_bytes())
 }
 
+/// Lower half of a name's hash, under which boxes speak of what it names.
+pub fn short(hash: u64) -> u32 {
+    hash as u32
+}
+
 /// Weight of a member for a key; the greatest weight owns the key.
 ///
 /// The mixing steps are the finalizer of MurmurHash3 (Appleby, 2008).
--- a/crates/jb-policy/src/quota.rs
+++ b/crates/jb-policy/src/quota.rs
@@ -115,14 +115,6 @@
         }
     }
 
-    /// An account that nothing has been taken from.
-    pub fn full(terms: &Terms, now: Moment) -> Self {
-        Self {
-            level: terms.room(),
-            at: now,
-        }
-    }
-
     /// Tokens that are left; less than none where more has run than was asked for.
     pub fn level(&self) -> f64 {
         self.level
--- a/crates/jb-policy/tests/quota.rs
+++ b/crates/jb-policy/tests/quota.rs
@@ -88,6 +88,11 @@
     }
 }
 
+/// An account that nothing has been taken from.
+fn full(terms: &Terms) -> Account {
+    Account::new(terms, Some(f64::MAX), Duration::ZERO)
+}
+
 fn charge(request: &Request) -> Charge {
     Charge {
         tokens: request.tokens,
@@ -101,7 +106,7 @@
 /// One account for all boxes, asked for each request.
 fn by_account(rate: f64, all: &[Request]) -> Let {
     let terms = terms(rate, 1.0);
-    let mut account = Account::full(&terms, Duration::ZERO);
+    let mut account = full(&terms);
     let mut lets = Let::new();
     for request in all {
         if account.take(&terms, charge(request), moment(request.at)).is_ok() {
@@ -134,7 +139,7 @@
 /// Each box is handed tokens for a time ahead by its even share of the rate, which lapse unused.
 fn by_batches(rate: f64, all: &[Request]) -> Let {
     let terms = terms(rate, 1.0);
-    let mut account = Account::full(&terms, Duration::ZERO);
+    let mut account = full(&terms);
     let mut batches = [(0.0_f64, 0_u64); BOXES];
     let mut lets = Let::new();
     for request in all {
@@ -159,9 +164,7 @@
 /// An even share of the limit at each box.
 fn by_even_shares(rate: f64, all: &[Request]) -> Let {
     let terms = terms(rate, 1.0 / BOXES as f64);
-    let mut accounts: Vec<Account> = (0..BOXES)
-        .map(|_| Account::full(&terms, Duration::ZERO))
-        .collect();
+    let mut accounts: Vec<Account> = (0..BOXES).map(|_| full(&terms)).collect();
     let mut lets = Let::new();
     for request in all {
         let account = &mut accounts[request.at_box];
@@ -368,7 +371,7 @@
 
 #[test]
 fn lower_limit_counts_at_once() {
-    let mut account = Account::full(&terms(1_068_000.0, 1.0), Duration::ZERO);
+    let mut account = full(&terms(1_068_000.0, 1.0));
     let lower = terms(29_000.0, 1.0);
     let small = Charge {
         tokens: 1,
--- a/crates/jb-relay/src/exchange/ask.rs
+++ b/crates/jb-relay/src/exchange/ask.rs
@@ -11,6 +11,7 @@
 
 use super::place::{self, Choice};
 use crate::core::Shared;
+use crate::narrow::narrow;
 use crate::peers::{self, Held, Prompt, Room, View};
 use crate::ticket::Ticket;
 use crate::upstream::{Id, Wanted};
@@ -66,7 +67,7 @@
         .borrow()
         .ranked(family, &ask.wanted, ASKED, core.now());
     let (own, others) = ranked.split_first()?;
-    let looked = if ask.wanted.demand.shared() < LEAST_LOOKED {
+    let looked = if ask.shares_little() {
         ask.look_near(own).await
     } else {
         ask.at_home(own, others, family, ticket.route.target).await
@@ -97,6 +98,11 @@
 }
 
 impl Ask<'_> {
+    /// Whether the prompt goes by load alone.
+    fn shares_little(&self) -> bool {
+        self.wanted.demand.shared() < LEAST_LOOKED
+    }
+
     /// Looks at engines for a prompt that shares little: those to which a connection is open, and
     /// the family's own. What another engine would have to read again is less than what a
     /// connection costs, and by load they share the work evenly, fast engines and slow ones.
@@ -110,7 +116,7 @@
         if !near.contains(own) {
             near.push(own.clone());
         }
-        let asked = look(self.core, &self.wanted, &self.prompt, &near).await;
+        let asked = self.look(&near).await;
         if asked.is_empty() {
             let held = peers::hold(self.core, own, self.place);
             return Looked::Chosen(Box::new(unadvised(held, own)));
@@ -121,24 +127,23 @@
     /// Asks the family's own engine for a place, and looks at others where it has none.
     async fn at_home(&self, own: &Id, others: &[Id], family: u64, target: Duration) -> Looked {
         let ahead = account::ahead(self.tuning.tokens_per_ms, target);
-        let room = Room::Ahead(u32::try_from(ahead).unwrap_or(u32::MAX));
+        let room = Room::Ahead(narrow(ahead));
         let held = peers::hold(self.core, own, self.place);
         let Some(view) = peers::ask_account(self.core, own, self.place, &self.prompt, room).await else {
             return Looked::Chosen(Box::new(unadvised(held, own)));
         };
-        let first = asked(self.core, &self.wanted, own, view);
+        let first = self.asked(own, view);
         if let Some(own) = first.as_ref().filter(|_| view.taken) {
             let missing = self.wanted.demand.shared().saturating_sub(view.found);
             let rest = if missing >= LEAST_LOOKED {
-                let holders = holders(self.core, &self.wanted, family, &own.id);
-                look(self.core, &self.wanted, &self.prompt, &holders).await
+                self.look(&self.holders(family, &own.id)).await
             } else {
                 Vec::new()
             };
             return Looked::Chosen(Box::new(self.chosen(own, held, &rest)));
         }
         drop(held);
-        let others = look(self.core, &self.wanted, &self.prompt, others).await;
+        let others = self.look(others).await;
         Looked::At(first.into_iter().chain(others).collect())
     }
 
@@ -149,7 +154,7 @@
             asked.candidate.elsewhere = asked.candidate.elsewhere.max(most);
         }
         let candidates: Vec<Candidate> = asked.iter().map(|asked| asked.candidate).collect();
-        let tuning = if self.wanted.demand.shared() < LEAST_LOOKED {
+        let tuning = if self.shares_little() {
             self.tuning.of_little_shared()
         } else {
             self.tuning
@@ -213,22 +218,43 @@
             id: best.id.clone(),
         }
     }
-}
 
-/// Engines that may keep a family though it is not theirs now, because they were its own before.
-fn holders(core: &Shared, wanted: &Wanted<'_>, family: u64, own: &Id) -> Vec<Id> {
-    let upstreams = core.upstreams.borrow();
-    let first = upstreams.holders_first(family, wanted, ASKED, core.now());
-    first.into_iter().filter(|id| id != own).collect()
-}
+    /// Engines that may keep a family though it is not theirs now, because they were its own before.
+    fn holders(&self, family: u64, own: &Id) -> Vec<Id> {
+        let upstreams = self.core.upstreams.borrow();
+        let first = upstreams.holders_first(family, &self.wanted, ASKED, self.core.now());
+        first.into_iter().filter(|id| id != own).collect()
+    }
 
-/// Looks at the accounts of engines, without taking a place.
-async fn look(core: &Shared, wanted: &Wanted<'_>, prompt: &Prompt<'_>, ids: &[Id]) -> Vec<Asked> {
-    let looks = ids.iter().map(|id| async {
-        let view = peers::ask_account(core, id, peers::draw(core), prompt, Room::None).await?;
-        asked(core, wanted, id, view)
-    });
-    join_all(looks).await.into_iter().flatten().collect()
+    /// Looks at the accounts of engines, without taking a place.
+    async fn look(&self, ids: &[Id]) -> Vec<Asked> {
+        let looks = ids.iter().map(|id| async {
+            let place = peers::draw(self.core);
+            let view = peers::ask_account(self.core, id, place, &self.prompt, Room::None).await?;
+            self.asked(id, view)
+        });
+        join_all(looks).await.into_iter().flatten().collect()
+    }
+
+    fn asked(&self, id: &Id, view: View) -> Option<Asked> {
+        let upstreams = self.core.upstreams.borrow();
+        let upstream = upstreams.get(id)?;
+        let has = self.wanted.model.and_then(|model| upstream.weights(model));
+        let behind = has.is_some_and(|has| has < self.wanted.weights.newest());
+        let shared = self.wanted.demand.shared();
+        let candidate = Candidate {
+            running: view.load.running,
+            waiting: view.load.waiting,
+            found: view.found,
+            elsewhere: if view.stored { shared } else { 0 },
+            ..upstream.candidate(&self.wanted, behind)
+        };
+        Some(Asked {
+            id: id.clone(),
+            view,
+            candidate,
+        })
+    }
 }
 
 /// A choice that no account has said anything of.
@@ -250,23 +276,3 @@
         }),
     }
 }
-
-fn asked(core: &Shared, wanted: &Wanted<'_>, id: &Id, view: View) -> Option<Asked> {
-    let upstreams = core.upstreams.borrow();
-    let upstream = upstreams.get(id)?;
-    let has = wanted.model.and_then(|model| upstream.weights(model));
-    let behind = has.is_some_and(|has| has < wanted.weights.newest());
-    let shared = wanted.demand.shared();
-    let candidate = Candidate {
-        running: view.load.running,
-        waiting: view.load.waiting,
-        found: view.found,
-        elsewhere: if view.stored { shared } else { 0 },
-        ..upstream.candidate(wanted, behind)
-    };
-    Some(Asked {
-        id: id.clone(),
-        view,
-        candidate,
-    })
-}
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -56,8 +56,6 @@
     pub(super) tried: Vec<Id>,
     pub(super) sends: u32,
     pub(super) runs: u32,
-    /// Whether a send has no outcome yet.
-    under_way: bool,
     /// Whether the next send is taken from the retry budget already.
     pub(super) paid: bool,
     /// Time after which engines have room again, where they have none.
@@ -92,7 +90,6 @@
             tried: Vec::new(),
             sends: 0,
             runs: 0,
-            under_way: false,
             paid: false,
             room_after: None,
             ending: None,
@@ -187,12 +184,14 @@
         self.ending = held.as_ref().map(Held::ending);
         let mut counted = Counted::new(core, id, waiting, last, held);
         self.tried.push(id.clone());
-        self.under_way = true;
         let outcome = tokio::select! {
             outcome = self.patiently(id, estimate.first) => outcome,
-            () = client.closed() => return Ok(Next::End(Ending::CallerGone)),
+            () = client.closed() => {
+                // It is under way, and may run.
+                self.runs += 1;
+                return Ok(Next::End(Ending::CallerGone));
+            }
         };
-        self.under_way = false;
         match outcome {
             Outcome::Unsent(why) => {
                 self.blame(id, "unsent", &why);
@@ -362,8 +361,7 @@
 
     /// How often the request may have run.
     pub fn may_have_run(&self) -> u32 {
-        // A caller that went away meanwhile has one more send under way.
-        self.runs + u32::from(self.under_way)
+        self.runs
     }
 
     /// Time of the request so far.
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -191,7 +191,7 @@
     let mut exchange = Exchange::new(core, query, body, &ticket);
     let ending = exchange.run(client).await;
     if let Some(charged) = charged {
-        charged.ran(exchange.may_have_run());
+        charged.settle(exchange.may_have_run());
     }
     let begun = exchange.has_begun();
     let after = exchange.room_after().unwrap_or_default().max(COME_BACK);
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod link;
 pub mod metrics;
 pub mod names;
+mod narrow;
 pub mod peers;
 pub mod port;
 pub mod ready;
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -5,8 +5,7 @@
 //! question is one datagram, and so is its answer; without an answer in time the asker decides
 //! by what it knows itself.
 
-use std::cell::{Cell, OnceCell, RefCell};
-use std::collections::HashMap;
+use std::cell::Cell;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -18,12 +17,12 @@
 use jb_policy::place;
 use jb_protocol::{emit, event};
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
-use tokio::time::timeout;
 
+use super::inquiry::Inquiries;
 use super::message::{Advice, Message, Question, Returned, Room};
 use super::socket::try_send;
 use crate::core::{Core, Shared};
+use crate::narrow::narrow;
 use crate::upstream::{Id, Upstream};
 
 /// Time in which an account answers: 0.2 to 2 ms on the way, the rest for a box whose part of a
@@ -44,16 +43,14 @@
 /// What a box asks for itself.
 #[derive(Debug, Default)]
 pub struct Accounts {
-    socket: OnceCell<Rc<UdpSocket>>,
-    asked: RefCell<HashMap<(Place, u32), oneshot::Sender<Advice>>>,
+    inquiries: Inquiries<(Place, u32), Advice>,
     next: Cell<u64>,
 }
 
 impl Accounts {
     /// Takes the socket to ask over.
     pub fn open(&self, socket: Rc<UdpSocket>) {
-        // A box is started once.
-        let _ = self.socket.set(socket);
+        self.inquiries.open(socket);
     }
 
     /// Id for a new place.
@@ -61,14 +58,6 @@
         self.next.set(self.next.get() + 1);
         place::weight(self.next.get(), place::name_hash(own))
     }
-
-    fn deliver(&self, advice: Advice) {
-        let asker = self.asked.borrow_mut().remove(&(advice.place, advice.engine));
-        if let Some(asker) = asker {
-            // An asker that has gone on needs no answer.
-            let _ = asker.send(advice);
-        }
-    }
 }
 
 /// A prompt for which places are asked.
@@ -144,39 +133,30 @@
 /// answers in time.
 pub async fn ask(core: &Core, engine: &Id, place: Place, prompt: &Prompt<'_>, room: Room) -> Option<View> {
     let (name, keeper) = keeper(core, engine)?;
-    let short = |tokens| u32::try_from(tokens).unwrap_or(u32::MAX);
     let question = Question {
         place,
         engine: name,
         shared: prompt
             .shared
             .iter()
-            .map(|piece| (piece.part, short(piece.tokens)))
+            .map(|piece| (piece.part, narrow(piece.tokens)))
             .collect(),
-        own: short(prompt.own),
+        own: narrow(prompt.own),
         room,
-        left_ms: short(prompt.until.saturating_sub(core.now()).as_millis() as u64),
+        left_ms: narrow(prompt.until.saturating_sub(core.now()).as_millis()),
     };
     let Some((id, address)) = keeper else {
         return Some(view(answer(core, &question)?));
     };
-    let (tell, told) = oneshot::channel();
-    core.accounts.asked.borrow_mut().insert((place, name), tell);
-    send(core, address, &Message::Question(question));
-    let told = timeout(ANSWER, told).await;
-    core.accounts.asked.borrow_mut().remove(&(place, name));
-    match told {
-        Ok(Ok(advice)) => {
-            core.book.borrow_mut().heard(&id);
-            take_weights(core, engine, &advice);
-            Some(view(advice))
-        }
-        _ => {
-            core.metrics.unadvised.inc();
-            core.book.borrow_mut().gave_no_advice(&id, core.now());
-            None
-        }
-    }
+    let inquiries = &core.accounts.inquiries;
+    let message = Message::Question(question);
+    let told = inquiries.ask(core, (&id, address), (place, name), &message, ANSWER);
+    let Some(advice) = told.await else {
+        core.metrics.unadvised.inc();
+        return None;
+    };
+    take_weights(core, engine, &advice);
+    Some(view(advice))
 }
 
 /// Takes newer weights of an engine that the box has not heard of.
@@ -212,7 +192,7 @@
 fn keeper(core: &Core, engine: &Id) -> Option<Keeper> {
     let upstreams = core.upstreams.borrow();
     let upstream = upstreams.get(engine)?;
-    let name = super::gossip::short(upstream.name);
+    let name = place::short(upstream.name);
     let book = core.book.borrow();
     let keeper = book.keeper(upstream.name, &upstream.entry.hall, core.now());
     let keeper = keeper.filter(|(id, _)| *id != core.settings.id);
@@ -229,7 +209,10 @@
         ending,
     };
     match keeper {
-        Some((_, address)) => send(core, address, &Message::Returned(returned)),
+        Some((_, address)) => core
+            .accounts
+            .inquiries
+            .send(core, address, &Message::Returned(returned)),
         // What this box saw itself it has judged.
         None => {
             take_back(core, &returned);
@@ -237,12 +220,6 @@
     }
 }
 
-fn send(core: &Core, to: SocketAddr, message: &Message) {
-    if let Some(socket) = core.accounts.socket.get() {
-        try_send(core, socket, to, message);
-    }
-}
-
 /// Takes a question of another box.
 pub(super) fn hear(core: &Core, socket: &UdpSocket, from: SocketAddr, question: &Question) {
     if !is_known(core, from) {
@@ -272,7 +249,8 @@
 
 /// Takes the answer to a question of this box.
 pub(super) fn deliver(core: &Core, advice: Advice) {
-    core.accounts.deliver(advice);
+    let key = (advice.place, advice.engine);
+    core.accounts.inquiries.deliver(key, advice);
 }
 
 fn answer(core: &Core, question: &Question) -> Option<Advice> {
@@ -318,7 +296,6 @@
         upstream.health.sent();
         upstream.kept.read(shared.into_iter(), u64::from(question.own));
     }
-    let short = |tokens| u32::try_from(tokens).unwrap_or(u32::MAX);
     Some(Advice {
         place: question.place,
         engine: question.engine,
@@ -326,8 +303,8 @@
         weights: upstream.entry.models.first().map_or(0, |loaded| loaded.version),
         taken,
         running: load.running,
-        waiting: short(load.waiting),
-        found: short(found),
+        waiting: narrow(load.waiting),
+        found: narrow(found),
         keep,
         stored,
     })
--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -69,8 +69,8 @@
     }
 
     /// Data hall of a box.
-    pub fn hall(&self, id: &str) -> Option<id::Hall> {
-        self.peers.get(id).map(|peer| peer.hall.clone())
+    pub fn hall(&self, id: &str) -> Option<&id::Hall> {
+        self.peers.get(id).map(|peer| &peer.hall)
     }
 
     /// Address of a box.
@@ -99,22 +99,39 @@
 
     /// The box that keeps the account of an engine, with its address.
     pub fn keeper(&self, engine: u64, hall: &str, now: Moment) -> Option<(id::Box, SocketAddr)> {
+        let rank = |peer: &Peer| (peer.hall == hall, place::weight(engine, peer.name));
+        self.first(now, |_, peer| Some(rank(peer)))
+    }
+
+    /// The box that keeps the account of a customer, of all data halls.
+    pub fn customer_keeper(&self, customer: u64, now: Moment) -> Option<(id::Box, SocketAddr)> {
+        self.first(now, |_, peer| Some(place::weight(customer, peer.name)))
+    }
+
+    /// The box of a data hall that keeps it where that one gives no answer.
+    pub fn other_keeper(
+        &self,
+        customer: u64,
+        hall: &str,
+        silent: &str,
+        now: Moment,
+    ) -> Option<(id::Box, SocketAddr)> {
+        self.first(now, |id, peer| {
+            let fits = peer.hall == hall && id != silent;
+            fits.then(|| place::weight(customer, peer.name))
+        })
+    }
+
+    /// The box of the highest rank among those that are heard and have one.
+    fn first<R: Ord>(
+        &self,
+        now: Moment,
+        rank: impl Fn(&str, &Peer) -> Option<R>,
+    ) -> Option<(id::Box, SocketAddr)> {
         let heard = self.peers.iter().filter(|(id, _)| !self.is_silent(id, now));
-        let near = heard.max_by_key(|(_, peer)| (peer.hall == hall, place::weight(engine, peer.name)));
-        near.map(|(id, peer)| (id.clone(), peer.address))
-    }
-
-    /// The box that keeps the account of a customer, of all data halls; then the one to ask in a
-    /// data hall where that one gives no answer.
-    pub fn customer_keepers(&self, customer: u64, hall: &str, now: Moment) -> Vec<(id::Box, SocketAddr)> {
-        let heard = || self.peers.iter().filter(|(id, _)| !self.is_silent(id, now));
-        let weight = |peer: &Peer| place::weight(customer, peer.name);
-        let first = heard().max_by_key(|(_, peer)| weight(peer));
-        let near =
-            heard().filter(|(id, peer)| peer.hall == hall && first.is_none_or(|(other, _)| other != *id));
-        let second = near.max_by_key(|(_, peer)| weight(peer));
-        let keeper = |(id, peer): (&id::Box, &Peer)| (id.clone(), peer.address);
-        first.into_iter().chain(second).map(keeper).collect()
+        let ranked = heard.filter_map(|(id, peer)| Some((rank(id, peer)?, id, peer)));
+        let first = ranked.max_by(|(a, ..), (b, ..)| a.cmp(b));
+        first.map(|(_, id, peer)| (id.clone(), peer.address))
     }
 
     /// Notes that a box was heard.
--- a/crates/jb-relay/src/peers/census.rs
+++ b/crates/jb-relay/src/peers/census.rs
@@ -15,6 +15,7 @@
 use super::message::{Count, Message};
 use super::socket::send;
 use crate::core::Core;
+use crate::narrow::narrow;
 
 /// Time after which a box that has told nothing is not counted: three tellings and some.
 const HEARD: Duration = Duration::from_millis(700);
@@ -88,7 +89,7 @@
         return;
     }
     let members = core.loads.borrow().members(now.saturating_sub(HEARD));
-    let hall = short(members.len() + 1);
+    let hall = narrow(members.len() + 1);
     let fleet = core.census.borrow().sum(hall, now);
     core.census.borrow_mut().note(fleet, now);
     let count = Message::Heard(Count {
@@ -111,18 +112,19 @@
         return;
     }
     let now = core.now();
-    let Some(hall) = core.book.borrow().hall(&count.from) else {
+    let book = core.book.borrow();
+    let Some(hall) = book.hall(&count.from) else {
         return;
     };
     let mut census = core.census.borrow_mut();
-    if hall == core.settings.hall {
+    if *hall == core.settings.hall {
         let fleet = Fleet {
             hall: count.hall,
             all: count.all,
         };
         census.note(fleet, now);
     } else {
-        census.halls.insert(hall, (now, count.hall));
+        census.halls.insert(hall.clone(), (now, count.hall));
     }
 }
 
@@ -130,9 +132,10 @@
 pub(super) fn fleet(core: &Core) -> Fleet {
     let now = core.now();
     let book = core.book.borrow();
+    let own_hall = &core.settings.hall;
     let listed = Fleet {
-        hall: short(book.boxes_in(&core.settings.hall)),
-        all: short(book.boxes()),
+        hall: narrow(book.boxes_in(own_hall)),
+        all: narrow(book.boxes()),
     };
     if !book.is_small() {
         return core.census.borrow().fleet(listed, now);
@@ -141,15 +144,9 @@
         return listed;
     }
     let heard = core.loads.borrow().heard(now.saturating_sub(COUNTED));
-    let near = heard
-        .iter()
-        .filter(|id| book.hall(id).as_deref() == Some(&core.settings.hall));
+    let near = heard.iter().filter(|id| book.hall(id) == Some(own_hall));
     Fleet {
-        hall: short(near.count() + 1),
-        all: short(heard.len() + 1),
+        hall: narrow(near.count() + 1),
+        all: narrow(heard.len() + 1),
     }
 }
-
-fn short(boxes: usize) -> u32 {
-    u32::try_from(boxes).unwrap_or(u32::MAX)
-}
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -12,6 +12,7 @@
 
 use jb_policy::Moment;
 use jb_policy::kept::Piece;
+use jb_policy::place;
 use jb_protocol::id;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -20,6 +21,7 @@
 use super::socket::send;
 use super::{census, notice, weights};
 use crate::core::{Core, Shared};
+use crate::narrow::narrow;
 use crate::upstream::{Load, Upstream};
 
 /// Pause between two tellings.
@@ -132,17 +134,16 @@
     if !core.book.borrow().is_small() || loads.own.len() >= MOST_WAITING {
         return;
     }
-    let short = |tokens| u32::try_from(tokens).unwrap_or(u32::MAX);
     let shared = placed
         .shared
         .iter()
-        .map(|piece| (piece.part, short(piece.tokens)))
+        .map(|piece| (piece.part, narrow(piece.tokens)))
         .collect();
     loads.own.push(ToldUse {
         place: placed.place,
         version: placed.version,
         shared,
-        own: short(placed.own),
+        own: narrow(placed.own),
     });
 }
 
@@ -271,16 +272,11 @@
         .collect()
 }
 
-/// Lower half of a hash.
-pub(super) fn short(hash: u64) -> u32 {
-    hash as u32
-}
-
 fn own_loads(core: &Core) -> Vec<ToldLoad> {
     let upstreams = core.upstreams.borrow();
     let busy = upstreams.iter().filter(|(_, u)| u.running > 0);
     let told = |u: &Upstream| ToldLoad {
-        upstream: short(u.name),
+        upstream: place::short(u.name),
         running: u.running,
         fixed: u.fixed,
         waiting: u.waiting,
@@ -414,7 +410,7 @@
     let sums = sum(core, Vec::new(), |_, _| true);
     let sums: BTreeMap<u32, ToldLoad> = sums.into_iter().map(|load| (load.upstream, load)).collect();
     for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
-        let told = sums.get(&short(upstream.name));
+        let told = sums.get(&place::short(upstream.name));
         let load = |t: &ToldLoad| Load {
             running: t.running,
             fixed: t.fixed,
--- /dev/null
+++ b/crates/jb-relay/src/peers/inquiry.rs
@@ -0,0 +1,80 @@
+//! Questions to the boxes that keep accounts: one datagram there, and one back in time or never.
+
+use std::cell::{OnceCell, RefCell};
+use std::collections::HashMap;
+use std::hash::Hash;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_protocol::id;
+use tokio::net::UdpSocket;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+use super::message::Message;
+use super::socket::try_send;
+use crate::core::Core;
+
+/// Questions under way, by what their answers repeat.
+#[derive(Debug)]
+pub(super) struct Inquiries<K, A> {
+    socket: OnceCell<Rc<UdpSocket>>,
+    waiting: RefCell<HashMap<K, oneshot::Sender<A>>>,
+}
+
+impl<K, A> Default for Inquiries<K, A> {
+    fn default() -> Self {
+        Self {
+            socket: OnceCell::new(),
+            waiting: RefCell::default(),
+        }
+    }
+}
+
+impl<K: Copy + Eq + Hash, A> Inquiries<K, A> {
+    /// Takes the socket to ask over.
+    pub fn open(&self, socket: Rc<UdpSocket>) {
+        // A box is started once.
+        let _ = self.socket.set(socket);
+    }
+
+    /// Sends a message that wants no answer.
+    pub fn send(&self, core: &Core, to: SocketAddr, message: &Message) {
+        if let Some(socket) = self.socket.get() {
+            try_send(core, socket, to, message);
+        }
+    }
+
+    /// Asks a box; `None` when it gives no answer in time, which counts against it.
+    pub async fn ask(
+        &self,
+        core: &Core,
+        (id, address): (&id::Box, SocketAddr),
+        key: K,
+        message: &Message,
+        time: Duration,
+    ) -> Option<A> {
+        let (tell, told) = oneshot::channel();
+        self.waiting.borrow_mut().insert(key, tell);
+        self.send(core, address, message);
+        let told = timeout(time, told).await;
+        self.waiting.borrow_mut().remove(&key);
+        let mut book = core.book.borrow_mut();
+        if let Ok(Ok(answer)) = told {
+            book.heard(id);
+            return Some(answer);
+        }
+        book.gave_no_advice(id, core.now());
+        None
+    }
+
+    /// Hands an answer to the question that it belongs to.
+    pub fn deliver(&self, key: K, answer: A) {
+        let asker = self.waiting.borrow_mut().remove(&key);
+        if let Some(asker) = asker {
+            // An asker that has gone on needs no answer.
+            let _ = asker.send(answer);
+        }
+    }
+}
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -5,6 +5,7 @@
 mod book;
 mod census;
 mod gossip;
+mod inquiry;
 mod message;
 mod naming;
 mod notice;
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -3,13 +3,15 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jb_policy::place;
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
-use super::gossip::{short, sum_up, tell_everyone};
+use super::gossip::{sum_up, tell_everyone};
 use super::message::{Message, Replaced, Sent};
 use crate::core::Core;
+use crate::narrow::narrow;
 use crate::upstream::Upstream;
 
 /// Tokens from which on others hear of a prompt at once in a small fleet: with loads told every
@@ -41,8 +43,7 @@
         return;
     }
     let mut notices = core.notices.borrow_mut();
-    let tokens = u32::try_from(tokens).unwrap_or(u32::MAX);
-    notices.sent.push((short(upstream.name), tokens));
+    notices.sent.push((place::short(upstream.name), narrow(tokens)));
     notices.wake.notify_one();
 }
 
@@ -76,7 +77,10 @@
 /// Notes that another incarnation answers at an upstream's address, for the other boxes: each
 /// would find out by a request that is turned away, and these spend the retry budget.
 pub fn note_replaced(core: &Core, upstream: &Upstream) {
-    core.notices.borrow_mut().replaced.push(short(upstream.name));
+    core.notices
+        .borrow_mut()
+        .replaced
+        .push(place::short(upstream.name));
 }
 
 /// Tells all boxes of replaced upstreams.
@@ -90,6 +94,6 @@
 /// Takes replaced upstreams.
 pub(super) fn take_replaced(core: &Core, replaced: &Replaced) {
     for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
-        upstream.refused |= replaced.upstreams.contains(&short(upstream.name));
+        upstream.refused |= replaced.upstreams.contains(&place::short(upstream.name));
     }
 }
--- a/crates/jb-relay/src/peers/quota.rs
+++ b/crates/jb-relay/src/peers/quota.rs
@@ -3,7 +3,7 @@
 //! Which box that is follows by rendezvous hashing from the boxes that are heard. Where it gives no
 //! answer in time, a box of the own data hall is asked, and at last this box judges by its own share.
 
-use std::cell::{Cell, OnceCell, RefCell};
+use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -13,13 +13,13 @@
 use jb_policy::quota::{self, Account, Terms};
 use jb_protocol::{emit, event, id};
 use tokio::net::UdpSocket;
-use tokio::sync::oneshot;
-use tokio::time::timeout;
 
 use super::census;
+use super::inquiry::Inquiries;
 use super::message::{Charge, Grant, Message};
 use super::socket::try_send;
 use crate::core::{Core, Shared};
+use crate::narrow::narrow;
 use crate::rules::{Quota, short_name};
 use crate::ticket::Ticket;
 
@@ -30,29 +30,34 @@
 /// What a box knows of the account of one customer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Known {
-    /// What was left, and when that was told.
-    left: Option<(Moment, i64)>,
+    /// What was left, as it was told last.
+    left: Option<Left>,
     /// What ran here without being charged, less what is given back.
     uncharged: i64,
 }
 
+/// What an account had left at a moment.
+#[derive(Clone, Copy, Debug)]
+struct Left {
+    at: Moment,
+    tokens: i64,
+}
+
 /// The limits as one box sees them.
 #[derive(Debug, Default)]
 pub struct Quotas {
-    socket: OnceCell<Rc<UdpSocket>>,
+    inquiries: Inquiries<u64, Grant>,
     /// Accounts that this box keeps, by the customer's short name.
     accounts: RefCell<HashMap<u32, Account>>,
     /// What this box knows of accounts.
     known: RefCell<HashMap<u32, Known>>,
-    asked: RefCell<HashMap<u64, oneshot::Sender<Grant>>>,
     next: Cell<u64>,
 }
 
 impl Quotas {
     /// Takes the socket to ask over.
     pub fn open(&self, socket: Rc<UdpSocket>) {
-        // A box is started once.
-        let _ = self.socket.set(socket);
+        self.inquiries.open(socket);
     }
 
     fn draw(&self) -> u64 {
@@ -62,7 +67,11 @@
 
     fn heard(&self, grant: &Grant, now: Moment) {
         let mut known = self.known.borrow_mut();
-        known.entry(grant.customer).or_default().left = Some((now, grant.left));
+        let left = Left {
+            at: now,
+            tokens: grant.left,
+        };
+        known.entry(grant.customer).or_default().left = Some(left);
     }
 
     /// Counts what ran without being charged; less than none is given back.
@@ -77,29 +86,20 @@
     }
 }
 
-/// A request that was let in; what it counts for is given back when it has not run.
+/// A request that was let in.
 pub struct Charged<'a> {
     core: &'a Core,
     customer: u32,
     tokens: u64,
-    runs: Cell<u32>,
 }
 
 impl Charged<'_> {
-    /// Notes how often the request may have run.
-    pub fn ran(&self, runs: u32) {
-        self.runs.set(runs);
-    }
-}
-
-impl Drop for Charged<'_> {
-    fn drop(&mut self) {
+    /// Gives back what has not run, and counts what may have run more than once.
+    pub fn settle(self, runs: u32) {
         let tokens = i64::try_from(self.tokens).unwrap_or(i64::MAX);
-        let beyond = i64::from(self.runs.get()) - 1;
-        if beyond != 0 {
-            let counted = tokens.saturating_mul(beyond);
-            self.core.quotas.count(self.customer, counted);
-        }
+        let beyond = i64::from(runs) - 1;
+        let uncharged = tokens.saturating_mul(beyond);
+        self.core.quotas.count(self.customer, uncharged);
     }
 }
 
@@ -116,7 +116,7 @@
         nonce: core.quotas.draw(),
         customer,
         tokens,
-        urgent: ticket.route.rank <= ticket.rules.first_rank(),
+        urgent: ticket.route.rank <= ticket.rules.first_rank,
         again: false,
         uncharged: core.quotas.take_uncharged(customer),
         left: left(core, customer),
@@ -128,37 +128,33 @@
             core,
             customer,
             tokens,
-            runs: Cell::new(0),
         }));
     };
+    let limit = ticket.rules.quota(customer).map(|quota| quota.limit.rate);
     core.metrics.limited.inc();
     emit!(core.logger, info, event::REQUEST_LIMITED, "request" => &ticket.id, "customer" => name,
-        "tokens" => tokens, "limit_per_s" => limit_per_s(ticket), "left" => grant.left, "keeper" => keeper, "after_ms" => after);
+        "tokens" => tokens, "limit_per_s" => limit, "left" => grant.left, "keeper" => keeper, "after_ms" => after);
     Err(Duration::from_millis(after.into()))
 }
 
-fn limit_per_s(ticket: &Ticket) -> Option<f64> {
-    let short = short_name(ticket.customer.as_deref()?);
-    Some(ticket.rules.quota(short)?.limit.rate)
-}
-
 /// The grant of the account, with the box that keeps it.
 async fn judge(core: &Core, charge: &mut Charge) -> (id::Box, Grant) {
-    let now = core.now();
-    let keepers = {
-        let book = core.book.borrow();
-        book.customer_keepers(u64::from(charge.customer), &core.settings.hall, now)
-    };
-    for (id, address) in keepers {
-        if id == core.settings.id {
-            return (id, answer(core, charge, Standing::of(charge)));
-        }
-        if let Some(grant) = ask(core, &id, address, *charge).await {
-            return (id, grant);
+    let key = u64::from(charge.customer);
+    let first = core.book.borrow().customer_keeper(key, core.now());
+    if let Some(first) = first {
+        if let Some(grant) = ask(core, &first, charge).await {
+            return (first.0, grant);
         }
         charge.again = true;
         // What was reported to a box that gave no answer may be counted twice, not given back twice.
         charge.uncharged = charge.uncharged.max(0);
+        let hall = &core.settings.hall;
+        let other = core.book.borrow().other_keeper(key, hall, &first.0, core.now());
+        if let Some(other) = other
+            && let Some(grant) = ask(core, &other, charge).await
+        {
+            return (other.0, grant);
+        }
     }
     core.metrics.limit_alone.inc();
     (core.settings.id.clone(), answer(core, charge, Standing::Alone))
@@ -167,25 +163,23 @@
 /// What the account had left when that was last told, unless it is long ago.
 fn left(core: &Core, customer: u32) -> Option<i64> {
     let known = core.quotas.known.borrow();
-    let (at, left) = known.get(&customer)?.left?;
-    (core.now() < at + core.settings.bounds.quota.window).then_some(left)
+    let left = known.get(&customer)?.left?;
+    (core.now() < left.at + core.settings.bounds.quota.window).then_some(left.tokens)
 }
 
-async fn ask(core: &Core, id: &id::Box, address: SocketAddr, charge: Charge) -> Option<Grant> {
-    let socket = core.quotas.socket.get()?;
-    let (tell, told) = oneshot::channel();
-    core.quotas.asked.borrow_mut().insert(charge.nonce, tell);
-    try_send(core, socket, address, &Message::Charge(charge));
-    let told = timeout(ANSWER, told).await;
-    core.quotas.asked.borrow_mut().remove(&charge.nonce);
-    let mut book = core.book.borrow_mut();
-    if let Ok(Ok(grant)) = told {
-        book.heard(id);
-        return Some(grant);
+/// Asks a box that keeps an account, which may be this one.
+async fn ask(core: &Core, (id, address): &(id::Box, SocketAddr), charge: &Charge) -> Option<Grant> {
+    if *id == core.settings.id {
+        return Some(answer(core, charge, Standing::of(charge)));
+    }
+    let message = Message::Charge(*charge);
+    let inquiries = &core.quotas.inquiries;
+    let told = inquiries.ask(core, (id, *address), charge.nonce, &message, ANSWER);
+    let grant = told.await;
+    if grant.is_none() {
+        core.metrics.limit_unanswered.inc();
     }
-    core.metrics.limit_unanswered.inc();
-    book.gave_no_advice(id, core.now());
-    None
+    grant
 }
 
 /// Takes a charge of another box.
@@ -202,11 +196,7 @@
 
 /// Takes the answer to a charge of this box.
 pub(super) fn deliver(core: &Core, grant: Grant) {
-    let asker = core.quotas.asked.borrow_mut().remove(&grant.nonce);
-    if let Some(asker) = asker {
-        // An asker that has gone on needs no answer.
-        let _ = asker.send(grant);
-    }
+    core.quotas.inquiries.deliver(grant.nonce, grant);
 }
 
 /// For whom a box answers.
@@ -229,7 +219,7 @@
 /// Share of the fleet that this box speaks for.
 fn share(core: &Core, standing: Standing) -> f64 {
     let fleet = census::fleet(core);
-    let listed = f64::from(u32::try_from(core.book.borrow().boxes()).unwrap_or(u32::MAX));
+    let listed = f64::from(narrow(core.book.borrow().boxes()));
     let boxes = match standing {
         Standing::First => fleet.all,
         Standing::Other => fleet.hall,
@@ -264,11 +254,10 @@
 }
 
 fn grant(charge: &Charge, taken: Result<(), Duration>, left: f64) -> Grant {
-    let millis = |after: Duration| u32::try_from(after.as_millis()).unwrap_or(u32::MAX);
     Grant {
         nonce: charge.nonce,
         customer: charge.customer,
-        after_ms: taken.err().map(millis),
+        after_ms: taken.err().map(|after| narrow(after.as_millis())),
         left: left as i64,
     }
 }
--- a/crates/jb-relay/src/peers/relay.rs
+++ b/crates/jb-relay/src/peers/relay.rs
@@ -18,6 +18,7 @@
 use super::message::{Answer, Ask, LONGEST, Message, News, Piece, ToldChange};
 use super::socket::send;
 use crate::core::Core;
+use crate::narrow::narrow;
 use crate::port::{Change, Revision};
 
 /// Changes that a box keeps for others.
@@ -129,8 +130,8 @@
     }
     Answer::Piece(Piece {
         change: ToldChange::without_value(change),
-        total: u32::try_from(value.len()).unwrap_or(u32::MAX),
-        from: u32::try_from(from).unwrap_or(u32::MAX),
+        total: narrow(value.len()),
+        from: narrow(from),
         bytes: rest[..rest.len().min(room)].to_vec(),
     })
 }
--- a/crates/jb-relay/src/peers/weights.rs
+++ b/crates/jb-relay/src/peers/weights.rs
@@ -8,7 +8,7 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::gossip::{short, tell_everyone};
+use super::gossip::tell_everyone;
 use super::message::{Message, Told, ToldWeights};
 use crate::core::{Core, Shared};
 
@@ -33,7 +33,7 @@
     version: Option<u64>,
 ) {
     let told = ToldWeights {
-        upstream: short(place::name_hash(upstream)),
+        upstream: place::short(place::name_hash(upstream)),
         model: model.to_owned(),
         version: version.unwrap_or(0),
     };
--- a/crates/jb-relay/src/rules.rs
+++ b/crates/jb-relay/src/rules.rs
@@ -153,7 +153,7 @@
 
 /// Lower half of the hash of a customer's name, under which boxes speak of it.
 pub fn short_name(customer: &str) -> u32 {
-    place::name_hash(customer) as u32
+    place::short(place::name_hash(customer))
 }
 
 /// What callers may send, and how slowly.
@@ -199,6 +199,8 @@
     short: HashMap<u32, usize>,
     /// Limits for callers.
     pub limits: Limits,
+    /// Rank of the most urgent routes.
+    pub first_rank: u8,
 }
 
 impl Rules {
@@ -208,6 +210,7 @@
             version,
             ..Self::default()
         };
+        rules.first_rank = routes.iter().map(|route| route.rank).min().unwrap_or(0);
         for route in routes {
             rules.hosts.entry(route.host.clone()).or_default().push(route);
         }
@@ -251,12 +254,6 @@
         self.customers.get(*self.short.get(&short)?)?.quota
     }
 
-    /// The rank of the most urgent routes.
-    pub fn first_rank(&self) -> u8 {
-        let routes = self.hosts.values().flatten();
-        routes.map(|route| route.rank).min().unwrap_or(0)
-    }
-
     /// Whether requests need a key at all.
     pub fn wants_keys(&self) -> bool {
         !self.customers.is_empty()
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -128,7 +128,7 @@
     pub fn named_mut(&mut self, name: u32) -> Option<&mut Upstream> {
         self.all
             .values_mut()
-            .find(|upstream| upstream.name as u32 == name)
+            .find(|upstream| place::short(upstream.name) == name)
     }
 
     /// The engines that come first for a prompt's family, in the order that all boxes agree on.
