--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -49,6 +49,7 @@
     PEER_UNREGISTERED = 4006, "peer_unregistered", "The own address could not be written to the store.";
     HISTORY_GONE = 4007, "history_gone", "The store has forgotten its history; all is read again.";
     STORE_UNREADABLE = 4008, "store_unreadable", "A value in the store cannot be read; the one before stays.";
+    NEWS_UNHEARD = 4009, "news_unheard", "Another box could not tell what has changed in the store.";
     UPSTREAM_LEAVING = 5001, "upstream_leaving", "An upstream gets no new work.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream is left out after failures.";
@@ -57,6 +58,7 @@
     UPSTREAM_GONE = 5006, "upstream_gone", "An upstream's entry has gone.";
     KEPT_READ = 5007, "kept_read", "An engine has told the parts of prompts that it keeps.";
     KEPT_UNREAD = 5008, "kept_unread", "An engine has not told the parts of prompts that it keeps.";
+    UPSTREAM_LAPSED = 5009, "upstream_lapsed", "An upstream's entry is missing after an outage, and may come back.";
     CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
     STEWARD_TAKEN = 7001, "steward_taken", "The box has become its hall's steward.";
     STEWARD_LOST = 7002, "steward_lost", "The box is no longer its hall's steward.";
--- a/crates/jb-relay/src/follow.rs
+++ b/crates/jb-relay/src/follow.rs
@@ -209,7 +209,7 @@
         Fact::Upstream(id, None) => {
             let leaving = core.upstreams.borrow().get(&id).is_some_and(|u| u.entry.leaving);
             if returning && !leaving {
-                core.upstreams.borrow_mut().lapse(&id, core.now());
+                lapse(core, &id);
             } else {
                 gone(core, &id);
             }
@@ -256,6 +256,13 @@
     }
 }
 
+fn lapse(core: &Core, id: &str) {
+    if core.upstreams.borrow_mut().lapse(id, core.now()) {
+        let answered = core.loads.borrow().answered_for(core.now());
+        emit!(core.logger, info, event::UPSTREAM_LAPSED, "upstream" => id, "answered_for" => ?answered);
+    }
+}
+
 fn gone(core: &Core, id: &str) {
     if core.upstreams.borrow_mut().remove(id) == Seen::Gone {
         emit!(core.logger, info, event::UPSTREAM_GONE, "upstream" => id);
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -79,6 +79,13 @@
         all.next().is_some()
     }
 
+    /// For how long the store has answered each box that is heard, without a failure, for the log.
+    pub fn answered_for(&self, now: Moment) -> BTreeMap<id::Box, Option<Duration>> {
+        let told = self.told.iter();
+        told.map(|(id, heard)| (id.clone(), heard.store.map(|span| now.saturating_sub(span.from))))
+            .collect()
+    }
+
     /// Boxes that have told their loads to this one as their lead since a moment.
     pub(super) fn members(&self, since: Moment) -> Vec<id::Box> {
         let heard = self
--- a/crates/jb-relay/src/peers/relay.rs
+++ b/crates/jb-relay/src/peers/relay.rs
@@ -10,7 +10,7 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
-use jb_protocol::id;
+use jb_protocol::{emit, event, id};
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
 use tokio::time::timeout;
@@ -204,10 +204,14 @@
         .await
         else {
             core.book.borrow_mut().missed(&lead, core.now());
+            unheard(core, source, &lead, "silent");
             return None;
         };
         match news.answer {
-            Answer::ReadYourself => return None,
+            Answer::ReadYourself => {
+                unheard(core, source, &lead, "knows_no_more");
+                return None;
+            }
             Answer::Changes {
                 changes,
                 revision,
@@ -238,6 +242,13 @@
     }
 }
 
+/// Logs a question that brought nothing, while the own calls to the store fail.
+fn unheard(core: &Core, source: Source, peer: &str, why: &'static str) {
+    if source == Source::AnyLead {
+        emit!(core.logger, info, event::NEWS_UNHEARD, "peer" => peer, "why" => why);
+    }
+}
+
 fn own_lead(core: &Core) -> Option<id::Box> {
     let lead = core.book.borrow().lead(&core.settings.hall, core.now()).cloned();
     lead.filter(|lead| *lead != core.settings.id)
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -67,10 +67,14 @@
     }
 
     /// Notes that an entry is missing right after an outage of the store; it may come back.
-    pub fn lapse(&mut self, id: &str, now: Moment) {
-        if let Some(known) = self.all.get_mut(id) {
-            known.lapsed.get_or_insert(now);
-        }
+    /// Returns whether that is new.
+    pub fn lapse(&mut self, id: &str, now: Moment) -> bool {
+        let Some(known) = self.all.get_mut(id) else {
+            return false;
+        };
+        let new = known.lapsed.is_none();
+        known.lapsed.get_or_insert(now);
+        new
     }
 
     /// Takes an upstream off.
