Membership: an engine whose entry is missing counts only with evidence that the store was away, as a last resort

Cause: a box that had been without the store kept engines whose entries were missing for 2.3 s, unless one other box could tell of an unbroken span in which the store had answered it. Any short loss of connections broke all these spans, and every outage of the own calls counted, however short. Class: what is not known was taken for the harmless case, and an engine that may be gone was as good as any other.

Now one module holds the rule (follow/missing): silences that cost no entry do not end a span, the spans of all boxes count together, boxes that hear through a lead tell one too, and without word of others a missing entry is gone. What may come back gets requests only where no engine that is there has a place. News of the store go on after a reading of everything (peers/log), are gathered whole from one box, and the other leads are asked before a silent store is. A store that was lost is asked without waiting for changes.

--- a/crates/jb-policy/src/choose.rs
+++ b/crates/jb-policy/src/choose.rs
@@ -100,6 +100,11 @@
 }
 
 impl Candidate {
+    /// Whether all its places are taken.
+    pub fn is_full(&self) -> bool {
+        self.running >= self.slots
+    }
+
     /// Tokens that another engine hands it.
     fn brought(&self) -> u64 {
         self.elsewhere.saturating_sub(self.found)
@@ -221,11 +226,7 @@
     } else {
         tuning.other_hall + tuning.other_hall_per_kb * demand.bytes as f64 / 1024.0
     };
-    let full = if candidate.running >= candidate.slots {
-        tuning.full
-    } else {
-        0.0
-    };
+    let full = if candidate.is_full() { tuning.full } else { 0.0 };
     let behind = if candidate.behind { tuning.behind } else { 0.0 };
     (reading + drag + import) * candidate.slowness + again + distance + full + behind
 }
--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod limit;
 pub mod load;
 pub mod member;
+pub mod outage;
 pub mod pace;
 pub mod place;
 pub mod prefix;
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -7,6 +7,7 @@
 
 use jb_policy::Moment;
 use jb_policy::choose::Tuning;
+use jb_policy::outage::{self, Span};
 use jb_policy::pace::Pace;
 use jb_policy::share::{Bound, Budget};
 use jb_policy::weights::History;
@@ -16,7 +17,7 @@
 use crate::keep::Keeps;
 use crate::metrics::Metrics;
 use crate::names::Names;
-use crate::peers::{Accounts, Book, Census, Gathered, Loads, Log, Notices, Quotas, Relayed, Span};
+use crate::peers::{Accounts, Book, Census, Gathered, Loads, Log, Notices, Quotas, Relayed};
 use crate::port::{Change, Engines, Store};
 use crate::rules::Rules;
 use crate::settings::Settings;
@@ -26,6 +27,15 @@
 /// Reference to the shared state.
 pub type Shared = Rc<Core>;
 
+/// Where news of the store come from.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Origin {
+    /// The store itself.
+    Store,
+    /// Another box.
+    Box,
+}
+
 /// State that the duties share.
 pub struct Core {
     /// Settings of the box.
@@ -48,9 +58,10 @@
     pub rules: RefCell<Option<Rc<Rules>>>,
     /// When the call was sent whose answer proves what is in force.
     pub proven: Cell<Option<Moment>>,
-    /// Span in which the store has answered this box's own calls without a failure; `None`
-    /// while they fail, or while another box reads the store for it.
-    pub store_answers: Cell<Option<Span>>,
+    /// Span in which the store is known to have answered, but for silences that cost no entry.
+    pub store_seen: Cell<Option<Span>>,
+    /// Where the last news of the store came from; `None` while the own calls fail.
+    pub news_from: Cell<Option<Origin>>,
     /// Upstreams.
     pub upstreams: RefCell<Registry>,
     /// Stores of kept KV cache.
@@ -114,7 +125,8 @@
             stop: Stop::default(),
             rules: RefCell::default(),
             proven: Cell::default(),
-            store_answers: Cell::default(),
+            store_seen: Cell::default(),
+            news_from: Cell::default(),
             upstreams: RefCell::default(),
             keeps: RefCell::default(),
             weights: RefCell::default(),
@@ -145,6 +157,11 @@
         self.proven.get().map(|at| self.now().saturating_sub(at))
     }
 
+    /// Silence of the store in which no entry of an upstream lapses.
+    pub fn harmless_silence(&self) -> Duration {
+        outage::harmless(self.settings.bounds.heartbeat)
+    }
+
     /// Configuration in force.
     pub fn rules(&self) -> Option<Rc<Rules>> {
         self.rules.borrow().clone()
--- a/crates/jb-relay/src/exchange/ask.rs
+++ b/crates/jb-relay/src/exchange/ask.rs
@@ -9,7 +9,7 @@
 use jb_policy::choose::{self, Candidate, Tuning};
 use jb_policy::gate::{Estimate, Verdict};
 
-use super::place::{self, Choice};
+use super::place::{self, Among, Choice};
 use crate::core::Shared;
 use crate::narrow::narrow;
 use crate::peers::{self, Held, Prompt, Room, View};
@@ -48,11 +48,17 @@
 }
 
 /// The upstream that a prompt is sent to next, where the account of one can tell.
-pub(super) async fn choose(core: &Shared, ticket: &Ticket, body: &Bytes, tried: &[Id]) -> Option<Choice> {
+pub(super) async fn choose(
+    core: &Shared,
+    ticket: &Ticket,
+    body: &Bytes,
+    tried: &[Id],
+    among: Among,
+) -> Option<Choice> {
     let (last, shared) = ticket.prompt.split_last()?;
     let ask = Ask {
         core,
-        wanted: place::wanted(core, ticket, body, tried),
+        wanted: place::wanted(core, ticket, body, tried, among),
         prompt: Prompt {
             shared,
             own: last.tokens + ticket.out,
@@ -172,6 +178,7 @@
                 id: best.id,
                 estimate,
                 verdict,
+                full: best.candidate.is_full(),
                 advice: None,
             });
         }
@@ -207,6 +214,7 @@
         Choice {
             estimate: self.estimate(best),
             verdict: Verdict::Send,
+            full: best.candidate.is_full(),
             advice: Some(Advice {
                 held,
                 load: best.view.load,
@@ -266,6 +274,7 @@
             queued: false,
         },
         verdict: Verdict::Send,
+        full: false,
         advice: Some(Advice {
             held,
             load: Load::default(),
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -29,28 +29,62 @@
     pub(super) estimate: Estimate,
     /// Whether it is sent there now, as the first send.
     pub(super) verdict: Verdict,
+    /// Whether all its places are taken.
+    pub(super) full: bool,
     /// What its account says, where it was asked.
     pub(super) advice: Option<Advice>,
 }
 
+impl Choice {
+    /// Whether the upstream has a place for the request now.
+    fn has_place(&self) -> bool {
+        self.verdict == Verdict::Send && !self.full
+    }
+}
+
+/// Upstreams among which is chosen.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Among {
+    /// Those whose entries are there.
+    Sure,
+    /// Those that may be gone as well.
+    All,
+}
+
 /// The upstream that a request is sent to next, by the accounts of engines where boxes are too
 /// many to know from each other what engines do.
+///
+/// After an outage of the store an upstream whose entry is missing, and which may be gone, is taken
+/// only where none whose entry is there has a place.
 pub(super) async fn choose_advised(
     core: &Shared,
     ticket: &Ticket,
     body: &Bytes,
     tried: &[Id],
 ) -> Option<Choice> {
+    let sure = advised(core, ticket, body, tried, Among::Sure).await;
+    if sure.as_ref().is_some_and(Choice::has_place) || !has_last_resort(core, ticket) {
+        return sure;
+    }
+    advised(core, ticket, body, tried, Among::All).await.or(sure)
+}
+
+async fn advised(core: &Shared, ticket: &Ticket, body: &Bytes, tried: &[Id], among: Among) -> Option<Choice> {
     let by_account = !ticket.prompt.is_empty() && !core.book.borrow().is_small();
-    if by_account && let Some(choice) = ask::choose(core, ticket, body, tried).await {
+    if by_account && let Some(choice) = ask::choose(core, ticket, body, tried, among).await {
         return Some(choice);
     }
-    choose(core, ticket, body, tried)
+    choose(core, ticket, body, tried, among)
+}
+
+fn has_last_resort(core: &Core, ticket: &Ticket) -> bool {
+    let upstreams = core.upstreams.borrow();
+    upstreams.has_last_resort(&ticket.service, core.now())
 }
 
 /// The upstream that a request is sent to next, if one is open.
-pub(super) fn choose(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Id]) -> Option<Choice> {
-    let wanted = wanted(core, ticket, body, tried);
+fn choose(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Id], among: Among) -> Option<Choice> {
+    let wanted = wanted(core, ticket, body, tried, among);
     let (ids, candidates) = core.upstreams.borrow().candidates(&wanted, core.now());
     let tuning = tuning(core, ticket);
     let at = choose::best(&candidates, &wanted.demand, &tuning)?;
@@ -68,6 +102,7 @@
         } else {
             Verdict::Send
         },
+        full: candidates[at].is_full(),
         estimate,
         advice: None,
     })
@@ -109,10 +144,16 @@
 /// Whether another upstream takes a request whose upstream is silent: one is open, and the
 /// retry budget has granted the send.
 pub(super) fn goes_on(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Id]) -> bool {
-    choose(core, ticket, body, tried).is_some() && core.spend(&ticket.service)
+    choose(core, ticket, body, tried, Among::All).is_some() && core.spend(&ticket.service)
 }
 
-pub(super) fn wanted<'a>(core: &'a Core, ticket: &'a Ticket, body: &Bytes, tried: &'a [Id]) -> Wanted<'a> {
+pub(super) fn wanted<'a>(
+    core: &'a Core,
+    ticket: &'a Ticket,
+    body: &Bytes,
+    tried: &'a [Id],
+    among: Among,
+) -> Wanted<'a> {
     let model = ticket.model.as_deref();
     Wanted {
         service: &ticket.service,
@@ -124,6 +165,7 @@
         hall: &core.settings.hall,
         demand: demand(ticket, body),
         except: tried,
+        last_resort: among == Among::All,
     }
 }
 
@@ -151,7 +193,7 @@
         if let Some(advice) = advice {
             return self.place_advised(id, last.tokens, advice);
         }
-        let wanted = wanted(core, ticket, self.message.body, &self.tried);
+        let wanted = wanted(core, ticket, self.message.body, &self.tried, Among::Sure);
         let other = core.upstreams.borrow().source(id, &wanted, core.now());
         let Some((found, version)) = self.note_read(id, shared, last.tokens + ticket.out) else {
             return 0;
--- /dev/null
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -0,0 +1,75 @@
+//! Puts what the store holds in force.
+
+use jb_policy::Moment;
+use jb_protocol::{emit, event};
+
+use super::missing;
+use crate::core::Core;
+use crate::port::{Change, Entry, Fact};
+use crate::rules::Rules;
+use crate::upstream::Seen;
+
+/// Puts one fact in force; `comes_back`: until when an upstream whose entry is missing may come back.
+pub(super) fn apply(core: &Core, fact: Fact, comes_back: Option<Moment>) {
+    match fact {
+        Fact::Rules(rules) => put_rules(core, *rules),
+        Fact::Upstream(id, Some(entry)) => put_upstream(core, &id, entry),
+        Fact::Upstream(id, None) => missing::miss(core, &id, comes_back),
+        Fact::Weights(named) => {
+            // What a box hears may have been named at any time since it last heard something.
+            let earliest = core.proven.get();
+            let mut weights = core.weights.borrow_mut();
+            let history = weights.entry(named.model.clone()).or_default();
+            if history.note(named.version, earliest) {
+                emit!(core.logger, info, event::WEIGHTS_NAMED, "model" => named.model, "version" => named.version);
+            }
+        }
+        Fact::Own(item) => own(core, item),
+        Fact::Unreadable { key, why } => {
+            emit!(core.logger, error, event::STORE_UNREADABLE, "key" => key, "why" => why);
+        }
+    }
+}
+
+fn put_rules(core: &Core, rules: Rules) {
+    let known = core.rules().map_or(0, |rules| rules.version);
+    if core.rules().is_some() && rules.version <= known {
+        return;
+    }
+    emit!(core.logger, info, event::RULES_IN_FORCE, "version" => rules.version, "before" => known,
+        "routes" => rules.routes());
+    core.keeps.borrow_mut().put(&rules.kept);
+    core.metrics
+        .version
+        .set(i64::try_from(rules.version).unwrap_or(i64::MAX));
+    *core.rules.borrow_mut() = Some(std::rc::Rc::new(rules));
+}
+
+fn put_upstream(core: &Core, id: &str, entry: Entry) {
+    let seen = core.upstreams.borrow_mut().put(id, entry.clone());
+    match seen {
+        Seen::New => emit!(core.logger, info, event::UPSTREAM_SEEN, "upstream" => id,
+            "service" => entry.service, "address" => %entry.address, "hall" => entry.hall),
+        Seen::Leaving => {
+            emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => id, "why" => "entry")
+        }
+        Seen::Same | Seen::Gone => {}
+    }
+}
+
+/// Takes an upstream off.
+pub(super) fn gone(core: &Core, id: &str) {
+    if core.upstreams.borrow_mut().remove(id) == Seen::Gone {
+        emit!(core.logger, info, event::UPSTREAM_GONE, "upstream" => id);
+    }
+}
+
+fn own(core: &Core, item: Change) {
+    let mut own = core.own.borrow_mut();
+    let newer = own
+        .get(&item.key)
+        .is_none_or(|known| known.revision < item.revision);
+    if newer {
+        own.insert(item.key.clone(), item);
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/follow/missing.rs
@@ -0,0 +1,84 @@
+//! What a box that was blind does with upstreams whose entries are missing.
+//!
+//! A box is blind while nothing proves to it what the store holds, neither the store nor another
+//! box. Once something does again:
+//!
+//! - **True now** is what the news say: an entry that is there, one that says it leaves, a newer
+//!   configuration. An upstream that was known to leave and has no entry any more is gone.
+//! - **Only old** is an upstream whose entry is missing. It is gone, at once, unless other boxes show
+//!   that the store itself was away ([`outage::judge`]): entries lapse in such an outage and are back
+//!   within two seconds of its end.
+//! - **A last resort** is such an upstream until [`COME_BACK`] after the box has heard again: it gets
+//!   a request only where no upstream whose entry is there has a place for it, and nothing from the
+//!   moment on at which another box shows that the store was not away after all.
+//!
+//! So a leaving upstream gets nothing from a box that was cut off alone, for however long, and an
+//! outage of the store takes no upstream away that comes back.
+
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::outage::{self, Span, Store};
+use jb_protocol::{emit, event};
+
+use super::facts::gone;
+use crate::core::Core;
+
+/// Time after the box has heard of the store again in which entries that lapsed meanwhile come
+/// back: the platform says about two seconds.
+const COME_BACK: Duration = Duration::from_millis(2300);
+
+/// The last time in which the box was blind for long enough that entries may have lapsed.
+#[derive(Debug, Default)]
+pub(super) struct Blindness(Option<Span>);
+
+impl Blindness {
+    /// Notes that the box hears what the store held at `at`, before it takes that as proven.
+    pub(super) fn note(&mut self, core: &Core, at: Moment) {
+        let span = core.proven.get().map(|from| Span { from, until: at });
+        if let Some(span) = span.filter(|span| span.length() > core.harmless_silence()) {
+            self.0 = Some(span);
+        }
+    }
+
+    /// Until when a missing entry may come back; `None` when it does not.
+    pub(super) fn comes_back_until(&self, core: &Core) -> Option<Moment> {
+        let span = self.0?;
+        let until = span.until + COME_BACK;
+        (core.now() < until && was_away(core, span)).then_some(until)
+    }
+}
+
+fn was_away(core: &Core, blind: Span) -> bool {
+    if core.book.borrow().boxes() == 1 {
+        // Nobody else could tell.
+        return true;
+    }
+    let told = core.loads.borrow().store_spans(core.now());
+    outage::judge(blind, &told, core.harmless_silence()) == Store::Away
+}
+
+/// Takes an upstream whose entry is missing off, or keeps it as a last resort until `until`.
+pub(super) fn miss(core: &Core, id: &str, until: Option<Moment>) {
+    let leaving = core.upstreams.borrow().get(id).is_none_or(|u| u.entry.leaving);
+    let Some(until) = until.filter(|_| !leaving) else {
+        gone(core, id);
+        return;
+    };
+    if core.upstreams.borrow_mut().lapse(id, until) {
+        emit!(core.logger, info, event::UPSTREAM_LAPSED, "upstream" => id,
+            "until_ms" => until.saturating_sub(core.now()).as_millis() as u64,
+            "told" => ?core.loads.borrow().store_spans(core.now()));
+    }
+}
+
+/// Takes off what does not come back any more.
+pub(super) fn sweep(core: &Core, blindness: &Blindness) {
+    if blindness.comes_back_until(core).is_some() {
+        return;
+    }
+    let lapsed = core.upstreams.borrow().lapsed();
+    for id in lapsed {
+        gone(core, &id);
+    }
+}
--- /dev/null
+++ b/crates/jb-relay/src/follow/mod.rs
@@ -0,0 +1,7 @@
+//! Follows the platform's store: the configuration, upstreams, weights, and the boxes' own items.
+
+mod facts;
+mod missing;
+mod run;
+
+pub use run::{PERIOD, run};
--- /dev/null
+++ b/crates/jb-relay/src/follow/run.rs
@@ -0,0 +1,218 @@
+//! The calls that follow the store, and the questions to other boxes in their place.
+//!
+//! A call that waits proves nothing until it answers, so calls are short: what
+//! an answer shows was true when the call was sent, at the earliest.
+
+use std::collections::BTreeSet;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::outage::Span;
+use jb_protocol::{emit, event};
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use super::facts::apply;
+use super::missing::{self, Blindness};
+use crate::core::{Core, Origin, Shared};
+use crate::peers;
+use crate::port::{Age, Change, News, Revision, StoreError};
+
+/// Pause between two calls: with the way there and back well under the time in which a
+/// configuration must be in force and a leaving upstream be known.
+pub const PERIOD: Duration = Duration::from_millis(700);
+/// Pause between two questions to the lead of the data hall, which add to the age of its own call.
+const ASK_PERIOD: Duration = Duration::from_millis(350);
+/// Pause after a call that failed.
+const AFTER_FAILURE: Duration = Duration::from_millis(400);
+/// Pause between two calls while calls fail and other boxes tell what the store says: one box
+/// that is turned away would make the boxes of its data hall read the store themselves.
+const TRY_AGAIN: Duration = Duration::from_millis(2000);
+
+/// Progress of following.
+#[derive(Debug, Default)]
+struct Progress {
+    /// Revision after which to ask; `None` when all must be read.
+    after: Option<Revision>,
+    /// Whether what is known is still as old as a stale read, and proves nothing.
+    unproven: bool,
+    /// Whether history was gone after the last reading of all.
+    gone: bool,
+    /// Since when the own calls fail.
+    failing: Option<Failing>,
+    /// Keys of all that the store holds.
+    keys: BTreeSet<String>,
+    /// The last time in which nothing was heard.
+    blindness: Blindness,
+}
+
+/// Own calls that fail.
+#[derive(Clone, Copy, Debug)]
+struct Failing {
+    /// When the first of them did.
+    since: Moment,
+    /// When the last of them did.
+    last: Moment,
+}
+
+/// What was heard of the store.
+struct Heard {
+    changes: Vec<Change>,
+    /// Revision after them.
+    revision: Revision,
+    /// When it was true, at the earliest; `None` when it may be as old as a stale read.
+    proven: Option<Moment>,
+}
+
+impl Progress {
+    /// Items that are known and are no longer there, as changes; `changes` is all that the store holds.
+    fn missing(&self, changes: &[Change], revision: Revision) -> Vec<Change> {
+        let there: BTreeSet<&str> = changes.iter().map(|change| change.key.as_str()).collect();
+        let missing = self.keys.iter().filter(|key| !there.contains(key.as_str()));
+        let removal = |key: &String| Change {
+            key: key.clone(),
+            value: None,
+            revision,
+            created: 0,
+        };
+        missing.map(removal).collect()
+    }
+
+    fn note_key(&mut self, change: &Change) {
+        if change.value.is_some() {
+            self.keys.insert(change.key.clone());
+        } else {
+            self.keys.remove(&change.key);
+        }
+    }
+}
+
+/// Follows the store for ever, through the lead of the data hall where it can.
+pub async fn run(core: Shared, socket: Rc<UdpSocket>) {
+    let mut progress = Progress::default();
+    loop {
+        match ask(&core, &socket, &progress).await {
+            Some(heard) => {
+                core.news_from.set(Some(Origin::Box));
+                take(&core, &mut progress, heard);
+                sleep(ASK_PERIOD).await;
+            }
+            None => read(&core, &mut progress).await,
+        }
+    }
+}
+
+/// News from another box, unless this one is to read the store itself.
+async fn ask(core: &Core, socket: &UdpSocket, progress: &Progress) -> Option<Heard> {
+    let after = progress.after?;
+    let source = match progress.failing {
+        Some(failing) if core.now() > failing.last + TRY_AGAIN => return None,
+        Some(_) => peers::Source::AnyLead,
+        None => peers::Source::Lead,
+    };
+    let heard = peers::ask(core, socket, after, source).await?;
+    Some(Heard {
+        changes: heard.changes,
+        revision: heard.revision,
+        proven: Some(heard.proven),
+    })
+}
+
+/// Reads the store itself.
+async fn read(core: &Core, progress: &mut Progress) {
+    let asked = core.now();
+    core.metrics.store_calls.inc();
+    // A stale reading may be older than the history that is left.
+    let age = if progress.gone { Age::Fresh } else { Age::Stale };
+    // A store that has been lost is to say at once that it is back.
+    let waits = !progress.unproven && progress.failing.is_none();
+    let wait = if waits { PERIOD } else { Duration::ZERO };
+    let news = match progress.after {
+        Some(after) => core.store.changes(after, wait).await,
+        None => core.store.all(age).await,
+    };
+    let stale = progress.after.is_none() && age == Age::Stale;
+    match news {
+        Ok(News { changes, revision }) => {
+            found(core, progress);
+            take(
+                core,
+                progress,
+                Heard {
+                    changes,
+                    revision,
+                    proven: (!stale).then_some(asked),
+                },
+            );
+            if !stale {
+                sleep((asked + PERIOD).saturating_sub(core.now())).await;
+            }
+        }
+        Err(StoreError::HistoryGone) => {
+            emit!(core.logger, info, event::HISTORY_GONE, "after" => progress.after);
+            progress.after = None;
+            progress.gone = true;
+        }
+        Err(why) => {
+            lost(core, progress, &why);
+            sleep(AFTER_FAILURE).await;
+        }
+    }
+}
+
+fn lost(core: &Core, progress: &mut Progress, why: &StoreError) {
+    let now = core.now();
+    core.metrics.store_failures.inc();
+    core.news_from.set(None);
+    if progress.failing.is_none() {
+        emit!(core.logger, warn, event::PLATFORM_LOST, "why" => %why);
+    }
+    let since = progress.failing.map_or(now, |failing| failing.since);
+    progress.failing = Some(Failing { since, last: now });
+}
+
+fn found(core: &Core, progress: &mut Progress) {
+    core.news_from.set(Some(Origin::Store));
+    if let Some(failing) = progress.failing.take() {
+        emit!(core.logger, info, event::PLATFORM_FOUND,
+            "after_ms" => core.now().saturating_sub(failing.since).as_millis() as u64);
+    }
+}
+
+/// Puts what was heard in force.
+fn take(core: &Core, progress: &mut Progress, heard: Heard) {
+    let Heard {
+        mut changes,
+        revision,
+        proven,
+    } = heard;
+    let whole = progress.after.is_none();
+    if whole {
+        let missing = progress.missing(&changes, revision);
+        changes.extend(missing);
+    }
+    progress
+        .blindness
+        .note(core, proven.unwrap_or_else(|| core.now()));
+    let comes_back = progress.blindness.comes_back_until(core);
+    for change in &changes {
+        progress.note_key(change);
+        apply(core, core.store.decode(change), comes_back);
+    }
+    missing::sweep(core, &progress.blindness);
+    let mut log = core.log.borrow_mut();
+    if whole {
+        log.add_all(changes, revision);
+    } else {
+        log.add(&changes, revision);
+    }
+    progress.after = Some(revision);
+    progress.unproven = proven.is_none();
+    progress.gone &= proven.is_none();
+    core.proven.set(proven.max(core.proven.get()));
+    if let Some(at) = proven {
+        let seen = Span::extend(core.store_seen.get(), at, core.harmless_silence());
+        core.store_seen.set(Some(seen));
+    }
+}
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -12,6 +12,7 @@
 
 use jb_policy::Moment;
 use jb_policy::kept::Piece;
+use jb_policy::outage::Span;
 use jb_policy::place;
 use jb_protocol::id;
 use tokio::net::UdpSocket;
@@ -58,32 +59,15 @@
     /// Whether it comes from a box that this one tells sums.
     member: bool,
     loads: Vec<ToldLoad>,
-    /// Span in which the store answered it without a failure.
+    /// Span in which the store answered it.
     store: Option<Span>,
 }
 
-/// Span of time by the clock of this box.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Span {
-    /// Begin.
-    pub from: Moment,
-    /// End.
-    pub until: Moment,
-}
-
 impl Loads {
-    /// Whether the store answered another box all through a span.
-    pub fn store_answered(&self, span: Span) -> bool {
-        let spans = self.told.values().filter_map(|heard| heard.store);
-        let mut all = spans.filter(|told| told.from <= span.from && told.until >= span.until);
-        all.next().is_some()
-    }
-
-    /// For how long the store has answered each box that is heard, without a failure, for the log.
-    pub fn answered_for(&self, now: Moment) -> BTreeMap<id::Box, Option<Duration>> {
-        let told = self.told.iter();
-        told.map(|(id, heard)| (id.clone(), heard.store.map(|span| now.saturating_sub(span.from))))
-            .collect()
+    /// Spans in which the store answered the other boxes, for each that is heard.
+    pub fn store_spans(&self, now: Moment) -> Vec<Option<Span>> {
+        let heard = self.told.values().filter(|heard| now < heard.at + BELIEVED);
+        heard.map(|heard| heard.store).collect()
     }
 
     /// Boxes that have told their loads to this one as their lead since a moment.
@@ -319,7 +303,7 @@
             loads: Vec::new(),
             weights: Vec::new(),
             uses: Vec::new(),
-            store: core.store_answers.get().map(|span| told_store(span, core.now())),
+            store: core.store_seen.get().map(|span| told_store(span, core.now())),
         }
     }
 
--- /dev/null
+++ b/crates/jb-relay/src/peers/log.rs
@@ -0,0 +1,101 @@
+//! The latest changes of the store, for boxes that ask.
+
+use std::collections::VecDeque;
+
+use super::relay::LONGEST_OF_ALL;
+use crate::port::{Change, Revision};
+
+/// Changes that a box keeps for others.
+const MOST_CHANGES: usize = 512;
+/// Bytes of values that it keeps for others.
+const MOST_BYTES: usize = LONGEST_OF_ALL;
+/// Bytes of a change's numbers in a message, at the most.
+pub(super) const NUMBERS: usize = 32;
+
+/// The latest changes of the store that a box has seen.
+#[derive(Debug, Default)]
+pub struct Log {
+    changes: VecDeque<Change>,
+    bytes: usize,
+    /// Revision after which all changes are here.
+    from: Revision,
+    /// Revision of the last news; 0 before the first.
+    revision: Revision,
+    /// Where history was gone, the older first.
+    gaps: Vec<Gap>,
+}
+
+/// Revisions between which history was gone, both excluded. Who knows the store as it was in between
+/// may know items that came and went there, of which this box has never heard.
+#[derive(Clone, Copy, Debug)]
+struct Gap {
+    after: Revision,
+    before: Revision,
+}
+
+impl Log {
+    /// Adds all that the store holds, with the removal of what it held before; the first time there
+    /// is nothing to add it to.
+    ///
+    /// Boxes that the store turns away go on from here: while a reading of everything began the log
+    /// anew, they heard nothing after it until they reached the store themselves, 5 s and more.
+    pub fn add_all(&mut self, mut all: Vec<Change>, revision: Revision) {
+        let known = self.revision;
+        if known == 0 {
+            self.from = revision;
+            self.revision = revision;
+            return;
+        }
+        if revision > known + 1 {
+            self.gaps.push(Gap {
+                after: known,
+                before: revision,
+            });
+        }
+        // What is newer than the reading is told again by the next news.
+        all.retain(|change| change.revision > known && change.revision <= revision);
+        all.sort_by_key(|change| change.revision);
+        self.add(&all, revision);
+    }
+
+    /// Adds news.
+    pub fn add(&mut self, changes: &[Change], revision: Revision) {
+        for change in changes {
+            self.bytes += size(change);
+            self.changes.push_back(change.clone());
+        }
+        self.revision = self.revision.max(revision);
+        while self.changes.len() > MOST_CHANGES || self.bytes > MOST_BYTES {
+            let Some(oldest) = self.changes.pop_front() else {
+                break;
+            };
+            self.bytes -= size(&oldest);
+            self.from = self.from.max(oldest.revision);
+        }
+        let from = self.from;
+        self.gaps.retain(|gap| gap.before > from);
+    }
+
+    /// Revision of the last news.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// All changes after a revision, in an order that stays; `None` when some are not here.
+    pub fn since(&self, revision: Revision) -> Option<impl Iterator<Item = &Change>> {
+        let in_gap = |gap: &Gap| gap.after < revision && revision < gap.before;
+        if revision < self.from || self.gaps.iter().any(in_gap) {
+            return None;
+        }
+        Some(
+            self.changes
+                .iter()
+                .filter(move |change| change.revision > revision),
+        )
+    }
+}
+
+/// Bytes of a change in a message, at the most.
+pub(super) fn size(change: &Change) -> usize {
+    change.key.len() + change.value.as_ref().map_or(0, bytes::Bytes::len) + NUMBERS
+}
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -3,7 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Advice, Ask, AskNamings, Charge, Count, Grant, Namings, News, Question, Replaced, Returned, Sent, Told,
+    Advice, Ask, AskMore, AskNamings, Charge, Count, Grant, Namings, News, Question, Replaced, Returned,
+    Sent, Told,
 };
 
 /// Longest datagram, in bytes: one packet.
@@ -38,4 +39,6 @@
     Charge(Charge),
     /// What the account says.
     Grant(Grant),
+    /// A box asks for more of what has changed in the store.
+    AskMore(AskMore),
 }
--- a/crates/jb-relay/src/peers/message/mod.rs
+++ b/crates/jb-relay/src/peers/message/mod.rs
@@ -10,7 +10,7 @@
 pub(super) use datagram::{LONGEST, Message};
 pub(super) use limit::{Charge, Count, Grant};
 pub(super) use naming::{AskNamings, Namings, ToldNaming};
-pub(super) use news::{Answer, Ask, News, Piece, ToldChange};
+pub(super) use news::{Answer, Ask, AskMore, News, Piece, ToldChange};
 pub use place::Room;
 pub(super) use place::{Advice, Question, Returned};
 pub use told::ToldWeights;
--- a/crates/jb-relay/src/peers/message/news.rs
+++ b/crates/jb-relay/src/peers/message/news.rs
@@ -18,6 +18,15 @@
     pub long: bool,
 }
 
+/// A question for the rest of news that did not fit into one datagram.
+#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct AskMore {
+    /// The question for all of them.
+    pub ask: Ask,
+    /// Changes that the asker has of them already.
+    pub skip: u32,
+}
+
 /// News of the store from another box.
 #[derive(Debug, Serialize, Deserialize)]
 pub(in crate::peers) struct News {
--- a/crates/jb-relay/src/peers/relay.rs
+++ b/crates/jb-relay/src/peers/relay.rs
@@ -5,7 +5,6 @@
 //! knowledge older, never younger.
 
 use std::cell::{Cell, RefCell};
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -15,16 +14,13 @@
 use tokio::sync::oneshot;
 use tokio::time::timeout;
 
-use super::message::{Answer, Ask, LONGEST, Message, News, Piece, ToldChange};
+use super::log::{Log, NUMBERS, size};
+use super::message::{Answer, Ask, AskMore, LONGEST, Message, News, Piece, ToldChange};
 use super::socket::send;
 use crate::core::Core;
 use crate::narrow::narrow;
 use crate::port::{Change, Revision};
 
-/// Changes that a box keeps for others.
-const MOST_CHANGES: usize = 512;
-/// Bytes of values that it keeps for others.
-const MOST_BYTES: usize = LONGEST_OF_ALL;
 /// Time in which the lead answers.
 const ANSWER: Duration = Duration::from_millis(250);
 /// Oldest knowledge that is told. What a lead knows is between one and two pauses of its calls
@@ -32,84 +28,43 @@
 const OLDEST: Duration = Duration::from_millis(1800);
 /// Bytes of a message without its changes, at the most.
 const FRAME: usize = 64;
-
-/// Bytes of a change's numbers in a message, at the most.
-const NUMBERS: usize = 32;
 /// Longest value that is told in pieces, one datagram each. The record of a roll-out has some
 /// 4 KB with 240 engines; all 295 boxes read the store for it, 289 calls each time.
 const LONGEST_IN_PIECES: usize = 16 * 1024;
 
 /// The same for a box that cannot read the store itself: any configuration. To all boxes of a data
 /// hall a lead with a link of 20 Mbit/s would be seconds about it.
-const LONGEST_OF_ALL: usize = 512 * 1024;
-
-/// The latest changes of the store that a box has seen.
-#[derive(Debug, Default)]
-pub struct Log {
-    changes: VecDeque<Change>,
-    bytes: usize,
-    /// Revision after which all changes are here.
-    from: Revision,
-    /// Revision of the last news.
-    revision: Revision,
-}
+pub(super) const LONGEST_OF_ALL: usize = 512 * 1024;
 
-impl Log {
-    /// Begins anew after everything has been read.
-    pub fn reset(&mut self, revision: Revision) {
-        *self = Self {
-            from: revision,
-            revision,
-            ..Self::default()
-        };
-    }
-
-    /// Adds news.
-    pub fn add(&mut self, changes: &[Change], revision: Revision) {
-        for change in changes {
-            self.bytes += size(change);
-            self.changes.push_back(change.clone());
-        }
-        self.revision = self.revision.max(revision);
-        while self.changes.len() > MOST_CHANGES || self.bytes > MOST_BYTES {
-            let Some(oldest) = self.changes.pop_front() else {
-                break;
+/// What fits into one datagram of the changes that a box asks for, but for the first `skip` ones,
+/// which it has.
+fn tell(log: &Log, ask: &Ask, skip: u32) -> Answer {
+    let Some(since) = log.since(ask.after) else {
+        return Answer::ReadYourself;
+    };
+    let mut room = LONGEST - FRAME;
+    let mut changes = Vec::new();
+    let mut revision = ask.after;
+    for change in since.skip(skip as usize) {
+        let Some(left) = room.checked_sub(size(change)) else {
+            return if changes.is_empty() {
+                piece(change, ask)
+            } else {
+                Answer::Changes {
+                    changes,
+                    revision,
+                    whole: false,
+                }
             };
-            self.bytes -= size(&oldest);
-            self.from = self.from.max(oldest.revision);
-        }
+        };
+        room = left;
+        revision = change.revision;
+        changes.push(ToldChange::from(change));
     }
-
-    /// What fits into one datagram of the changes that a box asks for.
-    fn after(&self, ask: &Ask) -> Answer {
-        let after = ask.after;
-        if after < self.from {
-            return Answer::ReadYourself;
-        }
-        let mut room = LONGEST - FRAME;
-        let mut changes = Vec::new();
-        let mut revision = after;
-        for change in self.changes.iter().filter(|change| change.revision > after) {
-            let Some(left) = room.checked_sub(size(change)) else {
-                return if changes.is_empty() {
-                    piece(change, ask)
-                } else {
-                    Answer::Changes {
-                        changes,
-                        revision,
-                        whole: false,
-                    }
-                };
-            };
-            room = left;
-            revision = change.revision;
-            changes.push(ToldChange::from(change));
-        }
-        Answer::Changes {
-            changes,
-            revision: revision.max(self.revision),
-            whole: true,
-        }
+    Answer::Changes {
+        changes,
+        revision: revision.max(log.revision()),
+        whole: true,
     }
 }
 
@@ -136,11 +91,6 @@
     })
 }
 
-/// Bytes of a change in a message, at the most.
-fn size(change: &Change) -> usize {
-    change.key.len() + change.value.as_ref().map_or(0, bytes::Bytes::len) + NUMBERS
-}
-
 /// The question that waits for its answer.
 #[derive(Debug, Default)]
 pub struct Relayed {
@@ -159,15 +109,15 @@
     }
 }
 
-/// News from the lead.
+/// All news since the revision that was asked for.
 #[derive(Debug)]
 pub struct Heard {
     /// Changes, the older first.
     pub changes: Vec<Change>,
     /// Revision after them.
     pub revision: Revision,
-    /// When they were true, at the earliest; `None` while more are to come.
-    pub proven: Option<Moment>,
+    /// When they were true, at the earliest.
+    pub proven: Moment,
 }
 
 /// Whom a box asks for news of the store.
@@ -179,95 +129,119 @@
     AnyLead,
 }
 
-/// Asks another box for news; `None` when this box is to read the store itself.
+/// Asks other boxes for news; `None` when this box is to read the store itself.
 pub async fn ask(core: &Core, socket: &UdpSocket, after: Revision, source: Source) -> Option<Heard> {
-    let lead = match source {
-        Source::Lead => own_lead(core),
+    let leads = match source {
+        Source::Lead => own_lead(core).into_iter().collect(),
         Source::AnyLead => any_lead(core),
-    }?;
-    let address = core.book.borrow().address(&lead)?;
+    };
+    for lead in leads {
+        match ask_one(core, socket, after, source, &lead).await {
+            Ok(heard) => return Some(heard),
+            Err(why) if source == Source::AnyLead => {
+                emit!(core.logger, info, event::NEWS_UNHEARD, "peer" => lead, "why" => ?why);
+            }
+            Err(_) => {}
+        }
+    }
+    None
+}
+
+/// Why another box brought no news.
+#[derive(Clone, Copy, Debug)]
+enum Unheard {
+    /// It is not known any more, or gave no answer in time.
+    Silent,
+    /// It does not know what has changed, or knows nothing that is recent.
+    KnowsNoMore,
+    /// Its answer belongs to another question.
+    OutOfTurn,
+}
+
+/// Asks one box until it has told all: what another box would tell of the rest may be in another
+/// order.
+async fn ask_one(
+    core: &Core,
+    socket: &UdpSocket,
+    after: Revision,
+    source: Source,
+    lead: &str,
+) -> Result<Heard, Unheard> {
+    let address = core.book.borrow().address(lead).ok_or(Unheard::Silent)?;
+    let mut all: Vec<Change> = Vec::new();
+    // The next value, as far as it has come in pieces.
     let mut value = Vec::new();
     loop {
         let asked = core.now();
-        let from = u32::try_from(value.len()).ok()?;
-        let Some(news) = question(
-            core,
-            socket,
-            address,
-            Ask {
-                nonce: 0,
-                after,
-                from,
-                long: source == Source::AnyLead,
-            },
-        )
-        .await
-        else {
-            core.book.borrow_mut().missed(&lead, core.now());
-            unheard(core, source, &lead, "silent");
-            return None;
+        let ask = Ask {
+            nonce: 0,
+            after,
+            from: narrow(value.len()),
+            long: source == Source::AnyLead,
+        };
+        let Some(news) = question(core, socket, address, ask, narrow(all.len())).await else {
+            core.book.borrow_mut().missed(lead, core.now());
+            return Err(Unheard::Silent);
         };
         match news.answer {
-            Answer::ReadYourself => {
-                unheard(core, source, &lead, "knows_no_more");
-                return None;
-            }
+            Answer::ReadYourself => return Err(Unheard::KnowsNoMore),
             Answer::Changes {
                 changes,
                 revision,
                 whole,
             } => {
-                let proven = asked.checked_sub(Duration::from_millis(news.age_ms));
-                return Some(Heard {
-                    changes: changes.into_iter().map(Change::from).collect(),
-                    revision,
-                    proven: proven.filter(|_| whole),
-                });
+                all.extend(changes.into_iter().map(Change::from));
+                if whole {
+                    return Ok(Heard {
+                        changes: all,
+                        revision,
+                        proven: asked.saturating_sub(Duration::from_millis(news.age_ms)),
+                    });
+                }
             }
             Answer::Piece(piece) => {
-                // Another change has come before it, or a late answer.
-                if piece.from != from || piece.bytes.is_empty() {
-                    return None;
+                // A late answer to a question before.
+                if piece.from != ask.from || piece.bytes.is_empty() {
+                    return Err(Unheard::OutOfTurn);
                 }
                 value.extend_from_slice(&piece.bytes);
                 if value.len() >= piece.total as usize {
-                    return Some(Heard {
-                        revision: piece.change.revision,
-                        changes: vec![piece.change.with_value(value)],
-                        proven: None,
-                    });
+                    all.push(piece.change.with_value(std::mem::take(&mut value)));
                 }
             }
         }
     }
 }
 
-/// Logs a question that brought nothing, while the own calls to the store fail.
-fn unheard(core: &Core, source: Source, peer: &str, why: &'static str) {
-    if source == Source::AnyLead {
-        emit!(core.logger, info, event::NEWS_UNHEARD, "peer" => peer, "why" => why);
-    }
-}
-
 fn own_lead(core: &Core) -> Option<id::Box> {
     let lead = core.book.borrow().lead(&core.settings.hall, core.now()).cloned();
     lead.filter(|lead| *lead != core.settings.id)
 }
 
-fn any_lead(core: &Core) -> Option<id::Box> {
+/// The leads of all data halls, beginning with another one each time: a lead may itself be turned
+/// away, and the others still tell.
+fn any_lead(core: &Core) -> Vec<id::Box> {
     let mut leads = core.book.borrow().other_leads(&core.settings.hall, core.now());
     leads.extend(own_lead(core));
-    let turn = core.relayed.nonce.get() as usize;
-    (!leads.is_empty()).then(|| leads.swap_remove(turn % leads.len()))
+    if !leads.is_empty() {
+        let first = core.relayed.nonce.get() as usize % leads.len();
+        leads.rotate_left(first);
+    }
+    leads
 }
 
 /// One question and its answer, if it comes in time.
-async fn question(core: &Core, socket: &UdpSocket, to: SocketAddr, ask: Ask) -> Option<News> {
+async fn question(core: &Core, socket: &UdpSocket, to: SocketAddr, ask: Ask, skip: u32) -> Option<News> {
     let (sender, receiver) = oneshot::channel();
     let nonce = core.relayed.nonce.get() + 1;
     core.relayed.nonce.set(nonce);
     *core.relayed.waiting.borrow_mut() = Some((nonce, sender));
-    send(core, socket, to, &Message::Ask(Ask { nonce, ..ask })).await;
+    let ask = Ask { nonce, ..ask };
+    let message = match skip {
+        0 => Message::Ask(ask),
+        skip => Message::AskMore(AskMore { ask, skip }),
+    };
+    send(core, socket, to, &message).await;
     timeout(ANSWER, receiver).await.ok()?.ok()
 }
 
@@ -276,11 +250,11 @@
     age < OLDEST
 }
 
-/// Answers another box.
-pub(super) async fn answer(core: &Core, socket: &UdpSocket, from: SocketAddr, ask: Ask) {
+/// Answers another box that has the first `skip` changes already.
+pub(super) async fn answer(core: &Core, socket: &UdpSocket, from: SocketAddr, ask: Ask, skip: u32) {
     // Without knowledge, or with old knowledge, the asker is better off with the store.
     let age = core.age().filter(|age| is_told(*age));
-    let answer = age.map_or(Answer::ReadYourself, |_| core.log.borrow().after(&ask));
+    let answer = age.map_or(Answer::ReadYourself, |_| tell(&core.log.borrow(), &ask, skip));
     let age_ms = age.map_or(0, |age| u64::try_from(age.as_millis() + 1).unwrap_or(u64::MAX));
     send(
         core,
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -68,7 +68,8 @@
         };
         match postcard::from_bytes::<Message>(&buffer[..length]) {
             Ok(Message::Told(told)) => gossip::take(&core, &socket, from, told).await,
-            Ok(Message::Ask(ask)) => relay::answer(&core, &socket, from, ask).await,
+            Ok(Message::Ask(ask)) => relay::answer(&core, &socket, from, ask, 0).await,
+            Ok(Message::AskMore(more)) => relay::answer(&core, &socket, from, more.ask, more.skip).await,
             Ok(Message::News(news)) => core.relayed.deliver(news),
             Ok(Message::Sent(sent)) => notice::take_sent(&core, &sent),
             Ok(Message::Replaced(replaced)) => notice::take_replaced(&core, &replaced),
--- a/crates/jb-relay/src/settings.rs
+++ b/crates/jb-relay/src/settings.rs
@@ -71,6 +71,8 @@
     pub weights: Duration,
     /// What may run beyond a customer's limit.
     pub quota: Tolerance,
+    /// Pause between two heartbeats of an upstream in the store.
+    pub heartbeat: Duration,
 }
 
 impl Default for Bounds {
@@ -90,6 +92,7 @@
                 over: 0.1,
                 slack: 0.0,
             },
+            heartbeat: Duration::from_millis(1200),
         }
     }
 }
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -66,14 +66,13 @@
         Seen::New
     }
 
-    /// Notes that an entry is missing right after an outage of the store; it may come back.
-    /// Returns whether that is new.
-    pub fn lapse(&mut self, id: &str, now: Moment) -> bool {
+    /// Notes that an entry is missing and may come back until a moment; whether that is new.
+    pub fn lapse(&mut self, id: &str, until: Moment) -> bool {
         let Some(known) = self.all.get_mut(id) else {
             return false;
         };
         let new = known.lapsed.is_none();
-        known.lapsed.get_or_insert(now);
+        known.lapsed.get_or_insert(until);
         new
     }
 
@@ -88,13 +87,16 @@
         Seen::Gone
     }
 
-    /// Ids whose entries lapsed before `moment`.
-    pub fn lapsed_before(&self, moment: Moment) -> Vec<Id> {
-        let old = self
-            .all
-            .iter()
-            .filter(|(_, u)| u.lapsed.is_some_and(|at| at < moment));
-        old.map(|(id, _)| id.clone()).collect()
+    /// Ids whose entries are missing.
+    pub fn lapsed(&self) -> Vec<Id> {
+        let lapsed = self.all.iter().filter(|(_, u)| u.lapsed.is_some());
+        lapsed.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Whether a service has upstreams that are left as a last resort.
+    pub fn has_last_resort(&self, service: &str, now: Moment) -> bool {
+        let mut all = self.of_service(service);
+        all.any(|(_, upstream)| upstream.lapsed.is_some() && upstream.is_open(now))
     }
 
     /// Whether an engine that may get requests has a version of a model's weights.
@@ -164,7 +166,8 @@
     ) -> impl Iterator<Item = (&'a Id, &'a Upstream)> {
         let all = self.of_service(wanted.service);
         let untried = all.filter(|(id, _)| !wanted.except.contains(*id));
-        let open = untried.filter(move |(_, upstream)| upstream.is_open(now));
+        let sure = untried.filter(move |(_, upstream)| wanted.last_resort || upstream.lapsed.is_none());
+        let open = sure.filter(move |(_, upstream)| upstream.is_open(now));
         open.filter(move |(_, upstream)| self.is_in_time(upstream, wanted, now))
     }
 
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -43,7 +43,7 @@
     pub paused_until: Moment,
     /// Until when it gets nothing because it loads weights.
     pub loading_until: Moment,
-    /// Since when its entry is missing after an outage of the store.
+    /// Until when its entry, which is missing after an outage of the store, may come back.
     pub lapsed: Option<Moment>,
     /// Whether it said itself that it leaves or has another id now.
     pub refused: bool,
@@ -89,7 +89,8 @@
     /// Whether it may get a new request.
     pub fn is_open(&self, now: Moment) -> bool {
         let rests = now < self.paused_until || now < self.loading_until;
-        !self.entry.leaving && !self.refused && !rests && self.health.is_open(now)
+        let there = self.lapsed.is_none_or(|until| now < until);
+        there && !self.entry.leaving && !self.refused && !rests && self.health.is_open(now)
     }
 
     /// Whether another engine can take parts from it.
--- a/crates/jb-relay/src/upstream/wanted.rs
+++ b/crates/jb-relay/src/upstream/wanted.rs
@@ -25,6 +25,8 @@
     pub demand: Demand<'a>,
     /// Upstreams that were tried.
     pub except: &'a [Id],
+    /// Whether upstreams count that may be gone, as their entries are missing.
+    pub last_resort: bool,
 }
 
 /// Where parts of a prompt are brought from.
