Connections: giving up resets, so that nothing held up behind a cut arrives later

Cause: closing a connection in order delivers what was written to it. Behind a cut that took six seconds; the request had been answered as lost, the engine had left, and it ran there for nobody. The same held for writes to the store. Connections that a box opens now close by a reset, which drops what the system holds. A connection is no longer split into halves that shut down on their own.

--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -156,7 +156,7 @@
 /// Writes the request; stops early when the upstream answers before it has read all.
 async fn exchange(link: &mut Link, head: &[u8], body: &[u8], clean: &mut bool) -> Result<(), http::Error> {
     use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-    let (read, write, buffer) = link.connection.halves();
+    let (mut read, mut write, buffer) = link.connection.halves();
     let whole = [head, body].concat();
     let mut early = [0_u8; 1024];
     tokio::select! {
--- a/crates/jb-relay/src/http/connection.rs
+++ b/crates/jb-relay/src/http/connection.rs
@@ -5,7 +5,7 @@
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
-use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
+use tokio::net::tcp::{ReadHalf, WriteHalf};
 
 use super::{Answer, Body, Error, Query, Step};
 
@@ -17,8 +17,7 @@
 /// A connection with its buffer.
 #[derive(Debug)]
 pub struct Connection {
-    read: OwnedReadHalf,
-    write: OwnedWriteHalf,
+    stream: TcpStream,
     /// Bytes read and not yet used.
     pub buffer: BytesMut,
 }
@@ -26,10 +25,8 @@
 impl Connection {
     /// Wraps a connected stream.
     pub fn new(stream: TcpStream) -> Self {
-        let (read, write) = stream.into_split();
         Self {
-            read,
-            write,
+            stream,
             buffer: BytesMut::new(),
         }
     }
@@ -40,13 +37,14 @@
     /// What the operating system reports.
     pub async fn fill(&mut self) -> io::Result<usize> {
         self.buffer.reserve(READ);
-        self.read.read_buf(&mut self.buffer).await
+        self.stream.read_buf(&mut self.buffer).await
     }
 
     /// Whether an idle connection is still open and nothing has arrived on it.
     pub fn is_quiet(&mut self) -> bool {
         let mut one = [0_u8; 1];
-        let nothing = matches!(self.read.try_read(&mut one), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
+        let nothing =
+            matches!(self.stream.try_read(&mut one), Err(e) if e.kind() == io::ErrorKind::WouldBlock);
         nothing && self.buffer.is_empty()
     }
 
@@ -148,17 +146,18 @@
     /// # Errors
     /// What the operating system reports.
     pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
-        self.write.write_all(bytes).await
+        self.stream.write_all(bytes).await
     }
 
     /// Ends the own direction, so that the peer reads everything sent.
     pub async fn finish(&mut self) {
         // A peer that is already gone needs no end.
-        let _ = self.write.shutdown().await;
+        let _ = self.stream.shutdown().await;
     }
 
     /// Both halves, to wait for the peer's close while writing.
-    pub fn halves(&mut self) -> (&mut OwnedReadHalf, &mut OwnedWriteHalf, &mut BytesMut) {
-        (&mut self.read, &mut self.write, &mut self.buffer)
+    pub fn halves(&mut self) -> (ReadHalf<'_>, WriteHalf<'_>, &mut BytesMut) {
+        let (read, write) = self.stream.split();
+        (read, write, &mut self.buffer)
     }
 }
--- a/crates/jb-relay/src/link.rs
+++ b/crates/jb-relay/src/link.rs
@@ -89,7 +89,13 @@
 /// Time without an acknowledgement after which the system gives a connection up.
 const UNACKNOWLEDGED: Duration = Duration::from_millis(2500);
 
-/// Connects with the options that every connection of a box has.
+/// Connects with the options that every connection has which a box opens, to an upstream or to the
+/// store.
+///
+/// What is given up must not arrive any more: a closed connection still delivers what was written
+/// to it, behind a cut seconds later, to an upstream that then runs a request for nobody or to a
+/// store that does a write nobody waits for. So closing is a reset, which drops what is held up. A
+/// connection whose last answer was read to its end loses nothing by it.
 ///
 /// # Errors
 /// What the operating system reports.
@@ -100,7 +106,9 @@
         TcpSocket::new_v6()?
     };
     socket.set_nodelay(true)?;
-    socket2::SockRef::from(&socket).set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let options = socket2::SockRef::from(&socket);
+    options.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    options.set_linger(Some(Duration::ZERO))?;
     socket.connect(address).await
 }
 
