--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -59,6 +59,8 @@
     KEPT_READ = 5007, "kept_read", "An engine has told the parts of prompts that it keeps.";
     KEPT_UNREAD = 5008, "kept_unread", "An engine has not told the parts of prompts that it keeps.";
     UPSTREAM_LAPSED = 5009, "upstream_lapsed", "An upstream's entry is missing after an outage, and may come back.";
+    UPSTREAM_RESTARTED = 5010, "upstream_restarted", "An upstream has started again under its id; what was known of it is dropped.";
+    UPSTREAM_UNREADABLE = 5011, "upstream_unreadable", "An upstream's entry cannot be read; it gets nothing until it can.";
     CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
     STEWARD_TAKEN = 7001, "steward_taken", "The box has become its hall's steward.";
     STEWARD_LOST = 7002, "steward_lost", "The box is no longer its hall's steward.";
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -12,7 +12,7 @@
 use crate::port::Entry;
 use crate::salt;
 use crate::ticket::Ticket;
-use crate::upstream::Id;
+use crate::upstream::Life;
 
 /// Longest head of an answer, in bytes.
 const LONGEST_HEAD: usize = 64 * 1024;
@@ -64,11 +64,11 @@
 }
 
 /// Sends a request and waits for the head of its answer.
-pub async fn send(core: &Shared, id: &Id, message: &Message<'_>) -> Outcome {
+pub async fn send(core: &Shared, id: &Life, message: &Message<'_>) -> Outcome {
     let entry = core
         .upstreams
         .borrow()
-        .get(id)
+        .life(id)
         .map(|upstream| upstream.entry.clone());
     let Some(entry) = entry else {
         return Outcome::Unsent("the upstream has gone".to_owned());
@@ -78,7 +78,7 @@
         Ok(link) => link,
         Err(why) => return Outcome::Unsent(why.to_string()),
     };
-    let head = head(core, id, &entry, message);
+    let head = head(core, &id.id, &entry, message);
     let mut clean = true;
     match exchange(&mut link, &head, message.body, &mut clean).await {
         Ok(()) => {}
@@ -206,7 +206,7 @@
 
 async fn judge(
     core: &Shared,
-    id: &str,
+    id: &Life,
     model: Option<&str>,
     answer: Answer,
     mut link: Link,
@@ -222,14 +222,14 @@
             clean,
         }));
     }
-    if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
+    if let Some(upstream) = core.upstreams.borrow_mut().life_mut(id) {
         upstream.pause(core.now());
         if let Some((model, version)) = model.zip(answer.headers.number(core.names.made_by)) {
             upstream.heard_weights(model, version);
         }
         // Another incarnation has the address; the same one only has other weights.
         let answering = answer.headers.text(core.names.answering);
-        let replaced = answer.status == 421 && answering.is_some_and(|other| other != id);
+        let replaced = answer.status == 421 && answering.is_some_and(|other| other != id.id);
         if replaced && !upstream.refused {
             upstream.refused = true;
             peers::note_replaced(core, upstream);
--- a/crates/jb-relay/src/exchange/ask.rs
+++ b/crates/jb-relay/src/exchange/ask.rs
@@ -14,7 +14,7 @@
 use crate::narrow::narrow;
 use crate::peers::{self, Held, Prompt, Room, View};
 use crate::ticket::Ticket;
-use crate::upstream::{Id, Wanted};
+use crate::upstream::{Life, Wanted};
 
 /// Engines whose accounts are asked for one prompt at the most: the family's own first, the
 /// others together where it has no room.
@@ -42,7 +42,7 @@
 }
 
 struct Asked {
-    id: Id,
+    id: Life,
     view: View,
     candidate: Candidate,
 }
@@ -52,7 +52,7 @@
     core: &Shared,
     ticket: &Ticket,
     body: &Bytes,
-    tried: &[Id],
+    tried: &[Life],
     among: Among,
 ) -> Option<Choice> {
     let (last, shared) = ticket.prompt.split_last()?;
@@ -112,7 +112,7 @@
     /// Looks at engines for a prompt that shares little: those to which a connection is open, and
     /// the family's own. What another engine would have to read again is less than what a
     /// connection costs, and by load they share the work evenly, fast engines and slow ones.
-    async fn look_near(&self, own: &Id) -> Looked {
+    async fn look_near(&self, own: &Life) -> Looked {
         let now = self.core.now();
         let mut near = self
             .core
@@ -131,7 +131,7 @@
     }
 
     /// Asks the family's own engine for a place, and looks at others where it has none.
-    async fn at_home(&self, own: &Id, others: &[Id], family: u64, target: Duration) -> Looked {
+    async fn at_home(&self, own: &Life, others: &[Life], family: u64, target: Duration) -> Looked {
         let ahead = account::ahead(self.tuning.tokens_per_ms, target);
         let room = Room::Ahead(narrow(ahead));
         let held = peers::hold(self.core, own, self.place);
@@ -200,15 +200,15 @@
     /// The choice of an engine, with the best place among the rest to bring parts from.
     fn chosen(&self, best: &Asked, held: Held, rest: &[Asked]) -> Choice {
         let upstreams = self.core.upstreams.borrow();
-        let weights = |id: &Id| {
+        let weights = |id: &Life| {
             let model = self.wanted.model?;
-            upstreams.get(id)?.weights(model)
+            upstreams.life(id)?.weights(model)
         };
         let better = rest
             .iter()
             .filter(|other| other.view.found > best.view.found && weights(&other.id) == weights(&best.id));
         let other = better.max_by_key(|other| other.view.found).and_then(|other| {
-            let upstream = upstreams.get(&other.id)?;
+            let upstream = upstreams.life(&other.id)?;
             Some((upstream.entry.address, other.view.found))
         });
         Choice {
@@ -228,14 +228,14 @@
     }
 
     /// Engines that may keep a family though it is not theirs now, because they were its own before.
-    fn holders(&self, family: u64, own: &Id) -> Vec<Id> {
+    fn holders(&self, family: u64, own: &Life) -> Vec<Life> {
         let upstreams = self.core.upstreams.borrow();
         let first = upstreams.holders_first(family, &self.wanted, ASKED, self.core.now());
         first.into_iter().filter(|id| id != own).collect()
     }
 
     /// Looks at the accounts of engines, without taking a place.
-    async fn look(&self, ids: &[Id]) -> Vec<Asked> {
+    async fn look(&self, ids: &[Life]) -> Vec<Asked> {
         let looks = ids.iter().map(|id| async {
             let place = peers::draw(self.core);
             let view = peers::ask_account(self.core, id, place, &self.prompt, Room::None).await?;
@@ -244,9 +244,9 @@
         join_all(looks).await.into_iter().flatten().collect()
     }
 
-    fn asked(&self, id: &Id, view: View) -> Option<Asked> {
+    fn asked(&self, id: &Life, view: View) -> Option<Asked> {
         let upstreams = self.core.upstreams.borrow();
-        let upstream = upstreams.get(id)?;
+        let upstream = upstreams.life(id)?;
         let has = self.wanted.model.and_then(|model| upstream.weights(model));
         let behind = has.is_some_and(|has| has < self.wanted.weights.newest());
         let shared = self.wanted.demand.shared();
@@ -266,7 +266,7 @@
 }
 
 /// A choice that no account has said anything of.
-fn unadvised(held: Held, own: &Id) -> Choice {
+fn unadvised(held: Held, own: &Life) -> Choice {
     Choice {
         id: own.clone(),
         estimate: Estimate {
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -15,7 +15,7 @@
 use crate::core::{Core, Shared};
 use crate::peers::{self, Placed};
 use crate::ticket::Ticket;
-use crate::upstream::{Id, Wanted};
+use crate::upstream::{Life, Wanted};
 
 /// Part of the bound on older weights after which nothing is sent to them.
 const WEIGHTS_SHARE: f64 = 0.85;
@@ -25,7 +25,7 @@
 
 /// The upstream that is chosen for a request, with what it would do.
 pub(super) struct Choice {
-    pub(super) id: Id,
+    pub(super) id: Life,
     pub(super) estimate: Estimate,
     /// Whether it is sent there now, as the first send.
     pub(super) verdict: Verdict,
@@ -60,7 +60,7 @@
     core: &Shared,
     ticket: &Ticket,
     body: &Bytes,
-    tried: &[Id],
+    tried: &[Life],
 ) -> Option<Choice> {
     let sure = advised(core, ticket, body, tried, Among::Sure).await;
     if sure.as_ref().is_some_and(Choice::has_place) || !has_last_resort(core, ticket) {
@@ -69,7 +69,13 @@
     advised(core, ticket, body, tried, Among::All).await.or(sure)
 }
 
-async fn advised(core: &Shared, ticket: &Ticket, body: &Bytes, tried: &[Id], among: Among) -> Option<Choice> {
+async fn advised(
+    core: &Shared,
+    ticket: &Ticket,
+    body: &Bytes,
+    tried: &[Life],
+    among: Among,
+) -> Option<Choice> {
     let by_account = !ticket.prompt.is_empty() && !core.book.borrow().is_small();
     if by_account && let Some(choice) = ask::choose(core, ticket, body, tried, among).await {
         return Some(choice);
@@ -83,7 +89,7 @@
 }
 
 /// The upstream that a request is sent to next, if one is open.
-fn choose(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Id], among: Among) -> Option<Choice> {
+fn choose(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Life], among: Among) -> Option<Choice> {
     let wanted = wanted(core, ticket, body, tried, among);
     let (ids, candidates) = core.upstreams.borrow().candidates(&wanted, core.now());
     let tuning = tuning(core, ticket);
@@ -143,7 +149,7 @@
 
 /// Whether another upstream takes a request whose upstream is silent: one is open, and the
 /// retry budget has granted the send.
-pub(super) fn goes_on(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Id]) -> bool {
+pub(super) fn goes_on(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Life]) -> bool {
     choose(core, ticket, body, tried, Among::All).is_some() && core.spend(&ticket.service)
 }
 
@@ -151,7 +157,7 @@
     core: &'a Core,
     ticket: &'a Ticket,
     body: &Bytes,
-    tried: &'a [Id],
+    tried: &'a [Life],
     among: Among,
 ) -> Wanted<'a> {
     let model = ticket.model.as_deref();
@@ -184,7 +190,7 @@
 
     /// Settles where the engine takes parts from that it lacks, and whether it sends
     /// them to a store; returns the tokens that it must read itself.
-    pub(super) fn place_prompt(&mut self, id: &Id, advice: Option<&Advice>) -> u64 {
+    pub(super) fn place_prompt(&mut self, id: &Life, advice: Option<&Advice>) -> u64 {
         let ticket = self.message.ticket;
         let core = self.core;
         let Some((last, shared)) = ticket.prompt.split_last() else {
@@ -212,8 +218,8 @@
             .saturating_sub(found + plan.tokens)
             .max(last.tokens);
         let upstreams = core.upstreams.borrow();
-        let upstream = upstreams.get(id);
-        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => id,
+        let upstream = upstreams.life(id);
+        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %id,
             "tokens" => ticket.tokens(), "shared" => self.demand().shared(), "found" => found,
             "brought" => plan.tokens, "unread" => unread, "origin" => ?plan.origin,
             "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
@@ -224,7 +230,7 @@
     }
 
     /// The same by what the engine's account says.
-    fn place_advised(&mut self, id: &Id, own: u64, advice: &Advice) -> u64 {
+    fn place_advised(&mut self, id: &Life, own: u64, advice: &Advice) -> u64 {
         let ticket = self.message.ticket;
         let core = self.core;
         let shared = self.demand().shared();
@@ -251,7 +257,7 @@
             .tokens()
             .saturating_sub(advice.found + plan.tokens)
             .max(own);
-        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => id,
+        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %id,
             "tokens" => ticket.tokens(), "shared" => shared, "found" => advice.found,
             "brought" => plan.tokens, "unread" => unread, "origin" => ?plan.origin, "stored" => advice.stored,
             "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
@@ -261,10 +267,10 @@
     }
 
     /// Notes that an engine reads a prompt; returns the tokens that it had, and its weights.
-    fn note_read(&self, id: &Id, shared: &[Piece], own: u64) -> Option<(u64, Option<Version>)> {
+    fn note_read(&self, id: &Life, shared: &[Piece], own: u64) -> Option<(u64, Option<Version>)> {
         let ticket = self.message.ticket;
         let mut upstreams = self.core.upstreams.borrow_mut();
-        let upstream = upstreams.get_mut(id)?;
+        let upstream = upstreams.life_mut(id)?;
         let found = upstream.kept.found(&ticket.prompt);
         upstream.set_memory(self.memory());
         upstream.kept.read(shared.iter().copied(), own);
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -20,7 +20,7 @@
 use crate::peers::{self, Held};
 use crate::rules::Kind;
 use crate::ticket::Ticket;
-use crate::upstream::{Id, Upstream};
+use crate::upstream::{Life, Upstream};
 
 /// Sends of one request at most, with those that were turned away.
 const MOST_SENDS: u32 = 4;
@@ -53,7 +53,7 @@
 pub struct Exchange<'a> {
     pub(super) core: &'a Shared,
     pub(super) message: Message<'a>,
-    pub(super) tried: Vec<Id>,
+    pub(super) tried: Vec<Life>,
     pub(super) sends: u32,
     pub(super) runs: u32,
     /// Whether the next send is taken from the retry budget already.
@@ -200,7 +200,7 @@
             Outcome::NotRun(status) => {
                 self.sends += 1;
                 emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
-                    "upstream" => id, "outcome" => "not_run", "status" => status);
+                    "upstream" => %id, "outcome" => "not_run", "status" => status);
                 Err("turned_away")
             }
             Outcome::Failed(why) => {
@@ -220,7 +220,7 @@
 
     /// Sends; a request that may run again leaves a silent upstream as soon as another one can
     /// take it. Silence alone ends nothing: the answer may only be late.
-    async fn patiently(&mut self, id: &Id, first: Duration) -> Outcome {
+    async fn patiently(&mut self, id: &Life, first: Duration) -> Outcome {
         const SILENT: &str = "silent for longer than it should take";
         let ticket = self.message.ticket;
         let more = ticket.route.repeatable() && self.runs + 1 < ticket.route.attempts;
@@ -255,45 +255,45 @@
         }
     }
 
-    fn blame(&self, id: &Id, outcome: &'static str, why: &str) {
+    fn blame(&self, id: &Life, outcome: &'static str, why: &str) {
         let core = self.core;
         emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.ticket.id,
-            "upstream" => id, "outcome" => outcome, "why" => why);
+            "upstream" => %id, "outcome" => outcome, "why" => why);
         let loads = |upstream: &Upstream| core.now() < upstream.loading_until;
-        if core.upstreams.borrow().get(id).is_some_and(loads) {
+        if core.upstreams.borrow().life(id).is_some_and(loads) {
             // Streams that are reset for new weights are no fault of the engine.
             return;
         }
         self.note_ending(peers::Ending::Failed);
         if core.upstreams.borrow_mut().judged(id, false, core.now()) == Change::Ejected {
-            emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => id, "why" => why);
+            emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => %id, "why" => why);
         }
     }
 
-    fn praise(&self, id: &Id) {
+    fn praise(&self, id: &Life) {
         let core = self.core;
         self.note_ending(peers::Ending::Well);
         if core.upstreams.borrow_mut().judged(id, true, core.now()) == Change::Returned {
-            emit!(core.logger, info, event::UPSTREAM_RETURNED, "upstream" => id);
+            emit!(core.logger, info, event::UPSTREAM_RETURNED, "upstream" => %id);
         }
     }
 
     /// Takes what an answer says about the engine's weights.
-    fn hear(&self, id: &Id, reply: &Reply) {
+    fn hear(&self, id: &Life, reply: &Reply) {
         let Some(model) = &self.message.ticket.model else {
             return;
         };
         let Some(version) = reply.answer.headers.number(self.core.names.made_by) else {
             return;
         };
-        if let Some(upstream) = self.core.upstreams.borrow_mut().get_mut(id) {
+        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(id) {
             upstream.heard_weights(model, version);
         }
     }
 
     async fn deliver(
         &mut self,
-        id: &Id,
+        id: &Life,
         reply: Reply,
         client: &mut Connection,
         counted: &mut Counted<'_>,
@@ -312,7 +312,7 @@
             // Without budget the caller gets the engine's failure instead.
             self.paid = true;
             emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
-                "upstream" => id, "outcome" => "ran", "status" => status);
+                "upstream" => %id, "outcome" => "ran", "status" => status);
             return Err("upstream_error");
         }
         let delivered = if success && ticket.route.kind == Kind::Stream {
@@ -380,7 +380,7 @@
     }
 
     /// Upstreams that were tried.
-    pub fn tried(&self) -> &[Id] {
+    pub fn tried(&self) -> &[Life] {
         &self.tried
     }
 }
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -5,16 +5,16 @@
 
 use super::missing;
 use crate::core::Core;
-use crate::port::{Change, Entry, Fact};
+use crate::port::{Change, Fact, Revision, Word};
+use crate::restart;
 use crate::rules::Rules;
-use crate::upstream::Seen;
+use crate::upstream::{Ended, Seen, Upstream};
 
 /// Puts one fact in force; `comes_back`: until when an upstream whose entry is missing may come back.
-pub(super) fn apply(core: &Core, fact: Fact, comes_back: Option<Moment>) {
+pub(super) fn apply(core: &Core, fact: Fact, revision: Revision, comes_back: Option<Moment>) {
     match fact {
         Fact::Rules(rules) => put_rules(core, *rules),
-        Fact::Upstream(id, Some(entry)) => put_upstream(core, &id, entry),
-        Fact::Upstream(id, None) => missing::miss(core, &id, comes_back),
+        Fact::Upstream(id, word) => hear_upstream(core, &id, word, revision, comes_back),
         Fact::Weights(named) => {
             // What a box hears may have been named at any time since it last heard something.
             let earliest = core.proven.get();
@@ -45,21 +45,42 @@
     *core.rules.borrow_mut() = Some(std::rc::Rc::new(rules));
 }
 
-fn put_upstream(core: &Core, id: &str, entry: Entry) {
-    let seen = core.upstreams.borrow_mut().put(id, entry.clone());
+fn hear_upstream(core: &Core, id: &str, word: Word, revision: Revision, comes_back: Option<Moment>) {
+    let why = match &word {
+        Word::Unreadable(why) => why.clone(),
+        Word::Entry(_) | Word::Gone => String::new(),
+    };
+    let seen = core.upstreams.borrow_mut().hear(id, word, revision);
     match seen {
-        Seen::New => emit!(core.logger, info, event::UPSTREAM_SEEN, "upstream" => id,
-            "service" => entry.service, "address" => %entry.address, "hall" => entry.hall),
+        Seen::New => seen_new(core, id),
+        Seen::Restarted(ended) => seen_again(core, id, ended),
         Seen::Leaving => {
             emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => id, "why" => "entry")
         }
-        Seen::Same | Seen::Gone => {}
+        Seen::Missing => missing::miss(core, id, comes_back),
+        Seen::Unreadable => {
+            emit!(core.logger, warn, event::UPSTREAM_UNREADABLE, "upstream" => id, "why" => why)
+        }
+        Seen::Same => {}
+    }
+}
+
+fn seen_new(core: &Core, id: &str) {
+    if let Some(Upstream { entry, .. }) = core.upstreams.borrow().get(id) {
+        emit!(core.logger, info, event::UPSTREAM_SEEN, "upstream" => id, "service" => &entry.service,
+            "address" => %entry.address, "hall" => &entry.hall);
+    }
+}
+
+fn seen_again(core: &Core, id: &str, ended: Ended) {
+    if let Some(upstream) = core.upstreams.borrow().get(id) {
+        restart::tell(core, &upstream.life, upstream.life.born, ended, "entry");
     }
 }
 
 /// Takes an upstream off.
 pub(super) fn gone(core: &Core, id: &str) {
-    if core.upstreams.borrow_mut().remove(id) == Seen::Gone {
+    if core.upstreams.borrow_mut().remove(id).is_some() {
         emit!(core.logger, info, event::UPSTREAM_GONE, "upstream" => id);
     }
 }
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -200,7 +200,7 @@
     let comes_back = progress.blindness.comes_back_until(core);
     for change in &changes {
         progress.note_key(change);
-        apply(core, core.store.decode(change), comes_back);
+        apply(core, core.store.decode(change), change.revision, comes_back);
     }
     missing::sweep(core, &progress.blindness);
     let mut log = core.log.borrow_mut();
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -267,11 +267,17 @@
     core.metrics.ended(name, status);
     emit!(core.logger, info, event::REQUEST_ENDED, "request" => &ticket.id, "route" => &ticket.route.name,
         "service" => &ticket.service, "ending" => name, "status" => status, "why" => why,
-        "ms" => exchange.took().as_millis() as u64, "tried" => exchange.tried().join(","),
+        "ms" => exchange.took().as_millis() as u64, "tried" => tried(exchange),
         "first_ms" => exchange.pace().first.map(|first| first.as_millis() as u64),
         "pause_ms" => exchange.pace().pause.as_millis() as u64, "version" => ticket.rules.version);
 }
 
+/// Ids of the upstreams that were tried, the first one first.
+fn tried(exchange: &Exchange<'_>) -> String {
+    let ids: Vec<&str> = exchange.tried().iter().map(|life| life.id.as_str()).collect();
+    ids.join(",")
+}
+
 /// An answer of the box itself, without a body.
 fn own_answer(status: u16, names: &[(&str, &str)], after: Option<Duration>, keep_alive: bool) -> BytesMut {
     let mut out = BytesMut::with_capacity(256);
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod port;
 pub mod ready;
 pub mod recall;
+pub mod restart;
 pub mod rules;
 pub mod salt;
 pub mod settings;
--- a/crates/jb-relay/src/link.rs
+++ b/crates/jb-relay/src/link.rs
@@ -9,7 +9,7 @@
 
 use crate::core::Shared;
 use crate::http::Connection;
-use crate::upstream::Id;
+use crate::upstream::Life;
 
 /// Time for a connection to come up: several round trips inside a region.
 const CONNECT: Duration = Duration::from_millis(300);
@@ -37,7 +37,7 @@
     /// The connection.
     pub connection: Connection,
     /// Upstream.
-    pub upstream: Id,
+    pub upstream: Life,
     /// Whether it has served a request before.
     pub used: bool,
 }
@@ -60,18 +60,18 @@
 ///
 /// # Errors
 /// When none comes up; nothing has been sent then.
-pub async fn take(core: &Shared, upstream: &str, once: bool) -> Result<Link, Error> {
+pub async fn take(core: &Shared, upstream: &Life, once: bool) -> Result<Link, Error> {
     if let Some(connection) = idle(core, upstream, once) {
         return Ok(Link {
             connection,
-            upstream: upstream.to_owned(),
+            upstream: upstream.clone(),
             used: true,
         });
     }
     let address = core
         .upstreams
         .borrow()
-        .get(upstream)
+        .life(upstream)
         .map(|u| u.entry.address)
         .ok_or(Error::Gone)?;
     let stream = match timeout(CONNECT, connect(address)).await {
@@ -81,7 +81,7 @@
     core.metrics.connections_opened.inc();
     Ok(Link {
         connection: Connection::new(stream),
-        upstream: upstream.to_owned(),
+        upstream: upstream.clone(),
         used: false,
     })
 }
@@ -112,10 +112,10 @@
     socket.connect(address).await
 }
 
-fn idle(core: &Shared, upstream: &str, once: bool) -> Option<Connection> {
+fn idle(core: &Shared, upstream: &Life, once: bool) -> Option<Connection> {
     let now = core.now();
     let mut upstreams = core.upstreams.borrow_mut();
-    let pool = &mut upstreams.get_mut(upstream)?.idle;
+    let pool = &mut upstreams.life_mut(upstream)?.idle;
     while let Some(mut idle) = pool.pop() {
         let rest = if once {
             idle.rest.min(LONGEST_IDLE_ONCE)
@@ -147,7 +147,7 @@
         return;
     }
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(known) = upstreams.get_mut(&upstream) else {
+    let Some(known) = upstreams.life_mut(&upstream) else {
         return;
     };
     if known.idle.len() >= MOST_IDLE {
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -23,7 +23,7 @@
 use super::socket::try_send;
 use crate::core::{Core, Shared};
 use crate::narrow::narrow;
-use crate::upstream::{Id, Upstream};
+use crate::upstream::{Life, Upstream};
 
 /// Time in which an account answers: 0.2 to 2 ms on the way, the rest for a box whose part of a
 /// core is spent for the moment.
@@ -91,7 +91,7 @@
 /// A place that may have been taken; it is given back when dropped.
 pub struct Held {
     core: Shared,
-    engine: Id,
+    engine: Life,
     place: Place,
     ending: Rc<Cell<Ending>>,
 }
@@ -120,7 +120,7 @@
 }
 
 /// A place at an engine, to be given back.
-pub fn hold(core: &Shared, engine: &Id, place: Place) -> Held {
+pub fn hold(core: &Shared, engine: &Life, place: Place) -> Held {
     Held {
         core: Rc::clone(core),
         engine: engine.clone(),
@@ -131,7 +131,7 @@
 
 /// Asks the account of an engine for a place, which is taken as `room` says; `None` when no box
 /// answers in time.
-pub async fn ask(core: &Core, engine: &Id, place: Place, prompt: &Prompt<'_>, room: Room) -> Option<View> {
+pub async fn ask(core: &Core, engine: &Life, place: Place, prompt: &Prompt<'_>, room: Room) -> Option<View> {
     let (name, keeper) = keeper(core, engine)?;
     let question = Question {
         place,
@@ -160,9 +160,9 @@
 }
 
 /// Takes newer weights of an engine that the box has not heard of.
-fn take_weights(core: &Core, engine: &Id, advice: &Advice) {
+fn take_weights(core: &Core, engine: &Life, advice: &Advice) {
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(upstream) = upstreams.get_mut(engine) else {
+    let Some(upstream) = upstreams.life_mut(engine) else {
         return;
     };
     let model = upstream.entry.models.first().cloned();
@@ -189,9 +189,9 @@
 /// is this one.
 type Keeper = (u32, Option<(String, SocketAddr)>);
 
-fn keeper(core: &Core, engine: &Id) -> Option<Keeper> {
+fn keeper(core: &Core, engine: &Life) -> Option<Keeper> {
     let upstreams = core.upstreams.borrow();
-    let upstream = upstreams.get(engine)?;
+    let upstream = upstreams.life(engine)?;
     let name = place::short(upstream.name);
     let book = core.book.borrow();
     let keeper = book.keeper(upstream.name, &upstream.entry.hall, core.now());
@@ -199,7 +199,7 @@
     Some((name, keeper))
 }
 
-fn give_back(core: &Core, engine: &Id, place: Place, ending: Option<Ending>) {
+fn give_back(core: &Core, engine: &Life, place: Place, ending: Option<Ending>) {
     let Some((name, keeper)) = keeper(core, engine) else {
         return;
     };
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -93,7 +93,5 @@
 
 /// Takes replaced upstreams.
 pub(super) fn take_replaced(core: &Core, replaced: &Replaced) {
-    for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
-        upstream.refused |= replaced.upstreams.contains(&place::short(upstream.name));
-    }
+    core.upstreams.borrow_mut().note_replaced(&replaced.upstreams);
 }
--- a/crates/jb-relay/src/peers/weights.rs
+++ b/crates/jb-relay/src/peers/weights.rs
@@ -11,6 +11,7 @@
 use super::gossip::tell_everyone;
 use super::message::{Message, Told, ToldWeights};
 use crate::core::{Core, Shared};
+use crate::upstream::Life;
 
 /// Time for which an engine that loads weights gets nothing, unless it is told done before.
 pub const LOADING: Duration = Duration::from_millis(2500);
@@ -28,12 +29,12 @@
 pub fn tell_weights(
     core: &Shared,
     socket: &Rc<UdpSocket>,
-    upstream: &str,
+    upstream: &Life,
     model: &str,
     version: Option<u64>,
 ) {
     let told = ToldWeights {
-        upstream: place::short(place::name_hash(upstream)),
+        upstream: place::short(upstream.name()),
         model: model.to_owned(),
         version: version.unwrap_or(0),
     };
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -14,9 +14,25 @@
 /// Number of a lease.
 pub type Lease = u64;
 
+/// Start of an upstream, in milliseconds since the Unix epoch.
+pub type Born = u64;
+
+/// What the store says of an upstream.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Word {
+    /// What it says of itself.
+    Entry(Entry),
+    /// Something that names no upstream to use; what is wrong with it.
+    Unreadable(String),
+    /// Its entry has gone.
+    Gone,
+}
+
 /// What an upstream says of itself in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
+    /// When it started; `None` on a platform whose upstreams do not say so.
+    pub born: Option<Born>,
     /// Service.
     pub service: id::Service,
     /// Address.
@@ -55,8 +71,8 @@
 pub enum Fact {
     /// The configuration.
     Rules(Box<Rules>),
-    /// An upstream, or its going.
-    Upstream(String, Option<Entry>),
+    /// Word of an upstream, by its id.
+    Upstream(String, Word),
     /// The newest version of a model's weights.
     Weights(Loaded),
     /// An item of the boxes themselves.
@@ -159,6 +175,8 @@
 /// What an engine reports of itself.
 #[derive(Clone, Debug)]
 pub struct Report {
+    /// When the engine started, if it says so.
+    pub born: Option<Born>,
     /// Models with the version of their weights.
     pub models: Vec<Loaded>,
     /// Whether an order is under way.
@@ -209,11 +227,20 @@
     pub model: String,
 }
 
+/// What an engine keeps of prompts.
+#[derive(Clone, Debug, Default)]
+pub struct Kept {
+    /// When it started, if it says so.
+    pub born: Option<Born>,
+    /// Parts.
+    pub parts: Vec<KeptPart>,
+}
+
 /// Control calls to model engines.
 #[async_trait(?Send)]
 pub trait Engines {
     /// Asks what the engine keeps of prompts.
-    async fn kept(&self, address: SocketAddr) -> Result<Vec<KeptPart>, StoreError>;
+    async fn kept(&self, address: SocketAddr) -> Result<Kept, StoreError>;
     /// Asks for the engine's report.
     async fn report(&self, address: SocketAddr) -> Result<Report, StoreError>;
     /// Gives an order to an incarnation of an engine.
--- a/crates/jb-relay/src/recall.rs
+++ b/crates/jb-relay/src/recall.rs
@@ -16,8 +16,9 @@
 use crate::core::{Core, Shared};
 use crate::peers;
 use crate::port::KeptPart;
+use crate::restart;
 use crate::salt;
-use crate::upstream::Id;
+use crate::upstream::Life;
 
 /// Pause between two looks at whether the box knows the engines.
 const LOOK: Duration = Duration::from_millis(5);
@@ -42,23 +43,26 @@
 }
 
 /// Upstreams that keep parts of prompts.
-fn engines(core: &Core) -> Vec<(Id, SocketAddr)> {
+fn engines(core: &Core) -> Vec<(Life, SocketAddr)> {
     let upstreams = core.upstreams.borrow();
     let with_models = upstreams.iter().filter(|(_, u)| !u.entry.models.is_empty());
-    with_models.map(|(id, u)| (id.clone(), u.entry.address)).collect()
+    with_models
+        .map(|(_, u)| (u.life.clone(), u.entry.address))
+        .collect()
 }
 
-async fn ask(core: Shared, id: Id, address: SocketAddr) {
+async fn ask(core: Shared, id: Life, address: SocketAddr) {
     match core.engines.kept(address).await {
-        Ok(kept) => take(&core, &id, &kept),
-        Err(why) => emit!(core.logger, info, event::KEPT_UNREAD, "upstream" => id, "why" => %why),
+        Ok(kept) if id.is_told_by(kept.born) => take(&core, &id, &kept.parts),
+        Ok(kept) => restart::note(&core, &id, kept.born, "kept"),
+        Err(why) => emit!(core.logger, info, event::KEPT_UNREAD, "upstream" => %id, "why" => %why),
     }
 }
 
 /// Takes what an engine keeps under the weights that it has.
-fn take(core: &Core, id: &Id, kept: &[KeptPart]) {
+fn take(core: &Core, id: &Life, kept: &[KeptPart]) {
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(upstream) = upstreams.get_mut(id) else {
+    let Some(upstream) = upstreams.life_mut(id) else {
         return;
     };
     let mut pieces = Vec::new();
@@ -73,6 +77,6 @@
             });
         }
     }
-    emit!(core.logger, info, event::KEPT_READ, "upstream" => id, "parts" => pieces.len());
+    emit!(core.logger, info, event::KEPT_READ, "upstream" => %id, "parts" => pieces.len());
     upstream.kept.recall(&pieces);
 }
--- a/crates/jb-relay/src/steward/duty.rs
+++ b/crates/jb-relay/src/steward/duty.rs
@@ -12,11 +12,11 @@
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
 
-use super::load::Absent;
+use super::load::{Absent, Counts};
 use super::record::{self, LAST, NOBODY, Orders, Record};
 use crate::core::Shared;
 use crate::port::{Change, Lease, Revision, StoreError, Write};
-use crate::upstream::Id;
+use crate::upstream::{Id, Life};
 
 /// Item that stands while a box has the duty.
 const HOLDER: &str = "junctionbend/steward/holder";
@@ -54,8 +54,9 @@
     pub(super) socket: Rc<UdpSocket>,
     term: Cell<Option<Term>>,
     pub(super) record: RefCell<Record>,
-    pub(super) loading: RefCell<BTreeSet<Id>>,
+    pub(super) loading: RefCell<BTreeSet<Life>>,
     pub(super) absent: RefCell<Absent>,
+    pub(super) counts: RefCell<Counts>,
     pub(super) places: Semaphore,
     pub(super) granted: Cell<usize>,
     vacant_since: Cell<Option<Moment>>,
@@ -72,6 +73,7 @@
             record: RefCell::new(Record::new(own, Orders::new(), Moment::ZERO)),
             loading: RefCell::default(),
             absent: RefCell::default(),
+            counts: RefCell::default(),
             places: Semaphore::new(0),
             granted: Cell::new(0),
             vacant_since: Cell::new(None),
@@ -137,17 +139,22 @@
 
     /// Has the store name this box and the engines that it is about to order; whether it does.
     /// Those that come later are named with them.
-    pub(super) async fn announce(&self, next: &[Id], later: &[Id]) -> bool {
+    pub(super) async fn announce(&self, next: &[Life], later: &[Life]) -> bool {
         let Some(term) = self.term.get() else { return false };
         if term.named && self.record.borrow().covers(next) {
             return true;
         }
-        let mut engines = self.loading.borrow().clone();
-        engines.extend(later.iter().cloned());
+        let engines = self.to_name(later);
         let orders = self.record.borrow().due(&engines, self.core.now(), self.gap());
         self.write_record(&self.core.settings.id, orders).await
     }
 
+    /// Ids of the engines that load, and of others.
+    fn to_name(&self, others: &[Life]) -> BTreeSet<Id> {
+        let loading = self.loading.borrow();
+        loading.iter().chain(others).map(|life| life.id.clone()).collect()
+    }
+
     /// Writes the record for the next box.
     async fn write_record(&self, holder: &str, orders: Orders) -> bool {
         let Some(term) = self.term.get() else { return false };
@@ -199,6 +206,7 @@
 
     fn lose(&self, why: &str) {
         self.term.set(None);
+        self.counts.take();
         self.core.stop.set_duty(false);
         emit!(self.core.logger, warn, event::STEWARD_LOST, "why" => why);
     }
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/steward/load.rs
@@ -13,7 +13,8 @@
 use super::duty::{LOOK, Steward};
 use crate::peers;
 use crate::port::{Order, Report, Taken};
-use crate::upstream::Id;
+use crate::restart;
+use crate::upstream::Life;
 
 /// First pause before an engine that refused an order, or gave no report, is tried again; it
 /// doubles each time.
@@ -50,12 +51,24 @@
 struct Queue {
     /// Engines that are begun with now.
     room: usize,
-    engines: Vec<Id>,
+    engines: Vec<Life>,
 }
 
 /// Engines that did not answer, or refused an order: they get no place among those that load.
 #[derive(Debug, Default)]
-pub(super) struct Absent(BTreeMap<Id, Pause>);
+pub(super) struct Absent(BTreeMap<Life, Pause>);
+
+/// Orders that each engine had taken when it last reported.
+#[derive(Debug, Default)]
+pub(super) struct Counts(BTreeMap<Life, u64>);
+
+impl Counts {
+    /// Takes a report; whether the engine has fewer orders than before, and so has started again.
+    fn fall(&mut self, id: &Life, orders: u64) -> bool {
+        let before = self.0.insert(id.clone(), orders);
+        before.is_some_and(|before| orders < before)
+    }
+}
 
 #[derive(Clone, Copy, Debug)]
 struct Pause {
@@ -64,18 +77,18 @@
 }
 
 impl Absent {
-    fn is_paused(&self, id: &str, now: Moment) -> bool {
+    fn is_paused(&self, id: &Life, now: Moment) -> bool {
         self.0.get(id).is_some_and(|pause| now < pause.until)
     }
 
-    fn note(&mut self, id: &Id, now: Moment) {
+    fn note(&mut self, id: &Life, now: Moment) {
         let before = self.0.get(id).map(|pause| pause.length);
         let length = before.map_or(FIRST_PAUSE, |length| (2 * length).min(LONGEST_PAUSE));
         let until = now + length;
         self.0.insert(id.clone(), Pause { until, length });
     }
 
-    fn answered(&mut self, id: &str) {
+    fn answered(&mut self, id: &Life) {
         self.0.remove(id);
     }
 }
@@ -100,12 +113,12 @@
         }
     }
 
-    async fn load_in_time(self: Rc<Self>, id: Id, model: String) {
+    async fn load_in_time(self: Rc<Self>, id: Life, model: String) {
         if tokio::time::timeout(LOAD_TIME, self.load(&id, &model))
             .await
             .is_err()
         {
-            emit!(self.core.logger, warn, event::ORDER_FAILED, "upstream" => &id, "why" => "not done in time");
+            emit!(self.core.logger, warn, event::ORDER_FAILED, "upstream" => %id, "why" => "not done in time");
         }
         self.loading.borrow_mut().remove(&id);
     }
@@ -120,14 +133,15 @@
         let (mut all, mut behind) = (0, Vec::new());
         for (id, upstream) in with_model {
             all += 1;
+            let life = &upstream.life;
             let old = upstream.weights(model).is_some_and(|has| has < version) && !upstream.refused;
-            let barred = self.record.borrow().is_barred(id, now) || self.absent.borrow().is_paused(id, now);
-            let free = !barred && !loading.contains(id);
-            if old && free && !upstream.entry.leaving && upstream.lapsed.is_none() {
+            let barred = self.record.borrow().is_barred(id, now) || self.absent.borrow().is_paused(life, now);
+            let free = !barred && !loading.contains(life);
+            if old && free && upstream.is_there() && upstream.lapsed.is_none() {
                 let unsound = !upstream.health.is_open(now);
                 let running = upstream.running + upstream.others.running;
-                let unnamed = !self.record.borrow().covers(std::slice::from_ref(id));
-                behind.push((unsound, upstream.weights(model), unnamed, running, id.clone()));
+                let unnamed = !self.record.borrow().covers(std::slice::from_ref(life));
+                behind.push((unsound, upstream.weights(model), unnamed, running, life.clone()));
             }
         }
         let most = ((f64::from(all) * AT_ONCE) as usize).max(AT_ONCE_LEAST);
@@ -147,24 +161,37 @@
     }
 
     /// Report of an engine; `None` when it gave none, or has gone.
-    async fn report(&self, id: &Id) -> Option<(SocketAddr, Report)> {
+    async fn report(&self, id: &Life) -> Option<(SocketAddr, Report)> {
         let core = &self.core;
-        let address = core.upstreams.borrow().get(id).map(|u| u.entry.address)?;
+        let address = core.upstreams.borrow().life(id).map(|u| u.entry.address)?;
         match core.engines.report(address).await {
             Ok(report) => {
                 self.absent.borrow_mut().answered(id);
-                Some((address, report))
+                self.is_same_life(id, &report).then_some((address, report))
             }
             Err(why) => {
-                emit!(core.logger, info, event::ORDER_FAILED, "upstream" => id, "why" => %why);
+                emit!(core.logger, info, event::ORDER_FAILED, "upstream" => %id, "why" => %why);
                 self.absent.borrow_mut().note(id, core.now());
                 None
             }
         }
     }
 
+    /// Whether a report is of the life that is known; a later one is noted.
+    fn is_same_life(&self, id: &Life, report: &Report) -> bool {
+        let fewer_orders = self.counts.borrow_mut().fall(id, report.orders);
+        if !id.is_told_by(report.born) {
+            restart::note(&self.core, id, report.born, "report");
+            return false;
+        }
+        if fewer_orders {
+            restart::note(&self.core, id, report.born, "orders");
+        }
+        !fewer_orders
+    }
+
     /// Brings one engine to the newest weights.
-    async fn load(&self, id: &Id, model: &str) {
+    async fn load(&self, id: &Life, model: &str) {
         let core = &self.core;
         let began = core.now();
         // An engine that does not answer takes no place from those that do.
@@ -189,7 +216,7 @@
                 .find(|loaded| loaded.model == model)
                 .map_or(0, |l| l.version);
             if has >= version && !report.busy {
-                emit!(core.logger, info, event::WEIGHTS_LOADED, "upstream" => id, "version" => has,
+                emit!(core.logger, info, event::WEIGHTS_LOADED, "upstream" => %id, "version" => has,
                     "ms" => core.now().saturating_sub(began).as_millis() as u64);
                 peers::tell_weights(core, &self.socket, id, model, Some(has));
                 return;
@@ -203,7 +230,7 @@
     }
 
     /// Has the boxes send nothing more there, and waits until what cannot go on elsewhere has ended.
-    async fn empty(&self, id: &Id, model: &str) {
+    async fn empty(&self, id: &Life, model: &str) {
         let core = &self.core;
         peers::tell_weights(core, &self.socket, id, model, None);
         let until = core.now() + EMPTY_TIME;
@@ -214,10 +241,10 @@
     }
 
     /// Requests at an engine that cannot go on elsewhere.
-    fn fixed(&self, id: &Id) -> u32 {
+    fn fixed(&self, id: &Life) -> u32 {
         let upstreams = self.core.upstreams.borrow();
         upstreams
-            .get(id)
+            .life(id)
             .map_or(0, |upstream| upstream.fixed + upstream.others.fixed)
     }
 
@@ -228,9 +255,9 @@
     }
 
     /// Gives one order; whether to go on with the engine.
-    async fn order(&self, id: &Id, address: SocketAddr, model: &str, version: u64, orders: u64) -> bool {
+    async fn order(&self, id: &Life, address: SocketAddr, model: &str, version: u64, orders: u64) -> bool {
         let core = &self.core;
-        let Some(fence) = self.may_order(id) else {
+        let Some(fence) = self.may_order(&id.id) else {
             return false;
         };
         let holder = core.settings.id.clone();
@@ -241,14 +268,14 @@
             fence,
             orders,
         };
-        self.record.borrow_mut().order(id, core.now());
-        let taken = core.engines.order(address, id, &order).await;
-        emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => id, "version" => version,
+        self.record.borrow_mut().order(&id.id, core.now());
+        let taken = core.engines.order(address, &id.id, &order).await;
+        emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => %id, "version" => version,
             "fence" => fence, "fixed" => self.fixed(id), "answer" => ?taken);
         match taken {
             Ok(Taken::Started) => sleep(LOAD_LEAST).await,
             Ok(Taken::Refused(status)) => {
-                if let Some(upstream) = core.upstreams.borrow_mut().get_mut(id) {
+                if let Some(upstream) = core.upstreams.borrow_mut().life_mut(id) {
                     // Another incarnation has the address.
                     upstream.refused |= status == 421;
                 }
--- a/crates/jb-relay/src/steward/record.rs
+++ b/crates/jb-relay/src/steward/record.rs
@@ -11,7 +11,7 @@
 use jb_policy::Moment;
 use jb_protocol::id;
 
-use crate::upstream::Id;
+use crate::upstream::{Id, Life};
 
 /// Item that names the last box that had the duty, and the engines that may have been
 /// ordered lately.
@@ -86,8 +86,8 @@
     }
 
     /// Whether all engines are written already.
-    pub(super) fn covers(&self, engines: &[Id]) -> bool {
-        engines.iter().all(|id| self.announced.contains(id))
+    pub(super) fn covers(&self, engines: &[Life]) -> bool {
+        engines.iter().all(|engine| self.announced.contains(&engine.id))
     }
 
     /// What is to be written: `next` for this box, and all whose last order is not over by
--- /dev/null
+++ b/crates/jb-relay/src/upstream/pick.rs
@@ -0,0 +1,146 @@
+//! Which upstreams may get a request, and who keeps parts of its prompt.
+
+use jb_policy::Moment;
+use jb_policy::choose::Candidate;
+use jb_policy::place;
+use jb_policy::weights::Overdue;
+
+use super::{Life, Registry, Source, Upstream, Wanted};
+
+struct Holder<'a> {
+    life: &'a Life,
+    found: u64,
+    weights: u64,
+    hall: &'a str,
+}
+
+/// Upstreams that come first for a family, in the order that all boxes agree on.
+fn first<'a>(family: u64, all: impl Iterator<Item = &'a Upstream>, count: usize) -> Vec<Life> {
+    let (lives, names): (Vec<&Life>, Vec<u64>) = all.map(|upstream| (&upstream.life, upstream.name)).unzip();
+    let first = place::top(family, names.into_iter().enumerate(), count);
+    first.into_iter().map(|at| lives[at].clone()).collect()
+}
+
+impl Registry {
+    /// Whether a service has upstreams that are left as a last resort.
+    pub fn has_last_resort(&self, service: &str, now: Moment) -> bool {
+        let mut all = self.of_service(service);
+        all.any(|upstream| upstream.lapsed.is_some() && upstream.is_open(now))
+    }
+
+    /// Whether the entries of more than half of a service's upstreams are missing at the same time.
+    /// It is the outage then that took them, and the few that are back first cannot serve in place
+    /// of all: sent everything, they cost half of the worst second on a day with such an outage.
+    fn mostly_lapsed(&self, service: &str) -> bool {
+        let lapsed = self.of_service(service).filter(|u| u.lapsed.is_some());
+        2 * lapsed.count() > self.of_service(service).count()
+    }
+
+    /// Whether an engine that may get requests has a version of a model's weights.
+    pub fn has_weights(&self, model: &str, version: u64) -> bool {
+        let has = |u: &Upstream| u.is_there() && u.weights(model).is_some_and(|has| has >= version);
+        self.iter().any(|(_, upstream)| has(upstream))
+    }
+
+    /// The engines that come first for a prompt's family, in the order that all boxes agree on.
+    pub fn ranked(&self, family: u64, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Life> {
+        first(family, self.open(wanted, now), count)
+    }
+
+    /// Open engines to which this box has an idle connection, the last used first.
+    pub fn connected(&self, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Life> {
+        let open = self.open(wanted, now);
+        let idle = open.filter_map(|upstream| Some((upstream.idle.last()?.since, &upstream.life)));
+        let mut all: Vec<(Moment, &Life)> = idle.collect();
+        all.sort_unstable_by(|a, b| b.cmp(a));
+        all.into_iter()
+            .take(count)
+            .map(|(_, life)| life.clone())
+            .collect()
+    }
+
+    /// The engines that come first for a family among those that can hand parts on.
+    pub fn holders_first(&self, family: u64, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Life> {
+        let all = self
+            .of_service(wanted.service)
+            .filter(|upstream| upstream.hands_on(now));
+        first(family, all, count)
+    }
+
+    fn open<'a>(&'a self, wanted: &'a Wanted<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
+        let all = self.of_service(wanted.service);
+        let untried = all.filter(|upstream| !wanted.except.contains(&upstream.life));
+        let all = wanted.last_resort || self.mostly_lapsed(wanted.service);
+        let sure = untried.filter(move |upstream| all || upstream.lapsed.is_none());
+        let open = sure.filter(move |upstream| upstream.is_open(now));
+        open.filter(move |upstream| self.is_in_time(upstream, wanted, now))
+    }
+
+    /// Candidates of a service that may get a request, with their lives.
+    pub fn candidates(&self, wanted: &Wanted<'_>, now: Moment) -> (Vec<Life>, Vec<Candidate>) {
+        let holders = self.holders(wanted, now);
+        let candidate = |upstream: &Upstream| {
+            let has = wanted.model.and_then(|model| upstream.weights(model));
+            let behind = has.is_some_and(|has| has < wanted.weights.newest());
+            let mut candidate = upstream.candidate(wanted, behind);
+            let others = holders
+                .iter()
+                .filter(|holder| *holder.life != upstream.life && Some(holder.weights) == has);
+            candidate.elsewhere = others.map(|holder| holder.found).max().unwrap_or(0);
+            (upstream.life.clone(), candidate)
+        };
+        self.open(wanted, now).map(candidate).unzip()
+    }
+
+    /// Whether an engine's weights are still in their time. Those that were replaced before the
+    /// box's start are, until an engine has the newest: then it was not just now.
+    fn is_in_time(&self, upstream: &Upstream, wanted: &Wanted<'_>, now: Moment) -> bool {
+        let Some(model) = wanted.model else { return true };
+        let Some(has) = upstream.weights(model) else {
+            return true;
+        };
+        match wanted.weights.overdue(has, now, wanted.time) {
+            Overdue::No => true,
+            Overdue::Yes => false,
+            Overdue::Unknown => !self.has_weights(model, wanted.weights.newest()),
+        }
+    }
+
+    /// The engine that a prompt's parts are best brought from to another one.
+    pub fn source(&self, target: &Life, wanted: &Wanted<'_>, now: Moment) -> Option<Source> {
+        let upstream = self.life(target)?;
+        let has = wanted.model.and_then(|model| upstream.weights(model))?;
+        let found = upstream.kept.found(wanted.demand.prompt);
+        let holders = self.holders(wanted, now);
+        let better = holders
+            .iter()
+            .filter(|h| h.weights == has && h.found > found && h.life != target);
+        let best = better.max_by_key(|h| (h.found, h.hall == upstream.entry.hall))?;
+        let address = self.life(best.life)?.entry.address;
+        Some(Source {
+            address,
+            tokens: best.found - found,
+        })
+    }
+
+    /// Engines that keep something of a prompt and can hand it on.
+    fn holders(&self, wanted: &Wanted<'_>, now: Moment) -> Vec<Holder<'_>> {
+        let Some(model) = wanted.model else {
+            return Vec::new();
+        };
+        let mut holders = Vec::new();
+        for upstream in self.of_service(wanted.service) {
+            let found = upstream.kept.found(wanted.demand.prompt);
+            let weights = upstream.weights(model);
+            if let Some(weights) = weights.filter(|_| found > 0 && upstream.hands_on(now)) {
+                holders.push(Holder {
+                    life: &upstream.life,
+                    found,
+                    weights,
+                    hall: &upstream.entry.hall,
+                });
+            }
+        }
+        holders
+    }
+}
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -1,69 +1,138 @@
-//! All upstreams that a box knows, by id and by service.
+//! All upstreams that a box knows: what the store says of each, and its present life.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use jb_policy::Moment;
-use jb_policy::choose::Candidate;
 use jb_policy::health::Change;
 use jb_policy::place;
-use jb_policy::weights::Overdue;
 use jb_protocol::id;
 
-use super::{Id, Source, Upstream, Wanted};
-use crate::port::Entry;
+use super::words::{Standing, Words};
+use super::{Id, Life, Upstream};
+use crate::port::{Born, Entry, Revision, Word};
 
-struct Holder<'a> {
-    id: &'a str,
-    found: u64,
-    weights: u64,
-    hall: &'a str,
-}
+/// Ids of upstreams that have gone of which words are remembered: a late one of theirs changes
+/// nothing. Late words come within seconds, in which few engines go.
+const MOST_GONE: usize = 512;
+/// Replaced lives that are remembered where another box tells of them before the store does.
+const MOST_REPLACED: usize = 64;
 
 /// All upstreams.
 #[derive(Debug, Default)]
 pub struct Registry {
     all: BTreeMap<Id, Upstream>,
     services: HashMap<id::Service, Vec<Id>>,
+    words: BTreeMap<Id, Words>,
+    /// Short names of lives at whose addresses others answer, the last one told at the end.
+    replaced: VecDeque<u32>,
+    /// Whether upstreams say when they started: an entry without that is of another writer then.
+    tells_births: bool,
 }
 
-/// Ids of the upstreams that come first for a family, in the order that all boxes agree on.
-fn first<'a>(family: u64, all: impl Iterator<Item = (&'a Id, &'a Upstream)>, count: usize) -> Vec<Id> {
-    let (ids, names): (Vec<&Id>, Vec<u64>) = all.map(|(id, upstream)| (id, upstream.name)).unzip();
-    let first = place::top(family, names.into_iter().enumerate(), count);
-    first.into_iter().map(|at| ids[at].clone()).collect()
-}
-
-/// What an entry changed.
+/// What a word of the store changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Seen {
     /// Nothing that matters for the choice.
     Same,
-    /// A new incarnation.
+    /// An upstream is there.
     New,
+    /// An upstream has started again.
+    Restarted(Ended),
     /// It has begun to leave.
     Leaving,
-    /// Its entry has gone.
-    Gone,
+    /// Its entry is missing.
+    Missing,
+    /// Its entry names no upstream to use.
+    Unreadable,
+}
+
+/// A life that has ended, and what went with it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Ended {
+    /// Its start.
+    pub born: Option<Born>,
+    /// Requests of this box that were under way there.
+    pub running: u32,
+    /// Idle connections.
+    pub idle: usize,
+}
+
+impl Ended {
+    fn of(upstream: &Upstream) -> Self {
+        Self {
+            born: upstream.life.born,
+            running: upstream.running,
+            idle: upstream.idle.len(),
+        }
+    }
 }
 
 impl Registry {
-    /// Takes an entry of the store.
-    pub fn put(&mut self, id: &str, entry: Entry) -> Seen {
-        if let Some(known) = self.all.get_mut(id) {
+    /// Takes a word of the store. A missing entry is left to the caller, as it may come back.
+    pub fn hear(&mut self, id: &str, word: Word, revision: Revision) -> Seen {
+        let words = self.words.entry(id.to_owned()).or_default();
+        let before = words.standing();
+        words.take(word, revision);
+        let now = words.standing();
+        if now == before {
+            return Seen::Same;
+        }
+        match now {
+            Standing::There(entry) => self.put(id, entry),
+            Standing::Unreadable => self.blur(id),
+            Standing::Gone => Seen::Missing,
+            Standing::Unheard => Seen::Same,
+        }
+    }
+
+    fn put(&mut self, id: &str, entry: Entry) -> Seen {
+        self.note_birth(&entry);
+        if self.tells_births && entry.born.is_none() {
+            return self.blur(id);
+        }
+        let same_life = |known: &&mut Upstream| known.life.born == entry.born;
+        if let Some(known) = self.all.get_mut(id).filter(same_life)
+            && known.entry.service == entry.service
+        {
             let leaves = entry.leaving && !known.entry.leaving;
-            if known.entry.models != entry.models {
-                known.kept.clear();
-            }
-            known.entry = entry;
-            known.lapsed = None;
+            known.update(entry);
             return if leaves { Seen::Leaving } else { Seen::Same };
         }
-        self.services
-            .entry(entry.service.clone())
-            .or_default()
-            .push(id.to_owned());
-        self.all.insert(id.to_owned(), Upstream::new(id, entry));
-        Seen::New
+        let before = self.remove(id);
+        self.insert(id, entry);
+        before.map_or(Seen::New, Seen::Restarted)
+    }
+
+    /// From the first upstream on that says when it started, those that do not name none to use.
+    fn note_birth(&mut self, entry: &Entry) {
+        if entry.born.is_none() || self.tells_births {
+            return;
+        }
+        self.tells_births = true;
+        for upstream in self.all.values_mut() {
+            upstream.unreadable |= upstream.life.born.is_none();
+        }
+    }
+
+    fn insert(&mut self, id: &str, entry: Entry) {
+        let life = Life {
+            id: id.to_owned(),
+            born: entry.born,
+        };
+        let ids = self.services.entry(entry.service.clone()).or_default();
+        ids.push(id.to_owned());
+        let mut upstream = Upstream::new(life, entry);
+        // Without births, an id that is back may have its address back as well.
+        let is_told = upstream.life.born.is_some() && self.replaced.contains(&place::short(upstream.name));
+        upstream.refused |= is_told;
+        self.all.insert(id.to_owned(), upstream);
+    }
+
+    fn blur(&mut self, id: &str) -> Seen {
+        if let Some(known) = self.all.get_mut(id) {
+            known.unreadable = true;
+        }
+        Seen::Unreadable
     }
 
     /// Notes that an entry is missing and may come back until a moment; whether that is new.
@@ -76,41 +145,55 @@
         new
     }
 
-    /// Takes an upstream off.
-    pub fn remove(&mut self, id: &str) -> Seen {
-        let Some(known) = self.all.remove(id) else {
-            return Seen::Same;
-        };
+    /// Takes an upstream off; `None` when it is not known.
+    pub fn remove(&mut self, id: &str) -> Option<Ended> {
+        let known = self.all.remove(id)?;
         if let Some(ids) = self.services.get_mut(&known.entry.service) {
             ids.retain(|other| other != id);
         }
-        Seen::Gone
+        self.forget_words();
+        Some(Ended::of(&known))
     }
 
-    /// Ids whose entries are missing.
-    pub fn lapsed(&self) -> Vec<Id> {
-        let lapsed = self.all.iter().filter(|(_, u)| u.lapsed.is_some());
-        lapsed.map(|(id, _)| id.clone()).collect()
+    /// Forgets the oldest words of upstreams that have gone.
+    fn forget_words(&mut self) {
+        while self.words.len() > self.all.len() + MOST_GONE {
+            let gone = self.words.iter().filter(|(id, _)| !self.all.contains_key(*id));
+            let oldest = gone.min_by_key(|(_, words)| words.revision());
+            let Some(oldest) = oldest.map(|(id, _)| id.clone()) else {
+                return;
+            };
+            self.words.remove(&oldest);
+        }
     }
 
-    /// Whether a service has upstreams that are left as a last resort.
-    pub fn has_last_resort(&self, service: &str, now: Moment) -> bool {
-        let mut all = self.of_service(service);
-        all.any(|(_, upstream)| upstream.lapsed.is_some() && upstream.is_open(now))
+    /// Ends a life of which something other than the store shows that it is over. What was known
+    /// goes at once; the next life gets requests once its entry is there, or, where upstreams do not
+    /// say when they started, right away.
+    pub fn end(&mut self, life: &Life) -> Option<Ended> {
+        let known = self.life_mut(life)?;
+        let ended = Ended::of(known);
+        let (entry, lapsed) = (known.entry.clone(), known.lapsed);
+        *known = Upstream::new(life.clone(), entry);
+        known.lapsed = lapsed;
+        known.refused = life.born.is_some();
+        Some(ended)
     }
 
-    /// Whether the entries of more than half of a service's upstreams are missing at the same time.
-    /// It is the outage then that took them, and the few that are back first cannot serve in place
-    /// of all: sent everything, they cost half of the worst second on a day with such an outage.
-    fn mostly_lapsed(&self, service: &str) -> bool {
-        let lapsed = self.of_service(service).filter(|(_, u)| u.lapsed.is_some());
-        2 * lapsed.count() > self.of_service(service).count()
+    /// Takes word of other boxes that other upstreams answer at the addresses of lives.
+    pub fn note_replaced(&mut self, names: &[u32]) {
+        for upstream in self.all.values_mut() {
+            upstream.refused |= names.contains(&place::short(upstream.name));
+        }
+        self.replaced.extend(names);
+        let most = self.replaced.len().saturating_sub(MOST_REPLACED);
+        self.replaced.drain(..most);
     }
 
-    /// Whether an engine that may get requests has a version of a model's weights.
-    pub fn has_weights(&self, model: &str, version: u64) -> bool {
-        let has = |u: &Upstream| !u.entry.leaving && u.weights(model).is_some_and(|has| has >= version);
-        self.all.values().any(has)
+    /// Ids whose entries are missing.
+    pub fn lapsed(&self) -> Vec<Id> {
+        let lapsed = self.all.iter().filter(|(_, u)| u.lapsed.is_some());
+        lapsed.map(|(id, _)| id.clone()).collect()
     }
 
     /// Ids of all that are known.
@@ -128,135 +211,43 @@
         self.all.iter_mut()
     }
 
-    /// One upstream.
+    /// The upstream that has an id now.
     pub fn get(&self, id: &str) -> Option<&Upstream> {
         self.all.get(id)
     }
 
-    /// One upstream, to change it.
+    /// The upstream that has an id now, to change it.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
         self.all.get_mut(id)
     }
 
-    /// One upstream by the lower half of the hash of its id, to change it.
-    pub fn named_mut(&mut self, name: u32) -> Option<&mut Upstream> {
-        self.all
-            .values_mut()
-            .find(|upstream| place::short(upstream.name) == name)
-    }
-
-    /// The engines that come first for a prompt's family, in the order that all boxes agree on.
-    pub fn ranked(&self, family: u64, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Id> {
-        first(family, self.open(wanted, now), count)
-    }
-
-    /// Open engines to which this box has an idle connection, the last used first.
-    pub fn connected(&self, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Id> {
-        let open = self.open(wanted, now);
-        let idle = open.filter_map(|(id, upstream)| Some((upstream.idle.last()?.since, id)));
-        let mut all: Vec<(Moment, &Id)> = idle.collect();
-        all.sort_unstable_by(|a, b| b.cmp(a));
-        all.into_iter().take(count).map(|(_, id)| id.clone()).collect()
-    }
-
-    /// The engines that come first for a family among those that can hand parts on.
-    pub fn holders_first(&self, family: u64, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Id> {
-        let all = self
-            .of_service(wanted.service)
-            .filter(|(_, upstream)| upstream.hands_on(now));
-        first(family, all, count)
+    /// A life, while it lasts.
+    pub fn life(&self, life: &Life) -> Option<&Upstream> {
+        self.all.get(&life.id).filter(|upstream| upstream.life == *life)
     }
 
-    fn open<'a>(
-        &'a self,
-        wanted: &'a Wanted<'_>,
-        now: Moment,
-    ) -> impl Iterator<Item = (&'a Id, &'a Upstream)> {
-        let all = self.of_service(wanted.service);
-        let untried = all.filter(|(id, _)| !wanted.except.contains(*id));
-        let all = wanted.last_resort || self.mostly_lapsed(wanted.service);
-        let sure = untried.filter(move |(_, upstream)| all || upstream.lapsed.is_none());
-        let open = sure.filter(move |(_, upstream)| upstream.is_open(now));
-        open.filter(move |(_, upstream)| self.is_in_time(upstream, wanted, now))
-    }
-
-    /// Candidates of a service that may get a request, with their ids.
-    pub fn candidates(&self, wanted: &Wanted<'_>, now: Moment) -> (Vec<Id>, Vec<Candidate>) {
-        let holders = self.holders(wanted, now);
-        let candidate = |(id, upstream): (&Id, &Upstream)| {
-            let has = wanted.model.and_then(|model| upstream.weights(model));
-            let behind = has.is_some_and(|has| has < wanted.weights.newest());
-            let mut candidate = upstream.candidate(wanted, behind);
-            let others = holders
-                .iter()
-                .filter(|holder| holder.id != *id && Some(holder.weights) == has);
-            candidate.elsewhere = others.map(|holder| holder.found).max().unwrap_or(0);
-            (id.clone(), candidate)
-        };
-        self.open(wanted, now).map(candidate).unzip()
-    }
-
-    /// Whether an engine's weights are still in their time. Those that were replaced before the
-    /// box's start are, until an engine has the newest: then it was not just now.
-    fn is_in_time(&self, upstream: &Upstream, wanted: &Wanted<'_>, now: Moment) -> bool {
-        let Some(model) = wanted.model else { return true };
-        let Some(has) = upstream.weights(model) else {
-            return true;
-        };
-        match wanted.weights.overdue(has, now, wanted.time) {
-            Overdue::No => true,
-            Overdue::Yes => false,
-            Overdue::Unknown => !self.has_weights(model, wanted.weights.newest()),
-        }
+    /// A life, while it lasts, to change it.
+    pub fn life_mut(&mut self, life: &Life) -> Option<&mut Upstream> {
+        self.all
+            .get_mut(&life.id)
+            .filter(|upstream| upstream.life == *life)
     }
 
-    /// The engine that a prompt's parts are best brought from to another one.
-    pub fn source(&self, target: &str, wanted: &Wanted<'_>, now: Moment) -> Option<Source> {
-        let upstream = self.all.get(target)?;
-        let has = wanted.model.and_then(|model| upstream.weights(model))?;
-        let found = upstream.kept.found(wanted.demand.prompt);
-        let holders = self.holders(wanted, now);
-        let better = holders
-            .iter()
-            .filter(|h| h.weights == has && h.found > found && h.id != target);
-        let best = better.max_by_key(|h| (h.found, h.hall == upstream.entry.hall))?;
-        let address = self.all.get(best.id)?.entry.address;
-        Some(Source {
-            address,
-            tokens: best.found - found,
-        })
+    /// A life by its short name, to change it.
+    pub fn named_mut(&mut self, name: u32) -> Option<&mut Upstream> {
+        self.all
+            .values_mut()
+            .find(|upstream| place::short(upstream.name) == name)
     }
 
-    fn of_service(&self, service: &str) -> impl Iterator<Item = (&Id, &Upstream)> {
+    pub(super) fn of_service(&self, service: &str) -> impl Iterator<Item = &Upstream> {
         let ids = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
-        ids.iter()
-            .filter_map(|id| self.all.get(id).map(|upstream| (id, upstream)))
-    }
-
-    /// Engines that keep something of a prompt and can hand it on.
-    fn holders(&self, wanted: &Wanted<'_>, now: Moment) -> Vec<Holder<'_>> {
-        let Some(model) = wanted.model else {
-            return Vec::new();
-        };
-        let mut holders = Vec::new();
-        for (id, upstream) in self.of_service(wanted.service) {
-            let found = upstream.kept.found(wanted.demand.prompt);
-            let weights = upstream.weights(model);
-            if let Some(weights) = weights.filter(|_| found > 0 && upstream.hands_on(now)) {
-                holders.push(Holder {
-                    id,
-                    found,
-                    weights,
-                    hall: &upstream.entry.hall,
-                });
-            }
-        }
-        holders
+        ids.iter().filter_map(|id| self.all.get(id))
     }
 
     /// Notes an ending of a request at an upstream.
-    pub fn judged(&mut self, id: &str, well: bool, now: Moment) -> Change {
-        let Some(upstream) = self.all.get_mut(id) else {
+    pub fn judged(&mut self, life: &Life, well: bool, now: Moment) -> Change {
+        let Some(upstream) = self.life_mut(life) else {
             return Change::None;
         };
         if well {
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -7,27 +7,27 @@
 use jb_policy::choose::Candidate;
 use jb_policy::health::Health;
 use jb_policy::kept::Kept;
-use jb_policy::place;
 
-use super::Wanted;
+use super::{Life, Wanted};
 use crate::link::Idle;
 use crate::port::Entry;
 
-/// Id of one incarnation of an upstream.
-pub type Id = String;
-
 /// Time for which an upstream that refused a request for lack of room gets no other.
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
 
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
 const KEPT_PERCENT: u64 = 90;
 
-/// One incarnation of an upstream.
+/// One life of an upstream; all that is true of that life alone is in here.
 #[derive(Debug)]
 pub struct Upstream {
-    /// Its last entry in the store.
+    /// The life.
+    pub life: Life,
+    /// Its last entry in the store that could be read.
     pub entry: Entry,
-    /// Hash of its id, for the choice.
+    /// Whether what the store holds now cannot be read.
+    pub unreadable: bool,
+    /// Hash that names the life, also for the choice.
     pub name: u64,
     /// Record of failures.
     pub health: Health,
@@ -67,10 +67,12 @@
 }
 
 impl Upstream {
-    pub(super) fn new(id: &str, entry: Entry) -> Self {
+    pub(super) fn new(life: Life, entry: Entry) -> Self {
         Self {
+            name: life.name(),
+            life,
             entry,
-            name: place::name_hash(id),
+            unreadable: false,
             health: Health::default(),
             running: 0,
             fixed: 0,
@@ -86,17 +88,32 @@
         }
     }
 
+    /// Takes another entry of the same life.
+    pub(super) fn update(&mut self, entry: Entry) {
+        if self.entry.models != entry.models {
+            self.kept.clear();
+        }
+        self.entry = entry;
+        self.lapsed = None;
+        self.unreadable = false;
+    }
+
+    /// Whether the store names it as one to use.
+    pub fn is_there(&self) -> bool {
+        !self.entry.leaving && !self.unreadable
+    }
+
     /// Whether it may get a new request.
     pub fn is_open(&self, now: Moment) -> bool {
         let rests = now < self.paused_until || now < self.loading_until;
-        let there = self.lapsed.is_none_or(|until| now < until);
-        there && !self.entry.leaving && !self.refused && !rests && self.health.is_open(now)
+        let comes_back = self.lapsed.is_none_or(|until| now < until);
+        comes_back && self.is_there() && !self.refused && !rests && self.health.is_open(now)
     }
 
     /// Whether another engine can take parts from it.
     pub(super) fn hands_on(&self, now: Moment) -> bool {
         let loads = now < self.loading_until;
-        !loads && !self.refused && self.lapsed.is_none() && self.health.is_open(now)
+        !loads && !self.refused && !self.unreadable && self.lapsed.is_none() && self.health.is_open(now)
     }
 
     /// Version of a model's weights, as last heard.
--- /dev/null
+++ b/crates/jb-relay/tests/lives.rs
@@ -0,0 +1,191 @@
+//! Upstreams that start again under their id, and entries that cannot be read.
+
+#![allow(clippy::expect_used)]
+
+use std::time::Duration;
+
+use jb_policy::place;
+use jb_relay::port::{Born, Entry, Revision, Word};
+use jb_relay::upstream::{Life, Registry, Seen};
+use quickcheck::{Arbitrary, Gen, QuickCheck};
+
+const NOW: Duration = Duration::from_secs(10);
+const FIRST: Born = 1_700_000_000_000;
+const SECOND: Born = 1_700_000_060_000;
+
+fn entry(born: Option<Born>, leaving: bool) -> Word {
+    Word::Entry(Entry {
+        born,
+        service: "models".to_owned(),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        hall: "hall-a".to_owned(),
+        slots: 8,
+        leaving,
+        cold: Duration::ZERO,
+        models: Vec::new(),
+    })
+}
+
+fn unreadable() -> Word {
+    Word::Unreadable("no JSON".to_owned())
+}
+
+fn is_open(registry: &Registry) -> bool {
+    registry
+        .get("engine")
+        .is_some_and(|upstream| upstream.is_open(NOW))
+}
+
+/// All that was believed of an engine was believed of the next one under its id.
+#[test]
+fn restart_clears_what_was_true_of_the_life_before() {
+    let mut registry = Registry::default();
+    assert_eq!(registry.hear("engine", entry(Some(FIRST), false), 1), Seen::New);
+    let life = registry.get("engine").expect("known").life.clone();
+    let known = registry.life_mut(&life).expect("its life");
+    known.running = 3;
+    known.refused = true;
+    known.paused_until = NOW * 2;
+    assert!(
+        matches!(registry.hear("engine", entry(Some(SECOND), false), 2), Seen::Restarted(ended)
+        if ended.born == Some(FIRST) && ended.running == 3)
+    );
+    let again = registry.get("engine").expect("known");
+    assert_eq!(
+        (again.running, again.refused, again.is_open(NOW)),
+        (0, false, true)
+    );
+    // The request that ends only now was one of the life before.
+    assert!(registry.life_mut(&life).is_none());
+}
+
+#[test]
+fn life_that_leaves_and_starts_again_serves_and_its_late_words_change_nothing() {
+    let mut registry = Registry::default();
+    registry.hear("engine", entry(Some(FIRST), false), 1);
+    assert_eq!(
+        registry.hear("engine", entry(Some(FIRST), true), 2),
+        Seen::Leaving
+    );
+    // It has said that it leaves, whatever another writer says later.
+    registry.hear("engine", entry(Some(FIRST), false), 3);
+    assert!(!is_open(&registry));
+    assert!(matches!(
+        registry.hear("engine", entry(Some(SECOND), false), 4),
+        Seen::Restarted(_)
+    ));
+    assert!(is_open(&registry));
+    assert_eq!(registry.hear("engine", entry(Some(FIRST), true), 5), Seen::Same);
+    assert!(is_open(&registry));
+}
+
+/// Read one by one such a change left the engine in use; in a reading of everything it took it off.
+#[test]
+fn entry_that_cannot_be_read_names_no_engine_until_it_can() {
+    let mut registry = Registry::default();
+    registry.hear("engine", entry(Some(FIRST), false), 1);
+    assert_eq!(registry.hear("engine", unreadable(), 2), Seen::Unreadable);
+    assert!(!is_open(&registry));
+    // Written again and again it is told once.
+    assert_eq!(registry.hear("engine", unreadable(), 3), Seen::Same);
+    registry.hear("engine", entry(Some(FIRST), false), 4);
+    assert!(is_open(&registry));
+}
+
+/// Where engines say when they started, an entry without that is of another writer; a platform on
+/// which none does has a new id for each start.
+#[test]
+fn entry_without_a_start_counts_only_where_no_engine_tells_its_own() {
+    let mut registry = Registry::default();
+    registry.hear("engine", entry(None, false), 1);
+    assert!(is_open(&registry));
+    registry.hear("other", entry(Some(FIRST), false), 2);
+    assert!(!is_open(&registry));
+    assert_eq!(registry.hear("third", entry(None, false), 3), Seen::Unreadable);
+    assert!(registry.get("third").is_none());
+}
+
+/// A start that the engine's own report shows ends the life before its entry does.
+#[test]
+fn life_that_was_shown_to_be_over_gets_nothing_until_the_next_one_is_there() {
+    let mut registry = Registry::default();
+    registry.hear("engine", entry(Some(FIRST), false), 1);
+    let life = registry.get("engine").expect("known").life.clone();
+    assert!(registry.end(&life).is_some());
+    assert!(!is_open(&registry));
+    registry.hear("engine", entry(Some(SECOND), false), 2);
+    assert!(is_open(&registry));
+}
+
+/// One word of two lives, by the store or by a box.
+#[derive(Clone, Debug)]
+enum Said {
+    Store(Word, Revision),
+    /// A box tells that another upstream answers at the address of a life.
+    Replaced(Born),
+}
+
+impl Arbitrary for Said {
+    fn arbitrary(g: &mut Gen) -> Self {
+        let born = *g.choose(&[FIRST, SECOND]).expect("a life");
+        // Revisions are distinct, as the store's are; `shuffled` gives them.
+        match u8::arbitrary(g) % 8 {
+            0..=2 => Self::Store(entry(Some(born), false), 0),
+            3 | 4 => Self::Store(entry(Some(born), true), 0),
+            5 => Self::Store(unreadable(), 0),
+            6 => Self::Store(Word::Gone, 0),
+            _ => Self::Replaced(born),
+        }
+    }
+}
+
+fn hear(registry: &mut Registry, said: &Said) {
+    match said {
+        Said::Store(word, revision) => {
+            if registry.hear("engine", word.clone(), *revision) == Seen::Missing {
+                registry.remove("engine");
+            }
+        }
+        Said::Replaced(born) => {
+            let life = Life {
+                id: "engine".to_owned(),
+                born: Some(*born),
+            };
+            registry.note_replaced(&[place::short(life.name())]);
+        }
+    }
+}
+
+/// Which life there is, and whether it may get requests.
+fn outcome(all: &[Said]) -> Option<(Option<Born>, bool)> {
+    let mut registry = Registry::default();
+    all.iter().for_each(|said| hear(&mut registry, said));
+    let upstream = registry.get("engine")?;
+    // An upstream that is not to be used is as good as none.
+    upstream.is_open(NOW).then_some((upstream.life.born, true))
+}
+
+#[test]
+fn words_of_two_lives_end_in_the_same_state_in_whatever_order_they_are_heard() {
+    fn holds(said: Vec<Said>, turns: Vec<(u8, u8)>) -> bool {
+        let mut said = said;
+        for (at, one) in said.iter_mut().enumerate() {
+            if let Said::Store(_, revision) = one {
+                *revision = at as Revision + 1;
+            }
+        }
+        let before = outcome(&said);
+        let count = said.len().max(1);
+        for (a, b) in turns {
+            let (a, b) = (usize::from(a) % count, usize::from(b) % count);
+            if a < said.len() && b < said.len() {
+                said.swap(a, b);
+            }
+        }
+        before == outcome(&said)
+    }
+    QuickCheck::new()
+        .rng(Gen::from_size_and_seed(12, 7))
+        .tests(3000)
+        .quickcheck(holds as fn(Vec<Said>, Vec<(u8, u8)>) -> bool);
+}
