--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -28,13 +28,38 @@
     Weights,
     Revoke,
     Config,
+    /// An engine's entry goes without a word while a box is cut off.
+    Vanish,
+    /// An engine starts again under its id.
+    Restart,
+    /// Another writer writes an engine's entry.
+    Scribble,
 }
 
+/// Faults that a run draws from. A seed means the same faults only with the same set.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Set {
+    /// Those of the first seeds.
+    First,
+    /// All.
+    #[default]
+    All,
+}
+
+/// Faults of the first seeds, of which some count twice.
+const FIRST: u32 = 20;
+/// All of them.
+const ALL: u32 = 26;
+
 /// Time for which states that end last.
 const LASTS: std::ops::Range<u64> = 200..3500;
 
-fn draw(random: &mut ChaCha8Rng) -> Fault {
-    match random.random_range(0..20) {
+fn draw(random: &mut ChaCha8Rng, set: Set) -> Fault {
+    let count = match set {
+        Set::First => FIRST,
+        Set::All => ALL,
+    };
+    match random.random_range(0..count) {
         0 => Fault::Kill,
         1 | 2 => Fault::Stop,
         3 => Fault::Pause,
@@ -51,13 +76,16 @@
         15 => Fault::Leave,
         16 | 17 => Fault::Weights,
         18 => Fault::Revoke,
-        _ => Fault::Config,
+        19 => Fault::Config,
+        20 | 21 => Fault::Vanish,
+        22 | 23 => Fault::Restart,
+        _ => Fault::Scribble,
     }
 }
 
 /// Lets one fault happen, and ends it.
 pub async fn happen(world: std::rc::Rc<World>, mut random: ChaCha8Rng) {
-    let fault = draw(&mut random);
+    let fault = draw(&mut random, world.set);
     let at = random.random_range(0..world.boxes.len());
     let engine = random.random_range(0..world.engines.len());
     let lasts = Duration::from_millis(random.random_range(LASTS));
@@ -88,6 +116,23 @@
             sleep(lasts).await;
             world.store.mood.set(Mood::Well);
         }
+        Fault::Vanish => {
+            target.link(Link::Silent);
+            sleep(lasts / 2).await;
+            world.vanish(engine);
+            sleep(lasts / 2).await;
+            target.link(Link::Well);
+        }
+        Fault::Restart => {
+            world.restart(engine);
+            sleep(lasts / 2).await;
+            world.write_entry(engine);
+        }
+        Fault::Scribble => {
+            world.scribble(engine, &mut random);
+            sleep(lasts).await;
+            world.write_entry(engine);
+        }
         Fault::Compact => world.store.compact(),
         Fault::Leases => world.store.end_leases(),
         Fault::Engine => spoil(&world, engine, &mut random),
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use argh::FromArgs;
+use jb_soak::faults::Set;
 use jb_soak::run::{Plan, play};
 use miette::IntoDiagnostic as _;
 use tokio::signal::unix::{SignalKind, signal};
@@ -30,6 +31,9 @@
     /// callers (8)
     #[argh(option, default = "8")]
     callers: u64,
+    /// draw from the faults of the first seeds only
+    #[argh(switch)]
+    first: bool,
 }
 
 /// Waits for SIGTERM or SIGINT.
@@ -56,6 +60,7 @@
             engines: arguments.engines,
             callers: arguments.callers,
             lasts: Duration::from_secs(arguments.seconds),
+            set: if arguments.first { Set::First } else { Set::All },
         };
         println!("seed {seed}");
         let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -20,7 +20,7 @@
 use crate::boxes::Box;
 use crate::callers::{self, Asked};
 use crate::checks::{Checks, Promise};
-use crate::faults;
+use crate::faults::{self, Set};
 use crate::proxy::Link;
 
 /// Events of a whole stream.
@@ -48,6 +48,8 @@
     pub callers: u64,
     /// Time in which faults happen.
     pub lasts: Duration,
+    /// Faults that are drawn from.
+    pub set: Set,
 }
 
 impl Default for Plan {
@@ -58,6 +60,7 @@
             engines: 4,
             callers: 8,
             lasts: Duration::from_secs(10),
+            set: Set::All,
         }
     }
 }
@@ -66,6 +69,8 @@
 pub struct World {
     /// Seed.
     pub seed: u64,
+    /// Faults that are drawn from.
+    pub set: Set,
     /// Store.
     pub store: Rc<Store>,
     /// Engines.
@@ -101,6 +106,9 @@
         for number in 0..plan.engines {
             let engine = Engine::start(&format!("engine-{number}")).await;
             engine.events.set(EVENTS);
+            if plan.set == Set::All {
+                engine.restart();
+            }
             store.put_engine(&engine, false);
             engines.push(engine);
         }
@@ -110,6 +118,7 @@
         }
         Rc::new(Self {
             seed: plan.seed,
+            set: plan.set,
             store,
             engines,
             boxes,
@@ -160,6 +169,49 @@
         }
     }
 
+    /// Takes an engine's entry away, though it serves on; at least half of them stay.
+    pub fn vanish(&self, engine: usize) {
+        let mut left = self.left.borrow_mut();
+        if left.len() < self.engines.len() / 2 && !left.contains_key(&engine) {
+            self.store.remove(&format!("servers/{}", self.engines[engine].id));
+            left.insert(engine, (Instant::now() + LEAVE, 0));
+        }
+    }
+
+    /// Starts an engine again, unless it is to leave.
+    pub fn restart(&self, engine: usize) {
+        if !self.left.borrow().contains_key(&engine) {
+            self.engines[engine].restart();
+        }
+    }
+
+    /// Writes an engine's entry as it should be, unless it leaves.
+    pub fn write_entry(&self, engine: usize) {
+        if !self.left.borrow().contains_key(&engine) {
+            self.store.put_engine(&self.engines[engine], false);
+        }
+    }
+
+    /// Writes an entry that cannot be read in place of an engine's, unless it leaves.
+    pub fn scribble(&self, engine: usize, random: &mut ChaCha8Rng) {
+        if self.left.borrow().contains_key(&engine) {
+            return;
+        }
+        let key = format!("servers/{}", self.engines[engine].id);
+        let mut entry = self.engines[engine].entry("models", "ready");
+        match random.random_range(0..5) {
+            0 => entry["state"] = "asleep".into(),
+            1 => entry["born"] = "today".into(),
+            2 => entry["cold_remaining_ms"] = 1e300.into(),
+            3 => entry["address"] = Value::Null,
+            _ => {
+                self.store.put_text(&key, "\u{1}no entry");
+                return;
+            }
+        }
+        self.store.put(&key, &entry);
+    }
+
     /// Notes how much each leaving engine had run when its time was over.
     fn watch_leaving(&self) {
         for (engine, (until, runs)) in self.left.borrow_mut().iter_mut() {
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use jb_soak::checks::{Checks, Promise};
+use jb_soak::faults::Set;
 use jb_soak::run::{Plan, play};
 use tokio::task::LocalSet;
 
@@ -11,13 +12,14 @@
 /// 122: the stand-in took a write under a lease that had ended, so the holder's item stayed.
 const FAILED: [u64; 2] = [100, 122];
 
-fn run(seed: u64) -> Checks {
+fn run(seed: u64, set: Set) -> Checks {
     let program = jb_fakes::fleet::build().map(|programs| programs.daemon);
     let program = program.unwrap_or_else(|why| panic!("{why}"));
     let folder = tempfile::tempdir().unwrap_or_else(|why| panic!("{why}"));
     let plan = Plan {
         seed,
         lasts: Duration::from_secs(6),
+        set,
         ..Plan::default()
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -27,8 +29,9 @@
 
 #[test]
 fn promises_hold_under_random_faults() {
-    for seed in [1, 2].into_iter().chain(FAILED) {
-        let checks = run(seed);
+    let first = [1, 2].into_iter().chain(FAILED).map(|seed| (seed, Set::First));
+    for (seed, set) in first.chain([(1, Set::All), (2, Set::All)]) {
+        let checks = run(seed, set);
         assert!(checks.hold(), "seed {seed}\n{checks}");
         for promise in [
             Promise::OwnAnswer,
