--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -64,34 +64,34 @@
 }
 
 /// Sends a request and waits for the head of its answer.
-pub async fn send(core: &Shared, id: &Life, message: &Message<'_>) -> Outcome {
+pub async fn send(core: &Shared, life: &Life, message: &Message<'_>) -> Outcome {
     let entry = core
         .upstreams
         .borrow()
-        .life(id)
+        .life(life)
         .map(|upstream| upstream.entry.clone());
     let Some(entry) = entry else {
         return Outcome::Unsent("the upstream has gone".to_owned());
     };
     let once = !message.ticket.route.repeatable();
-    let mut link = match link::take(core, id, once).await {
+    let mut link = match link::take(core, life, once).await {
         Ok(link) => link,
         Err(why) => return Outcome::Unsent(why.to_string()),
     };
-    let head = head(core, &id.id, &entry, message);
+    let head = head(core, &life.id, &entry, message);
     let mut clean = true;
     match exchange(&mut link, &head, message.body, &mut clean).await {
         Ok(()) => {}
         Err(why) => return Outcome::Failed(why.to_string()),
     }
     match own_answer(core, &mut link, message.ticket, &mut clean).await {
-        Ok(answer) => judge(core, id, message.ticket.model.as_deref(), answer, link, clean).await,
+        Ok(answer) => judge(core, life, message.ticket.model.as_deref(), answer, link, clean).await,
         Err(why) => Outcome::Failed(why.to_string()),
     }
 }
 
 /// The head as the upstream gets it.
-fn head(core: &Core, id: &str, entry: &Entry, message: &Message<'_>) -> BytesMut {
+fn head(core: &Core, life: &str, entry: &Entry, message: &Message<'_>) -> BytesMut {
     let names = &core.names;
     let ticket = message.ticket;
     let left = ticket
@@ -103,7 +103,7 @@
     let last = message.last_event.map(|last| last.to_string());
     let mut own: Vec<(&[u8], &[u8])> = vec![
         (names.deadline.as_bytes(), left.as_bytes()),
-        (names.incarnation.as_bytes(), id.as_bytes()),
+        (names.incarnation.as_bytes(), life.as_bytes()),
     ];
     if let Some(customer) = &ticket.customer {
         own.push((names.customer.as_bytes(), customer.as_bytes()));
@@ -206,7 +206,7 @@
 
 async fn judge(
     core: &Shared,
-    id: &Life,
+    life: &Life,
     model: Option<&str>,
     answer: Answer,
     mut link: Link,
@@ -222,14 +222,14 @@
             clean,
         }));
     }
-    if let Some(upstream) = core.upstreams.borrow_mut().life_mut(id) {
+    if let Some(upstream) = core.upstreams.borrow_mut().life_mut(life) {
         upstream.pause(core.now());
         if let Some((model, version)) = model.zip(answer.headers.number(core.names.made_by)) {
             upstream.heard_weights(model, version);
         }
         // Another incarnation has the address; the same one only has other weights.
         let answering = answer.headers.text(core.names.answering);
-        let replaced = answer.status == 421 && answering.is_some_and(|other| other != id.id);
+        let replaced = answer.status == 421 && answering.is_some_and(|other| other != life.id);
         if replaced && !upstream.refused {
             upstream.refused = true;
             peers::note_replaced(core, upstream);
--- a/crates/jb-relay/src/exchange/ask.rs
+++ b/crates/jb-relay/src/exchange/ask.rs
@@ -42,7 +42,7 @@
 }
 
 struct Asked {
-    id: Life,
+    life: Life,
     view: View,
     candidate: Candidate,
 }
@@ -142,7 +142,7 @@
         if let Some(own) = first.as_ref().filter(|_| view.taken) {
             let missing = self.wanted.demand.shared().saturating_sub(view.found);
             let rest = if missing >= LEAST_LOOKED {
-                self.look(&self.holders(family, &own.id)).await
+                self.look(&self.holders(family, &own.life)).await
             } else {
                 Vec::new()
             };
@@ -175,15 +175,16 @@
         };
         if verdict != Verdict::Send {
             return Some(Choice {
-                id: best.id,
+                life: best.life,
                 estimate,
                 verdict,
                 full: best.candidate.is_full(),
                 advice: None,
             });
         }
-        let held = peers::hold(self.core, &best.id, self.place);
-        if let Some(view) = peers::ask_account(self.core, &best.id, self.place, &self.prompt, Room::Any).await
+        let held = peers::hold(self.core, &best.life, self.place);
+        if let Some(view) =
+            peers::ask_account(self.core, &best.life, self.place, &self.prompt, Room::Any).await
         {
             best.view = view;
         }
@@ -200,15 +201,15 @@
     /// The choice of an engine, with the best place among the rest to bring parts from.
     fn chosen(&self, best: &Asked, held: Held, rest: &[Asked]) -> Choice {
         let upstreams = self.core.upstreams.borrow();
-        let weights = |id: &Life| {
+        let weights = |life: &Life| {
             let model = self.wanted.model?;
-            upstreams.life(id)?.weights(model)
+            upstreams.life(life)?.weights(model)
         };
-        let better = rest
-            .iter()
-            .filter(|other| other.view.found > best.view.found && weights(&other.id) == weights(&best.id));
+        let better = rest.iter().filter(|other| {
+            other.view.found > best.view.found && weights(&other.life) == weights(&best.life)
+        });
         let other = better.max_by_key(|other| other.view.found).and_then(|other| {
-            let upstream = upstreams.life(&other.id)?;
+            let upstream = upstreams.life(&other.life)?;
             Some((upstream.entry.address, other.view.found))
         });
         Choice {
@@ -223,7 +224,7 @@
                 keep: best.view.keep,
                 stored: best.view.stored,
             }),
-            id: best.id.clone(),
+            life: best.life.clone(),
         }
     }
 
@@ -231,22 +232,22 @@
     fn holders(&self, family: u64, own: &Life) -> Vec<Life> {
         let upstreams = self.core.upstreams.borrow();
         let first = upstreams.holders_first(family, &self.wanted, ASKED, self.core.now());
-        first.into_iter().filter(|id| id != own).collect()
+        first.into_iter().filter(|life| life != own).collect()
     }
 
     /// Looks at the accounts of engines, without taking a place.
     async fn look(&self, ids: &[Life]) -> Vec<Asked> {
-        let looks = ids.iter().map(|id| async {
+        let looks = ids.iter().map(|life| async {
             let place = peers::draw(self.core);
-            let view = peers::ask_account(self.core, id, place, &self.prompt, Room::None).await?;
-            self.asked(id, view)
+            let view = peers::ask_account(self.core, life, place, &self.prompt, Room::None).await?;
+            self.asked(life, view)
         });
         join_all(looks).await.into_iter().flatten().collect()
     }
 
-    fn asked(&self, id: &Life, view: View) -> Option<Asked> {
+    fn asked(&self, life: &Life, view: View) -> Option<Asked> {
         let upstreams = self.core.upstreams.borrow();
-        let upstream = upstreams.life(id)?;
+        let upstream = upstreams.life(life)?;
         let has = self.wanted.model.and_then(|model| upstream.weights(model));
         let behind = has.is_some_and(|has| has < self.wanted.weights.newest());
         let shared = self.wanted.demand.shared();
@@ -258,7 +259,7 @@
             ..upstream.candidate(&self.wanted, behind)
         };
         Some(Asked {
-            id: id.clone(),
+            life: life.clone(),
             view,
             candidate,
         })
@@ -268,7 +269,7 @@
 /// A choice that no account has said anything of.
 fn unadvised(held: Held, own: &Life) -> Choice {
     Choice {
-        id: own.clone(),
+        life: own.clone(),
         estimate: Estimate {
             first: Duration::ZERO,
             queued: false,
--- a/crates/jb-relay/src/exchange/count.rs
+++ b/crates/jb-relay/src/exchange/count.rs
@@ -9,7 +9,7 @@
 /// Load of one request at one upstream, counted until dropped.
 pub(super) struct Counted<'a> {
     core: &'a Shared,
-    id: &'a Life,
+    life: &'a Life,
     waiting: u64,
     fixed: u32,
     sent: Moment,
@@ -20,10 +20,16 @@
 }
 
 impl<'a> Counted<'a> {
-    pub(super) fn new(core: &'a Shared, id: &'a Life, waiting: u64, fixed: bool, held: Option<Held>) -> Self {
+    pub(super) fn new(
+        core: &'a Shared,
+        life: &'a Life,
+        waiting: u64,
+        fixed: bool,
+        held: Option<Held>,
+    ) -> Self {
         let fixed = u32::from(fixed);
         let mut ahead = waiting;
-        if let Some(upstream) = core.upstreams.borrow_mut().life_mut(id) {
+        if let Some(upstream) = core.upstreams.borrow_mut().life_mut(life) {
             ahead += upstream.waiting + upstream.others.waiting;
             upstream.running += 1;
             upstream.fixed += fixed;
@@ -33,7 +39,7 @@
         }
         Self {
             core,
-            id,
+            life,
             waiting,
             fixed,
             sent: core.now(),
@@ -60,7 +66,7 @@
 
     /// Nothing of it waits any more.
     fn started(&mut self) {
-        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(self.id) {
+        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(self.life) {
             upstream.waiting = upstream.waiting.saturating_sub(self.waiting);
         }
         self.waiting = 0;
@@ -70,7 +76,7 @@
 impl Drop for Counted<'_> {
     fn drop(&mut self) {
         self.started();
-        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(self.id) {
+        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(self.life) {
             upstream.running = upstream.running.saturating_sub(1);
             upstream.fixed = upstream.fixed.saturating_sub(self.fixed);
             upstream.health.undecided();
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -25,7 +25,7 @@
 
 /// The upstream that is chosen for a request, with what it would do.
 pub(super) struct Choice {
-    pub(super) id: Life,
+    pub(super) life: Life,
     pub(super) estimate: Estimate,
     /// Whether it is sent there now, as the first send.
     pub(super) verdict: Verdict,
@@ -99,7 +99,7 @@
         queued: candidates[at].waiting > 0,
     };
     Some(Choice {
-        id: ids[at].clone(),
+        life: ids[at].clone(),
         // In a large fleet loads that no account has told come through leads and are 0.2 to 0.6 s
         // old: waiting for engines believed to be busy by them cost 0.1 of worth (82 boxes, 60
         // engines, two days played).
@@ -190,18 +190,18 @@
 
     /// Settles where the engine takes parts from that it lacks, and whether it sends
     /// them to a store; returns the tokens that it must read itself.
-    pub(super) fn place_prompt(&mut self, id: &Life, advice: Option<&Advice>) -> u64 {
+    pub(super) fn place_prompt(&mut self, life: &Life, advice: Option<&Advice>) -> u64 {
         let ticket = self.message.ticket;
         let core = self.core;
         let Some((last, shared)) = ticket.prompt.split_last() else {
             return 0;
         };
         if let Some(advice) = advice {
-            return self.place_advised(id, last.tokens, advice);
+            return self.place_advised(life, last.tokens, advice);
         }
         let wanted = wanted(core, ticket, self.message.body, &self.tried, Among::Sure);
-        let other = core.upstreams.borrow().source(id, &wanted, core.now());
-        let Some((found, version)) = self.note_read(id, shared, last.tokens + ticket.out) else {
+        let other = core.upstreams.borrow().source(life, &wanted, core.now());
+        let Some((found, version)) = self.note_read(life, shared, last.tokens + ticket.out) else {
             return 0;
         };
         let engine = found + other.map_or(0, |source| source.tokens);
@@ -218,8 +218,8 @@
             .saturating_sub(found + plan.tokens)
             .max(last.tokens);
         let upstreams = core.upstreams.borrow();
-        let upstream = upstreams.life(id);
-        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %id,
+        let upstream = upstreams.life(life);
+        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %life,
             "tokens" => ticket.tokens(), "shared" => self.demand().shared(), "found" => found,
             "brought" => plan.tokens, "unread" => unread, "origin" => ?plan.origin,
             "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
@@ -230,7 +230,7 @@
     }
 
     /// The same by what the engine's account says.
-    fn place_advised(&mut self, id: &Life, own: u64, advice: &Advice) -> u64 {
+    fn place_advised(&mut self, life: &Life, own: u64, advice: &Advice) -> u64 {
         let ticket = self.message.ticket;
         let core = self.core;
         let shared = self.demand().shared();
@@ -257,7 +257,7 @@
             .tokens()
             .saturating_sub(advice.found + plan.tokens)
             .max(own);
-        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %id,
+        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %life,
             "tokens" => ticket.tokens(), "shared" => shared, "found" => advice.found,
             "brought" => plan.tokens, "unread" => unread, "origin" => ?plan.origin, "stored" => advice.stored,
             "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
@@ -267,10 +267,10 @@
     }
 
     /// Notes that an engine reads a prompt; returns the tokens that it had, and its weights.
-    fn note_read(&self, id: &Life, shared: &[Piece], own: u64) -> Option<(u64, Option<Version>)> {
+    fn note_read(&self, life: &Life, shared: &[Piece], own: u64) -> Option<(u64, Option<Version>)> {
         let ticket = self.message.ticket;
         let mut upstreams = self.core.upstreams.borrow_mut();
-        let upstream = upstreams.life_mut(id)?;
+        let upstream = upstreams.life_mut(life)?;
         let found = upstream.kept.found(&ticket.prompt);
         upstream.set_memory(self.memory());
         upstream.kept.read(shared.iter().copied(), own);
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -175,17 +175,20 @@
         let core = self.core;
         let ticket = self.message.ticket;
         let Choice {
-            id, advice, estimate, ..
+            life,
+            advice,
+            estimate,
+            ..
         } = choice;
-        let id = &id;
-        let waiting = self.place_prompt(id, advice.as_ref());
+        let life = &life;
+        let waiting = self.place_prompt(life, advice.as_ref());
         let last = !ticket.route.repeatable() || self.runs + 1 >= ticket.route.attempts;
         let held = advice.map(|advice| advice.held);
         self.ending = held.as_ref().map(Held::ending);
-        let mut counted = Counted::new(core, id, waiting, last, held);
-        self.tried.push(id.clone());
+        let mut counted = Counted::new(core, life, waiting, last, held);
+        self.tried.push(life.clone());
         let outcome = tokio::select! {
-            outcome = self.patiently(id, estimate.first) => outcome,
+            outcome = self.patiently(life, estimate.first) => outcome,
             () = client.closed() => {
                 // It is under way, and may run.
                 self.runs += 1;
@@ -194,39 +197,39 @@
         };
         match outcome {
             Outcome::Unsent(why) => {
-                self.blame(id, "unsent", &why);
+                self.blame(life, "unsent", &why);
                 Err("unreachable")
             }
             Outcome::NotRun(status) => {
                 self.sends += 1;
                 emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
-                    "upstream" => %id, "outcome" => "not_run", "status" => status);
+                    "upstream" => %life, "outcome" => "not_run", "status" => status);
                 Err("turned_away")
             }
             Outcome::Failed(why) => {
                 self.sends += 1;
                 self.runs += 1;
-                self.blame(id, "may_have_run", &why);
+                self.blame(life, "may_have_run", &why);
                 Err("upstream_failed")
             }
             Outcome::Answered(reply) => {
                 self.sends += 1;
                 self.runs += 1;
-                self.hear(id, &reply);
-                self.deliver(id, *reply, client, &mut counted).await
+                self.hear(life, &reply);
+                self.deliver(life, *reply, client, &mut counted).await
             }
         }
     }
 
     /// Sends; a request that may run again leaves a silent upstream as soon as another one can
     /// take it. Silence alone ends nothing: the answer may only be late.
-    async fn patiently(&mut self, id: &Life, first: Duration) -> Outcome {
+    async fn patiently(&mut self, life: &Life, first: Duration) -> Outcome {
         const SILENT: &str = "silent for longer than it should take";
         let ticket = self.message.ticket;
         let more = ticket.route.repeatable() && self.runs + 1 < ticket.route.attempts;
         // Engines that have much to read are silent for as long.
         let patience = ticket.route.patience().max(2 * first);
-        let sent = attempt::send(self.core, id, &self.message);
+        let sent = attempt::send(self.core, life, &self.message);
         tokio::pin!(sent);
         let mut blamed = false;
         loop {
@@ -242,7 +245,7 @@
                 return Outcome::Failed(SILENT.to_owned());
             }
             if !blamed {
-                self.blame(id, "waits", SILENT);
+                self.blame(life, "waits", SILENT);
                 blamed = true;
             }
         }
@@ -255,45 +258,45 @@
         }
     }
 
-    fn blame(&self, id: &Life, outcome: &'static str, why: &str) {
+    fn blame(&self, life: &Life, outcome: &'static str, why: &str) {
         let core = self.core;
         emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.ticket.id,
-            "upstream" => %id, "outcome" => outcome, "why" => why);
+            "upstream" => %life, "outcome" => outcome, "why" => why);
         let loads = |upstream: &Upstream| core.now() < upstream.loading_until;
-        if core.upstreams.borrow().life(id).is_some_and(loads) {
+        if core.upstreams.borrow().life(life).is_some_and(loads) {
             // Streams that are reset for new weights are no fault of the engine.
             return;
         }
         self.note_ending(peers::Ending::Failed);
-        if core.upstreams.borrow_mut().judged(id, false, core.now()) == Change::Ejected {
-            emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => %id, "why" => why);
+        if core.upstreams.borrow_mut().judged(life, false, core.now()) == Change::Ejected {
+            emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => %life, "why" => why);
         }
     }
 
-    fn praise(&self, id: &Life) {
+    fn praise(&self, life: &Life) {
         let core = self.core;
         self.note_ending(peers::Ending::Well);
-        if core.upstreams.borrow_mut().judged(id, true, core.now()) == Change::Returned {
-            emit!(core.logger, info, event::UPSTREAM_RETURNED, "upstream" => %id);
+        if core.upstreams.borrow_mut().judged(life, true, core.now()) == Change::Returned {
+            emit!(core.logger, info, event::UPSTREAM_RETURNED, "upstream" => %life);
         }
     }
 
     /// Takes what an answer says about the engine's weights.
-    fn hear(&self, id: &Life, reply: &Reply) {
+    fn hear(&self, life: &Life, reply: &Reply) {
         let Some(model) = &self.message.ticket.model else {
             return;
         };
         let Some(version) = reply.answer.headers.number(self.core.names.made_by) else {
             return;
         };
-        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(id) {
+        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(life) {
             upstream.heard_weights(model, version);
         }
     }
 
     async fn deliver(
         &mut self,
-        id: &Life,
+        life: &Life,
         reply: Reply,
         client: &mut Connection,
         counted: &mut Counted<'_>,
@@ -304,7 +307,7 @@
         let success = (200..300).contains(&status);
         let signed = reply.answer.headers.get(core.names.signature).is_some();
         if success && (!signed || reply.answer.headers.get("content-encoding").is_some()) {
-            self.blame(id, "may_have_run", "a success that the engine has not signed");
+            self.blame(life, "may_have_run", "a success that the engine has not signed");
             return Err("spoiled");
         }
         let again = status >= 500 && ticket.route.repeatable() && self.runs < ticket.route.attempts;
@@ -312,7 +315,7 @@
             // Without budget the caller gets the engine's failure instead.
             self.paid = true;
             emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
-                "upstream" => %id, "outcome" => "ran", "status" => status);
+                "upstream" => %life, "outcome" => "ran", "status" => status);
             return Err("upstream_error");
         }
         let delivered = if success && ticket.route.kind == Kind::Stream {
@@ -331,16 +334,16 @@
         match delivered {
             Delivered::Complete => {
                 if status < 500 {
-                    self.praise(id);
+                    self.praise(life);
                 }
                 Ok(Next::End(Ending::Answered(status)))
             }
             Delivered::Nothing(why) => {
-                self.blame(id, "may_have_run", why);
+                self.blame(life, "may_have_run", why);
                 Err("broke_off")
             }
             Delivered::Partly(why) => {
-                self.blame(id, "ran_partly", why);
+                self.blame(life, "ran_partly", why);
                 let more = ticket.route.resumable && self.runs < ticket.route.attempts;
                 if more && self.message.last_event.is_some() {
                     emit!(core.logger, info, event::STREAM_RESUMED, "request" => &ticket.id,
--- a/crates/jb-relay/src/recall.rs
+++ b/crates/jb-relay/src/recall.rs
@@ -36,8 +36,8 @@
         (book.is_small(), book.others(&core.settings.id).next().is_some())
     };
     if small && listed {
-        for (id, address) in engines(&core) {
-            spawn_local(ask(Rc::clone(&core), id, address));
+        for (life, address) in engines(&core) {
+            spawn_local(ask(Rc::clone(&core), life, address));
         }
     }
 }
@@ -51,18 +51,18 @@
         .collect()
 }
 
-async fn ask(core: Shared, id: Life, address: SocketAddr) {
+async fn ask(core: Shared, life: Life, address: SocketAddr) {
     match core.engines.kept(address).await {
-        Ok(kept) if id.is_told_by(kept.born) => take(&core, &id, &kept.parts),
-        Ok(kept) => restart::note(&core, &id, kept.born, "kept"),
-        Err(why) => emit!(core.logger, info, event::KEPT_UNREAD, "upstream" => %id, "why" => %why),
+        Ok(kept) if life.is_told_by(kept.born) => take(&core, &life, &kept.parts),
+        Ok(kept) => restart::note(&core, &life, kept.born, "kept"),
+        Err(why) => emit!(core.logger, info, event::KEPT_UNREAD, "upstream" => %life, "why" => %why),
     }
 }
 
 /// Takes what an engine keeps under the weights that it has.
-fn take(core: &Core, id: &Life, kept: &[KeptPart]) {
+fn take(core: &Core, life: &Life, kept: &[KeptPart]) {
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(upstream) = upstreams.life_mut(id) else {
+    let Some(upstream) = upstreams.life_mut(life) else {
         return;
     };
     let mut pieces = Vec::new();
@@ -77,6 +77,6 @@
             });
         }
     }
-    emit!(core.logger, info, event::KEPT_READ, "upstream" => %id, "parts" => pieces.len());
+    emit!(core.logger, info, event::KEPT_READ, "upstream" => %life, "parts" => pieces.len());
     upstream.kept.recall(&pieces);
 }
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/steward/load.rs
@@ -64,8 +64,8 @@
 
 impl Counts {
     /// Takes a report; whether the engine has fewer orders than before, and so has started again.
-    fn fall(&mut self, id: &Life, orders: u64) -> bool {
-        let before = self.0.insert(id.clone(), orders);
+    fn fall(&mut self, life: &Life, orders: u64) -> bool {
+        let before = self.0.insert(life.clone(), orders);
         before.is_some_and(|before| orders < before)
     }
 }
@@ -77,19 +77,19 @@
 }
 
 impl Absent {
-    fn is_paused(&self, id: &Life, now: Moment) -> bool {
-        self.0.get(id).is_some_and(|pause| now < pause.until)
+    fn is_paused(&self, life: &Life, now: Moment) -> bool {
+        self.0.get(life).is_some_and(|pause| now < pause.until)
     }
 
-    fn note(&mut self, id: &Life, now: Moment) {
-        let before = self.0.get(id).map(|pause| pause.length);
+    fn note(&mut self, life: &Life, now: Moment) {
+        let before = self.0.get(life).map(|pause| pause.length);
         let length = before.map_or(FIRST_PAUSE, |length| (2 * length).min(LONGEST_PAUSE));
         let until = now + length;
-        self.0.insert(id.clone(), Pause { until, length });
+        self.0.insert(life.clone(), Pause { until, length });
     }
 
-    fn answered(&mut self, id: &Life) {
-        self.0.remove(id);
+    fn answered(&mut self, life: &Life) {
+        self.0.remove(life);
     }
 }
 
@@ -106,21 +106,21 @@
             if next.is_empty() || !self.announce(next, &engines).await {
                 continue;
             }
-            for id in next.iter().cloned() {
-                self.loading.borrow_mut().insert(id.clone());
-                tokio::task::spawn_local(Rc::clone(self).load_in_time(id, model.clone()));
+            for life in next.iter().cloned() {
+                self.loading.borrow_mut().insert(life.clone());
+                tokio::task::spawn_local(Rc::clone(self).load_in_time(life, model.clone()));
             }
         }
     }
 
-    async fn load_in_time(self: Rc<Self>, id: Life, model: String) {
-        if tokio::time::timeout(LOAD_TIME, self.load(&id, &model))
+    async fn load_in_time(self: Rc<Self>, life: Life, model: String) {
+        if tokio::time::timeout(LOAD_TIME, self.load(&life, &model))
             .await
             .is_err()
         {
-            emit!(self.core.logger, warn, event::ORDER_FAILED, "upstream" => %id, "why" => "not done in time");
+            emit!(self.core.logger, warn, event::ORDER_FAILED, "upstream" => %life, "why" => "not done in time");
         }
-        self.loading.borrow_mut().remove(&id);
+        self.loading.borrow_mut().remove(&life);
     }
 
     /// Engines to load next: those with the oldest weights, then those that the store names
@@ -131,11 +131,12 @@
         let now = self.core.now();
         let with_model = upstreams.iter().filter(|(_, u)| u.weights(model).is_some());
         let (mut all, mut behind) = (0, Vec::new());
-        for (id, upstream) in with_model {
+        for (_, upstream) in with_model {
             all += 1;
             let life = &upstream.life;
             let old = upstream.weights(model).is_some_and(|has| has < version) && !upstream.refused;
-            let barred = self.record.borrow().is_barred(id, now) || self.absent.borrow().is_paused(life, now);
+            let barred =
+                self.record.borrow().is_barred(&life.id, now) || self.absent.borrow().is_paused(life, now);
             let free = !barred && !loading.contains(life);
             if old && free && upstream.is_there() && upstream.lapsed.is_none() {
                 let unsound = !upstream.health.is_open(now);
@@ -156,57 +157,57 @@
         let named = room + NAMED_AHEAD * (most - AT_ONCE_LEAST);
         Queue {
             room,
-            engines: behind.into_iter().take(named).map(|(.., id)| id).collect(),
+            engines: behind.into_iter().take(named).map(|(.., life)| life).collect(),
         }
     }
 
     /// Report of an engine; `None` when it gave none, or has gone.
-    async fn report(&self, id: &Life) -> Option<(SocketAddr, Report)> {
+    async fn report(&self, life: &Life) -> Option<(SocketAddr, Report)> {
         let core = &self.core;
-        let address = core.upstreams.borrow().life(id).map(|u| u.entry.address)?;
+        let address = core.upstreams.borrow().life(life).map(|u| u.entry.address)?;
         match core.engines.report(address).await {
             Ok(report) => {
-                self.absent.borrow_mut().answered(id);
-                self.is_same_life(id, &report).then_some((address, report))
+                self.absent.borrow_mut().answered(life);
+                self.is_same_life(life, &report).then_some((address, report))
             }
             Err(why) => {
-                emit!(core.logger, info, event::ORDER_FAILED, "upstream" => %id, "why" => %why);
-                self.absent.borrow_mut().note(id, core.now());
+                emit!(core.logger, info, event::ORDER_FAILED, "upstream" => %life, "why" => %why);
+                self.absent.borrow_mut().note(life, core.now());
                 None
             }
         }
     }
 
     /// Whether a report is of the life that is known; a later one is noted.
-    fn is_same_life(&self, id: &Life, report: &Report) -> bool {
-        let fewer_orders = self.counts.borrow_mut().fall(id, report.orders);
-        if !id.is_told_by(report.born) {
-            restart::note(&self.core, id, report.born, "report");
+    fn is_same_life(&self, life: &Life, report: &Report) -> bool {
+        let fewer_orders = self.counts.borrow_mut().fall(life, report.orders);
+        if !life.is_told_by(report.born) {
+            restart::note(&self.core, life, report.born, "report");
             return false;
         }
         if fewer_orders {
-            restart::note(&self.core, id, report.born, "orders");
+            restart::note(&self.core, life, report.born, "orders");
         }
         !fewer_orders
     }
 
     /// Brings one engine to the newest weights.
-    async fn load(&self, id: &Life, model: &str) {
+    async fn load(&self, life: &Life, model: &str) {
         let core = &self.core;
         let began = core.now();
         // An engine that does not answer takes no place from those that do.
-        if self.report(id).await.is_none() {
+        if self.report(life).await.is_none() {
             return;
         }
-        self.empty(id, model).await;
+        self.empty(life, model).await;
         let _place = self.place().await;
         let mut last_told = began;
         loop {
             if core.now() > last_told + peers::LOADING / 2 {
                 last_told = core.now();
-                peers::tell_weights(core, &self.socket, id, model, None);
+                peers::tell_weights(core, &self.socket, life, model, None);
             }
-            let Some((address, report)) = self.report(id).await else {
+            let Some((address, report)) = self.report(life).await else {
                 return;
             };
             let version = core.weights.borrow().get(model).map_or(0, History::newest);
@@ -216,35 +217,35 @@
                 .find(|loaded| loaded.model == model)
                 .map_or(0, |l| l.version);
             if has >= version && !report.busy {
-                emit!(core.logger, info, event::WEIGHTS_LOADED, "upstream" => %id, "version" => has,
+                emit!(core.logger, info, event::WEIGHTS_LOADED, "upstream" => %life, "version" => has,
                     "ms" => core.now().saturating_sub(began).as_millis() as u64);
-                peers::tell_weights(core, &self.socket, id, model, Some(has));
+                peers::tell_weights(core, &self.socket, life, model, Some(has));
                 return;
             }
             if report.busy {
                 sleep(LOOK_BUSY).await;
-            } else if !self.order(id, address, model, version, report.orders).await {
+            } else if !self.order(life, address, model, version, report.orders).await {
                 return;
             }
         }
     }
 
     /// Has the boxes send nothing more there, and waits until what cannot go on elsewhere has ended.
-    async fn empty(&self, id: &Life, model: &str) {
+    async fn empty(&self, life: &Life, model: &str) {
         let core = &self.core;
-        peers::tell_weights(core, &self.socket, id, model, None);
+        peers::tell_weights(core, &self.socket, life, model, None);
         let until = core.now() + EMPTY_TIME;
         sleep(HEARD_TIME).await;
-        while core.now() < until && self.fixed(id) > 0 {
+        while core.now() < until && self.fixed(life) > 0 {
             sleep(LOOK_EMPTY).await;
         }
     }
 
     /// Requests at an engine that cannot go on elsewhere.
-    fn fixed(&self, id: &Life) -> u32 {
+    fn fixed(&self, life: &Life) -> u32 {
         let upstreams = self.core.upstreams.borrow();
         upstreams
-            .life(id)
+            .life(life)
             .map_or(0, |upstream| upstream.fixed + upstream.others.fixed)
     }
 
@@ -255,9 +256,9 @@
     }
 
     /// Gives one order; whether to go on with the engine.
-    async fn order(&self, id: &Life, address: SocketAddr, model: &str, version: u64, orders: u64) -> bool {
+    async fn order(&self, life: &Life, address: SocketAddr, model: &str, version: u64, orders: u64) -> bool {
         let core = &self.core;
-        let Some(fence) = self.may_order(&id.id) else {
+        let Some(fence) = self.may_order(&life.id) else {
             return false;
         };
         let holder = core.settings.id.clone();
@@ -268,18 +269,18 @@
             fence,
             orders,
         };
-        self.record.borrow_mut().order(&id.id, core.now());
-        let taken = core.engines.order(address, &id.id, &order).await;
-        emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => %id, "version" => version,
-            "fence" => fence, "fixed" => self.fixed(id), "answer" => ?taken);
+        self.record.borrow_mut().order(&life.id, core.now());
+        let taken = core.engines.order(address, &life.id, &order).await;
+        emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => %life, "version" => version,
+            "fence" => fence, "fixed" => self.fixed(life), "answer" => ?taken);
         match taken {
             Ok(Taken::Started) => sleep(LOAD_LEAST).await,
             Ok(Taken::Refused(status)) => {
-                if let Some(upstream) = core.upstreams.borrow_mut().life_mut(id) {
+                if let Some(upstream) = core.upstreams.borrow_mut().life_mut(life) {
                     // Another incarnation has the address.
                     upstream.refused |= status == 421;
                 }
-                self.absent.borrow_mut().note(id, core.now());
+                self.absent.borrow_mut().note(life, core.now());
                 return false;
             }
             Ok(Taken::Holds | Taken::Conflict) | Err(_) => sleep(LOOK).await,
