--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod outage;
 pub mod pace;
 pub mod place;
+pub mod poison;
 pub mod prefix;
 pub mod pressure;
 pub mod quota;
--- /dev/null
+++ b/crates/jb-policy/src/poison.rs
@@ -0,0 +1,34 @@
+//! Requests that end the engines that run them.
+
+use sha2::{Digest as _, Sha256};
+
+/// Bytes of the hash that are kept: two different contents never share them.
+const KEPT: usize = 16;
+
+/// What a request asks, whoever passes it on and under whatever id: its caller, its path and its body.
+///
+/// It is a hash, so that no body is kept. The caller is a part of it, so that nobody can bring
+/// another caller's requests into suspicion.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Content(pub u128);
+
+impl Content {
+    /// The content of a request; `path` in pieces, such as host and target.
+    pub fn new(caller: &str, path: &[&[u8]], body: &[u8]) -> Self {
+        let mut hash = Sha256::new();
+        for piece in [caller.as_bytes()].iter().chain(path).chain(&[body]) {
+            // With its length, so that no piece can pass for a part of the next one.
+            hash.update(piece.len().to_le_bytes());
+            hash.update(piece);
+        }
+        let mut kept = [0; KEPT];
+        kept.copy_from_slice(&hash.finalize()[..KEPT]);
+        Self(u128::from_le_bytes(kept))
+    }
+}
+
+impl std::fmt::Display for Content {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        write!(f, "{:032x}", self.0)
+    }
+}
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use jb_policy::poison::Content;
 
 use crate::core::{Core, Shared};
 use crate::http::{self, Answer, Body, Framing, Query, Step, write_query};
@@ -63,6 +64,15 @@
     pub keep: Option<SocketAddr>,
 }
 
+impl Message<'_> {
+    /// What it asks, as other boxes and later tries of its caller name it.
+    pub fn content(&self) -> Content {
+        let host = self.query.headers.get("host").unwrap_or_default();
+        let caller = self.ticket.customer.as_deref().unwrap_or_default();
+        Content::new(caller, &[host, &self.query.target], self.body)
+    }
+}
+
 /// Sends a request and waits for the head of its answer.
 pub async fn send(core: &Shared, life: &Life, message: &Message<'_>) -> Outcome {
     let entry = core
