Clock: ages count the time in which the machine was suspended

Cause: every age was measured by the steady clock, which a suspension does not move: a box that woke up took keys, configuration, leases, accounts and kept connections for seconds younger than they were. Timers still go off late, and what they guard is judged by that clock when it is used.

--- a/crates/jb-daemon/src/claims.rs
+++ b/crates/jb-daemon/src/claims.rs
@@ -14,7 +14,7 @@
 use slog::Logger;
 use tokio::sync::{mpsc, oneshot};
 
-use crate::clock::Clock;
+use crate::clock;
 use crate::emit;
 
 /// Claims that may wait.
@@ -67,7 +67,7 @@
 }
 
 /// Writes claims for as long as the box runs.
-pub async fn work(mut inbox: Inbox, platform: Arc<dyn Platform>, clock: Clock, logger: Logger) {
+pub async fn work(mut inbox: Inbox, platform: Arc<dyn Platform>, logger: Logger) {
     let mut batch = Vec::with_capacity(BATCH);
     while inbox.receiver.recv_many(&mut batch, BATCH).await > 0 {
         let mut shards: BTreeMap<u32, Vec<Waiting>> = BTreeMap::new();
@@ -79,14 +79,14 @@
         }
         let writes = shards
             .into_iter()
-            .map(|(shard, waiting)| settle(shard, waiting, platform.as_ref(), clock, &logger));
+            .map(|(shard, waiting)| settle(shard, waiting, platform.as_ref(), &logger));
         futures_util::future::join_all(writes).await;
     }
 }
 
-async fn settle(shard: u32, waiting: Vec<Waiting>, platform: &dyn Platform, clock: Clock, logger: &Logger) {
+async fn settle(shard: u32, waiting: Vec<Waiting>, platform: &dyn Platform, logger: &Logger) {
     let wishes: Vec<Wish> = waiting.iter().map(|w| w.wish).collect();
-    let result = write(shard, &wishes, platform, clock).await;
+    let result = write(shard, &wishes, platform).await;
     if let Err(error) = &result {
         emit!(logger, warn, event::CLAIM_FAILED, "shard" => shard, "why" => error.to_string());
     }
@@ -106,16 +106,11 @@
 }
 
 /// Reads the shard, plans, and writes, until one write is known to hold.
-async fn write(
-    shard: u32,
-    wishes: &[Wish],
-    platform: &dyn Platform,
-    clock: Clock,
-) -> Result<Vec<Verdict>, Error> {
+async fn write(shard: u32, wishes: &[Wish], platform: &dyn Platform) -> Result<Vec<Verdict>, Error> {
     let key = claim::document(shard);
     let mut last = Error::Unknown("not tried".to_owned());
     for _ in 0..TRIES {
-        match write_once(&key, wishes, platform, clock).await {
+        match write_once(&key, wishes, platform).await {
             Ok(Some(verdicts)) => return Ok(verdicts),
             Ok(None) => last = Error::Unknown("other writers came first".to_owned()),
             Err(error) => last = error,
@@ -128,13 +123,12 @@
     key: &str,
     wishes: &[Wish],
     platform: &dyn Platform,
-    clock: Clock,
 ) -> Result<Option<Vec<Verdict>>, Error> {
     let value = platform.get(key).await?;
     let version = value.as_ref().map_or(0, |v| v.version);
     let body = value.map(|v| v.body).unwrap_or_default();
     let shard = Shard::decode(&body).map_err(|e| Error::Protocol(e.to_string()))?;
-    let Plan { verdicts, write } = shard.plan(wishes, clock.wall_s());
+    let Plan { verdicts, write } = shard.plan(wishes, clock::wall_s());
     let Some(next) = write else {
         return Ok(Some(verdicts));
     };
--- a/crates/jb-daemon/src/context.rs
+++ b/crates/jb-daemon/src/context.rs
@@ -2,13 +2,13 @@
 
 use std::sync::Arc;
 
+use jb_clock::Clock;
 use jb_platform::Platform;
 use jb_upstream::engine::Engine;
 use jb_upstream::plain::Plain;
 use slog::Logger;
 
 use crate::claims;
-use crate::clock::Clock;
 use crate::decide;
 use crate::follow::Store;
 use crate::members::Directory;
--- a/crates/jb-daemon/src/decide/worker.rs
+++ b/crates/jb-daemon/src/decide/worker.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 use std::thread;
 
+use jb_clock::Clock;
 use jb_policy::hall::Summary;
 use jb_policy::health::Change;
 use jb_policy::limit::{Limits, Over};
@@ -16,7 +17,6 @@
 
 use super::message::{Admission, Choosing, Ending, Explanation, Message, Outcome, ServiceSummary, Started};
 use super::ring::Ring;
-use crate::clock::Clock;
 use crate::emit;
 
 struct Worker {
--- a/crates/jb-daemon/src/start.rs
+++ b/crates/jb-daemon/src/start.rs
@@ -6,6 +6,7 @@
 use std::thread;
 use std::time::Duration;
 
+use jb_clock::Clock;
 use jb_net::Prompt;
 use jb_platform::Platform;
 use jb_policy::member::Member;
@@ -16,7 +17,7 @@
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 
-use crate::clock::Clock;
+use crate::clock;
 use crate::context::Context;
 use crate::follow::{self, Store};
 use crate::log::{self, Log};
@@ -91,14 +92,18 @@
 
 fn build(settings: Settings, logger: slog::Logger, listeners: &Listeners) -> miette::Result<Arc<Context>> {
     let clock = Clock::start();
+    if !clock.counts_suspensions() {
+        emit!(logger, warn, event::CLOCK_STEADY);
+    }
     let platform: Arc<dyn Platform> =
         Arc::new(jb_platform::http::Client::new(settings.platform).into_diagnostic()?);
     let http = http_client().into_diagnostic()?;
-    let ring = decide::start(&settings.hall, settings.ring, clock, logger.clone()).into_diagnostic()?;
+    let ring =
+        decide::start(&settings.hall, settings.ring, clock.clone(), logger.clone()).into_diagnostic()?;
     let (claims, inbox) = claims::ring();
     {
         let (platform, logger) = (Arc::clone(&platform), logger.clone());
-        on_thread("claims", move || claims::work(inbox, platform, clock, logger))?;
+        on_thread("claims", move || claims::work(inbox, platform, logger))?;
     }
     let traces = match settings.traces {
         Some(address) => Traces::to(address, &settings.id, &settings.hall)?,
@@ -113,7 +118,7 @@
         peer_address: settings.peer_advertise.unwrap_or(peer_bound).to_string(),
         admin_address: listeners.operators.local_addr().into_diagnostic()?.to_string(),
         // A restarted box must be heard over its earlier self.
-        heartbeat: clock.wall_s(),
+        heartbeat: clock::wall_s(),
         leaving: false,
         revision: 0,
     };
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -23,6 +23,8 @@
     BOX_STOPPING = 1003, "box_stopping", "A planned stop has begun; no new work is taken.";
     BOX_STOPPED = 1004, "box_stopped", "The last open request has ended.";
     SETTINGS_CHANGED = 1005, "settings_changed", "The settings file has changed; it counts at the next start.";
+    BOX_SUSPENDED = 1006, "box_suspended", "The machine was suspended; everything is that much older.";
+    CLOCK_STEADY = 1007, "clock_steady", "The kernel has no clock that counts suspensions; ages are too low after one.";
     REQUEST_ENDED = 2001, "request_ended", "A request was answered completely.";
     REQUEST_REFUSED = 2002, "request_refused", "A request was refused.";
     ATTEMPT_FAILED = 2003, "attempt_failed", "One attempt at an upstream failed.";
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -3,8 +3,9 @@
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
+use jb_clock::Clock;
 use jb_policy::Moment;
 use jb_policy::choose::Tuning;
 use jb_policy::outage::{self, Span};
@@ -100,7 +101,8 @@
     pub paces: RefCell<HashMap<id::Service, Pace>>,
     /// Bytes of request bodies held.
     pub held: Cell<usize>,
-    started: Instant,
+    /// The clock.
+    pub clock: Clock,
 }
 
 /// What a box is made of.
@@ -151,13 +153,13 @@
             budgets: RefCell::default(),
             paces: RefCell::default(),
             held: Cell::default(),
-            started: Instant::now(),
+            clock: Clock::start(),
         })
     }
 
-    /// Time since the start, by the steady clock.
+    /// Time since the start, with that in which the machine was suspended.
     pub fn now(&self) -> Moment {
-        self.started.elapsed()
+        self.clock.now()
     }
 
     /// Age of what the box knows; `None` when it knows nothing.
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -19,6 +19,8 @@
 const BACKLOG: u32 = 1024;
 /// Pause between sweeps of idle connections.
 const SWEEP: Duration = Duration::from_secs(1);
+/// Shortest suspension that is logged; the two clocks are read one after the other.
+const SUSPENSION: Duration = Duration::from_millis(100);
 /// Part of the grace that is left for the process to end.
 const LAST: Duration = Duration::from_millis(300);
 /// Pause between looks at what is still open in a planned stop.
@@ -104,6 +106,9 @@
         socket,
     } = bound;
     let port = socket.local_addr()?.port();
+    if !core.clock.counts_suspensions() {
+        emit!(core.logger, warn, event::CLOCK_STEADY);
+    }
     emit!(core.logger, info, event::BOX_STARTED, "callers" => %callers.local_addr()?,
         "peers" => port, "store" => %core.settings.store);
     core.accounts.open(Rc::clone(&socket));
@@ -123,13 +128,27 @@
 }
 
 async fn sweep(core: Shared) {
+    let mut suspended = core.clock.suspended();
     loop {
         sleep(SWEEP).await;
+        suspended = note_suspension(&core, suspended);
         link::sweep(&core);
         peers::sweep(&core);
     }
 }
 
+/// Logs a suspension of the machine since the last look. Nothing waits for it: what the box knows
+/// is judged by its age whenever it is used.
+fn note_suspension(core: &Core, before: Duration) -> Duration {
+    let suspended = core.clock.suspended();
+    let new = suspended.saturating_sub(before);
+    if new >= SUSPENSION {
+        emit!(core.logger, warn, event::BOX_SUSPENDED, "ms" => new.as_millis() as u64,
+            "all_ms" => suspended.as_millis() as u64);
+    }
+    suspended
+}
+
 /// Answers everything that is open, then returns.
 pub async fn leave(core: &Shared) {
     let since = core.now();
