--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -55,6 +55,7 @@
     HISTORY_GONE = 4007, "history_gone", "The store has forgotten its history; all is read again.";
     STORE_UNREADABLE = 4008, "store_unreadable", "A value in the store cannot be read; the one before stays.";
     NEWS_UNHEARD = 4009, "news_unheard", "Another box could not tell what has changed in the store.";
+    MARK_UNWRITTEN = 4010, "mark_unwritten", "A request that ends engines could not be written to the store.";
     UPSTREAM_LEAVING = 5001, "upstream_leaving", "An upstream gets no new work.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream is left out after failures.";
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -5,6 +5,7 @@
 
 use super::missing;
 use crate::core::Core;
+use crate::peers;
 use crate::port::{Change, Fact, Revision, Word};
 use crate::restart;
 use crate::rules::Rules;
@@ -91,6 +92,7 @@
         .get(&item.key)
         .is_none_or(|known| known.revision < item.revision);
     if newer {
+        peers::hear_mark(core, &item);
         own.insert(item.key.clone(), item);
     }
 }
--- a/crates/jb-relay/src/peers/suspicion.rs
+++ b/crates/jb-relay/src/peers/suspicion.rs
@@ -10,10 +10,12 @@
 
 use jb_policy::poison::{Content, Evidence, Row};
 use tokio::net::UdpSocket;
+use tokio::task::spawn_local;
 use tokio::time::timeout;
 
 use super::account;
 use super::gossip::tell_everyone;
+use super::mark;
 use super::message::{Message, Suspicion, ToldSuspect, ToldTrial};
 use super::socket::send;
 use crate::core::{Core, Shared};
@@ -40,6 +42,12 @@
             for message in messages(told) {
                 tell_everyone(&core, &socket, &message).await;
             }
+            let shown = news
+                .iter()
+                .filter(|news| news.trial.is_none() && mark::is_due(&core, news.content));
+            for News { content, .. } in shown {
+                spawn_local(mark::write(Rc::clone(&core), *content));
+            }
             continue;
         }
         due = core.now() + PERIOD;
@@ -77,7 +85,7 @@
     Some(told_row(core, &row, news.trial))
 }
 
-fn told_row(core: &Core, row: &Row, trial: Option<Trial>) -> ToldSuspect {
+pub(super) fn told_row(core: &Core, row: &Row, trial: Option<Trial>) -> ToldSuspect {
     let age = core.now().saturating_sub(row.at);
     ToldSuspect {
         content: row.content.0,
@@ -100,17 +108,23 @@
     if !account::is_known(core, from) {
         return;
     }
-    let now = core.now();
     for told in &told.rows {
-        let content = Content(told.content);
-        let row = Row {
-            content,
-            evidence: Evidence::told(&told.ended, &told.apart, &told.well),
-            at: now.saturating_sub(Duration::from_millis(told.age_ms)),
-        };
-        quarantine::take(core, &row);
+        take_row(core, told);
         if let Some(ToldTrial { engine, over }) = told.trial {
-            core.quarantine.hear_trial(content, Trial { engine, over }, now);
+            let trial = Trial { engine, over };
+            core.quarantine
+                .hear_trial(Content(told.content), trial, core.now());
         }
     }
 }
+
+/// Takes what is told of one request.
+pub(super) fn take_row(core: &Core, told: &ToldSuspect) {
+    let age = Duration::from_millis(told.age_ms);
+    let row = Row {
+        content: Content(told.content),
+        evidence: Evidence::told(&told.ended, &told.apart, &told.well),
+        at: core.now().saturating_sub(age),
+    };
+    quarantine::take(core, &row);
+}
