Completions: requests that end engines are known there as well, by the same module

Cause: the same as at the opaque door, and worse: one try went on to up to five engines. The test ends all eight engines of a fleet before, three now. Boxes tell each other with their probes; the refusal is a kind of its own (422, not to be repeated), and a box that another one refuses so asks no further data hall.

--- a/crates/jb-daemon/src/context.rs
+++ b/crates/jb-daemon/src/context.rs
@@ -14,6 +14,7 @@
 use crate::members::Directory;
 use crate::metrics::Metrics;
 use crate::peer::Dialer;
+use crate::quarantine::Quarantine;
 use crate::settings::Settings;
 use crate::stop::Stop;
 use crate::trace::Traces;
@@ -46,6 +47,8 @@
     pub services: Arc<dyn Plain>,
     /// Spans.
     pub traces: Traces,
+    /// Requests that end engines.
+    pub quarantine: Quarantine,
     /// Planned stop.
     pub stop: Arc<Stop>,
 }
--- a/crates/jb-daemon/src/lib.rs
+++ b/crates/jb-daemon/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod metrics;
 pub mod peer;
 pub mod probe;
+pub mod quarantine;
 pub mod run;
 pub mod serve;
 pub mod settings;
--- a/crates/jb-daemon/src/members.rs
+++ b/crates/jb-daemon/src/members.rs
@@ -18,6 +18,7 @@
 use crate::decide::{Message, ServiceSummary};
 use crate::emit;
 use crate::follow;
+use crate::quarantine;
 
 /// Services whose load is told with each probe.
 const LOADS_PER_PROBE: usize = 4;
@@ -275,6 +276,7 @@
         loads: loads(&summaries, me.heartbeat),
         sender: Some(to_wire(me)),
         heard: context.directory.tell(),
+        suspects: context.quarantine.tell(context.clock.now()),
     };
     let sent = request.encoded_len();
     match context.dialer.probe(target.address, request).await {
@@ -298,6 +300,7 @@
     context
         .directory
         .hear(context, reply.receiver, reply.heard, reply.loads);
+    quarantine::hear(context, &reply.suspects);
     if theirs > context.store.revision() {
         fetch_tree(context, address).await;
     }
--- a/crates/jb-daemon/src/peer/server.rs
+++ b/crates/jb-daemon/src/peer/server.rs
@@ -27,6 +27,7 @@
 use crate::context::Context;
 use crate::emit;
 use crate::members::{loads, to_wire};
+use crate::quarantine;
 use crate::run::{Delivery, Ending, Reach, Request as RunRequest, Session, resolve};
 use crate::serve::{body, refusal};
 
@@ -80,12 +81,14 @@
         let received = probe.encoded_len();
         let directory = &self.context.directory;
         directory.hear(&self.context, probe.sender, probe.heard, probe.loads);
+        quarantine::hear(&self.context, &probe.suspects);
         let summaries = self.context.ring.summarize().await.unwrap_or_default();
         let me = directory.me();
         let reply = ProbeReply {
             loads: loads(&summaries, me.heartbeat),
             receiver: Some(to_wire(me)),
             heard: directory.tell(),
+            suspects: self.context.quarantine.tell(self.context.clock.now()),
         };
         let bytes = (received + reply.encoded_len()) as u64;
         self.context.metrics.control_bytes.inc_by(bytes);
@@ -171,7 +174,7 @@
         traceparent: Some(relayed.traceparent.clone()).filter(|t| !t.is_empty()),
         resume_at: relayed.resume_at,
         reach: Reach::Own,
-        body: Bytes::new(),
+        body: Bytes::copy_from_slice(&relayed.body),
         endpoint: relayed.endpoint.clone(),
     })
 }
--- /dev/null
+++ b/crates/jb-daemon/src/quarantine.rs
@@ -0,0 +1,142 @@
+//! What this box knows of requests that end engines, and what it tells other boxes of them.
+
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::place;
+use jb_policy::poison::{Content, Engine, Evidence, Ledger, Row, Verdict};
+use jb_protocol::{event, id};
+use jb_wire::peer::Suspect;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use crate::context::Context;
+use crate::emit;
+
+/// Time for a connection that only shows whether an engine has ended; the next attempt waits for it.
+const PROBE: Duration = Duration::from_millis(50);
+/// Requests that are told with one probe, the most dangerous first: 100 bytes each.
+const MOST_TOLD: usize = 16;
+
+/// Requests that end engines.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    ledger: Mutex<Ledger>,
+}
+
+impl Quarantine {
+    fn lock(&self) -> MutexGuard<'_, Ledger> {
+        self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// What is known of a request, which is worked out only once an engine has ended.
+    pub fn verdict(&self, content: impl FnOnce() -> Content, now: Moment) -> Verdict {
+        let ledger = self.lock();
+        if ledger.is_empty() {
+            return Verdict::Unsuspected;
+        }
+        ledger.verdict(content(), now)
+    }
+
+    /// Engines that have a suspect.
+    pub fn trials(&self, now: Moment) -> Vec<Engine> {
+        self.lock().trials(now)
+    }
+
+    /// Notes that an engine gets a suspect; `false` when another try of it is under way.
+    pub fn begin(&self, content: Content, engine: Engine, now: Moment) -> bool {
+        let mut ledger = self.lock();
+        let free = !ledger.is_tried(content, now);
+        if free {
+            ledger.begin(content, engine, now);
+        }
+        free
+    }
+
+    /// Notes that an engine no longer has a suspect.
+    pub fn end(&self, content: Content, engine: Engine) {
+        self.lock().end(content, engine);
+    }
+
+    /// What to tell another box.
+    pub fn tell(&self, now: Moment) -> Vec<Suspect> {
+        let mut ledger = self.lock();
+        if ledger.is_empty() {
+            return Vec::new();
+        }
+        ledger.forget(now);
+        let rows = ledger.dangerous(now).into_iter().take(MOST_TOLD);
+        rows.map(|row| to_wire(&row, now)).collect()
+    }
+}
+
+fn to_wire(row: &Row, now: Moment) -> Suspect {
+    let age = now.saturating_sub(row.at);
+    Suspect {
+        content: row.content.0.to_le_bytes().to_vec(),
+        age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
+        ended: row.evidence.ended().collect(),
+        apart: row.evidence.apart().collect(),
+        well: row.evidence.well().collect(),
+    }
+}
+
+fn from_wire(told: &Suspect, now: Moment) -> Option<Row> {
+    let content = u128::from_le_bytes(told.content.as_slice().try_into().ok()?);
+    Some(Row {
+        content: Content(content),
+        evidence: Evidence::told(&told.ended, &told.apart, &told.well),
+        at: now.saturating_sub(Duration::from_millis(told.age_ms)),
+    })
+}
+
+/// Name under which boxes speak of one life of an engine; a life that nobody has heard of yet is one
+/// of its own.
+pub fn engine(upstream: &str, incarnation: Option<id::Incarnation>) -> Engine {
+    let life = incarnation.unwrap_or_default();
+    place::short(place::weight(place::name_hash(upstream), life))
+}
+
+/// Takes what another box tells.
+pub fn hear(context: &Context, told: &[Suspect]) {
+    let now = context.clock.now();
+    for row in told.iter().filter_map(|told| from_wire(told, now)) {
+        take(context, &row);
+    }
+}
+
+/// Notes what an engine has shown of a request.
+pub fn note(context: &Context, content: Content, evidence: Evidence) {
+    let at = context.clock.now();
+    take(
+        context,
+        &Row {
+            content,
+            evidence,
+            at,
+        },
+    );
+}
+
+fn take(context: &Context, row: &Row) {
+    let change = context.quarantine.lock().take(row, context.clock.now());
+    let Some(change) = change.filter(|change| change.before != change.after) else {
+        return;
+    };
+    let content = row.content;
+    match change.after {
+        Verdict::Unsuspected => emit!(context.logger, info, event::REQUEST_CLEARED, "content" => %content),
+        Verdict::Suspected => emit!(context.logger, warn, event::REQUEST_SUSPECTED, "content" => %content),
+        Verdict::Shown => emit!(context.logger, warn, event::REQUEST_POISONOUS, "content" => %content),
+    }
+}
+
+/// Whether an engine has ended, after a connection to it was lost: it refuses another one.
+pub async fn has_ended(address: SocketAddr) -> bool {
+    match timeout(PROBE, TcpStream::connect(address)).await {
+        Ok(Err(why)) => why.kind() == std::io::ErrorKind::ConnectionRefused,
+        Ok(Ok(_)) | Err(_) => false,
+    }
+}
--- a/crates/jb-daemon/src/run/request.rs
+++ b/crates/jb-daemon/src/run/request.rs
@@ -60,7 +60,7 @@
     pub resume_at: u32,
     /// Which halls may serve it.
     pub reach: Reach,
-    /// The body as it came, for relaying.
+    /// The body as it came, for relaying and to know the request again.
     pub body: Bytes,
     /// Path to which it came.
     pub endpoint: String,
--- /dev/null
+++ b/crates/jb-daemon/src/run/session/apart.rs
@@ -0,0 +1,78 @@
+//! A request that may end the engine that runs it.
+
+use jb_policy::poison::{Content, Engine, Evidence, Verdict};
+use jb_protocol::error::Kind;
+
+use super::Session;
+use super::pick::NoTarget;
+use crate::quarantine;
+use crate::run::attempt::{Attempt, Trouble};
+
+impl Session {
+    fn content(&self) -> Content {
+        let request = &self.request;
+        Content::new(&request.customer, &[request.endpoint.as_bytes()], &request.body)
+    }
+
+    pub(super) fn verdict(&self) -> Verdict {
+        let now = self.context.clock.now();
+        self.context.quarantine.verdict(|| self.content(), now)
+    }
+
+    /// Why a request that ends engines goes nowhere.
+    pub(super) fn poisonous() -> NoTarget {
+        NoTarget {
+            kind: Kind::Poisonous,
+            after: None,
+        }
+    }
+
+    /// Notes that an engine gets a suspect, where it is one; `false` when another try of it is under
+    /// way, or the engine has another suspect.
+    pub(super) fn begin_apart(&mut self, engine: Engine) -> bool {
+        if self.verdict() != Verdict::Suspected {
+            return true;
+        }
+        let now = self.context.clock.now();
+        let quarantine = &self.context.quarantine;
+        let free = !quarantine.trials(now).contains(&engine) && quarantine.begin(self.content(), engine, now);
+        self.apart = free.then_some(engine);
+        free
+    }
+
+    /// The try of a suspect is over.
+    pub(super) fn end_apart(&mut self) {
+        if let Some(engine) = self.apart.take() {
+            self.context.quarantine.end(self.content(), engine);
+        }
+    }
+
+    /// Notes it if the engine of a lost attempt has ended.
+    pub(super) async fn note_end(&mut self, trouble: &Trouble) {
+        let (Trouble::Lost { .. }, Some(upstream)) = (trouble, self.last_engine.clone()) else {
+            return;
+        };
+        let config = self
+            .request
+            .service
+            .upstreams
+            .iter()
+            .find(|u| u.id == upstream.id);
+        let Some(config) = config.filter(|config| !config.leaving) else {
+            return;
+        };
+        if quarantine::has_ended(config.address).await {
+            let evidence = Evidence::of_end(upstream.life, self.apart.is_some());
+            quarantine::note(&self.context, self.content(), evidence);
+        }
+    }
+
+    /// Notes that an engine has run the request to a good end, where anything is known of it.
+    pub(super) fn note_run(&self) {
+        if let (Some(Attempt::Engine(_)), Some(upstream)) = (&self.attempt, &self.last_engine)
+            && self.verdict() != Verdict::Unsuspected
+        {
+            quarantine::note(&self.context, self.content(), Evidence::of_run(upstream.life));
+        }
+    }
+}
--- a/crates/jb-daemon/src/run/session/mod.rs
+++ b/crates/jb-daemon/src/run/session/mod.rs
@@ -1,12 +1,14 @@
 //! A request on its way: attempts follow each other until the answer is
 //! complete or the request is given up.
 
+mod apart;
 mod pick;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use jb_policy::call::{Call, Denied, Refusal, Sent, Streaming, Unsent};
+use jb_policy::poison::Engine;
 use jb_policy::stream::Reader;
 use jb_protocol::engine::Call as EngineCall;
 use jb_protocol::error::Kind;
@@ -76,10 +78,22 @@
     refused: Option<NoTarget>,
     /// Whether an attempt was lost; a denial costs no retry.
     lost_before: bool,
+    /// Engine of the last attempt in the own hall.
+    last_engine: Option<LastEngine>,
+    /// Engine that has the request as the only suspect there.
+    apart: Option<Engine>,
+}
+
+/// Engine of the last attempt.
+#[derive(Clone, Debug)]
+struct LastEngine {
+    id: id::Upstream,
+    life: Engine,
 }
 
 impl Drop for Session {
     fn drop(&mut self) {
+        self.end_apart();
         if !matches!(self.phase, Phase::Over) {
             emit!(self.context.logger, info, event::CALLER_GONE, "request" => &self.request.id);
         }
@@ -102,6 +116,8 @@
             tried_halls: Vec::new(),
             refused: None,
             lost_before: false,
+            last_engine: None,
+            apart: None,
         }
     }
 
@@ -125,7 +141,11 @@
                 Ok(Part::Progress) => {}
                 Ok(Part::Token(text)) => return Ok(self.token(text)),
                 Ok(Part::Ended(ending)) => return Ok(self.ended(ending)),
-                Err(trouble) => self.troubled(trouble)?,
+                Err(trouble) => {
+                    self.note_end(&trouble).await;
+                    self.end_apart();
+                    self.troubled(trouble)?;
+                }
             }
         }
     }
@@ -142,6 +162,7 @@
 
     fn ended(&mut self, ending: Ending) -> Delivery {
         self.phase = Phase::Over;
+        self.note_run();
         self.end_attempt(Outcome::Succeeded);
         Delivery::Ended(ending)
     }
@@ -157,8 +178,16 @@
     async fn begin(&mut self) -> Result<Result<Part, Trouble>, Refusal> {
         let target = match self.pick().await {
             Ok(target) => target,
-            Err(none) => return Err(self.give_up(none.kind, "no upstream is left to try", none.after)),
+            Err(none) => return Err(self.give_up(none.kind, why(none.kind), none.after)),
         };
+        self.last_engine = None;
+        if let Target::Engine { upstream, life, .. } = &target {
+            let (id, life) = (upstream.clone(), *life);
+            if !self.begin_apart(life) {
+                return Err(self.give_up(Kind::Busy, "the request may end engines and waits its turn", None));
+            }
+            self.last_engine = Some(LastEngine { id, life });
+        }
         let id = match std::mem::replace(&mut self.phase, Phase::Over) {
             Phase::Unsent(call) => {
                 let call = call.send();
@@ -184,7 +213,7 @@
         };
         self.begin_hop(&target);
         let sent = match target {
-            Target::Engine { upstream, ticket } => self.send_to_engine(id, upstream, ticket).await,
+            Target::Engine { upstream, ticket, .. } => self.send_to_engine(id, upstream, ticket).await,
             Target::Peer { id, address, hall } => self.send_to_peer(id, &address, hall).await,
         };
         Ok(sent.map(|()| Part::Progress))
@@ -301,6 +330,15 @@
             .map(|a| a.name().to_owned())
             .unwrap_or_default();
         match trouble {
+            Trouble::Denied {
+                kind: Kind::Poisonous,
+                denial,
+                ..
+            } => {
+                // Another hall's engines are no less at risk.
+                self.end_attempt(Outcome::Denied);
+                Err(self.give_up(Kind::Poisonous, denial.reason(), None))
+            }
             Trouble::Denied { denial, kind, after } => {
                 emit!(self.context.logger, info, event::ATTEMPT_FAILED,
                     "request" => &self.request.id, "to" => to, "why" => denial.reason());
@@ -375,3 +413,11 @@
         }
     }
 }
+
+/// What a caller is told of a request for which there is nowhere to go.
+fn why(kind: Kind) -> &'static str {
+    match kind {
+        Kind::Poisonous => "engines have ended while they ran this request",
+        _ => "no upstream is left to try",
+    }
+}
--- a/crates/jb-daemon/src/run/session/pick.rs
+++ b/crates/jb-daemon/src/run/session/pick.rs
@@ -5,6 +5,7 @@
 use jb_policy::cell;
 use jb_policy::hall;
 use jb_policy::member::Member;
+use jb_policy::poison::{Engine, Verdict};
 use jb_policy::route::Ask;
 use jb_protocol::error::Kind;
 use jb_protocol::id;
@@ -12,6 +13,7 @@
 
 use super::Session;
 use crate::decide::Ticket;
+use crate::quarantine;
 use crate::run::attempt::Attempt;
 use crate::run::request::Reach;
 
@@ -19,6 +21,8 @@
 pub(super) enum Target {
     Engine {
         upstream: id::Upstream,
+        /// Its present life.
+        life: Engine,
         ticket: Ticket,
     },
     Peer {
@@ -47,6 +51,9 @@
 
     /// Tries the halls in their order; the first refusal is the one reported.
     pub(super) async fn pick(&mut self) -> Result<Target, NoTarget> {
+        if self.verdict() == Verdict::Shown {
+            return Err(Self::poisonous());
+        }
         let mut first = self.refused.take();
         for hall in self.halls().await {
             if self.tried_halls.contains(&hall) {
@@ -123,6 +130,7 @@
                 after: Some(refused.after),
             }),
             Ok(Ok((choice, ticket))) => Ok(Target::Engine {
+                life: quarantine::engine(&choice.upstream, choice.incarnation),
                 upstream: choice.upstream,
                 ticket,
             }),
--- a/crates/jb-daemon/src/start.rs
+++ b/crates/jb-daemon/src/start.rs
@@ -24,6 +24,7 @@
 use crate::members::{self, Directory};
 use crate::metrics::Metrics;
 use crate::peer::{self, Dialer};
+use crate::quarantine::Quarantine;
 use crate::settings::Settings;
 use crate::trace::Traces;
 use crate::{admin, claims, decide, emit, probe, serve, steward};
@@ -131,6 +132,7 @@
         ring,
         claims,
         directory: Directory::new(me),
+        quarantine: Quarantine::default(),
         dialer,
         platform,
         engines: Arc::new(engine::Client::new(http.clone())),
--- a/crates/jb-fakes/src/control.rs
+++ b/crates/jb-fakes/src/control.rs
@@ -64,6 +64,8 @@
     pub giant: Option<bool>,
     /// Version of the weights that it runs from now on.
     pub weights: Option<String>,
+    /// Words in the prompts under which its process ends as soon as it runs them.
+    pub deadly: Option<String>,
     /// Milliseconds for each generated token.
     pub decode_ms: Option<u64>,
 }
--- a/crates/jb-fakes/src/engine/server.rs
+++ b/crates/jb-fakes/src/engine/server.rs
@@ -20,6 +20,9 @@
 /// Bytes of an event that is far too long.
 const GIANT: usize = 1 << 20;
 
+/// Status with which the process ends under a call that ends it.
+const DIED: i32 = 70;
+
 /// Faults of one stream.
 #[derive(Clone, Copy, Debug, Default)]
 struct StreamFault {
@@ -80,6 +83,9 @@
         engine.lock().counts.refused += 1;
         return refuse(reason);
     }
+    if is_deadly(engine, &call) {
+        std::process::exit(DIED);
+    }
     let fault = take_fault(engine);
     let frames = frames(Arc::clone(engine), call, fault);
     Response::builder()
@@ -87,6 +93,12 @@
         .body(Body::from_bytes_stream(frames))
 }
 
+fn is_deadly(engine: &Engine, call: &Call) -> bool {
+    let inner = engine.lock();
+    let deadly = inner.fault.deadly.as_ref();
+    deadly.is_some_and(|words| call.prompt.contains(words.as_str()))
+}
+
 fn refusal(engine: &Engine, call: &Call) -> Option<&'static str> {
     let inner = engine.lock();
     if inner.fault.leaving == Some(true) && inner.fault.mute != Some(true) {
@@ -252,6 +264,7 @@
     inner.fault = EngineFault {
         leaving: fault.leaving.or(before.leaving),
         mute: fault.mute.or(before.mute),
+        deadly: fault.deadly.or(before.deadly),
         ..fault
     };
     StatusCode::OK
--- a/crates/jb-policy/src/route/mod.rs
+++ b/crates/jb-policy/src/route/mod.rs
@@ -29,6 +29,8 @@
 pub struct Choice {
     /// The upstream.
     pub upstream: id::Upstream,
+    /// Its present life, as last heard.
+    pub incarnation: Option<id::Incarnation>,
     /// Tokens believed to be cached.
     pub cached_tokens: u32,
     /// Estimated time to the first token.
--- a/crates/jb-policy/src/route/pool.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -130,6 +130,7 @@
         self.admit(best, ask)?;
         let choice = Choice {
             upstream: self.upstreams[best.index].id.clone(),
+            incarnation: self.upstreams[best.index].incarnation(),
             cached_tokens: best.cached,
             expected: best.expected,
         };
--- a/crates/jb-policy/src/upstream.rs
+++ b/crates/jb-policy/src/upstream.rs
@@ -117,6 +117,11 @@
         self.denies_until = now + DENIAL;
     }
 
+    /// Its present life, as last heard.
+    pub fn incarnation(&self) -> Option<id::Incarnation> {
+        self.incarnation
+    }
+
     /// Notes which incarnation answers; `true` when it is a new one.
     ///
     /// A new incarnation starts with an empty cache and nothing waiting, so
--- a/crates/jb-protocol/src/error.rs
+++ b/crates/jb-protocol/src/error.rs
@@ -60,6 +60,8 @@
     StreamBroken,
     /// The upstream did not answer in time.
     UpstreamTimeout,
+    /// Engines have ended while they ran the request.
+    Poisonous,
     /// An edit clashes with another operator's edit.
     EditConflict,
     /// An edit would make the tree invalid.
@@ -96,7 +98,7 @@
 
 impl Kind {
     /// All kinds, in the order of the documentation.
-    pub const ALL: [Self; 25] = [
+    pub const ALL: [Self; 26] = [
         Self::Malformed,
         Self::BodyTooLarge,
         Self::Unauthenticated,
@@ -118,6 +120,7 @@
         Self::UpstreamProtocol,
         Self::StreamBroken,
         Self::UpstreamTimeout,
+        Self::Poisonous,
         Self::EditConflict,
         Self::EditInvalid,
         Self::PlatformUnavailable,
@@ -148,6 +151,7 @@
             Self::UpstreamProtocol => "upstream_protocol",
             Self::StreamBroken => "stream_broken",
             Self::UpstreamTimeout => "upstream_timeout",
+            Self::Poisonous => "poisonous",
             Self::EditConflict => "edit_conflict",
             Self::EditInvalid => "edit_invalid",
             Self::PlatformUnavailable => "platform_unavailable",
@@ -280,6 +284,12 @@
                 "find out whether it ran before sending it again",
                 Never,
             ),
+            Self::Poisonous => (
+                422,
+                "Engines end under this request",
+                "do not send it again as it is; ask the operators to look at it",
+                Never,
+            ),
             Self::EditConflict => (
                 409,
                 "Another edit changed the same setting",
--- /dev/null
+++ b/crates/jb-scenario/tests/poison.rs
@@ -0,0 +1,104 @@
+//! A request that ends each engine that begins to run it, through the completions door.
+//!
+//! Seen at the opaque door: 36 engines ended under one request. How it would come about here: a lost
+//! attempt is tried again at up to five engines, and each try of the caller anew. Cause: what a box
+//! learns of a request ends with that request. Proof: without the ledger all eight engines end.
+
+#![allow(clippy::expect_used)]
+
+use std::time::Duration;
+
+use jb_fakes::control::EngineFault;
+use jb_fakes::fleet::layout::{self, ENGINES, Hall, Layout, ROUTE, TreeOptions};
+use jb_fakes::fleet::{self, Client, Rig, wait_until};
+use jb_fakes::load::{self, Request, Seen};
+use jb_protocol::error::Kind;
+use jb_protocol::priority::Priority;
+
+/// Words in the prompt of the request that ends engines.
+const DEADLY: &str = "of no return";
+/// Engines that may end under one request before it is known for what it is.
+const MOST_ENDED: usize = 3;
+/// Engines of the fleet.
+const ALL_ENGINES: usize = 8;
+const PATIENCE: Duration = Duration::from_secs(20);
+
+async fn fleet() -> Rig {
+    let programs = fleet::build().expect("the programs");
+    let layout = Layout {
+        halls: vec![Hall {
+            name: "hall-a".to_owned(),
+            boxes: 2,
+            engines: ALL_ENGINES,
+            plain: 0,
+        }],
+        ..Layout::default()
+    };
+    let options = TreeOptions::with_customers(&["ann", "bob"]);
+    let rig = layout::start(&programs, &layout, &options)
+        .await
+        .expect("a fleet");
+    let client = Client::new().expect("a client");
+    for (_, address) in rig.upstreams_of(ENGINES) {
+        let fault = EngineFault {
+            deadly: Some(DEADLY.to_owned()),
+            ..EngineFault::default()
+        };
+        client.fault(address, &fault).await.expect("a fault");
+    }
+    rig
+}
+
+fn chat(customer: &str, text: &str) -> Request {
+    let levels = [text.to_owned()];
+    Request {
+        key: format!("key-{customer}"),
+        once: false,
+        class: Priority::Normal,
+        path: "/v1/chat/completions".to_owned(),
+        body: load::chat(ROUTE, &levels, 10, true).to_string(),
+        expected: jb_fakes::answer::whole(&load::prompt_text(&levels), 10),
+    }
+}
+
+fn ended(rig: &mut Rig) -> usize {
+    let names: Vec<String> = rig
+        .upstreams_of(ENGINES)
+        .into_iter()
+        .map(|(name, _)| name)
+        .collect();
+    let mut has_ended = |name: &String| rig.process_mut(name).expect("an engine").has_ended();
+    names.iter().filter(|name| has_ended(name)).count()
+}
+
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_ends_each_engine_reaches_three_of_the_fleet_and_nobody_else_is_refused() {
+    let mut rig = fleet().await;
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let boxes: Vec<_> = rig.boxes().map(|(_, ports)| ports.callers).collect();
+    let deadly = chat("ann", DEADLY);
+    for at in boxes.iter().cycle().take(6) {
+        let seen = load::send(&http, *at, &deadly).await;
+        assert!(!matches!(seen, Seen::Complete { .. }));
+    }
+    assert_eq!(ended(&mut rig), MOST_ENDED);
+    // Known everywhere, it is refused without an engine, in a way that libraries do not repeat.
+    for at in &boxes {
+        wait_until("the box knows it", PATIENCE, || async {
+            matches!(
+                load::send(&http, *at, &deadly).await,
+                Seen::Refused {
+                    kind: Kind::Poisonous,
+                    ..
+                }
+            )
+        })
+        .await
+        .expect("a refusal");
+    }
+    assert_eq!(ended(&mut rig), MOST_ENDED);
+    for at in &boxes {
+        let other = load::send(&http, *at, &chat("bob", "another prompt")).await;
+        assert!(matches!(other, Seen::Complete { .. }), "{other:?}");
+    }
+}
