Quarantine: a cut that refuses connections ends no engine, and what ran for seconds has not ended its engine

Cause: a refused connection counted as an end wherever it came from, and any run that fell alone as the cause. Now another upstream of the same hall has to take a connection, word of others closes no engine, and a run alone counts only within a second of its first event.

--- a/crates/jb-daemon/src/quarantine.rs
+++ b/crates/jb-daemon/src/quarantine.rs
@@ -133,10 +133,20 @@
     }
 }
 
-/// Whether an engine has ended, after a connection to it was lost: it refuses another one.
-pub async fn has_ended(address: SocketAddr) -> bool {
-    match timeout(PROBE, TcpStream::connect(address)).await {
+/// Whether an engine has ended, after a connection to it was lost: it refuses another one, while one
+/// of its neighbours, if it has any, takes one; a cut may refuse connections as well.
+pub async fn has_ended(address: SocketAddr, neighbours: &[SocketAddr]) -> bool {
+    let refused = match timeout(PROBE, TcpStream::connect(address)).await {
         Ok(Err(why)) => why.kind() == std::io::ErrorKind::ConnectionRefused,
         Ok(Ok(_)) | Err(_) => false,
+    };
+    if !refused {
+        return false;
+    }
+    for neighbour in neighbours {
+        if matches!(timeout(PROBE, TcpStream::connect(neighbour)).await, Ok(Ok(_))) {
+            return true;
+        }
     }
+    neighbours.is_empty()
 }
--- a/crates/jb-daemon/src/run/session/apart.rs
+++ b/crates/jb-daemon/src/run/session/apart.rs
@@ -1,5 +1,7 @@
 //! A request that may end the engine that runs it.
 
+use std::net::SocketAddr;
+
 use jb_policy::poison::{Content, Engine, Evidence, Verdict};
 use jb_protocol::error::Kind;
 
@@ -8,6 +10,9 @@
 use crate::quarantine;
 use crate::run::attempt::{Attempt, Trouble};
 
+/// Neighbours of an engine that are asked at the most for whether the path there is well.
+const NEIGHBOURS: usize = 2;
+
 impl Session {
     fn content(&self) -> Content {
         let request = &self.request;
@@ -52,16 +57,15 @@
         let (Trouble::Lost { .. }, Some(upstream)) = (trouble, self.last_engine.clone()) else {
             return;
         };
-        let config = self
-            .request
-            .service
-            .upstreams
-            .iter()
-            .find(|u| u.id == upstream.id);
-        let Some(config) = config.filter(|config| !config.leaving) else {
+        let all = &self.request.service.upstreams;
+        let Some(config) = all.iter().find(|u| u.id == upstream.id && !u.leaving) else {
             return;
         };
-        if quarantine::has_ended(config.address).await {
+        let near = all
+            .iter()
+            .filter(|u| u.hall == config.hall && u.id != config.id && !self.tried.contains(&u.id));
+        let neighbours: Vec<SocketAddr> = near.take(NEIGHBOURS).map(|u| u.address).collect();
+        if quarantine::has_ended(config.address, &neighbours).await {
             let evidence = Evidence::of_end(upstream.life, self.apart.is_some());
             quarantine::note(&self.context, self.content(), evidence);
         }
--- a/crates/jb-policy/src/poison/ledger.rs
+++ b/crates/jb-policy/src/poison/ledger.rs
@@ -203,6 +203,14 @@
         open.map(|trial| trial.engine).collect()
     }
 
+    /// Engines that have ended while they ran a request.
+    pub fn ended(&self, content: Content) -> BTreeSet<Engine> {
+        let entry = self.entries.get(&content);
+        entry
+            .map(|entry| entry.evidence.ended().collect())
+            .unwrap_or_default()
+    }
+
     /// What is known of a request.
     pub fn row(&self, content: Content) -> Option<Row> {
         let entry = self.entries.get(&content)?;
--- a/crates/jb-relay/src/exchange/apart.rs
+++ b/crates/jb-relay/src/exchange/apart.rs
@@ -15,6 +15,13 @@
 /// engine can be spared: a run takes 0.1 to 2 s.
 const SUSPECT_AGAIN: Duration = Duration::from_millis(500);
 
+/// Time after its first event within which an engine that ends was ended by beginning a request, if
+/// it was: seen were 35 to 100 ms. Without it a stream looked like the cause that had run for seconds
+/// each time, when a third of all engines were ended three times in seven seconds.
+pub(super) const BEGINS: Duration = Duration::from_secs(1);
+/// Time for which a suspect waits for an engine of its own.
+pub(super) const SUSPECT_WAITS: Duration = Duration::from_secs(1);
+
 impl Exchange<'_> {
     /// What is known of the request. On a day without crashes nothing is worked out.
     pub(super) fn verdict(&mut self) -> poison::Verdict {
@@ -61,17 +68,18 @@
         let content = self.content();
         let core = self.core;
         let now = core.now();
-        let trials = {
+        let (trials, ended) = {
             let ledger = core.quarantine.ledger();
             if ledger.is_tried(content, now) {
                 return None;
             }
-            ledger.trials(now)
+            (ledger.trials(now), ledger.ended(content))
         };
         let ticket = self.message.ticket;
         let wanted = place::wanted(core, ticket, self.message.body, &self.tried, Among::Sure);
-        let is_free = |life: &Life| !trials.contains(&quarantine::engine(life));
-        let life = core.upstreams.borrow().quietest(&wanted, is_free, now)?;
+        let lives = |life: &Life| !ended.contains(&quarantine::engine(life));
+        let free = |life: &Life| !trials.contains(&quarantine::engine(life));
+        let life = core.upstreams.borrow().quietest(&wanted, lives, free, now)?;
         Some(Choice {
             life,
             estimate: Estimate {
--- a/crates/jb-relay/src/exchange/count.rs
+++ b/crates/jb-relay/src/exchange/count.rs
@@ -1,5 +1,7 @@
 //! Load that a request puts on an upstream.
 
+use std::time::Duration;
+
 use jb_policy::Moment;
 
 use crate::core::Shared;
@@ -13,6 +15,8 @@
     waiting: u64,
     fixed: u32,
     sent: Moment,
+    /// When the first event came.
+    begun: Option<Moment>,
     /// Tokens to be read before its first one, its own with them.
     ahead: u64,
     /// The place in the engine's account.
@@ -43,6 +47,7 @@
             waiting,
             fixed,
             sent: core.now(),
+            begun: None,
             ahead,
             held,
         }
@@ -50,6 +55,7 @@
 
     /// The first token has come, to a request of a service.
     pub(super) fn first_token(&mut self, service: &str) {
+        self.begun.get_or_insert(self.core.now());
         if self.waiting > 0 {
             let took = self.core.now().saturating_sub(self.sent);
             let mut paces = self.core.paces.borrow_mut();
@@ -64,6 +70,12 @@
         }
     }
 
+    /// Time for which it has run, from its first event on.
+    pub(super) fn ran(&self) -> Duration {
+        let begun = self.begun.unwrap_or(self.core.now());
+        self.core.now().saturating_sub(begun)
+    }
+
     /// Nothing of it waits any more.
     fn started(&mut self) {
         if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(self.life) {
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -12,6 +12,7 @@
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
+use super::apart::{BEGINS, SUSPECT_WAITS};
 use super::count::Counted;
 use super::place::{self, Choice};
 use crate::attempt::{self, Message, Outcome, Reply};
@@ -162,12 +163,13 @@
             Some(_) => self.core.now() + ticket.route.pause,
             None => ticket.arrived + ticket.route.target.mul_f64(WAIT_SHARE),
         };
+        let suspect_until = (self.core.now() + SUSPECT_WAITS).min(ticket.until);
         loop {
             match self.verdict() {
                 poison::Verdict::Unsuspected => {}
                 poison::Verdict::Suspected => match self.choose_apart() {
                     Some(choice) => return Some(choice),
-                    None if self.core.now() >= until => {
+                    None if self.core.now() >= suspect_until => {
                         self.refused = Some(Self::refuse_suspect());
                         return None;
                     }
@@ -261,7 +263,7 @@
                 self.hear(life, &reply);
                 let next = self.deliver(life, *reply, client, &mut counted).await;
                 if !matches!(next, Ok(Next::End(Ending::Answered(_) | Ending::CallerGone))) {
-                    self.note_end(life, apart).await;
+                    self.note_end(life, apart && counted.ran() < BEGINS).await;
                 }
                 next
             }
--- a/crates/jb-relay/src/link.rs
+++ b/crates/jb-relay/src/link.rs
@@ -115,26 +115,46 @@
 /// Time for a connection that only shows whether an upstream has ended; a request that is sent
 /// again waits for it. A round trip inside a region takes 2 to 10 ms.
 const PROBE: Duration = Duration::from_millis(50);
+/// Upstreams of its data hall that are asked at the most for whether the path there is well.
+const WITNESSES: usize = 2;
+
 /// Whether an upstream has ended with a request in hand, which a connection that was lost does not
-/// show: one that lives takes another connection, which is kept for the next request. One that
-/// leaves ends as planned.
+/// show: one that lives takes another connection, which is kept for the next request. A cut of its
+/// data hall may refuse connections as well, so another upstream there has to take one. An upstream
+/// that leaves ends as planned.
 pub async fn has_ended(core: &Shared, upstream: &Life) -> bool {
-    let address = {
-        let upstreams = core.upstreams.borrow();
-        match upstreams.life(upstream) {
-            Some(known) if known.entry.leaving => return false,
-            Some(known) if core.now() < known.ended_until => return true,
-            Some(known) => known.entry.address,
-            None => return false,
-        }
+    let known = core.upstreams.borrow().life(upstream).map(|known| {
+        let is_over = core.now() < known.ended_until;
+        (known.entry.leaving, is_over)
+    });
+    match known {
+        None | Some((true, _)) => return false,
+        Some((_, true)) => return true,
+        Some((false, false)) => {}
+    }
+    if probe(core, upstream).await != Probe::Refused || !is_path_well(core, upstream).await {
+        return false;
+    }
+    if let Some(known) = core.upstreams.borrow_mut().life_mut(upstream) {
+        known.note_end(core.now());
+    }
+    true
+}
+
+/// What a connection shows that is opened for nothing else.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Probe {
+    Taken,
+    Refused,
+    Silent,
+}
+
+async fn probe(core: &Shared, upstream: &Life) -> Probe {
+    let address = core.upstreams.borrow().life(upstream).map(|u| u.entry.address);
+    let Some(address) = address else {
+        return Probe::Silent;
     };
     match timeout(PROBE, connect(address)).await {
-        Ok(Err(why)) if why.kind() == std::io::ErrorKind::ConnectionRefused => {
-            if let Some(known) = core.upstreams.borrow_mut().life_mut(upstream) {
-                known.note_end(core.now(), core.settings.bounds.heartbeat);
-            }
-            true
-        }
         Ok(Ok(stream)) => {
             core.metrics.connections_opened.inc();
             let link = Link {
@@ -143,10 +163,26 @@
                 used: false,
             };
             give(core, link, None);
-            false
+            Probe::Taken
+        }
+        Ok(Err(why)) if why.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
+        Ok(Err(_)) | Err(_) => Probe::Silent,
+    }
+}
+
+/// Whether connections to the data hall of an upstream come up. Where there is no other upstream,
+/// nothing speaks against it.
+async fn is_path_well(core: &Shared, upstream: &Life) -> bool {
+    let witnesses = core
+        .upstreams
+        .borrow()
+        .neighbours(upstream, WITNESSES, core.now());
+    for witness in &witnesses {
+        if probe(core, witness).await == Probe::Taken {
+            return true;
         }
-        Ok(Err(_)) | Err(_) => false,
     }
+    witnesses.is_empty()
 }
 
 fn idle(core: &Shared, upstream: &Life, once: bool) -> Option<Connection> {
--- a/crates/jb-relay/src/quarantine.rs
+++ b/crates/jb-relay/src/quarantine.rs
@@ -111,23 +111,11 @@
 pub fn take(core: &Core, row: &Row) -> bool {
     let change = core.quarantine.ledger.borrow_mut().take(row, core.now());
     if let Some(change) = change {
-        close(core, row);
         log(core, row.content, change);
     }
     change.is_some()
 }
 
-/// Sends nothing more to engines that have ended, before this box has seen it itself.
-fn close(core: &Core, row: &Row) {
-    let heartbeat = core.settings.bounds.heartbeat;
-    let mut upstreams = core.upstreams.borrow_mut();
-    for engine in row.evidence.ended() {
-        if let Some(upstream) = upstreams.named_mut(engine) {
-            upstream.note_end(row.at, heartbeat);
-        }
-    }
-}
-
 fn log(core: &Core, content: Content, change: Change) {
     if change.before == change.after {
         return;
--- a/crates/jb-relay/src/upstream/pick.rs
+++ b/crates/jb-relay/src/upstream/pick.rs
@@ -68,19 +68,24 @@
         first(family, all, count)
     }
 
-    /// The open engine where the fewest requests run among those that `is_free` allows; `None` where
-    /// that is the last one open of several.
+    /// The open engine where the fewest requests run among those that are `free`; `None` where it
+    /// would be the last one of several that lives.
     pub fn quietest(
         &self,
         wanted: &Wanted<'_>,
-        is_free: impl Fn(&Life) -> bool,
+        lives: impl Fn(&Life) -> bool,
+        free: impl Fn(&Life) -> bool,
         now: Moment,
     ) -> Option<Life> {
         let listed = self.of_service(wanted.service).count();
-        if listed > 1 && self.open(wanted, now).count() < 2 {
+        let open: Vec<&Upstream> = self
+            .open(wanted, now)
+            .filter(|upstream| lives(&upstream.life))
+            .collect();
+        if listed > 1 && open.len() < 2 {
             return None;
         }
-        let free = self.open(wanted, now).filter(|upstream| is_free(&upstream.life));
+        let free = open.into_iter().filter(|upstream| free(&upstream.life));
         let running = |upstream: &&Upstream| {
             let fixed = upstream.fixed + upstream.others.fixed;
             (fixed, upstream.running + upstream.others.running, upstream.name)
@@ -88,6 +93,17 @@
         free.min_by_key(running).map(|upstream| upstream.life.clone())
     }
 
+    /// Other upstreams of an upstream's data hall that seem well.
+    pub fn neighbours(&self, life: &Life, count: usize, now: Moment) -> Vec<Life> {
+        let Some(hall) = self.life(life).map(|upstream| &upstream.entry.hall) else {
+            return Vec::new();
+        };
+        let all = self.iter().map(|(_, upstream)| upstream);
+        let near = all.filter(|upstream| upstream.entry.hall == *hall && upstream.life != *life);
+        let well = near.filter(|upstream| upstream.is_there() && now >= upstream.ended_until);
+        well.take(count).map(|upstream| upstream.life.clone()).collect()
+    }
+
     fn open<'a>(&'a self, wanted: &'a Wanted<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
         let all = self.of_service(wanted.service);
         let untried = all.filter(|upstream| !wanted.except.contains(&upstream.life));
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -15,8 +15,9 @@
 /// Time for which an upstream that refused a request for lack of room gets no other.
 const REFUSED_PAUSE: Duration = Duration::from_millis(150);
 
-/// Heartbeats of silence after which an entry goes.
-const LAPSE: u32 = 3;
+/// Time for which an upstream that refuses connections after one was lost gets nothing: as long as
+/// the first two pauses after failures, for the requests that fell with it and would each try it.
+const ENDED_PAUSE: Duration = Duration::from_secs(1);
 
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
 const KEPT_PERCENT: u64 = 90;
@@ -142,10 +143,10 @@
         self.kept.set_capacity(tokens * KEPT_PERCENT / 100);
     }
 
-    /// Notes that it has ended, as something other than the store shows: it gets nothing until its
-    /// entry lapses. A next life has a record of its own.
-    pub fn note_end(&mut self, at: Moment, heartbeat: Duration) {
-        self.ended_until = self.ended_until.max(at + LAPSE * heartbeat);
+    /// Notes that it seems to have ended, as it refuses connections. A next life has a record of its
+    /// own.
+    pub fn note_end(&mut self, now: Moment) {
+        self.ended_until = now + ENDED_PAUSE;
     }
 
     /// Gives it nothing for a while after a refusal.
