Soak: callers whose request ends each engine, beside kills, stops, pauses and cuts of boxes

A set of faults of its own, so that earlier seeds mean what they meant. Checked: sends by boxes without a fault for three seconds, later than that after the third end.

--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -22,12 +22,14 @@
     Fence,
     /// Engines have the newest weights in the end.
     Weights,
+    /// A request that ends engines reaches few more once three have ended.
+    Poison,
     /// All boxes serve again after the last fault.
     Recovery,
 }
 
 /// All promises.
-pub const ALL: [Promise; 9] = [
+pub const ALL: [Promise; 10] = [
     Promise::OwnAnswer,
     Promise::Order,
     Promise::Once,
@@ -36,6 +38,7 @@
     Promise::Leaving,
     Promise::Fence,
     Promise::Weights,
+    Promise::Poison,
     Promise::Recovery,
 ];
 
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -36,6 +36,13 @@
     Scribble,
 }
 
+impl Fault {
+    /// Whether it strikes all boxes.
+    fn is_of_store(self) -> bool {
+        matches!(self, Self::Store(_) | Self::Compact | Self::Leases)
+    }
+}
+
 /// Faults that a run draws from. A seed means the same faults only with the same set.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub enum Set {
@@ -44,6 +51,8 @@
     /// All.
     #[default]
     All,
+    /// Those of the first seeds, fewer of them, beside callers whose request ends engines.
+    Poison,
 }
 
 /// Faults of the first seeds, of which some count twice.
@@ -56,7 +65,7 @@
 
 fn draw(random: &mut ChaCha8Rng, set: Set) -> Fault {
     let count = match set {
-        Set::First => FIRST,
+        Set::First | Set::Poison => FIRST,
         Set::All => ALL,
     };
     match random.random_range(0..count) {
@@ -91,6 +100,7 @@
     let lasts = Duration::from_millis(random.random_range(LASTS));
     world.tell(&format!("{fault:?} box {at} engine {engine} for {lasts:?}"));
     let target = &world.boxes[at];
+    world.disturb(at, fault.is_of_store(), lasts);
     match fault {
         Fault::Kill => {
             target.signal(Signal::KILL);
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -10,5 +10,6 @@
 pub mod callers;
 pub mod checks;
 pub mod faults;
+pub mod poison;
 pub mod proxy;
 pub mod run;
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -34,6 +34,19 @@
     /// draw from the faults of the first seeds only
     #[argh(switch)]
     first: bool,
+    /// fewer faults, beside callers whose request ends engines
+    #[argh(switch)]
+    poison: bool,
+}
+
+impl Arguments {
+    fn set(&self) -> Set {
+        match (self.poison, self.first) {
+            (true, _) => Set::Poison,
+            (false, true) => Set::First,
+            (false, false) => Set::All,
+        }
+    }
 }
 
 /// Waits for SIGTERM or SIGINT.
@@ -60,7 +73,7 @@
             engines: arguments.engines,
             callers: arguments.callers,
             lasts: Duration::from_secs(arguments.seconds),
-            set: if arguments.first { Set::First } else { Set::All },
+            set: arguments.set(),
         };
         println!("seed {seed}");
         let runtime = tokio::runtime::Builder::new_current_thread()
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -21,6 +21,7 @@
 use crate::callers::{self, Asked};
 use crate::checks::{Checks, Promise};
 use crate::faults::{self, Set};
+use crate::poison::{self, Try};
 use crate::proxy::Link;
 
 /// Events of a whole stream.
@@ -79,6 +80,8 @@
     pub boxes: Vec<Box>,
     /// What was asked.
     pub asked: RefCell<Vec<Asked>>,
+    /// Tries of the request that ends engines.
+    pub tries: RefCell<Vec<Try>>,
     /// Checks.
     pub checks: RefCell<Checks>,
     /// Whether callers are to stop.
@@ -89,6 +92,8 @@
     pub weights: Cell<u64>,
     revoked: Cell<Option<Instant>>,
     left: RefCell<BTreeMap<usize, (Instant, usize)>>,
+    /// Until when each box has a fault.
+    disturbed: RefCell<Vec<Instant>>,
     began: Instant,
     loud: bool,
 }
@@ -106,9 +111,12 @@
         for number in 0..plan.engines {
             let engine = Engine::start(&format!("engine-{number}")).await;
             engine.events.set(EVENTS);
-            if plan.set == Set::All {
+            if plan.set != Set::First {
                 engine.restart();
             }
+            if plan.set == Set::Poison {
+                engine.deadly.replace(Some(poison::DEADLY.to_owned()));
+            }
             store.put_engine(&engine, false);
             engines.push(engine);
         }
@@ -123,6 +131,8 @@
             engines,
             boxes,
             asked: RefCell::default(),
+            tries: RefCell::default(),
+            disturbed: RefCell::new(vec![Instant::now(); plan.boxes]),
             checks: RefCell::default(),
             stopped: Cell::default(),
             version: Cell::new(1),
@@ -178,6 +188,21 @@
         }
     }
 
+    /// Notes that a box, or each one, has a fault for a while.
+    pub fn disturb(&self, at: usize, each: bool, lasts: Duration) {
+        let until = Instant::now() + lasts;
+        for (number, disturbed) in self.disturbed.borrow_mut().iter_mut().enumerate() {
+            if each || number == at {
+                *disturbed = until.max(*disturbed);
+            }
+        }
+    }
+
+    /// Whether a box has had no fault for so long.
+    pub fn is_calm(&self, at: usize, time: Duration) -> bool {
+        Instant::now() > self.disturbed.borrow()[at] + time
+    }
+
     /// Starts an engine again, unless it is to leave.
     pub fn restart(&self, engine: usize) {
         if !self.left.borrow().contains_key(&engine) {
@@ -266,6 +291,12 @@
     let callers: Vec<_> = (0..plan.callers)
         .map(|n| spawn_local(callers::run(Rc::clone(&world), n + 1)))
         .collect();
+    if plan.set == Set::Poison {
+        for number in 0..poison::CALLERS {
+            spawn_local(poison::send(Rc::clone(&world), number + 1));
+        }
+        spawn_local(poison::revive(Rc::clone(&world)));
+    }
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
     let end = Instant::now() + plan.lasts;
     let mut faults = Vec::new();
@@ -275,7 +306,8 @@
             ChaCha8Rng::from_rng(&mut random),
         )));
         // Faults come in series and overlap.
-        let pause = Duration::from_millis(random.random_range(50..1200));
+        let rare = if plan.set == Set::Poison { 4 } else { 1 };
+        let pause = rare * Duration::from_millis(random.random_range(50..1200));
         let next = Instant::now() + pause;
         while Instant::now() < next {
             world.watch_leaving();
@@ -298,6 +330,7 @@
         "not all boxes serve after the last fault".to_owned()
     });
     at_the_end(&world, &mut checks);
+    poison::check(&world, &mut checks);
     checks
 }
 
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -18,7 +18,8 @@
     let folder = tempfile::tempdir().unwrap_or_else(|why| panic!("{why}"));
     let plan = Plan {
         seed,
-        lasts: Duration::from_secs(6),
+        // A request that ends engines is known for three seconds before it is checked.
+        lasts: Duration::from_secs(if set == Set::Poison { 12 } else { 6 }),
         set,
         ..Plan::default()
     };
@@ -30,7 +31,8 @@
 #[test]
 fn promises_hold_under_random_faults() {
     let first = [1, 2].into_iter().chain(FAILED).map(|seed| (seed, Set::First));
-    for (seed, set) in first.chain([(1, Set::All), (2, Set::All)]) {
+    let poison = [(1, Set::Poison), (2, Set::Poison)];
+    for (seed, set) in first.chain([(1, Set::All), (2, Set::All)]).chain(poison) {
         let checks = run(seed, set);
         assert!(checks.hold(), "seed {seed}\n{checks}");
         for promise in [
