--- /dev/null
+++ b/crates/jb-relay/src/exchange/judge.rs
@@ -0,0 +1,62 @@
+//! What a request's sends say of the engines.
+
+use jb_policy::health::Change;
+use jb_protocol::{emit, event};
+
+use super::run::Exchange;
+use crate::attempt::Reply;
+use crate::peers;
+use crate::upstream::{Life, Upstream};
+
+impl Exchange<'_> {
+    /// Notes how the request ends at its engine, for the engine's account.
+    fn note_ending(&self, ending: peers::Ending) {
+        if let Some(noted) = &self.ending {
+            noted.set(ending);
+        }
+    }
+
+    /// Notes that a send failed through the engine's fault.
+    pub(super) fn blame(&self, life: &Life, outcome: &'static str, why: &str) {
+        let core = self.core;
+        let running = core
+            .upstreams
+            .borrow()
+            .life(life)
+            .map(|upstream| upstream.running);
+        emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.ticket.id,
+            "upstream" => %life, "outcome" => outcome, "why" => why,
+            "content" => %self.message.content(), "running" => running);
+        let loads = |upstream: &Upstream| core.now() < upstream.loading_until;
+        if core.upstreams.borrow().life(life).is_some_and(loads) {
+            // Streams that are reset for new weights are no fault of the engine.
+            return;
+        }
+        self.note_ending(peers::Ending::Failed);
+        if core.upstreams.borrow_mut().judged(life, false, core.now()) == Change::Ejected {
+            emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => %life, "why" => why);
+        }
+    }
+
+    /// Notes that the engine has answered well.
+    pub(super) fn praise(&self, life: &Life) {
+        let core = self.core;
+        self.note_ending(peers::Ending::Well);
+        if core.upstreams.borrow_mut().judged(life, true, core.now()) == Change::Returned {
+            emit!(core.logger, info, event::UPSTREAM_RETURNED, "upstream" => %life);
+        }
+    }
+
+    /// Takes what an answer says about the engine's weights.
+    pub(super) fn hear(&self, life: &Life, reply: &Reply) {
+        let Some(model) = &self.message.ticket.model else {
+            return;
+        };
+        let Some(version) = reply.answer.headers.number(self.core.names.made_by) else {
+            return;
+        };
+        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(life) {
+            upstream.heard_weights(model, version);
+        }
+    }
+}
--- a/crates/jb-relay/src/exchange/mod.rs
+++ b/crates/jb-relay/src/exchange/mod.rs
@@ -3,6 +3,7 @@
 mod apart;
 mod ask;
 mod count;
+mod judge;
 mod place;
 mod run;
 
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -7,7 +7,6 @@
 use bytes::Bytes;
 use jb_policy::Moment;
 use jb_policy::gate::Verdict;
-use jb_policy::health::Change;
 use jb_policy::poison::{self, Content};
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
@@ -23,7 +22,7 @@
 use crate::quarantine;
 use crate::rules::Kind;
 use crate::ticket::Ticket;
-use crate::upstream::{Life, Upstream};
+use crate::upstream::Life;
 
 /// Sends of one request at most, with those that were turned away.
 const MOST_SENDS: u32 = 4;
@@ -66,7 +65,7 @@
     /// What it asks, once that was worked out.
     pub(super) content: Option<Content>,
     /// Where the engine's account is told how the request ended.
-    ending: Option<Rc<Cell<peers::Ending>>>,
+    pub(super) ending: Option<Rc<Cell<peers::Ending>>>,
     pub(super) pace: Pace,
 }
 
@@ -300,55 +299,6 @@
         }
     }
 
-    /// Notes how the request ends at its engine, for the engine's account.
-    fn note_ending(&self, ending: peers::Ending) {
-        if let Some(noted) = &self.ending {
-            noted.set(ending);
-        }
-    }
-
-    fn blame(&self, life: &Life, outcome: &'static str, why: &str) {
-        let core = self.core;
-        let running = core
-            .upstreams
-            .borrow()
-            .life(life)
-            .map(|upstream| upstream.running);
-        emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.ticket.id,
-            "upstream" => %life, "outcome" => outcome, "why" => why,
-            "content" => %self.message.content(), "running" => running);
-        let loads = |upstream: &Upstream| core.now() < upstream.loading_until;
-        if core.upstreams.borrow().life(life).is_some_and(loads) {
-            // Streams that are reset for new weights are no fault of the engine.
-            return;
-        }
-        self.note_ending(peers::Ending::Failed);
-        if core.upstreams.borrow_mut().judged(life, false, core.now()) == Change::Ejected {
-            emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => %life, "why" => why);
-        }
-    }
-
-    fn praise(&self, life: &Life) {
-        let core = self.core;
-        self.note_ending(peers::Ending::Well);
-        if core.upstreams.borrow_mut().judged(life, true, core.now()) == Change::Returned {
-            emit!(core.logger, info, event::UPSTREAM_RETURNED, "upstream" => %life);
-        }
-    }
-
-    /// Takes what an answer says about the engine's weights.
-    fn hear(&self, life: &Life, reply: &Reply) {
-        let Some(model) = &self.message.ticket.model else {
-            return;
-        };
-        let Some(version) = reply.answer.headers.number(self.core.names.made_by) else {
-            return;
-        };
-        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(life) {
-            upstream.heard_weights(model, version);
-        }
-    }
-
     async fn deliver(
         &mut self,
         life: &Life,
