--- a/crates/jb-policy/src/poison/ledger.rs
+++ b/crates/jb-policy/src/poison/ledger.rs
@@ -6,8 +6,8 @@
 use super::{Content, Engine, Evidence};
 use crate::Moment;
 
-/// Requests that are remembered. A third of 4,300 engines that end at once take 14,000 requests with
-/// them, of which hardly one is met again; 64 engines with 64 requests each fit.
+/// Requests that are remembered: those of 64 engines with 64 requests each. A third of 4,300 engines
+/// that end at once take more with them, ten each are 14,000, of which hardly one is met again.
 const MOST: usize = 4096;
 /// Requests that are dropped at once where there are too many.
 const DROPPED: usize = MOST / 8;
--- a/crates/jb-relay/src/exchange/apart.rs
+++ b/crates/jb-relay/src/exchange/apart.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jb_policy::Moment;
 use jb_policy::gate::{Estimate, Verdict};
 use jb_policy::poison;
 
@@ -22,9 +23,37 @@
 /// Time for which a suspect waits for an engine of its own.
 pub(super) const SUSPECT_WAITS: Duration = Duration::from_secs(1);
 
+/// Whether a request may go to an engine now, by what is known of it.
+pub(super) enum Pass {
+    /// To any.
+    Freely,
+    /// To this one, as the only suspect there.
+    Apart(Box<Choice>),
+    /// Once there is one for it.
+    Later,
+    /// To none.
+    Never(Refused),
+}
+
 impl Exchange<'_> {
+    /// Whether it may go to an engine; a suspect waits for one until a moment.
+    pub(super) fn pass(&mut self, until: Moment) -> Pass {
+        match self.verdict() {
+            poison::Verdict::Unsuspected => Pass::Freely,
+            poison::Verdict::Suspected => match self.choose_apart() {
+                Some(choice) => Pass::Apart(Box::new(choice)),
+                None if self.core.now() >= until => Pass::Never(Refused {
+                    why: "suspect_waits",
+                    after: SUSPECT_AGAIN,
+                }),
+                None => Pass::Later,
+            },
+            poison::Verdict::Shown => Pass::Never(self.refuse_shown()),
+        }
+    }
+
     /// What is known of the request. On a day without crashes nothing is worked out.
-    pub(super) fn verdict(&mut self) -> poison::Verdict {
+    fn verdict(&mut self) -> poison::Verdict {
         let quarantine = &self.core.quarantine;
         if quarantine.is_empty() {
             return poison::Verdict::Unsuspected;
@@ -39,7 +68,7 @@
     }
 
     /// The refusal of a request that is shown to end engines.
-    pub(super) fn refuse_shown(&mut self) -> Refused {
+    fn refuse_shown(&mut self) -> Refused {
         let content = self.content();
         let after = self
             .core
@@ -53,18 +82,10 @@
         }
     }
 
-    /// The refusal of a suspect for which there is no engine now.
-    pub(super) fn refuse_suspect() -> Refused {
-        Refused {
-            why: "suspect_waits",
-            after: SUSPECT_AGAIN,
-        }
-    }
-
     /// The engine at which a suspect may do the least harm: no other suspect is there, and the
     /// fewest requests run. `None` while another try of it is under way anywhere, and while it would
     /// take the last engine that is open.
-    pub(super) fn choose_apart(&mut self) -> Option<Choice> {
+    fn choose_apart(&mut self) -> Option<Choice> {
         let content = self.content();
         let core = self.core;
         let now = core.now();
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -7,11 +7,11 @@
 use bytes::Bytes;
 use jb_policy::Moment;
 use jb_policy::gate::Verdict;
-use jb_policy::poison::{self, Content};
+use jb_policy::poison::Content;
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
-use super::apart::{BEGINS, SUSPECT_WAITS};
+use super::apart::{BEGINS, Pass, SUSPECT_WAITS};
 use super::count::Counted;
 use super::place::{self, Choice};
 use crate::attempt::{self, Message, Outcome, Reply};
@@ -153,8 +153,8 @@
         }
     }
 
-    /// The upstream for the next send; waits a little when none is open, and for a place in
-    /// time at the first send.
+    /// The upstream for the next send; waits a little when none is open, for a place in time at the
+    /// first send, and where the request is a suspect for one that no other suspect has.
     async fn pick(&mut self, client: &mut Connection) -> Option<Choice> {
         let ticket = self.message.ticket;
         // A stream that goes on may pause for as long as its route allows.
@@ -164,21 +164,15 @@
         };
         let suspect_until = (self.core.now() + SUSPECT_WAITS).min(ticket.until);
         loop {
-            match self.verdict() {
-                poison::Verdict::Unsuspected => {}
-                poison::Verdict::Suspected => match self.choose_apart() {
-                    Some(choice) => return Some(choice),
-                    None if self.core.now() >= suspect_until => {
-                        self.refused = Some(Self::refuse_suspect());
-                        return None;
-                    }
-                    None => {
-                        self.wait(LOOK_FOR_PLACE, client).await?;
-                        continue;
-                    }
-                },
-                poison::Verdict::Shown => {
-                    self.refused = Some(self.refuse_shown());
+            match self.pass(suspect_until) {
+                Pass::Freely => {}
+                Pass::Apart(choice) => return Some(*choice),
+                Pass::Later => {
+                    self.wait(LOOK_FOR_PLACE, client).await?;
+                    continue;
+                }
+                Pass::Never(refused) => {
+                    self.refused = Some(refused);
                     return None;
                 }
             }
