Last reading: one hash a request, one way to open a connection to an upstream, one length of memory, one ask in the soak

The hash of what a request asks was worked out again for each failed attempt; a probe repeated the opening of a connection; the ten minutes of a mark stood beside those of the ledger; evidence was copied to see whether there is any. No change of behaviour; the tests keep their assertions.

--- a/crates/jb-daemon/src/run/session/apart.rs
+++ b/crates/jb-daemon/src/run/session/apart.rs
@@ -53,8 +53,9 @@
     }
 
     /// Notes it if the engine of a lost attempt has ended.
+    // Not by shared reference: an attempt's frames may not be shared between threads.
     pub(super) async fn note_end(&mut self, trouble: &Trouble) {
-        let (Trouble::Lost { .. }, Some(upstream)) = (trouble, self.last_engine.clone()) else {
+        let (Trouble::Lost { .. }, Some(upstream)) = (trouble, &self.last_engine) else {
             return;
         };
         let all = &self.request.service.upstreams;
--- a/crates/jb-policy/src/poison/ledger.rs
+++ b/crates/jb-policy/src/poison/ledger.rs
@@ -13,7 +13,7 @@
 const DROPPED: usize = MOST / 8;
 /// Time after the last evidence for which a request is remembered and a shown one is refused. A
 /// caller that has mended what it asks is another request at once; the same one is tried again then.
-const REMEMBERED: Duration = Duration::from_secs(600);
+pub const REMEMBERED: Duration = Duration::from_secs(600);
 /// Longest time for which a trial is believed to go on that was never told to be over.
 const LONGEST_TRIAL: Duration = Duration::from_secs(5);
 
@@ -167,6 +167,11 @@
         }
     }
 
+    /// Whether any engine has ended under a request.
+    pub fn knows(&self, content: Content) -> bool {
+        self.entries.contains_key(&content)
+    }
+
     /// Time after which a shown request is forgotten, if nothing new is heard of it.
     pub fn forgotten_after(&self, content: Content, now: Moment) -> Duration {
         let entry = self.entries.get(&content);
--- a/crates/jb-policy/src/poison/mod.rs
+++ b/crates/jb-policy/src/poison/mod.rs
@@ -14,4 +14,4 @@
 
 pub use content::Content;
 pub use evidence::{Engine, Evidence};
-pub use ledger::{Change, Ledger, Row, Verdict};
+pub use ledger::{Change, Ledger, REMEMBERED, Row, Verdict};
--- a/crates/jb-relay/src/exchange/apart.rs
+++ b/crates/jb-relay/src/exchange/apart.rs
@@ -37,7 +37,7 @@
 
 impl Exchange<'_> {
     /// Whether it may go to an engine; a suspect waits for one until a moment.
-    pub(super) fn pass(&mut self, until: Moment) -> Pass {
+    pub(super) fn pass(&self, until: Moment) -> Pass {
         match self.verdict() {
             poison::Verdict::Unsuspected => Pass::Freely,
             poison::Verdict::Suspected => match self.choose_apart() {
@@ -53,22 +53,22 @@
     }
 
     /// What is known of the request. On a day without crashes nothing is worked out.
-    fn verdict(&mut self) -> poison::Verdict {
+    fn verdict(&self) -> poison::Verdict {
         let quarantine = &self.core.quarantine;
         if quarantine.is_empty() {
             return poison::Verdict::Unsuspected;
         }
         let content = self.content();
-        self.core.quarantine.ledger().verdict(content, self.core.now())
+        quarantine.ledger().verdict(content, self.core.now())
     }
 
     /// What the request asks, as other boxes and later tries name it.
-    pub(super) fn content(&mut self) -> poison::Content {
-        *self.content.get_or_insert_with(|| self.message.content())
+    pub(super) fn content(&self) -> poison::Content {
+        *self.content.get_or_init(|| self.message.content())
     }
 
     /// The refusal of a request that is shown to end engines.
-    fn refuse_shown(&mut self) -> Refused {
+    fn refuse_shown(&self) -> Refused {
         let content = self.content();
         let after = self
             .core
@@ -85,7 +85,7 @@
     /// The engine at which a suspect may do the least harm: no other suspect is there, and the
     /// fewest requests run. `None` while another try of it is under way anywhere, and while it would
     /// take the last engine that is open.
-    fn choose_apart(&mut self) -> Option<Choice> {
+    fn choose_apart(&self) -> Option<Choice> {
         let content = self.content();
         let core = self.core;
         let now = core.now();
@@ -116,7 +116,7 @@
 
     /// Notes it if the engine has ended. A connection that ends shows nothing by itself: networks
     /// and failing engines do that as well; but then the engine still takes another one.
-    pub(super) async fn note_end(&mut self, life: &Life, apart: bool) {
+    pub(super) async fn note_end(&self, life: &Life, apart: bool) {
         if link::has_ended(self.core, life).await {
             let content = self.content();
             quarantine::note_end(self.core, content, life, apart);
@@ -124,7 +124,7 @@
     }
 
     /// Notes that an engine has run the request well.
-    pub(super) fn note_run(&mut self, life: &Life) {
+    pub(super) fn note_run(&self, life: &Life) {
         if !self.core.quarantine.is_empty() {
             let content = self.content();
             quarantine::note_run(self.core, content, life);
--- a/crates/jb-relay/src/exchange/judge.rs
+++ b/crates/jb-relay/src/exchange/judge.rs
@@ -26,7 +26,7 @@
             .map(|upstream| upstream.running);
         emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.ticket.id,
             "upstream" => %life, "outcome" => outcome, "why" => why,
-            "content" => %self.message.content(), "running" => running);
+            "content" => %self.content(), "running" => running);
         let loads = |upstream: &Upstream| core.now() < upstream.loading_until;
         if core.upstreams.borrow().life(life).is_some_and(loads) {
             // Streams that are reset for new weights are no fault of the engine.
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -1,6 +1,6 @@
 //! The sends of one request, up to its ending.
 
-use std::cell::Cell;
+use std::cell::{Cell, OnceCell};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -63,7 +63,7 @@
     /// Why it goes to no engine now.
     refused: Option<Refused>,
     /// What it asks, once that was worked out.
-    pub(super) content: Option<Content>,
+    pub(super) content: OnceCell<Content>,
     /// Where the engine's account is told how the request ended.
     pub(super) ending: Option<Rc<Cell<peers::Ending>>>,
     pub(super) pace: Pace,
@@ -104,7 +104,7 @@
             runs: 0,
             paid: false,
             refused: None,
-            content: None,
+            content: OnceCell::new(),
             ending: None,
             pace: Pace::default(),
         }
--- a/crates/jb-relay/src/link.rs
+++ b/crates/jb-relay/src/link.rs
@@ -52,8 +52,8 @@
     #[error("no connection: {0}")]
     Refused(std::io::Error),
     /// It gives no word.
-    #[error("no connection within {CONNECT:?}")]
-    Silent,
+    #[error("no connection within {0:?}")]
+    Silent(Duration),
 }
 
 /// An idle connection, or a new one.
@@ -68,15 +68,20 @@
             used: true,
         });
     }
+    open(core, upstream, CONNECT).await
+}
+
+/// A new connection, if it comes up in time.
+async fn open(core: &Shared, upstream: &Life, time: Duration) -> Result<Link, Error> {
     let address = core
         .upstreams
         .borrow()
         .life(upstream)
         .map(|u| u.entry.address)
         .ok_or(Error::Gone)?;
-    let stream = match timeout(CONNECT, connect(address)).await {
+    let stream = match timeout(time, connect(address)).await {
         Ok(stream) => stream.map_err(Error::Refused)?,
-        Err(_) => return Err(Error::Silent),
+        Err(_) => return Err(Error::Silent(time)),
     };
     core.metrics.connections_opened.inc();
     Ok(Link {
@@ -123,16 +128,19 @@
 /// data hall may refuse connections as well, so another upstream there has to take one. An upstream
 /// that leaves ends as planned.
 pub async fn has_ended(core: &Shared, upstream: &Life) -> bool {
-    let known = core.upstreams.borrow().life(upstream).map(|known| {
-        let is_over = core.now() < known.ended_until;
-        (known.entry.leaving, is_over)
-    });
-    match known {
-        None | Some((true, _)) => return false,
-        Some((_, true)) => return true,
-        Some((false, false)) => {}
+    if let Some(known) = core.upstreams.borrow().life(upstream) {
+        if known.entry.leaving {
+            return false;
+        }
+        if core.now() < known.ended_until {
+            return true;
+        }
     }
-    if probe(core, upstream).await != Probe::Refused || !is_path_well(core, upstream).await {
+    let refuses = match probe(core, upstream).await {
+        Err(Error::Refused(why)) => why.kind() == std::io::ErrorKind::ConnectionRefused,
+        _ => false,
+    };
+    if !refuses || !is_path_well(core, upstream).await {
         return false;
     }
     if let Some(known) = core.upstreams.borrow_mut().life_mut(upstream) {
@@ -141,33 +149,11 @@
     true
 }
 
-/// What a connection shows that is opened for nothing else.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Probe {
-    Taken,
-    Refused,
-    Silent,
-}
-
-async fn probe(core: &Shared, upstream: &Life) -> Probe {
-    let address = core.upstreams.borrow().life(upstream).map(|u| u.entry.address);
-    let Some(address) = address else {
-        return Probe::Silent;
-    };
-    match timeout(PROBE, connect(address)).await {
-        Ok(Ok(stream)) => {
-            core.metrics.connections_opened.inc();
-            let link = Link {
-                connection: Connection::new(stream),
-                upstream: upstream.clone(),
-                used: false,
-            };
-            give(core, link, None);
-            Probe::Taken
-        }
-        Ok(Err(why)) if why.kind() == std::io::ErrorKind::ConnectionRefused => Probe::Refused,
-        Ok(Err(_)) | Err(_) => Probe::Silent,
-    }
+/// Opens a connection to see whether it comes up, and keeps it for the next request.
+async fn probe(core: &Shared, upstream: &Life) -> Result<(), Error> {
+    let link = open(core, upstream, PROBE).await?;
+    give(core, link, None);
+    Ok(())
 }
 
 /// Whether connections to the data hall of an upstream come up. Where there is no other upstream,
@@ -178,7 +164,7 @@
         .borrow()
         .neighbours(upstream, WITNESSES, core.now());
     for witness in &witnesses {
-        if probe(core, witness).await == Probe::Taken {
+        if probe(core, witness).await.is_ok() {
             return true;
         }
     }
--- a/crates/jb-relay/src/peers/mark.rs
+++ b/crates/jb-relay/src/peers/mark.rs
@@ -2,25 +2,23 @@
 //! box is left to tell them: after a loss of power nobody else would know, and each restart of the
 //! whole fleet would cost three engines more.
 //!
-//! A mark goes with a lease, so nobody has to take it away. It is written once for each such request,
+//! A mark goes with a lease, for as long as boxes remember such a request, so nobody has to take it away. It is written once for each such request,
 //! by the box that saw the last engine end.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use jb_policy::poison::{Content, Verdict};
+use jb_policy::poison::{Content, REMEMBERED, Verdict};
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
 use super::message::ToldSuspect;
 use super::suspicion;
 use crate::core::{Core, Shared};
-use crate::port::{Change, Store, StoreError, Write};
+use crate::port::{Change, StoreError, Write};
 
 /// Beginning of the keys of marks; the rest is the request's hash.
 const KEYS: &str = "junctionbend/poison/";
-/// Time for which a mark is kept: as long as boxes remember such a request.
-const KEPT: Duration = Duration::from_secs(600);
 /// Times that a mark is tried to be written.
 const TRIES: u32 = 5;
 /// Pause between two of them.
@@ -59,16 +57,15 @@
         // Numbers and lists of numbers always have a form as text.
         return Ok(());
     };
-    let store: &dyn Store = &*core.store;
     core.metrics.store_calls.inc_by(2);
-    let lease = store.lease(KEPT).await?;
+    let lease = core.store.lease(REMEMBERED).await?;
     let write = Write {
         key: key(content),
         value: Bytes::from(value),
         expected: 0,
         lease,
     };
-    store.write(&[write]).await.map(drop)
+    core.store.write(&[write]).await.map(drop)
 }
 
 /// Takes an item of the store, if it is a mark.
--- a/crates/jb-relay/src/quarantine.rs
+++ b/crates/jb-relay/src/quarantine.rs
@@ -91,7 +91,7 @@
 
 /// Notes that an engine has run a request to a good end, where that tells anything.
 pub fn note_run(core: &Core, content: Content, life: &Life) {
-    if core.quarantine.ledger().row(content).is_some() {
+    if core.quarantine.ledger().knows(content) {
         note(core, content, Evidence::of_run(engine(life)));
     }
 }
--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -1,5 +1,6 @@
 //! Callers that keep their connections until a box is gone.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -82,6 +83,16 @@
     }
 }
 
+/// Asks once, on a connection of its own; `None` without an answer in time.
+pub async fn ask_once(address: SocketAddr, request: &str, patience: Duration) -> Option<Got> {
+    let asked = async {
+        let stream = tokio::net::TcpStream::connect(address).await.ok()?;
+        let mut caller = Caller(jb_relay::http::Connection::new(stream));
+        caller.raw(request.as_bytes()).await.ok()
+    };
+    timeout(patience, asked).await.ok().flatten()
+}
+
 /// Checks what can be seen at once.
 fn judge(world: &World, id: &str, path: &str, got: Option<&Got>) {
     let Some(got) = got else { return };
--- a/crates/jb-soak/src/poison.rs
+++ b/crates/jb-soak/src/poison.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jb_site_fakes::caller::{Caller, Got, request};
+use jb_site_fakes::caller::{Got, request};
 use jb_site_fakes::document::MODEL_HEADERS;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
-use crate::callers::Asked;
+use crate::callers::{Asked, ask_once};
 use crate::checks::{Checks, Promise};
 use crate::run::World;
 
@@ -51,7 +51,11 @@
         count += 1;
         let (id, sent) = (format!("d{number}-{count}"), Instant::now());
         let in_touch = world.is_calm(at, CONTACT);
-        let got = ask(&world, at, &id).await;
+        let bytes = request("POST", "/resume/a", &id, MODEL_HEADERS, DEADLY);
+        let got = match world.boxes[at].address() {
+            Some(address) => ask_once(address, &bytes, PATIENCE).await,
+            None => None,
+        };
         world.tries.borrow_mut().push(Try {
             id: id.clone(),
             sent,
@@ -67,17 +71,6 @@
     }
 }
 
-async fn ask(world: &World, at: usize, id: &str) -> Option<Got> {
-    let address = world.boxes[at].address()?;
-    let asked = async {
-        let stream = tokio::net::TcpStream::connect(address).await.ok()?;
-        let mut caller = Caller(jb_relay::http::Connection::new(stream));
-        let bytes = request("POST", "/resume/a", id, MODEL_HEADERS, DEADLY);
-        caller.raw(bytes.as_bytes()).await.ok()
-    };
-    timeout(PATIENCE, asked).await.ok().flatten()
-}
-
 /// Starts engines that have ended again, and writes their entries.
 pub async fn revive(world: Rc<World>) {
     while !world.stopped.get() {
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -6,7 +6,7 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jb_site_fakes::caller::Caller;
+use jb_site_fakes::caller::request;
 use jb_site_fakes::document::{self, ROUTES};
 use jb_site_fakes::engine::Engine;
 use jb_site_fakes::store::{Mood, Store};
@@ -15,7 +15,7 @@
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use tokio::task::spawn_local;
-use tokio::time::{sleep, timeout};
+use tokio::time::sleep;
 
 use crate::boxes::Box;
 use crate::callers::{self, Asked};
@@ -33,6 +33,8 @@
 const LEAVE: Duration = Duration::from_millis(9000);
 /// Longest wait for everything to be well again after the last fault.
 const RECOVERY: Duration = Duration::from_secs(40);
+/// Longest wait for the answer of a box that serves.
+const SERVES: Duration = Duration::from_secs(4);
 /// Pause between two looks.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -255,13 +257,9 @@
             let Some(address) = one.address() else {
                 return false;
             };
-            let asked = async {
-                let stream = tokio::net::TcpStream::connect(address).await.ok()?;
-                let mut caller = Caller(jb_relay::http::Connection::new(stream));
-                let id = format!("last-{number}-{}", self.began.elapsed().as_millis());
-                caller.ask("POST", "/safe/a", &id, "", "hello").await.ok()
-            };
-            let got = timeout(Duration::from_secs(4), asked).await.ok().flatten();
+            let id = format!("last-{number}-{}", self.began.elapsed().as_millis());
+            let bytes = request("POST", "/safe/a", &id, "", "hello");
+            let got = callers::ask_once(address, &bytes, SERVES).await;
             if got.is_none_or(|got| got.status() != 200) {
                 return false;
             }
