--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -5,12 +5,14 @@
 
 use bytes::{Bytes, BytesMut};
 use jb_policy::poison::Content;
+use jb_protocol::{emit, event};
 
 use crate::core::{Core, Shared};
 use crate::http::{self, Answer, Body, Framing, Query, Step, write_query};
 use crate::link::{self, Link};
 use crate::peers;
 use crate::port::Entry;
+use crate::said::Said;
 use crate::salt;
 use crate::ticket::Ticket;
 use crate::upstream::Life;
@@ -29,7 +31,12 @@
     /// Nothing was sent.
     Unsent(String),
     /// The upstream says that it has not run the request.
-    NotRun(u16),
+    NotRun {
+        /// Status of its answer.
+        status: u16,
+        /// What it says of itself.
+        said: Said,
+    },
     /// The request may have run; nothing of an answer can be used.
     Failed(String),
     /// An answer of the upstream to this request.
@@ -222,6 +229,8 @@
     mut link: Link,
     clean: bool,
 ) -> Outcome {
+    let said = Said::read(&core.names, &answer);
+    note_said(core, life, said, answer.status);
     let not_run = answer.headers.get(core.names.not_run).is_some() || answer.status == 421;
     if !not_run {
         let body = Body::new(answer.framing);
@@ -251,7 +260,22 @@
     if clean && complete && answer.keep_alive {
         link::give(core, link, rest(&answer));
     }
-    Outcome::NotRun(answer.status)
+    Outcome::NotRun {
+        status: answer.status,
+        said,
+    }
+}
+
+/// Notes what an upstream says of itself.
+fn note_said(core: &Core, life: &Life, said: Said, status: u16) {
+    let mut upstreams = core.upstreams.borrow_mut();
+    let Some(upstream) = upstreams.life_mut(life) else {
+        return;
+    };
+    if said.leaving && !upstream.says_leaving {
+        upstream.says_leaving = true;
+        emit!(core.logger, info, event::UPSTREAM_SAID, "upstream" => %life, "status" => status);
+    }
 }
 
 /// Rest after which the upstream closes an idle connection, if it says so.
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod recall;
 pub mod restart;
 pub mod rules;
+pub mod said;
 pub mod salt;
 pub mod settings;
 pub mod start;
--- a/crates/jb-relay/src/names.rs
+++ b/crates/jb-relay/src/names.rs
@@ -27,6 +27,10 @@
     pub weights: &'static str,
     /// An upstream's word that it did not run the request.
     pub not_run: &'static str,
+    /// An upstream's word that it is about to end.
+    pub leaving: &'static str,
+    /// Seconds for which an upstream that turns a request away wants nothing more.
+    pub rest: &'static str,
     /// Text under which an engine keeps a prompt's parts.
     pub salt: &'static str,
     /// Urgency of a request at an engine, 0 first.
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -53,6 +53,8 @@
     pub lapsed: Option<Moment>,
     /// Whether it said itself that it leaves or has another id now.
     pub refused: bool,
+    /// Whether it has said in an answer that it leaves.
+    pub says_leaving: bool,
     /// What it is believed to keep.
     pub kept: Kept,
     /// Its account, where this box keeps it.
@@ -89,6 +91,7 @@
             ended_until: Moment::ZERO,
             lapsed: None,
             refused: false,
+            says_leaving: false,
             kept: Kept::default(),
             account: Account::default(),
             idle: Vec::new(),
