What an engine says in an answer of its leaving counts like its entry in the store

Callers saw nothing; engines that were about to end got requests up to 11.9 s after they had said so, and would have cut them off had they ended in that time. Cause: a box heard of a leaving by the entry in the store and by nothing else, and the store was away. Now each answer is read before anything is made of it, also a refusal, a failure, the head of a stream and an answer to another request, but not that of another incarnation at the address. The word is kept beside those of the store, by the life that said it: no order of entries, missing ones and answers lifts it, and a later life starts without it (the property test of two lives has answers now).

--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -27,6 +27,7 @@
 pub mod quota;
 pub mod retry;
 pub mod route;
+pub mod said;
 pub mod share;
 pub mod steward;
 pub mod stream;
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -5,14 +5,13 @@
 
 use bytes::{Bytes, BytesMut};
 use jb_policy::poison::Content;
-use jb_protocol::{emit, event};
 
 use crate::core::{Core, Shared};
 use crate::http::{self, Answer, Body, Framing, Query, Step, write_query};
 use crate::link::{self, Link};
 use crate::peers;
 use crate::port::Entry;
-use crate::said::Said;
+use crate::said;
 use crate::salt;
 use crate::ticket::Ticket;
 use crate::upstream::Life;
@@ -34,8 +33,8 @@
     NotRun {
         /// Status of its answer.
         status: u16,
-        /// What it says of itself.
-        said: Said,
+        /// Time for which it wants nothing more.
+        rest: Option<Duration>,
     },
     /// The request may have run; nothing of an answer can be used.
     Failed(String),
@@ -101,7 +100,7 @@
         Ok(()) => {}
         Err(why) => return Outcome::Failed(why.to_string()),
     }
-    match own_answer(core, &mut link, message.ticket, &mut clean).await {
+    match own_answer(core, life, &mut link, message.ticket, &mut clean).await {
         Ok(answer) => judge(core, life, message.ticket.model.as_deref(), answer, link, clean).await,
         Err(why) => Outcome::Failed(why.to_string()),
     }
@@ -197,6 +196,7 @@
 /// Reads answers until the one to this request comes.
 async fn own_answer(
     core: &Core,
+    life: &Life,
     link: &mut Link,
     ticket: &Ticket,
     clean: &mut bool,
@@ -206,6 +206,7 @@
         if answer.status < 200 {
             continue;
         }
+        hear(core, life, &answer);
         if answer.headers.text(core.names.request) == Some(ticket.id.as_str()) {
             return Ok(answer);
         }
@@ -221,6 +222,20 @@
     Err(http::Error::Malformed("too many answers to other requests"))
 }
 
+/// Takes what an answer says of the upstream, whatever became of the request: the caller gets the
+/// answer next, and no request that comes later may miss it.
+fn hear(core: &Core, life: &Life, answer: &Answer) {
+    if !is_of_another(core, life, answer) {
+        said::note(core, life, said::read(&core.names, answer));
+    }
+}
+
+/// Whether another incarnation answers at the address; the same one may only have other weights.
+fn is_of_another(core: &Core, life: &Life, answer: &Answer) -> bool {
+    let answering = answer.headers.text(core.names.answering);
+    answer.status == 421 && answering.is_some_and(|other| other != life.id)
+}
+
 async fn judge(
     core: &Shared,
     life: &Life,
@@ -229,8 +244,6 @@
     mut link: Link,
     clean: bool,
 ) -> Outcome {
-    let said = Said::read(&core.names, &answer);
-    note_said(core, life, said, answer.status);
     let not_run = answer.headers.get(core.names.not_run).is_some() || answer.status == 421;
     if !not_run {
         let body = Body::new(answer.framing);
@@ -246,10 +259,7 @@
         if let Some((model, version)) = model.zip(answer.headers.number(core.names.made_by)) {
             upstream.heard_weights(model, version);
         }
-        // Another incarnation has the address; the same one only has other weights.
-        let answering = answer.headers.text(core.names.answering);
-        let replaced = answer.status == 421 && answering.is_some_and(|other| other != life.id);
-        if replaced && !upstream.refused {
+        if is_of_another(core, life, &answer) && !upstream.refused {
             upstream.refused = true;
             peers::note_replaced(core, upstream);
         }
@@ -262,19 +272,7 @@
     }
     Outcome::NotRun {
         status: answer.status,
-        said,
-    }
-}
-
-/// Notes what an upstream says of itself.
-fn note_said(core: &Core, life: &Life, said: Said, status: u16) {
-    let mut upstreams = core.upstreams.borrow_mut();
-    let Some(upstream) = upstreams.life_mut(life) else {
-        return;
-    };
-    if said.leaving && !upstream.says_leaving {
-        upstream.says_leaving = true;
-        emit!(core.logger, info, event::UPSTREAM_SAID, "upstream" => %life, "status" => status);
+        rest: said::rest(&core.names, &answer),
     }
 }
 
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -237,11 +237,11 @@
                 self.blame(life, "unsent", &why);
                 Err("unreachable")
             }
-            Outcome::NotRun { status, said } => {
+            Outcome::NotRun { status, rest } => {
                 self.sends += 1;
                 emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
                     "upstream" => %life, "outcome" => "not_run", "status" => status,
-                    "rest_ms" => said.rest.map(|rest| rest.as_millis() as u64));
+                    "rest_ms" => rest.map(|rest| rest.as_millis() as u64));
                 Err("turned_away")
             }
             Outcome::Failed(why) => {
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -41,7 +41,7 @@
     pub hall: id::Hall,
     /// Requests that it works on at once.
     pub slots: u32,
-    /// Whether it is about to end.
+    /// Whether it is about to end; its own answers may say so before the store does.
     pub leaving: bool,
     /// Time for which it is slow after its start.
     pub cold: Duration,
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -5,6 +5,7 @@
 use jb_policy::Moment;
 use jb_policy::health::Change;
 use jb_policy::place;
+use jb_policy::said::Statement;
 use jb_protocol::id;
 
 use super::words::{Standing, Words};
@@ -85,6 +86,22 @@
         }
     }
 
+    /// Takes what a life says of itself in an answer; whether it says for the first time that it
+    /// leaves. Its entry may still name it as ready, or be missing and come back.
+    pub fn hear_answer(&mut self, life: &Life, statement: Statement) -> bool {
+        let words = self.words.entry(life.id.clone()).or_default();
+        if statement.leaving {
+            words.take_leaving(life.born);
+        }
+        let Some(known) = self.all.get_mut(&life.id) else {
+            return false;
+        };
+        let leaves = words.leaves(known.life.born);
+        let new = leaves && !known.entry.leaving;
+        known.entry.leaving |= leaves;
+        new
+    }
+
     fn put(&mut self, id: &str, entry: Entry) -> Seen {
         self.note_birth(&entry);
         if self.tells_births && entry.born.is_none() {
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -53,8 +53,6 @@
     pub lapsed: Option<Moment>,
     /// Whether it said itself that it leaves or has another id now.
     pub refused: bool,
-    /// Whether it has said in an answer that it leaves.
-    pub says_leaving: bool,
     /// What it is believed to keep.
     pub kept: Kept,
     /// Its account, where this box keeps it.
@@ -91,7 +89,6 @@
             ended_until: Moment::ZERO,
             lapsed: None,
             refused: false,
-            says_leaving: false,
             kept: Kept::default(),
             account: Account::default(),
             idle: Vec::new(),
@@ -108,7 +105,7 @@
         self.unreadable = false;
     }
 
-    /// Whether the store names it as one to use.
+    /// Whether it is one to use, by the store and by what it says itself.
     pub fn is_there(&self) -> bool {
         !self.entry.leaving && !self.unreadable
     }
--- a/crates/jb-relay/src/upstream/words.rs
+++ b/crates/jb-relay/src/upstream/words.rs
@@ -1,4 +1,4 @@
-//! What the store has said of one id, in whatever order it was heard.
+//! What the store has said of one id, and its lives in their answers, in whatever order it was heard.
 //!
 //! Pages of one reading are of different ages, other boxes tell changes again, and an upstream that
 //! has ended may still have a write under way. So what holds follows from all that was heard and not
@@ -25,8 +25,8 @@
 pub struct Words {
     /// Latest entry of the life that was born last.
     entry: Option<(Revision, Entry)>,
-    /// Whether that life has ever said that it leaves.
-    leaving: bool,
+    /// Start of the latest life that has said that it leaves.
+    left: Option<Option<Born>>,
     /// Latest word that is no entry.
     other: Option<(Revision, Other)>,
 }
@@ -54,14 +54,25 @@
         }
         if known.is_none_or(|born| born < entry.born) {
             self.entry = None;
-            self.leaving = false;
         }
-        self.leaving |= entry.leaving;
+        if entry.leaving {
+            self.take_leaving(entry.born);
+        }
         if self.entry.as_ref().is_none_or(|(known, _)| *known < revision) {
             self.entry = Some((revision, entry));
         }
     }
 
+    /// Takes it that a life leaves, as the store or an answer of its own says.
+    pub fn take_leaving(&mut self, born: Option<Born>) {
+        self.left = self.left.max(Some(born));
+    }
+
+    /// Whether a life leaves: it has said so, or a later one has, which shows that it is over.
+    pub fn leaves(&self, born: Option<Born>) -> bool {
+        self.left.is_some_and(|left| left >= born)
+    }
+
     fn take_other(&mut self, other: Other, revision: Revision) {
         if self.other.is_none_or(|(known, _)| known < revision) {
             self.other = Some((revision, other));
@@ -73,7 +84,7 @@
         let other = self.other.map_or(0, |(revision, _)| revision);
         match (&self.entry, self.other) {
             (Some((revision, entry)), _) if *revision >= other => Standing::There(Entry {
-                leaving: self.leaving,
+                leaving: self.leaves(entry.born),
                 ..entry.clone()
             }),
             (_, Some((_, Other::Unreadable))) => Standing::Unreadable,
--- a/crates/jb-relay/tests/lives.rs
+++ b/crates/jb-relay/tests/lives.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jb_policy::place;
+use jb_policy::said::Statement;
 use jb_relay::port::{Born, Entry, Revision, Word};
 use jb_relay::upstream::{Life, Registry, Seen};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -117,23 +118,62 @@
     assert!(is_open(&registry));
 }
 
-/// One word of two lives, by the store or by a box.
+/// The store was away while an engine said in its answers that it leaves; the entry from before, read
+/// again, a missing one, and one that was back made it an engine like any other.
+#[test]
+fn life_that_says_in_an_answer_that_it_leaves_stays_out_whatever_the_store_says_of_it() {
+    for born in [None, Some(FIRST)] {
+        let mut registry = Registry::default();
+        registry.hear("engine", entry(born, false), 1);
+        let life = registry.get("engine").expect("known").life.clone();
+        assert!(!registry.hear_answer(&life, Statement::default()));
+        assert!(is_open(&registry));
+        let leaves = Statement { leaving: true };
+        assert!(registry.hear_answer(&life, leaves));
+        assert!(!registry.hear_answer(&life, leaves), "told once");
+        assert!(!is_open(&registry));
+        registry.hear("engine", entry(born, false), 2);
+        assert!(!is_open(&registry));
+        registry.hear("engine", Word::Gone, 3);
+        registry.remove("engine");
+        registry.hear("engine", entry(born, false), 4);
+        assert!(!is_open(&registry));
+    }
+}
+
+#[test]
+fn next_life_of_an_engine_that_has_left_by_its_own_word_serves() {
+    let mut registry = Registry::default();
+    registry.hear("engine", entry(Some(FIRST), false), 1);
+    let life = registry.get("engine").expect("known").life.clone();
+    registry.hear_answer(&life, Statement { leaving: true });
+    registry.hear("engine", entry(Some(SECOND), false), 2);
+    assert!(is_open(&registry));
+    // An answer that comes late.
+    assert!(!registry.hear_answer(&life, Statement { leaving: true }));
+    assert!(is_open(&registry));
+}
+
+/// One word of two lives, by the store, by a box, or by an answer.
 #[derive(Clone, Debug)]
 enum Said {
     Store(Word, Revision),
     /// A box tells that another upstream answers at the address of a life.
     Replaced(Born),
+    /// A life says in an answer that it leaves.
+    Answer(Born),
 }
 
 impl Arbitrary for Said {
     fn arbitrary(g: &mut Gen) -> Self {
         let born = *g.choose(&[FIRST, SECOND]).expect("a life");
         // Revisions are distinct, as the store's are; `shuffled` gives them.
-        match u8::arbitrary(g) % 8 {
+        match u8::arbitrary(g) % 9 {
             0..=2 => Self::Store(entry(Some(born), false), 0),
             3 | 4 => Self::Store(entry(Some(born), true), 0),
             5 => Self::Store(unreadable(), 0),
             6 => Self::Store(Word::Gone, 0),
+            7 => Self::Answer(born),
             _ => Self::Replaced(born),
         }
     }
@@ -146,16 +186,20 @@
                 registry.remove("engine");
             }
         }
-        Said::Replaced(born) => {
-            let life = Life {
-                id: "engine".to_owned(),
-                born: Some(*born),
-            };
-            registry.note_replaced(&[place::short(life.name())]);
+        Said::Replaced(born) => registry.note_replaced(&[place::short(life(*born).name())]),
+        Said::Answer(born) => {
+            registry.hear_answer(&life(*born), Statement { leaving: true });
         }
     }
 }
 
+fn life(born: Born) -> Life {
+    Life {
+        id: "engine".to_owned(),
+        born: Some(born),
+    }
+}
+
 /// Which life there is, and whether it may get requests.
 fn outcome(all: &[Said]) -> Option<(Option<Born>, bool)> {
     let mut registry = Registry::default();
