An engine that asks for rest gets it: nothing is sent to it until the time that it named is over

Callers saw 52 of 379 requests refused in five seconds, with six idle engines of nine: boxes sent to three engines that turned everything away again each 150 ms, and these sends used up the retry budget. Cause: a refusal made the same short pause whatever its engine asked for. Where all engines rest, a request is refused at once with the time after which the first one is back, or waits for it where that is soon enough.

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -67,6 +67,7 @@
     UPSTREAM_LAPSED = 5009, "upstream_lapsed", "An upstream's entry is missing after an outage, and may come back.";
     UPSTREAM_RESTARTED = 5010, "upstream_restarted", "An upstream has started again under its id; what was known of it is dropped.";
     UPSTREAM_UNREADABLE = 5011, "upstream_unreadable", "An upstream's entry cannot be read; it gets nothing until it can.";
+    UPSTREAM_RESTS = 5012, "upstream_rests", "An upstream wants nothing more from this box for a time.";
     CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
     STEWARD_TAKEN = 7001, "steward_taken", "The box has become its hall's steward.";
     STEWARD_LOST = 7002, "steward_lost", "The box is no longer its hall's steward.";
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -30,12 +30,7 @@
     /// Nothing was sent.
     Unsent(String),
     /// The upstream says that it has not run the request.
-    NotRun {
-        /// Status of its answer.
-        status: u16,
-        /// Time for which it wants nothing more.
-        rest: Option<Duration>,
-    },
+    NotRun(u16),
     /// The request may have run; nothing of an answer can be used.
     Failed(String),
     /// An answer of the upstream to this request.
@@ -244,8 +239,7 @@
     mut link: Link,
     clean: bool,
 ) -> Outcome {
-    let not_run = answer.headers.get(core.names.not_run).is_some() || answer.status == 421;
-    if !not_run {
+    if !said::has_not_run(&core.names, &answer) {
         let body = Body::new(answer.framing);
         return Outcome::Answered(Box::new(Reply {
             answer,
@@ -255,7 +249,6 @@
         }));
     }
     if let Some(upstream) = core.upstreams.borrow_mut().life_mut(life) {
-        upstream.pause(core.now());
         if let Some((model, version)) = model.zip(answer.headers.number(core.names.made_by)) {
             upstream.heard_weights(model, version);
         }
@@ -270,10 +263,7 @@
     if clean && complete && answer.keep_alive {
         link::give(core, link, rest(&answer));
     }
-    Outcome::NotRun {
-        status: answer.status,
-        rest: said::rest(&core.names, &answer),
-    }
+    Outcome::NotRun(answer.status)
 }
 
 /// Rest after which the upstream closes an idle connection, if it says so.
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 
 use bytes::Bytes;
+use jb_policy::Moment;
 use jb_policy::bring::{self, Holdings, Origin};
 use jb_policy::choose::{self, Demand, Tuning};
 use jb_policy::gate::{self, Estimate, Verdict};
@@ -156,6 +157,12 @@
     choose(core, ticket, body, tried, Among::All).is_some() && core.spend(&ticket.service)
 }
 
+/// When the first upstream is back, where all that a new try of the request could go to rest.
+pub(super) fn first_back(core: &Core, ticket: &Ticket, body: &Bytes) -> Option<Moment> {
+    let wanted = wanted(core, ticket, body, &[], Among::All);
+    core.upstreams.borrow().first_back(&wanted, core.now())
+}
+
 pub(super) fn wanted<'a>(
     core: &'a Core,
     ticket: &'a Ticket,
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -189,13 +189,28 @@
                         return None;
                     }
                 },
-                None if self.core.now() >= until => return None,
-                None => LOOK_AGAIN,
+                None => {
+                    self.refused = self.refuse_resting(until);
+                    if self.refused.is_some() || self.core.now() >= until {
+                        return None;
+                    }
+                    LOOK_AGAIN
+                }
             };
             self.wait(pause, client).await?;
         }
     }
 
+    /// The refusal of a request whose upstreams all rest until after a moment, those that have turned
+    /// it away with them.
+    fn refuse_resting(&self, until: Moment) -> Option<Refused> {
+        let back = place::first_back(self.core, self.message.ticket, self.message.body)?;
+        (back > until).then(|| Refused {
+            why: "all_rest",
+            after: back.saturating_sub(self.core.now()),
+        })
+    }
+
     /// Waits; `None` when the caller goes meanwhile.
     async fn wait(&self, pause: Duration, client: &mut Connection) -> Option<()> {
         tokio::select! {
@@ -237,11 +252,10 @@
                 self.blame(life, "unsent", &why);
                 Err("unreachable")
             }
-            Outcome::NotRun { status, rest } => {
+            Outcome::NotRun(status) => {
                 self.sends += 1;
                 emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
-                    "upstream" => %life, "outcome" => "not_run", "status" => status,
-                    "rest_ms" => rest.map(|rest| rest.as_millis() as u64));
+                    "upstream" => %life, "outcome" => "not_run", "status" => status);
                 Err("turned_away")
             }
             Outcome::Failed(why) => {
--- a/crates/jb-relay/src/http/head.rs
+++ b/crates/jb-relay/src/http/head.rs
@@ -49,6 +49,17 @@
         std::str::from_utf8(self.get(name)?).ok().map(str::trim)
     }
 
+    /// Values of all lines with the name, as texts; those that are none are left out.
+    pub fn all(&self, name: &str) -> impl Iterator<Item = &str> {
+        let lines = self
+            .0
+            .iter()
+            .filter(move |h| h.name.eq_ignore_ascii_case(name.as_bytes()));
+        lines
+            .filter_map(|h| std::str::from_utf8(&h.value).ok())
+            .map(str::trim)
+    }
+
     /// Value of the first line with the name, as a number.
     pub fn number(&self, name: &str) -> Option<u64> {
         self.text(name)?.parse().ok()
@@ -56,12 +67,7 @@
 
     /// Whether a comma-separated header holds the token.
     pub fn has_token(&self, name: &str, token: &str) -> bool {
-        let lines = self
-            .0
-            .iter()
-            .filter(|h| h.name.eq_ignore_ascii_case(name.as_bytes()));
-        lines
-            .filter_map(|h| std::str::from_utf8(&h.value).ok())
+        self.all(name)
             .flat_map(|value| value.split(','))
             .any(|part| part.trim().eq_ignore_ascii_case(token))
     }
--- a/crates/jb-relay/src/upstream/pick.rs
+++ b/crates/jb-relay/src/upstream/pick.rs
@@ -104,13 +104,25 @@
         well.take(count).map(|upstream| upstream.life.clone()).collect()
     }
 
+    /// When the first upstream is back, where all that could get the request rest.
+    pub fn first_back(&self, wanted: &Wanted<'_>, now: Moment) -> Option<Moment> {
+        let ends = self.willing(wanted, now).map(|upstream| upstream.rest.until());
+        ends.min().filter(|first| *first > now)
+    }
+
     fn open<'a>(&'a self, wanted: &'a Wanted<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
+        let willing = self.willing(wanted, now);
+        willing.filter(move |upstream| !upstream.rest.lasts(now))
+    }
+
+    /// Upstreams that may get a request, those that rest with them.
+    fn willing<'a>(&'a self, wanted: &'a Wanted<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
         let all = self.of_service(wanted.service);
         let untried = all.filter(|upstream| !wanted.except.contains(&upstream.life));
         let all = wanted.last_resort || self.mostly_lapsed(wanted.service);
         let sure = untried.filter(move |upstream| all || upstream.lapsed.is_none());
-        let open = sure.filter(move |upstream| upstream.is_open(now));
-        open.filter(move |upstream| self.is_in_time(upstream, wanted, now))
+        let willing = sure.filter(move |upstream| upstream.is_open_but_for_rest(now));
+        willing.filter(move |upstream| self.is_in_time(upstream, wanted, now))
     }
 
     /// Candidates of a service that may get a request, with their lives.
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -7,14 +7,12 @@
 use jb_policy::choose::Candidate;
 use jb_policy::health::Health;
 use jb_policy::kept::Kept;
+use jb_policy::said::Rest;
 
 use super::{Life, Wanted};
 use crate::link::Idle;
 use crate::port::Entry;
 
-/// Time for which an upstream that refused a request for lack of room gets no other.
-const REFUSED_PAUSE: Duration = Duration::from_millis(150);
-
 /// Time for which an upstream that refuses connections after one was lost gets nothing: as long as
 /// the first two pauses after failures, for the requests that fell with it and would each try it.
 const ENDED_PAUSE: Duration = Duration::from_secs(1);
@@ -43,8 +41,8 @@
     pub waiting: u64,
     /// The same of all other boxes, as they last told.
     pub others: Load,
-    /// Until when it gets nothing because it refused.
-    pub paused_until: Moment,
+    /// Rest that it wants from this box.
+    pub rest: Rest,
     /// Until when it gets nothing because it loads weights.
     pub loading_until: Moment,
     /// Until when it is believed to have ended, as it refuses connections.
@@ -84,7 +82,7 @@
             fixed: 0,
             waiting: 0,
             others: Load::default(),
-            paused_until: Moment::ZERO,
+            rest: Rest::default(),
             loading_until: Moment::ZERO,
             ended_until: Moment::ZERO,
             lapsed: None,
@@ -112,9 +110,14 @@
 
     /// Whether it may get a new request.
     pub fn is_open(&self, now: Moment) -> bool {
-        let rests = now < self.paused_until || now < self.loading_until || now < self.ended_until;
+        self.is_open_but_for_rest(now) && !self.rest.lasts(now)
+    }
+
+    /// Whether it may get a new request as soon as it does not rest any more.
+    pub fn is_open_but_for_rest(&self, now: Moment) -> bool {
+        let busy = now < self.loading_until || now < self.ended_until;
         let comes_back = self.lapsed.is_none_or(|until| now < until);
-        comes_back && self.is_there() && !self.refused && !rests && self.health.is_open(now)
+        comes_back && self.is_there() && !self.refused && !busy && self.health.is_open(now)
     }
 
     /// Whether another engine can take parts from it.
@@ -149,11 +152,6 @@
         self.ended_until = now + ENDED_PAUSE;
     }
 
-    /// Gives it nothing for a while after a refusal.
-    pub fn pause(&mut self, now: Moment) {
-        self.paused_until = self.paused_until.max(now + REFUSED_PAUSE);
-    }
-
     pub(crate) fn candidate(&self, wanted: &Wanted<'_>, behind: bool) -> Candidate {
         let hall = wanted.hall;
         let demand = &wanted.demand;
--- a/crates/jb-relay/tests/lives.rs
+++ b/crates/jb-relay/tests/lives.rs
@@ -27,6 +27,21 @@
     })
 }
 
+fn leaves() -> Statement {
+    Statement {
+        leaving: true,
+        ..Statement::default()
+    }
+}
+
+fn asks_for(rest: Duration) -> Statement {
+    Statement {
+        turned_away: true,
+        rest: Some(rest),
+        ..Statement::default()
+    }
+}
+
 fn unreadable() -> Word {
     Word::Unreadable("no JSON".to_owned())
 }
@@ -46,7 +61,7 @@
     let known = registry.life_mut(&life).expect("its life");
     known.running = 3;
     known.refused = true;
-    known.paused_until = NOW * 2;
+    known.rest.hear(asks_for(NOW * 2), NOW);
     assert!(
         matches!(registry.hear("engine", entry(Some(SECOND), false), 2), Seen::Restarted(ended)
         if ended.born == Some(FIRST) && ended.running == 3)
@@ -128,9 +143,8 @@
         let life = registry.get("engine").expect("known").life.clone();
         assert!(!registry.hear_answer(&life, Statement::default()));
         assert!(is_open(&registry));
-        let leaves = Statement { leaving: true };
-        assert!(registry.hear_answer(&life, leaves));
-        assert!(!registry.hear_answer(&life, leaves), "told once");
+        assert!(registry.hear_answer(&life, leaves()));
+        assert!(!registry.hear_answer(&life, leaves()), "told once");
         assert!(!is_open(&registry));
         registry.hear("engine", entry(born, false), 2);
         assert!(!is_open(&registry));
@@ -146,11 +160,11 @@
     let mut registry = Registry::default();
     registry.hear("engine", entry(Some(FIRST), false), 1);
     let life = registry.get("engine").expect("known").life.clone();
-    registry.hear_answer(&life, Statement { leaving: true });
+    registry.hear_answer(&life, leaves());
     registry.hear("engine", entry(Some(SECOND), false), 2);
     assert!(is_open(&registry));
     // An answer that comes late.
-    assert!(!registry.hear_answer(&life, Statement { leaving: true }));
+    assert!(!registry.hear_answer(&life, leaves()));
     assert!(is_open(&registry));
 }
 
@@ -188,7 +202,7 @@
         }
         Said::Replaced(born) => registry.note_replaced(&[place::short(life(*born).name())]),
         Said::Answer(born) => {
-            registry.hear_answer(&life(*born), Statement { leaving: true });
+            registry.hear_answer(&life(*born), leaves());
         }
     }
 }
