--- a/crates/jb-fakes/src/control.rs
+++ b/crates/jb-fakes/src/control.rs
@@ -48,6 +48,10 @@
     pub leaving: Option<bool>,
     /// Hides `leaving` from its report, and takes work all the same.
     pub mute: Option<bool>,
+    /// Says in all its answers that it leaves.
+    pub tells: Option<bool>,
+    /// Turns each call away and asks for rest in these words; none when they are empty.
+    pub rest: Option<String>,
     /// Loses its cache and every open call, and comes back as a new incarnation.
     pub crash: Option<bool>,
     /// Cuts the next streams after this many tokens.
@@ -103,6 +107,10 @@
     pub cross: Option<u32>,
     /// Refuses calls, saying that they were not run.
     pub refuse: Option<bool>,
+    /// Says in all its answers that it leaves.
+    pub tells: Option<bool>,
+    /// Turns each call away and asks for rest in these words; none when they are empty.
+    pub rest: Option<String>,
     /// Milliseconds that a call takes.
     pub slow_ms: Option<u64>,
 }
@@ -112,6 +120,8 @@
 pub struct PlainCounts {
     /// Calls run, by their body.
     pub runs: BTreeMap<String, u32>,
+    /// Calls that were refused.
+    pub refused: u64,
 }
 
 impl PlainCounts {
--- a/crates/jb-fakes/src/engine/server.rs
+++ b/crates/jb-fakes/src/engine/server.rs
@@ -7,7 +7,8 @@
 use async_stream::stream;
 use bytes::Bytes;
 use jb_protocol::engine::{Call, Frame, Order, PATH_ORDER, PATH_REPORT, PATH_RUN, Refusal, Report};
-use poem::http::StatusCode;
+use jb_protocol::header;
+use poem::http::{HeaderValue, StatusCode};
 use poem::web::{Data, Json};
 use poem::{Body, EndpointExt as _, Response, Route, get, handler, post};
 
@@ -81,16 +82,32 @@
 async fn run_call(Json(call): Json<Call>, Data(engine): Data<&Arc<Engine>>) -> Response {
     if let Some(reason) = refusal(engine, &call) {
         engine.lock().counts.refused += 1;
-        return refuse(reason);
+        return says(engine, refuse(reason));
+    }
+    let rest = engine.lock().fault.rest.clone().filter(|rest| !rest.is_empty());
+    if let Some(rest) = rest {
+        engine.lock().counts.refused += 1;
+        return says(engine, turn_away(&rest));
     }
     if is_deadly(engine, &call) {
         std::process::exit(DIED);
     }
     let fault = take_fault(engine);
     let frames = frames(Arc::clone(engine), call, fault);
-    Response::builder()
+    let answer = Response::builder()
         .content_type("text/event-stream")
-        .body(Body::from_bytes_stream(frames))
+        .body(Body::from_bytes_stream(frames));
+    says(engine, answer)
+}
+
+/// Adds what the engine says of itself in all its answers.
+fn says(engine: &Engine, mut answer: Response) -> Response {
+    if engine.lock().fault.tells == Some(true) {
+        answer
+            .headers_mut()
+            .insert(header::LEAVING, HeaderValue::from_static("true"));
+    }
+    answer
 }
 
 fn is_deadly(engine: &Engine, call: &Call) -> bool {
@@ -111,14 +128,26 @@
 }
 
 fn refuse(reason: &str) -> Response {
+    Response::builder()
+        .status(StatusCode::CONFLICT)
+        .content_type("application/json")
+        .body(not_run(reason))
+}
+
+fn turn_away(rest: &str) -> Response {
+    Response::builder()
+        .status(StatusCode::SERVICE_UNAVAILABLE)
+        .header(header::RETRY_AFTER, rest)
+        .content_type("application/json")
+        .body(not_run("the engine wants rest"))
+}
+
+fn not_run(reason: &str) -> Vec<u8> {
     let refusal = Refusal {
         not_run: true,
         reason: reason.to_owned(),
     };
-    Response::builder()
-        .status(StatusCode::CONFLICT)
-        .content_type("application/json")
-        .body(serde_json::to_vec(&refusal).unwrap_or_default())
+    serde_json::to_vec(&refusal).unwrap_or_default()
 }
 
 /// Takes the fault for the next stream, if one is left.
@@ -264,6 +293,8 @@
     inner.fault = EngineFault {
         leaving: fault.leaving.or(before.leaving),
         mute: fault.mute.or(before.mute),
+        tells: fault.tells.or(before.tells),
+        rest: fault.rest.or(before.rest),
         deadly: fault.deadly.or(before.deadly),
         ..fault
     };
--- a/crates/jb-fakes/src/plain.rs
+++ b/crates/jb-fakes/src/plain.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use jb_protocol::header;
-use poem::http::StatusCode;
+use poem::http::{HeaderValue, StatusCode};
 use poem::web::{Data, Json};
 use poem::{Body, EndpointExt as _, Request, Response, Route, get, handler};
 
@@ -18,6 +18,8 @@
     lose_answers: u32,
     cross: u32,
     refuse: bool,
+    tells: bool,
+    rest: Option<String>,
     slow: Duration,
 }
 
@@ -30,16 +32,39 @@
     fn lock(&self) -> MutexGuard<'_, State> {
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
+
+    /// The answer to a call that it does not run, if it refuses calls.
+    fn refusal(&self) -> Option<Response> {
+        let mut state = self.lock();
+        if !state.refuse && state.rest.is_none() {
+            return None;
+        }
+        state.counts.refused += 1;
+        let mut answer = Response::builder()
+            .status(StatusCode::SERVICE_UNAVAILABLE)
+            .header(header::NOT_RUN, "true");
+        if let Some(rest) = &state.rest {
+            answer = answer.header(header::RETRY_AFTER, rest);
+        }
+        Some(answer.finish())
+    }
 }
 
 #[handler]
-async fn call(request: &Request, body: Body, Data(plain): Data<&Arc<Plain>>) -> poem::Result<Response> {
-    if plain.lock().refuse {
-        return Ok(Response::builder()
-            .status(StatusCode::SERVICE_UNAVAILABLE)
-            .header(header::NOT_RUN, "true")
-            .finish());
+async fn call(request: &Request, body: Body, Data(plain): Data<&Arc<Plain>>) -> Response {
+    let mut answer = match plain.refusal() {
+        Some(refusal) => refusal,
+        None => serve(request, body, plain).await,
+    };
+    if plain.lock().tells {
+        answer
+            .headers_mut()
+            .insert(header::LEAVING, HeaderValue::from_static("true"));
     }
+    answer
+}
+
+async fn serve(request: &Request, body: Body, plain: &Plain) -> Response {
     let text = body.into_string().await.unwrap_or_default();
     let slow = {
         let mut state = plain.lock();
@@ -53,16 +78,16 @@
         if state.lose_answers > 0 {
             state.lose_answers -= 1;
             drop(state);
-            return Ok(cut());
+            return cut();
         }
         if state.cross > 0 {
             state.cross -= 1;
             attempt = "another".to_owned();
         }
     }
-    Ok(Response::builder()
+    Response::builder()
         .header(header::ATTEMPT, attempt)
-        .body(format!("done: {text}")))
+        .body(format!("done: {text}"))
 }
 
 /// An answer that breaks off before its body, so that the caller learns nothing.
@@ -81,6 +106,10 @@
     state.lose_answers = fault.lose_answers.unwrap_or(state.lose_answers);
     state.cross = fault.cross.unwrap_or(state.cross);
     state.refuse = fault.refuse.unwrap_or(state.refuse);
+    state.tells = fault.tells.unwrap_or(state.tells);
+    if let Some(rest) = fault.rest {
+        state.rest = Some(rest).filter(|rest| !rest.is_empty());
+    }
     state.slow = fault.slow_ms.map_or(state.slow, Duration::from_millis);
     StatusCode::OK
 }
--- a/crates/jb-protocol/src/header.rs
+++ b/crates/jb-protocol/src/header.rs
@@ -20,6 +20,11 @@
 pub const CUSTOMER: &str = "x-customer";
 /// Set to `true` by a plain service that refused without running the call.
 pub const NOT_RUN: &str = "x-not-run";
+/// Set to `true` in the answers of an upstream that is about to end.
+pub const LEAVING: &str = "x-leaving";
+/// Seconds for which an upstream that turns a call away wants nothing more, or after which a caller
+/// may come back.
+pub const RETRY_AFTER: &str = "retry-after";
 /// Version of a value in the platform's key-value service.
 pub const VERSION: &str = "x-version";
 /// Upstream that served the answer.
