Words in answers are heard behind the completions door as well, by the same rules

Engines and plain services that said in their answers that they leave, or asked for rest, went on getting requests: a report that hides a leaving was believed, a refusal made a pause of one second (an engine) or none (a plain service). Cause: the adapter made an answer or a failure of each head and dropped the rest of it. Now it gives both: what came of the call, and what the upstream said, which the thread that decides takes before the call's end. Reading and rest are one module of jb-policy for both doors. A life that has said it leaves stays out until the next one; a plain service, whose lives nobody knows, is asked again after ten minutes. Where all rest, the refusal names when the first one is back.

--- a/crates/jb-daemon/src/decide/message.rs
+++ b/crates/jb-daemon/src/decide/message.rs
@@ -5,6 +5,7 @@
 use jb_policy::hall::Summary;
 use jb_policy::limit::{Admitted, Over};
 use jb_policy::route::{Ask, Choice, Refused};
+use jb_policy::said::Statement;
 use jb_policy::stream::Start;
 use jb_protocol::admin::Candidate;
 use jb_protocol::engine::Report;
@@ -112,6 +113,15 @@
         /// The report.
         report: Report,
     },
+    /// What an upstream has said of itself in an answer.
+    Said {
+        /// Service.
+        service: id::Service,
+        /// Upstream.
+        upstream: id::Upstream,
+        /// What it said.
+        statement: Statement,
+    },
     /// Upstreams that the box list shows as leaving.
     Leaving(Vec<id::Upstream>),
     /// Boxes that share the hall's callers.
--- a/crates/jb-daemon/src/decide/ring.rs
+++ b/crates/jb-daemon/src/decide/ring.rs
@@ -2,6 +2,7 @@
 
 use jb_policy::limit::{Admitted, Over};
 use jb_policy::route::{Ask, Choice, Refused};
+use jb_policy::said::Statement;
 use jb_protocol::admin::Candidate;
 use tokio::sync::{mpsc, oneshot};
 
@@ -151,6 +152,19 @@
         self.sender.try_send(message).map_err(|_| Full)
     }
 
+    /// Tells what an upstream has said of itself in an answer, if anything.
+    pub async fn hear(&self, service: &str, upstream: &str, statement: Statement) {
+        if statement != Statement::default() {
+            let (service, upstream) = (service.to_owned(), upstream.to_owned());
+            self.send_surely(Message::Said {
+                service,
+                upstream,
+                statement,
+            })
+            .await;
+        }
+    }
+
     /// Sends a message that must arrive, waiting for a place.
     pub async fn send_surely(&self, message: Message) {
         // The thread ends with the process, so a failure needs no answer.
--- a/crates/jb-daemon/src/decide/worker.rs
+++ b/crates/jb-daemon/src/decide/worker.rs
@@ -9,6 +9,7 @@
 use jb_policy::health::Change;
 use jb_policy::limit::{Limits, Over};
 use jb_policy::route::{Choice, Pool, Refused};
+use jb_policy::said::Statement;
 use jb_protocol::error::Kind;
 use jb_protocol::{event, id};
 use jb_tree::view::View;
@@ -73,6 +74,11 @@
                 upstream,
                 report,
             } => self.reported(&service, &upstream, &report),
+            Message::Said {
+                service,
+                upstream,
+                statement,
+            } => self.hear(&service, &upstream, statement),
             Message::Leaving(upstreams) => self.note_leaving(upstreams),
             Message::Boxes(boxes) => self.boxes = boxes,
             Message::Summarize(reply) => {
@@ -195,6 +201,21 @@
         }
     }
 
+    fn hear(&mut self, service: &str, upstream: &str, statement: Statement) {
+        let now = self.clock.now();
+        let pool = self.pools.get_mut(service);
+        let Some(heard) = pool.and_then(|pool| pool.hear(upstream, statement, now)) else {
+            return;
+        };
+        if heard.leaves {
+            emit!(self.logger, info, event::UPSTREAM_LEAVING, "upstream" => upstream, "by" => "answer");
+        }
+        if let Some(until) = heard.rests_until {
+            emit!(self.logger, info, event::UPSTREAM_RESTS, "upstream" => upstream,
+                "ms" => until.saturating_sub(now).as_millis() as u64);
+        }
+    }
+
     fn log_incarnation(&self, upstream: &str) {
         emit!(self.logger, info, event::UPSTREAM_INCARNATION, "upstream" => upstream);
     }
--- a/crates/jb-daemon/src/run/plain.rs
+++ b/crates/jb-daemon/src/run/plain.rs
@@ -117,11 +117,12 @@
             .begin("attempt", SpanKind::Client, parent.as_deref());
         hop.note("to", &choice.upstream);
         request.traceparent = hop.traceparent();
-        match context
+        let heard = context
             .services
             .call(upstream.address, &request, service.silence)
-            .await
-        {
+            .await;
+        context.ring.hear(&service.id, &upstream.id, heard.said).await;
+        match heard.result {
             Ok(answer) => {
                 ticket.end(Outcome::Succeeded);
                 return Ok(answer);
--- a/crates/jb-daemon/src/run/session/mod.rs
+++ b/crates/jb-daemon/src/run/session/mod.rs
@@ -263,12 +263,13 @@
             resume_at: self.next,
             traceparent: self.traceparent(),
         };
-        let frames = match self
+        let heard = self
             .context
             .engines
             .run(config.address, &call, service.silence)
-            .await
-        {
+            .await;
+        self.context.ring.hear(&service.id, &upstream, heard.said).await;
+        let frames = match heard.result {
             Ok(frames) => frames,
             Err(failure) => {
                 let denied = matches!(failure, jb_upstream::Failure::Denied(_));
--- a/crates/jb-policy/src/route/pool.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -21,8 +21,9 @@
 use crate::knowledge::{Index, Knowledge};
 use crate::prefix::Chain;
 use crate::retry::Budget;
+use crate::said::Statement;
 use crate::stream::Start;
-use crate::upstream::Upstream;
+use crate::upstream::{Heard, Upstream};
 
 /// Prefixes remembered for each block that an engine can hold, divided by 8.
 const MARKS_PER_ENGINE_BLOCK: usize = 4;
@@ -124,7 +125,7 @@
         let Some(best) = best else {
             return Err(Refused {
                 kind: Kind::NoUpstream,
-                after: NO_UPSTREAM_PAUSE,
+                after: self.first_back(now).unwrap_or(NO_UPSTREAM_PAUSE),
             });
         };
         self.admit(best, ask)?;
@@ -149,6 +150,12 @@
         Ok(choice)
     }
 
+    /// Time until the first upstream is back, where all that take work rest.
+    fn first_back(&self, now: Moment) -> Option<Duration> {
+        let back = self.upstreams.iter().filter_map(|u| u.back_at(now)).min()?;
+        back.checked_sub(now).filter(|time| !time.is_zero())
+    }
+
     /// Weighs the upstreams without choosing, for operators.
     pub fn explain(&self, ask: &Ask, now: Moment) -> Vec<Candidate> {
         let mut weighed = self.weigh(ask, now);
@@ -187,6 +194,11 @@
             .is_some_and(|u| u.note_report(report, &model, &weights, now))
     }
 
+    /// Takes what an upstream says of itself in an answer.
+    pub fn hear(&mut self, id: &str, statement: Statement, now: Moment) -> Option<Heard> {
+        Some(self.upstream_mut(id)?.hear(statement, now))
+    }
+
     /// Notes that a request ended well.
     pub fn succeeded(&mut self, id: &str) -> Change {
         self.close(id).map_or(Change::None, |u| u.health.succeeded())
--- a/crates/jb-policy/src/said.rs
+++ b/crates/jb-policy/src/said.rs
@@ -7,20 +7,43 @@
 
 use crate::Moment;
 
-/// Time for which an upstream that turned a request away without asking for rest gets no other: so
-/// long its places are taken at least, with runs of 0.1 to 2 s.
-const REFUSED_PAUSE: Duration = Duration::from_millis(150);
-/// Longest rest that is believed, in answers in words or figures that make no sense; an upstream that
-/// wants none of a box's requests for longer has ended or leaves.
+/// Longest rest that is believed: an upstream that wants none of a box's requests for longer has ended
+/// or says something that makes no sense.
 pub const LONGEST_REST: Duration = Duration::from_secs(3600);
+/// Rest of an upstream that asks for one in words that cannot be read, as a date: long enough to be
+/// asked again, or heard in a way that can be read.
+const UNREADABLE_REST: Duration = Duration::from_secs(1);
+/// Statuses of HTTP under which an upstream may ask for rest: it is unavailable, or gets too many
+/// requests.
+const ASK_FOR_REST: [u16; 2] = [503, 429];
+/// Values by which an upstream would say that it does not leave; any other one says that it does.
+const STAYS: [&str; 2] = ["0", "false"];
+
+/// Whether an upstream leaves, by the values of the header that says so.
+pub fn leaves<'a>(mut values: impl Iterator<Item = &'a str>) -> bool {
+    values.any(|value| !STAYS.contains(&value.trim()))
+}
+
+/// Time for which an upstream wants nothing more, by an answer's status and the values of its header;
+/// the longest, where it says so twice.
+pub fn rest<'a>(status: u16, values: impl Iterator<Item = &'a str>) -> Option<Duration> {
+    let longest = values.map(seconds).max();
+    longest.filter(|_| ASK_FOR_REST.contains(&status))
+}
+
+/// A number of seconds; fractions are allowed.
+fn seconds(text: &str) -> Duration {
+    match text.trim().parse::<f64>() {
+        Ok(seconds) if seconds >= 0.0 => Duration::try_from_secs_f64(seconds).unwrap_or(LONGEST_REST),
+        Ok(_) | Err(_) => UNREADABLE_REST,
+    }
+}
 
 /// What one answer says of the upstream that gave it.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Statement {
     /// Whether it is about to end.
     pub leaving: bool,
-    /// Whether it has turned the request away.
-    pub turned_away: bool,
     /// Time for which it wants nothing more from this box.
     pub rest: Option<Duration>,
 }
@@ -33,16 +56,20 @@
 
 impl Rest {
     /// Takes what an answer says; gives the end of a rest that it asks for beyond the one before.
+    pub fn hear(&mut self, statement: Statement, now: Moment) -> Option<Moment> {
+        let rest = statement.rest?.min(LONGEST_REST);
+        self.take(rest, now).then_some(self.until)
+    }
+
+    /// Lets the upstream rest for a time; whether that is longer than before.
     ///
     /// Nothing shortens a rest: a request that was sent before may still succeed, and an answer that
     /// asks for less may have been overtaken.
-    pub fn hear(&mut self, statement: Statement, now: Moment) -> Option<Moment> {
-        let pause = statement.turned_away.then_some(REFUSED_PAUSE);
-        let rest = statement.rest.map(|rest| rest.min(LONGEST_REST));
-        let until = now + rest.max(pause)?;
+    pub fn take(&mut self, time: Duration, now: Moment) -> bool {
+        let until = now + time;
         let longer = until > self.until;
         self.until = self.until.max(until);
-        (longer && rest.is_some()).then_some(until)
+        longer
     }
 
     /// Whether it goes on.
--- a/crates/jb-policy/src/upstream.rs
+++ b/crates/jb-policy/src/upstream.rs
@@ -12,10 +12,24 @@
 use crate::load::Backlog;
 use crate::place;
 use crate::pressure::Pressure;
+use crate::said::{Rest, Statement};
 
 /// Time for which an upstream that denied a request is left alone.
 const DENIAL: Duration = Duration::from_secs(1);
 
+/// Time for which an upstream without lives, as a plain service, is believed to leave after it said
+/// so: its successor may have its name and address, and one request in that time asks it again.
+const LEAVES_FOR: Duration = Duration::from_secs(600);
+
+/// What an answer has changed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Heard {
+    /// Whether it says for the first time that it leaves.
+    pub leaves: bool,
+    /// End of a rest that it asks for beyond the one before.
+    pub rests_until: Option<Moment>,
+}
+
 /// Why an upstream gets no new work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Leaving {
@@ -57,7 +71,10 @@
     pub pressure: Pressure,
     incarnation: Option<id::Incarnation>,
     fits: bool,
-    denies_until: Moment,
+    /// Rest that it wants.
+    rest: Rest,
+    /// Until when it is believed to leave, as it said in an answer.
+    leaves_until: Moment,
 }
 
 impl Upstream {
@@ -76,7 +93,8 @@
             pressure: Pressure::default(),
             incarnation: None,
             fits: true,
-            denies_until: Moment::ZERO,
+            rest: Rest::default(),
+            leaves_until: Moment::ZERO,
         }
     }
 
@@ -87,7 +105,31 @@
 
     /// Whether it takes work, as far as is known; it may be failing.
     pub fn is_willing(&self, now: Moment) -> bool {
-        self.fits && now >= self.denies_until && !self.leaving.is_leaving()
+        self.would_take_work(now) && !self.rest.lasts(now)
+    }
+
+    /// Whether it takes work as soon as it does not rest any more.
+    fn would_take_work(&self, now: Moment) -> bool {
+        self.fits && !self.leaving.is_leaving() && now >= self.leaves_until
+    }
+
+    /// When it takes work, where it only rests.
+    pub fn back_at(&self, now: Moment) -> Option<Moment> {
+        self.would_take_work(now).then(|| self.rest.until())
+    }
+
+    /// Takes what it says of itself in an answer.
+    ///
+    /// Its report does not lift that: it may say less than its answers, or have been asked for before.
+    pub fn hear(&mut self, statement: Statement, now: Moment) -> Heard {
+        let left = now < self.leaves_until;
+        if statement.leaving {
+            self.leaves_until = self.incarnation.map_or(now + LEAVES_FOR, |_| Moment::MAX);
+        }
+        Heard {
+            leaves: statement.leaving && !left,
+            rests_until: self.rest.hear(statement, now),
+        }
     }
 
     /// Notes that a prompt brings `tokens` new tokens into the cache.
@@ -114,7 +156,7 @@
     /// Notes that it denied a request: it leaves or has other weights, and
     /// gets nothing more for a while.
     pub fn note_denial(&mut self, now: Moment) {
-        self.denies_until = now + DENIAL;
+        self.rest.take(DENIAL, now);
     }
 
     /// Its present life, as last heard.
@@ -133,6 +175,8 @@
             self.epoch += 1;
             self.backlog.clear();
             self.pressure = Pressure::default();
+            self.rest = Rest::default();
+            self.leaves_until = Moment::ZERO;
         }
         new
     }
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -22,6 +22,9 @@
 const MOST_FOREIGN: u32 = 4;
 /// Longest foreign answer that is passed over, in bytes.
 const LONGEST_FOREIGN: usize = 256 * 1024;
+/// Time for which an upstream that turned a request away gets no other, unless it asks for more: so
+/// long its places are taken at least, with runs of 0.1 to 2 s.
+const REFUSED_PAUSE: Duration = Duration::from_millis(150);
 /// What is taken off the time left, for the way of the answer back.
 const WAY_BACK: Duration = Duration::from_millis(5);
 
@@ -249,6 +252,7 @@
         }));
     }
     if let Some(upstream) = core.upstreams.borrow_mut().life_mut(life) {
+        upstream.rest.take(REFUSED_PAUSE, core.now());
         if let Some((model, version)) = model.zip(answer.headers.number(core.names.made_by)) {
             upstream.heard_weights(model, version);
         }
--- a/crates/jb-upstream/src/engine.rs
+++ b/crates/jb-upstream/src/engine.rs
@@ -14,6 +14,7 @@
 use tokio::time::timeout;
 
 use crate::error::Failure;
+use crate::heard::{self, Heard};
 use crate::sse;
 
 /// Time in which a connection must be made.
@@ -30,7 +31,7 @@
 #[async_trait]
 pub trait Engine: Send + Sync {
     /// Runs a call; `silence` bounds the time without a byte.
-    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Result<Frames, Failure>;
+    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Heard<Frames>;
 
     /// Asks for the load report.
     async fn report(&self, at: SocketAddr) -> Result<Report, Failure>;
@@ -68,19 +69,23 @@
 
 #[async_trait]
 impl Engine for Client {
-    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Result<Frames, Failure> {
+    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Heard<Frames> {
         let mut request = self.http.post(format!("http://{at}{PATH_RUN}")).json(call);
         if let Some(traceparent) = &call.traceparent {
             request = request.header(header::TRACEPARENT, traceparent);
         }
-        let answer = timeout(silence, request.send())
-            .await
-            .map_err(|_| Failure::Silent)?;
-        let answer = answer.map_err(Failure::from_http)?;
-        if !answer.status().is_success() {
-            return Err(refused(answer).await);
-        }
-        Ok(Box::pin(frames(answer, silence)))
+        let answer = match timeout(silence, request.send()).await {
+            Ok(Ok(answer)) => answer,
+            Ok(Err(error)) => return Heard::nothing(Failure::from_http(error)),
+            Err(_) => return Heard::nothing(Failure::Silent),
+        };
+        let said = heard::read(&answer);
+        let result = if answer.status().is_success() {
+            Ok(Box::pin(frames(answer, silence)) as Frames)
+        } else {
+            Err(refused(answer).await)
+        };
+        Heard { said, result }
     }
 
     async fn report(&self, at: SocketAddr) -> Result<Report, Failure> {
--- /dev/null
+++ b/crates/jb-upstream/src/heard.rs
@@ -0,0 +1,42 @@
+//! What an upstream says of itself beside its answer.
+
+use jb_policy::said::{self, Statement};
+use jb_protocol::header;
+use reqwest::Response;
+use reqwest::header::HeaderMap;
+
+use crate::error::Failure;
+
+/// What came of a call, and what the upstream said of itself in the head of its answer.
+#[derive(Debug)]
+pub struct Heard<T> {
+    /// What it said; nothing where there is no head.
+    pub said: Statement,
+    /// What came of the call.
+    pub result: Result<T, Failure>,
+}
+
+impl<T> Heard<T> {
+    /// A call of which no head has come.
+    pub fn nothing(failure: Failure) -> Self {
+        Self {
+            said: Statement::default(),
+            result: Err(failure),
+        }
+    }
+}
+
+/// Reads the head of an answer.
+pub(crate) fn read(answer: &Response) -> Statement {
+    let status = answer.status().as_u16();
+    Statement {
+        leaving: said::leaves(texts(answer.headers(), header::LEAVING)),
+        rest: said::rest(status, texts(answer.headers(), header::RETRY_AFTER)),
+    }
+}
+
+/// Values of a header that are texts.
+fn texts<'a>(headers: &'a HeaderMap, name: &str) -> impl Iterator<Item = &'a str> {
+    let values = headers.get_all(name).into_iter();
+    values.filter_map(|value| value.to_str().ok())
+}
--- a/crates/jb-upstream/src/lib.rs
+++ b/crates/jb-upstream/src/lib.rs
@@ -2,6 +2,7 @@
 
 pub mod engine;
 pub mod error;
+pub mod heard;
 pub mod plain;
 pub mod sse;
 
--- a/crates/jb-upstream/src/plain.rs
+++ b/crates/jb-upstream/src/plain.rs
@@ -7,8 +7,10 @@
 use bytes::Bytes;
 use jb_policy::call::Denial;
 use jb_protocol::{header, id};
+use reqwest::Response;
 
 use crate::error::Failure;
+use crate::heard::{self, Heard};
 
 /// Longest answer that is taken from a plain service.
 const MOST_BYTES: usize = 8 << 20;
@@ -49,7 +51,7 @@
 #[async_trait]
 pub trait Plain: Send + Sync {
     /// Makes a call and takes its whole answer.
-    async fn call(&self, at: SocketAddr, request: &Request, silence: Duration) -> Result<Answer, Failure>;
+    async fn call(&self, at: SocketAddr, request: &Request, silence: Duration) -> Heard<Answer>;
 }
 
 /// The HTTP adapter.
@@ -89,38 +91,51 @@
 
 #[async_trait]
 impl Plain for Client {
-    async fn call(&self, at: SocketAddr, request: &Request, silence: Duration) -> Result<Answer, Failure> {
-        let sent = self.build(at, request)?.timeout(silence).send().await;
-        let answer = sent.map_err(Failure::from_http)?;
-        let text = |name: &str| {
-            answer
-                .headers()
-                .get(name)
-                .and_then(|v| v.to_str().ok())
-                .map(str::to_owned)
+    async fn call(&self, at: SocketAddr, request: &Request, silence: Duration) -> Heard<Answer> {
+        let query = match self.build(at, request) {
+            Ok(query) => query.timeout(silence),
+            Err(failure) => return Heard::nothing(failure),
         };
-        if text(header::NOT_RUN).as_deref() == Some("true") {
-            return Err(Failure::Denied(Denial::from_upstream(
-                "the service refused the call",
-            )));
+        match query.send().await {
+            Ok(answer) => Heard {
+                said: heard::read(&answer),
+                result: take(answer, request).await,
+            },
+            Err(error) => Heard::nothing(Failure::from_http(error)),
         }
-        let echo = text(header::ATTEMPT);
-        if echo.is_some_and(|echo| echo != request.attempt) {
-            return Err(Failure::Protocol("an answer to another attempt".to_owned()));
-        }
-        let status = answer.status().as_u16();
-        let content_type = text("content-type");
-        let body = answer
-            .bytes()
-            .await
-            .map_err(|e| Failure::Lost(e.without_url().to_string()))?;
-        if body.len() > MOST_BYTES {
-            return Err(Failure::Protocol("the answer is too long".to_owned()));
-        }
-        Ok(Answer {
-            status,
-            content_type,
-            body,
-        })
     }
 }
+
+/// Takes a whole answer to a request.
+async fn take(answer: Response, request: &Request) -> Result<Answer, Failure> {
+    let text = |name: &str| {
+        answer
+            .headers()
+            .get(name)
+            .and_then(|v| v.to_str().ok())
+            .map(str::to_owned)
+    };
+    if text(header::NOT_RUN).as_deref() == Some("true") {
+        return Err(Failure::Denied(Denial::from_upstream(
+            "the service refused the call",
+        )));
+    }
+    let echo = text(header::ATTEMPT);
+    if echo.is_some_and(|echo| echo != request.attempt) {
+        return Err(Failure::Protocol("an answer to another attempt".to_owned()));
+    }
+    let status = answer.status().as_u16();
+    let content_type = text("content-type");
+    let body = answer
+        .bytes()
+        .await
+        .map_err(|e| Failure::Lost(e.without_url().to_string()))?;
+    if body.len() > MOST_BYTES {
+        return Err(Failure::Protocol("the answer is too long".to_owned()));
+    }
+    Ok(Answer {
+        status,
+        content_type,
+        body,
+    })
+}
