Control answers are heard as well: a report, a list of kept parts, the answer to an order

Each control call gives what the engine said beside what came of it, and an engine that leaves gets no order.

--- a/crates/jb-policy/src/route/pool.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -23,7 +23,7 @@
 use crate::retry::Budget;
 use crate::said::Statement;
 use crate::stream::Start;
-use crate::upstream::{Heard, Upstream};
+use crate::upstream::{News, Upstream};
 
 /// Prefixes remembered for each block that an engine can hold, divided by 8.
 const MARKS_PER_ENGINE_BLOCK: usize = 4;
@@ -195,7 +195,7 @@
     }
 
     /// Takes what an upstream says of itself in an answer.
-    pub fn hear(&mut self, id: &str, statement: Statement, now: Moment) -> Option<Heard> {
+    pub fn hear(&mut self, id: &str, statement: Statement, now: Moment) -> Option<News> {
         Some(self.upstream_mut(id)?.hear(statement, now))
     }
 
--- a/crates/jb-policy/src/said.rs
+++ b/crates/jb-policy/src/said.rs
@@ -48,6 +48,35 @@
     pub rest: Option<Duration>,
 }
 
+/// What came of a call to an upstream, and what the upstream said of itself beside it.
+#[derive(Debug)]
+pub struct Heard<T> {
+    /// What it said; nothing where there is no head of an answer.
+    pub said: Statement,
+    /// What came of the call.
+    pub result: T,
+}
+
+impl<T> Heard<T> {
+    /// A call of which no head has come.
+    pub fn nothing(result: T) -> Self {
+        Self {
+            said: Statement::default(),
+            result,
+        }
+    }
+}
+
+impl<T, E> Heard<Result<T, E>> {
+    /// Goes on with what came of the call, where something did.
+    pub fn and_then<U>(self, next: impl FnOnce(T) -> Result<U, E>) -> Heard<Result<U, E>> {
+        Heard {
+            said: self.said,
+            result: self.result.and_then(next),
+        }
+    }
+}
+
 /// Rest that a life of an upstream has asked a box for.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Rest {
--- a/crates/jb-policy/src/upstream.rs
+++ b/crates/jb-policy/src/upstream.rs
@@ -23,7 +23,7 @@
 
 /// What an answer has changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Heard {
+pub struct News {
     /// Whether it says for the first time that it leaves.
     pub leaves: bool,
     /// End of a rest that it asks for beyond the one before.
@@ -121,12 +121,12 @@
     /// Takes what it says of itself in an answer.
     ///
     /// Its report does not lift that: it may say less than its answers, or have been asked for before.
-    pub fn hear(&mut self, statement: Statement, now: Moment) -> Heard {
+    pub fn hear(&mut self, statement: Statement, now: Moment) -> News {
         let left = now < self.leaves_until;
         if statement.leaving {
             self.leaves_until = self.incarnation.map_or(now + LEAVES_FOR, |_| Moment::MAX);
         }
-        Heard {
+        News {
             leaves: statement.leaving && !left,
             rests_until: self.rest.hear(statement, now),
         }
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -5,6 +5,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
+use jb_policy::said;
 use jb_protocol::id;
 
 use crate::rules::Rules;
@@ -236,14 +237,16 @@
     pub parts: Vec<KeptPart>,
 }
 
+/// What came of a control call, and what the engine said of itself beside it.
+pub type Heard<T> = said::Heard<Result<T, StoreError>>;
+
 /// Control calls to model engines.
 #[async_trait(?Send)]
 pub trait Engines {
     /// Asks what the engine keeps of prompts.
-    async fn kept(&self, address: SocketAddr) -> Result<Kept, StoreError>;
+    async fn kept(&self, address: SocketAddr) -> Heard<Kept>;
     /// Asks for the engine's report.
-    async fn report(&self, address: SocketAddr) -> Result<Report, StoreError>;
+    async fn report(&self, address: SocketAddr) -> Heard<Report>;
     /// Gives an order to an incarnation of an engine.
-    async fn order(&self, address: SocketAddr, incarnation: &str, order: &Order)
-    -> Result<Taken, StoreError>;
+    async fn order(&self, address: SocketAddr, incarnation: &str, order: &Order) -> Heard<Taken>;
 }
--- a/crates/jb-relay/src/recall.rs
+++ b/crates/jb-relay/src/recall.rs
@@ -17,6 +17,7 @@
 use crate::peers;
 use crate::port::KeptPart;
 use crate::restart;
+use crate::said;
 use crate::salt;
 use crate::upstream::Life;
 
@@ -52,7 +53,9 @@
 }
 
 async fn ask(core: Shared, life: Life, address: SocketAddr) {
-    match core.engines.kept(address).await {
+    let heard = core.engines.kept(address).await;
+    said::note(&core, &life, heard.said);
+    match heard.result {
         Ok(kept) if life.is_told_by(kept.born) => take(&core, &life, &kept.parts),
         Ok(kept) => restart::note(&core, &life, kept.born, "kept"),
         Err(why) => emit!(core.logger, info, event::KEPT_UNREAD, "upstream" => %life, "why" => %why),
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/steward/load.rs
@@ -14,7 +14,8 @@
 use crate::peers;
 use crate::port::{Order, Report, Taken};
 use crate::restart;
-use crate::upstream::Life;
+use crate::said;
+use crate::upstream::{Life, Upstream};
 
 /// First pause before an engine that refused an order, or gave no report, is tried again; it
 /// doubles each time.
@@ -165,10 +166,12 @@
     async fn report(&self, life: &Life) -> Option<(SocketAddr, Report)> {
         let core = &self.core;
         let address = core.upstreams.borrow().life(life).map(|u| u.entry.address)?;
-        match core.engines.report(address).await {
+        let heard = core.engines.report(address).await;
+        said::note(core, life, heard.said);
+        match heard.result {
             Ok(report) => {
                 self.absent.borrow_mut().answered(life);
-                self.is_same_life(life, &report).then_some((address, report))
+                (self.is_same_life(life, &report) && self.is_there(life)).then_some((address, report))
             }
             Err(why) => {
                 emit!(core.logger, info, event::ORDER_FAILED, "upstream" => %life, "why" => %why);
@@ -178,6 +181,12 @@
         }
     }
 
+    /// Whether an engine is still one to use: it may have said just now that it leaves.
+    fn is_there(&self, life: &Life) -> bool {
+        let upstreams = self.core.upstreams.borrow();
+        upstreams.life(life).is_some_and(Upstream::is_there)
+    }
+
     /// Whether a report is of the life that is known; a later one is noted.
     fn is_same_life(&self, life: &Life, report: &Report) -> bool {
         let fewer_orders = self.counts.borrow_mut().fall(life, report.orders);
@@ -270,7 +279,9 @@
             orders,
         };
         self.record.borrow_mut().order(&life.id, core.now());
-        let taken = core.engines.order(address, &life.id, &order).await;
+        let heard = core.engines.order(address, &life.id, &order).await;
+        said::note(core, life, heard.said);
+        let taken = heard.result;
         emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => %life, "version" => version,
             "fence" => fence, "fixed" => self.fixed(life), "answer" => ?taken);
         match taken {
--- a/crates/jb-upstream/src/engine.rs
+++ b/crates/jb-upstream/src/engine.rs
@@ -8,13 +8,14 @@
 use async_trait::async_trait;
 use futures_util::{Stream, StreamExt as _};
 use jb_policy::call::Denial;
+use jb_policy::said::Heard;
 use jb_protocol::engine::{Call, Frame, Order, PATH_ORDER, PATH_REPORT, PATH_RUN, Refusal, Report};
 use jb_protocol::header;
 use reqwest::Response;
 use tokio::time::timeout;
 
 use crate::error::Failure;
-use crate::heard::{self, Heard};
+use crate::head;
 use crate::sse;
 
 /// Time in which a connection must be made.
@@ -31,7 +32,7 @@
 #[async_trait]
 pub trait Engine: Send + Sync {
     /// Runs a call; `silence` bounds the time without a byte.
-    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Heard<Frames>;
+    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Heard<Result<Frames, Failure>>;
 
     /// Asks for the load report.
     async fn report(&self, at: SocketAddr) -> Result<Report, Failure>;
@@ -69,17 +70,17 @@
 
 #[async_trait]
 impl Engine for Client {
-    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Heard<Frames> {
+    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Heard<Result<Frames, Failure>> {
         let mut request = self.http.post(format!("http://{at}{PATH_RUN}")).json(call);
         if let Some(traceparent) = &call.traceparent {
             request = request.header(header::TRACEPARENT, traceparent);
         }
         let answer = match timeout(silence, request.send()).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => return Heard::nothing(Failure::from_http(error)),
-            Err(_) => return Heard::nothing(Failure::Silent),
+            Ok(Err(error)) => return Heard::nothing(Err(Failure::from_http(error))),
+            Err(_) => return Heard::nothing(Err(Failure::Silent)),
         };
-        let said = heard::read(&answer);
+        let said = head::read(&answer);
         let result = if answer.status().is_success() {
             Ok(Box::pin(frames(answer, silence)) as Frames)
         } else {
--- a/crates/jb-upstream/src/heard.rs
+++ b/crates/jb-upstream/src/head.rs
@@ -5,27 +5,6 @@
 use reqwest::Response;
 use reqwest::header::HeaderMap;
 
-use crate::error::Failure;
-
-/// What came of a call, and what the upstream said of itself in the head of its answer.
-#[derive(Debug)]
-pub struct Heard<T> {
-    /// What it said; nothing where there is no head.
-    pub said: Statement,
-    /// What came of the call.
-    pub result: Result<T, Failure>,
-}
-
-impl<T> Heard<T> {
-    /// A call of which no head has come.
-    pub fn nothing(failure: Failure) -> Self {
-        Self {
-            said: Statement::default(),
-            result: Err(failure),
-        }
-    }
-}
-
 /// Reads the head of an answer.
 pub(crate) fn read(answer: &Response) -> Statement {
     let status = answer.status().as_u16();
--- a/crates/jb-upstream/src/lib.rs
+++ b/crates/jb-upstream/src/lib.rs
@@ -2,7 +2,7 @@
 
 pub mod engine;
 pub mod error;
-pub mod heard;
+mod head;
 pub mod plain;
 pub mod sse;
 
--- a/crates/jb-upstream/src/plain.rs
+++ b/crates/jb-upstream/src/plain.rs
@@ -6,11 +6,12 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use jb_policy::call::Denial;
+use jb_policy::said::Heard;
 use jb_protocol::{header, id};
 use reqwest::Response;
 
 use crate::error::Failure;
-use crate::heard::{self, Heard};
+use crate::head;
 
 /// Longest answer that is taken from a plain service.
 const MOST_BYTES: usize = 8 << 20;
@@ -51,7 +52,12 @@
 #[async_trait]
 pub trait Plain: Send + Sync {
     /// Makes a call and takes its whole answer.
-    async fn call(&self, at: SocketAddr, request: &Request, silence: Duration) -> Heard<Answer>;
+    async fn call(
+        &self,
+        at: SocketAddr,
+        request: &Request,
+        silence: Duration,
+    ) -> Heard<Result<Answer, Failure>>;
 }
 
 /// The HTTP adapter.
@@ -91,17 +97,22 @@
 
 #[async_trait]
 impl Plain for Client {
-    async fn call(&self, at: SocketAddr, request: &Request, silence: Duration) -> Heard<Answer> {
+    async fn call(
+        &self,
+        at: SocketAddr,
+        request: &Request,
+        silence: Duration,
+    ) -> Heard<Result<Answer, Failure>> {
         let query = match self.build(at, request) {
             Ok(query) => query.timeout(silence),
-            Err(failure) => return Heard::nothing(failure),
+            Err(failure) => return Heard::nothing(Err(failure)),
         };
         match query.send().await {
             Ok(answer) => Heard {
-                said: heard::read(&answer),
+                said: head::read(&answer),
                 result: take(answer, request).await,
             },
-            Err(error) => Heard::nothing(Failure::from_http(error)),
+            Err(error) => Heard::nothing(Err(Failure::from_http(error))),
         }
     }
 }
