Words of upstreams: read at one place, asked before a request is written, told to the other boxes

Now the state of the upstream is asked again right before the writing; after a rest one request goes alone until one is answered; the first box that hears a leaving tells the others, whose word takes at most half of a service off. All that a head can say is one type, read once; weights, not run and other incarnations are taken there too. An engine that rests gets its order for newer weights later, within half of their time.

--- a/crates/jb-policy/src/said.rs
+++ b/crates/jb-policy/src/said.rs
@@ -78,15 +78,24 @@
 }
 
 /// Rest that a life of an upstream has asked a box for.
+///
+/// After it the upstream gets one request at a time until it has answered one: those that waited for
+/// the end would come all at once, and an upstream that turns them away again costs each of them a
+/// send of the retry budget.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Rest {
     until: Moment,
+    /// Whether it was asked for, and nothing has been answered since.
+    asked: bool,
+    /// Whether a request is under way that shows whether the rest is over.
+    trial: bool,
 }
 
 impl Rest {
     /// Takes what an answer says; gives the end of a rest that it asks for beyond the one before.
     pub fn hear(&mut self, statement: Statement, now: Moment) -> Option<Moment> {
         let rest = statement.rest?.min(LONGEST_REST);
+        self.asked = true;
         self.take(rest, now).then_some(self.until)
     }
 
@@ -101,9 +110,27 @@
         longer
     }
 
-    /// Whether it goes on.
+    /// Whether it goes on, or another request shows whether it does.
     pub fn lasts(&self, now: Moment) -> bool {
-        now < self.until
+        now < self.until || self.trial
+    }
+
+    /// Notes that a request is sent.
+    pub fn sent(&mut self) {
+        self.trial |= self.asked;
+    }
+
+    /// Notes that a request was answered and not turned away.
+    pub fn answered(&mut self, now: Moment) {
+        if now >= self.until {
+            self.asked = false;
+            self.trial = false;
+        }
+    }
+
+    /// Notes that a request has ended, in whatever way.
+    pub fn ended(&mut self) {
+        self.trial = false;
     }
 
     /// When it ends, or has ended.
--- a/crates/jb-policy/tests/said.rs
+++ b/crates/jb-policy/tests/said.rs
@@ -122,3 +122,31 @@
     upstream.hear(LEAVES, NOW);
     assert_eq!(upstream.back_at(NOW), None);
 }
+
+/// Requests that waited for the end of a rest came all at once and were turned away again.
+#[test]
+fn after_a_rest_one_request_at_a_time_until_one_is_answered() {
+    let mut rest = Rest::default();
+    rest.hear(asks_for(Duration::from_secs(3)), NOW);
+    let over = NOW + Duration::from_secs(3);
+    assert!(!rest.lasts(over));
+    rest.sent();
+    assert!(rest.lasts(over), "one is under way");
+    rest.ended();
+    assert!(!rest.lasts(over), "it has shown nothing");
+    rest.sent();
+    rest.answered(over);
+    rest.sent();
+    assert!(!rest.lasts(over), "it takes requests again");
+}
+
+#[test]
+fn answer_to_a_request_of_before_does_not_end_a_rest_early() {
+    let mut rest = Rest::default();
+    rest.hear(asks_for(Duration::from_secs(3)), NOW);
+    rest.answered(NOW + Duration::from_secs(1));
+    let over = NOW + Duration::from_secs(3);
+    assert!(rest.lasts(over - Duration::from_millis(1)));
+    rest.sent();
+    assert!(rest.lasts(over), "the next one goes alone all the same");
+}
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -9,7 +9,6 @@
 use crate::core::{Core, Shared};
 use crate::http::{self, Answer, Body, Framing, Query, Step, write_query};
 use crate::link::{self, Link};
-use crate::peers;
 use crate::port::Entry;
 use crate::said;
 use crate::salt;
@@ -22,9 +21,6 @@
 const MOST_FOREIGN: u32 = 4;
 /// Longest foreign answer that is passed over, in bytes.
 const LONGEST_FOREIGN: usize = 256 * 1024;
-/// Time for which an upstream that turned a request away gets no other, unless it asks for more: so
-/// long its places are taken at least, with runs of 0.1 to 2 s.
-const REFUSED_PAUSE: Duration = Duration::from_millis(150);
 /// What is taken off the time left, for the way of the answer back.
 const WAY_BACK: Duration = Duration::from_millis(5);
 
@@ -32,6 +28,8 @@
 pub enum Outcome {
     /// Nothing was sent.
     Unsent(String),
+    /// Nothing was sent, as the upstream has said meanwhile that it leaves or wants rest.
+    Withdrawn,
     /// The upstream says that it has not run the request.
     NotRun(u16),
     /// The request may have run; nothing of an answer can be used.
@@ -92,6 +90,10 @@
         Ok(link) => link,
         Err(why) => return Outcome::Unsent(why.to_string()),
     };
+    if !core.takes_requests(life) {
+        link::give(core, link, None);
+        return Outcome::Withdrawn;
+    }
     let head = head(core, &life.id, &entry, message);
     let mut clean = true;
     match exchange(&mut link, &head, message.body, &mut clean).await {
@@ -99,7 +101,7 @@
         Err(why) => return Outcome::Failed(why.to_string()),
     }
     match own_answer(core, life, &mut link, message.ticket, &mut clean).await {
-        Ok(answer) => judge(core, life, message.ticket.model.as_deref(), answer, link, clean).await,
+        Ok(answer) => judge(core, answer, link, clean).await,
         Err(why) => Outcome::Failed(why.to_string()),
     }
 }
@@ -204,7 +206,12 @@
         if answer.status < 200 {
             continue;
         }
-        hear(core, life, &answer);
+        said::hear(
+            core,
+            life,
+            ticket.model.as_deref(),
+            &said::read(&core.names, &answer),
+        );
         if answer.headers.text(core.names.request) == Some(ticket.id.as_str()) {
             return Ok(answer);
         }
@@ -220,30 +227,10 @@
     Err(http::Error::Malformed("too many answers to other requests"))
 }
 
-/// Takes what an answer says of the upstream, whatever became of the request: the caller gets the
-/// answer next, and no request that comes later may miss it.
-fn hear(core: &Core, life: &Life, answer: &Answer) {
-    if !is_of_another(core, life, answer) {
-        said::note(core, life, said::read(&core.names, answer));
-    }
-}
-
-/// Whether another incarnation answers at the address; the same one may only have other weights.
-fn is_of_another(core: &Core, life: &Life, answer: &Answer) -> bool {
-    let answering = answer.headers.text(core.names.answering);
-    answer.status == 421 && answering.is_some_and(|other| other != life.id)
-}
-
-async fn judge(
-    core: &Shared,
-    life: &Life,
-    model: Option<&str>,
-    answer: Answer,
-    mut link: Link,
-    clean: bool,
-) -> Outcome {
-    if !said::has_not_run(&core.names, &answer) {
-        let body = Body::new(answer.framing);
+async fn judge(core: &Shared, answer: Answer, mut link: Link, clean: bool) -> Outcome {
+    let said = said::read(&core.names, &answer);
+    let mut body = Body::new(answer.framing);
+    if !said.not_run {
         return Outcome::Answered(Box::new(Reply {
             answer,
             body,
@@ -251,30 +238,10 @@
             clean,
         }));
     }
-    if let Some(upstream) = core.upstreams.borrow_mut().life_mut(life) {
-        upstream.rest.take(REFUSED_PAUSE, core.now());
-        if let Some((model, version)) = model.zip(answer.headers.number(core.names.made_by)) {
-            upstream.heard_weights(model, version);
-        }
-        if is_of_another(core, life, &answer) && !upstream.refused {
-            upstream.refused = true;
-            peers::note_replaced(core, upstream);
-        }
-    }
-    let mut body = Body::new(answer.framing);
     let complete = matches!(body.step(&mut link.connection.buffer), Ok(Step::End))
         || link.connection.whole(body, LONGEST_FOREIGN).await.is_ok();
     if clean && complete && answer.keep_alive {
-        link::give(core, link, rest(&answer));
+        link::give(core, link, said.closes_after);
     }
     Outcome::NotRun(answer.status)
 }
-
-/// Rest after which the upstream closes an idle connection, if it says so.
-pub fn rest(answer: &Answer) -> Option<Duration> {
-    let value = answer.headers.text("keep-alive")?;
-    let named = value
-        .split(',')
-        .find_map(|part| part.trim().strip_prefix("timeout="))?;
-    named.trim().parse().ok().map(Duration::from_secs)
-}
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -24,7 +24,7 @@
 use crate::rules::Rules;
 use crate::settings::Settings;
 use crate::stop::Stop;
-use crate::upstream::Registry;
+use crate::upstream::{Life, Registry};
 
 /// Reference to the shared state.
 pub type Shared = Rc<Core>;
@@ -183,6 +183,15 @@
         self.store_seen.set(Some(known));
     }
 
+    /// Whether an upstream has said nothing that speaks against a request: it may have, since it was
+    /// chosen for it.
+    pub fn takes_requests(&self, life: &Life) -> bool {
+        let upstreams = self.upstreams.borrow();
+        upstreams
+            .life(life)
+            .is_some_and(|upstream| upstream.is_there() && !upstream.is_asked_to_rest(self.now()))
+    }
+
     /// Configuration in force.
     pub fn rules(&self) -> Option<Rc<Rules>> {
         self.rules.borrow().clone()
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -6,11 +6,12 @@
 use jb_policy::Moment;
 use tokio::time::sleep;
 
-use crate::attempt::{self, Message, Reply};
+use crate::attempt::{Message, Reply};
 use crate::core::Shared;
 use crate::events::Splitter;
 use crate::http::{self, Answer, Connection, Framing, write_answer};
 use crate::link;
+use crate::said;
 use crate::ticket::Ticket;
 
 /// Longest answer that is held whole, so that one that breaks off never reaches the caller.
@@ -70,8 +71,8 @@
 
 fn keep(core: &Shared, reply: Reply) {
     if reply.clean && reply.answer.keep_alive {
-        let rest = attempt::rest(&reply.answer);
-        link::give(core, reply.link, rest);
+        let closes_after = said::read(&core.names, &reply.answer).closes_after;
+        link::give(core, reply.link, closes_after);
     }
 }
 
--- a/crates/jb-relay/src/exchange/judge.rs
+++ b/crates/jb-relay/src/exchange/judge.rs
@@ -4,7 +4,6 @@
 use jb_protocol::{emit, event};
 
 use super::run::Exchange;
-use crate::attempt::Reply;
 use crate::peers;
 use crate::upstream::{Life, Upstream};
 
@@ -46,17 +45,4 @@
             emit!(core.logger, info, event::UPSTREAM_RETURNED, "upstream" => %life);
         }
     }
-
-    /// Takes what an answer says about the engine's weights.
-    pub(super) fn hear(&self, life: &Life, reply: &Reply) {
-        let Some(model) = &self.message.ticket.model else {
-            return;
-        };
-        let Some(version) = reply.answer.headers.number(self.core.names.made_by) else {
-            return;
-        };
-        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(life) {
-            upstream.heard_weights(model, version);
-        }
-    }
 }
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -252,6 +252,7 @@
                 self.blame(life, "unsent", &why);
                 Err("unreachable")
             }
+            Outcome::Withdrawn => Err("withdrawn"),
             Outcome::NotRun(status) => {
                 self.sends += 1;
                 emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
@@ -268,7 +269,6 @@
             Outcome::Answered(reply) => {
                 self.sends += 1;
                 self.runs += 1;
-                self.hear(life, &reply);
                 let next = self.deliver(life, *reply, client, &mut counted).await;
                 if !matches!(next, Ok(Next::End(Ending::Answered(_) | Ending::CallerGone))) {
                     self.note_end(life, apart && counted.ran() < BEGINS).await;
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -50,6 +50,8 @@
     pub poisonous: Counter,
     /// Tries of such requests that were refused.
     pub quarantined: Counter,
+    /// Times that an upstream has turned a request away and asked for rest.
+    pub rests: Counter,
     /// Connections opened to upstreams.
     pub connections_opened: Counter,
     /// Calls to the store.
@@ -77,6 +79,7 @@
         let limit_alone = Counter::default();
         let poisonous = Counter::default();
         let quarantined = Counter::default();
+        let rests = Counter::default();
         let connections_opened = Counter::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
@@ -115,6 +118,11 @@
             "Tries of such requests that were refused",
             quarantined.clone(),
         );
+        registry.register(
+            "upstream_rests",
+            "Times that an upstream asked for rest",
+            rests.clone(),
+        );
         registry.register(
             "upstream_connections",
             "Connections opened",
@@ -138,6 +146,7 @@
             limit_alone,
             poisonous,
             quarantined,
+            rests,
             connections_opened,
             store_calls,
             store_failures,
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -142,7 +142,7 @@
 pub async fn tell(core: Shared, socket: Rc<UdpSocket>) {
     let mut quiet = 0;
     loop {
-        notice::tell_replaced(&core, &socket).await;
+        notice::tell_upstreams(&core, &socket).await;
         if core.book.borrow().is_small() {
             notice::tell_sent(&core, &socket, PERIOD).await;
             let nothing = tell_all(&core, &socket, quiet).await;
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Advice, Ask, AskMore, AskNamings, Charge, Count, Grant, Namings, News, Question, Replaced, Returned,
-    Sent, Suspicion, Told,
+    Advice, Ask, AskMore, AskNamings, Charge, Count, Grant, Leaving, Namings, News, Question, Replaced,
+    Returned, Sent, Suspicion, Told,
 };
 
 /// Longest datagram, in bytes: one packet.
@@ -43,4 +43,6 @@
     AskMore(AskMore),
     /// What is known of requests that end engines.
     Suspicion(Suspicion),
+    /// Lives of upstreams that have said in answers that they leave.
+    Leaving(Leaving),
 }
--- a/crates/jb-relay/src/peers/message/mod.rs
+++ b/crates/jb-relay/src/peers/message/mod.rs
@@ -16,4 +16,4 @@
 pub(super) use place::{Advice, Question, Returned};
 pub(super) use suspicion::{Suspicion, ToldSuspect, ToldTrial};
 pub use told::ToldWeights;
-pub(super) use told::{Replaced, Sent, Told, ToldLoad, ToldStore, ToldUse};
+pub(super) use told::{Leaving, Replaced, Sent, Told, ToldLoad, ToldStore, ToldUse};
--- a/crates/jb-relay/src/peers/message/told.rs
+++ b/crates/jb-relay/src/peers/message/told.rs
@@ -75,6 +75,13 @@
     pub prompts: Vec<(u32, u32)>,
 }
 
+/// Lives of upstreams that have said in answers that they leave.
+#[derive(Debug, Serialize, Deserialize)]
+pub(in crate::peers) struct Leaving {
+    /// Lower halves of the hashes of their names.
+    pub upstreams: Vec<u32>,
+}
+
 /// Incarnations of upstreams that are no longer at their addresses.
 #[derive(Debug, Serialize, Deserialize)]
 pub(in crate::peers) struct Replaced {
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -26,7 +26,7 @@
 pub use mark::hear as hear_mark;
 pub use message::Room;
 pub use naming::learn;
-pub use notice::{Notices, note_replaced, note_sent};
+pub use notice::{Notices, note_leaving, note_replaced, note_sent};
 pub use quota::{Charged, Quotas, charge};
 pub use register::{KEYS, list, register};
 pub use relay::{Heard, Relayed, Source, ask, is_told};
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -1,15 +1,18 @@
 //! What the other boxes are told at once, between two tellings of loads.
 
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use jb_policy::place;
+use jb_protocol::{emit, event};
 use tokio::net::UdpSocket;
 use tokio::sync::Notify;
 use tokio::time::timeout;
 
+use super::account;
 use super::gossip::{sum_up, tell_everyone};
-use super::message::{Message, Replaced, Sent};
+use super::message::{Leaving, Message, Replaced, Sent};
 use crate::core::Core;
 use crate::narrow::narrow;
 use crate::upstream::Upstream;
@@ -26,6 +29,8 @@
     sent: Vec<(u32, u32)>,
     /// Upstreams whose addresses others have now.
     replaced: Vec<u32>,
+    /// Upstreams that have said in answers that they leave.
+    leaving: Vec<u32>,
     /// Wakes the duty that tells of long prompts.
     wake: Rc<Notify>,
 }
@@ -83,11 +88,30 @@
         .push(place::short(upstream.name));
 }
 
-/// Tells all boxes of replaced upstreams.
-pub(super) async fn tell_replaced(core: &Core, socket: &UdpSocket) {
-    let upstreams = std::mem::take(&mut core.notices.borrow_mut().replaced);
-    if !upstreams.is_empty() {
-        tell_everyone(core, socket, &Message::Replaced(Replaced { upstreams })).await;
+/// Notes that an upstream has said in an answer that it leaves, for the other boxes: while the store is
+/// away each would have to get such an answer itself, and a request that is with the upstream at its
+/// end is lost. Told once, as soon as one box hears it; a box that is not reached hears it itself.
+pub fn note_leaving(core: &Core, upstream: &Upstream) {
+    core.notices
+        .borrow_mut()
+        .leaving
+        .push(place::short(upstream.name));
+}
+
+/// Tells all boxes what is true of single upstreams.
+pub(super) async fn tell_upstreams(core: &Core, socket: &UdpSocket) {
+    let (replaced, leaving) = {
+        let mut notices = core.notices.borrow_mut();
+        (
+            std::mem::take(&mut notices.replaced),
+            std::mem::take(&mut notices.leaving),
+        )
+    };
+    if !replaced.is_empty() {
+        tell_everyone(core, socket, &Message::Replaced(Replaced { upstreams: replaced })).await;
+    }
+    if !leaving.is_empty() {
+        tell_everyone(core, socket, &Message::Leaving(Leaving { upstreams: leaving })).await;
     }
 }
 
@@ -95,3 +119,13 @@
 pub(super) fn take_replaced(core: &Core, replaced: &Replaced) {
     core.upstreams.borrow_mut().note_replaced(&replaced.upstreams);
 }
+
+/// Takes upstreams that leave, as another box tells it.
+pub(super) fn take_leaving(core: &Core, from: SocketAddr, leaving: &Leaving) {
+    if !account::is_known(core, from) {
+        return;
+    }
+    for life in core.upstreams.borrow_mut().note_leaving(&leaving.upstreams) {
+        emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => %life, "why" => "told");
+    }
+}
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -82,6 +82,7 @@
             Ok(Message::AskNamings(asked)) => naming::answer(&core, &socket, from, asked).await,
             Ok(Message::Namings(told)) => naming::take(&core, told),
             Ok(Message::Suspicion(told)) => suspicion::take(&core, from, &told),
+            Ok(Message::Leaving(leaving)) => notice::take_leaving(&core, from, &leaving),
             Err(why) => {
                 core.metrics.strange.inc();
                 emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => %why);
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/steward/load.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
-use jb_policy::weights::History;
+use jb_policy::weights::{History, Overdue};
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
@@ -55,6 +55,9 @@
     engines: Vec<Life>,
 }
 
+/// Share of the time for newer weights in which an engine's rest goes first: a load takes a second, and
+/// there is half of the time left for it.
+const RESTING_SHARE: f64 = 0.5;
 /// Engines that did not answer, or refused an order: they get no place among those that load.
 #[derive(Debug, Default)]
 pub(super) struct Absent(BTreeMap<Life, Pause>);
@@ -114,6 +117,19 @@
         }
     }
 
+    /// Whether an engine that wants nothing from this box gets its order later: as long as there is time
+    /// for its weights.
+    fn lets_rest(&self, upstream: &Upstream, model: &str) -> bool {
+        let now = self.core.now();
+        let time = self.core.settings.bounds.weights.mul_f64(RESTING_SHARE);
+        let weights = self.core.weights.borrow();
+        let overdue = upstream
+            .weights(model)
+            .zip(weights.get(model))
+            .map(|(has, history)| history.overdue(has, now, time));
+        upstream.is_asked_to_rest(now) && overdue == Some(Overdue::No)
+    }
+
     async fn load_in_time(self: Rc<Self>, life: Life, model: String) {
         if tokio::time::timeout(LOAD_TIME, self.load(&life, &model))
             .await
@@ -138,7 +154,7 @@
             let old = upstream.weights(model).is_some_and(|has| has < version) && !upstream.refused;
             let barred =
                 self.record.borrow().is_barred(&life.id, now) || self.absent.borrow().is_paused(life, now);
-            let free = !barred && !loading.contains(life);
+            let free = !barred && !self.lets_rest(upstream, model) && !loading.contains(life);
             if old && free && upstream.is_there() && upstream.lapsed.is_none() {
                 let unsound = !upstream.health.is_open(now);
                 let running = upstream.running + upstream.others.running;
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -207,6 +207,36 @@
         self.replaced.drain(..most);
     }
 
+    /// Takes word of other boxes that lives have said in answers that they leave; the lives that it
+    /// takes off.
+    ///
+    /// One box that is wrong empties no service: word of others takes at most half of its upstreams
+    /// off. What it leaves out are some requests more at an upstream that leaves, until its own
+    /// answer says so.
+    pub fn note_leaving(&mut self, names: &[u32]) -> Vec<Life> {
+        let named = |upstream: &&Upstream| names.contains(&place::short(upstream.name));
+        let new = self
+            .all
+            .values()
+            .filter(named)
+            .filter(|upstream| upstream.is_there());
+        let new: Vec<Life> = new.map(|upstream| upstream.life.clone()).collect();
+        new.into_iter().filter(|life| self.take_leaving(life)).collect()
+    }
+
+    fn take_leaving(&mut self, life: &Life) -> bool {
+        let Some(service) = self.life(life).map(|upstream| upstream.entry.service.clone()) else {
+            return false;
+        };
+        let all = self.of_service(&service).count();
+        let told = self.of_service(&service).filter(|u| u.told_leaving).count();
+        let taken = 2 * (told + 1) <= all;
+        if taken && let Some(upstream) = self.life_mut(life) {
+            upstream.told_leaving = true;
+        }
+        taken
+    }
+
     /// Ids whose entries are missing.
     pub fn lapsed(&self) -> Vec<Id> {
         let lapsed = self.all.iter().filter(|(_, u)| u.lapsed.is_some());
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -51,6 +51,8 @@
     pub lapsed: Option<Moment>,
     /// Whether it said itself that it leaves or has another id now.
     pub refused: bool,
+    /// Whether another box has heard it say that it leaves.
+    pub told_leaving: bool,
     /// What it is believed to keep.
     pub kept: Kept,
     /// Its account, where this box keeps it.
@@ -87,6 +89,7 @@
             ended_until: Moment::ZERO,
             lapsed: None,
             refused: false,
+            told_leaving: false,
             kept: Kept::default(),
             account: Account::default(),
             idle: Vec::new(),
@@ -103,9 +106,9 @@
         self.unreadable = false;
     }
 
-    /// Whether it is one to use, by the store and by what it says itself.
+    /// Whether it is one to use, by the store, by what it says itself, and by word of other boxes.
     pub fn is_there(&self) -> bool {
-        !self.entry.leaving && !self.unreadable
+        !self.entry.leaving && !self.told_leaving && !self.unreadable
     }
 
     /// Whether it may get a new request.
@@ -120,6 +123,11 @@
         comes_back && self.is_there() && !self.refused && !busy && self.health.is_open(now)
     }
 
+    /// Whether it has turned requests away and asked for a rest that is not over.
+    pub fn is_asked_to_rest(&self, now: Moment) -> bool {
+        now < self.rest.until()
+    }
+
     /// Whether another engine can take parts from it.
     pub(super) fn hands_on(&self, now: Moment) -> bool {
         let loads = now < self.loading_until;
--- a/crates/jb-relay/tests/lives.rs
+++ b/crates/jb-relay/tests/lives.rs
@@ -167,6 +167,26 @@
     assert!(is_open(&registry));
 }
 
+/// One box that is wrong, or tells much.
+#[test]
+fn word_of_other_boxes_takes_at_most_half_of_a_service_off() {
+    let mut registry = Registry::default();
+    let ids: Vec<String> = (0..7).map(|number| format!("engine-{number}")).collect();
+    for id in &ids {
+        registry.hear(id, entry(Some(FIRST), false), 1);
+    }
+    let names: Vec<u32> = registry.iter().map(|(_, u)| place::short(u.name)).collect();
+    let told = names.iter().map(|name| registry.note_leaving(&[*name]).len());
+    assert_eq!(told.sum::<usize>(), 3);
+    assert!(registry.note_leaving(&names).is_empty());
+    // What the engines say themselves has no such bound.
+    for id in &ids {
+        let life = registry.get(id).expect("known").life.clone();
+        registry.hear_answer(&life, leaves());
+    }
+    assert!(registry.iter().all(|(_, upstream)| !upstream.is_open(NOW)));
+}
+
 /// One word of two lives, by the store, by a box, or by an answer.
 #[derive(Clone, Debug)]
 enum Said {
