Soak: engines that say only in their answers that they leave or want rest, beside all other faults

Two checks from what callers and engines see: nothing reaches an engine from a box that passed on its leaving two seconds before, and a shedding engine turns away no more than each box once and what callers have under way.

--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -13,6 +13,7 @@
 
 use crate::checks::Promise;
 use crate::run::World;
+use crate::words;
 
 /// Longest wait for an answer: the longest route's time and a second.
 const PATIENCE: Duration = Duration::from_secs(5);
@@ -31,12 +32,60 @@
     pub path: &'static str,
     /// Key.
     pub key: &'static str,
+    /// Box that was asked.
+    pub at: usize,
+    /// Which of its processes.
+    pub starts: u32,
     /// When it was sent.
     pub sent: Instant,
+    /// When its answer was there, or was waited for no longer.
+    pub ended: Instant,
+    /// Engine that says in the answer that it leaves.
+    pub leaving: Option<String>,
     /// Status; `None` without an answer.
     pub status: Option<u16>,
 }
 
+/// What is asked, before its answer.
+pub struct Asking {
+    /// Id of the request.
+    pub id: String,
+    /// Path.
+    pub path: &'static str,
+    /// Key.
+    pub key: &'static str,
+    /// Box.
+    pub at: usize,
+    /// Which of its processes.
+    pub starts: u32,
+    /// When it is sent.
+    pub sent: Instant,
+}
+
+impl Asking {
+    /// Notes what came of it.
+    pub fn end(self, got: Option<&Got>) -> Asked {
+        Asked {
+            id: self.id,
+            path: self.path,
+            key: self.key,
+            at: self.at,
+            starts: self.starts,
+            sent: self.sent,
+            ended: Instant::now(),
+            leaving: got.and_then(words::said_leaving),
+            status: got.map(Got::status),
+        }
+    }
+}
+
+impl Asked {
+    /// Process of the box that was asked.
+    pub fn process(&self) -> (usize, u32) {
+        (self.at, self.starts)
+    }
+}
+
 /// Asks until the world stops.
 pub async fn run(world: Rc<World>, number: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(world.seed ^ (number << 32));
@@ -66,18 +115,18 @@
         };
         let id = format!("{number}-{count}");
         let bytes = request("POST", path, &id, MODEL_HEADERS, "hello").replace("key-ann", key);
-        let sent = Instant::now();
-        let got = timeout(PATIENCE, caller.raw(bytes.as_bytes())).await;
-        let got = got.ok().and_then(Result::ok);
-        judge(&world, &id, path, got.as_ref());
-        let status = got.as_ref().map(Got::status);
-        world.asked.borrow_mut().push(Asked {
+        let asking = Asking {
             id,
             path,
             key,
-            sent,
-            status,
-        });
+            at,
+            starts: world.boxes[at].starts(),
+            sent: Instant::now(),
+        };
+        let got = timeout(PATIENCE, caller.raw(bytes.as_bytes())).await;
+        let got = got.ok().and_then(Result::ok);
+        judge(&world, &asking.id, path, got.as_ref());
+        world.asked.borrow_mut().push(asking.end(got.as_ref()));
         let goes_on = got.is_some_and(|got| got.complete && got.answer.keep_alive);
         connection = goes_on.then_some((at, caller));
     }
--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -22,6 +22,11 @@
     Fence,
     /// Engines have the newest weights in the end.
     Weights,
+    /// An engine that says in an answer that it leaves gets nothing later from the box that has passed
+    /// that on.
+    Word,
+    /// An engine that asks for rest gets it.
+    Rest,
     /// A request that ends engines reaches few more once three have ended.
     Poison,
     /// All boxes serve again after the last fault.
@@ -29,7 +34,7 @@
 }
 
 /// All promises.
-pub const ALL: [Promise; 10] = [
+pub const ALL: [Promise; 12] = [
     Promise::OwnAnswer,
     Promise::Order,
     Promise::Once,
@@ -38,6 +43,8 @@
     Promise::Leaving,
     Promise::Fence,
     Promise::Weights,
+    Promise::Word,
+    Promise::Rest,
     Promise::Poison,
     Promise::Recovery,
 ];
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -11,6 +11,7 @@
 
 use crate::proxy::Link;
 use crate::run::{EVENTS, World, config};
+use crate::words;
 
 /// One fault.
 #[derive(Clone, Copy, Debug)]
@@ -34,6 +35,10 @@
     Restart,
     /// Another writer writes an engine's entry.
     Scribble,
+    /// An engine says in its answers that it leaves, and its entry does not.
+    Say,
+    /// An engine turns requests away and asks for rest.
+    Shed,
 }
 
 impl Fault {
@@ -51,6 +56,8 @@
     /// All.
     #[default]
     All,
+    /// All, and engines that say something of themselves in their answers only.
+    Words,
     /// Those of the first seeds, fewer of them, beside callers whose request ends engines.
     Poison,
 }
@@ -60,6 +67,9 @@
 /// All of them.
 const ALL: u32 = 26;
 
+/// With words in answers.
+const WORDS: u32 = 34;
+
 /// Time for which states that end last.
 const LASTS: std::ops::Range<u64> = 200..3500;
 
@@ -67,6 +77,7 @@
     let count = match set {
         Set::First | Set::Poison => FIRST,
         Set::All => ALL,
+        Set::Words => WORDS,
     };
     match random.random_range(0..count) {
         0 => Fault::Kill,
@@ -88,7 +99,9 @@
         19 => Fault::Config,
         20 | 21 => Fault::Vanish,
         22 | 23 => Fault::Restart,
-        _ => Fault::Scribble,
+        24 | 25 => Fault::Scribble,
+        26..=28 => Fault::Say,
+        _ => Fault::Shed,
     }
 }
 
@@ -147,6 +160,8 @@
         Fault::Leases => world.store.end_leases(),
         Fault::Engine => spoil(&world, engine, &mut random),
         Fault::Leave => world.leave(engine),
+        Fault::Say => world.say(engine),
+        Fault::Shed => words::shed(&world, engine, lasts).await,
         Fault::Weights => {
             let version = world.weights.get() + 1;
             world.weights.set(version);
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -13,3 +13,4 @@
 pub mod poison;
 pub mod proxy;
 pub mod run;
+pub mod words;
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -37,14 +37,18 @@
     /// fewer faults, beside callers whose request ends engines
     #[argh(switch)]
     poison: bool,
+    /// all faults, and engines that say in their answers only that they leave or want rest
+    #[argh(switch)]
+    words: bool,
 }
 
 impl Arguments {
     fn set(&self) -> Set {
-        match (self.poison, self.first) {
-            (true, _) => Set::Poison,
-            (false, true) => Set::First,
-            (false, false) => Set::All,
+        match self {
+            Self { poison: true, .. } => Set::Poison,
+            Self { words: true, .. } => Set::Words,
+            Self { first: true, .. } => Set::First,
+            _ => Set::All,
         }
     }
 }
--- a/crates/jb-soak/src/poison.rs
+++ b/crates/jb-soak/src/poison.rs
@@ -3,14 +3,14 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
-use jb_site_fakes::caller::{Got, request};
+use jb_site_fakes::caller::request;
 use jb_site_fakes::document::MODEL_HEADERS;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
-use crate::callers::{Asked, ask_once};
+use crate::callers::{Asking, ask_once};
 use crate::checks::{Checks, Promise};
 use crate::run::World;
 
@@ -49,25 +49,26 @@
         sleep(PAUSE).await;
         let at = random.random_range(0..world.boxes.len());
         count += 1;
-        let (id, sent) = (format!("d{number}-{count}"), Instant::now());
+        let asking = Asking {
+            id: format!("d{number}-{count}"),
+            path: "/resume/a",
+            key: "key-ann",
+            at,
+            starts: world.boxes[at].starts(),
+            sent: Instant::now(),
+        };
         let in_touch = world.is_calm(at, CONTACT);
-        let bytes = request("POST", "/resume/a", &id, MODEL_HEADERS, DEADLY);
+        let bytes = request("POST", asking.path, &asking.id, MODEL_HEADERS, DEADLY);
         let got = match world.boxes[at].address() {
             Some(address) => ask_once(address, &bytes, PATIENCE).await,
             None => None,
         };
         world.tries.borrow_mut().push(Try {
-            id: id.clone(),
-            sent,
+            id: asking.id.clone(),
+            sent: asking.sent,
             in_touch,
         });
-        world.asked.borrow_mut().push(Asked {
-            id,
-            path: "/resume/a",
-            key: "key-ann",
-            sent,
-            status: got.as_ref().map(Got::status),
-        });
+        world.asked.borrow_mut().push(asking.end(got.as_ref()));
     }
 }
 
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -1,7 +1,7 @@
 //! One run of the soak.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -23,6 +23,7 @@
 use crate::faults::{self, Set};
 use crate::poison::{self, Try};
 use crate::proxy::Link;
+use crate::words;
 
 /// Events of a whole stream.
 pub const EVENTS: u64 = 6;
@@ -94,6 +95,10 @@
     pub weights: Cell<u64>,
     revoked: Cell<Option<Instant>>,
     left: RefCell<BTreeMap<usize, (Instant, usize)>>,
+    /// Engines that say in their answers that they leave.
+    saying: RefCell<BTreeSet<usize>>,
+    /// Callers.
+    pub callers: usize,
     /// Until when each box has a fault.
     disturbed: RefCell<Vec<Instant>>,
     began: Instant,
@@ -141,6 +146,8 @@
             weights: Cell::new(1),
             revoked: Cell::default(),
             left: RefCell::default(),
+            saying: RefCell::default(),
+            callers: plan.callers as usize,
             began: Instant::now(),
             loud,
         })
@@ -171,25 +178,48 @@
         }
     }
 
-    /// Lets an engine leave; at least half of them stay.
+    /// Whether an engine leaves, by whatever word.
+    fn leaves(&self, engine: usize) -> bool {
+        self.left.borrow().contains_key(&engine) || self.saying.borrow().contains(&engine)
+    }
+
+    /// Whether one more engine may leave; at least half of them stay.
+    fn may_leave(&self, engine: usize) -> bool {
+        let leaving = (0..self.engines.len()).filter(|engine| self.leaves(*engine));
+        leaving.count() < self.engines.len() / 2 && !self.leaves(engine)
+    }
+
+    /// Lets an engine leave.
     pub fn leave(&self, engine: usize) {
-        let mut left = self.left.borrow_mut();
-        if left.len() < self.engines.len() / 2 && !left.contains_key(&engine) {
-            let leaving = &self.engines[engine];
-            self.store.put_engine(leaving, true);
-            left.insert(engine, (Instant::now() + LEAVE, 0));
+        if self.may_leave(engine) {
+            self.store.put_engine(&self.engines[engine], true);
+            let until = Instant::now() + LEAVE;
+            self.left.borrow_mut().insert(engine, (until, 0));
         }
     }
 
-    /// Takes an engine's entry away, though it serves on; at least half of them stay.
+    /// Takes an engine's entry away, though it serves on.
     pub fn vanish(&self, engine: usize) {
-        let mut left = self.left.borrow_mut();
-        if left.len() < self.engines.len() / 2 && !left.contains_key(&engine) {
+        if self.may_leave(engine) {
             self.store.remove(&format!("servers/{}", self.engines[engine].id));
-            left.insert(engine, (Instant::now() + LEAVE, 0));
+            let until = Instant::now() + LEAVE;
+            self.left.borrow_mut().insert(engine, (until, 0));
         }
     }
 
+    /// Lets an engine say in its answers that it leaves.
+    pub fn say(&self, engine: usize) {
+        if self.may_leave(engine) {
+            self.engines[engine].leaving.set(true);
+            self.saying.borrow_mut().insert(engine);
+        }
+    }
+
+    /// How often boxes were started.
+    pub fn starts(&self) -> u32 {
+        self.boxes.iter().map(Box::starts).sum()
+    }
+
     /// Notes that a box, or each one, has a fault for a while.
     pub fn disturb(&self, at: usize, each: bool, lasts: Duration) {
         let until = Instant::now() + lasts;
@@ -207,21 +237,21 @@
 
     /// Starts an engine again, unless it is to leave.
     pub fn restart(&self, engine: usize) {
-        if !self.left.borrow().contains_key(&engine) {
+        if !self.leaves(engine) {
             self.engines[engine].restart();
         }
     }
 
     /// Writes an engine's entry as it should be, unless it leaves.
     pub fn write_entry(&self, engine: usize) {
-        if !self.left.borrow().contains_key(&engine) {
+        if !self.leaves(engine) {
             self.store.put_engine(&self.engines[engine], false);
         }
     }
 
     /// Writes an entry that cannot be read in place of an engine's, unless it leaves.
     pub fn scribble(&self, engine: usize, random: &mut ChaCha8Rng) {
-        if self.left.borrow().contains_key(&engine) {
+        if self.leaves(engine) {
             return;
         }
         let key = format!("servers/{}", self.engines[engine].id);
@@ -268,12 +298,8 @@
     }
 
     fn weights_reached(&self) -> bool {
-        let left = self.left.borrow();
-        let stay = self
-            .engines
-            .iter()
-            .enumerate()
-            .filter(|(at, _)| !left.contains_key(at));
+        let all = self.engines.iter().enumerate();
+        let stay = all.filter(|(at, _)| !self.leaves(*at));
         stay.map(|(_, engine)| engine.version.get())
             .all(|version| version == self.weights.get())
     }
@@ -329,6 +355,7 @@
     });
     at_the_end(&world, &mut checks);
     poison::check(&world, &mut checks);
+    words::check(&world, &mut checks);
     checks
 }
 
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -32,7 +32,12 @@
 fn promises_hold_under_random_faults() {
     let first = [1, 2].into_iter().chain(FAILED).map(|seed| (seed, Set::First));
     let poison = [(1, Set::Poison), (2, Set::Poison)];
-    for (seed, set) in first.chain([(1, Set::All), (2, Set::All)]).chain(poison) {
+    let words = [(1, Set::Words), (2, Set::Words)];
+    let later = [(1, Set::All), (2, Set::All)]
+        .into_iter()
+        .chain(poison)
+        .chain(words);
+    for (seed, set) in first.chain(later) {
         let checks = run(seed, set);
         assert!(checks.hold(), "seed {seed}\n{checks}");
         for promise in [
