--- a/crates/jb-cli/src/command/explain.rs
+++ b/crates/jb-cli/src/command/explain.rs
@@ -1,7 +1,7 @@
 //! `explain`: where a request would go, and why.
 
 use argh::FromArgs;
-use jb_protocol::admin::{Candidate, Explanation, Question};
+use jb_protocol::admin::{Candidate, Explanation, LeftOut, Question};
 
 use super::Context;
 use crate::error::Error;
@@ -59,7 +59,20 @@
             format!("{:.1}", c.cost_ms),
         ]
     };
-    let rows: Vec<Vec<String>> = explanation.candidates.iter().map(row).collect();
+    let weighing = &explanation.weighing;
+    let rows: Vec<Vec<String>> = weighing.candidates.iter().map(row).collect();
     show::table(&["upstream", "wait ms", "cached", "cost ms"], &rows);
+    if !weighing.left_out.is_empty() {
+        let rows: Vec<Vec<String>> = weighing.left_out.iter().map(left_out).collect();
+        show::table(&["left out", "as it", "for ms"], &rows);
+    }
     Ok(())
 }
+
+fn left_out(left: &LeftOut) -> Vec<String> {
+    vec![
+        left.upstream.clone(),
+        left.obstacle.text().to_owned(),
+        left.for_ms.map_or_else(String::new, |time| time.to_string()),
+    ]
+}
--- a/crates/jb-daemon/src/admin/explain.rs
+++ b/crates/jb-daemon/src/admin/explain.rs
@@ -40,7 +40,7 @@
         deadline: resolved.route.deadline,
         tried: Vec::new(),
     };
-    let candidates = context
+    let weighing = context
         .ring
         .explain(&resolved.service.id, &ask)
         .await
@@ -53,6 +53,6 @@
         hall: hall::wanted(&resolved.route, family.hash)
             .unwrap_or(&context.settings.hall)
             .to_owned(),
-        candidates,
+        weighing,
     })
 }
--- a/crates/jb-daemon/src/decide/message.rs
+++ b/crates/jb-daemon/src/decide/message.rs
@@ -7,7 +7,7 @@
 use jb_policy::route::{Ask, Choice, Refused};
 use jb_policy::said::Statement;
 use jb_policy::stream::Start;
-use jb_protocol::admin::Candidate;
+use jb_protocol::admin::Weighing;
 use jb_protocol::engine::Report;
 use jb_protocol::id;
 use jb_tree::view::View;
@@ -42,7 +42,7 @@
     /// The request.
     pub ask: Ask,
     /// Where to answer.
-    pub reply: oneshot::Sender<Vec<Candidate>>,
+    pub reply: oneshot::Sender<Weighing>,
 }
 
 /// Tells how an answer started.
--- a/crates/jb-daemon/src/decide/ring.rs
+++ b/crates/jb-daemon/src/decide/ring.rs
@@ -3,7 +3,7 @@
 use jb_policy::limit::{Admitted, Over};
 use jb_policy::route::{Ask, Choice, Refused};
 use jb_policy::said::Statement;
-use jb_protocol::admin::Candidate;
+use jb_protocol::admin::Weighing;
 use tokio::sync::{mpsc, oneshot};
 
 use super::message::{Admission, Choosing, Ending, Explanation, Message, Outcome, ServiceSummary};
@@ -124,7 +124,7 @@
     ///
     /// # Errors
     /// [`Full`].
-    pub async fn explain(&self, service: &str, ask: &Ask) -> Result<Vec<Candidate>, Full> {
+    pub async fn explain(&self, service: &str, ask: &Ask) -> Result<Weighing, Full> {
         let (reply, answer) = oneshot::channel();
         self.send(Message::Explain(Explanation {
             service: service.to_owned(),
--- a/crates/jb-daemon/src/decide/worker.rs
+++ b/crates/jb-daemon/src/decide/worker.rs
@@ -121,8 +121,8 @@
 
     fn explain(&mut self, explanation: Explanation) {
         let pool = self.pools.get(&explanation.service);
-        let candidates = pool.map(|p| p.explain(&explanation.ask, self.clock.now()));
-        let _ = explanation.reply.send(candidates.unwrap_or_default());
+        let weighing = pool.map(|p| p.explain(&explanation.ask, self.clock.now()));
+        let _ = explanation.reply.send(weighing.unwrap_or_default());
     }
 
     fn started(&mut self, started: &Started) {
--- a/crates/jb-policy/src/route/pool.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use jb_protocol::admin::Candidate;
+use jb_protocol::admin::{Candidate, Weighing};
 use jb_protocol::engine::Report;
 use jb_protocol::error::Kind;
 use jb_protocol::id;
@@ -157,7 +157,7 @@
     }
 
     /// Weighs the upstreams without choosing, for operators.
-    pub fn explain(&self, ask: &Ask, now: Moment) -> Vec<Candidate> {
+    pub fn explain(&self, ask: &Ask, now: Moment) -> Weighing {
         let mut weighed = self.weigh(ask, now);
         weighed.sort_by(|a, b| a.cost.total_cmp(&b.cost));
         let show = |w: Weighed| Candidate {
@@ -167,7 +167,10 @@
             presumed: w.presumed,
             cost_ms: w.cost * 1e3,
         };
-        weighed.into_iter().map(show).collect()
+        Weighing {
+            candidates: weighed.into_iter().map(show).collect(),
+            left_out: self.upstreams.iter().filter_map(|u| u.left_out(now)).collect(),
+        }
     }
 
     /// Takes the start of an answer: the engine's incarnation, its load, and
--- a/crates/jb-policy/src/upstream.rs
+++ b/crates/jb-policy/src/upstream.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jb_protocol::admin::{LeftOut, Obstacle};
 use jb_protocol::engine::Report;
 use jb_protocol::id;
 use jb_protocol::token::TOKENS_PER_BLOCK;
@@ -118,6 +119,31 @@
         self.would_take_work(now).then(|| self.rest.until())
     }
 
+    /// Why it gets no request now, for operators; `None` where it does.
+    pub fn left_out(&self, now: Moment) -> Option<LeftOut> {
+        let obstacles = [
+            (self.leaving.by_tree, Obstacle::LeavesByTree, None),
+            (self.leaving.by_list, Obstacle::LeavesByList, None),
+            (self.leaving.by_itself, Obstacle::LeavesByReport, None),
+            (
+                now < self.leaves_until,
+                Obstacle::LeavesByAnswer,
+                Some(self.leaves_until),
+            ),
+            (!self.fits, Obstacle::OtherWeights, None),
+            (self.rest.lasts(now), Obstacle::Rests, Some(self.rest.until())),
+            (!self.health.is_open(now), Obstacle::Fails, None),
+        ];
+        let (_, obstacle, until) = obstacles.into_iter().find(|(holds, ..)| *holds)?;
+        let until = until.filter(|until| *until < Moment::MAX);
+        let time = until.map(|until| until.saturating_sub(now).as_millis());
+        Some(LeftOut {
+            upstream: self.id.clone(),
+            obstacle,
+            for_ms: time.and_then(|time| u64::try_from(time).ok()),
+        })
+    }
+
     /// Takes what it says of itself in an answer.
     ///
     /// Its report does not lift that: it may say less than its answers, or have been asked for before.
--- a/crates/jb-policy/tests/said.rs
+++ b/crates/jb-policy/tests/said.rs
@@ -1,10 +1,13 @@
 //! What upstreams say of themselves, in whatever order it comes.
 
+#![allow(clippy::expect_used)]
+
 use std::time::Duration;
 
 use jb_policy::Moment;
 use jb_policy::said::{LONGEST_REST, Rest, Statement};
 use jb_policy::upstream::Upstream;
+use jb_protocol::admin::Obstacle;
 use jb_protocol::engine::{Load, Report};
 use quickcheck::{Gen, QuickCheck};
 
@@ -150,3 +153,21 @@
     rest.sent();
     assert!(rest.lasts(over), "the next one goes alone all the same");
 }
+
+#[test]
+fn operators_are_told_why_an_upstream_is_left_out_and_until_when() {
+    let mut upstream = upstream();
+    assert_eq!(upstream.left_out(NOW), None);
+    upstream.hear(asks_for(Duration::from_secs(3)), NOW);
+    let rests = upstream.left_out(NOW + Duration::from_secs(1)).expect("left out");
+    assert_eq!((rests.obstacle, rests.for_ms), (Obstacle::Rests, Some(2000)));
+    upstream.hear(LEAVES, NOW);
+    let leaves = upstream.left_out(NOW).expect("left out");
+    assert_eq!(
+        (leaves.obstacle, leaves.for_ms),
+        (Obstacle::LeavesByAnswer, Some(600_000))
+    );
+    upstream.leaving.by_tree = true;
+    let tree = upstream.left_out(NOW).expect("left out");
+    assert_eq!((tree.obstacle, tree.for_ms), (Obstacle::LeavesByTree, None));
+}
--- a/crates/jb-protocol/src/admin.rs
+++ b/crates/jb-protocol/src/admin.rs
@@ -69,6 +69,62 @@
     pub cost_ms: f64,
 }
 
+/// Why an upstream gets no request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Obstacle {
+    /// The tree says that it leaves.
+    LeavesByTree,
+    /// The box list says so.
+    LeavesByList,
+    /// Its report says so.
+    LeavesByReport,
+    /// An answer of its own says so.
+    LeavesByAnswer,
+    /// It has turned a request away and wants rest.
+    Rests,
+    /// It has other weights, or another model.
+    OtherWeights,
+    /// Requests have failed there.
+    Fails,
+}
+
+impl Obstacle {
+    /// The obstacle in words.
+    pub fn text(self) -> &'static str {
+        match self {
+            Self::LeavesByTree => "leaves, by the tree",
+            Self::LeavesByList => "leaves, by the box list",
+            Self::LeavesByReport => "leaves, by its report",
+            Self::LeavesByAnswer => "leaves, by its answers",
+            Self::Rests => "wants rest",
+            Self::OtherWeights => "has other weights",
+            Self::Fails => "fails",
+        }
+    }
+}
+
+/// An upstream that gets no request now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LeftOut {
+    /// Upstream.
+    pub upstream: id::Upstream,
+    /// Why.
+    pub obstacle: Obstacle,
+    /// Milliseconds until it is asked again, where that is known.
+    pub for_ms: Option<u64>,
+}
+
+/// How the upstreams of a service weigh for a request.
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
+pub struct Weighing {
+    /// Upstreams as weighed, the best first.
+    pub candidates: Vec<Candidate>,
+    /// Those that get nothing now.
+    #[serde(default)]
+    pub left_out: Vec<LeftOut>,
+}
+
 /// Where a request would go.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Explanation {
@@ -82,8 +138,9 @@
     pub point: u32,
     /// Hall where the tree wants it.
     pub hall: id::Hall,
-    /// Upstreams as weighed, the best first.
-    pub candidates: Vec<Candidate>,
+    /// Upstreams.
+    #[serde(flatten)]
+    pub weighing: Weighing,
 }
 
 /// A request to explain.
--- a/crates/jb-scenario/tests/words.rs
+++ b/crates/jb-scenario/tests/words.rs
@@ -14,6 +14,7 @@
 use jb_fakes::fleet::layout::{self, ENGINES, Hall, Layout, PLAIN, ROUTE, TreeOptions};
 use jb_fakes::fleet::{self, Client, Rig};
 use jb_fakes::load::{self, Request, Seen};
+use jb_protocol::admin::{Explanation, LeftOut, Obstacle, Question};
 use jb_protocol::priority::Priority;
 use tokio::time::sleep;
 
@@ -103,6 +104,23 @@
         (counts.runs.len() as u64, counts.refused)
     }
 
+    /// Engines that the box sends nothing to, as operators are told.
+    async fn left_out(&self) -> Vec<LeftOut> {
+        let (_, ports) = self.rig.boxes().next().expect("a box");
+        let question = Question {
+            customer: "ann".to_owned(),
+            route: ROUTE.to_owned(),
+            levels: vec!["a prompt".to_owned()],
+        };
+        let posted = self
+            .client
+            .post(ports.operators, "/admin/explain", &question)
+            .await;
+        let body = posted.expect("an answer").body;
+        let told: Explanation = serde_json::from_value(body).expect("an explanation");
+        told.weighing.left_out
+    }
+
     async fn fault_engine(&self, fault: EngineFault) {
         let (_, address) = &self.rig.upstreams_of(ENGINES)[0];
         self.client.fault(*address, &fault).await.expect("a fault");
@@ -161,4 +179,8 @@
         sleep(AFTER_A_PAUSE).await;
     }
     assert_eq!((world.engine().await.1, world.plain().await.1), (1, 1));
+    let left_out = world.left_out().await;
+    assert_eq!(left_out.len(), 1, "{left_out:?}");
+    assert_eq!(left_out[0].obstacle, Obstacle::Rests);
+    assert!(left_out[0].for_ms.is_some_and(|time| time > 10_000));
 }
