One retry budget for both doors

The completions door had a bucket of twenty retries that requests refill; the opaque door counts requests and repeats in a window, and shares the fixed part among the boxes. The second one wins: it bounds what all boxes send together, which the bucket did not.

--- a/crates/jb-daemon/src/decide/worker.rs
+++ b/crates/jb-daemon/src/decide/worker.rs
@@ -106,7 +106,7 @@
     fn choose(&mut self, choosing: Choosing) {
         let now = self.clock.now();
         let result = match self.pools.get_mut(&choosing.service) {
-            Some(pool) => choose_in(pool, &choosing, now),
+            Some(pool) => choose_in(pool, &choosing, self.boxes, now),
             None => Err(Refused {
                 kind: Kind::NoUpstream,
                 after: std::time::Duration::from_secs(2),
@@ -259,15 +259,20 @@
     }
 }
 
-fn choose_in(pool: &mut Pool, choosing: &Choosing, now: jb_policy::Moment) -> Result<Choice, Refused> {
-    if choosing.retry && !pool.spend_retry() {
+fn choose_in(
+    pool: &mut Pool,
+    choosing: &Choosing,
+    boxes: u32,
+    now: jb_policy::Moment,
+) -> Result<Choice, Refused> {
+    if choosing.retry && !pool.spend_retry(boxes, now) {
         return Err(Refused {
             kind: Kind::UpstreamRefused,
             after: std::time::Duration::from_secs(1),
         });
     }
     if !choosing.retry {
-        pool.earn_retries();
+        pool.earn_retries(now);
     }
     pool.choose(&choosing.ask, now)
 }
--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -25,7 +25,6 @@
 pub mod prefix;
 pub mod pressure;
 pub mod quota;
-pub mod retry;
 pub mod route;
 pub mod said;
 pub mod share;
--- a/crates/jb-policy/src/route/pool.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -20,8 +20,8 @@
 use crate::health::Change;
 use crate::knowledge::{Index, Knowledge};
 use crate::prefix::Chain;
-use crate::retry::Budget;
 use crate::said::Statement;
+use crate::share::{Bound, Budget};
 use crate::stream::Start;
 use crate::upstream::{News, Upstream};
 
@@ -31,6 +31,11 @@
 const MOST_MARKS: usize = 200_000;
 /// Age given to the load in an answer's start, for the way it has come.
 const ANSWER_AGE: Duration = Duration::from_millis(2);
+/// Time over which requests bring retries.
+const RETRY_WINDOW: Duration = Duration::from_secs(10);
+/// Retries of each box in that time besides, of which the budget spends 0.8: a box has up to 16
+/// requests at an engine on a busy day, which all fall with it.
+const RESERVE: f64 = 25.0;
 /// Time after which to come back when no upstream is usable.
 const NO_UPSTREAM_PAUSE: Duration = Duration::from_secs(2);
 
@@ -105,14 +110,20 @@
             .unwrap_or(Duration::MAX)
     }
 
-    /// Earns retries for a new request.
-    pub fn earn_retries(&mut self) {
-        self.budget.earn(self.service.retry_percent);
+    /// Notes a new request, which brings its share of retries.
+    pub fn earn_retries(&mut self, now: Moment) {
+        self.budget.request(now, RETRY_WINDOW);
     }
 
-    /// Takes one retry of the budget; `false` when it is spent.
-    pub fn spend_retry(&mut self) -> bool {
-        self.budget.spend()
+    /// Takes one retry of this box's share of the budget; `false` when it is spent.
+    pub fn spend_retry(&mut self, boxes: u32, now: Moment) -> bool {
+        let boxes = boxes.max(1);
+        let bound = Bound {
+            ratio: f64::from(self.service.retry_percent) / 100.0,
+            extra: RESERVE * f64::from(boxes),
+            window: RETRY_WINDOW,
+        };
+        self.budget.spend(now, &bound, boxes as usize)
     }
 
     /// Chooses an upstream and counts the request there.
--- a/crates/jb-policy/tests/route.rs
+++ b/crates/jb-policy/tests/route.rs
@@ -199,3 +199,18 @@
     assert_eq!(upstream.backlog.wait(Priority::Urgent, at(0)), Duration::ZERO);
     assert!(upstream.backlog.wait(Priority::Normal, at(0)) > Duration::from_secs(1));
 }
+
+/// A dying engine causes no retry storm, and calm requests bring retries for the next one.
+#[test]
+fn retries_are_a_share_of_the_requests_and_a_few_besides() {
+    let mut pool = Pool::new(&service(4, ""), "h");
+    let spent = |pool: &mut Pool, now| (0..1000).take_while(|_| pool.spend_retry(2, now)).count();
+    assert_eq!(spent(&mut pool, at(0)), 20);
+    assert_eq!(spent(&mut pool, at(5_000)), 0);
+    for number in 0..500 {
+        pool.earn_retries(at(20_000 + number));
+    }
+    let percent = service(4, "").retry_percent as usize;
+    assert_eq!(spent(&mut pool, at(20_500)), 20 + 500 * percent * 8 / 1000);
+    assert_eq!(spent(&mut pool, at(40_000)), 20);
+}
