--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -205,6 +205,9 @@
         progress.note_key(change);
         apply(core, core.store.decode(change), change.revision, comes_back);
     }
+    if changes.iter().any(|change| change.key.starts_with(peers::KEYS)) {
+        peers::list(core);
+    }
     missing::sweep(core, &progress.blindness);
     let mut log = core.log.borrow_mut();
     if whole {
