A late answer to an earlier request says nothing of weights or room; boxes that were told of a leaving do not tell again

Found in reading, each with a test red before: since all heads are heard, the weights of an extra answer that came late counted as those of now; and each box of a large fleet that heard a leaving itself after it had been told would have told all others (295 boxes: 87,000 datagrams).

--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -206,16 +206,13 @@
         if answer.status < 200 {
             continue;
         }
-        said::hear(
-            core,
-            life,
-            ticket.model.as_deref(),
-            &said::read(&core.names, &answer),
-        );
+        let said = said::read(&core.names, &answer);
         if answer.headers.text(core.names.request) == Some(ticket.id.as_str()) {
+            said::hear(core, life, ticket.model.as_deref(), &said);
             return Ok(answer);
         }
         // An extra answer to an earlier request on this connection.
+        said::overhear(core, life, &said);
         *clean = false;
         if answer.framing == Framing::UntilClose {
             return Err(http::Error::Malformed("an answer to another request"));
--- a/crates/jb-relay/src/said.rs
+++ b/crates/jb-relay/src/said.rs
@@ -90,6 +90,14 @@
     }
 }
 
+/// Takes what a life has said in an answer to an earlier request, which may come late: what it says of
+/// its weights and of its room was true then.
+pub fn overhear(core: &Core, life: &Life, said: &Said<'_>) {
+    if !said.is_of_another(life) {
+        note(core, life, said.statement);
+    }
+}
+
 /// Takes what a life has said beside an answer to anything.
 pub fn note(core: &Core, life: &Life, statement: Statement) {
     let now = core.now();
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -86,8 +86,8 @@
         }
     }
 
-    /// Takes what a life says of itself in an answer; whether it says for the first time that it
-    /// leaves. Its entry may still name it as ready, or be missing and come back.
+    /// Takes what a life says of itself in an answer; whether that takes it off, as nobody has said so
+    /// before. Its entry may still name it as ready, or be missing and come back.
     pub fn hear_answer(&mut self, life: &Life, statement: Statement) -> bool {
         let words = self.words.entry(life.id.clone()).or_default();
         if statement.leaving {
@@ -97,7 +97,7 @@
             return false;
         };
         let leaves = words.leaves(known.life.born);
-        let new = leaves && !known.entry.leaving;
+        let new = leaves && known.is_there();
         known.entry.leaving |= leaves;
         new
     }
--- a/crates/jb-relay/tests/lives.rs
+++ b/crates/jb-relay/tests/lives.rs
@@ -179,6 +179,12 @@
     let told = names.iter().map(|name| registry.note_leaving(&[*name]).len());
     assert_eq!(told.sum::<usize>(), 3);
     assert!(registry.note_leaving(&names).is_empty());
+    // Boxes that were told do not tell again when they hear it themselves.
+    let first = registry
+        .iter()
+        .find(|(_, u)| u.told_leaving)
+        .map(|(_, u)| u.life.clone());
+    assert!(!registry.hear_answer(&first.expect("told"), leaves()));
     // What the engines say themselves has no such bound.
     for id in &ids {
         let life = registry.get(id).expect("known").life.clone();
