--- a/crates/jb-daemon/src/run/session/mod.rs
+++ b/crates/jb-daemon/src/run/session/mod.rs
@@ -3,25 +3,21 @@
 
 mod apart;
 mod pick;
+mod send;
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use jb_policy::call::{Call, Denied, Refusal, Sent, Streaming, Unsent};
 use jb_policy::poison::Engine;
-use jb_policy::stream::Reader;
-use jb_protocol::engine::Call as EngineCall;
 use jb_protocol::error::Kind;
 use jb_protocol::{event, id};
-use jb_wire::peer::RelayRequest;
-
-use opentelemetry::trace::SpanKind;
 
 use self::pick::{NoTarget, Target};
-use super::attempt::{AtEngine, AtPeer, Attempt, Part, Trouble};
+use super::attempt::{Attempt, Part, Trouble};
 use super::request::Request;
 use crate::context::Context;
-use crate::decide::{Outcome, Ticket};
+use crate::decide::Outcome;
 use crate::emit;
 use crate::trace::Hop;
 
@@ -219,109 +215,6 @@
         Ok(sent.map(|()| Part::Progress))
     }
 
-    fn begin_hop(&mut self, target: &Target) {
-        let parent = self.request.traceparent.as_deref();
-        let mut hop = self.context.traces.begin("attempt", SpanKind::Client, parent);
-        hop.note(
-            "to",
-            match target {
-                Target::Engine { upstream, .. } => upstream,
-                Target::Peer { id, .. } => id,
-            },
-        );
-        self.hop = Some(hop);
-    }
-
-    /// Trace context of the present attempt.
-    fn traceparent(&self) -> Option<String> {
-        self.hop.as_ref().and_then(Hop::traceparent)
-    }
-
-    async fn send_to_engine(
-        &mut self,
-        attempt: id::Attempt,
-        upstream: id::Upstream,
-        ticket: Ticket,
-    ) -> Result<(), Trouble> {
-        let service = &self.request.service;
-        self.tried.push(upstream.clone());
-        let Some(config) = service.upstreams.iter().find(|u| u.id == upstream) else {
-            return Err(Trouble::Denied {
-                denial: jb_policy::call::Denial::from_upstream("the upstream has left the tree"),
-                kind: Kind::NoUpstream,
-                after: None,
-            });
-        };
-        let call = EngineCall {
-            attempt: attempt.clone(),
-            model: service.model.clone(),
-            weights: service.weights.clone(),
-            salt: self.request.salt.clone(),
-            prompt: self.request.parsed.levels.concat(),
-            max_tokens: self.request.parsed.max_tokens,
-            priority: self.request.class,
-            resume_at: self.next,
-            traceparent: self.traceparent(),
-        };
-        let heard = self
-            .context
-            .engines
-            .run(config.address, &call, service.silence)
-            .await;
-        self.context.ring.hear(&service.id, &upstream, heard.said).await;
-        let frames = match heard.result {
-            Ok(frames) => frames,
-            Err(failure) => {
-                let denied = matches!(failure, jb_upstream::Failure::Denied(_));
-                ticket.end(if denied { Outcome::Denied } else { Outcome::Failed });
-                return Err(failure.into());
-            }
-        };
-        self.attempt = Some(Attempt::Engine(Box::new(AtEngine {
-            service: service.id.clone(),
-            upstream,
-            ask: Arc::new(self.ask()),
-            frames,
-            reader: Reader::new(attempt, service.weights.clone(), self.next),
-            ticket,
-            cached_tokens: 0,
-        })));
-        Ok(())
-    }
-
-    async fn send_to_peer(&mut self, peer: id::Box, address: &str, hall: id::Hall) -> Result<(), Trouble> {
-        self.tried_boxes.push(peer.clone());
-        let request = RelayRequest {
-            version: jb_wire::VERSION,
-            customer: self.request.customer.clone(),
-            route: self.request.route.id.clone(),
-            body: self.request.body.to_vec(),
-            endpoint: self.request.endpoint.clone(),
-            priority: u32::try_from(self.request.class.index()).unwrap_or(u32::MAX),
-            deadline_ms: u32::try_from(self.request.deadline.as_millis()).unwrap_or(u32::MAX),
-            once: self.request.once,
-            traceparent: self.traceparent().unwrap_or_default(),
-            request_id: self.request.id.clone(),
-            resume_at: self.next,
-        };
-        match self.context.dialer.relay(address, request).await {
-            Ok(frames) => {
-                self.attempt = Some(Attempt::Peer(Box::new(AtPeer {
-                    peer,
-                    hall,
-                    frames,
-                    next: self.next,
-                    silence: self.request.service.silence,
-                })));
-                Ok(())
-            }
-            Err(failure) => {
-                self.context.directory.failed(&peer);
-                Err(failure.into())
-            }
-        }
-    }
-
     /// Decides whether another attempt may follow a failed one.
     fn troubled(&mut self, trouble: Trouble) -> Result<(), Refusal> {
         self.context.metrics.failed_attempts.inc();
--- a/crates/jb-relay/src/exchange/apart.rs
+++ b/crates/jb-relay/src/exchange/apart.rs
@@ -6,8 +6,9 @@
 use jb_policy::gate::{Estimate, Verdict};
 use jb_policy::poison;
 
+use super::pick::Refused;
 use super::place::{self, Among, Choice};
-use super::run::{Exchange, Refused};
+use super::run::Exchange;
 use crate::link;
 use crate::quarantine;
 use crate::upstream::Life;
--- a/crates/jb-relay/src/exchange/mod.rs
+++ b/crates/jb-relay/src/exchange/mod.rs
@@ -4,6 +4,7 @@
 mod ask;
 mod count;
 mod judge;
+mod pick;
 mod place;
 mod run;
 
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -6,13 +6,13 @@
 
 use bytes::Bytes;
 use jb_policy::Moment;
-use jb_policy::gate::Verdict;
 use jb_policy::poison::Content;
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
-use super::apart::{BEGINS, Pass, SUSPECT_WAITS};
+use super::apart::BEGINS;
 use super::count::Counted;
+use super::pick::Refused;
 use super::place::{self, Choice};
 use crate::attempt::{self, Message, Outcome, Reply};
 use crate::core::Shared;
@@ -26,13 +26,6 @@
 
 /// Sends of one request at most, with those that were turned away.
 const MOST_SENDS: u32 = 4;
-/// Pause before the upstreams are looked through again when none is open.
-const LOOK_AGAIN: Duration = Duration::from_millis(40);
-/// Pause before a request that waits for a place in time is judged again: loads of other boxes
-/// are told every 100 ms, own first tokens come at any time.
-const LOOK_FOR_PLACE: Duration = Duration::from_millis(20);
-/// Share of the wanted time for which a request waits in the box for an upstream.
-const WAIT_SHARE: f64 = 0.2;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -61,7 +54,7 @@
     /// Whether the next send is taken from the retry budget already.
     pub(super) paid: bool,
     /// Why it goes to no engine now.
-    refused: Option<Refused>,
+    pub(super) refused: Option<Refused>,
     /// What it asks, once that was worked out.
     pub(super) content: OnceCell<Content>,
     /// Where the engine's account is told how the request ended.
@@ -69,14 +62,6 @@
     pub(super) pace: Pace,
 }
 
-/// Why a request goes to no engine now.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Refused {
-    pub(super) why: &'static str,
-    /// Time after which its caller may come back.
-    pub(super) after: Duration,
-}
-
 /// What follows a send.
 enum Next {
     /// Another upstream may try.
@@ -153,72 +138,6 @@
         }
     }
 
-    /// The upstream for the next send; waits a little when none is open, for a place in time at the
-    /// first send, and where the request is a suspect for one that no other suspect has.
-    async fn pick(&mut self, client: &mut Connection) -> Option<Choice> {
-        let ticket = self.message.ticket;
-        // A stream that goes on may pause for as long as its route allows.
-        let until = match self.message.last_event {
-            Some(_) => self.core.now() + ticket.route.pause,
-            None => ticket.arrived + ticket.route.target.mul_f64(WAIT_SHARE),
-        };
-        let suspect_until = (self.core.now() + SUSPECT_WAITS).min(ticket.until);
-        loop {
-            match self.pass(suspect_until) {
-                Pass::Freely => {}
-                Pass::Apart(choice) => return Some(*choice),
-                Pass::Later => {
-                    self.wait(LOOK_FOR_PLACE, client).await?;
-                    continue;
-                }
-                Pass::Never(refused) => {
-                    self.refused = Some(refused);
-                    return None;
-                }
-            }
-            let pause = match place::choose_advised(self.core, ticket, self.message.body, &self.tried).await {
-                Some(choice) if !self.tried.is_empty() => return Some(choice),
-                Some(choice) => match choice.verdict {
-                    Verdict::Send => return Some(choice),
-                    Verdict::Wait => LOOK_FOR_PLACE,
-                    Verdict::Refuse(after) => {
-                        self.refused = Some(Refused {
-                            why: "no_room",
-                            after,
-                        });
-                        return None;
-                    }
-                },
-                None => {
-                    self.refused = self.refuse_resting(until);
-                    if self.refused.is_some() || self.core.now() >= until {
-                        return None;
-                    }
-                    LOOK_AGAIN
-                }
-            };
-            self.wait(pause, client).await?;
-        }
-    }
-
-    /// The refusal of a request whose upstreams all rest until after a moment, those that have turned
-    /// it away with them.
-    fn refuse_resting(&self, until: Moment) -> Option<Refused> {
-        let back = place::first_back(self.core, self.message.ticket, self.message.body)?;
-        (back > until).then(|| Refused {
-            why: "all_rest",
-            after: back.saturating_sub(self.core.now()),
-        })
-    }
-
-    /// Waits; `None` when the caller goes meanwhile.
-    async fn wait(&self, pause: Duration, client: &mut Connection) -> Option<()> {
-        tokio::select! {
-            () = sleep(pause) => Some(()),
-            () = client.closed() => None,
-        }
-    }
-
     /// One send, and the delivery of its answer.
     async fn attempt(&mut self, choice: Choice, client: &mut Connection) -> Result<Next, &'static str> {
         let core = self.core;
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -5,7 +5,7 @@
 use jb_policy::Moment;
 use jb_policy::health::Change;
 use jb_policy::place;
-use jb_policy::said::Statement;
+use jb_policy::said::{Rest, Statement};
 use jb_protocol::id;
 
 use super::words::{Standing, Words};
@@ -15,6 +15,9 @@
 /// Ids of upstreams that have gone of which words are remembered: a late one of theirs changes
 /// nothing. Late words come within seconds, in which few engines go.
 const MOST_GONE: usize = 512;
+/// Lives that have gone of which the rest is remembered that they asked for: an entry comes back within
+/// seconds, in which few engines go.
+const MOST_RESTING: usize = 64;
 /// Replaced lives that are remembered where another box tells of them before the store does.
 const MOST_REPLACED: usize = 64;
 
@@ -26,6 +29,8 @@
     words: BTreeMap<Id, Words>,
     /// Short names of lives at whose addresses others answer, the last one told at the end.
     replaced: VecDeque<u32>,
+    /// Rest that lives asked for whose entries have gone, the last one to go at the end.
+    resting: VecDeque<(Life, Rest)>,
     /// Whether upstreams say when they started: an entry without that is of another writer then.
     tells_births: bool,
 }
@@ -142,6 +147,8 @@
         // Without births, an id that is back may have its address back as well.
         let is_told = upstream.life.born.is_some() && self.replaced.contains(&place::short(upstream.name));
         upstream.refused |= is_told;
+        let rested = self.resting.iter().rev().find(|(life, _)| *life == upstream.life);
+        upstream.rest = rested.map_or(upstream.rest, |(_, rest)| *rest);
         self.all.insert(id.to_owned(), upstream);
     }
 
@@ -168,6 +175,9 @@
         if let Some(ids) = self.services.get_mut(&known.entry.service) {
             ids.retain(|other| other != id);
         }
+        self.resting.push_back((known.life.clone(), known.rest));
+        let most = self.resting.len().saturating_sub(MOST_RESTING);
+        self.resting.drain(..most);
         self.forget_words();
         Some(Ended::of(&known))
     }
--- a/crates/jb-relay/tests/lives.rs
+++ b/crates/jb-relay/tests/lives.rs
@@ -167,6 +167,24 @@
     assert!(is_open(&registry));
 }
 
+/// An engine that had asked for rest lost its entry in an outage of the store and had it back while the
+/// rest was not over.
+#[test]
+fn rest_outlasts_an_entry_that_goes_and_comes_back_and_ends_with_its_life() {
+    let mut registry = Registry::default();
+    for born in [FIRST, SECOND] {
+        registry.hear("engine", entry(Some(FIRST), false), 1);
+        let life = registry.get("engine").expect("known").life.clone();
+        let known = registry.life_mut(&life).expect("its life");
+        known.rest.hear(asks_for(NOW), 1, NOW);
+        registry.hear("engine", Word::Gone, 2);
+        registry.remove("engine");
+        registry.hear("engine", entry(Some(born), false), 3);
+        assert_eq!(is_open(&registry), born == SECOND);
+        registry = Registry::default();
+    }
+}
+
 /// One box that is wrong, or tells much.
 #[test]
 fn word_of_other_boxes_takes_at_most_half_of_a_service_off() {
--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -12,8 +12,8 @@
 use tokio::time::{sleep, timeout};
 
 use crate::checks::Promise;
-use crate::run::World;
 use crate::words;
+use crate::world::World;
 
 /// Longest wait for an answer: the longest route's time and a second.
 const PATIENCE: Duration = Duration::from_secs(5);
@@ -159,7 +159,7 @@
         checks.check(Promise::OwnAnswer, whole, || format!("{id} got {:?}", got.body));
     } else {
         let events = got.events();
-        let rising = events.iter().copied().eq(1..=crate::run::EVENTS);
+        let rising = events.iter().copied().eq(1..=crate::world::EVENTS);
         checks.check(Promise::Order, rising, || {
             format!("{id} got the events {events:?}")
         });
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -10,8 +10,8 @@
 use tokio::time::sleep;
 
 use crate::proxy::Link;
-use crate::run::{EVENTS, World, config};
 use crate::words;
+use crate::world::{EVENTS, World, config};
 
 /// One fault.
 #[derive(Clone, Copy, Debug)]
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -14,3 +14,4 @@
 pub mod proxy;
 pub mod run;
 pub mod words;
+pub mod world;
--- a/crates/jb-soak/src/poison.rs
+++ b/crates/jb-soak/src/poison.rs
@@ -12,7 +12,7 @@
 
 use crate::callers::{Asking, ask_once};
 use crate::checks::{Checks, Promise};
-use crate::run::World;
+use crate::world::World;
 
 /// Body of the request.
 pub const DEADLY: &str = "deadly";
--- a/crates/jb-soak/src/words.rs
+++ b/crates/jb-soak/src/words.rs
@@ -9,7 +9,7 @@
 
 use crate::callers::Asked;
 use crate::checks::{Checks, Promise};
-use crate::run::World;
+use crate::world::World;
 
 /// Time after a box has passed on an engine's word that it leaves in which a request may still reach
 /// the engine from that box.
