--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -26,18 +26,8 @@
 
 /// What was asked, and what a caller got.
 pub struct Asked {
-    /// Id of the request.
-    pub id: String,
-    /// Path.
-    pub path: &'static str,
-    /// Key.
-    pub key: &'static str,
-    /// Box that was asked.
-    pub at: usize,
-    /// Which of its processes.
-    pub starts: u32,
-    /// When it was sent.
-    pub sent: Instant,
+    /// What was asked.
+    pub asking: Asking,
     /// When its answer was there, or was waited for no longer.
     pub ended: Instant,
     /// Engine that says in the answer that it leaves.
@@ -63,15 +53,15 @@
 }
 
 impl Asking {
+    /// Process of the box that is asked.
+    pub fn process(&self) -> (usize, u32) {
+        (self.at, self.starts)
+    }
+
     /// Notes what came of it.
     pub fn end(self, got: Option<&Got>) -> Asked {
         Asked {
-            id: self.id,
-            path: self.path,
-            key: self.key,
-            at: self.at,
-            starts: self.starts,
-            sent: self.sent,
+            asking: self,
             ended: Instant::now(),
             leaving: got.and_then(words::said_leaving),
             status: got.map(Got::status),
@@ -79,13 +69,6 @@
     }
 }
 
-impl Asked {
-    /// Process of the box that was asked.
-    pub fn process(&self) -> (usize, u32) {
-        (self.at, self.starts)
-    }
-}
-
 /// Asks until the world stops.
 pub async fn run(world: Rc<World>, number: u64) {
     let mut random = ChaCha8Rng::seed_from_u64(world.seed ^ (number << 32));
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -134,18 +134,18 @@
         }
     }
     for asked in world.asked.borrow().iter() {
-        let ran = runs.get(&asked.id).copied().unwrap_or(0);
-        let once = asked.path.starts_with("/once") || asked.path.starts_with("/stream");
+        let ran = runs.get(&asked.asking.id).copied().unwrap_or(0);
+        let once = asked.asking.path.starts_with("/once") || asked.asking.path.starts_with("/stream");
         if once {
             checks.check(Promise::Once, ran <= 1, || {
-                format!("{} ran {ran} times", asked.id)
+                format!("{} ran {ran} times", asked.asking.id)
             });
         }
         if matches!(asked.status, Some(503 | 429 | 408 | 421)) {
             let what = || {
                 format!(
                     "{} was refused with {:?} and ran {ran} times",
-                    asked.id, asked.status
+                    asked.asking.id, asked.status
                 )
             };
             checks.check(Promise::NotRun, ran == 0, what);
@@ -153,10 +153,10 @@
         let dead = world
             .revoked
             .get()
-            .is_some_and(|at| asked.key == "key-cut" && asked.sent > at + REVOKE);
+            .is_some_and(|at| asked.asking.key == "key-cut" && asked.asking.sent > at + REVOKE);
         if dead {
             checks.check(Promise::Revoked, ran == 0, || {
-                format!("{} ran with a key that was gone", asked.id)
+                format!("{} ran with a key that was gone", asked.asking.id)
             });
         }
     }
--- a/crates/jb-soak/src/words.rs
+++ b/crates/jb-soak/src/words.rs
@@ -48,7 +48,7 @@
     let mut passed: BTreeMap<(Process, &str), Instant> = BTreeMap::new();
     for one in asked.iter() {
         if let Some(engine) = &one.leaving {
-            let first = passed.entry((one.process(), engine)).or_insert(one.ended);
+            let first = passed.entry((one.asking.process(), engine)).or_insert(one.ended);
             *first = one.ended.min(*first);
         }
     }
@@ -57,12 +57,12 @@
             continue;
         };
         let ran = engine.ran();
-        let late = |one: &&Asked| one.process() == process && one.sent > first + DRAIN;
+        let late = |one: &&Asked| one.asking.process() == process && one.asking.sent > first + DRAIN;
         for one in asked.iter().filter(late) {
-            checks.check(Promise::Word, !ran.contains(&one.id), || {
+            checks.check(Promise::Word, !ran.contains(&one.asking.id), || {
                 format!(
                     "{} ran at {id}, which had told box {} that it leaves",
-                    one.id, process.0
+                    one.asking.id, process.0
                 )
             });
         }
