Log the rate limits that upstreams announce

No line of the log told what a response announces, so the hypotheses of the rate limit incident could not be told apart: not read, read by each box for itself, or read too late. The header is parsed with the other signals of a response head, the latest observation is kept with the instance, and each change is logged as upstream_limited. Nothing is enforced yet.

A head without the header lifts a limit only if its request was sent after the limit was announced: responses on different connections overtake each other.

--- a/crates/jb-daemon/src/decide/ring.rs
+++ b/crates/jb-daemon/src/decide/ring.rs
@@ -1,6 +1,7 @@
 //! The bounded ring to the thread that decides.
 
 use jb_policy::limit::{Admitted, Over};
+use jb_policy::rate_limit::Announcement;
 use jb_policy::route::{Ask, Choice, Refused};
 use jb_policy::said::Statement;
 use jb_protocol::admin::Weighing;
@@ -154,7 +155,8 @@
 
     /// Tells what an upstream has said of itself in an answer, if anything.
     pub async fn hear(&self, service: &str, upstream: &str, statement: Statement) {
-        if statement != Statement::default() {
+        let limited = matches!(statement.limit, Announcement::Limited(_));
+        if statement.leaving || statement.rest.is_some() || limited {
             let (service, upstream) = (service.to_owned(), upstream.to_owned());
             self.send_surely(Message::Said {
                 service,
--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -25,6 +25,7 @@
 pub mod prefix;
 pub mod pressure;
 pub mod quota;
+pub mod rate_limit;
 pub mod route;
 pub mod said;
 pub mod share;
--- a/crates/jb-policy/src/said.rs
+++ b/crates/jb-policy/src/said.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use crate::Moment;
+use crate::rate_limit::Announcement;
 
 /// Longest rest that is believed: an upstream that wants none of a box's requests for longer has ended
 /// or says something that makes no sense.
@@ -40,12 +41,14 @@
 }
 
 /// What one answer says of the upstream that gave it.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Statement {
     /// Whether it is about to end.
     pub leaving: bool,
     /// Time for which it wants nothing more from this box.
     pub rest: Option<Duration>,
+    /// Rate that it accepts from all boxes together.
+    pub limit: Announcement,
 }
 
 /// What came of a call to an upstream, and what the upstream said of itself beside it.
--- a/crates/jb-policy/tests/said.rs
+++ b/crates/jb-policy/tests/said.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
+use jb_policy::rate_limit::Announcement;
 use jb_policy::said::{GROWS, LONGEST_REST, Rest, Statement};
 use jb_policy::upstream::Upstream;
 use jb_protocol::admin::Obstacle;
@@ -33,7 +34,7 @@
             let asked = asked.map(|asked| Duration::from_millis(asked.into()));
             let statement = Statement {
                 rest: asked,
-                leaving: false,
+                ..Statement::default()
             };
             let new = rest.hear(statement, 4, at);
             longest = longest.max(asked.map_or(Moment::ZERO, |asked| at + asked));
@@ -75,6 +76,7 @@
 const LEAVES: Statement = Statement {
     leaving: true,
     rest: None,
+    limit: Announcement::Unknown,
 };
 
 fn report(incarnation: u64) -> Report {
--- a/crates/jb-protocol/src/header.rs
+++ b/crates/jb-protocol/src/header.rs
@@ -25,6 +25,8 @@
 /// Seconds for which an upstream that turns a call away wants nothing more, or after which a caller
 /// may come back.
 pub const RETRY_AFTER: &str = "retry-after";
+/// Requests per second that an upstream accepts from all boxes together.
+pub const RATE_LIMIT: &str = "x-rate-limit";
 /// Version of a value in the platform's key-value service.
 pub const VERSION: &str = "x-version";
 /// Upstream that served the answer.
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use jb_policy::Moment;
 use jb_policy::poison::Content;
 
 use crate::core::{Core, Shared};
@@ -96,11 +97,12 @@
     }
     let head = head(core, &life.id, &entry, message);
     let mut clean = true;
+    let sent = core.now();
     match exchange(&mut link, &head, message.body, &mut clean).await {
         Ok(()) => {}
         Err(why) => return Outcome::Failed(why.to_string()),
     }
-    match own_answer(core, life, &mut link, message.ticket, &mut clean).await {
+    match own_answer(core, life, &mut link, message.ticket, sent, &mut clean).await {
         Ok(answer) => judge(core, answer, link, clean).await,
         Err(why) => Outcome::Failed(why.to_string()),
     }
@@ -199,6 +201,7 @@
     life: &Life,
     link: &mut Link,
     ticket: &Ticket,
+    sent: Moment,
     clean: &mut bool,
 ) -> Result<Answer, http::Error> {
     for _ in 0..MOST_FOREIGN {
@@ -208,7 +211,7 @@
         }
         let said = said::read(&core.names, &answer);
         if answer.headers.text(core.names.request) == Some(ticket.id.as_str()) {
-            said::hear(core, life, ticket.model.as_deref(), &said);
+            said::hear(core, life, ticket.model.as_deref(), &said, sent);
             return Ok(answer);
         }
         // An extra answer to an earlier request on this connection.
--- a/crates/jb-relay/src/names.rs
+++ b/crates/jb-relay/src/names.rs
@@ -31,6 +31,8 @@
     pub leaving: &'static str,
     /// Seconds for which an upstream that turns a request away wants nothing more.
     pub rest: &'static str,
+    /// Requests per second that an upstream accepts from all boxes together.
+    pub rate_limit: &'static str,
     /// Text under which an engine keeps a prompt's parts.
     pub salt: &'static str,
     /// Urgency of a request at an engine, 0 first.
--- a/crates/jb-relay/src/recall.rs
+++ b/crates/jb-relay/src/recall.rs
@@ -54,7 +54,7 @@
 
 async fn ask(core: Shared, life: Life, address: SocketAddr) {
     let heard = core.engines.kept(address).await;
-    said::note(&core, &life, heard.said);
+    said::note(&core, &life, heard.said, None);
     match heard.result {
         Ok(kept) if life.is_told_by(kept.born) => take(&core, &life, &kept.parts),
         Ok(kept) => restart::note(&core, &life, kept.born, "kept"),
--- a/crates/jb-relay/src/said.rs
+++ b/crates/jb-relay/src/said.rs
@@ -8,6 +8,8 @@
 
 use std::time::Duration;
 
+use jb_policy::Moment;
+use jb_policy::rate_limit::Announcement;
 use jb_policy::said::{self, Statement};
 use jb_protocol::{emit, event};
 
@@ -43,6 +45,7 @@
         statement: Statement {
             leaving: said::leaves(headers.all(names.leaving)),
             rest: said::rest(answer.status, headers.all(names.rest)),
+            limit: Announcement::parse(headers.all(names.rate_limit)),
         },
         not_run: headers.get(names.not_run).is_some() || answer.status == MISDIRECTED,
         answering: headers
@@ -71,14 +74,14 @@
     }
 }
 
-/// Takes what a life has said in an answer to a request, before anything else is sent to it and
-/// before the caller gets the answer.
-pub fn hear(core: &Core, life: &Life, model: Option<&str>, said: &Said<'_>) {
+/// Takes what a life has said in an answer to a request that was written at `sent`, before anything
+/// else is sent to it and before the caller gets the answer.
+pub fn hear(core: &Core, life: &Life, model: Option<&str>, said: &Said<'_>, sent: Moment) {
     if said.is_of_another(life) {
         note_replaced(core, life);
         return;
     }
-    note(core, life, said.statement);
+    note(core, life, said.statement, Some(sent));
     let now = core.now();
     if let Some(upstream) = core.upstreams.borrow_mut().life_mut(life) {
         if said.not_run {
@@ -94,12 +97,13 @@
 /// its weights and of its room was true then.
 pub fn overhear(core: &Core, life: &Life, said: &Said<'_>) {
     if !said.is_of_another(life) {
-        note(core, life, said.statement);
+        note(core, life, said.statement, None);
     }
 }
 
-/// Takes what a life has said beside an answer to anything.
-pub fn note(core: &Core, life: &Life, statement: Statement) {
+/// Takes what a life has said beside an answer to anything; `sent` is when its request was written, if
+/// it was a request of a caller and that is known.
+pub fn note(core: &Core, life: &Life, statement: Statement, sent: Option<Moment>) {
     let now = core.now();
     let mut upstreams = core.upstreams.borrow_mut();
     let leaves = upstreams.hear_answer(life, statement);
@@ -110,6 +114,10 @@
         emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => %life, "why" => "answer");
         peers::note_leaving(core, upstream);
     }
+    if upstream.limit.observe(statement.limit, sent, now) {
+        emit!(core.logger, info, event::UPSTREAM_LIMITED, "upstream" => %life, "source" => "response",
+            "per_second" => upstream.limit.rate());
+    }
     if let Some(until) = upstream.rest.hear(statement, upstream.running, now) {
         core.metrics.rests.inc();
         emit!(core.logger, info, event::UPSTREAM_RESTS, "upstream" => %life,
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/steward/load.rs
@@ -183,7 +183,7 @@
         let core = &self.core;
         let address = core.upstreams.borrow().life(life).map(|u| u.entry.address)?;
         let heard = core.engines.report(address).await;
-        said::note(core, life, heard.said);
+        said::note(core, life, heard.said, None);
         match heard.result {
             Ok(report) => {
                 self.absent.borrow_mut().answered(life);
@@ -296,7 +296,7 @@
         };
         self.record.borrow_mut().order(&life.id, core.now());
         let heard = core.engines.order(address, &life.id, &order).await;
-        said::note(core, life, heard.said);
+        said::note(core, life, heard.said, None);
         let taken = heard.result;
         emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => %life, "version" => version,
             "fence" => fence, "fixed" => self.fixed(life), "answer" => ?taken);
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -7,6 +7,7 @@
 use jb_policy::choose::Candidate;
 use jb_policy::health::Health;
 use jb_policy::kept::Kept;
+use jb_policy::rate_limit::Limit;
 use jb_policy::said::Rest;
 
 use super::{Life, Wanted};
@@ -43,6 +44,8 @@
     pub others: Load,
     /// Rest that it wants from this box.
     pub rest: Rest,
+    /// Rate limit that it has announced for all boxes together.
+    pub limit: Limit,
     /// Until when it gets nothing because it loads weights.
     pub loading_until: Moment,
     /// Until when it is believed to have ended, as it refuses connections.
@@ -85,6 +88,7 @@
             waiting: 0,
             others: Load::default(),
             rest: Rest::default(),
+            limit: Limit::default(),
             loading_until: Moment::ZERO,
             ended_until: Moment::ZERO,
             lapsed: None,
--- a/crates/jb-upstream/src/head.rs
+++ b/crates/jb-upstream/src/head.rs
@@ -1,5 +1,6 @@
 //! What an upstream says of itself beside its answer.
 
+use jb_policy::rate_limit::Announcement;
 use jb_policy::said::{self, Statement};
 use jb_protocol::header;
 use reqwest::Response;
@@ -11,6 +12,7 @@
     Statement {
         leaving: said::leaves(texts(answer.headers(), header::LEAVING)),
         rest: said::rest(status, texts(answer.headers(), header::RETRY_AFTER)),
+        limit: Announcement::parse(texts(answer.headers(), header::RATE_LIMIT)),
     }
 }
 
