Add failing tests for rate limits of upstreams

An upstream that announces 1.5 requests per second may receive 14 in 4 s from all boxes together. It receives all it would receive without a limit: 64 from one box, 96 from six boxes that know each other, and 32 of 64 through the completions door, for engines and for plain services.

The stand-ins announce limits and count arrivals. The fleet of the completions door's signal tests moves to a support module that both test files use.

--- a/crates/jb-fakes/src/control.rs
+++ b/crates/jb-fakes/src/control.rs
@@ -52,6 +52,8 @@
     pub tells: Option<bool>,
     /// Turns each call away and asks for rest in these words; none when they are empty.
     pub rest: Option<String>,
+    /// Requests per second that it announces in all its answers; none when this is empty.
+    pub limit: Option<String>,
     /// Loses its cache and every open call, and comes back as a new incarnation.
     pub crash: Option<bool>,
     /// Cuts the next streams after this many tokens.
@@ -111,6 +113,8 @@
     pub tells: Option<bool>,
     /// Turns each call away and asks for rest in these words; none when they are empty.
     pub rest: Option<String>,
+    /// Requests per second that it announces in all its answers; none when this is empty.
+    pub limit: Option<String>,
     /// Milliseconds that a call takes.
     pub slow_ms: Option<u64>,
 }
--- a/crates/jb-fakes/src/engine/server.rs
+++ b/crates/jb-fakes/src/engine/server.rs
@@ -17,6 +17,7 @@
 use crate::answer;
 use crate::control::{self, EngineCounts, EngineFault};
 use crate::listen;
+use crate::signal::announce_limit;
 
 /// Bytes of an event that is far too long.
 const GIANT: usize = 1 << 20;
@@ -102,11 +103,12 @@
 
 /// Adds what the engine says of itself in all its answers.
 fn says(engine: &Engine, mut answer: Response) -> Response {
-    if engine.lock().fault.tells == Some(true) {
-        answer
-            .headers_mut()
-            .insert(header::LEAVING, HeaderValue::from_static("true"));
+    let inner = engine.lock();
+    let headers = answer.headers_mut();
+    if inner.fault.tells == Some(true) {
+        headers.insert(header::LEAVING, HeaderValue::from_static("true"));
     }
+    announce_limit(headers, inner.fault.limit.as_deref());
     answer
 }
 
@@ -295,6 +297,7 @@
         mute: fault.mute.or(before.mute),
         tells: fault.tells.or(before.tells),
         rest: fault.rest.or(before.rest),
+        limit: fault.limit.or(before.limit),
         deadly: fault.deadly.or(before.deadly),
         ..fault
     };
--- a/crates/jb-fakes/src/lib.rs
+++ b/crates/jb-fakes/src/lib.rs
@@ -12,3 +12,4 @@
 pub mod plain;
 pub mod platform;
 pub mod relay;
+mod signal;
--- a/crates/jb-fakes/src/plain.rs
+++ b/crates/jb-fakes/src/plain.rs
@@ -11,6 +11,7 @@
 
 use crate::control::{self, PlainCounts, PlainFault};
 use crate::listen;
+use crate::signal::announce_limit;
 
 #[derive(Default)]
 struct State {
@@ -20,6 +21,7 @@
     refuse: bool,
     tells: bool,
     rest: Option<String>,
+    limit: Option<String>,
     slow: Duration,
 }
 
@@ -56,11 +58,12 @@
         Some(refusal) => refusal,
         None => serve(request, body, plain).await,
     };
-    if plain.lock().tells {
-        answer
-            .headers_mut()
-            .insert(header::LEAVING, HeaderValue::from_static("true"));
+    let state = plain.lock();
+    let headers = answer.headers_mut();
+    if state.tells {
+        headers.insert(header::LEAVING, HeaderValue::from_static("true"));
     }
+    announce_limit(headers, state.limit.as_deref());
     answer
 }
 
@@ -110,6 +113,7 @@
     if let Some(rest) = fault.rest {
         state.rest = Some(rest).filter(|rest| !rest.is_empty());
     }
+    state.limit = fault.limit.or(state.limit.take());
     state.slow = fault.slow_ms.map_or(state.slow, Duration::from_millis);
     StatusCode::OK
 }
--- a/crates/jb-scenario/tests/words.rs
+++ b/crates/jb-scenario/tests/words.rs
@@ -8,133 +8,23 @@
 
 #![allow(clippy::expect_used)]
 
+mod support;
+
 use std::time::Duration;
 
-use jb_fakes::control::{EngineCounts, EngineFault, PlainCounts, PlainFault};
-use jb_fakes::fleet::layout::{self, ENGINES, Hall, Layout, PLAIN, ROUTE, TreeOptions};
-use jb_fakes::fleet::{self, Client, Rig};
-use jb_fakes::load::{self, Request, Seen};
-use jb_protocol::admin::{Explanation, LeftOut, Obstacle, Question};
-use jb_protocol::priority::Priority;
+use jb_fakes::control::{EngineFault, PlainFault};
+use jb_protocol::admin::Obstacle;
+use support::{World, chat, order};
 use tokio::time::sleep;
 
 /// Requests after the word.
 const LATER: usize = 24;
-/// Times that a text is repeated, to be longer than the first block of a prompt.
-const BLOCKS: usize = 20;
 /// Longer than the pause after a refusal that asks for nothing.
 const AFTER_A_PAUSE: Duration = Duration::from_millis(1100);
 
-async fn fleet() -> Rig {
-    let programs = fleet::build().expect("the programs");
-    let layout = Layout {
-        halls: vec![Hall {
-            name: "hall-a".to_owned(),
-            boxes: 1,
-            engines: 2,
-            plain: 2,
-        }],
-        ..Layout::default()
-    };
-    layout::start(&programs, &layout, &TreeOptions::with_customers(&["ann"]))
-        .await
-        .expect("a fleet")
-}
-
-/// A prompt of some blocks that shares nothing with those of other texts, so all engines get some.
-fn chat(text: &str) -> Request {
-    let levels = [format!("{text}, ").repeat(BLOCKS)];
-    Request {
-        key: "key-ann".to_owned(),
-        once: false,
-        class: Priority::Normal,
-        path: "/v1/chat/completions".to_owned(),
-        body: load::chat(ROUTE, &levels, 3, true).to_string(),
-        expected: jb_fakes::answer::whole(&load::prompt_text(&levels), 3),
-    }
-}
-
-fn order(text: &str) -> Request {
-    Request {
-        key: "key-ann".to_owned(),
-        once: true,
-        class: Priority::Normal,
-        path: format!("/services/{PLAIN}/do"),
-        body: text.to_owned(),
-        expected: format!("done: {text}"),
-    }
-}
-
-struct World {
-    rig: Rig,
-    client: Client,
-    http: reqwest::Client,
-}
-
-impl World {
-    async fn new() -> Self {
-        Self {
-            rig: fleet().await,
-            client: Client::new().expect("a client"),
-            http: reqwest::Client::builder().no_proxy().build().expect("a client"),
-        }
-    }
-
-    /// Sends so many requests, each with a text of its own; all are served.
-    async fn ask(&self, name: &str, count: usize, request: fn(&str) -> Request) {
-        let (_, ports) = self.rig.boxes().next().expect("a box");
-        for number in 0..count {
-            let request = request(&format!("{name} {number}"));
-            let seen = load::send(&self.http, ports.callers, &request).await;
-            assert!(matches!(seen, Seen::Complete { .. }), "{seen:?}");
-        }
-    }
-
-    /// Calls that the first engine has run, and those that it has turned away.
-    async fn engine(&self) -> (u64, u64) {
-        let (_, address) = &self.rig.upstreams_of(ENGINES)[0];
-        let counts: EngineCounts = self.client.counts(*address).await.expect("counts");
-        (counts.calls, counts.refused)
-    }
-
-    /// The same of the first plain service.
-    async fn plain(&self) -> (u64, u64) {
-        let (_, address) = &self.rig.upstreams_of(PLAIN)[0];
-        let counts: PlainCounts = self.client.counts(*address).await.expect("counts");
-        (counts.runs.len() as u64, counts.refused)
-    }
-
-    /// Engines that the box sends nothing to, as operators are told.
-    async fn left_out(&self) -> Vec<LeftOut> {
-        let (_, ports) = self.rig.boxes().next().expect("a box");
-        let question = Question {
-            customer: "ann".to_owned(),
-            route: ROUTE.to_owned(),
-            levels: vec!["a prompt".to_owned()],
-        };
-        let posted = self
-            .client
-            .post(ports.operators, "/admin/explain", &question)
-            .await;
-        let body = posted.expect("an answer").body;
-        let told: Explanation = serde_json::from_value(body).expect("an explanation");
-        told.weighing.left_out
-    }
-
-    async fn fault_engine(&self, fault: EngineFault) {
-        let (_, address) = &self.rig.upstreams_of(ENGINES)[0];
-        self.client.fault(*address, &fault).await.expect("a fault");
-    }
-
-    async fn fault_plain(&self, fault: PlainFault) {
-        let (_, address) = &self.rig.upstreams_of(PLAIN)[0];
-        self.client.fault(*address, &fault).await.expect("a fault");
-    }
-}
-
 #[tokio::test(flavor = "multi_thread")]
 async fn upstream_behind_the_completions_door_that_says_it_leaves_gets_nothing_more() {
-    let world = World::new().await;
+    let world = World::new(1).await;
     world
         .fault_engine(EngineFault {
             leaving: Some(true),
@@ -160,7 +50,7 @@
 
 #[tokio::test(flavor = "multi_thread")]
 async fn upstream_behind_the_completions_door_that_wants_rest_gets_nothing_until_its_end() {
-    let world = World::new().await;
+    let world = World::new(1).await;
     world
         .fault_engine(EngineFault {
             rest: Some("60".to_owned()),
