Move the choice of a shared state's owner into a module of its own

Limits of customers ask an owner for the whole fleet, then one of the own data hall, and decide by the own share at last. Rate limits of upstreams need the same order of questions and the same shares. No change of behaviour.

--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -11,6 +11,7 @@
 mod message;
 mod naming;
 mod notice;
+mod owner;
 mod quota;
 mod register;
 mod relay;
--- a/crates/jb-relay/src/peers/quota.rs
+++ b/crates/jb-relay/src/peers/quota.rs
@@ -1,7 +1,6 @@
 //! Customers' limits: one box keeps the account of each, and the others ask it for every request.
 //!
-//! Which box that is follows by rendezvous hashing from the boxes that are heard. Where it gives no
-//! answer in time, a box of the own data hall is asked, and at last this box judges by its own share.
+//! [`super::owner`] says which box that is.
 
 use std::cell::{Cell, RefCell};
 use std::collections::HashMap;
@@ -14,9 +13,9 @@
 use jb_protocol::{emit, event, id};
 use tokio::net::UdpSocket;
 
-use super::census;
 use super::inquiry::Inquiries;
 use super::message::{Charge, Grant, Message};
+use super::owner::{self, Owner, Scope};
 use super::socket::try_send;
 use crate::core::{Core, Shared};
 use crate::narrow::narrow;
@@ -141,23 +140,19 @@
 async fn judge(core: &Core, charge: &mut Charge) -> (id::Box, Grant) {
     let key = u64::from(charge.customer);
     let first = core.book.borrow().customer_keeper(key, core.now());
-    if let Some(first) = first {
-        if let Some(grant) = ask(core, &first, charge).await {
-            return (first.0, grant);
-        }
-        charge.again = true;
-        // What was reported to a box that gave no answer may be counted twice, not given back twice.
-        charge.uncharged = charge.uncharged.max(0);
-        let hall = &core.settings.hall;
-        let other = core.book.borrow().other_keeper(key, hall, &first.0, core.now());
-        if let Some(other) = other
-            && let Some(grant) = ask(core, &other, charge).await
-        {
-            return (other.0, grant);
+    let granted = owner::ask(core, key, first, async |owner, scope| {
+        if scope == Scope::Hall {
+            charge.again = true;
+            // What was reported to a box that gave no answer may be counted twice, not given back twice.
+            charge.uncharged = charge.uncharged.max(0);
         }
+        ask(core, owner, charge).await
+    });
+    if let Some(granted) = granted.await {
+        return granted;
     }
     core.metrics.limit_alone.inc();
-    (core.settings.id.clone(), answer(core, charge, Standing::Alone))
+    (core.settings.id.clone(), answer(core, charge, Scope::Own))
 }
 
 /// What the account had left when that was last told, unless it is long ago.
@@ -168,9 +163,9 @@
 }
 
 /// Asks a box that keeps an account, which may be this one.
-async fn ask(core: &Core, (id, address): &(id::Box, SocketAddr), charge: &Charge) -> Option<Grant> {
+async fn ask(core: &Core, (id, address): &Owner, charge: &Charge) -> Option<Grant> {
     if *id == core.settings.id {
-        return Some(answer(core, charge, Standing::of(charge)));
+        return Some(answer(core, charge, Scope::of_query(charge.again)));
     }
     let message = Message::Charge(*charge);
     let inquiries = &core.quotas.inquiries;
@@ -189,7 +184,7 @@
             core,
             socket,
             from,
-            &Message::Grant(answer(core, charge, Standing::of(charge))),
+            &Message::Grant(answer(core, charge, Scope::of_query(charge.again))),
         );
     }
 }
@@ -199,37 +194,8 @@
     core.quotas.inquiries.deliver(grant.nonce, grant);
 }
 
-/// For whom a box answers.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Standing {
-    /// For all boxes that it hears.
-    First,
-    /// For its data hall; another box of each other hall may be asked in the same way.
-    Other,
-    /// For itself.
-    Alone,
-}
-
-impl Standing {
-    fn of(charge: &Charge) -> Self {
-        if charge.again { Self::Other } else { Self::First }
-    }
-}
-
-/// Share of the fleet that this box speaks for.
-fn share(core: &Core, standing: Standing) -> f64 {
-    let fleet = census::fleet(core);
-    let listed = f64::from(narrow(core.book.borrow().boxes()));
-    let boxes = match standing {
-        Standing::First => fleet.all,
-        Standing::Other => fleet.hall,
-        Standing::Alone => 1,
-    };
-    (f64::from(boxes) / listed.max(1.0)).min(1.0)
-}
-
 /// Judges a charge by the account that this box keeps.
-fn answer(core: &Core, charge: &Charge, standing: Standing) -> Grant {
+fn answer(core: &Core, charge: &Charge, scope: Scope) -> Grant {
     let now = core.now();
     let quota = core.rules().and_then(|rules| rules.quota(charge.customer));
     let Some(Quota { limit, .. }) = quota else {
@@ -239,7 +205,7 @@
     let terms = Terms {
         limit,
         tolerance: core.settings.bounds.quota,
-        share: share(core, standing),
+        share: scope.share(core),
     };
     let mut accounts = core.quotas.accounts.borrow_mut();
     let begin = || Account::new(&terms, charge.left.map(|left| left as f64), now);
