Enforce rate limits of upstreams across boxes

Callers noticed nothing: two engines that announced 1.7 and 1.2 requests per second went on receiving 19 and 14 requests in 4 s (allowed: 15 and 12), from all eight boxes.

A limit that holds for all boxes together can't be applied by each box for itself, so the box that owns the instance's account holds a token bucket, and every send acquires a permit before it is written: first sends, retries, resumed streams, suspects. A box that reaches no owner keeps to its share of the fleet; a new owner starts empty. Owners hold less than upstreams tolerate, so that two owners at a time stay within the bound. The check is repeated right before the write, as another response may have announced the limit meanwhile. Begin and end of a limit are announced to all boxes; its value travels with the permits. A limit outlasts an entry that goes and comes back. What no permit is available for in time is rejected at once with the time of the next one. A limit of 0 is probed every 4 s, as only a response shows that it has ended.

--- a/crates/jb-policy/src/rate_limit.rs
+++ b/crates/jb-policy/src/rate_limit.rs
@@ -2,11 +2,47 @@
 //!
 //! A limit holds for all boxes together, until a response to a later request comes without it.
 
+use std::time::Duration;
+
 use crate::Moment;
+use crate::quota::{self, Account, Charge, Tolerance};
 
 /// Requests per second.
 pub type Rate = f64;
 
+/// Lowest rate at which requests are sent: only a response shows that a limit has ended.
+const PROBE_RATE: Rate = 0.25;
+/// Excess that a bucket is sized for. It is lower than what upstreams tolerate, 1.5 times the limit and 5
+/// requests in the window, as two boxes may own a bucket for a moment.
+const TOLERANCE: Tolerance = Tolerance {
+    window: Duration::from_secs(4),
+    over: 0.3,
+    slack: 3.0,
+};
+
+/// What one request takes from a bucket.
+pub const ONE_REQUEST: Charge = Charge {
+    tokens: 1,
+    urgent: true,
+};
+
+/// Terms of the bucket of a box that answers for a share of the fleet, 0 to 1.
+pub fn terms(rate: Rate, share: f64) -> quota::Terms {
+    quota::Terms {
+        limit: quota::Limit {
+            rate: rate.max(PROBE_RATE),
+            burst: 0.0,
+        },
+        tolerance: TOLERANCE,
+        share,
+    }
+}
+
+/// A bucket of a new owner. It is empty, as the owner before may have used all of it.
+pub fn bucket(terms: &quota::Terms, now: Moment) -> Account {
+    Account::new(terms, Some(0.0), now)
+}
+
 /// What the head of one response says about a rate limit.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Announcement {
@@ -53,6 +89,7 @@
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Limit {
     latest: Option<Observation>,
+    blocked_until: Moment,
 }
 
 impl Limit {
@@ -79,9 +116,32 @@
         }
         let changed = self.rate() != observation.rate;
         self.latest = Some(observation);
+        if observation.rate.is_none() {
+            self.blocked_until = Moment::ZERO;
+        }
         changed
     }
 
+    /// Sends nothing more until a moment, as no permit is available before.
+    pub fn block_until(&mut self, moment: Moment) {
+        self.blocked_until = self.blocked_until.max(moment);
+    }
+
+    /// Whether no permit is available.
+    pub fn is_blocked(&self, now: Moment) -> bool {
+        now < self.blocked_until
+    }
+
+    /// When the next permit may be available.
+    pub fn blocked_until(&self) -> Moment {
+        self.blocked_until
+    }
+
+    /// The latest observation.
+    pub fn observation(&self) -> Option<Observation> {
+        self.latest
+    }
+
     /// The limit in force, if there is one.
     pub fn rate(&self) -> Option<Rate> {
         self.latest.and_then(|latest| latest.rate)
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -10,6 +10,7 @@
 use crate::core::{Core, Shared};
 use crate::http::{self, Answer, Body, Framing, Query, Step, write_query};
 use crate::link::{self, Link};
+use crate::peers::Permit;
 use crate::port::Entry;
 use crate::said;
 use crate::salt;
@@ -29,7 +30,7 @@
 pub enum Outcome {
     /// Nothing was sent.
     Unsent(String),
-    /// Nothing was sent, as the upstream has said meanwhile that it leaves or wants rest.
+    /// Nothing was sent, as the upstream has said meanwhile that it leaves, wants rest or has a rate limit.
     Withdrawn,
     /// The upstream says that it has not run the request.
     NotRun(u16),
@@ -77,7 +78,7 @@
 }
 
 /// Sends a request and waits for the head of its answer.
-pub async fn send(core: &Shared, life: &Life, message: &Message<'_>) -> Outcome {
+pub async fn send(core: &Shared, life: &Life, message: &Message<'_>, permit: Permit) -> Outcome {
     let entry = core
         .upstreams
         .borrow()
@@ -91,7 +92,7 @@
         Ok(link) => link,
         Err(why) => return Outcome::Unsent(why.to_string()),
     };
-    if !core.takes_requests(life) {
+    if !core.takes_requests(life, permit) {
         link::give(core, link, None);
         return Outcome::Withdrawn;
     }
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -18,7 +18,9 @@
 use crate::keep::Keeps;
 use crate::metrics::Metrics;
 use crate::names::Names;
-use crate::peers::{Accounts, Book, Census, Gathered, Loads, Log, Notices, Quotas, Relayed, Source};
+use crate::peers::{
+    Accounts, Book, Census, Gathered, Loads, Log, Notices, Permit, Quotas, RateLimits, Relayed, Source,
+};
 use crate::port::{Change, Engines, Store};
 use crate::quarantine::Quarantine;
 use crate::rules::Rules;
@@ -83,6 +85,8 @@
     pub census: RefCell<Census>,
     /// Customers' limits.
     pub quotas: Quotas,
+    /// Rate limits of upstreams.
+    pub rate_limits: RateLimits,
     /// Requests that end engines.
     pub quarantine: Quarantine,
     /// What other boxes told of their load.
@@ -144,6 +148,7 @@
             accounts: Accounts::default(),
             census: RefCell::default(),
             quotas: Quotas::default(),
+            rate_limits: RateLimits::default(),
             quarantine: Quarantine::default(),
             loads: RefCell::default(),
             gathered: RefCell::default(),
@@ -184,12 +189,13 @@
     }
 
     /// Whether an upstream has said nothing that speaks against a request: it may have, since it was
-    /// chosen for it.
-    pub fn takes_requests(&self, life: &Life) -> bool {
+    /// chosen for it and the permit was acquired.
+    pub fn takes_requests(&self, life: &Life, permit: Permit) -> bool {
         let upstreams = self.upstreams.borrow();
-        upstreams
-            .life(life)
-            .is_some_and(|upstream| upstream.is_there() && !upstream.is_asked_to_rest(self.now()))
+        upstreams.life(life).is_some_and(|upstream| {
+            let permitted = permit == Permit::Granted || upstream.limit.rate().is_none();
+            permitted && upstream.is_there() && !upstream.is_asked_to_rest(self.now())
+        })
     }
 
     /// Configuration in force.
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -18,7 +18,7 @@
 use crate::core::Shared;
 use crate::deliver::{self, Delivered, Pace};
 use crate::http::{Connection, Query};
-use crate::peers::{self, Held};
+use crate::peers::{self, Held, Permit};
 use crate::quarantine;
 use crate::rules::Kind;
 use crate::ticket::Ticket;
@@ -107,11 +107,15 @@
             let Some(choice) = self.pick(client).await else {
                 return self.give_up(self.refused.map_or(why, |refused| refused.why));
             };
+            // Where it is denied, the upstream isn't open any more when the next one is picked.
+            let Ok(permit) = peers::acquire(self.core, &choice.life).await else {
+                continue;
+            };
             let paid = std::mem::take(&mut self.paid) || self.sends == 0;
             if !paid && !self.core.spend(&ticket.service) {
                 return self.give_up("retry_budget");
             }
-            match self.attempt(choice, client).await {
+            match self.attempt(choice, permit, client).await {
                 Ok(Next::End(ending)) => return ending,
                 Ok(Next::Again) => {}
                 Err(cause) => why = cause,
@@ -139,7 +143,12 @@
     }
 
     /// One send, and the delivery of its answer.
-    async fn attempt(&mut self, choice: Choice, client: &mut Connection) -> Result<Next, &'static str> {
+    async fn attempt(
+        &mut self,
+        choice: Choice,
+        permit: Permit,
+        client: &mut Connection,
+    ) -> Result<Next, &'static str> {
         let core = self.core;
         let ticket = self.message.ticket;
         let Choice {
@@ -159,7 +168,7 @@
         // It is a try of a suspect until the end of this send.
         let _tried = apart.then(|| quarantine::begin(core, self.content(), life));
         let outcome = tokio::select! {
-            outcome = self.patiently(life, estimate.first) => outcome,
+            outcome = self.patiently(life, permit, estimate.first) => outcome,
             () = client.closed() => {
                 // It is under way, and may run.
                 self.runs += 1;
@@ -199,13 +208,13 @@
 
     /// Sends; a request that may run again leaves a silent upstream as soon as another one can
     /// take it. Silence alone ends nothing: the answer may only be late.
-    async fn patiently(&mut self, life: &Life, first: Duration) -> Outcome {
+    async fn patiently(&mut self, life: &Life, permit: Permit, first: Duration) -> Outcome {
         const SILENT: &str = "silent for longer than it should take";
         let ticket = self.message.ticket;
         let more = ticket.route.repeatable() && self.runs + 1 < ticket.route.attempts;
         // Engines that have much to read are silent for as long.
         let patience = ticket.route.patience().max(2 * first);
-        let sent = attempt::send(self.core, life, &self.message);
+        let sent = attempt::send(self.core, life, &self.message, permit);
         tokio::pin!(sent);
         let mut blamed = false;
         loop {
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -52,6 +52,12 @@
     pub quarantined: Counter,
     /// Times that an upstream has turned a request away and asked for rest.
     pub rests: Counter,
+    /// Requests denied a permit by an upstream's rate limit.
+    pub rate_limit_denied: Counter,
+    /// Queries to owners of rate limits without an answer in time.
+    pub rate_limit_unanswered: Counter,
+    /// Permits decided by this box's own share of a rate limit.
+    pub rate_limit_alone: Counter,
     /// Connections opened to upstreams.
     pub connections_opened: Counter,
     /// Calls to the store.
@@ -80,6 +86,9 @@
         let poisonous = Counter::default();
         let quarantined = Counter::default();
         let rests = Counter::default();
+        let rate_limit_denied = Counter::default();
+        let rate_limit_unanswered = Counter::default();
+        let rate_limit_alone = Counter::default();
         let connections_opened = Counter::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
@@ -123,6 +132,21 @@
             "Times that an upstream asked for rest",
             rests.clone(),
         );
+        registry.register(
+            "rate_limit_denied",
+            "Requests denied a permit by an upstream's rate limit",
+            rate_limit_denied.clone(),
+        );
+        registry.register(
+            "rate_limit_unanswered",
+            "Queries to owners of rate limits without an answer in time",
+            rate_limit_unanswered.clone(),
+        );
+        registry.register(
+            "rate_limit_alone",
+            "Permits decided by this box's own share of a rate limit",
+            rate_limit_alone.clone(),
+        );
         registry.register(
             "upstream_connections",
             "Connections opened",
@@ -147,6 +171,9 @@
             poisonous,
             quarantined,
             rests,
+            rate_limit_denied,
+            rate_limit_unanswered,
+            rate_limit_alone,
             connections_opened,
             store_calls,
             store_failures,
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Advice, Ask, AskMore, AskNamings, Charge, Count, Grant, Leaving, Namings, News, Question, Replaced,
-    Returned, Sent, Suspicion, Told,
+    Acquire, Advice, Ask, AskMore, AskNamings, Charge, Count, Grant, Leaving, Limits, Namings, News, Permit,
+    Question, Replaced, Returned, Sent, Suspicion, Told,
 };
 
 /// Longest datagram, in bytes: one packet.
@@ -45,4 +45,10 @@
     Suspicion(Suspicion),
     /// Lives of upstreams that have said in answers that they leave.
     Leaving(Leaving),
+    /// Rate limits of instances have begun or ended.
+    Limits(Limits),
+    /// A box asks the owner of a rate limit for a permit.
+    Acquire(Acquire),
+    /// The owner's answer.
+    Permit(Permit),
 }
--- a/crates/jb-relay/src/peers/message/mod.rs
+++ b/crates/jb-relay/src/peers/message/mod.rs
@@ -5,6 +5,7 @@
 mod naming;
 mod news;
 mod place;
+mod rate_limit;
 mod suspicion;
 mod told;
 
@@ -14,6 +15,7 @@
 pub(super) use news::{Answer, Ask, AskMore, News, Piece, ToldChange};
 pub use place::Room;
 pub(super) use place::{Advice, Question, Returned};
+pub(super) use rate_limit::{Acquire, Limits, Observation, Permit};
 pub(super) use suspicion::{Suspicion, ToldSuspect, ToldTrial};
 pub use told::ToldWeights;
 pub(super) use told::{Leaving, Replaced, Sent, Told, ToldLoad, ToldStore, ToldUse};
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -13,6 +13,7 @@
 use super::account;
 use super::gossip::{sum_up, tell_everyone};
 use super::message::{Leaving, Message, Replaced, Sent};
+use super::rate_limit;
 use crate::core::Core;
 use crate::narrow::narrow;
 use crate::upstream::Upstream;
@@ -31,6 +32,8 @@
     replaced: Vec<u32>,
     /// Upstreams that have said in answers that they leave.
     leaving: Vec<u32>,
+    /// Upstreams that have become limited or unlimited.
+    limits: Vec<u32>,
     /// Wakes the duty that tells of long prompts.
     wake: Rc<Notify>,
 }
@@ -98,13 +101,19 @@
         .push(place::short(upstream.name));
 }
 
+/// Notes that an upstream has become limited or unlimited, to announce it to the other boxes.
+pub fn note_limit(core: &Core, upstream: &Upstream) {
+    core.notices.borrow_mut().limits.push(place::short(upstream.name));
+}
+
 /// Tells all boxes what is true of single upstreams.
 pub(super) async fn tell_upstreams(core: &Core, socket: &UdpSocket) {
-    let (replaced, leaving) = {
+    let (replaced, leaving, limits) = {
         let mut notices = core.notices.borrow_mut();
         (
             std::mem::take(&mut notices.replaced),
             std::mem::take(&mut notices.leaving),
+            std::mem::take(&mut notices.limits),
         )
     };
     if !replaced.is_empty() {
@@ -113,6 +122,9 @@
     if !leaving.is_empty() {
         tell_everyone(core, socket, &Message::Leaving(Leaving { upstreams: leaving })).await;
     }
+    if !limits.is_empty() {
+        tell_everyone(core, socket, &rate_limit::announcement(core, &limits)).await;
+    }
 }
 
 /// Takes replaced upstreams.
--- /dev/null
+++ b/crates/jb-relay/src/peers/rate_limit.rs
@@ -0,0 +1,256 @@
+//! Enforces the rate limits of upstreams over all boxes.
+//!
+//! The owner of a limit holds a token bucket for the instance. Every box asks it for a permit before it
+//! writes a request to a limited instance.
+
+use std::cell::{Cell, RefCell};
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::place;
+use jb_policy::quota::Account as Bucket;
+use jb_policy::rate_limit;
+use jb_protocol::{emit, event};
+use tokio::net::UdpSocket;
+
+use super::inquiry::Inquiries;
+use super::message::{Acquire, Limits, Message, Observation, Permit as Answer};
+use super::owner::{self, Owner, Scope};
+use super::socket::try_send;
+use crate::core::Core;
+use crate::narrow::narrow;
+use crate::upstream::{Life, Upstream};
+
+/// Time in which an owner answers.
+const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
+/// Longest time for which a denial is remembered, after which a box asks again.
+const MAX_BLOCK: Duration = Duration::from_secs(5);
+/// Buckets above which those of unknown instances are dropped.
+const MAX_BUCKETS: usize = 256;
+
+/// Allows one request to be written to an instance.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Permit {
+    /// The instance had no limit when the permit was issued.
+    Unlimited,
+    /// The request was taken from the bucket of the instance.
+    Granted,
+}
+
+/// State of a box that enforces limits.
+#[derive(Debug, Default)]
+pub struct RateLimits {
+    inquiries: Inquiries<u64, Answer>,
+    /// Buckets that this box owns, by the instance's short name.
+    buckets: RefCell<HashMap<u32, Bucket>>,
+    next_nonce: Cell<u64>,
+}
+
+impl RateLimits {
+    /// Sets the socket for queries.
+    pub fn open(&self, socket: Rc<UdpSocket>) {
+        self.inquiries.open(socket);
+    }
+
+    fn draw_nonce(&self) -> u64 {
+        self.next_nonce.set(self.next_nonce.get() + 1);
+        self.next_nonce.get()
+    }
+}
+
+/// Acquires a permit to send one request to an instance; asks no other box where it is unlimited.
+///
+/// # Errors
+/// The instance accepts no request now; until a permit may be available, it is not open at this box.
+pub async fn acquire(core: &Core, instance: &Life) -> Result<Permit, Denied> {
+    let Some((name, owner, observation)) = limited(core, instance) else {
+        return Ok(Permit::Unlimited);
+    };
+    let mut query = Acquire {
+        nonce: core.rate_limits.draw_nonce(),
+        instance: place::short(name),
+        observation: to_message(observation, core.now()),
+        is_fallback: false,
+    };
+    let answer = owner::ask(core, name, owner, async |owner, scope| {
+        query.is_fallback = scope == Scope::Hall;
+        ask(core, owner, &query).await
+    });
+    let answer = match answer.await {
+        Some((_, answer)) => answer,
+        None => {
+            core.metrics.rate_limit_alone.inc();
+            decide(core, &query, Scope::Own)
+        }
+    };
+    apply(core, instance, &answer)
+}
+
+/// An instance accepts no request now.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Denied;
+
+/// Name, owner and limit of an instance that has one.
+fn limited(core: &Core, instance: &Life) -> Option<(u64, Option<Owner>, rate_limit::Observation)> {
+    let upstreams = core.upstreams.borrow();
+    let upstream = upstreams.life(instance)?;
+    let observation = upstream.limit.observation()?;
+    observation.rate?;
+    let owner = core
+        .book
+        .borrow()
+        .keeper(upstream.name, &upstream.entry.hall, core.now());
+    Some((upstream.name, owner, observation))
+}
+
+async fn ask(core: &Core, (id, address): &Owner, query: &Acquire) -> Option<Answer> {
+    if *id == core.settings.id {
+        return Some(decide(core, query, Scope::of_query(query.is_fallback)));
+    }
+    let message = Message::Acquire(*query);
+    let inquiries = &core.rate_limits.inquiries;
+    let answer = inquiries
+        .ask(core, (id, *address), query.nonce, &message, ANSWER_TIMEOUT)
+        .await;
+    if answer.is_none() {
+        core.metrics.rate_limit_unanswered.inc();
+    }
+    answer
+}
+
+/// Updates the instance by an owner's answer.
+fn apply(core: &Core, instance: &Life, answer: &Answer) -> Result<Permit, Denied> {
+    let now = core.now();
+    let mut upstreams = core.upstreams.borrow_mut();
+    let Some(upstream) = upstreams.life_mut(instance) else {
+        return Err(Denied);
+    };
+    if let Some(observation) = answer.observation {
+        merge(core, upstream, observation);
+    }
+    let Some(after) = answer.after_ms else {
+        return Ok(Permit::Granted);
+    };
+    core.metrics.rate_limit_denied.inc();
+    let after = Duration::from_millis(after.into()).min(MAX_BLOCK);
+    upstream.limit.block_until(now + after);
+    Err(Denied)
+}
+
+/// Takes a token from the bucket that this box holds for the instance.
+fn decide(core: &Core, query: &Acquire, scope: Scope) -> Answer {
+    let now = core.now();
+    let mut upstreams = core.upstreams.borrow_mut();
+    let upstream = upstreams.named_mut(query.instance);
+    let observation = upstream.map(|upstream| {
+        merge(core, upstream, query.observation);
+        upstream.limit.observation()
+    });
+    // The entry of the instance may not have reached this box yet.
+    let observation = observation
+        .flatten()
+        .unwrap_or_else(|| from_message(query.observation, now));
+    let after = observation
+        .rate
+        .and_then(|rate| take(core, query.instance, rate, scope.share(core)));
+    Answer {
+        nonce: query.nonce,
+        after_ms: after.map(|after| narrow(after.as_millis().max(1))),
+        observation: Some(to_message(observation, now)),
+    }
+}
+
+/// Takes one request from a bucket; returns the time after which one is available if there is none.
+fn take(core: &Core, instance: u32, rate: rate_limit::Rate, share: f64) -> Option<Duration> {
+    let now = core.now();
+    let terms = rate_limit::terms(rate, share);
+    let mut buckets = core.rate_limits.buckets.borrow_mut();
+    let bucket = buckets
+        .entry(instance)
+        .or_insert_with(|| rate_limit::bucket(&terms, now));
+    bucket.take(&terms, rate_limit::ONE_REQUEST, now).err()
+}
+
+/// Answers another box that asks for a permit.
+pub(super) fn receive_acquire(core: &Core, socket: &UdpSocket, from: SocketAddr, query: &Acquire) {
+    if !super::account::is_known(core, from) {
+        return;
+    }
+    drop_unknown_buckets(core);
+    let answer = decide(core, query, Scope::of_query(query.is_fallback));
+    try_send(core, socket, from, &Message::Permit(answer));
+}
+
+/// Delivers an answer to the query of this box that it belongs to.
+pub(super) fn deliver(core: &Core, answer: Answer) {
+    core.rate_limits.inquiries.deliver(answer.nonce, answer);
+}
+
+fn drop_unknown_buckets(core: &Core) {
+    let mut buckets = core.rate_limits.buckets.borrow_mut();
+    if buckets.len() > MAX_BUCKETS {
+        let upstreams = core.upstreams.borrow();
+        let known: Vec<u32> = upstreams.iter().map(|(_, u)| place::short(u.name)).collect();
+        buckets.retain(|instance, _| known.contains(instance));
+    }
+}
+
+/// Message that announces the present limits of instances.
+pub(super) fn announcement(core: &Core, instances: &[u32]) -> Message {
+    let now = core.now();
+    let upstreams = core.upstreams.borrow();
+    let limits = upstreams.iter().filter_map(|(_, upstream)| {
+        let name = place::short(upstream.name);
+        let observation = upstream.limit.observation()?;
+        instances
+            .contains(&name)
+            .then(|| (name, to_message(observation, now)))
+    });
+    Message::Limits(Limits {
+        instances: limits.collect(),
+    })
+}
+
+/// Applies limits that another box announces.
+pub(super) fn receive_limits(core: &Core, from: SocketAddr, limits: &Limits) {
+    if !super::account::is_known(core, from) {
+        return;
+    }
+    let mut upstreams = core.upstreams.borrow_mut();
+    for (instance, observation) in &limits.instances {
+        if let Some(upstream) = upstreams.named_mut(*instance) {
+            merge(core, upstream, *observation);
+        }
+    }
+}
+
+fn merge(core: &Core, upstream: &mut Upstream, observation: Observation) {
+    let observation = from_message(observation, core.now());
+    if upstream.limit.merge(observation) {
+        log_change(core, upstream, "peer");
+    }
+}
+
+/// Logs that the limit of an instance has changed.
+pub fn log_change(core: &Core, upstream: &Upstream, source: &'static str) {
+    emit!(core.logger, info, event::UPSTREAM_LIMITED, "upstream" => %upstream.life,
+        "source" => source, "per_second" => upstream.limit.rate());
+}
+
+fn to_message(observation: rate_limit::Observation, now: Moment) -> Observation {
+    Observation {
+        rate: observation.rate,
+        age_ms: narrow(now.saturating_sub(observation.at).as_millis()),
+    }
+}
+
+fn from_message(observation: Observation, now: Moment) -> rate_limit::Observation {
+    let age = Duration::from_millis(observation.age_ms.into());
+    rate_limit::Observation {
+        rate: observation.rate,
+        at: now.saturating_sub(age),
+    }
+}
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::message::{LONGEST, Message};
-use super::{account, census, gossip, naming, notice, quota, relay, suspicion};
+use super::{account, census, gossip, naming, notice, quota, rate_limit, relay, suspicion};
 use crate::core::{Core, Shared};
 
 /// Pause after an error of the socket.
@@ -83,6 +83,9 @@
             Ok(Message::Namings(told)) => naming::take(&core, told),
             Ok(Message::Suspicion(told)) => suspicion::take(&core, from, &told),
             Ok(Message::Leaving(leaving)) => notice::take_leaving(&core, from, &leaving),
+            Ok(Message::Limits(limits)) => rate_limit::receive_limits(&core, from, &limits),
+            Ok(Message::Acquire(query)) => rate_limit::receive_acquire(&core, &socket, from, &query),
+            Ok(Message::Permit(answer)) => rate_limit::deliver(&core, answer),
             Err(why) => {
                 core.metrics.strange.inc();
                 emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => %why);
--- a/crates/jb-relay/src/said.rs
+++ b/crates/jb-relay/src/said.rs
@@ -114,9 +114,12 @@
         emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => %life, "why" => "answer");
         peers::note_leaving(core, upstream);
     }
+    let was_limited = upstream.limit.rate().is_some();
     if upstream.limit.observe(statement.limit, sent, now) {
-        emit!(core.logger, info, event::UPSTREAM_LIMITED, "upstream" => %life, "source" => "response",
-            "per_second" => upstream.limit.rate());
+        peers::log_change(core, upstream, "response");
+    }
+    if was_limited != upstream.limit.rate().is_some() {
+        peers::note_limit(core, upstream);
     }
     if let Some(until) = upstream.rest.hear(statement, upstream.running, now) {
         core.metrics.rests.inc();
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -113,6 +113,7 @@
         "peers" => port, "store" => %core.settings.store);
     core.accounts.open(Rc::clone(&socket));
     core.quotas.open(Rc::clone(&socket));
+    core.rate_limits.open(Rc::clone(&socket));
     spawn_local(follow::run(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(front::serve(Rc::clone(core), callers));
     spawn_local(ready::serve(Rc::clone(core), checks));
--- a/crates/jb-relay/src/upstream/pick.rs
+++ b/crates/jb-relay/src/upstream/pick.rs
@@ -104,15 +104,15 @@
         well.take(count).map(|upstream| upstream.life.clone()).collect()
     }
 
-    /// When the first upstream is back, where all that could get the request rest.
+    /// When the first upstream is back, where all that could get the request rest or are limited.
     pub fn first_back(&self, wanted: &Wanted<'_>, now: Moment) -> Option<Moment> {
-        let ends = self.willing(wanted, now).map(|upstream| upstream.rest.until());
+        let ends = self.willing(wanted, now).map(Upstream::held_back_until);
         ends.min().filter(|first| *first > now)
     }
 
     fn open<'a>(&'a self, wanted: &'a Wanted<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
         let willing = self.willing(wanted, now);
-        willing.filter(move |upstream| !upstream.rest.bars(upstream.running, now))
+        willing.filter(move |upstream| !upstream.is_held_back(now))
     }
 
     /// Upstreams that may get a request, those that rest with them.
@@ -121,7 +121,7 @@
         let untried = all.filter(|upstream| !wanted.except.contains(&upstream.life));
         let all = wanted.last_resort || self.mostly_lapsed(wanted.service);
         let sure = untried.filter(move |upstream| all || upstream.lapsed.is_none());
-        let willing = sure.filter(move |upstream| upstream.is_open_but_for_rest(now));
+        let willing = sure.filter(move |upstream| upstream.is_open_later(now));
         willing.filter(move |upstream| self.is_in_time(upstream, wanted, now))
     }
 
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -5,6 +5,7 @@
 use jb_policy::Moment;
 use jb_policy::health::Change;
 use jb_policy::place;
+use jb_policy::rate_limit::Limit;
 use jb_policy::said::{Rest, Statement};
 use jb_protocol::id;
 
@@ -15,9 +16,9 @@
 /// Ids of upstreams that have gone of which words are remembered: a late one of theirs changes
 /// nothing. Late words come within seconds, in which few engines go.
 const MOST_GONE: usize = 512;
-/// Lives that have gone of which the rest is remembered that they asked for: an entry comes back within
-/// seconds, in which few engines go.
-const MOST_RESTING: usize = 64;
+/// Instances that have gone of which the constraints are remembered: an entry comes back within seconds,
+/// in which few engines go.
+const MAX_CONSTRAINTS: usize = 64;
 /// Replaced lives that are remembered where another box tells of them before the store does.
 const MOST_REPLACED: usize = 64;
 
@@ -29,12 +30,20 @@
     words: BTreeMap<Id, Words>,
     /// Short names of lives at whose addresses others answer, the last one told at the end.
     replaced: VecDeque<u32>,
-    /// Rest that lives asked for whose entries have gone, the last one to go at the end.
-    resting: VecDeque<(Life, Rest)>,
+    /// Constraints of instances whose entries have gone, the last one to go at the end.
+    constraints: VecDeque<Constraints>,
     /// Whether upstreams say when they started: an entry without that is of another writer then.
     tells_births: bool,
 }
 
+/// What an instance has asked its callers for.
+#[derive(Clone, Debug)]
+struct Constraints {
+    life: Life,
+    rest: Rest,
+    limit: Limit,
+}
+
 /// What a word of the store changed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Seen {
@@ -147,8 +156,10 @@
         // Without births, an id that is back may have its address back as well.
         let is_told = upstream.life.born.is_some() && self.replaced.contains(&place::short(upstream.name));
         upstream.refused |= is_told;
-        let rested = self.resting.iter().rev().find(|(life, _)| *life == upstream.life);
-        upstream.rest = rested.map_or(upstream.rest, |(_, rest)| *rest);
+        let known = self.constraints.iter().rev();
+        if let Some(known) = known.clone().find(|known| known.life == upstream.life) {
+            (upstream.rest, upstream.limit) = (known.rest, known.limit);
+        }
         self.all.insert(id.to_owned(), upstream);
     }
 
@@ -175,9 +186,13 @@
         if let Some(ids) = self.services.get_mut(&known.entry.service) {
             ids.retain(|other| other != id);
         }
-        self.resting.push_back((known.life.clone(), known.rest));
-        let most = self.resting.len().saturating_sub(MOST_RESTING);
-        self.resting.drain(..most);
+        self.constraints.push_back(Constraints {
+            life: known.life.clone(),
+            rest: known.rest,
+            limit: known.limit,
+        });
+        let excess = self.constraints.len().saturating_sub(MAX_CONSTRAINTS);
+        self.constraints.drain(..excess);
         self.forget_words();
         Some(Ended::of(&known))
     }
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -117,11 +117,22 @@
 
     /// Whether it may get a new request.
     pub fn is_open(&self, now: Moment) -> bool {
-        self.is_open_but_for_rest(now) && !self.rest.bars(self.running, now)
+        self.is_open_later(now) && !self.is_held_back(now)
     }
 
-    /// Whether it may get a new request as soon as it does not rest any more.
-    pub fn is_open_but_for_rest(&self, now: Moment) -> bool {
+    /// Whether it accepts nothing from this box for the moment: it asked for rest, or its rate limit is
+    /// used up.
+    pub(super) fn is_held_back(&self, now: Moment) -> bool {
+        self.rest.bars(self.running, now) || self.limit.is_blocked(now)
+    }
+
+    /// When it accepts requests again.
+    pub(super) fn held_back_until(&self) -> Moment {
+        self.rest.until().max(self.limit.blocked_until())
+    }
+
+    /// Whether it may get a new request once it isn't held back any more.
+    pub fn is_open_later(&self, now: Moment) -> bool {
         let busy = now < self.loading_until || now < self.ended_until;
         let comes_back = self.lapsed.is_none_or(|until| now < until);
         comes_back && self.is_there() && !self.refused && !busy && self.health.is_open(now)
--- a/crates/jb-relay/tests/lives.rs
+++ b/crates/jb-relay/tests/lives.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use jb_policy::place;
+use jb_policy::rate_limit::Announcement;
 use jb_policy::said::Statement;
 use jb_relay::port::{Born, Entry, Revision, Word};
 use jb_relay::upstream::{Life, Registry, Seen};
@@ -290,3 +291,19 @@
         .tests(3000)
         .quickcheck(holds as fn(Vec<Said>, Vec<(u8, u8)>) -> bool);
 }
+
+/// Guards against a limit that ends when the entry of its instance goes and comes back.
+#[test]
+fn rate_limit_outlasts_an_entry_that_comes_back_and_ends_with_its_instance() {
+    let mut registry = Registry::default();
+    registry.hear("engine", entry(Some(FIRST), false), 1);
+    let known = registry.get_mut("engine").expect("known");
+    known.limit.observe(Announcement::Limited(1.5), None, NOW);
+    registry.hear("engine", Word::Gone, 2);
+    registry.remove("engine");
+    registry.hear("engine", entry(Some(FIRST), false), 3);
+    let rate = |registry: &Registry| registry.get("engine").expect("known").limit.rate();
+    assert_eq!(rate(&registry), Some(1.5));
+    registry.hear("engine", entry(Some(SECOND), false), 4);
+    assert_eq!(rate(&registry), None);
+}
