Soak: engines that announce rate limits

Any 4 s window of requests from boxes that have passed the limit on, without a fault of their own at that moment, holds at most 1.5 times the limit and 5.

--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::checks::Promise;
+use crate::limits;
 use crate::words;
 use crate::world::World;
 
@@ -32,6 +33,8 @@
     pub ended: Instant,
     /// Engine that says in the answer that it leaves.
     pub leaving: Option<String>,
+    /// Engine that announces a rate limit in the answer.
+    pub limited: Option<String>,
     /// Status; `None` without an answer.
     pub status: Option<u16>,
 }
@@ -64,6 +67,7 @@
             asking: self,
             ended: Instant::now(),
             leaving: got.and_then(words::said_leaving),
+            limited: got.and_then(limits::limited_engine),
             status: got.map(Got::status),
         }
     }
--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -27,6 +27,8 @@
     Word,
     /// An engine that asks for rest gets it.
     Rest,
+    /// An engine gets no more than the rate that it has announced allows.
+    Limit,
     /// A request that ends engines reaches few more once three have ended.
     Poison,
     /// All boxes serve again after the last fault.
@@ -34,7 +36,7 @@
 }
 
 /// All promises.
-pub const ALL: [Promise; 12] = [
+pub const ALL: [Promise; 13] = [
     Promise::OwnAnswer,
     Promise::Order,
     Promise::Once,
@@ -45,6 +47,7 @@
     Promise::Weights,
     Promise::Word,
     Promise::Rest,
+    Promise::Limit,
     Promise::Poison,
     Promise::Recovery,
 ];
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -9,6 +9,7 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use crate::limits;
 use crate::proxy::Link;
 use crate::words;
 use crate::world::{EVENTS, World, config};
@@ -39,6 +40,8 @@
     Say,
     /// An engine turns requests away and asks for rest.
     Shed,
+    /// An engine announces a rate limit.
+    Limit,
 }
 
 impl Fault {
@@ -58,6 +61,8 @@
     All,
     /// All, and engines that say something of themselves in their answers only.
     Words,
+    /// All, with words in answers and rate limits.
+    Limits,
     /// Those of the first seeds, fewer of them, beside callers whose request ends engines.
     Poison,
 }
@@ -69,6 +74,8 @@
 
 /// With words in answers.
 const WORDS: u32 = 34;
+/// With rate limits.
+const LIMITS: u32 = 44;
 
 /// Time for which states that end last.
 const LASTS: std::ops::Range<u64> = 200..3500;
@@ -78,6 +85,7 @@
         Set::First | Set::Poison => FIRST,
         Set::All => ALL,
         Set::Words => WORDS,
+        Set::Limits => LIMITS,
     };
     match random.random_range(0..count) {
         0 => Fault::Kill,
@@ -101,7 +109,8 @@
         22 | 23 => Fault::Restart,
         24 | 25 => Fault::Scribble,
         26..=28 => Fault::Say,
-        _ => Fault::Shed,
+        29..=33 => Fault::Shed,
+        _ => Fault::Limit,
     }
 }
 
@@ -162,6 +171,7 @@
         Fault::Leave => world.leave(engine),
         Fault::Say => world.say(engine),
         Fault::Shed => words::shed(&world, engine, lasts).await,
+        Fault::Limit => limits::announce(&world, engine, &mut random).await,
         Fault::Weights => {
             let version = world.weights.get() + 1;
             world.weights.set(version);
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod callers;
 pub mod checks;
 pub mod faults;
+pub mod limits;
 pub mod poison;
 pub mod proxy;
 pub mod run;
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -40,12 +40,16 @@
     /// all faults, and engines that say in their answers only that they leave or want rest
     #[argh(switch)]
     words: bool,
+    /// all faults, such words, and engines that announce rate limits
+    #[argh(switch)]
+    limits: bool,
 }
 
 impl Arguments {
     fn set(&self) -> Set {
         match self {
             Self { poison: true, .. } => Set::Poison,
+            Self { limits: true, .. } => Set::Limits,
             Self { words: true, .. } => Set::Words,
             Self { first: true, .. } => Set::First,
             _ => Set::All,
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -15,6 +15,7 @@
 use crate::callers;
 use crate::checks::{Checks, Promise};
 use crate::faults::{self, Set};
+use crate::limits;
 use crate::poison;
 use crate::proxy::Link;
 use crate::words;
@@ -108,6 +109,7 @@
     at_the_end(&world, &mut checks);
     poison::check(&world, &mut checks);
     words::check(&world, &mut checks);
+    limits::check(&world, &mut checks);
     checks
 }
 
--- a/crates/jb-soak/src/words.rs
+++ b/crates/jb-soak/src/words.rs
@@ -18,6 +18,11 @@
 /// Engine whose answer says that it leaves.
 pub fn said_leaving(got: &Got) -> Option<String> {
     got.answer.headers.get("server-leaving")?;
+    engine_of(got)
+}
+
+/// Engine that has made an answer.
+pub fn engine_of(got: &Got) -> Option<String> {
     let first = got.body.lines().find(|line| !line.starts_with("id: "))?;
     first.split(' ').next_back().map(str::to_owned)
 }
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -2,6 +2,7 @@
 
 use std::cell::{Cell, RefCell};
 use std::collections::{BTreeMap, BTreeSet};
+use std::ops::Range;
 use std::path::Path;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
@@ -18,6 +19,7 @@
 use crate::callers::{self, Asked};
 use crate::checks::Checks;
 use crate::faults::Set;
+use crate::limits::Limit;
 use crate::poison::{self, Try};
 use crate::run::Plan;
 
@@ -29,6 +31,9 @@
 /// Longest wait for the answer of a box that serves.
 const SERVES: Duration = Duration::from_secs(4);
 
+/// Time of a fault.
+type Disturbance = Range<Instant>;
+
 /// Everything that a run is about.
 pub struct World {
     /// Seed.
@@ -61,8 +66,10 @@
     saying: RefCell<BTreeSet<usize>>,
     /// Callers.
     pub callers: usize,
-    /// Until when each box has a fault.
-    disturbed: RefCell<Vec<Instant>>,
+    /// Rate limits that engines announced.
+    pub limits: RefCell<Vec<Limit>>,
+    /// Faults of each box.
+    disturbed: RefCell<Vec<Vec<Disturbance>>>,
     began: Instant,
     loud: bool,
 }
@@ -102,7 +109,8 @@
             boxes,
             asked: RefCell::default(),
             tries: RefCell::default(),
-            disturbed: RefCell::new(vec![Instant::now(); plan.boxes]),
+            limits: RefCell::default(),
+            disturbed: RefCell::new(vec![Vec::new(); plan.boxes]),
             checks: RefCell::default(),
             stopped: Cell::default(),
             version: Cell::new(1),
@@ -185,17 +193,28 @@
 
     /// Notes that a box, or each one, has a fault for a while.
     pub fn disturb(&self, at: usize, each: bool, lasts: Duration) {
-        let until = Instant::now() + lasts;
+        let from = Instant::now();
+        let until = from + lasts;
         for (number, disturbed) in self.disturbed.borrow_mut().iter_mut().enumerate() {
             if each || number == at {
-                *disturbed = until.max(*disturbed);
+                disturbed.push(from..until);
             }
         }
     }
 
     /// Whether a box has had no fault for so long.
     pub fn is_calm(&self, at: usize, time: Duration) -> bool {
-        Instant::now() > self.disturbed.borrow()[at] + time
+        let disturbed = &self.disturbed.borrow()[at];
+        disturbed
+            .iter()
+            .all(|disturbance| Instant::now() > disturbance.end + time)
+    }
+
+    /// Whether a box had a fault at a moment.
+    pub fn was_disturbed(&self, at: usize, moment: Instant) -> bool {
+        self.disturbed.borrow()[at]
+            .iter()
+            .any(|disturbance| disturbance.contains(&moment))
     }
 
     /// Starts an engine again, unless it is to leave.
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -33,10 +33,12 @@
     let first = [1, 2].into_iter().chain(FAILED).map(|seed| (seed, Set::First));
     let poison = [(1, Set::Poison), (2, Set::Poison)];
     let words = [(1, Set::Words), (2, Set::Words)];
+    let limits = [(1, Set::Limits), (2, Set::Limits)];
     let later = [(1, Set::All), (2, Set::All)]
         .into_iter()
         .chain(poison)
-        .chain(words);
+        .chain(words)
+        .chain(limits);
     for (seed, set) in first.chain(later) {
         let checks = run(seed, set);
         assert!(checks.hold(), "seed {seed}\n{checks}");
