Log signals of upstreams that this version doesn't know

Twice a signal in response heads was noticed only by its consequences: a drain, and now a rate limit. Headers that begin like the platform's signals and have no meaning here are logged once each, with the upstream and the value.

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -69,6 +69,7 @@
     UPSTREAM_UNREADABLE = 5011, "upstream_unreadable", "An upstream's entry cannot be read; it gets nothing until it can.";
     UPSTREAM_RESTS = 5012, "upstream_rests", "An upstream wants nothing more from this box for a time.";
     UPSTREAM_LIMITED = 5013, "upstream_limited", "An upstream has announced a rate limit for all boxes together, or lifted it.";
+    SIGNAL_UNKNOWN = 5014, "signal_unknown", "An upstream sends a signal that this version does not know.";
     CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
     STEWARD_TAKEN = 7001, "steward_taken", "The box has become its hall's steward.";
     STEWARD_LOST = 7002, "steward_lost", "The box is no longer its hall's steward.";
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -15,6 +15,7 @@
 use crate::said;
 use crate::salt;
 use crate::ticket::Ticket;
+use crate::unknown_signals;
 use crate::upstream::Life;
 
 /// Longest head of an answer, in bytes.
@@ -212,6 +213,7 @@
         }
         let said = said::read(&core.names, &answer);
         if answer.headers.text(core.names.request) == Some(ticket.id.as_str()) {
+            unknown_signals::note(core, life, &answer.headers);
             said::hear(core, life, ticket.model.as_deref(), &said, sent);
             return Ok(answer);
         }
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -26,6 +26,7 @@
 use crate::rules::Rules;
 use crate::settings::Settings;
 use crate::stop::Stop;
+use crate::unknown_signals::UnknownSignals;
 use crate::upstream::{Life, Registry};
 
 /// Reference to the shared state.
@@ -87,6 +88,8 @@
     pub quotas: Quotas,
     /// Rate limits of upstreams.
     pub rate_limits: RateLimits,
+    /// Signals of upstreams that this version doesn't know.
+    pub unknown_signals: UnknownSignals,
     /// Requests that end engines.
     pub quarantine: Quarantine,
     /// What other boxes told of their load.
@@ -149,6 +152,7 @@
             census: RefCell::default(),
             quotas: Quotas::default(),
             rate_limits: RateLimits::default(),
+            unknown_signals: UnknownSignals::default(),
             quarantine: Quarantine::default(),
             loads: RefCell::default(),
             gathered: RefCell::default(),
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -32,4 +32,5 @@
 pub mod steward;
 pub mod stop;
 pub mod ticket;
+pub mod unknown_signals;
 pub mod upstream;
--- a/crates/jb-relay/src/names.rs
+++ b/crates/jb-relay/src/names.rs
@@ -33,6 +33,8 @@
     pub rest: &'static str,
     /// Requests per second that an upstream accepts from all boxes together.
     pub rate_limit: &'static str,
+    /// Start of the names of all headers by which upstreams tell what they can take.
+    pub signal_prefix: &'static str,
     /// Text under which an engine keeps a prompt's parts.
     pub salt: &'static str,
     /// Urgency of a request at an engine, 0 first.
--- /dev/null
+++ b/crates/jb-relay/src/unknown_signals.rs
@@ -0,0 +1,62 @@
+//! Signals of upstreams that this version doesn't know.
+//!
+//! Such a header is passed on to the caller like any other. It is logged once, so that operators notice
+//! that upstreams ask for something.
+
+use std::cell::RefCell;
+use std::collections::BTreeSet;
+
+use jb_protocol::{emit, event};
+
+use crate::core::Core;
+use crate::http::Headers;
+use crate::upstream::Life;
+
+/// Names that are remembered; more aren't logged.
+const MAX_NAMES: usize = 32;
+
+/// Names of the unknown signals that were logged, in lower case.
+#[derive(Debug, Default)]
+pub struct UnknownSignals {
+    names: RefCell<BTreeSet<String>>,
+}
+
+impl UnknownSignals {
+    /// Remembers a name; returns whether it is new.
+    fn insert(&self, name: String) -> bool {
+        let mut names = self.names.borrow_mut();
+        names.len() < MAX_NAMES && names.insert(name)
+    }
+
+    /// Names that were logged, in lower case.
+    pub fn names(&self) -> Vec<String> {
+        self.names.borrow().iter().cloned().collect()
+    }
+}
+
+/// Logs the signals in a response head that have no meaning to this version.
+pub fn note(core: &Core, instance: &Life, headers: &Headers) {
+    for header in &headers.0 {
+        let Some(name) = unknown(core, &header.name) else {
+            continue;
+        };
+        if core.unknown_signals.insert(name.clone()) {
+            let value = String::from_utf8_lossy(&header.value);
+            emit!(core.logger, warn, event::SIGNAL_UNKNOWN, "upstream" => %instance,
+                "header" => &name, "value" => %value);
+        }
+    }
+}
+
+/// Name of a header in lower case, if it is a signal that this version doesn't know.
+fn unknown(core: &Core, name: &[u8]) -> Option<String> {
+    let prefix = core.names.signal_prefix;
+    let is_signal = name
+        .get(..prefix.len())
+        .is_some_and(|start| start.eq_ignore_ascii_case(prefix.as_bytes()));
+    let known = [core.names.leaving, core.names.rate_limit];
+    let is_known = known
+        .iter()
+        .any(|known| name.eq_ignore_ascii_case(known.as_bytes()));
+    (is_signal && !is_known).then(|| String::from_utf8_lossy(name).to_ascii_lowercase())
+}
