--- a/crates/jb-daemon/src/decide/message.rs
+++ b/crates/jb-daemon/src/decide/message.rs
@@ -5,7 +5,7 @@
 use jb_policy::hall::Summary;
 use jb_policy::limit::{Admitted, Over};
 use jb_policy::route::{Ask, Choice, Permit, Refused};
-use jb_policy::said::Statement;
+use jb_policy::signal::Signals;
 use jb_policy::stream::Start;
 use jb_protocol::admin::Weighing;
 use jb_protocol::engine::Report;
@@ -113,14 +113,14 @@
         /// The report.
         report: Report,
     },
-    /// What an upstream has said of itself in an answer.
-    Said {
+    /// Signals of an upstream's response.
+    Signals {
         /// Service.
         service: id::Service,
         /// Upstream.
         upstream: id::Upstream,
-        /// What it said.
-        statement: Statement,
+        /// Signals.
+        signals: Signals,
         /// Permit of the request that it answers.
         permit: Permit,
     },
--- a/crates/jb-daemon/src/decide/ring.rs
+++ b/crates/jb-daemon/src/decide/ring.rs
@@ -3,7 +3,7 @@
 use jb_policy::limit::{Admitted, Over};
 use jb_policy::rate_limit::Announcement;
 use jb_policy::route::{Ask, Choice, Permit, Refused};
-use jb_policy::said::Statement;
+use jb_policy::signal::Signals;
 use jb_protocol::admin::Weighing;
 use tokio::sync::{mpsc, oneshot};
 
@@ -153,16 +153,16 @@
         self.sender.try_send(message).map_err(|_| Full)
     }
 
-    /// Tells what an upstream has said of itself in an answer, if anything. Where it was limited, saying
-    /// nothing ends the limit.
-    pub async fn hear(&self, service: &str, upstream: &str, statement: Statement, permit: Permit) {
-        let limited = permit.is_limited || matches!(statement.limit, Announcement::Limited(_));
-        if statement.leaving || statement.rest.is_some() || limited {
+    /// Applies the signals of an upstream's response, if there are any. Where the upstream was limited, a
+    /// response without a limit ends it.
+    pub async fn apply_signals(&self, service: &str, upstream: &str, signals: Signals, permit: Permit) {
+        let limited = permit.is_limited || matches!(signals.limit, Announcement::Limited(_));
+        if signals.draining || signals.retry_after.is_some() || limited {
             let (service, upstream) = (service.to_owned(), upstream.to_owned());
-            self.send_surely(Message::Said {
+            self.send_surely(Message::Signals {
                 service,
                 upstream,
-                statement,
+                signals,
                 permit,
             })
             .await;
--- a/crates/jb-daemon/src/decide/worker.rs
+++ b/crates/jb-daemon/src/decide/worker.rs
@@ -10,7 +10,7 @@
 use jb_policy::limit::{Limits, Over};
 use jb_policy::place;
 use jb_policy::route::{Choice, Permit, Pool, Refused};
-use jb_policy::said::Statement;
+use jb_policy::signal::Signals;
 use jb_protocol::error::Kind;
 use jb_protocol::{event, id};
 use jb_tree::view::View;
@@ -78,12 +78,12 @@
                 upstream,
                 report,
             } => self.reported(&service, &upstream, &report),
-            Message::Said {
+            Message::Signals {
                 service,
                 upstream,
-                statement,
+                signals,
                 permit,
-            } => self.hear(&service, &upstream, statement, permit),
+            } => self.apply_signals(&service, &upstream, signals, permit),
             Message::Leaving(upstreams) => self.note_leaving(upstreams),
             Message::Boxes(boxes) => self.set_boxes(boxes),
             Message::Summarize(reply) => {
@@ -207,20 +207,22 @@
         }
     }
 
-    fn hear(&mut self, service: &str, upstream: &str, statement: Statement, permit: Permit) {
+    fn apply_signals(&mut self, service: &str, upstream: &str, signals: Signals, permit: Permit) {
         let now = self.clock.now();
         let pool = self.pools.get_mut(service);
-        let Some(heard) = pool.and_then(|pool| pool.hear(upstream, statement, permit.issued_at, now)) else {
+        let Some(applied) =
+            pool.and_then(|pool| pool.apply_signals(upstream, signals, permit.issued_at, now))
+        else {
             return;
         };
-        if heard.leaves {
+        if applied.drains {
             emit!(self.logger, info, event::UPSTREAM_LEAVING, "upstream" => upstream, "by" => "answer");
         }
-        if let Some(until) = heard.rests_until {
-            emit!(self.logger, info, event::UPSTREAM_RESTS, "upstream" => upstream,
+        if let Some(until) = applied.backoff_until {
+            emit!(self.logger, info, event::UPSTREAM_BACKOFF, "upstream" => upstream,
                 "ms" => until.saturating_sub(now).as_millis() as u64);
         }
-        if let Some(rate) = heard.limit {
+        if let Some(rate) = applied.limit {
             emit!(self.logger, info, event::UPSTREAM_LIMITED, "upstream" => upstream,
                 "source" => "response", "per_second" => rate);
         }
--- a/crates/jb-daemon/src/run/plain.rs
+++ b/crates/jb-daemon/src/run/plain.rs
@@ -117,15 +117,15 @@
             .begin("attempt", SpanKind::Client, parent.as_deref());
         hop.note("to", &choice.upstream);
         request.traceparent = hop.traceparent();
-        let heard = context
+        let observed = context
             .services
             .call(upstream.address, &request, service.silence)
             .await;
         context
             .ring
-            .hear(&service.id, &upstream.id, heard.said, choice.permit)
+            .apply_signals(&service.id, &upstream.id, observed.signals, choice.permit)
             .await;
-        match heard.result {
+        match observed.result {
             Ok(answer) => {
                 ticket.end(Outcome::Succeeded);
                 return Ok(answer);
--- a/crates/jb-daemon/src/run/session/send.rs
+++ b/crates/jb-daemon/src/run/session/send.rs
@@ -62,14 +62,15 @@
             resume_at: self.next,
             traceparent: self.traceparent(),
         };
-        let heard = self
+        let observed = self
             .context
             .engines
             .run(config.address, &call, service.silence)
             .await;
         let ring = &self.context.ring;
-        ring.hear(&service.id, &upstream, heard.said, permit).await;
-        let frames = match heard.result {
+        ring.apply_signals(&service.id, &upstream, observed.signals, permit)
+            .await;
+        let frames = match observed.result {
             Ok(frames) => frames,
             Err(failure) => {
                 let denied = matches!(failure, jb_upstream::Failure::Denied(_));
--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -5,6 +5,7 @@
 //! [`Moment`]s, durations since a start of the caller's choice.
 
 pub mod account;
+pub mod backoff;
 pub mod bring;
 pub mod call;
 pub mod cell;
@@ -27,8 +28,8 @@
 pub mod quota;
 pub mod rate_limit;
 pub mod route;
-pub mod said;
 pub mod share;
+pub mod signal;
 pub mod steward;
 pub mod stream;
 pub mod upstream;
--- a/crates/jb-policy/src/route/pool.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -20,10 +20,10 @@
 use crate::health::Change;
 use crate::knowledge::{Index, Knowledge};
 use crate::prefix::Chain;
-use crate::said::Statement;
 use crate::share::{Bound, Budget};
+use crate::signal::Signals;
 use crate::stream::Start;
-use crate::upstream::{News, Upstream};
+use crate::upstream::{Applied, Upstream};
 
 /// Prefixes remembered for each block that an engine can hold, divided by 8.
 const MARKS_PER_ENGINE_BLOCK: usize = 4;
@@ -184,7 +184,7 @@
         })
     }
 
-    /// Time until the first upstream is back, where all that take work rest or are limited.
+    /// Time until the first upstream is back, where all that take work back off or are limited.
     fn first_back(&self, now: Moment) -> Option<Duration> {
         let back = self.upstreams.iter().filter_map(|u| u.back_at(now)).min()?;
         back.checked_sub(now).filter(|time| !time.is_zero())
@@ -231,9 +231,15 @@
             .is_some_and(|u| u.note_report(report, &model, &weights, now))
     }
 
-    /// Takes what an upstream says of itself in an answer to a request that was sent at `sent`.
-    pub fn hear(&mut self, id: &str, statement: Statement, sent: Moment, now: Moment) -> Option<News> {
-        Some(self.upstream_mut(id)?.hear(statement, sent, now))
+    /// Applies the signals of an upstream's response to a request that was sent at `sent`.
+    pub fn apply_signals(
+        &mut self,
+        id: &str,
+        signals: Signals,
+        sent: Moment,
+        now: Moment,
+    ) -> Option<Applied> {
+        Some(self.upstream_mut(id)?.apply_signals(signals, sent, now))
     }
 
     /// Notes that a request ended well.
--- a/crates/jb-policy/src/upstream.rs
+++ b/crates/jb-policy/src/upstream.rs
@@ -8,13 +8,14 @@
 use jb_protocol::token::TOKENS_PER_BLOCK;
 
 use crate::Moment;
+use crate::backoff::Backoff;
 use crate::health::Health;
 use crate::knowledge::{Epoch, Fill, Holder, Index};
 use crate::load::Backlog;
 use crate::place;
 use crate::pressure::Pressure;
 use crate::rate_limit::{Rate, Share};
-use crate::said::{Rest, Statement};
+use crate::signal::Signals;
 
 /// Time for which an upstream that denied a request is left alone.
 const DENIAL: Duration = Duration::from_secs(1);
@@ -23,13 +24,13 @@
 /// so: its successor may have its name and address, and one request in that time asks it again.
 const LEAVES_FOR: Duration = Duration::from_secs(600);
 
-/// What an answer has changed.
+/// Changes by the signals of a response.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub struct News {
-    /// Whether it says for the first time that it leaves.
-    pub leaves: bool,
-    /// End of a rest that it asks for beyond the one before.
-    pub rests_until: Option<Moment>,
+pub struct Applied {
+    /// Whether it has begun to drain.
+    pub drains: bool,
+    /// End of a backoff, where that is later than before.
+    pub backoff_until: Option<Moment>,
     /// Its rate limit, where that has changed.
     pub limit: Option<Option<Rate>>,
 }
@@ -75,8 +76,8 @@
     pub pressure: Pressure,
     incarnation: Option<id::Incarnation>,
     fits: bool,
-    /// Rest that it wants.
-    rest: Rest,
+    /// Backoff that it has asked for.
+    backoff: Backoff,
     /// Until when it is believed to leave, as it said in an answer.
     leaves_until: Moment,
     /// Rate limit that it has announced for all boxes together.
@@ -99,7 +100,7 @@
             pressure: Pressure::default(),
             incarnation: None,
             fits: true,
-            rest: Rest::default(),
+            backoff: Backoff::default(),
             leaves_until: Moment::ZERO,
             limit: Share::default(),
         }
@@ -112,17 +113,19 @@
 
     /// Whether it takes work, as far as is known; it may be failing.
     pub fn is_willing(&self, now: Moment) -> bool {
-        self.would_take_work(now) && !self.rest.bars(self.open, now) && self.limit.permit_after(now).is_zero()
+        self.would_take_work(now)
+            && !self.backoff.blocks(self.open, now)
+            && self.limit.permit_after(now).is_zero()
     }
 
-    /// Whether it takes work once it neither rests nor has used up its rate limit.
+    /// Whether it takes work but for its backoff and rate limit.
     fn would_take_work(&self, now: Moment) -> bool {
         self.fits && !self.leaving.is_leaving() && now >= self.leaves_until
     }
 
-    /// When it takes work, where it only rests or has used up its rate limit.
+    /// When it takes work, where only its backoff or rate limit is in the way.
     pub fn back_at(&self, now: Moment) -> Option<Moment> {
-        let back = self.rest.until().max(now + self.limit.permit_after(now));
+        let back = self.backoff.until().max(now + self.limit.permit_after(now));
         self.would_take_work(now).then_some(back)
     }
 
@@ -139,9 +142,9 @@
             ),
             (!self.fits, Obstacle::OtherWeights, None),
             (
-                self.rest.bars(self.open, now),
-                Obstacle::Rests,
-                Some(self.rest.until()),
+                self.backoff.blocks(self.open, now),
+                Obstacle::Backoff,
+                Some(self.backoff.until()),
             ),
             (
                 !self.limit.permit_after(now).is_zero(),
@@ -160,18 +163,18 @@
         })
     }
 
-    /// Takes what it says of itself in an answer to a request that was sent at `sent`.
+    /// Applies the signals of a response to a request that was sent at `sent`.
     ///
-    /// Its report does not lift that: it may say less than its answers, or have been asked for before.
-    pub fn hear(&mut self, statement: Statement, sent: Moment, now: Moment) -> News {
+    /// A report doesn't lift them: it may tell less, or have been requested before.
+    pub fn apply_signals(&mut self, signals: Signals, sent: Moment, now: Moment) -> Applied {
         let left = now < self.leaves_until;
-        if statement.leaving {
+        if signals.draining {
             self.leaves_until = self.incarnation.map_or(now + LEAVES_FOR, |_| Moment::MAX);
         }
-        let changed = self.limit.observe(statement.limit, sent, now);
-        News {
-            leaves: statement.leaving && !left,
-            rests_until: self.rest.hear(statement, self.open, now),
+        let changed = self.limit.observe(signals.limit, sent, now);
+        Applied {
+            drains: signals.draining && !left,
+            backoff_until: self.backoff.observe(signals, self.open, now),
             limit: changed.then(|| self.limit.rate()),
         }
     }
@@ -210,7 +213,7 @@
     /// Notes that it denied a request: it leaves or has other weights, and
     /// gets nothing more for a while.
     pub fn note_denial(&mut self, now: Moment) {
-        self.rest.take(DENIAL, now);
+        self.backoff.pause(DENIAL, now);
     }
 
     /// Its present life, as last heard.
@@ -229,7 +232,7 @@
             self.epoch += 1;
             self.backlog.clear();
             self.pressure = Pressure::default();
-            self.rest = Rest::default();
+            self.backoff = Backoff::default();
             self.limit.reset();
             self.leaves_until = Moment::ZERO;
         }
--- a/crates/jb-policy/tests/shed.rs
+++ b/crates/jb-policy/tests/shed.rs
@@ -10,8 +10,9 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
-use jb_policy::said::{Rest, Statement};
+use jb_policy::backoff::Backoff;
 use jb_policy::share::{Bound, Budget};
+use jb_policy::signal::Signals;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
 
@@ -30,7 +31,7 @@
     /// A short pause, whatever is asked for.
     Pause,
     /// Rest as asked for, and then as much as before.
-    Rest,
+    Backoff,
     /// Rest as asked for, and less than before.
     Less,
 }
@@ -71,8 +72,8 @@
 struct Model {
     way: Way,
     boxes: usize,
-    rests: Vec<[Rest; ENGINES]>,
-    /// Ends of the rests that were asked for, whatever the boxes make of them.
+    backoffs: Vec<[Backoff; ENGINES]>,
+    /// Ends of the backoffs that were asked for, whatever the boxes make of them.
     asked_until: Vec<[Moment; ENGINES]>,
     runs: [Vec<Run>; ENGINES],
     budgets: Vec<Budget>,
@@ -84,7 +85,7 @@
         Self {
             way,
             boxes,
-            rests: vec![[Rest::default(); ENGINES]; boxes],
+            backoffs: vec![[Backoff::default(); ENGINES]; boxes],
             asked_until: vec![[Moment::ZERO; ENGINES]; boxes],
             runs: Default::default(),
             budgets: vec![Budget::default(); boxes],
@@ -129,8 +130,8 @@
         while tried.len() < MOST_SENDS {
             let own = |engine: &usize| self.running(by, *engine);
             let barred = |engine: &usize| match self.way {
-                Way::Pause | Way::Rest => self.rests[by][*engine].lasts(now),
-                Way::Less => self.rests[by][*engine].bars(own(engine), now),
+                Way::Pause | Way::Backoff => self.backoffs[by][*engine].is_active(now),
+                Way::Less => self.backoffs[by][*engine].blocks(own(engine), now),
             };
             let open = (0..ENGINES).filter(|engine| !tried.contains(engine) && !barred(engine));
             let Some(engine) = open.min_by_key(own) else {
@@ -170,15 +171,15 @@
         if now >= asked_until {
             self.asked_until[by][engine] = now + ASKED;
         }
-        let rest = &mut self.rests[by][engine];
+        let rest = &mut self.backoffs[by][engine];
         if self.way == Way::Pause {
-            rest.take(PAUSE, now);
+            rest.pause(PAUSE, now);
         } else {
-            let statement = Statement {
-                rest: Some(ASKED),
-                ..Statement::default()
+            let signals = Signals {
+                retry_after: Some(ASKED),
+                ..Signals::default()
             };
-            rest.hear(statement, running, now);
+            rest.observe(signals, running, now);
         }
         false
     }
@@ -189,7 +190,7 @@
     for boxes in [2, 8, 30] {
         for load in [0.8, 1.2, 2.0] {
             let figures = |way| Model::new(way, boxes).play(load, 7);
-            let all = [Way::Pause, Way::Rest, Way::Less].map(|way| (way, figures(way)));
+            let all = [Way::Pause, Way::Backoff, Way::Less].map(|way| (way, figures(way)));
             for (way, figures) in &all {
                 println!(
                     "{boxes:>2} boxes, load {load}: {way:?}: served {:.3}, places used {:.3}, swing {:.3}, \
--- a/crates/jb-policy/tests/said.rs
+++ b/crates/jb-policy/tests/signal.rs
@@ -5,8 +5,9 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
+use jb_policy::backoff::{Backoff, MAX_BACKOFF, RECOVERY_INTERVAL};
 use jb_policy::rate_limit::Announcement;
-use jb_policy::said::{GROWS, LONGEST_REST, Rest, Statement};
+use jb_policy::signal::Signals;
 use jb_policy::upstream::Upstream;
 use jb_protocol::admin::Obstacle;
 use jb_protocol::engine::{Load, Report};
@@ -14,10 +15,10 @@
 
 const NOW: Moment = Duration::from_secs(100);
 
-fn asks_for(rest: Duration) -> Statement {
-    Statement {
-        rest: Some(rest),
-        ..Statement::default()
+fn asks_for(rest: Duration) -> Signals {
+    Signals {
+        retry_after: Some(rest),
+        ..Signals::default()
     }
 }
 
@@ -27,16 +28,16 @@
     fn holds(heard: Vec<(u16, Option<u16>)>) -> bool {
         let mut heard = heard;
         heard.sort_unstable();
-        let mut rest = Rest::default();
+        let mut rest = Backoff::default();
         let mut longest = Moment::ZERO;
         heard.iter().all(|&(at, asked)| {
             let at = NOW + Duration::from_millis(at.into());
             let asked = asked.map(|asked| Duration::from_millis(asked.into()));
-            let statement = Statement {
-                rest: asked,
-                ..Statement::default()
+            let signals = Signals {
+                retry_after: asked,
+                ..Signals::default()
             };
-            let new = rest.hear(statement, 4, at);
+            let new = rest.observe(signals, 4, at);
             longest = longest.max(asked.map_or(Moment::ZERO, |asked| at + asked));
             let told = new.is_none_or(|until| asked.is_some() && until == rest.until());
             rest.until() >= longest && told
@@ -50,32 +51,32 @@
 
 #[test]
 fn answer_that_turns_nothing_away_and_asks_for_nothing_changes_nothing() {
-    let mut rest = Rest::default();
-    rest.hear(asks_for(Duration::from_secs(3)), 1, NOW);
+    let mut rest = Backoff::default();
+    rest.observe(asks_for(Duration::from_secs(3)), 1, NOW);
     let before = rest;
     assert_eq!(
-        rest.hear(Statement::default(), 1, NOW + Duration::from_secs(1)),
+        rest.observe(Signals::default(), 1, NOW + Duration::from_secs(1)),
         None
     );
     assert_eq!(rest, before);
-    assert!(rest.lasts(NOW + Duration::from_millis(2999)));
-    assert!(!rest.lasts(NOW + Duration::from_secs(3)));
+    assert!(rest.is_active(NOW + Duration::from_millis(2999)));
+    assert!(!rest.is_active(NOW + Duration::from_secs(3)));
 }
 
 #[test]
 fn rest_of_ages_lasts_an_hour() {
-    let mut rest = Rest::default();
-    rest.hear(asks_for(Duration::MAX), 1, NOW);
-    assert_eq!(rest.until(), NOW + LONGEST_REST);
+    let mut rest = Backoff::default();
+    rest.observe(asks_for(Duration::MAX), 1, NOW);
+    assert_eq!(rest.until(), NOW + MAX_BACKOFF);
 }
 
 fn upstream() -> Upstream {
     Upstream::new("engine-1".to_owned())
 }
 
-const LEAVES: Statement = Statement {
-    leaving: true,
-    rest: None,
+const LEAVES: Signals = Signals {
+    draining: true,
+    retry_after: None,
     limit: Announcement::Unknown,
 };
 
@@ -96,9 +97,9 @@
 fn report_lifts_neither_a_leaving_nor_a_rest_and_a_new_life_starts_without_them() {
     let mut upstream = upstream();
     upstream.note_report(&report(1), "quill", "w1", NOW);
-    assert!(upstream.hear(LEAVES, NOW, NOW).leaves);
-    assert!(!upstream.hear(LEAVES, NOW, NOW).leaves, "told once");
-    upstream.hear(asks_for(Duration::from_secs(60)), NOW, NOW);
+    assert!(upstream.apply_signals(LEAVES, NOW, NOW).drains);
+    assert!(!upstream.apply_signals(LEAVES, NOW, NOW).drains, "told once");
+    upstream.apply_signals(asks_for(Duration::from_secs(60)), NOW, NOW);
     upstream.note_report(&report(1), "quill", "w1", NOW);
     assert!(!upstream.is_willing(NOW));
     assert!(
@@ -113,7 +114,7 @@
 #[test]
 fn upstream_without_lives_that_leaves_is_asked_again_after_ten_minutes() {
     let mut upstream = upstream();
-    upstream.hear(LEAVES, NOW, NOW);
+    upstream.apply_signals(LEAVES, NOW, NOW);
     assert!(!upstream.is_willing(NOW + Duration::from_secs(599)));
     assert!(upstream.is_willing(NOW + Duration::from_secs(600)));
 }
@@ -121,34 +122,34 @@
 #[test]
 fn upstream_that_rests_tells_when_it_is_back_and_one_that_leaves_does_not() {
     let mut upstream = upstream();
-    upstream.hear(asks_for(Duration::from_secs(3)), NOW, NOW);
+    upstream.apply_signals(asks_for(Duration::from_secs(3)), NOW, NOW);
     assert!(!upstream.is_willing(NOW));
     assert_eq!(upstream.back_at(NOW), Some(NOW + Duration::from_secs(3)));
-    upstream.hear(LEAVES, NOW, NOW);
+    upstream.apply_signals(LEAVES, NOW, NOW);
     assert_eq!(upstream.back_at(NOW), None);
 }
 
 /// Requests that waited for the end of a rest came all at once and were turned away again.
 #[test]
 fn after_a_rest_less_is_let_there_than_had_been_too_much_and_a_little_more_each_time() {
-    let mut rest = Rest::default();
+    let mut rest = Backoff::default();
     let over = NOW + Duration::from_secs(3);
-    assert!(!rest.bars(1000, NOW), "nothing has been too much");
-    rest.hear(asks_for(Duration::from_secs(3)), 8, NOW);
+    assert!(!rest.blocks(1000, NOW), "nothing has been too much");
+    rest.observe(asks_for(Duration::from_secs(3)), 8, NOW);
     // Others that were under way are turned away as well.
-    rest.hear(
+    rest.observe(
         asks_for(Duration::from_secs(2)),
         7,
         NOW + Duration::from_millis(5),
     );
-    assert!(rest.bars(0, over - Duration::from_millis(1)));
-    assert!(!rest.bars(5, over));
-    assert!(rest.bars(6, over));
-    assert!(!rest.bars(6, over + GROWS));
-    assert!(!rest.bars(106, over + 101 * GROWS));
-    rest.hear(asks_for(Duration::from_secs(3)), 1, over);
+    assert!(rest.blocks(0, over - Duration::from_millis(1)));
+    assert!(!rest.blocks(5, over));
+    assert!(rest.blocks(6, over));
+    assert!(!rest.blocks(6, over + RECOVERY_INTERVAL));
+    assert!(!rest.blocks(106, over + 101 * RECOVERY_INTERVAL));
+    rest.observe(asks_for(Duration::from_secs(3)), 1, over);
     assert!(
-        !rest.bars(0, over + Duration::from_secs(3)),
+        !rest.blocks(0, over + Duration::from_secs(3)),
         "one is always let there"
     );
 }
@@ -157,10 +158,13 @@
 fn operators_are_told_why_an_upstream_is_left_out_and_until_when() {
     let mut upstream = upstream();
     assert_eq!(upstream.left_out(NOW), None);
-    upstream.hear(asks_for(Duration::from_secs(3)), NOW, NOW);
-    let rests = upstream.left_out(NOW + Duration::from_secs(1)).expect("left out");
-    assert_eq!((rests.obstacle, rests.for_ms), (Obstacle::Rests, Some(2000)));
-    upstream.hear(LEAVES, NOW, NOW);
+    upstream.apply_signals(asks_for(Duration::from_secs(3)), NOW, NOW);
+    let backoff = upstream.left_out(NOW + Duration::from_secs(1)).expect("left out");
+    assert_eq!(
+        (backoff.obstacle, backoff.for_ms),
+        (Obstacle::Backoff, Some(2000))
+    );
+    upstream.apply_signals(LEAVES, NOW, NOW);
     let leaves = upstream.left_out(NOW).expect("left out");
     assert_eq!(
         (leaves.obstacle, leaves.for_ms),
--- a/crates/jb-protocol/src/admin.rs
+++ b/crates/jb-protocol/src/admin.rs
@@ -81,8 +81,8 @@
     LeavesByReport,
     /// An answer of its own says so.
     LeavesByAnswer,
-    /// It has turned a request away and wants rest.
-    Rests,
+    /// It has asked for backoff.
+    Backoff,
     /// Its rate limit is used up.
     Limited,
     /// It has other weights, or another model.
@@ -99,7 +99,7 @@
             Self::LeavesByList => "leaves, by the box list",
             Self::LeavesByReport => "leaves, by its report",
             Self::LeavesByAnswer => "leaves, by its answers",
-            Self::Rests => "wants rest",
+            Self::Backoff => "has asked for backoff",
             Self::Limited => "has used up its rate limit",
             Self::OtherWeights => "has other weights",
             Self::Fails => "fails",
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -67,7 +67,7 @@
     UPSTREAM_LAPSED = 5009, "upstream_lapsed", "An upstream's entry is missing after an outage, and may come back.";
     UPSTREAM_RESTARTED = 5010, "upstream_restarted", "An upstream has started again under its id; what was known of it is dropped.";
     UPSTREAM_UNREADABLE = 5011, "upstream_unreadable", "An upstream's entry cannot be read; it gets nothing until it can.";
-    UPSTREAM_RESTS = 5012, "upstream_rests", "An upstream wants nothing more from this box for a time.";
+    UPSTREAM_BACKOFF = 5012, "upstream_backoff", "An upstream has asked this box for backoff.";
     UPSTREAM_LIMITED = 5013, "upstream_limited", "An upstream has announced a rate limit for all boxes together, or lifted it.";
     SIGNAL_UNKNOWN = 5014, "signal_unknown", "An upstream sends a signal that this version does not know.";
     CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -12,8 +12,8 @@
 use crate::link::{self, Link};
 use crate::peers::Permit;
 use crate::port::Entry;
-use crate::said;
 use crate::salt;
+use crate::signal;
 use crate::ticket::Ticket;
 use crate::unknown_signals;
 use crate::upstream::Life;
@@ -31,7 +31,7 @@
 pub enum Outcome {
     /// Nothing was sent.
     Unsent(String),
-    /// Nothing was sent, as the upstream has said meanwhile that it leaves, wants rest or has a rate limit.
+    /// Nothing was sent, as the upstream drains, backs off or is limited by now.
     Withdrawn,
     /// The upstream says that it has not run the request.
     NotRun(u16),
@@ -211,14 +211,14 @@
         if answer.status < 200 {
             continue;
         }
-        let said = said::read(&core.names, &answer);
+        let head = signal::read(&core.names, &answer);
         if answer.headers.text(core.names.request) == Some(ticket.id.as_str()) {
             unknown_signals::note(core, life, &answer.headers);
-            said::hear(core, life, ticket.model.as_deref(), &said, sent);
+            signal::apply(core, life, ticket.model.as_deref(), &head, sent);
             return Ok(answer);
         }
         // An extra answer to an earlier request on this connection.
-        said::overhear(core, life, &said);
+        signal::apply_late(core, life, &head);
         *clean = false;
         if answer.framing == Framing::UntilClose {
             return Err(http::Error::Malformed("an answer to another request"));
@@ -231,9 +231,9 @@
 }
 
 async fn judge(core: &Shared, answer: Answer, mut link: Link, clean: bool) -> Outcome {
-    let said = said::read(&core.names, &answer);
+    let head = signal::read(&core.names, &answer);
     let mut body = Body::new(answer.framing);
-    if !said.not_run {
+    if !head.not_run {
         return Outcome::Answered(Box::new(Reply {
             answer,
             body,
@@ -244,7 +244,7 @@
     let complete = matches!(body.step(&mut link.connection.buffer), Ok(Step::End))
         || link.connection.whole(body, LONGEST_FOREIGN).await.is_ok();
     if clean && complete && answer.keep_alive {
-        link::give(core, link, said.closes_after);
+        link::give(core, link, head.closes_after);
     }
     Outcome::NotRun(answer.status)
 }
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -198,7 +198,7 @@
         let upstreams = self.upstreams.borrow();
         upstreams.life(life).is_some_and(|upstream| {
             let permitted = permit == Permit::Granted || upstream.limit.rate().is_none();
-            permitted && upstream.is_there() && !upstream.is_asked_to_rest(self.now())
+            permitted && upstream.is_there() && !upstream.is_backing_off(self.now())
         })
     }
 
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -11,7 +11,7 @@
 use crate::events::Splitter;
 use crate::http::{self, Answer, Connection, Framing, write_answer};
 use crate::link;
-use crate::said;
+use crate::signal;
 use crate::ticket::Ticket;
 
 /// Longest answer that is held whole, so that one that breaks off never reaches the caller.
@@ -71,7 +71,7 @@
 
 fn keep(core: &Shared, reply: Reply) {
     if reply.clean && reply.answer.keep_alive {
-        let closes_after = said::read(&core.names, &reply.answer).closes_after;
+        let closes_after = signal::read(&core.names, &reply.answer).closes_after;
         link::give(core, reply.link, closes_after);
     }
 }
--- a/crates/jb-relay/src/exchange/pick.rs
+++ b/crates/jb-relay/src/exchange/pick.rs
@@ -65,7 +65,7 @@
                     }
                 },
                 None => {
-                    self.refused = self.refuse_resting(until);
+                    self.refused = self.reject_backing_off(until);
                     if self.refused.is_some() || self.core.now() >= until {
                         return None;
                     }
@@ -76,12 +76,12 @@
         }
     }
 
-    /// The refusal of a request whose upstreams all rest until after a moment, those that have turned
-    /// it away with them.
-    fn refuse_resting(&self, until: Moment) -> Option<Refused> {
+    /// Rejects a request whose upstreams all back off or are limited until after a moment, those that have
+    /// rejected it included.
+    fn reject_backing_off(&self, until: Moment) -> Option<Refused> {
         let back = place::first_back(self.core, self.message.ticket, self.message.body)?;
         (back > until).then(|| Refused {
-            why: "all_rest",
+            why: "all_back_off",
             after: back.saturating_sub(self.core.now()),
         })
     }
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -50,8 +50,8 @@
     pub poisonous: Counter,
     /// Tries of such requests that were refused.
     pub quarantined: Counter,
-    /// Times that an upstream has turned a request away and asked for rest.
-    pub rests: Counter,
+    /// Times that an upstream has asked for backoff.
+    pub backoffs: Counter,
     /// Requests denied a permit by an upstream's rate limit.
     pub rate_limit_denied: Counter,
     /// Queries to owners of rate limits without an answer in time.
@@ -85,7 +85,7 @@
         let limit_alone = Counter::default();
         let poisonous = Counter::default();
         let quarantined = Counter::default();
-        let rests = Counter::default();
+        let backoffs = Counter::default();
         let rate_limit_denied = Counter::default();
         let rate_limit_unanswered = Counter::default();
         let rate_limit_alone = Counter::default();
@@ -128,9 +128,9 @@
             quarantined.clone(),
         );
         registry.register(
-            "upstream_rests",
-            "Times that an upstream asked for rest",
-            rests.clone(),
+            "upstream_backoffs",
+            "Times that an upstream asked for backoff",
+            backoffs.clone(),
         );
         registry.register(
             "rate_limit_denied",
@@ -170,7 +170,7 @@
             limit_alone,
             poisonous,
             quarantined,
-            rests,
+            backoffs,
             rate_limit_denied,
             rate_limit_unanswered,
             rate_limit_alone,
--- a/crates/jb-relay/src/names.rs
+++ b/crates/jb-relay/src/names.rs
@@ -25,12 +25,12 @@
     pub answering: &'static str,
     /// Version of the weights that a request is meant for.
     pub weights: &'static str,
-    /// An upstream's word that it did not run the request.
+    /// Signal that an upstream hasn't run the request.
     pub not_run: &'static str,
-    /// An upstream's word that it is about to end.
-    pub leaving: &'static str,
-    /// Seconds for which an upstream that turns a request away wants nothing more.
-    pub rest: &'static str,
+    /// Signal that an upstream drains.
+    pub draining: &'static str,
+    /// Seconds for which an upstream that rejects a request accepts no other.
+    pub retry_after: &'static str,
     /// Requests per second that an upstream accepts from all boxes together.
     pub rate_limit: &'static str,
     /// Start of the names of all headers by which upstreams tell what they can take.
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -167,7 +167,7 @@
     };
     let model = upstream.entry.models.first().cloned();
     if let Some(loaded) = model.filter(|loaded| loaded.version < advice.weights) {
-        upstream.heard_weights(&loaded.model, advice.weights);
+        upstream.observe_weights(&loaded.model, advice.weights);
     }
 }
 
--- a/crates/jb-relay/src/peers/weights.rs
+++ b/crates/jb-relay/src/peers/weights.rs
@@ -69,6 +69,6 @@
         upstream.loading_until = now + LOADING;
     } else {
         upstream.loading_until = now;
-        upstream.heard_weights(&told.model, told.version);
+        upstream.observe_weights(&told.model, told.version);
     }
 }
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -5,7 +5,7 @@
 
 use async_trait::async_trait;
 use bytes::Bytes;
-use jb_policy::said;
+use jb_policy::signal;
 use jb_protocol::id;
 
 use crate::rules::Rules;
@@ -238,15 +238,15 @@
 }
 
 /// What came of a control call, and what the engine said of itself beside it.
-pub type Heard<T> = said::Heard<Result<T, StoreError>>;
+pub type Observed<T> = signal::Observed<Result<T, StoreError>>;
 
 /// Control calls to model engines.
 #[async_trait(?Send)]
 pub trait Engines {
     /// Asks what the engine keeps of prompts.
-    async fn kept(&self, address: SocketAddr) -> Heard<Kept>;
+    async fn kept(&self, address: SocketAddr) -> Observed<Kept>;
     /// Asks for the engine's report.
-    async fn report(&self, address: SocketAddr) -> Heard<Report>;
+    async fn report(&self, address: SocketAddr) -> Observed<Report>;
     /// Gives an order to an incarnation of an engine.
-    async fn order(&self, address: SocketAddr, incarnation: &str, order: &Order) -> Heard<Taken>;
+    async fn order(&self, address: SocketAddr, incarnation: &str, order: &Order) -> Observed<Taken>;
 }
--- a/crates/jb-relay/src/recall.rs
+++ b/crates/jb-relay/src/recall.rs
@@ -17,8 +17,8 @@
 use crate::peers;
 use crate::port::KeptPart;
 use crate::restart;
-use crate::said;
 use crate::salt;
+use crate::signal;
 use crate::upstream::Life;
 
 /// Pause between two looks at whether the box knows the engines.
@@ -53,9 +53,9 @@
 }
 
 async fn ask(core: Shared, life: Life, address: SocketAddr) {
-    let heard = core.engines.kept(address).await;
-    said::note(&core, &life, heard.said, None);
-    match heard.result {
+    let observed = core.engines.kept(address).await;
+    signal::apply_signals(&core, &life, observed.signals, None);
+    match observed.result {
         Ok(kept) if life.is_told_by(kept.born) => take(&core, &life, &kept.parts),
         Ok(kept) => restart::note(&core, &life, kept.born, "kept"),
         Err(why) => emit!(core.logger, info, event::KEPT_UNREAD, "upstream" => %life, "why" => %why),
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/steward/load.rs
@@ -14,7 +14,7 @@
 use crate::peers;
 use crate::port::{Order, Report, Taken};
 use crate::restart;
-use crate::said;
+use crate::signal;
 use crate::upstream::{Life, Upstream};
 
 /// First pause before an engine that refused an order, or gave no report, is tried again; it
@@ -127,7 +127,7 @@
             .weights(model)
             .zip(weights.get(model))
             .map(|(has, history)| history.overdue(has, now, time));
-        upstream.is_asked_to_rest(now) && overdue == Some(Overdue::No)
+        upstream.is_backing_off(now) && overdue == Some(Overdue::No)
     }
 
     async fn load_in_time(self: Rc<Self>, life: Life, model: String) {
@@ -182,9 +182,9 @@
     async fn report(&self, life: &Life) -> Option<(SocketAddr, Report)> {
         let core = &self.core;
         let address = core.upstreams.borrow().life(life).map(|u| u.entry.address)?;
-        let heard = core.engines.report(address).await;
-        said::note(core, life, heard.said, None);
-        match heard.result {
+        let observed = core.engines.report(address).await;
+        signal::apply_signals(core, life, observed.signals, None);
+        match observed.result {
             Ok(report) => {
                 self.absent.borrow_mut().answered(life);
                 (self.is_same_life(life, &report) && self.is_there(life)).then_some((address, report))
@@ -295,9 +295,9 @@
             orders,
         };
         self.record.borrow_mut().order(&life.id, core.now());
-        let heard = core.engines.order(address, &life.id, &order).await;
-        said::note(core, life, heard.said, None);
-        let taken = heard.result;
+        let observed = core.engines.order(address, &life.id, &order).await;
+        signal::apply_signals(core, life, observed.signals, None);
+        let taken = observed.result;
         emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => %life, "version" => version,
             "fence" => fence, "fixed" => self.fixed(life), "answer" => ?taken);
         match taken {
--- a/crates/jb-relay/src/unknown_signals.rs
+++ b/crates/jb-relay/src/unknown_signals.rs
@@ -54,7 +54,7 @@
     let is_signal = name
         .get(..prefix.len())
         .is_some_and(|start| start.eq_ignore_ascii_case(prefix.as_bytes()));
-    let known = [core.names.leaving, core.names.rate_limit];
+    let known = [core.names.draining, core.names.rate_limit];
     let is_known = known
         .iter()
         .any(|known| name.eq_ignore_ascii_case(known.as_bytes()));
--- a/crates/jb-relay/src/upstream/pick.rs
+++ b/crates/jb-relay/src/upstream/pick.rs
@@ -104,7 +104,7 @@
         well.take(count).map(|upstream| upstream.life.clone()).collect()
     }
 
-    /// When the first upstream is back, where all that could get the request rest or are limited.
+    /// When the first upstream is back, where all that could get the request back off or are limited.
     pub fn first_back(&self, wanted: &Wanted<'_>, now: Moment) -> Option<Moment> {
         let ends = self.willing(wanted, now).map(Upstream::held_back_until);
         ends.min().filter(|first| *first > now)
@@ -115,7 +115,7 @@
         willing.filter(move |upstream| !upstream.is_held_back(now))
     }
 
-    /// Upstreams that may get a request, those that rest with them.
+    /// Upstreams that may get a request, those that back off or are limited included.
     fn willing<'a>(&'a self, wanted: &'a Wanted<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
         let all = self.of_service(wanted.service);
         let untried = all.filter(|upstream| !wanted.except.contains(&upstream.life));
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -3,10 +3,11 @@
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
 use jb_policy::Moment;
+use jb_policy::backoff::Backoff;
 use jb_policy::health::Change;
 use jb_policy::place;
 use jb_policy::rate_limit::Limit;
-use jb_policy::said::{Rest, Statement};
+use jb_policy::signal::Signals;
 use jb_protocol::id;
 
 use super::words::{Standing, Words};
@@ -40,7 +41,7 @@
 #[derive(Clone, Debug)]
 struct Constraints {
     life: Life,
-    rest: Rest,
+    backoff: Backoff,
     limit: Limit,
 }
 
@@ -100,11 +101,11 @@
         }
     }
 
-    /// Takes what a life says of itself in an answer; whether that takes it off, as nobody has said so
-    /// before. Its entry may still name it as ready, or be missing and come back.
-    pub fn hear_answer(&mut self, life: &Life, statement: Statement) -> bool {
+    /// Applies the signals of a response; returns whether the instance has begun to drain. Its entry may
+    /// still name it as ready, or be missing and come back.
+    pub fn observe_signals(&mut self, life: &Life, signals: Signals) -> bool {
         let words = self.words.entry(life.id.clone()).or_default();
-        if statement.leaving {
+        if signals.draining {
             words.take_leaving(life.born);
         }
         let Some(known) = self.all.get_mut(&life.id) else {
@@ -158,7 +159,7 @@
         upstream.refused |= is_told;
         let known = self.constraints.iter().rev();
         if let Some(known) = known.clone().find(|known| known.life == upstream.life) {
-            (upstream.rest, upstream.limit) = (known.rest, known.limit);
+            (upstream.backoff, upstream.limit) = (known.backoff, known.limit);
         }
         self.all.insert(id.to_owned(), upstream);
     }
@@ -188,7 +189,7 @@
         }
         self.constraints.push_back(Constraints {
             life: known.life.clone(),
-            rest: known.rest,
+            backoff: known.backoff,
             limit: known.limit,
         });
         let excess = self.constraints.len().saturating_sub(MAX_CONSTRAINTS);
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -4,11 +4,11 @@
 
 use jb_policy::Moment;
 use jb_policy::account::Account;
+use jb_policy::backoff::Backoff;
 use jb_policy::choose::Candidate;
 use jb_policy::health::Health;
 use jb_policy::kept::Kept;
 use jb_policy::rate_limit::Limit;
-use jb_policy::said::Rest;
 
 use super::{Life, Wanted};
 use crate::link::Idle;
@@ -42,8 +42,8 @@
     pub waiting: u64,
     /// The same of all other boxes, as they last told.
     pub others: Load,
-    /// Rest that it wants from this box.
-    pub rest: Rest,
+    /// Backoff that it has asked this box for.
+    pub backoff: Backoff,
     /// Rate limit that it has announced for all boxes together.
     pub limit: Limit,
     /// Until when it gets nothing because it loads weights.
@@ -87,7 +87,7 @@
             fixed: 0,
             waiting: 0,
             others: Load::default(),
-            rest: Rest::default(),
+            backoff: Backoff::default(),
             limit: Limit::default(),
             loading_until: Moment::ZERO,
             ended_until: Moment::ZERO,
@@ -120,15 +120,15 @@
         self.is_open_later(now) && !self.is_held_back(now)
     }
 
-    /// Whether it accepts nothing from this box for the moment: it asked for rest, or its rate limit is
+    /// Whether it accepts nothing from this box for the moment: it asked for backoff, or its rate limit is
     /// used up.
     pub(super) fn is_held_back(&self, now: Moment) -> bool {
-        self.rest.bars(self.running, now) || self.limit.is_blocked(now)
+        self.backoff.blocks(self.running, now) || self.limit.is_blocked(now)
     }
 
     /// When it accepts requests again.
     pub(super) fn held_back_until(&self) -> Moment {
-        self.rest.until().max(self.limit.blocked_until())
+        self.backoff.until().max(self.limit.blocked_until())
     }
 
     /// Whether it may get a new request once it isn't held back any more.
@@ -138,9 +138,9 @@
         comes_back && self.is_there() && !self.refused && !busy && self.health.is_open(now)
     }
 
-    /// Whether it has turned requests away and asked for a rest that is not over.
-    pub fn is_asked_to_rest(&self, now: Moment) -> bool {
-        self.rest.lasts(now)
+    /// Whether it has asked for a backoff that isn't over.
+    pub fn is_backing_off(&self, now: Moment) -> bool {
+        self.backoff.is_active(now)
     }
 
     /// Whether another engine can take parts from it.
@@ -155,7 +155,7 @@
     }
 
     /// Takes a version heard of; the cache goes with the old weights.
-    pub fn heard_weights(&mut self, model: &str, version: u64) {
+    pub fn observe_weights(&mut self, model: &str, version: u64) {
         let loaded = self.entry.models.iter_mut().find(|loaded| loaded.model == model);
         let Some(loaded) = loaded else { return };
         if loaded.version != version {
--- a/crates/jb-relay/tests/lives.rs
+++ b/crates/jb-relay/tests/lives.rs
@@ -6,7 +6,7 @@
 
 use jb_policy::place;
 use jb_policy::rate_limit::Announcement;
-use jb_policy::said::Statement;
+use jb_policy::signal::Signals;
 use jb_relay::port::{Born, Entry, Revision, Word};
 use jb_relay::upstream::{Life, Registry, Seen};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
@@ -28,17 +28,17 @@
     })
 }
 
-fn leaves() -> Statement {
-    Statement {
-        leaving: true,
-        ..Statement::default()
+fn leaves() -> Signals {
+    Signals {
+        draining: true,
+        ..Signals::default()
     }
 }
 
-fn asks_for(rest: Duration) -> Statement {
-    Statement {
-        rest: Some(rest),
-        ..Statement::default()
+fn asks_for(backoff: Duration) -> Signals {
+    Signals {
+        retry_after: Some(backoff),
+        ..Signals::default()
     }
 }
 
@@ -61,7 +61,7 @@
     let known = registry.life_mut(&life).expect("its life");
     known.running = 3;
     known.refused = true;
-    known.rest.hear(asks_for(NOW * 2), 1, NOW);
+    known.backoff.observe(asks_for(NOW * 2), 1, NOW);
     assert!(
         matches!(registry.hear("engine", entry(Some(SECOND), false), 2), Seen::Restarted(ended)
         if ended.born == Some(FIRST) && ended.running == 3)
@@ -141,10 +141,10 @@
         let mut registry = Registry::default();
         registry.hear("engine", entry(born, false), 1);
         let life = registry.get("engine").expect("known").life.clone();
-        assert!(!registry.hear_answer(&life, Statement::default()));
+        assert!(!registry.observe_signals(&life, Signals::default()));
         assert!(is_open(&registry));
-        assert!(registry.hear_answer(&life, leaves()));
-        assert!(!registry.hear_answer(&life, leaves()), "told once");
+        assert!(registry.observe_signals(&life, leaves()));
+        assert!(!registry.observe_signals(&life, leaves()), "told once");
         assert!(!is_open(&registry));
         registry.hear("engine", entry(born, false), 2);
         assert!(!is_open(&registry));
@@ -160,11 +160,11 @@
     let mut registry = Registry::default();
     registry.hear("engine", entry(Some(FIRST), false), 1);
     let life = registry.get("engine").expect("known").life.clone();
-    registry.hear_answer(&life, leaves());
+    registry.observe_signals(&life, leaves());
     registry.hear("engine", entry(Some(SECOND), false), 2);
     assert!(is_open(&registry));
     // An answer that comes late.
-    assert!(!registry.hear_answer(&life, leaves()));
+    assert!(!registry.observe_signals(&life, leaves()));
     assert!(is_open(&registry));
 }
 
@@ -177,7 +177,7 @@
         registry.hear("engine", entry(Some(FIRST), false), 1);
         let life = registry.get("engine").expect("known").life.clone();
         let known = registry.life_mut(&life).expect("its life");
-        known.rest.hear(asks_for(NOW), 1, NOW);
+        known.backoff.observe(asks_for(NOW), 1, NOW);
         registry.hear("engine", Word::Gone, 2);
         registry.remove("engine");
         registry.hear("engine", entry(Some(born), false), 3);
@@ -203,11 +203,11 @@
         .iter()
         .find(|(_, u)| u.told_leaving)
         .map(|(_, u)| u.life.clone());
-    assert!(!registry.hear_answer(&first.expect("told"), leaves()));
+    assert!(!registry.observe_signals(&first.expect("told"), leaves()));
     // What the engines say themselves has no such bound.
     for id in &ids {
         let life = registry.get(id).expect("known").life.clone();
-        registry.hear_answer(&life, leaves());
+        registry.observe_signals(&life, leaves());
     }
     assert!(registry.iter().all(|(_, upstream)| !upstream.is_open(NOW)));
 }
@@ -246,7 +246,7 @@
         }
         Said::Replaced(born) => registry.note_replaced(&[place::short(life(*born).name())]),
         Said::Answer(born) => {
-            registry.hear_answer(&life(*born), leaves());
+            registry.observe_signals(&life(*born), leaves());
         }
     }
 }
--- a/crates/jb-scenario/tests/words.rs
+++ b/crates/jb-scenario/tests/signals.rs
@@ -71,6 +71,6 @@
     assert_eq!((world.engine().await.1, world.plain().await.1), (1, 1));
     let left_out = world.left_out().await;
     assert_eq!(left_out.len(), 1, "{left_out:?}");
-    assert_eq!(left_out[0].obstacle, Obstacle::Rests);
+    assert_eq!(left_out[0].obstacle, Obstacle::Backoff);
     assert!(left_out[0].for_ms.is_some_and(|time| time > 10_000));
 }
--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -13,7 +13,7 @@
 
 use crate::checks::Promise;
 use crate::limits;
-use crate::words;
+use crate::signals;
 use crate::world::World;
 
 /// Longest wait for an answer: the longest route's time and a second.
@@ -66,7 +66,7 @@
         Asked {
             asking: self,
             ended: Instant::now(),
-            leaving: got.and_then(words::said_leaving),
+            leaving: got.and_then(signals::draining_engine),
             limited: got.and_then(limits::limited_engine),
             status: got.map(Got::status),
         }
--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -26,7 +26,7 @@
     /// that on.
     Word,
     /// An engine that asks for rest gets it.
-    Rest,
+    Backoff,
     /// An engine gets no more than the rate that it has announced allows.
     Limit,
     /// A request that ends engines reaches few more once three have ended.
@@ -46,7 +46,7 @@
     Promise::Fence,
     Promise::Weights,
     Promise::Word,
-    Promise::Rest,
+    Promise::Backoff,
     Promise::Limit,
     Promise::Poison,
     Promise::Recovery,
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -11,7 +11,7 @@
 
 use crate::limits;
 use crate::proxy::Link;
-use crate::words;
+use crate::signals;
 use crate::world::{EVENTS, World, config};
 
 /// One fault.
@@ -170,7 +170,7 @@
         Fault::Engine => spoil(&world, engine, &mut random),
         Fault::Leave => world.leave(engine),
         Fault::Say => world.say(engine),
-        Fault::Shed => words::shed(&world, engine, lasts).await,
+        Fault::Shed => signals::shed(&world, engine, lasts).await,
         Fault::Limit => limits::announce(&world, engine, &mut random).await,
         Fault::Weights => {
             let version = world.weights.get() + 1;
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -14,5 +14,5 @@
 pub mod poison;
 pub mod proxy;
 pub mod run;
-pub mod words;
+pub mod signals;
 pub mod world;
--- a/crates/jb-soak/src/limits.rs
+++ b/crates/jb-soak/src/limits.rs
@@ -10,7 +10,7 @@
 
 use crate::callers::Asking;
 use crate::checks::{Checks, Promise};
-use crate::words;
+use crate::signals;
 use crate::world::World;
 
 /// Time after the first response with a limit from which on it is checked.
@@ -44,7 +44,7 @@
 /// Engine that announces a limit in a response.
 pub fn limited_engine(got: &Got) -> Option<String> {
     got.answer.headers.get("server-limit")?;
-    words::engine_of(got)
+    signals::engine_of(got)
 }
 
 /// Lets an engine announce a limit for a while.
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -39,7 +39,7 @@
     poison: bool,
     /// all faults, and engines that say in their answers only that they leave or want rest
     #[argh(switch)]
-    words: bool,
+    signals: bool,
     /// all faults, such words, and engines that announce rate limits
     #[argh(switch)]
     limits: bool,
@@ -50,7 +50,7 @@
         match self {
             Self { poison: true, .. } => Set::Poison,
             Self { limits: true, .. } => Set::Limits,
-            Self { words: true, .. } => Set::Words,
+            Self { signals: true, .. } => Set::Words,
             Self { first: true, .. } => Set::First,
             _ => Set::All,
         }
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -18,7 +18,7 @@
 use crate::limits;
 use crate::poison;
 use crate::proxy::Link;
-use crate::words;
+use crate::signals;
 use crate::world::World;
 
 /// Time after a key was taken away in which it may still open something.
@@ -108,7 +108,7 @@
     });
     at_the_end(&world, &mut checks);
     poison::check(&world, &mut checks);
-    words::check(&world, &mut checks);
+    signals::check(&world, &mut checks);
     limits::check(&world, &mut checks);
     checks
 }
--- a/crates/jb-soak/src/words.rs
+++ b/crates/jb-soak/src/signals.rs
@@ -16,7 +16,7 @@
 const DRAIN: Duration = Duration::from_secs(2);
 
 /// Engine whose answer says that it leaves.
-pub fn said_leaving(got: &Got) -> Option<String> {
+pub fn draining_engine(got: &Got) -> Option<String> {
     got.answer.headers.get("server-leaving")?;
     engine_of(got)
 }
@@ -39,7 +39,7 @@
     // then may still come.
     let most = world.boxes.len() + (world.starts() - starts) as usize + world.callers;
     let holds = turned_away as usize <= most;
-    world.checks.borrow_mut().check(Promise::Rest, holds, || {
+    world.checks.borrow_mut().check(Promise::Backoff, holds, || {
         format!("{} turned {turned_away} requests away in {lasts:?}", engine.id)
     });
 }
--- a/crates/jb-upstream/src/engine.rs
+++ b/crates/jb-upstream/src/engine.rs
@@ -8,7 +8,7 @@
 use async_trait::async_trait;
 use futures_util::{Stream, StreamExt as _};
 use jb_policy::call::Denial;
-use jb_policy::said::Heard;
+use jb_policy::signal::Observed;
 use jb_protocol::engine::{Call, Frame, Order, PATH_ORDER, PATH_REPORT, PATH_RUN, Refusal, Report};
 use jb_protocol::header;
 use reqwest::Response;
@@ -32,7 +32,7 @@
 #[async_trait]
 pub trait Engine: Send + Sync {
     /// Runs a call; `silence` bounds the time without a byte.
-    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Heard<Result<Frames, Failure>>;
+    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Observed<Result<Frames, Failure>>;
 
     /// Asks for the load report.
     async fn report(&self, at: SocketAddr) -> Result<Report, Failure>;
@@ -70,23 +70,23 @@
 
 #[async_trait]
 impl Engine for Client {
-    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Heard<Result<Frames, Failure>> {
+    async fn run(&self, at: SocketAddr, call: &Call, silence: Duration) -> Observed<Result<Frames, Failure>> {
         let mut request = self.http.post(format!("http://{at}{PATH_RUN}")).json(call);
         if let Some(traceparent) = &call.traceparent {
             request = request.header(header::TRACEPARENT, traceparent);
         }
         let answer = match timeout(silence, request.send()).await {
             Ok(Ok(answer)) => answer,
-            Ok(Err(error)) => return Heard::nothing(Err(Failure::from_http(error))),
-            Err(_) => return Heard::nothing(Err(Failure::Silent)),
+            Ok(Err(error)) => return Observed::without_head(Err(Failure::from_http(error))),
+            Err(_) => return Observed::without_head(Err(Failure::Silent)),
         };
-        let said = head::read(&answer);
+        let signals = head::read(&answer);
         let result = if answer.status().is_success() {
             Ok(Box::pin(frames(answer, silence)) as Frames)
         } else {
             Err(refused(answer).await)
         };
-        Heard { said, result }
+        Observed { signals, result }
     }
 
     async fn report(&self, at: SocketAddr) -> Result<Report, Failure> {
--- a/crates/jb-upstream/src/head.rs
+++ b/crates/jb-upstream/src/head.rs
@@ -1,17 +1,17 @@
-//! What an upstream says of itself beside its answer.
+//! Signals in the response heads of upstreams.
 
 use jb_policy::rate_limit::Announcement;
-use jb_policy::said::{self, Statement};
+use jb_policy::signal::{self, Signals};
 use jb_protocol::header;
 use reqwest::Response;
 use reqwest::header::HeaderMap;
 
-/// Reads the head of an answer.
-pub(crate) fn read(answer: &Response) -> Statement {
+/// Parses the head of a response.
+pub(crate) fn read(answer: &Response) -> Signals {
     let status = answer.status().as_u16();
-    Statement {
-        leaving: said::leaves(texts(answer.headers(), header::LEAVING)),
-        rest: said::rest(status, texts(answer.headers(), header::RETRY_AFTER)),
+    Signals {
+        draining: signal::is_draining(texts(answer.headers(), header::LEAVING)),
+        retry_after: signal::retry_after(status, texts(answer.headers(), header::RETRY_AFTER)),
         limit: Announcement::parse(texts(answer.headers(), header::RATE_LIMIT)),
     }
 }
--- a/crates/jb-upstream/src/plain.rs
+++ b/crates/jb-upstream/src/plain.rs
@@ -6,7 +6,7 @@
 use async_trait::async_trait;
 use bytes::Bytes;
 use jb_policy::call::Denial;
-use jb_policy::said::Heard;
+use jb_policy::signal::Observed;
 use jb_protocol::{header, id};
 use reqwest::Response;
 
@@ -57,7 +57,7 @@
         at: SocketAddr,
         request: &Request,
         silence: Duration,
-    ) -> Heard<Result<Answer, Failure>>;
+    ) -> Observed<Result<Answer, Failure>>;
 }
 
 /// The HTTP adapter.
@@ -102,17 +102,17 @@
         at: SocketAddr,
         request: &Request,
         silence: Duration,
-    ) -> Heard<Result<Answer, Failure>> {
+    ) -> Observed<Result<Answer, Failure>> {
         let query = match self.build(at, request) {
             Ok(query) => query.timeout(silence),
-            Err(failure) => return Heard::nothing(Err(failure)),
+            Err(failure) => return Observed::without_head(Err(failure)),
         };
         match query.send().await {
-            Ok(answer) => Heard {
-                said: head::read(&answer),
+            Ok(answer) => Observed {
+                signals: head::read(&answer),
                 result: take(answer, request).await,
             },
-            Err(error) => Heard::nothing(Err(Failure::from_http(error))),
+            Err(error) => Observed::without_head(Err(Failure::from_http(error))),
         }
     }
 }
