--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -19,7 +19,7 @@
 use crate::metrics::Metrics;
 use crate::names::Names;
 use crate::peers::{
-    Accounts, Book, Census, Gathered, Loads, Log, Notices, Permit, Quotas, RateLimits, Relayed, Source,
+    Accounts, Book, Gathered, Loads, Log, Notices, Permit, Quotas, RateLimits, Reachability, Relayed, Source,
 };
 use crate::port::{Change, Engines, Store};
 use crate::quarantine::Quarantine;
@@ -83,7 +83,7 @@
     /// Places that this box asks other boxes for.
     pub accounts: Accounts,
     /// Boxes that hear each other.
-    pub census: RefCell<Census>,
+    pub reachability: RefCell<Reachability>,
     /// Customers' limits.
     pub quotas: Quotas,
     /// Rate limits of upstreams.
@@ -149,7 +149,7 @@
             own: RefCell::default(),
             book: RefCell::default(),
             accounts: Accounts::default(),
-            census: RefCell::default(),
+            reachability: RefCell::default(),
             quotas: Quotas::default(),
             rate_limits: RateLimits::default(),
             unknown_signals: UnknownSignals::default(),
--- a/crates/jb-relay/src/exchange/ask.rs
+++ b/crates/jb-relay/src/exchange/ask.rs
@@ -11,8 +11,8 @@
 
 use super::place::{self, Among, Choice};
 use crate::core::Shared;
-use crate::narrow::narrow;
 use crate::peers::{self, Held, Prompt, Room, View};
+use crate::saturating_cast::saturating_cast;
 use crate::ticket::Ticket;
 use crate::upstream::{Life, Wanted};
 
@@ -133,7 +133,7 @@
     /// Asks the family's own engine for a place, and looks at others where it has none.
     async fn at_home(&self, own: &Life, others: &[Life], family: u64, target: Duration) -> Looked {
         let ahead = account::ahead(self.tuning.tokens_per_ms, target);
-        let room = Room::Ahead(narrow(ahead));
+        let room = Room::Ahead(saturating_cast(ahead));
         let held = peers::hold(self.core, own, self.place);
         let Some(view) = peers::ask_account(self.core, own, self.place, &self.prompt, room).await else {
             return Looked::Chosen(Box::new(unadvised(held, own)));
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -32,7 +32,7 @@
 /// Time after a start in which requests wait for the box's first proof of what is in force. A box
 /// with an eighth of a core has it after 0.15 to 0.4 s in a fleet of 295; a restart of all had
 /// 600 of 3,400 requests refused twice in that time.
-const STARTING: Duration = Duration::from_millis(800);
+const STARTUP_PERIOD: Duration = Duration::from_millis(800);
 /// Pause between two looks whether the box has it.
 const LOOK_STARTED: Duration = Duration::from_millis(10);
 /// Rest of a connection after which it is closed in a planned stop.
@@ -159,7 +159,7 @@
 /// Waits a little while the box has just started and is about to serve: its caller would be back
 /// at once, at a box that has just started as well.
 async fn started(core: &Shared) {
-    while core.now() < STARTING && core.age().is_none() && core.metrics.store_failures.get() == 0 {
+    while core.now() < STARTUP_PERIOD && core.age().is_none() && core.metrics.store_failures.get() == 0 {
         sleep(LOOK_STARTED).await;
     }
 }
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -22,7 +22,7 @@
 use super::message::{Advice, Message, Question, Returned, Room};
 use super::socket::try_send;
 use crate::core::{Core, Shared};
-use crate::narrow::narrow;
+use crate::saturating_cast::saturating_cast;
 use crate::upstream::{Life, Upstream};
 
 /// Time in which an account answers: 0.2 to 2 ms on the way, the rest for a box whose part of a
@@ -139,11 +139,11 @@
         shared: prompt
             .shared
             .iter()
-            .map(|piece| (piece.part, narrow(piece.tokens)))
+            .map(|piece| (piece.part, saturating_cast(piece.tokens)))
             .collect(),
-        own: narrow(prompt.own),
+        own: saturating_cast(prompt.own),
         room,
-        left_ms: narrow(prompt.until.saturating_sub(core.now()).as_millis()),
+        left_ms: saturating_cast(prompt.until.saturating_sub(core.now()).as_millis()),
     };
     let Some((id, address)) = keeper else {
         return Some(view(answer(core, &question)?));
@@ -303,8 +303,8 @@
         weights: upstream.entry.models.first().map_or(0, |loaded| loaded.version),
         taken,
         running: load.running,
-        waiting: narrow(load.waiting),
-        found: narrow(found),
+        waiting: saturating_cast(load.waiting),
+        found: saturating_cast(found),
         keep,
         stored,
     })
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -20,9 +20,9 @@
 
 use super::message::{Message, Told, ToldLoad, ToldStore, ToldUse};
 use super::socket::send;
-use super::{census, notice, weights};
+use super::{notice, reachability, weights};
 use crate::core::{Core, Shared};
-use crate::narrow::narrow;
+use crate::saturating_cast::saturating_cast;
 use crate::upstream::{Load, Upstream};
 
 /// Pause between two tellings.
@@ -128,13 +128,13 @@
     let shared = placed
         .shared
         .iter()
-        .map(|piece| (piece.part, narrow(piece.tokens)))
+        .map(|piece| (piece.part, saturating_cast(piece.tokens)))
         .collect();
     loads.own.push(ToldUse {
         place: placed.place,
         version: placed.version,
         shared,
-        own: narrow(placed.own),
+        own: saturating_cast(placed.own),
     });
 }
 
@@ -180,7 +180,7 @@
     if lead == core.settings.id {
         core.loads.borrow_mut().lead_heard = now;
         tell_leads(core, socket).await;
-        census::tell(core, socket).await;
+        reachability::broadcast(core, socket).await;
         return;
     }
     if now > core.loads.borrow().lead_heard + LEAD_SILENT {
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -3,7 +3,6 @@
 
 mod account;
 mod book;
-mod census;
 mod gossip;
 mod inquiry;
 mod log;
@@ -14,6 +13,7 @@
 mod owner;
 mod quota;
 mod rate_limit;
+mod reachability;
 mod register;
 mod relay;
 mod socket;
@@ -22,7 +22,6 @@
 
 pub use account::{Accounts, Ending, Held, Prompt, View, ask as ask_account, draw, hold, sweep};
 pub use book::{Book, Peer};
-pub use census::{Census, Fleet};
 pub use gossip::{Loads, Placed, note_use, tell};
 pub use log::Log;
 pub use mark::hear as hear_mark;
@@ -31,6 +30,7 @@
 pub use notice::{Notices, note_leaving, note_limit, note_replaced, note_sent};
 pub use quota::{Charged, Quotas, charge};
 pub use rate_limit::{Permit, RateLimits, acquire, log_change};
+pub use reachability::{Fleet, Reachability};
 pub use register::{KEYS, list, list_few, register};
 pub use relay::{Heard, Relayed, Source, ask, is_told};
 pub use socket::{bind, hear};
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -15,7 +15,7 @@
 use super::message::{Leaving, Message, Replaced, Sent};
 use super::rate_limit;
 use crate::core::Core;
-use crate::narrow::narrow;
+use crate::saturating_cast::saturating_cast;
 use crate::upstream::Upstream;
 
 /// Tokens from which on others hear of a prompt at once in a small fleet: with loads told every
@@ -51,7 +51,9 @@
         return;
     }
     let mut notices = core.notices.borrow_mut();
-    notices.sent.push((place::short(upstream.name), narrow(tokens)));
+    notices
+        .sent
+        .push((place::short(upstream.name), saturating_cast(tokens)));
     notices.wake.notify_one();
 }
 
--- a/crates/jb-relay/src/peers/owner.rs
+++ b/crates/jb-relay/src/peers/owner.rs
@@ -7,9 +7,9 @@
 
 use jb_protocol::id;
 
-use super::census;
+use super::reachability;
 use crate::core::Core;
-use crate::narrow::narrow;
+use crate::saturating_cast::saturating_cast;
 
 /// A box with the address of its datagrams.
 pub(super) type Owner = (id::Box, SocketAddr);
@@ -33,8 +33,8 @@
 
     /// Share of the fleet that this box answers for, 0 to 1.
     pub(super) fn share(self, core: &Core) -> f64 {
-        let fleet = census::fleet(core);
-        let listed = f64::from(narrow(core.book.borrow().boxes()));
+        let fleet = reachability::fleet(core);
+        let listed = f64::from(saturating_cast(core.book.borrow().boxes()));
         let boxes = match self {
             Self::Fleet => fleet.all,
             Self::Hall => fleet.hall,
--- a/crates/jb-relay/src/peers/quota.rs
+++ b/crates/jb-relay/src/peers/quota.rs
@@ -18,8 +18,8 @@
 use super::owner::{self, Owner, Scope};
 use super::socket::try_send;
 use crate::core::{Core, Shared};
-use crate::narrow::narrow;
 use crate::rules::{Quota, short_name};
+use crate::saturating_cast::saturating_cast;
 use crate::ticket::Ticket;
 
 /// Time in which an account answers: 0.2 to 2 ms on the way, the rest for a box whose part of a
@@ -223,7 +223,7 @@
     Grant {
         nonce: charge.nonce,
         customer: charge.customer,
-        after_ms: taken.err().map(|after| narrow(after.as_millis())),
+        after_ms: taken.err().map(|after| saturating_cast(after.as_millis())),
         left: left as i64,
     }
 }
--- a/crates/jb-relay/src/peers/rate_limit.rs
+++ b/crates/jb-relay/src/peers/rate_limit.rs
@@ -21,7 +21,7 @@
 use super::owner::{self, Owner, Scope};
 use super::socket::try_send;
 use crate::core::Core;
-use crate::narrow::narrow;
+use crate::saturating_cast::saturating_cast;
 use crate::upstream::{Life, Upstream};
 
 /// Time in which an owner answers.
@@ -158,7 +158,7 @@
         .and_then(|rate| take(core, query.instance, rate, scope));
     Answer {
         nonce: query.nonce,
-        after_ms: after.map(|after| narrow(after.as_millis().max(1))),
+        after_ms: after.map(|after| saturating_cast(after.as_millis().max(1))),
         observation: Some(to_message(observation, now)),
     }
 }
@@ -247,7 +247,7 @@
 fn to_message(observation: rate_limit::Observation, now: Moment) -> Observation {
     Observation {
         rate: observation.rate,
-        age_ms: narrow(now.saturating_sub(observation.at).as_millis()),
+        age_ms: saturating_cast(now.saturating_sub(observation.at).as_millis()),
     }
 }
 
--- /dev/null
+++ b/crates/jb-relay/src/peers/reachability.rs
@@ -0,0 +1,151 @@
+//! How many boxes reach each other, by which a box knows the share of the fleet that it answers for.
+//!
+//! In a large fleet the relay nodes of the halls count the boxes that send them their status, and tell
+//! each other and their own boxes. An isolated box counts itself.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_protocol::id;
+use tokio::net::UdpSocket;
+
+use super::account;
+use super::message::{Count, Message};
+use super::socket::send;
+use crate::core::Core;
+use crate::saturating_cast::saturating_cast;
+
+/// Age of a status beyond which its box isn't counted: three periods and some.
+const MAX_MEMBER_AGE: Duration = Duration::from_millis(700);
+/// The same for counts of relay nodes, and for boxes of a small fleet, which send less often.
+const MAX_COUNT_AGE: Duration = Duration::from_millis(1500);
+/// Time after its start in which a box takes all listed boxes for reachable while it has received no count:
+/// boxes that start together are up after 0.2 to 2 s.
+const STARTUP_PERIOD: Duration = Duration::from_millis(4000);
+/// Time after its start from which on a relay node sends counts: before, the boxes of a fleet that starts
+/// together haven't all sent it their status.
+const FIRST_COUNT_AT: Duration = Duration::from_millis(2000);
+/// Statuses for each count.
+const STATUSES_PER_COUNT: u32 = 3;
+
+/// Counts of relay nodes.
+#[derive(Debug, Default)]
+pub struct Reachability {
+    /// Boxes of each other data hall, as its relay node counted last.
+    halls: BTreeMap<id::Hall, (Moment, u32)>,
+    /// Boxes of the own data hall and of all, as the own relay node counted.
+    lead: Option<(Moment, Fleet)>,
+    statuses: u32,
+}
+
+/// Boxes that reach each other.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Fleet {
+    /// In the own data hall.
+    pub hall: u32,
+    /// In all data halls.
+    pub all: u32,
+}
+
+impl Reachability {
+    /// Returns whether a relay node's count is due; called for each status.
+    pub fn is_due(&mut self, now: Moment) -> bool {
+        self.statuses += 1;
+        now >= FIRST_COUNT_AT && self.statuses.is_multiple_of(STATUSES_PER_COUNT)
+    }
+
+    /// Returns the boxes that reach each other in a large fleet; `listed` are those that may be alive.
+    pub fn fleet(&self, listed: Fleet, now: Moment) -> Fleet {
+        match self.lead {
+            Some((at, fleet)) if now < at + MAX_COUNT_AGE => fleet,
+            None if now < STARTUP_PERIOD => listed,
+            _ => Fleet { hall: 1, all: 1 },
+        }
+    }
+
+    /// Applies the count of the own relay node.
+    pub fn note(&mut self, fleet: Fleet, now: Moment) {
+        self.lead = Some((now, fleet));
+    }
+
+    /// Counts the fleet from the boxes of the own hall and the counts of other relay nodes.
+    fn sum(&self, hall: u32, now: Moment) -> Fleet {
+        let fresh = self.halls.values().filter(|(at, _)| now < *at + MAX_COUNT_AGE);
+        let others: u32 = fresh.map(|(_, boxes)| boxes).sum();
+        Fleet {
+            hall,
+            all: hall + others,
+        }
+    }
+}
+
+/// Sends the count of this relay node to the boxes of its hall and to the other relay nodes.
+pub(super) async fn broadcast(core: &Core, socket: &UdpSocket) {
+    let now = core.now();
+    if !core.reachability.borrow_mut().is_due(now) {
+        return;
+    }
+    let members = core.loads.borrow().members(now.saturating_sub(MAX_MEMBER_AGE));
+    let hall = saturating_cast(members.len() + 1);
+    let fleet = core.reachability.borrow().sum(hall, now);
+    core.reachability.borrow_mut().note(fleet, now);
+    let count = Message::Heard(Count {
+        from: core.settings.id.clone(),
+        hall: fleet.hall,
+        all: fleet.all,
+    });
+    let leads = core.book.borrow().other_leads(&core.settings.hall, now);
+    for id in members.iter().chain(&leads) {
+        let address = core.book.borrow().address(id);
+        if let Some(address) = address {
+            send(core, socket, address, &count).await;
+        }
+    }
+}
+
+/// Receives the count of a relay node.
+pub(super) fn receive(core: &Core, from: SocketAddr, count: &Count) {
+    if !account::is_known(core, from) {
+        return;
+    }
+    let now = core.now();
+    let book = core.book.borrow();
+    let Some(hall) = book.hall(&count.from) else {
+        return;
+    };
+    let mut reachability = core.reachability.borrow_mut();
+    if *hall == core.settings.hall {
+        let fleet = Fleet {
+            hall: count.hall,
+            all: count.all,
+        };
+        reachability.note(fleet, now);
+    } else {
+        reachability.halls.insert(hall.clone(), (now, count.hall));
+    }
+}
+
+/// Returns the boxes that reach each other, of those that may be alive.
+pub(super) fn fleet(core: &Core) -> Fleet {
+    let now = core.now();
+    let book = core.book.borrow();
+    let own_hall = &core.settings.hall;
+    let listed = Fleet {
+        hall: saturating_cast(book.boxes_in(own_hall)),
+        all: saturating_cast(book.boxes()),
+    };
+    if !book.is_small() {
+        return core.reachability.borrow().fleet(listed, now);
+    }
+    if now < STARTUP_PERIOD {
+        return listed;
+    }
+    let heard = core.loads.borrow().heard(now.saturating_sub(MAX_COUNT_AGE));
+    let near = heard.iter().filter(|id| book.hall(id) == Some(own_hall));
+    Fleet {
+        hall: saturating_cast(near.count() + 1),
+        all: saturating_cast(heard.len() + 1),
+    }
+}
--- a/crates/jb-relay/src/peers/relay.rs
+++ b/crates/jb-relay/src/peers/relay.rs
@@ -18,8 +18,8 @@
 use super::message::{Answer, Ask, AskMore, LONGEST, Message, News, Piece, ToldChange};
 use super::socket::send;
 use crate::core::Core;
-use crate::narrow::narrow;
 use crate::port::{Change, Revision};
+use crate::saturating_cast::saturating_cast;
 
 /// Time in which the lead answers.
 const ANSWER: Duration = Duration::from_millis(250);
@@ -85,8 +85,8 @@
     }
     Answer::Piece(Piece {
         change: ToldChange::without_value(change),
-        total: narrow(value.len()),
-        from: narrow(from),
+        total: saturating_cast(value.len()),
+        from: saturating_cast(from),
         bytes: rest[..rest.len().min(room)].to_vec(),
     })
 }
@@ -176,10 +176,10 @@
         let ask = Ask {
             nonce: 0,
             after,
-            from: narrow(value.len()),
+            from: saturating_cast(value.len()),
             long: source == Source::AnyLead,
         };
-        let Some(news) = question(core, socket, address, ask, narrow(all.len())).await else {
+        let Some(news) = question(core, socket, address, ask, saturating_cast(all.len())).await else {
             core.book.borrow_mut().missed(lead, core.now());
             return Err(Unheard::Silent);
         };
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::message::{LONGEST, Message};
-use super::{account, census, gossip, naming, notice, quota, rate_limit, relay, suspicion};
+use super::{account, gossip, naming, notice, quota, rate_limit, reachability, relay, suspicion};
 use crate::core::{Core, Shared};
 
 /// Pause after an error of the socket.
@@ -76,7 +76,7 @@
             Ok(Message::Question(question)) => account::hear(&core, &socket, from, &question),
             Ok(Message::Advice(advice)) => account::deliver(&core, advice),
             Ok(Message::Returned(returned)) => account::hear_returned(&core, from, &returned),
-            Ok(Message::Heard(count)) => census::take(&core, from, &count),
+            Ok(Message::Heard(count)) => reachability::receive(&core, from, &count),
             Ok(Message::Charge(charge)) => quota::hear(&core, &socket, from, &charge),
             Ok(Message::Grant(grant)) => quota::deliver(&core, grant),
             Ok(Message::AskNamings(asked)) => naming::answer(&core, &socket, from, asked).await,
--- a/crates/jb-relay/tests/census.rs
+++ b/crates/jb-relay/tests/reachability.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use jb_relay::peers::{Census, Fleet};
+use jb_relay::peers::{Fleet, Reachability};
 
 const LISTED: Fleet = Fleet { hall: 25, all: 90 };
 const ALONE: Fleet = Fleet { hall: 1, all: 1 };
@@ -15,30 +15,30 @@
 /// that they kept for it let in next to nothing.
 #[test]
 fn all_listed_boxes_are_taken_to_be_there_while_nothing_was_told() {
-    let census = Census::default();
-    assert_eq!(census.fleet(LISTED, ms(100)), LISTED);
-    assert_eq!(census.fleet(LISTED, ms(3999)), LISTED);
-    assert_eq!(census.fleet(LISTED, ms(4000)), ALONE);
+    let reachability = Reachability::default();
+    assert_eq!(reachability.fleet(LISTED, ms(100)), LISTED);
+    assert_eq!(reachability.fleet(LISTED, ms(3999)), LISTED);
+    assert_eq!(reachability.fleet(LISTED, ms(4000)), ALONE);
 }
 
 #[test]
 fn count_of_the_lead_holds_until_it_is_old_and_then_the_box_is_alone() {
-    let mut census = Census::default();
+    let mut reachability = Reachability::default();
     let most = Fleet { hall: 25, all: 68 };
-    census.note(most, ms(300));
-    assert_eq!(census.fleet(LISTED, ms(1799)), most);
+    reachability.note(most, ms(300));
+    assert_eq!(reachability.fleet(LISTED, ms(1799)), most);
     // Also right after the start: it had heard its lead.
-    assert_eq!(census.fleet(LISTED, ms(1800)), ALONE);
+    assert_eq!(reachability.fleet(LISTED, ms(1800)), ALONE);
 }
 
 /// A lead that had just started counted the few boxes that had told it something by then, and the
 /// limits of all customers were cut to their share.
 #[test]
 fn lead_tells_no_counts_until_boxes_have_had_the_time_to_tell_it() {
-    let mut census = Census::default();
+    let mut reachability = Reachability::default();
     let due = (0..40)
         .map(|telling| ms(200 * telling))
-        .find(|at| census.is_due(*at));
+        .find(|at| reachability.is_due(*at));
     assert!(
         due.is_some_and(|at| (ms(2000)..ms(2600)).contains(&at)),
         "{due:?}"
