--- a/crates/jb-policy/src/weights.rs
+++ b/crates/jb-policy/src/weights.rs
@@ -1,4 +1,4 @@
-//! When versions of a model's weights were named, and which engines are past their time.
+//! When versions of a model's weights were released, and which of them are overdue.
 
 use std::time::Duration;
 
@@ -7,14 +7,14 @@
 /// Version of a model's weights; it only rises.
 pub type Version = u64;
 
-/// When a version was named, at the earliest.
+/// Earliest moment at which a version was released.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum Since {
     /// At this moment of the box's clock.
     Moment(Moment),
-    /// This long before a moment, as another box tells, for a version older than the box's start.
+    /// This long before a moment, as another box knows, for a version older than the box's start.
     Before(Moment, Duration),
-    /// Before the box's start; nobody has told when.
+    /// Before the box's start; no other box has answered when.
     Unknown,
 }
 
@@ -28,9 +28,9 @@
     }
 }
 
-/// One version that was named.
+/// Release of one version.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-struct Naming {
+struct Release {
     version: Version,
     since: Since,
 }
@@ -42,18 +42,18 @@
     No,
     /// They are.
     Yes,
-    /// The version after them was named before the box's start, and nobody has told when.
+    /// The next version was released before the box's start, and it isn't known when.
     Unknown,
 }
 
-/// Versions that were named, the oldest first.
+/// Released versions, the oldest first.
 #[derive(Clone, Debug, Default)]
-pub struct History(Vec<Naming>);
+pub struct History(Vec<Release>);
 
-/// Versions that are remembered; older ones are past their time anyway.
-const MOST: usize = 64;
-/// Part of the time of old weights that a box without word of the naming lets pass from its
-/// start: the naming may be just before it or any time longer ago, so half of each is risked.
+/// Versions that are remembered; older ones are overdue anyway.
+const MAX_RELEASES: usize = 64;
+/// Share of the time of old weights that passes from a box's start where the release is unknown: it may have
+/// been just before the start or long ago.
 const UNKNOWN_SHARE: f64 = 0.5;
 
 impl History {
@@ -63,52 +63,54 @@
             return false;
         }
         let since = at.map_or(Since::Unknown, Since::Moment);
-        self.put(Naming { version, since });
+        self.put(Release { version, since });
         true
     }
 
-    /// Takes another box's word: at `asked`, a version's naming was `age` ago at the most.
+    /// Merges what another box knows: at `asked`, a version's release was `age` ago at the most.
     ///
-    /// Only what this box has not seen itself is taken; versions between two that it knows, too.
-    pub fn told(&mut self, version: Version, asked: Moment, age: Duration) {
+    /// Releases that this box has observed itself stay.
+    pub fn merge(&mut self, version: Version, asked: Moment, age: Duration) {
         let since = Since::Before(asked, age);
         let newest = self.newest();
-        match self.0.iter_mut().find(|naming| naming.version == version) {
+        match self.0.iter_mut().find(|release| release.version == version) {
             Some(known) if known.since == Since::Unknown => known.since = since,
             Some(_) => {}
-            None if version < newest => self.put(Naming { version, since }),
-            // A version that the store has not shown yet is not in force here.
+            None if version < newest => self.put(Release { version, since }),
+            // A version that the store hasn't shown yet isn't in force here.
             None => {}
         }
     }
 
-    fn put(&mut self, naming: Naming) {
-        let at = self.0.partition_point(|known| known.version < naming.version);
-        self.0.insert(at, naming);
-        if self.0.len() > MOST {
+    fn put(&mut self, release: Release) {
+        let at = self.0.partition_point(|known| known.version < release.version);
+        self.0.insert(at, release);
+        if self.0.len() > MAX_RELEASES {
             self.0.remove(0);
         }
     }
 
     /// Newest version; 0 for none.
     pub fn newest(&self) -> Version {
-        self.0.last().map_or(0, |naming| naming.version)
+        self.0.last().map_or(0, |release| release.version)
     }
 
-    /// Whether the box has to ask others when the newest version was named.
+    /// Whether the release of the newest version is unknown.
     pub fn is_unknown(&self) -> bool {
-        self.0.last().is_some_and(|naming| naming.since == Since::Unknown)
+        self.0
+            .last()
+            .is_some_and(|release| release.since == Since::Unknown)
     }
 
-    /// Versions with the time since their naming, the newest first.
+    /// Versions with the time since their release, the newest first.
     pub fn ages(&self, now: Moment) -> impl Iterator<Item = (Version, Duration)> {
         let known = self.0.iter().rev();
-        known.filter_map(move |naming| Some((naming.version, naming.since.age(now)?)))
+        known.filter_map(move |release| Some((release.version, release.since.age(now)?)))
     }
 
     /// Whether weights are past their time: it runs from the first version after them.
     pub fn overdue(&self, has: Version, now: Moment, time: Duration) -> Overdue {
-        let Some(next) = self.0.iter().find(|naming| naming.version > has) else {
+        let Some(next) = self.0.iter().find(|release| release.version > has) else {
             return Overdue::No;
         };
         match next.since.age(now) {
--- a/crates/jb-policy/tests/choose.rs
+++ b/crates/jb-policy/tests/choose.rs
@@ -188,9 +188,9 @@
     assert!(history.is_unknown());
     assert_eq!(history.overdue(2, 6 * second, bound), Overdue::Yes);
     // Another box saw this version and the one before it.
-    history.told(3, second, 2 * second);
-    history.told(2, second, 6 * second);
-    history.told(9, second, second);
+    history.merge(3, second, 2 * second);
+    history.merge(2, second, 6 * second);
+    history.merge(9, second, second);
     assert_eq!(history.newest(), 3);
     assert!(!history.is_unknown());
     assert_eq!(history.overdue(2, 8 * second, bound), Overdue::No);
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -45,7 +45,7 @@
     EDIT_ACCEPTED = 3005, "edit_accepted", "An operator's edit was accepted.";
     EDIT_REFUSED = 3006, "edit_refused", "An operator's edit was refused.";
     RULES_IN_FORCE = 3007, "rules_in_force", "A newer configuration of the platform is in force.";
-    WEIGHTS_NAMED = 3008, "weights_named", "Newer weights of a model are named.";
+    WEIGHTS_RELEASED = 3008, "weights_released", "Newer weights of a model are released.";
     PLATFORM_LOST = 4001, "platform_lost", "The platform stopped answering.";
     PLATFORM_FOUND = 4002, "platform_found", "The platform answers again.";
     PEER_LOST = 4003, "peer_lost", "Another box is taken for dead.";
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -22,7 +22,7 @@
             let mut weights = core.weights.borrow_mut();
             let history = weights.entry(named.model.clone()).or_default();
             if history.note(named.version, earliest) {
-                emit!(core.logger, info, event::WEIGHTS_NAMED, "model" => named.model, "version" => named.version);
+                emit!(core.logger, info, event::WEIGHTS_RELEASED, "model" => named.model, "version" => named.version);
             }
         }
         Fact::Own(item) => own(core, item),
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Acquire, Advice, Ask, AskMore, AskNamings, Charge, Count, Grant, Leaving, Limits, Namings, News, Permit,
-    Question, Replaced, Returned, Sent, Suspicion, Told,
+    Acquire, Advice, Ask, AskMore, AskReleases, Charge, Count, Grant, Leaving, Limits, News, Permit,
+    Question, Releases, Replaced, Returned, Sent, Suspicion, Told,
 };
 
 /// Longest datagram, in bytes: one packet.
@@ -24,9 +24,9 @@
     /// Incarnations of upstreams whose addresses others have now.
     Replaced(Replaced),
     /// A box that has just started asks when weights were named.
-    AskNamings(AskNamings),
+    AskReleases(AskReleases),
     /// When they were.
-    Namings(Namings),
+    Releases(Releases),
     /// A box asks the account of an engine for a place.
     Question(Question),
     /// What the account says.
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::message::{LONGEST, Message};
-use super::{account, gossip, naming, notice, quota, rate_limit, reachability, relay, suspicion};
+use super::{account, gossip, notice, quota, rate_limit, reachability, relay, releases, suspicion};
 use crate::core::{Core, Shared};
 
 /// Pause after an error of the socket.
@@ -79,8 +79,8 @@
             Ok(Message::Heard(count)) => reachability::receive(&core, from, &count),
             Ok(Message::Charge(charge)) => quota::hear(&core, &socket, from, &charge),
             Ok(Message::Grant(grant)) => quota::deliver(&core, grant),
-            Ok(Message::AskNamings(asked)) => naming::answer(&core, &socket, from, asked).await,
-            Ok(Message::Namings(told)) => naming::take(&core, told),
+            Ok(Message::AskReleases(asked)) => releases::answer(&core, &socket, from, asked).await,
+            Ok(Message::Releases(told)) => releases::receive(&core, told),
             Ok(Message::Suspicion(told)) => suspicion::take(&core, from, &told),
             Ok(Message::Leaving(leaving)) => notice::take_leaving(&core, from, &leaving),
             Ok(Message::Limits(limits)) => rate_limit::receive_limits(&core, from, &limits),
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -120,7 +120,7 @@
     spawn_local(peers::register(Rc::clone(core), port));
     spawn_local(peers::tell(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::hear(Rc::clone(core), Rc::clone(&socket)));
-    spawn_local(peers::learn(Rc::clone(core), Rc::clone(&socket)));
+    spawn_local(peers::discover_releases(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::tell_suspects(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(Steward::new(Rc::clone(core), socket).run());
     spawn_local(recall::run(Rc::clone(core)));
