Rename kept parts of prompts to segments of a prefix cache

kept, Piece, Part, bring, keep and recall become prefix_cache, Segment, SegmentId, transfer, cache_store and cache_scan; the keeper of an account is its owner. No change of behaviour.

--- a/crates/jb-policy/src/account.rs
+++ b/crates/jb-policy/src/account.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use crate::Moment;
-use crate::kept::Part;
+use crate::prefix_cache::SegmentId;
 
 /// Id of a place that a box has taken; drawn by the box.
 pub type Place = u64;
@@ -66,9 +66,9 @@
 pub struct Account {
     places: HashMap<Place, Taken>,
     /// When each family's parts were last to be sent to a store.
-    sent: HashMap<Part, Moment>,
+    sent: HashMap<SegmentId, Moment>,
     /// Since when families wait for a small prompt to send their parts with.
-    due: HashMap<Part, Moment>,
+    due: HashMap<SegmentId, Moment>,
 }
 
 impl Account {
@@ -107,7 +107,7 @@
 
     /// Whether a prompt's parts are to be sent to a store with this request: `small` ones go
     /// first, as their own part goes there too and pushes out parts that others could use.
-    pub fn send_due(&mut self, family: Part, small: bool, now: Moment) -> bool {
+    pub fn send_due(&mut self, family: SegmentId, small: bool, now: Moment) -> bool {
         let last = self.sent.get(&family);
         if last.is_some_and(|at| now < *at + SEND_AGAIN) {
             return false;
@@ -126,7 +126,7 @@
     }
 
     /// Whether a store is believed to have a family's parts.
-    pub fn is_sent(&self, family: Part, now: Moment) -> bool {
+    pub fn is_sent(&self, family: SegmentId, now: Moment) -> bool {
         self.sent.get(&family).is_some_and(|at| now >= *at + SENT_AFTER)
     }
 }
--- a/crates/jb-policy/src/choose.rs
+++ b/crates/jb-policy/src/choose.rs
@@ -7,8 +7,8 @@
 
 use std::time::Duration;
 
-use crate::kept::Piece;
 use crate::place;
+use crate::prefix_cache::Segment;
 
 /// Weights of the choice. Times in milliseconds.
 #[derive(Clone, Copy, Debug)]
@@ -106,13 +106,13 @@
     }
 
     /// Tokens that another engine hands it.
-    fn brought(&self) -> u64 {
+    fn transferred(&self) -> u64 {
         self.elsewhere.saturating_sub(self.found)
     }
 
     /// Of so many leading tokens those that it has to read itself.
     fn unread(&self, tokens: u64) -> u64 {
-        tokens.saturating_sub(self.found + self.brought())
+        tokens.saturating_sub(self.found + self.transferred())
     }
 }
 
@@ -120,7 +120,7 @@
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Demand<'a> {
     /// Parts of the prompt; empty for plain services.
-    pub prompt: &'a [Piece],
+    pub prompt: &'a [Segment],
     /// Bytes that go there.
     pub bytes: usize,
 }
@@ -128,18 +128,18 @@
 impl Demand<'_> {
     /// Tokens of the whole prompt.
     pub fn tokens(&self) -> u64 {
-        self.prompt.iter().map(|piece| piece.tokens).sum()
+        self.prompt.iter().map(|segment| segment.tokens).sum()
     }
 
     /// Tokens of the parts that other requests share: all but the last part.
     pub fn shared(&self) -> u64 {
-        self.tokens() - self.prompt.last().map_or(0, |piece| piece.tokens)
+        self.tokens() - self.prompt.last().map_or(0, |segment| segment.tokens)
     }
 
     /// Number of the deepest shared part, which names the prompt's family.
     pub fn family(&self) -> Option<u64> {
         let shared = self.prompt.len().checked_sub(2)?;
-        Some(self.prompt[shared].part)
+        Some(self.prompt[shared].id)
     }
 }
 
@@ -167,9 +167,9 @@
 
 /// Time until the first token at a candidate.
 pub fn first_token(candidate: &Candidate, demand: &Demand<'_>, tuning: &Tuning) -> Duration {
-    let brought = candidate.brought();
+    let transferred = candidate.transferred();
     let unread = candidate.unread(demand.tokens());
-    let moving = tuning.move_per_k * brought as f64 / 1000.0;
+    let moving = tuning.move_per_k * transferred as f64 / 1000.0;
     let reading = (candidate.waiting + unread) as f64 / tuning.tokens_per_ms;
     let millis = (reading + moving + DRAG * f64::from(candidate.running)) * candidate.slowness;
     Duration::from_secs_f64(millis / 1000.0)
@@ -205,10 +205,10 @@
 }
 
 fn cost(candidate: &Candidate, demand: &Demand<'_>, tuning: &Tuning) -> f64 {
-    let brought = candidate.brought();
+    let transferred = candidate.transferred();
     let unread = candidate.unread(demand.tokens());
-    let import = if brought > 0 {
-        tuning.import + tuning.import_per_k * brought as f64 / 1000.0
+    let import = if transferred > 0 {
+        tuning.import + tuning.import_per_k * transferred as f64 / 1000.0
     } else {
         0.0
     };
--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -6,7 +6,6 @@
 
 pub mod account;
 pub mod backoff;
-pub mod bring;
 pub mod call;
 pub mod cell;
 pub mod choose;
@@ -14,7 +13,6 @@
 pub mod gate;
 pub mod hall;
 pub mod health;
-pub mod kept;
 pub mod knowledge;
 pub mod limit;
 pub mod load;
@@ -24,6 +22,7 @@
 pub mod place;
 pub mod poison;
 pub mod prefix;
+pub mod prefix_cache;
 pub mod pressure;
 pub mod quota;
 pub mod rate_limit;
@@ -32,6 +31,7 @@
 pub mod signal;
 pub mod steward;
 pub mod stream;
+pub mod transfer;
 pub mod upstream;
 pub mod weights;
 
--- a/crates/jb-policy/src/load.rs
+++ b/crates/jb-policy/src/load.rs
@@ -14,7 +14,7 @@
 /// How long own sends are remembered for correcting late reports.
 const MEMORY: Duration = Duration::from_secs(5);
 /// Most own sends remembered.
-const SENDS_KEPT: usize = 256;
+const MAX_TRACKED_SENDS: usize = 256;
 
 #[derive(Clone, Copy, Debug)]
 struct Send {
@@ -77,7 +77,7 @@
 
     fn forget(&mut self, now: Moment) {
         let oldest = now.saturating_sub(MEMORY);
-        while self.sends.len() > SENDS_KEPT || self.sends.front().is_some_and(|s| s.at < oldest) {
+        while self.sends.len() > MAX_TRACKED_SENDS || self.sends.front().is_some_and(|s| s.at < oldest) {
             self.sends.pop_front();
         }
     }
--- a/crates/jb-policy/src/pace.rs
+++ b/crates/jb-policy/src/pace.rs
@@ -2,17 +2,17 @@
 
 use std::time::Duration;
 
-/// Prompt tokens read in a millisecond, taken until first tokens tell better.
-const START: f64 = 50.0;
-/// Tokens that this first guess counts for.
-const START_TOKENS: f64 = 4000.0;
-/// Weight that older first tokens keep with each new one; half of it is gone after 34.
-const KEEP: f64 = 0.98;
-/// Time of a first token that reading does not explain: the ways and one step of the engine.
-/// From a fit over 18,800 first tokens: 20 to 40 ms.
-const APART: Duration = Duration::from_millis(20);
-/// Fewest tokens whose time tells something.
-const LEAST: u64 = 500;
+/// Prompt tokens read in a millisecond, before anything is measured.
+const INITIAL_TOKENS_PER_MS: f64 = 50.0;
+/// Weight of this first value, in tokens.
+const INITIAL_SAMPLE_TOKENS: f64 = 4000.0;
+/// Factor on the weight of older samples for each new one.
+const DECAY: f64 = 0.98;
+/// Part of the time to a first token that doesn't depend on the prompt: the network and one step of the
+/// engine.
+const FIXED_LATENCY: Duration = Duration::from_millis(20);
+/// Fewest tokens of a sample.
+const MIN_SAMPLE_TOKENS: u64 = 500;
 
 /// Reading speed of one service's engines.
 #[derive(Clone, Copy, Debug)]
@@ -24,8 +24,8 @@
 impl Default for Pace {
     fn default() -> Self {
         Self {
-            tokens: START_TOKENS,
-            millis: START_TOKENS / START,
+            tokens: INITIAL_SAMPLE_TOKENS,
+            millis: INITIAL_SAMPLE_TOKENS / INITIAL_TOKENS_PER_MS,
         }
     }
 }
@@ -33,11 +33,11 @@
 impl Pace {
     /// Notes a first token: tokens that were to be read up to it, and the time since the send.
     pub fn note(&mut self, tokens: u64, took: Duration) {
-        if tokens < LEAST {
+        if tokens < MIN_SAMPLE_TOKENS {
             return;
         }
-        self.tokens = self.tokens * KEEP + tokens as f64;
-        self.millis = self.millis * KEEP + took.saturating_sub(APART).as_secs_f64() * 1000.0;
+        self.tokens = self.tokens * DECAY + tokens as f64;
+        self.millis = self.millis * DECAY + took.saturating_sub(FIXED_LATENCY).as_secs_f64() * 1000.0;
     }
 
     /// Prompt tokens read in a millisecond.
--- a/crates/jb-policy/src/poison/content.rs
+++ b/crates/jb-policy/src/poison/content.rs
@@ -3,7 +3,7 @@
 use sha2::{Digest as _, Sha256};
 
 /// Bytes of the hash that are kept: two different contents never share them.
-const KEPT: usize = 16;
+const CONTENT_BYTES: usize = 16;
 
 /// What a request asks, whoever passes it on and under whatever id: its caller, its path and its body.
 ///
@@ -16,14 +16,14 @@
     /// The content of a request; `path` in pieces, such as host and target.
     pub fn new(caller: &str, path: &[&[u8]], body: &[u8]) -> Self {
         let mut hash = Sha256::new();
-        for piece in [caller.as_bytes()].iter().chain(path).chain(&[body]) {
+        for part in [caller.as_bytes()].iter().chain(path).chain(&[body]) {
             // With its length, so that no piece can pass for a part of the next one.
-            hash.update(piece.len().to_le_bytes());
-            hash.update(piece);
+            hash.update(part.len().to_le_bytes());
+            hash.update(part);
         }
-        let mut kept = [0; KEPT];
-        kept.copy_from_slice(&hash.finalize()[..KEPT]);
-        Self(u128::from_le_bytes(kept))
+        let mut truncated = [0; CONTENT_BYTES];
+        truncated.copy_from_slice(&hash.finalize()[..CONTENT_BYTES]);
+        Self(u128::from_le_bytes(truncated))
     }
 }
 
--- a/crates/jb-policy/src/poison/evidence.rs
+++ b/crates/jb-policy/src/poison/evidence.rs
@@ -7,7 +7,7 @@
 
 /// Lives of one sort that are remembered of a request: more than any threshold, and few enough for
 /// a row of a datagram. Of more, all boxes keep the same ones.
-const MOST_LIVES: usize = 8;
+const MAX_INSTANCES: usize = 8;
 /// Ended engines of which a good run takes the weight: a request that ran well is no poison, and
 /// what else ended its engines has to end three more before it is suspected again.
 const CLEARED: usize = 3;
@@ -28,7 +28,7 @@
 impl Lives {
     fn join(&mut self, others: impl IntoIterator<Item = Engine>) {
         self.0.extend(others);
-        while self.0.len() > MOST_LIVES {
+        while self.0.len() > MAX_INSTANCES {
             self.0.pop_last();
         }
     }
--- a/crates/jb-policy/src/quota.rs
+++ b/crates/jb-policy/src/quota.rs
@@ -126,14 +126,14 @@
     /// The time after which it would be let in if nothing else came.
     pub fn take(&mut self, terms: &Terms, charge: Charge, now: Moment) -> Result<(), Duration> {
         self.fill(terms, now);
-        let kept = if charge.urgent {
+        let reserved = if charge.urgent {
             0.0
         } else {
             terms.overrun(URGENT_SHARE)
         };
         let tokens = charge.tokens as f64;
         // What is longer than the whole room is let in once the room is full.
-        let needed = (kept + tokens).min(terms.room());
+        let needed = (reserved + tokens).min(terms.room());
         if self.level >= needed {
             self.level -= tokens;
             return Ok(());
--- a/crates/jb-policy/src/route/pool/weigh.rs
+++ b/crates/jb-policy/src/route/pool/weigh.rs
@@ -17,7 +17,7 @@
 const SPARE: usize = 2;
 /// Times that a cache may be filled anew before a prefix unused since counts
 /// as evicted; above 1, because the filling is only estimated.
-const KEPT: f64 = 1.5;
+const MAX_CACHE_REFILLS: f64 = 1.5;
 /// Bounds of the churn of a cache, as it counts in the cost of filling it.
 const LEAST_CHURN: f64 = 0.25;
 const MOST_CHURN: f64 = 4.0;
@@ -42,7 +42,7 @@
     }
 
     fn still_holds(&self, holder: &Holder) -> bool {
-        let blocks = f64::from(self.service.cache_tokens / TOKENS_PER_BLOCK) * KEPT;
+        let blocks = f64::from(self.service.cache_tokens / TOKENS_PER_BLOCK) * MAX_CACHE_REFILLS;
         let upstream = self.upstreams.get(holder.engine as usize);
         upstream.is_some_and(|u| u.still_holds(holder, blocks as u32))
     }
--- a/crates/jb-policy/tests/choose.rs
+++ b/crates/jb-policy/tests/choose.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use jb_policy::choose::{Candidate, Demand, Tuning, best};
-use jb_policy::kept::{Kept, Piece};
+use jb_policy::prefix_cache::{PrefixCache, Segment};
 use jb_policy::share::{Bound, Budget};
 use jb_policy::weights::{History, Overdue};
 
@@ -23,10 +23,10 @@
     }
 }
 
-fn prompt(parts: &[(u64, u64)]) -> Vec<Piece> {
+fn prompt(parts: &[(u64, u64)]) -> Vec<Segment> {
     parts
         .iter()
-        .map(|&(part, tokens)| Piece { part, tokens })
+        .map(|&(part, tokens)| Segment { id: part, tokens })
         .collect()
 }
 
@@ -107,7 +107,7 @@
 #[test]
 fn part_is_kept_until_as_much_as_the_memory_holds_came_after_it() {
     let first = prompt(&[(1, 100), (2, 200)]);
-    let mut kept = Kept::default();
+    let mut kept = PrefixCache::default();
     kept.set_capacity(1000);
     kept.read(first.iter().copied(), 50);
     assert_eq!(kept.found(&first), 300);
--- a/crates/jb-policy/tests/crowd.rs
+++ b/crates/jb-policy/tests/crowd.rs
@@ -12,8 +12,8 @@
 
 use jb_policy::account::{self, Account, Load};
 use jb_policy::choose::{Candidate, Demand, Tuning, best};
-use jb_policy::kept::Piece;
 use jb_policy::place;
+use jb_policy::prefix_cache::Segment;
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -56,8 +56,8 @@
     if loads[first[0]].has_room(SLOTS, ahead) {
         return first[0];
     }
-    let piece = |part, tokens| Piece { part, tokens };
-    let prompt = [piece(family, SHARED), piece(family + 1, OWN)];
+    let segment = |id, tokens| Segment { id, tokens };
+    let prompt = [segment(family, SHARED), segment(family + 1, OWN)];
     let demand = Demand {
         prompt: &prompt,
         bytes: 830,
--- a/crates/jb-policy/tests/overload.rs
+++ b/crates/jb-policy/tests/overload.rs
@@ -139,14 +139,14 @@
         if self.running.is_empty() {
             return;
         }
-        let mut piece = PIECE;
+        let mut segment = PIECE;
         for run in &mut self.running {
-            let read = run.unread.min(piece);
+            let read = run.unread.min(segment);
             run.unread -= read;
-            piece -= read;
+            segment -= read;
         }
         let decode = STEP_MS + STEP_RUNNING_MS * self.running.len() as f64;
-        let reading = (PIECE - piece) / TOKENS_PER_MS;
+        let reading = (PIECE - segment) / TOKENS_PER_MS;
         self.busy_until = now + (decode + reading) * self.slowness;
         for run in self.running.iter_mut().filter(|run| run.unread <= 0.0) {
             if run.first.is_none() {
--- a/crates/jb-policy/tests/quota.rs
+++ b/crates/jb-policy/tests/quota.rs
@@ -232,8 +232,8 @@
             );
             worst = (worst.0.max(most), worst.1.max(refused));
         }
-        let keeps = worst.0 <= 1.0 && worst.1 <= 0.01;
-        assert_eq!(keeps, name == "account", "{name}: {worst:?}");
+        let cache_stores = worst.0 <= 1.0 && worst.1 <= 0.01;
+        assert_eq!(cache_stores, name == "account", "{name}: {worst:?}");
     }
 }
 
--- a/crates/jb-policy/tests/bring.rs
+++ b/crates/jb-policy/tests/transfer.rs
@@ -1,6 +1,6 @@
 //! Where an engine takes the parts of a prompt from.
 
-use jb_policy::bring::{Holdings, Origin, Plan, plan, plan_advised};
+use jb_policy::transfer::{Holdings, Origin, Plan, plan, plan_advised};
 
 const ROOT: u64 = 2500;
 const SHARED: u64 = 6300;
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -62,8 +62,8 @@
     UPSTREAM_RETURNED = 5004, "upstream_returned", "An upstream is tried again.";
     UPSTREAM_SEEN = 5005, "upstream_seen", "A new incarnation of an upstream is known.";
     UPSTREAM_GONE = 5006, "upstream_gone", "An upstream's entry has gone.";
-    KEPT_READ = 5007, "kept_read", "An engine has told the parts of prompts that it keeps.";
-    KEPT_UNREAD = 5008, "kept_unread", "An engine has not told the parts of prompts that it keeps.";
+    CACHE_SCANNED = 5007, "cache_scanned", "The contents of an engine's prefix cache were read.";
+    CACHE_NOT_SCANNED = 5008, "cache_not_scanned", "The contents of an engine's prefix cache could not be read.";
     UPSTREAM_LAPSED = 5009, "upstream_lapsed", "An upstream's entry is missing after an outage, and may come back.";
     UPSTREAM_RESTARTED = 5010, "upstream_restarted", "An upstream has started again under its id; what was known of it is dropped.";
     UPSTREAM_UNREADABLE = 5011, "upstream_unreadable", "An upstream's entry cannot be read; it gets nothing until it can.";
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -66,7 +66,7 @@
     /// Where the engine takes parts of the prompt from that it lacks.
     pub source: Option<SocketAddr>,
     /// Store that the engine sends the prompt's parts to once they are read.
-    pub keep: Option<SocketAddr>,
+    pub store: Option<SocketAddr>,
 }
 
 impl Message<'_> {
@@ -133,7 +133,7 @@
     let version = weights.map(|version| version.to_string());
     let salt = salt::encode(&ticket.salt, weights);
     let source = message.source.map(|source| source.to_string());
-    let keep = message.keep.map(|keep| keep.to_string());
+    let store = message.store.map(|store| store.to_string());
     if let Some(version) = &version {
         own.push((names.weights.as_bytes(), version.as_bytes()));
         own.push((names.salt.as_bytes(), salt.as_bytes()));
@@ -141,8 +141,8 @@
         if let Some(source) = &source {
             own.push((names.import.as_bytes(), source.as_bytes()));
         }
-        if let Some(keep) = &keep {
-            own.push((names.export.as_bytes(), keep.as_bytes()));
+        if let Some(store) = &store {
+            own.push((names.export.as_bytes(), store.as_bytes()));
         }
     }
     if let Some(last) = &last {
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -15,7 +15,7 @@
 use jb_protocol::id;
 use slog::Logger;
 
-use crate::keep::Keeps;
+use crate::cache_store::CacheStores;
 use crate::metrics::Metrics;
 use crate::names::Names;
 use crate::peers::{
@@ -73,7 +73,7 @@
     /// Upstreams.
     pub upstreams: RefCell<Registry>,
     /// Stores of kept KV cache.
-    pub keeps: RefCell<Keeps>,
+    pub cache_stores: RefCell<CacheStores>,
     /// Versions of each model's weights that were named.
     pub weights: RefCell<BTreeMap<String, History>>,
     /// Items that the boxes keep in the store.
@@ -144,7 +144,7 @@
             store_seen: Cell::default(),
             news_from: Cell::default(),
             upstreams: RefCell::default(),
-            keeps: RefCell::default(),
+            cache_stores: RefCell::default(),
             weights: RefCell::default(),
             own: RefCell::default(),
             book: RefCell::default(),
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -69,7 +69,7 @@
     out
 }
 
-fn keep(core: &Shared, reply: Reply) {
+fn release(core: &Shared, reply: Reply) {
     if reply.clean && reply.answer.keep_alive {
         let closes_after = signal::read(&core.names, &reply.answer).closes_after;
         link::give(core, reply.link, closes_after);
@@ -95,7 +95,7 @@
     }
     let mut out = head(core, &reply.answer, Framing::Length(body.len() as u64));
     out.put_slice(&body);
-    keep(core, reply);
+    release(core, reply);
     match client.send(&out).await {
         Ok(()) => Delivered::Complete,
         Err(_) => Delivered::CallerGone,
@@ -133,7 +133,7 @@
     if framing == Framing::Chunked && client.send(LAST_CHUNK).await.is_err() {
         return Delivered::CallerGone;
     }
-    keep(core, reply);
+    release(core, reply);
     Delivered::Complete
 }
 
@@ -233,7 +233,7 @@
         }
     }
     out.put_slice(LAST_CHUNK);
-    keep(core, reply);
+    release(core, reply);
     match client.send(&out).await {
         Ok(()) => Delivered::Complete,
         Err(_) => Delivered::CallerGone,
--- a/crates/jb-relay/src/exchange/ask.rs
+++ b/crates/jb-relay/src/exchange/ask.rs
@@ -36,7 +36,7 @@
     /// Another engine that keeps more.
     pub other: Option<(SocketAddr, u64)>,
     /// Whether the engine is to send the parts to a store.
-    pub keep: bool,
+    pub send_to_store: bool,
     /// Whether a store has the parts.
     pub stored: bool,
 }
@@ -223,7 +223,7 @@
                 load: best.view.load,
                 found: best.view.found,
                 other,
-                keep: best.view.keep,
+                send_to_store: best.view.send_to_store,
                 stored: best.view.stored,
             }),
             life: best.life.clone(),
@@ -284,7 +284,7 @@
             load: Load::default(),
             found: 0,
             other: None,
-            keep: false,
+            send_to_store: false,
             stored: true,
         }),
     }
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -4,10 +4,10 @@
 
 use bytes::Bytes;
 use jb_policy::Moment;
-use jb_policy::bring::{self, Holdings, Origin};
 use jb_policy::choose::{self, Demand, Tuning};
 use jb_policy::gate::{self, Estimate, Verdict};
-use jb_policy::kept::Piece;
+use jb_policy::prefix_cache::Segment;
+use jb_policy::transfer::{self, Holdings, Origin};
 use jb_policy::weights::Version;
 use jb_protocol::{emit, event};
 
@@ -216,13 +216,13 @@
         };
         let engine = found + other.map_or(0, |source| source.tokens);
         let holdings = self.holdings(shared, version, found, engine);
-        let plan = bring::plan(&holdings);
+        let plan = transfer::plan(&holdings);
         self.message.source = match plan.origin {
             Origin::Nowhere => None,
             Origin::Engine => other.map(|source| source.address),
             Origin::Store => self.read_from_store(shared, version),
         };
-        self.message.keep = self.send_to_store(shared, version, last.tokens + ticket.out, holdings.store);
+        self.message.store = self.send_to_store(shared, version, last.tokens + ticket.out, holdings.store);
         let unread = ticket
             .tokens()
             .saturating_sub(found + plan.tokens)
@@ -232,7 +232,7 @@
         emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %life,
             "tokens" => ticket.tokens(), "shared" => self.demand().shared(), "found" => found,
             "brought" => plan.tokens, "unread" => unread, "origin" => ?plan.origin,
-            "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
+            "from" => self.message.source.map(|from| from.to_string()), "to_store" => self.message.store.is_some(),
             "family" => self.demand().family(),
             "running" => upstream.map(|upstream| upstream.running + upstream.others.running),
             "waiting" => upstream.map(|upstream| upstream.waiting + upstream.others.waiting), "weights" => version);
@@ -244,25 +244,25 @@
         let ticket = self.message.ticket;
         let core = self.core;
         let shared = self.demand().shared();
-        let keep = {
-            let mut keeps = core.keeps.borrow_mut();
-            let keep = self.demand().family().and_then(|family| keeps.of(family));
-            keep.map(|keep| keep.address)
+        let store = {
+            let mut cache_stores = core.cache_stores.borrow_mut();
+            let store = self.demand().family().and_then(|family| cache_stores.of(family));
+            store.map(|store| store.address)
         };
-        let plan = bring::plan_advised(&Holdings {
+        let plan = transfer::plan_advised(&Holdings {
             own: advice.found,
             engine: advice.other.map_or(0, |(_, found)| found),
             store: if advice.stored { shared } else { 0 },
             shared,
-            has_store: keep.is_some(),
+            has_store: store.is_some(),
             sure: true,
         });
         self.message.source = match plan.origin {
             Origin::Nowhere => None,
             Origin::Engine => advice.other.map(|(address, _)| address),
-            Origin::Store => keep,
+            Origin::Store => store,
         };
-        self.message.keep = keep.filter(|_| advice.keep);
+        self.message.store = store.filter(|_| advice.send_to_store);
         let unread = ticket
             .tokens()
             .saturating_sub(advice.found + plan.tokens)
@@ -270,20 +270,20 @@
         emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %life,
             "tokens" => ticket.tokens(), "shared" => shared, "found" => advice.found,
             "brought" => plan.tokens, "unread" => unread, "origin" => ?plan.origin, "stored" => advice.stored,
-            "from" => self.message.source.map(|from| from.to_string()), "kept" => self.message.keep.is_some(),
+            "from" => self.message.source.map(|from| from.to_string()), "to_store" => self.message.store.is_some(),
             "family" => self.demand().family(), "running" => advice.load.running,
             "waiting" => advice.load.waiting);
         unread
     }
 
     /// Notes that an engine reads a prompt; returns the tokens that it had, and its weights.
-    fn note_read(&self, life: &Life, shared: &[Piece], own: u64) -> Option<(u64, Option<Version>)> {
+    fn note_read(&self, life: &Life, shared: &[Segment], own: u64) -> Option<(u64, Option<Version>)> {
         let ticket = self.message.ticket;
         let mut upstreams = self.core.upstreams.borrow_mut();
         let upstream = upstreams.life_mut(life)?;
-        let found = upstream.kept.found(&ticket.prompt);
+        let found = upstream.cache.found(&ticket.prompt);
         upstream.set_memory(self.memory());
-        upstream.kept.read(shared.iter().copied(), own);
+        upstream.cache.read(shared.iter().copied(), own);
         let placed = Placed {
             place: upstream.name,
             version: 0,
@@ -296,20 +296,20 @@
     }
 
     /// Who has how much of the shared parts.
-    fn holdings(&self, shared: &[Piece], version: Option<Version>, own: u64, engine: u64) -> Holdings {
+    fn holdings(&self, shared: &[Segment], version: Option<Version>, own: u64, engine: u64) -> Holdings {
         let elsewhere = Holdings {
             own,
             engine,
             shared: self.demand().shared(),
             ..Holdings::default()
         };
-        let mut keeps = self.core.keeps.borrow_mut();
-        let keep = self.demand().family().and_then(|family| keeps.of(family));
-        let (Some(keep), Some(version)) = (keep, version) else {
+        let mut cache_stores = self.core.cache_stores.borrow_mut();
+        let store = self.demand().family().and_then(|family| cache_stores.of(family));
+        let (Some(store), Some(version)) = (store, version) else {
             return elsewhere;
         };
         Holdings {
-            store: keep.found(shared, version),
+            store: store.found(shared, version),
             has_store: true,
             sure: self.core.book.borrow().is_small(),
             ..elsewhere
@@ -317,39 +317,39 @@
     }
 
     /// The family's store, to take parts from.
-    fn read_from_store(&self, shared: &[Piece], version: Option<Version>) -> Option<SocketAddr> {
-        let mut keeps = self.core.keeps.borrow_mut();
-        let keep = keeps.of(self.demand().family()?)?;
+    fn read_from_store(&self, shared: &[Segment], version: Option<Version>) -> Option<SocketAddr> {
+        let mut cache_stores = self.core.cache_stores.borrow_mut();
+        let store = cache_stores.of(self.demand().family()?)?;
         // Parts that it has dropped count again only once it is sent them again.
-        keep.gave(shared, version?);
-        Some(keep.address)
+        store.note_load(shared, version?);
+        Some(store.address)
     }
 
     /// The family's store, where the engine is to send the parts that the store lacks; `held`
     /// are the tokens that it has.
     fn send_to_store(
         &self,
-        shared: &[Piece],
+        shared: &[Segment],
         version: Option<Version>,
         own: u64,
         held: u64,
     ) -> Option<SocketAddr> {
-        let mut keeps = self.core.keeps.borrow_mut();
+        let mut cache_stores = self.core.cache_stores.borrow_mut();
         let all = self.demand().shared();
-        let keep = keeps.of(self.demand().family()?)?;
+        let store = cache_stores.of(self.demand().family()?)?;
         let version = version?;
         if held >= all || own > all * OWN_OF_SHARED {
             return None;
         }
-        keep.used(shared.iter().copied(), version, own);
+        store.note_store(shared.iter().copied(), version, own);
         let placed = Placed {
-            place: keep.name,
+            place: store.name,
             version,
             shared,
             own,
         };
         peers::note_use(self.core, placed);
-        Some(keep.address)
+        Some(store.address)
     }
 
     /// Tokens that an engine of the service holds.
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -79,7 +79,7 @@
             ticket,
             last_event: None,
             source: None,
-            keep: None,
+            store: None,
         };
         Self {
             core,
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -39,7 +39,7 @@
     }
     emit!(core.logger, info, event::RULES_IN_FORCE, "version" => rules.version, "before" => known,
         "routes" => rules.routes());
-    core.keeps.borrow_mut().put(&rules.kept);
+    core.cache_stores.borrow_mut().configure(&rules.cache_stores);
     core.metrics
         .version
         .set(i64::try_from(rules.version).unwrap_or(i64::MAX));
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -6,6 +6,8 @@
 
 pub mod accept;
 pub mod attempt;
+pub mod cache_scan;
+pub mod cache_store;
 pub mod core;
 pub mod deliver;
 pub mod events;
@@ -13,7 +15,6 @@
 pub mod follow;
 pub mod front;
 pub mod http;
-pub mod keep;
 pub mod link;
 pub mod metrics;
 pub mod names;
@@ -21,7 +22,6 @@
 pub mod port;
 pub mod quarantine;
 pub mod ready;
-pub mod recall;
 pub mod restart;
 pub mod rules;
 pub mod salt;
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -13,8 +13,8 @@
 use jb_policy::Moment;
 use jb_policy::account::{Load, Place};
 use jb_policy::health::Change;
-use jb_policy::kept::Piece;
 use jb_policy::place;
+use jb_policy::prefix_cache::Segment;
 use jb_protocol::{emit, event};
 use tokio::net::UdpSocket;
 
@@ -64,7 +64,7 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Prompt<'a> {
     /// Shared parts.
-    pub shared: &'a [Piece],
+    pub shared: &'a [Segment],
     /// Tokens of its own, read and made.
     pub own: u64,
     /// When its request must have ended.
@@ -83,7 +83,7 @@
     /// Tokens of the prompt that the engine keeps.
     pub found: u64,
     /// Whether the engine is to send the parts to a store.
-    pub keep: bool,
+    pub send_to_store: bool,
     /// Whether a store has the parts.
     pub stored: bool,
 }
@@ -132,20 +132,20 @@
 /// Asks the account of an engine for a place, which is taken as `room` says; `None` when no box
 /// answers in time.
 pub async fn ask(core: &Core, engine: &Life, place: Place, prompt: &Prompt<'_>, room: Room) -> Option<View> {
-    let (name, keeper) = keeper(core, engine)?;
+    let (name, owner) = owner(core, engine)?;
     let question = Question {
         place,
         engine: name,
         shared: prompt
             .shared
             .iter()
-            .map(|piece| (piece.part, saturating_cast(piece.tokens)))
+            .map(|segment| (segment.id, saturating_cast(segment.tokens)))
             .collect(),
         own: saturating_cast(prompt.own),
         room,
         left_ms: saturating_cast(prompt.until.saturating_sub(core.now()).as_millis()),
     };
-    let Some((id, address)) = keeper else {
+    let Some((id, address)) = owner else {
         return Some(view(answer(core, &question)?));
     };
     let inquiries = &core.accounts.inquiries;
@@ -180,27 +180,27 @@
             waiting: u64::from(advice.waiting),
         },
         found: u64::from(advice.found),
-        keep: advice.keep,
+        send_to_store: advice.send_to_store,
         stored: advice.stored,
     }
 }
 
 /// Short name of an engine, and the box that keeps its account with its address; no box when it
 /// is this one.
-type Keeper = (u32, Option<(String, SocketAddr)>);
+type AccountOwner = (u32, Option<(String, SocketAddr)>);
 
-fn keeper(core: &Core, engine: &Life) -> Option<Keeper> {
+fn owner(core: &Core, engine: &Life) -> Option<AccountOwner> {
     let upstreams = core.upstreams.borrow();
     let upstream = upstreams.life(engine)?;
     let name = place::short(upstream.name);
     let book = core.book.borrow();
-    let keeper = book.keeper(upstream.name, &upstream.entry.hall, core.now());
-    let keeper = keeper.filter(|(id, _)| *id != core.settings.id);
-    Some((name, keeper))
+    let owner = book.owner(upstream.name, &upstream.entry.hall, core.now());
+    let owner = owner.filter(|(id, _)| *id != core.settings.id);
+    Some((name, owner))
 }
 
 fn give_back(core: &Core, engine: &Life, place: Place, ending: Option<Ending>) {
-    let Some((name, keeper)) = keeper(core, engine) else {
+    let Some((name, owner)) = owner(core, engine) else {
         return;
     };
     let returned = Returned {
@@ -208,7 +208,7 @@
         engine: name,
         ending,
     };
-    match keeper {
+    match owner {
         Some((_, address)) => core
             .accounts
             .inquiries
@@ -263,16 +263,16 @@
     let upstream = upstreams.named_mut(question.engine)?;
     let memory = memory(&upstream.entry.service).unwrap_or_default();
     upstream.set_memory(memory);
-    let shared: Vec<Piece> = question
+    let shared: Vec<Segment> = question
         .shared
         .iter()
-        .map(|&(part, tokens)| Piece {
-            part,
+        .map(|&(part, tokens)| Segment {
+            id: part,
             tokens: u64::from(tokens),
         })
         .collect();
-    let all: u64 = shared.iter().map(|piece| piece.tokens).sum();
-    let found = upstream.kept.found(&shared);
+    let all: u64 = shared.iter().map(|segment| segment.tokens).sum();
+    let found = upstream.cache.found(&shared);
     let load = upstream.account.load();
     let open = upstream.is_open(now);
     let slots = upstream.entry.slots;
@@ -283,9 +283,9 @@
     };
     let family = family(upstream, &shared);
     let stored = family.is_some_and(|family| upstream.account.is_sent(family, now));
-    let mut keep = false;
+    let mut send_to_store = false;
     if taken {
-        keep = family.is_some_and(|family| {
+        send_to_store = family.is_some_and(|family| {
             upstream
                 .account
                 .send_due(family, u64::from(question.own) <= all / 2, now)
@@ -294,7 +294,7 @@
         let until = now + Duration::from_millis(question.left_ms.into());
         upstream.account.take(question.place, read, until);
         upstream.health.sent();
-        upstream.kept.read(shared.into_iter(), u64::from(question.own));
+        upstream.cache.read(shared.into_iter(), u64::from(question.own));
     }
     Some(Advice {
         place: question.place,
@@ -305,15 +305,15 @@
         running: load.running,
         waiting: saturating_cast(load.waiting),
         found: saturating_cast(found),
-        keep,
+        send_to_store,
         stored,
     })
 }
 
 /// Number of the prompt's deepest shared part under the engine's weights.
-fn family(upstream: &Upstream, shared: &[Piece]) -> Option<u64> {
+fn family(upstream: &Upstream, shared: &[Segment]) -> Option<u64> {
     let version = upstream.entry.models.first()?.version;
-    Some(place::weight(shared.last()?.part, version))
+    Some(place::weight(shared.last()?.id, version))
 }
 
 /// Drops places that were never given back.
--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -98,18 +98,18 @@
     }
 
     /// The box that keeps the account of an engine, with its address.
-    pub fn keeper(&self, engine: u64, hall: &str, now: Moment) -> Option<(id::Box, SocketAddr)> {
+    pub fn owner(&self, engine: u64, hall: &str, now: Moment) -> Option<(id::Box, SocketAddr)> {
         let rank = |peer: &Peer| (peer.hall == hall, place::weight(engine, peer.name));
         self.first(now, |_, peer| Some(rank(peer)))
     }
 
     /// The box that keeps the account of a customer, of all data halls.
-    pub fn customer_keeper(&self, customer: u64, now: Moment) -> Option<(id::Box, SocketAddr)> {
+    pub fn customer_owner(&self, customer: u64, now: Moment) -> Option<(id::Box, SocketAddr)> {
         self.first(now, |_, peer| Some(place::weight(customer, peer.name)))
     }
 
     /// The box of a data hall that keeps it where that one gives no answer.
-    pub fn other_keeper(
+    pub fn fallback_owner(
         &self,
         customer: u64,
         hall: &str,
--- a/crates/jb-relay/src/peers/gossip.rs
+++ b/crates/jb-relay/src/peers/gossip.rs
@@ -11,9 +11,9 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
-use jb_policy::kept::Piece;
 use jb_policy::outage::Span;
 use jb_policy::place;
+use jb_policy::prefix_cache::Segment;
 use jb_protocol::id;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -113,7 +113,7 @@
     /// Version of the weights, for a store; 0 for an engine.
     pub version: u64,
     /// Parts that prompts share.
-    pub shared: &'a [Piece],
+    pub shared: &'a [Segment],
     /// Tokens of its own, read and made.
     pub own: u64,
 }
@@ -128,7 +128,7 @@
     let shared = placed
         .shared
         .iter()
-        .map(|piece| (piece.part, saturating_cast(piece.tokens)))
+        .map(|segment| (segment.id, saturating_cast(segment.tokens)))
         .collect();
     loads.own.push(ToldUse {
         place: placed.place,
@@ -358,20 +358,20 @@
 }
 
 fn take_use(core: &Core, told: &ToldUse) {
-    let shared = told.shared.iter().map(|&(part, tokens)| Piece {
-        part,
+    let shared = told.shared.iter().map(|&(part, tokens)| Segment {
+        id: part,
         tokens: u64::from(tokens),
     });
     let own = u64::from(told.own);
     if told.version > 0 {
-        if let Some(keep) = core.keeps.borrow_mut().named(told.place) {
-            keep.used(shared, told.version, own);
+        if let Some(store) = core.cache_stores.borrow_mut().by_name(told.place) {
+            store.note_store(shared, told.version, own);
         }
         return;
     }
     let mut upstreams = core.upstreams.borrow_mut();
     if let Some((_, upstream)) = upstreams.iter_mut().find(|(_, u)| u.name == told.place) {
-        upstream.kept.read(shared, own);
+        upstream.cache.read(shared, own);
     }
 }
 
--- a/crates/jb-relay/src/peers/message/place.rs
+++ b/crates/jb-relay/src/peers/message/place.rs
@@ -53,7 +53,7 @@
     /// Tokens of the prompt that the engine keeps.
     pub found: u32,
     /// Whether the engine is to send the prompt's parts to a store.
-    pub keep: bool,
+    pub send_to_store: bool,
     /// Whether a store has them.
     pub stored: bool,
 }
--- a/crates/jb-relay/src/peers/owner.rs
+++ b/crates/jb-relay/src/peers/owner.rs
@@ -57,7 +57,10 @@
         return Some((first.0, answer));
     }
     let hall = &core.settings.hall;
-    let fallback = core.book.borrow().other_keeper(key, hall, &first.0, core.now())?;
+    let fallback = core
+        .book
+        .borrow()
+        .fallback_owner(key, hall, &first.0, core.now())?;
     let answer = query(&fallback, Scope::Hall).await?;
     Some((fallback.0, answer))
 }
--- a/crates/jb-relay/src/peers/quota.rs
+++ b/crates/jb-relay/src/peers/quota.rs
@@ -120,7 +120,7 @@
         uncharged: core.quotas.take_uncharged(customer),
         left: left(core, customer),
     };
-    let (keeper, grant) = judge(core, &mut charge).await;
+    let (owner, grant) = judge(core, &mut charge).await;
     core.quotas.heard(&grant, core.now());
     let Some(after) = grant.after_ms else {
         return Ok(Some(Charged {
@@ -132,14 +132,14 @@
     let limit = ticket.rules.quota(customer).map(|quota| quota.limit.rate);
     core.metrics.limited.inc();
     emit!(core.logger, info, event::REQUEST_LIMITED, "request" => &ticket.id, "customer" => name,
-        "tokens" => tokens, "limit_per_s" => limit, "left" => grant.left, "keeper" => keeper, "after_ms" => after);
+        "tokens" => tokens, "limit_per_s" => limit, "left" => grant.left, "owner" => owner, "after_ms" => after);
     Err(Duration::from_millis(after.into()))
 }
 
 /// The grant of the account, with the box that keeps it.
 async fn judge(core: &Core, charge: &mut Charge) -> (id::Box, Grant) {
     let key = u64::from(charge.customer);
-    let first = core.book.borrow().customer_keeper(key, core.now());
+    let first = core.book.borrow().customer_owner(key, core.now());
     let granted = owner::ask(core, key, first, async |owner, scope| {
         if scope == Scope::Hall {
             charge.again = true;
--- a/crates/jb-relay/src/peers/rate_limit.rs
+++ b/crates/jb-relay/src/peers/rate_limit.rs
@@ -102,7 +102,7 @@
     let owner = core
         .book
         .borrow()
-        .keeper(upstream.name, &upstream.entry.hall, core.now());
+        .owner(upstream.name, &upstream.entry.hall, core.now());
     Some((upstream.name, owner, observation))
 }
 
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -217,7 +217,7 @@
 
 /// A part of a prompt that an engine keeps.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub struct KeptPart {
+pub struct CachedSegment {
     /// Text under which it is kept.
     pub salt: String,
     /// Id as callers name it.
@@ -230,11 +230,11 @@
 
 /// What an engine keeps of prompts.
 #[derive(Clone, Debug, Default)]
-pub struct Kept {
+pub struct CacheContents {
     /// When it started, if it says so.
     pub born: Option<Born>,
     /// Parts.
-    pub parts: Vec<KeptPart>,
+    pub parts: Vec<CachedSegment>,
 }
 
 /// What came of a control call, and what the engine said of itself beside it.
@@ -244,7 +244,7 @@
 #[async_trait(?Send)]
 pub trait Engines {
     /// Asks what the engine keeps of prompts.
-    async fn kept(&self, address: SocketAddr) -> Observed<Kept>;
+    async fn cache_contents(&self, address: SocketAddr) -> Observed<CacheContents>;
     /// Asks for the engine's report.
     async fn report(&self, address: SocketAddr) -> Observed<Report>;
     /// Gives an order to an incarnation of an engine.
--- a/crates/jb-relay/src/rules.rs
+++ b/crates/jb-relay/src/rules.rs
@@ -110,7 +110,7 @@
 
 /// A store of kept KV cache.
 #[derive(Clone, Debug)]
-pub struct KeptCache {
+pub struct CacheStoreConfig {
     /// Address.
     pub address: SocketAddr,
     /// Tokens that it holds.
@@ -190,7 +190,7 @@
     /// Services.
     pub services: HashMap<id::Service, Service>,
     /// Stores of kept KV cache.
-    pub kept: Vec<KeptCache>,
+    pub cache_stores: Vec<CacheStoreConfig>,
     /// Customers.
     customers: Vec<Customer>,
     /// Position of the customer of each key.
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -13,7 +13,7 @@
 use crate::core::{Core, Parts, Shared};
 use crate::settings::Settings;
 use crate::steward::Steward;
-use crate::{follow, front, link, peers, ready, recall, stop};
+use crate::{cache_scan, follow, front, link, peers, ready, stop};
 
 /// New connections that wait to be accepted.
 const BACKLOG: u32 = 1024;
@@ -123,7 +123,7 @@
     spawn_local(peers::discover_releases(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::tell_suspects(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(Steward::new(Rc::clone(core), socket).run());
-    spawn_local(recall::run(Rc::clone(core)));
+    spawn_local(cache_scan::run(Rc::clone(core)));
     spawn_local(sweep(Rc::clone(core)));
     Ok(())
 }
--- a/crates/jb-relay/src/ticket.rs
+++ b/crates/jb-relay/src/ticket.rs
@@ -4,8 +4,8 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
-use jb_policy::kept::Piece;
 use jb_policy::place;
+use jb_policy::prefix_cache::Segment;
 use jb_protocol::id;
 
 use crate::core::Core;
@@ -43,7 +43,7 @@
     /// Model that it names.
     pub model: Option<String>,
     /// Parts of its prompt.
-    pub prompt: Vec<Piece>,
+    pub prompt: Vec<Segment>,
     /// Most tokens out.
     pub out: u64,
     /// When its head had come.
@@ -179,20 +179,20 @@
 }
 
 /// Parts of a prompt as `ID:TOKENS,...`; what does not read as a part ends the list.
-fn parts(text: &str, salt: &str) -> Vec<Piece> {
-    let piece = |part: &str| {
+fn parts(text: &str, salt: &str) -> Vec<Segment> {
+    let segment = |part: &str| {
         let (id, tokens) = part.trim().split_once(':')?;
-        Some(Piece {
-            part: salt::part(id, salt),
+        Some(Segment {
+            id: salt::part(id, salt),
             tokens: tokens.parse().ok()?,
         })
     };
-    text.split(',').map_while(piece).collect()
+    text.split(',').map_while(segment).collect()
 }
 
 impl Ticket {
     /// Tokens of the prompt.
     pub fn tokens(&self) -> u64 {
-        self.prompt.iter().map(|piece| piece.tokens).sum()
+        self.prompt.iter().map(|segment| segment.tokens).sum()
     }
 }
--- a/crates/jb-relay/src/upstream/pick.rs
+++ b/crates/jb-relay/src/upstream/pick.rs
@@ -159,7 +159,7 @@
     pub fn source(&self, target: &Life, wanted: &Wanted<'_>, now: Moment) -> Option<Source> {
         let upstream = self.life(target)?;
         let has = wanted.model.and_then(|model| upstream.weights(model))?;
-        let found = upstream.kept.found(wanted.demand.prompt);
+        let found = upstream.cache.found(wanted.demand.prompt);
         let holders = self.holders(wanted, now);
         let better = holders
             .iter()
@@ -179,7 +179,7 @@
         };
         let mut holders = Vec::new();
         for upstream in self.of_service(wanted.service) {
-            let found = upstream.kept.found(wanted.demand.prompt);
+            let found = upstream.cache.found(wanted.demand.prompt);
             let weights = upstream.weights(model);
             if let Some(weights) = weights.filter(|_| found > 0 && upstream.hands_on(now)) {
                 holders.push(Holder {
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -7,7 +7,7 @@
 use jb_policy::backoff::Backoff;
 use jb_policy::choose::Candidate;
 use jb_policy::health::Health;
-use jb_policy::kept::Kept;
+use jb_policy::prefix_cache::PrefixCache;
 use jb_policy::rate_limit::Limit;
 
 use super::{Life, Wanted};
@@ -19,7 +19,7 @@
 const ENDED_PAUSE: Duration = Duration::from_secs(1);
 
 /// Percent of an engine's memory that keeps parts while requests run in the rest.
-const KEPT_PERCENT: u64 = 90;
+const CACHE_PERCENT: u64 = 90;
 
 /// One life of an upstream; all that is true of that life alone is in here.
 #[derive(Debug)]
@@ -57,7 +57,7 @@
     /// Whether another box has heard it say that it leaves.
     pub told_leaving: bool,
     /// What it is believed to keep.
-    pub kept: Kept,
+    pub cache: PrefixCache,
     /// Its account, where this box keeps it.
     pub account: Account,
     /// Idle connections, the last used at the end.
@@ -94,7 +94,7 @@
             lapsed: None,
             refused: false,
             told_leaving: false,
-            kept: Kept::default(),
+            cache: PrefixCache::default(),
             account: Account::default(),
             idle: Vec::new(),
         }
@@ -103,7 +103,7 @@
     /// Takes another entry of the same life.
     pub(super) fn update(&mut self, entry: Entry) {
         if self.entry.models != entry.models {
-            self.kept.clear();
+            self.cache.clear();
         }
         self.entry = entry;
         self.lapsed = None;
@@ -160,13 +160,13 @@
         let Some(loaded) = loaded else { return };
         if loaded.version != version {
             loaded.version = version;
-            self.kept.clear();
+            self.cache.clear();
         }
     }
 
     /// Takes what the engine's memory holds; requests run in a part of it.
     pub fn set_memory(&mut self, tokens: u64) {
-        self.kept.set_capacity(tokens * KEPT_PERCENT / 100);
+        self.cache.set_capacity(tokens * CACHE_PERCENT / 100);
     }
 
     /// Notes that it seems to have ended, as it refuses connections. A next life has a record of its
@@ -184,7 +184,7 @@
             running: self.running + self.others.running,
             slots: self.entry.slots,
             waiting: self.waiting + self.others.waiting,
-            found: self.kept.found(demand.prompt),
+            found: self.cache.found(demand.prompt),
             elsewhere: 0,
             behind,
             slowness: if self.entry.cold.is_zero() { 1.0 } else { COLD },
--- a/crates/jb-tree/src/head.rs
+++ b/crates/jb-tree/src/head.rs
@@ -15,7 +15,7 @@
 /// Key of the head in the platform's service.
 pub const HEAD_KEY: &str = "tree/head";
 /// Edit ids that a head remembers.
-pub const EDITS_KEPT: usize = 64;
+pub const MAX_EDITS: usize = 64;
 /// Parts over which the customers are spread, so that an edit moves little.
 const CUSTOMER_PARTS: u8 = 16;
 
@@ -76,7 +76,7 @@
     pub fn next(&self, edit: &str, parts: Vec<Reference>) -> Self {
         let mut edits = self.edits.clone();
         edits.push(edit.to_owned());
-        let surplus = edits.len().saturating_sub(EDITS_KEPT);
+        let surplus = edits.len().saturating_sub(MAX_EDITS);
         edits.drain(..surplus);
         Self {
             revision: self.revision + 1,
--- a/crates/jb-tree/tests/tree.rs
+++ b/crates/jb-tree/tests/tree.rs
@@ -147,7 +147,7 @@
     for n in 0..100 {
         head = head.next(&n.to_string(), Vec::new());
     }
-    assert_eq!((head.revision, head.edits.len()), (100, head::EDITS_KEPT));
+    assert_eq!((head.revision, head.edits.len()), (100, head::MAX_EDITS));
     assert!(head.has_edit("99") && !head.has_edit("0"));
 }
 
