--- a/crates/jb-daemon/src/quarantine.rs
+++ b/crates/jb-daemon/src/quarantine.rs
@@ -80,17 +80,17 @@
         content: row.content.0.to_le_bytes().to_vec(),
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         ended: row.evidence.ended().collect(),
-        apart: row.evidence.apart().collect(),
+        apart: row.evidence.isolated().collect(),
         well: row.evidence.well().collect(),
     }
 }
 
-fn from_wire(told: &Suspect, now: Moment) -> Option<Row> {
-    let content = u128::from_le_bytes(told.content.as_slice().try_into().ok()?);
+fn from_wire(received: &Suspect, now: Moment) -> Option<Row> {
+    let content = u128::from_le_bytes(received.content.as_slice().try_into().ok()?);
     Some(Row {
         content: Content(content),
-        evidence: Evidence::told(&told.ended, &told.apart, &told.well),
-        at: now.saturating_sub(Duration::from_millis(told.age_ms)),
+        evidence: Evidence::received(&received.ended, &received.apart, &received.well),
+        at: now.saturating_sub(Duration::from_millis(received.age_ms)),
     })
 }
 
@@ -102,9 +102,9 @@
 }
 
 /// Takes what another box tells.
-pub fn hear(context: &Context, told: &[Suspect]) {
+pub fn hear(context: &Context, received: &[Suspect]) {
     let now = context.clock.now();
-    for row in told.iter().filter_map(|told| from_wire(told, now)) {
+    for row in received.iter().filter_map(|received| from_wire(received, now)) {
         take(context, &row);
     }
 }
@@ -131,7 +131,7 @@
     match change.after {
         Verdict::Unsuspected => emit!(context.logger, info, event::REQUEST_CLEARED, "content" => %content),
         Verdict::Suspected => emit!(context.logger, warn, event::REQUEST_SUSPECTED, "content" => %content),
-        Verdict::Shown => emit!(context.logger, warn, event::REQUEST_POISONOUS, "content" => %content),
+        Verdict::Quarantined => emit!(context.logger, warn, event::REQUEST_POISONOUS, "content" => %content),
     }
 }
 
--- a/crates/jb-daemon/src/run/session/apart.rs
+++ b/crates/jb-daemon/src/run/session/isolation.rs
@@ -34,20 +34,20 @@
 
     /// Notes that an engine gets a suspect, where it is one; `false` when another try of it is under
     /// way, or the engine has another suspect.
-    pub(super) fn begin_apart(&mut self, engine: Engine) -> bool {
+    pub(super) fn begin_isolated(&mut self, engine: Engine) -> bool {
         if self.verdict() != Verdict::Suspected {
             return true;
         }
         let now = self.context.clock.now();
         let quarantine = &self.context.quarantine;
         let free = !quarantine.trials(now).contains(&engine) && quarantine.begin(self.content(), engine, now);
-        self.apart = free.then_some(engine);
+        self.isolated = free.then_some(engine);
         free
     }
 
     /// The try of a suspect is over.
-    pub(super) fn end_apart(&mut self) {
-        if let Some(engine) = self.apart.take() {
+    pub(super) fn end_isolated(&mut self) {
+        if let Some(engine) = self.isolated.take() {
             self.context.quarantine.end(self.content(), engine);
         }
     }
@@ -67,7 +67,7 @@
             .filter(|u| u.hall == config.hall && u.id != config.id && !self.tried.contains(&u.id));
         let neighbours: Vec<SocketAddr> = near.take(NEIGHBOURS).map(|u| u.address).collect();
         if quarantine::has_ended(config.address, &neighbours).await {
-            let evidence = Evidence::of_end(upstream.life, self.apart.is_some());
+            let evidence = Evidence::of_end(upstream.life, self.isolated.is_some());
             quarantine::note(&self.context, self.content(), evidence);
         }
     }
--- a/crates/jb-daemon/src/run/session/mod.rs
+++ b/crates/jb-daemon/src/run/session/mod.rs
@@ -1,7 +1,7 @@
 //! A request on its way: attempts follow each other until the answer is
 //! complete or the request is given up.
 
-mod apart;
+mod isolation;
 mod pick;
 mod send;
 
@@ -77,7 +77,7 @@
     /// Engine of the last attempt in the own hall.
     last_engine: Option<LastEngine>,
     /// Engine that has the request as the only suspect there.
-    apart: Option<Engine>,
+    isolated: Option<Engine>,
 }
 
 /// Engine of the last attempt.
@@ -89,7 +89,7 @@
 
 impl Drop for Session {
     fn drop(&mut self) {
-        self.end_apart();
+        self.end_isolated();
         if !matches!(self.phase, Phase::Over) {
             emit!(self.context.logger, info, event::CALLER_GONE, "request" => &self.request.id);
         }
@@ -113,7 +113,7 @@
             refused: None,
             lost_before: false,
             last_engine: None,
-            apart: None,
+            isolated: None,
         }
     }
 
@@ -139,7 +139,7 @@
                 Ok(Part::Ended(ending)) => return Ok(self.ended(ending)),
                 Err(trouble) => {
                     self.note_end(&trouble).await;
-                    self.end_apart();
+                    self.end_isolated();
                     self.troubled(trouble)?;
                 }
             }
@@ -179,7 +179,7 @@
         self.last_engine = None;
         if let Target::Engine { upstream, life, .. } = &target {
             let (id, life) = (upstream.clone(), *life);
-            if !self.begin_apart(life) {
+            if !self.begin_isolated(life) {
                 return Err(self.give_up(Kind::Busy, "the request may end engines and waits its turn", None));
             }
             self.last_engine = Some(LastEngine { id, life });
--- a/crates/jb-daemon/src/run/session/pick.rs
+++ b/crates/jb-daemon/src/run/session/pick.rs
@@ -52,7 +52,7 @@
 
     /// Tries the halls in their order; the first refusal is the one reported.
     pub(super) async fn pick(&mut self) -> Result<Target, NoTarget> {
-        if self.verdict() == Verdict::Shown {
+        if self.verdict() == Verdict::Quarantined {
             return Err(Self::poisonous());
         }
         let mut first = self.refused.take();
--- a/crates/jb-policy/src/poison/evidence.rs
+++ b/crates/jb-policy/src/poison/evidence.rs
@@ -1,31 +1,28 @@
-//! What engines have shown of one request.
+//! Evidence on one request.
 
 use std::collections::BTreeSet;
 
-/// Short name of one life of an engine.
+/// Short name of an engine instance.
 pub type Engine = u32;
 
-/// Lives of one sort that are remembered of a request: more than any threshold, and few enough for
-/// a row of a datagram. Of more, all boxes keep the same ones.
+/// Instances of one kind that are remembered of a request: more than any threshold, and few enough for a row
+/// of a datagram. Of more, all boxes remember the same ones.
 const MAX_INSTANCES: usize = 8;
 /// Ended engines of which a good run takes the weight: a request that ran well is no poison, and
 /// what else ended its engines has to end three more before it is suspected again.
-const CLEARED: usize = 3;
-/// Engines that have ended under a request from which on it is suspected. One engine that ends
-/// takes 5 to 50 requests with it, two in a row take few of them twice.
-const SUSPECTED: usize = 2;
-/// Engines that have ended under a request that is shown to be poison, one of them while it was the
-/// only suspect there. The operators' rule counts what reaches engines after the third.
-const SHOWN: usize = 3;
-/// The same where no engine could be found for it alone: two of the three sends that the rule
-/// allows after the third end are used up.
-const SHOWN_AMONG_OTHERS: usize = 5;
-
-/// Lives of engines, the lowest names where there are too many.
+const ENDS_CLEARED_BY_RUN: usize = 3;
+/// Crashes under a request from which on it is suspected.
+const SUSPICION_THRESHOLD: usize = 2;
+/// Crashes under a request from which on it is quarantined, one of them in an isolated trial.
+const QUARANTINE_THRESHOLD: usize = 3;
+/// The same without an isolated trial.
+const SHARED_QUARANTINE_THRESHOLD: usize = 5;
+
+/// Engine instances, those with the lowest names where there are too many.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
-struct Lives(BTreeSet<Engine>);
+struct Instances(BTreeSet<Engine>);
 
-impl Lives {
+impl Instances {
     fn join(&mut self, others: impl IntoIterator<Item = Engine>) {
         self.0.extend(others);
         while self.0.len() > MAX_INSTANCES {
@@ -34,85 +31,89 @@
     }
 }
 
-/// What engines have shown of one request. It only grows.
+/// Evidence on one request. It only grows.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Evidence {
-    ended: Lives,
-    apart: Lives,
-    well: Lives,
+    ended: Instances,
+    isolated: Instances,
+    well: Instances,
 }
 
 impl Evidence {
-    /// An engine has ended while it ran the request; `apart`: as the only suspect there.
-    pub fn of_end(engine: Engine, apart: bool) -> Self {
+    /// A crash while the engine ran the request; `isolated`: as the only suspect there.
+    pub fn of_end(engine: Engine, isolated: bool) -> Self {
         let mut evidence = Self::default();
         evidence.ended.join([engine]);
-        evidence.apart.join(apart.then_some(engine));
+        evidence.isolated.join(isolated.then_some(engine));
         evidence
     }
 
-    /// An engine has run the request to a good end.
+    /// A completed run.
     pub fn of_run(engine: Engine) -> Self {
         let mut evidence = Self::default();
         evidence.well.join([engine]);
         evidence
     }
 
-    /// Evidence as another box told it.
-    pub fn told(ended: &[Engine], apart: &[Engine], well: &[Engine]) -> Self {
+    /// Evidence from another box.
+    pub fn received(ended: &[Engine], isolated: &[Engine], well: &[Engine]) -> Self {
         let mut evidence = Self::default();
         evidence.ended.join(ended.iter().copied());
-        evidence.apart.join(apart.iter().copied());
+        evidence.isolated.join(isolated.iter().copied());
         evidence.well.join(well.iter().copied());
         evidence
     }
 
-    /// Adds other evidence; whether it says anything new.
+    /// Merges other evidence; returns whether it adds anything.
     pub fn join(&mut self, other: &Self) -> bool {
         let before = self.clone();
         self.ended.join(other.ended.0.iter().copied());
-        self.apart.join(other.apart.0.iter().copied());
+        self.isolated.join(other.isolated.0.iter().copied());
         self.well.join(other.well.0.iter().copied());
         *self != before
     }
 
-    /// Engines that have ended while they ran the request.
+    /// Engines that have crashed while they ran the request.
     pub fn ended(&self) -> impl Iterator<Item = Engine> {
         self.ended.0.iter().copied()
     }
 
     /// Those of them where it was the only suspect.
-    pub fn apart(&self) -> impl Iterator<Item = Engine> {
-        self.apart.0.iter().copied()
+    pub fn isolated(&self) -> impl Iterator<Item = Engine> {
+        self.isolated.0.iter().copied()
     }
 
-    /// Engines that have run it to a good end.
+    /// Engines that have completed it.
     pub fn well(&self) -> impl Iterator<Item = Engine> {
         self.well.0.iter().copied()
     }
 
-    /// How much it says, where several requests may have ended the same engines.
+    /// Order in which crashes are attributed, where several requests may have caused them.
     pub fn strength(&self) -> (usize, usize) {
-        (self.weight(self.ended.0.len()), self.apart.0.len())
+        (self.weight(self.ended.0.len()), self.isolated.0.len())
     }
 
     fn weight(&self, ended: usize) -> usize {
-        ended.saturating_sub(CLEARED * self.well.0.len())
+        ended.saturating_sub(ENDS_CLEARED_BY_RUN * self.well.0.len())
     }
 
-    /// Whether it shows the request to be poison; `explained`: engines that others have ended.
-    pub fn is_shown(&self, explained: &BTreeSet<Engine>) -> bool {
-        let alone = self.apart.0.difference(explained).next().is_some();
-        let enough = if alone { SHOWN } else { SHOWN_AMONG_OTHERS };
-        self.unexplained(explained) >= enough
+    /// Returns whether the request is poison; `attributed` are crashes caused by other requests.
+    pub fn is_poison(&self, attributed: &BTreeSet<Engine>) -> bool {
+        let alone = self.isolated.0.difference(attributed).next().is_some();
+        let enough = if alone {
+            QUARANTINE_THRESHOLD
+        } else {
+            SHARED_QUARANTINE_THRESHOLD
+        };
+        self.unattributed(attributed) >= enough
     }
 
-    /// Whether the request may be poison; `explained`: engines that others have ended.
-    pub fn is_suspect(&self, explained: &BTreeSet<Engine>) -> bool {
-        self.unexplained(explained) >= SUSPECTED
+    /// Returns whether the request is suspected; `attributed` are crashes caused by other requests.
+    pub fn is_suspect(&self, attributed: &BTreeSet<Engine>) -> bool {
+        self.unattributed(attributed) >= SUSPICION_THRESHOLD
     }
 
-    fn unexplained(&self, explained: &BTreeSet<Engine>) -> usize {
-        self.weight(self.ended.0.difference(explained).count())
+    fn unattributed(&self, attributed: &BTreeSet<Engine>) -> usize {
+        self.weight(self.ended.0.difference(attributed).count())
     }
 }
--- a/crates/jb-policy/src/poison/ledger.rs
+++ b/crates/jb-policy/src/poison/ledger.rs
@@ -1,4 +1,4 @@
-//! All requests under which engines have ended.
+//! All requests under which engines have crashed.
 
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
@@ -6,26 +6,25 @@
 use super::{Content, Engine, Evidence};
 use crate::Moment;
 
-/// Requests that are remembered: those of 64 engines with 64 requests each. A third of 4,300 engines
-/// that end at once take more with them, ten each are 14,000, of which hardly one is met again.
-const MOST: usize = 4096;
-/// Requests that are dropped at once where there are too many.
-const DROPPED: usize = MOST / 8;
-/// Time after the last evidence for which a request is remembered and a shown one is refused. A
-/// caller that has mended what it asks is another request at once; the same one is tried again then.
-pub const REMEMBERED: Duration = Duration::from_secs(600);
-/// Longest time for which a trial is believed to go on that was never told to be over.
-const LONGEST_TRIAL: Duration = Duration::from_secs(5);
+/// Requests that are remembered.
+const MAX_REQUESTS: usize = 4096;
+/// Requests that are evicted at once where there are too many.
+const EVICTION_BATCH: usize = MAX_REQUESTS / 8;
+/// Time after the last evidence for which a request is remembered and stays quarantined. A request with
+/// another body is another request.
+pub const RETENTION: Duration = Duration::from_secs(600);
+/// Time after which a trial counts as over though nobody has said so.
+const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// What is known of a request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Verdict {
     /// It may go to any engine.
     Unsuspected,
-    /// It goes to an engine where no other suspect is, and only one try at a time.
+    /// It goes to an engine without other suspects, one trial at a time.
     Suspected,
     /// It goes to no engine.
-    Shown,
+    Quarantined,
 }
 
 /// What new evidence has changed.
@@ -37,7 +36,7 @@
     pub after: Verdict,
 }
 
-/// What is known of one request, as boxes tell it.
+/// Evidence on one request, as boxes exchange it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Row {
     /// The request.
@@ -61,15 +60,15 @@
     until: Moment,
 }
 
-/// All requests under which engines have ended, as one box knows them.
+/// All requests under which engines have crashed, as one box knows them.
 #[derive(Clone, Debug, Default)]
 pub struct Ledger {
     entries: HashMap<Content, Entry>,
-    /// Requests that are shown if nobody else has ended their engines.
+    /// Requests that are poison unless others have caused their crashes.
     accused: BTreeSet<Content>,
-    shown: BTreeSet<Content>,
-    /// Engines that shown requests have ended.
-    explained: BTreeSet<Engine>,
+    quarantined: BTreeSet<Content>,
+    /// Crashes that are attributed to quarantined requests.
+    attributed: BTreeSet<Engine>,
 }
 
 impl Ledger {
@@ -80,17 +79,17 @@
 
     /// What is known of a request.
     pub fn verdict(&self, content: Content, now: Moment) -> Verdict {
-        let fresh = |entry: &&Entry| now < entry.at + REMEMBERED;
+        let fresh = |entry: &&Entry| now < entry.at + RETENTION;
         match self.entries.get(&content).filter(fresh) {
-            Some(_) if self.shown.contains(&content) => Verdict::Shown,
-            Some(entry) if entry.evidence.is_suspect(&self.explained) => Verdict::Suspected,
+            Some(_) if self.quarantined.contains(&content) => Verdict::Quarantined,
+            Some(entry) if entry.evidence.is_suspect(&self.attributed) => Verdict::Suspected,
             _ => Verdict::Unsuspected,
         }
     }
 
-    /// Takes evidence of a moment; `None` when it says nothing new.
+    /// Merges evidence; returns nothing if it adds nothing.
     pub fn take(&mut self, row: &Row, now: Moment) -> Option<Change> {
-        if now >= row.at + REMEMBERED {
+        if now >= row.at + RETENTION {
             return None;
         }
         let content = row.content;
@@ -104,7 +103,7 @@
             return None;
         }
         entry.at = entry.at.max(row.at);
-        if entry.evidence.is_shown(&BTreeSet::new()) {
+        if entry.evidence.is_poison(&BTreeSet::new()) {
             self.accused.insert(content);
         } else {
             self.accused.remove(&content);
@@ -115,9 +114,8 @@
         Some(Change { before, after })
     }
 
-    /// Finds the shown requests: the one that explains most first, others by what it leaves
-    /// unexplained. One whose engines have all been ended by the others is none: it fell with several
-    /// poison requests, each of which has also ended engines without it.
+    /// Attributes crashes to requests: first to the one with the strongest evidence, then to others by what
+    /// is left. One whose crashes are all attributed to others isn't poison.
     fn resolve(&mut self) {
         let evidence = |content: &Content| self.entries.get(content).map(|entry| &entry.evidence);
         let known = self
@@ -126,26 +124,26 @@
             .filter_map(|content| Some((*content, evidence(content)?)));
         let mut accused: Vec<(Content, &Evidence)> = known.collect();
         accused.sort_by_key(|(content, evidence)| std::cmp::Reverse((evidence.strength(), *content)));
-        let mut shown: Vec<(Content, &Evidence)> = Vec::new();
+        let mut quarantined: Vec<(Content, &Evidence)> = Vec::new();
         for (content, evidence) in accused {
-            if evidence.is_shown(&ended_by(&shown)) {
-                shown.push((content, evidence));
+            if evidence.is_poison(&ended_by(&quarantined)) {
+                quarantined.push((content, evidence));
             }
         }
-        for at in (0..shown.len()).rev() {
-            let last = shown.remove(at);
-            if last.1.is_suspect(&ended_by(&shown)) {
-                shown.insert(at, last);
+        for at in (0..quarantined.len()).rev() {
+            let last = quarantined.remove(at);
+            if last.1.is_suspect(&ended_by(&quarantined)) {
+                quarantined.insert(at, last);
             }
         }
-        let explained = ended_by(&shown);
-        self.shown = shown.into_iter().map(|(content, _)| content).collect();
-        self.explained = explained;
+        let attributed = ended_by(&quarantined);
+        self.quarantined = quarantined.into_iter().map(|(content, _)| content).collect();
+        self.attributed = attributed;
     }
 
-    /// Forgets what is old.
+    /// Evicts requests whose retention is over.
     pub fn forget(&mut self, now: Moment) {
-        self.entries.retain(|_, entry| now < entry.at + REMEMBERED);
+        self.entries.retain(|_, entry| now < entry.at + RETENTION);
         let entries = &self.entries;
         self.accused.retain(|content| entries.contains_key(content));
         self.resolve();
@@ -154,36 +152,34 @@
     /// Keeps the number of requests within its bound. Those go that are least dangerous, of several
     /// the oldest: a flood of requests that fell with their engines takes no place of a shown one.
     fn bound(&mut self, now: Moment) {
-        if self.entries.len() <= MOST {
+        if self.entries.len() <= MAX_REQUESTS {
             return;
         }
         let rank = |content: &Content, entry: &Entry| (self.verdict(*content, now), entry.at, *content);
         let ranked = self.entries.iter().map(|(content, entry)| rank(content, entry));
         let mut ranked: Vec<(Verdict, Moment, Content)> = ranked.collect();
         ranked.sort_unstable();
-        for (_, _, content) in ranked.into_iter().take(DROPPED) {
+        for (_, _, content) in ranked.into_iter().take(EVICTION_BATCH) {
             self.entries.remove(&content);
             self.accused.remove(&content);
         }
     }
 
-    /// Whether any engine has ended under a request.
+    /// Returns whether any engine has crashed under a request.
     pub fn knows(&self, content: Content) -> bool {
         self.entries.contains_key(&content)
     }
 
-    /// Time after which a shown request is forgotten, if nothing new is heard of it.
+    /// Time after which a quarantined request is released, if there is no new evidence.
     pub fn forgotten_after(&self, content: Content, now: Moment) -> Duration {
         let entry = self.entries.get(&content);
-        entry.map_or(Duration::ZERO, |entry| {
-            (entry.at + REMEMBERED).saturating_sub(now)
-        })
+        entry.map_or(Duration::ZERO, |entry| (entry.at + RETENTION).saturating_sub(now))
     }
 
     /// Notes that an engine gets a suspect.
     pub fn begin(&mut self, content: Content, engine: Engine, now: Moment) {
         if let Some(entry) = self.entries.get_mut(&content) {
-            let until = now + LONGEST_TRIAL;
+            let until = now + TRIAL_TIMEOUT;
             entry.trial = Some(Trial { engine, until });
         }
     }
@@ -195,20 +191,20 @@
         }
     }
 
-    /// Whether a try of a suspect is under way.
+    /// Returns whether a trial of the request is under way.
     pub fn is_tried(&self, content: Content, now: Moment) -> bool {
         let entry = self.entries.get(&content);
         entry.is_some_and(|entry| entry.trial.is_some_and(|trial| now < trial.until))
     }
 
-    /// Engines that have a suspect.
+    /// Engines with a trial.
     pub fn trials(&self, now: Moment) -> Vec<Engine> {
         let trials = self.entries.values().filter_map(|entry| entry.trial);
         let open = trials.filter(|trial| now < trial.until);
         open.map(|trial| trial.engine).collect()
     }
 
-    /// Engines that have ended while they ran a request.
+    /// Engines that have crashed while they ran a request.
     pub fn ended(&self, content: Content) -> BTreeSet<Engine> {
         let entry = self.entries.get(&content);
         entry
@@ -226,7 +222,7 @@
         })
     }
 
-    /// Requests that other boxes must know of, the shown ones first.
+    /// Requests that other boxes must know of, the quarantined ones first.
     pub fn dangerous(&self, now: Moment) -> Vec<Row> {
         let ranked = self
             .entries
@@ -243,6 +239,9 @@
     }
 }
 
-fn ended_by(shown: &[(Content, &Evidence)]) -> BTreeSet<Engine> {
-    shown.iter().flat_map(|(_, evidence)| evidence.ended()).collect()
+fn ended_by(quarantined: &[(Content, &Evidence)]) -> BTreeSet<Engine> {
+    quarantined
+        .iter()
+        .flat_map(|(_, evidence)| evidence.ended())
+        .collect()
 }
--- a/crates/jb-policy/src/poison/mod.rs
+++ b/crates/jb-policy/src/poison/mod.rs
@@ -1,12 +1,11 @@
 //! Poison requests: those that end each engine that begins to run them.
 //!
-//! An engine that ends takes every request with it that it was running, and all but one of them are
-//! innocent. So evidence is weighed: a request is suspected once several engines have ended under it,
-//! the next engine gets it as the only suspect, and it is shown to be poison when that one ends too.
-//! What a shown request has ended speaks against nobody else any more.
+//! An engine that crashes takes all its requests with it, and all but one of them are innocent. So a request
+//! is suspected once several engines have crashed under it, goes to the next engine in an isolated trial,
+//! and is quarantined when that one crashes too. Crashes that are attributed to a quarantined request don't
+//! count against other requests.
 //!
-//! Boxes tell each other evidence, which only grows: whatever the order in which it is heard, the
-//! verdict is the same.
+//! Boxes exchange evidence, which only grows: the verdict doesn't depend on the order of messages.
 
 mod content;
 mod evidence;
@@ -14,4 +13,4 @@
 
 pub use content::Content;
 pub use evidence::{Engine, Evidence};
-pub use ledger::{Change, Ledger, REMEMBERED, Row, Verdict};
+pub use ledger::{Change, Ledger, RETENTION, Row, Verdict};
--- a/crates/jb-policy/tests/poison.rs
+++ b/crates/jb-policy/tests/poison.rs
@@ -46,15 +46,15 @@
     assert_eq!(verdict(&ledger(&[ended(1, 1)]), 1), Verdict::Unsuspected);
     let suspected = ledger(&[ended(1, 1), ended(1, 2)]);
     assert_eq!(verdict(&suspected, 1), Verdict::Suspected);
-    let shown = ledger(&[ended(1, 1), ended(1, 2), ended_apart(1, 3)]);
-    assert_eq!(verdict(&shown, 1), Verdict::Shown);
+    let quarantined = ledger(&[ended(1, 1), ended(1, 2), ended_apart(1, 3)]);
+    assert_eq!(verdict(&quarantined, 1), Verdict::Quarantined);
 }
 
 /// Word of one crash comes from several boxes, and more than once.
 #[test]
 fn same_engine_counts_once() {
-    let told = ledger(&[ended_apart(1, 1), ended(1, 1), ended_apart(1, 1)]);
-    assert_eq!(verdict(&told, 1), Verdict::Unsuspected);
+    let received = ledger(&[ended_apart(1, 1), ended(1, 1), ended_apart(1, 1)]);
+    assert_eq!(verdict(&received, 1), Verdict::Unsuspected);
 }
 
 #[test]
@@ -68,7 +68,7 @@
 fn request_that_was_never_apart_is_shown_before_it_reaches_a_fourth_engine_after_the_third_end() {
     let rows: Vec<Row> = (1..=5).map(|engine| ended(1, engine)).collect();
     assert_eq!(verdict(&ledger(&rows[..4]), 1), Verdict::Suspected);
-    assert_eq!(verdict(&ledger(&rows), 1), Verdict::Shown);
+    assert_eq!(verdict(&ledger(&rows), 1), Verdict::Quarantined);
 }
 
 #[test]
@@ -95,12 +95,15 @@
 
 #[test]
 fn shown_request_is_forgotten_ten_minutes_after_the_last_engine_it_ended() {
-    let shown = ledger(&[ended(1, 1), ended(1, 2), ended_apart(1, 3)]);
+    let quarantined = ledger(&[ended(1, 1), ended(1, 2), ended_apart(1, 3)]);
     let later = NOW + Duration::from_secs(599);
-    assert_eq!(shown.verdict(Content(1), later), Verdict::Shown);
-    assert_eq!(shown.forgotten_after(Content(1), later), Duration::from_secs(1));
+    assert_eq!(quarantined.verdict(Content(1), later), Verdict::Quarantined);
+    assert_eq!(
+        quarantined.forgotten_after(Content(1), later),
+        Duration::from_secs(1)
+    );
     let later = later + Duration::from_secs(1);
-    assert_eq!(shown.verdict(Content(1), later), Verdict::Unsuspected);
+    assert_eq!(quarantined.verdict(Content(1), later), Verdict::Unsuspected);
 }
 
 /// All engines of a large fleet end at once, with everything that runs there.
@@ -115,7 +118,7 @@
     ];
     rows.extend((10..20_010).map(|content| ended(content, content as u32)));
     let ledger = ledger(&rows);
-    assert_eq!(verdict(&ledger, 1), Verdict::Shown);
+    assert_eq!(verdict(&ledger, 1), Verdict::Quarantined);
     assert_eq!(verdict(&ledger, 2), Verdict::Suspected);
     assert_eq!(ledger.dangerous(NOW).len(), 2);
 }
@@ -179,16 +182,16 @@
     let mut ledger = Ledger::default();
     for engine in 0..200 {
         let ends = poison[rng.random_range(0..poison.len())];
-        let apart = match verdict(&ledger, ends) {
-            Verdict::Shown => continue,
+        let isolated = match verdict(&ledger, ends) {
+            Verdict::Quarantined => continue,
             verdict => verdict == Verdict::Suspected,
         };
-        let mut fell = vec![row(ends, Evidence::of_end(engine, apart))];
-        let mut suspects = u32::from(apart);
+        let mut fell = vec![row(ends, Evidence::of_end(engine, isolated))];
+        let mut suspects = u32::from(isolated);
         for (innocent, left) in INNOCENT.zip(&mut left) {
             let suspected = verdict(&ledger, innocent) == Verdict::Suspected;
             let beside = *left > 0 && (!suspected || suspects == 0) && rng.random_bool(0.5);
-            if beside && verdict(&ledger, innocent) != Verdict::Shown {
+            if beside && verdict(&ledger, innocent) != Verdict::Quarantined {
                 *left -= 1;
                 suspects += u32::from(suspected);
                 fell.push(row(innocent, Evidence::of_end(engine, suspected)));
@@ -205,8 +208,8 @@
 fn no_number_of_crashes_of_others_shows_an_innocent_request() {
     fn holds(seed: u64) -> bool {
         let (poison, ledger) = crashes(seed);
-        let shown = |content: u128| verdict(&ledger, content) == Verdict::Shown;
-        poison.into_iter().all(shown) && !INNOCENT.into_iter().any(shown)
+        let quarantined = |content: u128| verdict(&ledger, content) == Verdict::Quarantined;
+        poison.into_iter().all(quarantined) && !INNOCENT.into_iter().any(quarantined)
     }
     check(1000, holds);
 }
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -35,9 +35,9 @@
     ACCEPT_FAILED = 2008, "accept_failed", "A caller's connection could not be taken.";
     REQUEST_PLACED = 2009, "request_placed", "A request is sent to an upstream; what was believed of it is given.";
     REQUEST_LIMITED = 2010, "request_limited", "A request was refused as its customer's limit is used up.";
-    REQUEST_SUSPECTED = 2011, "request_suspected", "Engines have ended under a request; it goes on apart from others.";
-    REQUEST_POISONOUS = 2012, "request_poisonous", "A request is shown to end engines; it is refused.";
-    REQUEST_CLEARED = 2013, "request_cleared", "A request is no longer suspected of ending engines.";
+    REQUEST_SUSPECTED = 2011, "request_suspected", "Engines have crashed under a request; it runs in isolated trials.";
+    REQUEST_POISONOUS = 2012, "request_poisonous", "A request crashes engines; it is quarantined.";
+    REQUEST_CLEARED = 2013, "request_cleared", "A request is no longer suspected of crashing engines.";
     TREE_IN_FORCE = 3001, "tree_in_force", "A newer revision of the tree is in force.";
     TREE_REJECTED = 3002, "tree_rejected", "A tree was not taken: invalid, or incomplete.";
     TREE_OLDER = 3003, "tree_older", "The platform holds an older tree than the box.";
@@ -55,7 +55,7 @@
     HISTORY_GONE = 4007, "history_gone", "The store has forgotten its history; all is read again.";
     STORE_UNREADABLE = 4008, "store_unreadable", "A value in the store cannot be read; the one before stays.";
     NEWS_UNHEARD = 4009, "news_unheard", "Another box could not tell what has changed in the store.";
-    MARK_UNWRITTEN = 4010, "mark_unwritten", "A request that ends engines could not be written to the store.";
+    MARK_UNWRITTEN = 4010, "mark_unwritten", "A quarantine record could not be written to the store.";
     UPSTREAM_LEAVING = 5001, "upstream_leaving", "An upstream gets no new work.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream is left out after failures.";
--- a/crates/jb-relay/src/exchange/ask.rs
+++ b/crates/jb-relay/src/exchange/ask.rs
@@ -179,7 +179,7 @@
                 estimate,
                 verdict,
                 full: best.candidate.is_full(),
-                apart: false,
+                isolated: false,
                 advice: None,
             });
         }
@@ -217,7 +217,7 @@
             estimate: self.estimate(best),
             verdict: Verdict::Send,
             full: best.candidate.is_full(),
-            apart: false,
+            isolated: false,
             advice: Some(Advice {
                 held,
                 load: best.view.load,
@@ -278,7 +278,7 @@
         },
         verdict: Verdict::Send,
         full: false,
-        apart: false,
+        isolated: false,
         advice: Some(Advice {
             held,
             load: Load::default(),
--- a/crates/jb-relay/src/exchange/apart.rs
+++ b/crates/jb-relay/src/exchange/isolation.rs
@@ -1,4 +1,4 @@
-//! Requests that may end the engine that runs them.
+//! Isolated trials of requests that may crash the engine that runs them.
 
 use std::time::Duration;
 
@@ -13,23 +13,20 @@
 use crate::quarantine;
 use crate::upstream::Life;
 
-/// When the caller of a suspect is to come back while another try of it is under way, or while no
-/// engine can be spared: a run takes 0.1 to 2 s.
-const SUSPECT_AGAIN: Duration = Duration::from_millis(500);
+/// `Retry-After` of a suspect while another trial of it is under way, or no engine can be spared.
+const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// Time after its first event within which an engine that ends was ended by beginning a request, if
-/// it was: seen were 35 to 100 ms. Without it a stream looked like the cause that had run for seconds
-/// each time, when a third of all engines were ended three times in seven seconds.
-pub(super) const BEGINS: Duration = Duration::from_secs(1);
-/// Time for which a suspect waits for an engine of its own.
-pub(super) const SUSPECT_WAITS: Duration = Duration::from_secs(1);
+/// Time after the first event of a request within which a crash of the engine counts as caused by it.
+pub(super) const CRASH_WINDOW: Duration = Duration::from_secs(1);
+/// Time for which a suspect waits for an engine without other suspects.
+pub(super) const SUSPECT_PATIENCE: Duration = Duration::from_secs(1);
 
-/// Whether a request may go to an engine now, by what is known of it.
+/// Whether a request may go to an engine now.
 pub(super) enum Pass {
     /// To any.
     Freely,
-    /// To this one, as the only suspect there.
-    Apart(Box<Choice>),
+    /// To this one, in an isolated trial.
+    Isolated(Box<Choice>),
     /// Once there is one for it.
     Later,
     /// To none.
@@ -41,15 +38,15 @@
     pub(super) fn pass(&self, until: Moment) -> Pass {
         match self.verdict() {
             poison::Verdict::Unsuspected => Pass::Freely,
-            poison::Verdict::Suspected => match self.choose_apart() {
-                Some(choice) => Pass::Apart(Box::new(choice)),
+            poison::Verdict::Suspected => match self.choose_isolated() {
+                Some(choice) => Pass::Isolated(Box::new(choice)),
                 None if self.core.now() >= until => Pass::Never(Refused {
                     why: "suspect_waits",
-                    after: SUSPECT_AGAIN,
+                    after: SUSPECT_RETRY_AFTER,
                 }),
                 None => Pass::Later,
             },
-            poison::Verdict::Shown => Pass::Never(self.refuse_shown()),
+            poison::Verdict::Quarantined => Pass::Never(self.reject_quarantined()),
         }
     }
 
@@ -69,7 +66,7 @@
     }
 
     /// The refusal of a request that is shown to end engines.
-    fn refuse_shown(&self) -> Refused {
+    fn reject_quarantined(&self) -> Refused {
         let content = self.content();
         let after = self
             .core
@@ -86,7 +83,7 @@
     /// The engine at which a suspect may do the least harm: no other suspect is there, and the
     /// fewest requests run. `None` while another try of it is under way anywhere, and while it would
     /// take the last engine that is open.
-    fn choose_apart(&self) -> Option<Choice> {
+    fn choose_isolated(&self) -> Option<Choice> {
         let content = self.content();
         let core = self.core;
         let now = core.now();
@@ -110,17 +107,17 @@
             },
             verdict: Verdict::Send,
             full: false,
-            apart: true,
+            isolated: true,
             advice: None,
         })
     }
 
     /// Notes it if the engine has ended. A connection that ends shows nothing by itself: networks
     /// and failing engines do that as well; but then the engine still takes another one.
-    pub(super) async fn note_end(&self, life: &Life, apart: bool) {
+    pub(super) async fn note_end(&self, life: &Life, isolated: bool) {
         if link::has_ended(self.core, life).await {
             let content = self.content();
-            quarantine::note_end(self.core, content, life, apart);
+            quarantine::note_end(self.core, content, life, isolated);
         }
     }
 
--- a/crates/jb-relay/src/exchange/mod.rs
+++ b/crates/jb-relay/src/exchange/mod.rs
@@ -1,8 +1,8 @@
 //! One request from its admission to its last byte.
 
-mod apart;
 mod ask;
 mod count;
+mod isolation;
 mod judge;
 mod pick;
 mod place;
--- a/crates/jb-relay/src/exchange/pick.rs
+++ b/crates/jb-relay/src/exchange/pick.rs
@@ -6,7 +6,7 @@
 use jb_policy::gate::Verdict;
 use tokio::time::sleep;
 
-use super::apart::{Pass, SUSPECT_WAITS};
+use super::isolation::{Pass, SUSPECT_PATIENCE};
 use super::place::{self, Choice};
 use super::run::Exchange;
 use crate::http::Connection;
@@ -37,11 +37,11 @@
             Some(_) => self.core.now() + ticket.route.pause,
             None => ticket.arrived + ticket.route.target.mul_f64(WAIT_SHARE),
         };
-        let suspect_until = (self.core.now() + SUSPECT_WAITS).min(ticket.until);
+        let suspect_until = (self.core.now() + SUSPECT_PATIENCE).min(ticket.until);
         loop {
             match self.pass(suspect_until) {
                 Pass::Freely => {}
-                Pass::Apart(choice) => return Some(*choice),
+                Pass::Isolated(choice) => return Some(*choice),
                 Pass::Later => {
                     self.wait(LOOK_FOR_PLACE, client).await?;
                     continue;
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -33,7 +33,7 @@
     /// Whether all its places are taken.
     pub(super) full: bool,
     /// Whether the request is a suspect, and the only one there.
-    pub(super) apart: bool,
+    pub(super) isolated: bool,
     /// What its account says, where it was asked.
     pub(super) advice: Option<Advice>,
 }
@@ -112,7 +112,7 @@
             Verdict::Send
         },
         full: candidates[at].is_full(),
-        apart: false,
+        isolated: false,
         estimate,
         advice: None,
     })
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -10,8 +10,8 @@
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
-use super::apart::BEGINS;
 use super::count::Counted;
+use super::isolation::CRASH_WINDOW;
 use super::pick::Refused;
 use super::place::{self, Choice};
 use crate::attempt::{self, Message, Outcome, Reply};
@@ -155,7 +155,7 @@
             life,
             advice,
             estimate,
-            apart,
+            isolated,
             ..
         } = choice;
         let life = &life;
@@ -166,7 +166,7 @@
         let mut counted = Counted::new(core, life, waiting, last, held);
         self.tried.push(life.clone());
         // It is a try of a suspect until the end of this send.
-        let _tried = apart.then(|| quarantine::begin(core, self.content(), life));
+        let _tried = isolated.then(|| quarantine::begin(core, self.content(), life));
         let outcome = tokio::select! {
             outcome = self.patiently(life, permit, estimate.first) => outcome,
             () = client.closed() => {
@@ -191,7 +191,7 @@
                 self.sends += 1;
                 self.runs += 1;
                 self.blame(life, "may_have_run", &why);
-                self.note_end(life, apart).await;
+                self.note_end(life, isolated).await;
                 Err("upstream_failed")
             }
             Outcome::Answered(reply) => {
@@ -199,7 +199,8 @@
                 self.runs += 1;
                 let next = self.deliver(life, *reply, client, &mut counted).await;
                 if !matches!(next, Ok(Next::End(Ending::Answered(_) | Ending::CallerGone))) {
-                    self.note_end(life, apart && counted.ran() < BEGINS).await;
+                    self.note_end(life, isolated && counted.ran() < CRASH_WINDOW)
+                        .await;
                 }
                 next
             }
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -92,7 +92,7 @@
         .get(&item.key)
         .is_none_or(|known| known.revision < item.revision);
     if newer {
-        peers::hear_mark(core, &item);
+        peers::apply_quarantine_record(core, &item);
         own.insert(item.key.clone(), item);
     }
 }
--- a/crates/jb-relay/src/peers/mark.rs
+++ b/crates/jb-relay/src/peers/mark.rs
@@ -1,25 +1,24 @@
-//! Requests that are shown to end engines are kept in the store, for boxes that start when no other
-//! box is left to tell them: after a loss of power nobody else would know, and each restart of the
-//! whole fleet would cost three engines more.
+//! Quarantine records in the store, for boxes that start when no other box is left: without them each
+//! restart of the whole fleet would cost three engines more.
 //!
-//! A mark goes with a lease, for as long as boxes remember such a request, so nobody has to take it away. It is written once for each such request,
-//! by the box that saw the last engine end.
+//! A record has a lease as long as the quarantine. It is written once, by the box that observed the last
+//! crash.
 
 use std::time::Duration;
 
 use bytes::Bytes;
-use jb_policy::poison::{Content, REMEMBERED, Verdict};
+use jb_policy::poison::{Content, RETENTION, Verdict};
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
-use super::message::ToldSuspect;
+use super::message::Suspect;
 use super::suspicion;
 use crate::core::{Core, Shared};
 use crate::port::{Change, StoreError, Write};
 
-/// Beginning of the keys of marks; the rest is the request's hash.
+/// Start of the records' keys; the rest is the request's hash.
 const KEYS: &str = "junctionbend/poison/";
-/// Times that a mark is tried to be written.
+/// Attempts to write a record.
 const TRIES: u32 = 5;
 /// Pause between two of them.
 const AGAIN: Duration = Duration::from_secs(2);
@@ -30,8 +29,8 @@
 
 /// Whether a request is shown to be poison and the store does not know it yet.
 pub(super) fn is_due(core: &Core, content: Content) -> bool {
-    let shown = core.quarantine.ledger().verdict(content, core.now()) == Verdict::Shown;
-    shown && !core.own.borrow().contains_key(&key(content))
+    let quarantined = core.quarantine.ledger().verdict(content, core.now()) == Verdict::Quarantined;
+    quarantined && !core.own.borrow().contains_key(&key(content))
 }
 
 /// Writes the mark of a request.
@@ -52,13 +51,13 @@
     let Some(row) = core.quarantine.ledger().row(content) else {
         return Ok(());
     };
-    let told = suspicion::told_row(core, &row, None);
-    let Ok(value) = serde_json::to_vec(&told) else {
+    let received = suspicion::suspect(core, &row, None);
+    let Ok(value) = serde_json::to_vec(&received) else {
         // Numbers and lists of numbers always have a form as text.
         return Ok(());
     };
     core.metrics.store_calls.inc_by(2);
-    let lease = core.store.lease(REMEMBERED).await?;
+    let lease = core.store.lease(RETENTION).await?;
     let write = Write {
         key: key(content),
         value: Bytes::from(value),
@@ -69,12 +68,12 @@
 }
 
 /// Takes an item of the store, if it is a mark.
-pub fn hear(core: &Core, item: &Change) {
+pub fn apply_record(core: &Core, item: &Change) {
     let Some(value) = item.value.as_deref().filter(|_| item.key.starts_with(KEYS)) else {
         return;
     };
-    match serde_json::from_slice::<ToldSuspect>(value) {
-        Ok(told) => suspicion::take_row(core, &told),
+    match serde_json::from_slice::<Suspect>(value) {
+        Ok(received) => suspicion::receive_suspect(core, &received),
         Err(why) => {
             emit!(core.logger, warn, event::STORE_UNREADABLE, "key" => &item.key, "why" => %why);
         }
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Acquire, Advice, Ask, AskMore, AskReleases, Charge, Count, Grant, Leaving, Limits, News, Permit,
-    Question, Releases, Replaced, Returned, Sent, Suspicion, Told,
+    Question, Releases, Replaced, Returned, Sent, Suspects, Told,
 };
 
 /// Longest datagram, in bytes: one packet.
@@ -41,8 +41,8 @@
     Grant(Grant),
     /// A box asks for more of what has changed in the store.
     AskMore(AskMore),
-    /// What is known of requests that end engines.
-    Suspicion(Suspicion),
+    /// Evidence on poison requests.
+    Suspects(Suspects),
     /// Lives of upstreams that have said in answers that they leave.
     Leaving(Leaving),
     /// Rate limits of instances have begun or ended.
--- a/crates/jb-relay/src/peers/message/mod.rs
+++ b/crates/jb-relay/src/peers/message/mod.rs
@@ -16,6 +16,6 @@
 pub(super) use place::{Advice, Question, Returned};
 pub(super) use rate_limit::{Acquire, Limits, Observation, Permit};
 pub(super) use releases::{AskReleases, Release, Releases};
-pub(super) use suspicion::{Suspicion, ToldSuspect, ToldTrial};
+pub(super) use suspicion::{Suspect, Suspects};
 pub use told::ToldWeights;
 pub(super) use told::{Leaving, Replaced, Sent, Told, ToldLoad, ToldStore, ToldUse};
--- a/crates/jb-relay/src/peers/message/suspicion.rs
+++ b/crates/jb-relay/src/peers/message/suspicion.rs
@@ -1,36 +1,30 @@
-//! What boxes tell of requests that end engines.
+//! Evidence on poison requests.
 
 use serde::{Deserialize, Serialize};
 
-/// What is known of some requests.
+use crate::quarantine::Trial;
+
+/// Evidence on some requests.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct Suspicion {
+pub(in crate::peers) struct Suspects {
     /// Requests.
-    pub rows: Vec<ToldSuspect>,
+    pub rows: Vec<Suspect>,
 }
 
-/// What is known of one request.
+/// Evidence on one request, also as it stands in the store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct ToldSuspect {
-    /// Hash of what it asks.
+pub(in crate::peers) struct Suspect {
+    /// Hash of the request.
     pub content: u128,
     /// Time since the last evidence, in milliseconds.
     pub age_ms: u64,
-    /// Lower halves of the hashes of the engines that ended while they ran it.
+    /// Short names of the engines that ended while they ran it.
     pub ended: Vec<u32>,
-    /// Those of them where it was the only suspect.
-    pub apart: Vec<u32>,
-    /// Engines that ran it to a good end.
+    /// Those of them where it was the only suspect; records in the store keep this name.
+    #[serde(rename = "apart")]
+    pub isolated: Vec<u32>,
+    /// Engines that completed it.
     pub well: Vec<u32>,
-    /// A try that the teller has begun or ended.
-    pub trial: Option<ToldTrial>,
-}
-
-/// A try of a suspect.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct ToldTrial {
-    /// Lower half of the hash of its engine.
-    pub engine: u32,
-    /// Whether it is over.
-    pub over: bool,
+    /// A trial that the sender has begun or ended.
+    pub trial: Option<Trial>,
 }
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -24,7 +24,7 @@
 pub use book::{Book, Peer};
 pub use gossip::{Loads, Placed, note_use, tell};
 pub use log::Log;
-pub use mark::hear as hear_mark;
+pub use mark::apply_record as apply_quarantine_record;
 pub use message::Room;
 pub use notice::{Notices, note_leaving, note_limit, note_replaced, note_sent};
 pub use quota::{Charged, Quotas, charge};
@@ -34,5 +34,5 @@
 pub use relay::{Heard, Relayed, Source, ask, is_told};
 pub use releases::discover as discover_releases;
 pub use socket::{bind, hear};
-pub use suspicion::tell as tell_suspects;
+pub use suspicion::publish as publish_suspects;
 pub use weights::{Gathered, LOADING, tell_weights};
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -81,7 +81,7 @@
             Ok(Message::Grant(grant)) => quota::deliver(&core, grant),
             Ok(Message::AskReleases(asked)) => releases::answer(&core, &socket, from, asked).await,
             Ok(Message::Releases(told)) => releases::receive(&core, told),
-            Ok(Message::Suspicion(told)) => suspicion::take(&core, from, &told),
+            Ok(Message::Suspects(told)) => suspicion::receive(&core, from, &told),
             Ok(Message::Leaving(leaving)) => notice::take_leaving(&core, from, &leaving),
             Ok(Message::Limits(limits)) => rate_limit::receive_limits(&core, from, &limits),
             Ok(Message::Acquire(query)) => rate_limit::receive_acquire(&core, &socket, from, &query),
--- a/crates/jb-relay/src/peers/suspicion.rs
+++ b/crates/jb-relay/src/peers/suspicion.rs
@@ -1,8 +1,8 @@
-//! Boxes tell each other of requests that end engines.
+//! Exchanges evidence on poison requests between boxes.
 //!
-//! News go to all boxes at once: such a request is sent again twice a second, at any of them. What is
-//! still dangerous is told again to a few boxes from time to time, for those whose datagram was lost,
-//! that have started since, or that were cut off. On a day without such a request nothing is told.
+//! New evidence goes to all boxes at once, as callers retry such a request at any of them. What is still
+//! suspected is sent again to a few boxes from time to time, for those that lost the datagram, have started
+//! since, or were partitioned.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -16,36 +16,35 @@
 use super::account;
 use super::gossip::tell_everyone;
 use super::mark;
-use super::message::{Message, Suspicion, ToldSuspect, ToldTrial};
+use super::message::{Message, Suspect, Suspects};
 use super::socket::send;
 use crate::core::{Core, Shared};
 use crate::quarantine::{self, News, Trial};
 
-/// Pause between two tellings of what is still dangerous: a box that comes back is told within it,
-/// and the rule on such requests begins to hold for that box after three seconds.
+/// Interval at which suspected requests are sent again.
 const PERIOD: Duration = Duration::from_secs(1);
-/// Boxes that are told each time: the next ones in the order of their ids, so that each box is told
-/// by as many others.
-const TOLD: usize = 3;
-/// Requests in one datagram: a row of one that has ended eight engines has 150 bytes.
-const MOST_ROWS: usize = 8;
-/// Datagrams of dangerous requests in one telling.
-const MOST_TOLD: usize = 4;
+/// Boxes that receive them each time: the next ones in the order of their ids, so that each box receives them
+/// from as many others.
+const BOXES_PER_BROADCAST: usize = 3;
+/// Requests in one datagram; a row with eight engines has 150 bytes.
+const MAX_ROWS: usize = 8;
+/// Datagrams to each box in one interval.
+const MAX_DATAGRAMS: usize = 4;
 
-/// Tells for ever.
-pub async fn tell(core: Shared, socket: Rc<UdpSocket>) {
+/// Publishes evidence for as long as the box runs.
+pub async fn publish(core: Shared, socket: Rc<UdpSocket>) {
     let mut due = core.now() + PERIOD;
     loop {
         let left = due.saturating_sub(core.now());
         if let Ok(news) = timeout(left, core.quarantine.news()).await {
-            let told = news.iter().filter_map(|news| told_news(&core, news));
-            for message in messages(told) {
+            let suspects = news.iter().filter_map(|news| suspect_of_news(&core, news));
+            for message in messages(suspects) {
                 tell_everyone(&core, &socket, &message).await;
             }
-            let shown = news
+            let quarantined = news
                 .iter()
                 .filter(|news| news.trial.is_none() && mark::is_due(&core, news.content));
-            for News { content, .. } in shown {
+            for News { content, .. } in quarantined {
                 spawn_local(mark::write(Rc::clone(&core), *content));
             }
             continue;
@@ -53,15 +52,15 @@
         due = core.now() + PERIOD;
         if !core.quarantine.is_empty() {
             core.quarantine.forget(core.now());
-            tell_again(&core, &socket).await;
+            broadcast_dangerous(&core, &socket).await;
         }
     }
 }
 
-async fn tell_again(core: &Core, socket: &UdpSocket) {
+async fn broadcast_dangerous(core: &Core, socket: &UdpSocket) {
     let rows = core.quarantine.ledger().dangerous(core.now());
-    let told = rows.iter().map(|row| told_row(core, row, None));
-    let messages: Vec<Message> = messages(told).into_iter().take(MOST_TOLD).collect();
+    let suspects = rows.iter().map(|row| suspect(core, row, None));
+    let messages: Vec<Message> = messages(suspects).into_iter().take(MAX_DATAGRAMS).collect();
     if messages.is_empty() {
         return;
     }
@@ -76,55 +75,54 @@
     let book = core.book.borrow();
     let own = core.settings.id.as_str();
     let (before, after): (Vec<_>, Vec<_>) = book.others(own).partition(|(id, _)| id.as_str() < own);
-    let next = after.into_iter().chain(before).take(TOLD);
+    let next = after.into_iter().chain(before).take(BOXES_PER_BROADCAST);
     next.map(|(_, peer)| peer.address).collect()
 }
 
-fn told_news(core: &Core, news: &News) -> Option<ToldSuspect> {
+fn suspect_of_news(core: &Core, news: &News) -> Option<Suspect> {
     let row = core.quarantine.ledger().row(news.content)?;
-    Some(told_row(core, &row, news.trial))
+    Some(suspect(core, &row, news.trial))
 }
 
-pub(super) fn told_row(core: &Core, row: &Row, trial: Option<Trial>) -> ToldSuspect {
+pub(super) fn suspect(core: &Core, row: &Row, trial: Option<Trial>) -> Suspect {
     let age = core.now().saturating_sub(row.at);
-    ToldSuspect {
+    Suspect {
         content: row.content.0,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         ended: row.evidence.ended().collect(),
-        apart: row.evidence.apart().collect(),
+        isolated: row.evidence.isolated().collect(),
         well: row.evidence.well().collect(),
-        trial: trial.map(|Trial { engine, over }| ToldTrial { engine, over }),
+        trial,
     }
 }
 
-fn messages(told: impl Iterator<Item = ToldSuspect>) -> Vec<Message> {
-    let told: Vec<ToldSuspect> = told.collect();
-    let message = |rows: &[ToldSuspect]| Message::Suspicion(Suspicion { rows: rows.to_vec() });
-    told.chunks(MOST_ROWS).map(message).collect()
+fn messages(suspects: impl Iterator<Item = Suspect>) -> Vec<Message> {
+    let suspects: Vec<Suspect> = suspects.collect();
+    let message = |rows: &[Suspect]| Message::Suspects(Suspects { rows: rows.to_vec() });
+    suspects.chunks(MAX_ROWS).map(message).collect()
 }
 
-/// Takes what another box tells.
-pub(super) fn take(core: &Core, from: SocketAddr, told: &Suspicion) {
+/// Receives evidence from another box.
+pub(super) fn receive(core: &Core, from: SocketAddr, suspects: &Suspects) {
     if !account::is_known(core, from) {
         return;
     }
-    for told in &told.rows {
-        take_row(core, told);
-        if let Some(ToldTrial { engine, over }) = told.trial {
-            let trial = Trial { engine, over };
+    for suspect in &suspects.rows {
+        receive_suspect(core, suspect);
+        if let Some(trial) = suspect.trial {
             core.quarantine
-                .hear_trial(Content(told.content), trial, core.now());
+                .apply_trial(Content(suspect.content), trial, core.now());
         }
     }
 }
 
-/// Takes what is told of one request.
-pub(super) fn take_row(core: &Core, told: &ToldSuspect) {
-    let age = Duration::from_millis(told.age_ms);
+/// Applies the evidence on one request.
+pub(super) fn receive_suspect(core: &Core, suspect: &Suspect) {
+    let age = Duration::from_millis(suspect.age_ms);
     let row = Row {
-        content: Content(told.content),
-        evidence: Evidence::told(&told.ended, &told.apart, &told.well),
+        content: Content(suspect.content),
+        evidence: Evidence::received(&suspect.ended, &suspect.isolated, &suspect.well),
         at: core.now().saturating_sub(age),
     };
-    quarantine::take(core, &row);
+    quarantine::apply(core, &row);
 }
--- a/crates/jb-relay/src/quarantine.rs
+++ b/crates/jb-relay/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! What this box knows of requests that end engines, and what the others are to be told of it.
+//! What this box knows of poison requests, and the evidence that it has to publish.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -7,30 +7,31 @@
 use jb_policy::place;
 use jb_policy::poison::{Change, Content, Engine, Evidence, Ledger, Row, Verdict};
 use jb_protocol::{emit, event};
+use serde::{Deserialize, Serialize};
 use tokio::sync::Notify;
 
 use crate::core::{Core, Shared};
 use crate::upstream::Life;
 
-/// What other boxes are to be told of one request.
+/// Evidence to publish on one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct News {
     /// The request.
     pub content: Content,
-    /// A try that this box has begun or ended, if it is about one.
+    /// A trial that this box has begun or ended, if there is one.
     pub trial: Option<Trial>,
 }
 
-/// A try of a suspect.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+/// A trial of a suspect at an engine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Trial {
-    /// Where.
+    /// Short name of the engine.
     pub engine: Engine,
     /// Whether it is over.
     pub over: bool,
 }
 
-/// Requests that end engines.
+/// Poison requests and suspects.
 #[derive(Debug, Default)]
 pub struct Quarantine {
     ledger: RefCell<Ledger>,
@@ -49,7 +50,7 @@
         self.ledger.borrow()
     }
 
-    /// What is to be told, once there is something.
+    /// Waits for evidence to publish.
     pub async fn news(&self) -> Vec<News> {
         self.wake.notified().await;
         std::mem::take(&mut *self.news.borrow_mut())
@@ -60,7 +61,7 @@
         self.ledger.borrow_mut().forget(now);
     }
 
-    fn tell(&self, news: News) {
+    fn enqueue(&self, news: News) {
         let mut queued = self.news.borrow_mut();
         if !queued.contains(&news) {
             queued.push(news);
@@ -68,8 +69,8 @@
         self.wake.notify_one();
     }
 
-    /// Takes word of another box of a try.
-    pub fn hear_trial(&self, content: Content, trial: Trial, now: Moment) {
+    /// Applies a trial of another box.
+    pub fn apply_trial(&self, content: Content, trial: Trial, now: Moment) {
         let mut ledger = self.ledger.borrow_mut();
         if trial.over {
             ledger.end(content, trial.engine);
@@ -85,8 +86,8 @@
 }
 
 /// Notes that an engine has ended while it ran a request; `apart`: as the only suspect there.
-pub fn note_end(core: &Core, content: Content, life: &Life, apart: bool) {
-    note(core, content, Evidence::of_end(engine(life), apart));
+pub fn note_end(core: &Core, content: Content, life: &Life, isolated: bool) {
+    note(core, content, Evidence::of_end(engine(life), isolated));
 }
 
 /// Notes that an engine has run a request to a good end, where that tells anything.
@@ -102,13 +103,13 @@
         evidence,
         at: core.now(),
     };
-    if take(core, &row) {
-        core.quarantine.tell(News { content, trial: None });
+    if apply(core, &row) {
+        core.quarantine.enqueue(News { content, trial: None });
     }
 }
 
 /// Takes evidence of this box or of another one; whether it says anything new.
-pub fn take(core: &Core, row: &Row) -> bool {
+pub fn apply(core: &Core, row: &Row) -> bool {
     let change = core.quarantine.ledger.borrow_mut().take(row, core.now());
     if let Some(change) = change {
         log(core, row.content, change);
@@ -130,10 +131,10 @@
         Verdict::Suspected => {
             emit!(core.logger, warn, event::REQUEST_SUSPECTED, "content" => %content, "ended" => ended);
         }
-        Verdict::Shown => {
+        Verdict::Quarantined => {
             core.metrics.poisonous.inc();
             emit!(core.logger, warn, event::REQUEST_POISONOUS, "content" => %content, "ended" => ended,
-                "apart" => evidence.apart().count());
+                "isolated" => evidence.isolated().count());
         }
     }
 }
@@ -151,7 +152,7 @@
     let now = core.now();
     core.quarantine.ledger.borrow_mut().begin(content, engine, now);
     let trial = Some(Trial { engine, over: false });
-    core.quarantine.tell(News { content, trial });
+    core.quarantine.enqueue(News { content, trial });
     Tried {
         core: Rc::clone(core),
         content,
@@ -164,6 +165,6 @@
         let (content, engine) = (self.content, self.engine);
         self.core.quarantine.ledger.borrow_mut().end(content, engine);
         let trial = Some(Trial { engine, over: true });
-        self.core.quarantine.tell(News { content, trial });
+        self.core.quarantine.enqueue(News { content, trial });
     }
 }
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -121,7 +121,7 @@
     spawn_local(peers::tell(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::hear(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::discover_releases(Rc::clone(core), Rc::clone(&socket)));
-    spawn_local(peers::tell_suspects(Rc::clone(core), Rc::clone(&socket)));
+    spawn_local(peers::publish_suspects(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(Steward::new(Rc::clone(core), socket).run());
     spawn_local(cache_scan::run(Rc::clone(core)));
     spawn_local(sweep(Rc::clone(core)));
--- a/crates/jb-relay/tests/lives.rs
+++ b/crates/jb-relay/tests/lives.rs
@@ -195,8 +195,8 @@
         registry.hear(id, entry(Some(FIRST), false), 1);
     }
     let names: Vec<u32> = registry.iter().map(|(_, u)| place::short(u.name)).collect();
-    let told = names.iter().map(|name| registry.note_leaving(&[*name]).len());
-    assert_eq!(told.sum::<usize>(), 3);
+    let received = names.iter().map(|name| registry.note_leaving(&[*name]).len());
+    assert_eq!(received.sum::<usize>(), 3);
     assert!(registry.note_leaving(&names).is_empty());
     // Boxes that were told do not tell again when they hear it themselves.
     let first = registry
--- a/crates/jb-relay/tests/news.rs
+++ b/crates/jb-relay/tests/news.rs
@@ -118,7 +118,7 @@
     }
 
     /// What a box makes of the changes that knew the store as it was at `after`.
-    fn told(&self, after: Revision) -> Option<State> {
+    fn received(&self, after: Revision) -> Option<State> {
         let mut state = self.states[after as usize].clone();
         for change in self.log.since(after)? {
             match &change.value {
@@ -140,8 +140,8 @@
             world.step(step);
             let known = world.log.revision();
             (1..=known).all(|after| {
-                let told = world.told(after);
-                told.is_none_or(|told| told == world.states[known as usize])
+                let received = world.received(after);
+                received.is_none_or(|received| received == world.states[known as usize])
             })
         })
     }
@@ -162,7 +162,7 @@
     world.remove("engine");
     world.put("rules");
     world.read_all();
-    let told = world.told(before).expect("changes");
-    assert_eq!(&told, world.now());
-    assert!(!told.contains_key("engine"));
+    let received = world.received(before).expect("changes");
+    assert_eq!(&received, world.now());
+    assert!(!received.contains_key("engine"));
 }
