--- a/crates/jb-cli/src/command/trace.rs
+++ b/crates/jb-cli/src/command/trace.rs
@@ -26,7 +26,7 @@
     } else {
         read(&arguments.files)?
     };
-    let story = story::tell(&arguments.request, &logs).ok_or_else(|| Error::Input {
+    let story = story::trace(&arguments.request, &logs).ok_or_else(|| Error::Input {
         what: format!("no line of the logs names the request {}", arguments.request),
     })?;
     if json {
--- a/crates/jb-cli/src/story.rs
+++ b/crates/jb-cli/src/story.rs
@@ -49,7 +49,7 @@
 }
 
 /// Puts the story of a request together; `None` when no line names it.
-pub fn tell(request: &str, logs: &[String]) -> Option<Story> {
+pub fn trace(request: &str, logs: &[String]) -> Option<Story> {
     let mut unreadable = 0;
     let mut all = Vec::new();
     for text in logs
--- a/crates/jb-cli/tests/story.rs
+++ b/crates/jb-cli/tests/story.rs
@@ -2,7 +2,7 @@
 
 #![allow(clippy::expect_used)]
 
-use jb_cli::story::{Story, tell};
+use jb_cli::story::{Story, trace};
 
 fn line(at: &str, from: &str, msg: &str, fields: &str) -> String {
     format!(
@@ -11,7 +11,7 @@
 }
 
 fn story(lines: &[String]) -> Story {
-    tell("r1", &[lines.concat()]).expect("a story")
+    trace("r1", &[lines.concat()]).expect("a story")
 }
 
 #[test]
@@ -119,8 +119,8 @@
         "request_ended",
         ",\"request\":\"r1\",\"ending\":\"caller_gone\",\"ms\":5",
     );
-    let told = tell("r1", &[format!("  2.01 box-1 {ended}not a line\n{{\"cut")]).expect("a story");
+    let told = trace("r1", &[format!("  2.01 box-1 {ended}not a line\n{{\"cut")]).expect("a story");
     assert_eq!(told.unreadable, 2);
     assert!(told.cause.contains("the caller left"));
-    assert_eq!(tell("none", &[ended]), None);
+    assert_eq!(trace("none", &[ended]), None);
 }
--- a/crates/jb-daemon/src/admin/routes.rs
+++ b/crates/jb-daemon/src/admin/routes.rs
@@ -52,12 +52,12 @@
     type Output = Response;
 
     async fn call(&self, request: Request) -> poem::Result<Response> {
-        let shown = request
+        let presented = request
             .header("authorization")
             .and_then(|h| h.strip_prefix("Bearer "));
         let open = self
             .key
-            .is_none_or(|key| shown.is_some_and(|shown| Digest::of(shown).matches(&key)));
+            .is_none_or(|key| presented.is_some_and(|presented| Digest::of(presented).matches(&key)));
         if !open {
             let refused =
                 Call::new(String::new(), false).refuse(Kind::Unauthenticated, "not the operators' key");
--- a/crates/jb-daemon/src/follow/edit.rs
+++ b/crates/jb-daemon/src/follow/edit.rs
@@ -175,12 +175,12 @@
 
 /// Highest revision that this box or any box it has heard of has in force.
 fn newest_known(context: &Context) -> id::Revision {
-    let told = context
+    let accepted = context
         .directory
         .alive()
         .iter()
         .map(|m| m.revision)
         .max()
         .unwrap_or(0);
-    told.max(context.store.revision())
+    accepted.max(context.store.revision())
 }
--- a/crates/jb-daemon/src/members.rs
+++ b/crates/jb-daemon/src/members.rs
@@ -114,11 +114,11 @@
     }
 
     /// Takes what another box told of itself, of others, and of its hall.
-    pub fn hear(
+    pub fn merge(
         &self,
         context: &Context,
         sender: Option<peer::Member>,
-        heard: Vec<peer::Member>,
+        peers_seen: Vec<peer::Member>,
         loads: Vec<ServiceLoad>,
     ) {
         let now = context.clock.now();
@@ -128,18 +128,18 @@
                 state.note_load(&sender.hall, load);
             }
         }
-        for member in sender.into_iter().chain(heard) {
+        for member in sender.into_iter().chain(peers_seen) {
             let id = member.id.clone();
-            if state.members.hear(from_wire(member), now) == Change::Found {
+            if state.members.merge(from_wire(member), now) == Change::Found {
                 emit!(context.logger, info, event::PEER_FOUND, "peer" => id);
             }
         }
     }
 
     /// What to tell another box.
-    pub fn tell(&self) -> Vec<peer::Member> {
-        let told = self.lock().members.told();
-        told.into_iter().map(to_wire).collect()
+    pub fn updates(&self) -> Vec<peer::Member> {
+        let updates = self.lock().members.next_updates();
+        updates.into_iter().map(to_wire).collect()
     }
 
     fn beat(&self, revision: id::Revision, leaving: bool) {
@@ -275,8 +275,8 @@
         version: jb_wire::VERSION,
         loads: loads(&summaries, me.heartbeat),
         sender: Some(to_wire(me)),
-        heard: context.directory.tell(),
-        suspects: context.quarantine.tell(context.clock.now()),
+        peers_seen: context.directory.updates(),
+        suspects: context.quarantine.most_dangerous(context.clock.now()),
     };
     let sent = request.encoded_len();
     match context.dialer.probe(target.address, request).await {
@@ -299,8 +299,8 @@
     let theirs = reply.receiver.as_ref().map_or(0, |m| m.revision);
     context
         .directory
-        .hear(context, reply.receiver, reply.heard, reply.loads);
-    quarantine::hear(context, &reply.suspects);
+        .merge(context, reply.receiver, reply.peers_seen, reply.loads);
+    quarantine::receive(context, &reply.suspects);
     if theirs > context.store.revision() {
         fetch_tree(context, address).await;
     }
@@ -343,7 +343,7 @@
     let now = context.clock.now();
     let mut state = context.directory.lock();
     for entry in entries.into_iter().filter(|e| e.entry) {
-        state.members.hear(from_entry(entry), now);
+        state.members.merge(from_entry(entry), now);
     }
     listed
 }
--- a/crates/jb-daemon/src/peer/server.rs
+++ b/crates/jb-daemon/src/peer/server.rs
@@ -58,8 +58,8 @@
 impl Server {
     /// Refuses senders without the secret or with another protocol version.
     fn check<T>(&self, request: &Request<T>, version: u32) -> Result<(), Status> {
-        let shown = request.metadata().get(SECRET).and_then(|v| v.to_str().ok());
-        if !shown.is_some_and(|shown| Digest::of(shown).matches(&self.secret)) {
+        let presented = request.metadata().get(SECRET).and_then(|v| v.to_str().ok());
+        if !presented.is_some_and(|presented| Digest::of(presented).matches(&self.secret)) {
             emit!(self.context.logger, warn, event::PEER_REFUSED, "why" => "unknown sender");
             return Err(Status::unauthenticated("unknown sender"));
         }
@@ -80,15 +80,15 @@
         let probe = request.into_inner();
         let received = probe.encoded_len();
         let directory = &self.context.directory;
-        directory.hear(&self.context, probe.sender, probe.heard, probe.loads);
-        quarantine::hear(&self.context, &probe.suspects);
+        directory.merge(&self.context, probe.sender, probe.peers_seen, probe.loads);
+        quarantine::receive(&self.context, &probe.suspects);
         let summaries = self.context.ring.summarize().await.unwrap_or_default();
         let me = directory.me();
         let reply = ProbeReply {
             loads: loads(&summaries, me.heartbeat),
             receiver: Some(to_wire(me)),
-            heard: directory.tell(),
-            suspects: self.context.quarantine.tell(self.context.clock.now()),
+            peers_seen: directory.updates(),
+            suspects: self.context.quarantine.most_dangerous(self.context.clock.now()),
         };
         let bytes = (received + reply.encoded_len()) as u64;
         self.context.metrics.control_bytes.inc_by(bytes);
--- a/crates/jb-daemon/src/quarantine.rs
+++ b/crates/jb-daemon/src/quarantine.rs
@@ -20,7 +20,7 @@
 /// ended under one request in one run of four, in none of five with 300 ms.
 const PROBE: Duration = Duration::from_millis(300);
 /// Requests that are told with one probe, the most dangerous first: 100 bytes each.
-const MOST_TOLD: usize = 16;
+const MAX_PER_PROBE: usize = 16;
 
 /// Requests that end engines.
 #[derive(Debug, Default)]
@@ -63,13 +63,13 @@
     }
 
     /// What to tell another box.
-    pub fn tell(&self, now: Moment) -> Vec<Suspect> {
+    pub fn most_dangerous(&self, now: Moment) -> Vec<Suspect> {
         let mut ledger = self.lock();
         if ledger.is_empty() {
             return Vec::new();
         }
         ledger.forget(now);
-        let rows = ledger.dangerous(now).into_iter().take(MOST_TOLD);
+        let rows = ledger.dangerous(now).into_iter().take(MAX_PER_PROBE);
         rows.map(|row| to_wire(&row, now)).collect()
     }
 }
@@ -80,7 +80,7 @@
         content: row.content.0.to_le_bytes().to_vec(),
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
         ended: row.evidence.ended().collect(),
-        apart: row.evidence.isolated().collect(),
+        isolated: row.evidence.isolated().collect(),
         well: row.evidence.well().collect(),
     }
 }
@@ -89,7 +89,7 @@
     let content = u128::from_le_bytes(received.content.as_slice().try_into().ok()?);
     Some(Row {
         content: Content(content),
-        evidence: Evidence::received(&received.ended, &received.apart, &received.well),
+        evidence: Evidence::received(&received.ended, &received.isolated, &received.well),
         at: now.saturating_sub(Duration::from_millis(received.age_ms)),
     })
 }
@@ -102,7 +102,7 @@
 }
 
 /// Takes what another box tells.
-pub fn hear(context: &Context, received: &[Suspect]) {
+pub fn receive(context: &Context, received: &[Suspect]) {
     let now = context.clock.now();
     for row in received.iter().filter_map(|received| from_wire(received, now)) {
         take(context, &row);
--- a/crates/jb-daemon/src/serve/body.rs
+++ b/crates/jb-daemon/src/serve/body.rs
@@ -157,16 +157,16 @@
 struct Choice<'a> {
     index: u32,
     #[serde(skip_serializing_if = "Option::is_none")]
-    message: Option<Said<'a>>,
+    message: Option<ChatMessage<'a>>,
     #[serde(skip_serializing_if = "Option::is_none")]
-    delta: Option<Said<'a>>,
+    delta: Option<ChatMessage<'a>>,
     #[serde(skip_serializing_if = "Option::is_none")]
     text: Option<&'a str>,
     finish_reason: Option<&'a str>,
 }
 
 #[derive(Serialize)]
-struct Said<'a> {
+struct ChatMessage<'a> {
     role: &'static str,
     content: &'a str,
 }
@@ -191,7 +191,7 @@
             "text_completion"
         };
         let choice = Choice {
-            message: self.chat.then_some(said(text)),
+            message: self.chat.then_some(chat_message(text)),
             text: (!self.chat).then_some(text),
             ..Choice::finished(Some(&ending.finish_reason))
         };
@@ -201,7 +201,7 @@
     /// A chunk with one token.
     pub fn token(self, text: &'a str) -> Answer<'a> {
         let choice = Choice {
-            delta: self.chat.then_some(said(text)),
+            delta: self.chat.then_some(chat_message(text)),
             text: (!self.chat).then_some(text),
             ..Choice::finished(None)
         };
@@ -211,7 +211,7 @@
     /// The last chunk.
     pub fn end(self, ending: &'a Ending) -> Answer<'a> {
         let choice = Choice {
-            delta: self.chat.then_some(said("")),
+            delta: self.chat.then_some(chat_message("")),
             text: (!self.chat).then_some(""),
             ..Choice::finished(Some(&ending.finish_reason))
         };
@@ -249,8 +249,8 @@
     }
 }
 
-fn said(content: &str) -> Said<'_> {
-    Said {
+fn chat_message(content: &str) -> ChatMessage<'_> {
+    ChatMessage {
         role: "assistant",
         content,
     }
--- a/crates/jb-daemon/src/serve/caller.rs
+++ b/crates/jb-daemon/src/serve/caller.rs
@@ -40,8 +40,8 @@
 
 /// The customer whose bearer key a request shows.
 pub fn customer<'v>(request: &Request, view: &'v View) -> Option<&'v Customer> {
-    let shown = request.header("authorization")?.strip_prefix("Bearer ")?;
-    view.customer_of(shown.trim())
+    let presented = request.header("authorization")?.strip_prefix("Bearer ")?;
+    view.customer_of(presented.trim())
 }
 
 /// Reads the headers.
--- a/crates/jb-policy/benches/decide.rs
+++ b/crates/jb-policy/benches/decide.rs
@@ -131,7 +131,7 @@
         };
         let mut members = Members::new(member(0, 1));
         for n in 1..count {
-            members.hear(member(n, 1), Duration::ZERO);
+            members.merge(member(n, 1), Duration::ZERO);
         }
         let mut n = 0_u64;
         criterion.bench_function(&format!("membership/tick_of_{count}"), |bencher| {
@@ -139,8 +139,8 @@
                 n += 1;
                 let now = Duration::from_secs(n / 1000);
                 members.beat(1, false);
-                members.hear(member(n as usize % count, n), now);
-                (members.tick(now), members.told())
+                members.merge(member(n as usize % count, n), now);
+                (members.tick(now), members.next_updates())
             });
         });
     }
--- a/crates/jb-policy/src/member.rs
+++ b/crates/jb-policy/src/member.rs
@@ -15,7 +15,7 @@
 /// Boxes probed at each tick.
 pub const PROBES_PER_TICK: usize = 1;
 /// Heartbeats told with each probe.
-pub const TOLD_PER_PROBE: usize = 2;
+pub const UPDATES_PER_PROBE: usize = 2;
 /// Failed probes in a row after which a box is taken for dead.
 const FAILURES: u32 = 2;
 /// Time after which a dead box that nobody heard of is forgotten.
@@ -43,7 +43,7 @@
 #[derive(Clone, Debug)]
 struct Seen {
     member: Member,
-    heard_at: Moment,
+    last_seen: Moment,
     failures: u32,
 }
 
@@ -89,7 +89,7 @@
     }
 
     /// Takes what was heard of a box. Only a newer heartbeat counts.
-    pub fn hear(&mut self, member: Member, now: Moment) -> Change {
+    pub fn merge(&mut self, member: Member, now: Moment) -> Change {
         if member.id == self.me.id || member.id.is_empty() {
             return Change::None;
         }
@@ -98,14 +98,14 @@
             Some(seen) => {
                 let was_dead = seen.failures >= FAILURES;
                 seen.member = member;
-                seen.heard_at = now;
+                seen.last_seen = now;
                 seen.failures = 0;
                 if was_dead { Change::Found } else { Change::None }
             }
             None => {
                 let seen = Seen {
                     member: member.clone(),
-                    heard_at: now,
+                    last_seen: now,
                     failures: 0,
                 };
                 self.others.insert(member.id, seen);
@@ -130,13 +130,13 @@
     /// Boxes to probe at this tick; dead ones too, so that they are found again.
     pub fn tick(&mut self, now: Moment) -> Vec<Member> {
         self.others
-            .retain(|_, s| s.failures < FAILURES || now.saturating_sub(s.heard_at) < FORGET);
+            .retain(|_, s| s.failures < FAILURES || now.saturating_sub(s.last_seen) < FORGET);
         self.next(PROBES_PER_TICK, |_| true)
     }
 
     /// What to tell with a probe.
-    pub fn told(&mut self) -> Vec<Member> {
-        self.next(TOLD_PER_PROBE, |s| s.failures < FAILURES)
+    pub fn next_updates(&mut self) -> Vec<Member> {
+        self.next(UPDATES_PER_PROBE, |s| s.failures < FAILURES)
     }
 
     /// Boxes taken for alive, the box itself not among them.
--- a/crates/jb-policy/src/outage.rs
+++ b/crates/jb-policy/src/outage.rs
@@ -73,12 +73,12 @@
 /// Judges by the span in which the store answered this box or others, as far as it has heard, up to
 /// its own latest answer; and by the spans of the boxes that it hears now. A box that is itself cut
 /// off has seen no answer lately, and tells nothing of the store.
-pub fn judge(blind: Span, seen: Span, told: &[Span], harmless: Duration) -> Store {
+pub fn judge(blind: Span, seen: Span, others: &[Span], harmless: Duration) -> Store {
     if seen.from <= blind.from + harmless {
         return Store::Answered;
     }
     let sees_it = |span: &Span| span.until + harmless >= blind.until;
-    if told.iter().any(sees_it) {
+    if others.iter().any(sees_it) {
         Store::Away
     } else {
         Store::Unknown
--- a/crates/jb-policy/tests/spread.rs
+++ b/crates/jb-policy/tests/spread.rs
@@ -109,12 +109,12 @@
 #[test]
 fn a_dead_box_comes_back_only_with_a_newer_heartbeat() {
     let mut members = Members::new(member("me", 1));
-    assert_eq!(members.hear(member("other", 5), Duration::ZERO), Change::Found);
+    assert_eq!(members.merge(member("other", 5), Duration::ZERO), Change::Found);
     members.failed("other");
     assert_eq!(members.failed("other"), Change::Lost);
-    assert_eq!(members.hear(member("other", 5), Duration::ZERO), Change::None);
+    assert_eq!(members.merge(member("other", 5), Duration::ZERO), Change::None);
     assert_eq!(members.alive().count(), 0);
-    assert_eq!(members.hear(member("other", 6), Duration::ZERO), Change::Found);
+    assert_eq!(members.merge(member("other", 6), Duration::ZERO), Change::Found);
 }
 
 #[test]
@@ -126,7 +126,7 @@
         let mut newest = std::collections::BTreeMap::new();
         for (who, heartbeat) in messages {
             let id = format!("box-{}", who % 5);
-            members.hear(member(&id, heartbeat), Duration::ZERO);
+            members.merge(member(&id, heartbeat), Duration::ZERO);
             let known = newest.entry(id).or_insert(heartbeat);
             *known = heartbeat.max(*known);
         }
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -54,7 +54,7 @@
     PEER_UNREGISTERED = 4006, "peer_unregistered", "The own address could not be written to the store.";
     HISTORY_GONE = 4007, "history_gone", "The store has forgotten its history; all is read again.";
     STORE_UNREADABLE = 4008, "store_unreadable", "A value in the store cannot be read; the one before stays.";
-    NEWS_UNHEARD = 4009, "news_unheard", "Another box could not tell what has changed in the store.";
+    STORE_UPDATE_FAILED = 4009, "store_update_failed", "Another box could not send what has changed in the store.";
     MARK_UNWRITTEN = 4010, "mark_unwritten", "A quarantine record could not be written to the store.";
     UPSTREAM_LEAVING = 5001, "upstream_leaving", "An upstream gets no new work.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
--- a/crates/jb-relay/src/cache_scan.rs
+++ b/crates/jb-relay/src/cache_scan.rs
@@ -55,7 +55,7 @@
     let observed = core.engines.cache_contents(address).await;
     signal::apply_signals(&core, &life, observed.signals, None);
     match observed.result {
-        Ok(contents) if life.is_told_by(contents.born) => apply(&core, &life, &contents.parts),
+        Ok(contents) if life.is_confirmed_by(contents.born) => apply(&core, &life, &contents.parts),
         Ok(contents) => restart::note(&core, &life, contents.born, "cache"),
         Err(why) => emit!(core.logger, info, event::CACHE_NOT_SCANNED, "upstream" => %life, "why" => %why),
     }
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -15,7 +15,7 @@
 pub(super) fn apply(core: &Core, fact: Fact, revision: Revision, comes_back: Option<Moment>) {
     match fact {
         Fact::Rules(rules) => put_rules(core, *rules),
-        Fact::Upstream(id, word) => hear_upstream(core, &id, word, revision, comes_back),
+        Fact::Upstream(id, word) => apply_registration(core, &id, word, revision, comes_back),
         Fact::Weights(named) => {
             // What a box hears may have been named at any time since it last heard something.
             let earliest = core.proven.get();
@@ -46,12 +46,12 @@
     *core.rules.borrow_mut() = Some(std::rc::Rc::new(rules));
 }
 
-fn hear_upstream(core: &Core, id: &str, word: Word, revision: Revision, comes_back: Option<Moment>) {
+fn apply_registration(core: &Core, id: &str, word: Word, revision: Revision, comes_back: Option<Moment>) {
     let why = match &word {
         Word::Unreadable(why) => why.clone(),
         Word::Entry(_) | Word::Gone => String::new(),
     };
-    let seen = core.upstreams.borrow_mut().hear(id, word, revision);
+    let seen = core.upstreams.borrow_mut().apply_registration(id, word, revision);
     match seen {
         Seen::New => seen_new(core, id),
         Seen::Restarted(ended) => seen_again(core, id, ended),
@@ -75,7 +75,7 @@
 
 fn seen_again(core: &Core, id: &str, ended: Ended) {
     if let Some(upstream) = core.upstreams.borrow().get(id) {
-        restart::tell(core, &upstream.life, upstream.life.born, ended, "entry");
+        restart::log(core, &upstream.life, upstream.life.born, ended, "entry");
     }
 }
 
--- a/crates/jb-relay/src/follow/missing.rs
+++ b/crates/jb-relay/src/follow/missing.rs
@@ -58,8 +58,8 @@
     let Some(seen) = core.store_seen.get() else {
         return false;
     };
-    let told = core.loads.borrow().store_spans(core.now());
-    outage::judge(blind, seen, &told, core.harmless_silence()) == Store::Away
+    let spans = core.loads.borrow().store_spans(core.now());
+    outage::judge(blind, seen, &spans, core.harmless_silence()) == Store::Away
 }
 
 /// Takes an upstream whose entry is missing off, or keeps it as a last resort until `until`.
@@ -72,7 +72,7 @@
     if core.upstreams.borrow_mut().lapse(id, until) {
         emit!(core.logger, info, event::UPSTREAM_LAPSED, "upstream" => id,
             "until_ms" => until.saturating_sub(core.now()).as_millis() as u64,
-            "told" => ?core.loads.borrow().store_spans(core.now()));
+            "spans" => ?core.loads.borrow().store_spans(core.now()));
     }
 }
 
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -57,7 +57,7 @@
 }
 
 /// What was heard of the store.
-struct Heard {
+struct Update {
     from: Origin,
     changes: Vec<Change>,
     /// Revision after them.
@@ -94,8 +94,8 @@
     let mut progress = Progress::default();
     loop {
         match ask(&core, &socket, &progress).await {
-            Some(heard) => {
-                take(&core, &mut progress, heard);
+            Some(update) => {
+                take(&core, &mut progress, update);
                 sleep(ASK_PERIOD).await;
             }
             None => read(&core, &mut progress).await,
@@ -104,19 +104,19 @@
 }
 
 /// News from another box, unless this one is to read the store itself.
-async fn ask(core: &Core, socket: &UdpSocket, progress: &Progress) -> Option<Heard> {
+async fn ask(core: &Core, socket: &UdpSocket, progress: &Progress) -> Option<Update> {
     let after = progress.after?;
     let source = match progress.failing {
         Some(failing) if core.now() > failing.last + TRY_AGAIN => return None,
         Some(_) => peers::Source::AnyLead,
         None => peers::Source::Lead,
     };
-    let heard = peers::ask(core, socket, after, source).await?;
-    Some(Heard {
+    let update = peers::ask(core, socket, after, source).await?;
+    Some(Update {
         from: Origin::Box(source),
-        changes: heard.changes,
-        revision: heard.revision,
-        proven: Some(heard.proven),
+        changes: update.changes,
+        revision: update.revision,
+        proven: Some(update.proven),
     })
 }
 
@@ -140,7 +140,7 @@
             take(
                 core,
                 progress,
-                Heard {
+                Update {
                     from: Origin::Store,
                     changes,
                     revision,
@@ -182,13 +182,13 @@
 }
 
 /// Puts what was heard in force.
-fn take(core: &Core, progress: &mut Progress, heard: Heard) {
-    let Heard {
+fn take(core: &Core, progress: &mut Progress, update: Update) {
+    let Update {
         from,
         mut changes,
         revision,
         proven,
-    } = heard;
+    } = update;
     let whole = progress.after.is_none();
     if whole {
         let missing = progress.missing(&changes, revision);
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -119,7 +119,7 @@
         );
         registry.register(
             "poisonous",
-            "Requests that were shown to end engines",
+            "Requests that were quarantined as they crash engines",
             poisonous.clone(),
         );
         registry.register(
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -150,8 +150,8 @@
     };
     let inquiries = &core.accounts.inquiries;
     let message = Message::Question(question);
-    let told = inquiries.ask(core, (&id, address), (place, name), &message, ANSWER);
-    let Some(advice) = told.await else {
+    let answer = inquiries.ask(core, (&id, address), (place, name), &message, ANSWER);
+    let Some(advice) = answer.await else {
         core.metrics.unadvised.inc();
         return None;
     };
@@ -221,7 +221,7 @@
 }
 
 /// Takes a question of another box.
-pub(super) fn hear(core: &Core, socket: &UdpSocket, from: SocketAddr, question: &Question) {
+pub(super) fn receive_question(core: &Core, socket: &UdpSocket, from: SocketAddr, question: &Question) {
     if !is_known(core, from) {
         return;
     }
@@ -231,7 +231,7 @@
 }
 
 /// Takes word of a place from another box.
-pub(super) fn hear_returned(core: &Core, from: SocketAddr, returned: &Returned) {
+pub(super) fn receive_returned(core: &Core, from: SocketAddr, returned: &Returned) {
     if is_known(core, from) && take_back(core, returned) {
         judge(core, returned);
     }
--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -128,14 +128,14 @@
         now: Moment,
         rank: impl Fn(&str, &Peer) -> Option<R>,
     ) -> Option<(id::Box, SocketAddr)> {
-        let heard = self.peers.iter().filter(|(id, _)| !self.is_silent(id, now));
-        let ranked = heard.filter_map(|(id, peer)| Some((rank(id, peer)?, id, peer)));
+        let reachable = self.peers.iter().filter(|(id, _)| !self.is_silent(id, now));
+        let ranked = reachable.filter_map(|(id, peer)| Some((rank(id, peer)?, id, peer)));
         let first = ranked.max_by(|(a, ..), (b, ..)| a.cmp(b));
         first.map(|(_, id, peer)| (id.clone(), peer.address))
     }
 
-    /// Notes that a box was heard.
-    pub fn heard(&mut self, id: &str) {
+    /// Notes that a message of a box has arrived.
+    pub fn note_alive(&mut self, id: &str) {
         self.unsure.remove(id);
         self.silent.remove(id);
     }
--- a/crates/jb-relay/src/peers/inquiry.rs
+++ b/crates/jb-relay/src/peers/inquiry.rs
@@ -55,14 +55,14 @@
         message: &Message,
         time: Duration,
     ) -> Option<A> {
-        let (tell, told) = oneshot::channel();
-        self.waiting.borrow_mut().insert(key, tell);
+        let (answered, answer) = oneshot::channel();
+        self.waiting.borrow_mut().insert(key, answered);
         self.send(core, address, message);
-        let told = timeout(time, told).await;
+        let answer = timeout(time, answer).await;
         self.waiting.borrow_mut().remove(&key);
         let mut book = core.book.borrow_mut();
-        if let Ok(Ok(answer)) = told {
-            book.heard(id);
+        if let Ok(Ok(answer)) = answer {
+            book.note_alive(id);
             return Some(answer);
         }
         book.gave_no_advice(id, core.now());
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Acquire, Advice, Ask, AskMore, AskReleases, Charge, Count, Grant, Leaving, Limits, News, Permit,
-    Question, Releases, Replaced, Returned, Sent, Suspects, Told,
+    Question, Releases, Replaced, Returned, Sent, Status, Suspects,
 };
 
 /// Longest datagram, in bytes: one packet.
@@ -14,7 +14,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(in crate::peers) enum Message {
     /// Loads, prompts and weights.
-    Told(Told),
+    Status(Status),
     /// A box asks for what has changed in the store.
     Ask(Ask),
     /// What has changed.
--- a/crates/jb-relay/src/peers/message/news.rs
+++ b/crates/jb-relay/src/peers/message/news.rs
@@ -44,7 +44,7 @@
     /// The changes since then, the older first; `whole` when there are no more.
     Changes {
         /// Changes.
-        changes: Vec<ToldChange>,
+        changes: Vec<StoreChange>,
         /// Revision after them.
         revision: Revision,
         /// Whether these are all.
@@ -60,7 +60,7 @@
 #[derive(Debug, Serialize, Deserialize)]
 pub(in crate::peers) struct Piece {
     /// The change without its value.
-    pub change: ToldChange,
+    pub change: StoreChange,
     /// Bytes of the whole value.
     pub total: u32,
     /// Bytes before this piece.
@@ -71,14 +71,14 @@
 
 /// A change of one item.
 #[derive(Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct ToldChange {
+pub(in crate::peers) struct StoreChange {
     key: String,
     value: Option<Vec<u8>>,
     pub revision: Revision,
     created: Revision,
 }
 
-impl From<&Change> for ToldChange {
+impl From<&Change> for StoreChange {
     fn from(change: &Change) -> Self {
         Self {
             key: change.key.clone(),
@@ -89,7 +89,7 @@
     }
 }
 
-impl ToldChange {
+impl StoreChange {
     /// A change whose value is told apart.
     pub fn without_value(change: &Change) -> Self {
         Self {
@@ -107,13 +107,13 @@
     }
 }
 
-impl From<ToldChange> for Change {
-    fn from(told: ToldChange) -> Self {
+impl From<StoreChange> for Change {
+    fn from(change: StoreChange) -> Self {
         Self {
-            key: told.key,
-            value: told.value.map(Bytes::from),
-            revision: told.revision,
-            created: told.created,
+            key: change.key,
+            value: change.value.map(Bytes::from),
+            revision: change.revision,
+            created: change.created,
         }
     }
 }
--- a/crates/jb-relay/src/peers/message/told.rs
+++ b/crates/jb-relay/src/peers/message/status.rs
@@ -1,37 +1,37 @@
-//! What boxes tell of loads, prompts and weights.
+//! Status of a box: its loads, prompts and weights.
 
 use jb_protocol::id;
 use serde::{Deserialize, Serialize};
 
-/// What a box tells of itself, or a lead of many.
+/// Status of a box, or of many as their relay node sums it up.
 #[derive(Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct Told {
+pub(in crate::peers) struct Status {
     /// Box.
     pub from: id::Box,
-    /// Whether the receiver is to tell the sum of the others in return.
+    /// Whether the receiver is to answer with the sum of the others.
     pub wants_sum: bool,
     /// Loads, only of upstreams that have some.
-    pub loads: Vec<ToldLoad>,
-    /// What engines do with their weights.
-    pub weights: Vec<ToldWeights>,
-    /// Prompts that were sent to engines since the last telling.
-    pub uses: Vec<ToldUse>,
-    /// How the store has answered the box or others, as far as it knows.
-    pub store: Option<ToldStore>,
+    pub loads: Vec<UpstreamLoad>,
+    /// Engines that load weights or have loaded them.
+    pub weights: Vec<LoadedWeights>,
+    /// Prompts that were sent to engines since the last status.
+    pub uses: Vec<CacheUse>,
+    /// Span in which the store has answered the box or others.
+    pub store: Option<StoreSpan>,
 }
 
 /// Span of time in which the store answered, but for silences that cost no entry.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct ToldStore {
-    /// Begin of the span before the telling, in milliseconds.
+pub(in crate::peers) struct StoreSpan {
+    /// Begin of the span before the message was sent, in milliseconds.
     pub from_ms: u64,
-    /// End of the span before the telling, in milliseconds.
+    /// End of the span before the message was sent, in milliseconds.
     pub until_ms: u64,
 }
 
 /// Load that boxes put on an upstream.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct ToldLoad {
+pub(in crate::peers) struct UpstreamLoad {
     /// Lower half of the hash of the upstream's id.
     pub upstream: u32,
     /// Requests under way.
@@ -44,7 +44,7 @@
 
 /// An engine begins to load weights, or has them.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub struct ToldWeights {
+pub struct LoadedWeights {
     /// Lower half of the hash of the engine's id.
     pub upstream: u32,
     /// Model.
@@ -53,20 +53,20 @@
     pub version: u64,
 }
 
-/// A prompt that was sent to an engine, or is kept by a store.
+/// A prompt that was sent to an engine or a store.
 #[derive(Clone, Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct ToldUse {
+pub(in crate::peers) struct CacheUse {
     /// Hash of the engine's id, or of a store's address.
     pub place: u64,
     /// Version of the weights, for a store; 0 for an engine.
     pub version: u64,
-    /// Shared parts with their tokens.
+    /// Shared segments with their tokens.
     pub shared: Vec<(u64, u32)>,
     /// Tokens of its own, read and made.
     pub own: u32,
 }
 
-/// Long prompts that a box has sent since its last telling of loads.
+/// Long prompts that a box has sent since its last status.
 #[derive(Debug, Serialize, Deserialize)]
 pub(in crate::peers) struct Sent {
     /// Box.
@@ -75,7 +75,7 @@
     pub prompts: Vec<(u32, u32)>,
 }
 
-/// Lives of upstreams that have said in answers that they leave.
+/// Instances that have signalled in responses that they drain.
 #[derive(Debug, Serialize, Deserialize)]
 pub(in crate::peers) struct Leaving {
     /// Lower halves of the hashes of their names.
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -1,9 +1,8 @@
-//! What boxes tell each other, in datagrams that may be lost without harm:
-//! loads, prompts placed, engines that load weights, requests that end engines, and news of the store.
+//! Messages between boxes, in datagrams that may be lost without harm: status, loading of weights, rate
+//! limits, evidence on poison requests, and changes of the store.
 
 mod account;
 mod book;
-mod gossip;
 mod inquiry;
 mod log;
 mod mark;
@@ -17,12 +16,12 @@
 mod relay;
 mod releases;
 mod socket;
+mod status;
 mod suspicion;
 mod weights;
 
 pub use account::{Accounts, Ending, Held, Prompt, View, ask as ask_account, draw, hold, sweep};
 pub use book::{Book, Peer};
-pub use gossip::{Loads, Placed, note_use, tell};
 pub use log::Log;
 pub use mark::apply_record as apply_quarantine_record;
 pub use message::Room;
@@ -31,8 +30,9 @@
 pub use rate_limit::{Permit, RateLimits, acquire, log_change};
 pub use reachability::{Fleet, Reachability};
 pub use register::{KEYS, list, list_few, register};
-pub use relay::{Heard, Relayed, Source, ask, is_told};
+pub use relay::{Relayed, Source, Update, ask, is_recent};
 pub use releases::discover as discover_releases;
-pub use socket::{bind, hear};
+pub use socket::{bind, receive as receive_messages};
+pub use status::{Loads, Placed, note_use, publish as publish_status};
 pub use suspicion::publish as publish_suspects;
-pub use weights::{Gathered, LOADING, tell_weights};
+pub use weights::{Gathered, LOADING, publish_weights};
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -11,9 +11,9 @@
 use tokio::time::timeout;
 
 use super::account;
-use super::gossip::{sum_up, tell_everyone};
 use super::message::{Leaving, Message, Replaced, Sent};
 use super::rate_limit;
+use super::status::{broadcast, sum_up};
 use crate::core::Core;
 use crate::saturating_cast::saturating_cast;
 use crate::upstream::Upstream;
@@ -58,7 +58,7 @@
 }
 
 /// Tells of long prompts for a while.
-pub(super) async fn tell_sent(core: &Core, socket: &UdpSocket, time: Duration) {
+pub(super) async fn broadcast_prompts(core: &Core, socket: &UdpSocket, time: Duration) {
     let wake = Rc::clone(&core.notices.borrow().wake);
     let due = core.now() + time;
     while timeout(due.saturating_sub(core.now()), wake.notified())
@@ -70,7 +70,7 @@
             continue;
         }
         let from = core.settings.id.clone();
-        tell_everyone(core, socket, &Message::Sent(Sent { from, prompts })).await;
+        broadcast(core, socket, &Message::Sent(Sent { from, prompts })).await;
     }
 }
 
@@ -109,7 +109,7 @@
 }
 
 /// Tells all boxes what is true of single upstreams.
-pub(super) async fn tell_upstreams(core: &Core, socket: &UdpSocket) {
+pub(super) async fn broadcast_signals(core: &Core, socket: &UdpSocket) {
     let (replaced, leaving, limits) = {
         let mut notices = core.notices.borrow_mut();
         (
@@ -119,13 +119,13 @@
         )
     };
     if !replaced.is_empty() {
-        tell_everyone(core, socket, &Message::Replaced(Replaced { upstreams: replaced })).await;
+        broadcast(core, socket, &Message::Replaced(Replaced { upstreams: replaced })).await;
     }
     if !leaving.is_empty() {
-        tell_everyone(core, socket, &Message::Leaving(Leaving { upstreams: leaving })).await;
+        broadcast(core, socket, &Message::Leaving(Leaving { upstreams: leaving })).await;
     }
     if !limits.is_empty() {
-        tell_everyone(core, socket, &rate_limit::announcement(core, &limits)).await;
+        broadcast(core, socket, &rate_limit::announcement(core, &limits)).await;
     }
 }
 
@@ -135,11 +135,11 @@
 }
 
 /// Takes upstreams that leave, as another box tells it.
-pub(super) fn take_leaving(core: &Core, from: SocketAddr, leaving: &Leaving) {
+pub(super) fn receive_draining(core: &Core, from: SocketAddr, leaving: &Leaving) {
     if !account::is_known(core, from) {
         return;
     }
     for life in core.upstreams.borrow_mut().note_leaving(&leaving.upstreams) {
-        emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => %life, "why" => "told");
+        emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => %life, "why" => "peer");
     }
 }
--- a/crates/jb-relay/src/peers/quota.rs
+++ b/crates/jb-relay/src/peers/quota.rs
@@ -64,7 +64,7 @@
         self.next.get()
     }
 
-    fn heard(&self, grant: &Grant, now: Moment) {
+    fn apply_grant(&self, grant: &Grant, now: Moment) {
         let mut known = self.known.borrow_mut();
         let left = Left {
             at: now,
@@ -121,7 +121,7 @@
         left: left(core, customer),
     };
     let (owner, grant) = judge(core, &mut charge).await;
-    core.quotas.heard(&grant, core.now());
+    core.quotas.apply_grant(&grant, core.now());
     let Some(after) = grant.after_ms else {
         return Ok(Some(Charged {
             core,
@@ -169,8 +169,8 @@
     }
     let message = Message::Charge(*charge);
     let inquiries = &core.quotas.inquiries;
-    let told = inquiries.ask(core, (id, *address), charge.nonce, &message, ANSWER);
-    let grant = told.await;
+    let answer = inquiries.ask(core, (id, *address), charge.nonce, &message, ANSWER);
+    let grant = answer.await;
     if grant.is_none() {
         core.metrics.limit_unanswered.inc();
     }
@@ -178,7 +178,7 @@
 }
 
 /// Takes a charge of another box.
-pub(super) fn hear(core: &Core, socket: &UdpSocket, from: SocketAddr, charge: &Charge) {
+pub(super) fn receive_charge(core: &Core, socket: &UdpSocket, from: SocketAddr, charge: &Charge) {
     if super::account::is_known(core, from) {
         try_send(
             core,
--- a/crates/jb-relay/src/peers/reachability.rs
+++ b/crates/jb-relay/src/peers/reachability.rs
@@ -142,10 +142,10 @@
     if now < STARTUP_PERIOD {
         return listed;
     }
-    let heard = core.loads.borrow().heard(now.saturating_sub(MAX_COUNT_AGE));
-    let near = heard.iter().filter(|id| book.hall(id) == Some(own_hall));
+    let senders = core.loads.borrow().senders(now.saturating_sub(MAX_COUNT_AGE));
+    let near = senders.iter().filter(|id| book.hall(id) == Some(own_hall));
     Fleet {
         hall: saturating_cast(near.count() + 1),
-        all: saturating_cast(heard.len() + 1),
+        all: saturating_cast(senders.len() + 1),
     }
 }
--- a/crates/jb-relay/src/peers/relay.rs
+++ b/crates/jb-relay/src/peers/relay.rs
@@ -15,7 +15,7 @@
 use tokio::time::timeout;
 
 use super::log::{Log, NUMBERS, size};
-use super::message::{Answer, Ask, AskMore, LONGEST, Message, News, Piece, ToldChange};
+use super::message::{Answer, Ask, AskMore, LONGEST, Message, News, Piece, StoreChange};
 use super::socket::send;
 use crate::core::Core;
 use crate::port::{Change, Revision};
@@ -38,7 +38,7 @@
 
 /// What fits into one datagram of the changes that a box asks for, but for the first `skip` ones,
 /// which it has.
-fn tell(log: &Log, ask: &Ask, skip: u32) -> Answer {
+fn changes_since(log: &Log, ask: &Ask, skip: u32) -> Answer {
     let Some(since) = log.since(ask.after) else {
         return Answer::ReadYourself;
     };
@@ -59,7 +59,7 @@
         };
         room = left;
         revision = change.revision;
-        changes.push(ToldChange::from(change));
+        changes.push(StoreChange::from(change));
     }
     Answer::Changes {
         changes,
@@ -84,7 +84,7 @@
         return Answer::ReadYourself;
     }
     Answer::Piece(Piece {
-        change: ToldChange::without_value(change),
+        change: StoreChange::without_value(change),
         total: saturating_cast(value.len()),
         from: saturating_cast(from),
         bytes: rest[..rest.len().min(room)].to_vec(),
@@ -111,7 +111,7 @@
 
 /// All news since the revision that was asked for.
 #[derive(Debug)]
-pub struct Heard {
+pub struct Update {
     /// Changes, the older first.
     pub changes: Vec<Change>,
     /// Revision after them.
@@ -130,16 +130,16 @@
 }
 
 /// Asks other boxes for news; `None` when this box is to read the store itself.
-pub async fn ask(core: &Core, socket: &UdpSocket, after: Revision, source: Source) -> Option<Heard> {
+pub async fn ask(core: &Core, socket: &UdpSocket, after: Revision, source: Source) -> Option<Update> {
     let leads = match source {
         Source::Lead => own_lead(core).into_iter().collect(),
         Source::AnyLead => any_lead(core),
     };
     for lead in leads {
         match ask_one(core, socket, after, source, &lead).await {
-            Ok(heard) => return Some(heard),
+            Ok(update) => return Some(update),
             Err(why) if source == Source::AnyLead => {
-                emit!(core.logger, info, event::NEWS_UNHEARD, "peer" => lead, "why" => ?why);
+                emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => lead, "why" => ?why);
             }
             Err(_) => {}
         }
@@ -149,7 +149,7 @@
 
 /// Why another box brought no news.
 #[derive(Clone, Copy, Debug)]
-enum Unheard {
+enum Failure {
     /// It is not known any more, or gave no answer in time.
     Silent,
     /// It does not know what has changed, or knows nothing that is recent.
@@ -166,8 +166,8 @@
     after: Revision,
     source: Source,
     lead: &str,
-) -> Result<Heard, Unheard> {
-    let address = core.book.borrow().address(lead).ok_or(Unheard::Silent)?;
+) -> Result<Update, Failure> {
+    let address = core.book.borrow().address(lead).ok_or(Failure::Silent)?;
     let mut all: Vec<Change> = Vec::new();
     // The next value, as far as it has come in pieces.
     let mut value = Vec::new();
@@ -181,10 +181,10 @@
         };
         let Some(news) = question(core, socket, address, ask, saturating_cast(all.len())).await else {
             core.book.borrow_mut().missed(lead, core.now());
-            return Err(Unheard::Silent);
+            return Err(Failure::Silent);
         };
         match news.answer {
-            Answer::ReadYourself => return Err(Unheard::KnowsNoMore),
+            Answer::ReadYourself => return Err(Failure::KnowsNoMore),
             Answer::Changes {
                 changes,
                 revision,
@@ -192,7 +192,7 @@
             } => {
                 all.extend(changes.into_iter().map(Change::from));
                 if whole {
-                    return Ok(Heard {
+                    return Ok(Update {
                         changes: all,
                         revision,
                         proven: asked.saturating_sub(Duration::from_millis(news.age_ms)),
@@ -202,7 +202,7 @@
             Answer::Piece(piece) => {
                 // A late answer to a question before.
                 if piece.from != ask.from || piece.bytes.is_empty() {
-                    return Err(Unheard::OutOfTurn);
+                    return Err(Failure::OutOfTurn);
                 }
                 value.extend_from_slice(&piece.bytes);
                 if value.len() >= piece.total as usize {
@@ -246,15 +246,17 @@
 }
 
 /// Whether a box tells others what it knows, by the age of that.
-pub fn is_told(age: Duration) -> bool {
+pub fn is_recent(age: Duration) -> bool {
     age < OLDEST
 }
 
 /// Answers another box that has the first `skip` changes already.
 pub(super) async fn answer(core: &Core, socket: &UdpSocket, from: SocketAddr, ask: Ask, skip: u32) {
     // Without knowledge, or with old knowledge, the asker is better off with the store.
-    let age = core.age().filter(|age| is_told(*age));
-    let answer = age.map_or(Answer::ReadYourself, |_| tell(&core.log.borrow(), &ask, skip));
+    let age = core.age().filter(|age| is_recent(*age));
+    let answer = age.map_or(Answer::ReadYourself, |_| {
+        changes_since(&core.log.borrow(), &ask, skip)
+    });
     let age_ms = age.map_or(0, |age| u64::try_from(age.as_millis() + 1).unwrap_or(u64::MAX));
     send(
         core,
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::message::{LONGEST, Message};
-use super::{account, gossip, notice, quota, rate_limit, reachability, relay, releases, suspicion};
+use super::{account, notice, quota, rate_limit, reachability, relay, releases, status, suspicion};
 use crate::core::{Core, Shared};
 
 /// Pause after an error of the socket.
@@ -36,7 +36,7 @@
         return;
     };
     if bytes.len() > LONGEST {
-        emit!(core.logger, debug, event::PEER_REFUSED, "why" => "more to tell than a packet holds");
+        emit!(core.logger, debug, event::PEER_REFUSED, "why" => "larger than a packet");
         return;
     }
     if let Err(why) = socket.send_to(&bytes, to).await {
@@ -55,7 +55,7 @@
 }
 
 /// Hears the other boxes for ever.
-pub async fn hear(core: Shared, socket: Rc<UdpSocket>) {
+pub async fn receive(core: Shared, socket: Rc<UdpSocket>) {
     let mut buffer = [0_u8; LONGEST];
     loop {
         let (length, from) = match socket.recv_from(&mut buffer).await {
@@ -67,22 +67,22 @@
             }
         };
         match postcard::from_bytes::<Message>(&buffer[..length]) {
-            Ok(Message::Told(told)) => gossip::take(&core, &socket, from, told).await,
+            Ok(Message::Status(status)) => status::receive(&core, &socket, from, status).await,
             Ok(Message::Ask(ask)) => relay::answer(&core, &socket, from, ask, 0).await,
             Ok(Message::AskMore(more)) => relay::answer(&core, &socket, from, more.ask, more.skip).await,
             Ok(Message::News(news)) => core.relayed.deliver(news),
             Ok(Message::Sent(sent)) => notice::take_sent(&core, &sent),
             Ok(Message::Replaced(replaced)) => notice::take_replaced(&core, &replaced),
-            Ok(Message::Question(question)) => account::hear(&core, &socket, from, &question),
+            Ok(Message::Question(question)) => account::receive_question(&core, &socket, from, &question),
             Ok(Message::Advice(advice)) => account::deliver(&core, advice),
-            Ok(Message::Returned(returned)) => account::hear_returned(&core, from, &returned),
+            Ok(Message::Returned(returned)) => account::receive_returned(&core, from, &returned),
             Ok(Message::Heard(count)) => reachability::receive(&core, from, &count),
-            Ok(Message::Charge(charge)) => quota::hear(&core, &socket, from, &charge),
+            Ok(Message::Charge(charge)) => quota::receive_charge(&core, &socket, from, &charge),
             Ok(Message::Grant(grant)) => quota::deliver(&core, grant),
             Ok(Message::AskReleases(asked)) => releases::answer(&core, &socket, from, asked).await,
-            Ok(Message::Releases(told)) => releases::receive(&core, told),
-            Ok(Message::Suspects(told)) => suspicion::receive(&core, from, &told),
-            Ok(Message::Leaving(leaving)) => notice::take_leaving(&core, from, &leaving),
+            Ok(Message::Releases(answer)) => releases::receive(&core, answer),
+            Ok(Message::Suspects(suspects)) => suspicion::receive(&core, from, &suspects),
+            Ok(Message::Leaving(leaving)) => notice::receive_draining(&core, from, &leaving),
             Ok(Message::Limits(limits)) => rate_limit::receive_limits(&core, from, &limits),
             Ok(Message::Acquire(query)) => rate_limit::receive_acquire(&core, &socket, from, &query),
             Ok(Message::Permit(answer)) => rate_limit::deliver(&core, answer),
--- /dev/null
+++ b/crates/jb-relay/src/peers/status.rs
@@ -0,0 +1,424 @@
+//! Publishes the load of each box, and in a small fleet the prompts that it has sent.
+//!
+//! In a small fleet each box sends its status to all others. In a large one it sends it to the relay node
+//! of its data hall, which answers with the sum of all others; relay nodes exchange the sums of their
+//! halls. So the traffic of a box doesn't grow with the fleet.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::outage::Span;
+use jb_policy::place;
+use jb_policy::prefix_cache::Segment;
+use jb_protocol::id;
+use tokio::net::UdpSocket;
+use tokio::time::sleep;
+
+use super::message::{CacheUse, Message, Status, StoreSpan, UpstreamLoad};
+use super::socket::send;
+use super::{notice, reachability, weights};
+use crate::core::{Core, Shared};
+use crate::saturating_cast::saturating_cast;
+use crate::upstream::{Load, Upstream};
+
+/// Interval at which the status is sent.
+const PERIOD: Duration = Duration::from_millis(100);
+/// The same in a large fleet.
+const LARGE_PERIOD: Duration = Duration::from_millis(200);
+/// Age beyond which a status isn't used.
+const MAX_STATUS_AGE: Duration = Duration::from_millis(1500);
+/// Time without an answer after which another box becomes the relay node.
+const LEAD_TIMEOUT: Duration = Duration::from_millis(700);
+/// Prompts in one status; more are left out.
+const MAX_USES: usize = 20;
+/// Prompts that wait for the next status.
+const MAX_QUEUED_USES: usize = 100;
+/// Upstreams whose load is in a status, the busiest first.
+const MAX_LOADS: usize = 110;
+/// Intervals after which an empty status is sent all the same: the others count the box by it, and a box
+/// that was partitioned learns from it whether the store was unreachable.
+const IDLE_PERIODS: u32 = 8;
+
+/// Status of the other boxes, and what this one has to send.
+#[derive(Debug, Default)]
+pub struct Loads {
+    received: BTreeMap<id::Box, Received>,
+    /// Prompts of this box since its last status.
+    own: Vec<CacheUse>,
+    /// When the relay node last sent its sum.
+    lead_seen: Moment,
+}
+
+#[derive(Debug)]
+struct Received {
+    at: Moment,
+    /// Whether the sender receives sums from this box.
+    member: bool,
+    loads: Vec<UpstreamLoad>,
+    /// Span in which the store has answered the sender or others.
+    store: Option<Span>,
+}
+
+impl Loads {
+    /// Spans in which the store has answered the boxes that are reachable, as far as each knows.
+    pub fn store_spans(&self, now: Moment) -> Vec<Span> {
+        let received = self
+            .received
+            .values()
+            .filter(|received| now < received.at + MAX_STATUS_AGE);
+        received.filter_map(|received| received.store).collect()
+    }
+
+    /// Boxes that have sent their status to this one as their relay node since a moment.
+    pub(super) fn members(&self, since: Moment) -> Vec<id::Box> {
+        let received = self
+            .received
+            .iter()
+            .filter(|(_, received)| received.member && received.at >= since);
+        received.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Boxes that have sent a status since a moment.
+    pub(super) fn senders(&self, since: Moment) -> Vec<id::Box> {
+        let received = self.received.iter().filter(|(_, received)| received.at >= since);
+        received.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Adds a prompt to the status of a box, until its next one.
+    pub(super) fn add(&mut self, from: &str, upstream: u32, tokens: u64) {
+        let Some(received) = self.received.get_mut(from) else {
+            return;
+        };
+        let at = received.loads.iter().position(|load| load.upstream == upstream);
+        let at = at.unwrap_or_else(|| {
+            received.loads.push(UpstreamLoad {
+                upstream,
+                running: 0,
+                fixed: 0,
+                waiting: 0,
+            });
+            received.loads.len() - 1
+        });
+        received.loads[at].running += 1;
+        received.loads[at].waiting += tokens;
+    }
+}
+
+/// A prompt that was sent to an engine, or to a store.
+#[derive(Clone, Copy, Debug)]
+pub struct Placed<'a> {
+    /// Hash of the engine's id, or of the store's address.
+    pub place: u64,
+    /// Version of the weights, for a store; 0 for an engine.
+    pub version: u64,
+    /// Shared segments.
+    pub shared: &'a [Segment],
+    /// Tokens of its own, read and made.
+    pub own: u64,
+}
+
+/// Notes a prompt for the next status. In a large fleet the accounts of engines have it.
+pub fn note_use(core: &Core, placed: Placed<'_>) {
+    let mut loads = core.loads.borrow_mut();
+    if !core.book.borrow().is_small() || loads.own.len() >= MAX_QUEUED_USES {
+        return;
+    }
+    let shared = placed
+        .shared
+        .iter()
+        .map(|segment| (segment.id, saturating_cast(segment.tokens)))
+        .collect();
+    loads.own.push(CacheUse {
+        place: placed.place,
+        version: placed.version,
+        shared,
+        own: saturating_cast(placed.own),
+    });
+}
+
+/// Publishes the status for as long as the box runs.
+pub async fn publish(core: Shared, socket: Rc<UdpSocket>) {
+    let mut quiet = 0;
+    loop {
+        notice::broadcast_signals(&core, &socket).await;
+        if core.book.borrow().is_small() {
+            notice::broadcast_prompts(&core, &socket, PERIOD).await;
+            let nothing = broadcast_status(&core, &socket, quiet).await;
+            quiet = if nothing { quiet + 1 } else { 0 };
+        } else {
+            sleep(LARGE_PERIOD).await;
+            send_to_lead(&core, &socket).await;
+        }
+    }
+}
+
+/// Sends the status to all other boxes; returns whether it is empty, as the `quiet` ones before.
+async fn broadcast_status(core: &Core, socket: &UdpSocket, quiet: u32) -> bool {
+    let uses = std::mem::take(&mut core.loads.borrow_mut().own);
+    core.notices.borrow_mut().forget_sent();
+    let status = Status {
+        loads: own_loads(core),
+        uses,
+        ..Status::new(core)
+    };
+    let nothing = status.loads.is_empty() && status.uses.is_empty();
+    if !nothing || quiet.is_multiple_of(IDLE_PERIODS) {
+        for message in messages(status) {
+            broadcast(core, socket, &message).await;
+        }
+    }
+    nothing
+}
+
+/// Sends the status to the relay node of the hall; that one sends the hall's sum to the other relay nodes.
+async fn send_to_lead(core: &Core, socket: &UdpSocket) {
+    let now = core.now();
+    let lead = core.book.borrow().lead(&core.settings.hall, now).cloned();
+    let Some(lead) = lead else { return };
+    if lead == core.settings.id {
+        core.loads.borrow_mut().lead_seen = now;
+        send_to_other_leads(core, socket).await;
+        reachability::broadcast(core, socket).await;
+        return;
+    }
+    if now > core.loads.borrow().lead_seen + LEAD_TIMEOUT {
+        core.book.borrow_mut().missed(&lead, now);
+        core.loads.borrow_mut().lead_seen = now;
+        return;
+    }
+    let status = Status {
+        wants_sum: true,
+        loads: own_loads(core),
+        ..Status::new(core)
+    };
+    send_to(core, socket, &lead, status).await;
+}
+
+async fn send_to_other_leads(core: &Core, socket: &UdpSocket) {
+    let leads = core.book.borrow().other_leads(&core.settings.hall, core.now());
+    for lead in leads {
+        let loads = sum(core, own_loads(core), |received, _| received.member);
+        send_to(
+            core,
+            socket,
+            &lead,
+            Status {
+                loads,
+                ..Status::new(core)
+            },
+        )
+        .await;
+    }
+}
+
+async fn send_to(core: &Core, socket: &UdpSocket, id: &str, status: Status) {
+    let address = core.book.borrow().address(id);
+    let Some(address) = address else { return };
+    for message in messages(status) {
+        send(core, socket, address, &message).await;
+    }
+}
+
+/// Splits a status into messages that each fit into a packet.
+fn messages(mut status: Status) -> Vec<Message> {
+    status
+        .loads
+        .sort_by_key(|load| std::cmp::Reverse((load.waiting, load.running)));
+    status.loads.truncate(MAX_LOADS);
+    let mut rest = status.uses.split_off(status.uses.len().min(MAX_USES));
+    rest.truncate(MAX_USES);
+    if status.loads.len() <= MAX_LOADS / 4 && rest.is_empty() {
+        return vec![Message::Status(status)];
+    }
+    // Loads in one message; prompts in others, which repeat no loads.
+    let from = status.from.clone();
+    let uses = [std::mem::take(&mut status.uses), rest];
+    let mut all = vec![Message::Status(status)];
+    for uses in uses.into_iter().filter(|uses| !uses.is_empty()) {
+        let (loads, weights) = (Vec::new(), Vec::new());
+        all.push(Message::Status(Status {
+            from: from.clone(),
+            wants_sum: false,
+            loads,
+            weights,
+            uses,
+            store: None,
+        }));
+    }
+    all
+}
+
+/// Sends one message to all other boxes.
+pub(super) async fn broadcast(core: &Core, socket: &UdpSocket, message: &Message) {
+    for address in addresses(core) {
+        send(core, socket, address, message).await;
+    }
+}
+
+fn addresses(core: &Core) -> Vec<SocketAddr> {
+    let book = core.book.borrow();
+    book.others(&core.settings.id)
+        .map(|(_, peer)| peer.address)
+        .collect()
+}
+
+fn own_loads(core: &Core) -> Vec<UpstreamLoad> {
+    let upstreams = core.upstreams.borrow();
+    let busy = upstreams.iter().filter(|(_, u)| u.running > 0);
+    let load = |u: &Upstream| UpstreamLoad {
+        upstream: place::short(u.name),
+        running: u.running,
+        fixed: u.fixed,
+        waiting: u.waiting,
+    };
+    busy.map(|(_, u)| load(u)).collect()
+}
+
+fn store_span(span: Span, now: Moment) -> StoreSpan {
+    let before = |at: Moment| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
+    StoreSpan {
+        from_ms: before(span.from),
+        until_ms: before(span.until),
+    }
+}
+
+/// Returns a span of another box. The network delay makes it end later than it did, by less than one read
+/// of the store takes.
+fn span(status: StoreSpan, now: Moment) -> Span {
+    let at = |before| now.saturating_sub(Duration::from_millis(before));
+    Span {
+        from: at(status.from_ms),
+        until: at(status.until_ms),
+    }
+}
+
+impl Status {
+    /// An empty status.
+    pub(super) fn new(core: &Core) -> Self {
+        let from = core.settings.id.clone();
+        Self {
+            from,
+            wants_sum: false,
+            loads: Vec::new(),
+            weights: Vec::new(),
+            uses: Vec::new(),
+            store: core.store_seen.get().map(|span| store_span(span, core.now())),
+        }
+    }
+
+    /// Returns whether it has loads: a message with prompts or weights alone hasn't.
+    fn has_loads(&self) -> bool {
+        self.wants_sum || !self.loads.is_empty() || (self.uses.is_empty() && self.weights.is_empty())
+    }
+}
+
+/// Receives the status of another box.
+pub(super) async fn receive(core: &Core, socket: &UdpSocket, from: SocketAddr, status: Status) {
+    let now = core.now();
+    core.book.borrow_mut().note_alive(&status.from);
+    for weights in &status.weights {
+        weights::apply(core, weights);
+    }
+    for used in &status.uses {
+        apply_use(core, used);
+    }
+    if !core.book.borrow().is_small() {
+        let lead = core.book.borrow().lead(&core.settings.hall, now) == Some(&status.from);
+        if lead {
+            core.loads.borrow_mut().lead_seen = now;
+        }
+    }
+    if status.has_loads() {
+        let (member, loads) = (status.wants_sum, status.loads);
+        let store = status.store.map(|status| span(status, now));
+        if let Some(span) = store {
+            core.note_store_seen(span);
+        }
+        core.loads.borrow_mut().received.insert(
+            status.from.clone(),
+            Received {
+                at: now,
+                member,
+                loads,
+                store,
+            },
+        );
+        sum_up(core);
+    }
+    if status.wants_sum {
+        let loads = sum(core, own_loads(core), |_, id| *id != status.from);
+        for message in messages(Status {
+            loads,
+            ..Status::new(core)
+        }) {
+            send(core, socket, from, &message).await;
+        }
+    }
+}
+
+fn apply_use(core: &Core, status: &CacheUse) {
+    let shared = status.shared.iter().map(|&(part, tokens)| Segment {
+        id: part,
+        tokens: u64::from(tokens),
+    });
+    let own = u64::from(status.own);
+    if status.version > 0 {
+        if let Some(store) = core.cache_stores.borrow_mut().by_name(status.place) {
+            store.note_store(shared, status.version, own);
+        }
+        return;
+    }
+    let mut upstreams = core.upstreams.borrow_mut();
+    if let Some((_, upstream)) = upstreams.iter_mut().find(|(_, u)| u.name == status.place) {
+        upstream.cache.read(shared, own);
+    }
+}
+
+/// Adds the loads of the chosen boxes to `own`.
+fn sum(
+    core: &Core,
+    own: Vec<UpstreamLoad>,
+    chosen: impl Fn(&Received, &id::Box) -> bool,
+) -> Vec<UpstreamLoad> {
+    let mut sums: BTreeMap<u32, UpstreamLoad> = own.into_iter().map(|load| (load.upstream, load)).collect();
+    let loads = core.loads.borrow();
+    let received = loads
+        .received
+        .iter()
+        .filter(|(id, received)| chosen(received, id));
+    for load in received.flat_map(|(_, received)| &received.loads) {
+        let sum = sums.entry(load.upstream).or_insert(UpstreamLoad {
+            running: 0,
+            fixed: 0,
+            waiting: 0,
+            ..*load
+        });
+        sum.running += load.running;
+        sum.fixed += load.fixed;
+        sum.waiting += load.waiting;
+    }
+    sums.into_values().collect()
+}
+
+/// Adds up the loads of all others, and drops outdated ones.
+pub(super) fn sum_up(core: &Core) {
+    let now = core.now();
+    core.loads
+        .borrow_mut()
+        .received
+        .retain(|_, received| now < received.at + MAX_STATUS_AGE);
+    let sums = sum(core, Vec::new(), |_, _| true);
+    let sums: BTreeMap<u32, UpstreamLoad> = sums.into_iter().map(|load| (load.upstream, load)).collect();
+    for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
+        let others = sums.get(&place::short(upstream.name));
+        let load = |t: &UpstreamLoad| Load {
+            running: t.running,
+            fixed: t.fixed,
+            waiting: t.waiting,
+        };
+        upstream.others = others.map(load).unwrap_or_default();
+    }
+}
--- a/crates/jb-relay/src/peers/suspicion.rs
+++ b/crates/jb-relay/src/peers/suspicion.rs
@@ -14,10 +14,10 @@
 use tokio::time::timeout;
 
 use super::account;
-use super::gossip::tell_everyone;
 use super::mark;
 use super::message::{Message, Suspect, Suspects};
 use super::socket::send;
+use super::status::broadcast;
 use crate::core::{Core, Shared};
 use crate::quarantine::{self, News, Trial};
 
@@ -39,7 +39,7 @@
         if let Ok(news) = timeout(left, core.quarantine.news()).await {
             let suspects = news.iter().filter_map(|news| suspect_of_news(&core, news));
             for message in messages(suspects) {
-                tell_everyone(&core, &socket, &message).await;
+                broadcast(&core, &socket, &message).await;
             }
             let quarantined = news
                 .iter()
--- a/crates/jb-relay/src/peers/weights.rs
+++ b/crates/jb-relay/src/peers/weights.rs
@@ -1,4 +1,4 @@
-//! Engines that load weights, or have them, told to all boxes.
+//! Broadcasts which engines load weights or have loaded them.
 
 use std::rc::Rc;
 use std::time::Duration;
@@ -8,67 +8,65 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
-use super::gossip::tell_everyone;
-use super::message::{Message, Told, ToldWeights};
+use super::message::{LoadedWeights, Message, Status};
+use super::status::broadcast;
 use crate::core::{Core, Shared};
 use crate::upstream::Life;
 
-/// Time for which an engine that loads weights gets nothing, unless it is told done before.
+/// Time for which an engine that loads weights gets nothing, unless it is done before.
 pub const LOADING: Duration = Duration::from_millis(2500);
-/// Time for which word is gathered before it is told: a roll-out begins and ends loads by tens
-/// at a time, and a datagram for each to each of 295 boxes filled a link of 20 Mbit/s for half a
-/// second, so that many were lost and boxes sent to engines by weights that these no longer had.
-const GATHERED: Duration = Duration::from_millis(15);
+/// Time for which publications are batched: a release begins and ends loads by tens at a time.
+const BATCH_DELAY: Duration = Duration::from_millis(15);
 /// Engines in one datagram.
-const MOST_TOLD: usize = 48;
+const MAX_PER_DATAGRAM: usize = 48;
 
-/// Word of engines that is about to be told.
-pub type Gathered = Vec<ToldWeights>;
+/// Engines that are about to be published.
+pub type Gathered = Vec<LoadedWeights>;
 
-/// Tells all boxes that an engine has a version of a model's weights, or loads when there is none.
-pub fn tell_weights(
+/// Publishes that an engine has a version of a model's weights, or loads one when there is none.
+pub fn publish_weights(
     core: &Shared,
     socket: &Rc<UdpSocket>,
     upstream: &Life,
     model: &str,
     version: Option<u64>,
 ) {
-    let told = ToldWeights {
+    let loaded = LoadedWeights {
         upstream: place::short(upstream.name()),
         model: model.to_owned(),
         version: version.unwrap_or(0),
     };
-    take(core, &told);
+    apply(core, &loaded);
     let mut gathered = core.gathered.borrow_mut();
-    gathered.push(told);
+    gathered.push(loaded);
     if gathered.len() == 1 {
-        spawn_local(tell(Rc::clone(core), Rc::clone(socket)));
+        spawn_local(flush(Rc::clone(core), Rc::clone(socket)));
     }
 }
 
-async fn tell(core: Shared, socket: Rc<UdpSocket>) {
-    sleep(GATHERED).await;
+async fn flush(core: Shared, socket: Rc<UdpSocket>) {
+    sleep(BATCH_DELAY).await;
     let gathered = core.gathered.take();
-    for weights in gathered.chunks(MOST_TOLD) {
-        let message = Message::Told(Told {
+    for weights in gathered.chunks(MAX_PER_DATAGRAM) {
+        let message = Message::Status(Status {
             weights: weights.to_vec(),
-            ..Told::new(&core)
+            ..Status::new(&core)
         });
-        tell_everyone(&core, &socket, &message).await;
+        broadcast(&core, &socket, &message).await;
     }
 }
 
-/// Takes word of an engine.
-pub(super) fn take(core: &Core, told: &ToldWeights) {
+/// Applies what a box has published of an engine.
+pub(super) fn apply(core: &Core, loaded: &LoadedWeights) {
     let now = core.now();
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(upstream) = upstreams.named_mut(told.upstream) else {
+    let Some(upstream) = upstreams.named_mut(loaded.upstream) else {
         return;
     };
-    if told.version == 0 {
+    if loaded.version == 0 {
         upstream.loading_until = now + LOADING;
     } else {
         upstream.loading_until = now;
-        upstream.observe_weights(&told.model, told.version);
+        upstream.observe_weights(&loaded.model, loaded.version);
     }
 }
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -118,8 +118,8 @@
     spawn_local(front::serve(Rc::clone(core), callers));
     spawn_local(ready::serve(Rc::clone(core), checks));
     spawn_local(peers::register(Rc::clone(core), port));
-    spawn_local(peers::tell(Rc::clone(core), Rc::clone(&socket)));
-    spawn_local(peers::hear(Rc::clone(core), Rc::clone(&socket)));
+    spawn_local(peers::publish_status(Rc::clone(core), Rc::clone(&socket)));
+    spawn_local(peers::receive_messages(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::discover_releases(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::publish_suspects(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(Steward::new(Rc::clone(core), socket).run());
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/steward/load.rs
@@ -206,7 +206,7 @@
     /// Whether a report is of the life that is known; a later one is noted.
     fn is_same_life(&self, life: &Life, report: &Report) -> bool {
         let fewer_orders = self.counts.borrow_mut().fall(life, report.orders);
-        if !life.is_told_by(report.born) {
+        if !life.is_confirmed_by(report.born) {
             restart::note(&self.core, life, report.born, "report");
             return false;
         }
@@ -226,11 +226,11 @@
         }
         self.empty(life, model).await;
         let _place = self.place().await;
-        let mut last_told = began;
+        let mut last_published = began;
         loop {
-            if core.now() > last_told + peers::LOADING / 2 {
-                last_told = core.now();
-                peers::tell_weights(core, &self.socket, life, model, None);
+            if core.now() > last_published + peers::LOADING / 2 {
+                last_published = core.now();
+                peers::publish_weights(core, &self.socket, life, model, None);
             }
             let Some((address, report)) = self.report(life).await else {
                 return;
@@ -244,7 +244,7 @@
             if has >= version && !report.busy {
                 emit!(core.logger, info, event::WEIGHTS_LOADED, "upstream" => %life, "version" => has,
                     "ms" => core.now().saturating_sub(began).as_millis() as u64);
-                peers::tell_weights(core, &self.socket, life, model, Some(has));
+                peers::publish_weights(core, &self.socket, life, model, Some(has));
                 return;
             }
             if report.busy {
@@ -258,7 +258,7 @@
     /// Has the boxes send nothing more there, and waits until what cannot go on elsewhere has ended.
     async fn empty(&self, life: &Life, model: &str) {
         let core = &self.core;
-        peers::tell_weights(core, &self.socket, life, model, None);
+        peers::publish_weights(core, &self.socket, life, model, None);
         let until = core.now() + EMPTY_TIME;
         sleep(HEARD_TIME).await;
         while core.now() < until && self.fixed(life) > 0 {
--- a/crates/jb-relay/src/upstream/life.rs
+++ b/crates/jb-relay/src/upstream/life.rs
@@ -37,7 +37,7 @@
 
     /// Whether what an upstream says of its start is said by this life; where either says nothing,
     /// it is.
-    pub fn is_told_by(&self, born: Option<Born>) -> bool {
+    pub fn is_confirmed_by(&self, born: Option<Born>) -> bool {
         self.born.is_none() || born.is_none() || self.born == born
     }
 }
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -34,7 +34,7 @@
     /// Constraints of instances whose entries have gone, the last one to go at the end.
     constraints: VecDeque<Constraints>,
     /// Whether upstreams say when they started: an entry without that is of another writer then.
-    tells_births: bool,
+    has_births: bool,
 }
 
 /// What an instance has asked its callers for.
@@ -85,7 +85,7 @@
 
 impl Registry {
     /// Takes a word of the store. A missing entry is left to the caller, as it may come back.
-    pub fn hear(&mut self, id: &str, word: Word, revision: Revision) -> Seen {
+    pub fn apply_registration(&mut self, id: &str, word: Word, revision: Revision) -> Seen {
         let words = self.words.entry(id.to_owned()).or_default();
         let before = words.standing();
         words.take(word, revision);
@@ -97,7 +97,7 @@
             Standing::There(entry) => self.put(id, entry),
             Standing::Unreadable => self.blur(id),
             Standing::Gone => Seen::Missing,
-            Standing::Unheard => Seen::Same,
+            Standing::Unknown => Seen::Same,
         }
     }
 
@@ -106,7 +106,7 @@
     pub fn observe_signals(&mut self, life: &Life, signals: Signals) -> bool {
         let words = self.words.entry(life.id.clone()).or_default();
         if signals.draining {
-            words.take_leaving(life.born);
+            words.drain_by_peer(life.born);
         }
         let Some(known) = self.all.get_mut(&life.id) else {
             return false;
@@ -119,7 +119,7 @@
 
     fn put(&mut self, id: &str, entry: Entry) -> Seen {
         self.note_birth(&entry);
-        if self.tells_births && entry.born.is_none() {
+        if self.has_births && entry.born.is_none() {
             return self.blur(id);
         }
         let same_life = |known: &&mut Upstream| known.life.born == entry.born;
@@ -137,10 +137,10 @@
 
     /// From the first upstream on that says when it started, those that do not name none to use.
     fn note_birth(&mut self, entry: &Entry) {
-        if entry.born.is_none() || self.tells_births {
+        if entry.born.is_none() || self.has_births {
             return;
         }
-        self.tells_births = true;
+        self.has_births = true;
         for upstream in self.all.values_mut() {
             upstream.unreadable |= upstream.life.born.is_none();
         }
@@ -155,8 +155,9 @@
         ids.push(id.to_owned());
         let mut upstream = Upstream::new(life, entry);
         // Without births, an id that is back may have its address back as well.
-        let is_told = upstream.life.born.is_some() && self.replaced.contains(&place::short(upstream.name));
-        upstream.refused |= is_told;
+        let is_replaced =
+            upstream.life.born.is_some() && self.replaced.contains(&place::short(upstream.name));
+        upstream.refused |= is_replaced;
         let known = self.constraints.iter().rev();
         if let Some(known) = known.clone().find(|known| known.life == upstream.life) {
             (upstream.backoff, upstream.limit) = (known.backoff, known.limit);
@@ -247,18 +248,18 @@
             .filter(named)
             .filter(|upstream| upstream.is_there());
         let new: Vec<Life> = new.map(|upstream| upstream.life.clone()).collect();
-        new.into_iter().filter(|life| self.take_leaving(life)).collect()
+        new.into_iter().filter(|life| self.drain_by_peer(life)).collect()
     }
 
-    fn take_leaving(&mut self, life: &Life) -> bool {
+    fn drain_by_peer(&mut self, life: &Life) -> bool {
         let Some(service) = self.life(life).map(|upstream| upstream.entry.service.clone()) else {
             return false;
         };
         let all = self.of_service(&service).count();
-        let told = self.of_service(&service).filter(|u| u.told_leaving).count();
-        let taken = 2 * (told + 1) <= all;
+        let by_peers = self.of_service(&service).filter(|u| u.draining_by_peer).count();
+        let taken = 2 * (by_peers + 1) <= all;
         if taken && let Some(upstream) = self.life_mut(life) {
-            upstream.told_leaving = true;
+            upstream.draining_by_peer = true;
         }
         taken
     }
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -55,7 +55,7 @@
     /// Whether it said itself that it leaves or has another id now.
     pub refused: bool,
     /// Whether another box has heard it say that it leaves.
-    pub told_leaving: bool,
+    pub draining_by_peer: bool,
     /// What it is believed to keep.
     pub cache: PrefixCache,
     /// Its account, where this box keeps it.
@@ -93,7 +93,7 @@
             ended_until: Moment::ZERO,
             lapsed: None,
             refused: false,
-            told_leaving: false,
+            draining_by_peer: false,
             cache: PrefixCache::default(),
             account: Account::default(),
             idle: Vec::new(),
@@ -112,7 +112,7 @@
 
     /// Whether it is one to use, by the store, by what it says itself, and by word of other boxes.
     pub fn is_there(&self) -> bool {
-        !self.entry.leaving && !self.told_leaving && !self.unreadable
+        !self.entry.leaving && !self.draining_by_peer && !self.unreadable
     }
 
     /// Whether it may get a new request.
--- a/crates/jb-relay/src/upstream/words.rs
+++ b/crates/jb-relay/src/upstream/words.rs
@@ -11,7 +11,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub enum Standing {
     /// Nothing was said.
-    Unheard,
+    Unknown,
     /// There is an upstream.
     There(Entry),
     /// There is something that names no upstream to use.
@@ -56,7 +56,7 @@
             self.entry = None;
         }
         if entry.leaving {
-            self.take_leaving(entry.born);
+            self.drain_by_peer(entry.born);
         }
         if self.entry.as_ref().is_none_or(|(known, _)| *known < revision) {
             self.entry = Some((revision, entry));
@@ -64,7 +64,7 @@
     }
 
     /// Takes it that a life leaves, as the store or an answer of its own says.
-    pub fn take_leaving(&mut self, born: Option<Born>) {
+    pub fn drain_by_peer(&mut self, born: Option<Born>) {
         self.left = self.left.max(Some(born));
     }
 
@@ -89,7 +89,7 @@
             }),
             (_, Some((_, Other::Unreadable))) => Standing::Unreadable,
             (_, Some((_, Other::Gone))) => Standing::Gone,
-            (_, None) => Standing::Unheard,
+            (_, None) => Standing::Unknown,
         }
     }
 
--- a/crates/jb-relay/tests/lives.rs
+++ b/crates/jb-relay/tests/lives.rs
@@ -56,14 +56,17 @@
 #[test]
 fn restart_clears_what_was_true_of_the_life_before() {
     let mut registry = Registry::default();
-    assert_eq!(registry.hear("engine", entry(Some(FIRST), false), 1), Seen::New);
+    assert_eq!(
+        registry.apply_registration("engine", entry(Some(FIRST), false), 1),
+        Seen::New
+    );
     let life = registry.get("engine").expect("known").life.clone();
     let known = registry.life_mut(&life).expect("its life");
     known.running = 3;
     known.refused = true;
     known.backoff.observe(asks_for(NOW * 2), 1, NOW);
     assert!(
-        matches!(registry.hear("engine", entry(Some(SECOND), false), 2), Seen::Restarted(ended)
+        matches!(registry.apply_registration("engine", entry(Some(SECOND), false), 2), Seen::Restarted(ended)
         if ended.born == Some(FIRST) && ended.running == 3)
     );
     let again = registry.get("engine").expect("known");
@@ -78,20 +81,23 @@
 #[test]
 fn life_that_leaves_and_starts_again_serves_and_its_late_words_change_nothing() {
     let mut registry = Registry::default();
-    registry.hear("engine", entry(Some(FIRST), false), 1);
+    registry.apply_registration("engine", entry(Some(FIRST), false), 1);
     assert_eq!(
-        registry.hear("engine", entry(Some(FIRST), true), 2),
+        registry.apply_registration("engine", entry(Some(FIRST), true), 2),
         Seen::Leaving
     );
     // It has said that it leaves, whatever another writer says later.
-    registry.hear("engine", entry(Some(FIRST), false), 3);
+    registry.apply_registration("engine", entry(Some(FIRST), false), 3);
     assert!(!is_open(&registry));
     assert!(matches!(
-        registry.hear("engine", entry(Some(SECOND), false), 4),
+        registry.apply_registration("engine", entry(Some(SECOND), false), 4),
         Seen::Restarted(_)
     ));
     assert!(is_open(&registry));
-    assert_eq!(registry.hear("engine", entry(Some(FIRST), true), 5), Seen::Same);
+    assert_eq!(
+        registry.apply_registration("engine", entry(Some(FIRST), true), 5),
+        Seen::Same
+    );
     assert!(is_open(&registry));
 }
 
@@ -99,12 +105,15 @@
 #[test]
 fn entry_that_cannot_be_read_names_no_engine_until_it_can() {
     let mut registry = Registry::default();
-    registry.hear("engine", entry(Some(FIRST), false), 1);
-    assert_eq!(registry.hear("engine", unreadable(), 2), Seen::Unreadable);
+    registry.apply_registration("engine", entry(Some(FIRST), false), 1);
+    assert_eq!(
+        registry.apply_registration("engine", unreadable(), 2),
+        Seen::Unreadable
+    );
     assert!(!is_open(&registry));
     // Written again and again it is told once.
-    assert_eq!(registry.hear("engine", unreadable(), 3), Seen::Same);
-    registry.hear("engine", entry(Some(FIRST), false), 4);
+    assert_eq!(registry.apply_registration("engine", unreadable(), 3), Seen::Same);
+    registry.apply_registration("engine", entry(Some(FIRST), false), 4);
     assert!(is_open(&registry));
 }
 
@@ -113,11 +122,14 @@
 #[test]
 fn entry_without_a_start_counts_only_where_no_engine_tells_its_own() {
     let mut registry = Registry::default();
-    registry.hear("engine", entry(None, false), 1);
+    registry.apply_registration("engine", entry(None, false), 1);
     assert!(is_open(&registry));
-    registry.hear("other", entry(Some(FIRST), false), 2);
+    registry.apply_registration("other", entry(Some(FIRST), false), 2);
     assert!(!is_open(&registry));
-    assert_eq!(registry.hear("third", entry(None, false), 3), Seen::Unreadable);
+    assert_eq!(
+        registry.apply_registration("third", entry(None, false), 3),
+        Seen::Unreadable
+    );
     assert!(registry.get("third").is_none());
 }
 
@@ -125,11 +137,11 @@
 #[test]
 fn life_that_was_shown_to_be_over_gets_nothing_until_the_next_one_is_there() {
     let mut registry = Registry::default();
-    registry.hear("engine", entry(Some(FIRST), false), 1);
+    registry.apply_registration("engine", entry(Some(FIRST), false), 1);
     let life = registry.get("engine").expect("known").life.clone();
     assert!(registry.end(&life).is_some());
     assert!(!is_open(&registry));
-    registry.hear("engine", entry(Some(SECOND), false), 2);
+    registry.apply_registration("engine", entry(Some(SECOND), false), 2);
     assert!(is_open(&registry));
 }
 
@@ -139,18 +151,18 @@
 fn life_that_says_in_an_answer_that_it_leaves_stays_out_whatever_the_store_says_of_it() {
     for born in [None, Some(FIRST)] {
         let mut registry = Registry::default();
-        registry.hear("engine", entry(born, false), 1);
+        registry.apply_registration("engine", entry(born, false), 1);
         let life = registry.get("engine").expect("known").life.clone();
         assert!(!registry.observe_signals(&life, Signals::default()));
         assert!(is_open(&registry));
         assert!(registry.observe_signals(&life, leaves()));
         assert!(!registry.observe_signals(&life, leaves()), "told once");
         assert!(!is_open(&registry));
-        registry.hear("engine", entry(born, false), 2);
+        registry.apply_registration("engine", entry(born, false), 2);
         assert!(!is_open(&registry));
-        registry.hear("engine", Word::Gone, 3);
+        registry.apply_registration("engine", Word::Gone, 3);
         registry.remove("engine");
-        registry.hear("engine", entry(born, false), 4);
+        registry.apply_registration("engine", entry(born, false), 4);
         assert!(!is_open(&registry));
     }
 }
@@ -158,10 +170,10 @@
 #[test]
 fn next_life_of_an_engine_that_has_left_by_its_own_word_serves() {
     let mut registry = Registry::default();
-    registry.hear("engine", entry(Some(FIRST), false), 1);
+    registry.apply_registration("engine", entry(Some(FIRST), false), 1);
     let life = registry.get("engine").expect("known").life.clone();
     registry.observe_signals(&life, leaves());
-    registry.hear("engine", entry(Some(SECOND), false), 2);
+    registry.apply_registration("engine", entry(Some(SECOND), false), 2);
     assert!(is_open(&registry));
     // An answer that comes late.
     assert!(!registry.observe_signals(&life, leaves()));
@@ -174,13 +186,13 @@
 fn rest_outlasts_an_entry_that_goes_and_comes_back_and_ends_with_its_life() {
     let mut registry = Registry::default();
     for born in [FIRST, SECOND] {
-        registry.hear("engine", entry(Some(FIRST), false), 1);
+        registry.apply_registration("engine", entry(Some(FIRST), false), 1);
         let life = registry.get("engine").expect("known").life.clone();
         let known = registry.life_mut(&life).expect("its life");
         known.backoff.observe(asks_for(NOW), 1, NOW);
-        registry.hear("engine", Word::Gone, 2);
+        registry.apply_registration("engine", Word::Gone, 2);
         registry.remove("engine");
-        registry.hear("engine", entry(Some(born), false), 3);
+        registry.apply_registration("engine", entry(Some(born), false), 3);
         assert_eq!(is_open(&registry), born == SECOND);
         registry = Registry::default();
     }
@@ -192,7 +204,7 @@
     let mut registry = Registry::default();
     let ids: Vec<String> = (0..7).map(|number| format!("engine-{number}")).collect();
     for id in &ids {
-        registry.hear(id, entry(Some(FIRST), false), 1);
+        registry.apply_registration(id, entry(Some(FIRST), false), 1);
     }
     let names: Vec<u32> = registry.iter().map(|(_, u)| place::short(u.name)).collect();
     let received = names.iter().map(|name| registry.note_leaving(&[*name]).len());
@@ -201,7 +213,7 @@
     // Boxes that were told do not tell again when they hear it themselves.
     let first = registry
         .iter()
-        .find(|(_, u)| u.told_leaving)
+        .find(|(_, u)| u.draining_by_peer)
         .map(|(_, u)| u.life.clone());
     assert!(!registry.observe_signals(&first.expect("told"), leaves()));
     // What the engines say themselves has no such bound.
@@ -214,7 +226,7 @@
 
 /// One word of two lives, by the store, by a box, or by an answer.
 #[derive(Clone, Debug)]
-enum Said {
+enum Step {
     Store(Word, Revision),
     /// A box tells that another upstream answers at the address of a life.
     Replaced(Born),
@@ -222,7 +234,7 @@
     Answer(Born),
 }
 
-impl Arbitrary for Said {
+impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
         let born = *g.choose(&[FIRST, SECOND]).expect("a life");
         // Revisions are distinct, as the store's are; `shuffled` gives them.
@@ -237,15 +249,15 @@
     }
 }
 
-fn hear(registry: &mut Registry, said: &Said) {
-    match said {
-        Said::Store(word, revision) => {
-            if registry.hear("engine", word.clone(), *revision) == Seen::Missing {
+fn apply(registry: &mut Registry, steps: &Step) {
+    match steps {
+        Step::Store(word, revision) => {
+            if registry.apply_registration("engine", word.clone(), *revision) == Seen::Missing {
                 registry.remove("engine");
             }
         }
-        Said::Replaced(born) => registry.note_replaced(&[place::short(life(*born).name())]),
-        Said::Answer(born) => {
+        Step::Replaced(born) => registry.note_replaced(&[place::short(life(*born).name())]),
+        Step::Answer(born) => {
             registry.observe_signals(&life(*born), leaves());
         }
     }
@@ -259,9 +271,9 @@
 }
 
 /// Which life there is, and whether it may get requests.
-fn outcome(all: &[Said]) -> Option<(Option<Born>, bool)> {
+fn outcome(all: &[Step]) -> Option<(Option<Born>, bool)> {
     let mut registry = Registry::default();
-    all.iter().for_each(|said| hear(&mut registry, said));
+    all.iter().for_each(|steps| apply(&mut registry, steps));
     let upstream = registry.get("engine")?;
     // An upstream that is not to be used is as good as none.
     upstream.is_open(NOW).then_some((upstream.life.born, true))
@@ -269,41 +281,41 @@
 
 #[test]
 fn words_of_two_lives_end_in_the_same_state_in_whatever_order_they_are_heard() {
-    fn holds(said: Vec<Said>, turns: Vec<(u8, u8)>) -> bool {
-        let mut said = said;
-        for (at, one) in said.iter_mut().enumerate() {
-            if let Said::Store(_, revision) = one {
+    fn holds(steps: Vec<Step>, turns: Vec<(u8, u8)>) -> bool {
+        let mut steps = steps;
+        for (at, one) in steps.iter_mut().enumerate() {
+            if let Step::Store(_, revision) = one {
                 *revision = at as Revision + 1;
             }
         }
-        let before = outcome(&said);
-        let count = said.len().max(1);
+        let before = outcome(&steps);
+        let count = steps.len().max(1);
         for (a, b) in turns {
             let (a, b) = (usize::from(a) % count, usize::from(b) % count);
-            if a < said.len() && b < said.len() {
-                said.swap(a, b);
+            if a < steps.len() && b < steps.len() {
+                steps.swap(a, b);
             }
         }
-        before == outcome(&said)
+        before == outcome(&steps)
     }
     QuickCheck::new()
         .rng(Gen::from_size_and_seed(12, 7))
         .tests(3000)
-        .quickcheck(holds as fn(Vec<Said>, Vec<(u8, u8)>) -> bool);
+        .quickcheck(holds as fn(Vec<Step>, Vec<(u8, u8)>) -> bool);
 }
 
 /// Guards against a limit that ends when the entry of its instance goes and comes back.
 #[test]
 fn rate_limit_outlasts_an_entry_that_comes_back_and_ends_with_its_instance() {
     let mut registry = Registry::default();
-    registry.hear("engine", entry(Some(FIRST), false), 1);
+    registry.apply_registration("engine", entry(Some(FIRST), false), 1);
     let known = registry.get_mut("engine").expect("known");
     known.limit.observe(Announcement::Limited(1.5), None, NOW);
-    registry.hear("engine", Word::Gone, 2);
+    registry.apply_registration("engine", Word::Gone, 2);
     registry.remove("engine");
-    registry.hear("engine", entry(Some(FIRST), false), 3);
+    registry.apply_registration("engine", entry(Some(FIRST), false), 3);
     let rate = |registry: &Registry| registry.get("engine").expect("known").limit.rate();
     assert_eq!(rate(&registry), Some(1.5));
-    registry.hear("engine", entry(Some(SECOND), false), 4);
+    registry.apply_registration("engine", entry(Some(SECOND), false), 4);
     assert_eq!(rate(&registry), None);
 }
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -120,7 +120,7 @@
     let at = random.random_range(0..world.boxes.len());
     let engine = random.random_range(0..world.engines.len());
     let lasts = Duration::from_millis(random.random_range(LASTS));
-    world.tell(&format!("{fault:?} box {at} engine {engine} for {lasts:?}"));
+    world.log(&format!("{fault:?} box {at} engine {engine} for {lasts:?}"));
     let target = &world.boxes[at];
     world.disturb(at, fault.is_of_store(), lasts);
     match fault {
--- a/crates/jb-soak/src/poison.rs
+++ b/crates/jb-soak/src/poison.rs
@@ -94,7 +94,7 @@
         deaths.extend(engine.deaths.borrow().iter());
     }
     deaths.sort_unstable();
-    world.tell(&format!("{} engines ended under one request", deaths.len()));
+    world.log(&format!("{} engines ended under one request", deaths.len()));
     let Some(third) = deaths.get(KNOWN - 1).copied() else {
         return;
     };
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -125,7 +125,7 @@
     }
 
     /// Prints a line of the timeline.
-    pub fn tell(&self, what: &str) {
+    pub fn log(&self, what: &str) {
         if self.loud {
             println!("  {:6.2} {what}", self.began.elapsed().as_secs_f64());
         }
