--- a/crates/jb-daemon/src/quarantine.rs
+++ b/crates/jb-daemon/src/quarantine.rs
@@ -97,8 +97,8 @@
 /// Name under which boxes speak of one life of an engine; a life that nobody has heard of yet is one
 /// of its own.
 pub fn engine(upstream: &str, incarnation: Option<id::Incarnation>) -> Engine {
-    let life = incarnation.unwrap_or_default();
-    place::short(place::weight(place::name_hash(upstream), life))
+    let instance = incarnation.unwrap_or_default();
+    place::short(place::weight(place::name_hash(upstream), instance))
 }
 
 /// Takes what another box tells.
--- a/crates/jb-daemon/src/run/session/isolation.rs
+++ b/crates/jb-daemon/src/run/session/isolation.rs
@@ -67,7 +67,7 @@
             .filter(|u| u.hall == config.hall && u.id != config.id && !self.tried.contains(&u.id));
         let neighbours: Vec<SocketAddr> = near.take(NEIGHBOURS).map(|u| u.address).collect();
         if quarantine::has_ended(config.address, &neighbours).await {
-            let evidence = Evidence::of_end(upstream.life, self.isolated.is_some());
+            let evidence = Evidence::of_end(upstream.instance, self.isolated.is_some());
             quarantine::note(&self.context, self.content(), evidence);
         }
     }
@@ -77,7 +77,7 @@
         if let (Some(Attempt::Engine(_)), Some(upstream)) = (&self.attempt, &self.last_engine)
             && self.verdict() != Verdict::Unsuspected
         {
-            quarantine::note(&self.context, self.content(), Evidence::of_run(upstream.life));
+            quarantine::note(&self.context, self.content(), Evidence::of_run(upstream.instance));
         }
     }
 }
--- a/crates/jb-daemon/src/run/session/mod.rs
+++ b/crates/jb-daemon/src/run/session/mod.rs
@@ -84,7 +84,7 @@
 #[derive(Clone, Debug)]
 struct LastEngine {
     id: id::Upstream,
-    life: Engine,
+    instance: Engine,
 }
 
 impl Drop for Session {
@@ -177,12 +177,15 @@
             Err(none) => return Err(self.give_up(none.kind, why(none.kind), none.after)),
         };
         self.last_engine = None;
-        if let Target::Engine { upstream, life, .. } = &target {
-            let (id, life) = (upstream.clone(), *life);
-            if !self.begin_isolated(life) {
+        if let Target::Engine {
+            upstream, instance, ..
+        } = &target
+        {
+            let (id, instance) = (upstream.clone(), *instance);
+            if !self.begin_isolated(instance) {
                 return Err(self.give_up(Kind::Busy, "the request may end engines and waits its turn", None));
             }
-            self.last_engine = Some(LastEngine { id, life });
+            self.last_engine = Some(LastEngine { id, instance });
         }
         let id = match std::mem::replace(&mut self.phase, Phase::Over) {
             Phase::Unsent(call) => {
--- a/crates/jb-daemon/src/run/session/pick.rs
+++ b/crates/jb-daemon/src/run/session/pick.rs
@@ -22,7 +22,7 @@
     Engine {
         upstream: id::Upstream,
         /// Its present life.
-        life: Engine,
+        instance: Engine,
         permit: Permit,
         ticket: Ticket,
     },
@@ -131,7 +131,7 @@
                 after: Some(refused.after),
             }),
             Ok(Ok((choice, ticket))) => Ok(Target::Engine {
-                life: quarantine::engine(&choice.upstream, choice.incarnation),
+                instance: quarantine::engine(&choice.upstream, choice.incarnation),
                 permit: choice.permit,
                 upstream: choice.upstream,
                 ticket,
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -16,7 +16,7 @@
 use crate::signal;
 use crate::ticket::Ticket;
 use crate::unknown_signals;
-use crate::upstream::Life;
+use crate::upstream::Instance;
 
 /// Longest head of an answer, in bytes.
 const LONGEST_HEAD: usize = 64 * 1024;
@@ -79,39 +79,39 @@
 }
 
 /// Sends a request and waits for the head of its answer.
-pub async fn send(core: &Shared, life: &Life, message: &Message<'_>, permit: Permit) -> Outcome {
+pub async fn send(core: &Shared, instance: &Instance, message: &Message<'_>, permit: Permit) -> Outcome {
     let entry = core
         .upstreams
         .borrow()
-        .life(life)
+        .instance(instance)
         .map(|upstream| upstream.entry.clone());
     let Some(entry) = entry else {
         return Outcome::Unsent("the upstream has gone".to_owned());
     };
     let once = !message.ticket.route.repeatable();
-    let mut link = match link::take(core, life, once).await {
+    let mut link = match link::take(core, instance, once).await {
         Ok(link) => link,
         Err(why) => return Outcome::Unsent(why.to_string()),
     };
-    if !core.takes_requests(life, permit) {
+    if !core.takes_requests(instance, permit) {
         link::give(core, link, None);
         return Outcome::Withdrawn;
     }
-    let head = head(core, &life.id, &entry, message);
+    let head = head(core, &instance.id, &entry, message);
     let mut clean = true;
     let sent = core.now();
     match exchange(&mut link, &head, message.body, &mut clean).await {
         Ok(()) => {}
         Err(why) => return Outcome::Failed(why.to_string()),
     }
-    match own_answer(core, life, &mut link, message.ticket, sent, &mut clean).await {
+    match own_answer(core, instance, &mut link, message.ticket, sent, &mut clean).await {
         Ok(answer) => judge(core, answer, link, clean).await,
         Err(why) => Outcome::Failed(why.to_string()),
     }
 }
 
 /// The head as the upstream gets it.
-fn head(core: &Core, life: &str, entry: &Entry, message: &Message<'_>) -> BytesMut {
+fn head(core: &Core, instance: &str, entry: &Entry, message: &Message<'_>) -> BytesMut {
     let names = &core.names;
     let ticket = message.ticket;
     let left = ticket
@@ -123,7 +123,7 @@
     let last = message.last_event.map(|last| last.to_string());
     let mut own: Vec<(&[u8], &[u8])> = vec![
         (names.deadline.as_bytes(), left.as_bytes()),
-        (names.incarnation.as_bytes(), life.as_bytes()),
+        (names.incarnation.as_bytes(), instance.as_bytes()),
     ];
     if let Some(customer) = &ticket.customer {
         own.push((names.customer.as_bytes(), customer.as_bytes()));
@@ -200,7 +200,7 @@
 /// Reads answers until the one to this request comes.
 async fn own_answer(
     core: &Core,
-    life: &Life,
+    instance: &Instance,
     link: &mut Link,
     ticket: &Ticket,
     sent: Moment,
@@ -213,12 +213,12 @@
         }
         let head = signal::read(&core.names, &answer);
         if answer.headers.text(core.names.request) == Some(ticket.id.as_str()) {
-            unknown_signals::note(core, life, &answer.headers);
-            signal::apply(core, life, ticket.model.as_deref(), &head, sent);
+            unknown_signals::note(core, instance, &answer.headers);
+            signal::apply(core, instance, ticket.model.as_deref(), &head, sent);
             return Ok(answer);
         }
         // An extra answer to an earlier request on this connection.
-        signal::apply_late(core, life, &head);
+        signal::apply_late(core, instance, &head);
         *clean = false;
         if answer.framing == Framing::UntilClose {
             return Err(http::Error::Malformed("an answer to another request"));
--- a/crates/jb-relay/src/cache_scan.rs
+++ b/crates/jb-relay/src/cache_scan.rs
@@ -18,7 +18,7 @@
 use crate::restart;
 use crate::salt;
 use crate::signal;
-use crate::upstream::Life;
+use crate::upstream::Instance;
 
 /// Interval at which the box looks whether it knows the engines.
 const LOOK: Duration = Duration::from_millis(5);
@@ -36,35 +36,39 @@
         (book.is_small(), book.others(&core.settings.id).next().is_some())
     };
     if small && listed {
-        for (life, address) in engines(&core) {
-            spawn_local(scan(Rc::clone(&core), life, address));
+        for (instance, address) in engines(&core) {
+            spawn_local(scan(Rc::clone(&core), instance, address));
         }
     }
 }
 
 /// Upstreams that cache prompts.
-fn engines(core: &Core) -> Vec<(Life, SocketAddr)> {
+fn engines(core: &Core) -> Vec<(Instance, SocketAddr)> {
     let upstreams = core.upstreams.borrow();
     let with_models = upstreams.iter().filter(|(_, u)| !u.entry.models.is_empty());
     with_models
-        .map(|(_, u)| (u.life.clone(), u.entry.address))
+        .map(|(_, u)| (u.instance.clone(), u.entry.address))
         .collect()
 }
 
-async fn scan(core: Shared, life: Life, address: SocketAddr) {
+async fn scan(core: Shared, instance: Instance, address: SocketAddr) {
     let observed = core.engines.cache_contents(address).await;
-    signal::apply_signals(&core, &life, observed.signals, None);
+    signal::apply_signals(&core, &instance, observed.signals, None);
     match observed.result {
-        Ok(contents) if life.is_confirmed_by(contents.born) => apply(&core, &life, &contents.parts),
-        Ok(contents) => restart::note(&core, &life, contents.born, "cache"),
-        Err(why) => emit!(core.logger, info, event::CACHE_NOT_SCANNED, "upstream" => %life, "why" => %why),
+        Ok(contents) if instance.is_confirmed_by(contents.started_at) => {
+            apply(&core, &instance, &contents.parts)
+        }
+        Ok(contents) => restart::note(&core, &instance, contents.started_at, "cache"),
+        Err(why) => {
+            emit!(core.logger, info, event::CACHE_NOT_SCANNED, "upstream" => %instance, "why" => %why)
+        }
     }
 }
 
 /// Applies the contents of an engine's cache that belong to its present weights.
-fn apply(core: &Core, life: &Life, contents: &[CachedSegment]) {
+fn apply(core: &Core, instance: &Instance, contents: &[CachedSegment]) {
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(upstream) = upstreams.life_mut(life) else {
+    let Some(upstream) = upstreams.instance_mut(instance) else {
         return;
     };
     let mut segments = Vec::new();
@@ -79,6 +83,6 @@
             });
         }
     }
-    emit!(core.logger, info, event::CACHE_SCANNED, "upstream" => %life, "segments" => segments.len());
+    emit!(core.logger, info, event::CACHE_SCANNED, "upstream" => %instance, "segments" => segments.len());
     upstream.cache.observe(&segments);
 }
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -27,7 +27,7 @@
 use crate::settings::Settings;
 use crate::stop::Stop;
 use crate::unknown_signals::UnknownSignals;
-use crate::upstream::{Life, Registry};
+use crate::upstream::{Instance, Registry};
 
 /// Reference to the shared state.
 pub type Shared = Rc<Core>;
@@ -194,9 +194,9 @@
 
     /// Whether an upstream has said nothing that speaks against a request: it may have, since it was
     /// chosen for it and the permit was acquired.
-    pub fn takes_requests(&self, life: &Life, permit: Permit) -> bool {
+    pub fn takes_requests(&self, instance: &Instance, permit: Permit) -> bool {
         let upstreams = self.upstreams.borrow();
-        upstreams.life(life).is_some_and(|upstream| {
+        upstreams.instance(instance).is_some_and(|upstream| {
             let permitted = permit == Permit::Granted || upstream.limit.rate().is_none();
             permitted && upstream.is_there() && !upstream.is_backing_off(self.now())
         })
--- a/crates/jb-relay/src/exchange/ask.rs
+++ b/crates/jb-relay/src/exchange/ask.rs
@@ -14,7 +14,7 @@
 use crate::peers::{self, Held, Prompt, Room, View};
 use crate::saturating_cast::saturating_cast;
 use crate::ticket::Ticket;
-use crate::upstream::{Life, Wanted};
+use crate::upstream::{Instance, Wanted};
 
 /// Engines whose accounts are asked for one prompt at the most: the family's own first, the
 /// others together where it has no room.
@@ -42,7 +42,7 @@
 }
 
 struct Asked {
-    life: Life,
+    instance: Instance,
     view: View,
     candidate: Candidate,
 }
@@ -52,7 +52,7 @@
     core: &Shared,
     ticket: &Ticket,
     body: &Bytes,
-    tried: &[Life],
+    tried: &[Instance],
     among: Among,
 ) -> Option<Choice> {
     let (last, shared) = ticket.prompt.split_last()?;
@@ -112,7 +112,7 @@
     /// Looks at engines for a prompt that shares little: those to which a connection is open, and
     /// the family's own. What another engine would have to read again is less than what a
     /// connection costs, and by load they share the work evenly, fast engines and slow ones.
-    async fn look_near(&self, own: &Life) -> Looked {
+    async fn look_near(&self, own: &Instance) -> Looked {
         let now = self.core.now();
         let mut near = self
             .core
@@ -131,7 +131,7 @@
     }
 
     /// Asks the family's own engine for a place, and looks at others where it has none.
-    async fn at_home(&self, own: &Life, others: &[Life], family: u64, target: Duration) -> Looked {
+    async fn at_home(&self, own: &Instance, others: &[Instance], family: u64, target: Duration) -> Looked {
         let ahead = account::ahead(self.tuning.tokens_per_ms, target);
         let room = Room::Ahead(saturating_cast(ahead));
         let held = peers::hold(self.core, own, self.place);
@@ -142,7 +142,7 @@
         if let Some(own) = first.as_ref().filter(|_| view.taken) {
             let missing = self.wanted.demand.shared().saturating_sub(view.found);
             let rest = if missing >= LEAST_LOOKED {
-                self.look(&self.holders(family, &own.life)).await
+                self.look(&self.holders(family, &own.instance)).await
             } else {
                 Vec::new()
             };
@@ -175,7 +175,7 @@
         };
         if verdict != Verdict::Send {
             return Some(Choice {
-                life: best.life,
+                instance: best.instance,
                 estimate,
                 verdict,
                 full: best.candidate.is_full(),
@@ -183,9 +183,9 @@
                 advice: None,
             });
         }
-        let held = peers::hold(self.core, &best.life, self.place);
+        let held = peers::hold(self.core, &best.instance, self.place);
         if let Some(view) =
-            peers::ask_account(self.core, &best.life, self.place, &self.prompt, Room::Any).await
+            peers::ask_account(self.core, &best.instance, self.place, &self.prompt, Room::Any).await
         {
             best.view = view;
         }
@@ -202,15 +202,15 @@
     /// The choice of an engine, with the best place among the rest to bring parts from.
     fn chosen(&self, best: &Asked, held: Held, rest: &[Asked]) -> Choice {
         let upstreams = self.core.upstreams.borrow();
-        let weights = |life: &Life| {
+        let weights = |instance: &Instance| {
             let model = self.wanted.model?;
-            upstreams.life(life)?.weights(model)
+            upstreams.instance(instance)?.weights(model)
         };
         let better = rest.iter().filter(|other| {
-            other.view.found > best.view.found && weights(&other.life) == weights(&best.life)
+            other.view.found > best.view.found && weights(&other.instance) == weights(&best.instance)
         });
         let other = better.max_by_key(|other| other.view.found).and_then(|other| {
-            let upstream = upstreams.life(&other.life)?;
+            let upstream = upstreams.instance(&other.instance)?;
             Some((upstream.entry.address, other.view.found))
         });
         Choice {
@@ -226,30 +226,30 @@
                 send_to_store: best.view.send_to_store,
                 stored: best.view.stored,
             }),
-            life: best.life.clone(),
+            instance: best.instance.clone(),
         }
     }
 
     /// Engines that may keep a family though it is not theirs now, because they were its own before.
-    fn holders(&self, family: u64, own: &Life) -> Vec<Life> {
+    fn holders(&self, family: u64, own: &Instance) -> Vec<Instance> {
         let upstreams = self.core.upstreams.borrow();
         let first = upstreams.holders_first(family, &self.wanted, ASKED, self.core.now());
-        first.into_iter().filter(|life| life != own).collect()
+        first.into_iter().filter(|instance| instance != own).collect()
     }
 
     /// Looks at the accounts of engines, without taking a place.
-    async fn look(&self, ids: &[Life]) -> Vec<Asked> {
-        let looks = ids.iter().map(|life| async {
+    async fn look(&self, ids: &[Instance]) -> Vec<Asked> {
+        let looks = ids.iter().map(|instance| async {
             let place = peers::draw(self.core);
-            let view = peers::ask_account(self.core, life, place, &self.prompt, Room::None).await?;
-            self.asked(life, view)
+            let view = peers::ask_account(self.core, instance, place, &self.prompt, Room::None).await?;
+            self.asked(instance, view)
         });
         join_all(looks).await.into_iter().flatten().collect()
     }
 
-    fn asked(&self, life: &Life, view: View) -> Option<Asked> {
+    fn asked(&self, instance: &Instance, view: View) -> Option<Asked> {
         let upstreams = self.core.upstreams.borrow();
-        let upstream = upstreams.life(life)?;
+        let upstream = upstreams.instance(instance)?;
         let has = self.wanted.model.and_then(|model| upstream.weights(model));
         let behind = has.is_some_and(|has| has < self.wanted.weights.newest());
         let shared = self.wanted.demand.shared();
@@ -261,7 +261,7 @@
             ..upstream.candidate(&self.wanted, behind)
         };
         Some(Asked {
-            life: life.clone(),
+            instance: instance.clone(),
             view,
             candidate,
         })
@@ -269,9 +269,9 @@
 }
 
 /// A choice that no account has said anything of.
-fn unadvised(held: Held, own: &Life) -> Choice {
+fn unadvised(held: Held, own: &Instance) -> Choice {
     Choice {
-        life: own.clone(),
+        instance: own.clone(),
         estimate: Estimate {
             first: Duration::ZERO,
             queued: false,
--- a/crates/jb-relay/src/exchange/count.rs
+++ b/crates/jb-relay/src/exchange/count.rs
@@ -6,12 +6,12 @@
 
 use crate::core::Shared;
 use crate::peers::{self, Held};
-use crate::upstream::Life;
+use crate::upstream::Instance;
 
 /// Load of one request at one upstream, counted until dropped.
 pub(super) struct Counted<'a> {
     core: &'a Shared,
-    life: &'a Life,
+    instance: &'a Instance,
     waiting: u64,
     fixed: u32,
     sent: Moment,
@@ -26,14 +26,14 @@
 impl<'a> Counted<'a> {
     pub(super) fn new(
         core: &'a Shared,
-        life: &'a Life,
+        instance: &'a Instance,
         waiting: u64,
         fixed: bool,
         held: Option<Held>,
     ) -> Self {
         let fixed = u32::from(fixed);
         let mut ahead = waiting;
-        if let Some(upstream) = core.upstreams.borrow_mut().life_mut(life) {
+        if let Some(upstream) = core.upstreams.borrow_mut().instance_mut(instance) {
             ahead += upstream.waiting + upstream.others.waiting;
             upstream.running += 1;
             upstream.fixed += fixed;
@@ -43,7 +43,7 @@
         }
         Self {
             core,
-            life,
+            instance,
             waiting,
             fixed,
             sent: core.now(),
@@ -78,7 +78,7 @@
 
     /// Nothing of it waits any more.
     fn started(&mut self) {
-        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(self.life) {
+        if let Some(upstream) = self.core.upstreams.borrow_mut().instance_mut(self.instance) {
             upstream.waiting = upstream.waiting.saturating_sub(self.waiting);
         }
         self.waiting = 0;
@@ -88,7 +88,7 @@
 impl Drop for Counted<'_> {
     fn drop(&mut self) {
         self.started();
-        if let Some(upstream) = self.core.upstreams.borrow_mut().life_mut(self.life) {
+        if let Some(upstream) = self.core.upstreams.borrow_mut().instance_mut(self.instance) {
             upstream.running = upstream.running.saturating_sub(1);
             upstream.fixed = upstream.fixed.saturating_sub(self.fixed);
             upstream.health.undecided();
--- a/crates/jb-relay/src/exchange/isolation.rs
+++ b/crates/jb-relay/src/exchange/isolation.rs
@@ -11,7 +11,7 @@
 use super::run::Exchange;
 use crate::link;
 use crate::quarantine;
-use crate::upstream::Life;
+use crate::upstream::Instance;
 
 /// `Retry-After` of a suspect while another trial of it is under way, or no engine can be spared.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -96,11 +96,11 @@
         };
         let ticket = self.message.ticket;
         let wanted = place::wanted(core, ticket, self.message.body, &self.tried, Among::Sure);
-        let lives = |life: &Life| !ended.contains(&quarantine::engine(life));
-        let free = |life: &Life| !trials.contains(&quarantine::engine(life));
-        let life = core.upstreams.borrow().quietest(&wanted, lives, free, now)?;
+        let instances = |instance: &Instance| !ended.contains(&quarantine::engine(instance));
+        let free = |instance: &Instance| !trials.contains(&quarantine::engine(instance));
+        let instance = core.upstreams.borrow().quietest(&wanted, instances, free, now)?;
         Some(Choice {
-            life,
+            instance,
             estimate: Estimate {
                 first: Duration::ZERO,
                 queued: false,
@@ -114,18 +114,18 @@
 
     /// Notes it if the engine has ended. A connection that ends shows nothing by itself: networks
     /// and failing engines do that as well; but then the engine still takes another one.
-    pub(super) async fn note_end(&self, life: &Life, isolated: bool) {
-        if link::has_ended(self.core, life).await {
+    pub(super) async fn note_end(&self, instance: &Instance, isolated: bool) {
+        if link::has_ended(self.core, instance).await {
             let content = self.content();
-            quarantine::note_end(self.core, content, life, isolated);
+            quarantine::note_end(self.core, content, instance, isolated);
         }
     }
 
     /// Notes that an engine has run the request well.
-    pub(super) fn note_run(&self, life: &Life) {
+    pub(super) fn note_run(&self, instance: &Instance) {
         if !self.core.quarantine.is_empty() {
             let content = self.content();
-            quarantine::note_run(self.core, content, life);
+            quarantine::note_run(self.core, content, instance);
         }
     }
 }
--- a/crates/jb-relay/src/exchange/judge.rs
+++ b/crates/jb-relay/src/exchange/judge.rs
@@ -5,7 +5,7 @@
 
 use super::run::Exchange;
 use crate::peers;
-use crate::upstream::{Life, Upstream};
+use crate::upstream::{Instance, Upstream};
 
 impl Exchange<'_> {
     /// Notes how the request ends at its engine, for the engine's account.
@@ -16,33 +16,33 @@
     }
 
     /// Notes that a send failed through the engine's fault.
-    pub(super) fn blame(&self, life: &Life, outcome: &'static str, why: &str) {
+    pub(super) fn blame(&self, instance: &Instance, outcome: &'static str, why: &str) {
         let core = self.core;
         let running = core
             .upstreams
             .borrow()
-            .life(life)
+            .instance(instance)
             .map(|upstream| upstream.running);
         emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.ticket.id,
-            "upstream" => %life, "outcome" => outcome, "why" => why,
+            "upstream" => %instance, "outcome" => outcome, "why" => why,
             "content" => %self.content(), "running" => running);
         let loads = |upstream: &Upstream| core.now() < upstream.loading_until;
-        if core.upstreams.borrow().life(life).is_some_and(loads) {
+        if core.upstreams.borrow().instance(instance).is_some_and(loads) {
             // Streams that are reset for new weights are no fault of the engine.
             return;
         }
         self.note_ending(peers::Ending::Failed);
-        if core.upstreams.borrow_mut().judged(life, false, core.now()) == Change::Ejected {
-            emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => %life, "why" => why);
+        if core.upstreams.borrow_mut().judged(instance, false, core.now()) == Change::Ejected {
+            emit!(core.logger, warn, event::UPSTREAM_EJECTED, "upstream" => %instance, "why" => why);
         }
     }
 
     /// Notes that the engine has answered well.
-    pub(super) fn praise(&self, life: &Life) {
+    pub(super) fn praise(&self, instance: &Instance) {
         let core = self.core;
         self.note_ending(peers::Ending::Well);
-        if core.upstreams.borrow_mut().judged(life, true, core.now()) == Change::Returned {
-            emit!(core.logger, info, event::UPSTREAM_RETURNED, "upstream" => %life);
+        if core.upstreams.borrow_mut().judged(instance, true, core.now()) == Change::Returned {
+            emit!(core.logger, info, event::UPSTREAM_RETURNED, "upstream" => %instance);
         }
     }
 }
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -16,7 +16,7 @@
 use crate::core::{Core, Shared};
 use crate::peers::{self, Placed};
 use crate::ticket::Ticket;
-use crate::upstream::{Life, Wanted};
+use crate::upstream::{Instance, Wanted};
 
 /// Part of the bound on older weights after which nothing is sent to them.
 const WEIGHTS_SHARE: f64 = 0.85;
@@ -26,7 +26,7 @@
 
 /// The upstream that is chosen for a request, with what it would do.
 pub(super) struct Choice {
-    pub(super) life: Life,
+    pub(super) instance: Instance,
     pub(super) estimate: Estimate,
     /// Whether it is sent there now, as the first send.
     pub(super) verdict: Verdict,
@@ -63,7 +63,7 @@
     core: &Shared,
     ticket: &Ticket,
     body: &Bytes,
-    tried: &[Life],
+    tried: &[Instance],
 ) -> Option<Choice> {
     let sure = advised(core, ticket, body, tried, Among::Sure).await;
     if sure.as_ref().is_some_and(Choice::has_place) || !has_last_resort(core, ticket) {
@@ -76,7 +76,7 @@
     core: &Shared,
     ticket: &Ticket,
     body: &Bytes,
-    tried: &[Life],
+    tried: &[Instance],
     among: Among,
 ) -> Option<Choice> {
     let by_account = !ticket.prompt.is_empty() && !core.book.borrow().is_small();
@@ -92,7 +92,7 @@
 }
 
 /// The upstream that a request is sent to next, if one is open.
-fn choose(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Life], among: Among) -> Option<Choice> {
+fn choose(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Instance], among: Among) -> Option<Choice> {
     let wanted = wanted(core, ticket, body, tried, among);
     let (ids, candidates) = core.upstreams.borrow().candidates(&wanted, core.now());
     let tuning = tuning(core, ticket);
@@ -102,7 +102,7 @@
         queued: candidates[at].waiting > 0,
     };
     Some(Choice {
-        life: ids[at].clone(),
+        instance: ids[at].clone(),
         // In a large fleet loads that no account has told come through leads and are 0.2 to 0.6 s
         // old: waiting for engines believed to be busy by them cost 0.1 of worth (82 boxes, 60
         // engines, two days played).
@@ -153,7 +153,7 @@
 
 /// Whether another upstream takes a request whose upstream is silent: one is open, and the
 /// retry budget has granted the send.
-pub(super) fn goes_on(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Life]) -> bool {
+pub(super) fn goes_on(core: &Core, ticket: &Ticket, body: &Bytes, tried: &[Instance]) -> bool {
     choose(core, ticket, body, tried, Among::All).is_some() && core.spend(&ticket.service)
 }
 
@@ -167,7 +167,7 @@
     core: &'a Core,
     ticket: &'a Ticket,
     body: &Bytes,
-    tried: &'a [Life],
+    tried: &'a [Instance],
     among: Among,
 ) -> Wanted<'a> {
     let model = ticket.model.as_deref();
@@ -200,18 +200,18 @@
 
     /// Settles where the engine takes parts from that it lacks, and whether it sends
     /// them to a store; returns the tokens that it must read itself.
-    pub(super) fn place_prompt(&mut self, life: &Life, advice: Option<&Advice>) -> u64 {
+    pub(super) fn place_prompt(&mut self, instance: &Instance, advice: Option<&Advice>) -> u64 {
         let ticket = self.message.ticket;
         let core = self.core;
         let Some((last, shared)) = ticket.prompt.split_last() else {
             return 0;
         };
         if let Some(advice) = advice {
-            return self.place_advised(life, last.tokens, advice);
+            return self.place_advised(instance, last.tokens, advice);
         }
         let wanted = wanted(core, ticket, self.message.body, &self.tried, Among::Sure);
-        let other = core.upstreams.borrow().source(life, &wanted, core.now());
-        let Some((found, version)) = self.note_read(life, shared, last.tokens + ticket.out) else {
+        let other = core.upstreams.borrow().source(instance, &wanted, core.now());
+        let Some((found, version)) = self.note_read(instance, shared, last.tokens + ticket.out) else {
             return 0;
         };
         let engine = found + other.map_or(0, |source| source.tokens);
@@ -228,8 +228,8 @@
             .saturating_sub(found + plan.tokens)
             .max(last.tokens);
         let upstreams = core.upstreams.borrow();
-        let upstream = upstreams.life(life);
-        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %life,
+        let upstream = upstreams.instance(instance);
+        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %instance,
             "tokens" => ticket.tokens(), "shared" => self.demand().shared(), "found" => found,
             "brought" => plan.tokens, "unread" => unread, "origin" => ?plan.origin,
             "from" => self.message.source.map(|from| from.to_string()), "to_store" => self.message.store.is_some(),
@@ -240,7 +240,7 @@
     }
 
     /// The same by what the engine's account says.
-    fn place_advised(&mut self, life: &Life, own: u64, advice: &Advice) -> u64 {
+    fn place_advised(&mut self, instance: &Instance, own: u64, advice: &Advice) -> u64 {
         let ticket = self.message.ticket;
         let core = self.core;
         let shared = self.demand().shared();
@@ -267,7 +267,7 @@
             .tokens()
             .saturating_sub(advice.found + plan.tokens)
             .max(own);
-        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %life,
+        emit!(core.logger, info, event::REQUEST_PLACED, "request" => &ticket.id, "upstream" => %instance,
             "tokens" => ticket.tokens(), "shared" => shared, "found" => advice.found,
             "brought" => plan.tokens, "unread" => unread, "origin" => ?plan.origin, "stored" => advice.stored,
             "from" => self.message.source.map(|from| from.to_string()), "to_store" => self.message.store.is_some(),
@@ -277,10 +277,10 @@
     }
 
     /// Notes that an engine reads a prompt; returns the tokens that it had, and its weights.
-    fn note_read(&self, life: &Life, shared: &[Segment], own: u64) -> Option<(u64, Option<Version>)> {
+    fn note_read(&self, instance: &Instance, shared: &[Segment], own: u64) -> Option<(u64, Option<Version>)> {
         let ticket = self.message.ticket;
         let mut upstreams = self.core.upstreams.borrow_mut();
-        let upstream = upstreams.life_mut(life)?;
+        let upstream = upstreams.instance_mut(instance)?;
         let found = upstream.cache.found(&ticket.prompt);
         upstream.set_memory(self.memory());
         upstream.cache.read(shared.iter().copied(), own);
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -22,7 +22,7 @@
 use crate::quarantine;
 use crate::rules::Kind;
 use crate::ticket::Ticket;
-use crate::upstream::Life;
+use crate::upstream::Instance;
 
 /// Sends of one request at most, with those that were turned away.
 const MOST_SENDS: u32 = 4;
@@ -48,7 +48,7 @@
 pub struct Exchange<'a> {
     pub(super) core: &'a Shared,
     pub(super) message: Message<'a>,
-    pub(super) tried: Vec<Life>,
+    pub(super) tried: Vec<Instance>,
     pub(super) sends: u32,
     pub(super) runs: u32,
     /// Whether the next send is taken from the retry budget already.
@@ -108,7 +108,7 @@
                 return self.give_up(self.refused.map_or(why, |refused| refused.why));
             };
             // Where it is denied, the upstream isn't open any more when the next one is picked.
-            let Ok(permit) = peers::acquire(self.core, &choice.life).await else {
+            let Ok(permit) = peers::acquire(self.core, &choice.instance).await else {
                 continue;
             };
             let paid = std::mem::take(&mut self.paid) || self.sends == 0;
@@ -152,23 +152,23 @@
         let core = self.core;
         let ticket = self.message.ticket;
         let Choice {
-            life,
+            instance,
             advice,
             estimate,
             isolated,
             ..
         } = choice;
-        let life = &life;
-        let waiting = self.place_prompt(life, advice.as_ref());
+        let instance = &instance;
+        let waiting = self.place_prompt(instance, advice.as_ref());
         let last = !ticket.route.repeatable() || self.runs + 1 >= ticket.route.attempts;
         let held = advice.map(|advice| advice.held);
         self.ending = held.as_ref().map(Held::ending);
-        let mut counted = Counted::new(core, life, waiting, last, held);
-        self.tried.push(life.clone());
+        let mut counted = Counted::new(core, instance, waiting, last, held);
+        self.tried.push(instance.clone());
         // It is a try of a suspect until the end of this send.
-        let _tried = isolated.then(|| quarantine::begin(core, self.content(), life));
+        let _tried = isolated.then(|| quarantine::begin(core, self.content(), instance));
         let outcome = tokio::select! {
-            outcome = self.patiently(life, permit, estimate.first) => outcome,
+            outcome = self.patiently(instance, permit, estimate.first) => outcome,
             () = client.closed() => {
                 // It is under way, and may run.
                 self.runs += 1;
@@ -177,29 +177,29 @@
         };
         match outcome {
             Outcome::Unsent(why) => {
-                self.blame(life, "unsent", &why);
+                self.blame(instance, "unsent", &why);
                 Err("unreachable")
             }
             Outcome::Withdrawn => Err("withdrawn"),
             Outcome::NotRun(status) => {
                 self.sends += 1;
                 emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
-                    "upstream" => %life, "outcome" => "not_run", "status" => status);
+                    "upstream" => %instance, "outcome" => "not_run", "status" => status);
                 Err("turned_away")
             }
             Outcome::Failed(why) => {
                 self.sends += 1;
                 self.runs += 1;
-                self.blame(life, "may_have_run", &why);
-                self.note_end(life, isolated).await;
+                self.blame(instance, "may_have_run", &why);
+                self.note_end(instance, isolated).await;
                 Err("upstream_failed")
             }
             Outcome::Answered(reply) => {
                 self.sends += 1;
                 self.runs += 1;
-                let next = self.deliver(life, *reply, client, &mut counted).await;
+                let next = self.deliver(instance, *reply, client, &mut counted).await;
                 if !matches!(next, Ok(Next::End(Ending::Answered(_) | Ending::CallerGone))) {
-                    self.note_end(life, isolated && counted.ran() < CRASH_WINDOW)
+                    self.note_end(instance, isolated && counted.ran() < CRASH_WINDOW)
                         .await;
                 }
                 next
@@ -209,13 +209,13 @@
 
     /// Sends; a request that may run again leaves a silent upstream as soon as another one can
     /// take it. Silence alone ends nothing: the answer may only be late.
-    async fn patiently(&mut self, life: &Life, permit: Permit, first: Duration) -> Outcome {
+    async fn patiently(&mut self, instance: &Instance, permit: Permit, first: Duration) -> Outcome {
         const SILENT: &str = "silent for longer than it should take";
         let ticket = self.message.ticket;
         let more = ticket.route.repeatable() && self.runs + 1 < ticket.route.attempts;
         // Engines that have much to read are silent for as long.
         let patience = ticket.route.patience().max(2 * first);
-        let sent = attempt::send(self.core, life, &self.message, permit);
+        let sent = attempt::send(self.core, instance, &self.message, permit);
         tokio::pin!(sent);
         let mut blamed = false;
         loop {
@@ -231,7 +231,7 @@
                 return Outcome::Failed(SILENT.to_owned());
             }
             if !blamed {
-                self.blame(life, "waits", SILENT);
+                self.blame(instance, "waits", SILENT);
                 blamed = true;
             }
         }
@@ -239,7 +239,7 @@
 
     async fn deliver(
         &mut self,
-        life: &Life,
+        instance: &Instance,
         reply: Reply,
         client: &mut Connection,
         counted: &mut Counted<'_>,
@@ -250,7 +250,11 @@
         let success = (200..300).contains(&status);
         let signed = reply.answer.headers.get(core.names.signature).is_some();
         if success && (!signed || reply.answer.headers.get("content-encoding").is_some()) {
-            self.blame(life, "may_have_run", "a success that the engine has not signed");
+            self.blame(
+                instance,
+                "may_have_run",
+                "a success that the engine has not signed",
+            );
             return Err("spoiled");
         }
         let again = status >= 500 && ticket.route.repeatable() && self.runs < ticket.route.attempts;
@@ -258,7 +262,7 @@
             // Without budget the caller gets the engine's failure instead.
             self.paid = true;
             emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &ticket.id,
-                "upstream" => %life, "outcome" => "ran", "status" => status);
+                "upstream" => %instance, "outcome" => "ran", "status" => status);
             return Err("upstream_error");
         }
         let delivered = if success && ticket.route.kind == Kind::Stream {
@@ -277,17 +281,17 @@
         match delivered {
             Delivered::Complete => {
                 if status < 500 {
-                    self.praise(life);
-                    self.note_run(life);
+                    self.praise(instance);
+                    self.note_run(instance);
                 }
                 Ok(Next::End(Ending::Answered(status)))
             }
             Delivered::Nothing(why) => {
-                self.blame(life, "may_have_run", why);
+                self.blame(instance, "may_have_run", why);
                 Err("broke_off")
             }
             Delivered::Partly(why) => {
-                self.blame(life, "ran_partly", why);
+                self.blame(instance, "ran_partly", why);
                 let more = ticket.route.resumable && self.runs < ticket.route.attempts;
                 if more && self.message.last_event.is_some() {
                     emit!(core.logger, info, event::STREAM_RESUMED, "request" => &ticket.id,
@@ -327,7 +331,7 @@
     }
 
     /// Upstreams that were tried.
-    pub fn tried(&self) -> &[Life] {
+    pub fn tried(&self) -> &[Instance] {
         &self.tried
     }
 }
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -6,7 +6,7 @@
 use super::missing;
 use crate::core::Core;
 use crate::peers;
-use crate::port::{Change, Fact, Revision, Word};
+use crate::port::{Change, Fact, Registration, Revision};
 use crate::restart;
 use crate::rules::Rules;
 use crate::upstream::{Ended, Seen, Upstream};
@@ -15,7 +15,7 @@
 pub(super) fn apply(core: &Core, fact: Fact, revision: Revision, comes_back: Option<Moment>) {
     match fact {
         Fact::Rules(rules) => put_rules(core, *rules),
-        Fact::Upstream(id, word) => apply_registration(core, &id, word, revision, comes_back),
+        Fact::Upstream(id, registration) => apply_registration(core, &id, registration, revision, comes_back),
         Fact::Weights(named) => {
             // What a box hears may have been named at any time since it last heard something.
             let earliest = core.proven.get();
@@ -46,12 +46,21 @@
     *core.rules.borrow_mut() = Some(std::rc::Rc::new(rules));
 }
 
-fn apply_registration(core: &Core, id: &str, word: Word, revision: Revision, comes_back: Option<Moment>) {
-    let why = match &word {
-        Word::Unreadable(why) => why.clone(),
-        Word::Entry(_) | Word::Gone => String::new(),
+fn apply_registration(
+    core: &Core,
+    id: &str,
+    registration: Registration,
+    revision: Revision,
+    comes_back: Option<Moment>,
+) {
+    let why = match &registration {
+        Registration::Unreadable(why) => why.clone(),
+        Registration::Entry(_) | Registration::Gone => String::new(),
     };
-    let seen = core.upstreams.borrow_mut().apply_registration(id, word, revision);
+    let seen = core
+        .upstreams
+        .borrow_mut()
+        .apply_registration(id, registration, revision);
     match seen {
         Seen::New => seen_new(core, id),
         Seen::Restarted(ended) => seen_again(core, id, ended),
@@ -75,7 +84,13 @@
 
 fn seen_again(core: &Core, id: &str, ended: Ended) {
     if let Some(upstream) = core.upstreams.borrow().get(id) {
-        restart::log(core, &upstream.life, upstream.life.born, ended, "entry");
+        restart::log(
+            core,
+            &upstream.instance,
+            upstream.instance.started_at,
+            ended,
+            "entry",
+        );
     }
 }
 
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -274,7 +274,11 @@
 
 /// Ids of the upstreams that were tried, the first one first.
 fn tried(exchange: &Exchange<'_>) -> String {
-    let ids: Vec<&str> = exchange.tried().iter().map(|life| life.id.as_str()).collect();
+    let ids: Vec<&str> = exchange
+        .tried()
+        .iter()
+        .map(|instance| instance.id.as_str())
+        .collect();
     ids.join(",")
 }
 
--- a/crates/jb-relay/src/link.rs
+++ b/crates/jb-relay/src/link.rs
@@ -9,7 +9,7 @@
 
 use crate::core::Shared;
 use crate::http::Connection;
-use crate::upstream::Life;
+use crate::upstream::Instance;
 
 /// Time for a connection to come up: several round trips inside a region.
 const CONNECT: Duration = Duration::from_millis(300);
@@ -37,7 +37,7 @@
     /// The connection.
     pub connection: Connection,
     /// Upstream.
-    pub upstream: Life,
+    pub upstream: Instance,
     /// Whether it has served a request before.
     pub used: bool,
 }
@@ -60,7 +60,7 @@
 ///
 /// # Errors
 /// When none comes up; nothing has been sent then.
-pub async fn take(core: &Shared, upstream: &Life, once: bool) -> Result<Link, Error> {
+pub async fn take(core: &Shared, upstream: &Instance, once: bool) -> Result<Link, Error> {
     if let Some(connection) = idle(core, upstream, once) {
         return Ok(Link {
             connection,
@@ -72,11 +72,11 @@
 }
 
 /// A new connection, if it comes up in time.
-async fn open(core: &Shared, upstream: &Life, time: Duration) -> Result<Link, Error> {
+async fn open(core: &Shared, upstream: &Instance, time: Duration) -> Result<Link, Error> {
     let address = core
         .upstreams
         .borrow()
-        .life(upstream)
+        .instance(upstream)
         .map(|u| u.entry.address)
         .ok_or(Error::Gone)?;
     let stream = match timeout(time, connect(address)).await {
@@ -127,8 +127,8 @@
 /// show: one that lives takes another connection, which is kept for the next request. A cut of its
 /// data hall may refuse connections as well, so another upstream there has to take one. An upstream
 /// that leaves ends as planned.
-pub async fn has_ended(core: &Shared, upstream: &Life) -> bool {
-    if let Some(known) = core.upstreams.borrow().life(upstream) {
+pub async fn has_ended(core: &Shared, upstream: &Instance) -> bool {
+    if let Some(known) = core.upstreams.borrow().instance(upstream) {
         if known.entry.leaving {
             return false;
         }
@@ -143,14 +143,14 @@
     if !refuses || !is_path_well(core, upstream).await {
         return false;
     }
-    if let Some(known) = core.upstreams.borrow_mut().life_mut(upstream) {
+    if let Some(known) = core.upstreams.borrow_mut().instance_mut(upstream) {
         known.note_end(core.now());
     }
     true
 }
 
 /// Opens a connection to see whether it comes up, and keeps it for the next request.
-async fn probe(core: &Shared, upstream: &Life) -> Result<(), Error> {
+async fn probe(core: &Shared, upstream: &Instance) -> Result<(), Error> {
     let link = open(core, upstream, PROBE).await?;
     give(core, link, None);
     Ok(())
@@ -158,7 +158,7 @@
 
 /// Whether connections to the data hall of an upstream come up. Where there is no other upstream,
 /// nothing speaks against it.
-async fn is_path_well(core: &Shared, upstream: &Life) -> bool {
+async fn is_path_well(core: &Shared, upstream: &Instance) -> bool {
     let witnesses = core
         .upstreams
         .borrow()
@@ -171,10 +171,10 @@
     witnesses.is_empty()
 }
 
-fn idle(core: &Shared, upstream: &Life, once: bool) -> Option<Connection> {
+fn idle(core: &Shared, upstream: &Instance, once: bool) -> Option<Connection> {
     let now = core.now();
     let mut upstreams = core.upstreams.borrow_mut();
-    let pool = &mut upstreams.life_mut(upstream)?.idle;
+    let pool = &mut upstreams.instance_mut(upstream)?.idle;
     while let Some(mut idle) = pool.pop() {
         let rest = if once {
             idle.rest.min(LONGEST_IDLE_ONCE)
@@ -206,7 +206,7 @@
         return;
     }
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(known) = upstreams.life_mut(&upstream) else {
+    let Some(known) = upstreams.instance_mut(&upstream) else {
         return;
     };
     if known.idle.len() >= MOST_IDLE {
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -23,7 +23,7 @@
 use super::socket::try_send;
 use crate::core::{Core, Shared};
 use crate::saturating_cast::saturating_cast;
-use crate::upstream::{Life, Upstream};
+use crate::upstream::{Instance, Upstream};
 
 /// Time in which an account answers: 0.2 to 2 ms on the way, the rest for a box whose part of a
 /// core is spent for the moment.
@@ -91,7 +91,7 @@
 /// A place that may have been taken; it is given back when dropped.
 pub struct Held {
     core: Shared,
-    engine: Life,
+    engine: Instance,
     place: Place,
     ending: Rc<Cell<Ending>>,
 }
@@ -120,7 +120,7 @@
 }
 
 /// A place at an engine, to be given back.
-pub fn hold(core: &Shared, engine: &Life, place: Place) -> Held {
+pub fn hold(core: &Shared, engine: &Instance, place: Place) -> Held {
     Held {
         core: Rc::clone(core),
         engine: engine.clone(),
@@ -131,7 +131,13 @@
 
 /// Asks the account of an engine for a place, which is taken as `room` says; `None` when no box
 /// answers in time.
-pub async fn ask(core: &Core, engine: &Life, place: Place, prompt: &Prompt<'_>, room: Room) -> Option<View> {
+pub async fn ask(
+    core: &Core,
+    engine: &Instance,
+    place: Place,
+    prompt: &Prompt<'_>,
+    room: Room,
+) -> Option<View> {
     let (name, owner) = owner(core, engine)?;
     let question = Question {
         place,
@@ -160,9 +166,9 @@
 }
 
 /// Takes newer weights of an engine that the box has not heard of.
-fn take_weights(core: &Core, engine: &Life, advice: &Advice) {
+fn take_weights(core: &Core, engine: &Instance, advice: &Advice) {
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(upstream) = upstreams.life_mut(engine) else {
+    let Some(upstream) = upstreams.instance_mut(engine) else {
         return;
     };
     let model = upstream.entry.models.first().cloned();
@@ -189,9 +195,9 @@
 /// is this one.
 type AccountOwner = (u32, Option<(String, SocketAddr)>);
 
-fn owner(core: &Core, engine: &Life) -> Option<AccountOwner> {
+fn owner(core: &Core, engine: &Instance) -> Option<AccountOwner> {
     let upstreams = core.upstreams.borrow();
-    let upstream = upstreams.life(engine)?;
+    let upstream = upstreams.instance(engine)?;
     let name = place::short(upstream.name);
     let book = core.book.borrow();
     let owner = book.owner(upstream.name, &upstream.entry.hall, core.now());
@@ -199,7 +205,7 @@
     Some((name, owner))
 }
 
-fn give_back(core: &Core, engine: &Life, place: Place, ending: Option<Ending>) {
+fn give_back(core: &Core, engine: &Instance, place: Place, ending: Option<Ending>) {
     let Some((name, owner)) = owner(core, engine) else {
         return;
     };
@@ -260,7 +266,7 @@
         Some(rules.services.get(service)?.memory_tokens)
     };
     let mut upstreams = core.upstreams.borrow_mut();
-    let upstream = upstreams.named_mut(question.engine)?;
+    let upstream = upstreams.by_short_name_mut(question.engine)?;
     let memory = memory(&upstream.entry.service).unwrap_or_default();
     upstream.set_memory(memory);
     let shared: Vec<Segment> = question
@@ -330,7 +336,7 @@
 /// Takes a place back, or word of its first token; whether its request has ended.
 fn take_back(core: &Core, returned: &Returned) -> bool {
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(upstream) = upstreams.named_mut(returned.engine) else {
+    let Some(upstream) = upstreams.by_short_name_mut(returned.engine) else {
         return false;
     };
     if returned.ending.is_none() {
@@ -343,7 +349,7 @@
 /// Judges an engine by how a request of another box has ended there.
 fn judge(core: &Core, returned: &Returned) {
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(upstream) = upstreams.named_mut(returned.engine) else {
+    let Some(upstream) = upstreams.by_short_name_mut(returned.engine) else {
         return;
     };
     let now = core.now();
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -139,7 +139,7 @@
     if !account::is_known(core, from) {
         return;
     }
-    for life in core.upstreams.borrow_mut().note_leaving(&leaving.upstreams) {
-        emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => %life, "why" => "peer");
+    for instance in core.upstreams.borrow_mut().note_leaving(&leaving.upstreams) {
+        emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => %instance, "why" => "peer");
     }
 }
--- a/crates/jb-relay/src/peers/rate_limit.rs
+++ b/crates/jb-relay/src/peers/rate_limit.rs
@@ -22,7 +22,7 @@
 use super::socket::try_send;
 use crate::core::Core;
 use crate::saturating_cast::saturating_cast;
-use crate::upstream::{Life, Upstream};
+use crate::upstream::{Instance, Upstream};
 
 /// Time in which an owner answers.
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
@@ -65,7 +65,7 @@
 ///
 /// # Errors
 /// The instance accepts no request now; until a permit may be available, it is not open at this box.
-pub async fn acquire(core: &Core, instance: &Life) -> Result<Permit, Denied> {
+pub async fn acquire(core: &Core, instance: &Instance) -> Result<Permit, Denied> {
     let Some((name, owner, observation)) = limited(core, instance) else {
         return Ok(Permit::Unlimited);
     };
@@ -94,9 +94,9 @@
 pub struct Denied;
 
 /// Name, owner and limit of an instance that has one.
-fn limited(core: &Core, instance: &Life) -> Option<(u64, Option<Owner>, rate_limit::Observation)> {
+fn limited(core: &Core, instance: &Instance) -> Option<(u64, Option<Owner>, rate_limit::Observation)> {
     let upstreams = core.upstreams.borrow();
-    let upstream = upstreams.life(instance)?;
+    let upstream = upstreams.instance(instance)?;
     let observation = upstream.limit.observation()?;
     observation.rate?;
     let owner = core
@@ -122,10 +122,10 @@
 }
 
 /// Updates the instance by an owner's answer.
-fn apply(core: &Core, instance: &Life, answer: &Answer) -> Result<Permit, Denied> {
+fn apply(core: &Core, instance: &Instance, answer: &Answer) -> Result<Permit, Denied> {
     let now = core.now();
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(upstream) = upstreams.life_mut(instance) else {
+    let Some(upstream) = upstreams.instance_mut(instance) else {
         return Err(Denied);
     };
     if let Some(observation) = answer.observation {
@@ -144,7 +144,7 @@
 fn decide(core: &Core, query: &Acquire, scope: Scope) -> Answer {
     let now = core.now();
     let mut upstreams = core.upstreams.borrow_mut();
-    let upstream = upstreams.named_mut(query.instance);
+    let upstream = upstreams.by_short_name_mut(query.instance);
     let observation = upstream.map(|upstream| {
         merge(core, upstream, query.observation);
         upstream.limit.observation()
@@ -225,7 +225,7 @@
     }
     let mut upstreams = core.upstreams.borrow_mut();
     for (instance, observation) in &limits.instances {
-        if let Some(upstream) = upstreams.named_mut(*instance) {
+        if let Some(upstream) = upstreams.by_short_name_mut(*instance) {
             merge(core, upstream, *observation);
         }
     }
@@ -240,7 +240,7 @@
 
 /// Logs that the limit of an instance has changed.
 pub fn log_change(core: &Core, upstream: &Upstream, source: &'static str) {
-    emit!(core.logger, info, event::UPSTREAM_LIMITED, "upstream" => %upstream.life,
+    emit!(core.logger, info, event::UPSTREAM_LIMITED, "upstream" => %upstream.instance,
         "source" => source, "per_second" => upstream.limit.rate());
 }
 
--- a/crates/jb-relay/src/peers/weights.rs
+++ b/crates/jb-relay/src/peers/weights.rs
@@ -11,7 +11,7 @@
 use super::message::{LoadedWeights, Message, Status};
 use super::status::broadcast;
 use crate::core::{Core, Shared};
-use crate::upstream::Life;
+use crate::upstream::Instance;
 
 /// Time for which an engine that loads weights gets nothing, unless it is done before.
 pub const LOADING: Duration = Duration::from_millis(2500);
@@ -27,7 +27,7 @@
 pub fn publish_weights(
     core: &Shared,
     socket: &Rc<UdpSocket>,
-    upstream: &Life,
+    upstream: &Instance,
     model: &str,
     version: Option<u64>,
 ) {
@@ -60,7 +60,7 @@
 pub(super) fn apply(core: &Core, loaded: &LoadedWeights) {
     let now = core.now();
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(upstream) = upstreams.named_mut(loaded.upstream) else {
+    let Some(upstream) = upstreams.by_short_name_mut(loaded.upstream) else {
         return;
     };
     if loaded.version == 0 {
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -16,11 +16,11 @@
 pub type Lease = u64;
 
 /// Start of an upstream, in milliseconds since the Unix epoch.
-pub type Born = u64;
+pub type StartTime = u64;
 
 /// What the store says of an upstream.
 #[derive(Clone, Debug, PartialEq)]
-pub enum Word {
+pub enum Registration {
     /// What it says of itself.
     Entry(Entry),
     /// Something that names no upstream to use; what is wrong with it.
@@ -33,7 +33,7 @@
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     /// When it started; `None` on a platform whose upstreams do not say so.
-    pub born: Option<Born>,
+    pub started_at: Option<StartTime>,
     /// Service.
     pub service: id::Service,
     /// Address.
@@ -73,7 +73,7 @@
     /// The configuration.
     Rules(Box<Rules>),
     /// Word of an upstream, by its id.
-    Upstream(String, Word),
+    Upstream(String, Registration),
     /// The newest version of a model's weights.
     Weights(Loaded),
     /// An item of the boxes themselves.
@@ -177,7 +177,7 @@
 #[derive(Clone, Debug)]
 pub struct Report {
     /// When the engine started, if it says so.
-    pub born: Option<Born>,
+    pub started_at: Option<StartTime>,
     /// Models with the version of their weights.
     pub models: Vec<Loaded>,
     /// Whether an order is under way.
@@ -232,7 +232,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct CacheContents {
     /// When it started, if it says so.
-    pub born: Option<Born>,
+    pub started_at: Option<StartTime>,
     /// Parts.
     pub parts: Vec<CachedSegment>,
 }
--- a/crates/jb-relay/src/quarantine.rs
+++ b/crates/jb-relay/src/quarantine.rs
@@ -11,7 +11,7 @@
 use tokio::sync::Notify;
 
 use crate::core::{Core, Shared};
-use crate::upstream::Life;
+use crate::upstream::Instance;
 
 /// Evidence to publish on one request.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -81,19 +81,19 @@
 }
 
 /// Name under which boxes speak of a life.
-pub fn engine(life: &Life) -> Engine {
-    place::short(life.name())
+pub fn engine(instance: &Instance) -> Engine {
+    place::short(instance.name())
 }
 
 /// Notes that an engine has ended while it ran a request; `apart`: as the only suspect there.
-pub fn note_end(core: &Core, content: Content, life: &Life, isolated: bool) {
-    note(core, content, Evidence::of_end(engine(life), isolated));
+pub fn note_end(core: &Core, content: Content, instance: &Instance, isolated: bool) {
+    note(core, content, Evidence::of_end(engine(instance), isolated));
 }
 
 /// Notes that an engine has run a request to a good end, where that tells anything.
-pub fn note_run(core: &Core, content: Content, life: &Life) {
+pub fn note_run(core: &Core, content: Content, instance: &Instance) {
     if core.quarantine.ledger().knows(content) {
-        note(core, content, Evidence::of_run(engine(life)));
+        note(core, content, Evidence::of_run(engine(instance)));
     }
 }
 
@@ -147,8 +147,8 @@
 }
 
 /// Begins a try of a suspect at an engine.
-pub fn begin(core: &Shared, content: Content, life: &Life) -> Tried {
-    let engine = engine(life);
+pub fn begin(core: &Shared, content: Content, instance: &Instance) -> Tried {
+    let engine = engine(instance);
     let now = core.now();
     core.quarantine.ledger.borrow_mut().begin(content, engine, now);
     let trial = Some(Trial { engine, over: false });
--- a/crates/jb-relay/src/restart.rs
+++ b/crates/jb-relay/src/restart.rs
@@ -4,21 +4,32 @@
 
 use crate::core::Core;
 use crate::peers;
-use crate::port::Born;
-use crate::upstream::{Ended, Life};
+use crate::port::StartTime;
+use crate::upstream::{Ended, Instance};
 
-/// Ends a life: the upstream, which says that it started at `born`, has started again.
-pub fn note(core: &Core, life: &Life, born: Option<Born>, evidence: &'static str) {
-    let ended = core.upstreams.borrow_mut().end(life);
+/// Ends a life: the upstream, which says that it started at `started_at`, has started again.
+pub fn note(core: &Core, instance: &Instance, started_at: Option<StartTime>, evidence: &'static str) {
+    let ended = core.upstreams.borrow_mut().end(instance);
     let Some(ended) = ended else { return };
-    log(core, life, born, ended, evidence);
-    if let Some(upstream) = core.upstreams.borrow().life(life).filter(|_| life.born.is_some()) {
+    log(core, instance, started_at, ended, evidence);
+    if let Some(upstream) = core
+        .upstreams
+        .borrow()
+        .instance(instance)
+        .filter(|_| instance.started_at.is_some())
+    {
         peers::note_replaced(core, upstream);
     }
 }
 
 /// Logs a restart.
-pub fn log(core: &Core, life: &Life, born: Option<Born>, ended: Ended, evidence: &'static str) {
-    emit!(core.logger, info, event::UPSTREAM_RESTARTED, "upstream" => %life, "born" => born,
-        "before" => ended.born, "shown_by" => evidence, "running" => ended.running, "idle" => ended.idle);
+pub fn log(
+    core: &Core,
+    instance: &Instance,
+    started_at: Option<StartTime>,
+    ended: Ended,
+    evidence: &'static str,
+) {
+    emit!(core.logger, info, event::UPSTREAM_RESTARTED, "upstream" => %instance, "born" => started_at,
+        "before" => ended.started_at, "shown_by" => evidence, "running" => ended.running, "idle" => ended.idle);
 }
--- a/crates/jb-relay/src/signal.rs
+++ b/crates/jb-relay/src/signal.rs
@@ -15,7 +15,7 @@
 use crate::http::Answer;
 use crate::names::Names;
 use crate::peers;
-use crate::upstream::Life;
+use crate::upstream::Instance;
 
 /// Shortest pause after a rejected request.
 const REJECTION_PAUSE: Duration = Duration::from_millis(150);
@@ -65,21 +65,21 @@
 
 impl Head<'_> {
     /// Whether another instance answers at the address; the same one may only have other weights.
-    fn is_of_other(&self, instance: &Life) -> bool {
+    fn is_of_other(&self, instance: &Instance) -> bool {
         self.answering.is_some_and(|other| other != instance.id)
     }
 }
 
 /// Applies the head of a response to a request that was written at `sent`, before anything else is sent
 /// to the instance and before the caller gets the response.
-pub fn apply(core: &Core, instance: &Life, model: Option<&str>, head: &Head<'_>, sent: Moment) {
+pub fn apply(core: &Core, instance: &Instance, model: Option<&str>, head: &Head<'_>, sent: Moment) {
     if head.is_of_other(instance) {
         note_replaced(core, instance);
         return;
     }
     apply_signals(core, instance, head.signals, Some(sent));
     let now = core.now();
-    if let Some(upstream) = core.upstreams.borrow_mut().life_mut(instance) {
+    if let Some(upstream) = core.upstreams.borrow_mut().instance_mut(instance) {
         if head.not_run {
             upstream.backoff.pause(REJECTION_PAUSE, now);
         }
@@ -90,7 +90,7 @@
 }
 
 /// Applies the head of a late response to an earlier request: its weights and free places are outdated.
-pub fn apply_late(core: &Core, instance: &Life, head: &Head<'_>) {
+pub fn apply_late(core: &Core, instance: &Instance, head: &Head<'_>) {
     if !head.is_of_other(instance) {
         apply_signals(core, instance, head.signals, None);
     }
@@ -98,11 +98,11 @@
 
 /// Applies the signals of any response; `sent` is when its request was written, where it answers a
 /// request of a caller and that is known.
-pub fn apply_signals(core: &Core, instance: &Life, signals: Signals, sent: Option<Moment>) {
+pub fn apply_signals(core: &Core, instance: &Instance, signals: Signals, sent: Option<Moment>) {
     let now = core.now();
     let mut upstreams = core.upstreams.borrow_mut();
     let drains = upstreams.observe_signals(instance, signals);
-    let Some(upstream) = upstreams.life_mut(instance) else {
+    let Some(upstream) = upstreams.instance_mut(instance) else {
         return;
     };
     if drains {
@@ -124,8 +124,8 @@
 }
 
 /// Notes that another instance has the address.
-fn note_replaced(core: &Core, instance: &Life) {
-    if let Some(upstream) = core.upstreams.borrow_mut().life_mut(instance)
+fn note_replaced(core: &Core, instance: &Instance) {
+    if let Some(upstream) = core.upstreams.borrow_mut().instance_mut(instance)
         && !upstream.refused
     {
         upstream.refused = true;
--- a/crates/jb-relay/src/steward/duty.rs
+++ b/crates/jb-relay/src/steward/duty.rs
@@ -16,7 +16,7 @@
 use super::record::{self, LAST, NOBODY, Orders, Record};
 use crate::core::Shared;
 use crate::port::{Change, Lease, Revision, StoreError, Write};
-use crate::upstream::{Id, Life};
+use crate::upstream::{Id, Instance};
 
 /// Item that stands while a box has the duty.
 const HOLDER: &str = "junctionbend/steward/holder";
@@ -54,7 +54,7 @@
     pub(super) socket: Rc<UdpSocket>,
     term: Cell<Option<Term>>,
     pub(super) record: RefCell<Record>,
-    pub(super) loading: RefCell<BTreeSet<Life>>,
+    pub(super) loading: RefCell<BTreeSet<Instance>>,
     pub(super) absent: RefCell<Absent>,
     pub(super) counts: RefCell<Counts>,
     pub(super) places: Semaphore,
@@ -139,7 +139,7 @@
 
     /// Has the store name this box and the engines that it is about to order; whether it does.
     /// Those that come later are named with them.
-    pub(super) async fn announce(&self, next: &[Life], later: &[Life]) -> bool {
+    pub(super) async fn announce(&self, next: &[Instance], later: &[Instance]) -> bool {
         let Some(term) = self.term.get() else { return false };
         if term.named && self.record.borrow().covers(next) {
             return true;
@@ -150,9 +150,13 @@
     }
 
     /// Ids of the engines that load, and of others.
-    fn to_name(&self, others: &[Life]) -> BTreeSet<Id> {
+    fn to_name(&self, others: &[Instance]) -> BTreeSet<Id> {
         let loading = self.loading.borrow();
-        loading.iter().chain(others).map(|life| life.id.clone()).collect()
+        loading
+            .iter()
+            .chain(others)
+            .map(|instance| instance.id.clone())
+            .collect()
     }
 
     /// Writes the record for the next box.
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/steward/load.rs
@@ -15,7 +15,7 @@
 use crate::port::{Order, Report, Taken};
 use crate::restart;
 use crate::signal;
-use crate::upstream::{Life, Upstream};
+use crate::upstream::{Instance, Upstream};
 
 /// First pause before an engine that refused an order, or gave no report, is tried again; it
 /// doubles each time.
@@ -52,7 +52,7 @@
 struct Queue {
     /// Engines that are begun with now.
     room: usize,
-    engines: Vec<Life>,
+    engines: Vec<Instance>,
 }
 
 /// Share of the time for newer weights in which an engine's rest goes first: a load takes a second, and
@@ -60,16 +60,16 @@
 const RESTING_SHARE: f64 = 0.5;
 /// Engines that did not answer, or refused an order: they get no place among those that load.
 #[derive(Debug, Default)]
-pub(super) struct Absent(BTreeMap<Life, Pause>);
+pub(super) struct Absent(BTreeMap<Instance, Pause>);
 
 /// Orders that each engine had taken when it last reported.
 #[derive(Debug, Default)]
-pub(super) struct Counts(BTreeMap<Life, u64>);
+pub(super) struct Counts(BTreeMap<Instance, u64>);
 
 impl Counts {
     /// Takes a report; whether the engine has fewer orders than before, and so has started again.
-    fn fall(&mut self, life: &Life, orders: u64) -> bool {
-        let before = self.0.insert(life.clone(), orders);
+    fn fall(&mut self, instance: &Instance, orders: u64) -> bool {
+        let before = self.0.insert(instance.clone(), orders);
         before.is_some_and(|before| orders < before)
     }
 }
@@ -81,19 +81,19 @@
 }
 
 impl Absent {
-    fn is_paused(&self, life: &Life, now: Moment) -> bool {
-        self.0.get(life).is_some_and(|pause| now < pause.until)
+    fn is_paused(&self, instance: &Instance, now: Moment) -> bool {
+        self.0.get(instance).is_some_and(|pause| now < pause.until)
     }
 
-    fn note(&mut self, life: &Life, now: Moment) {
-        let before = self.0.get(life).map(|pause| pause.length);
+    fn note(&mut self, instance: &Instance, now: Moment) {
+        let before = self.0.get(instance).map(|pause| pause.length);
         let length = before.map_or(FIRST_PAUSE, |length| (2 * length).min(LONGEST_PAUSE));
         let until = now + length;
-        self.0.insert(life.clone(), Pause { until, length });
+        self.0.insert(instance.clone(), Pause { until, length });
     }
 
-    fn answered(&mut self, life: &Life) {
-        self.0.remove(life);
+    fn answered(&mut self, instance: &Instance) {
+        self.0.remove(instance);
     }
 }
 
@@ -110,9 +110,9 @@
             if next.is_empty() || !self.announce(next, &engines).await {
                 continue;
             }
-            for life in next.iter().cloned() {
-                self.loading.borrow_mut().insert(life.clone());
-                tokio::task::spawn_local(Rc::clone(self).load_in_time(life, model.clone()));
+            for instance in next.iter().cloned() {
+                self.loading.borrow_mut().insert(instance.clone());
+                tokio::task::spawn_local(Rc::clone(self).load_in_time(instance, model.clone()));
             }
         }
     }
@@ -130,14 +130,14 @@
         upstream.is_backing_off(now) && overdue == Some(Overdue::No)
     }
 
-    async fn load_in_time(self: Rc<Self>, life: Life, model: String) {
-        if tokio::time::timeout(LOAD_TIME, self.load(&life, &model))
+    async fn load_in_time(self: Rc<Self>, instance: Instance, model: String) {
+        if tokio::time::timeout(LOAD_TIME, self.load(&instance, &model))
             .await
             .is_err()
         {
-            emit!(self.core.logger, warn, event::ORDER_FAILED, "upstream" => %life, "why" => "not done in time");
+            emit!(self.core.logger, warn, event::ORDER_FAILED, "upstream" => %instance, "why" => "not done in time");
         }
-        self.loading.borrow_mut().remove(&life);
+        self.loading.borrow_mut().remove(&instance);
     }
 
     /// Engines to load next: those with the oldest weights, then those that the store names
@@ -150,16 +150,22 @@
         let (mut all, mut behind) = (0, Vec::new());
         for (_, upstream) in with_model {
             all += 1;
-            let life = &upstream.life;
+            let instance = &upstream.instance;
             let old = upstream.weights(model).is_some_and(|has| has < version) && !upstream.refused;
-            let barred =
-                self.record.borrow().is_barred(&life.id, now) || self.absent.borrow().is_paused(life, now);
-            let free = !barred && !self.lets_rest(upstream, model) && !loading.contains(life);
+            let barred = self.record.borrow().is_barred(&instance.id, now)
+                || self.absent.borrow().is_paused(instance, now);
+            let free = !barred && !self.lets_rest(upstream, model) && !loading.contains(instance);
             if old && free && upstream.is_there() && upstream.lapsed.is_none() {
                 let unsound = !upstream.health.is_open(now);
                 let running = upstream.running + upstream.others.running;
-                let unnamed = !self.record.borrow().covers(std::slice::from_ref(life));
-                behind.push((unsound, upstream.weights(model), unnamed, running, life.clone()));
+                let unnamed = !self.record.borrow().covers(std::slice::from_ref(instance));
+                behind.push((
+                    unsound,
+                    upstream.weights(model),
+                    unnamed,
+                    running,
+                    instance.clone(),
+                ));
             }
         }
         let most = ((f64::from(all) * AT_ONCE) as usize).max(AT_ONCE_LEAST);
@@ -174,65 +180,73 @@
         let named = room + NAMED_AHEAD * (most - AT_ONCE_LEAST);
         Queue {
             room,
-            engines: behind.into_iter().take(named).map(|(.., life)| life).collect(),
+            engines: behind
+                .into_iter()
+                .take(named)
+                .map(|(.., instance)| instance)
+                .collect(),
         }
     }
 
     /// Report of an engine; `None` when it gave none, or has gone.
-    async fn report(&self, life: &Life) -> Option<(SocketAddr, Report)> {
+    async fn report(&self, instance: &Instance) -> Option<(SocketAddr, Report)> {
         let core = &self.core;
-        let address = core.upstreams.borrow().life(life).map(|u| u.entry.address)?;
+        let address = core
+            .upstreams
+            .borrow()
+            .instance(instance)
+            .map(|u| u.entry.address)?;
         let observed = core.engines.report(address).await;
-        signal::apply_signals(core, life, observed.signals, None);
+        signal::apply_signals(core, instance, observed.signals, None);
         match observed.result {
             Ok(report) => {
-                self.absent.borrow_mut().answered(life);
-                (self.is_same_life(life, &report) && self.is_there(life)).then_some((address, report))
+                self.absent.borrow_mut().answered(instance);
+                (self.is_same_life(instance, &report) && self.is_there(instance)).then_some((address, report))
             }
             Err(why) => {
-                emit!(core.logger, info, event::ORDER_FAILED, "upstream" => %life, "why" => %why);
-                self.absent.borrow_mut().note(life, core.now());
+                emit!(core.logger, info, event::ORDER_FAILED, "upstream" => %instance, "why" => %why);
+                self.absent.borrow_mut().note(instance, core.now());
                 None
             }
         }
     }
 
     /// Whether an engine is still one to use: it may have said just now that it leaves.
-    fn is_there(&self, life: &Life) -> bool {
+    fn is_there(&self, instance: &Instance) -> bool {
         let upstreams = self.core.upstreams.borrow();
-        upstreams.life(life).is_some_and(Upstream::is_there)
+        upstreams.instance(instance).is_some_and(Upstream::is_there)
     }
 
     /// Whether a report is of the life that is known; a later one is noted.
-    fn is_same_life(&self, life: &Life, report: &Report) -> bool {
-        let fewer_orders = self.counts.borrow_mut().fall(life, report.orders);
-        if !life.is_confirmed_by(report.born) {
-            restart::note(&self.core, life, report.born, "report");
+    fn is_same_life(&self, instance: &Instance, report: &Report) -> bool {
+        let fewer_orders = self.counts.borrow_mut().fall(instance, report.orders);
+        if !instance.is_confirmed_by(report.started_at) {
+            restart::note(&self.core, instance, report.started_at, "report");
             return false;
         }
         if fewer_orders {
-            restart::note(&self.core, life, report.born, "orders");
+            restart::note(&self.core, instance, report.started_at, "orders");
         }
         !fewer_orders
     }
 
     /// Brings one engine to the newest weights.
-    async fn load(&self, life: &Life, model: &str) {
+    async fn load(&self, instance: &Instance, model: &str) {
         let core = &self.core;
         let began = core.now();
         // An engine that does not answer takes no place from those that do.
-        if self.report(life).await.is_none() {
+        if self.report(instance).await.is_none() {
             return;
         }
-        self.empty(life, model).await;
+        self.empty(instance, model).await;
         let _place = self.place().await;
         let mut last_published = began;
         loop {
             if core.now() > last_published + peers::LOADING / 2 {
                 last_published = core.now();
-                peers::publish_weights(core, &self.socket, life, model, None);
+                peers::publish_weights(core, &self.socket, instance, model, None);
             }
-            let Some((address, report)) = self.report(life).await else {
+            let Some((address, report)) = self.report(instance).await else {
                 return;
             };
             let version = core.weights.borrow().get(model).map_or(0, History::newest);
@@ -242,35 +256,35 @@
                 .find(|loaded| loaded.model == model)
                 .map_or(0, |l| l.version);
             if has >= version && !report.busy {
-                emit!(core.logger, info, event::WEIGHTS_LOADED, "upstream" => %life, "version" => has,
+                emit!(core.logger, info, event::WEIGHTS_LOADED, "upstream" => %instance, "version" => has,
                     "ms" => core.now().saturating_sub(began).as_millis() as u64);
-                peers::publish_weights(core, &self.socket, life, model, Some(has));
+                peers::publish_weights(core, &self.socket, instance, model, Some(has));
                 return;
             }
             if report.busy {
                 sleep(LOOK_BUSY).await;
-            } else if !self.order(life, address, model, version, report.orders).await {
+            } else if !self.order(instance, address, model, version, report.orders).await {
                 return;
             }
         }
     }
 
     /// Has the boxes send nothing more there, and waits until what cannot go on elsewhere has ended.
-    async fn empty(&self, life: &Life, model: &str) {
+    async fn empty(&self, instance: &Instance, model: &str) {
         let core = &self.core;
-        peers::publish_weights(core, &self.socket, life, model, None);
+        peers::publish_weights(core, &self.socket, instance, model, None);
         let until = core.now() + EMPTY_TIME;
         sleep(HEARD_TIME).await;
-        while core.now() < until && self.fixed(life) > 0 {
+        while core.now() < until && self.fixed(instance) > 0 {
             sleep(LOOK_EMPTY).await;
         }
     }
 
     /// Requests at an engine that cannot go on elsewhere.
-    fn fixed(&self, life: &Life) -> u32 {
+    fn fixed(&self, instance: &Instance) -> u32 {
         let upstreams = self.core.upstreams.borrow();
         upstreams
-            .life(life)
+            .instance(instance)
             .map_or(0, |upstream| upstream.fixed + upstream.others.fixed)
     }
 
@@ -281,9 +295,16 @@
     }
 
     /// Gives one order; whether to go on with the engine.
-    async fn order(&self, life: &Life, address: SocketAddr, model: &str, version: u64, orders: u64) -> bool {
+    async fn order(
+        &self,
+        instance: &Instance,
+        address: SocketAddr,
+        model: &str,
+        version: u64,
+        orders: u64,
+    ) -> bool {
         let core = &self.core;
-        let Some(fence) = self.may_order(&life.id) else {
+        let Some(fence) = self.may_order(&instance.id) else {
             return false;
         };
         let holder = core.settings.id.clone();
@@ -294,20 +315,20 @@
             fence,
             orders,
         };
-        self.record.borrow_mut().order(&life.id, core.now());
-        let observed = core.engines.order(address, &life.id, &order).await;
-        signal::apply_signals(core, life, observed.signals, None);
+        self.record.borrow_mut().order(&instance.id, core.now());
+        let observed = core.engines.order(address, &instance.id, &order).await;
+        signal::apply_signals(core, instance, observed.signals, None);
         let taken = observed.result;
-        emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => %life, "version" => version,
-            "fence" => fence, "fixed" => self.fixed(life), "answer" => ?taken);
+        emit!(core.logger, info, event::ORDER_GIVEN, "upstream" => %instance, "version" => version,
+            "fence" => fence, "fixed" => self.fixed(instance), "answer" => ?taken);
         match taken {
             Ok(Taken::Started) => sleep(LOAD_LEAST).await,
             Ok(Taken::Refused(status)) => {
-                if let Some(upstream) = core.upstreams.borrow_mut().life_mut(life) {
+                if let Some(upstream) = core.upstreams.borrow_mut().instance_mut(instance) {
                     // Another incarnation has the address.
                     upstream.refused |= status == 421;
                 }
-                self.absent.borrow_mut().note(life, core.now());
+                self.absent.borrow_mut().note(instance, core.now());
                 return false;
             }
             Ok(Taken::Holds | Taken::Conflict) | Err(_) => sleep(LOOK).await,
--- a/crates/jb-relay/src/steward/record.rs
+++ b/crates/jb-relay/src/steward/record.rs
@@ -11,7 +11,7 @@
 use jb_policy::Moment;
 use jb_protocol::id;
 
-use crate::upstream::{Id, Life};
+use crate::upstream::{Id, Instance};
 
 /// Item that names the last box that had the duty, and the engines that may have been
 /// ordered lately.
@@ -86,7 +86,7 @@
     }
 
     /// Whether all engines are written already.
-    pub(super) fn covers(&self, engines: &[Life]) -> bool {
+    pub(super) fn covers(&self, engines: &[Instance]) -> bool {
         engines.iter().all(|engine| self.announced.contains(&engine.id))
     }
 
--- a/crates/jb-relay/src/unknown_signals.rs
+++ b/crates/jb-relay/src/unknown_signals.rs
@@ -10,7 +10,7 @@
 
 use crate::core::Core;
 use crate::http::Headers;
-use crate::upstream::Life;
+use crate::upstream::Instance;
 
 /// Names that are remembered; more aren't logged.
 const MAX_NAMES: usize = 32;
@@ -35,7 +35,7 @@
 }
 
 /// Logs the signals in a response head that have no meaning to this version.
-pub fn note(core: &Core, instance: &Life, headers: &Headers) {
+pub fn note(core: &Core, instance: &Instance, headers: &Headers) {
     for header in &headers.0 {
         let Some(name) = unknown(core, &header.name) else {
             continue;
--- a/crates/jb-relay/src/upstream/mod.rs
+++ b/crates/jb-relay/src/upstream/mod.rs
@@ -1,14 +1,14 @@
 //! The upstreams that a box knows, and what it believes of each.
 
-mod life;
+mod instance;
 mod pick;
+mod registration;
 mod registry;
 mod state;
 mod wanted;
-mod words;
 
-pub use life::{Id, Life};
+pub use instance::{Id, Instance};
+pub use registration::{Record, Standing};
 pub use registry::{Ended, Registry, Seen};
 pub use state::{Load, Upstream};
 pub use wanted::{Source, Wanted};
-pub use words::{Standing, Words};
--- a/crates/jb-relay/src/upstream/pick.rs
+++ b/crates/jb-relay/src/upstream/pick.rs
@@ -5,20 +5,21 @@
 use jb_policy::place;
 use jb_policy::weights::Overdue;
 
-use super::{Life, Registry, Source, Upstream, Wanted};
+use super::{Instance, Registry, Source, Upstream, Wanted};
 
 struct Holder<'a> {
-    life: &'a Life,
+    instance: &'a Instance,
     found: u64,
     weights: u64,
     hall: &'a str,
 }
 
 /// Upstreams that come first for a family, in the order that all boxes agree on.
-fn first<'a>(family: u64, all: impl Iterator<Item = &'a Upstream>, count: usize) -> Vec<Life> {
-    let (lives, names): (Vec<&Life>, Vec<u64>) = all.map(|upstream| (&upstream.life, upstream.name)).unzip();
+fn first<'a>(family: u64, all: impl Iterator<Item = &'a Upstream>, count: usize) -> Vec<Instance> {
+    let (instances, names): (Vec<&Instance>, Vec<u64>) =
+        all.map(|upstream| (&upstream.instance, upstream.name)).unzip();
     let first = place::top(family, names.into_iter().enumerate(), count);
-    first.into_iter().map(|at| lives[at].clone()).collect()
+    first.into_iter().map(|at| instances[at].clone()).collect()
 }
 
 impl Registry {
@@ -44,24 +45,30 @@
     }
 
     /// The engines that come first for a prompt's family, in the order that all boxes agree on.
-    pub fn ranked(&self, family: u64, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Life> {
+    pub fn ranked(&self, family: u64, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Instance> {
         first(family, self.open(wanted, now), count)
     }
 
     /// Open engines to which this box has an idle connection, the last used first.
-    pub fn connected(&self, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Life> {
+    pub fn connected(&self, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Instance> {
         let open = self.open(wanted, now);
-        let idle = open.filter_map(|upstream| Some((upstream.idle.last()?.since, &upstream.life)));
-        let mut all: Vec<(Moment, &Life)> = idle.collect();
+        let idle = open.filter_map(|upstream| Some((upstream.idle.last()?.since, &upstream.instance)));
+        let mut all: Vec<(Moment, &Instance)> = idle.collect();
         all.sort_unstable_by(|a, b| b.cmp(a));
         all.into_iter()
             .take(count)
-            .map(|(_, life)| life.clone())
+            .map(|(_, instance)| instance.clone())
             .collect()
     }
 
     /// The engines that come first for a family among those that can hand parts on.
-    pub fn holders_first(&self, family: u64, wanted: &Wanted<'_>, count: usize, now: Moment) -> Vec<Life> {
+    pub fn holders_first(
+        &self,
+        family: u64,
+        wanted: &Wanted<'_>,
+        count: usize,
+        now: Moment,
+    ) -> Vec<Instance> {
         let all = self
             .of_service(wanted.service)
             .filter(|upstream| upstream.hands_on(now));
@@ -73,35 +80,37 @@
     pub fn quietest(
         &self,
         wanted: &Wanted<'_>,
-        lives: impl Fn(&Life) -> bool,
-        free: impl Fn(&Life) -> bool,
+        instances: impl Fn(&Instance) -> bool,
+        free: impl Fn(&Instance) -> bool,
         now: Moment,
-    ) -> Option<Life> {
+    ) -> Option<Instance> {
         let listed = self.of_service(wanted.service).count();
         let open: Vec<&Upstream> = self
             .open(wanted, now)
-            .filter(|upstream| lives(&upstream.life))
+            .filter(|upstream| instances(&upstream.instance))
             .collect();
         if listed > 1 && open.len() < 2 {
             return None;
         }
-        let free = open.into_iter().filter(|upstream| free(&upstream.life));
+        let free = open.into_iter().filter(|upstream| free(&upstream.instance));
         let running = |upstream: &&Upstream| {
             let fixed = upstream.fixed + upstream.others.fixed;
             (fixed, upstream.running + upstream.others.running, upstream.name)
         };
-        free.min_by_key(running).map(|upstream| upstream.life.clone())
+        free.min_by_key(running).map(|upstream| upstream.instance.clone())
     }
 
     /// Other upstreams of an upstream's data hall that seem well.
-    pub fn neighbours(&self, life: &Life, count: usize, now: Moment) -> Vec<Life> {
-        let Some(hall) = self.life(life).map(|upstream| &upstream.entry.hall) else {
+    pub fn neighbours(&self, instance: &Instance, count: usize, now: Moment) -> Vec<Instance> {
+        let Some(hall) = self.instance(instance).map(|upstream| &upstream.entry.hall) else {
             return Vec::new();
         };
         let all = self.iter().map(|(_, upstream)| upstream);
-        let near = all.filter(|upstream| upstream.entry.hall == *hall && upstream.life != *life);
+        let near = all.filter(|upstream| upstream.entry.hall == *hall && upstream.instance != *instance);
         let well = near.filter(|upstream| upstream.is_there() && now >= upstream.ended_until);
-        well.take(count).map(|upstream| upstream.life.clone()).collect()
+        well.take(count)
+            .map(|upstream| upstream.instance.clone())
+            .collect()
     }
 
     /// When the first upstream is back, where all that could get the request back off or are limited.
@@ -118,7 +127,7 @@
     /// Upstreams that may get a request, those that back off or are limited included.
     fn willing<'a>(&'a self, wanted: &'a Wanted<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
         let all = self.of_service(wanted.service);
-        let untried = all.filter(|upstream| !wanted.except.contains(&upstream.life));
+        let untried = all.filter(|upstream| !wanted.except.contains(&upstream.instance));
         let all = wanted.last_resort || self.mostly_lapsed(wanted.service);
         let sure = untried.filter(move |upstream| all || upstream.lapsed.is_none());
         let willing = sure.filter(move |upstream| upstream.is_open_later(now));
@@ -126,7 +135,7 @@
     }
 
     /// Candidates of a service that may get a request, with their lives.
-    pub fn candidates(&self, wanted: &Wanted<'_>, now: Moment) -> (Vec<Life>, Vec<Candidate>) {
+    pub fn candidates(&self, wanted: &Wanted<'_>, now: Moment) -> (Vec<Instance>, Vec<Candidate>) {
         let holders = self.holders(wanted, now);
         let candidate = |upstream: &Upstream| {
             let has = wanted.model.and_then(|model| upstream.weights(model));
@@ -134,9 +143,9 @@
             let mut candidate = upstream.candidate(wanted, behind);
             let others = holders
                 .iter()
-                .filter(|holder| *holder.life != upstream.life && Some(holder.weights) == has);
+                .filter(|holder| *holder.instance != upstream.instance && Some(holder.weights) == has);
             candidate.elsewhere = others.map(|holder| holder.found).max().unwrap_or(0);
-            (upstream.life.clone(), candidate)
+            (upstream.instance.clone(), candidate)
         };
         self.open(wanted, now).map(candidate).unzip()
     }
@@ -156,16 +165,16 @@
     }
 
     /// The engine that a prompt's parts are best brought from to another one.
-    pub fn source(&self, target: &Life, wanted: &Wanted<'_>, now: Moment) -> Option<Source> {
-        let upstream = self.life(target)?;
+    pub fn source(&self, target: &Instance, wanted: &Wanted<'_>, now: Moment) -> Option<Source> {
+        let upstream = self.instance(target)?;
         let has = wanted.model.and_then(|model| upstream.weights(model))?;
         let found = upstream.cache.found(wanted.demand.prompt);
         let holders = self.holders(wanted, now);
         let better = holders
             .iter()
-            .filter(|h| h.weights == has && h.found > found && h.life != target);
+            .filter(|h| h.weights == has && h.found > found && h.instance != target);
         let best = better.max_by_key(|h| (h.found, h.hall == upstream.entry.hall))?;
-        let address = self.life(best.life)?.entry.address;
+        let address = self.instance(best.instance)?.entry.address;
         Some(Source {
             address,
             tokens: best.found - found,
@@ -183,7 +192,7 @@
             let weights = upstream.weights(model);
             if let Some(weights) = weights.filter(|_| found > 0 && upstream.hands_on(now)) {
                 holders.push(Holder {
-                    life: &upstream.life,
+                    instance: &upstream.instance,
                     found,
                     weights,
                     hall: &upstream.entry.hall,
--- /dev/null
+++ b/crates/jb-relay/src/upstream/registration.rs
@@ -0,0 +1,106 @@
+//! What is known of one id in the store, whatever the order in which it is received.
+//!
+//! Pages of one read are of different ages, other boxes send changes again, and an upstream that has ended
+//! may still have a write in flight. So the state follows from the set of registrations: of two instances
+//! the one that started later, of its registrations the one with the higher revision. An instance that has
+//! begun to drain never stops draining.
+
+use crate::port::{Entry, Registration, Revision, StartTime};
+
+/// State of an id.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Standing {
+    /// Nothing is known.
+    Unknown,
+    /// There is an upstream.
+    There(Entry),
+    /// The entry can't be used.
+    Unreadable,
+    /// There is no entry.
+    Gone,
+}
+
+/// All that is known of an id.
+#[derive(Clone, Debug, Default)]
+pub struct Record {
+    /// Latest entry of the latest instance.
+    entry: Option<(Revision, Entry)>,
+    /// Start of the latest instance that drains.
+    left: Option<Option<StartTime>>,
+    /// Latest registration without an entry.
+    other: Option<(Revision, Other)>,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Other {
+    Unreadable,
+    Gone,
+}
+
+impl Record {
+    /// Applies a registration.
+    pub fn take(&mut self, registration: Registration, revision: Revision) {
+        match registration {
+            Registration::Entry(entry) => self.take_entry(entry, revision),
+            Registration::Unreadable(_) => self.take_other(Other::Unreadable, revision),
+            Registration::Gone => self.take_other(Other::Gone, revision),
+        }
+    }
+
+    fn take_entry(&mut self, entry: Entry, revision: Revision) {
+        let known = self.entry.as_ref().map(|(_, known)| known.started_at);
+        if known.is_some_and(|started_at| entry.started_at < started_at) {
+            return;
+        }
+        if known.is_none_or(|started_at| started_at < entry.started_at) {
+            self.entry = None;
+        }
+        if entry.leaving {
+            self.drain_by_peer(entry.started_at);
+        }
+        if self.entry.as_ref().is_none_or(|(known, _)| *known < revision) {
+            self.entry = Some((revision, entry));
+        }
+    }
+
+    /// Notes that an instance drains, as the store or a response says.
+    pub fn drain_by_peer(&mut self, started_at: Option<StartTime>) {
+        self.left = self.left.max(Some(started_at));
+    }
+
+    /// Returns whether an instance drains; it does when a later one does, as it has ended then.
+    pub fn leaves(&self, started_at: Option<StartTime>) -> bool {
+        self.left.is_some_and(|left| left >= started_at)
+    }
+
+    fn take_other(&mut self, other: Other, revision: Revision) {
+        if self.other.is_none_or(|(known, _)| known < revision) {
+            self.other = Some((revision, other));
+        }
+    }
+
+    /// Returns the state.
+    pub fn standing(&self) -> Standing {
+        let other = self.other.map_or(0, |(revision, _)| revision);
+        match (&self.entry, self.other) {
+            (Some((revision, entry)), _) if *revision >= other => Standing::There(Entry {
+                leaving: self.leaves(entry.started_at),
+                ..entry.clone()
+            }),
+            (_, Some((_, Other::Unreadable))) => Standing::Unreadable,
+            (_, Some((_, Other::Gone))) => Standing::Gone,
+            (_, None) => Standing::Unknown,
+        }
+    }
+
+    /// Start of the latest instance.
+    pub fn started_at(&self) -> Option<StartTime> {
+        self.entry.as_ref().and_then(|(_, entry)| entry.started_at)
+    }
+
+    /// Revision of the last registration.
+    pub fn revision(&self) -> Revision {
+        let entry = self.entry.as_ref().map_or(0, |(revision, _)| *revision);
+        entry.max(self.other.map_or(0, |(revision, _)| revision))
+    }
+}
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -1,4 +1,4 @@
-//! All upstreams that a box knows: what the store says of each, and its present life.
+//! All upstreams that a box knows: their registrations, and the present instance of each.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 
@@ -10,42 +10,41 @@
 use jb_policy::signal::Signals;
 use jb_protocol::id;
 
-use super::words::{Standing, Words};
-use super::{Id, Life, Upstream};
-use crate::port::{Born, Entry, Revision, Word};
+use super::registration::{Record, Standing};
+use super::{Id, Instance, Upstream};
+use crate::port::{Entry, Registration, Revision, StartTime};
 
-/// Ids of upstreams that have gone of which words are remembered: a late one of theirs changes
-/// nothing. Late words come within seconds, in which few engines go.
-const MOST_GONE: usize = 512;
+/// Deregistered ids whose records are remembered, so that late registrations change nothing.
+const MAX_DEREGISTERED: usize = 512;
 /// Instances that have gone of which the constraints are remembered: an entry comes back within seconds,
 /// in which few engines go.
 const MAX_CONSTRAINTS: usize = 64;
-/// Replaced lives that are remembered where another box tells of them before the store does.
-const MOST_REPLACED: usize = 64;
+/// Replaced instances that are remembered where another box reports them before the store does.
+const MAX_REPLACED: usize = 64;
 
 /// All upstreams.
 #[derive(Debug, Default)]
 pub struct Registry {
     all: BTreeMap<Id, Upstream>,
     services: HashMap<id::Service, Vec<Id>>,
-    words: BTreeMap<Id, Words>,
-    /// Short names of lives at whose addresses others answer, the last one told at the end.
+    records: BTreeMap<Id, Record>,
+    /// Short names of instances at whose addresses others answer, the latest at the end.
     replaced: VecDeque<u32>,
     /// Constraints of instances whose entries have gone, the last one to go at the end.
     constraints: VecDeque<Constraints>,
-    /// Whether upstreams say when they started: an entry without that is of another writer then.
-    has_births: bool,
+    /// Whether upstreams register their start: an entry without it has another writer then.
+    has_start_times: bool,
 }
 
 /// What an instance has asked its callers for.
 #[derive(Clone, Debug)]
 struct Constraints {
-    life: Life,
+    instance: Instance,
     backoff: Backoff,
     limit: Limit,
 }
 
-/// What a word of the store changed.
+/// Change by a registration.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Seen {
     /// Nothing that matters for the choice.
@@ -62,11 +61,11 @@
     Unreadable,
 }
 
-/// A life that has ended, and what went with it.
+/// An instance that has ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct Ended {
     /// Its start.
-    pub born: Option<Born>,
+    pub started_at: Option<StartTime>,
     /// Requests of this box that were under way there.
     pub running: u32,
     /// Idle connections.
@@ -76,7 +75,7 @@
 impl Ended {
     fn of(upstream: &Upstream) -> Self {
         Self {
-            born: upstream.life.born,
+            started_at: upstream.instance.started_at,
             running: upstream.running,
             idle: upstream.idle.len(),
         }
@@ -84,12 +83,12 @@
 }
 
 impl Registry {
-    /// Takes a word of the store. A missing entry is left to the caller, as it may come back.
-    pub fn apply_registration(&mut self, id: &str, word: Word, revision: Revision) -> Seen {
-        let words = self.words.entry(id.to_owned()).or_default();
-        let before = words.standing();
-        words.take(word, revision);
-        let now = words.standing();
+    /// Applies a registration. A missing entry is left to the caller, as it may come back.
+    pub fn apply_registration(&mut self, id: &str, registration: Registration, revision: Revision) -> Seen {
+        let records = self.records.entry(id.to_owned()).or_default();
+        let before = records.standing();
+        records.take(registration, revision);
+        let now = records.standing();
         if now == before {
             return Seen::Same;
         }
@@ -103,26 +102,26 @@
 
     /// Applies the signals of a response; returns whether the instance has begun to drain. Its entry may
     /// still name it as ready, or be missing and come back.
-    pub fn observe_signals(&mut self, life: &Life, signals: Signals) -> bool {
-        let words = self.words.entry(life.id.clone()).or_default();
+    pub fn observe_signals(&mut self, instance: &Instance, signals: Signals) -> bool {
+        let records = self.records.entry(instance.id.clone()).or_default();
         if signals.draining {
-            words.drain_by_peer(life.born);
+            records.drain_by_peer(instance.started_at);
         }
-        let Some(known) = self.all.get_mut(&life.id) else {
+        let Some(known) = self.all.get_mut(&instance.id) else {
             return false;
         };
-        let leaves = words.leaves(known.life.born);
+        let leaves = records.leaves(known.instance.started_at);
         let new = leaves && known.is_there();
         known.entry.leaving |= leaves;
         new
     }
 
     fn put(&mut self, id: &str, entry: Entry) -> Seen {
-        self.note_birth(&entry);
-        if self.has_births && entry.born.is_none() {
+        self.note_start_time(&entry);
+        if self.has_start_times && entry.started_at.is_none() {
             return self.blur(id);
         }
-        let same_life = |known: &&mut Upstream| known.life.born == entry.born;
+        let same_life = |known: &&mut Upstream| known.instance.started_at == entry.started_at;
         if let Some(known) = self.all.get_mut(id).filter(same_life)
             && known.entry.service == entry.service
         {
@@ -135,31 +134,31 @@
         before.map_or(Seen::New, Seen::Restarted)
     }
 
-    /// From the first upstream on that says when it started, those that do not name none to use.
-    fn note_birth(&mut self, entry: &Entry) {
-        if entry.born.is_none() || self.has_births {
+    /// From the first upstream on that registers its start, entries without it can't be used.
+    fn note_start_time(&mut self, entry: &Entry) {
+        if entry.started_at.is_none() || self.has_start_times {
             return;
         }
-        self.has_births = true;
+        self.has_start_times = true;
         for upstream in self.all.values_mut() {
-            upstream.unreadable |= upstream.life.born.is_none();
+            upstream.unreadable |= upstream.instance.started_at.is_none();
         }
     }
 
     fn insert(&mut self, id: &str, entry: Entry) {
-        let life = Life {
+        let instance = Instance {
             id: id.to_owned(),
-            born: entry.born,
+            started_at: entry.started_at,
         };
         let ids = self.services.entry(entry.service.clone()).or_default();
         ids.push(id.to_owned());
-        let mut upstream = Upstream::new(life, entry);
-        // Without births, an id that is back may have its address back as well.
+        let mut upstream = Upstream::new(instance, entry);
+        // Without start times, an id that is back may have its address back as well.
         let is_replaced =
-            upstream.life.born.is_some() && self.replaced.contains(&place::short(upstream.name));
+            upstream.instance.started_at.is_some() && self.replaced.contains(&place::short(upstream.name));
         upstream.refused |= is_replaced;
         let known = self.constraints.iter().rev();
-        if let Some(known) = known.clone().find(|known| known.life == upstream.life) {
+        if let Some(known) = known.clone().find(|known| known.instance == upstream.instance) {
             (upstream.backoff, upstream.limit) = (known.backoff, known.limit);
         }
         self.all.insert(id.to_owned(), upstream);
@@ -189,76 +188,77 @@
             ids.retain(|other| other != id);
         }
         self.constraints.push_back(Constraints {
-            life: known.life.clone(),
+            instance: known.instance.clone(),
             backoff: known.backoff,
             limit: known.limit,
         });
         let excess = self.constraints.len().saturating_sub(MAX_CONSTRAINTS);
         self.constraints.drain(..excess);
-        self.forget_words();
+        self.evict_records();
         Some(Ended::of(&known))
     }
 
-    /// Forgets the oldest words of upstreams that have gone.
-    fn forget_words(&mut self) {
-        while self.words.len() > self.all.len() + MOST_GONE {
-            let gone = self.words.iter().filter(|(id, _)| !self.all.contains_key(*id));
-            let oldest = gone.min_by_key(|(_, words)| words.revision());
+    /// Evicts the oldest records of deregistered upstreams.
+    fn evict_records(&mut self) {
+        while self.records.len() > self.all.len() + MAX_DEREGISTERED {
+            let gone = self.records.iter().filter(|(id, _)| !self.all.contains_key(*id));
+            let oldest = gone.min_by_key(|(_, records)| records.revision());
             let Some(oldest) = oldest.map(|(id, _)| id.clone()) else {
                 return;
             };
-            self.words.remove(&oldest);
+            self.records.remove(&oldest);
         }
     }
 
-    /// Ends a life of which something other than the store shows that it is over. What was known
-    /// goes at once; the next life gets requests once its entry is there, or, where upstreams do not
-    /// say when they started, right away.
-    pub fn end(&mut self, life: &Life) -> Option<Ended> {
-        let known = self.life_mut(life)?;
+    /// Ends an instance that is over by evidence other than the store. The next one gets requests once its
+    /// entry is there, or right away where upstreams don't register their start.
+    pub fn end(&mut self, instance: &Instance) -> Option<Ended> {
+        let known = self.instance_mut(instance)?;
         let ended = Ended::of(known);
         let (entry, lapsed) = (known.entry.clone(), known.lapsed);
-        *known = Upstream::new(life.clone(), entry);
+        *known = Upstream::new(instance.clone(), entry);
         known.lapsed = lapsed;
-        known.refused = life.born.is_some();
+        known.refused = instance.started_at.is_some();
         Some(ended)
     }
 
-    /// Takes word of other boxes that other upstreams answer at the addresses of lives.
+    /// Notes instances at whose addresses others answer, as other boxes report.
     pub fn note_replaced(&mut self, names: &[u32]) {
         for upstream in self.all.values_mut() {
             upstream.refused |= names.contains(&place::short(upstream.name));
         }
         self.replaced.extend(names);
-        let most = self.replaced.len().saturating_sub(MOST_REPLACED);
+        let most = self.replaced.len().saturating_sub(MAX_REPLACED);
         self.replaced.drain(..most);
     }
 
-    /// Takes word of other boxes that lives have said in answers that they leave; the lives that it
-    /// takes off.
+    /// Notes instances that drain, as other boxes report; returns those that are taken out.
     ///
-    /// One box that is wrong empties no service: word of others takes at most half of its upstreams
-    /// off. What it leaves out are some requests more at an upstream that leaves, until its own
-    /// answer says so.
-    pub fn note_leaving(&mut self, names: &[u32]) -> Vec<Life> {
+    /// Reports of other boxes take out at most half of a service, so that one faulty box can't empty it.
+    pub fn note_leaving(&mut self, names: &[u32]) -> Vec<Instance> {
         let named = |upstream: &&Upstream| names.contains(&place::short(upstream.name));
         let new = self
             .all
             .values()
             .filter(named)
             .filter(|upstream| upstream.is_there());
-        let new: Vec<Life> = new.map(|upstream| upstream.life.clone()).collect();
-        new.into_iter().filter(|life| self.drain_by_peer(life)).collect()
+        let new: Vec<Instance> = new.map(|upstream| upstream.instance.clone()).collect();
+        new.into_iter()
+            .filter(|instance| self.drain_by_peer(instance))
+            .collect()
     }
 
-    fn drain_by_peer(&mut self, life: &Life) -> bool {
-        let Some(service) = self.life(life).map(|upstream| upstream.entry.service.clone()) else {
+    fn drain_by_peer(&mut self, instance: &Instance) -> bool {
+        let Some(service) = self
+            .instance(instance)
+            .map(|upstream| upstream.entry.service.clone())
+        else {
             return false;
         };
         let all = self.of_service(&service).count();
         let by_peers = self.of_service(&service).filter(|u| u.draining_by_peer).count();
         let taken = 2 * (by_peers + 1) <= all;
-        if taken && let Some(upstream) = self.life_mut(life) {
+        if taken && let Some(upstream) = self.instance_mut(instance) {
             upstream.draining_by_peer = true;
         }
         taken
@@ -285,30 +285,32 @@
         self.all.iter_mut()
     }
 
-    /// The upstream that has an id now.
+    /// Returns the upstream with an id.
     pub fn get(&self, id: &str) -> Option<&Upstream> {
         self.all.get(id)
     }
 
-    /// The upstream that has an id now, to change it.
+    /// Returns the upstream with an id, to change it.
     pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
         self.all.get_mut(id)
     }
 
-    /// A life, while it lasts.
-    pub fn life(&self, life: &Life) -> Option<&Upstream> {
-        self.all.get(&life.id).filter(|upstream| upstream.life == *life)
+    /// Returns an instance, unless it has ended.
+    pub fn instance(&self, instance: &Instance) -> Option<&Upstream> {
+        self.all
+            .get(&instance.id)
+            .filter(|upstream| upstream.instance == *instance)
     }
 
-    /// A life, while it lasts, to change it.
-    pub fn life_mut(&mut self, life: &Life) -> Option<&mut Upstream> {
+    /// Returns an instance, unless it has ended, to change it.
+    pub fn instance_mut(&mut self, instance: &Instance) -> Option<&mut Upstream> {
         self.all
-            .get_mut(&life.id)
-            .filter(|upstream| upstream.life == *life)
+            .get_mut(&instance.id)
+            .filter(|upstream| upstream.instance == *instance)
     }
 
-    /// A life by its short name, to change it.
-    pub fn named_mut(&mut self, name: u32) -> Option<&mut Upstream> {
+    /// Returns an instance by its short name, to change it.
+    pub fn by_short_name_mut(&mut self, name: u32) -> Option<&mut Upstream> {
         self.all
             .values_mut()
             .find(|upstream| place::short(upstream.name) == name)
@@ -319,9 +321,9 @@
         ids.iter().filter_map(|id| self.all.get(id))
     }
 
-    /// Notes an ending of a request at an upstream.
-    pub fn judged(&mut self, life: &Life, well: bool, now: Moment) -> Change {
-        let Some(upstream) = self.life_mut(life) else {
+    /// Applies the end of a request to the health of its upstream.
+    pub fn judged(&mut self, instance: &Instance, well: bool, now: Moment) -> Change {
+        let Some(upstream) = self.instance_mut(instance) else {
             return Change::None;
         };
         if well {
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -10,27 +10,27 @@
 use jb_policy::prefix_cache::PrefixCache;
 use jb_policy::rate_limit::Limit;
 
-use super::{Life, Wanted};
+use super::{Instance, Wanted};
 use crate::link::Idle;
 use crate::port::Entry;
 
-/// Time for which an upstream that refuses connections after one was lost gets nothing: as long as
-/// the first two pauses after failures, for the requests that fell with it and would each try it.
+/// Time for which an upstream that refuses connections after one was lost gets nothing: as long as the first
+/// two pauses after failures.
 const ENDED_PAUSE: Duration = Duration::from_secs(1);
 
-/// Percent of an engine's memory that keeps parts while requests run in the rest.
+/// Percent of an engine's memory that caches segments while requests run in the rest.
 const CACHE_PERCENT: u64 = 90;
 
-/// One life of an upstream; all that is true of that life alone is in here.
+/// One instance of an upstream, with everything that holds for it alone.
 #[derive(Debug)]
 pub struct Upstream {
-    /// The life.
-    pub life: Life,
-    /// Its last entry in the store that could be read.
+    /// Instance.
+    pub instance: Instance,
+    /// Its last readable entry in the store.
     pub entry: Entry,
-    /// Whether what the store holds now cannot be read.
+    /// Whether its present entry can't be read.
     pub unreadable: bool,
-    /// Hash that names the life, also for the choice.
+    /// Hash that names the instance, also for the choice.
     pub name: u64,
     /// Record of failures.
     pub health: Health,
@@ -40,7 +40,7 @@
     pub fixed: u32,
     /// Prompt tokens of this box that wait for their first token there.
     pub waiting: u64,
-    /// The same of all other boxes, as they last told.
+    /// The same of all other boxes, by their last status.
     pub others: Load,
     /// Backoff that it has asked this box for.
     pub backoff: Backoff,
@@ -48,15 +48,15 @@
     pub limit: Limit,
     /// Until when it gets nothing because it loads weights.
     pub loading_until: Moment,
-    /// Until when it is believed to have ended, as it refuses connections.
+    /// Until when it counts as ended, as it refuses connections.
     pub ended_until: Moment,
     /// Until when its entry, which is missing after an outage of the store, may come back.
     pub lapsed: Option<Moment>,
-    /// Whether it said itself that it leaves or has another id now.
+    /// Whether another instance answers at its address.
     pub refused: bool,
-    /// Whether another box has heard it say that it leaves.
+    /// Whether another box has reported that it drains.
     pub draining_by_peer: bool,
-    /// What it is believed to keep.
+    /// Model of its prefix cache.
     pub cache: PrefixCache,
     /// Its account, where this box keeps it.
     pub account: Account,
@@ -76,10 +76,10 @@
 }
 
 impl Upstream {
-    pub(super) fn new(life: Life, entry: Entry) -> Self {
+    pub(super) fn new(instance: Instance, entry: Entry) -> Self {
         Self {
-            name: life.name(),
-            life,
+            name: instance.name(),
+            instance,
             entry,
             unreadable: false,
             health: Health::default(),
@@ -100,7 +100,7 @@
         }
     }
 
-    /// Takes another entry of the same life.
+    /// Applies another entry of the same instance.
     pub(super) fn update(&mut self, entry: Entry) {
         if self.entry.models != entry.models {
             self.cache.clear();
@@ -110,7 +110,7 @@
         self.unreadable = false;
     }
 
-    /// Whether it is one to use, by the store, by what it says itself, and by word of other boxes.
+    /// Returns whether it neither drains nor has an unreadable entry.
     pub fn is_there(&self) -> bool {
         !self.entry.leaving && !self.draining_by_peer && !self.unreadable
     }
@@ -149,12 +149,12 @@
         !loads && !self.refused && !self.unreadable && self.lapsed.is_none() && self.health.is_open(now)
     }
 
-    /// Version of a model's weights, as last heard.
+    /// Last known version of a model's weights.
     pub fn weights(&self, model: &str) -> Option<u64> {
         self.entry.weights(model)
     }
 
-    /// Takes a version heard of; the cache goes with the old weights.
+    /// Applies a version of its weights; the cache goes with the old ones.
     pub fn observe_weights(&mut self, model: &str, version: u64) {
         let loaded = self.entry.models.iter_mut().find(|loaded| loaded.model == model);
         let Some(loaded) = loaded else { return };
@@ -164,13 +164,12 @@
         }
     }
 
-    /// Takes what the engine's memory holds; requests run in a part of it.
+    /// Sets the engine's memory; requests run in a part of it.
     pub fn set_memory(&mut self, tokens: u64) {
         self.cache.set_capacity(tokens * CACHE_PERCENT / 100);
     }
 
-    /// Notes that it seems to have ended, as it refuses connections. A next life has a record of its
-    /// own.
+    /// Notes that it seems to have ended, as it refuses connections.
     pub fn note_end(&mut self, now: Moment) {
         self.ended_until = now + ENDED_PAUSE;
     }
--- a/crates/jb-relay/src/upstream/wanted.rs
+++ b/crates/jb-relay/src/upstream/wanted.rs
@@ -6,7 +6,7 @@
 use jb_policy::choose::Demand;
 use jb_policy::weights::History;
 
-use super::Life;
+use super::Instance;
 
 /// What a request asks of the choice.
 #[derive(Clone, Debug)]
@@ -24,7 +24,7 @@
     /// Its prompt and size.
     pub demand: Demand<'a>,
     /// Upstreams that were tried.
-    pub except: &'a [Life],
+    pub except: &'a [Instance],
     /// Whether upstreams count that may be gone, as their entries are missing.
     pub last_resort: bool,
 }
--- a/crates/jb-relay/tests/lives.rs
+++ b/crates/jb-relay/tests/instances.rs
@@ -7,17 +7,17 @@
 use jb_policy::place;
 use jb_policy::rate_limit::Announcement;
 use jb_policy::signal::Signals;
-use jb_relay::port::{Born, Entry, Revision, Word};
-use jb_relay::upstream::{Life, Registry, Seen};
+use jb_relay::port::{Entry, Registration, Revision, StartTime};
+use jb_relay::upstream::{Instance, Registry, Seen};
 use quickcheck::{Arbitrary, Gen, QuickCheck};
 
 const NOW: Duration = Duration::from_secs(10);
-const FIRST: Born = 1_700_000_000_000;
-const SECOND: Born = 1_700_000_060_000;
+const FIRST: StartTime = 1_700_000_000_000;
+const SECOND: StartTime = 1_700_000_060_000;
 
-fn entry(born: Option<Born>, leaving: bool) -> Word {
-    Word::Entry(Entry {
-        born,
+fn entry(started_at: Option<StartTime>, leaving: bool) -> Registration {
+    Registration::Entry(Entry {
+        started_at,
         service: "models".to_owned(),
         address: "10.0.0.1:80".parse().expect("an address"),
         hall: "hall-a".to_owned(),
@@ -42,8 +42,8 @@
     }
 }
 
-fn unreadable() -> Word {
-    Word::Unreadable("no JSON".to_owned())
+fn unreadable() -> Registration {
+    Registration::Unreadable("no JSON".to_owned())
 }
 
 fn is_open(registry: &Registry) -> bool {
@@ -60,14 +60,14 @@
         registry.apply_registration("engine", entry(Some(FIRST), false), 1),
         Seen::New
     );
-    let life = registry.get("engine").expect("known").life.clone();
-    let known = registry.life_mut(&life).expect("its life");
+    let instance = registry.get("engine").expect("known").instance.clone();
+    let known = registry.instance_mut(&instance).expect("its life");
     known.running = 3;
     known.refused = true;
     known.backoff.observe(asks_for(NOW * 2), 1, NOW);
     assert!(
         matches!(registry.apply_registration("engine", entry(Some(SECOND), false), 2), Seen::Restarted(ended)
-        if ended.born == Some(FIRST) && ended.running == 3)
+        if ended.started_at == Some(FIRST) && ended.running == 3)
     );
     let again = registry.get("engine").expect("known");
     assert_eq!(
@@ -75,7 +75,7 @@
         (0, false, true)
     );
     // The request that ends only now was one of the life before.
-    assert!(registry.life_mut(&life).is_none());
+    assert!(registry.instance_mut(&instance).is_none());
 }
 
 #[test]
@@ -138,8 +138,8 @@
 fn life_that_was_shown_to_be_over_gets_nothing_until_the_next_one_is_there() {
     let mut registry = Registry::default();
     registry.apply_registration("engine", entry(Some(FIRST), false), 1);
-    let life = registry.get("engine").expect("known").life.clone();
-    assert!(registry.end(&life).is_some());
+    let instance = registry.get("engine").expect("known").instance.clone();
+    assert!(registry.end(&instance).is_some());
     assert!(!is_open(&registry));
     registry.apply_registration("engine", entry(Some(SECOND), false), 2);
     assert!(is_open(&registry));
@@ -149,20 +149,20 @@
 /// again, a missing one, and one that was back made it an engine like any other.
 #[test]
 fn life_that_says_in_an_answer_that_it_leaves_stays_out_whatever_the_store_says_of_it() {
-    for born in [None, Some(FIRST)] {
+    for started_at in [None, Some(FIRST)] {
         let mut registry = Registry::default();
-        registry.apply_registration("engine", entry(born, false), 1);
-        let life = registry.get("engine").expect("known").life.clone();
-        assert!(!registry.observe_signals(&life, Signals::default()));
+        registry.apply_registration("engine", entry(started_at, false), 1);
+        let instance = registry.get("engine").expect("known").instance.clone();
+        assert!(!registry.observe_signals(&instance, Signals::default()));
         assert!(is_open(&registry));
-        assert!(registry.observe_signals(&life, leaves()));
-        assert!(!registry.observe_signals(&life, leaves()), "told once");
+        assert!(registry.observe_signals(&instance, leaves()));
+        assert!(!registry.observe_signals(&instance, leaves()), "told once");
         assert!(!is_open(&registry));
-        registry.apply_registration("engine", entry(born, false), 2);
+        registry.apply_registration("engine", entry(started_at, false), 2);
         assert!(!is_open(&registry));
-        registry.apply_registration("engine", Word::Gone, 3);
+        registry.apply_registration("engine", Registration::Gone, 3);
         registry.remove("engine");
-        registry.apply_registration("engine", entry(born, false), 4);
+        registry.apply_registration("engine", entry(started_at, false), 4);
         assert!(!is_open(&registry));
     }
 }
@@ -171,12 +171,12 @@
 fn next_life_of_an_engine_that_has_left_by_its_own_word_serves() {
     let mut registry = Registry::default();
     registry.apply_registration("engine", entry(Some(FIRST), false), 1);
-    let life = registry.get("engine").expect("known").life.clone();
-    registry.observe_signals(&life, leaves());
+    let instance = registry.get("engine").expect("known").instance.clone();
+    registry.observe_signals(&instance, leaves());
     registry.apply_registration("engine", entry(Some(SECOND), false), 2);
     assert!(is_open(&registry));
     // An answer that comes late.
-    assert!(!registry.observe_signals(&life, leaves()));
+    assert!(!registry.observe_signals(&instance, leaves()));
     assert!(is_open(&registry));
 }
 
@@ -185,15 +185,15 @@
 #[test]
 fn rest_outlasts_an_entry_that_goes_and_comes_back_and_ends_with_its_life() {
     let mut registry = Registry::default();
-    for born in [FIRST, SECOND] {
+    for started_at in [FIRST, SECOND] {
         registry.apply_registration("engine", entry(Some(FIRST), false), 1);
-        let life = registry.get("engine").expect("known").life.clone();
-        let known = registry.life_mut(&life).expect("its life");
+        let instance = registry.get("engine").expect("known").instance.clone();
+        let known = registry.instance_mut(&instance).expect("its life");
         known.backoff.observe(asks_for(NOW), 1, NOW);
-        registry.apply_registration("engine", Word::Gone, 2);
+        registry.apply_registration("engine", Registration::Gone, 2);
         registry.remove("engine");
-        registry.apply_registration("engine", entry(Some(born), false), 3);
-        assert_eq!(is_open(&registry), born == SECOND);
+        registry.apply_registration("engine", entry(Some(started_at), false), 3);
+        assert_eq!(is_open(&registry), started_at == SECOND);
         registry = Registry::default();
     }
 }
@@ -214,12 +214,12 @@
     let first = registry
         .iter()
         .find(|(_, u)| u.draining_by_peer)
-        .map(|(_, u)| u.life.clone());
+        .map(|(_, u)| u.instance.clone());
     assert!(!registry.observe_signals(&first.expect("told"), leaves()));
     // What the engines say themselves has no such bound.
     for id in &ids {
-        let life = registry.get(id).expect("known").life.clone();
-        registry.observe_signals(&life, leaves());
+        let instance = registry.get(id).expect("known").instance.clone();
+        registry.observe_signals(&instance, leaves());
     }
     assert!(registry.iter().all(|(_, upstream)| !upstream.is_open(NOW)));
 }
@@ -227,56 +227,58 @@
 /// One word of two lives, by the store, by a box, or by an answer.
 #[derive(Clone, Debug)]
 enum Step {
-    Store(Word, Revision),
+    Store(Registration, Revision),
     /// A box tells that another upstream answers at the address of a life.
-    Replaced(Born),
+    Replaced(StartTime),
     /// A life says in an answer that it leaves.
-    Answer(Born),
+    Answer(StartTime),
 }
 
 impl Arbitrary for Step {
     fn arbitrary(g: &mut Gen) -> Self {
-        let born = *g.choose(&[FIRST, SECOND]).expect("a life");
+        let started_at = *g.choose(&[FIRST, SECOND]).expect("a life");
         // Revisions are distinct, as the store's are; `shuffled` gives them.
         match u8::arbitrary(g) % 9 {
-            0..=2 => Self::Store(entry(Some(born), false), 0),
-            3 | 4 => Self::Store(entry(Some(born), true), 0),
+            0..=2 => Self::Store(entry(Some(started_at), false), 0),
+            3 | 4 => Self::Store(entry(Some(started_at), true), 0),
             5 => Self::Store(unreadable(), 0),
-            6 => Self::Store(Word::Gone, 0),
-            7 => Self::Answer(born),
-            _ => Self::Replaced(born),
+            6 => Self::Store(Registration::Gone, 0),
+            7 => Self::Answer(started_at),
+            _ => Self::Replaced(started_at),
         }
     }
 }
 
 fn apply(registry: &mut Registry, steps: &Step) {
     match steps {
-        Step::Store(word, revision) => {
-            if registry.apply_registration("engine", word.clone(), *revision) == Seen::Missing {
+        Step::Store(registration, revision) => {
+            if registry.apply_registration("engine", registration.clone(), *revision) == Seen::Missing {
                 registry.remove("engine");
             }
         }
-        Step::Replaced(born) => registry.note_replaced(&[place::short(life(*born).name())]),
-        Step::Answer(born) => {
-            registry.observe_signals(&life(*born), leaves());
+        Step::Replaced(started_at) => registry.note_replaced(&[place::short(instance(*started_at).name())]),
+        Step::Answer(started_at) => {
+            registry.observe_signals(&instance(*started_at), leaves());
         }
     }
 }
 
-fn life(born: Born) -> Life {
-    Life {
+fn instance(started_at: StartTime) -> Instance {
+    Instance {
         id: "engine".to_owned(),
-        born: Some(born),
+        started_at: Some(started_at),
     }
 }
 
 /// Which life there is, and whether it may get requests.
-fn outcome(all: &[Step]) -> Option<(Option<Born>, bool)> {
+fn outcome(all: &[Step]) -> Option<(Option<StartTime>, bool)> {
     let mut registry = Registry::default();
     all.iter().for_each(|steps| apply(&mut registry, steps));
     let upstream = registry.get("engine")?;
     // An upstream that is not to be used is as good as none.
-    upstream.is_open(NOW).then_some((upstream.life.born, true))
+    upstream
+        .is_open(NOW)
+        .then_some((upstream.instance.started_at, true))
 }
 
 #[test]
@@ -311,7 +313,7 @@
     registry.apply_registration("engine", entry(Some(FIRST), false), 1);
     let known = registry.get_mut("engine").expect("known");
     known.limit.observe(Announcement::Limited(1.5), None, NOW);
-    registry.apply_registration("engine", Word::Gone, 2);
+    registry.apply_registration("engine", Registration::Gone, 2);
     registry.remove("engine");
     registry.apply_registration("engine", entry(Some(FIRST), false), 3);
     let rate = |registry: &Registry| registry.get("engine").expect("known").limit.rate();
