--- a/crates/jb-cli/tests/story.rs
+++ b/crates/jb-cli/tests/story.rs
@@ -119,8 +119,8 @@
         "request_ended",
         ",\"request\":\"r1\",\"ending\":\"caller_gone\",\"ms\":5",
     );
-    let told = trace("r1", &[format!("  2.01 box-1 {ended}not a line\n{{\"cut")]).expect("a story");
-    assert_eq!(told.unreadable, 2);
-    assert!(told.cause.contains("the caller left"));
+    let story = trace("r1", &[format!("  2.01 box-1 {ended}not a line\n{{\"cut")]).expect("a story");
+    assert_eq!(story.unreadable, 2);
+    assert!(story.cause.contains("the caller left"));
     assert_eq!(trace("none", &[ended]), None);
 }
--- a/crates/jb-fakes/src/signal.rs
+++ b/crates/jb-fakes/src/signal.rs
@@ -1,4 +1,4 @@
-//! Headers by which stand-ins tell callers what they can take.
+//! Signals that stand-ins send in their response heads.
 
 use jb_protocol::header;
 use poem::http::{HeaderMap, HeaderValue};
--- a/crates/jb-policy/src/poison/ledger.rs
+++ b/crates/jb-policy/src/poison/ledger.rs
@@ -13,7 +13,7 @@
 /// Time after the last evidence for which a request is remembered and stays quarantined. A request with
 /// another body is another request.
 pub const RETENTION: Duration = Duration::from_secs(600);
-/// Time after which a trial counts as over though nobody has said so.
+/// Time after which a trial counts as over without a message about its end.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// What is known of a request.
--- a/crates/jb-policy/src/rate_limit.rs
+++ b/crates/jb-policy/src/rate_limit.rs
@@ -47,7 +47,7 @@
     Account::new(terms, Some(-overdrawn), now)
 }
 
-/// What the head of one response says about a rate limit.
+/// Rate limit in the head of one response.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub enum Announcement {
     /// Nothing usable: there is no head, or no value in it can be parsed.
--- a/crates/jb-policy/src/signal.rs
+++ b/crates/jb-policy/src/signal.rs
@@ -1,4 +1,4 @@
-//! Signals by which upstreams tell callers, in the heads of their responses, what they accept.
+//! Signals in the response heads of upstreams: draining, backoff and rate limits.
 //!
 //! The store also knows which instances drain, but may be unreachable. Backoff and rate limits are
 //! signalled in responses only.
@@ -12,7 +12,7 @@
 const UNREADABLE_BACKOFF: Duration = Duration::from_secs(1);
 /// Statuses of HTTP that ask for backoff: the upstream is unavailable, or receives too many requests.
 const BACKOFF_STATUSES: [u16; 2] = [503, 429];
-/// Values by which an upstream says that it doesn't drain; any other one says that it does.
+/// Values of the header of an upstream that doesn't drain; any other one means that it does.
 const NOT_DRAINING: [&str; 2] = ["0", "false"];
 
 /// Returns whether an upstream drains, by the values of the header for it.
--- a/crates/jb-policy/src/transfer.rs
+++ b/crates/jb-policy/src/transfer.rs
@@ -1,7 +1,7 @@
 //! Where an engine transfers the prompt segments from that it lacks.
 //!
 //! A transfer is far cheaper than reading the segments again, and a miss at a store costs about a
-//! millisecond. So the store is queried also where nobody is known to have them.
+//! millisecond. So the store is queried also where no holder is known.
 
 /// Tokens of a prompt's leading shared segments, by who is believed to have them.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
--- a/crates/jb-policy/src/upstream.rs
+++ b/crates/jb-policy/src/upstream.rs
@@ -165,7 +165,7 @@
 
     /// Applies the signals of a response to a request that was sent at `sent`.
     ///
-    /// A report doesn't lift them: it may tell less, or have been requested before.
+    /// A report doesn't lift them: it may be older or incomplete.
     pub fn apply_signals(&mut self, signals: Signals, sent: Moment, now: Moment) -> Applied {
         let left = now < self.leaves_until;
         if signals.draining {
--- a/crates/jb-policy/src/weights.rs
+++ b/crates/jb-policy/src/weights.rs
@@ -77,7 +77,7 @@
             Some(known) if known.since == Since::Unknown => known.since = since,
             Some(_) => {}
             None if version < newest => self.put(Release { version, since }),
-            // A version that the store hasn't shown yet isn't in force here.
+            // A version that this box hasn't read from the store yet isn't in force here.
             None => {}
         }
     }
--- a/crates/jb-policy/tests/choose.rs
+++ b/crates/jb-policy/tests/choose.rs
@@ -107,20 +107,20 @@
 #[test]
 fn part_is_kept_until_as_much_as_the_memory_holds_came_after_it() {
     let first = prompt(&[(1, 100), (2, 200)]);
-    let mut kept = PrefixCache::default();
-    kept.set_capacity(1000);
-    kept.read(first.iter().copied(), 50);
-    assert_eq!(kept.found(&first), 300);
-    assert_eq!(kept.found(&prompt(&[(1, 100), (9, 10), (2, 200)])), 100);
-    kept.read(std::iter::empty(), 900);
-    assert_eq!(kept.found(&first), 300);
+    let mut cache = PrefixCache::default();
+    cache.set_capacity(1000);
+    cache.read(first.iter().copied(), 50);
+    assert_eq!(cache.found(&first), 300);
+    assert_eq!(cache.found(&prompt(&[(1, 100), (9, 10), (2, 200)])), 100);
+    cache.read(std::iter::empty(), 900);
+    assert_eq!(cache.found(&first), 300);
     // Used again, they stay; unused, they go.
-    kept.read(first.iter().copied(), 0);
-    kept.read(std::iter::empty(), 1001);
-    assert_eq!(kept.found(&first), 0);
-    kept.read(first.iter().copied(), 0);
-    kept.clear();
-    assert_eq!(kept.found(&first), 0);
+    cache.read(first.iter().copied(), 0);
+    cache.read(std::iter::empty(), 1001);
+    assert_eq!(cache.found(&first), 0);
+    cache.read(first.iter().copied(), 0);
+    cache.clear();
+    assert_eq!(cache.found(&first), 0);
 }
 
 #[test]
--- a/crates/jb-relay/src/names.rs
+++ b/crates/jb-relay/src/names.rs
@@ -33,7 +33,7 @@
     pub retry_after: &'static str,
     /// Requests per second that an upstream accepts from all boxes together.
     pub rate_limit: &'static str,
-    /// Start of the names of all headers by which upstreams tell what they can take.
+    /// Prefix of the names of all signals of upstreams.
     pub signal_prefix: &'static str,
     /// Text under which an engine keeps a prompt's parts.
     pub salt: &'static str,
--- a/crates/jb-relay/src/peers/owner.rs
+++ b/crates/jb-relay/src/peers/owner.rs
@@ -1,6 +1,6 @@
 //! Which box owns a piece of shared state, and how much of the fleet it answers for.
 //!
-//! Each piece has one owner, by rendezvous hashing over the boxes that are heard. Where it doesn't answer in
+//! Each piece has one owner, by rendezvous hashing over the reachable boxes. Where it doesn't answer in
 //! time, a box of the own data hall is asked, and at last the asker decides by its own share.
 
 use std::net::SocketAddr;
@@ -17,7 +17,7 @@
 /// Boxes that an owner answers for.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Scope {
-    /// All boxes that it hears.
+    /// All boxes that it reaches.
     Fleet,
     /// Those of its data hall; a box of each other hall may be asked in the same way.
     Hall,
--- a/crates/jb-relay/src/peers/status.rs
+++ b/crates/jb-relay/src/peers/status.rs
@@ -4,6 +4,8 @@
 //! of its data hall, which answers with the sum of all others; relay nodes exchange the sums of their
 //! halls. So the traffic of a box doesn't grow with the fleet.
 
+mod compose;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,7 +19,8 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use super::message::{CacheUse, Message, Status, StoreSpan, UpstreamLoad};
+use self::compose::{messages, span};
+use super::message::{CacheUse, Message, Status, UpstreamLoad};
 use super::socket::send;
 use super::{notice, reachability, weights};
 use crate::core::{Core, Shared};
@@ -32,12 +35,8 @@
 const MAX_STATUS_AGE: Duration = Duration::from_millis(1500);
 /// Time without an answer after which another box becomes the relay node.
 const LEAD_TIMEOUT: Duration = Duration::from_millis(700);
-/// Prompts in one status; more are left out.
-const MAX_USES: usize = 20;
 /// Prompts that wait for the next status.
 const MAX_QUEUED_USES: usize = 100;
-/// Upstreams whose load is in a status, the busiest first.
-const MAX_LOADS: usize = 110;
 /// Intervals after which an empty status is sent all the same: the others count the box by it, and a box
 /// that was partitioned learns from it whether the store was unreachable.
 const IDLE_PERIODS: u32 = 8;
@@ -222,35 +221,6 @@
     }
 }
 
-/// Splits a status into messages that each fit into a packet.
-fn messages(mut status: Status) -> Vec<Message> {
-    status
-        .loads
-        .sort_by_key(|load| std::cmp::Reverse((load.waiting, load.running)));
-    status.loads.truncate(MAX_LOADS);
-    let mut rest = status.uses.split_off(status.uses.len().min(MAX_USES));
-    rest.truncate(MAX_USES);
-    if status.loads.len() <= MAX_LOADS / 4 && rest.is_empty() {
-        return vec![Message::Status(status)];
-    }
-    // Loads in one message; prompts in others, which repeat no loads.
-    let from = status.from.clone();
-    let uses = [std::mem::take(&mut status.uses), rest];
-    let mut all = vec![Message::Status(status)];
-    for uses in uses.into_iter().filter(|uses| !uses.is_empty()) {
-        let (loads, weights) = (Vec::new(), Vec::new());
-        all.push(Message::Status(Status {
-            from: from.clone(),
-            wants_sum: false,
-            loads,
-            weights,
-            uses,
-            store: None,
-        }));
-    }
-    all
-}
-
 /// Sends one message to all other boxes.
 pub(super) async fn broadcast(core: &Core, socket: &UdpSocket, message: &Message) {
     for address in addresses(core) {
@@ -277,44 +247,6 @@
     busy.map(|(_, u)| load(u)).collect()
 }
 
-fn store_span(span: Span, now: Moment) -> StoreSpan {
-    let before = |at: Moment| u64::try_from(now.saturating_sub(at).as_millis()).unwrap_or(u64::MAX);
-    StoreSpan {
-        from_ms: before(span.from),
-        until_ms: before(span.until),
-    }
-}
-
-/// Returns a span of another box. The network delay makes it end later than it did, by less than one read
-/// of the store takes.
-fn span(status: StoreSpan, now: Moment) -> Span {
-    let at = |before| now.saturating_sub(Duration::from_millis(before));
-    Span {
-        from: at(status.from_ms),
-        until: at(status.until_ms),
-    }
-}
-
-impl Status {
-    /// An empty status.
-    pub(super) fn new(core: &Core) -> Self {
-        let from = core.settings.id.clone();
-        Self {
-            from,
-            wants_sum: false,
-            loads: Vec::new(),
-            weights: Vec::new(),
-            uses: Vec::new(),
-            store: core.store_seen.get().map(|span| store_span(span, core.now())),
-        }
-    }
-
-    /// Returns whether it has loads: a message with prompts or weights alone hasn't.
-    fn has_loads(&self) -> bool {
-        self.wants_sum || !self.loads.is_empty() || (self.uses.is_empty() && self.weights.is_empty())
-    }
-}
-
 /// Receives the status of another box.
 pub(super) async fn receive(core: &Core, socket: &UdpSocket, from: SocketAddr, status: Status) {
     let now = core.now();
--- a/crates/jb-relay/src/peers/suspicion.rs
+++ b/crates/jb-relay/src/peers/suspicion.rs
@@ -37,7 +37,7 @@
     loop {
         let left = due.saturating_sub(core.now());
         if let Ok(news) = timeout(left, core.quarantine.news()).await {
-            let suspects = news.iter().filter_map(|news| suspect_of_news(&core, news));
+            let suspects = news.iter().filter_map(|news| to_suspect(&core, news));
             for message in messages(suspects) {
                 broadcast(&core, &socket, &message).await;
             }
@@ -79,7 +79,7 @@
     next.map(|(_, peer)| peer.address).collect()
 }
 
-fn suspect_of_news(core: &Core, news: &News) -> Option<Suspect> {
+fn to_suspect(core: &Core, news: &News) -> Option<Suspect> {
     let row = core.quarantine.ledger().row(news.content)?;
     Some(suspect(core, &row, news.trial))
 }
--- a/crates/jb-relay/tests/instances.rs
+++ b/crates/jb-relay/tests/instances.rs
@@ -79,7 +79,7 @@
 }
 
 #[test]
-fn life_that_leaves_and_starts_again_serves_and_its_late_words_change_nothing() {
+fn instance_that_drains_and_restarts_serves_and_late_registrations_change_nothing() {
     let mut registry = Registry::default();
     registry.apply_registration("engine", entry(Some(FIRST), false), 1);
     assert_eq!(
@@ -135,7 +135,7 @@
 
 /// A start that the engine's own report shows ends the life before its entry does.
 #[test]
-fn life_that_was_shown_to_be_over_gets_nothing_until_the_next_one_is_there() {
+fn ended_instance_gets_nothing_until_the_next_one_is_registered() {
     let mut registry = Registry::default();
     registry.apply_registration("engine", entry(Some(FIRST), false), 1);
     let instance = registry.get("engine").expect("known").instance.clone();
@@ -148,7 +148,7 @@
 /// The store was away while an engine said in its answers that it leaves; the entry from before, read
 /// again, a missing one, and one that was back made it an engine like any other.
 #[test]
-fn life_that_says_in_an_answer_that_it_leaves_stays_out_whatever_the_store_says_of_it() {
+fn instance_that_signals_draining_stays_out_whatever_its_entry_says() {
     for started_at in [None, Some(FIRST)] {
         let mut registry = Registry::default();
         registry.apply_registration("engine", entry(started_at, false), 1);
@@ -168,7 +168,7 @@
 }
 
 #[test]
-fn next_life_of_an_engine_that_has_left_by_its_own_word_serves() {
+fn next_instance_of_a_drained_engine_serves() {
     let mut registry = Registry::default();
     registry.apply_registration("engine", entry(Some(FIRST), false), 1);
     let instance = registry.get("engine").expect("known").instance.clone();
@@ -200,7 +200,7 @@
 
 /// One box that is wrong, or tells much.
 #[test]
-fn word_of_other_boxes_takes_at_most_half_of_a_service_off() {
+fn reports_of_other_boxes_take_out_at_most_half_of_a_service() {
     let mut registry = Registry::default();
     let ids: Vec<String> = (0..7).map(|number| format!("engine-{number}")).collect();
     for id in &ids {
@@ -282,7 +282,7 @@
 }
 
 #[test]
-fn words_of_two_lives_end_in_the_same_state_in_whatever_order_they_are_heard() {
+fn order_of_registrations_of_two_instances_does_not_matter() {
     fn holds(steps: Vec<Step>, turns: Vec<(u8, u8)>) -> bool {
         let mut steps = steps;
         for (at, one) in steps.iter_mut().enumerate() {
--- a/crates/jb-scenario/tests/support/mod.rs
+++ b/crates/jb-scenario/tests/support/mod.rs
@@ -107,8 +107,8 @@
             .post(ports.operators, "/admin/explain", &question)
             .await;
         let body = posted.expect("an answer").body;
-        let told: Explanation = serde_json::from_value(body).expect("an explanation");
-        told.weighing.left_out
+        let explanation: Explanation = serde_json::from_value(body).expect("an explanation");
+        explanation.weighing.left_out
     }
 
     /// Sets a fault of the first engine.
--- a/crates/jb-soak/src/limits.rs
+++ b/crates/jb-soak/src/limits.rs
@@ -80,14 +80,14 @@
         .collect();
     for limit in world.limits.borrow().iter() {
         let engine = &world.engines[limit.engine];
-        let mut told: BTreeMap<Process, Instant> = BTreeMap::new();
+        let mut bound_from: BTreeMap<Process, Instant> = BTreeMap::new();
         for one in asked.iter().filter(|one| one.ended >= limit.from) {
             if one.limited.as_ref() == Some(&engine.id) {
-                let first = told.entry(one.asking.process()).or_insert(one.ended);
+                let first = bound_from.entry(one.asking.process()).or_insert(one.ended);
                 *first = one.ended.min(*first);
             }
         }
-        let Some(first) = told.values().min() else {
+        let Some(first) = bound_from.values().min() else {
             continue;
         };
         let arrivals = engine.arrivals.borrow();
@@ -97,8 +97,8 @@
             .filter(|arrival| {
                 let by = asking.get(arrival.id.as_str());
                 by.is_some_and(|asking| {
-                    let told = told.get(&asking.process());
-                    let bound = told.is_some_and(|told| *told + PASSED_ON <= arrival.at);
+                    let bound_from = bound_from.get(&asking.process());
+                    let bound = bound_from.is_some_and(|bound_from| *bound_from + PASSED_ON <= arrival.at);
                     bound && !world.was_disturbed(asking.at, arrival.at)
                 })
             })
