--- a/crates/jb-policy/src/account.rs
+++ b/crates/jb-policy/src/account.rs
@@ -14,15 +14,12 @@
 /// Id of a place that a box has taken; drawn by the box.
 pub type Place = u64;
 
-/// Time after which a family's parts are sent to a store again: stores drop what is old, and
-/// forget all at a restart, without a word.
-const SEND_AGAIN: Duration = Duration::from_secs(20);
-/// Time for which a family waits for a small prompt to be sent with. What an engine alone keeps is
-/// lost when it crashes: 3 s in place of this cost 0.03 of worth on a day of three crashes of a third
-/// of 90 engines (one play).
-const WAIT_FOR_SMALL: Duration = Duration::from_millis(400);
-/// Time that an engine needs to read a prompt and to send its parts to a store.
-const SENT_AFTER: Duration = Duration::from_millis(500);
+/// Interval at which a prefix group is sent to a store: stores evict and restart without notice.
+const STORE_INTERVAL: Duration = Duration::from_secs(20);
+/// Time for which a prefix group waits for a small prompt to be sent with.
+const SMALL_PROMPT_WAIT: Duration = Duration::from_millis(400);
+/// Time that an engine needs to read a prompt and to send its segments to a store.
+const STORE_DELAY: Duration = Duration::from_millis(500);
 
 /// One prompt at the engine.
 #[derive(Clone, Copy, Debug)]
@@ -33,15 +30,13 @@
     until: Moment,
 }
 
-/// Share of a prompt's wanted time that may wait at its family's own engine before others are
-/// asked: an engine with less to read is not worth the parts that it lacks. More reading in a row
-/// also stops running streams for longer than callers allow: with 0.25 a day of 90 boxes was worth
-/// 0.008 less, with 0.05 no more (two plays each); on a day of overload no difference is shown.
-const OWN_SHARE: f64 = 0.12;
+/// Share of a prompt's target latency for which the engine of its prefix group may have prompts queued
+/// before others are asked.
+const MAX_QUEUE_SHARE: f64 = 0.12;
 
-/// Prompt tokens that may wait at a family's own engine.
+/// Returns the prompt tokens that may be queued at the engine of a prefix group.
 pub fn ahead(tokens_per_ms: f64, target: Duration) -> u64 {
-    (tokens_per_ms * target.as_secs_f64() * 1000.0 * OWN_SHARE) as u64
+    (tokens_per_ms * target.as_secs_f64() * 1000.0 * MAX_QUEUE_SHARE) as u64
 }
 
 /// What is under way at an engine.
@@ -109,24 +104,24 @@
     /// first, as their own part goes there too and pushes out parts that others could use.
     pub fn send_due(&mut self, family: SegmentId, small: bool, now: Moment) -> bool {
         let last = self.sent.get(&family);
-        if last.is_some_and(|at| now < *at + SEND_AGAIN) {
+        if last.is_some_and(|at| now < *at + STORE_INTERVAL) {
             return false;
         }
         if !small {
-            self.due.retain(|_, since| now < *since + SEND_AGAIN);
+            self.due.retain(|_, since| now < *since + STORE_INTERVAL);
             let since = *self.due.entry(family).or_insert(now);
-            if now < since + WAIT_FOR_SMALL {
+            if now < since + SMALL_PROMPT_WAIT {
                 return false;
             }
         }
         self.due.remove(&family);
-        self.sent.retain(|_, at| now < *at + SEND_AGAIN);
+        self.sent.retain(|_, at| now < *at + STORE_INTERVAL);
         self.sent.insert(family, now);
         true
     }
 
     /// Whether a store is believed to have a family's parts.
     pub fn is_sent(&self, family: SegmentId, now: Moment) -> bool {
-        self.sent.get(&family).is_some_and(|at| now >= *at + SENT_AFTER)
+        self.sent.get(&family).is_some_and(|at| now >= *at + STORE_DELAY)
     }
 }
--- a/crates/jb-policy/src/choose.rs
+++ b/crates/jb-policy/src/choose.rs
@@ -13,21 +13,20 @@
 /// Weights of the choice. Times in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Tuning {
-    /// Prompt tokens that an engine reads in a millisecond; from measured first tokens.
+    /// Prompt tokens that an engine reads in a millisecond.
     pub tokens_per_ms: f64,
-    /// Cost of bringing shared parts from another engine that keeps them: the move,
-    /// and the memory that the copy takes from other parts.
+    /// Cost of a transfer of shared segments from another engine, and of the memory that the copy takes.
     pub import: f64,
-    /// Cost of each thousand tokens so brought.
+    /// Cost of each thousand tokens transferred.
     pub import_per_k: f64,
-    /// Time of a move of a thousand tokens, from the bytes of a token and the link.
+    /// Time to transfer a thousand tokens, by the bytes of a token and the link.
     pub move_per_k: f64,
-    /// Cost of each thousand tokens of shared parts that have to be read, beside the time to
-    /// read them: most were read elsewhere a moment ago, and operators pay for reading again.
+    /// Cost of each thousand shared tokens that have to be read, besides the time: most of them were read
+    /// elsewhere a moment ago.
     pub again_per_k: f64,
-    /// Cost of older weights than the newest that are named, whose answers are worth less.
+    /// Cost of older weights than the newest release.
     pub behind: f64,
-    /// Drag of one running request on the next token.
+    /// Delay of the next token by one running request.
     pub per_running: f64,
     /// Cost of a place that is taken at a plain service, as a share of all places.
     pub per_place: f64,
@@ -35,7 +34,7 @@
     pub other_hall: f64,
     /// Cost of each kilobyte that goes to another data hall.
     pub other_hall_per_kb: f64,
-    /// Cost of an engine that is not the prompt family's own.
+    /// Cost of an engine that isn't the prefix group's own.
     pub away: f64,
     /// Cost of a candidate whose places are all taken.
     pub full: f64,
@@ -61,10 +60,8 @@
 }
 
 impl Tuning {
-    /// Weights for a prompt that shares little with others: nothing is kept for it that counts, so
-    /// it goes by load, and to the newest weights, as an answer on replaced ones loses a fifth of
-    /// its worth. On days of 90 boxes, two of high load and five with trouble, one play each, new
-    /// connections cost 0.014 of worth instead of 0.020, and replaced weights 0.027 instead of 0.033.
+    /// Returns the weights for a prompt that shares little with others: little of it is cached anywhere, so
+    /// it goes by load, and to the newest weights.
     pub fn of_little_shared(self) -> Self {
         Self {
             away: 0.0,
@@ -176,20 +173,20 @@
 }
 
 /// Candidates up to which all are weighed.
-const FEW: usize = 16;
-/// Engines that share a family where there are more; measured with 90 and 140 engines.
-const HOMES: usize = 2;
+const MAX_FULLY_WEIGHED: usize = 16;
+/// Engines that share a prefix group where there are more.
+const ENGINES_PER_GROUP: usize = 2;
 
 /// Positions of the candidates that are weighed. Among many engines these are the family's
 /// own two and those that keep most of it: what boxes know of the load is older than most
 /// requests last, so all boxes would send to the one that was idle a moment ago.
 fn shortlist(candidates: &[Candidate], demand: &Demand<'_>) -> Vec<usize> {
     let all = 0..candidates.len();
-    let Some(family) = demand.family().filter(|_| candidates.len() > FEW) else {
+    let Some(family) = demand.family().filter(|_| candidates.len() > MAX_FULLY_WEIGHED) else {
         return all.collect();
     };
     let names = candidates.iter().enumerate().map(|(at, c)| (at, c.name));
-    let mut listed = place::top(family, names, HOMES);
+    let mut listed = place::top(family, names, ENGINES_PER_GROUP);
     let most = demand.shared() / 2;
     listed.extend(all.filter(|at| candidates[*at].found > most));
     listed
--- a/crates/jb-policy/src/gate.rs
+++ b/crates/jb-policy/src/gate.rs
@@ -1,25 +1,17 @@
-//! Which requests an engine gets at once, which wait in the box, and which are refused.
+//! Admission: which requests are sent at once, which wait in the box, and which are rejected.
 //!
-//! An engine reads prompts in the order in which they come, and what it reads stops its running
-//! streams: when more is sent than it reads, all first tokens are late, the small and urgent ones
-//! too, and places are held for longer. So a prompt is sent only while it, and urgent ones after
-//! it, can still be in time. One that may be in time later waits in the box. One that cannot be in
-//! time any more is refused at once with the time after which there is room.
-//!
-//! Late requests that waited until their last call, to be sent at their highest cost and least
-//! worth, kept an overload up until its cause was over: in the model of `tests/overload.rs` 77 in
-//! 100 requests in time while a quarter of the engines is dark, 92 with late ones refused. Played
-//! with 90 boxes on two days of such load, one play each, worth 0.38 to 0.59 and 0.37 to 0.49.
+//! An engine reads prompts in the order in which they arrive, and its running streams stop meanwhile: when
+//! it receives more than it reads, all first tokens are late. So a prompt is sent only while it, and urgent
+//! ones after it, can still be in time. One that may be in time later waits in the box. One that can't be
+//! in time any more is rejected at once with the time after which there is room; waiting for its deadline
+//! would keep up the overload.
 
 use std::time::Duration;
 
-/// Share of a wanted time up to which an engine is filled: estimates spread by some 50 to 120 ms
-/// around the first token, and what is read for one request makes places free later for all.
-/// In the model 0.5 and 0.65 are alike, 0.8 and 0.3 are worse by 0.01 of credit.
-const TRUSTED: f64 = 0.65;
-/// Share of the same limit up to which an engine may be filled by requests that are late;
-/// chosen so that one of the others still fits in behind them, not swept.
-const LATE: f64 = 0.4;
+/// Share of the target latency up to which an engine is filled, as estimates of the first token are inexact.
+const FILL_SHARE: f64 = 0.65;
+/// Share of the same limit up to which late requests may fill an engine, so that another one still fits in.
+const LATE_FILL_SHARE: f64 = 0.4;
 
 /// A request that is to be sent.
 #[derive(Clone, Copy, Debug)]
@@ -58,9 +50,9 @@
     if !queued {
         return Verdict::Send;
     }
-    let limit = request.urgent.min(request.target).mul_f64(TRUSTED);
+    let limit = request.urgent.min(request.target).mul_f64(FILL_SHARE);
     let late = request.waited + first > request.target;
-    if late && first > limit.mul_f64(LATE) {
+    if late && first > limit.mul_f64(LATE_FILL_SHARE) {
         return Verdict::Refuse(first.saturating_sub(limit));
     }
     if first > limit {
--- a/crates/jb-policy/src/quota.rs
+++ b/crates/jb-policy/src/quota.rs
@@ -1,15 +1,12 @@
 //! A customer's limit, kept for the whole fleet by the account of one box.
 //!
-//! The account is a bucket of tokens. Every request asks it before it is sent, so the fleet's use
-//! is known exactly while one account answers for all. Where boxes cannot hear each other there is
-//! more than one account, and each fills only by the share of the fleet that it can vouch for: the
-//! shares of all sides add up to one, whoever hears whom.
+//! The account is a token bucket. Every request asks it before it is sent, so the fleet's use is known
+//! exactly while one account answers for all. In a partition there is more than one account, and each fills
+//! only by the share of the fleet that it answers for: the shares of all sides add up to one.
 //!
-//! What the limit allows in a window, its burst with it, comes in evenly, and the room is a part of
-//! what is tolerated beyond: so a customer that sends a tenth more than its rate all the time is
-//! let in, and no window that a cut or a restart falls into holds more than the others. A bucket of
-//! rate and burst as they are refused 120 requests of such a customer on a calm day of 90 boxes; a
-//! sliding window let in up to 1.14 of what is tolerated around a restart (`tests/quota.rs`).
+//! What the limit allows in a window, its burst included, comes in evenly, and the capacity is a part of the
+//! tolerated excess: so a customer whose rate is a little over the limit all the time isn't rejected, and no
+//! window around a partition or a restart holds more than the others.
 
 use std::time::Duration;
 
--- a/crates/jb-relay/src/exchange/ask.rs
+++ b/crates/jb-relay/src/exchange/ask.rs
@@ -16,16 +16,15 @@
 use crate::ticket::Ticket;
 use crate::upstream::{Instance, Wanted};
 
-/// Engines whose accounts are asked for one prompt at the most: the family's own first, the
-/// others together where it has no room.
-const ASKED: usize = 4;
-/// Missing tokens from which on other engines are asked for them; prompts that share fewer go by
-/// load alone.
-const LEAST_LOOKED: u64 = 512;
-/// Engines with an open connection that a prompt which shares little is compared at; not swept.
-const CONNECTED: usize = 3;
+/// Accounts that are asked for one prompt at the most: the prefix group's own engine first, the others
+/// together where it has no room.
+const MAX_ASKED: usize = 4;
+/// Fewest missing tokens for which other engines are asked; prompts that share fewer go by load alone.
+const MIN_SHARED: u64 = 512;
+/// Engines with an open connection that are compared for a prompt that shares little.
+const MAX_CONNECTED: usize = 3;
 
-/// What the accounts have said of a choice.
+/// State of the chosen engine by its account.
 pub(super) struct Advice {
     /// What is under way at the engine.
     pub load: Load,
@@ -71,7 +70,7 @@
     let ranked = core
         .upstreams
         .borrow()
-        .ranked(family, &ask.wanted, ASKED, core.now());
+        .ranked(family, &ask.wanted, MAX_ASKED, core.now());
     let (own, others) = ranked.split_first()?;
     let looked = if ask.shares_little() {
         ask.look_near(own).await
@@ -106,7 +105,7 @@
 impl Ask<'_> {
     /// Whether the prompt goes by load alone.
     fn shares_little(&self) -> bool {
-        self.wanted.demand.shared() < LEAST_LOOKED
+        self.wanted.demand.shared() < MIN_SHARED
     }
 
     /// Looks at engines for a prompt that shares little: those to which a connection is open, and
@@ -118,7 +117,7 @@
             .core
             .upstreams
             .borrow()
-            .connected(&self.wanted, CONNECTED, now);
+            .connected(&self.wanted, MAX_CONNECTED, now);
         if !near.contains(own) {
             near.push(own.clone());
         }
@@ -141,7 +140,7 @@
         let first = self.asked(own, view);
         if let Some(own) = first.as_ref().filter(|_| view.taken) {
             let missing = self.wanted.demand.shared().saturating_sub(view.found);
-            let rest = if missing >= LEAST_LOOKED {
+            let rest = if missing >= MIN_SHARED {
                 self.look(&self.holders(family, &own.instance)).await
             } else {
                 Vec::new()
@@ -233,7 +232,7 @@
     /// Engines that may keep a family though it is not theirs now, because they were its own before.
     fn holders(&self, family: u64, own: &Instance) -> Vec<Instance> {
         let upstreams = self.core.upstreams.borrow();
-        let first = upstreams.holders_first(family, &self.wanted, ASKED, self.core.now());
+        let first = upstreams.holders_first(family, &self.wanted, MAX_ASKED, self.core.now());
         first.into_iter().filter(|instance| instance != own).collect()
     }
 
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -103,9 +103,7 @@
     };
     Some(Choice {
         instance: ids[at].clone(),
-        // In a large fleet loads that no account has told come through leads and are 0.2 to 0.6 s
-        // old: waiting for engines believed to be busy by them cost 0.1 of worth (82 boxes, 60
-        // engines, two days played).
+        // In a large fleet loads that aren't from an account are 0.2 to 0.6 s old, too old to wait for.
         verdict: if core.book.borrow().is_small() {
             judge(core, ticket, &estimate)
         } else {
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -18,10 +18,9 @@
 use crate::saturating_cast::saturating_cast;
 use crate::upstream::Upstream;
 
-/// Tokens from which on others hear of a prompt at once in a small fleet: with loads told every
-/// 100 ms alone, all boxes sent to an engine that had just become idle. Measured on three sites
-/// of 6 to 8 boxes: 0.004 to 0.03 of all worth.
-const LONG: u64 = 1500;
+/// Tokens from which on a prompt is broadcast at once in a small fleet, so that not all boxes send to an
+/// engine that has just become idle.
+const LONG_PROMPT: u64 = 1500;
 
 /// What the other boxes do not know of yet.
 #[derive(Debug, Default)]
@@ -47,7 +46,7 @@
 
 /// Notes a prompt that has been sent, for the other boxes of a small fleet.
 pub fn note_sent(core: &Core, upstream: &Upstream, tokens: u64) {
-    if tokens < LONG || !core.book.borrow().is_small() {
+    if tokens < LONG_PROMPT || !core.book.borrow().is_small() {
         return;
     }
     let mut notices = core.notices.borrow_mut();
--- a/crates/jb-relay/src/peers/register.rs
+++ b/crates/jb-relay/src/peers/register.rs
@@ -52,14 +52,13 @@
     }
 }
 
-/// Brings the list of boxes up to what the store says.
+/// Updates the list of boxes from the store.
 pub fn list(core: &Core) {
     core.book.borrow_mut().put(read(core));
 }
 
-/// The same at once, after a reading of the store, while boxes are few. In a large fleet whose boxes
-/// start together all of them would ask their lead for each other's addresses: swept with 300 boxes
-/// the busiest one sent 1.6 MB/s so, and 1.2 with the others listed from time to time only.
+/// Does the same right after a read of the store in a small fleet. In a large one that starts together all
+/// boxes would ask their relay node for each other's addresses.
 pub fn list_few(core: &Core) {
     let boxes = read(core);
     if boxes.len() <= SMALL {
--- a/crates/jb-relay/src/upstream/pick.rs
+++ b/crates/jb-relay/src/upstream/pick.rs
@@ -29,10 +29,8 @@
         all.any(|upstream| upstream.lapsed.is_some() && upstream.is_open(now))
     }
 
-    /// Whether the entries of more than half of a service's upstreams are missing at the same time.
-    /// It is the outage then that took them, and the few that are back first cannot serve in place
-    /// of all. What it buys is not measured: on the one day played with such an outage and without
-    /// it, the worst seconds hold two to seven requests that count.
+    /// Returns whether the entries of more than half of a service's upstreams are missing: they expired in
+    /// an outage then, and the few that are back first can't serve in place of all.
     fn mostly_lapsed(&self, service: &str) -> bool {
         let lapsed = self.of_service(service).filter(|u| u.lapsed.is_some());
         2 * lapsed.count() > self.of_service(service).count()
