--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -13,19 +13,19 @@
 use crate::peers::Permit;
 use crate::port::Entry;
 use crate::salt;
-use crate::signal;
+use crate::signal::{self, Head};
 use crate::ticket::Ticket;
 use crate::unknown_signals;
 use crate::upstream::Instance;
 
-/// Longest head of an answer, in bytes.
-const LONGEST_HEAD: usize = 64 * 1024;
-/// Answers to other requests that are passed over before the own one.
-const MOST_FOREIGN: u32 = 4;
-/// Longest foreign answer that is passed over, in bytes.
-const LONGEST_FOREIGN: usize = 256 * 1024;
-/// What is taken off the time left, for the way of the answer back.
-const WAY_BACK: Duration = Duration::from_millis(5);
+/// Largest response head, in bytes.
+const MAX_HEAD_BYTES: usize = 64 * 1024;
+/// Responses to other requests that are skipped before the own one.
+const MAX_FOREIGN: u32 = 4;
+/// Largest response to another request that is skipped, in bytes.
+const MAX_FOREIGN_BYTES: usize = 256 * 1024;
+/// Part of the remaining time that is reserved for the way of the response back.
+const RETURN_LATENCY: Duration = Duration::from_millis(5);
 
 /// What a send came to.
 pub enum Outcome {
@@ -49,8 +49,10 @@
     pub body: Body,
     /// Connection.
     pub link: Link,
-    /// Whether the connection may be kept afterwards.
+    /// Whether the connection may be reused afterwards.
     pub clean: bool,
+    /// Idle time after which the upstream closes the connection.
+    pub closes_after: Option<Duration>,
 }
 
 /// A request with its body, ready to be sent as often as it takes.
@@ -105,7 +107,7 @@
         Err(why) => return Outcome::Failed(why.to_string()),
     }
     match own_answer(core, instance, &mut link, message.ticket, sent, &mut clean).await {
-        Ok(answer) => judge(core, answer, link, clean).await,
+        Ok((answer, head)) => judge(core, answer, &head, link, clean).await,
         Err(why) => Outcome::Failed(why.to_string()),
     }
 }
@@ -116,7 +118,7 @@
     let ticket = message.ticket;
     let left = ticket
         .until
-        .saturating_sub(core.now() + WAY_BACK)
+        .saturating_sub(core.now() + RETURN_LATENCY)
         .as_millis()
         .to_string();
     let urgency = ticket.urgency.to_string();
@@ -197,7 +199,7 @@
     Ok(())
 }
 
-/// Reads answers until the one to this request comes.
+/// Reads responses until the one to this request arrives, and applies the head of each.
 async fn own_answer(
     core: &Core,
     instance: &Instance,
@@ -205,9 +207,9 @@
     ticket: &Ticket,
     sent: Moment,
     clean: &mut bool,
-) -> Result<Answer, http::Error> {
-    for _ in 0..MOST_FOREIGN {
-        let answer = link.connection.answer(LONGEST_HEAD).await?;
+) -> Result<(Answer, Head), http::Error> {
+    for _ in 0..MAX_FOREIGN {
+        let answer = link.connection.answer(MAX_HEAD_BYTES).await?;
         if answer.status < 200 {
             continue;
         }
@@ -215,7 +217,7 @@
         if answer.headers.text(core.names.request) == Some(ticket.id.as_str()) {
             unknown_signals::note(core, instance, &answer.headers);
             signal::apply(core, instance, ticket.model.as_deref(), &head, sent);
-            return Ok(answer);
+            return Ok((answer, head));
         }
         // An extra answer to an earlier request on this connection.
         signal::apply_late(core, instance, &head);
@@ -224,14 +226,13 @@
             return Err(http::Error::Malformed("an answer to another request"));
         }
         link.connection
-            .whole(Body::new(answer.framing), LONGEST_FOREIGN)
+            .whole(Body::new(answer.framing), MAX_FOREIGN_BYTES)
             .await?;
     }
     Err(http::Error::Malformed("too many answers to other requests"))
 }
 
-async fn judge(core: &Shared, answer: Answer, mut link: Link, clean: bool) -> Outcome {
-    let head = signal::read(&core.names, &answer);
+async fn judge(core: &Shared, answer: Answer, head: &Head, mut link: Link, clean: bool) -> Outcome {
     let mut body = Body::new(answer.framing);
     if !head.not_run {
         return Outcome::Answered(Box::new(Reply {
@@ -239,10 +240,11 @@
             body,
             link,
             clean,
+            closes_after: head.closes_after,
         }));
     }
     let complete = matches!(body.step(&mut link.connection.buffer), Ok(Step::End))
-        || link.connection.whole(body, LONGEST_FOREIGN).await.is_ok();
+        || link.connection.whole(body, MAX_FOREIGN_BYTES).await.is_ok();
     if clean && complete && answer.keep_alive {
         link::give(core, link, head.closes_after);
     }
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -11,7 +11,6 @@
 use crate::events::Splitter;
 use crate::http::{self, Answer, Connection, Framing, write_answer};
 use crate::link;
-use crate::signal;
 use crate::ticket::Ticket;
 
 /// Longest answer that is held whole, so that one that breaks off never reaches the caller.
@@ -71,8 +70,7 @@
 
 fn release(core: &Shared, reply: Reply) {
     if reply.clean && reply.answer.keep_alive {
-        let closes_after = signal::read(&core.names, &reply.answer).closes_after;
-        link::give(core, reply.link, closes_after);
+        link::give(core, reply.link, reply.closes_after);
     }
 }
 
--- a/crates/jb-relay/src/signal.rs
+++ b/crates/jb-relay/src/signal.rs
@@ -23,14 +23,14 @@
 const MISDIRECTED: u16 = 421;
 
 /// Head of a response, as far as it concerns the upstream.
-#[derive(Clone, Copy, Debug)]
-pub struct Head<'a> {
+#[derive(Clone, Debug)]
+pub struct Head {
     /// Signals that hold beyond this response.
     pub signals: Signals,
     /// Whether the upstream hasn't run the request.
     pub not_run: bool,
     /// Instance that answers, where the head names one.
-    answering: Option<&'a str>,
+    answering: Option<String>,
     /// Version of the weights behind the response.
     weights: Option<u64>,
     /// Idle time after which the upstream closes the connection.
@@ -38,7 +38,7 @@
 }
 
 /// Parses the head of a response.
-pub fn read<'a>(names: &Names, answer: &'a Answer) -> Head<'a> {
+pub fn read(names: &Names, answer: &Answer) -> Head {
     let headers = &answer.headers;
     Head {
         signals: Signals {
@@ -49,7 +49,8 @@
         not_run: headers.get(names.not_run).is_some() || answer.status == MISDIRECTED,
         answering: headers
             .text(names.answering)
-            .filter(|_| answer.status == MISDIRECTED),
+            .filter(|_| answer.status == MISDIRECTED)
+            .map(str::to_owned),
         weights: headers.number(names.made_by),
         closes_after: closes_after(answer),
     }
@@ -63,16 +64,16 @@
     named.trim().parse().ok().map(Duration::from_secs)
 }
 
-impl Head<'_> {
+impl Head {
     /// Whether another instance answers at the address; the same one may only have other weights.
     fn is_of_other(&self, instance: &Instance) -> bool {
-        self.answering.is_some_and(|other| other != instance.id)
+        self.answering.as_ref().is_some_and(|other| *other != instance.id)
     }
 }
 
 /// Applies the head of a response to a request that was written at `sent`, before anything else is sent
 /// to the instance and before the caller gets the response.
-pub fn apply(core: &Core, instance: &Instance, model: Option<&str>, head: &Head<'_>, sent: Moment) {
+pub fn apply(core: &Core, instance: &Instance, model: Option<&str>, head: &Head, sent: Moment) {
     if head.is_of_other(instance) {
         note_replaced(core, instance);
         return;
@@ -90,7 +91,7 @@
 }
 
 /// Applies the head of a late response to an earlier request: its weights and free places are outdated.
-pub fn apply_late(core: &Core, instance: &Instance, head: &Head<'_>) {
+pub fn apply_late(core: &Core, instance: &Instance, head: &Head) {
     if !head.is_of_other(instance) {
         apply_signals(core, instance, head.signals, None);
     }
