--- a/crates/jb-cli/src/command/edit.rs
+++ b/crates/jb-cli/src/command/edit.rs
@@ -68,7 +68,7 @@
     }
 }
 
-/// Asks each live box itself; what others heard of it may lag.
+/// Asks each live box itself; what others know of it may lag.
 async fn missing(context: &Context, revision: u64) -> Result<Vec<String>, Error> {
     let status: Status = context.client.get("/admin/status").await?;
     let mut missing = Vec::new();
--- a/crates/jb-cli/src/command/tree/export.rs
+++ b/crates/jb-cli/src/command/tree/export.rs
@@ -6,7 +6,7 @@
 use crate::command::{Context, edit};
 use crate::error::Error;
 
-/// Begins the line that tells `import` what the document was made from.
+/// Begins the line by which `import` knows what the document was made from.
 pub const REVISION_LINE: &str = "# revision ";
 
 /// Print the tree in force as a TOML document.
--- a/crates/jb-cli/src/error.rs
+++ b/crates/jb-cli/src/error.rs
@@ -35,7 +35,7 @@
     File {
         /// The file.
         path: String,
-        /// What the system says.
+        /// Message of the system.
         message: String,
     },
     /// The box does not answer.
--- a/crates/jb-cli/src/story.rs
+++ b/crates/jb-cli/src/story.rs
@@ -23,7 +23,7 @@
 /// One line of the story.
 #[derive(Clone, Debug, PartialEq, Serialize)]
 pub struct Line {
-    /// When, as the box's clock said.
+    /// Time by the box's clock.
     pub at: String,
     /// Box.
     pub from: String,
--- a/crates/jb-daemon/src/clock.rs
+++ b/crates/jb-daemon/src/clock.rs
@@ -1,4 +1,4 @@
-//! The time of day, for what is kept longer than a process lives.
+//! The time of day, for what outlives a process.
 
 use std::time::{Duration, SystemTime, UNIX_EPOCH};
 
--- a/crates/jb-daemon/src/decide/message.rs
+++ b/crates/jb-daemon/src/decide/message.rs
@@ -64,7 +64,7 @@
     Succeeded,
     /// Through the upstream's fault.
     Failed,
-    /// For another reason; it tells nothing about the upstream.
+    /// For another reason, which shows nothing about the upstream.
     Abandoned,
     /// The upstream denied it, for having other weights or for leaving.
     Denied,
--- a/crates/jb-daemon/src/decide/ring.rs
+++ b/crates/jb-daemon/src/decide/ring.rs
@@ -21,7 +21,7 @@
 }
 
 /// A place in the ring that was taken beforehand, so that the ending of what
-/// it counts is never lost. Dropping it tells the ending.
+/// it counts is never lost. Dropping it sends the ending.
 pub struct Ticket {
     permit: Option<mpsc::OwnedPermit<Message>>,
     ending: Option<Ending>,
--- a/crates/jb-daemon/src/follow/edit.rs
+++ b/crates/jb-daemon/src/follow/edit.rs
@@ -173,7 +173,7 @@
     serde_json::from_slice(body).map_err(|e| PlatformError::Protocol(e.to_string()).into())
 }
 
-/// Highest revision that this box or any box it has heard of has in force.
+/// Highest revision that this box or any box it knows of has in force.
 fn newest_known(context: &Context) -> id::Revision {
     let accepted = context
         .directory
--- a/crates/jb-daemon/src/members.rs
+++ b/crates/jb-daemon/src/members.rs
@@ -20,7 +20,7 @@
 use crate::follow;
 use crate::quarantine;
 
-/// Services whose load is told with each probe.
+/// Services whose load is in each probe.
 const LOADS_PER_PROBE: usize = 4;
 /// Least number of ticks between two readings of the box list.
 const TICKS_PER_LIST: u64 = 2;
@@ -59,7 +59,7 @@
         self.state.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// The box itself as it is told to others.
+    /// The box itself as others see it.
     pub fn me(&self) -> Member {
         self.lock().members.me().clone()
     }
@@ -92,7 +92,7 @@
                 service: service.to_owned(),
             };
             let known = state.loads.get(&key).cloned();
-            // A hall of which nothing was heard yet is worth a try.
+            // A hall of which nothing is known yet is worth a try.
             known.unwrap_or(Summary {
                 hall,
                 usable: true,
@@ -113,7 +113,7 @@
         boxes
     }
 
-    /// Takes what another box told of itself, of others, and of its hall.
+    /// Merges what another box knows of itself, of others, and of its hall.
     pub fn merge(
         &self,
         context: &Context,
@@ -136,7 +136,7 @@
         }
     }
 
-    /// What to tell another box.
+    /// Returns the updates for another box.
     pub fn updates(&self) -> Vec<peer::Member> {
         let updates = self.lock().members.next_updates();
         updates.into_iter().map(to_wire).collect()
@@ -191,7 +191,7 @@
     }
 }
 
-/// The own hall's state as it is told to others: a few services at a time,
+/// The own hall's state as it is sent to others: a few services at a time,
 /// in turn, so that a probe does not grow with their number.
 pub fn loads(summaries: &[ServiceSummary], turn: u64) -> Vec<ServiceLoad> {
     let load = |s: &ServiceSummary| ServiceLoad {
--- a/crates/jb-daemon/src/quarantine.rs
+++ b/crates/jb-daemon/src/quarantine.rs
@@ -1,4 +1,4 @@
-//! What this box knows of requests that end engines, and what it tells other boxes of them.
+//! Evidence on poison requests behind the completions door, exchanged with other boxes.
 
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -19,7 +19,7 @@
 /// where the engine gives no sign. With 50 ms, beside 40 busy processes, four engines and not three
 /// ended under one request in one run of four, in none of five with 300 ms.
 const PROBE: Duration = Duration::from_millis(300);
-/// Requests that are told with one probe, the most dangerous first: 100 bytes each.
+/// Requests in one probe, the most dangerous first; each takes 100 bytes.
 const MAX_PER_PROBE: usize = 16;
 
 /// Requests that end engines.
@@ -62,7 +62,7 @@
         self.lock().end(content, engine);
     }
 
-    /// What to tell another box.
+    /// Returns the most dangerous requests, for another box.
     pub fn most_dangerous(&self, now: Moment) -> Vec<Suspect> {
         let mut ledger = self.lock();
         if ledger.is_empty() {
@@ -94,14 +94,14 @@
     })
 }
 
-/// Name under which boxes speak of one life of an engine; a life that nobody has heard of yet is one
+/// Short name of an engine instance; one whose incarnation isn't known yet is one
 /// of its own.
 pub fn engine(upstream: &str, incarnation: Option<id::Incarnation>) -> Engine {
     let instance = incarnation.unwrap_or_default();
     place::short(place::weight(place::name_hash(upstream), instance))
 }
 
-/// Takes what another box tells.
+/// Receives the evidence of another box.
 pub fn receive(context: &Context, received: &[Suspect]) {
     let now = context.clock.now();
     for row in received.iter().filter_map(|received| from_wire(received, now)) {
--- a/crates/jb-daemon/src/run/attempt.rs
+++ b/crates/jb-daemon/src/run/attempt.rs
@@ -43,7 +43,7 @@
         denial: Denial,
         /// Kind of error that the other box gave.
         kind: Kind,
-        /// When to come back, as the other box said.
+        /// `Retry-After` of the other box.
         after: Option<Duration>,
     },
     /// It may have run.
--- a/crates/jb-daemon/src/run/request.rs
+++ b/crates/jb-daemon/src/run/request.rs
@@ -18,7 +18,7 @@
     Own,
 }
 
-/// What a caller's body says.
+/// A caller's body.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Parsed {
     /// Route that the caller names as the model.
@@ -42,11 +42,11 @@
     pub route: Route,
     /// Service that the route leads to.
     pub service: Service,
-    /// What the body says.
+    /// Parsed body.
     pub parsed: Parsed,
     /// Prefixes of the prompt.
     pub chain: Arc<Chain>,
-    /// Salt that engines are told.
+    /// Salt of the engines' caches.
     pub salt: String,
     /// Priority class.
     pub class: Priority,
--- a/crates/jb-daemon/src/run/session/mod.rs
+++ b/crates/jb-daemon/src/run/session/mod.rs
@@ -316,7 +316,7 @@
     }
 }
 
-/// What a caller is told of a request for which there is nowhere to go.
+/// Error message for a request without a target.
 fn why(kind: Kind) -> &'static str {
     match kind {
         Kind::Poisonous => "engines have ended while they ran this request",
--- a/crates/jb-daemon/src/serve/caller.rs
+++ b/crates/jb-daemon/src/serve/caller.rs
@@ -17,7 +17,7 @@
 pub struct Wishes {
     /// Key under which the caller resends.
     pub key: Option<String>,
-    /// Whether it may run at most once; `None` when the caller says nothing.
+    /// Whether it may run at most once; `None` without the header.
     pub once: Option<bool>,
     /// Priority class.
     pub class: Option<Priority>,
--- a/crates/jb-daemon/src/serve/completions.rs
+++ b/crates/jb-daemon/src/serve/completions.rs
@@ -211,7 +211,7 @@
 
 async fn answer(context: &Arc<Context>, mut session: Session, held: Held) -> Response {
     let id = session.request().id.clone();
-    // The status depends on the first delivery, so nothing is said before it.
+    // The status depends on the first delivery, so nothing is sent before it.
     let first = match session.next().await {
         Ok(first) => first,
         Err(refused) => return refuse(context, &refused, &id),
--- a/crates/jb-daemon/src/settings.rs
+++ b/crates/jb-daemon/src/settings.rs
@@ -22,7 +22,7 @@
     File {
         /// The file.
         path: String,
-        /// What the system says.
+        /// Message of the system.
         message: String,
     },
     /// A key is unknown, missing, or has a bad value.
@@ -56,7 +56,7 @@
     pub caller_address: SocketAddr,
     /// Address for other boxes.
     pub peer_address: SocketAddr,
-    /// Address that other boxes are told, where it differs from `peer_address`.
+    /// Address that other boxes connect to, where it differs from `peer_address`.
     pub peer_advertise: Option<SocketAddr>,
     /// Address for operators.
     pub admin_address: SocketAddr,
--- a/crates/jb-daemon/src/start.rs
+++ b/crates/jb-daemon/src/start.rs
@@ -65,7 +65,7 @@
         () = drained(&context) => {}
     }
     emit!(context.logger, info, event::BOX_STOPPING, "open" => context.stop.open());
-    // Whoever is still served after the grace was told of it in the settings.
+    // The grace period is in the settings; what is still served after it is cut.
     let _ = tokio::time::timeout(grace, context.stop.wait_idle()).await;
     emit!(context.logger, info, event::BOX_STOPPED, "open" => context.stop.open());
     Ok(())
@@ -124,7 +124,7 @@
         hall: settings.hall.clone(),
         peer_address: settings.peer_advertise.unwrap_or(peer_bound).to_string(),
         admin_address: listeners.operators.local_addr().into_diagnostic()?.to_string(),
-        // A restarted box must be heard over its earlier self.
+        // The heartbeat of a restarted box must be newer than that of its earlier process.
         heartbeat: clock::wall_s(),
         leaving: false,
         revision: 0,
--- a/crates/jb-policy/src/account.rs
+++ b/crates/jb-policy/src/account.rs
@@ -1,6 +1,6 @@
 //! The account of one engine: the prompts that all boxes have there, at one box that keeps it.
 //!
-//! In a fleet of hundreds a box sees one request in hundreds, and what it hears of the others is
+//! In a fleet of hundreds a box sees one request in hundreds, and what it knows of the others is
 //! older than most requests last. So a box asks the account of an engine before it sends a
 //! prompt there. An account that is lost costs speed, never a request: the next box begins an
 //! empty one.
@@ -67,7 +67,7 @@
 }
 
 impl Account {
-    /// Drops places whose time is over: their boxes died, or word of their end was lost. Returns
+    /// Drops places whose time is over: their boxes died, or the message of their end was lost. Returns
     /// how many there were.
     pub fn expire(&mut self, now: Moment) -> usize {
         let before = self.places.len();
--- a/crates/jb-policy/src/gate.rs
+++ b/crates/jb-policy/src/gate.rs
@@ -18,7 +18,7 @@
 pub struct Request {
     /// Time since it came.
     pub waited: Duration,
-    /// Time in which its first token is wanted, or its caller leaves.
+    /// Time in which its first token is wanted, or its caller gives up.
     pub target: Duration,
     /// The least time wanted by a request that is as urgent or more, of the same service.
     pub urgent: Duration,
--- a/crates/jb-policy/src/knowledge.rs
+++ b/crates/jb-policy/src/knowledge.rs
@@ -1,6 +1,6 @@
 //! What this box knows of the engines' caches.
 //!
-//! The index leads from a prefix to the engines that held it when last heard
+//! The index leads from a prefix to the engines that held it when last known
 //! of. It is fed by the cached-token count of each answer, which costs no
 //! message. Two generations bound its memory: when the young one is full it
 //! becomes the old one, and what was not used since is forgotten. An engine's
@@ -132,7 +132,7 @@
     }
 
     /// The longest known prefix of a prompt at each engine that holds any;
-    /// `is_valid` tells the facts that still hold.
+    /// `is_valid` selects the facts that still hold.
     pub fn lookup(&self, chain: &Chain, is_valid: impl Fn(&Holder) -> bool) -> Vec<Known> {
         let mut found: Vec<Known> = Vec::with_capacity(HOLDERS);
         for mark in chain.marks.iter().rev() {
--- a/crates/jb-policy/src/member.rs
+++ b/crates/jb-policy/src/member.rs
@@ -1,7 +1,7 @@
 //! Soft membership between boxes.
 //!
-//! Each tick a box probes a constant number of others, in turn, and tells
-//! each a constant number of what it has heard. So the cost of a box does not
+//! Each tick a box probes a constant number of others, in turn, and sends
+//! each a constant number of updates. So the cost of a box does not
 //! grow with their number. Being taken for dead only turns traffic away; no
 //! promise rests on it.
 
@@ -14,14 +14,14 @@
 
 /// Boxes probed at each tick.
 pub const PROBES_PER_TICK: usize = 1;
-/// Heartbeats told with each probe.
+/// Heartbeats in each probe.
 pub const UPDATES_PER_PROBE: usize = 2;
 /// Failed probes in a row after which a box is taken for dead.
 const FAILURES: u32 = 2;
-/// Time after which a dead box that nobody heard of is forgotten.
+/// Time after which a dead box is forgotten.
 const FORGET: Duration = Duration::from_secs(120);
 
-/// What is told of a box.
+/// State of a box as others see it.
 #[derive(Clone, Debug, Default, PartialEq, Eq)]
 pub struct Member {
     /// Name.
@@ -76,19 +76,19 @@
         }
     }
 
-    /// The box itself as it is told to others.
+    /// The box itself as others see it.
     pub fn me(&self) -> &Member {
         &self.me
     }
 
-    /// Raises the own heartbeat and sets what is told with it.
+    /// Raises the own heartbeat and sets the state that is sent with it.
     pub fn beat(&mut self, revision: id::Revision, leaving: bool) {
         self.me.heartbeat += 1;
         self.me.revision = revision;
         self.me.leaving = leaving;
     }
 
-    /// Takes what was heard of a box. Only a newer heartbeat counts.
+    /// Merges the state of a box. Only a newer heartbeat counts.
     pub fn merge(&mut self, member: Member, now: Moment) -> Change {
         if member.id == self.me.id || member.id.is_empty() {
             return Change::None;
@@ -134,7 +134,7 @@
         self.next(PROBES_PER_TICK, |_| true)
     }
 
-    /// What to tell with a probe.
+    /// Returns the updates for a probe.
     pub fn next_updates(&mut self) -> Vec<Member> {
         self.next(UPDATES_PER_PROBE, |s| s.failures < FAILURES)
     }
--- a/crates/jb-policy/src/outage.rs
+++ b/crates/jb-policy/src/outage.rs
@@ -1,4 +1,5 @@
-//! Whether the platform's store was away while a box heard nothing of it, or only this box was cut off.
+//! Whether the platform's store was down while a box had no connection to it, or only this box was
+//! partitioned.
 //!
 //! Entries of upstreams may lapse in an outage of the store and come back after it. They never do so
 //! because one box is cut off: an entry that is missing after a cut is gone. So it takes evidence that
@@ -66,13 +67,13 @@
     Answered,
     /// It answered no box for longer than costs no entry, and answers again.
     Away,
-    /// No other box that has seen it lately is heard.
+    /// No box that has reached it lately is reachable.
     Unknown,
 }
 
-/// Judges by the span in which the store answered this box or others, as far as it has heard, up to
-/// its own latest answer; and by the spans of the boxes that it hears now. A box that is itself cut
-/// off has seen no answer lately, and tells nothing of the store.
+/// Judges by the span in which the store has answered this box or others, up to this box's latest answer, and by
+/// the spans of the boxes that are reachable now. A box that is itself partitioned shows nothing about the
+/// store.
 pub fn judge(blind: Span, seen: Span, others: &[Span], harmless: Duration) -> Store {
     if seen.from <= blind.from + harmless {
         return Store::Answered;
--- a/crates/jb-policy/src/poison/content.rs
+++ b/crates/jb-policy/src/poison/content.rs
@@ -2,12 +2,12 @@
 
 use sha2::{Digest as _, Sha256};
 
-/// Bytes of the hash that are kept: two different contents never share them.
+/// Bytes of the hash, enough to avoid collisions.
 const CONTENT_BYTES: usize = 16;
 
 /// What a request asks, whoever passes it on and under whatever id: its caller, its path and its body.
 ///
-/// It is a hash, so that no body is kept. The caller is a part of it, so that nobody can bring
+/// It is a hash, so that no body is stored. The caller is a part of it, so that nobody can bring
 /// another caller's requests into suspicion.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Content(pub u128);
--- a/crates/jb-policy/src/prefix.rs
+++ b/crates/jb-policy/src/prefix.rs
@@ -51,7 +51,7 @@
         xxh3_64(&text)
     }
 
-    /// The seed as the salt that engines are told.
+    /// The seed as the salt of the engines' caches.
     pub fn salt(&self) -> String {
         format!("{:016x}", self.seed())
     }
--- a/crates/jb-policy/src/quota.rs
+++ b/crates/jb-policy/src/quota.rs
@@ -1,4 +1,4 @@
-//! A customer's limit, kept for the whole fleet by the account of one box.
+//! A customer's limit, enforced for the whole fleet by the account at one box.
 //!
 //! The account is a token bucket. Every request asks it before it is sent, so the fleet's use is known
 //! exactly while one account answers for all. In a partition there is more than one account, and each fills
@@ -13,12 +13,12 @@
 use crate::Moment;
 
 /// Share of the tolerated overrun that an account holds when it is full. The rest covers boxes that
-/// have not noticed yet that they no longer hear each other.
+/// have not noticed a partition yet.
 const ROOM_SHARE: f64 = 0.5;
 /// Share of it that only the customer's most urgent requests use.
 const URGENT_SHARE: f64 = 0.1;
-/// Share of it that an account holds at its begin when nobody can tell what the one before it had
-/// left: after a restart of all boxes the limit may just have been used up.
+/// Share of it that a new account holds when the level of the one before isn't known: after a restart of all
+/// boxes the limit may just have been used up.
 const BEGIN_SHARE: f64 = 0.3;
 
 /// A customer's limit.
@@ -136,7 +136,7 @@
             return Ok(());
         }
         let millis = 1000.0 * (needed - self.level) / terms.rate().max(f64::MIN_POSITIVE);
-        // Whole milliseconds, as callers are told; the cast ends at the greatest number.
+        // Whole milliseconds, as in `Retry-After`; the cast saturates.
         Err(Duration::from_millis(millis.ceil() as u64))
     }
 
--- a/crates/jb-policy/src/route/mod.rs
+++ b/crates/jb-policy/src/route/mod.rs
@@ -30,7 +30,7 @@
 pub struct Choice {
     /// The upstream.
     pub upstream: id::Upstream,
-    /// Its present life, as last heard.
+    /// Its last known incarnation.
     pub incarnation: Option<id::Incarnation>,
     /// Tokens believed to be cached.
     pub cached_tokens: u32,
--- a/crates/jb-policy/src/route/pool.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -64,7 +64,7 @@
         pool
     }
 
-    /// Takes new settings; what is known of remaining upstreams is kept.
+    /// Applies new settings; the state of remaining upstreams is preserved.
     pub fn configure(&mut self, service: &Service, hall: &str) {
         let weights_changed = self.service.weights != service.weights || self.service.model != service.model;
         let before: Vec<id::Upstream> = self.upstreams.iter().map(|u| u.id.clone()).collect();
@@ -265,7 +265,7 @@
             upstream.health.undecided();
         }
         // A plain service may deny one call and take the next; an engine
-        // denies when it leaves or has other weights.
+        // denies when it drains or has other weights.
         if self.service.kind == service::Kind::Engine
             && let Some(upstream) = self.upstream_mut(id)
         {
--- a/crates/jb-policy/src/upstream.rs
+++ b/crates/jb-policy/src/upstream.rs
@@ -20,8 +20,8 @@
 /// Time for which an upstream that denied a request is left alone.
 const DENIAL: Duration = Duration::from_secs(1);
 
-/// Time for which an upstream without lives, as a plain service, is believed to leave after it said
-/// so: its successor may have its name and address, and one request in that time asks it again.
+/// Time for which an upstream without incarnations, as a plain service, counts as draining after its signal:
+/// its successor may have its name and address.
 const LEAVES_FOR: Duration = Duration::from_secs(600);
 
 /// Changes by the signals of a response.
@@ -38,11 +38,11 @@
 /// Why an upstream gets no new work.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct Leaving {
-    /// The tree says so.
+    /// By the tree.
     pub by_tree: bool,
-    /// The platform's box list says so.
+    /// By the platform's box list.
     pub by_list: bool,
-    /// The upstream itself says so.
+    /// By the upstream's own report.
     pub by_itself: bool,
 }
 
@@ -60,7 +60,7 @@
     pub id: id::Upstream,
     /// Hash of the name, for placement.
     pub hash: u64,
-    /// Signals that it leaves.
+    /// Signals that it drains.
     pub leaving: Leaving,
     /// Record of its failures.
     pub health: Health,
@@ -78,7 +78,7 @@
     fits: bool,
     /// Backoff that it has asked for.
     backoff: Backoff,
-    /// Until when it is believed to leave, as it said in an answer.
+    /// Until when it drains by the signal of a response.
     leaves_until: Moment,
     /// Rate limit that it has announced for all boxes together.
     limit: Share,
@@ -210,13 +210,13 @@
         holder.epoch == self.epoch && self.fill.wrapping_sub(holder.fill) < blocks
     }
 
-    /// Notes that it denied a request: it leaves or has other weights, and
+    /// Notes that it denied a request: it drains or has other weights, and
     /// gets nothing more for a while.
     pub fn note_denial(&mut self, now: Moment) {
         self.backoff.pause(DENIAL, now);
     }
 
-    /// Its present life, as last heard.
+    /// Its last known incarnation.
     pub fn incarnation(&self) -> Option<id::Incarnation> {
         self.incarnation
     }
--- a/crates/jb-protocol/src/admin.rs
+++ b/crates/jb-protocol/src/admin.rs
@@ -73,13 +73,13 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Serialize, Deserialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Obstacle {
-    /// The tree says that it leaves.
+    /// It drains by the tree.
     LeavesByTree,
-    /// The box list says so.
+    /// It drains by the box list.
     LeavesByList,
-    /// Its report says so.
+    /// It drains by its report.
     LeavesByReport,
-    /// An answer of its own says so.
+    /// It drains by a response of its own.
     LeavesByAnswer,
     /// It has asked for backoff.
     Backoff,
--- a/crates/jb-protocol/src/error.rs
+++ b/crates/jb-protocol/src/error.rs
@@ -72,7 +72,7 @@
     PeerVersion,
 }
 
-/// When a caller is told to come back.
+/// `Retry-After` of an error.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Retry {
     /// The same request will be refused again.
--- a/crates/jb-protocol/src/header.rs
+++ b/crates/jb-protocol/src/header.rs
@@ -16,7 +16,7 @@
 pub const REQUEST_ID: &str = "x-request-id";
 /// Id of the attempt, echoed by every upstream.
 pub const ATTEMPT: &str = "x-attempt-id";
-/// Name of the customer, told to plain services.
+/// Name of the customer, sent to plain services.
 pub const CUSTOMER: &str = "x-customer";
 /// Set to `true` by a plain service that refused without running the call.
 pub const NOT_RUN: &str = "x-not-run";
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -33,7 +33,7 @@
     Unsent(String),
     /// Nothing was sent, as the upstream drains, backs off or is limited by now.
     Withdrawn,
-    /// The upstream says that it has not run the request.
+    /// The upstream hasn't run the request.
     NotRun(u16),
     /// The request may have run; nothing of an answer can be used.
     Failed(String),
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -63,7 +63,7 @@
     pub rules: RefCell<Option<Rc<Rules>>>,
     /// When the call was sent whose answer proves what is in force.
     pub proven: Cell<Option<Moment>>,
-    /// The same without what other boxes told while the own path to the store was cut.
+    /// The same without updates of other boxes while the own path to the store was cut.
     pub proven_directly: Cell<Option<Moment>>,
     /// Span in which the store is known to have answered this box or others, but for silences that
     /// cost no entry.
@@ -72,7 +72,7 @@
     pub news_from: Cell<Option<Origin>>,
     /// Upstreams.
     pub upstreams: RefCell<Registry>,
-    /// Stores of kept KV cache.
+    /// Shared stores of KV cache.
     pub cache_stores: RefCell<CacheStores>,
     /// Versions of each model's weights that were named.
     pub weights: RefCell<BTreeMap<String, History>>,
@@ -82,7 +82,7 @@
     pub book: RefCell<Book>,
     /// Places that this box asks other boxes for.
     pub accounts: Accounts,
-    /// Boxes that hear each other.
+    /// Boxes that reach each other.
     pub reachability: RefCell<Reachability>,
     /// Customers' limits.
     pub quotas: Quotas,
@@ -92,11 +92,11 @@
     pub unknown_signals: UnknownSignals,
     /// Requests that end engines.
     pub quarantine: Quarantine,
-    /// What other boxes told of their load.
+    /// Status of the other boxes.
     pub loads: RefCell<Loads>,
-    /// Word of engines and their weights that is about to be told.
+    /// Loads of weights that are about to be published.
     pub gathered: RefCell<Gathered>,
-    /// What the other boxes are to be told at once.
+    /// What is to be broadcast at once.
     pub notices: RefCell<Notices>,
     /// Latest changes of the store, for other boxes.
     pub log: RefCell<Log>,
@@ -192,8 +192,8 @@
         self.store_seen.set(Some(known));
     }
 
-    /// Whether an upstream has said nothing that speaks against a request: it may have, since it was
-    /// chosen for it and the permit was acquired.
+    /// Returns whether an instance still accepts a request that was placed there: its signals may have changed
+    /// since it was chosen and the permit was acquired.
     pub fn takes_requests(&self, instance: &Instance, permit: Permit) -> bool {
         let upstreams = self.upstreams.borrow();
         upstreams.instance(instance).is_some_and(|upstream| {
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -171,7 +171,7 @@
 
 /// Delivers a stream, event by event where it may go on elsewhere.
 ///
-/// `started` is called when a part has come; `elsewhere` tells whether another upstream can
+/// `started` is called when a part has come; `elsewhere` returns whether another upstream can
 /// go on with a stream that is silent.
 pub async fn stream(
     core: &Shared,
--- a/crates/jb-relay/src/exchange/ask.rs
+++ b/crates/jb-relay/src/exchange/ask.rs
@@ -46,7 +46,7 @@
     candidate: Candidate,
 }
 
-/// The upstream that a prompt is sent to next, where the account of one can tell.
+/// Chooses the upstream of a prompt by the accounts of engines, where one answers.
 pub(super) async fn choose(
     core: &Shared,
     ticket: &Ticket,
@@ -267,7 +267,7 @@
     }
 }
 
-/// A choice that no account has said anything of.
+/// A choice without the answer of an account.
 fn unadvised(held: Held, own: &Instance) -> Choice {
     Choice {
         instance: own.clone(),
--- a/crates/jb-relay/src/exchange/pick.rs
+++ b/crates/jb-relay/src/exchange/pick.rs
@@ -14,7 +14,7 @@
 /// Pause before the upstreams are looked through again when none is open.
 const LOOK_AGAIN: Duration = Duration::from_millis(40);
 /// Pause before a request that waits for a place in time is judged again: loads of other boxes
-/// are told every 100 ms, own first tokens come at any time.
+/// arrive every 100 ms, own first tokens come at any time.
 const LOOK_FOR_PLACE: Duration = Duration::from_millis(20);
 /// Share of the wanted time for which a request waits in the box for an upstream.
 const WAIT_SHARE: f64 = 0.2;
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -34,7 +34,7 @@
     pub(super) full: bool,
     /// Whether the request is a suspect, and the only one there.
     pub(super) isolated: bool,
-    /// What its account says, where it was asked.
+    /// State by its account, where that was asked.
     pub(super) advice: Option<Advice>,
 }
 
@@ -237,7 +237,7 @@
         unread
     }
 
-    /// The same by what the engine's account says.
+    /// The same by the engine's account.
     fn place_advised(&mut self, instance: &Instance, own: u64, advice: &Advice) -> u64 {
         let ticket = self.message.ticket;
         let core = self.core;
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -57,7 +57,7 @@
     pub(super) refused: Option<Refused>,
     /// What it asks, once that was worked out.
     pub(super) content: OnceCell<Content>,
-    /// Where the engine's account is told how the request ended.
+    /// Where the end of the request is noted for the engine's account.
     pub(super) ending: Option<Rc<Cell<peers::Ending>>>,
     pub(super) pace: Pace,
 }
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -17,7 +17,7 @@
         Fact::Rules(rules) => put_rules(core, *rules),
         Fact::Upstream(id, registration) => apply_registration(core, &id, registration, revision, comes_back),
         Fact::Weights(named) => {
-            // What a box hears may have been named at any time since it last heard something.
+            // The release may have been at any time since the last update.
             let earliest = core.proven.get();
             let mut weights = core.weights.borrow_mut();
             let history = weights.entry(named.model.clone()).or_default();
--- a/crates/jb-relay/src/follow/missing.rs
+++ b/crates/jb-relay/src/follow/missing.rs
@@ -1,6 +1,6 @@
-//! What a box that was blind does with upstreams whose entries are missing.
+//! What a box does after a partition with upstreams whose entries are missing.
 //!
-//! A box is blind while nothing proves to it what the store holds, neither the store nor another
+//! A box is partitioned while nothing proves to it what the store holds, neither the store nor another
 //! box. Once something does again:
 //!
 //! - **True now** is what the news say: an entry that is there, one that says it leaves, a newer
@@ -8,7 +8,7 @@
 //! - **Only old** is an upstream whose entry is missing. It is gone, at once, unless other boxes show
 //!   that the store itself was away ([`outage::judge`]): entries lapse in such an outage and are back
 //!   within two seconds of its end.
-//! - **A last resort** is such an upstream until [`COME_BACK`] after the box has heard again: it gets
+//! - **A last resort** is such an upstream until [`COME_BACK`] after the end of the partition: it gets
 //!   a request only where no upstream whose entry is there has a place for it, or where most of its
 //!   service's entries are missing, and nothing from the moment on at which another box shows that
 //!   the store was not away after all.
@@ -25,16 +25,16 @@
 use super::facts::gone;
 use crate::core::Core;
 
-/// Time after the box has heard of the store again in which entries that lapsed meanwhile come
-/// back: the platform says about two seconds.
+/// Time after the end of a partition in which expired entries come back: about two seconds by the platform's
+/// contract.
 const COME_BACK: Duration = Duration::from_millis(2300);
 
-/// The last time in which the box was blind for long enough that entries may have lapsed.
+/// The last partition that was long enough for entries to expire.
 #[derive(Debug, Default)]
 pub(super) struct Blindness(Option<Span>);
 
 impl Blindness {
-    /// Notes that the box hears what the store held at `at`, before it takes that as proven.
+    /// Notes that the box learns what the store held at `at`, before that counts as proven.
     pub(super) fn note(&mut self, core: &Core, at: Moment) {
         let span = core.proven.get().map(|from| Span { from, until: at });
         if let Some(span) = span.filter(|span| span.length() > core.harmless_silence()) {
@@ -52,7 +52,7 @@
 
 fn was_away(core: &Core, blind: Span) -> bool {
     if core.book.borrow().boxes() == 1 {
-        // Nobody else could tell.
+        // No other box could know.
         return true;
     }
     let Some(seen) = core.store_seen.get() else {
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -26,7 +26,7 @@
 const ASK_PERIOD: Duration = Duration::from_millis(350);
 /// Pause after a call that failed.
 const AFTER_FAILURE: Duration = Duration::from_millis(400);
-/// Pause between two calls while calls fail and other boxes tell what the store says: one box
+/// Pause between two calls while calls fail and other boxes send updates: one box
 /// that is turned away would make the boxes of its data hall read the store themselves.
 const TRY_AGAIN: Duration = Duration::from_millis(2000);
 
@@ -43,7 +43,7 @@
     failing: Option<Failing>,
     /// Keys of all that the store holds.
     keys: BTreeSet<String>,
-    /// The last time in which nothing was heard.
+    /// The last time without any update.
     blindness: Blindness,
 }
 
@@ -56,7 +56,7 @@
     last: Moment,
 }
 
-/// What was heard of the store.
+/// An update of the store.
 struct Update {
     from: Origin,
     changes: Vec<Change>,
@@ -181,7 +181,7 @@
     }
 }
 
-/// Puts what was heard in force.
+/// Applies an update.
 fn take(core: &Core, progress: &mut Progress, update: Update) {
     let Update {
         from,
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -20,7 +20,7 @@
 const BODY_TIME: Duration = Duration::from_secs(10);
 /// Time for which bytes are still read after a refusal, so that it is not lost in a reset.
 const LINGER: Duration = Duration::from_millis(300);
-/// Descriptors that are kept for upstreams, the store, checks and files.
+/// Descriptors that are reserved for upstreams, the store, checks and files.
 const RESERVED: usize = 400;
 /// Share of the box's memory that bodies of requests may take.
 const BODY_SHARE: usize = 4;
@@ -45,7 +45,7 @@
 
 async fn connection(core: Shared, stream: TcpStream) {
     if core.stop.connections() + RESERVED >= core.settings.capacity.descriptors {
-        // The close tells the caller that nothing was read.
+        // By the close the caller knows that nothing was read.
         emit!(core.logger, warn, event::ACCEPT_FAILED, "why" => "all descriptors for callers are in use");
         return;
     }
@@ -200,7 +200,7 @@
         Ending::Answered(_) => true,
         Ending::CallerGone | Ending::Broken(_) => false,
         Ending::NotRun(_) => final_answer(core, client, &ticket.id, 503, Some(after)).await,
-        // The head is out already: only the missing end tells the caller.
+        // The head is out already: only the missing end shows the caller that it is incomplete.
         Ending::Lost(_) | Ending::Late if begun => false,
         Ending::Lost(_) => final_answer(core, client, &ticket.id, 502, None).await,
         Ending::Late => final_answer(core, client, &ticket.id, 504, None).await,
--- a/crates/jb-relay/src/http/connection.rs
+++ b/crates/jb-relay/src/http/connection.rs
@@ -11,7 +11,7 @@
 
 /// Room made for one read, in bytes: a stream's event fits several times.
 const READ: usize = 4096;
-/// Bytes of following requests that are kept while one is served.
+/// Bytes of following requests that are buffered while one is served.
 const MOST_AHEAD: usize = 16 * 1024;
 
 /// A connection with its buffer.
--- a/crates/jb-relay/src/link.rs
+++ b/crates/jb-relay/src/link.rs
@@ -1,4 +1,4 @@
-//! Connections to upstreams: one request at a time, kept for the next one.
+//! Connections to upstreams: one request at a time, reused for the next one.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -20,7 +20,7 @@
 const LONGEST_IDLE_ONCE: Duration = Duration::from_secs(3);
 /// Share of the rest that an upstream names which is used.
 const IDLE_SHARE: f64 = 0.7;
-/// Idle connections that are kept to one upstream.
+/// Idle connections to one upstream.
 const MOST_IDLE: usize = 24;
 
 /// An idle connection.
--- a/crates/jb-relay/src/names.rs
+++ b/crates/jb-relay/src/names.rs
@@ -41,7 +41,7 @@
     pub urgency: &'static str,
     /// Versions of the weights behind an answer.
     pub made_by: &'static str,
-    /// Engine or store from which kept parts are taken first.
+    /// Engine or store from which cached segments are transferred first.
     pub import: &'static str,
     /// Store to which parts are sent once they have been read.
     pub export: &'static str,
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -1,7 +1,7 @@
-//! Accounts of engines: each is kept by one box of the engine's data hall, and the others ask it
+//! Accounts of engines: each has one owner in the engine's data hall, which the other boxes ask
 //! before they send a prompt.
 //!
-//! Which box keeps an account follows from the boxes that are heard, by rendezvous hashing. A
+//! The owner is chosen among the reachable boxes by rendezvous hashing. A
 //! question is one datagram, and so is its answer; without an answer in time the asker decides
 //! by what it knows itself.
 
@@ -71,7 +71,7 @@
     pub until: Moment,
 }
 
-/// What an account says of its engine.
+/// State of an engine by its account.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct View {
     /// Whether the engine may get requests.
@@ -165,7 +165,7 @@
     Some(view(advice))
 }
 
-/// Takes newer weights of an engine that the box has not heard of.
+/// Applies newer weights of an engine.
 fn take_weights(core: &Core, engine: &Instance, advice: &Advice) {
     let mut upstreams = core.upstreams.borrow_mut();
     let Some(upstream) = upstreams.instance_mut(engine) else {
@@ -236,7 +236,7 @@
     }
 }
 
-/// Takes word of a place from another box.
+/// Receives the end of a place from another box.
 pub(super) fn receive_returned(core: &Core, from: SocketAddr, returned: &Returned) {
     if is_known(core, from) && take_back(core, returned) {
         judge(core, returned);
@@ -333,7 +333,7 @@
     }
 }
 
-/// Takes a place back, or word of its first token; whether its request has ended.
+/// Releases a place, or notes its first token; returns whether its request has ended.
 fn take_back(core: &Core, returned: &Returned) -> bool {
     let mut upstreams = core.upstreams.borrow_mut();
     let Some(upstream) = upstreams.by_short_name_mut(returned.engine) else {
@@ -355,7 +355,7 @@
     let now = core.now();
     let change = match returned.ending {
         Some(Ending::Well) => upstream.health.succeeded(),
-        // What was sent before the engine was left out tells nothing new.
+        // What was sent before the engine was ejected shows nothing new.
         Some(Ending::Failed) if upstream.health.is_open(now) => upstream.health.failed(now),
         _ => {
             upstream.health.undecided();
--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -12,7 +12,7 @@
 use jb_policy::place;
 use jb_protocol::id;
 
-/// Boxes up to which each tells all others directly.
+/// Boxes up to which each sends its status to all others.
 pub(super) const SMALL: usize = 16;
 /// Time for which a box that gave no answer is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(8);
@@ -58,7 +58,7 @@
             .max(1)
     }
 
-    /// Whether each box tells all others directly.
+    /// Returns whether each box sends its status to all others.
     pub fn is_small(&self) -> bool {
         self.boxes() <= SMALL
     }
@@ -122,7 +122,7 @@
         })
     }
 
-    /// The box of the highest rank among those that are heard and have one.
+    /// The box of the highest rank among the reachable ones.
     fn first<R: Ord>(
         &self,
         now: Moment,
--- a/crates/jb-relay/src/peers/log.rs
+++ b/crates/jb-relay/src/peers/log.rs
@@ -26,7 +26,7 @@
 }
 
 /// Revisions between which history was gone, both excluded. Who knows the store as it was in between
-/// may know items that came and went there, of which this box has never heard.
+/// may know items that came and went there, which this box has never received.
 #[derive(Clone, Copy, Debug)]
 struct Gap {
     after: Revision,
@@ -38,7 +38,7 @@
     /// is nothing to add it to.
     ///
     /// Boxes that the store turns away go on from here: while a reading of everything began the log
-    /// anew, they heard nothing after it until they reached the store themselves, 5 s and more.
+    /// anew, they received nothing after it until they reached the store themselves, 5 s and more.
     pub fn add_all(&mut self, mut all: Vec<Change>, revision: Revision) {
         let known = self.revision;
         if known == 0 {
@@ -52,7 +52,7 @@
                 before: revision,
             });
         }
-        // What is newer than the reading is told again by the next news.
+        // What is newer than the read comes again with the next update.
         all.retain(|change| change.revision > known && change.revision <= revision);
         all.sort_by_key(|change| change.revision);
         self.add(&all, revision);
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -29,21 +29,21 @@
     Releases(Releases),
     /// A box asks the account of an engine for a place.
     Question(Question),
-    /// What the account says.
+    /// Answer of the account.
     Advice(Advice),
     /// The first token of a prompt has come, or its place is given back.
     Returned(Returned),
-    /// Boxes that a lead hears.
+    /// Count of the boxes that a relay node reaches.
     Heard(Count),
     /// A request asks the account of its customer.
     Charge(Charge),
-    /// What the account says.
+    /// Answer of the account.
     Grant(Grant),
     /// A box asks for more of what has changed in the store.
     AskMore(AskMore),
     /// Evidence on poison requests.
     Suspects(Suspects),
-    /// Lives of upstreams that have said in answers that they leave.
+    /// Instances that have signalled that they drain.
     Leaving(Leaving),
     /// Rate limits of instances have begun or ended.
     Limits(Limits),
--- a/crates/jb-relay/src/peers/message/limit.rs
+++ b/crates/jb-relay/src/peers/message/limit.rs
@@ -3,7 +3,7 @@
 use jb_protocol::id;
 use serde::{Deserialize, Serialize};
 
-/// Boxes that a lead of a data hall hears, itself with them.
+/// Boxes that the relay node of a data hall reaches, itself included.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(in crate::peers) struct Count {
     /// Lead.
@@ -29,11 +29,11 @@
     pub again: bool,
     /// What ran at this box without being charged; less than none is given back.
     pub uncharged: i64,
-    /// What the account had left as this box last heard, if that is not long ago.
+    /// What the account had left by the last answer, unless that is outdated.
     pub left: Option<i64>,
 }
 
-/// What the account of a customer says.
+/// Answer of a customer's account.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(in crate::peers) struct Grant {
     /// Number of the charge.
--- a/crates/jb-relay/src/peers/message/news.rs
+++ b/crates/jb-relay/src/peers/message/news.rs
@@ -34,7 +34,7 @@
     pub nonce: u64,
     /// Age of what the other box knows, in milliseconds.
     pub age_ms: u64,
-    /// What can be told.
+    /// Answer.
     pub answer: Answer,
 }
 
@@ -90,7 +90,7 @@
 }
 
 impl StoreChange {
-    /// A change whose value is told apart.
+    /// A change whose value is sent separately.
     pub fn without_value(change: &Change) -> Self {
         Self {
             value: None,
@@ -98,7 +98,7 @@
         }
     }
 
-    /// The change with the value that was told apart.
+    /// The change with the value that was sent separately.
     pub fn with_value(self, value: Vec<u8>) -> Change {
         Change::from(Self {
             value: Some(value),
--- a/crates/jb-relay/src/peers/message/place.rs
+++ b/crates/jb-relay/src/peers/message/place.rs
@@ -33,7 +33,7 @@
     pub left_ms: u32,
 }
 
-/// What the account of an engine says.
+/// Answer of an engine's account.
 #[derive(Clone, Copy, Debug, Serialize, Deserialize)]
 pub(in crate::peers) struct Advice {
     /// Id of the place.
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -1,4 +1,4 @@
-//! What the other boxes are told at once, between two tellings of loads.
+//! What is broadcast at once, without waiting for the next status.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,23 +22,23 @@
 /// engine that has just become idle.
 const LONG_PROMPT: u64 = 1500;
 
-/// What the other boxes do not know of yet.
+/// What is to be broadcast.
 #[derive(Debug, Default)]
 pub struct Notices {
     /// Upstream of each long prompt with the tokens that it has to read.
     sent: Vec<(u32, u32)>,
     /// Upstreams whose addresses others have now.
     replaced: Vec<u32>,
-    /// Upstreams that have said in answers that they leave.
+    /// Upstreams that have signalled that they drain.
     leaving: Vec<u32>,
     /// Upstreams that have become limited or unlimited.
     limits: Vec<u32>,
-    /// Wakes the duty that tells of long prompts.
+    /// Wakes the task that broadcasts long prompts.
     wake: Rc<Notify>,
 }
 
 impl Notices {
-    /// Drops the long prompts: the loads that are told now hold them.
+    /// Drops the long prompts: the next status includes them.
     pub(super) fn forget_sent(&mut self) {
         self.sent.clear();
     }
@@ -56,7 +56,7 @@
     notices.wake.notify_one();
 }
 
-/// Tells of long prompts for a while.
+/// Broadcasts long prompts for a while.
 pub(super) async fn broadcast_prompts(core: &Core, socket: &UdpSocket, time: Duration) {
     let wake = Rc::clone(&core.notices.borrow().wake);
     let due = core.now() + time;
@@ -73,7 +73,7 @@
     }
 }
 
-/// Takes long prompts that another box has sent, until it tells its loads.
+/// Receives long prompts that another box has sent; they count until its next status.
 pub(super) fn take_sent(core: &Core, sent: &Sent) {
     for &(upstream, tokens) in &sent.prompts {
         core.loads
@@ -92,9 +92,8 @@
         .push(place::short(upstream.name));
 }
 
-/// Notes that an upstream has said in an answer that it leaves, for the other boxes: while the store is
-/// away each would have to get such an answer itself, and a request that is with the upstream at its
-/// end is lost. Told once, as soon as one box hears it; a box that is not reached hears it itself.
+/// Notes that an upstream has signalled that it drains, for the other boxes: while the store is down each would
+/// have to receive such a response itself. It is broadcast once.
 pub fn note_leaving(core: &Core, upstream: &Upstream) {
     core.notices
         .borrow_mut()
@@ -107,7 +106,7 @@
     core.notices.borrow_mut().limits.push(place::short(upstream.name));
 }
 
-/// Tells all boxes what is true of single upstreams.
+/// Broadcasts the signals of upstreams.
 pub(super) async fn broadcast_signals(core: &Core, socket: &UdpSocket) {
     let (replaced, leaving, limits) = {
         let mut notices = core.notices.borrow_mut();
@@ -133,7 +132,7 @@
     core.upstreams.borrow_mut().note_replaced(&replaced.upstreams);
 }
 
-/// Takes upstreams that leave, as another box tells it.
+/// Receives upstreams that drain, as another box reports.
 pub(super) fn receive_draining(core: &Core, from: SocketAddr, leaving: &Leaving) {
     if !account::is_known(core, from) {
         return;
--- a/crates/jb-relay/src/peers/quota.rs
+++ b/crates/jb-relay/src/peers/quota.rs
@@ -29,7 +29,7 @@
 /// What a box knows of the account of one customer.
 #[derive(Clone, Copy, Debug, Default)]
 struct Known {
-    /// What was left, as it was told last.
+    /// What was left by the last answer.
     left: Option<Left>,
     /// What ran here without being charged, less what is given back.
     uncharged: i64,
@@ -155,7 +155,7 @@
     (core.settings.id.clone(), answer(core, charge, Scope::Own))
 }
 
-/// What the account had left when that was last told, unless it is long ago.
+/// What the account had left by the last answer, unless that is outdated.
 fn left(core: &Core, customer: u32) -> Option<i64> {
     let known = core.quotas.known.borrow();
     let left = known.get(&customer)?.left?;
@@ -199,7 +199,7 @@
     let now = core.now();
     let quota = core.rules().and_then(|rules| rules.quota(charge.customer));
     let Some(Quota { limit, .. }) = quota else {
-        // The limit was taken away by a configuration that the asker has not heard of yet.
+        // The limit was removed by a configuration that the asker doesn't have yet.
         return grant(charge, Ok(()), f64::MAX);
     };
     let terms = Terms {
--- a/crates/jb-relay/src/peers/relay.rs
+++ b/crates/jb-relay/src/peers/relay.rs
@@ -23,12 +23,12 @@
 
 /// Time in which the lead answers.
 const ANSWER: Duration = Duration::from_millis(250);
-/// Oldest knowledge that is told. What a lead knows is between one and two pauses of its calls
+/// Oldest knowledge that is sent. What a lead knows is between one and two pauses of its calls
 /// old; with two as the limit, askers that call at the same pace always met it a little older.
 const OLDEST: Duration = Duration::from_millis(1800);
 /// Bytes of a message without its changes, at the most.
 const FRAME: usize = 64;
-/// Longest value that is told in pieces, one datagram each. The record of a roll-out has some
+/// Longest value that is sent in pieces, one datagram each. The record of a roll-out has some
 /// 4 KB with 240 engines; all 295 boxes read the store for it, 289 calls each time.
 const LONGEST_IN_PIECES: usize = 16 * 1024;
 
@@ -158,7 +158,7 @@
     OutOfTurn,
 }
 
-/// Asks one box until it has told all: what another box would tell of the rest may be in another
+/// Asks one box until it has sent all: the rest at another box may be in another
 /// order.
 async fn ask_one(
     core: &Core,
@@ -219,7 +219,7 @@
 }
 
 /// The leads of all data halls, beginning with another one each time: a lead may itself be turned
-/// away, and the others still tell.
+/// away, and the others still answer.
 fn any_lead(core: &Core) -> Vec<id::Box> {
     let mut leads = core.book.borrow().other_leads(&core.settings.hall, core.now());
     leads.extend(own_lead(core));
@@ -245,7 +245,7 @@
     timeout(ANSWER, receiver).await.ok()?.ok()
 }
 
-/// Whether a box tells others what it knows, by the age of that.
+/// Returns whether a box may send what it knows, by its age.
 pub fn is_recent(age: Duration) -> bool {
     age < OLDEST
 }
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -18,10 +18,10 @@
 /// Start of an upstream, in milliseconds since the Unix epoch.
 pub type StartTime = u64;
 
-/// What the store says of an upstream.
+/// Registration of an upstream in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Registration {
-    /// What it says of itself.
+    /// Its entry.
     Entry(Entry),
     /// Something that names no upstream to use; what is wrong with it.
     Unreadable(String),
@@ -29,7 +29,7 @@
     Gone,
 }
 
-/// What an upstream says of itself in the store.
+/// Entry of an upstream in the store.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Entry {
     /// When it started; `None` on a platform whose upstreams do not say so.
@@ -157,7 +157,7 @@
 /// The platform's store.
 #[async_trait(?Send)]
 pub trait Store {
-    /// What a change says.
+    /// Content of a change.
     fn decode(&self, change: &Change) -> Fact;
     /// All that it holds, or, at less cost, held some seconds ago.
     async fn all(&self, age: Age) -> Result<News, StoreError>;
@@ -176,7 +176,7 @@
 /// What an engine reports of itself.
 #[derive(Clone, Debug)]
 pub struct Report {
-    /// When the engine started, if it says so.
+    /// When the engine started, if that is known.
     pub started_at: Option<StartTime>,
     /// Models with the version of their weights.
     pub models: Vec<Loaded>,
@@ -218,11 +218,11 @@
 /// A part of a prompt that an engine keeps.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct CachedSegment {
-    /// Text under which it is kept.
+    /// Salt under which it is cached.
     pub salt: String,
     /// Id as callers name it.
     pub id: String,
-    /// Tokens of it that are kept.
+    /// Tokens of it that are cached.
     pub tokens: u64,
     /// Model.
     pub model: String,
@@ -231,13 +231,13 @@
 /// What an engine keeps of prompts.
 #[derive(Clone, Debug, Default)]
 pub struct CacheContents {
-    /// When it started, if it says so.
+    /// When it started, if that is known.
     pub started_at: Option<StartTime>,
     /// Parts.
     pub parts: Vec<CachedSegment>,
 }
 
-/// What came of a control call, and what the engine said of itself beside it.
+/// Result of a control call, with the signals of its response.
 pub type Observed<T> = signal::Observed<Result<T, StoreError>>;
 
 /// Control calls to model engines.
--- a/crates/jb-relay/src/quarantine.rs
+++ b/crates/jb-relay/src/quarantine.rs
@@ -90,7 +90,7 @@
     note(core, content, Evidence::of_end(engine(instance), isolated));
 }
 
-/// Notes that an engine has run a request to a good end, where that tells anything.
+/// Notes that an engine has run a request to a good end, where that is evidence.
 pub fn note_run(core: &Core, content: Content, instance: &Instance) {
     if core.quarantine.ledger().knows(content) {
         note(core, content, Evidence::of_run(engine(instance)));
@@ -108,7 +108,7 @@
     }
 }
 
-/// Takes evidence of this box or of another one; whether it says anything new.
+/// Applies evidence of this box or of another one; returns whether it is new.
 pub fn apply(core: &Core, row: &Row) -> bool {
     let change = core.quarantine.ledger.borrow_mut().take(row, core.now());
     if let Some(change) = change {
--- a/crates/jb-relay/src/ready.rs
+++ b/crates/jb-relay/src/ready.rs
@@ -20,7 +20,7 @@
 
 /// Whether the box can serve new callers.
 ///
-/// A box that only hears through others what the store says answers those who come, and leaves new
+/// A box that reads the store only through others answers those who come, and leaves new
 /// ones to boxes with a path of their own, which know sooner. On a day on which three of eight boxes
 /// were turned away for twelve seconds that is 25 +- 10 fewer refusals of 4,500 (twelve seeds); its
 /// worst seconds did not gain by it.
--- a/crates/jb-relay/src/restart.rs
+++ b/crates/jb-relay/src/restart.rs
@@ -7,7 +7,7 @@
 use crate::port::StartTime;
 use crate::upstream::{Ended, Instance};
 
-/// Ends a life: the upstream, which says that it started at `started_at`, has started again.
+/// Ends an instance: the upstream has started again at `started_at`.
 pub fn note(core: &Core, instance: &Instance, started_at: Option<StartTime>, evidence: &'static str) {
     let ended = core.upstreams.borrow_mut().end(instance);
     let Some(ended) = ended else { return };
--- a/crates/jb-relay/src/rules.rs
+++ b/crates/jb-relay/src/rules.rs
@@ -108,7 +108,7 @@
     pub move_per_k: Option<Duration>,
 }
 
-/// A store of kept KV cache.
+/// A shared store of KV cache.
 #[derive(Clone, Debug)]
 pub struct CacheStoreConfig {
     /// Address.
@@ -189,7 +189,7 @@
     hosts: HashMap<String, Vec<Route>>,
     /// Services.
     pub services: HashMap<id::Service, Service>,
-    /// Stores of kept KV cache.
+    /// Shared stores of KV cache.
     pub cache_stores: Vec<CacheStoreConfig>,
     /// Customers.
     customers: Vec<Customer>,
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/steward/load.rs
@@ -1,4 +1,4 @@
-//! Engines are emptied, told to load, and watched until they have the newest weights.
+//! Brings engines to the newest weights: drains each, orders it to load, and waits until it has them.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
@@ -37,7 +37,7 @@
 /// Longest wait for requests that cannot go on elsewhere to end. They are cut then: letting
 /// them all end took an engine away for 3 to 6 s on days of high load, 1.3 s serves most.
 const EMPTY_TIME: Duration = Duration::from_millis(1300);
-/// Time in which all boxes hear that an engine gets nothing more, and tell what they have there.
+/// Time in which all boxes learn that an engine gets nothing more, and send what they have there.
 const HEARD_TIME: Duration = Duration::from_millis(220);
 /// Pause between two looks at an engine that is being emptied.
 const LOOK_EMPTY: Duration = Duration::from_millis(30);
@@ -211,7 +211,7 @@
         }
     }
 
-    /// Whether an engine is still one to use: it may have said just now that it leaves.
+    /// Returns whether an engine can still be used: it may have begun to drain.
     fn is_there(&self, instance: &Instance) -> bool {
         let upstreams = self.core.upstreams.borrow();
         upstreams.instance(instance).is_some_and(Upstream::is_there)
--- a/crates/jb-relay/src/ticket.rs
+++ b/crates/jb-relay/src/ticket.rs
@@ -13,7 +13,7 @@
 use crate::rules::{Route, Rules, Unit};
 use crate::salt;
 
-/// Part of the bound on keys after which a box that hears nothing refuses them;
+/// Part of the bound on keys after which a box without updates refuses them;
 /// the rest covers requests that are on their way to an engine.
 const REVOKE_SHARE: f64 = 0.85;
 /// Tokens out of a request that does not say how many it wants.
@@ -59,7 +59,7 @@
     NoId,
     /// The box knows no configuration yet.
     NotReady,
-    /// What the box knows is too old to tell whether the key still holds.
+    /// What the box knows is too old to decide whether the key still holds.
     Stale,
     /// There is no such route.
     NoRoute,
@@ -109,7 +109,7 @@
         .ok_or(Refusal::NoId)?;
     let rules = core.rules().ok_or(Refusal::NotReady)?;
     let age = core.age().ok_or(Refusal::NotReady)?;
-    // What is missing here may stand in a configuration that this box has not heard of.
+    // What is missing here may be in a configuration that this box doesn't have yet.
     let unsure = age > core.settings.bounds.config;
     let missing = |refusal: Refusal| if unsure { Refusal::Stale } else { refusal };
 
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -191,5 +191,5 @@
     }
 }
 
-/// Factor on the time of an upstream that says it is still slow from its start.
+/// Factor on the time of an upstream that is still slow from its start.
 const COLD: f64 = 2.0;
--- a/crates/jb-tree/src/head.rs
+++ b/crates/jb-tree/src/head.rs
@@ -1,4 +1,4 @@
-//! How a tree is kept: immutable parts named by their digest, and one small
+//! How a tree is stored: immutable parts named by their digest, and one small
 //! head that is changed by compare-and-swap.
 
 use std::collections::BTreeMap;
--- a/crates/jb-tree/src/view.rs
+++ b/crates/jb-tree/src/view.rs
@@ -60,7 +60,7 @@
     pub address: SocketAddr,
     /// Data hall.
     pub hall: id::Hall,
-    /// Whether the tree says that it leaves.
+    /// Whether it drains by the tree.
     pub leaving: bool,
     /// Whether it refuses orders with an old fencing token.
     pub checks_fence: bool,
--- a/crates/jb-upstream/src/error.rs
+++ b/crates/jb-upstream/src/error.rs
@@ -5,13 +5,13 @@
 /// Why an attempt failed before its answer began.
 #[derive(Debug)]
 pub enum Failure {
-    /// The upstream said in the protocol's own field that it did not run it.
+    /// The upstream hasn't run it, by the protocol's own field.
     Denied(Denial),
     /// No connection was made, so nothing was sent.
     Unreachable(Denial),
     /// The upstream is lost, or its answer proves nothing; it may have run.
     Lost(String),
-    /// The upstream kept silent for too long; it may have run.
+    /// The upstream was silent for too long; it may have run.
     Silent,
     /// The answer broke the protocol; it may have run.
     Protocol(String),
