--- a/crates/jb-cli/src/story.rs
+++ b/crates/jb-cli/src/story.rs
@@ -12,7 +12,7 @@
     event::PLATFORM_FOUND,
     event::HISTORY_GONE,
     event::UPSTREAM_EJECTED,
-    event::UPSTREAM_LEAVING,
+    event::UPSTREAM_DRAINING,
     event::UPSTREAM_GONE,
     event::BOX_STOPPING,
     event::RULES_IN_FORCE,
--- a/crates/jb-daemon/src/decide/worker.rs
+++ b/crates/jb-daemon/src/decide/worker.rs
@@ -200,7 +200,7 @@
         let was_leaving = pool.upstream_mut(upstream).is_some_and(|u| u.leaving.by_itself);
         let new = pool.reported(upstream, report, now);
         if report.leaving && !was_leaving {
-            emit!(self.logger, info, event::UPSTREAM_LEAVING, "upstream" => upstream, "by" => "itself");
+            emit!(self.logger, info, event::UPSTREAM_DRAINING, "upstream" => upstream, "by" => "itself");
         }
         if new {
             self.log_incarnation(upstream);
@@ -216,7 +216,7 @@
             return;
         };
         if applied.drains {
-            emit!(self.logger, info, event::UPSTREAM_LEAVING, "upstream" => upstream, "by" => "answer");
+            emit!(self.logger, info, event::UPSTREAM_DRAINING, "upstream" => upstream, "by" => "answer");
         }
         if let Some(until) = applied.backoff_until {
             emit!(self.logger, info, event::UPSTREAM_BACKOFF, "upstream" => upstream,
@@ -242,7 +242,7 @@
     fn note_leaving(&mut self, leaving: Vec<id::Upstream>) {
         for upstream in &leaving {
             if !self.leaving.contains(upstream) {
-                emit!(self.logger, info, event::UPSTREAM_LEAVING,
+                emit!(self.logger, info, event::UPSTREAM_DRAINING,
                     "upstream" => upstream, "by" => "box list");
             }
         }
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -56,7 +56,7 @@
     STORE_UNREADABLE = 4008, "store_unreadable", "A value in the store cannot be read; the one before stays.";
     STORE_UPDATE_FAILED = 4009, "store_update_failed", "Another box could not send what has changed in the store.";
     MARK_UNWRITTEN = 4010, "mark_unwritten", "A quarantine record could not be written to the store.";
-    UPSTREAM_LEAVING = 5001, "upstream_leaving", "An upstream gets no new work.";
+    UPSTREAM_DRAINING = 5001, "upstream_draining", "An upstream gets no new work.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream is left out after failures.";
     UPSTREAM_RETURNED = 5004, "upstream_returned", "An upstream is tried again.";
@@ -64,7 +64,7 @@
     UPSTREAM_GONE = 5006, "upstream_gone", "An upstream's entry has gone.";
     CACHE_SCANNED = 5007, "cache_scanned", "The contents of an engine's prefix cache were read.";
     CACHE_NOT_SCANNED = 5008, "cache_not_scanned", "The contents of an engine's prefix cache could not be read.";
-    UPSTREAM_LAPSED = 5009, "upstream_lapsed", "An upstream's entry is missing after an outage, and may come back.";
+    UPSTREAM_EXPIRED = 5009, "upstream_expired", "An upstream's entry has expired in an outage, and may come back.";
     UPSTREAM_RESTARTED = 5010, "upstream_restarted", "An upstream has started again under its id; what was known of it is dropped.";
     UPSTREAM_UNREADABLE = 5011, "upstream_unreadable", "An upstream's entry cannot be read; it gets nothing until it can.";
     UPSTREAM_BACKOFF = 5012, "upstream_backoff", "An upstream has asked this box for backoff.";
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -64,8 +64,8 @@
     match seen {
         Seen::New => seen_new(core, id),
         Seen::Restarted(ended) => seen_again(core, id, ended),
-        Seen::Leaving => {
-            emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => id, "why" => "entry")
+        Seen::Draining => {
+            emit!(core.logger, info, event::UPSTREAM_DRAINING, "upstream" => id, "why" => "entry")
         }
         Seen::Missing => missing::miss(core, id, comes_back),
         Seen::Unreadable => {
--- a/crates/jb-relay/src/follow/missing.rs
+++ b/crates/jb-relay/src/follow/missing.rs
@@ -64,13 +64,13 @@
 
 /// Takes an upstream whose entry is missing off, or keeps it as a last resort until `until`.
 pub(super) fn miss(core: &Core, id: &str, until: Option<Moment>) {
-    let leaving = core.upstreams.borrow().get(id).is_none_or(|u| u.entry.leaving);
-    let Some(until) = until.filter(|_| !leaving) else {
+    let draining = core.upstreams.borrow().get(id).is_none_or(|u| u.entry.draining);
+    let Some(until) = until.filter(|_| !draining) else {
         gone(core, id);
         return;
     };
-    if core.upstreams.borrow_mut().lapse(id, until) {
-        emit!(core.logger, info, event::UPSTREAM_LAPSED, "upstream" => id,
+    if core.upstreams.borrow_mut().expire(id, until) {
+        emit!(core.logger, info, event::UPSTREAM_EXPIRED, "upstream" => id,
             "until_ms" => until.saturating_sub(core.now()).as_millis() as u64,
             "spans" => ?core.loads.borrow().store_spans(core.now()));
     }
@@ -81,8 +81,8 @@
     if blindness.comes_back_until(core).is_some() {
         return;
     }
-    let lapsed = core.upstreams.borrow().lapsed();
-    for id in lapsed {
+    let expired = core.upstreams.borrow().expired();
+    for id in expired {
         gone(core, &id);
     }
 }
--- a/crates/jb-relay/src/link.rs
+++ b/crates/jb-relay/src/link.rs
@@ -129,7 +129,7 @@
 /// that leaves ends as planned.
 pub async fn has_ended(core: &Shared, upstream: &Instance) -> bool {
     if let Some(known) = core.upstreams.borrow().instance(upstream) {
-        if known.entry.leaving {
+        if known.entry.draining {
             return false;
         }
         if core.now() < known.ended_until {
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -3,7 +3,7 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Acquire, Advice, Ask, AskMore, AskReleases, Charge, Count, Grant, Leaving, Limits, News, Permit,
+    Acquire, Advice, Ask, AskMore, AskReleases, Charge, Count, Draining, Grant, Limits, News, Permit,
     Question, Releases, Replaced, Returned, Sent, Status, Suspects,
 };
 
@@ -44,7 +44,7 @@
     /// Evidence on poison requests.
     Suspects(Suspects),
     /// Instances that have signalled that they drain.
-    Leaving(Leaving),
+    Draining(Draining),
     /// Rate limits of instances have begun or ended.
     Limits(Limits),
     /// A box asks the owner of a rate limit for a permit.
--- a/crates/jb-relay/src/peers/message/mod.rs
+++ b/crates/jb-relay/src/peers/message/mod.rs
@@ -17,5 +17,5 @@
 pub(super) use rate_limit::{Acquire, Limits, Observation, Permit};
 pub(super) use releases::{AskReleases, Release, Releases};
 pub use status::LoadedWeights;
-pub(super) use status::{CacheUse, Leaving, Replaced, Sent, Status, StoreSpan, UpstreamLoad};
+pub(super) use status::{CacheUse, Draining, Replaced, Sent, Status, StoreSpan, UpstreamLoad};
 pub(super) use suspicion::{Suspect, Suspects};
--- a/crates/jb-relay/src/peers/message/status.rs
+++ b/crates/jb-relay/src/peers/message/status.rs
@@ -77,7 +77,7 @@
 
 /// Instances that have signalled in responses that they drain.
 #[derive(Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct Leaving {
+pub(in crate::peers) struct Draining {
     /// Lower halves of the hashes of their names.
     pub upstreams: Vec<u32>,
 }
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -25,7 +25,7 @@
 pub use log::Log;
 pub use mark::apply_record as apply_quarantine_record;
 pub use message::Room;
-pub use notice::{Notices, note_leaving, note_limit, note_replaced, note_sent};
+pub use notice::{Notices, note_draining, note_limit, note_replaced, note_sent};
 pub use quota::{Charged, Quotas, charge};
 pub use rate_limit::{Permit, RateLimits, acquire, log_change};
 pub use reachability::{Fleet, Reachability};
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -11,7 +11,7 @@
 use tokio::time::timeout;
 
 use super::account;
-use super::message::{Leaving, Message, Replaced, Sent};
+use super::message::{Draining, Message, Replaced, Sent};
 use super::rate_limit;
 use super::status::{broadcast, sum_up};
 use crate::core::Core;
@@ -30,7 +30,7 @@
     /// Upstreams whose addresses others have now.
     replaced: Vec<u32>,
     /// Upstreams that have signalled that they drain.
-    leaving: Vec<u32>,
+    draining: Vec<u32>,
     /// Upstreams that have become limited or unlimited.
     limits: Vec<u32>,
     /// Wakes the task that broadcasts long prompts.
@@ -94,10 +94,10 @@
 
 /// Notes that an upstream has signalled that it drains, for the other boxes: while the store is down each would
 /// have to receive such a response itself. It is broadcast once.
-pub fn note_leaving(core: &Core, upstream: &Upstream) {
+pub fn note_draining(core: &Core, upstream: &Upstream) {
     core.notices
         .borrow_mut()
-        .leaving
+        .draining
         .push(place::short(upstream.name));
 }
 
@@ -108,19 +108,19 @@
 
 /// Broadcasts the signals of upstreams.
 pub(super) async fn broadcast_signals(core: &Core, socket: &UdpSocket) {
-    let (replaced, leaving, limits) = {
+    let (replaced, draining, limits) = {
         let mut notices = core.notices.borrow_mut();
         (
             std::mem::take(&mut notices.replaced),
-            std::mem::take(&mut notices.leaving),
+            std::mem::take(&mut notices.draining),
             std::mem::take(&mut notices.limits),
         )
     };
     if !replaced.is_empty() {
         broadcast(core, socket, &Message::Replaced(Replaced { upstreams: replaced })).await;
     }
-    if !leaving.is_empty() {
-        broadcast(core, socket, &Message::Leaving(Leaving { upstreams: leaving })).await;
+    if !draining.is_empty() {
+        broadcast(core, socket, &Message::Draining(Draining { upstreams: draining })).await;
     }
     if !limits.is_empty() {
         broadcast(core, socket, &rate_limit::announcement(core, &limits)).await;
@@ -133,11 +133,11 @@
 }
 
 /// Receives upstreams that drain, as another box reports.
-pub(super) fn receive_draining(core: &Core, from: SocketAddr, leaving: &Leaving) {
+pub(super) fn receive_draining(core: &Core, from: SocketAddr, draining: &Draining) {
     if !account::is_known(core, from) {
         return;
     }
-    for instance in core.upstreams.borrow_mut().note_leaving(&leaving.upstreams) {
-        emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => %instance, "why" => "peer");
+    for instance in core.upstreams.borrow_mut().note_draining(&draining.upstreams) {
+        emit!(core.logger, info, event::UPSTREAM_DRAINING, "upstream" => %instance, "why" => "peer");
     }
 }
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -82,7 +82,7 @@
             Ok(Message::AskReleases(asked)) => releases::answer(&core, &socket, from, asked).await,
             Ok(Message::Releases(answer)) => releases::receive(&core, answer),
             Ok(Message::Suspects(suspects)) => suspicion::receive(&core, from, &suspects),
-            Ok(Message::Leaving(leaving)) => notice::receive_draining(&core, from, &leaving),
+            Ok(Message::Draining(draining)) => notice::receive_draining(&core, from, &draining),
             Ok(Message::Limits(limits)) => rate_limit::receive_limits(&core, from, &limits),
             Ok(Message::Acquire(query)) => rate_limit::receive_acquire(&core, &socket, from, &query),
             Ok(Message::Permit(answer)) => rate_limit::deliver(&core, answer),
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -43,7 +43,7 @@
     /// Requests that it works on at once.
     pub slots: u32,
     /// Whether it is about to end; its own answers may say so before the store does.
-    pub leaving: bool,
+    pub draining: bool,
     /// Time for which it is slow after its start.
     pub cold: Duration,
     /// Models with the version of their weights.
--- a/crates/jb-relay/src/signal.rs
+++ b/crates/jb-relay/src/signal.rs
@@ -107,8 +107,8 @@
         return;
     };
     if drains {
-        emit!(core.logger, info, event::UPSTREAM_LEAVING, "upstream" => %instance, "why" => "answer");
-        peers::note_leaving(core, upstream);
+        emit!(core.logger, info, event::UPSTREAM_DRAINING, "upstream" => %instance, "why" => "answer");
+        peers::note_draining(core, upstream);
     }
     let was_limited = upstream.limit.rate().is_some();
     if upstream.limit.observe(signals.limit, sent, now) {
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/steward/load.rs
@@ -155,7 +155,7 @@
             let barred = self.record.borrow().is_barred(&instance.id, now)
                 || self.absent.borrow().is_paused(instance, now);
             let free = !barred && !self.lets_rest(upstream, model) && !loading.contains(instance);
-            if old && free && upstream.is_there() && upstream.lapsed.is_none() {
+            if old && free && upstream.is_there() && upstream.expired.is_none() {
                 let unsound = !upstream.health.is_open(now);
                 let running = upstream.running + upstream.others.running;
                 let unnamed = !self.record.borrow().covers(std::slice::from_ref(instance));
--- a/crates/jb-relay/src/upstream/pick.rs
+++ b/crates/jb-relay/src/upstream/pick.rs
@@ -26,14 +26,14 @@
     /// Whether a service has upstreams that are left as a last resort.
     pub fn has_last_resort(&self, service: &str, now: Moment) -> bool {
         let mut all = self.of_service(service);
-        all.any(|upstream| upstream.lapsed.is_some() && upstream.is_open(now))
+        all.any(|upstream| upstream.expired.is_some() && upstream.is_open(now))
     }
 
     /// Returns whether the entries of more than half of a service's upstreams are missing: they expired in
     /// an outage then, and the few that are back first can't serve in place of all.
-    fn mostly_lapsed(&self, service: &str) -> bool {
-        let lapsed = self.of_service(service).filter(|u| u.lapsed.is_some());
-        2 * lapsed.count() > self.of_service(service).count()
+    fn mostly_expired(&self, service: &str) -> bool {
+        let expired = self.of_service(service).filter(|u| u.expired.is_some());
+        2 * expired.count() > self.of_service(service).count()
     }
 
     /// Whether an engine that may get requests has a version of a model's weights.
@@ -126,8 +126,8 @@
     fn willing<'a>(&'a self, wanted: &'a Wanted<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
         let all = self.of_service(wanted.service);
         let untried = all.filter(|upstream| !wanted.except.contains(&upstream.instance));
-        let all = wanted.last_resort || self.mostly_lapsed(wanted.service);
-        let sure = untried.filter(move |upstream| all || upstream.lapsed.is_none());
+        let all = wanted.last_resort || self.mostly_expired(wanted.service);
+        let sure = untried.filter(move |upstream| all || upstream.expired.is_none());
         let willing = sure.filter(move |upstream| upstream.is_open_later(now));
         willing.filter(move |upstream| self.is_in_time(upstream, wanted, now))
     }
--- a/crates/jb-relay/src/upstream/registration.rs
+++ b/crates/jb-relay/src/upstream/registration.rs
@@ -55,7 +55,7 @@
         if known.is_none_or(|started_at| started_at < entry.started_at) {
             self.entry = None;
         }
-        if entry.leaving {
+        if entry.draining {
             self.drain_by_peer(entry.started_at);
         }
         if self.entry.as_ref().is_none_or(|(known, _)| *known < revision) {
@@ -84,7 +84,7 @@
         let other = self.other.map_or(0, |(revision, _)| revision);
         match (&self.entry, self.other) {
             (Some((revision, entry)), _) if *revision >= other => Standing::There(Entry {
-                leaving: self.leaves(entry.started_at),
+                draining: self.leaves(entry.started_at),
                 ..entry.clone()
             }),
             (_, Some((_, Other::Unreadable))) => Standing::Unreadable,
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -54,7 +54,7 @@
     /// An upstream has started again.
     Restarted(Ended),
     /// It has begun to leave.
-    Leaving,
+    Draining,
     /// Its entry is missing.
     Missing,
     /// Its entry names no upstream to use.
@@ -112,7 +112,7 @@
         };
         let leaves = records.leaves(known.instance.started_at);
         let new = leaves && known.is_there();
-        known.entry.leaving |= leaves;
+        known.entry.draining |= leaves;
         new
     }
 
@@ -125,9 +125,9 @@
         if let Some(known) = self.all.get_mut(id).filter(same_life)
             && known.entry.service == entry.service
         {
-            let leaves = entry.leaving && !known.entry.leaving;
+            let leaves = entry.draining && !known.entry.draining;
             known.update(entry);
-            return if leaves { Seen::Leaving } else { Seen::Same };
+            return if leaves { Seen::Draining } else { Seen::Same };
         }
         let before = self.remove(id);
         self.insert(id, entry);
@@ -172,12 +172,12 @@
     }
 
     /// Notes that an entry is missing and may come back until a moment; whether that is new.
-    pub fn lapse(&mut self, id: &str, until: Moment) -> bool {
+    pub fn expire(&mut self, id: &str, until: Moment) -> bool {
         let Some(known) = self.all.get_mut(id) else {
             return false;
         };
-        let new = known.lapsed.is_none();
-        known.lapsed.get_or_insert(until);
+        let new = known.expired.is_none();
+        known.expired.get_or_insert(until);
         new
     }
 
@@ -215,9 +215,9 @@
     pub fn end(&mut self, instance: &Instance) -> Option<Ended> {
         let known = self.instance_mut(instance)?;
         let ended = Ended::of(known);
-        let (entry, lapsed) = (known.entry.clone(), known.lapsed);
+        let (entry, expired) = (known.entry.clone(), known.expired);
         *known = Upstream::new(instance.clone(), entry);
-        known.lapsed = lapsed;
+        known.expired = expired;
         known.refused = instance.started_at.is_some();
         Some(ended)
     }
@@ -235,7 +235,7 @@
     /// Notes instances that drain, as other boxes report; returns those that are taken out.
     ///
     /// Reports of other boxes take out at most half of a service, so that one faulty box can't empty it.
-    pub fn note_leaving(&mut self, names: &[u32]) -> Vec<Instance> {
+    pub fn note_draining(&mut self, names: &[u32]) -> Vec<Instance> {
         let named = |upstream: &&Upstream| names.contains(&place::short(upstream.name));
         let new = self
             .all
@@ -265,9 +265,9 @@
     }
 
     /// Ids whose entries are missing.
-    pub fn lapsed(&self) -> Vec<Id> {
-        let lapsed = self.all.iter().filter(|(_, u)| u.lapsed.is_some());
-        lapsed.map(|(id, _)| id.clone()).collect()
+    pub fn expired(&self) -> Vec<Id> {
+        let expired = self.all.iter().filter(|(_, u)| u.expired.is_some());
+        expired.map(|(id, _)| id.clone()).collect()
     }
 
     /// Ids of all that are known.
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -51,7 +51,7 @@
     /// Until when it counts as ended, as it refuses connections.
     pub ended_until: Moment,
     /// Until when its entry, which is missing after an outage of the store, may come back.
-    pub lapsed: Option<Moment>,
+    pub expired: Option<Moment>,
     /// Whether another instance answers at its address.
     pub refused: bool,
     /// Whether another box has reported that it drains.
@@ -91,7 +91,7 @@
             limit: Limit::default(),
             loading_until: Moment::ZERO,
             ended_until: Moment::ZERO,
-            lapsed: None,
+            expired: None,
             refused: false,
             draining_by_peer: false,
             cache: PrefixCache::default(),
@@ -106,13 +106,13 @@
             self.cache.clear();
         }
         self.entry = entry;
-        self.lapsed = None;
+        self.expired = None;
         self.unreadable = false;
     }
 
     /// Returns whether it neither drains nor has an unreadable entry.
     pub fn is_there(&self) -> bool {
-        !self.entry.leaving && !self.draining_by_peer && !self.unreadable
+        !self.entry.draining && !self.draining_by_peer && !self.unreadable
     }
 
     /// Whether it may get a new request.
@@ -134,7 +134,7 @@
     /// Whether it may get a new request once it isn't held back any more.
     pub fn is_open_later(&self, now: Moment) -> bool {
         let busy = now < self.loading_until || now < self.ended_until;
-        let comes_back = self.lapsed.is_none_or(|until| now < until);
+        let comes_back = self.expired.is_none_or(|until| now < until);
         comes_back && self.is_there() && !self.refused && !busy && self.health.is_open(now)
     }
 
@@ -146,7 +146,7 @@
     /// Whether another engine can take parts from it.
     pub(super) fn hands_on(&self, now: Moment) -> bool {
         let loads = now < self.loading_until;
-        !loads && !self.refused && !self.unreadable && self.lapsed.is_none() && self.health.is_open(now)
+        !loads && !self.refused && !self.unreadable && self.expired.is_none() && self.health.is_open(now)
     }
 
     /// Last known version of a model's weights.
--- a/crates/jb-relay/tests/instances.rs
+++ b/crates/jb-relay/tests/instances.rs
@@ -15,14 +15,14 @@
 const FIRST: StartTime = 1_700_000_000_000;
 const SECOND: StartTime = 1_700_000_060_000;
 
-fn entry(started_at: Option<StartTime>, leaving: bool) -> Registration {
+fn entry(started_at: Option<StartTime>, draining: bool) -> Registration {
     Registration::Entry(Entry {
         started_at,
         service: "models".to_owned(),
         address: "10.0.0.1:80".parse().expect("an address"),
         hall: "hall-a".to_owned(),
         slots: 8,
-        leaving,
+        draining,
         cold: Duration::ZERO,
         models: Vec::new(),
     })
@@ -84,7 +84,7 @@
     registry.apply_registration("engine", entry(Some(FIRST), false), 1);
     assert_eq!(
         registry.apply_registration("engine", entry(Some(FIRST), true), 2),
-        Seen::Leaving
+        Seen::Draining
     );
     // It has said that it leaves, whatever another writer says later.
     registry.apply_registration("engine", entry(Some(FIRST), false), 3);
@@ -207,9 +207,9 @@
         registry.apply_registration(id, entry(Some(FIRST), false), 1);
     }
     let names: Vec<u32> = registry.iter().map(|(_, u)| place::short(u.name)).collect();
-    let received = names.iter().map(|name| registry.note_leaving(&[*name]).len());
+    let received = names.iter().map(|name| registry.note_draining(&[*name]).len());
     assert_eq!(received.sum::<usize>(), 3);
-    assert!(registry.note_leaving(&names).is_empty());
+    assert!(registry.note_draining(&names).is_empty());
     // Boxes that were told do not tell again when they hear it themselves.
     let first = registry
         .iter()
