Split announcements of rate limits into datagrams

Limits of more than some 75 instances that begin within one interval made a message larger than a datagram, which was dropped; other boxes went on at the old rate until they received a response themselves. Buckets of unknown instances are also dropped at boxes that decide for themselves.

--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -123,12 +123,14 @@
         broadcast(core, socket, &Message::Draining(Draining { upstreams: draining })).await;
     }
     if !limits.is_empty() {
-        broadcast(core, socket, &rate_limit::announcement(core, &limits)).await;
+        for message in rate_limit::announcements(core, &limits) {
+            broadcast(core, socket, &message).await;
+        }
     }
 }
 
-/// Takes replaced upstreams.
-pub(super) fn take_replaced(core: &Core, replaced: &Replaced) {
+/// Receives replaced upstreams.
+pub(super) fn receive_replaced(core: &Core, replaced: &Replaced) {
     core.upstreams.borrow_mut().note_replaced(&replaced.upstreams);
 }
 
--- a/crates/jb-relay/src/peers/rate_limit.rs
+++ b/crates/jb-relay/src/peers/rate_limit.rs
@@ -28,6 +28,8 @@
 const ANSWER_TIMEOUT: Duration = Duration::from_millis(30);
 /// Longest time for which a denial is remembered, after which a box asks again.
 const MAX_BLOCK: Duration = Duration::from_secs(5);
+/// Limits in one datagram; each takes at most 19 bytes.
+const MAX_PER_DATAGRAM: usize = 64;
 /// Buckets above which those of unknown instances are dropped.
 const MAX_BUCKETS: usize = 256;
 
@@ -142,6 +144,7 @@
 
 /// Takes a token from the bucket that this box holds for the instance.
 fn decide(core: &Core, query: &Acquire, scope: Scope) -> Answer {
+    drop_unknown_buckets(core);
     let now = core.now();
     let mut upstreams = core.upstreams.borrow_mut();
     let upstream = upstreams.by_short_name_mut(query.instance);
@@ -183,7 +186,6 @@
     if !super::account::is_known(core, from) {
         return;
     }
-    drop_unknown_buckets(core);
     let answer = decide(core, query, Scope::of_query(query.is_fallback));
     try_send(core, socket, from, &Message::Permit(answer));
 }
@@ -202,8 +204,8 @@
     }
 }
 
-/// Message that announces the present limits of instances.
-pub(super) fn announcement(core: &Core, instances: &[u32]) -> Message {
+/// Messages that announce the present limits of instances.
+pub(super) fn announcements(core: &Core, instances: &[u32]) -> Vec<Message> {
     let now = core.now();
     let upstreams = core.upstreams.borrow();
     let limits = upstreams.iter().filter_map(|(_, upstream)| {
@@ -213,9 +215,13 @@
             .contains(&name)
             .then(|| (name, to_message(observation, now)))
     });
-    Message::Limits(Limits {
-        instances: limits.collect(),
-    })
+    let limits: Vec<(u32, Observation)> = limits.collect();
+    let message = |limits: &[(u32, Observation)]| {
+        Message::Limits(Limits {
+            instances: limits.to_vec(),
+        })
+    };
+    limits.chunks(MAX_PER_DATAGRAM).map(message).collect()
 }
 
 /// Applies limits that another box announces.
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -72,7 +72,7 @@
             Ok(Message::AskMore(more)) => relay::answer(&core, &socket, from, more.ask, more.skip).await,
             Ok(Message::News(news)) => core.relayed.deliver(news),
             Ok(Message::Sent(sent)) => notice::take_sent(&core, &sent),
-            Ok(Message::Replaced(replaced)) => notice::take_replaced(&core, &replaced),
+            Ok(Message::Replaced(replaced)) => notice::receive_replaced(&core, &replaced),
             Ok(Message::Question(question)) => account::receive_question(&core, &socket, from, &question),
             Ok(Message::Advice(advice)) => account::deliver(&core, advice),
             Ok(Message::Returned(returned)) => account::receive_returned(&core, from, &returned),
