Split reports of draining and replaced instances into datagrams

The same cause as with rate limits: more than 280 instances that began to drain within one interval, as when a hall is emptied, made a message larger than a datagram, which was dropped. The other boxes sent to them until each had such a response itself. The test with 600 instances failed before.

--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -22,6 +22,9 @@
 /// engine that has just become idle.
 const LONG_PROMPT: u64 = 1500;
 
+/// Short names of instances in one datagram; each takes at most 5 bytes.
+const MAX_NAMES: usize = 256;
+
 /// What is to be broadcast.
 #[derive(Debug, Default)]
 pub struct Notices {
@@ -116,16 +119,17 @@
             std::mem::take(&mut notices.limits),
         )
     };
-    if !replaced.is_empty() {
-        broadcast(core, socket, &Message::Replaced(Replaced { upstreams: replaced })).await;
-    }
-    if !draining.is_empty() {
-        broadcast(core, socket, &Message::Draining(Draining { upstreams: draining })).await;
-    }
-    if !limits.is_empty() {
-        for message in rate_limit::announcements(core, &limits) {
-            broadcast(core, socket, &message).await;
-        }
+    let replaced = replaced.chunks(MAX_NAMES).map(|names| {
+        let upstreams = names.to_vec();
+        Message::Replaced(Replaced { upstreams })
+    });
+    let draining = draining.chunks(MAX_NAMES).map(|names| {
+        let upstreams = names.to_vec();
+        Message::Draining(Draining { upstreams })
+    });
+    let limits = rate_limit::announcements(core, &limits);
+    for message in replaced.chain(draining).chain(limits) {
+        broadcast(core, socket, &message).await;
     }
 }
 
