Draw the numbers of questions to other boxes in one place

Accounts of engines, limits of customers and rate limits of upstreams each had a counter of their own beside their inquiries. No change of behaviour.

--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -44,7 +44,6 @@
 #[derive(Debug, Default)]
 pub struct Accounts {
     inquiries: Inquiries<(Place, u32), Advice>,
-    next: Cell<u64>,
 }
 
 impl Accounts {
@@ -55,8 +54,7 @@
 
     /// Id for a new place.
     fn draw(&self, own: &str) -> Place {
-        self.next.set(self.next.get() + 1);
-        place::weight(self.next.get(), place::name_hash(own))
+        place::weight(self.inquiries.draw_nonce(), place::name_hash(own))
     }
 }
 
--- a/crates/jb-relay/src/peers/inquiry.rs
+++ b/crates/jb-relay/src/peers/inquiry.rs
@@ -1,6 +1,6 @@
 //! Questions to the boxes that keep accounts: one datagram there, and one back in time or never.
 
-use std::cell::{OnceCell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::HashMap;
 use std::hash::Hash;
 use std::net::SocketAddr;
@@ -21,6 +21,7 @@
 pub(super) struct Inquiries<K, A> {
     socket: OnceCell<Rc<UdpSocket>>,
     waiting: RefCell<HashMap<K, oneshot::Sender<A>>>,
+    next_nonce: Cell<u64>,
 }
 
 impl<K, A> Default for Inquiries<K, A> {
@@ -28,6 +29,7 @@
         Self {
             socket: OnceCell::new(),
             waiting: RefCell::default(),
+            next_nonce: Cell::default(),
         }
     }
 }
@@ -39,6 +41,12 @@
         let _ = self.socket.set(socket);
     }
 
+    /// Returns a number that no question of this box had before.
+    pub fn draw_nonce(&self) -> u64 {
+        self.next_nonce.set(self.next_nonce.get() + 1);
+        self.next_nonce.get()
+    }
+
     /// Sends a message that wants no answer.
     pub fn send(&self, core: &Core, to: SocketAddr, message: &Message) {
         if let Some(socket) = self.socket.get() {
--- a/crates/jb-relay/src/peers/quota.rs
+++ b/crates/jb-relay/src/peers/quota.rs
@@ -2,7 +2,7 @@
 //!
 //! [`super::owner`] says which box that is.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -50,7 +50,6 @@
     accounts: RefCell<HashMap<u32, Account>>,
     /// What this box knows of accounts.
     known: RefCell<HashMap<u32, Known>>,
-    next: Cell<u64>,
 }
 
 impl Quotas {
@@ -59,11 +58,6 @@
         self.inquiries.open(socket);
     }
 
-    fn draw(&self) -> u64 {
-        self.next.set(self.next.get() + 1);
-        self.next.get()
-    }
-
     fn apply_grant(&self, grant: &Grant, now: Moment) {
         let mut known = self.known.borrow_mut();
         let left = Left {
@@ -112,7 +106,7 @@
     };
     let customer = short_name(name);
     let mut charge = Charge {
-        nonce: core.quotas.draw(),
+        nonce: core.quotas.inquiries.draw_nonce(),
         customer,
         tokens,
         urgent: ticket.route.rank <= ticket.rules.first_rank,
--- a/crates/jb-relay/src/peers/rate_limit.rs
+++ b/crates/jb-relay/src/peers/rate_limit.rs
@@ -3,7 +3,7 @@
 //! The owner of a limit holds a token bucket for the instance. Every box asks it for a permit before it
 //! writes a request to a limited instance.
 
-use std::cell::{Cell, RefCell};
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -48,7 +48,6 @@
     inquiries: Inquiries<u64, Answer>,
     /// Buckets that this box owns, by the instance's short name.
     buckets: RefCell<HashMap<u32, Bucket>>,
-    next_nonce: Cell<u64>,
 }
 
 impl RateLimits {
@@ -56,11 +55,6 @@
     pub fn open(&self, socket: Rc<UdpSocket>) {
         self.inquiries.open(socket);
     }
-
-    fn draw_nonce(&self) -> u64 {
-        self.next_nonce.set(self.next_nonce.get() + 1);
-        self.next_nonce.get()
-    }
 }
 
 /// Acquires a permit to send one request to an instance; asks no other box where it is unlimited.
@@ -72,7 +66,7 @@
         return Ok(Permit::Unlimited);
     };
     let mut query = Acquire {
-        nonce: core.rate_limits.draw_nonce(),
+        nonce: core.rate_limits.inquiries.draw_nonce(),
         instance: place::short(name),
         observation: to_message(observation, core.now()),
         is_fallback: false,
