--- a/crates/jb-relay/src/peers/rate_limit.rs
+++ b/crates/jb-relay/src/peers/rate_limit.rs
@@ -4,7 +4,7 @@
 //! writes a request to a limited instance.
 
 use std::cell::RefCell;
-use std::collections::HashMap;
+use std::collections::{HashMap, HashSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -138,18 +138,8 @@
 
 /// Takes a token from the bucket that this box holds for the instance.
 fn decide(core: &Core, query: &Acquire, scope: Scope) -> Answer {
-    drop_unknown_buckets(core);
     let now = core.now();
-    let mut upstreams = core.upstreams.borrow_mut();
-    let upstream = upstreams.by_short_name_mut(query.instance);
-    let observation = upstream.map(|upstream| {
-        merge(core, upstream, query.observation);
-        upstream.limit.observation()
-    });
-    // The entry of the instance may not have reached this box yet.
-    let observation = observation
-        .flatten()
-        .unwrap_or_else(|| from_message(query.observation, now));
+    let observation = merged(core, query);
     let after = observation
         .rate
         .and_then(|rate| take(core, query.instance, rate, scope));
@@ -160,21 +150,44 @@
     }
 }
 
+/// Merges the limit that the asker knows; returns the latest one.
+fn merged(core: &Core, query: &Acquire) -> rate_limit::Observation {
+    let mut upstreams = core.upstreams.borrow_mut();
+    let known = upstreams.by_short_name_mut(query.instance).and_then(|upstream| {
+        merge(core, upstream, query.observation);
+        upstream.limit.observation()
+    });
+    // The entry of the instance may not have reached this box yet.
+    known.unwrap_or_else(|| from_message(query.observation, core.now()))
+}
+
 /// Takes one request from a bucket; returns the time after which one is available if there is none.
 fn take(core: &Core, instance: u32, rate: rate_limit::Rate, scope: Scope) -> Option<Duration> {
     let now = core.now();
     let terms = rate_limit::terms(rate, scope.share(core));
-    let phase = match scope {
-        Scope::Own => place::fraction(place::name_hash(&core.settings.id)),
-        Scope::Fleet | Scope::Hall => 0.0,
-    };
     let mut buckets = core.rate_limits.buckets.borrow_mut();
-    let bucket = buckets
-        .entry(instance)
-        .or_insert_with(|| rate_limit::bucket(&terms, phase, now));
+    if !buckets.contains_key(&instance) {
+        drop_unknown(core, &mut buckets);
+    }
+    let bucket = buckets.entry(instance).or_insert_with(|| {
+        let phase = match scope {
+            Scope::Own => place::fraction(place::name_hash(&core.settings.id)),
+            Scope::Fleet | Scope::Hall => 0.0,
+        };
+        rate_limit::bucket(&terms, phase, now)
+    });
     bucket.take(&terms, rate_limit::ONE_REQUEST, now).err()
 }
 
+/// Drops the buckets of unknown instances where there are too many.
+fn drop_unknown(core: &Core, buckets: &mut HashMap<u32, Bucket>) {
+    if buckets.len() > MAX_BUCKETS {
+        let upstreams = core.upstreams.borrow();
+        let known: HashSet<u32> = upstreams.iter().map(|(_, u)| place::short(u.name)).collect();
+        buckets.retain(|instance, _| known.contains(instance));
+    }
+}
+
 /// Answers another box that asks for a permit.
 pub(super) fn receive_acquire(core: &Core, socket: &UdpSocket, from: SocketAddr, query: &Acquire) {
     if !super::account::is_known(core, from) {
@@ -189,15 +202,6 @@
     core.rate_limits.inquiries.deliver(answer.nonce, answer);
 }
 
-fn drop_unknown_buckets(core: &Core) {
-    let mut buckets = core.rate_limits.buckets.borrow_mut();
-    if buckets.len() > MAX_BUCKETS {
-        let upstreams = core.upstreams.borrow();
-        let known: Vec<u32> = upstreams.iter().map(|(_, u)| place::short(u.name)).collect();
-        buckets.retain(|instance, _| known.contains(instance));
-    }
-}
-
 /// Messages that announce the present limits of instances.
 pub(super) fn announcements(core: &Core, instances: &[u32]) -> Vec<Message> {
     let now = core.now();
