--- a/crates/jb-soak/src/limits.rs
+++ b/crates/jb-soak/src/limits.rs
@@ -4,11 +4,12 @@
 use std::time::{Duration, Instant};
 
 use jb_site_fakes::caller::Got;
+use jb_site_fakes::engine::Engine;
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
-use crate::callers::Asking;
+use crate::callers::{Asked, Asking};
 use crate::checks::{Checks, Promise};
 use crate::signals;
 use crate::world::World;
@@ -21,7 +22,6 @@
 const WINDOW: Duration = Duration::from_secs(4);
 /// Time after a box has passed on a limit from which on its requests count.
 const PASSED_ON: Duration = Duration::from_millis(500);
-
 /// Pause between two looks.
 const LOOK: Duration = Duration::from_millis(50);
 
@@ -71,6 +71,27 @@
 /// Process of a box.
 type Process = (usize, u32);
 
+/// When each process passed on a limit for the first time.
+fn passed_on(limit: &Limit, engine: &Engine, asked: &[Asked]) -> BTreeMap<Process, Instant> {
+    let mut passed_on: BTreeMap<Process, Instant> = BTreeMap::new();
+    let limited = |one: &&Asked| one.ended >= limit.from && one.limited.as_ref() == Some(&engine.id);
+    for one in asked.iter().filter(limited) {
+        let first = passed_on.entry(one.asking.process()).or_insert(one.ended);
+        *first = one.ended.min(*first);
+    }
+    passed_on
+}
+
+/// Largest number of requests in a window that ends at `checked` or later.
+fn most_in_a_window(arrivals: &[Instant], checked: Instant) -> usize {
+    let within = |end: &Instant| {
+        let before = |at: &&Instant| **at <= *end && **at + WINDOW > *end;
+        arrivals.iter().filter(before).count()
+    };
+    let ends = arrivals.iter().filter(|at| **at >= checked);
+    ends.map(within).max().unwrap_or(0)
+}
+
 /// Checks what the engines received against what they had announced.
 pub fn check(world: &World, checks: &mut Checks) {
     let asked = world.asked.borrow();
@@ -80,38 +101,25 @@
         .collect();
     for limit in world.limits.borrow().iter() {
         let engine = &world.engines[limit.engine];
-        let mut bound_from: BTreeMap<Process, Instant> = BTreeMap::new();
-        for one in asked.iter().filter(|one| one.ended >= limit.from) {
-            if one.limited.as_ref() == Some(&engine.id) {
-                let first = bound_from.entry(one.asking.process()).or_insert(one.ended);
-                *first = one.ended.min(*first);
-            }
-        }
-        let Some(first) = bound_from.values().min() else {
+        let passed_on = passed_on(limit, engine, &asked);
+        let Some(first) = passed_on.values().min() else {
             continue;
         };
+        let is_bound = |asking: &Asking, at: Instant| {
+            let bound_from = passed_on.get(&asking.process()).map(|first| *first + PASSED_ON);
+            bound_from.is_some_and(|from| from <= at) && !world.was_disturbed(asking.at, at)
+        };
         let arrivals = engine.arrivals.borrow();
         let counted: Vec<Instant> = arrivals
             .iter()
             .filter(|arrival| (limit.from..limit.until).contains(&arrival.at))
             .filter(|arrival| {
-                let by = asking.get(arrival.id.as_str());
-                by.is_some_and(|asking| {
-                    let bound_from = bound_from.get(&asking.process());
-                    let bound = bound_from.is_some_and(|bound_from| *bound_from + PASSED_ON <= arrival.at);
-                    bound && !world.was_disturbed(asking.at, arrival.at)
-                })
+                let asking = asking.get(arrival.id.as_str());
+                asking.is_some_and(|asking| is_bound(asking, arrival.at))
             })
             .map(|arrival| arrival.at)
             .collect();
-        let ends = counted.iter().filter(|at| **at >= *first + CONTACT);
-        let within = |end: &Instant| {
-            counted
-                .iter()
-                .filter(|at| **at <= *end && **at + WINDOW > *end)
-                .count()
-        };
-        let most = ends.map(within).max().unwrap_or(0);
+        let most = most_in_a_window(&counted, *first + CONTACT);
         checks.check(Promise::Limit, most <= limit.allowed(), || {
             format!(
                 "{} received {most} requests in {WINDOW:?} with a limit of {} a second",
