Log when the store has been restored from a copy

The platform names the era of its store in each answer. The logs of the incident could not show whether revisions that boxes expect come from before a restore: store_restored gives the eras with the revisions, the gauge store_era the present one, and steward_not_taken the revision that the steward's record was expected to have.

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -56,6 +56,7 @@
     STORE_UNREADABLE = 4008, "store_unreadable", "A value in the store cannot be read; the one before stays.";
     STORE_UPDATE_FAILED = 4009, "store_update_failed", "Another box could not send what has changed in the store.";
     MARK_UNWRITTEN = 4010, "mark_unwritten", "A quarantine record could not be written to the store.";
+    STORE_RESTORED = 4011, "store_restored", "The store has been restored from a copy; what it acknowledged since is lost.";
     UPSTREAM_DRAINING = 5001, "upstream_draining", "An upstream gets no new work.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream is left out after failures.";
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -17,7 +17,7 @@
 use super::missing::{self, Blindness};
 use crate::core::{Core, Origin, Shared};
 use crate::peers;
-use crate::port::{Age, Change, News, Revision, StoreError};
+use crate::port::{Age, Change, Era, News, Revision, StoreError};
 
 /// Pause between two calls: with the way there and back well under the time in which a
 /// configuration must be in force and a leaving upstream be known.
@@ -41,6 +41,8 @@
     gone: bool,
     /// Since when the own calls fail.
     failing: Option<Failing>,
+    /// Era of the store's last answer.
+    era: Option<Era>,
     /// Keys of all that the store holds.
     keys: BTreeSet<String>,
     /// The last time without any update.
@@ -135,8 +137,13 @@
     };
     let stale = progress.after.is_none() && age == Age::Stale;
     match news {
-        Ok(News { changes, revision }) => {
+        Ok(News {
+            changes,
+            revision,
+            era,
+        }) => {
             found(core, progress);
+            note_era(core, progress, era, revision);
             take(
                 core,
                 progress,
@@ -181,6 +188,15 @@
     }
 }
 
+fn note_era(core: &Core, progress: &mut Progress, era: Era, revision: Revision) {
+    let before = progress.era.replace(era);
+    if let Some(before) = before.filter(|before| *before != era) {
+        emit!(core.logger, warn, event::STORE_RESTORED, "era" => era, "before" => before, "revision" => revision,
+            "known" => core.log.borrow().revision());
+    }
+    core.metrics.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+}
+
 /// Applies an update.
 fn take(core: &Core, progress: &mut Progress, update: Update) {
     let Update {
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -64,6 +64,8 @@
     pub store_calls: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
+    /// Era of the store.
+    pub store_era: Gauge,
     /// Version of the configuration in force.
     pub version: Gauge,
     registry: Registry,
@@ -92,6 +94,7 @@
         let connections_opened = Counter::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
+        let store_era = Gauge::default();
         let version = Gauge::default();
         registry.register("requests", "Requests by ending", requests.clone());
         registry.register("first_byte_seconds", "Time to the first byte", first_byte.clone());
@@ -158,6 +161,7 @@
             store_calls.clone(),
         );
         registry.register("store_failures", "Calls that failed", store_failures.clone());
+        registry.register("store_era", "Times the store was restored", store_era.clone());
         registry.register("configuration_version", "Version in force", version.clone());
         Self {
             requests,
@@ -177,6 +181,7 @@
             connections_opened,
             store_calls,
             store_failures,
+            store_era,
             version,
             registry,
         }
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -12,6 +12,9 @@
 
 /// Revision of the platform's store.
 pub type Revision = u64;
+/// Number of times that the store has been restored from a copy. Revisions and leases of different eras can't
+/// be compared: a restored store gives their numbers out again.
+pub type Era = u64;
 /// Number of a lease.
 pub type Lease = u64;
 
@@ -107,6 +110,8 @@
     pub changes: Vec<Change>,
     /// Revision after which to ask next.
     pub revision: Revision,
+    /// Era of the store.
+    pub era: Era,
 }
 
 /// Why a call to the store gave nothing.
--- a/crates/jb-relay/src/steward/duty.rs
+++ b/crates/jb-relay/src/steward/duty.rs
@@ -234,7 +234,8 @@
             return;
         }
         if let Err(why) = self.take().await {
-            emit!(core.logger, info, event::STEWARD_NOT_TAKEN, "why" => %why);
+            let expected = revision(core.own.borrow().get(LAST));
+            emit!(core.logger, info, event::STEWARD_NOT_TAKEN, "why" => %why, "expected" => expected);
             self.vacant_since.set(None);
             sleep(crate::follow::PERIOD).await;
         }
