Order revisions of the store by era before their number

Callers' requests reached an engine 2.7 s after it had said that it drains, and engines kept old weights for 41 s, after the store had been restored from a copy.

Cause: a box compared revisions of before the restore with those given out again after it. What it knew under a higher number stayed: the log of a relay node kept answering with revision 87 while the store was at 85, so a box that had just read everything at 85 went on from 87 and missed the drain at 86; and the steward's record was to be written under a revision that the store didn't have, so 97 tries of 78 boxes failed with "the condition does not hold". A watch from a revision that the store had reached again got no 410.

A revision now is an era with a number, ordered in this order; the adapter takes the era from each answer, so no comparison can mix eras. A watch or page that answers in another era means to read everything. The log of a relay node begins anew with each era and gives everything to a box that knows an earlier one.

--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -17,7 +17,7 @@
 use super::missing::{self, Blindness};
 use crate::core::{Core, Origin, Shared};
 use crate::peers;
-use crate::port::{Age, Change, Era, News, Revision, StoreError};
+use crate::port::{Age, Change, News, Revision, StoreError};
 
 /// Pause between two calls: with the way there and back well under the time in which a
 /// configuration must be in force and a leaving upstream be known.
@@ -41,8 +41,6 @@
     gone: bool,
     /// Since when the own calls fail.
     failing: Option<Failing>,
-    /// Era of the store's last answer.
-    era: Option<Era>,
     /// Keys of all that the store holds.
     keys: BTreeSet<String>,
     /// The last time without any update.
@@ -77,7 +75,6 @@
             key: key.clone(),
             value: None,
             revision,
-            created: 0,
         };
         missing.map(removal).collect()
     }
@@ -137,13 +134,8 @@
     };
     let stale = progress.after.is_none() && age == Age::Stale;
     match news {
-        Ok(News {
-            changes,
-            revision,
-            era,
-        }) => {
+        Ok(News { changes, revision }) => {
             found(core, progress);
-            note_era(core, progress, era, revision);
             take(
                 core,
                 progress,
@@ -158,9 +150,9 @@
                 sleep((asked + PERIOD).saturating_sub(core.now())).await;
             }
         }
-        Err(StoreError::HistoryGone) => {
-            emit!(core.logger, info, event::HISTORY_GONE, "after" => progress.after);
-            progress.after = None;
+        Err(why @ (StoreError::HistoryGone | StoreError::Restored)) => {
+            let after = progress.after.take().unwrap_or_default();
+            emit!(core.logger, info, event::HISTORY_GONE, "after" => %after, "why" => %why);
             progress.gone = true;
         }
         Err(why) => {
@@ -188,13 +180,18 @@
     }
 }
 
-fn note_era(core: &Core, progress: &mut Progress, era: Era, revision: Revision) {
-    let before = progress.era.replace(era);
-    if let Some(before) = before.filter(|before| *before != era) {
-        emit!(core.logger, warn, event::STORE_RESTORED, "era" => era, "before" => before, "revision" => revision,
-            "known" => core.log.borrow().revision());
+/// Notes the era of an update; returns whether the store has been restored since the last one.
+fn note_era(core: &Core, from: Origin, revision: Revision) -> bool {
+    let known = core.log.borrow().revision();
+    core.metrics
+        .store_era
+        .set(i64::try_from(revision.era).unwrap_or(i64::MAX));
+    let is_restored = known != Revision::default() && known.era < revision.era;
+    if is_restored {
+        emit!(core.logger, warn, event::STORE_RESTORED, "known" => %known, "revision" => %revision,
+            "from" => ?from);
     }
-    core.metrics.store_era.set(i64::try_from(era).unwrap_or(i64::MAX));
+    is_restored
 }
 
 /// Applies an update.
@@ -205,7 +202,8 @@
         revision,
         proven,
     } = update;
-    let whole = progress.after.is_none();
+    let is_restored = note_era(core, from, revision);
+    let whole = progress.after.is_none() || is_restored;
     if whole {
         let missing = progress.missing(&changes, revision);
         changes.extend(missing);
--- a/crates/jb-relay/src/peers/log.rs
+++ b/crates/jb-relay/src/peers/log.rs
@@ -1,4 +1,7 @@
 //! The latest changes of the store, for boxes that ask.
+//!
+//! All of them are of one era. After a restore the log begins anew with all that the store holds, so a box that
+//! knows an earlier era can receive everything from it.
 
 use std::collections::VecDeque;
 
@@ -10,7 +13,7 @@
 /// Bytes of values that it keeps for others.
 const MOST_BYTES: usize = LONGEST_OF_ALL;
 /// Bytes of a change's numbers in a message, at the most.
-pub(super) const NUMBERS: usize = 32;
+pub(super) const NUMBERS: usize = 48;
 
 /// The latest changes of the store that a box has seen.
 #[derive(Debug, Default)]
@@ -19,7 +22,7 @@
     bytes: usize,
     /// Revision after which all changes are here.
     from: Revision,
-    /// Revision of the last news; 0 before the first.
+    /// Revision of the last update; the default before the first.
     revision: Revision,
     /// Where history was gone, the older first.
     gaps: Vec<Gap>,
@@ -41,12 +44,16 @@
     /// anew, they received nothing after it until they reached the store themselves, 5 s and more.
     pub fn add_all(&mut self, mut all: Vec<Change>, revision: Revision) {
         let known = self.revision;
-        if known == 0 {
+        if known == Revision::default() {
             self.from = revision;
             self.revision = revision;
             return;
         }
-        if revision > known + 1 {
+        if known.era < revision.era {
+            self.restart(all, revision);
+            return;
+        }
+        if revision.number > known.number + 1 {
             self.gaps.push(Gap {
                 after: known,
                 before: revision,
@@ -58,7 +65,25 @@
         self.add(&all, revision);
     }
 
-    /// Adds news.
+    /// Begins a later era with all that the store holds.
+    fn restart(&mut self, mut all: Vec<Change>, revision: Revision) {
+        let start = Revision::start_of(revision.era);
+        *self = Self {
+            from: start,
+            revision: start,
+            // Removals in between aren't known.
+            gaps: vec![Gap {
+                after: start,
+                before: revision,
+            }],
+            ..Self::default()
+        };
+        all.retain(|change| change.value.is_some() && change.revision <= revision);
+        all.sort_by_key(|change| change.revision);
+        self.add(&all, revision);
+    }
+
+    /// Adds an update.
     pub fn add(&mut self, changes: &[Change], revision: Revision) {
         for change in changes {
             self.bytes += size(change);
@@ -76,15 +101,18 @@
         self.gaps.retain(|gap| gap.before > from);
     }
 
-    /// Revision of the last news.
+    /// Revision of the last update.
     pub fn revision(&self) -> Revision {
         self.revision
     }
 
-    /// All changes after a revision, in an order that stays; `None` when some are not here.
+    /// All changes after a revision, in an order that stays, or everything for a revision of an earlier era;
+    /// `None` when some are not here.
     pub fn since(&self, revision: Revision) -> Option<impl Iterator<Item = &Change>> {
         let in_gap = |gap: &Gap| gap.after < revision && revision < gap.before;
-        if revision < self.from || self.gaps.iter().any(in_gap) {
+        let revision = revision.max(Revision::start_of(self.revision.era));
+        let is_later_era = revision.era > self.revision.era;
+        if is_later_era || revision < self.from || self.gaps.iter().any(in_gap) {
             return None;
         }
         Some(
--- a/crates/jb-relay/src/peers/mark.rs
+++ b/crates/jb-relay/src/peers/mark.rs
@@ -61,7 +61,7 @@
     let write = Write {
         key: key(content),
         value: Bytes::from(value),
-        expected: 0,
+        expected: None,
         lease,
     };
     core.store.write(&[write]).await.map(drop)
--- a/crates/jb-relay/src/peers/message/news.rs
+++ b/crates/jb-relay/src/peers/message/news.rs
@@ -75,7 +75,6 @@
     key: String,
     value: Option<Vec<u8>>,
     pub revision: Revision,
-    created: Revision,
 }
 
 impl From<&Change> for StoreChange {
@@ -84,7 +83,6 @@
             key: change.key.clone(),
             value: change.value.as_ref().map(|value| value.to_vec()),
             revision: change.revision,
-            created: change.created,
         }
     }
 }
@@ -113,7 +111,6 @@
             key: change.key,
             value: change.value.map(Bytes::from),
             revision: change.revision,
-            created: change.created,
         }
     }
 }
--- a/crates/jb-relay/src/peers/register.rs
+++ b/crates/jb-relay/src/peers/register.rs
@@ -31,15 +31,11 @@
         let known = core.own.borrow().get(&key).cloned();
         let value = known.as_ref().and_then(|item| item.value.clone());
         if core.age().is_some() && value.as_deref() != Some(own.as_bytes()) {
-            let expected = if value.is_some() {
-                known.map_or(0, |item| item.revision)
-            } else {
-                0
-            };
+            let there = known.filter(|item| item.value.is_some());
             let write = Write {
                 key: key.clone(),
                 value: Bytes::from(own.clone()),
-                expected,
+                expected: there.map(|item| item.revision),
                 lease: 0,
             };
             core.metrics.store_calls.inc();
--- a/crates/jb-relay/src/peers/relay.rs
+++ b/crates/jb-relay/src/peers/relay.rs
@@ -18,7 +18,7 @@
 use super::message::{Answer, Ask, AskMore, LONGEST, Message, News, Piece, StoreChange};
 use super::socket::send;
 use crate::core::Core;
-use crate::port::{Change, Revision};
+use crate::port::{Change, Era, Revision};
 use crate::saturating_cast::saturating_cast;
 
 /// Time in which the lead answers.
@@ -109,7 +109,7 @@
     }
 }
 
-/// All news since the revision that was asked for.
+/// All changes since the revision that was asked for; everything where they are of a later era.
 #[derive(Debug)]
 pub struct Update {
     /// Changes, the older first.
@@ -154,7 +154,7 @@
     Silent,
     /// It does not know what has changed, or knows nothing that is recent.
     KnowsNoMore,
-    /// Its answer belongs to another question.
+    /// Its answer belongs to another question, or to another era than the one before.
     OutOfTurn,
 }
 
@@ -171,6 +171,7 @@
     let mut all: Vec<Change> = Vec::new();
     // The next value, as far as it has come in pieces.
     let mut value = Vec::new();
+    let mut era = None;
     loop {
         let asked = core.now();
         let ask = Ask {
@@ -183,6 +184,11 @@
             core.book.borrow_mut().missed(lead, core.now());
             return Err(Failure::Silent);
         };
+        if let Some(present) = era_of(&news.answer)
+            && *era.get_or_insert(present) != present
+        {
+            return Err(Failure::OutOfTurn);
+        }
         match news.answer {
             Answer::ReadYourself => return Err(Failure::KnowsNoMore),
             Answer::Changes {
@@ -213,6 +219,15 @@
     }
 }
 
+/// Era of the store that an answer is about.
+fn era_of(answer: &Answer) -> Option<Era> {
+    match answer {
+        Answer::Changes { revision, .. } => Some(revision.era),
+        Answer::Piece(piece) => Some(piece.change.revision.era),
+        Answer::ReadYourself => None,
+    }
+}
+
 fn own_lead(core: &Core) -> Option<id::Box> {
     let lead = core.book.borrow().lead(&core.settings.hall, core.now()).cloned();
     lead.filter(|lead| *lead != core.settings.id)
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -1,5 +1,6 @@
 //! Ports: what the relay needs of a platform, in the relay's own words.
 
+use std::fmt;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -7,17 +8,38 @@
 use bytes::Bytes;
 use jb_policy::signal;
 use jb_protocol::id;
+use serde::{Deserialize, Serialize};
 
 use crate::rules::Rules;
 
-/// Revision of the platform's store.
-pub type Revision = u64;
-/// Number of times that the store has been restored from a copy. Revisions and leases of different eras can't
-/// be compared: a restored store gives their numbers out again.
+/// Number of times that the store has been restored from a copy.
 pub type Era = u64;
 /// Number of a lease.
 pub type Lease = u64;
 
+/// Revision of the platform's store. A restored store gives the numbers of lost revisions out again, so a
+/// revision of a later era is later, whatever its number.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub struct Revision {
+    /// Era in which it was read.
+    pub era: Era,
+    /// Number of changes before it, and itself.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Returns the revision before all others of its era.
+    pub fn start_of(era: Era) -> Self {
+        Self { era, number: 0 }
+    }
+}
+
+impl fmt::Display for Revision {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.era, self.number)
+    }
+}
+
 /// Start of an upstream, in milliseconds since the Unix epoch.
 pub type StartTime = u64;
 
@@ -99,8 +121,6 @@
     pub value: Option<Bytes>,
     /// Revision of the change.
     pub revision: Revision,
-    /// Revision of the item's creation.
-    pub created: Revision,
 }
 
 /// What has changed in the store, or all that it holds.
@@ -110,8 +130,6 @@
     pub changes: Vec<Change>,
     /// Revision after which to ask next.
     pub revision: Revision,
-    /// Era of the store.
-    pub era: Era,
 }
 
 /// Why a call to the store gave nothing.
@@ -120,6 +138,9 @@
     /// The history that was asked for is gone; read all again.
     #[error("the history is gone")]
     HistoryGone,
+    /// The store has been restored from a copy since the revision that the call refers to; read all again.
+    #[error("the store has been restored from a copy")]
+    Restored,
     /// The condition of a write does not hold.
     #[error("the condition does not hold")]
     Conflict,
@@ -144,8 +165,8 @@
     pub key: String,
     /// Value.
     pub value: Bytes,
-    /// Revision that the key must have; 0 for none there.
-    pub expected: Revision,
+    /// Revision that the key must have; `None` when it must not be there.
+    pub expected: Option<Revision>,
     /// Lease that the key goes with; 0 for none.
     pub lease: Lease,
 }
--- a/crates/jb-relay/src/steward/duty.rs
+++ b/crates/jb-relay/src/steward/duty.rs
@@ -7,7 +7,7 @@
 
 use bytes::Bytes;
 use jb_policy::Moment;
-use jb_protocol::{emit, event};
+use jb_protocol::{emit, event, id};
 use tokio::net::UdpSocket;
 use tokio::sync::Semaphore;
 use tokio::time::sleep;
@@ -170,7 +170,7 @@
         let write = Write {
             key: LAST.to_owned(),
             value,
-            expected: term.last.max(self.own_record()),
+            expected: Some(term.last).max(self.own_record()),
             lease: 0,
         };
         self.core.metrics.store_calls.inc();
@@ -194,13 +194,13 @@
         }
     }
 
-    /// Revision of the record in the store if it names this box; 0 otherwise.
-    fn own_record(&self) -> Revision {
+    /// Revision of the record in the store if it names this box.
+    fn own_record(&self) -> Option<Revision> {
         let items = self.core.own.borrow();
         let last = items.get(LAST);
         let own = self.core.settings.id.as_bytes();
         let mine = last.filter(|item| item.value.as_deref().is_some_and(|v| record::holder(v) == own));
-        mine.map_or(0, |item| item.revision)
+        mine.map(|item| item.revision)
     }
 
     /// Pause that orders of two boxes to one engine must keep.
@@ -235,7 +235,7 @@
         }
         if let Err(why) = self.take().await {
             let expected = revision(core.own.borrow().get(LAST));
-            emit!(core.logger, info, event::STEWARD_NOT_TAKEN, "why" => %why, "expected" => expected);
+            emit!(core.logger, info, event::STEWARD_NOT_TAKEN, "why" => %why, "expected" => ?expected);
             self.vacant_since.set(None);
             sleep(crate::follow::PERIOD).await;
         }
@@ -252,7 +252,7 @@
         let holder = Write {
             key: HOLDER.to_owned(),
             value: Bytes::from(own.clone()),
-            expected: 0,
+            expected: None,
             lease,
         };
         let last = Write {
@@ -279,7 +279,7 @@
         }));
         core.stop.set_duty(true);
         self.vacant_since.set(None);
-        emit!(core.logger, info, event::STEWARD_TAKEN, "fence" => fence, "waits_ms" => wait.as_millis() as u64,
+        emit!(core.logger, info, event::STEWARD_TAKEN, "fence" => fence.number, "waits_ms" => wait.as_millis() as u64,
             "waits_for" => waits_for);
         Ok(())
     }
@@ -302,15 +302,14 @@
     }
 
     /// Fencing token, when an engine may be ordered now.
-    pub(super) fn may_order(&self, id: &str) -> Option<Revision> {
+    pub(super) fn may_order(&self, id: &str) -> Option<id::Fence> {
         let now = self.core.now();
         let term = self.term.get().filter(|term| term.named && now < term.until)?;
-        self.record.borrow().allows(id, now).then_some(term.fence)
+        self.record.borrow().allows(id, now).then_some(term.fence.number)
     }
 }
 
-/// Revision under which an item is written over; 0 when it does not stand.
-fn revision(item: Option<&Change>) -> Revision {
-    item.filter(|item| item.value.is_some())
-        .map_or(0, |item| item.revision)
+/// Revision under which an item is written over; `None` when it does not stand.
+fn revision(item: Option<&Change>) -> Option<Revision> {
+    item.filter(|item| item.value.is_some()).map(|item| item.revision)
 }
--- a/crates/jb-relay/src/upstream/registration.rs
+++ b/crates/jb-relay/src/upstream/registration.rs
@@ -81,7 +81,7 @@
 
     /// Returns the state.
     pub fn standing(&self) -> Standing {
-        let other = self.other.map_or(0, |(revision, _)| revision);
+        let other = self.other.map(|(revision, _)| revision).unwrap_or_default();
         match (&self.entry, self.other) {
             (Some((revision, entry)), _) if *revision >= other => Standing::There(Entry {
                 draining: self.leaves(entry.started_at),
@@ -100,7 +100,8 @@
 
     /// Revision of the last registration.
     pub fn revision(&self) -> Revision {
-        let entry = self.entry.as_ref().map_or(0, |(revision, _)| *revision);
-        entry.max(self.other.map_or(0, |(revision, _)| revision))
+        let entry = self.entry.as_ref().map(|(revision, _)| *revision);
+        let other = self.other.map(|(revision, _)| revision);
+        entry.max(other).unwrap_or_default()
     }
 }
--- a/crates/jb-relay/tests/instances.rs
+++ b/crates/jb-relay/tests/instances.rs
@@ -57,7 +57,7 @@
 fn restart_clears_what_was_true_of_the_life_before() {
     let mut registry = Registry::default();
     assert_eq!(
-        registry.apply_registration("engine", entry(Some(FIRST), false), 1),
+        registry.apply_registration("engine", entry(Some(FIRST), false), at(1)),
         Seen::New
     );
     let instance = registry.get("engine").expect("known").instance.clone();
@@ -66,7 +66,7 @@
     known.refused = true;
     known.backoff.observe(asks_for(NOW * 2), 1, NOW);
     assert!(
-        matches!(registry.apply_registration("engine", entry(Some(SECOND), false), 2), Seen::Restarted(ended)
+        matches!(registry.apply_registration("engine", entry(Some(SECOND), false), at(2)), Seen::Restarted(ended)
         if ended.started_at == Some(FIRST) && ended.running == 3)
     );
     let again = registry.get("engine").expect("known");
@@ -81,21 +81,21 @@
 #[test]
 fn instance_that_drains_and_restarts_serves_and_late_registrations_change_nothing() {
     let mut registry = Registry::default();
-    registry.apply_registration("engine", entry(Some(FIRST), false), 1);
+    registry.apply_registration("engine", entry(Some(FIRST), false), at(1));
     assert_eq!(
-        registry.apply_registration("engine", entry(Some(FIRST), true), 2),
+        registry.apply_registration("engine", entry(Some(FIRST), true), at(2)),
         Seen::Draining
     );
     // It has said that it leaves, whatever another writer says later.
-    registry.apply_registration("engine", entry(Some(FIRST), false), 3);
+    registry.apply_registration("engine", entry(Some(FIRST), false), at(3));
     assert!(!is_open(&registry));
     assert!(matches!(
-        registry.apply_registration("engine", entry(Some(SECOND), false), 4),
+        registry.apply_registration("engine", entry(Some(SECOND), false), at(4)),
         Seen::Restarted(_)
     ));
     assert!(is_open(&registry));
     assert_eq!(
-        registry.apply_registration("engine", entry(Some(FIRST), true), 5),
+        registry.apply_registration("engine", entry(Some(FIRST), true), at(5)),
         Seen::Same
     );
     assert!(is_open(&registry));
@@ -105,15 +105,18 @@
 #[test]
 fn entry_that_cannot_be_read_names_no_engine_until_it_can() {
     let mut registry = Registry::default();
-    registry.apply_registration("engine", entry(Some(FIRST), false), 1);
+    registry.apply_registration("engine", entry(Some(FIRST), false), at(1));
     assert_eq!(
-        registry.apply_registration("engine", unreadable(), 2),
+        registry.apply_registration("engine", unreadable(), at(2)),
         Seen::Unreadable
     );
     assert!(!is_open(&registry));
     // Written again and again it is told once.
-    assert_eq!(registry.apply_registration("engine", unreadable(), 3), Seen::Same);
-    registry.apply_registration("engine", entry(Some(FIRST), false), 4);
+    assert_eq!(
+        registry.apply_registration("engine", unreadable(), at(3)),
+        Seen::Same
+    );
+    registry.apply_registration("engine", entry(Some(FIRST), false), at(4));
     assert!(is_open(&registry));
 }
 
@@ -122,12 +125,12 @@
 #[test]
 fn entry_without_a_start_counts_only_where_no_engine_tells_its_own() {
     let mut registry = Registry::default();
-    registry.apply_registration("engine", entry(None, false), 1);
+    registry.apply_registration("engine", entry(None, false), at(1));
     assert!(is_open(&registry));
-    registry.apply_registration("other", entry(Some(FIRST), false), 2);
+    registry.apply_registration("other", entry(Some(FIRST), false), at(2));
     assert!(!is_open(&registry));
     assert_eq!(
-        registry.apply_registration("third", entry(None, false), 3),
+        registry.apply_registration("third", entry(None, false), at(3)),
         Seen::Unreadable
     );
     assert!(registry.get("third").is_none());
@@ -137,11 +140,11 @@
 #[test]
 fn ended_instance_gets_nothing_until_the_next_one_is_registered() {
     let mut registry = Registry::default();
-    registry.apply_registration("engine", entry(Some(FIRST), false), 1);
+    registry.apply_registration("engine", entry(Some(FIRST), false), at(1));
     let instance = registry.get("engine").expect("known").instance.clone();
     assert!(registry.end(&instance).is_some());
     assert!(!is_open(&registry));
-    registry.apply_registration("engine", entry(Some(SECOND), false), 2);
+    registry.apply_registration("engine", entry(Some(SECOND), false), at(2));
     assert!(is_open(&registry));
 }
 
@@ -151,18 +154,18 @@
 fn instance_that_signals_draining_stays_out_whatever_its_entry_says() {
     for started_at in [None, Some(FIRST)] {
         let mut registry = Registry::default();
-        registry.apply_registration("engine", entry(started_at, false), 1);
+        registry.apply_registration("engine", entry(started_at, false), at(1));
         let instance = registry.get("engine").expect("known").instance.clone();
         assert!(!registry.observe_signals(&instance, Signals::default()));
         assert!(is_open(&registry));
         assert!(registry.observe_signals(&instance, leaves()));
         assert!(!registry.observe_signals(&instance, leaves()), "told once");
         assert!(!is_open(&registry));
-        registry.apply_registration("engine", entry(started_at, false), 2);
+        registry.apply_registration("engine", entry(started_at, false), at(2));
         assert!(!is_open(&registry));
-        registry.apply_registration("engine", Registration::Gone, 3);
+        registry.apply_registration("engine", Registration::Gone, at(3));
         registry.remove("engine");
-        registry.apply_registration("engine", entry(started_at, false), 4);
+        registry.apply_registration("engine", entry(started_at, false), at(4));
         assert!(!is_open(&registry));
     }
 }
@@ -170,10 +173,10 @@
 #[test]
 fn next_instance_of_a_drained_engine_serves() {
     let mut registry = Registry::default();
-    registry.apply_registration("engine", entry(Some(FIRST), false), 1);
+    registry.apply_registration("engine", entry(Some(FIRST), false), at(1));
     let instance = registry.get("engine").expect("known").instance.clone();
     registry.observe_signals(&instance, leaves());
-    registry.apply_registration("engine", entry(Some(SECOND), false), 2);
+    registry.apply_registration("engine", entry(Some(SECOND), false), at(2));
     assert!(is_open(&registry));
     // An answer that comes late.
     assert!(!registry.observe_signals(&instance, leaves()));
@@ -186,13 +189,13 @@
 fn rest_outlasts_an_entry_that_goes_and_comes_back_and_ends_with_its_life() {
     let mut registry = Registry::default();
     for started_at in [FIRST, SECOND] {
-        registry.apply_registration("engine", entry(Some(FIRST), false), 1);
+        registry.apply_registration("engine", entry(Some(FIRST), false), at(1));
         let instance = registry.get("engine").expect("known").instance.clone();
         let known = registry.instance_mut(&instance).expect("its life");
         known.backoff.observe(asks_for(NOW), 1, NOW);
-        registry.apply_registration("engine", Registration::Gone, 2);
+        registry.apply_registration("engine", Registration::Gone, at(2));
         registry.remove("engine");
-        registry.apply_registration("engine", entry(Some(started_at), false), 3);
+        registry.apply_registration("engine", entry(Some(started_at), false), at(3));
         assert_eq!(is_open(&registry), started_at == SECOND);
         registry = Registry::default();
     }
@@ -204,7 +207,7 @@
     let mut registry = Registry::default();
     let ids: Vec<String> = (0..7).map(|number| format!("engine-{number}")).collect();
     for id in &ids {
-        registry.apply_registration(id, entry(Some(FIRST), false), 1);
+        registry.apply_registration(id, entry(Some(FIRST), false), at(1));
     }
     let names: Vec<u32> = registry.iter().map(|(_, u)| place::short(u.name)).collect();
     let received = names.iter().map(|name| registry.note_draining(&[*name]).len());
@@ -224,6 +227,11 @@
     assert!(registry.iter().all(|(_, upstream)| !upstream.is_open(NOW)));
 }
 
+/// Revision of the first era.
+fn at(number: u64) -> Revision {
+    Revision { era: 1, number }
+}
+
 /// One word of two lives, by the store, by a box, or by an answer.
 #[derive(Clone, Debug)]
 enum Step {
@@ -239,10 +247,10 @@
         let started_at = *g.choose(&[FIRST, SECOND]).expect("a life");
         // Revisions are distinct, as the store's are; `shuffled` gives them.
         match u8::arbitrary(g) % 9 {
-            0..=2 => Self::Store(entry(Some(started_at), false), 0),
-            3 | 4 => Self::Store(entry(Some(started_at), true), 0),
-            5 => Self::Store(unreadable(), 0),
-            6 => Self::Store(Registration::Gone, 0),
+            0..=2 => Self::Store(entry(Some(started_at), false), at(0)),
+            3 | 4 => Self::Store(entry(Some(started_at), true), at(0)),
+            5 => Self::Store(unreadable(), at(0)),
+            6 => Self::Store(Registration::Gone, at(0)),
             7 => Self::Answer(started_at),
             _ => Self::Replaced(started_at),
         }
@@ -287,7 +295,11 @@
         let mut steps = steps;
         for (at, one) in steps.iter_mut().enumerate() {
             if let Step::Store(_, revision) = one {
-                *revision = at as Revision + 1;
+                // Later eras give the same numbers out again.
+                *revision = Revision {
+                    era: at as u64 / 3,
+                    number: at as u64 % 3 + 1,
+                };
             }
         }
         let before = outcome(&steps);
@@ -310,14 +322,14 @@
 #[test]
 fn rate_limit_outlasts_an_entry_that_comes_back_and_ends_with_its_instance() {
     let mut registry = Registry::default();
-    registry.apply_registration("engine", entry(Some(FIRST), false), 1);
+    registry.apply_registration("engine", entry(Some(FIRST), false), at(1));
     let known = registry.get_mut("engine").expect("known");
     known.limit.observe(Announcement::Limited(1.5), None, NOW);
-    registry.apply_registration("engine", Registration::Gone, 2);
+    registry.apply_registration("engine", Registration::Gone, at(2));
     registry.remove("engine");
-    registry.apply_registration("engine", entry(Some(FIRST), false), 3);
+    registry.apply_registration("engine", entry(Some(FIRST), false), at(3));
     let rate = |registry: &Registry| registry.get("engine").expect("known").limit.rate();
     assert_eq!(rate(&registry), Some(1.5));
-    registry.apply_registration("engine", entry(Some(SECOND), false), 4);
+    registry.apply_registration("engine", entry(Some(SECOND), false), at(4));
     assert_eq!(rate(&registry), None);
 }
