Tie leases, records and fencing tokens to the era of the store

Cause: a lease, a record and a token were taken to hold for ever. After a restore the numbers of leases and revisions are given out again: a box could renew or end the lease of another one, or replace its record under a condition that held by chance.

Now a lease is of an era, and every write names the era that its caller knows. The record's key names the era, so a box that hasn't noticed the restore can't write over it. A term ends with its era. Without a record any engine may have been ordered: a new holder leaves all alone until a lease that was renewed right before has run out, and for the pause. The token has the era above the revision's number.

--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -21,7 +21,7 @@
 use crate::peers::{
     Accounts, Book, Gathered, Loads, Log, Notices, Permit, Quotas, RateLimits, Reachability, Relayed, Source,
 };
-use crate::port::{Change, Engines, Store};
+use crate::port::{Change, Engines, Era, Store};
 use crate::quarantine::Quarantine;
 use crate::rules::Rules;
 use crate::settings::Settings;
@@ -202,6 +202,11 @@
         })
     }
 
+    /// Era of the store by the last update.
+    pub fn era(&self) -> Era {
+        self.log.borrow().revision().era
+    }
+
     /// Configuration in force.
     pub fn rules(&self) -> Option<Rc<Rules>> {
         self.rules.borrow().clone()
--- a/crates/jb-relay/src/peers/mark.rs
+++ b/crates/jb-relay/src/peers/mark.rs
@@ -62,9 +62,9 @@
         key: key(content),
         value: Bytes::from(value),
         expected: None,
-        lease,
+        lease: Some(lease),
     };
-    core.store.write(&[write]).await.map(drop)
+    core.store.write(lease.era, &[write]).await.map(drop)
 }
 
 /// Takes an item of the store, if it is a mark.
--- a/crates/jb-relay/src/peers/register.rs
+++ b/crates/jb-relay/src/peers/register.rs
@@ -36,10 +36,10 @@
                 key: key.clone(),
                 value: Bytes::from(own.clone()),
                 expected: there.map(|item| item.revision),
-                lease: 0,
+                lease: None,
             };
             core.metrics.store_calls.inc();
-            if let Err(why) = core.store.write(&[write]).await {
+            if let Err(why) = core.store.write(core.era(), &[write]).await {
                 emit!(core.logger, info, event::PEER_UNREGISTERED, "why" => %why);
             }
             sleep(AGAIN).await;
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -14,9 +14,6 @@
 
 /// Number of times that the store has been restored from a copy.
 pub type Era = u64;
-/// Number of a lease.
-pub type Lease = u64;
-
 /// Revision of the platform's store. A restored store gives the numbers of lost revisions out again, so a
 /// revision of a later era is later, whatever its number.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -32,6 +29,24 @@
     pub fn start_of(era: Era) -> Self {
         Self { era, number: 0 }
     }
+
+    /// Returns a fencing token that is higher than those of all earlier revisions.
+    pub fn fence(self) -> id::Fence {
+        let era = self.era.saturating_mul(1 << NUMBER_BITS);
+        era.saturating_add(self.number.min((1 << NUMBER_BITS) - 1))
+    }
+}
+
+/// Bits of a fencing token for the number of a revision; its era stands above them.
+const NUMBER_BITS: u32 = 40;
+
+/// Lease of the platform's store. It ends with its era, as its number may be given out again.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Lease {
+    /// Era in which it was taken out.
+    pub era: Era,
+    /// Number.
+    pub number: u64,
 }
 
 impl fmt::Display for Revision {
@@ -167,8 +182,8 @@
     pub value: Bytes,
     /// Revision that the key must have; `None` when it must not be there.
     pub expected: Option<Revision>,
-    /// Lease that the key goes with; 0 for none.
-    pub lease: Lease,
+    /// Lease that the key goes with.
+    pub lease: Option<Lease>,
 }
 
 /// How old what is read may be.
@@ -191,12 +206,13 @@
     async fn changes(&self, after: Revision, wait: Duration) -> Result<News, StoreError>;
     /// Takes out a lease.
     async fn lease(&self, time: Duration) -> Result<Lease, StoreError>;
-    /// Renews a lease.
+    /// Renews a lease; [`StoreError::NoLease`] also when the store has been restored since.
     async fn renew(&self, lease: Lease) -> Result<(), StoreError>;
     /// Ends a lease; its keys go with it.
     async fn end(&self, lease: Lease) -> Result<(), StoreError>;
-    /// Writes all items or none.
-    async fn write(&self, writes: &[Write]) -> Result<Revision, StoreError>;
+    /// Writes all items or none. [`StoreError::Restored`] when the store isn't in the given era: what the
+    /// caller knows may then be lost, whether or not the items were written.
+    async fn write(&self, era: Era, writes: &[Write]) -> Result<Revision, StoreError>;
 }
 
 /// What an engine reports of itself.
--- a/crates/jb-relay/src/steward/duty.rs
+++ b/crates/jb-relay/src/steward/duty.rs
@@ -13,9 +13,9 @@
 use tokio::time::sleep;
 
 use super::load::{Absent, Counts};
-use super::record::{self, LAST, NOBODY, Orders, Record};
+use super::record::{self, Orders, Past, Record};
 use crate::core::Shared;
-use crate::port::{Change, Lease, Revision, StoreError, Write};
+use crate::port::{Change, Era, Lease, Revision, StoreError, Write};
 use crate::upstream::{Id, Instance};
 
 /// Item that stands while a box has the duty.
@@ -70,7 +70,7 @@
             core,
             socket,
             term: Cell::new(None),
-            record: RefCell::new(Record::new(own, Orders::new(), Moment::ZERO)),
+            record: RefCell::new(Record::new(own, Past::Known(Orders::new()), Moment::ZERO)),
             loading: RefCell::default(),
             absent: RefCell::default(),
             counts: RefCell::default(),
@@ -107,6 +107,10 @@
 
     async fn hold(&self, term: Term) {
         let now = self.core.now();
+        if term.lease.era != self.core.era() {
+            self.lose("the store was restored");
+            return;
+        }
         if now >= term.until + MARGIN {
             self.lose("the lease ran out");
             return;
@@ -116,7 +120,7 @@
         }
         let quiet = self.loading.borrow().is_empty() && self.record.borrow().is_quiet(now, self.gap());
         if quiet && term.named {
-            self.write_record(NOBODY, Orders::new()).await;
+            self.write_record(None).await;
         }
     }
 
@@ -146,7 +150,7 @@
         }
         let engines = self.to_name(later);
         let orders = self.record.borrow().due(&engines, self.core.now(), self.gap());
-        self.write_record(&self.core.settings.id, orders).await
+        self.write_record(Some(orders)).await
     }
 
     /// Ids of the engines that load, and of others.
@@ -159,25 +163,24 @@
             .collect()
     }
 
-    /// Writes the record for the next box.
-    async fn write_record(&self, holder: &str, orders: Orders) -> bool {
+    /// Writes the record for the next box; `None` when that need not wait for anything.
+    async fn write_record(&self, orders: Option<Past>) -> bool {
         let Some(term) = self.term.get() else { return false };
-        let value = if holder == NOBODY {
-            Bytes::new()
-        } else {
-            record::encode(holder, &orders)
-        };
+        let era = term.lease.era;
+        let own = &self.core.settings.id;
+        let named = orders.is_some();
+        let value = orders.as_ref().map(|orders| record::encode(own, orders));
         let write = Write {
-            key: LAST.to_owned(),
-            value,
-            expected: Some(term.last).max(self.own_record()),
-            lease: 0,
+            key: record::key(era),
+            value: value.unwrap_or_else(record::nothing),
+            expected: Some(term.last).max(self.own_record(era)),
+            lease: None,
         };
         self.core.metrics.store_calls.inc();
-        match self.core.store.write(&[write]).await {
+        match self.core.store.write(era, &[write]).await {
             Ok(last) => {
-                let named = holder != NOBODY;
-                self.record.borrow_mut().write(&orders);
+                let written = orders.unwrap_or(Past::Known(Orders::new()));
+                self.record.borrow_mut().write(&written);
                 // The lease may have been renewed meanwhile.
                 self.term
                     .set(self.term.get().map(|term| Term { last, named, ..term }));
@@ -185,7 +188,7 @@
             }
             // The write may have been done: what follows is written over the revision that the
             // store then shows, as long as that still names this box.
-            Err(StoreError::Lost(_) | StoreError::Conflict) if holder != NOBODY => false,
+            Err(StoreError::Lost(_) | StoreError::Conflict) if named => false,
             Err(why) => {
                 emit!(self.core.logger, info, event::STEWARD_LOST, "why" => %why);
                 self.lose("the record for the next box could not be written");
@@ -195,9 +198,9 @@
     }
 
     /// Revision of the record in the store if it names this box.
-    fn own_record(&self) -> Option<Revision> {
+    fn own_record(&self, era: Era) -> Option<Revision> {
         let items = self.core.own.borrow();
-        let last = items.get(LAST);
+        let last = items.get(&record::key(era));
         let own = self.core.settings.id.as_bytes();
         let mine = last.filter(|item| item.value.as_deref().is_some_and(|v| record::holder(v) == own));
         mine.map(|item| item.revision)
@@ -234,7 +237,7 @@
             return;
         }
         if let Err(why) = self.take().await {
-            let expected = revision(core.own.borrow().get(LAST));
+            let expected = revision(core.own.borrow().get(&record::key(core.era())));
             emit!(core.logger, info, event::STEWARD_NOT_TAKEN, "why" => %why, "expected" => ?expected);
             self.vacant_since.set(None);
             sleep(crate::follow::PERIOD).await;
@@ -246,28 +249,36 @@
         let asked = core.now();
         core.metrics.store_calls.inc();
         let lease = core.store.lease(LEASE).await?;
-        let last = core.own.borrow().get(LAST).cloned();
-        let before = self.ordered_before(last.as_ref());
+        let era = core.era();
+        if lease.era != era {
+            return Err(StoreError::Restored);
+        }
+        let last = core.own.borrow().get(&record::key(era)).cloned();
+        let before = record::decode(last.as_ref().and_then(|item| item.value.as_deref()));
         let own = &core.settings.id;
         let holder = Write {
             key: HOLDER.to_owned(),
             value: Bytes::from(own.clone()),
             expected: None,
-            lease,
+            lease: Some(lease),
         };
         let last = Write {
-            key: LAST.to_owned(),
+            key: record::key(era),
             // The orders of the box before stand on until their pause is over.
             value: record::encode(own, &before),
             expected: revision(last.as_ref()),
-            lease: 0,
+            lease: None,
         };
         core.metrics.store_calls.inc();
-        let fence = core.store.write(&[holder, last]).await?;
+        let fence = core.store.write(era, &[holder, last]).await?;
         let now = core.now();
-        // The box before gave no order in the last part of its lease, which has run out.
-        let wait = self.gap().saturating_sub(MARGIN);
-        let waits_for = before.len();
+        // The box before gives no order in the last part of its lease. It has run out, unless the store was
+        // restored: then the box may have renewed it right before.
+        let pause = self.gap().saturating_sub(MARGIN);
+        let (wait, waits_for) = match &before {
+            Past::Known(orders) => (pause, Some(orders.len())),
+            Past::Unknown => (pause + LEASE, None),
+        };
         *self.record.borrow_mut() = Record::new(core.settings.id.clone(), before, now + wait);
         self.term.set(Some(Term {
             lease,
@@ -279,23 +290,11 @@
         }));
         core.stop.set_duty(true);
         self.vacant_since.set(None);
-        emit!(core.logger, info, event::STEWARD_TAKEN, "fence" => fence.number, "waits_ms" => wait.as_millis() as u64,
+        emit!(core.logger, info, event::STEWARD_TAKEN, "fence" => fence.fence(), "waits_ms" => wait.as_millis() as u64,
             "waits_for" => waits_for);
         Ok(())
     }
 
-    /// Engines that boxes may have ordered lately; all of them where the record does not say.
-    fn ordered_before(&self, last: Option<&Change>) -> Orders {
-        let Some(value) = last.and_then(|item| item.value.as_deref()) else {
-            return Orders::new();
-        };
-        record::decode(value).unwrap_or_else(|| {
-            let holder = String::from_utf8_lossy(record::holder(value)).into_owned();
-            let all = self.core.upstreams.borrow().ids().into_iter();
-            all.map(|id| (id, holder.clone())).collect()
-        })
-    }
-
     /// Whether the lease holds long enough for an order.
     pub(super) fn holds(&self) -> bool {
         self.term.get().is_some_and(|term| self.core.now() < term.until)
@@ -305,7 +304,7 @@
     pub(super) fn may_order(&self, id: &str) -> Option<id::Fence> {
         let now = self.core.now();
         let term = self.term.get().filter(|term| term.named && now < term.until)?;
-        self.record.borrow().allows(id, now).then_some(term.fence.number)
+        self.record.borrow().allows(id, now).then_some(term.fence.fence())
     }
 }
 
--- a/crates/jb-relay/src/steward/mod.rs
+++ b/crates/jb-relay/src/steward/mod.rs
@@ -4,6 +4,9 @@
 //! its orders is the revision at which it took the lease. Engines may not
 //! check tokens; so a box that takes over leaves alone the engines that the box
 //! before may have ordered, until orders of the two cannot follow each other too closely.
+//!
+//! A restore of the store ends each term. The record of orders may be lost then, so the next box leaves all
+//! engines alone for as long as the box before could still hold its lease, and the pause.
 
 mod duty;
 mod load;
--- a/crates/jb-relay/src/steward/record.rs
+++ b/crates/jb-relay/src/steward/record.rs
@@ -11,41 +11,68 @@
 use jb_policy::Moment;
 use jb_protocol::id;
 
+use crate::port::Era;
 use crate::upstream::{Id, Instance};
 
-/// Item that names the last box that had the duty, and the engines that may have been
-/// ordered lately.
-pub(super) const LAST: &str = "junctionbend/steward/last";
-/// Value of that item when the last order is too long ago for the next box to wait.
-pub(super) const NOBODY: &str = "";
+/// Key of the item that names the last box that had the duty in an era of the store, and the engines that may
+/// have been ordered lately. Each era has its own, so a box that hasn't noticed a restore can't write over it.
+pub(super) fn key(era: Era) -> String {
+    format!("junctionbend/steward/last/{era}")
+}
 
 /// Engines that may have been ordered lately, with the box that may have ordered each.
 pub(super) type Orders = BTreeMap<Id, id::Box>;
 
+/// Orders of earlier terms.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub(super) enum Past {
+    /// These and no others.
+    Known(Orders),
+    /// Any engine may have been ordered, and may still be until a lease of now has run out.
+    Unknown,
+}
+
 /// A record as it stands in the store: a line for the box that has the duty, then one for each
-/// engine with the box that may have ordered it.
-pub(super) fn encode(holder: &str, orders: &Orders) -> Bytes {
+/// engine with the box that may have ordered it. No line follows where any may have been ordered.
+pub(super) fn encode(holder: &str, past: &Past) -> Bytes {
+    let Past::Known(orders) = past else {
+        return Bytes::from(holder.to_owned());
+    };
     let lines: Vec<String> = orders.iter().map(|(id, by)| format!("{id} {by}")).collect();
     Bytes::from(format!("{holder}\n{}", lines.join("\n")))
 }
 
+/// Record of a box that has not ordered anything lately.
+pub(super) fn nothing() -> Bytes {
+    Bytes::new()
+}
+
 /// Box of a record; empty when the next one need not wait.
 pub(super) fn holder(value: &[u8]) -> &[u8] {
     value.split(|byte| *byte == b'\n').next().unwrap_or_default()
 }
 
-/// Orders of a record; `None` for a record that names a box and no orders, as earlier versions
-/// of the program wrote it, or that cannot be read.
-pub(super) fn decode(value: &[u8]) -> Option<Orders> {
-    let text = std::str::from_utf8(value).ok()?;
+/// Orders of a record. They are unknown where there is none: the store has been restored, or the record is of
+/// another version of the program.
+pub(super) fn decode(value: Option<&[u8]>) -> Past {
+    let text = value.and_then(|value| std::str::from_utf8(value).ok());
+    let Some(text) = text else { return Past::Unknown };
     let Some((_, lines)) = text.split_once('\n') else {
-        return text.is_empty().then(Orders::new);
+        return if text.is_empty() {
+            Past::Known(Orders::new())
+        } else {
+            Past::Unknown
+        };
     };
     let order = |line: &str| {
         line.split_once(' ')
             .map(|(id, by)| (id.to_owned(), by.to_owned()))
     };
-    lines.lines().map(order).collect()
+    lines
+        .lines()
+        .map(order)
+        .collect::<Option<Orders>>()
+        .map_or(Past::Unknown, Past::Known)
 }
 
 /// Orders of one term, and those before it that still bind.
@@ -57,7 +84,7 @@
     /// When each engine last got an order of this box.
     given: BTreeMap<Id, Moment>,
     /// Orders of the terms before.
-    before: Orders,
+    before: Past,
     /// Until when engines among them that other boxes may have ordered get no order.
     barred_until: Moment,
 }
@@ -65,7 +92,7 @@
 impl Record {
     /// A box's record at the begin of a term; orders of terms before are over by the pause
     /// at the given moment.
-    pub(super) fn new(own: id::Box, before: Orders, barred_until: Moment) -> Self {
+    pub(super) fn new(own: id::Box, before: Past, barred_until: Moment) -> Self {
         Self {
             own,
             announced: BTreeSet::new(),
@@ -77,7 +104,11 @@
 
     /// Whether an order of another box to an engine is not over by the pause.
     pub(super) fn is_barred(&self, id: &str, now: Moment) -> bool {
-        now < self.barred_until && self.before.get(id).is_some_and(|by| *by != self.own)
+        let by_other = match &self.before {
+            Past::Known(orders) => orders.get(id).is_some_and(|by| *by != self.own),
+            Past::Unknown => true,
+        };
+        now < self.barred_until && by_other
     }
 
     /// Whether an engine may be ordered now.
@@ -92,19 +123,27 @@
 
     /// What is to be written: `next` for this box, and all whose last order is not over by
     /// the pause.
-    pub(super) fn due(&self, next: &BTreeSet<Id>, now: Moment, pause: Duration) -> Orders {
-        let bound = self.before.iter().filter(|_| now < self.barred_until);
-        let mut due: Orders = bound.map(|(id, by)| (id.clone(), by.clone())).collect();
+    pub(super) fn due(&self, next: &BTreeSet<Id>, now: Moment, pause: Duration) -> Past {
+        let mut due = match &self.before {
+            _ if now >= self.barred_until => Orders::new(),
+            Past::Known(orders) => orders.clone(),
+            Past::Unknown => return Past::Unknown,
+        };
         let given = self.given.iter().filter(|(_, at)| now < **at + pause);
         let own = given.map(|(id, _)| id).chain(next);
         due.extend(own.map(|id| (id.clone(), self.own.clone())));
-        due
+        Past::Known(due)
     }
 
     /// Notes what was written.
-    pub(super) fn write(&mut self, orders: &Orders) {
-        let own = orders.iter().filter(|(_, by)| **by == self.own);
-        self.announced = own.map(|(id, _)| id.clone()).collect();
+    pub(super) fn write(&mut self, written: &Past) {
+        self.announced = match written {
+            Past::Known(orders) => {
+                let own = orders.iter().filter(|(_, by)| **by == self.own);
+                own.map(|(id, _)| id.clone()).collect()
+            }
+            Past::Unknown => BTreeSet::new(),
+        };
     }
 
     /// Notes an order.
@@ -114,6 +153,6 @@
 
     /// Whether all orders are over by the pause.
     pub(super) fn is_quiet(&self, now: Moment, pause: Duration) -> bool {
-        self.due(&BTreeSet::new(), now, pause).is_empty()
+        self.due(&BTreeSet::new(), now, pause) == Past::Known(Orders::new())
     }
 }
