Keep upstreams that a restored store lacks as a last resort

An engine that had registered since the copy was taken off as soon as a box read the restored store, and its requests were rejected with 503 until the engine had written its entry again.

Cause: only an outage counted as a reason for a missing entry to come back. After a restore whatever was written since the copy is missing, and its writer writes it again. Such an upstream now is a last resort for the time that this may take, as after an outage.

engine_that_the_copy_lacks_serves_until_its_entry_is_back failed before (503) and passes; engine_that_does_not_come_back_after_a_restore_is_gone goes on to pass.

--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -23,6 +23,7 @@
 };
 use crate::port::{Change, Engines, Era, Store};
 use crate::quarantine::Quarantine;
+use crate::restore::Restore;
 use crate::rules::Rules;
 use crate::settings::Settings;
 use crate::stop::Stop;
@@ -68,6 +69,8 @@
     /// Span in which the store is known to have answered this box or others, but for silences that
     /// cost no entry.
     pub store_seen: Cell<Option<Span>>,
+    /// The last restore of the store since the box's start.
+    pub restored: Cell<Option<Restore>>,
     /// Where the last news of the store came from; `None` while the own calls fail.
     pub news_from: Cell<Option<Origin>>,
     /// Upstreams.
@@ -142,6 +145,7 @@
             proven: Cell::default(),
             proven_directly: Cell::default(),
             store_seen: Cell::default(),
+            restored: Cell::default(),
             news_from: Cell::default(),
             upstreams: RefCell::default(),
             cache_stores: RefCell::default(),
@@ -207,6 +211,12 @@
         self.log.borrow().revision().era
     }
 
+    /// The last restore of the store, while what it has lost may not be written again.
+    pub fn recent_restore(&self) -> Option<Restore> {
+        let now = self.now();
+        self.restored.get().filter(|restore| now < restore.ends())
+    }
+
     /// Configuration in force.
     pub fn rules(&self) -> Option<Rc<Rules>> {
         self.rules.borrow().clone()
--- a/crates/jb-relay/src/follow/missing.rs
+++ b/crates/jb-relay/src/follow/missing.rs
@@ -8,26 +8,24 @@
 //! - **Only old** is an upstream whose entry is missing. It is gone, at once, unless other boxes show
 //!   that the store itself was away ([`outage::judge`]): entries lapse in such an outage and are back
 //!   within two seconds of its end.
-//! - **A last resort** is such an upstream until [`COME_BACK`] after the end of the partition: it gets
+//! - **A last resort** is such an upstream until [`REWRITE_TIME`] after the end of the partition: it gets
 //!   a request only where no upstream whose entry is there has a place for it, or where most of its
 //!   service's entries are missing, and nothing from the moment on at which another box shows that
 //!   the store was not away after all.
 //!
+//! An entry that is missing after a restore of the store is treated in the same way: its upstream may have
+//! registered since the copy.
+//!
 //! So a leaving upstream gets nothing from a box that was cut off alone, for however long, and an
 //! outage of the store takes no upstream away that comes back.
 
-use std::time::Duration;
-
 use jb_policy::Moment;
 use jb_policy::outage::{self, Span, Store};
 use jb_protocol::{emit, event};
 
 use super::facts::gone;
 use crate::core::Core;
-
-/// Time after the end of a partition in which expired entries come back: about two seconds by the platform's
-/// contract.
-const COME_BACK: Duration = Duration::from_millis(2300);
+use crate::restore::REWRITE_TIME;
 
 /// The last partition that was long enough for entries to expire.
 #[derive(Debug, Default)]
@@ -44,9 +42,12 @@
 
     /// Until when a missing entry may come back; `None` when it does not.
     pub(super) fn comes_back_until(&self, core: &Core) -> Option<Moment> {
-        let span = self.0?;
-        let until = span.until + COME_BACK;
-        (core.now() < until && was_away(core, span)).then_some(until)
+        let after_outage = self.0.and_then(|span| {
+            let until = span.until + REWRITE_TIME;
+            (core.now() < until && was_away(core, span)).then_some(until)
+        });
+        let after_restore = core.recent_restore().map(|restore| restore.ends());
+        after_outage.max(after_restore)
     }
 }
 
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -18,6 +18,7 @@
 use crate::core::{Core, Origin, Shared};
 use crate::peers;
 use crate::port::{Age, Change, News, Revision, StoreError};
+use crate::restore::Restore;
 
 /// Pause between two calls: with the way there and back well under the time in which a
 /// configuration must be in force and a leaving upstream be known.
@@ -180,7 +181,7 @@
     }
 }
 
-/// Notes the era of an update; returns whether the store has been restored since the last one.
+/// Notes the era of an update; returns whether it is the first one after a restore of the store.
 fn note_era(core: &Core, from: Origin, revision: Revision) -> bool {
     let known = core.log.borrow().revision();
     core.metrics
@@ -190,6 +191,7 @@
     if is_restored {
         emit!(core.logger, warn, event::STORE_RESTORED, "known" => %known, "revision" => %revision,
             "from" => ?from);
+        core.restored.set(Some(Restore { noticed: core.now() }));
     }
     is_restored
 }
--- /dev/null
+++ b/crates/jb-relay/src/restore.rs
@@ -0,0 +1,25 @@
+//! A restore of the store from a copy, as a box has noticed it.
+//!
+//! What the boxes wrote since the copy is lost; the operator and the upstreams write theirs again.
+
+use std::time::Duration;
+
+use jb_policy::Moment;
+
+/// Time in which the operator and the upstreams write again what the store has lost, by the platform's contract
+/// about two seconds.
+pub const REWRITE_TIME: Duration = Duration::from_millis(2300);
+
+/// A restore of the store.
+#[derive(Clone, Copy, Debug)]
+pub struct Restore {
+    /// When this box noticed it.
+    pub noticed: Moment,
+}
+
+impl Restore {
+    /// When everything has been written again.
+    pub fn ends(&self) -> Moment {
+        self.noticed + REWRITE_TIME
+    }
+}
