Don't use entries of upstreams that had gone before a restore

An engine whose entry had gone received requests again as soon as a box had read the restored store, as the entry was back with the copy.

Cause: an entry of the present era replaces what was known, and a copy brings entries of before. An upstream that a box knows to have gone now gets nothing until its entry is written anew, or has outlasted the time in which the entry of an ended upstream goes again.

--- a/crates/jb-relay/src/follow/mod.rs
+++ b/crates/jb-relay/src/follow/mod.rs
@@ -2,6 +2,7 @@
 
 mod facts;
 mod missing;
+mod resurrected;
 mod run;
 
 pub use run::{PERIOD, run};
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -15,6 +15,7 @@
 
 use super::facts::apply;
 use super::missing::{self, Blindness};
+use super::resurrected::Resurrected;
 use crate::core::{Core, Origin, Shared};
 use crate::peers;
 use crate::port::{Age, Change, News, Revision, StoreError};
@@ -46,6 +47,8 @@
     keys: BTreeSet<String>,
     /// The last time without any update.
     blindness: Blindness,
+    /// Entries that are back with a restore.
+    resurrected: Resurrected,
 }
 
 /// Own calls that fail.
@@ -217,8 +220,17 @@
         .blindness
         .note(core, proven.unwrap_or_else(|| core.now()));
     let comes_back = progress.blindness.comes_back_until(core);
+    if is_restored {
+        progress.resurrected.note_restore(core, &changes);
+    }
+    for change in progress.resurrected.take_due(core.now()) {
+        apply(core, core.store.decode(&change), change.revision, comes_back);
+    }
     for change in &changes {
         progress.note_key(change);
+        if progress.resurrected.holds(change) {
+            continue;
+        }
         apply(core, core.store.decode(change), change.revision, comes_back);
     }
     if changes.iter().any(|change| change.key.starts_with(peers::KEYS)) {
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -200,6 +200,8 @@
 pub trait Store {
     /// Content of a change.
     fn decode(&self, change: &Change) -> Fact;
+    /// Id of the upstream whose entry has changed, if it is one's.
+    fn upstream<'a>(&self, change: &'a Change) -> Option<&'a str>;
     /// All that it holds, or, at less cost, held some seconds ago.
     async fn all(&self, age: Age) -> Result<News, StoreError>;
     /// What has changed after a revision; waits up to `wait` for something.
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -264,6 +264,12 @@
         taken
     }
 
+    /// Returns whether an upstream was there and its entry has gone.
+    pub fn is_deregistered(&self, id: &str) -> bool {
+        let known = self.records.get(id).map(Record::standing);
+        known == Some(Standing::Gone) && !self.all.contains_key(id)
+    }
+
     /// Ids whose entries are missing.
     pub fn expired(&self) -> Vec<Id> {
         let expired = self.all.iter().filter(|(_, u)| u.expired.is_some());
