Don't take a restored store for proof that a key holds

A key whose revocation was acknowledged right before the store was lost opened requests again as soon as a box had read the restored store, beyond the time in which a revocation must be in force.

Cause: any answer of the store proved what the box knows of keys, and a restored store may lack the revocation until the operator has written it again. For that time keys are now as old as they were before the restore, so an outage that was short costs nothing.

--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -217,6 +217,23 @@
         self.restored.get().filter(|restore| now < restore.ends())
     }
 
+    /// Notes that the store has been restored.
+    pub fn note_restore(&self) {
+        let before = self.recent_restore();
+        self.restored.set(Some(Restore {
+            noticed: self.now(),
+            proven: before.map_or(self.proven.get(), |before| before.proven),
+        }));
+    }
+
+    /// Age of what the box knows of keys; `None` when it knows nothing. A restored store doesn't prove that a
+    /// key still holds until its revocation must be written again.
+    pub fn key_age(&self) -> Option<Duration> {
+        let restore = self.recent_restore();
+        let proven = restore.map_or(self.proven.get(), |restore| restore.proven);
+        proven.map(|at| self.now().saturating_sub(at))
+    }
+
     /// Configuration in force.
     pub fn rules(&self) -> Option<Rc<Rules>> {
         self.rules.borrow().clone()
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -19,7 +19,6 @@
 use crate::core::{Core, Origin, Shared};
 use crate::peers;
 use crate::port::{Age, Change, News, Revision, StoreError};
-use crate::restore::Restore;
 
 /// Pause between two calls: with the way there and back well under the time in which a
 /// configuration must be in force and a leaving upstream be known.
@@ -194,7 +193,7 @@
     if is_restored {
         emit!(core.logger, warn, event::STORE_RESTORED, "known" => %known, "revision" => %revision,
             "from" => ?from);
-        core.restored.set(Some(Restore { noticed: core.now() }));
+        core.note_restore();
     }
     is_restored
 }
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -220,7 +220,8 @@
     core.metrics.ended(refusal.name(), status);
     emit!(core.logger, info, event::REQUEST_REFUSED, "request" => id, "status" => status,
         "why" => refusal.name(), "version" => core.rules().map(|rules| rules.version),
-        "age_ms" => core.age().map(|age| age.as_millis() as u64));
+        "age_ms" => core.age().map(|age| age.as_millis() as u64),
+        "key_age_ms" => core.key_age().map(|age| age.as_millis() as u64));
     let after = (status == 503).then_some(COME_BACK);
     let keep_alive = status != 503;
     let sent = send_own(core, client, id, status, after, keep_alive).await;
--- a/crates/jb-relay/src/restore.rs
+++ b/crates/jb-relay/src/restore.rs
@@ -15,6 +15,8 @@
 pub struct Restore {
     /// When this box noticed it.
     pub noticed: Moment,
+    /// When what the box knew before was last proven.
+    pub proven: Option<Moment>,
 }
 
 impl Restore {
--- a/crates/jb-relay/src/ticket.rs
+++ b/crates/jb-relay/src/ticket.rs
@@ -118,7 +118,8 @@
     let route = rules.route(host, path).ok_or(missing(Refusal::NoRoute))?.clone();
     let mut customer = None;
     if !route.public && rules.wants_keys() {
-        if core.settings.bounds.strict_revoke && age > core.settings.bounds.revoke.mul_f64(REVOKE_SHARE) {
+        let oldest = core.settings.bounds.revoke.mul_f64(REVOKE_SHARE);
+        if core.settings.bounds.strict_revoke && core.key_age().is_none_or(|age| age > oldest) {
             return Err(Refusal::Stale);
         }
         let key = query
