Keep addresses of boxes that a restored store lacks

Boxes that had registered since the copy dropped out of each other's lists.

An address that a restore takes away is kept, and a box writes its own again unless the store has it in the present era.

boxes_keep_the_addresses_that_the_copy_lacks_and_write_their_own_again failed before and passes.

--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -103,10 +103,11 @@
 
 fn own(core: &Core, item: Change) {
     let mut own = core.own.borrow_mut();
-    let newer = own
-        .get(&item.key)
-        .is_none_or(|known| known.revision < item.revision);
-    if newer {
+    let known = own.get(&item.key);
+    let newer = known.is_none_or(|known| known.revision < item.revision);
+    // A box that a restored store lacks is still at its address, and writes it again.
+    let is_lost = known.is_some_and(|known| known.revision.era < item.revision.era) && item.value.is_none();
+    if newer && !(is_lost && item.key.starts_with(peers::KEYS)) {
         peers::apply_quarantine_record(core, &item);
         own.insert(item.key.clone(), item);
     }
--- a/crates/jb-relay/src/peers/register.rs
+++ b/crates/jb-relay/src/peers/register.rs
@@ -28,10 +28,11 @@
     let key = format!("{KEYS}{}", core.settings.id);
     loop {
         list(&core);
+        let era = core.era();
         let known = core.own.borrow().get(&key).cloned();
-        let value = known.as_ref().and_then(|item| item.value.clone());
-        if core.age().is_some() && value.as_deref() != Some(own.as_bytes()) {
-            let there = known.filter(|item| item.value.is_some());
+        let there = known.filter(|item| item.value.is_some() && item.revision.era == era);
+        let value = there.as_ref().and_then(|item| item.value.as_deref());
+        if core.age().is_some() && value != Some(own.as_bytes()) {
             let write = Write {
                 key: key.clone(),
                 value: Bytes::from(own.clone()),
@@ -39,7 +40,7 @@
                 lease: None,
             };
             core.metrics.store_calls.inc();
-            if let Err(why) = core.store.write(core.era(), &[write]).await {
+            if let Err(why) = core.store.write(era, &[write]).await {
                 emit!(core.logger, info, event::PEER_UNREGISTERED, "why" => %why);
             }
             sleep(AGAIN).await;
