Write quarantine records again that a restored store lacks

The record of a poison request was written once. A restore from a copy of before lost it, and a fleet that started anew afterwards would have learned from three more crashes.

The box that owns a record, by rendezvous hashing over the fleet, now writes it again when it notices a restore and the store lacks it.

--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -103,9 +103,9 @@
         self.first(now, |_, peer| Some(rank(peer)))
     }
 
-    /// The box that keeps the account of a customer, of all data halls.
-    pub fn customer_owner(&self, customer: u64, now: Moment) -> Option<(id::Box, SocketAddr)> {
-        self.first(now, |_, peer| Some(place::weight(customer, peer.name)))
+    /// The box of all data halls that owns what belongs to the whole fleet, such as a customer's limit.
+    pub fn fleet_owner(&self, key: u64, now: Moment) -> Option<(id::Box, SocketAddr)> {
+        self.first(now, |_, peer| Some(place::weight(key, peer.name)))
     }
 
     /// The box of a data hall that keeps it where that one gives no answer.
--- a/crates/jb-relay/src/peers/mark.rs
+++ b/crates/jb-relay/src/peers/mark.rs
@@ -2,13 +2,16 @@
 //! restart of the whole fleet would cost three engines more.
 //!
 //! A record has a lease as long as the quarantine. It is written once, by the box that observed the last
-//! crash.
+//! crash. After a restore of the store from a copy that lacks it, its owner writes it again.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
+use jb_policy::place;
 use jb_policy::poison::{Content, RETENTION, Verdict};
 use jb_protocol::{emit, event};
+use tokio::task::spawn_local;
 use tokio::time::sleep;
 
 use super::message::Suspect;
@@ -27,10 +30,31 @@
     format!("{KEYS}{content}")
 }
 
-/// Whether a request is shown to be poison and the store does not know it yet.
+/// Whether a request is quarantined and the store has no record of it.
 pub(super) fn is_due(core: &Core, content: Content) -> bool {
     let quarantined = core.quarantine.ledger().verdict(content, core.now()) == Verdict::Quarantined;
-    quarantined && !core.own.borrow().contains_key(&key(content))
+    let own = core.own.borrow();
+    let is_there = own.get(&key(content)).is_some_and(|item| item.value.is_some());
+    quarantined && !is_there
+}
+
+/// Writes the records again that a restored store lacks and this box owns.
+pub(super) fn write_lost(core: &Shared) {
+    let known = core.quarantine.ledger().dangerous(core.now());
+    let lost = known
+        .iter()
+        .map(|row| row.content)
+        .filter(|content| is_due(core, *content) && owns(core, *content));
+    for content in lost {
+        spawn_local(write(Rc::clone(core), content));
+    }
+}
+
+/// Whether this box is the one of the fleet that owns a record.
+fn owns(core: &Core, content: Content) -> bool {
+    let key = place::name_hash(&key(content));
+    let owner = core.book.borrow().fleet_owner(key, core.now());
+    owner.is_none_or(|(id, _)| id == core.settings.id)
 }
 
 /// Writes the mark of a request.
--- a/crates/jb-relay/src/peers/quota.rs
+++ b/crates/jb-relay/src/peers/quota.rs
@@ -133,7 +133,7 @@
 /// The grant of the account, with the box that keeps it.
 async fn judge(core: &Core, charge: &mut Charge) -> (id::Box, Grant) {
     let key = u64::from(charge.customer);
-    let first = core.book.borrow().customer_owner(key, core.now());
+    let first = core.book.borrow().fleet_owner(key, core.now());
     let granted = owner::ask(core, key, first, async |owner, scope| {
         if scope == Scope::Hall {
             charge.again = true;
