Soak: restore the store from copies

A set of faults of boxes and of the store. A new check: orders of two boxes to one engine keep the pause, unless one of them was halted.

--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -20,6 +20,8 @@
     Leaving,
     /// Orders to an engine bear fencing tokens that never fall.
     Fence,
+    /// Orders of two boxes to one engine keep a pause.
+    Turns,
     /// Engines have the newest weights in the end.
     Weights,
     /// An engine that says in an answer that it leaves gets nothing later from the box that has passed
@@ -36,7 +38,7 @@
 }
 
 /// All promises.
-pub const ALL: [Promise; 13] = [
+pub const ALL: [Promise; 14] = [
     Promise::OwnAnswer,
     Promise::Order,
     Promise::Once,
@@ -44,6 +46,7 @@
     Promise::Revoked,
     Promise::Leaving,
     Promise::Fence,
+    Promise::Turns,
     Promise::Weights,
     Promise::Word,
     Promise::Backoff,
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -11,6 +11,7 @@
 
 use crate::limits;
 use crate::proxy::Link;
+use crate::restores;
 use crate::signals;
 use crate::world::{EVENTS, World, config};
 
@@ -42,12 +43,17 @@
     Shed,
     /// An engine announces a rate limit.
     Limit,
+    /// The store comes back from a copy.
+    Restore,
 }
 
 impl Fault {
     /// Whether it strikes all boxes.
     fn is_of_store(self) -> bool {
-        matches!(self, Self::Store(_) | Self::Compact | Self::Leases)
+        matches!(
+            self,
+            Self::Store(_) | Self::Compact | Self::Leases | Self::Restore
+        )
     }
 }
 
@@ -63,6 +69,8 @@
     Words,
     /// All, with words in answers and rate limits.
     Limits,
+    /// Faults of boxes and of the store, which is restored from copies. Leases run as long as it grants.
+    Restores,
     /// Those of the first seeds, fewer of them, beside callers whose request ends engines.
     Poison,
 }
@@ -80,8 +88,32 @@
 /// Time for which states that end last.
 const LASTS: std::ops::Range<u64> = 200..3500;
 
+/// Faults beside restores.
+const WITH_RESTORES: u32 = 24;
+
+fn draw_with_restores(random: &mut ChaCha8Rng) -> Fault {
+    match random.random_range(0..WITH_RESTORES) {
+        0 => Fault::Kill,
+        1 | 2 => Fault::Stop,
+        3 => Fault::Pause,
+        4 => Fault::Link(Link::Silent),
+        5 => Fault::Link(Link::Reset),
+        6 => Fault::Store(Mood::Status(503)),
+        7 => Fault::Compact,
+        8 => Fault::Engine,
+        9 => Fault::Leave,
+        10..=14 => Fault::Weights,
+        15 => Fault::Revoke,
+        16 => Fault::Config,
+        17 | 18 => Fault::Vanish,
+        19 => Fault::Restart,
+        _ => Fault::Restore,
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, set: Set) -> Fault {
     let count = match set {
+        Set::Restores => return draw_with_restores(random),
         Set::First | Set::Poison => FIRST,
         Set::All => ALL,
         Set::Words => WORDS,
@@ -165,6 +197,7 @@
             sleep(lasts).await;
             world.write_entry(engine);
         }
+        Fault::Restore => restores::restore(&world, &mut random).await,
         Fault::Compact => world.store.compact(),
         Fault::Leases => world.store.end_leases(),
         Fault::Engine => spoil(&world, engine, &mut random),
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod limits;
 pub mod poison;
 pub mod proxy;
+pub mod restores;
 pub mod run;
 pub mod signals;
 pub mod world;
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -43,12 +43,16 @@
     /// all faults, such words, and engines that announce rate limits
     #[argh(switch)]
     limits: bool,
+    /// faults of boxes and of the store, which is restored from copies
+    #[argh(switch)]
+    restores: bool,
 }
 
 impl Arguments {
     fn set(&self) -> Set {
         match self {
             Self { poison: true, .. } => Set::Poison,
+            Self { restores: true, .. } => Set::Restores,
             Self { limits: true, .. } => Set::Limits,
             Self { signals: true, .. } => Set::Words,
             Self { first: true, .. } => Set::First,
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -18,6 +18,7 @@
 use crate::limits;
 use crate::poison;
 use crate::proxy::Link;
+use crate::restores;
 use crate::signals;
 use crate::world::World;
 
@@ -110,6 +111,7 @@
     poison::check(&world, &mut checks);
     signals::check(&world, &mut checks);
     limits::check(&world, &mut checks);
+    restores::check(&world, &mut checks);
     checks
 }
 
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -31,8 +31,13 @@
 /// Longest wait for the answer of a box that serves.
 const SERVES: Duration = Duration::from_secs(4);
 
-/// Time of a fault.
-type Disturbance = Range<Instant>;
+/// A fault of a box.
+#[derive(Clone, Debug)]
+struct Disturbance {
+    time: Range<Instant>,
+    /// Whether it strikes all boxes, as one of the store does.
+    each: bool,
+}
 
 /// Everything that a run is about.
 pub struct World {
@@ -62,6 +67,8 @@
     pub revoked: Cell<Option<Instant>>,
     /// Engines that leave by their entries: when their time is over, and how much they had run then.
     pub left: RefCell<BTreeMap<usize, (Instant, usize)>>,
+    /// Those of them that have no entry.
+    vanished: RefCell<BTreeSet<usize>>,
     /// Engines that say in their answers that they leave.
     saying: RefCell<BTreeSet<usize>>,
     /// Callers.
@@ -117,6 +124,7 @@
             weights: Cell::new(1),
             revoked: Cell::default(),
             left: RefCell::default(),
+            vanished: RefCell::default(),
             saying: RefCell::default(),
             callers: plan.callers as usize,
             began: Instant::now(),
@@ -173,6 +181,7 @@
     pub fn vanish(&self, engine: usize) {
         if self.may_leave(engine) {
             self.store.remove(&format!("servers/{}", self.engines[engine].id));
+            self.vanished.borrow_mut().insert(engine);
             let until = Instant::now() + LEAVE;
             self.left.borrow_mut().insert(engine, (until, 0));
         }
@@ -197,7 +206,10 @@
         let until = from + lasts;
         for (number, disturbed) in self.disturbed.borrow_mut().iter_mut().enumerate() {
             if each || number == at {
-                disturbed.push(from..until);
+                disturbed.push(Disturbance {
+                    time: from..until,
+                    each,
+                });
             }
         }
     }
@@ -207,14 +219,24 @@
         let disturbed = &self.disturbed.borrow()[at];
         disturbed
             .iter()
-            .all(|disturbance| Instant::now() > disturbance.end + time)
+            .all(|disturbance| Instant::now() > disturbance.time.end + time)
     }
 
     /// Whether a box had a fault at a moment.
     pub fn was_disturbed(&self, at: usize, moment: Instant) -> bool {
         self.disturbed.borrow()[at]
             .iter()
-            .any(|disturbance| disturbance.contains(&moment))
+            .any(|disturbance| disturbance.time.contains(&moment))
+    }
+
+    /// Whether a box had a fault of its own at a moment, or right before.
+    pub fn was_halted(&self, name: &str, moment: Instant, before: Duration) -> bool {
+        let Some(at) = self.boxes.iter().position(|one| one.name == name) else {
+            return false;
+        };
+        let disturbed = &self.disturbed.borrow()[at];
+        let mut own = disturbed.iter().filter(|disturbance| !disturbance.each);
+        own.any(|Disturbance { time, .. }| time.start <= moment && moment < time.end + before)
     }
 
     /// Starts an engine again, unless it is to leave.
@@ -231,6 +253,22 @@
         }
     }
 
+    /// Writes everything of the operator and the engines again.
+    pub fn write_again(&self) {
+        self.store.put_config(&config(self.version.get(), &self.keys()));
+        if self.weights.get() > 1 {
+            self.store.put_weights(self.weights.get());
+        }
+        for (at, engine) in self.engines.iter().enumerate() {
+            if self.vanished.borrow().contains(&at) {
+                self.store.remove(&format!("servers/{}", engine.id));
+            } else {
+                self.store
+                    .put_engine(engine, self.left.borrow().contains_key(&at));
+            }
+        }
+    }
+
     /// Writes an entry that cannot be read in place of an engine's, unless it leaves.
     pub fn scribble(&self, engine: usize, random: &mut ChaCha8Rng) {
         if self.leaves(engine) {
