Let a box that must read everything ask others while it can't

A box that the store had told to read everything, and then turned away, asked no other box: it had given up the revision that it would have asked for. It learned of no drain and no configuration until the store answered it.

It now asks for what it lacks of the revision that it knows; the other box answers if it still has that, or with everything of a later era. A whole read that fails in this way no longer goes on without a pause.

box_that_is_turned_away_before_it_has_read_everything_learns_from_others failed before (never learned of the drain) and passes.

--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -63,6 +63,8 @@
 struct Update {
     from: Origin,
     changes: Vec<Change>,
+    /// Whether they are all that the store holds.
+    whole: bool,
     /// Revision after them.
     revision: Revision,
     /// When it was true, at the earliest; `None` when it may be as old as a stale read.
@@ -107,15 +109,18 @@
 
 /// News from another box, unless this one is to read the store itself.
 async fn ask(core: &Core, socket: &UdpSocket, progress: &Progress) -> Option<Update> {
-    let after = progress.after?;
-    let source = match progress.failing {
+    // A box that cannot read everything itself asks for what it lacks of what it knows.
+    let known = core.log.borrow().revision();
+    let is_known = known != Revision::default();
+    let (after, source) = match progress.failing {
         Some(failing) if core.now() > failing.last + TRY_AGAIN => return None,
-        Some(_) => peers::Source::AnyLead,
-        None => peers::Source::Lead,
+        Some(_) => (is_known.then_some(known)?, peers::Source::AnyLead),
+        None => (progress.after?, peers::Source::Lead),
     };
     let update = peers::ask(core, socket, after, source).await?;
     Some(Update {
         from: Origin::Box(source),
+        whole: after.era < update.revision.era,
         changes: update.changes,
         revision: update.revision,
         proven: Some(update.proven),
@@ -144,6 +149,7 @@
                 progress,
                 Update {
                     from: Origin::Store,
+                    whole: progress.after.is_none(),
                     changes,
                     revision,
                     proven: (!stale).then_some(asked),
@@ -154,9 +160,11 @@
             }
         }
         Err(why @ (StoreError::HistoryGone | StoreError::Restored)) => {
-            let after = progress.after.take().unwrap_or_default();
-            emit!(core.logger, info, event::HISTORY_GONE, "after" => %after, "why" => %why);
+            emit!(core.logger, info, event::HISTORY_GONE, "after" => progress.after.map(|after| after.to_string()), "why" => %why);
             progress.gone = true;
+            if progress.after.take().is_none() {
+                sleep(AFTER_FAILURE).await;
+            }
         }
         Err(why) => {
             lost(core, progress, &why);
@@ -203,11 +211,11 @@
     let Update {
         from,
         mut changes,
+        whole,
         revision,
         proven,
     } = update;
     let is_restored = note_era(core, from, revision);
-    let whole = progress.after.is_none() || is_restored;
     if whole {
         let missing = progress.missing(&changes, revision);
         changes.extend(missing);
