Rename leads of data halls to relay nodes

The glossary and the module already said relay node; identifiers, comments and pages said lead. No behaviour changes; the log field from of store_restored shows the new name.

--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -23,7 +23,7 @@
 /// Pause between two calls: with the way there and back well under the time in which a
 /// configuration must be in force and a leaving upstream be known.
 pub const PERIOD: Duration = Duration::from_millis(700);
-/// Pause between two questions to the lead of the data hall, which add to the age of its own call.
+/// Pause between two questions to the relay node of the data hall, which add to the age of its own call.
 const ASK_PERIOD: Duration = Duration::from_millis(350);
 /// Pause after a call that failed.
 const AFTER_FAILURE: Duration = Duration::from_millis(400);
@@ -93,7 +93,7 @@
     }
 }
 
-/// Follows the store for ever, through the lead of the data hall where it can.
+/// Follows the store for ever, through the relay node of the data hall where it can.
 pub async fn run(core: Shared, socket: Rc<UdpSocket>) {
     let mut progress = Progress::default();
     loop {
@@ -114,8 +114,8 @@
     let is_known = known != Revision::default();
     let (after, source) = match progress.failing {
         Some(failing) if core.now() > failing.last + TRY_AGAIN => return None,
-        Some(_) => (is_known.then_some(known)?, peers::Source::AnyLead),
-        None => (progress.after?, peers::Source::Lead),
+        Some(_) => (is_known.then_some(known)?, peers::Source::AnyRelayNode),
+        None => (progress.after?, peers::Source::RelayNode),
     };
     let update = peers::ask(core, socket, after, source).await?;
     Some(Update {
@@ -255,7 +255,7 @@
     progress.gone &= proven.is_none();
     core.news_from.set(Some(from));
     core.proven.set(proven.max(core.proven.get()));
-    if from != Origin::Box(peers::Source::AnyLead) {
+    if from != Origin::Box(peers::Source::AnyRelayNode) {
         core.proven_directly.set(proven.max(core.proven_directly.get()));
     }
 }
--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -1,8 +1,8 @@
-//! The boxes that may be alive, and the one of a data hall that leads.
+//! The boxes that may be alive, and the relay node of each data hall.
 //!
-//! The lead reads the store for its hall and adds up loads in a large fleet.
+//! The relay node reads the store for its hall and adds up loads in a large fleet.
 //! It is only a choice that each box makes by itself: the box of the greatest
-//! weight that has not been silent lately. Two leads cost a few calls more.
+//! weight that has not been silent lately. Two relay nodes cost a few calls more.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
@@ -140,21 +140,21 @@
         self.silent.remove(id);
     }
 
-    /// The box that leads a data hall.
-    pub fn lead(&self, hall: &str, now: Moment) -> Option<&id::Box> {
+    /// The relay node of a data hall.
+    pub fn relay_node(&self, hall: &str, now: Moment) -> Option<&id::Box> {
         let in_hall = self.peers.iter().filter(|(_, peer)| peer.hall == hall);
         let not_silent = in_hall.filter(|(id, _)| !self.is_silent(id, now));
         not_silent.map(|(id, _)| id).max_by_key(|id| weight(hall, id))
     }
 
-    /// The leads of the other data halls.
-    pub fn other_leads(&self, hall: &str, now: Moment) -> Vec<id::Box> {
+    /// The relay nodes of the other data halls.
+    pub fn other_relay_nodes(&self, hall: &str, now: Moment) -> Vec<id::Box> {
         let mut halls: Vec<&str> = self.peers.values().map(|peer| peer.hall.as_str()).collect();
         halls.sort_unstable();
         halls.dedup();
         let others = halls.into_iter().filter(|other| *other != hall);
         others
-            .filter_map(|other| self.lead(other, now).cloned())
+            .filter_map(|other| self.relay_node(other, now).cloned())
             .collect()
     }
 
--- a/crates/jb-relay/src/peers/message/limit.rs
+++ b/crates/jb-relay/src/peers/message/limit.rs
@@ -6,7 +6,7 @@
 /// Boxes that the relay node of a data hall reaches, itself included.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub(in crate::peers) struct Count {
-    /// Lead.
+    /// Relay node.
     pub from: id::Box,
     /// Boxes of its data hall.
     pub hall: u32,
--- a/crates/jb-relay/src/peers/reachability.rs
+++ b/crates/jb-relay/src/peers/reachability.rs
@@ -36,7 +36,7 @@
     /// Boxes of each other data hall, as its relay node counted last.
     halls: BTreeMap<id::Hall, (Moment, u32)>,
     /// Boxes of the own data hall and of all, as the own relay node counted.
-    lead: Option<(Moment, Fleet)>,
+    relay_node: Option<(Moment, Fleet)>,
     statuses: u32,
 }
 
@@ -58,7 +58,7 @@
 
     /// Returns the boxes that reach each other in a large fleet; `listed` are those that may be alive.
     pub fn fleet(&self, listed: Fleet, now: Moment) -> Fleet {
-        match self.lead {
+        match self.relay_node {
             Some((at, fleet)) if now < at + MAX_COUNT_AGE => fleet,
             None if now < STARTUP_PERIOD => listed,
             _ => Fleet { hall: 1, all: 1 },
@@ -67,7 +67,7 @@
 
     /// Applies the count of the own relay node.
     pub fn note(&mut self, fleet: Fleet, now: Moment) {
-        self.lead = Some((now, fleet));
+        self.relay_node = Some((now, fleet));
     }
 
     /// Counts the fleet from the boxes of the own hall and the counts of other relay nodes.
@@ -96,8 +96,8 @@
         hall: fleet.hall,
         all: fleet.all,
     });
-    let leads = core.book.borrow().other_leads(&core.settings.hall, now);
-    for id in members.iter().chain(&leads) {
+    let relay_nodes = core.book.borrow().other_relay_nodes(&core.settings.hall, now);
+    for id in members.iter().chain(&relay_nodes) {
         let address = core.book.borrow().address(id);
         if let Some(address) = address {
             send(core, socket, address, &count).await;
--- a/crates/jb-relay/src/peers/relay.rs
+++ b/crates/jb-relay/src/peers/relay.rs
@@ -1,6 +1,6 @@
-//! News of the store from the lead of the data hall, so that not every box asks the store.
+//! News of the store from the relay node of the data hall, so that not every box asks the store.
 //!
-//! An answer proves what was in force when the lead's own call was sent. The
+//! An answer proves what was in force when the relay node's own call was sent. The
 //! asker counts from the moment it asked, so a late datagram makes the
 //! knowledge older, never younger.
 
@@ -21,9 +21,9 @@
 use crate::port::{Change, Era, Revision};
 use crate::saturating_cast::saturating_cast;
 
-/// Time in which the lead answers.
+/// Time in which the relay node answers.
 const ANSWER: Duration = Duration::from_millis(250);
-/// Oldest knowledge that is sent. What a lead knows is between one and two pauses of its calls
+/// Oldest knowledge that is sent. What a relay node knows is between one and two pauses of its calls
 /// old; with two as the limit, askers that call at the same pace always met it a little older.
 const OLDEST: Duration = Duration::from_millis(1800);
 /// Bytes of a message without its changes, at the most.
@@ -33,7 +33,7 @@
 const LONGEST_IN_PIECES: usize = 16 * 1024;
 
 /// The same for a box that cannot read the store itself: any configuration. To all boxes of a data
-/// hall a lead with a link of 20 Mbit/s would be seconds about it.
+/// hall a relay node with a link of 20 Mbit/s would be seconds about it.
 pub(super) const LONGEST_OF_ALL: usize = 512 * 1024;
 
 /// What fits into one datagram of the changes that a box asks for, but for the first `skip` ones,
@@ -123,23 +123,23 @@
 /// Whom a box asks for news of the store.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
-    /// The lead of its own data hall.
-    Lead,
-    /// The leads of all data halls in turn, as its own path to the store is cut.
-    AnyLead,
+    /// The relay node of its own data hall.
+    RelayNode,
+    /// The relay nodes of all data halls in turn, as its own path to the store is cut.
+    AnyRelayNode,
 }
 
 /// Asks other boxes for news; `None` when this box is to read the store itself.
 pub async fn ask(core: &Core, socket: &UdpSocket, after: Revision, source: Source) -> Option<Update> {
-    let leads = match source {
-        Source::Lead => own_lead(core).into_iter().collect(),
-        Source::AnyLead => any_lead(core),
+    let relay_nodes = match source {
+        Source::RelayNode => own_relay_node(core).into_iter().collect(),
+        Source::AnyRelayNode => any_relay_node(core),
     };
-    for lead in leads {
-        match ask_one(core, socket, after, source, &lead).await {
+    for relay_node in relay_nodes {
+        match ask_one(core, socket, after, source, &relay_node).await {
             Ok(update) => return Some(update),
-            Err(why) if source == Source::AnyLead => {
-                emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => lead, "why" => ?why);
+            Err(why) if source == Source::AnyRelayNode => {
+                emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => relay_node, "why" => ?why);
             }
             Err(_) => {}
         }
@@ -165,9 +165,9 @@
     socket: &UdpSocket,
     after: Revision,
     source: Source,
-    lead: &str,
+    relay_node: &str,
 ) -> Result<Update, Failure> {
-    let address = core.book.borrow().address(lead).ok_or(Failure::Silent)?;
+    let address = core.book.borrow().address(relay_node).ok_or(Failure::Silent)?;
     let mut all: Vec<Change> = Vec::new();
     // The next value, as far as it has come in pieces.
     let mut value = Vec::new();
@@ -178,10 +178,10 @@
             nonce: 0,
             after,
             from: saturating_cast(value.len()),
-            long: source == Source::AnyLead,
+            long: source == Source::AnyRelayNode,
         };
         let Some(news) = question(core, socket, address, ask, saturating_cast(all.len())).await else {
-            core.book.borrow_mut().missed(lead, core.now());
+            core.book.borrow_mut().missed(relay_node, core.now());
             return Err(Failure::Silent);
         };
         if let Some(present) = era_of(&news.answer)
@@ -228,21 +228,28 @@
     }
 }
 
-fn own_lead(core: &Core) -> Option<id::Box> {
-    let lead = core.book.borrow().lead(&core.settings.hall, core.now()).cloned();
-    lead.filter(|lead| *lead != core.settings.id)
+fn own_relay_node(core: &Core) -> Option<id::Box> {
+    let relay_node = core
+        .book
+        .borrow()
+        .relay_node(&core.settings.hall, core.now())
+        .cloned();
+    relay_node.filter(|relay_node| *relay_node != core.settings.id)
 }
 
-/// The leads of all data halls, beginning with another one each time: a lead may itself be turned
+/// The relay nodes of all data halls, beginning with another one each time: a relay node may itself be turned
 /// away, and the others still answer.
-fn any_lead(core: &Core) -> Vec<id::Box> {
-    let mut leads = core.book.borrow().other_leads(&core.settings.hall, core.now());
-    leads.extend(own_lead(core));
-    if !leads.is_empty() {
-        let first = core.relayed.nonce.get() as usize % leads.len();
-        leads.rotate_left(first);
+fn any_relay_node(core: &Core) -> Vec<id::Box> {
+    let mut relay_nodes = core
+        .book
+        .borrow()
+        .other_relay_nodes(&core.settings.hall, core.now());
+    relay_nodes.extend(own_relay_node(core));
+    if !relay_nodes.is_empty() {
+        let first = core.relayed.nonce.get() as usize % relay_nodes.len();
+        relay_nodes.rotate_left(first);
     }
-    leads
+    relay_nodes
 }
 
 /// One question and its answer, if it comes in time.
--- a/crates/jb-relay/src/peers/status.rs
+++ b/crates/jb-relay/src/peers/status.rs
@@ -34,7 +34,7 @@
 /// Age beyond which a status isn't used.
 const MAX_STATUS_AGE: Duration = Duration::from_millis(1500);
 /// Time without an answer after which another box becomes the relay node.
-const LEAD_TIMEOUT: Duration = Duration::from_millis(700);
+const RELAY_NODE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Prompts that wait for the next status.
 const MAX_QUEUED_USES: usize = 100;
 /// Intervals after which an empty status is sent all the same: the others count the box by it, and a box
@@ -48,7 +48,7 @@
     /// Prompts of this box since its last status.
     own: Vec<CacheUse>,
     /// When the relay node last sent its sum.
-    lead_seen: Moment,
+    relay_node_seen: Moment,
 }
 
 #[derive(Debug)]
@@ -149,7 +149,7 @@
             quiet = if nothing { quiet + 1 } else { 0 };
         } else {
             sleep(LARGE_PERIOD).await;
-            send_to_lead(&core, &socket).await;
+            send_to_relay_node(&core, &socket).await;
         }
     }
 }
@@ -173,19 +173,19 @@
 }
 
 /// Sends the status to the relay node of the hall; that one sends the hall's sum to the other relay nodes.
-async fn send_to_lead(core: &Core, socket: &UdpSocket) {
+async fn send_to_relay_node(core: &Core, socket: &UdpSocket) {
     let now = core.now();
-    let lead = core.book.borrow().lead(&core.settings.hall, now).cloned();
-    let Some(lead) = lead else { return };
-    if lead == core.settings.id {
-        core.loads.borrow_mut().lead_seen = now;
-        send_to_other_leads(core, socket).await;
+    let relay_node = core.book.borrow().relay_node(&core.settings.hall, now).cloned();
+    let Some(relay_node) = relay_node else { return };
+    if relay_node == core.settings.id {
+        core.loads.borrow_mut().relay_node_seen = now;
+        send_to_other_relay_nodes(core, socket).await;
         reachability::broadcast(core, socket).await;
         return;
     }
-    if now > core.loads.borrow().lead_seen + LEAD_TIMEOUT {
-        core.book.borrow_mut().missed(&lead, now);
-        core.loads.borrow_mut().lead_seen = now;
+    if now > core.loads.borrow().relay_node_seen + RELAY_NODE_TIMEOUT {
+        core.book.borrow_mut().missed(&relay_node, now);
+        core.loads.borrow_mut().relay_node_seen = now;
         return;
     }
     let status = Status {
@@ -193,17 +193,20 @@
         loads: own_loads(core),
         ..Status::new(core)
     };
-    send_to(core, socket, &lead, status).await;
+    send_to(core, socket, &relay_node, status).await;
 }
 
-async fn send_to_other_leads(core: &Core, socket: &UdpSocket) {
-    let leads = core.book.borrow().other_leads(&core.settings.hall, core.now());
-    for lead in leads {
+async fn send_to_other_relay_nodes(core: &Core, socket: &UdpSocket) {
+    let relay_nodes = core
+        .book
+        .borrow()
+        .other_relay_nodes(&core.settings.hall, core.now());
+    for relay_node in relay_nodes {
         let loads = sum(core, own_loads(core), |received, _| received.member);
         send_to(
             core,
             socket,
-            &lead,
+            &relay_node,
             Status {
                 loads,
                 ..Status::new(core)
@@ -258,9 +261,9 @@
         apply_use(core, used);
     }
     if !core.book.borrow().is_small() {
-        let lead = core.book.borrow().lead(&core.settings.hall, now) == Some(&status.from);
-        if lead {
-            core.loads.borrow_mut().lead_seen = now;
+        let relay_node = core.book.borrow().relay_node(&core.settings.hall, now) == Some(&status.from);
+        if relay_node {
+            core.loads.borrow_mut().relay_node_seen = now;
         }
     }
     if status.has_loads() {
--- a/crates/jb-relay/tests/peers.rs
+++ b/crates/jb-relay/tests/peers.rs
@@ -5,13 +5,16 @@
 use jb_relay::follow::PERIOD;
 use jb_relay::peers::is_recent;
 
-/// Half of the questions to a lead met it just before its next answer came, at two pauses of
+/// Half of the questions to a relay node met it just before its next answer came, at two pauses of
 /// age, and sent the asker to the store, which kept the two in step.
 #[test]
-fn lead_tells_what_it_knows_at_every_moment_between_two_of_its_calls() {
+fn relay_node_tells_what_it_knows_at_every_moment_between_two_of_its_calls() {
     const WAY: Duration = Duration::from_millis(100);
     assert!(is_recent(Duration::ZERO));
     assert!(is_recent(PERIOD));
     assert!(is_recent(2 * PERIOD + WAY));
-    assert!(!is_recent(3 * PERIOD), "a lead without answers tells nothing");
+    assert!(
+        !is_recent(3 * PERIOD),
+        "a relay node without answers sends nothing"
+    );
 }
--- a/crates/jb-relay/tests/reachability.rs
+++ b/crates/jb-relay/tests/reachability.rs
@@ -22,19 +22,19 @@
 }
 
 #[test]
-fn count_of_the_lead_holds_until_it_is_old_and_then_the_box_is_alone() {
+fn count_of_the_relay_node_holds_until_it_is_old_and_then_the_box_is_alone() {
     let mut reachability = Reachability::default();
     let most = Fleet { hall: 25, all: 68 };
     reachability.note(most, ms(300));
     assert_eq!(reachability.fleet(LISTED, ms(1799)), most);
-    // Also right after the start: it had heard its lead.
+    // Also right after the start: it had heard its relay node.
     assert_eq!(reachability.fleet(LISTED, ms(1800)), ALONE);
 }
 
-/// A lead that had just started counted the few boxes that had told it something by then, and the
+/// A relay node that had just started counted the few boxes that had told it something by then, and the
 /// limits of all customers were cut to their share.
 #[test]
-fn lead_tells_no_counts_until_boxes_have_had_the_time_to_tell_it() {
+fn relay_node_sends_no_counts_until_boxes_have_had_the_time_to_tell_it() {
     let mut reachability = Reachability::default();
     let due = (0..40)
         .map(|telling| ms(200 * telling))
