Rename the steward to leader and split its election from its term

Log events 7001, 7002 and 7004 keep their numbers and become leader_elected, leader_lost and leader_not_elected; 4010 becomes quarantine_record_unwritten. Keys and leases in the store keep their names, for fleets of two versions.

--- a/crates/jb-daemon/src/steward.rs
+++ b/crates/jb-daemon/src/leader.rs
@@ -1,11 +1,11 @@
 //! The thread that gives the hall's engines their orders, when this box is
-//! the hall's steward.
+//! the hall's leader.
 
 use std::sync::Arc;
 use std::time::Duration;
 
 use jb_platform::port::Grant;
-use jb_policy::steward::{self, LEASE, Loaded, Planned, Steward, Wanted};
+use jb_policy::leader::{self, LEASE, Leader, Loaded, Planned, Wanted};
 use jb_protocol::event;
 use jb_protocol::platform::Hold;
 use jb_protocol::service::Kind;
@@ -19,9 +19,9 @@
 /// Pause between two rounds: renewal, reading back, orders.
 const ROUND: Duration = Duration::from_secs(1);
 
-/// Acts as steward whenever this box holds the lease.
+/// Acts as leader whenever this box holds the lease.
 pub async fn work(context: Arc<Context>) {
-    let mut state = Steward::default();
+    let mut state = Leader::default();
     let mut rounds = tokio::time::interval(ROUND);
     rounds.set_missed_tick_behavior(MissedTickBehavior::Delay);
     loop {
@@ -33,7 +33,7 @@
 
 /// Holds the lease while some service wants orders and this box is the most
 /// preferred live one; else lets it lapse.
-async fn renew(context: &Context, state: &mut Steward) {
+async fn renew(context: &Context, state: &mut Leader) {
     let hall = &context.settings.hall;
     if !wants_orders(context) || !is_preferred(context) || context.stop.is_stopping() {
         note_lost(context, state);
@@ -45,10 +45,10 @@
     };
     let asked_at = context.clock.now();
     context.metrics.platform_calls.inc();
-    match context.platform.hold(&steward::lease(hall), &hold).await {
+    match context.platform.hold(&leader::lease(hall), &hold).await {
         Ok(Grant::Held(lease)) => {
             if state.granted(&lease, asked_at) {
-                emit!(context.logger, info, event::STEWARD_TAKEN, "fence" => lease.fence);
+                emit!(context.logger, info, event::LEADER_ELECTED, "fence" => lease.fence);
             }
         }
         Ok(Grant::Taken(_)) => note_lost(context, state),
@@ -57,9 +57,9 @@
     }
 }
 
-fn note_lost(context: &Context, state: &mut Steward) {
+fn note_lost(context: &Context, state: &mut Leader) {
     if state.lost() {
-        emit!(context.logger, info, event::STEWARD_LOST);
+        emit!(context.logger, info, event::LEADER_LOST);
     }
 }
 
@@ -74,13 +74,13 @@
 
 fn is_preferred(context: &Context) -> bool {
     let hall = &context.settings.hall;
-    let own = steward::preference(hall, &context.settings.id);
+    let own = leader::preference(hall, &context.settings.id);
     let others = context.directory.alive();
     let mut rivals = others.iter().filter(|m| m.hall == *hall && !m.leaving);
-    rivals.all(|m| steward::preference(hall, &m.id) < own)
+    rivals.all(|m| leader::preference(hall, &m.id) < own)
 }
 
-async fn give_orders(context: &Context, state: &mut Steward) {
+async fn give_orders(context: &Context, state: &mut Leader) {
     let view = context.store.view();
     let ordered = view
         .services
@@ -101,7 +101,7 @@
 }
 
 /// Reads an engine back and orders it to what the tree wants.
-async fn check_engine(context: &Context, state: &mut Steward, service: &Service, upstream: &Upstream) {
+async fn check_engine(context: &Context, state: &mut Leader, service: &Service, upstream: &Upstream) {
     let Ok(report) = context.engines.report(upstream.address).await else {
         return;
     };
--- a/crates/jb-daemon/src/lib.rs
+++ b/crates/jb-daemon/src/lib.rs
@@ -3,7 +3,7 @@
 //! Every box runs the same program. Its duties run on threads of their own,
 //! joined by bounded rings: `accept` serves callers and other boxes, `decide`
 //! owns the decisions, `tree` follows the settings, `members` probes other
-//! boxes, `probe` asks engines for their load, `claims` writes claims, and `steward` gives engines
+//! boxes, `probe` asks engines for their load, `claims` writes claims, and `leader` gives engines
 //! their orders.
 
 pub use jb_protocol::emit;
@@ -14,6 +14,7 @@
 pub mod context;
 pub mod decide;
 pub mod follow;
+pub mod leader;
 pub mod log;
 pub mod members;
 pub mod metrics;
@@ -25,6 +26,5 @@
 pub mod settings;
 pub mod site;
 pub mod start;
-pub mod steward;
 pub mod stop;
 pub mod trace;
--- a/crates/jb-daemon/src/start.rs
+++ b/crates/jb-daemon/src/start.rs
@@ -27,7 +27,7 @@
 use crate::quarantine::Quarantine;
 use crate::settings::Settings;
 use crate::trace::Traces;
-use crate::{admin, claims, decide, emit, probe, serve, steward};
+use crate::{admin, claims, decide, emit, leader, probe, serve};
 
 struct Listeners {
     callers: TcpListener,
@@ -165,7 +165,7 @@
     let shared = Arc::clone(context);
     on_thread("probe", move || probe::work(shared))?;
     let shared = Arc::clone(context);
-    on_thread("steward", move || steward::work(shared))?;
+    on_thread("leader", move || leader::work(shared))?;
     let shared = Arc::clone(context);
     tokio::spawn(async move {
         let mut revisions = shared.store.subscribe();
--- a/crates/jb-policy/src/steward.rs
+++ b/crates/jb-policy/src/leader.rs
@@ -1,8 +1,8 @@
-//! The steward of a hall: the one box that gives its engines orders.
+//! The leader of a hall: the one box that gives its engines orders.
 //!
 //! The platform's lease names it. It gives no order near the end of its
 //! lease, measured from before it asked; each order carries the lease's
-//! fencing token. For engines that do not check tokens, a new steward first
+//! fencing token. For engines that do not check tokens, a new leader first
 //! waits until every order of the one before must have arrived, and what an
 //! engine reports is compared with the tree again and again, so that a stray
 //! order is undone. Nothing is routed by what was ordered, only by what an
@@ -30,7 +30,7 @@
     format!("steward/{hall}")
 }
 
-/// How much a box is preferred as steward; only the most preferred live box
+/// How much a box is preferred as leader; only the most preferred live box
 /// asks for the lease, so the platform gets one call for a hall.
 pub fn preference(hall: &str, name: &str) -> u64 {
     place::weight(place::name_hash(&lease(hall)), place::name_hash(name))
@@ -74,16 +74,16 @@
     until: Moment,
 }
 
-/// What a box knows of its own stewardship.
+/// What a box knows of its own leadership.
 #[derive(Clone, Debug, Default)]
-pub struct Steward {
+pub struct Leader {
     term: Option<Term>,
     ordered: BTreeMap<id::Upstream, Moment>,
 }
 
-impl Steward {
+impl Leader {
     /// Takes a lease that was asked for at `asked_at`; `true` when the box
-    /// was not steward before.
+    /// was not leader before.
     pub fn granted(&mut self, lease: &Lease, asked_at: Moment) -> bool {
         let until = asked_at + Duration::from_millis(lease.ttl_ms);
         let same = self.term.filter(|term| term.fence == lease.fence);
@@ -99,7 +99,7 @@
         same.is_none()
     }
 
-    /// Notes that the box is not steward; `true` when it was.
+    /// Notes that the box is not leader; `true` when it was.
     pub fn lost(&mut self) -> bool {
         self.term.take().is_some()
     }
@@ -116,7 +116,7 @@
             self.ordered.remove(&wanted.upstream);
             return None;
         }
-        // An order of the steward before may still be on its way.
+        // An order of the leader before may still be on its way.
         if !wanted.checks_fence && now < term.since + LEASE + ORDER {
             return None;
         }
--- a/crates/jb-policy/src/outage.rs
+++ b/crates/jb-policy/src/outage.rs
@@ -74,11 +74,11 @@
 /// Judges by the span in which the store has answered this box or others, up to this box's latest answer, and by
 /// the spans of the boxes that are reachable now. A box that is itself partitioned shows nothing about the
 /// store.
-pub fn judge(blind: Span, seen: Span, others: &[Span], harmless: Duration) -> Store {
-    if seen.from <= blind.from + harmless {
+pub fn judge(partition: Span, seen: Span, others: &[Span], harmless: Duration) -> Store {
+    if seen.from <= partition.from + harmless {
         return Store::Answered;
     }
-    let sees_it = |span: &Span| span.until + harmless >= blind.until;
+    let sees_it = |span: &Span| span.until + harmless >= partition.until;
     if others.iter().any(sees_it) {
         Store::Away
     } else {
--- a/crates/jb-policy/tests/steward.rs
+++ b/crates/jb-policy/tests/leader.rs
@@ -1,11 +1,11 @@
-//! Stewards: an order is given only well within the lease.
+//! Leaders: an order is given only well within the lease.
 
 #![allow(clippy::expect_used)]
 
 use std::time::Duration;
 
 use jb_policy::Moment;
-use jb_policy::steward::{Loaded, Steward, Wanted};
+use jb_policy::leader::{Leader, Loaded, Wanted};
 use jb_protocol::platform::Lease;
 use quickcheck::{Arbitrary as _, Gen};
 
@@ -41,39 +41,39 @@
 
 #[test]
 fn no_order_is_given_without_a_lease_or_near_its_end() {
-    let mut steward = Steward::default();
-    assert!(steward.plan(&wanted(true), &old(), at(0)).is_none());
-    steward.granted(&lease(1), at(0));
-    assert!(steward.plan(&wanted(true), &old(), at(TTL_MS - 1000)).is_none());
-    let planned = steward.plan(&wanted(true), &old(), at(100)).expect("an order");
+    let mut leader = Leader::default();
+    assert!(leader.plan(&wanted(true), &old(), at(0)).is_none());
+    leader.granted(&lease(1), at(0));
+    assert!(leader.plan(&wanted(true), &old(), at(TTL_MS - 1000)).is_none());
+    let planned = leader.plan(&wanted(true), &old(), at(100)).expect("an order");
     assert_eq!((planned.order.fence, planned.order.weights.as_str()), (1, "w2"));
 }
 
 #[test]
-fn a_frozen_steward_that_believes_in_its_lease_gives_no_order() {
-    let mut steward = Steward::default();
-    steward.granted(&lease(1), at(0));
-    assert!(steward.plan(&wanted(true), &old(), at(60_000)).is_none());
+fn a_frozen_leader_that_believes_in_its_lease_gives_no_order() {
+    let mut leader = Leader::default();
+    leader.granted(&lease(1), at(0));
+    assert!(leader.plan(&wanted(true), &old(), at(60_000)).is_none());
 }
 
 #[test]
 fn an_engine_that_checks_nothing_gets_orders_only_after_the_old_ones_are_over() {
-    let mut steward = Steward::default();
+    let mut leader = Leader::default();
     for renewal in 0..4 {
-        steward.granted(&lease(2), at(renewal * 3000));
+        leader.granted(&lease(2), at(renewal * 3000));
     }
-    assert!(steward.plan(&wanted(false), &old(), at(7900)).is_none());
-    assert!(steward.plan(&wanted(false), &old(), at(9100)).is_some());
+    assert!(leader.plan(&wanted(false), &old(), at(7900)).is_none());
+    assert!(leader.plan(&wanted(false), &old(), at(9100)).is_some());
 }
 
 /// Two boxes take turns as the platform's lease says; each may sleep at any
 /// time and wake up with its old belief.
 #[test]
-fn orders_of_two_stewards_never_overlap_however_they_sleep() {
+fn orders_of_two_leaders_never_overlap_however_they_sleep() {
     for seed in 0..200 {
         let mut source = Gen::from_size_and_seed(80, seed);
         let steps = Vec::<(bool, bool, u8)>::arbitrary(&mut source);
-        let mut boxes = [Steward::default(), Steward::default()];
+        let mut boxes = [Leader::default(), Leader::default()];
         let (mut holder, mut fence, mut until, mut now) = (0, 0, at(0), at(0));
         for (who, asks, pause) in steps {
             now += at(u64::from(pause) * 50);
--- a/crates/jb-protocol/src/engine.rs
+++ b/crates/jb-protocol/src/engine.rs
@@ -129,7 +129,7 @@
 /// The state that an order asks an engine to take.
 #[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Order {
-    /// Fencing token of the steward that gives the order.
+    /// Fencing token of the leader that gives the order.
     pub fence: id::Fence,
     /// Model to load.
     pub model: String,
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -55,7 +55,7 @@
     HISTORY_GONE = 4007, "history_gone", "The store has forgotten its history; all is read again.";
     STORE_UNREADABLE = 4008, "store_unreadable", "A value in the store cannot be read; the one before stays.";
     STORE_UPDATE_FAILED = 4009, "store_update_failed", "Another box could not send what has changed in the store.";
-    MARK_UNWRITTEN = 4010, "mark_unwritten", "A quarantine record could not be written to the store.";
+    QUARANTINE_RECORD_UNWRITTEN = 4010, "quarantine_record_unwritten", "A quarantine record could not be written to the store.";
     STORE_RESTORED = 4011, "store_restored", "The store has been restored from a copy; what it acknowledged since is lost.";
     UPSTREAM_DRAINING = 5001, "upstream_draining", "An upstream gets no new work.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
@@ -72,10 +72,10 @@
     UPSTREAM_LIMITED = 5013, "upstream_limited", "An upstream has announced a rate limit for all boxes together, or lifted it.";
     SIGNAL_UNKNOWN = 5014, "signal_unknown", "An upstream sends a signal that this version does not know.";
     CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
-    STEWARD_TAKEN = 7001, "steward_taken", "The box has become its hall's steward.";
-    STEWARD_LOST = 7002, "steward_lost", "The box is no longer its hall's steward.";
+    LEADER_ELECTED = 7001, "leader_elected", "The box has become its hall's leader.";
+    LEADER_LOST = 7002, "leader_lost", "The box is no longer its hall's leader.";
     ORDER_GIVEN = 7003, "order_given", "An engine was given an order.";
-    STEWARD_NOT_TAKEN = 7004, "steward_not_taken", "The box asked to be steward and did not get it.";
+    LEADER_NOT_ELECTED = 7004, "leader_not_elected", "The box asked to be leader and did not get it.";
     WEIGHTS_LOADED = 7006, "weights_loaded", "An engine has the newest weights.";
     ORDER_FAILED = 7005, "order_failed", "An engine could not be brought to newer weights for now.";
 }
--- a/crates/jb-relay/src/follow/missing.rs
+++ b/crates/jb-relay/src/follow/missing.rs
@@ -29,9 +29,9 @@
 
 /// The last partition that was long enough for entries to expire.
 #[derive(Debug, Default)]
-pub(super) struct Blindness(Option<Span>);
+pub(super) struct Partition(Option<Span>);
 
-impl Blindness {
+impl Partition {
     /// Notes that the box learns what the store held at `at`, before that counts as proven.
     pub(super) fn note(&mut self, core: &Core, at: Moment) {
         let span = core.proven.get().map(|from| Span { from, until: at });
@@ -51,7 +51,7 @@
     }
 }
 
-fn was_away(core: &Core, blind: Span) -> bool {
+fn was_away(core: &Core, partition: Span) -> bool {
     if core.book.borrow().boxes() == 1 {
         // No other box could know.
         return true;
@@ -60,7 +60,7 @@
         return false;
     };
     let spans = core.loads.borrow().store_spans(core.now());
-    outage::judge(blind, seen, &spans, core.harmless_silence()) == Store::Away
+    outage::judge(partition, seen, &spans, core.harmless_silence()) == Store::Away
 }
 
 /// Takes an upstream whose entry is missing off, or keeps it as a last resort until `until`.
@@ -78,8 +78,8 @@
 }
 
 /// Takes off what does not come back any more.
-pub(super) fn sweep(core: &Core, blindness: &Blindness) {
-    if blindness.comes_back_until(core).is_some() {
+pub(super) fn sweep(core: &Core, partition: &Partition) {
+    if partition.comes_back_until(core).is_some() {
         return;
     }
     let expired = core.upstreams.borrow().expired();
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -14,7 +14,7 @@
 use tokio::time::sleep;
 
 use super::facts::apply;
-use super::missing::{self, Blindness};
+use super::missing::{self, Partition};
 use super::resurrected::Resurrected;
 use crate::core::{Core, Origin, Shared};
 use crate::peers;
@@ -45,7 +45,7 @@
     /// Keys of all that the store holds.
     keys: BTreeSet<String>,
     /// The last time without any update.
-    blindness: Blindness,
+    partition: Partition,
     /// Entries that are back with a restore.
     resurrected: Resurrected,
 }
@@ -224,9 +224,9 @@
         core.note_store_seen(Span::at(at));
     }
     progress
-        .blindness
+        .partition
         .note(core, proven.unwrap_or_else(|| core.now()));
-    let comes_back = progress.blindness.comes_back_until(core);
+    let comes_back = progress.partition.comes_back_until(core);
     if is_restored {
         progress.resurrected.note_restore(core, &changes);
     }
@@ -243,7 +243,7 @@
     if changes.iter().any(|change| change.key.starts_with(peers::KEYS)) {
         peers::list_few(core);
     }
-    missing::sweep(core, &progress.blindness);
+    missing::sweep(core, &progress.partition);
     let mut log = core.log.borrow_mut();
     if whole {
         log.add_all(changes, revision);
--- a/crates/jb-relay/src/steward/load.rs
+++ b/crates/jb-relay/src/leader/load.rs
@@ -10,7 +10,7 @@
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
-use super::duty::{LOOK, Steward};
+use super::term::{LOOK_INTERVAL, Leader};
 use crate::peers;
 use crate::port::{Order, Report, Taken};
 use crate::restart;
@@ -97,7 +97,7 @@
     }
 }
 
-impl Steward {
+impl Leader {
     /// Begins to load engines that have older weights, a few at a time.
     pub(super) async fn start_loads(self: &Rc<Self>) {
         if !self.holds() {
@@ -331,7 +331,7 @@
                 self.absent.borrow_mut().note(instance, core.now());
                 return false;
             }
-            Ok(Taken::Holds | Taken::Conflict) | Err(_) => sleep(LOOK).await,
+            Ok(Taken::Holds | Taken::Conflict) | Err(_) => sleep(LOOK_INTERVAL).await,
         }
         true
     }
--- a/crates/jb-relay/src/steward/record.rs
+++ b/crates/jb-relay/src/leader/record.rs
@@ -1,7 +1,7 @@
-//! What the next box must know of the orders of the one before, as it stands in the store.
+//! What the next leader must know of the orders of the one before, as it stands in the store.
 //!
 //! Orders of two boxes to one engine must keep a pause. An order may be carried out late and
-//! its answer lost, so the box that has the duty writes the engines that it is about to order
+//! its answer lost, so the leader writes the engines that it is about to order
 //! before the first order; its successor keeps the pause for these and for no others.
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -14,8 +14,8 @@
 use crate::port::Era;
 use crate::upstream::{Id, Instance};
 
-/// Key of the item that names the last box that had the duty in an era of the store, and the engines that may
-/// have been ordered lately. Each era has its own, so a box that hasn't noticed a restore can't write over it.
+/// Key of the item that names the last leader of an era of the store, and the engines that it may have ordered
+/// lately. Each era has its own, so a box that hasn't noticed a restore can't write over it.
 pub(super) fn key(era: Era) -> String {
     format!("junctionbend/steward/last/{era}")
 }
@@ -32,7 +32,7 @@
     Unknown,
 }
 
-/// A record as it stands in the store: a line for the box that has the duty, then one for each
+/// A record as it stands in the store: a line for the leader, then one for each
 /// engine with the box that may have ordered it. No line follows where any may have been ordered.
 pub(super) fn encode(holder: &str, past: &Past) -> Bytes {
     let Past::Known(orders) = past else {
--- a/crates/jb-relay/src/peers/mark.rs
+++ b/crates/jb-relay/src/peers/quarantine_record.rs
@@ -65,7 +65,9 @@
         }
         match try_write(&core, content).await {
             Ok(()) => return,
-            Err(why) => emit!(core.logger, info, event::MARK_UNWRITTEN, "content" => %content, "why" => %why),
+            Err(why) => {
+                emit!(core.logger, info, event::QUARANTINE_RECORD_UNWRITTEN, "content" => %content, "why" => %why)
+            }
         }
         sleep(AGAIN).await;
     }
--- a/crates/jb-relay/src/peers/suspicion.rs
+++ b/crates/jb-relay/src/peers/suspicion.rs
@@ -14,8 +14,8 @@
 use tokio::time::timeout;
 
 use super::account;
-use super::mark;
 use super::message::{Message, Suspect, Suspects};
+use super::quarantine_record;
 use super::socket::send;
 use super::status::broadcast;
 use crate::core::{Core, Shared};
@@ -44,9 +44,9 @@
             }
             let quarantined = news
                 .iter()
-                .filter(|news| news.trial.is_none() && mark::is_due(&core, news.content));
+                .filter(|news| news.trial.is_none() && quarantine_record::is_due(&core, news.content));
             for News { content, .. } in quarantined {
-                spawn_local(mark::write(Rc::clone(&core), *content));
+                spawn_local(quarantine_record::write(Rc::clone(&core), *content));
             }
             continue;
         }
@@ -54,7 +54,7 @@
         let noticed = core.restored.get().map(|restore| restore.noticed);
         if noticed != restored {
             restored = noticed;
-            mark::write_lost(&core);
+            quarantine_record::write_lost(&core);
         }
         if !core.quarantine.is_empty() {
             core.quarantine.forget(core.now());
--- a/crates/jb-relay/src/signal.rs
+++ b/crates/jb-relay/src/signal.rs
@@ -1,7 +1,7 @@
 //! Signals in the response heads of upstreams, parsed in one place and applied in one place.
 //!
 //! Every sender checks the state of the instance before it writes: first sends, retries, resumed streams,
-//! queued requests, once-only requests and suspects (`exchange`), and orders (`steward`). Prompt segments
+//! queued requests, once-only requests and suspects (`exchange`), and orders (`leader`). Prompt segments
 //! that another engine transfers from an instance are no requests to it.
 
 use std::time::Duration;
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -11,8 +11,8 @@
 use tokio::time::sleep;
 
 use crate::core::{Core, Parts, Shared};
+use crate::leader::Leader;
 use crate::settings::Settings;
-use crate::steward::Steward;
 use crate::{cache_scan, follow, front, link, peers, ready, stop};
 
 /// New connections that wait to be accepted.
@@ -122,7 +122,7 @@
     spawn_local(peers::receive_messages(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::discover_releases(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::publish_suspects(Rc::clone(core), Rc::clone(&socket)));
-    spawn_local(Steward::new(Rc::clone(core), socket).run());
+    spawn_local(Leader::new(Rc::clone(core), socket).run());
     spawn_local(cache_scan::run(Rc::clone(core)));
     spawn_local(sweep(Rc::clone(core)));
     Ok(())
--- a/crates/jb-tree/src/settings.rs
+++ b/crates/jb-tree/src/settings.rs
@@ -69,7 +69,7 @@
     retry_percent: u32,
     /// Milliseconds without a byte after which an upstream is given up.
     silence_ms: u32,
-    /// Whether the hall's steward orders a service's engines to its model and weights.
+    /// Whether the hall's leader orders a service's engines to its model and weights.
     orders: bool,
     /// Address of an upstream, IP and port.
     address: String,
