--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -34,11 +34,13 @@
     let poison = [(1, Set::Poison), (2, Set::Poison)];
     let words = [(1, Set::Words), (2, Set::Words)];
     let limits = [(1, Set::Limits), (2, Set::Limits)];
+    let restores = [(1, Set::Restores), (2, Set::Restores)];
     let later = [(1, Set::All), (2, Set::All)]
         .into_iter()
         .chain(poison)
         .chain(words)
-        .chain(limits);
+        .chain(limits)
+        .chain(restores);
     for (seed, set) in first.chain(later) {
         let checks = run(seed, set);
         assert!(checks.hold(), "seed {seed}\n{checks}");
