Don't let an entry of a restored store take newer weights back

An entry of the copy with the weights of before replaced what a box knew from reports and answers: the first request of each box to each engine was rejected by the engine, took from the retry budget, and the model of its prefix cache was cleared.

An instance's weights never get older, so an entry can only raise them.

engine_keeps_the_weights_that_a_box_knows_when_its_entry_is_older failed before (1 instead of 2) and passes.

--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -100,8 +100,13 @@
         }
     }
 
-    /// Applies another entry of the same instance.
-    pub(super) fn update(&mut self, entry: Entry) {
+    /// Applies another entry of the same instance. It may be older than what other sources have shown, as in a
+    /// restored store, and an instance's weights never get older.
+    pub(super) fn update(&mut self, mut entry: Entry) {
+        for loaded in &mut entry.models {
+            let known = self.entry.weights(&loaded.model);
+            loaded.version = known.map_or(loaded.version, |known| known.max(loaded.version));
+        }
         if self.entry.models != entry.models {
             self.cache.clear();
         }
