--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -205,11 +205,7 @@
         Fault::Say => world.say(engine),
         Fault::Shed => signals::shed(&world, engine, lasts).await,
         Fault::Limit => limits::announce(&world, engine, &mut random).await,
-        Fault::Weights => {
-            let version = world.weights.get() + 1;
-            world.weights.set(version);
-            world.store.put_weights(version);
-        }
+        Fault::Weights => world.release_weights(),
         Fault::Revoke => world.revoke(),
         Fault::Config => {
             world.version.set(world.version.get() + 3);
--- a/crates/jb-soak/src/restores.rs
+++ b/crates/jb-soak/src/restores.rs
@@ -16,17 +16,22 @@
 const AWAY_MS: std::ops::Range<u64> = 0..3000;
 /// Time until everything is written again, in milliseconds.
 const REWRITE_MS: std::ops::Range<u64> = 0..1500;
+/// Time from a release of weights until the store is away, in which the leader begins to order engines.
+const RELEASE_LEAD: Duration = Duration::from_millis(900);
 /// Pause that orders of two boxes to one engine must keep.
 const ORDER_GAP: Duration = Duration::from_millis(3000);
 /// Time after a box was halted in which an order of it may still arrive.
 const THAW_SLACK: Duration = Duration::from_millis(500);
 
-/// Restores the store from a copy.
+/// Restores the store from a copy, in the middle of a release of weights and right before another one: orders
+/// of the leaders before and after it come as close together as the boxes let them.
 pub async fn restore(world: &World, random: &mut ChaCha8Rng) {
     let mut pause = |range| Duration::from_millis(random.random_range(range));
     let (age, away, rewrite) = (pause(COPY_AGE_MS), pause(AWAY_MS), pause(REWRITE_MS));
     let copy = world.store.copy();
     sleep(age).await;
+    world.release_weights();
+    sleep(RELEASE_LEAD).await;
     world.log(&format!("store away for {away:?}, then a copy {age:?} old"));
     world.store.mood.set(Mood::Reset);
     sleep(away).await;
@@ -35,6 +40,7 @@
     sleep(rewrite).await;
     world.log("everything is written again");
     world.write_again();
+    world.release_weights();
 }
 
 /// Checks that orders of two boxes to one engine keep the pause.
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -148,6 +148,12 @@
         }
     }
 
+    /// Releases newer weights.
+    pub fn release_weights(&self) {
+        self.weights.set(self.weights.get() + 1);
+        self.store.put_weights(self.weights.get());
+    }
+
     /// Takes a key away.
     pub fn revoke(&self) {
         if self.revoked.get().is_none() {
