--- a/crates/jb-soak/src/restores.rs
+++ b/crates/jb-soak/src/restores.rs
@@ -8,6 +8,7 @@
 use tokio::time::sleep;
 
 use crate::checks::{Checks, Promise};
+use crate::proxy::Link;
 use crate::world::World;
 
 /// Age of the copy, in milliseconds.
@@ -18,6 +19,8 @@
 const REWRITE_MS: std::ops::Range<u64> = 0..1500;
 /// Time from a release of weights until the store is away, in which the leader begins to order engines.
 const RELEASE_LEAD: Duration = Duration::from_millis(900);
+/// Time for which the leader of before doesn't reach the restored store.
+const ISOLATION: Duration = Duration::from_secs(6);
 /// Pause that orders of two boxes to one engine must keep.
 const ORDER_GAP: Duration = Duration::from_millis(3000);
 /// Time after a box was halted in which an order of it may still arrive.
@@ -28,10 +31,15 @@
 pub async fn restore(world: &World, random: &mut ChaCha8Rng) {
     let mut pause = |range| Duration::from_millis(random.random_range(range));
     let (age, away, rewrite) = (pause(COPY_AGE_MS), pause(AWAY_MS), pause(REWRITE_MS));
+    let isolates_leader = random.random_bool(0.5);
     let copy = world.store.copy();
     sleep(age).await;
     world.release_weights();
     sleep(RELEASE_LEAD).await;
+    let leader = world.leader().filter(|_| isolates_leader);
+    if let Some(leader) = leader {
+        leader.link(Link::Silent);
+    }
     world.log(&format!("store away for {away:?}, then a copy {age:?} old"));
     world.store.mood.set(Mood::Reset);
     sleep(away).await;
@@ -41,6 +49,10 @@
     world.log("everything is written again");
     world.write_again();
     world.release_weights();
+    if let Some(leader) = leader {
+        sleep(ISOLATION).await;
+        leader.link(Link::Well);
+    }
 }
 
 /// Checks that orders of two boxes to one engine keep the pause.
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -148,6 +148,12 @@
         }
     }
 
+    /// Box that the store names as the leader.
+    pub fn leader(&self) -> Option<&Box> {
+        let name = self.store.value("junctionbend/steward/holder")?;
+        self.boxes.iter().find(|one| one.name == name)
+    }
+
     /// Releases newer weights.
     pub fn release_weights(&self) {
         self.weights.set(self.weights.get() + 1);
