--- a/crates/jb-relay/src/follow/resurrected.rs
+++ b/crates/jb-relay/src/follow/resurrected.rs
@@ -4,7 +4,6 @@
 //! writes its entry anew, or its entry outlasts the time in which that of an ended one goes again.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
 use jb_policy::Moment;
 
@@ -35,7 +34,7 @@
             .filter(|change| change.value.is_some())
             .filter(has_gone);
         self.entries = gone.map(|change| (change.key.clone(), change.clone())).collect();
-        self.until = core.now() + hold_time(core.settings.bounds.heartbeat);
+        self.until = core.now() + core.settings.bounds.heartbeat * HELD_BACK_HEARTBEATS;
     }
 
     /// Returns whether a change is one that is held back; a newer one of the same upstream replaces it.
@@ -55,7 +54,3 @@
         std::mem::take(&mut self.entries).into_values().collect()
     }
 }
-
-fn hold_time(heartbeat: Duration) -> Duration {
-    heartbeat * HELD_BACK_HEARTBEATS
-}
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -109,12 +109,10 @@
 
 /// News from another box, unless this one is to read the store itself.
 async fn ask(core: &Core, socket: &UdpSocket, progress: &Progress) -> Option<Update> {
-    // A box that cannot read everything itself asks for what it lacks of what it knows.
-    let known = core.log.borrow().revision();
-    let is_known = known != Revision::default();
     let (after, source) = match progress.failing {
         Some(failing) if core.now() > failing.last + TRY_AGAIN => return None,
-        Some(_) => (is_known.then_some(known)?, peers::Source::AnyRelayNode),
+        // Also where it must read everything and can't: others may have what it lacks.
+        Some(_) => (known(core)?, peers::Source::AnyRelayNode),
         None => (progress.after?, peers::Source::RelayNode),
     };
     let update = peers::ask(core, socket, after, source).await?;
@@ -127,6 +125,12 @@
     })
 }
 
+/// Revision of the last update; `None` before the first.
+fn known(core: &Core) -> Option<Revision> {
+    let revision = core.log.borrow().revision();
+    (revision != Revision::default()).then_some(revision)
+}
+
 /// Reads the store itself.
 async fn read(core: &Core, progress: &mut Progress) {
     let asked = core.now();
@@ -160,9 +164,11 @@
             }
         }
         Err(why @ (StoreError::HistoryGone | StoreError::Restored)) => {
-            emit!(core.logger, info, event::HISTORY_GONE, "after" => progress.after.map(|after| after.to_string()), "why" => %why);
+            let after = progress.after.take();
+            emit!(core.logger, info, event::HISTORY_GONE, "after" => after.map(|after| after.to_string()),
+                "why" => %why);
             progress.gone = true;
-            if progress.after.take().is_none() {
+            if after.is_none() {
                 sleep(AFTER_FAILURE).await;
             }
         }
@@ -193,17 +199,15 @@
 
 /// Notes the era of an update; returns whether it is the first one after a restore of the store.
 fn note_era(core: &Core, from: Origin, revision: Revision) -> bool {
-    let known = core.log.borrow().revision();
     core.metrics
         .store_era
         .set(i64::try_from(revision.era).unwrap_or(i64::MAX));
-    let is_restored = known != Revision::default() && known.era < revision.era;
-    if is_restored {
-        emit!(core.logger, warn, event::STORE_RESTORED, "known" => %known, "revision" => %revision,
-            "from" => ?from);
-        core.note_restore();
-    }
-    is_restored
+    let Some(known) = known(core).filter(|known| known.era < revision.era) else {
+        return false;
+    };
+    emit!(core.logger, warn, event::STORE_RESTORED, "known" => %known, "revision" => %revision, "from" => ?from);
+    core.note_restore();
+    true
 }
 
 /// Applies an update.
