--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -219,19 +219,25 @@
 
     /// Notes that the store has been restored.
     pub fn note_restore(&self) {
-        let before = self.recent_restore();
         self.restored.set(Some(Restore {
             noticed: self.now(),
-            proven: before.map_or(self.proven.get(), |before| before.proven),
+            proven: self.keys_proven(),
         }));
     }
 
-    /// Age of what the box knows of keys; `None` when it knows nothing. A restored store doesn't prove that a
-    /// key still holds until its revocation must be written again.
+    /// Age of what the box knows of keys; `None` when it knows nothing.
     pub fn key_age(&self) -> Option<Duration> {
-        let restore = self.recent_restore();
-        let proven = restore.map_or(self.proven.get(), |restore| restore.proven);
-        proven.map(|at| self.now().saturating_sub(at))
+        self.keys_proven().map(|at| self.now().saturating_sub(at))
+    }
+
+    /// When what the box knows of keys was last proven. What a restored store showed before everything was
+    /// written again doesn't prove that a key still holds: it may lack the revocation.
+    fn keys_proven(&self) -> Option<Moment> {
+        let proven = self.proven.get();
+        match self.restored.get() {
+            Some(restore) if proven < Some(restore.ends()) => restore.proven,
+            _ => proven,
+        }
     }
 
     /// Configuration in force.
