--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -225,6 +225,16 @@
         }));
     }
 
+    /// Notes a restore that another box noticed so long ago, unless this box knows of one.
+    pub fn note_earlier_restore(&self, age: Duration) {
+        if self.restored.get().is_none() {
+            self.restored.set(Some(Restore {
+                noticed: self.now().saturating_sub(age),
+                proven: None,
+            }));
+        }
+    }
+
     /// Age of what the box knows of keys; `None` when it knows nothing.
     pub fn key_age(&self) -> Option<Duration> {
         self.keys_proven().map(|at| self.now().saturating_sub(at))
