--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -12,6 +12,10 @@
 /// 122: the stand-in took a write under a lease that had ended, so the holder's item stayed.
 const FAILED: [u64; 2] = [100, 122];
 
+/// The same with restores of the store:
+/// 1034: a box that was started right after a restore took a key that had been revoked for valid.
+const FAILED_WITH_RESTORES: u64 = 1034;
+
 fn run(seed: u64, set: Set) -> Checks {
     let program = jb_fakes::fleet::build().map(|programs| programs.daemon);
     let program = program.unwrap_or_else(|why| panic!("{why}"));
@@ -34,7 +38,7 @@
     let poison = [(1, Set::Poison), (2, Set::Poison)];
     let words = [(1, Set::Words), (2, Set::Words)];
     let limits = [(1, Set::Limits), (2, Set::Limits)];
-    let restores = [(1, Set::Restores), (2, Set::Restores)];
+    let restores = [1, 2, FAILED_WITH_RESTORES].map(|seed| (seed, Set::Restores));
     let later = [(1, Set::All), (2, Set::All)]
         .into_iter()
         .chain(poison)
