Let a box that starts look for others for as long as a restore matters

A box that was started right after a restore, from a copy that lacked the addresses of the other boxes, asked nobody: its three questions were over before they had written them again.

It asks until everything must be written again, or one has answered.

key_opens_nothing_at_a_box_that_starts_right_after_a_restore_that_lost_all_addresses failed before and passes.

--- a/crates/jb-relay/src/peers/restores.rs
+++ b/crates/jb-relay/src/peers/restores.rs
@@ -13,13 +13,13 @@
 use super::socket::send;
 use super::{account, releases};
 use crate::core::{Core, Shared};
+use crate::restore::REWRITE_TIME;
 
 /// Interval at which the first answer of the store is waited for.
 const LOOK: Duration = Duration::from_millis(20);
-/// Time in which a query is answered.
-const ANSWER_TIMEOUT: Duration = Duration::from_millis(250);
-/// Queries, to other boxes each time.
-const QUERIES: u32 = 3;
+/// Interval between two queries, to other boxes each time. The copy may lack the addresses of boxes, which write
+/// them again.
+const QUERY_INTERVAL: Duration = Duration::from_millis(250);
 
 /// Asks other boxes, unless the store was never restored.
 pub async fn discover(core: Shared, socket: Rc<UdpSocket>) {
@@ -29,11 +29,15 @@
     if core.era() == 0 {
         return;
     }
-    for asked in 0..QUERIES {
+    let end = core.now() + REWRITE_TIME;
+    for asked in 0.. {
+        if core.now() > end || core.restored.get().is_some() {
+            return;
+        }
         for address in releases::others(&core, asked) {
             send(&core, &socket, address, &Message::AskRestored).await;
         }
-        sleep(ANSWER_TIMEOUT).await;
+        sleep(QUERY_INTERVAL).await;
     }
 }
 
