Take a restore for recent until the store shows that it is settled

A box that started from a copy of the store and was isolated before it reached another box served a key that had been revoked since the copy.

Cause: the number of restores doesn't say when the last one was, and only other boxes could tell; without an answer the box took the copy for proof.

The leader now writes junctionbend/settled/ERA once everything must have been written again. A box that starts takes the restore for recent until it reads that item, so it needs no other box; the query to other boxes is gone. Where the whole system starts for the first time nothing can be restored.

A restart long after a restore still serves at once: keys_open_at_once_at_a_box_that_starts_long_after_a_restore.

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -57,6 +57,8 @@
     STORE_UPDATE_FAILED = 4009, "store_update_failed", "Another box could not send what has changed in the store.";
     QUARANTINE_RECORD_UNWRITTEN = 4010, "quarantine_record_unwritten", "A quarantine record could not be written to the store.";
     STORE_RESTORED = 4011, "store_restored", "The store has been restored from a copy; what it acknowledged since is lost.";
+    STORE_SETTLED = 4012, "store_settled", "Everything that a restore lost has been written to the store again.";
+    STORE_UNSETTLED = 4013, "store_unsettled", "That everything has been written again could not be noted in the store.";
     UPSTREAM_DRAINING = 5001, "upstream_draining", "An upstream gets no new work.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream is left out after failures.";
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -71,6 +71,8 @@
     pub store_seen: Cell<Option<Span>>,
     /// The last restore of the store since the box's start.
     pub restored: Cell<Option<Restore>>,
+    /// Era of the store in which everything is known to have been written again.
+    pub settled: Cell<Option<Era>>,
     /// Where the last news of the store came from; `None` while the own calls fail.
     pub news_from: Cell<Option<Origin>>,
     /// Upstreams.
@@ -146,6 +148,7 @@
             proven_directly: Cell::default(),
             store_seen: Cell::default(),
             restored: Cell::default(),
+            settled: Cell::default(),
             news_from: Cell::default(),
             upstreams: RefCell::default(),
             cache_stores: RefCell::default(),
@@ -214,27 +217,36 @@
     /// The last restore of the store, while what it has lost may not be written again.
     pub fn recent_restore(&self) -> Option<Restore> {
         let now = self.now();
-        self.restored.get().filter(|restore| now < restore.ends())
+        let restore = self.restored.get().filter(|restore| now < restore.ends());
+        restore.filter(|restore| !self.is_settled(restore.era))
     }
 
     /// Notes that the store has been restored.
-    pub fn note_restore(&self) {
+    pub fn note_restore(&self, era: Era) {
         self.restored.set(Some(Restore {
+            era,
             noticed: self.now(),
             proven: self.keys_proven(),
         }));
     }
 
-    /// Notes a restore that another box noticed so long ago, unless this box knows of one.
-    pub fn note_earlier_restore(&self, age: Duration) {
-        if self.restored.get().is_none() {
+    /// Notes the first answer of the store, which may have been restored right before.
+    pub fn note_first_answer(&self, era: Era) {
+        let may_be_restored = era > 0 && !self.settings.is_first_start;
+        if may_be_restored {
             self.restored.set(Some(Restore {
-                noticed: self.now().saturating_sub(age),
+                era,
+                noticed: self.now(),
                 proven: None,
             }));
         }
     }
 
+    /// Returns whether everything has been written again since the restore that began an era.
+    pub fn is_settled(&self, era: Era) -> bool {
+        self.settled.get() >= Some(era)
+    }
+
     /// Age of what the box knows of keys; `None` when it knows nothing.
     pub fn key_age(&self) -> Option<Duration> {
         self.keys_proven().map(|at| self.now().saturating_sub(at))
@@ -245,7 +257,7 @@
     fn keys_proven(&self) -> Option<Moment> {
         let proven = self.proven.get();
         match self.restored.get() {
-            Some(restore) if proven < Some(restore.ends()) => restore.proven,
+            Some(restore) if !self.is_settled(restore.era) && proven < Some(restore.ends()) => restore.proven,
             _ => proven,
         }
     }
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -9,6 +9,7 @@
 use crate::port::{Change, Fact, Registration, Revision};
 use crate::restart;
 use crate::rules::Rules;
+use crate::settled;
 use crate::upstream::{Ended, Seen, Upstream};
 
 /// Puts one fact in force; `comes_back`: until when an upstream whose entry is missing may come back.
@@ -108,6 +109,9 @@
     // A box that a restored store lacks is still at its address, and writes it again.
     let is_lost = known.is_some_and(|known| known.revision.era < item.revision.era) && item.value.is_none();
     if newer && !(is_lost && item.key.starts_with(peers::KEYS)) {
+        if let Some(era) = settled::era(&item) {
+            core.settled.set(core.settled.get().max(Some(era)));
+        }
         peers::apply_quarantine_record(core, &item);
         own.insert(item.key.clone(), item);
     }
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -206,7 +206,7 @@
         return false;
     };
     emit!(core.logger, warn, event::STORE_RESTORED, "known" => %known, "revision" => %revision, "from" => ?from);
-    core.note_restore();
+    core.note_restore(revision.era);
     true
 }
 
@@ -219,6 +219,9 @@
         revision,
         proven,
     } = update;
+    if known(core).is_none() {
+        core.note_first_answer(revision.era);
+    }
     let is_restored = note_era(core, from, revision);
     if whole {
         let missing = progress.missing(&changes, revision);
--- a/crates/jb-relay/src/leader/mod.rs
+++ b/crates/jb-relay/src/leader/mod.rs
@@ -11,6 +11,7 @@
 mod election;
 mod load;
 mod record;
+mod settle;
 mod term;
 
 pub use term::Leader;
--- /dev/null
+++ b/crates/jb-relay/src/leader/settle.rs
@@ -0,0 +1,32 @@
+//! Writes down that everything lost in a restore of the store has been written again.
+
+use bytes::Bytes;
+use jb_protocol::{emit, event};
+
+use super::term::{Leader, Term};
+use crate::port::{StoreError, Write};
+use crate::settled;
+
+impl Leader {
+    /// Writes it once an era has lasted long enough. A platform without eras has nothing to settle.
+    pub(super) async fn settle(&self, term: Term) {
+        let core = &self.core;
+        let era = term.lease.era;
+        if era == 0 || core.is_settled(era) || core.recent_restore().is_some() {
+            return;
+        }
+        let write = Write {
+            key: settled::key(era),
+            value: Bytes::new(),
+            expected: None,
+            lease: None,
+        };
+        core.metrics.store_calls.inc();
+        match core.store.write(era, &[write]).await {
+            Ok(_) => emit!(core.logger, info, event::STORE_SETTLED, "era" => era),
+            // An earlier write whose answer was lost, or that of the leader before.
+            Err(StoreError::Conflict) => {}
+            Err(why) => emit!(core.logger, info, event::STORE_UNSETTLED, "era" => era, "why" => %why),
+        }
+    }
+}
--- a/crates/jb-relay/src/leader/term.rs
+++ b/crates/jb-relay/src/leader/term.rs
@@ -116,6 +116,7 @@
         }
         if now >= term.renewed + RENEWAL_INTERVAL {
             self.renew(term, now).await;
+            self.settle(term).await;
         }
         let quiet = self.loading.borrow().is_empty() && self.record.borrow().is_quiet(now, self.gap());
         if quiet && term.named {
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod salt;
 mod saturating_cast;
 pub mod settings;
+pub mod settled;
 pub mod signal;
 pub mod start;
 pub mod stop;
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Acquire, Advice, Ask, AskMore, AskReleases, Charge, Count, Draining, Grant, Limits, News, Permit,
-    Question, Releases, Replaced, Restored, Returned, Sent, Status, Suspects,
+    Question, Releases, Replaced, Returned, Sent, Status, Suspects,
 };
 
 /// Longest datagram, in bytes: one packet.
@@ -51,8 +51,4 @@
     Acquire(Acquire),
     /// The owner's answer.
     Permit(Permit),
-    /// A box that has just started asks whether the store was restored right before.
-    AskRestored,
-    /// It was.
-    Restored(Restored),
 }
--- a/crates/jb-relay/src/peers/message/releases.rs
+++ b/crates/jb-relay/src/peers/message/releases.rs
@@ -28,10 +28,3 @@
     /// Upper bound of the time since its release, in milliseconds.
     pub age_ms: u64,
 }
-
-/// Tells that the store was restored from a copy.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct Restored {
-    /// Time since the sender noticed it, in milliseconds.
-    pub age_ms: u64,
-}
--- a/crates/jb-relay/src/peers/releases.rs
+++ b/crates/jb-relay/src/peers/releases.rs
@@ -60,7 +60,7 @@
 }
 
 /// Some of the other boxes, different ones for each query.
-pub(super) fn others(core: &Core, asked: u32) -> Vec<SocketAddr> {
+fn others(core: &Core, asked: u32) -> Vec<SocketAddr> {
     let book = core.book.borrow();
     let own = &core.settings.id;
     let all: Vec<SocketAddr> = book.others(own).map(|(_, peer)| peer.address).collect();
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -9,7 +9,7 @@
 use tokio::time::sleep;
 
 use super::message::{LONGEST, Message};
-use super::{account, notice, quota, rate_limit, reachability, relay, releases, restores, status, suspicion};
+use super::{account, notice, quota, rate_limit, reachability, relay, releases, status, suspicion};
 use crate::core::{Core, Shared};
 
 /// Pause after an error of the socket.
@@ -86,8 +86,6 @@
             Ok(Message::Limits(limits)) => rate_limit::receive_limits(&core, from, &limits),
             Ok(Message::Acquire(query)) => rate_limit::receive_acquire(&core, &socket, from, &query),
             Ok(Message::Permit(answer)) => rate_limit::deliver(&core, answer),
-            Ok(Message::AskRestored) => restores::answer(&core, &socket, from).await,
-            Ok(Message::Restored(answer)) => restores::receive(&core, from, answer),
             Err(why) => {
                 core.metrics.strange.inc();
                 emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => %why);
--- a/crates/jb-relay/src/restore.rs
+++ b/crates/jb-relay/src/restore.rs
@@ -6,6 +6,8 @@
 
 use jb_policy::Moment;
 
+use crate::port::Era;
+
 /// Time in which the operator and the upstreams write again what the store has lost, by the platform's contract
 /// about two seconds.
 pub const REWRITE_TIME: Duration = Duration::from_millis(2300);
@@ -13,6 +15,8 @@
 /// A restore of the store.
 #[derive(Clone, Copy, Debug)]
 pub struct Restore {
+    /// Era that it began.
+    pub era: Era,
     /// When this box noticed it.
     pub noticed: Moment,
     /// When what the box knew before was last proven.
--- a/crates/jb-relay/src/settings.rs
+++ b/crates/jb-relay/src/settings.rs
@@ -24,6 +24,8 @@
     pub ports: RangeInclusive<u16>,
     /// Address of the platform's store.
     pub store: SocketAddr,
+    /// Whether the whole system starts for the first time, so that its store can't have been restored.
+    pub is_first_start: bool,
     /// What a box may use.
     pub capacity: Capacity,
     /// Times and shares that the operators promise their users.
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -121,7 +121,6 @@
     spawn_local(peers::publish_status(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::receive_messages(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::discover_releases(Rc::clone(core), Rc::clone(&socket)));
-    spawn_local(peers::discover_restore(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::publish_suspects(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(Leader::new(Rc::clone(core), socket).run());
     spawn_local(cache_scan::run(Rc::clone(core)));
