Sum up loads by the differences between statuses

With 986 boxes before 10,000 engines all callers got 503 from second 4 on. The six relay nodes had used 8 to 10 s of processor, every other box one or less. A relay node of 164 boxes receives 820 statuses a second, and for each it added up all statuses and looked at all 10,000 engines: its work grew with boxes times engines.

Sums now follow the differences between the statuses of a box, and touch the upstreams that either names; upstreams are found by their short name in an index. The work for a status is that of the loads that it names.

--- a/crates/jb-relay/src/peers/message/mod.rs
+++ b/crates/jb-relay/src/peers/message/mod.rs
@@ -16,6 +16,6 @@
 pub(super) use place::{Advice, Question, Returned};
 pub(super) use rate_limit::{Acquire, Limits, Observation, Permit};
 pub(super) use releases::{AskReleases, Release, Releases};
-pub use status::LoadedWeights;
-pub(super) use status::{CacheUse, Draining, Replaced, Sent, Status, StoreSpan, UpstreamLoad};
+pub(super) use status::{CacheUse, Draining, Replaced, Sent, Status, StoreSpan};
+pub use status::{LoadedWeights, UpstreamLoad};
 pub(super) use suspicion::{Suspect, Suspects};
--- a/crates/jb-relay/src/peers/message/status.rs
+++ b/crates/jb-relay/src/peers/message/status.rs
@@ -30,8 +30,8 @@
 }
 
 /// Load that boxes put on an upstream.
-#[derive(Clone, Copy, Debug, Serialize, Deserialize)]
-pub(in crate::peers) struct UpstreamLoad {
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UpstreamLoad {
     /// Lower half of the hash of the upstream's id.
     pub upstream: u32,
     /// Requests under way.
@@ -42,6 +42,13 @@
     pub waiting: u64,
 }
 
+impl UpstreamLoad {
+    /// Returns whether it is no load at all.
+    pub fn is_empty(&self) -> bool {
+        self.running == 0 && self.fixed == 0 && self.waiting == 0
+    }
+}
+
 /// An engine begins to load weights, or has them.
 #[derive(Clone, Debug, Serialize, Deserialize)]
 pub struct LoadedWeights {
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -13,7 +13,7 @@
 use super::account;
 use super::message::{Draining, Message, Replaced, Sent};
 use super::rate_limit;
-use super::status::{broadcast, sum_up};
+use super::status::{add_prompt, broadcast};
 use crate::core::Core;
 use crate::saturating_cast::saturating_cast;
 use crate::upstream::Upstream;
@@ -79,11 +79,8 @@
 /// Receives long prompts that another box has sent; they count until its next status.
 pub(super) fn take_sent(core: &Core, sent: &Sent) {
     for &(upstream, tokens) in &sent.prompts {
-        core.loads
-            .borrow_mut()
-            .add(&sent.from, upstream, u64::from(tokens));
+        add_prompt(core, &sent.from, upstream, u64::from(tokens));
     }
-    sum_up(core);
 }
 
 /// Notes that another incarnation answers at an upstream's address, for the other boxes: each
--- a/crates/jb-relay/src/peers/status.rs
+++ b/crates/jb-relay/src/peers/status.rs
@@ -5,21 +5,19 @@
 //! halls. So the traffic of a box doesn't grow with the fleet.
 
 mod compose;
+mod loads;
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use jb_policy::Moment;
-use jb_policy::outage::Span;
 use jb_policy::place;
 use jb_policy::prefix_cache::Segment;
-use jb_protocol::id;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use self::compose::{messages, span};
+pub use self::loads::{Loads, Received};
 use super::message::{CacheUse, Message, Status, UpstreamLoad};
 use super::socket::send;
 use super::{notice, reachability, weights};
@@ -31,8 +29,6 @@
 const PERIOD: Duration = Duration::from_millis(100);
 /// The same in a large fleet.
 const LARGE_PERIOD: Duration = Duration::from_millis(200);
-/// Age beyond which a status isn't used.
-const MAX_STATUS_AGE: Duration = Duration::from_millis(1500);
 /// Time without an answer after which another box becomes the relay node.
 const RELAY_NODE_TIMEOUT: Duration = Duration::from_millis(700);
 /// Prompts that wait for the next status.
@@ -41,71 +37,6 @@
 /// that was partitioned learns from it whether the store was unreachable.
 const IDLE_PERIODS: u32 = 8;
 
-/// Status of the other boxes, and what this one has to send.
-#[derive(Debug, Default)]
-pub struct Loads {
-    received: BTreeMap<id::Box, Received>,
-    /// Prompts of this box since its last status.
-    own: Vec<CacheUse>,
-    /// When the relay node last sent its sum.
-    relay_node_seen: Moment,
-}
-
-#[derive(Debug)]
-struct Received {
-    at: Moment,
-    /// Whether the sender receives sums from this box.
-    member: bool,
-    loads: Vec<UpstreamLoad>,
-    /// Span in which the store has answered the sender or others.
-    store: Option<Span>,
-}
-
-impl Loads {
-    /// Spans in which the store has answered the boxes that are reachable, as far as each knows.
-    pub fn store_spans(&self, now: Moment) -> Vec<Span> {
-        let received = self
-            .received
-            .values()
-            .filter(|received| now < received.at + MAX_STATUS_AGE);
-        received.filter_map(|received| received.store).collect()
-    }
-
-    /// Boxes that have sent their status to this one as their relay node since a moment.
-    pub(super) fn members(&self, since: Moment) -> Vec<id::Box> {
-        let received = self
-            .received
-            .iter()
-            .filter(|(_, received)| received.member && received.at >= since);
-        received.map(|(id, _)| id.clone()).collect()
-    }
-
-    /// Boxes that have sent a status since a moment.
-    pub(super) fn senders(&self, since: Moment) -> Vec<id::Box> {
-        let received = self.received.iter().filter(|(_, received)| received.at >= since);
-        received.map(|(id, _)| id.clone()).collect()
-    }
-
-    /// Adds a prompt to the status of a box, until its next one.
-    pub(super) fn add(&mut self, from: &str, upstream: u32, tokens: u64) {
-        let Some(received) = self.received.get_mut(from) else {
-            return;
-        };
-        let at = received.loads.iter().position(|load| load.upstream == upstream);
-        let at = at.unwrap_or_else(|| {
-            received.loads.push(UpstreamLoad {
-                upstream,
-                running: 0,
-                fixed: 0,
-                waiting: 0,
-            });
-            received.loads.len() - 1
-        });
-        received.loads[at].running += 1;
-        received.loads[at].waiting += tokens;
-    }
-}
-
 /// A prompt that was sent to an engine, or to a store.
 #[derive(Clone, Copy, Debug)]
 pub struct Placed<'a> {
@@ -201,18 +132,13 @@
         .book
         .borrow()
         .other_relay_nodes(&core.settings.hall, core.now());
+    let loads = core.loads.borrow().sum_of_members(own_loads(core));
     for relay_node in relay_nodes {
-        let loads = sum(core, own_loads(core), |received, _| received.member);
-        send_to(
-            core,
-            socket,
-            &relay_node,
-            Status {
-                loads,
-                ..Status::new(core)
-            },
-        )
-        .await;
+        let status = Status {
+            loads: loads.clone(),
+            ..Status::new(core)
+        };
+        send_to(core, socket, &relay_node, status).await;
     }
 }
 
@@ -272,19 +198,17 @@
         if let Some(span) = store {
             core.note_store_seen(span);
         }
-        core.loads.borrow_mut().received.insert(
-            status.from.clone(),
-            Received {
-                at: now,
-                member,
-                loads,
-                store,
-            },
-        );
-        sum_up(core);
+        let received = Received {
+            at: now,
+            member,
+            loads,
+            store,
+        };
+        let touched = core.loads.borrow_mut().put(&status.from, received);
+        update_upstreams(core, &touched);
     }
     if status.wants_sum {
-        let loads = sum(core, own_loads(core), |_, id| *id != status.from);
+        let loads = core.loads.borrow().sum_without(&status.from, own_loads(core));
         for message in messages(Status {
             loads,
             ..Status::new(core)
@@ -307,53 +231,31 @@
         return;
     }
     let mut upstreams = core.upstreams.borrow_mut();
-    if let Some((_, upstream)) = upstreams.iter_mut().find(|(_, u)| u.name == status.place) {
+    let upstream = upstreams.by_short_name_mut(place::short(status.place));
+    if let Some(upstream) = upstream.filter(|upstream| upstream.name == status.place) {
         upstream.cache.read(shared, own);
     }
 }
 
-/// Adds the loads of the chosen boxes to `own`.
-fn sum(
-    core: &Core,
-    own: Vec<UpstreamLoad>,
-    chosen: impl Fn(&Received, &id::Box) -> bool,
-) -> Vec<UpstreamLoad> {
-    let mut sums: BTreeMap<u32, UpstreamLoad> = own.into_iter().map(|load| (load.upstream, load)).collect();
-    let loads = core.loads.borrow();
-    let received = loads
-        .received
-        .iter()
-        .filter(|(id, received)| chosen(received, id));
-    for load in received.flat_map(|(_, received)| &received.loads) {
-        let sum = sums.entry(load.upstream).or_insert(UpstreamLoad {
-            running: 0,
-            fixed: 0,
-            waiting: 0,
-            ..*load
-        });
-        sum.running += load.running;
-        sum.fixed += load.fixed;
-        sum.waiting += load.waiting;
+/// Notes a prompt that another box has sent; it counts until that box's next status.
+pub(super) fn add_prompt(core: &Core, from: &str, upstream: u32, tokens: u64) {
+    if core.loads.borrow_mut().add(from, upstream, tokens) {
+        update_upstreams(core, &[upstream]);
     }
-    sums.into_values().collect()
 }
 
-/// Adds up the loads of all others, and drops outdated ones.
-pub(super) fn sum_up(core: &Core) {
-    let now = core.now();
-    core.loads
-        .borrow_mut()
-        .received
-        .retain(|_, received| now < received.at + MAX_STATUS_AGE);
-    let sums = sum(core, Vec::new(), |_, _| true);
-    let sums: BTreeMap<u32, UpstreamLoad> = sums.into_iter().map(|load| (load.upstream, load)).collect();
-    for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
-        let others = sums.get(&place::short(upstream.name));
-        let load = |t: &UpstreamLoad| Load {
-            running: t.running,
-            fixed: t.fixed,
-            waiting: t.waiting,
-        };
-        upstream.others = others.map(load).unwrap_or_default();
+/// Gives upstreams the present sums of the other boxes' loads.
+fn update_upstreams(core: &Core, names: &[u32]) {
+    let loads = core.loads.borrow();
+    let mut upstreams = core.upstreams.borrow_mut();
+    for &name in names {
+        let others = loads.others(name);
+        if let Some(upstream) = upstreams.by_short_name_mut(name) {
+            upstream.others = Load {
+                running: others.running,
+                fixed: others.fixed,
+                waiting: others.waiting,
+            };
+        }
     }
 }
--- /dev/null
+++ b/crates/jb-relay/src/peers/status/loads.rs
@@ -0,0 +1,175 @@
+//! Statuses of the other boxes, with the sums of their loads.
+//!
+//! The sums follow the differences between statuses, so a status costs by the upstreams that it names and not by
+//! all that are known.
+
+use std::collections::{BTreeMap, HashMap};
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::outage::Span;
+use jb_protocol::id;
+
+use crate::peers::message::{CacheUse, UpstreamLoad};
+
+/// Age beyond which a status isn't used.
+const MAX_STATUS_AGE: Duration = Duration::from_millis(1500);
+
+/// Short name of an upstream.
+type Name = u32;
+
+/// Status of the other boxes, and what this one has to send.
+#[derive(Debug, Default)]
+pub struct Loads {
+    received: BTreeMap<id::Box, Received>,
+    all: Sums,
+    members: Sums,
+    /// Prompts of this box since its last status.
+    pub(super) own: Vec<CacheUse>,
+    /// When the relay node last sent its sum.
+    pub(super) relay_node_seen: Moment,
+}
+
+/// Status of another box.
+#[derive(Clone, Debug)]
+pub struct Received {
+    /// When it was received.
+    pub at: Moment,
+    /// Whether the sender receives sums from this box.
+    pub member: bool,
+    /// Loads of the sender, or of the boxes that it sums up.
+    pub loads: Vec<UpstreamLoad>,
+    /// Span in which the store has answered the sender or others.
+    pub store: Option<Span>,
+}
+
+/// Loads of several boxes together, by upstream.
+#[derive(Debug, Default)]
+struct Sums(HashMap<Name, UpstreamLoad>);
+
+impl Sums {
+    fn add(&mut self, load: &UpstreamLoad) {
+        let sum = self.0.entry(load.upstream).or_insert(UpstreamLoad {
+            upstream: load.upstream,
+            ..UpstreamLoad::default()
+        });
+        sum.running = sum.running.saturating_add(load.running);
+        sum.fixed = sum.fixed.saturating_add(load.fixed);
+        sum.waiting = sum.waiting.saturating_add(load.waiting);
+    }
+
+    fn subtract(&mut self, load: &UpstreamLoad) {
+        let Some(sum) = self.0.get_mut(&load.upstream) else {
+            return;
+        };
+        sum.running = sum.running.saturating_sub(load.running);
+        sum.fixed = sum.fixed.saturating_sub(load.fixed);
+        sum.waiting = sum.waiting.saturating_sub(load.waiting);
+        if sum.is_empty() {
+            self.0.remove(&load.upstream);
+        }
+    }
+}
+
+impl Loads {
+    /// Replaces the status of a box; returns the upstreams whose sums may have changed.
+    pub fn put(&mut self, from: &id::Box, status: Received) -> Vec<Name> {
+        let mut touched = self.drop_outdated(status.at);
+        touched.extend(self.remove(from));
+        for load in &status.loads {
+            self.all.add(load);
+            if status.member {
+                self.members.add(load);
+            }
+            touched.push(load.upstream);
+        }
+        self.received.insert(from.clone(), status);
+        touched
+    }
+
+    /// Adds a prompt to the status of a box until its next one; returns whether the box has sent any.
+    pub(super) fn add(&mut self, from: &str, upstream: Name, tokens: u64) -> bool {
+        let Some(received) = self.received.get_mut(from) else {
+            return false;
+        };
+        let more = UpstreamLoad {
+            upstream,
+            running: 1,
+            fixed: 0,
+            waiting: tokens,
+        };
+        received.loads.push(more);
+        self.all.add(&more);
+        if received.member {
+            self.members.add(&more);
+        }
+        true
+    }
+
+    fn remove(&mut self, from: &str) -> Vec<Name> {
+        let Some(status) = self.received.remove(from) else {
+            return Vec::new();
+        };
+        for load in &status.loads {
+            self.all.subtract(load);
+            if status.member {
+                self.members.subtract(load);
+            }
+        }
+        status.loads.iter().map(|load| load.upstream).collect()
+    }
+
+    fn drop_outdated(&mut self, now: Moment) -> Vec<Name> {
+        let is_outdated = |received: &Received| now >= received.at + MAX_STATUS_AGE;
+        let outdated = self.received.iter().filter(|(_, received)| is_outdated(received));
+        let outdated: Vec<id::Box> = outdated.map(|(id, _)| id.clone()).collect();
+        outdated.iter().flat_map(|id| self.remove(id)).collect()
+    }
+
+    /// Load of all other boxes on an upstream.
+    pub fn others(&self, upstream: Name) -> UpstreamLoad {
+        self.all.0.get(&upstream).copied().unwrap_or_default()
+    }
+
+    /// Adds the loads of all boxes but one to `own`.
+    pub fn sum_without(&self, id: &str, own: Vec<UpstreamLoad>) -> Vec<UpstreamLoad> {
+        let mut sums = Sums(self.all.0.clone());
+        let left_out = self.received.get(id).map(|received| received.loads.as_slice());
+        for load in left_out.unwrap_or_default() {
+            sums.subtract(load);
+        }
+        own.iter().for_each(|load| sums.add(load));
+        sums.0.into_values().collect()
+    }
+
+    /// Adds the loads of the members of this relay node to `own`.
+    pub fn sum_of_members(&self, own: Vec<UpstreamLoad>) -> Vec<UpstreamLoad> {
+        let mut sums = Sums(self.members.0.clone());
+        own.iter().for_each(|load| sums.add(load));
+        sums.0.into_values().collect()
+    }
+
+    /// Spans in which the store has answered the boxes that are reachable, as far as each knows.
+    pub fn store_spans(&self, now: Moment) -> Vec<Span> {
+        let received = self
+            .received
+            .values()
+            .filter(|received| now < received.at + MAX_STATUS_AGE);
+        received.filter_map(|received| received.store).collect()
+    }
+
+    /// Boxes that have sent their status to this one as their relay node since a moment.
+    pub(in crate::peers) fn members(&self, since: Moment) -> Vec<id::Box> {
+        let received = self
+            .received
+            .iter()
+            .filter(|(_, received)| received.member && received.at >= since);
+        received.map(|(id, _)| id.clone()).collect()
+    }
+
+    /// Boxes that have sent a status since a moment.
+    pub(in crate::peers) fn senders(&self, since: Moment) -> Vec<id::Box> {
+        let received = self.received.iter().filter(|(_, received)| received.at >= since);
+        received.map(|(id, _)| id.clone()).collect()
+    }
+}
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -27,6 +27,8 @@
 pub struct Registry {
     all: BTreeMap<Id, Upstream>,
     services: HashMap<id::Service, Vec<Id>>,
+    /// Ids by the short names of their present instances.
+    short_names: HashMap<u32, Id>,
     records: BTreeMap<Id, Record>,
     /// Short names of instances at whose addresses others answer, the latest at the end.
     replaced: VecDeque<u32>,
@@ -161,6 +163,8 @@
         if let Some(known) = known.clone().find(|known| known.instance == upstream.instance) {
             (upstream.backoff, upstream.limit) = (known.backoff, known.limit);
         }
+        self.short_names
+            .insert(place::short(upstream.name), id.to_owned());
         self.all.insert(id.to_owned(), upstream);
     }
 
@@ -184,6 +188,10 @@
     /// Takes an upstream off; `None` when it is not known.
     pub fn remove(&mut self, id: &str) -> Option<Ended> {
         let known = self.all.remove(id)?;
+        let name = place::short(known.name);
+        if self.short_names.get(&name).is_some_and(|named| named == id) {
+            self.short_names.remove(&name);
+        }
         if let Some(ids) = self.services.get_mut(&known.entry.service) {
             ids.retain(|other| other != id);
         }
@@ -224,8 +232,10 @@
 
     /// Notes instances at whose addresses others answer, as other boxes report.
     pub fn note_replaced(&mut self, names: &[u32]) {
-        for upstream in self.all.values_mut() {
-            upstream.refused |= names.contains(&place::short(upstream.name));
+        for &name in names {
+            if let Some(upstream) = self.by_short_name_mut(name) {
+                upstream.refused = true;
+            }
         }
         self.replaced.extend(names);
         let most = self.replaced.len().saturating_sub(MAX_REPLACED);
@@ -236,12 +246,10 @@
     ///
     /// Reports of other boxes take out at most half of a service, so that one faulty box can't empty it.
     pub fn note_draining(&mut self, names: &[u32]) -> Vec<Instance> {
-        let named = |upstream: &&Upstream| names.contains(&place::short(upstream.name));
-        let new = self
-            .all
-            .values()
-            .filter(named)
-            .filter(|upstream| upstream.is_there());
+        let named = names
+            .iter()
+            .filter_map(|name| self.all.get(self.short_names.get(name)?));
+        let new = named.filter(|upstream| upstream.is_there());
         let new: Vec<Instance> = new.map(|upstream| upstream.instance.clone()).collect();
         new.into_iter()
             .filter(|instance| self.drain_by_peer(instance))
@@ -317,9 +325,7 @@
 
     /// Returns an instance by its short name, to change it.
     pub fn by_short_name_mut(&mut self, name: u32) -> Option<&mut Upstream> {
-        self.all
-            .values_mut()
-            .find(|upstream| place::short(upstream.name) == name)
+        self.all.get_mut(self.short_names.get(&name)?)
     }
 
     pub(super) fn of_service(&self, service: &str) -> impl Iterator<Item = &Upstream> {
