Hand the store's content from box to box, the widest links first

986 boxes that started together each read 10,000 entries in 20 pages: some 4 GB over a link of 125 MB/s, 34 s at best where traffic begins after 24. Pages came later than a call may take, so reads began anew; the store acknowledged the operator's configurations after 2.7 to 4.3 s, and a configuration longer than 16 KB was read by every box as well.

A box whose store has more than one page now registers and has everything sent by another box of its hall, along a tree of fan-out 8 in an order that all boxes agree on. A relay node answers what doesn't fit into a few datagrams, or reaches back further than its log, with a transfer over a connection in place of sending the asker to the store. The log keeps as many changes as the store has items: beyond that everything is shorter.

The order of the tree, of relay nodes and of leaders begins with the boxes of the widest links, by the binary logarithm of the bandwidth in their address entry. A box of an earlier version counts as the narrowest.

--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -1,6 +1,6 @@
 //! What the duties of a box share. All of them run on one thread.
 
-use std::cell::{Cell, RefCell};
+use std::cell::{Cell, OnceCell, RefCell};
 use std::collections::{BTreeMap, HashMap};
 use std::rc::Rc;
 use std::time::Duration;
@@ -17,11 +17,13 @@
 
 use crate::cache_store::CacheStores;
 use crate::metrics::Metrics;
+use crate::mirror::Mirror;
 use crate::names::Names;
 use crate::peers::{
     Accounts, Book, Gathered, Loads, Log, Notices, Permit, Quotas, RateLimits, Reachability, Relayed, Source,
+    Transfers,
 };
-use crate::port::{Change, Engines, Era, Store};
+use crate::port::{Change, Engines, Era, Revision, Store};
 use crate::quarantine::Quarantine;
 use crate::restore::Restore;
 use crate::rules::Rules;
@@ -81,8 +83,14 @@
     pub cache_stores: RefCell<CacheStores>,
     /// Versions of each model's weights that were named.
     pub weights: RefCell<BTreeMap<String, History>>,
+    /// Everything that the store holds.
+    pub mirror: RefCell<Mirror>,
     /// Items that the boxes keep in the store.
     pub own: RefCell<BTreeMap<String, Change>>,
+    /// Port for messages between boxes and for transfers.
+    pub peer_port: OnceCell<u16>,
+    /// Whether addresses of boxes have changed since the list was last updated.
+    pub addresses_changed: Cell<bool>,
     /// Boxes that may be alive.
     pub book: RefCell<Book>,
     /// Places that this box asks other boxes for.
@@ -107,6 +115,8 @@
     pub log: RefCell<Log>,
     /// News that another box is asked for.
     pub relayed: Relayed,
+    /// Transfers to other boxes.
+    pub transfers: Transfers,
     /// Retry budget of each service.
     pub budgets: RefCell<HashMap<id::Service, Budget>>,
     /// Reading speed of each service's engines.
@@ -153,7 +163,10 @@
             upstreams: RefCell::default(),
             cache_stores: RefCell::default(),
             weights: RefCell::default(),
+            mirror: RefCell::default(),
             own: RefCell::default(),
+            peer_port: OnceCell::new(),
+            addresses_changed: Cell::default(),
             book: RefCell::default(),
             accounts: Accounts::default(),
             reachability: RefCell::default(),
@@ -166,6 +179,7 @@
             notices: RefCell::default(),
             log: RefCell::default(),
             relayed: Relayed::default(),
+            transfers: Transfers::default(),
             budgets: RefCell::default(),
             paces: RefCell::default(),
             held: Cell::default(),
@@ -209,6 +223,11 @@
         })
     }
 
+    /// Whether the box knows what the store holds, however old that may be.
+    pub fn knows_store(&self) -> bool {
+        self.log.borrow().revision() != Revision::default()
+    }
+
     /// Era of the store by the last update.
     pub fn era(&self) -> Era {
         self.log.borrow().revision().era
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -109,6 +109,9 @@
     // A box that a restored store lacks is still at its address, and writes it again.
     let is_lost = known.is_some_and(|known| known.revision.era < item.revision.era) && item.value.is_none();
     if newer && !(is_lost && item.key.starts_with(peers::KEYS)) {
+        if item.key.starts_with(peers::KEYS) {
+            core.addresses_changed.set(true);
+        }
         if let Some(era) = settled::era(&item) {
             core.settled.set(core.settled.get().max(Some(era)));
         }
--- a/crates/jb-relay/src/follow/mod.rs
+++ b/crates/jb-relay/src/follow/mod.rs
@@ -4,5 +4,6 @@
 mod missing;
 mod resurrected;
 mod run;
+mod start_up;
 
 pub use run::{PERIOD, run};
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -3,7 +3,6 @@
 //! A call that waits proves nothing until it answers, so calls are short: what
 //! an answer shows was true when the call was sent, at the earliest.
 
-use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -16,6 +15,7 @@
 use super::facts::apply;
 use super::missing::{self, Partition};
 use super::resurrected::Resurrected;
+use super::start_up;
 use crate::core::{Core, Origin, Shared};
 use crate::peers;
 use crate::port::{Age, Change, News, Revision, StoreError};
@@ -42,8 +42,6 @@
     gone: bool,
     /// Since when the own calls fail.
     failing: Option<Failing>,
-    /// Keys of all that the store holds.
-    keys: BTreeSet<String>,
     /// The last time without any update.
     partition: Partition,
     /// Entries that are back with a restore.
@@ -60,42 +58,23 @@
 }
 
 /// An update of the store.
-struct Update {
-    from: Origin,
-    changes: Vec<Change>,
+pub(super) struct Update {
+    pub(super) from: Origin,
+    pub(super) changes: Vec<Change>,
     /// Whether they are all that the store holds.
-    whole: bool,
+    pub(super) whole: bool,
     /// Revision after them.
-    revision: Revision,
+    pub(super) revision: Revision,
     /// When it was true, at the earliest; `None` when it may be as old as a stale read.
-    proven: Option<Moment>,
-}
-
-impl Progress {
-    /// Items that are known and are no longer there, as changes; `changes` is all that the store holds.
-    fn missing(&self, changes: &[Change], revision: Revision) -> Vec<Change> {
-        let there: BTreeSet<&str> = changes.iter().map(|change| change.key.as_str()).collect();
-        let missing = self.keys.iter().filter(|key| !there.contains(key.as_str()));
-        let removal = |key: &String| Change {
-            key: key.clone(),
-            value: None,
-            revision,
-        };
-        missing.map(removal).collect()
-    }
-
-    fn note_key(&mut self, change: &Change) {
-        if change.value.is_some() {
-            self.keys.insert(change.key.clone());
-        } else {
-            self.keys.remove(&change.key);
-        }
-    }
+    pub(super) proven: Option<Moment>,
 }
 
 /// Follows the store for ever, through the relay node of the data hall where it can.
 pub async fn run(core: Shared, socket: Rc<UdpSocket>) {
     let mut progress = Progress::default();
+    if let Some(update) = start_up::load(&core).await {
+        take(&core, &mut progress, update);
+    }
     loop {
         match ask(&core, &socket, &progress).await {
             Some(update) => {
@@ -118,7 +97,7 @@
     let update = peers::ask(core, socket, after, source).await?;
     Some(Update {
         from: Origin::Box(source),
-        whole: after.era < update.revision.era,
+        whole: update.whole,
         changes: update.changes,
         revision: update.revision,
         proven: Some(update.proven),
@@ -224,7 +203,7 @@
     }
     let is_restored = note_era(core, from, revision);
     if whole {
-        let missing = progress.missing(&changes, revision);
+        let missing = core.mirror.borrow().missing(&changes, revision);
         changes.extend(missing);
     }
     if let Some(at) = proven {
@@ -241,7 +220,7 @@
         apply(core, core.store.decode(&change), change.revision, comes_back);
     }
     for change in &changes {
-        progress.note_key(change);
+        core.mirror.borrow_mut().apply(change);
         if progress.resurrected.holds(change) {
             continue;
         }
@@ -252,6 +231,8 @@
     }
     missing::sweep(core, &progress.partition);
     let mut log = core.log.borrow_mut();
+    let (items, bytes) = (core.mirror.borrow().len(), core.mirror.borrow().bytes());
+    log.note_store(items, bytes);
     if whole {
         log.add_all(changes, revision);
     } else {
--- /dev/null
+++ b/crates/jb-relay/src/follow/start_up.rs
@@ -0,0 +1,101 @@
+//! What a box reads first.
+//!
+//! A store of one page is read as it is. Beyond that a box has everything sent by another box of its data hall: if
+//! all boxes that start together read many pages, the link of the store would be busy for longer than
+//! the first calls may take.
+
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_protocol::{emit, event};
+use tokio::time::sleep;
+
+use super::run::Update;
+use crate::core::{Core, Origin};
+use crate::peers::{self, Source, TransferError};
+use crate::port::{Age, Fact, News, Page, StoreError};
+
+/// Time in which boxes that start together register.
+const REGISTRATION_TIME: Duration = Duration::from_millis(700);
+/// Time after which a box reads the store itself.
+const PATIENCE: Duration = Duration::from_secs(8);
+/// Pause before other boxes are asked again.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+
+/// Returns what the store holds; `None` when the box is to read the store itself.
+pub(super) async fn load(core: &Core) -> Option<Update> {
+    core.metrics.store_calls.inc();
+    let first = core.store.page("", None, Age::Stale).await.ok()?;
+    if first.next.is_none() {
+        return Some(from_store(first));
+    }
+    let until = core.now() + PATIENCE;
+    // Stale reads don't count for the rate of the store, but don't show boxes that start at the same time.
+    let has_boxes = first.changes.iter().any(|item| item.key.starts_with(peers::KEYS));
+    let age = if has_boxes { Age::Stale } else { Age::Fresh };
+    if !has_boxes {
+        peers::write_address(core, first.revision.era).await;
+        sleep(REGISTRATION_TIME).await;
+    }
+    from_boxes(core, age, until).await
+}
+
+fn from_store(page: Page) -> Update {
+    Update {
+        from: Origin::Store,
+        changes: page.changes,
+        whole: true,
+        revision: page.revision,
+        proven: None,
+    }
+}
+
+async fn from_boxes(core: &Core, age: Age, until: Moment) -> Option<Update> {
+    while core.now() < until {
+        if let Err(why) = list(core, age).await {
+            emit!(core.logger, info, event::STORE_UPDATE_FAILED, "why" => %why);
+        }
+        let sources = core
+            .book
+            .borrow()
+            .ancestors(&core.settings.id, &core.settings.hall);
+        let mut is_any_reachable = false;
+        for source in sources {
+            match peers::fetch(core, source, None).await {
+                Ok(transfer) => {
+                    return Some(Update {
+                        from: Origin::Box(Source::RelayNode),
+                        changes: transfer.changes,
+                        whole: true,
+                        revision: transfer.revision,
+                        proven: transfer.proven,
+                    });
+                }
+                Err(why) => {
+                    is_any_reachable |= !matches!(why, TransferError::Unreachable(_));
+                    emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => %source, "why" => %why);
+                }
+            }
+        }
+        if !is_any_reachable {
+            // This box is the first of its data hall, or all before it have gone.
+            return None;
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+    None
+}
+
+/// Reads the addresses of the other boxes.
+async fn list(core: &Core, age: Age) -> Result<(), StoreError> {
+    core.metrics.store_calls.inc();
+    let News { changes, .. } = core.store.items(peers::KEYS, age).await?;
+    for change in changes {
+        if let Fact::Own(item) = core.store.decode(&change) {
+            core.own.borrow_mut().insert(item.key.clone(), item);
+        }
+    }
+    core.addresses_changed.set(true);
+    peers::list(core);
+    Ok(())
+}
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod leader;
 pub mod link;
 pub mod metrics;
+pub mod mirror;
 pub mod names;
 pub mod peers;
 pub mod port;
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -64,6 +64,8 @@
     pub store_calls: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
+    /// Transfers of what the store holds from other boxes.
+    pub transfers: Counter,
     /// Era of the store.
     pub store_era: Gauge,
     /// Version of the configuration in force.
@@ -94,6 +96,7 @@
         let connections_opened = Counter::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
+        let transfers = Counter::default();
         let store_era = Gauge::default();
         let version = Gauge::default();
         registry.register("requests", "Requests by ending", requests.clone());
@@ -161,6 +164,7 @@
             store_calls.clone(),
         );
         registry.register("store_failures", "Calls that failed", store_failures.clone());
+        registry.register("transfers", "Transfers from other boxes", transfers.clone());
         registry.register("store_era", "Times the store was restored", store_era.clone());
         registry.register("configuration_version", "Version in force", version.clone());
         Self {
@@ -181,6 +185,7 @@
             connections_opened,
             store_calls,
             store_failures,
+            transfers,
             store_era,
             version,
             registry,
--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -1,11 +1,12 @@
 //! The boxes that may be alive, and the relay node of each data hall.
 //!
 //! The relay node reads the store for its hall and adds up loads in a large fleet.
-//! It is only a choice that each box makes by itself: the box of the greatest
-//! weight that has not been silent lately. Two relay nodes cost a few calls more.
+//! It is only a choice that each box makes by itself: the first box, in an order that all
+//! agree on, that has not been silent lately. Boxes with wide links come first, as a relay node sends
+//! for all boxes of its hall. Two relay nodes cost a few calls more.
 
-use std::collections::{BTreeMap, BTreeSet};
-use std::net::SocketAddr;
+use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
 use jb_policy::Moment;
@@ -14,6 +15,8 @@
 
 /// Boxes up to which each sends its status to all others.
 pub(super) const SMALL: usize = 16;
+/// Boxes that a box hands everything on to that the store holds.
+const FAN_OUT: usize = 8;
 /// Time for which a box that gave no answer is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(8);
 
@@ -26,12 +29,26 @@
     pub hall: id::Hall,
     /// Hash of its id.
     pub name: u64,
+    /// Bandwidth of its link, in Mbit/s; 0 where it isn't known.
+    pub link: u32,
+}
+
+/// Place of a box among those that may take a duty, the highest first. Links that differ by less than a factor of
+/// two count as equal.
+type Rank = (Option<u32>, u64);
+
+fn rank(duty: u64, peer: &Peer) -> Rank {
+    (peer.link.checked_ilog2(), place::weight(duty, peer.name))
 }
 
 /// All boxes that have given their address.
 #[derive(Debug, Default)]
 pub struct Book {
     peers: BTreeMap<id::Box, Peer>,
+    addresses: HashSet<SocketAddr>,
+    hosts: HashSet<IpAddr>,
+    /// Boxes of each data hall, in the order in which they become its relay node.
+    halls: BTreeMap<id::Hall, Vec<id::Box>>,
     silent: BTreeMap<id::Box, Moment>,
     /// Boxes that have not answered the last question for an account.
     unsure: BTreeSet<id::Box>,
@@ -41,6 +58,9 @@
     /// Takes the addresses as they stand in the store.
     pub fn put(&mut self, peers: BTreeMap<id::Box, Peer>) {
         self.silent.retain(|id, _| peers.contains_key(id));
+        self.addresses = peers.values().map(|peer| peer.address).collect();
+        self.hosts = self.addresses.iter().map(SocketAddr::ip).collect();
+        self.halls = order(&peers);
         self.peers = peers;
     }
 
@@ -51,11 +71,7 @@
 
     /// Boxes of a data hall that may be alive.
     pub fn boxes_in(&self, hall: &str) -> usize {
-        self.peers
-            .values()
-            .filter(|peer| peer.hall == hall)
-            .count()
-            .max(1)
+        self.halls.get(hall).map_or(1, Vec::len)
     }
 
     /// Returns whether each box sends its status to all others.
@@ -94,7 +110,23 @@
 
     /// Whether an address is that of a box.
     pub fn knows(&self, address: SocketAddr) -> bool {
-        self.peers.values().any(|peer| peer.address == address)
+        self.addresses.contains(&address)
+    }
+
+    /// Whether a host is that of a box.
+    pub fn knows_host(&self, host: IpAddr) -> bool {
+        self.hosts.contains(&host)
+    }
+
+    /// The boxes of a data hall that are preferred to one as the source of everything that the store holds: its
+    /// ancestors in a tree of bounded fan-out, the nearest first.
+    pub fn ancestors(&self, own: &str, hall: &str) -> Vec<SocketAddr> {
+        let in_order = self.halls.get(hall).map(Vec::as_slice).unwrap_or_default();
+        let own = in_order.iter().position(|id| id == own);
+        let own = own.unwrap_or(in_order.len());
+        let parent = |&at: &usize| at.checked_sub(1).map(|before| before / FAN_OUT);
+        let ancestors = std::iter::successors(parent(&own), parent);
+        ancestors.filter_map(|at| self.address(&in_order[at])).collect()
     }
 
     /// The box that keeps the account of an engine, with its address.
@@ -142,17 +174,13 @@
 
     /// The relay node of a data hall.
     pub fn relay_node(&self, hall: &str, now: Moment) -> Option<&id::Box> {
-        let in_hall = self.peers.iter().filter(|(_, peer)| peer.hall == hall);
-        let not_silent = in_hall.filter(|(id, _)| !self.is_silent(id, now));
-        not_silent.map(|(id, _)| id).max_by_key(|id| weight(hall, id))
+        let mut in_order = self.halls.get(hall)?.iter();
+        in_order.find(|id| !self.is_silent(id, now))
     }
 
     /// The relay nodes of the other data halls.
     pub fn other_relay_nodes(&self, hall: &str, now: Moment) -> Vec<id::Box> {
-        let mut halls: Vec<&str> = self.peers.values().map(|peer| peer.hall.as_str()).collect();
-        halls.sort_unstable();
-        halls.dedup();
-        let others = halls.into_iter().filter(|other| *other != hall);
+        let others = self.halls.keys().filter(|other| *other != hall);
         others
             .filter_map(|other| self.relay_node(other, now).cloned())
             .collect()
@@ -160,8 +188,11 @@
 
     /// Boxes that are preferred to one for a duty of the whole fleet.
     pub fn before(&self, own: &str, duty: &str, now: Moment) -> usize {
-        let mine = weight(duty, own);
-        let preferred = self.others(own).filter(|(id, _)| weight(duty, id) > mine);
+        let duty = place::name_hash(duty);
+        let Some(mine) = self.peers.get(own).map(|peer| rank(duty, peer)) else {
+            return self.peers.len();
+        };
+        let preferred = self.others(own).filter(|(_, peer)| rank(duty, peer) > mine);
         preferred.filter(|(id, _)| !self.is_silent(id, now)).count()
     }
 
@@ -170,6 +201,18 @@
     }
 }
 
-fn weight(duty: &str, id: &str) -> u64 {
-    place::weight(place::name_hash(duty), place::name_hash(id))
+fn order(peers: &BTreeMap<id::Box, Peer>) -> BTreeMap<id::Hall, Vec<id::Box>> {
+    let mut halls: BTreeMap<&id::Hall, Vec<(Rank, &id::Box)>> = BTreeMap::new();
+    for (id, peer) in peers {
+        let rank = rank(place::name_hash(&peer.hall), peer);
+        halls.entry(&peer.hall).or_default().push((rank, id));
+    }
+    let in_order = |mut boxes: Vec<(Rank, &id::Box)>| {
+        boxes.sort_unstable_by(|a, b| b.cmp(a));
+        boxes.into_iter().map(|(_, id)| id.clone()).collect()
+    };
+    let halls = halls.into_iter();
+    halls
+        .map(|(hall, boxes)| (hall.clone(), in_order(boxes)))
+        .collect()
 }
--- a/crates/jb-relay/src/peers/log.rs
+++ b/crates/jb-relay/src/peers/log.rs
@@ -5,13 +5,12 @@
 
 use std::collections::VecDeque;
 
-use super::relay::LONGEST_OF_ALL;
 use crate::port::{Change, Revision};
 
-/// Changes that a box keeps for others.
-const MOST_CHANGES: usize = 512;
-/// Bytes of values that it keeps for others.
-const MOST_BYTES: usize = LONGEST_OF_ALL;
+/// Changes that a box keeps for others at least.
+const MIN_CHANGES: usize = 512;
+/// Bytes of changes that it keeps for others at least.
+const MIN_BYTES: usize = 512 * 1024;
 /// Bytes of a change's numbers in a message, at the most.
 pub(super) const NUMBERS: usize = 48;
 
@@ -20,6 +19,8 @@
 pub struct Log {
     changes: VecDeque<Change>,
     bytes: usize,
+    /// Items that the store holds, and their bytes.
+    store: (usize, usize),
     /// Revision after which all changes are here.
     from: Revision,
     /// Revision of the last update; the default before the first.
@@ -71,6 +72,7 @@
         *self = Self {
             from: start,
             revision: start,
+            store: self.store,
             // Removals in between aren't known.
             gaps: vec![Gap {
                 after: start,
@@ -90,7 +92,8 @@
             self.changes.push_back(change.clone());
         }
         self.revision = self.revision.max(revision);
-        while self.changes.len() > MOST_CHANGES || self.bytes > MOST_BYTES {
+        let (items, bytes) = self.store;
+        while self.changes.len() > items.max(MIN_CHANGES) || self.bytes > bytes.max(MIN_BYTES) {
             let Some(oldest) = self.changes.pop_front() else {
                 break;
             };
@@ -101,6 +104,16 @@
         self.gaps.retain(|gap| gap.before > from);
     }
 
+    /// Notes how much the store holds. Beyond as many changes everything is shorter than the changes.
+    pub fn note_store(&mut self, items: usize, bytes: usize) {
+        self.store = (items, bytes);
+    }
+
+    /// Bytes of the changes after a revision in messages, at the most.
+    pub(super) fn size_since(&self, revision: Revision) -> usize {
+        self.since(revision).map_or(0, |changes| changes.map(size).sum())
+    }
+
     /// Revision of the last update.
     pub fn revision(&self) -> Revision {
         self.revision
--- a/crates/jb-relay/src/peers/message/news.rs
+++ b/crates/jb-relay/src/peers/message/news.rs
@@ -14,8 +14,6 @@
     pub after: Revision,
     /// Bytes that it has of the next value, where that comes in pieces.
     pub from: u32,
-    /// Whether it takes long values, too, as it cannot read the store itself.
-    pub long: bool,
 }
 
 /// A question for the rest of news that did not fit into one datagram.
@@ -54,6 +52,8 @@
     ReadYourself,
     /// A piece of the next change, whose value is too long for one datagram.
     Piece(Piece),
+    /// The asker must have them transferred over a connection.
+    TooLong,
 }
 
 /// Piece of a change's value.
--- a/crates/jb-relay/src/peers/register.rs
+++ b/crates/jb-relay/src/peers/register.rs
@@ -12,7 +12,7 @@
 use super::Peer;
 use super::book::SMALL;
 use crate::core::{Core, Shared};
-use crate::port::Write;
+use crate::port::{Change, Era, Write};
 
 /// Beginning of the keys under which boxes give their addresses.
 pub const KEYS: &str = "junctionbend/box/";
@@ -22,64 +22,83 @@
 const AGAIN: Duration = Duration::from_secs(2);
 
 /// Writes the own address and data hall into the store, again whenever they are missing there.
-pub async fn register(core: Shared, port: u16) {
-    let address = SocketAddr::new(core.settings.ip, port);
-    let own = format!("{address} {}", core.settings.hall);
-    let key = format!("{KEYS}{}", core.settings.id);
+pub async fn register(core: Shared) {
     loop {
         list(&core);
-        let era = core.era();
-        let known = core.own.borrow().get(&key).cloned();
-        let there = known.filter(|item| item.value.is_some() && item.revision.era == era);
-        let value = there.as_ref().and_then(|item| item.value.as_deref());
-        if core.age().is_some() && value != Some(own.as_bytes()) {
-            let write = Write {
-                key: key.clone(),
-                value: Bytes::from(own.clone()),
-                expected: there.map(|item| item.revision),
-                lease: None,
-            };
-            core.metrics.store_calls.inc();
-            if let Err(why) = core.store.write(era, &[write]).await {
-                emit!(core.logger, info, event::PEER_UNREGISTERED, "why" => %why);
-            }
+        if core.age().is_some() && write_address(&core, core.era()).await {
             sleep(AGAIN).await;
         }
         sleep(LOOK).await;
     }
 }
 
-/// Updates the list of boxes from the store.
+/// Writes the own address unless the store is known to have it; returns whether it was written, or tried to.
+pub async fn write_address(core: &Core, era: Era) -> bool {
+    let Some(port) = core.peer_port.get() else {
+        return false;
+    };
+    let address = SocketAddr::new(core.settings.ip, *port);
+    let own = format!("{address} {} {}", core.settings.hall, core.settings.capacity.link);
+    let key = format!("{KEYS}{}", core.settings.id);
+    let known = core.own.borrow().get(&key).cloned();
+    let there = known.filter(|item| item.value.is_some() && item.revision.era == era);
+    let value = there.as_ref().and_then(|item| item.value.as_deref());
+    if value == Some(own.as_bytes()) {
+        return false;
+    }
+    let write = Write {
+        key,
+        value: Bytes::from(own),
+        expected: there.map(|item| item.revision),
+        lease: None,
+    };
+    core.metrics.store_calls.inc();
+    if let Err(why) = core.store.write(era, &[write]).await {
+        emit!(core.logger, info, event::PEER_UNREGISTERED, "why" => %why);
+    }
+    true
+}
+
+/// Updates the list of boxes from the store, if addresses have changed.
 pub fn list(core: &Core) {
-    core.book.borrow_mut().put(read(core));
+    if core.addresses_changed.take() {
+        core.book.borrow_mut().put(read(core));
+    }
 }
 
 /// Does the same right after a read of the store in a small fleet. In a large one that starts together all
 /// boxes would ask their relay node for each other's addresses.
 pub fn list_few(core: &Core) {
-    let boxes = read(core);
-    if boxes.len() <= SMALL {
-        core.book.borrow_mut().put(boxes);
+    let is_there = |(_, item): &(&String, &Change)| item.value.is_some();
+    let boxes = items(&core.own.borrow()).filter(is_there).take(SMALL + 1).count();
+    if boxes <= SMALL {
+        list(core);
     }
 }
 
 fn read(core: &Core) -> BTreeMap<id::Box, Peer> {
     let own = core.own.borrow();
-    let items = own
-        .range(KEYS.to_owned()..)
-        .take_while(|(key, _)| key.starts_with(KEYS));
-    let peer = |id: &str, value: &str| {
-        let (address, hall) = value.split_once(' ')?;
-        Some(Peer {
-            address: address.parse().ok()?,
-            hall: hall.to_owned(),
-            name: place::name_hash(id),
-        })
-    };
-    let peers = items.filter_map(|(key, item)| {
+    let peers = items(&own).filter_map(|(key, item)| {
         let value = std::str::from_utf8(item.value.as_deref()?).ok()?;
         let id = &key[KEYS.len()..];
         Some((id.to_owned(), peer(id, value)?))
     });
     peers.collect()
 }
+
+fn items(own: &BTreeMap<String, Change>) -> impl Iterator<Item = (&String, &Change)> {
+    own.range(KEYS.to_owned()..)
+        .take_while(|(key, _)| key.starts_with(KEYS))
+}
+
+/// Decodes an address, a data hall and the bandwidth of the link; a box of an earlier version doesn't give that.
+fn peer(id: &str, value: &str) -> Option<Peer> {
+    let mut fields = value.split(' ');
+    let (address, hall) = (fields.next()?, fields.next()?);
+    Some(Peer {
+        address: address.parse().ok()?,
+        hall: hall.to_owned(),
+        name: place::name_hash(id),
+        link: fields.next().and_then(|link| link.parse().ok()).unwrap_or(0),
+    })
+}
--- a/crates/jb-relay/src/peers/relay.rs
+++ b/crates/jb-relay/src/peers/relay.rs
@@ -17,6 +17,7 @@
 use super::log::{Log, NUMBERS, size};
 use super::message::{Answer, Ask, AskMore, LONGEST, Message, News, Piece, StoreChange};
 use super::socket::send;
+use super::transfer;
 use crate::core::Core;
 use crate::port::{Change, Era, Revision};
 use crate::saturating_cast::saturating_cast;
@@ -28,20 +29,18 @@
 const OLDEST: Duration = Duration::from_millis(1800);
 /// Bytes of a message without its changes, at the most.
 const FRAME: usize = 64;
-/// Longest value that is sent in pieces, one datagram each. The record of a roll-out has some
-/// 4 KB with 240 engines; all 295 boxes read the store for it, 289 calls each time.
-const LONGEST_IN_PIECES: usize = 16 * 1024;
-
-/// The same for a box that cannot read the store itself: any configuration. To all boxes of a data
-/// hall a relay node with a link of 20 Mbit/s would be seconds about it.
-pub(super) const LONGEST_OF_ALL: usize = 512 * 1024;
+/// Longest changes that are sent in datagrams, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 16 * 1024;
 
 /// What fits into one datagram of the changes that a box asks for, but for the first `skip` ones,
 /// which it has.
 fn changes_since(log: &Log, ask: &Ask, skip: u32) -> Answer {
     let Some(since) = log.since(ask.after) else {
-        return Answer::ReadYourself;
+        return Answer::TooLong;
     };
+    if skip == 0 && ask.from == 0 && log.size_since(ask.after) > MAX_DATAGRAM_BYTES {
+        return Answer::TooLong;
+    }
     let mut room = LONGEST - FRAME;
     let mut changes = Vec::new();
     let mut revision = ask.after;
@@ -71,17 +70,12 @@
 /// The next piece of a change that is too long for one datagram.
 fn piece(change: &Change, ask: &Ask) -> Answer {
     let from = ask.from as usize;
-    let longest = if ask.long {
-        LONGEST_OF_ALL
-    } else {
-        LONGEST_IN_PIECES
-    };
     let value = change.value.as_deref().unwrap_or_default();
     let without = change.key.len() + NUMBERS;
     let rest = value.get(from..).unwrap_or_default();
     let room = (LONGEST - FRAME).saturating_sub(without);
-    if value.len() > longest || rest.is_empty() || room == 0 {
-        return Answer::ReadYourself;
+    if rest.is_empty() || room == 0 {
+        return Answer::TooLong;
     }
     Answer::Piece(Piece {
         change: StoreChange::without_value(change),
@@ -118,6 +112,8 @@
     pub revision: Revision,
     /// When they were true, at the earliest.
     pub proven: Moment,
+    /// Whether they are all that the store holds.
+    pub whole: bool,
 }
 
 /// Whom a box asks for news of the store.
@@ -136,7 +132,7 @@
         Source::AnyRelayNode => any_relay_node(core),
     };
     for relay_node in relay_nodes {
-        match ask_one(core, socket, after, source, &relay_node).await {
+        match ask_one(core, socket, after, &relay_node).await {
             Ok(update) => return Some(update),
             Err(why) if source == Source::AnyRelayNode => {
                 emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => relay_node, "why" => ?why);
@@ -164,7 +160,6 @@
     core: &Core,
     socket: &UdpSocket,
     after: Revision,
-    source: Source,
     relay_node: &str,
 ) -> Result<Update, Failure> {
     let address = core.book.borrow().address(relay_node).ok_or(Failure::Silent)?;
@@ -178,7 +173,6 @@
             nonce: 0,
             after,
             from: saturating_cast(value.len()),
-            long: source == Source::AnyRelayNode,
         };
         let Some(news) = question(core, socket, address, ask, saturating_cast(all.len())).await else {
             core.book.borrow_mut().missed(relay_node, core.now());
@@ -191,6 +185,7 @@
         }
         match news.answer {
             Answer::ReadYourself => return Err(Failure::KnowsNoMore),
+            Answer::TooLong => return transferred(core, address, after).await,
             Answer::Changes {
                 changes,
                 revision,
@@ -199,6 +194,7 @@
                 all.extend(changes.into_iter().map(Change::from));
                 if whole {
                     return Ok(Update {
+                        whole: after.era < revision.era,
                         changes: all,
                         revision,
                         proven: asked.saturating_sub(Duration::from_millis(news.age_ms)),
@@ -219,12 +215,25 @@
     }
 }
 
+async fn transferred(core: &Core, from: SocketAddr, after: Revision) -> Result<Update, Failure> {
+    let transfer = transfer::fetch(core, from, Some(after)).await.map_err(|why| {
+        emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => %from, "why" => %why);
+        Failure::KnowsNoMore
+    })?;
+    Ok(Update {
+        changes: transfer.changes,
+        revision: transfer.revision,
+        proven: transfer.proven.ok_or(Failure::KnowsNoMore)?,
+        whole: transfer.whole,
+    })
+}
+
 /// Era of the store that an answer is about.
 fn era_of(answer: &Answer) -> Option<Era> {
     match answer {
         Answer::Changes { revision, .. } => Some(revision.era),
         Answer::Piece(piece) => Some(piece.change.revision.era),
-        Answer::ReadYourself => None,
+        Answer::ReadYourself | Answer::TooLong => None,
     }
 }
 
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -5,7 +5,7 @@
 use std::time::Duration;
 
 use jb_protocol::{emit, event};
-use tokio::net::UdpSocket;
+use tokio::net::{TcpListener, UdpSocket};
 use tokio::time::sleep;
 
 use super::message::{LONGEST, Message};
@@ -15,21 +15,36 @@
 /// Pause after an error of the socket.
 const AFTER_ERROR: Duration = Duration::from_millis(100);
 
-/// Binds the first free port of the range.
+/// Tries to find a port that is free for both, where the system chooses it.
+const CHOSEN_PORT_TRIES: usize = 16;
+
+/// Binds the first port of the range that is free for datagrams and for connections.
 ///
 /// # Errors
 /// When no port is free.
-pub async fn bind(ip: IpAddr, ports: std::ops::RangeInclusive<u16>) -> std::io::Result<UdpSocket> {
+pub async fn bind(
+    ip: IpAddr,
+    ports: std::ops::RangeInclusive<u16>,
+) -> std::io::Result<(UdpSocket, TcpListener)> {
     let mut last = std::io::Error::other("no port for messages between boxes");
     for port in ports {
-        match UdpSocket::bind((ip, port)).await {
-            Ok(socket) => return Ok(socket),
-            Err(why) => last = why,
+        let tries = if port == 0 { CHOSEN_PORT_TRIES } else { 1 };
+        for _ in 0..tries {
+            match bind_both(ip, port).await {
+                Ok(both) => return Ok(both),
+                Err(why) => last = why,
+            }
         }
     }
     Err(last)
 }
 
+async fn bind_both(ip: IpAddr, port: u16) -> std::io::Result<(UdpSocket, TcpListener)> {
+    let socket = UdpSocket::bind((ip, port)).await?;
+    let listener = TcpListener::bind(socket.local_addr()?).await?;
+    Ok((socket, listener))
+}
+
 /// Sends a message; one that is lost is made up for by the next.
 pub(super) async fn send(core: &Core, socket: &UdpSocket, to: SocketAddr, message: &Message) {
     let Ok(bytes) = postcard::to_allocvec(message) else {
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -147,6 +147,17 @@
     pub revision: Revision,
 }
 
+/// A page of what the store holds.
+#[derive(Debug)]
+pub struct Page {
+    /// Items, in the order of their keys.
+    pub changes: Vec<Change>,
+    /// Revision of the store.
+    pub revision: Revision,
+    /// Key after which the next page begins; `None` on the last one.
+    pub next: Option<String>,
+}
+
 /// Why a call to the store gave nothing.
 #[derive(Debug, thiserror::Error)]
 pub enum StoreError {
@@ -202,8 +213,32 @@
     fn decode(&self, change: &Change) -> Fact;
     /// Id of the upstream whose entry has changed, if it is one's.
     fn upstream<'a>(&self, change: &'a Change) -> Option<&'a str>;
-    /// All that it holds, or, at less cost, held some seconds ago.
-    async fn all(&self, age: Age) -> Result<News, StoreError>;
+    /// A page of the items whose keys begin with a prefix, as they are or, at less cost, were some seconds ago;
+    /// the first one where `after` names no key.
+    async fn page(&self, prefix: &str, after: Option<&str>, age: Age) -> Result<Page, StoreError>;
+    /// All items whose keys begin with a prefix. Pages may be of different ages: the revision is that of the
+    /// oldest, after which changes are asked for again. [`StoreError::Restored`] when they are of two eras.
+    async fn items(&self, prefix: &str, age: Age) -> Result<News, StoreError> {
+        let Page {
+            mut changes,
+            mut revision,
+            mut next,
+        } = self.page(prefix, None, age).await?;
+        while let Some(after) = next {
+            let page = retry_page(self, prefix, &after, age).await?;
+            if page.revision.era != revision.era {
+                return Err(StoreError::Restored);
+            }
+            changes.extend(page.changes);
+            revision = revision.min(page.revision);
+            next = page.next;
+        }
+        Ok(News { changes, revision })
+    }
+    /// All that it holds.
+    async fn all(&self, age: Age) -> Result<News, StoreError> {
+        self.items("", age).await
+    }
     /// What has changed after a revision; waits up to `wait` for something.
     async fn changes(&self, after: Revision, wait: Duration) -> Result<News, StoreError>;
     /// Takes out a lease.
@@ -217,6 +252,24 @@
     async fn write(&self, era: Era, writes: &[Write]) -> Result<Revision, StoreError>;
 }
 
+/// Tries for each page after the first; without them a single late answer would cost all pages before.
+const PAGE_TRIES: usize = 3;
+
+async fn retry_page<S: Store + ?Sized>(
+    store: &S,
+    prefix: &str,
+    after: &str,
+    age: Age,
+) -> Result<Page, StoreError> {
+    for _ in 1..PAGE_TRIES {
+        match store.page(prefix, Some(after), age).await {
+            Err(StoreError::Lost(_)) => {}
+            page => return page,
+        }
+    }
+    store.page(prefix, Some(after), age).await
+}
+
 /// What an engine reports of itself.
 #[derive(Clone, Debug)]
 pub struct Report {
--- a/crates/jb-relay/src/settings.rs
+++ b/crates/jb-relay/src/settings.rs
@@ -39,6 +39,8 @@
     pub memory: usize,
     /// Open files and sockets.
     pub descriptors: usize,
+    /// Bandwidth of the machine's link, in Mbit/s.
+    pub link: u32,
 }
 
 impl Default for Capacity {
@@ -46,6 +48,7 @@
         Self {
             memory: 64 << 20,
             descriptors: 1024,
+            link: 1000,
         }
     }
 }
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -44,6 +44,7 @@
     callers: TcpListener,
     checks: TcpListener,
     socket: Rc<UdpSocket>,
+    transfers: TcpListener,
 }
 
 impl Bound {
@@ -54,11 +55,12 @@
     pub async fn new(settings: &Settings) -> std::io::Result<Self> {
         let callers = listen(settings.callers)?;
         let checks = listen(settings.ready)?;
-        let socket = Rc::new(peers::bind(settings.ip, settings.ports.clone()).await?);
+        let (socket, transfers) = peers::bind(settings.ip, settings.ports.clone()).await?;
         Ok(Self {
             callers,
             checks,
-            socket,
+            socket: Rc::new(socket),
+            transfers,
         })
     }
 
@@ -104,8 +106,10 @@
         callers,
         checks,
         socket,
+        transfers,
     } = bound;
     let port = socket.local_addr()?.port();
+    core.peer_port.get_or_init(|| port);
     if !core.clock.counts_suspensions() {
         emit!(core.logger, warn, event::CLOCK_STEADY);
     }
@@ -115,9 +119,10 @@
     core.quotas.open(Rc::clone(&socket));
     core.rate_limits.open(Rc::clone(&socket));
     spawn_local(follow::run(Rc::clone(core), Rc::clone(&socket)));
+    spawn_local(peers::serve_transfers(Rc::clone(core), transfers));
     spawn_local(front::serve(Rc::clone(core), callers));
     spawn_local(ready::serve(Rc::clone(core), checks));
-    spawn_local(peers::register(Rc::clone(core), port));
+    spawn_local(peers::register(Rc::clone(core)));
     spawn_local(peers::publish_status(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::receive_messages(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::discover_releases(Rc::clone(core), Rc::clone(&socket)));
--- /dev/null
+++ b/crates/jb-relay/tests/book.rs
@@ -0,0 +1,79 @@
+//! Roles of the boxes of a data hall: who reads the store, and who hands it on to whom.
+//!
+//! Seen: any of 164 boxes became the relay node of its hall, mostly one with a tenth of a core, and every box read
+//! all that the store holds at its start.
+
+#![allow(clippy::expect_used)]
+
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+
+use jb_policy::{Moment, place};
+use jb_relay::peers::{Book, Peer};
+
+const HALL: &str = "hall-a";
+/// Boxes in ten that have a wide link.
+const WIDE_IN_TEN: u16 = 1;
+
+fn peer(number: u16) -> (String, Peer) {
+    let id = format!("box-{number}");
+    let peer = Peer {
+        address: SocketAddr::from(([10, 0, 0, 1], number)),
+        hall: HALL.to_owned(),
+        name: place::name_hash(&id),
+        link: if number % 10 < WIDE_IN_TEN { 200 } else { 20 },
+    };
+    (id, peer)
+}
+
+fn book(boxes: u16) -> (Book, BTreeMap<String, Peer>) {
+    let peers: BTreeMap<String, Peer> = (1..=boxes).map(peer).collect();
+    let mut book = Book::default();
+    book.put(peers.clone());
+    (book, peers)
+}
+
+#[test]
+fn box_with_a_wide_link_is_the_relay_node() {
+    for boxes in [10, 100, 1000, 2000] {
+        let (mut book, peers) = book(boxes);
+        // A wide link among boxes that have gone is passed over, as long as there is another one.
+        for _ in 0..(boxes / 10) {
+            let relay_node = book.relay_node(HALL, Moment::ZERO).expect("a relay node").clone();
+            assert_eq!(peers[&relay_node].link, 200);
+            book.missed(&relay_node, Moment::ZERO);
+        }
+    }
+}
+
+#[test]
+fn each_box_hands_the_store_on_to_a_few_others_in_few_steps() {
+    for (boxes, most_steps) in [(9, 1), (100, 3), (1000, 4), (2000, 4)] {
+        let (book, peers) = book(boxes);
+        let mut children: BTreeMap<SocketAddr, usize> = BTreeMap::new();
+        let mut roots = 0;
+        for id in peers.keys() {
+            let ancestors = book.ancestors(id, HALL);
+            assert!(ancestors.len() <= most_steps, "{} steps", ancestors.len());
+            match ancestors.first() {
+                Some(parent) => *children.entry(*parent).or_default() += 1,
+                None => roots += 1,
+            }
+        }
+        assert_eq!(roots, 1);
+        assert!(children.values().all(|children| *children <= 8));
+    }
+}
+
+/// The boxes that serve others are those with the widest links, as far as there are enough of them.
+#[test]
+fn boxes_with_wide_links_hand_the_store_on() {
+    let (book, peers) = book(1000);
+    let narrow = |address: &SocketAddr| peers.values().any(|p| p.address == *address && p.link == 20);
+    let parents = peers
+        .keys()
+        .filter_map(|id| book.ancestors(id, HALL).first().copied());
+    let by_narrow = parents.filter(narrow).count();
+    // The 100 wide ones have 800 children.
+    assert_eq!(by_narrow, 1000 - 1 - 800);
+}
--- a/crates/jb-relay/tests/news.rs
+++ b/crates/jb-relay/tests/news.rs
@@ -217,3 +217,20 @@
     assert_eq!(&received, world.now());
     assert!(!received.contains_key("engine"));
 }
+
+/// Removals of a seventh of 10,000 upstreams at once outran the log, and every box read the whole store.
+#[test]
+fn log_reaches_back_over_as_many_changes_as_the_store_holds() {
+    for items in [10_000, 20_000] {
+        let at = |number| Revision { era: 1, number };
+        let mut log = Log::default();
+        log.note_store(items, 300 * items);
+        log.add_all(Vec::new(), at(1));
+        for number in 0..items as u64 / 7 {
+            let gone = change(&format!("upstream-{number}"), at(2 + number), false);
+            log.add(&[gone], at(2 + number));
+        }
+        let since = log.since(at(1)).expect("all changes");
+        assert_eq!(since.count(), items / 7);
+    }
+}
