Find the upstreams of a service without looking up ids

Each choice looked up each engine of the service by its id, six times over: some 60,000 look-ups in a tree of strings on a tenth of a core. When a data hall of 1,626 engines went, each removal also looked through all records.

Upstreams now stand in a table with indexes by id, short name and service. Records, constraints and replaced instances are remembered for as many as there are upstreams, and the oldest is found without a search.

late_registration_of_one_of_many_deregistered_upstreams_changes_nothing was red: 512 records were kept, and an entry of before the removal brought an engine back.

--- a/crates/jb-relay/src/link.rs
+++ b/crates/jb-relay/src/link.rs
@@ -223,7 +223,7 @@
 /// Closes connections that have rested too long.
 pub fn sweep(core: &Shared) {
     let now = core.now();
-    for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
+    for upstream in core.upstreams.borrow_mut().values_mut() {
         upstream
             .idle
             .retain(|idle| now.saturating_sub(idle.since) <= idle.rest);
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -323,7 +323,7 @@
 /// Drops places that were never given back.
 pub fn sweep(core: &Core) {
     let now = core.now();
-    for (_, upstream) in core.upstreams.borrow_mut().iter_mut() {
+    for upstream in core.upstreams.borrow_mut().values_mut() {
         if upstream.account.expire(now) > 0 {
             // One of them may have been the one request that tries a failing engine.
             upstream.health.undecided();
--- a/crates/jb-relay/src/upstream/mod.rs
+++ b/crates/jb-relay/src/upstream/mod.rs
@@ -5,6 +5,7 @@
 mod registration;
 mod registry;
 mod state;
+mod table;
 mod wanted;
 
 pub use instance::{Id, Instance};
--- a/crates/jb-relay/src/upstream/pick.rs
+++ b/crates/jb-relay/src/upstream/pick.rs
@@ -32,8 +32,12 @@
     /// Returns whether the entries of more than half of a service's upstreams are missing: they expired in
     /// an outage then, and the few that are back first can't serve in place of all.
     fn mostly_expired(&self, service: &str) -> bool {
-        let expired = self.of_service(service).filter(|u| u.expired.is_some());
-        2 * expired.count() > self.of_service(service).count()
+        let (mut expired, mut all) = (0, 0);
+        for upstream in self.of_service(service) {
+            expired += usize::from(upstream.expired.is_some());
+            all += 1;
+        }
+        2 * expired > all
     }
 
     /// Whether an engine that may get requests has a version of a model's weights.
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -1,6 +1,6 @@
 //! All upstreams that a box knows: their registrations, and the present instance of each.
 
-use std::collections::{BTreeMap, HashMap, VecDeque};
+use std::collections::{BTreeMap, VecDeque};
 
 use jb_policy::Moment;
 use jb_policy::backoff::Backoff;
@@ -8,28 +8,33 @@
 use jb_policy::place;
 use jb_policy::rate_limit::Limit;
 use jb_policy::signal::Signals;
-use jb_protocol::id;
 
 use super::registration::{Record, Standing};
+use super::table::Table;
 use super::{Id, Instance, Upstream};
 use crate::port::{Entry, Registration, Revision, StartTime};
 
-/// Deregistered ids whose records are remembered, so that late registrations change nothing.
-const MAX_DEREGISTERED: usize = 512;
-/// Instances that have gone of which the constraints are remembered: an entry comes back within seconds,
-/// in which few engines go.
-const MAX_CONSTRAINTS: usize = 64;
-/// Replaced instances that are remembered where another box reports them before the store does.
-const MAX_REPLACED: usize = 64;
+/// Deregistered ids whose records are remembered at least, so that late registrations change nothing. Beyond
+/// that, of this and the next two, as many are remembered as there are upstreams: a whole data hall can go at once.
+const MIN_DEREGISTERED: usize = 512;
+/// Instances that have gone of which the constraints are remembered at least: an entry comes back within seconds.
+const MIN_CONSTRAINTS: usize = 64;
+/// Replaced instances that are remembered at least, where another box reports them before the store does.
+const MIN_REPLACED: usize = 64;
+
+/// Drops the oldest entries beyond a length.
+fn truncate<T>(entries: &mut VecDeque<T>, most: usize) {
+    let excess = entries.len().saturating_sub(most);
+    entries.drain(..excess);
+}
 
 /// All upstreams.
 #[derive(Debug, Default)]
 pub struct Registry {
-    all: BTreeMap<Id, Upstream>,
-    services: HashMap<id::Service, Vec<Id>>,
-    /// Ids by the short names of their present instances.
-    short_names: HashMap<u32, Id>,
+    all: Table,
     records: BTreeMap<Id, Record>,
+    /// Ids that were deregistered, the last one at the end; some may be back.
+    deregistered: VecDeque<Id>,
     /// Short names of instances at whose addresses others answer, the latest at the end.
     replaced: VecDeque<u32>,
     /// Constraints of instances whose entries have gone, the last one to go at the end.
@@ -152,8 +157,6 @@
             id: id.to_owned(),
             started_at: entry.started_at,
         };
-        let ids = self.services.entry(entry.service.clone()).or_default();
-        ids.push(id.to_owned());
         let mut upstream = Upstream::new(instance, entry);
         // Without start times, an id that is back may have its address back as well.
         let is_replaced =
@@ -163,9 +166,7 @@
         if let Some(known) = known.clone().find(|known| known.instance == upstream.instance) {
             (upstream.backoff, upstream.limit) = (known.backoff, known.limit);
         }
-        self.short_names
-            .insert(place::short(upstream.name), id.to_owned());
-        self.all.insert(id.to_owned(), upstream);
+        self.all.insert(upstream);
     }
 
     fn blur(&mut self, id: &str) -> Seen {
@@ -187,34 +188,26 @@
 
     /// Takes an upstream off; `None` when it is not known.
     pub fn remove(&mut self, id: &str) -> Option<Ended> {
-        let known = self.all.remove(id)?;
-        let name = place::short(known.name);
-        if self.short_names.get(&name).is_some_and(|named| named == id) {
-            self.short_names.remove(&name);
-        }
-        if let Some(ids) = self.services.get_mut(&known.entry.service) {
-            ids.retain(|other| other != id);
-        }
+        let known = self.all.remove(id);
+        self.deregistered.push_back(id.to_owned());
+        self.evict();
+        let known = known?;
         self.constraints.push_back(Constraints {
             instance: known.instance.clone(),
             backoff: known.backoff,
             limit: known.limit,
         });
-        let excess = self.constraints.len().saturating_sub(MAX_CONSTRAINTS);
-        self.constraints.drain(..excess);
-        self.evict_records();
+        truncate(&mut self.constraints, MIN_CONSTRAINTS.max(self.all.len()));
         Some(Ended::of(&known))
     }
 
     /// Evicts the oldest records of deregistered upstreams.
-    fn evict_records(&mut self) {
-        while self.records.len() > self.all.len() + MAX_DEREGISTERED {
-            let gone = self.records.iter().filter(|(id, _)| !self.all.contains_key(*id));
-            let oldest = gone.min_by_key(|(_, records)| records.revision());
-            let Some(oldest) = oldest.map(|(id, _)| id.clone()) else {
-                return;
-            };
-            self.records.remove(&oldest);
+    fn evict(&mut self) {
+        while self.deregistered.len() > MIN_DEREGISTERED.max(self.all.len()) {
+            let oldest = self.deregistered.pop_front();
+            if let Some(oldest) = oldest.filter(|id| !self.all.contains(id)) {
+                self.records.remove(&oldest);
+            }
         }
     }
 
@@ -238,17 +231,14 @@
             }
         }
         self.replaced.extend(names);
-        let most = self.replaced.len().saturating_sub(MAX_REPLACED);
-        self.replaced.drain(..most);
+        truncate(&mut self.replaced, MIN_REPLACED.max(self.all.len()));
     }
 
     /// Notes instances that drain, as other boxes report; returns those that are taken out.
     ///
     /// Reports of other boxes take out at most half of a service, so that one faulty box can't empty it.
     pub fn note_draining(&mut self, names: &[u32]) -> Vec<Instance> {
-        let named = names
-            .iter()
-            .filter_map(|name| self.all.get(self.short_names.get(name)?));
+        let named = names.iter().filter_map(|name| self.all.by_short_name(*name));
         let new = named.filter(|upstream| upstream.is_there());
         let new: Vec<Instance> = new.map(|upstream| upstream.instance.clone()).collect();
         new.into_iter()
@@ -275,7 +265,7 @@
     /// Returns whether an upstream was there and its entry has gone.
     pub fn is_deregistered(&self, id: &str) -> bool {
         let known = self.records.get(id).map(Record::standing);
-        known == Some(Standing::Gone) && !self.all.contains_key(id)
+        known == Some(Standing::Gone) && !self.all.contains(id)
     }
 
     /// Ids whose entries are missing.
@@ -286,7 +276,7 @@
 
     /// Ids of all that are known.
     pub fn ids(&self) -> Vec<Id> {
-        self.all.keys().cloned().collect()
+        self.all.iter().map(|(id, _)| id.clone()).collect()
     }
 
     /// All upstreams.
@@ -295,8 +285,8 @@
     }
 
     /// All upstreams, to change them.
-    pub fn iter_mut(&mut self) -> impl Iterator<Item = (&Id, &mut Upstream)> {
-        self.all.iter_mut()
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
+        self.all.values_mut()
     }
 
     /// Returns the upstream with an id.
@@ -325,12 +315,11 @@
 
     /// Returns an instance by its short name, to change it.
     pub fn by_short_name_mut(&mut self, name: u32) -> Option<&mut Upstream> {
-        self.all.get_mut(self.short_names.get(&name)?)
+        self.all.by_short_name_mut(name)
     }
 
     pub(super) fn of_service(&self, service: &str) -> impl Iterator<Item = &Upstream> {
-        let ids = self.services.get(service).map(Vec::as_slice).unwrap_or_default();
-        ids.iter().filter_map(|id| self.all.get(id))
+        self.all.of_service(service)
     }
 
     /// Applies the end of a request to the health of its upstream.
--- /dev/null
+++ b/crates/jb-relay/src/upstream/table.rs
@@ -0,0 +1,108 @@
+//! Upstreams by id, by short name and by service.
+//!
+//! The choice for a request looks at all upstreams of a service, so these are found without looking up ids.
+
+use std::collections::{BTreeMap, HashMap};
+
+use jb_policy::place;
+use jb_protocol::id;
+
+use super::{Id, Upstream};
+
+/// Place of an upstream in the table.
+type Slot = usize;
+
+/// Upstreams with their indexes.
+#[derive(Debug, Default)]
+pub struct Table {
+    upstreams: Vec<Option<Upstream>>,
+    free: Vec<Slot>,
+    by_id: BTreeMap<Id, Slot>,
+    by_short_name: HashMap<u32, Slot>,
+    by_service: HashMap<id::Service, Vec<Slot>>,
+}
+
+impl Table {
+    /// Adds an upstream. The one that had its id is removed before.
+    pub fn insert(&mut self, upstream: Upstream) {
+        self.remove(&upstream.instance.id);
+        let slot = self.free.pop().unwrap_or_else(|| {
+            self.upstreams.push(None);
+            self.upstreams.len() - 1
+        });
+        self.by_id.insert(upstream.instance.id.clone(), slot);
+        self.by_short_name.insert(place::short(upstream.name), slot);
+        let service = upstream.entry.service.clone();
+        self.by_service.entry(service).or_default().push(slot);
+        self.upstreams[slot] = Some(upstream);
+    }
+
+    /// Removes an upstream; `None` when there is none with that id.
+    pub fn remove(&mut self, id: &str) -> Option<Upstream> {
+        let slot = self.by_id.remove(id)?;
+        let upstream = self.upstreams[slot].take()?;
+        let name = place::short(upstream.name);
+        if self.by_short_name.get(&name) == Some(&slot) {
+            self.by_short_name.remove(&name);
+        }
+        if let Some(slots) = self.by_service.get_mut(&upstream.entry.service) {
+            slots.retain(|other| *other != slot);
+        }
+        self.free.push(slot);
+        Some(upstream)
+    }
+
+    /// Number of upstreams.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Returns whether there is an upstream with an id.
+    pub fn contains(&self, id: &str) -> bool {
+        self.by_id.contains_key(id)
+    }
+
+    /// Returns the upstream with an id.
+    pub fn get(&self, id: &str) -> Option<&Upstream> {
+        self.at(*self.by_id.get(id)?)
+    }
+
+    /// Returns the upstream with an id, to change it.
+    pub fn get_mut(&mut self, id: &str) -> Option<&mut Upstream> {
+        let slot = *self.by_id.get(id)?;
+        self.upstreams.get_mut(slot)?.as_mut()
+    }
+
+    /// Returns the upstream whose present instance has a short name.
+    pub fn by_short_name(&self, name: u32) -> Option<&Upstream> {
+        self.at(*self.by_short_name.get(&name)?)
+    }
+
+    /// Returns the upstream whose present instance has a short name, to change it.
+    pub fn by_short_name_mut(&mut self, name: u32) -> Option<&mut Upstream> {
+        let slot = *self.by_short_name.get(&name)?;
+        self.upstreams.get_mut(slot)?.as_mut()
+    }
+
+    /// Upstreams of a service, in the order in which they were added.
+    pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Upstream> {
+        let slots = self.by_service.get(service).map(Vec::as_slice);
+        slots.unwrap_or_default().iter().filter_map(|slot| self.at(*slot))
+    }
+
+    /// All upstreams, in the order of their ids.
+    pub fn iter(&self) -> impl Iterator<Item = (&Id, &Upstream)> {
+        self.by_id
+            .iter()
+            .filter_map(|(id, slot)| Some((id, self.at(*slot)?)))
+    }
+
+    /// All upstreams, to change them.
+    pub fn values_mut(&mut self) -> impl Iterator<Item = &mut Upstream> {
+        self.upstreams.iter_mut().flatten()
+    }
+
+    fn at(&self, slot: Slot) -> Option<&Upstream> {
+        self.upstreams.get(slot)?.as_ref()
+    }
+}
--- a/crates/jb-relay/tests/instances.rs
+++ b/crates/jb-relay/tests/instances.rs
@@ -333,3 +333,24 @@
     registry.apply_registration("engine", entry(Some(SECOND), false), at(4));
     assert_eq!(rate(&registry), None);
 }
+
+/// The records of all but 512 engines were forgotten when a data hall of 1,626 went at once.
+#[test]
+fn late_registration_of_one_of_many_deregistered_upstreams_changes_nothing() {
+    for engines in [10_000, 20_000] {
+        let mut registry = Registry::default();
+        let id = |number: u64| format!("engine-{number}");
+        for number in 0..engines {
+            registry.apply_registration(&id(number), entry(Some(FIRST), false), at(1));
+        }
+        let gone = engines / 6;
+        for number in 0..gone {
+            registry.apply_registration(&id(number), Registration::Gone, at(2));
+            registry.remove(&id(number));
+        }
+        for number in 0..gone {
+            registry.apply_registration(&id(number), entry(Some(FIRST), false), at(1));
+        }
+        assert_eq!(registry.ids().len() as u64, engines - gone);
+    }
+}
