Let less preferred boxes ask for the lease one after the other

With the eight most preferred boxes away, each of 978 others would ask for the leader's lease at the same moment, two calls each: ranks from 8 on all waited for 2 s. Found by reading, not seen.

--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cell;
 pub mod choose;
 pub mod claim;
+pub mod election;
 pub mod gate;
 pub mod hall;
 pub mod health;
--- a/crates/jb-relay/src/leader/election.rs
+++ b/crates/jb-relay/src/leader/election.rs
@@ -1,8 +1,7 @@
 //! Election of the leader, by a lease in the store.
 
-use std::time::Duration;
-
 use bytes::Bytes;
+use jb_policy::election;
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
 
@@ -11,10 +10,6 @@
 use crate::follow;
 use crate::port::{Change, Revision, StoreError, Write};
 
-/// Time by which each less preferred box asks for the lease later.
-const RANK_PAUSE: Duration = Duration::from_millis(250);
-/// Rank from which on boxes wait no longer.
-const MAX_RANK: usize = 8;
 impl Leader {
     /// Makes this box the leader when there is none, the most preferred box first.
     pub(super) async fn try_elect(&self) {
@@ -31,7 +26,7 @@
         let since = self.vacant_since.get().unwrap_or(now);
         self.vacant_since.set(Some(since));
         let before = core.book.borrow().before(&core.settings.id, HOLDER, now);
-        if now < since + RANK_PAUSE * u32::try_from(before.min(MAX_RANK)).unwrap_or_default() {
+        if now < since + election::pause(before) {
             return;
         }
         if let Err(why) = self.elect().await {
