Log where a box's first content came from, and which box is a relay node

At a thousand boxes an operator has to find the six relay nodes and the boxes that read the store themselves. store_loaded names the source and the time since the start; relay_node_role and the gauge relay_node name the role. One line a box, and one for each change of a role.

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -59,6 +59,8 @@
     STORE_RESTORED = 4011, "store_restored", "The store has been restored from a copy; what it acknowledged since is lost.";
     STORE_SETTLED = 4012, "store_settled", "Everything that a restore lost has been written to the store again.";
     STORE_UNSETTLED = 4013, "store_unsettled", "That everything has been written again could not be noted in the store.";
+    STORE_LOADED = 4014, "store_loaded", "The box has read everything that the store holds, for the first time.";
+    RELAY_NODE_ROLE = 4015, "relay_node_role", "The box has become the relay node of its hall, or is no longer.";
     UPSTREAM_DRAINING = 5001, "upstream_draining", "An upstream gets no new work.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream is left out after failures.";
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -200,6 +200,8 @@
     } = update;
     if known(core).is_none() {
         core.note_first_answer(revision.era);
+        emit!(core.logger, info, event::STORE_LOADED, "from" => ?from, "items" => changes.len(),
+            "after_ms" => core.now().as_millis() as u64);
     }
     let is_restored = note_era(core, from, revision);
     if whole {
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -64,6 +64,8 @@
     pub store_calls: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
+    /// 1 at the relay node of a hall, else 0.
+    pub relay_node: Gauge,
     /// Transfers of what the store holds from other boxes.
     pub transfers: Counter,
     /// Era of the store.
@@ -96,6 +98,7 @@
         let connections_opened = Counter::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
+        let relay_node = Gauge::default();
         let transfers = Counter::default();
         let store_era = Gauge::default();
         let version = Gauge::default();
@@ -164,6 +167,7 @@
             store_calls.clone(),
         );
         registry.register("store_failures", "Calls that failed", store_failures.clone());
+        registry.register("relay_node", "Whether the box is a relay node", relay_node.clone());
         registry.register("transfers", "Transfers from other boxes", transfers.clone());
         registry.register("store_era", "Times the store was restored", store_era.clone());
         registry.register("configuration_version", "Version in force", version.clone());
@@ -185,6 +189,7 @@
             connections_opened,
             store_calls,
             store_failures,
+            relay_node,
             transfers,
             store_era,
             version,
--- a/crates/jb-relay/src/peers/status.rs
+++ b/crates/jb-relay/src/peers/status.rs
@@ -13,6 +13,7 @@
 
 use jb_policy::place;
 use jb_policy::prefix_cache::Segment;
+use jb_protocol::{emit, event};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
@@ -108,6 +109,7 @@
     let now = core.now();
     let relay_node = core.book.borrow().relay_node(&core.settings.hall, now).cloned();
     let Some(relay_node) = relay_node else { return };
+    note_role(core, relay_node == core.settings.id);
     if relay_node == core.settings.id {
         core.loads.borrow_mut().relay_node_seen = now;
         send_to_other_relay_nodes(core, socket).await;
@@ -127,6 +129,14 @@
     send_to(core, socket, &relay_node, status).await;
 }
 
+/// Notes whether this box is the relay node of its hall.
+fn note_role(core: &Core, is_relay_node: bool) {
+    let before = core.metrics.relay_node.set(i64::from(is_relay_node)) != 0;
+    if before != is_relay_node {
+        emit!(core.logger, info, event::RELAY_NODE_ROLE, "is_relay_node" => is_relay_node);
+    }
+}
+
 async fn send_to_other_relay_nodes(core: &Core, socket: &UdpSocket) {
     let relay_nodes = core
         .book
