Read the addresses once while another box prepares the store's content

A box that waited for the box before it read all addresses again at each try, two calls of 986 boxes, and read the whole store itself where that call failed.

The addresses are read once, and again only where the call failed.

--- a/crates/jb-relay/src/follow/start_up.rs
+++ b/crates/jb-relay/src/follow/start_up.rs
@@ -4,6 +4,7 @@
 //! all boxes that start together read many pages, the link of the store would be busy for longer than
 //! the first calls may take.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use jb_policy::Moment;
@@ -51,39 +52,56 @@
 }
 
 async fn from_boxes(core: &Core, age: Age, until: Moment) -> Option<Update> {
+    while let Err(why) = list(core, age).await {
+        emit!(core.logger, info, event::STORE_UPDATE_FAILED, "why" => %why);
+        if core.now() > until {
+            return None;
+        }
+        sleep(RETRY_INTERVAL).await;
+    }
+    let (own, hall) = (&core.settings.id, &core.settings.hall);
+    let sources = core.book.borrow().ancestors(own, hall);
     while core.now() < until {
-        if let Err(why) = list(core, age).await {
-            emit!(core.logger, info, event::STORE_UPDATE_FAILED, "why" => %why);
+        match from_any(core, &sources).await {
+            Attempt::Done(update) => return Some(update),
+            Attempt::Later => sleep(RETRY_INTERVAL).await,
+            Attempt::Nowhere => return None,
         }
-        let sources = core
-            .book
-            .borrow()
-            .ancestors(&core.settings.id, &core.settings.hall);
-        let mut is_any_reachable = false;
-        for source in sources {
-            match peers::fetch(core, source, None).await {
-                Ok(transfer) => {
-                    return Some(Update {
-                        from: Origin::Box(Source::RelayNode),
-                        changes: transfer.changes,
-                        whole: true,
-                        revision: transfer.revision,
-                        proven: transfer.proven,
-                    });
-                }
-                Err(why) => {
-                    is_any_reachable |= !matches!(why, TransferError::Unreachable(_));
-                    emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => %source, "why" => %why);
+    }
+    None
+}
+
+/// Result of asking all sources once.
+enum Attempt {
+    Done(Update),
+    /// One of them lives, and has nothing yet.
+    Later,
+    /// This box is the first of its data hall, or all before it have gone.
+    Nowhere,
+}
+
+async fn from_any(core: &Core, sources: &[SocketAddr]) -> Attempt {
+    let mut failed = Attempt::Nowhere;
+    for source in sources {
+        match peers::fetch(core, *source, None).await {
+            Ok(transfer) => {
+                return Attempt::Done(Update {
+                    from: Origin::Box(Source::RelayNode),
+                    changes: transfer.changes,
+                    whole: true,
+                    revision: transfer.revision,
+                    proven: transfer.proven,
+                });
+            }
+            Err(why) => {
+                if !matches!(why, TransferError::Unreachable(_)) {
+                    failed = Attempt::Later;
                 }
+                emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => %source, "why" => %why);
             }
         }
-        if !is_any_reachable {
-            // This box is the first of its data hall, or all before it have gone.
-            return None;
-        }
-        sleep(RETRY_INTERVAL).await;
     }
-    None
+    failed
 }
 
 /// Reads the addresses of the other boxes.
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -167,7 +167,11 @@
             store_calls.clone(),
         );
         registry.register("store_failures", "Calls that failed", store_failures.clone());
-        registry.register("relay_node", "Whether the box is a relay node", relay_node.clone());
+        registry.register(
+            "relay_node",
+            "Whether the box is a relay node",
+            relay_node.clone(),
+        );
         registry.register("transfers", "Transfers from other boxes", transfers.clone());
         registry.register("store_era", "Times the store was restored", store_era.clone());
         registry.register("configuration_version", "Version in force", version.clone());
