Wait for the way to another region besides the time for an answer

With two regions 20 ms apart each question to an owner in the other one was given up after 25 or 30 ms, so its answer always came too late. After two such questions the owner counted as silent for 8 s and the account, with what it knew of cached prompts, moved to another box: shared parts read again were the dearest price there.

Questions now wait for the smoothed round trip to the box's hall (the estimator of RFC 6298) on top of the time that the box has to answer.

--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -20,8 +20,8 @@
 use crate::mirror::Mirror;
 use crate::names::Names;
 use crate::peers::{
-    Accounts, Book, Gathered, Loads, Log, Notices, Permit, Quotas, RateLimits, Reachability, Relayed, Source,
-    Transfers,
+    Accounts, Book, Gathered, Loads, Log, Notices, Permit, Quotas, RateLimits, Reachability, Relayed,
+    RoundTrips, Source, Transfers,
 };
 use crate::port::{Change, Engines, Era, Revision, Store};
 use crate::quarantine::Quarantine;
@@ -93,6 +93,8 @@
     pub addresses_changed: Cell<bool>,
     /// Boxes that may be alive.
     pub book: RefCell<Book>,
+    /// Time of the way to other boxes.
+    pub round_trips: RoundTrips,
     /// Places that this box asks other boxes for.
     pub accounts: Accounts,
     /// Boxes that reach each other.
@@ -168,6 +170,7 @@
             peer_port: OnceCell::new(),
             addresses_changed: Cell::default(),
             book: RefCell::default(),
+            round_trips: RoundTrips::default(),
             accounts: Accounts::default(),
             reachability: RefCell::default(),
             quotas: Quotas::default(),
--- a/crates/jb-relay/src/peers/account.rs
+++ b/crates/jb-relay/src/peers/account.rs
@@ -25,8 +25,7 @@
 use crate::saturating_cast::saturating_cast;
 use crate::upstream::{Instance, Upstream};
 
-/// Time in which an account answers: 0.2 to 2 ms on the way, the rest for a box whose part of a
-/// core is spent for the moment.
+/// Time that an owner has to answer, besides the way: its part of a core may be spent for the moment.
 const ANSWER: Duration = Duration::from_millis(25);
 
 /// How a request ended at an engine.
--- a/crates/jb-relay/src/peers/inquiry.rs
+++ b/crates/jb-relay/src/peers/inquiry.rs
@@ -54,7 +54,8 @@
         }
     }
 
-    /// Asks a box; `None` when it gives no answer in time, which counts against it.
+    /// Asks a box, which has `time` to answer besides the way; `None` when it gives no answer in time, which counts
+    /// against it.
     pub async fn ask(
         &self,
         core: &Core,
@@ -63,6 +64,8 @@
         message: &Message,
         time: Duration,
     ) -> Option<A> {
+        let hall = core.book.borrow().hall(id).cloned().unwrap_or_default();
+        let (asked, time) = (core.now(), core.round_trips.timeout(&hall, time));
         let (answered, answer) = oneshot::channel();
         self.waiting.borrow_mut().insert(key, answered);
         self.send(core, address, message);
@@ -71,6 +74,7 @@
         let mut book = core.book.borrow_mut();
         if let Ok(Ok(answer)) = answer {
             book.note_alive(id);
+            core.round_trips.note(&hall, core.now().saturating_sub(asked));
             return Some(answer);
         }
         book.gave_no_advice(id, core.now());
