Register a new box before it asks others for the store's content

A box at an address that is not listed yet would have waited for 8 s and then read the whole store: boxes hand the content only to listed ones, and where others were listed the new box registered after it had loaded. Found by reading the change anew; a box that starts again is listed already.

--- a/crates/jb-relay/src/follow/start_up.rs
+++ b/crates/jb-relay/src/follow/start_up.rs
@@ -14,7 +14,7 @@
 use super::run::Update;
 use crate::core::{Core, Origin};
 use crate::peers::{self, Source, TransferError};
-use crate::port::{Age, Fact, News, Page, StoreError};
+use crate::port::{Age, Era, Fact, News, Page, StoreError};
 
 /// Time in which boxes that start together register.
 const REGISTRATION_TIME: Duration = Duration::from_millis(700);
@@ -38,7 +38,7 @@
         peers::write_address(core, first.revision.era).await;
         sleep(REGISTRATION_TIME).await;
     }
-    from_boxes(core, age, until).await
+    from_boxes(core, first.revision.era, age, until).await
 }
 
 fn from_store(page: Page) -> Update {
@@ -51,7 +51,7 @@
     }
 }
 
-async fn from_boxes(core: &Core, age: Age, until: Moment) -> Option<Update> {
+async fn from_boxes(core: &Core, era: Era, age: Age, until: Moment) -> Option<Update> {
     while let Err(why) = list(core, age).await {
         emit!(core.logger, info, event::STORE_UPDATE_FAILED, "why" => %why);
         if core.now() > until {
@@ -59,6 +59,8 @@
         }
         sleep(RETRY_INTERVAL).await;
     }
+    // Others hand the content only to boxes that are registered.
+    peers::write_address(core, era).await;
     let (own, hall) = (&core.settings.id, &core.settings.hall);
     let sources = core.book.borrow().ancestors(own, hall);
     while core.now() < until {
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -1,5 +1,6 @@
 //! Messages between boxes, in datagrams that may be lost without harm: status, loading of weights, rate
-//! limits, evidence on poison requests, and changes of the store.
+//! limits, evidence on poison requests, and changes of the store. What is too long for datagrams is transferred over
+//! connections.
 
 mod account;
 mod book;
