--- a/crates/jb-policy/src/choose.rs
+++ b/crates/jb-policy/src/choose.rs
@@ -5,7 +5,6 @@
 //! running requests. Bytes to another data hall are a small cost on top, so
 //! that the own hall wins among equals.
 
-use std::cmp::Reverse;
 use std::time::Duration;
 
 use crate::place;
@@ -121,9 +120,6 @@
     pub prompt: &'a [Segment],
     /// Bytes that go there.
     pub bytes: usize,
-    /// Hash of the box that sends it. Among upstreams of a plain service that cost the same each box has an order of
-    /// its own, so that boxes that know nothing of each other's requests don't all take the same one.
-    pub origin: u64,
 }
 
 impl Demand<'_> {
@@ -159,12 +155,7 @@
     let costs = listed
         .into_iter()
         .map(|at| (at, cost(&candidates[at], demand, tuning) + away(at)));
-    let order = |at: usize| {
-        let is_plain = demand.prompt.is_empty();
-        is_plain.then(|| Reverse(place::weight(demand.origin, candidates[at].name)))
-    };
-    let first = costs.min_by(|a, b| a.1.total_cmp(&b.1).then_with(|| order(a.0).cmp(&order(b.0))));
-    first.map(|(at, _)| at)
+    costs.min_by(|a, b| a.1.total_cmp(&b.1)).map(|(at, _)| at)
 }
 
 /// Drag of one running request on a first token, in milliseconds; from a fit over 18,800 first
--- a/crates/jb-policy/tests/choose.rs
+++ b/crates/jb-policy/tests/choose.rs
@@ -36,7 +36,6 @@
     let demand = Demand {
         prompt: &prompt,
         bytes: 0,
-        ..Demand::default()
     };
     let mut engines: Vec<_> = (1..=9).map(candidate).collect();
     let chosen = best(&engines, &demand, &Tuning::default()).map(|at| engines[at].name);
@@ -53,7 +52,6 @@
     let demand = Demand {
         prompt: &prompt,
         bytes: 0,
-        ..Demand::default()
     };
     let mut engines = [candidate(1), candidate(2)];
     engines[0].found = 6300;
@@ -88,7 +86,6 @@
     let demand = Demand {
         prompt: &prompt,
         bytes: 0,
-        ..Demand::default()
     };
     let tuning = Tuning::default().of_little_shared();
     let mut engines = [candidate(1), candidate(2)];
@@ -209,7 +206,6 @@
     let demand = Demand {
         prompt: &prompt,
         bytes: 0,
-        ..Demand::default()
     };
     let mut engines: Vec<_> = (1..=100).map(candidate).collect();
     let mut taken = Vec::new();
@@ -232,7 +228,6 @@
     let demand = Demand {
         prompt: &prompt,
         bytes: 0,
-        ..Demand::default()
     };
     let mut engines: Vec<_> = (1..=9).map(candidate).collect();
     engines[4].found = 6300;
--- a/crates/jb-policy/tests/crowd.rs
+++ b/crates/jb-policy/tests/crowd.rs
@@ -61,7 +61,6 @@
     let demand = Demand {
         prompt: &prompt,
         bytes: 830,
-        ..Demand::default()
     };
     let candidate = |at: &usize| Candidate {
         name: place::name_hash(&format!("engine-{at}")),
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -6,7 +6,6 @@
 use jb_policy::Moment;
 use jb_policy::choose::{self, Demand, Tuning};
 use jb_policy::gate::{self, Estimate, Verdict};
-use jb_policy::place;
 use jb_policy::prefix_cache::Segment;
 use jb_policy::transfer::{self, Holdings, Origin};
 use jb_policy::weights::Version;
@@ -178,24 +177,23 @@
             .unwrap_or_default(),
         time: core.settings.bounds.weights.mul_f64(WEIGHTS_SHARE),
         hall: &core.settings.hall,
-        demand: demand(core, ticket, body),
+        demand: demand(ticket, body),
         except: tried,
         last_resort: among == Among::All,
     }
 }
 
 /// What a request asks of an upstream.
-fn demand<'a>(core: &Core, ticket: &'a Ticket, body: &Bytes) -> Demand<'a> {
+fn demand<'a>(ticket: &'a Ticket, body: &Bytes) -> Demand<'a> {
     Demand {
         prompt: &ticket.prompt,
         bytes: body.len(),
-        origin: place::name_hash(&core.settings.id),
     }
 }
 
 impl<'a> Exchange<'a> {
     fn demand(&self) -> Demand<'a> {
-        demand(self.core, self.message.ticket, self.message.body)
+        demand(self.message.ticket, self.message.body)
     }
 
     /// Settles where the engine takes parts from that it lacks, and whether it sends
