--- a/crates/jb-relay/src/peers/status/loads.rs
+++ b/crates/jb-relay/src/peers/status/loads.rs
@@ -44,7 +44,7 @@
 }
 
 /// Loads of several boxes together, by upstream.
-#[derive(Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Sums(HashMap<Name, UpstreamLoad>);
 
 impl Sums {
@@ -69,6 +69,20 @@
             self.0.remove(&load.upstream);
         }
     }
+
+    /// Adds loads, and returns all sums.
+    fn with(mut self, loads: &[UpstreamLoad]) -> Vec<UpstreamLoad> {
+        loads.iter().for_each(|load| self.add(load));
+        self.0.into_values().collect()
+    }
+}
+
+/// Adds a load of a status to the sums that it belongs to.
+fn add(all: &mut Sums, members: &mut Sums, status: &Received, load: &UpstreamLoad) {
+    all.add(load);
+    if status.member {
+        members.add(load);
+    }
 }
 
 impl Loads {
@@ -77,10 +91,7 @@
         let mut touched = self.drop_outdated(status.at);
         touched.extend(self.remove(from));
         for load in &status.loads {
-            self.all.add(load);
-            if status.member {
-                self.members.add(load);
-            }
+            add(&mut self.all, &mut self.members, &status, load);
             touched.push(load.upstream);
         }
         self.received.insert(from.clone(), status);
@@ -99,10 +110,7 @@
             waiting: tokens,
         };
         received.loads.push(more);
-        self.all.add(&more);
-        if received.member {
-            self.members.add(&more);
-        }
+        add(&mut self.all, &mut self.members, received, &more);
         true
     }
 
@@ -133,20 +141,17 @@
 
     /// Adds the loads of all boxes but one to `own`.
     pub fn sum_without(&self, id: &str, own: Vec<UpstreamLoad>) -> Vec<UpstreamLoad> {
-        let mut sums = Sums(self.all.0.clone());
+        let mut sums = self.all.clone();
         let left_out = self.received.get(id).map(|received| received.loads.as_slice());
         for load in left_out.unwrap_or_default() {
             sums.subtract(load);
         }
-        own.iter().for_each(|load| sums.add(load));
-        sums.0.into_values().collect()
+        sums.with(&own)
     }
 
     /// Adds the loads of the members of this relay node to `own`.
     pub fn sum_of_members(&self, own: Vec<UpstreamLoad>) -> Vec<UpstreamLoad> {
-        let mut sums = Sums(self.members.0.clone());
-        own.iter().for_each(|load| sums.add(load));
-        sums.0.into_values().collect()
+        self.members.clone().with(&own)
     }
 
     /// Spans in which the store has answered the boxes that are reachable, as far as each knows.
