Have few boxes turn to the store when relay nodes fall behind

Seen in the log of one data hall: the store was away for 1.2 s, so relay nodes knew nothing recent, all 174 boxes called the store, all 174 were told that history was gone, and each began to read 10,000 entries in 22 pages; by arithmetic 3.6 GB over a link of 125 MB/s. That entries count as changes by their heartbeats, as supposed before, has nothing to do with it.

A box now waits for a relay node that is alive, the longer the lower its level in the tree of its hall, and calls a store that fails the more rarely. Where the history is gone and the store has several pages, only the first box of a hall reads them; the others have sent what has changed, along the tree. An answer that history is gone counts as an answer. A box whose registration is on its way looks at the list of boxes meanwhile, and doesn't write it again.

--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod signal;
 pub mod stream;
 pub mod transfer;
+pub mod tree;
 pub mod upstream;
 pub mod weights;
 
--- /dev/null
+++ b/crates/jb-policy/src/tree.rs
@@ -0,0 +1,56 @@
+//! The tree by which the boxes of a data hall hand on what the store holds, and when one of them turns to the store
+//! itself.
+//!
+//! If all boxes turned to the store as soon as their relay node knows nothing recent, an outage would end with a call
+//! of each box at once, and a forgotten history with as many reads of everything. So the boxes of each level give
+//! those above them time.
+
+use std::time::Duration;
+
+/// Boxes that a box hands everything on to.
+const FAN_OUT: usize = 8;
+/// Share of the longest age of usable knowledge that each level waits for.
+const WAIT_SHARE: f64 = 0.25;
+/// Longest share: a box that nobody tells anything must learn it before its knowledge can't be used any more.
+const MAX_WAIT_SHARE: f64 = 0.7;
+/// Interval at which a box of the second level calls the store again after a failure; each further level
+/// adds as much.
+const RETRY_INTERVAL: Duration = Duration::from_secs(2);
+/// Relay nodes that a box of the second level or a lower one asks at a time.
+const MAX_ASKED: usize = 2;
+
+/// Returns the positions of a box's ancestors, the nearest first, by its position in the order of its data hall.
+pub fn ancestors(position: usize) -> impl Iterator<Item = usize> {
+    let parent = |&at: &usize| at.checked_sub(1).map(|before| before / FAN_OUT);
+    std::iter::successors(parent(&position), parent)
+}
+
+/// Level of a box in the tree; 0 is the root, which reads the store for the others.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Level(usize);
+
+impl Level {
+    /// Level of the box at a position in the order of its data hall.
+    pub fn at(position: usize) -> Self {
+        Self(ancestors(position).count())
+    }
+
+    /// Returns up to which age of its knowledge a box waits for a relay node that is alive and knows nothing recent;
+    /// `bound` is the age beyond which knowledge can't be used.
+    pub fn max_wait(self, bound: Duration) -> Duration {
+        let level = f64::from(u32::try_from(self.0).unwrap_or(u32::MAX));
+        bound.mul_f64((WAIT_SHARE * level).min(MAX_WAIT_SHARE))
+    }
+
+    /// Returns the interval at which a box whose calls fail, and that nobody tells anything, calls the store again,
+    /// besides the pause after each failure.
+    pub fn retry_interval(self) -> Duration {
+        let levels = u32::try_from(self.0.saturating_sub(1)).unwrap_or(u32::MAX);
+        RETRY_INTERVAL.saturating_mul(levels)
+    }
+
+    /// Returns how many relay nodes a box whose calls fail asks at a time.
+    pub fn max_asked(self) -> usize {
+        if self.0 > 1 { MAX_ASKED } else { usize::MAX }
+    }
+}
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -61,6 +61,7 @@
     STORE_UNSETTLED = 4013, "store_unsettled", "That everything has been written again could not be noted in the store.";
     STORE_LOADED = 4014, "store_loaded", "The box has read everything that the store holds, for the first time.";
     RELAY_NODE_ROLE = 4015, "relay_node_role", "The box has become the relay node of its hall, or is no longer.";
+    STORE_READ_AGAIN = 4016, "store_read_again", "Everything that the store holds was read once more, or sent by another box.";
     UPSTREAM_DRAINING = 5001, "upstream_draining", "An upstream gets no new work.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine came back with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream is left out after failures.";
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -89,6 +89,8 @@
     pub own: RefCell<BTreeMap<String, Change>>,
     /// Port for messages between boxes and for transfers.
     pub peer_port: OnceCell<u16>,
+    /// When the own address was last written to the store.
+    pub address_written: Cell<Option<Moment>>,
     /// Whether addresses of boxes have changed since the list was last updated.
     pub addresses_changed: Cell<bool>,
     /// Boxes that may be alive.
@@ -168,6 +170,7 @@
             mirror: RefCell::default(),
             own: RefCell::default(),
             peer_port: OnceCell::new(),
+            address_written: Cell::default(),
             addresses_changed: Cell::default(),
             book: RefCell::default(),
             round_trips: RoundTrips::default(),
@@ -231,6 +234,11 @@
         self.log.borrow().revision() != Revision::default()
     }
 
+    /// Returns whether it takes several calls to read all that the store holds.
+    pub fn is_store_paged(&self) -> bool {
+        self.mirror.borrow().len() > self.store.page_items()
+    }
+
     /// Era of the store by the last update.
     pub fn era(&self) -> Era {
         self.log.borrow().revision().era
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -8,6 +8,7 @@
 
 use jb_policy::Moment;
 use jb_policy::outage::Span;
+use jb_policy::tree::Level;
 use jb_protocol::{emit, event};
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
@@ -77,41 +78,88 @@
     }
     loop {
         match ask(&core, &socket, &progress).await {
-            Some(update) => {
+            Asked::Update(update) => {
                 take(&core, &mut progress, update);
                 sleep(ASK_PERIOD).await;
             }
-            None => read(&core, &mut progress).await,
+            Asked::Wait => sleep(ASK_PERIOD).await,
+            Asked::Nothing => read(&core, &mut progress).await,
         }
     }
 }
 
-/// News from another box, unless this one is to read the store itself.
-async fn ask(core: &Core, socket: &UdpSocket, progress: &Progress) -> Option<Update> {
+/// What asking other boxes has come to.
+enum Asked {
+    Update(Update),
+    /// Others are to know something soon.
+    Wait,
+    /// This box is to read the store itself.
+    Nothing,
+}
+
+/// Asks other boxes, unless this one is to read the store itself.
+async fn ask(core: &Core, socket: &UdpSocket, progress: &Progress) -> Asked {
+    let level = level(core);
     let (after, source) = match progress.failing {
-        Some(failing) if core.now() > failing.last + TRY_AGAIN => return None,
+        Some(failing) if core.now() > failing.last + TRY_AGAIN.max(level.retry_interval()) => {
+            return Asked::Nothing;
+        }
         // Also where it must read everything and can't: others may have what it lacks.
-        Some(_) => (known(core)?, peers::Source::AnyRelayNode),
-        None => (progress.after?, peers::Source::RelayNode),
+        Some(_) => (known(core), peers::Source::AnyRelayNode),
+        None => (progress.after, peers::Source::RelayNode),
+    };
+    let Some(after) = after else {
+        return Asked::Nothing;
     };
-    let update = peers::ask(core, socket, after, source).await?;
-    Some(Update {
-        from: Origin::Box(source),
-        whole: update.whole,
-        changes: update.changes,
-        revision: update.revision,
-        proven: Some(update.proven),
-    })
+    match peers::ask(core, socket, after, source).await {
+        Ok(update) => Asked::Update(Update {
+            from: Origin::Box(source),
+            whole: update.whole,
+            changes: update.changes,
+            revision: update.revision,
+            proven: Some(update.proven),
+        }),
+        Err(why) if waits(core, progress, level, why) => Asked::Wait,
+        Err(_) => Asked::Nothing,
+    }
+}
+
+/// Returns whether a box that nobody has told anything asks again before it calls the store.
+fn waits(core: &Core, progress: &Progress, level: Level, why: peers::AskError) -> bool {
+    match progress.failing {
+        Some(failing) => core.now() < failing.last + level.retry_interval(),
+        None => {
+            let max_wait = level.max_wait(core.settings.bounds.revoke);
+            why == peers::AskError::Outdated && core.age().is_some_and(|age| age < max_wait)
+        }
+    }
+}
+
+/// Level of this box in the tree of its data hall.
+fn level(core: &Core) -> Level {
+    let (own, hall) = (&core.settings.id, &core.settings.hall);
+    core.book.borrow().level(own, hall)
+}
+
+/// Has another box send what has changed since the store's history was gone, where the store has many pages.
+async fn catch_up(core: &Core) -> Option<Update> {
+    let after = known(core).filter(|_| core.is_store_paged())?;
+    start_up::catch_up(core, after).await
 }
 
 /// Revision of the last update; `None` before the first.
 fn known(core: &Core) -> Option<Revision> {
-    let revision = core.log.borrow().revision();
-    (revision != Revision::default()).then_some(revision)
+    core.knows_store().then(|| core.log.borrow().revision())
 }
 
-/// Reads the store itself.
+/// Reads the store itself, or what another box has read where everything must be.
 async fn read(core: &Core, progress: &mut Progress) {
+    if progress.after.is_none()
+        && let Some(update) = catch_up(core).await
+    {
+        take(core, progress, update);
+        return;
+    }
     let asked = core.now();
     core.metrics.store_calls.inc();
     // A stale reading may be older than the history that is left.
@@ -143,6 +191,7 @@
             }
         }
         Err(why @ (StoreError::HistoryGone | StoreError::Restored)) => {
+            found(core, progress);
             let after = progress.after.take();
             emit!(core.logger, info, event::HISTORY_GONE, "after" => after.map(|after| after.to_string()),
                 "why" => %why);
@@ -203,11 +252,17 @@
         emit!(core.logger, info, event::STORE_LOADED, "from" => ?from, "items" => changes.len(),
             "after_ms" => core.now().as_millis() as u64);
     }
+    let before = known(core);
     let is_restored = note_era(core, from, revision);
     if whole {
         let missing = core.mirror.borrow().missing(&changes, revision);
         changes.extend(missing);
     }
+    if whole && before.is_some() {
+        let changed = changes.iter().filter(|change| Some(change.revision) > before);
+        emit!(core.logger, info, event::STORE_READ_AGAIN, "from" => ?from, "items" => changes.len(),
+            "changed" => changed.count());
+    }
     if let Some(at) = proven {
         core.note_store_seen(Span::at(at));
     }
--- a/crates/jb-relay/src/follow/start_up.rs
+++ b/crates/jb-relay/src/follow/start_up.rs
@@ -1,25 +1,28 @@
-//! What a box reads first.
+//! What a box reads first, and once the store has forgotten its history.
 //!
 //! A store of one page is read as it is. Beyond that a box has everything sent by another box of its data hall: if
-//! all boxes that start together read many pages, the link of the store would be busy for longer than
-//! the first calls may take.
+//! all boxes read many pages at the same time, the link of the store would be busy for longer than the first calls
+//! may take.
 
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use jb_policy::Moment;
 use jb_protocol::{emit, event};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
+use super::facts::apply;
 use super::run::Update;
 use crate::core::{Core, Origin};
 use crate::peers::{self, Source, TransferError};
-use crate::port::{Age, Era, Fact, News, Page, StoreError};
+use crate::port::{Age, Era, News, Page, Revision, StoreError};
 
 /// Time in which boxes that start together register.
 const REGISTRATION_TIME: Duration = Duration::from_millis(700);
-/// Time after which a box reads the store itself.
+/// Time after which a box that starts reads the store itself.
 const PATIENCE: Duration = Duration::from_secs(8);
+/// Time after which a box that knows something does: it can't use that for much longer.
+const CATCH_UP_TIME: Duration = Duration::from_secs(3);
 /// Pause before other boxes are asked again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -61,10 +64,23 @@
     }
     // Others hand the content only to boxes that are registered.
     peers::write_address(core, era).await;
+    fetch(core, None, until).await
+}
+
+/// Returns what has changed after a revision that the store's history doesn't reach back to any more; `None` when
+/// the box is to read the store itself.
+pub(super) async fn catch_up(core: &Core, after: Revision) -> Option<Update> {
+    let fetched = fetch(core, Some(after), core.now() + CATCH_UP_TIME);
+    timeout(CATCH_UP_TIME, fetched).await.ok().flatten()
+}
+
+/// Has the content of the store sent by the nearest box of the tree that has it, or what has changed after a
+/// revision; `None` when this box is the first of its data hall, or nobody has sent it in time.
+async fn fetch(core: &Core, after: Option<Revision>, until: Moment) -> Option<Update> {
     let (own, hall) = (&core.settings.id, &core.settings.hall);
     let sources = core.book.borrow().ancestors(own, hall);
     while core.now() < until {
-        match from_any(core, &sources).await {
+        match from_any(core, &sources, after).await {
             Attempt::Done(update) => return Some(update),
             Attempt::Later => sleep(RETRY_INTERVAL).await,
             Attempt::Nowhere => return None,
@@ -82,15 +98,15 @@
     Nowhere,
 }
 
-async fn from_any(core: &Core, sources: &[SocketAddr]) -> Attempt {
+async fn from_any(core: &Core, sources: &[SocketAddr], after: Option<Revision>) -> Attempt {
     let mut failed = Attempt::Nowhere;
     for source in sources {
-        match peers::fetch(core, *source, None).await {
+        match peers::fetch(core, *source, after).await {
             Ok(transfer) => {
                 return Attempt::Done(Update {
                     from: Origin::Box(Source::RelayNode),
                     changes: transfer.changes,
-                    whole: true,
+                    whole: transfer.whole,
                     revision: transfer.revision,
                     proven: transfer.proven,
                 });
@@ -111,11 +127,8 @@
     core.metrics.store_calls.inc();
     let News { changes, .. } = core.store.items(peers::KEYS, age).await?;
     for change in changes {
-        if let Fact::Own(item) = core.store.decode(&change) {
-            core.own.borrow_mut().insert(item.key.clone(), item);
-        }
+        apply(core, core.store.decode(&change), change.revision, None);
     }
-    core.addresses_changed.set(true);
     peers::list(core);
     Ok(())
 }
--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -11,12 +11,11 @@
 
 use jb_policy::Moment;
 use jb_policy::place;
+use jb_policy::tree::{self, Level};
 use jb_protocol::id;
 
 /// Boxes up to which each sends its status to all others.
 pub(super) const SMALL: usize = 16;
-/// Boxes that a box hands everything on to that the store holds.
-const FAN_OUT: usize = 8;
 /// Time for which a box that gave no answer is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(8);
 
@@ -121,14 +120,20 @@
     /// The boxes of a data hall that are preferred to one as the source of everything that the store holds: its
     /// ancestors in a tree of bounded fan-out, the nearest first.
     pub fn ancestors(&self, own: &str, hall: &str) -> Vec<SocketAddr> {
-        let in_order = self.halls.get(hall).map(Vec::as_slice).unwrap_or_default();
-        let own = in_order.iter().position(|id| id == own);
-        let own = own.unwrap_or(in_order.len());
-        let parent = |&at: &usize| at.checked_sub(1).map(|before| before / FAN_OUT);
-        let ancestors = std::iter::successors(parent(&own), parent);
+        let in_order = self.in_order(hall);
+        let ancestors = tree::ancestors(position(in_order, own));
         ancestors.filter_map(|at| self.address(&in_order[at])).collect()
     }
 
+    /// Level of a box in that tree.
+    pub fn level(&self, own: &str, hall: &str) -> Level {
+        Level::at(position(self.in_order(hall), own))
+    }
+
+    fn in_order(&self, hall: &str) -> &[id::Box] {
+        self.halls.get(hall).map(Vec::as_slice).unwrap_or_default()
+    }
+
     /// The box that keeps the account of an engine, with its address.
     pub fn owner(&self, engine: u64, hall: &str, now: Moment) -> Option<(id::Box, SocketAddr)> {
         let rank = |peer: &Peer| (peer.hall == hall, place::weight(engine, peer.name));
@@ -201,6 +206,12 @@
     }
 }
 
+/// Position of a box in the order of its hall; one that isn't listed yet is the last.
+fn position(in_order: &[id::Box], id: &str) -> usize {
+    let position = in_order.iter().position(|other| other == id);
+    position.unwrap_or(in_order.len())
+}
+
 fn order(peers: &BTreeMap<id::Box, Peer>) -> BTreeMap<id::Hall, Vec<id::Box>> {
     let mut halls: BTreeMap<&id::Hall, Vec<(Rank, &id::Box)>> = BTreeMap::new();
     for (id, peer) in peers {
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -33,7 +33,7 @@
 pub use rate_limit::{Permit, RateLimits, acquire, log_change};
 pub use reachability::{Fleet, Reachability};
 pub use register::{KEYS, list, list_few, register, write_address};
-pub use relay::{Relayed, Source, Update, ask, is_recent};
+pub use relay::{Error as AskError, Relayed, Source, Update, ask, is_recent};
 pub use releases::discover as discover_releases;
 pub use round_trip::RoundTrips;
 pub use socket::{bind, receive as receive_messages};
--- a/crates/jb-relay/src/peers/register.rs
+++ b/crates/jb-relay/src/peers/register.rs
@@ -18,25 +18,27 @@
 pub const KEYS: &str = "junctionbend/box/";
 /// Pause between two looks at the addresses.
 const LOOK: Duration = Duration::from_millis(200);
-/// Pause before the own address is written again after a failure.
-const AGAIN: Duration = Duration::from_secs(2);
+/// Time after a write of the own address in which it isn't written again: an update is to show it.
+const REWRITE_INTERVAL: Duration = Duration::from_millis(2200);
 
 /// Writes the own address and data hall into the store, again whenever they are missing there.
 pub async fn register(core: Shared) {
     loop {
         list(&core);
-        if core.age().is_some() && write_address(&core, core.era()).await {
-            sleep(AGAIN).await;
+        if core.age().is_some() {
+            write_address(&core, core.era()).await;
         }
         sleep(LOOK).await;
     }
 }
 
-/// Writes the own address unless the store is known to have it; returns whether it was written, or tried to.
-pub async fn write_address(core: &Core, era: Era) -> bool {
-    let Some(port) = core.peer_port.get() else {
-        return false;
-    };
+/// Writes the own address unless the store is known to have it, or should have it soon.
+pub async fn write_address(core: &Core, era: Era) {
+    let Some(port) = core.peer_port.get() else { return };
+    let written = core.address_written.get();
+    if written.is_some_and(|at| core.now() < at + REWRITE_INTERVAL) {
+        return;
+    }
     let address = SocketAddr::new(core.settings.ip, *port);
     let own = format!("{address} {} {}", core.settings.hall, core.settings.capacity.link);
     let key = format!("{KEYS}{}", core.settings.id);
@@ -44,8 +46,9 @@
     let there = known.filter(|item| item.value.is_some() && item.revision.era == era);
     let value = there.as_ref().and_then(|item| item.value.as_deref());
     if value == Some(own.as_bytes()) {
-        return false;
+        return;
     }
+    core.address_written.set(Some(core.now()));
     let write = Write {
         key,
         value: Bytes::from(own),
@@ -56,7 +59,6 @@
     if let Err(why) = core.store.write(era, &[write]).await {
         emit!(core.logger, info, event::PEER_UNREGISTERED, "why" => %why);
     }
-    true
 }
 
 /// Updates the list of boxes from the store, if addresses have changed.
--- a/crates/jb-relay/src/peers/relay.rs
+++ b/crates/jb-relay/src/peers/relay.rs
@@ -125,30 +125,38 @@
     AnyRelayNode,
 }
 
-/// Asks other boxes for news; `None` when this box is to read the store itself.
-pub async fn ask(core: &Core, socket: &UdpSocket, after: Revision, source: Source) -> Option<Update> {
+/// Asks other boxes for news.
+///
+/// # Errors
+/// Why the last box that was asked brought none.
+pub async fn ask(core: &Core, socket: &UdpSocket, after: Revision, source: Source) -> Result<Update, Error> {
     let relay_nodes = match source {
         Source::RelayNode => own_relay_node(core).into_iter().collect(),
         Source::AnyRelayNode => any_relay_node(core),
     };
+    let mut error = Error::Nobody;
     for relay_node in relay_nodes {
         match ask_one(core, socket, after, &relay_node).await {
-            Ok(update) => return Some(update),
-            Err(why) if source == Source::AnyRelayNode => {
-                emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => relay_node, "why" => ?why);
-            }
-            Err(_) => {}
+            Ok(update) => return Ok(update),
+            Err(why) => error = why,
+        }
+        if source == Source::AnyRelayNode {
+            emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => relay_node, "why" => ?error);
         }
     }
-    None
+    Err(error)
 }
 
 /// Why another box brought no news.
-#[derive(Clone, Copy, Debug)]
-enum Failure {
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Error {
+    /// There is no relay node but this box.
+    Nobody,
     /// It is not known any more, or gave no answer in time.
     Silent,
-    /// It does not know what has changed, or knows nothing that is recent.
+    /// It knows nothing that is recent.
+    Outdated,
+    /// It does not know what has changed.
     KnowsNoMore,
     /// Its answer belongs to another question, or to another era than the one before.
     OutOfTurn,
@@ -161,8 +169,8 @@
     socket: &UdpSocket,
     after: Revision,
     relay_node: &str,
-) -> Result<Update, Failure> {
-    let address = core.book.borrow().address(relay_node).ok_or(Failure::Silent)?;
+) -> Result<Update, Error> {
+    let address = core.book.borrow().address(relay_node).ok_or(Error::Silent)?;
     let mut all: Vec<Change> = Vec::new();
     // The next value, as far as it has come in pieces.
     let mut value = Vec::new();
@@ -176,15 +184,15 @@
         };
         let Some(news) = question(core, socket, address, ask, saturating_cast(all.len())).await else {
             core.book.borrow_mut().missed(relay_node, core.now());
-            return Err(Failure::Silent);
+            return Err(Error::Silent);
         };
         if let Some(present) = era_of(&news.answer)
             && *era.get_or_insert(present) != present
         {
-            return Err(Failure::OutOfTurn);
+            return Err(Error::OutOfTurn);
         }
         match news.answer {
-            Answer::ReadYourself => return Err(Failure::KnowsNoMore),
+            Answer::ReadYourself => return Err(Error::Outdated),
             Answer::TooLong => return transferred(core, address, after).await,
             Answer::Changes {
                 changes,
@@ -204,7 +212,7 @@
             Answer::Piece(piece) => {
                 // A late answer to a question before.
                 if piece.from != ask.from || piece.bytes.is_empty() {
-                    return Err(Failure::OutOfTurn);
+                    return Err(Error::OutOfTurn);
                 }
                 value.extend_from_slice(&piece.bytes);
                 if value.len() >= piece.total as usize {
@@ -215,15 +223,15 @@
     }
 }
 
-async fn transferred(core: &Core, from: SocketAddr, after: Revision) -> Result<Update, Failure> {
+async fn transferred(core: &Core, from: SocketAddr, after: Revision) -> Result<Update, Error> {
     let transfer = transfer::fetch(core, from, Some(after)).await.map_err(|why| {
         emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => %from, "why" => %why);
-        Failure::KnowsNoMore
+        Error::KnowsNoMore
     })?;
     Ok(Update {
         changes: transfer.changes,
         revision: transfer.revision,
-        proven: transfer.proven.ok_or(Failure::KnowsNoMore)?,
+        proven: transfer.proven.ok_or(Error::KnowsNoMore)?,
         whole: transfer.whole,
     })
 }
@@ -247,17 +255,16 @@
 }
 
 /// The relay nodes of all data halls, beginning with another one each time: a relay node may itself be turned
-/// away, and the others still answer.
+/// away, and the others still answer. A box far from the root asks some of them.
 fn any_relay_node(core: &Core) -> Vec<id::Box> {
-    let mut relay_nodes = core
-        .book
-        .borrow()
-        .other_relay_nodes(&core.settings.hall, core.now());
+    let (own, hall) = (&core.settings.id, &core.settings.hall);
+    let mut relay_nodes = core.book.borrow().other_relay_nodes(hall, core.now());
     relay_nodes.extend(own_relay_node(core));
     if !relay_nodes.is_empty() {
         let first = core.relayed.nonce.get() as usize % relay_nodes.len();
         relay_nodes.rotate_left(first);
     }
+    relay_nodes.truncate(core.book.borrow().level(own, hall).max_asked());
     relay_nodes
 }
 
--- a/crates/jb-relay/src/peers/transfer.rs
+++ b/crates/jb-relay/src/peers/transfer.rs
@@ -18,6 +18,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::message::StoreChange;
+use super::relay::is_recent;
 use crate::core::{Core, Shared};
 use crate::port::{Change, Revision};
 use crate::saturating_cast::saturating_cast;
@@ -196,7 +197,7 @@
     let query: Query = postcard::from_bytes(&query).map_err(std::io::Error::other)?;
     // A box that starts asks right after it has registered.
     let until = core.now() + HOLD_TIME;
-    while core.now() < until && !(core.knows_store() && core.book.borrow().knows_host(host)) {
+    while core.now() < until && !(can_answer(core, &query) && core.book.borrow().knows_host(host)) {
         sleep(LOOK).await;
     }
     if !core.book.borrow().knows_host(host) {
@@ -205,7 +206,12 @@
     }
     // The semaphore is never closed.
     let _turn = core.transfers.turns.acquire().await;
-    match find(core, query.after)? {
+    let found = if can_answer(core, &query) {
+        find(core, query.after)?
+    } else {
+        None
+    };
+    match found {
         Some((header, changes)) => {
             write_message(stream, &Answer::Found(header)).await?;
             write_frame(stream, &changes).await?;
@@ -215,10 +221,18 @@
     stream.shutdown().await
 }
 
+/// Returns whether the box knows what a query asks for. Who knows something already waits for what is recent.
+fn can_answer(core: &Core, query: &Query) -> bool {
+    match query.after {
+        None => core.knows_store(),
+        Some(_) => core.age().is_some_and(is_recent),
+    }
+}
+
 /// Returns the changes after a revision, or everything where the log doesn't reach back so far.
 fn find(core: &Core, after: Option<Revision>) -> std::io::Result<Option<(Header, Bytes)>> {
     let revision = core.log.borrow().revision();
-    if !core.knows_store() || after.is_some_and(|after| after > revision) {
+    if after.is_some_and(|after| after > revision) {
         return Ok(None);
     }
     let log = core.log.borrow();
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -213,6 +213,8 @@
     fn decode(&self, change: &Change) -> Fact;
     /// Id of the upstream whose entry has changed, if it is one's.
     fn upstream<'a>(&self, change: &'a Change) -> Option<&'a str>;
+    /// Items of a page, at the most.
+    fn page_items(&self) -> usize;
     /// A page of the items whose keys begin with a prefix, as they are or, at less cost, were some seconds ago;
     /// the first one where `after` names no key.
     async fn page(&self, prefix: &str, after: Option<&str>, age: Age) -> Result<Page, StoreError>;
