Log one event for an update that changes many upstreams

A box that started before 10,000 engines wrote a line for each, 986 boxes ten million; what a box writes takes its processor time. An update of more than 64 changes now has one event with its counts.

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -76,6 +76,7 @@
     UPSTREAM_BACKOFF = 5012, "upstream_backoff", "An upstream has asked this box for backoff.";
     UPSTREAM_LIMITED = 5013, "upstream_limited", "An upstream has announced a rate limit for all boxes together, or lifted it.";
     SIGNAL_UNKNOWN = 5014, "signal_unknown", "An upstream sends a signal that this version does not know.";
+    UPSTREAMS_CHANGED = 5015, "upstreams_changed", "An update has changed many upstreams, which have no events of their own.";
     CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
     LEADER_ELECTED = 7001, "leader_elected", "The box has become its hall's leader.";
     LEADER_LOST = 7002, "leader_lost", "The box is no longer its hall's leader.";
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -12,11 +12,56 @@
 use crate::settled;
 use crate::upstream::{Ended, Seen, Upstream};
 
-/// Puts one fact in force; `comes_back`: until when an upstream whose entry is missing may come back.
-pub(super) fn apply(core: &Core, fact: Fact, revision: Revision, comes_back: Option<Moment>) {
+/// Upstreams of one update up to which each has a log event; beyond that all of them have one together, so that what
+/// a box writes doesn't grow with the fleet.
+const MAX_EVENTS: usize = 64;
+
+/// What one update changes.
+#[derive(Debug, Default)]
+pub(super) struct Tally {
+    /// Until when an upstream whose entry is missing may come back.
+    comes_back: Option<Moment>,
+    is_bulk: bool,
+    new: usize,
+    draining: usize,
+    expired: usize,
+    gone: usize,
+}
+
+impl Tally {
+    /// An update of so many changes.
+    pub(super) fn new(changes: usize, comes_back: Option<Moment>) -> Self {
+        Self {
+            comes_back,
+            is_bulk: changes > MAX_EVENTS,
+            ..Self::default()
+        }
+    }
+
+    /// Returns whether each upstream has an event of its own.
+    pub(super) fn has_events(&self) -> bool {
+        !self.is_bulk
+    }
+
+    /// Notes that an entry is missing and may come back.
+    pub(super) fn note_expired(&mut self) {
+        self.expired += 1;
+    }
+
+    /// Logs what the upstreams have no events of their own for.
+    pub(super) fn finish(self, core: &Core) {
+        if self.is_bulk && self.new + self.draining + self.expired + self.gone > 0 {
+            emit!(core.logger, info, event::UPSTREAMS_CHANGED, "new" => self.new, "draining" => self.draining,
+                "expired" => self.expired, "gone" => self.gone);
+        }
+    }
+}
+
+/// Puts one fact in force.
+pub(super) fn apply(core: &Core, fact: Fact, revision: Revision, tally: &mut Tally) {
     match fact {
         Fact::Rules(rules) => put_rules(core, *rules),
-        Fact::Upstream(id, registration) => apply_registration(core, &id, registration, revision, comes_back),
+        Fact::Upstream(id, registration) => apply_registration(core, &id, registration, revision, tally),
         Fact::Weights(named) => {
             // The release may have been at any time since the last update.
             let earliest = core.proven.get();
@@ -52,7 +97,7 @@
     id: &str,
     registration: Registration,
     revision: Revision,
-    comes_back: Option<Moment>,
+    tally: &mut Tally,
 ) {
     let why = match &registration {
         Registration::Unreadable(why) => why.clone(),
@@ -63,12 +108,18 @@
         .borrow_mut()
         .apply_registration(id, registration, revision);
     match seen {
-        Seen::New => seen_new(core, id),
+        Seen::New => {
+            tally.new += 1;
+            seen_new(core, id, tally);
+        }
         Seen::Restarted(ended) => seen_again(core, id, ended),
         Seen::Draining => {
-            emit!(core.logger, info, event::UPSTREAM_DRAINING, "upstream" => id, "why" => "entry")
+            tally.draining += 1;
+            if tally.has_events() {
+                emit!(core.logger, info, event::UPSTREAM_DRAINING, "upstream" => id, "why" => "entry");
+            }
         }
-        Seen::Missing => missing::miss(core, id, comes_back),
+        Seen::Missing => missing::miss(core, id, tally.comes_back, tally),
         Seen::Unreadable => {
             emit!(core.logger, warn, event::UPSTREAM_UNREADABLE, "upstream" => id, "why" => why)
         }
@@ -76,7 +127,10 @@
     }
 }
 
-fn seen_new(core: &Core, id: &str) {
+fn seen_new(core: &Core, id: &str, tally: &Tally) {
+    if !tally.has_events() {
+        return;
+    }
     if let Some(Upstream { entry, .. }) = core.upstreams.borrow().get(id) {
         emit!(core.logger, info, event::UPSTREAM_SEEN, "upstream" => id, "service" => &entry.service,
             "address" => %entry.address, "hall" => &entry.hall);
@@ -96,8 +150,12 @@
 }
 
 /// Takes an upstream off.
-pub(super) fn gone(core: &Core, id: &str) {
-    if core.upstreams.borrow_mut().remove(id).is_some() {
+pub(super) fn gone(core: &Core, id: &str, tally: &mut Tally) {
+    if core.upstreams.borrow_mut().remove(id).is_none() {
+        return;
+    }
+    tally.gone += 1;
+    if tally.has_events() {
         emit!(core.logger, info, event::UPSTREAM_GONE, "upstream" => id);
     }
 }
--- a/crates/jb-relay/src/follow/missing.rs
+++ b/crates/jb-relay/src/follow/missing.rs
@@ -23,7 +23,7 @@
 use jb_policy::outage::{self, Span, Store};
 use jb_protocol::{emit, event};
 
-use super::facts::gone;
+use super::facts::{Tally, gone};
 use crate::core::Core;
 use crate::restore::REWRITE_TIME;
 
@@ -64,13 +64,17 @@
 }
 
 /// Takes an upstream whose entry is missing off, or keeps it as a last resort until `until`.
-pub(super) fn miss(core: &Core, id: &str, until: Option<Moment>) {
+pub(super) fn miss(core: &Core, id: &str, until: Option<Moment>, tally: &mut Tally) {
     let draining = core.upstreams.borrow().get(id).is_none_or(|u| u.entry.draining);
     let Some(until) = until.filter(|_| !draining) else {
-        gone(core, id);
+        gone(core, id, tally);
         return;
     };
-    if core.upstreams.borrow_mut().expire(id, until) {
+    if !core.upstreams.borrow_mut().expire(id, until) {
+        return;
+    }
+    tally.note_expired();
+    if tally.has_events() {
         emit!(core.logger, info, event::UPSTREAM_EXPIRED, "upstream" => id,
             "until_ms" => until.saturating_sub(core.now()).as_millis() as u64,
             "spans" => ?core.loads.borrow().store_spans(core.now()));
@@ -83,7 +87,9 @@
         return;
     }
     let expired = core.upstreams.borrow().expired();
+    let mut tally = Tally::new(expired.len(), None);
     for id in expired {
-        gone(core, &id);
+        gone(core, &id, &mut tally);
     }
+    tally.finish(core);
 }
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -13,7 +13,7 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
-use super::facts::apply;
+use super::facts::{Tally, apply};
 use super::missing::{self, Partition};
 use super::resurrected::Resurrected;
 use super::start_up;
@@ -273,16 +273,18 @@
     if is_restored {
         progress.resurrected.note_restore(core, &changes);
     }
+    let mut tally = Tally::new(changes.len(), comes_back);
     for change in progress.resurrected.take_due(core.now()) {
-        apply(core, core.store.decode(&change), change.revision, comes_back);
+        apply(core, core.store.decode(&change), change.revision, &mut tally);
     }
     for change in &changes {
         core.mirror.borrow_mut().apply(change);
         if progress.resurrected.holds(change) {
             continue;
         }
-        apply(core, core.store.decode(change), change.revision, comes_back);
+        apply(core, core.store.decode(change), change.revision, &mut tally);
     }
+    tally.finish(core);
     if changes.iter().any(|change| change.key.starts_with(peers::KEYS)) {
         peers::list_few(core);
     }
--- a/crates/jb-relay/src/follow/start_up.rs
+++ b/crates/jb-relay/src/follow/start_up.rs
@@ -11,7 +11,7 @@
 use jb_protocol::{emit, event};
 use tokio::time::{sleep, timeout};
 
-use super::facts::apply;
+use super::facts::{Tally, apply};
 use super::run::Update;
 use crate::core::{Core, Origin};
 use crate::peers::{self, Source, TransferError};
@@ -126,8 +126,9 @@
 async fn list(core: &Core, age: Age) -> Result<(), StoreError> {
     core.metrics.store_calls.inc();
     let News { changes, .. } = core.store.items(peers::KEYS, age).await?;
+    let mut tally = Tally::default();
     for change in changes {
-        apply(core, core.store.decode(&change), change.revision, None);
+        apply(core, core.store.decode(&change), change.revision, &mut tally);
     }
     peers::list(core);
     Ok(())
