Hand messages to all boxes on within each data hall

A box with news for all others (a crash seen, a signal, engines that load weights) sent a datagram to each: by arithmetic a release to 9,756 engines is 66,000 datagrams a second from one box. In a large fleet it now sends one to the relay node of each hall, which has some twelve boxes hand it on to the others; at 2,000 boxes no box sends more than 36 for a message. What doesn't fit into a packet with its list of recipients is sent to each directly.

A metric counts the datagrams.

--- a/crates/jb-policy/src/tree.rs
+++ b/crates/jb-policy/src/tree.rs
@@ -54,3 +54,19 @@
         if self.0 > 1 { MAX_ASKED } else { usize::MAX }
     }
 }
+
+/// Returns the number of groups into which the recipients of a message are split, so that neither who sends to the
+/// head of each group nor a head sends much.
+pub fn groups(recipients: usize) -> usize {
+    recipients.isqrt()
+}
+
+/// Splits recipients among the heads of groups as evenly as it goes; without heads nobody receives anything.
+pub fn split<H: Copy, R: Copy>(heads: &[H], rest: &[R]) -> Vec<(H, Vec<R>)> {
+    let share = |at: usize| rest.iter().skip(at).step_by(heads.len()).copied().collect();
+    heads
+        .iter()
+        .enumerate()
+        .map(|(at, head)| (*head, share(at)))
+        .collect()
+}
--- a/crates/jb-policy/tests/tree.rs
+++ b/crates/jb-policy/tests/tree.rs
@@ -1,8 +1,9 @@
 //! A store that is away, or forgets its history, under a fleet of a thousand boxes and more.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
-use jb_policy::tree::Level;
+use jb_policy::tree::{self, Level};
 
 /// Sizes of a fleet in six data halls.
 const FLEETS: [usize; 2] = [1000, 2000];
@@ -61,3 +62,22 @@
         assert_eq!(asks_all, HALLS * (1 + 8), "{boxes} boxes");
     }
 }
+
+/// A box that told all others of a crash or of new weights sent as many datagrams as there are boxes.
+#[test]
+fn message_to_all_boxes_costs_none_of_them_more_than_twice_the_root_of_its_hall() {
+    for boxes in FLEETS {
+        let others: Vec<usize> = (1..boxes / HALLS).collect();
+        let (heads, rest) = others.split_at(tree::groups(others.len()));
+        let groups = tree::split(heads, rest);
+        let most = 2 * others.len().isqrt();
+        assert!(groups.len() <= most, "{boxes} boxes: {} groups", groups.len());
+        let mut reached = BTreeSet::new();
+        for (head, members) in groups {
+            assert!(members.len() <= most, "{boxes} boxes: {} members", members.len());
+            reached.insert(head);
+            reached.extend(members);
+        }
+        assert!(reached.into_iter().eq(others));
+    }
+}
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -68,6 +68,8 @@
     pub relay_node: Gauge,
     /// Transfers of what the store holds from other boxes.
     pub transfers: Counter,
+    /// Datagrams of messages to all boxes, those that were handed on with them.
+    pub broadcasts: Counter,
     /// Era of the store.
     pub store_era: Gauge,
     /// Version of the configuration in force.
@@ -100,6 +102,7 @@
         let store_failures = Counter::default();
         let relay_node = Gauge::default();
         let transfers = Counter::default();
+        let broadcasts = Counter::default();
         let store_era = Gauge::default();
         let version = Gauge::default();
         registry.register("requests", "Requests by ending", requests.clone());
@@ -173,6 +176,11 @@
             relay_node.clone(),
         );
         registry.register("transfers", "Transfers from other boxes", transfers.clone());
+        registry.register(
+            "broadcasts",
+            "Datagrams of messages to all boxes",
+            broadcasts.clone(),
+        );
         registry.register("store_era", "Times the store was restored", store_era.clone());
         registry.register("configuration_version", "Version in force", version.clone());
         Self {
@@ -195,6 +203,7 @@
             store_failures,
             relay_node,
             transfers,
+            broadcasts,
             store_era,
             version,
             registry,
--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -5,7 +5,7 @@
 //! agree on, that has not been silent lately. Boxes with wide links come first, as a relay node sends
 //! for all boxes of its hall. Two relay nodes cost a few calls more.
 
-use std::collections::{BTreeMap, BTreeSet, HashSet};
+use std::collections::{BTreeMap, BTreeSet, HashMap, HashSet};
 use std::net::{IpAddr, SocketAddr};
 use std::time::Duration;
 
@@ -45,6 +45,8 @@
 pub struct Book {
     peers: BTreeMap<id::Box, Peer>,
     addresses: HashSet<SocketAddr>,
+    /// Addresses by the lower halves of the hashes of ids.
+    by_short_name: HashMap<u32, SocketAddr>,
     hosts: HashSet<IpAddr>,
     /// Boxes of each data hall, in the order in which they become its relay node.
     halls: BTreeMap<id::Hall, Vec<id::Box>>,
@@ -58,6 +60,8 @@
     pub fn put(&mut self, peers: BTreeMap<id::Box, Peer>) {
         self.silent.retain(|id, _| peers.contains_key(id));
         self.addresses = peers.values().map(|peer| peer.address).collect();
+        let by_short_name = |peer: &Peer| (place::short(peer.name), peer.address);
+        self.by_short_name = peers.values().map(by_short_name).collect();
         self.hosts = self.addresses.iter().map(SocketAddr::ip).collect();
         self.halls = order(&peers);
         self.peers = peers;
@@ -93,6 +97,12 @@
         self.peers.get(id).map(|peer| peer.address)
     }
 
+    /// Addresses of boxes by the lower halves of the hashes of their ids.
+    pub fn addresses_of(&self, names: &[u32]) -> Vec<SocketAddr> {
+        let known = names.iter().filter_map(|name| self.by_short_name.get(name));
+        known.copied().collect()
+    }
+
     /// Notes that a box gave no answer.
     pub fn missed(&mut self, id: &str, now: Moment) {
         self.silent.insert(id.to_owned(), now + PASSED_OVER);
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -3,8 +3,8 @@
 use serde::{Deserialize, Serialize};
 
 use super::{
-    Acquire, Advice, Ask, AskMore, AskReleases, Charge, Count, Draining, Grant, Limits, News, Permit,
-    Question, Releases, Replaced, Returned, Sent, Status, Suspects,
+    Acquire, Advice, Ask, AskMore, AskReleases, Charge, Count, Draining, Forward, Grant, Limits, News,
+    Permit, Question, Releases, Replaced, Returned, Sent, Status, Suspects,
 };
 
 /// Longest datagram, in bytes: one packet.
@@ -51,4 +51,6 @@
     Acquire(Acquire),
     /// The owner's answer.
     Permit(Permit),
+    /// A message that is to be handed on.
+    Forward(Forward),
 }
--- a/crates/jb-relay/src/peers/message/mod.rs
+++ b/crates/jb-relay/src/peers/message/mod.rs
@@ -1,6 +1,7 @@
 //! Messages between boxes.
 
 mod datagram;
+mod forward;
 mod limit;
 mod news;
 mod place;
@@ -10,6 +11,7 @@
 mod suspicion;
 
 pub(super) use datagram::{LONGEST, Message};
+pub(super) use forward::{Forward, Recipients};
 pub(super) use limit::{Charge, Count, Grant};
 pub(super) use news::{Answer, Ask, AskMore, News, Piece, StoreChange};
 pub use place::Room;
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -4,6 +4,7 @@
 
 mod account;
 mod book;
+mod broadcast;
 mod inquiry;
 mod log;
 mod message;
--- a/crates/jb-relay/src/peers/notice.rs
+++ b/crates/jb-relay/src/peers/notice.rs
@@ -11,9 +11,10 @@
 use tokio::time::timeout;
 
 use super::account;
+use super::broadcast::broadcast;
 use super::message::{Draining, Message, Replaced, Sent};
 use super::rate_limit;
-use super::status::{add_prompt, broadcast};
+use super::status::add_prompt;
 use crate::core::Core;
 use crate::saturating_cast::saturating_cast;
 use crate::upstream::Upstream;
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -9,7 +9,9 @@
 use tokio::time::sleep;
 
 use super::message::{LONGEST, Message};
-use super::{account, notice, quota, rate_limit, reachability, relay, releases, status, suspicion};
+use super::{
+    account, broadcast, notice, quota, rate_limit, reachability, relay, releases, status, suspicion,
+};
 use crate::core::{Core, Shared};
 
 /// Pause after an error of the socket.
@@ -45,16 +47,26 @@
     Ok((socket, listener))
 }
 
-/// Sends a message; one that is lost is made up for by the next.
-pub(super) async fn send(core: &Core, socket: &UdpSocket, to: SocketAddr, message: &Message) {
-    let Ok(bytes) = postcard::to_allocvec(message) else {
-        return;
-    };
+/// Encodes a message; `None` where it is larger than a packet.
+pub(super) fn encode(core: &Core, message: &Message) -> Option<Vec<u8>> {
+    let bytes = postcard::to_allocvec(message).ok()?;
     if bytes.len() > LONGEST {
         emit!(core.logger, debug, event::PEER_REFUSED, "why" => "larger than a packet");
-        return;
+        return None;
     }
-    if let Err(why) = socket.send_to(&bytes, to).await {
+    Some(bytes)
+}
+
+/// Sends a message; one that is lost is made up for by the next.
+pub(super) async fn send(core: &Core, socket: &UdpSocket, to: SocketAddr, message: &Message) {
+    if let Some(bytes) = encode(core, message) {
+        send_bytes(core, socket, to, &bytes).await;
+    }
+}
+
+/// Sends a message in its encoding.
+pub(super) async fn send_bytes(core: &Core, socket: &UdpSocket, to: SocketAddr, bytes: &[u8]) {
+    if let Err(why) = socket.send_to(bytes, to).await {
         emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %to, "why" => %why);
     }
 }
@@ -81,30 +93,52 @@
                 continue;
             }
         };
-        match postcard::from_bytes::<Message>(&buffer[..length]) {
-            Ok(Message::Status(status)) => status::receive(&core, &socket, from, status).await,
-            Ok(Message::Ask(ask)) => relay::answer(&core, &socket, from, ask, 0).await,
-            Ok(Message::AskMore(more)) => relay::answer(&core, &socket, from, more.ask, more.skip).await,
-            Ok(Message::News(news)) => core.relayed.deliver(news),
-            Ok(Message::Sent(sent)) => notice::take_sent(&core, &sent),
-            Ok(Message::Replaced(replaced)) => notice::receive_replaced(&core, &replaced),
-            Ok(Message::Question(question)) => account::receive_question(&core, &socket, from, &question),
-            Ok(Message::Advice(advice)) => account::deliver(&core, advice),
-            Ok(Message::Returned(returned)) => account::receive_returned(&core, from, &returned),
-            Ok(Message::Heard(count)) => reachability::receive(&core, from, &count),
-            Ok(Message::Charge(charge)) => quota::receive_charge(&core, &socket, from, &charge),
-            Ok(Message::Grant(grant)) => quota::deliver(&core, grant),
-            Ok(Message::AskReleases(asked)) => releases::answer(&core, &socket, from, asked).await,
-            Ok(Message::Releases(answer)) => releases::receive(&core, answer),
-            Ok(Message::Suspects(suspects)) => suspicion::receive(&core, from, &suspects),
-            Ok(Message::Draining(draining)) => notice::receive_draining(&core, from, &draining),
-            Ok(Message::Limits(limits)) => rate_limit::receive_limits(&core, from, &limits),
-            Ok(Message::Acquire(query)) => rate_limit::receive_acquire(&core, &socket, from, &query),
-            Ok(Message::Permit(answer)) => rate_limit::deliver(&core, answer),
-            Err(why) => {
-                core.metrics.strange.inc();
-                emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => %why);
-            }
+        receive_datagram(&core, &socket, from, &buffer[..length]).await;
+    }
+}
+
+async fn receive_datagram(core: &Shared, socket: &UdpSocket, from: SocketAddr, bytes: &[u8]) {
+    let received = match postcard::from_bytes(bytes) {
+        Ok(Message::Forward(forward)) => {
+            let Some(message) = broadcast::forward(core, socket, from, forward).await else {
+                return;
+            };
+            postcard::from_bytes(&message)
         }
+        received => received,
+    };
+    match received {
+        Ok(message) => apply(core, socket, from, message).await,
+        Err(why) => refuse(core, from, &why),
+    }
+}
+
+async fn apply(core: &Shared, socket: &UdpSocket, from: SocketAddr, message: Message) {
+    match message {
+        Message::Status(status) => status::receive(core, socket, from, status).await,
+        Message::Ask(ask) => relay::answer(core, socket, from, ask, 0).await,
+        Message::AskMore(more) => relay::answer(core, socket, from, more.ask, more.skip).await,
+        Message::News(news) => core.relayed.deliver(news),
+        Message::Sent(sent) => notice::take_sent(core, &sent),
+        Message::Replaced(replaced) => notice::receive_replaced(core, &replaced),
+        Message::Question(question) => account::receive_question(core, socket, from, &question),
+        Message::Advice(advice) => account::deliver(core, advice),
+        Message::Returned(returned) => account::receive_returned(core, from, &returned),
+        Message::Heard(count) => reachability::receive(core, from, &count),
+        Message::Charge(charge) => quota::receive_charge(core, socket, from, &charge),
+        Message::Grant(grant) => quota::deliver(core, grant),
+        Message::AskReleases(asked) => releases::answer(core, socket, from, asked).await,
+        Message::Releases(answer) => releases::receive(core, answer),
+        Message::Suspects(suspects) => suspicion::receive(core, from, &suspects),
+        Message::Draining(draining) => notice::receive_draining(core, from, &draining),
+        Message::Limits(limits) => rate_limit::receive_limits(core, from, &limits),
+        Message::Acquire(query) => rate_limit::receive_acquire(core, socket, from, &query),
+        Message::Permit(answer) => rate_limit::deliver(core, answer),
+        Message::Forward(_) => refuse(core, from, &"a message in a message is handed on"),
     }
 }
+
+fn refuse(core: &Core, from: SocketAddr, why: &dyn std::fmt::Display) {
+    core.metrics.strange.inc();
+    emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => %why);
+}
--- a/crates/jb-relay/src/peers/status.rs
+++ b/crates/jb-relay/src/peers/status.rs
@@ -19,7 +19,8 @@
 
 use self::compose::{messages, span};
 pub use self::loads::{Loads, Received};
-use super::message::{CacheUse, Message, Status, UpstreamLoad};
+use super::broadcast::broadcast;
+use super::message::{CacheUse, Status, UpstreamLoad};
 use super::socket::send;
 use super::{notice, reachability, weights};
 use crate::core::{Core, Shared};
@@ -160,20 +161,6 @@
     }
 }
 
-/// Sends one message to all other boxes.
-pub(super) async fn broadcast(core: &Core, socket: &UdpSocket, message: &Message) {
-    for address in addresses(core) {
-        send(core, socket, address, message).await;
-    }
-}
-
-fn addresses(core: &Core) -> Vec<SocketAddr> {
-    let book = core.book.borrow();
-    book.others(&core.settings.id)
-        .map(|(_, peer)| peer.address)
-        .collect()
-}
-
 fn own_loads(core: &Core) -> Vec<UpstreamLoad> {
     let upstreams = core.upstreams.borrow();
     let busy = upstreams.iter().filter(|(_, u)| u.running > 0);
--- a/crates/jb-relay/src/peers/suspicion.rs
+++ b/crates/jb-relay/src/peers/suspicion.rs
@@ -14,10 +14,10 @@
 use tokio::time::timeout;
 
 use super::account;
+use super::broadcast::broadcast;
 use super::message::{Message, Suspect, Suspects};
 use super::quarantine_record;
 use super::socket::send;
-use super::status::broadcast;
 use crate::core::{Core, Shared};
 use crate::quarantine::{self, News, Trial};
 
--- a/crates/jb-relay/src/peers/weights.rs
+++ b/crates/jb-relay/src/peers/weights.rs
@@ -8,8 +8,8 @@
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
+use super::broadcast::broadcast;
 use super::message::{LoadedWeights, Message, Status};
-use super::status::broadcast;
 use crate::core::{Core, Shared};
 use crate::upstream::Instance;
 
