Find busy upstreams without looking at all

The table now knows which upstreams have requests. Test: busy upstreams through ends, restarts and removals.

--- a/crates/jb-relay/src/exchange/count.rs
+++ b/crates/jb-relay/src/exchange/count.rs
@@ -13,7 +13,7 @@
     core: &'a Shared,
     instance: &'a Instance,
     waiting: u64,
-    fixed: u32,
+    fixed: bool,
     sent: Moment,
     /// When the first event came.
     begun: Option<Moment>,
@@ -31,14 +31,13 @@
         fixed: bool,
         held: Option<Held>,
     ) -> Self {
-        let fixed = u32::from(fixed);
         let mut ahead = waiting;
-        if let Some(upstream) = core.upstreams.borrow_mut().instance_mut(instance) {
-            ahead += upstream.waiting + upstream.others.waiting;
-            upstream.running += 1;
-            upstream.fixed += fixed;
-            upstream.waiting += waiting;
-            upstream.health.sent();
+        if let Some(upstream) = core
+            .upstreams
+            .borrow_mut()
+            .begin_request(instance, waiting, fixed)
+        {
+            ahead = upstream.waiting + upstream.others.waiting;
             peers::note_sent(core, upstream, waiting);
         }
         Self {
@@ -88,10 +87,9 @@
 impl Drop for Counted<'_> {
     fn drop(&mut self) {
         self.started();
-        if let Some(upstream) = self.core.upstreams.borrow_mut().instance_mut(self.instance) {
-            upstream.running = upstream.running.saturating_sub(1);
-            upstream.fixed = upstream.fixed.saturating_sub(self.fixed);
-            upstream.health.undecided();
-        }
+        self.core
+            .upstreams
+            .borrow_mut()
+            .end_request(self.instance, self.fixed);
     }
 }
--- a/crates/jb-relay/src/peers/status.rs
+++ b/crates/jb-relay/src/peers/status.rs
@@ -163,14 +163,13 @@
 
 fn own_loads(core: &Core) -> Vec<UpstreamLoad> {
     let upstreams = core.upstreams.borrow();
-    let busy = upstreams.iter().filter(|(_, u)| u.running > 0);
     let load = |u: &Upstream| UpstreamLoad {
         upstream: place::short(u.name),
         running: u.running,
         fixed: u.fixed,
         waiting: u.waiting,
     };
-    busy.map(|(_, u)| load(u)).collect()
+    upstreams.busy().map(load).collect()
 }
 
 /// Receives the status of another box.
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -274,6 +274,34 @@
         expired.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Counts a request of this box at an instance, with its tokens that wait and whether it can't go on elsewhere;
+    /// `None` when the instance has ended.
+    pub fn begin_request(&mut self, instance: &Instance, waiting: u64, fixed: bool) -> Option<&Upstream> {
+        let upstream = self.instance_mut(instance)?;
+        upstream.running += 1;
+        upstream.fixed += u32::from(fixed);
+        upstream.waiting += waiting;
+        upstream.health.sent();
+        self.all.note_requests(&instance.id);
+        self.instance(instance)
+    }
+
+    /// Takes a request of this box back that no longer waits.
+    pub fn end_request(&mut self, instance: &Instance, fixed: bool) {
+        let Some(upstream) = self.instance_mut(instance) else {
+            return;
+        };
+        upstream.running = upstream.running.saturating_sub(1);
+        upstream.fixed = upstream.fixed.saturating_sub(u32::from(fixed));
+        upstream.health.undecided();
+        self.all.note_requests(&instance.id);
+    }
+
+    /// Upstreams that have requests of this box.
+    pub fn busy(&self) -> impl Iterator<Item = &Upstream> {
+        self.all.busy()
+    }
+
     /// Ids of all that are known.
     pub fn ids(&self) -> Vec<Id> {
         self.all.iter().map(|(id, _)| id.clone()).collect()
--- a/crates/jb-relay/src/upstream/table.rs
+++ b/crates/jb-relay/src/upstream/table.rs
@@ -2,7 +2,7 @@
 //!
 //! The choice for a request looks at all upstreams of a service, so these are found without looking up ids.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 
 use jb_policy::place;
 use jb_protocol::id;
@@ -20,6 +20,8 @@
     by_id: BTreeMap<Id, Slot>,
     by_short_name: HashMap<u32, Slot>,
     by_service: HashMap<id::Service, Vec<Slot>>,
+    /// Those that may have requests of this box.
+    busy: BTreeSet<Slot>,
 }
 
 impl Table {
@@ -48,6 +50,7 @@
         if let Some(slots) = self.by_service.get_mut(&upstream.entry.service) {
             slots.retain(|other| *other != slot);
         }
+        self.busy.remove(&slot);
         self.free.push(slot);
         Some(upstream)
     }
@@ -84,6 +87,24 @@
         self.upstreams.get_mut(slot)?.as_mut()
     }
 
+    /// Notes that the requests of this box at an upstream have changed.
+    pub fn note_requests(&mut self, id: &str) {
+        let Some(slot) = self.by_id.get(id).copied() else {
+            return;
+        };
+        if self.at(slot).is_some_and(|upstream| upstream.running > 0) {
+            self.busy.insert(slot);
+        } else {
+            self.busy.remove(&slot);
+        }
+    }
+
+    /// Upstreams that have requests of this box.
+    pub fn busy(&self) -> impl Iterator<Item = &Upstream> {
+        let noted = self.busy.iter().filter_map(|slot| self.at(*slot));
+        noted.filter(|upstream| upstream.running > 0)
+    }
+
     /// Upstreams of a service, in the order in which they were added.
     pub fn of_service(&self, service: &str) -> impl Iterator<Item = &Upstream> {
         let slots = self.by_service.get(service).map(Vec::as_slice);
--- a/crates/jb-relay/tests/instances.rs
+++ b/crates/jb-relay/tests/instances.rs
@@ -354,3 +354,30 @@
         assert_eq!(registry.ids().len() as u64, engines - gone);
     }
 }
+
+/// Each status of another box made a relay node look at all of 10,000 upstreams for the few with requests.
+#[test]
+fn busy_upstreams_are_those_with_requests_through_ends_restarts_and_removals() {
+    let mut registry = Registry::default();
+    let mut instances = Vec::new();
+    for number in 0..4 {
+        let id = format!("engine-{number}");
+        registry.apply_registration(&id, entry(Some(FIRST), false), at(1));
+        instances.push(registry.get(&id).expect("known").instance.clone());
+    }
+    let busy = |registry: &Registry| registry.busy().map(|u| u.instance.id.clone()).collect::<Vec<_>>();
+    for instance in &instances {
+        assert!(registry.begin_request(instance, 10, false).is_some());
+    }
+    assert_eq!(busy(&registry).len(), 4);
+    registry.end_request(&instances[0], false);
+    registry.remove("engine-1");
+    registry.apply_registration("engine-2", entry(Some(SECOND), false), at(2));
+    assert_eq!(busy(&registry), ["engine-3"]);
+    // A request that ends only now was one of the instance before.
+    registry.end_request(&instances[2], false);
+    assert!(registry.begin_request(&instances[2], 10, false).is_none());
+    assert!(registry.begin_request(&instances[3], 10, true).is_some());
+    registry.end_request(&instances[3], true);
+    assert_eq!(busy(&registry), ["engine-3"]);
+}
