Register before the first proof where no box is registered yet

They now write their address and give the others time before the call that proves what they know, which then shows the others as well. A store that knows boxes is read at once, as before.

--- a/crates/jb-relay/src/follow/start_up.rs
+++ b/crates/jb-relay/src/follow/start_up.rs
@@ -30,17 +30,18 @@
 pub(super) async fn load(core: &Core) -> Option<Update> {
     core.metrics.store_calls.inc();
     let first = core.store.page("", None, Age::Stale).await.ok()?;
-    if first.next.is_none() {
-        return Some(from_store(first));
-    }
     let until = core.now() + PATIENCE;
-    // Stale reads don't count for the rate of the store, but don't show boxes that start at the same time.
     let has_boxes = first.changes.iter().any(|item| item.key.starts_with(peers::KEYS));
-    let age = if has_boxes { Age::Stale } else { Age::Fresh };
     if !has_boxes {
+        // Boxes that start together know each other by one more call then, and follow the store through one of them.
         peers::write_address(core, first.revision.era).await;
         sleep(REGISTRATION_TIME).await;
     }
+    if first.next.is_none() {
+        return Some(from_store(first));
+    }
+    // Stale reads don't count for the rate of the store, but don't show boxes that start at the same time.
+    let age = if has_boxes { Age::Stale } else { Age::Fresh };
     from_boxes(core, first.revision.era, age, until).await
 }
 
