Avoid data halls to which no connection comes up

There are too many engines to learn of each that it can't be reached. Two silent engines now show it of their hall for 1 to 4 s, and silence of two halls, or one where the relay node reaches no other, of all others; an answer of another hall takes that back.

--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -28,6 +28,7 @@
 pub mod pressure;
 pub mod quota;
 pub mod rate_limit;
+pub mod reach;
 pub mod route;
 pub mod share;
 pub mod signal;
--- /dev/null
+++ b/crates/jb-policy/src/reach.rs
@@ -0,0 +1,127 @@
+//! Which data halls a box gets no connection to.
+//!
+//! A cut-off hall doesn't refuse connections but leaves them without a word, so each try costs a request the whole
+//! time for a connection, and there are too many upstreams to learn it of each. What one connection shows counts for
+//! the whole hall for a while, and silence of several halls at once shows that the own one is cut off.
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use jb_protocol::id;
+
+use crate::Moment;
+
+/// First time for which a silent hall is avoided; it doubles with each further silence.
+const FIRST_PAUSE: Duration = Duration::from_secs(1);
+/// Longest such time.
+const MAX_PAUSE: Duration = Duration::from_secs(4);
+/// Halls whose silence shows that the own one is cut off.
+const MIN_SILENT_HALLS: usize = 2;
+
+/// Halls that requests avoid where others can take them.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub enum Avoided {
+    /// None.
+    #[default]
+    None,
+    /// Some.
+    Halls(Vec<id::Hall>),
+    /// All but the own one.
+    Others,
+}
+
+impl Avoided {
+    /// Returns whether a hall is avoided by a box of the hall `own`.
+    pub fn includes(&self, hall: &str, own: &str) -> bool {
+        match self {
+            Self::None => false,
+            Self::Halls(halls) => halls.iter().any(|avoided| avoided == hall),
+            Self::Others => hall != own,
+        }
+    }
+}
+
+/// What connections of a box have shown of the other halls.
+#[derive(Debug, Default)]
+pub struct Reach {
+    silent: BTreeMap<id::Hall, Silence>,
+    /// When another hall has last answered.
+    reached: Option<Moment>,
+}
+
+/// Silence of a hall since it last answered.
+#[derive(Clone, Copy, Debug)]
+struct Silence {
+    since: Moment,
+    /// Until when it counts.
+    until: Moment,
+    pause: Duration,
+    /// Name of the first silent upstream.
+    first: u64,
+    /// Whether another one was silent as well: one alone may be without power.
+    is_confirmed: bool,
+}
+
+impl Silence {
+    fn new(upstream: u64, now: Moment) -> Self {
+        Self {
+            since: now,
+            until: now + FIRST_PAUSE,
+            pause: FIRST_PAUSE,
+            first: upstream,
+            is_confirmed: false,
+        }
+    }
+
+    fn again(self, upstream: u64, now: Moment) -> Self {
+        match (now < self.until, self.is_confirmed) {
+            // Connections that were tried together show the same.
+            (true, true) => self,
+            (true, false) => Self {
+                is_confirmed: upstream != self.first,
+                ..self
+            },
+            (false, false) => Self::new(upstream, now),
+            (false, true) => {
+                let pause = (2 * self.pause).min(MAX_PAUSE);
+                Self {
+                    until: now + pause,
+                    pause,
+                    ..self
+                }
+            }
+        }
+    }
+}
+
+impl Reach {
+    /// Notes that an upstream of another hall left a connection without a word.
+    pub fn note_silent(&mut self, hall: &str, upstream: u64, now: Moment) {
+        let known = self.silent.get(hall);
+        let silence = known.map_or(Silence::new(upstream, now), |known| known.again(upstream, now));
+        self.silent.insert(hall.to_owned(), silence);
+    }
+
+    /// Notes that another hall has answered: the own one isn't cut off.
+    pub fn note_reached(&mut self, hall: &str, now: Moment) {
+        self.reached = Some(now);
+        self.silent.remove(hall);
+    }
+
+    /// Returns the halls that requests avoid; `isolated`: whether others have found the own hall cut off.
+    pub fn avoided(&self, now: Moment, isolated: bool) -> Avoided {
+        let silent = || self.silent.iter().filter(|(_, silence)| now < silence.until);
+        let since = silent().map(|(_, silence)| silence.since).min();
+        let is_shown = isolated || silent().count() >= MIN_SILENT_HALLS;
+        if since.is_some() && self.reached < since && is_shown {
+            return Avoided::Others;
+        }
+        let confirmed = silent().filter(|(_, silence)| silence.is_confirmed);
+        let halls: Vec<id::Hall> = confirmed.map(|(hall, _)| hall.clone()).collect();
+        if halls.is_empty() {
+            Avoided::None
+        } else {
+            Avoided::Halls(halls)
+        }
+    }
+}
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -93,7 +93,10 @@
     let once = !message.ticket.route.repeatable();
     let mut link = match link::take(core, instance, once).await {
         Ok(link) => link,
-        Err(why) => return Outcome::Unsent(why.to_string()),
+        Err(why) => {
+            note_unreached(core, &entry, instance, &why);
+            return Outcome::Unsent(why.to_string());
+        }
     };
     if !core.takes_requests(instance, permit) {
         link::give(core, link, None);
@@ -107,11 +110,26 @@
         Err(why) => return Outcome::Failed(why.to_string()),
     }
     match own_answer(core, instance, &mut link, message.ticket, sent, &mut clean).await {
-        Ok((answer, head)) => judge(core, answer, &head, link, clean).await,
+        Ok((answer, head)) => {
+            if entry.hall != core.settings.hall {
+                core.reach.borrow_mut().note_reached(&entry.hall, core.now());
+            }
+            judge(core, answer, &head, link, clean).await
+        }
         Err(why) => Outcome::Failed(why.to_string()),
     }
 }
 
+/// Notes that an upstream of another data hall left a connection without a word. A refusal comes from what has the
+/// address.
+fn note_unreached(core: &Core, entry: &Entry, instance: &Instance, why: &link::Error) {
+    if entry.hall != core.settings.hall && matches!(why, link::Error::Silent(_)) {
+        core.reach
+            .borrow_mut()
+            .note_silent(&entry.hall, instance.name(), core.now());
+    }
+}
+
 /// The head as the upstream gets it.
 fn head(core: &Core, instance: &str, entry: &Entry, message: &Message<'_>) -> BytesMut {
     let names = &core.names;
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -10,6 +10,7 @@
 use jb_policy::choose::Tuning;
 use jb_policy::outage::{self, Span};
 use jb_policy::pace::Pace;
+use jb_policy::reach::Reach;
 use jb_policy::share::{Bound, Budget};
 use jb_policy::weights::History;
 use jb_protocol::id;
@@ -99,6 +100,8 @@
     pub round_trips: RoundTrips,
     /// Places that this box asks other boxes for.
     pub accounts: Accounts,
+    /// Data halls that this box gets no connection to.
+    pub reach: RefCell<Reach>,
     /// Boxes that reach each other.
     pub reachability: RefCell<Reachability>,
     /// Customers' limits.
@@ -175,6 +178,7 @@
             book: RefCell::default(),
             round_trips: RoundTrips::default(),
             accounts: Accounts::default(),
+            reach: RefCell::default(),
             reachability: RefCell::default(),
             quotas: Quotas::default(),
             rate_limits: RateLimits::default(),
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -7,6 +7,7 @@
 use jb_policy::choose::{self, Demand, Tuning};
 use jb_policy::gate::{self, Estimate, Verdict};
 use jb_policy::prefix_cache::Segment;
+use jb_policy::reach::Avoided;
 use jb_policy::transfer::{self, Holdings, Origin};
 use jb_policy::weights::Version;
 use jb_protocol::{emit, event};
@@ -48,6 +49,8 @@
 /// Upstreams among which is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Among {
+    /// Those whose entries are there, in data halls to which connections come up.
+    Reachable,
     /// Those whose entries are there.
     Sure,
     /// Those that may be gone as well.
@@ -57,14 +60,20 @@
 /// The upstream that a request is sent to next, by the accounts of engines where boxes are too
 /// many to know from each other what engines do.
 ///
-/// After an outage of the store an upstream whose entry is missing, and which may be gone, is taken
-/// only where none whose entry is there has a place.
+/// An upstream of a data hall that this box gets no connection to is taken only where none of another hall has a
+/// place, and after an outage of the store one whose entry is missing only where none whose entry is there has.
 pub(super) async fn choose_advised(
     core: &Shared,
     ticket: &Ticket,
     body: &Bytes,
     tried: &[Instance],
 ) -> Option<Choice> {
+    if avoided(core) != Avoided::None {
+        let reachable = advised(core, ticket, body, tried, Among::Reachable).await;
+        if reachable.as_ref().is_some_and(Choice::has_place) {
+            return reachable;
+        }
+    }
     let sure = advised(core, ticket, body, tried, Among::Sure).await;
     if sure.as_ref().is_some_and(Choice::has_place) || !has_last_resort(core, ticket) {
         return sure;
@@ -86,6 +95,13 @@
     choose(core, ticket, body, tried, among)
 }
 
+/// Data halls that this box gets no connection to.
+fn avoided(core: &Core) -> Avoided {
+    core.reach
+        .borrow()
+        .avoided(core.now(), peers::is_hall_isolated(core))
+}
+
 fn has_last_resort(core: &Core, ticket: &Ticket) -> bool {
     let upstreams = core.upstreams.borrow();
     upstreams.has_last_resort(&ticket.service, core.now())
@@ -180,6 +196,10 @@
         demand: demand(ticket, body),
         except: tried,
         last_resort: among == Among::All,
+        avoided: match among {
+            Among::Reachable => avoided(core),
+            Among::Sure | Among::All => Avoided::None,
+        },
     }
 }
 
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -32,7 +32,7 @@
 pub use quarantine_record::apply_record as apply_quarantine_record;
 pub use quota::{Charged, Quotas, charge};
 pub use rate_limit::{Permit, RateLimits, acquire, log_change};
-pub use reachability::{Fleet, Reachability};
+pub use reachability::{Fleet, Reachability, is_hall_isolated};
 pub use register::{KEYS, list, list_few, register, write_address};
 pub use relay::{Error as AskError, Relayed, Source, Update, ask, is_recent};
 pub use releases::discover as discover_releases;
--- a/crates/jb-relay/src/peers/reachability.rs
+++ b/crates/jb-relay/src/peers/reachability.rs
@@ -149,3 +149,10 @@
         all: saturating_cast(senders.len() + 1),
     }
 }
+
+/// Returns whether the boxes of the own data hall reach no box of another one, where there are others.
+pub fn is_hall_isolated(core: &Core) -> bool {
+    let fleet = fleet(core);
+    let book = core.book.borrow();
+    fleet.all <= fleet.hall && book.boxes() > book.boxes_in(&core.settings.hall)
+}
--- a/crates/jb-relay/src/upstream/pick.rs
+++ b/crates/jb-relay/src/upstream/pick.rs
@@ -130,8 +130,9 @@
     fn willing<'a>(&'a self, wanted: &'a Wanted<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
         let all = self.of_service(wanted.service);
         let untried = all.filter(|upstream| !wanted.except.contains(&upstream.instance));
+        let reached = untried.filter(|upstream| !wanted.avoided.includes(&upstream.entry.hall, wanted.hall));
         let all = wanted.last_resort || self.mostly_expired(wanted.service);
-        let sure = untried.filter(move |upstream| all || upstream.expired.is_none());
+        let sure = reached.filter(move |upstream| all || upstream.expired.is_none());
         let willing = sure.filter(move |upstream| upstream.is_open_later(now));
         willing.filter(move |upstream| self.is_in_time(upstream, wanted, now))
     }
--- a/crates/jb-relay/src/upstream/wanted.rs
+++ b/crates/jb-relay/src/upstream/wanted.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use jb_policy::choose::Demand;
+use jb_policy::reach::Avoided;
 use jb_policy::weights::History;
 
 use super::Instance;
@@ -27,6 +28,8 @@
     pub except: &'a [Instance],
     /// Whether upstreams count that may be gone, as their entries are missing.
     pub last_resort: bool,
+    /// Data halls whose upstreams don't count.
+    pub avoided: Avoided,
 }
 
 /// Where parts of a prompt are brought from.
