Send sums to the boxes that act as relay nodes of other halls

A relay node sent its sums to the most preferred box of each other hall, also where that one had gone for good and another had taken over: only boxes of the own hall are found silent. The statuses that relay nodes send show who acts as one. Test: a successor is taken for the relay node of its hall while it is heard.

--- a/crates/jb-relay/src/peers/book.rs
+++ b/crates/jb-relay/src/peers/book.rs
@@ -19,6 +19,9 @@
 /// Time for which a box that gave no answer is passed over.
 const PASSED_OVER: Duration = Duration::from_secs(8);
 
+/// Time after its last status for which a box counts as the acting relay node of another data hall.
+const ACTING_TIMEOUT: Duration = Duration::from_millis(700);
+
 /// Another box, or this one.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Peer {
@@ -51,6 +54,8 @@
     /// Boxes of each data hall, in the order in which they become its relay node.
     halls: BTreeMap<id::Hall, Vec<id::Box>>,
     silent: BTreeMap<id::Box, Moment>,
+    /// Boxes that have shown themselves as relay nodes of other data halls, and when.
+    relay_nodes: BTreeMap<id::Hall, (id::Box, Moment)>,
     /// Boxes that have not answered the last question for an account.
     unsure: BTreeSet<id::Box>,
 }
@@ -193,12 +198,39 @@
         in_order.find(|id| !self.is_silent(id, now))
     }
 
-    /// The relay nodes of the other data halls.
+    /// Notes that a box acts as the relay node of another data hall.
+    pub fn note_relay_node(&mut self, id: &str, now: Moment) {
+        if let Some(hall) = self.hall(id).cloned() {
+            self.relay_nodes.insert(hall, (id.to_owned(), now));
+        }
+    }
+
+    /// The boxes that act as relay nodes of the other data halls; none for a hall whose relay node has been silent.
+    pub fn acting_relay_nodes(&self, hall: &str, now: Moment) -> Vec<(id::Hall, Option<SocketAddr>)> {
+        let others = self.halls.keys().filter(|other| *other != hall);
+        let address = |hall: &str| self.address(self.acting_relay_node(hall, now)?);
+        others.map(|hall| (hall.clone(), address(hall))).collect()
+    }
+
+    fn acting_relay_node(&self, hall: &str, now: Moment) -> Option<&id::Box> {
+        let (id, at) = self.relay_nodes.get(hall)?;
+        (now < *at + ACTING_TIMEOUT && self.peers.contains_key(id)).then_some(id)
+    }
+
+    /// Addresses of the boxes of a data hall.
+    pub fn addresses_in(&self, hall: &str) -> Vec<SocketAddr> {
+        let ids = self.in_order(hall).iter();
+        ids.filter_map(|id| self.address(id)).collect()
+    }
+
+    /// The relay nodes of the other data halls, the acting ones where they are known.
     pub fn other_relay_nodes(&self, hall: &str, now: Moment) -> Vec<id::Box> {
         let others = self.halls.keys().filter(|other| *other != hall);
-        others
-            .filter_map(|other| self.relay_node(other, now).cloned())
-            .collect()
+        let relay_node = |hall: &str| {
+            let acting = self.acting_relay_node(hall, now);
+            acting.or_else(|| self.relay_node(hall, now)).cloned()
+        };
+        others.filter_map(|other| relay_node(other)).collect()
     }
 
     /// Boxes that are preferred to one for a duty of the whole fleet.
--- a/crates/jb-relay/src/peers/status.rs
+++ b/crates/jb-relay/src/peers/status.rs
@@ -187,6 +187,12 @@
         if relay_node {
             core.loads.borrow_mut().relay_node_seen = now;
         }
+        // Only relay nodes send their loads to boxes of other halls.
+        let is_of_relay_node = status.has_loads() && !status.wants_sum;
+        let is_elsewhere = core.book.borrow().hall(&status.from) != Some(&core.settings.hall);
+        if is_of_relay_node && is_elsewhere {
+            core.book.borrow_mut().note_relay_node(&status.from, now);
+        }
     }
     if status.has_loads() {
         let (member, loads) = (status.wants_sum, status.loads);
--- a/crates/jb-relay/src/peers/status/loads.rs
+++ b/crates/jb-relay/src/peers/status/loads.rs
@@ -163,6 +163,11 @@
         received.filter_map(|received| received.store).collect()
     }
 
+    /// When the relay node last sent its sum.
+    pub(in crate::peers) fn relay_node_seen(&self) -> Moment {
+        self.relay_node_seen
+    }
+
     /// Boxes that have sent their status to this one as their relay node since a moment.
     pub(in crate::peers) fn members(&self, since: Moment) -> Vec<id::Box> {
         let received = self
--- a/crates/jb-relay/tests/book.rs
+++ b/crates/jb-relay/tests/book.rs
@@ -77,3 +77,29 @@
     // The 100 wide ones have 800 children.
     assert_eq!(by_narrow, 1000 - 1 - 800);
 }
+
+/// A box of another hall that had gone for good received the sums that its successor should have.
+#[test]
+fn box_that_acts_as_relay_node_of_another_hall_is_taken_for_it_while_it_is_heard() {
+    let (book, mut peers) = book(10);
+    let preferred = book.relay_node(HALL, Moment::ZERO).expect("a relay node").clone();
+    let (own, mut peer) = peer(11);
+    peer.hall = "hall-b".to_owned();
+    peers.insert(own, peer);
+    let mut book = Book::default();
+    book.put(peers.clone());
+    let relay_node = |book: &Book, now| book.other_relay_nodes("hall-b", now);
+    assert_eq!(relay_node(&book, Moment::ZERO), [preferred.clone()]);
+    let successor = peers
+        .keys()
+        .find(|id| **id != preferred && peers[*id].hall == HALL);
+    let successor = successor.expect("another box");
+    book.note_relay_node(successor, Moment::ZERO);
+    assert_eq!(relay_node(&book, Moment::ZERO), [successor.clone()]);
+    let later = Moment::from_secs(2);
+    assert_eq!(relay_node(&book, later), [preferred]);
+    assert_eq!(
+        book.acting_relay_nodes("hall-b", later),
+        [(HALL.to_owned(), None)]
+    );
+}
