--- a/crates/jb-policy/src/reach.rs
+++ b/crates/jb-policy/src/reach.rs
@@ -1,8 +1,8 @@
-//! Which data halls a box gets no connection to.
+//! Unreachable data halls.
 //!
-//! A cut-off hall doesn't refuse connections but leaves them without a word, so each try costs a request the whole
-//! time for a connection, and there are too many upstreams to learn it of each. What one connection shows counts for
-//! the whole hall for a while, and silence of several halls at once shows that the own one is cut off.
+//! Connections to a partitioned hall time out instead of being refused, so each attempt costs a request the whole
+//! connection timeout, and there are too many upstreams to learn it for each. So timeouts count for the whole hall for
+//! a while, and timeouts of several halls at once mean that the own hall is partitioned.
 
 use std::collections::BTreeMap;
 use std::time::Duration;
@@ -11,11 +11,11 @@
 
 use crate::Moment;
 
-/// First time for which a silent hall is avoided; it doubles with each further silence.
+/// First time for which a hall is avoided; it doubles with each further timeout.
 const FIRST_PAUSE: Duration = Duration::from_secs(1);
 /// Longest such time.
 const MAX_PAUSE: Duration = Duration::from_secs(4);
-/// Halls whose silence shows that the own one is cut off.
+/// Halls with timeouts from which on the own one counts as partitioned.
 const MIN_SILENT_HALLS: usize = 2;
 
 /// Halls that requests avoid where others can take them.
@@ -41,7 +41,7 @@
     }
 }
 
-/// What connections of a box have shown of the other halls.
+/// Reachability of the other halls, by the connections of one box.
 #[derive(Debug, Default)]
 pub struct Reach {
     silent: BTreeMap<id::Hall, Silence>,
@@ -49,16 +49,16 @@
     reached: Option<Moment>,
 }
 
-/// Silence of a hall since it last answered.
+/// Timeouts of connections to a hall since it last answered.
 #[derive(Clone, Copy, Debug)]
 struct Silence {
     since: Moment,
     /// Until when it counts.
     until: Moment,
     pause: Duration,
-    /// Name of the first silent upstream.
+    /// Name of the first upstream whose connection timed out.
     first: u64,
-    /// Whether another one was silent as well: one alone may be without power.
+    /// Whether that of another one did as well: a single machine may be without power.
     is_confirmed: bool,
 }
 
@@ -75,7 +75,7 @@
 
     fn again(self, upstream: u64, now: Moment) -> Self {
         match (now < self.until, self.is_confirmed) {
-            // Connections that were tried together show the same.
+            // Connections that were opened at the same time time out together.
             (true, true) => self,
             (true, false) => Self {
                 is_confirmed: upstream != self.first,
@@ -95,25 +95,25 @@
 }
 
 impl Reach {
-    /// Notes that an upstream of another hall left a connection without a word.
+    /// Notes that a connection to an upstream of another hall timed out.
     pub fn note_silent(&mut self, hall: &str, upstream: u64, now: Moment) {
         let known = self.silent.get(hall);
         let silence = known.map_or(Silence::new(upstream, now), |known| known.again(upstream, now));
         self.silent.insert(hall.to_owned(), silence);
     }
 
-    /// Notes that another hall has answered: the own one isn't cut off.
+    /// Notes that another hall has answered, so the own one isn't partitioned.
     pub fn note_reached(&mut self, hall: &str, now: Moment) {
         self.reached = Some(now);
         self.silent.remove(hall);
     }
 
-    /// Returns the halls that requests avoid; `isolated`: whether others have found the own hall cut off.
+    /// Returns the halls that requests avoid; `isolated` is whether the relay node of the own hall reaches no other.
     pub fn avoided(&self, now: Moment, isolated: bool) -> Avoided {
         let silent = || self.silent.iter().filter(|(_, silence)| now < silence.until);
         let since = silent().map(|(_, silence)| silence.since).min();
-        let is_shown = isolated || silent().count() >= MIN_SILENT_HALLS;
-        if since.is_some() && self.reached < since && is_shown {
+        let is_partitioned = isolated || silent().count() >= MIN_SILENT_HALLS;
+        if since.is_some() && self.reached < since && is_partitioned {
             return Avoided::Others;
         }
         let confirmed = silent().filter(|(_, silence)| silence.is_confirmed);
--- a/crates/jb-policy/src/tree.rs
+++ b/crates/jb-policy/src/tree.rs
@@ -1,9 +1,9 @@
 //! The tree by which the boxes of a data hall hand on what the store holds, and when one of them turns to the store
 //! itself.
 //!
-//! If all boxes turned to the store as soon as their relay node knows nothing recent, an outage would end with a call
-//! of each box at once, and a forgotten history with as many reads of everything. So the boxes of each level give
-//! those above them time.
+//! If all boxes called the store as soon as the knowledge of their relay node is outdated, an outage would end with a
+//! call of each box at once, and a forgotten history with as many reads of everything. So the boxes of each level wait
+//! longer than those above them.
 
 use std::time::Duration;
 
@@ -11,7 +11,7 @@
 const FAN_OUT: usize = 8;
 /// Share of the longest age of usable knowledge that each level waits for.
 const WAIT_SHARE: f64 = 0.25;
-/// Longest share: a box that nobody tells anything must learn it before its knowledge can't be used any more.
+/// Largest share: a box without updates must call the store before its knowledge is too old to be used.
 const MAX_WAIT_SHARE: f64 = 0.6;
 /// Interval at which a box of the second level calls the store again after a failure; each further level
 /// adds as much.
@@ -35,33 +35,33 @@
         Self(ancestors(position).count())
     }
 
-    /// Returns up to which age of its knowledge a box waits for a relay node that is alive and knows nothing recent;
+    /// Returns the age of its knowledge up to which a box waits for a live relay node whose knowledge is outdated;
     /// `bound` is the age beyond which knowledge can't be used.
     pub fn max_wait(self, bound: Duration) -> Duration {
         let level = f64::from(u32::try_from(self.0).unwrap_or(u32::MAX));
         bound.mul_f64((WAIT_SHARE * level).min(MAX_WAIT_SHARE))
     }
 
-    /// Returns the interval at which a box whose calls fail, and that nobody tells anything, calls the store again,
-    /// besides the pause after each failure.
+    /// Returns the interval at which a box without updates calls a failing store again, besides the pause after each
+    /// failure.
     pub fn retry_interval(self) -> Duration {
         let levels = u32::try_from(self.0.saturating_sub(1)).unwrap_or(u32::MAX);
         RETRY_INTERVAL.saturating_mul(levels)
     }
 
-    /// Returns how many relay nodes a box whose calls fail asks at a time.
+    /// Returns the number of relay nodes that a box asks at a time while its calls to the store fail.
     pub fn max_asked(self) -> usize {
         if self.0 > 1 { MAX_ASKED } else { usize::MAX }
     }
 }
 
-/// Returns the number of groups into which the recipients of a message are split, so that neither who sends to the
-/// head of each group nor a head sends much.
+/// Returns the number of groups into which the recipients of a message are split, so that neither the sender, which
+/// sends to the head of each group, nor a head sends much.
 pub fn groups(recipients: usize) -> usize {
     recipients.isqrt()
 }
 
-/// Splits recipients among the heads of groups as evenly as it goes; without heads nobody receives anything.
+/// Splits recipients evenly among the heads of groups; returns nothing where there are no heads.
 pub fn split<H: Copy, R: Copy>(heads: &[H], rest: &[R]) -> Vec<(H, Vec<R>)> {
     let share = |at: usize| rest.iter().skip(at).step_by(heads.len()).copied().collect();
     heads
--- a/crates/jb-policy/tests/reach.rs
+++ b/crates/jb-policy/tests/reach.rs
@@ -1,34 +1,34 @@
-//! A data hall that is cut off, in a fleet with too many engines to learn it of each.
+//! A partitioned data hall, in a fleet with too many engines to learn it for each.
 
 use std::time::Duration;
 
 use jb_policy::Moment;
 use jb_policy::reach::{Avoided, Reach};
 
-const OWN: &str = "hall-a";
+const OWN_HALL: &str = "hall-a";
 const OTHERS: [&str; 5] = ["hall-b", "hall-c", "hall-d", "hall-e", "hall-f"];
 const NOW: Moment = Duration::from_secs(100);
 
-/// A prompt has its engine in any hall; four sends were left without a word, one after the other, and the caller was
-/// refused, with engines free in its own hall.
+/// Prompts have their engines in all halls: four attempts timed out one after the other, and the caller was refused
+/// with engines free in its own hall.
 #[test]
-fn request_of_a_hall_that_is_cut_off_stays_there_after_two_silent_halls() {
+fn request_of_a_partitioned_hall_stays_there_after_timeouts_of_two_halls() {
     let mut reach = Reach::default();
     reach.note_reached(OTHERS[4], NOW - Duration::from_millis(1));
     let mut silent = 0;
     while OTHERS
         .iter()
-        .any(|hall| !reach.avoided(NOW, false).includes(hall, OWN))
+        .any(|hall| !reach.avoided(NOW, false).includes(hall, OWN_HALL))
     {
         reach.note_silent(OTHERS[silent], 1, NOW);
         silent += 1;
     }
     assert_eq!(silent, 2);
-    assert!(!reach.avoided(NOW, false).includes(OWN, OWN));
+    assert!(!reach.avoided(NOW, false).includes(OWN_HALL, OWN_HALL));
 }
 
 #[test]
-fn one_silence_is_enough_where_relay_nodes_have_found_the_hall_cut_off() {
+fn one_timeout_is_enough_where_the_relay_node_reaches_no_other_hall() {
     let mut reach = Reach::default();
     assert_eq!(reach.avoided(NOW, true), Avoided::None);
     reach.note_silent(OTHERS[0], 1, NOW);
@@ -36,19 +36,19 @@
 }
 
 #[test]
-fn hall_with_two_silent_engines_is_avoided_and_the_others_are_not() {
+fn hall_with_timeouts_of_two_engines_is_avoided_and_the_others_are_not() {
     let mut reach = Reach::default();
     for engine in [1, 2] {
         reach.note_silent(OTHERS[0], engine, NOW);
     }
     let avoided = reach.avoided(NOW, false);
-    assert!(avoided.includes(OTHERS[0], OWN));
-    assert!(OTHERS[1..].iter().all(|hall| !avoided.includes(hall, OWN)));
+    assert!(avoided.includes(OTHERS[0], OWN_HALL));
+    assert!(OTHERS[1..].iter().all(|hall| !avoided.includes(hall, OWN_HALL)));
 }
 
-/// An engine without power is as silent as one behind a cut.
+/// Connections to an engine without power time out as well.
 #[test]
-fn one_silent_engine_says_nothing_of_its_hall() {
+fn timeouts_of_one_engine_do_not_count_for_its_hall() {
     let mut reach = Reach::default();
     for _ in 0..3 {
         reach.note_silent(OTHERS[0], 1, NOW);
@@ -57,7 +57,7 @@
 }
 
 #[test]
-fn silent_engines_of_several_halls_say_nothing_of_the_own_one_while_another_answers() {
+fn own_hall_is_not_partitioned_while_another_one_answers() {
     let mut reach = Reach::default();
     for hall in &OTHERS[..3] {
         reach.note_silent(hall, 1, NOW);
@@ -67,7 +67,7 @@
 }
 
 #[test]
-fn silent_hall_is_tried_again_at_growing_intervals_until_it_answers() {
+fn unreachable_hall_is_tried_again_at_growing_intervals_until_it_answers() {
     const MOMENT: Duration = Duration::from_millis(1);
     let mut reach = Reach::default();
     let mut now = NOW;
@@ -76,7 +76,7 @@
         reach.note_silent(OTHERS[0], 2, now);
         now += Duration::from_secs(seconds) - MOMENT;
         assert_ne!(reach.avoided(now, false), Avoided::None);
-        // A connection that was begun before tells nothing new.
+        // The timeout of a connection that was opened before.
         reach.note_silent(OTHERS[0], 3, now);
         now += MOMENT;
         assert_eq!(reach.avoided(now, false), Avoided::None);
--- a/crates/jb-policy/tests/tree.rs
+++ b/crates/jb-policy/tests/tree.rs
@@ -64,7 +64,7 @@
     }
 }
 
-/// A box that told all others of a crash or of new weights sent as many datagrams as there are boxes.
+/// A box that reported a crash or new weights sent as many datagrams as there are boxes.
 #[test]
 fn message_to_all_boxes_costs_none_of_them_more_than_twice_the_root_of_its_hall() {
     for boxes in FLEETS {
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -120,8 +120,7 @@
     }
 }
 
-/// Notes that an upstream of another data hall left a connection without a word. A refusal comes from what has the
-/// address.
+/// Notes a connection to another data hall that timed out. A refused one shows that the hall is reachable.
 fn note_unreached(core: &Core, entry: &Entry, instance: &Instance, why: &link::Error) {
     if entry.hall != core.settings.hall && matches!(why, link::Error::Silent(_)) {
         core.reach
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -100,7 +100,7 @@
     pub round_trips: RoundTrips,
     /// Places that this box asks other boxes for.
     pub accounts: Accounts,
-    /// Data halls that this box gets no connection to.
+    /// Data halls that this box can't connect to.
     pub reach: RefCell<Reach>,
     /// Boxes that reach each other.
     pub reachability: RefCell<Reachability>,
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -49,7 +49,7 @@
 /// Upstreams among which is chosen.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum Among {
-    /// Those whose entries are there, in data halls to which connections come up.
+    /// Those whose entries are there, in reachable data halls.
     Reachable,
     /// Those whose entries are there.
     Sure,
@@ -60,8 +60,8 @@
 /// The upstream that a request is sent to next, by the accounts of engines where boxes are too
 /// many to know from each other what engines do.
 ///
-/// An upstream of a data hall that this box gets no connection to is taken only where none of another hall has a
-/// place, and after an outage of the store one whose entry is missing only where none whose entry is there has.
+/// An upstream of an unreachable data hall is taken only where no other one has a place. After an outage of the store
+/// the same holds for an upstream whose entry is missing, and which may be gone.
 pub(super) async fn choose_advised(
     core: &Shared,
     ticket: &Ticket,
@@ -95,7 +95,7 @@
     choose(core, ticket, body, tried, among)
 }
 
-/// Data halls that this box gets no connection to.
+/// Data halls that this box can't connect to.
 fn avoided(core: &Core) -> Avoided {
     core.reach
         .borrow()
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -91,7 +91,7 @@
 /// What asking other boxes has come to.
 enum Asked {
     Update(Update),
-    /// Others are to know something soon.
+    /// Others are expected to have one soon.
     Wait,
     /// This box is to read the store itself.
     Nothing,
@@ -124,7 +124,7 @@
     }
 }
 
-/// Returns whether a box that nobody has told anything asks again before it calls the store.
+/// Returns whether a box that has received no update asks again before it calls the store.
 fn waits(core: &Core, progress: &Progress, level: Level, why: peers::AskError) -> bool {
     match progress.failing {
         Some(failing) => core.now() < failing.last + level.retry_interval(),
--- a/crates/jb-relay/src/peers/transfer.rs
+++ b/crates/jb-relay/src/peers/transfer.rs
@@ -28,7 +28,7 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 /// Time for a whole transfer.
 const TRANSFER_TIMEOUT: Duration = Duration::from_secs(6);
-/// Time for which a box that knows nothing yet holds a query.
+/// Time for which a box that can't answer a query yet holds it.
 const HOLD_TIME: Duration = Duration::from_secs(4);
 /// Interval at which it looks whether it knows something.
 const LOOK: Duration = Duration::from_millis(20);
