Judge whether an engine has ended by any of its neighbours

A request that ends engines was not recognised where the first two engines of the list had ended as well: behind the completions door a refused connection counts as an end only if a neighbour accepts one, and only the first two others of the list were asked. Two of them that ended under earlier requests made every further end pass unnoticed. Up to sixteen are now asked at the same time, and one is enough.

--- a/crates/jb-daemon/src/quarantine.rs
+++ b/crates/jb-daemon/src/quarantine.rs
@@ -4,6 +4,7 @@
 use std::sync::{Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
+use futures_util::future::select_ok;
 use jb_policy::Moment;
 use jb_policy::place;
 use jb_policy::poison::{Content, Engine, Evidence, Ledger, Row, Verdict};
@@ -145,10 +146,13 @@
     if !refused {
         return false;
     }
-    for neighbour in neighbours {
-        if matches!(timeout(PROBE, TcpStream::connect(neighbour)).await, Ok(Ok(_))) {
-            return true;
-        }
-    }
-    neighbours.is_empty()
+    neighbours.is_empty() || accepts_any(neighbours).await
+}
+
+/// Returns whether one of these addresses accepts a connection; some of them may have ended as well.
+async fn accepts_any(addresses: &[SocketAddr]) -> bool {
+    let connecting = addresses
+        .iter()
+        .map(|address| Box::pin(TcpStream::connect(address)));
+    matches!(timeout(PROBE, select_ok(connecting)).await, Ok(Ok(_)))
 }
--- a/crates/jb-daemon/src/run/session/isolation.rs
+++ b/crates/jb-daemon/src/run/session/isolation.rs
@@ -10,8 +10,8 @@
 use crate::quarantine;
 use crate::run::attempt::{Attempt, Trouble};
 
-/// Neighbours of an engine that are asked at the most for whether the path there is well.
-const NEIGHBOURS: usize = 2;
+/// Neighbours of an engine to which a connection is tried, for whether the path there is well.
+const MAX_NEIGHBOURS: usize = 16;
 
 impl Session {
     fn content(&self) -> Content {
@@ -65,7 +65,7 @@
         let near = all
             .iter()
             .filter(|u| u.hall == config.hall && u.id != config.id && !self.tried.contains(&u.id));
-        let neighbours: Vec<SocketAddr> = near.take(NEIGHBOURS).map(|u| u.address).collect();
+        let neighbours: Vec<SocketAddr> = near.take(MAX_NEIGHBOURS).map(|u| u.address).collect();
         if quarantine::has_ended(config.address, &neighbours).await {
             let evidence = Evidence::of_end(upstream.instance, self.isolated.is_some());
             quarantine::note(&self.context, self.content(), evidence);
--- a/crates/jb-scenario/tests/poison.rs
+++ b/crates/jb-scenario/tests/poison.rs
@@ -102,3 +102,27 @@
         assert!(matches!(other, Seen::Complete { .. }), "{other:?}");
     }
 }
+
+/// Whether an engine had ended was judged by the first two others of the list alone. Where these had ended as well,
+/// under earlier requests, nothing was learned, and the request went on to end the rest.
+#[tokio::test(flavor = "multi_thread")]
+async fn request_that_ends_engines_is_known_where_the_first_of_the_list_have_ended_before() {
+    const ENDED_BEFORE: usize = 3;
+    let mut rig = fleet().await;
+    let first: Vec<String> = rig
+        .upstreams_of(ENGINES)
+        .into_iter()
+        .map(|(name, _)| name)
+        .collect();
+    for name in &first[..ENDED_BEFORE] {
+        rig.process_mut(name).expect("an engine").kill().expect("a kill");
+    }
+    let http = reqwest::Client::builder().no_proxy().build().expect("a client");
+    let boxes: Vec<_> = rig.boxes().map(|(_, ports)| ports.callers).collect();
+    let deadly = chat("ann", DEADLY);
+    for at in boxes.iter().cycle().take(6) {
+        let seen = load::send(&http, *at, &deadly).await;
+        assert!(!matches!(seen, Seen::Complete { .. }));
+    }
+    assert_eq!(ended(&mut rig), ENDED_BEFORE + MOST_ENDED);
+}
