--- a/crates/jb-relay/src/exchange/mod.rs
+++ b/crates/jb-relay/src/exchange/mod.rs
@@ -6,6 +6,7 @@
 mod judge;
 mod pick;
 mod place;
+mod prompt;
 mod run;
 
 pub use run::{Ending, Exchange};
