--- a/crates/jb-scenario/tests/poison.rs
+++ b/crates/jb-scenario/tests/poison.rs
@@ -6,6 +6,7 @@
 
 #![allow(clippy::expect_used)]
 
+use std::net::SocketAddr;
 use std::time::Duration;
 
 use jb_fakes::control::EngineFault;
@@ -61,26 +62,33 @@
     }
 }
 
+/// Names of the engines, in the order of the list.
+fn engines(rig: &Rig) -> Vec<String> {
+    let engines = rig.upstreams_of(ENGINES);
+    engines.into_iter().map(|(name, _)| name).collect()
+}
+
 fn ended(rig: &mut Rig) -> usize {
-    let names: Vec<String> = rig
-        .upstreams_of(ENGINES)
-        .into_iter()
-        .map(|(name, _)| name)
-        .collect();
+    let names = engines(rig);
     let mut has_ended = |name: &String| rig.process_mut(name).expect("an engine").has_ended();
     names.iter().filter(|name| has_ended(name)).count()
 }
 
+/// Sends a request six times, to the boxes in turn; it is never served.
+async fn send_to_all(http: &reqwest::Client, boxes: &[SocketAddr], deadly: &Request) {
+    for at in boxes.iter().cycle().take(6) {
+        let seen = load::send(http, *at, deadly).await;
+        assert!(!matches!(seen, Seen::Complete { .. }));
+    }
+}
+
 #[tokio::test(flavor = "multi_thread")]
 async fn request_that_ends_each_engine_reaches_three_of_the_fleet_and_nobody_else_is_refused() {
     let mut rig = fleet().await;
     let http = reqwest::Client::builder().no_proxy().build().expect("a client");
     let boxes: Vec<_> = rig.boxes().map(|(_, ports)| ports.callers).collect();
     let deadly = chat("ann", DEADLY);
-    for at in boxes.iter().cycle().take(6) {
-        let seen = load::send(&http, *at, &deadly).await;
-        assert!(!matches!(seen, Seen::Complete { .. }));
-    }
+    send_to_all(&http, &boxes, &deadly).await;
     assert_eq!(ended(&mut rig), MOST_ENDED);
     // Known everywhere, it is refused without an engine, in a way that libraries do not repeat.
     for at in &boxes {
@@ -109,20 +117,12 @@
 async fn request_that_ends_engines_is_known_where_the_first_of_the_list_have_ended_before() {
     const ENDED_BEFORE: usize = 3;
     let mut rig = fleet().await;
-    let first: Vec<String> = rig
-        .upstreams_of(ENGINES)
-        .into_iter()
-        .map(|(name, _)| name)
-        .collect();
-    for name in &first[..ENDED_BEFORE] {
+    for name in &engines(&rig)[..ENDED_BEFORE] {
         rig.process_mut(name).expect("an engine").kill().expect("a kill");
     }
     let http = reqwest::Client::builder().no_proxy().build().expect("a client");
     let boxes: Vec<_> = rig.boxes().map(|(_, ports)| ports.callers).collect();
     let deadly = chat("ann", DEADLY);
-    for at in boxes.iter().cycle().take(6) {
-        let seen = load::send(&http, *at, &deadly).await;
-        assert!(!matches!(seen, Seen::Complete { .. }));
-    }
+    send_to_all(&http, &boxes, &deadly).await;
     assert_eq!(ended(&mut rig), ENDED_BEFORE + MOST_ENDED);
 }
