Count reachable boxes for a choice only after a connection has timed out

Each choice worked out whether the relay node reaches another hall, which in a small fleet copies the ids of all boxes, though the answer counts only where a connection to another hall has timed out. What is avoided stays the same.

--- a/crates/jb-policy/src/reach.rs
+++ b/crates/jb-policy/src/reach.rs
@@ -108,6 +108,11 @@
         self.silent.remove(hall);
     }
 
+    /// Returns whether every hall has answered since the last timeout, so that none is avoided.
+    pub fn is_clear(&self) -> bool {
+        self.silent.is_empty()
+    }
+
     /// Returns the halls that requests avoid; `isolated` is whether the relay node of the own hall reaches no other.
     pub fn avoided(&self, now: Moment, isolated: bool) -> Avoided {
         let silent = || self.silent.iter().filter(|(_, silence)| now < silence.until);
--- a/crates/jb-relay/src/exchange/place.rs
+++ b/crates/jb-relay/src/exchange/place.rs
@@ -87,9 +87,12 @@
 
 /// Data halls that this box can't connect to.
 fn avoided(core: &Core) -> Avoided {
-    core.reach
-        .borrow()
-        .avoided(core.now(), peers::is_hall_isolated(core))
+    let reach = core.reach.borrow();
+    if reach.is_clear() {
+        // The usual case, in which a request need not count the boxes that are reachable.
+        return Avoided::None;
+    }
+    reach.avoided(core.now(), peers::is_hall_isolated(core))
 }
 
 fn has_last_resort(core: &Core, ticket: &Ticket) -> bool {
