Withhold the fixed retries of a restarted box for one window

Callers saw nothing but more load: while all engines of a service failed and boxes were killed in turn, the fleet sent 318 repeats in 10 s where 211 are allowed. Cause: a box keeps its retry budget in memory, so each start granted the box's part of the fixed retries anew. Change: a box that finds its own address in the store was restarted; it spends only what its requests earn until one window has passed. Why it works: a window then holds the fixed part of at most one process of each box, and the earned parts add up over processes. Evidence: lives of 7 to 16 retries after each restart in the logs, none after the budget was used up otherwise.

--- a/crates/jb-policy/src/retry_budget.rs
+++ b/crates/jb-policy/src/retry_budget.rs
@@ -1,7 +1,8 @@
 //! One box's share of a retry budget that all boxes spend together.
 //!
 //! The budget needs no coordination: the retries that each box earns by its own requests add up to those of the
-//! fleet, and the fixed part is divided by the number of boxes that may be alive, reachable or not.
+//! fleet, and the fixed part is divided by the number of boxes that may be alive, reachable or not. A box forgets what
+//! it has spent when it restarts, so a restarted box has no fixed part until one window has passed.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -22,6 +23,33 @@
     pub window: Duration,
 }
 
+/// Part of the fixed retries that one box may spend.
+#[derive(Clone, Copy, Debug)]
+pub struct FixedPart {
+    /// Number of boxes that divide the fixed retries, at least 1.
+    pub boxes: usize,
+    /// Start of this process if the box may have spent its part in an earlier one; `None` otherwise.
+    pub restarted_at: Option<Moment>,
+}
+
+impl FixedPart {
+    /// Returns the part of a box that has had no earlier process.
+    pub fn of_new_box(boxes: usize) -> Self {
+        Self {
+            boxes,
+            restarted_at: None,
+        }
+    }
+
+    fn retries(self, config: &Config, now: Moment) -> f64 {
+        let is_spent = |at: Moment| now < at + config.window;
+        if self.restarted_at.is_some_and(is_spent) {
+            return 0.0;
+        }
+        config.extra / self.boxes.max(1) as f64
+    }
+}
+
 /// Retry budget of one service at one box.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
@@ -36,14 +64,12 @@
         prune(&mut self.requests, now, window);
     }
 
-    /// Spends one retry if the budget allows it, and returns whether it did. `boxes` is the number of boxes that
-    /// share the fixed part.
-    pub fn try_spend(&mut self, now: Moment, config: &Config, boxes: usize) -> bool {
+    /// Spends one retry if the budget allows it, and returns whether it did.
+    pub fn try_spend(&mut self, now: Moment, config: &Config, fixed: FixedPart) -> bool {
         prune(&mut self.requests, now, config.window);
         prune(&mut self.retries, now, config.window);
         let earned = config.ratio * self.requests.len() as f64;
-        let fixed = config.extra / boxes.max(1) as f64;
-        let allowed = SPENT_SHARE * (earned + fixed);
+        let allowed = SPENT_SHARE * (earned + fixed.retries(config, now));
         let granted = ((self.retries.len() + 1) as f64) <= allowed;
         if granted {
             self.retries.push_back(now);
--- a/crates/jb-policy/src/route/pool.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -17,7 +17,7 @@
 use crate::health::Change;
 use crate::prefix::Chain;
 use crate::prefix_index::{EngineIndex, PrefixIndex};
-use crate::retry_budget::{Budget, Config};
+use crate::retry_budget::{Budget, Config, FixedPart};
 use crate::signal::Signals;
 use crate::stream::Start;
 use crate::upstream::{Changes, Upstream};
@@ -129,7 +129,8 @@
             extra: EXTRA_RETRIES_PER_BOX * f64::from(boxes),
             window: RETRY_WINDOW,
         };
-        self.budget.try_spend(now, &config, boxes as usize)
+        self.budget
+            .try_spend(now, &config, FixedPart::of_new_box(boxes as usize))
     }
 
     /// Chooses an upstream and counts the request there.
--- a/crates/jb-policy/tests/backoff.rs
+++ b/crates/jb-policy/tests/backoff.rs
@@ -11,7 +11,7 @@
 
 use jb_policy::Moment;
 use jb_policy::backoff::Backoff;
-use jb_policy::retry_budget::{Budget, Config};
+use jb_policy::retry_budget::{Budget, Config, FixedPart};
 use jb_policy::signal::Signals;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -137,7 +137,9 @@
             let Some(engine) = open.min_by_key(own) else {
                 return;
             };
-            if !tried.is_empty() && !self.budgets[by].try_spend(now, &config, self.boxes) {
+            if !tried.is_empty()
+                && !self.budgets[by].try_spend(now, &config, FixedPart::of_new_box(self.boxes))
+            {
                 return;
             }
             tried.push(engine);
--- a/crates/jb-policy/tests/placement.rs
+++ b/crates/jb-policy/tests/placement.rs
@@ -6,7 +6,7 @@
 
 use jb_policy::placement::{Candidate, CostModel, Demand, best};
 use jb_policy::prefix_cache::{PrefixCache, Segment};
-use jb_policy::retry_budget::{Budget, Config};
+use jb_policy::retry_budget::{Budget, Config, FixedPart};
 use jb_policy::weights::{History, Overdue};
 
 fn candidate(name_hash: u64) -> Candidate {
@@ -137,8 +137,8 @@
         for number in 0..requests {
             let now = Duration::from_millis(number * 100);
             budget.record_request(now, bound.window);
-            spent += u32::from(budget.try_spend(now, &bound, boxes));
-            spent += u32::from(budget.try_spend(now, &bound, boxes));
+            spent += u32::from(budget.try_spend(now, &bound, FixedPart::of_new_box(boxes)));
+            spent += u32::from(budget.try_spend(now, &bound, FixedPart::of_new_box(boxes)));
         }
     }
     let allowed = bound.ratio * f64::from(8 * 50) + bound.extra;
@@ -154,9 +154,11 @@
     };
     let mut budget = Budget::default();
     let start = Duration::from_secs(1);
-    let spent = (0..100).filter(|_| budget.try_spend(start, &bound, 1)).count();
+    let spent = (0..100)
+        .filter(|_| budget.try_spend(start, &bound, FixedPart::of_new_box(1)))
+        .count();
     assert_eq!(spent, 6);
-    assert!(budget.try_spend(start + Duration::from_secs(11), &bound, 1));
+    assert!(budget.try_spend(start + Duration::from_secs(11), &bound, FixedPart::of_new_box(1)));
 }
 
 /// Guards against engines with old weights that count as recent again after another version is released.
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -11,7 +11,7 @@
 use jb_policy::outage::{self, Span};
 use jb_policy::placement::CostModel;
 use jb_policy::prefill_rate::PrefillRate;
-use jb_policy::retry_budget::{Budget, Config};
+use jb_policy::retry_budget::{Budget, Config, FixedPart};
 use jb_policy::weights::History;
 use jb_protocol::id;
 use slog::Logger;
@@ -22,7 +22,7 @@
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
 use crate::peers::{
-    ChangeLog, Directory, Loads, Outbox, PendingPull, PendingWeights, Permit, Quotas, RateLimits,
+    self, ChangeLog, Directory, Loads, Outbox, PendingPull, PendingWeights, Permit, Quotas, RateLimits,
     Reachability, Reservations, RoundTrips, Source, Transfers,
 };
 use crate::port::{Change, Engines, Era, Revision, Store};
@@ -90,6 +90,8 @@
     pub box_items: RefCell<BTreeMap<String, Change>>,
     /// Port for messages between boxes and for transfers.
     pub peer_port: OnceCell<u16>,
+    /// Whether an earlier process of this box has registered its address; unset until it is first asked for.
+    restarted: OnceCell<bool>,
     /// When this box's address was last written to the store.
     pub address_written: Cell<Option<Moment>>,
     /// Whether addresses of boxes have changed since the list was last updated.
@@ -173,6 +175,7 @@
             mirror: RefCell::default(),
             box_items: RefCell::default(),
             peer_port: OnceCell::new(),
+            restarted: OnceCell::new(),
             address_written: Cell::default(),
             addresses_changed: Cell::default(),
             directory: RefCell::default(),
@@ -309,6 +312,15 @@
         self.configuration.borrow().clone()
     }
 
+    /// Returns whether an earlier process of this box has registered its address. The first call has to come after the
+    /// first read of the store, and before this process registers its own address.
+    pub fn is_restarted(&self) -> bool {
+        *self.restarted.get_or_init(|| {
+            let items = self.box_items.borrow();
+            items.contains_key(&peers::address_key(&self.settings.id))
+        })
+    }
+
     /// Adds a new request to the retry budget of its service.
     pub fn count_request(&self, service: &str) {
         let mut budgets = self.retry_budgets.borrow_mut();
@@ -324,12 +336,15 @@
             extra: bounds.retry_burst,
             window: bounds.retry_window,
         };
-        let boxes = self.directory.borrow().boxes();
+        let fixed = FixedPart {
+            boxes: self.directory.borrow().boxes(),
+            restarted_at: self.is_restarted().then_some(Moment::ZERO),
+        };
         let mut budgets = self.retry_budgets.borrow_mut();
         let spent = budgets
             .entry(service.to_owned())
             .or_default()
-            .try_spend(self.now(), &bound, boxes);
+            .try_spend(self.now(), &bound, fixed);
         self.metrics.retries.inc_by(u64::from(spent));
         spent
     }
--- a/crates/jb-relay/src/peers/register.rs
+++ b/crates/jb-relay/src/peers/register.rs
@@ -16,6 +16,11 @@
 
 /// Prefix of the keys under which boxes register their addresses; the rest is the id of the box.
 pub const ADDRESS_KEY_PREFIX: &str = "junctionbend/box/";
+/// Returns the key under which a box registers its address.
+pub fn address_key(id: &str) -> String {
+    format!("{ADDRESS_KEY_PREFIX}{id}")
+}
+
 /// Interval at which the addresses are checked.
 const CHECK_INTERVAL: Duration = Duration::from_millis(200);
 /// Time after a write of this box's address in which it isn't written again, because the next update should contain it.
@@ -44,7 +49,9 @@
         "{address} {} {}",
         core.settings.hall, core.settings.capacity.link_mbps
     );
-    let key = format!("{ADDRESS_KEY_PREFIX}{}", core.settings.id);
+    // Can't be told any more once this process has written its address.
+    core.is_restarted();
+    let key = address_key(&core.settings.id);
     let known = core.box_items.borrow().get(&key).cloned();
     let registered = known.filter(|item| item.value.is_some() && item.revision.era == era);
     let value = registered.as_ref().and_then(|item| item.value.as_deref());
