--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod signal;
 pub mod stream;
 pub mod transfer;
+pub mod uplink;
 pub mod upstream;
 pub mod weights;
 
--- /dev/null
+++ b/crates/jb-policy/src/uplink.rs
@@ -0,0 +1,111 @@
+//! Whether a box reaches any upstream at all.
+//!
+//! A failed request alone doesn't tell a broken upstream from a broken link of the box. So a failure only starts a
+//! check, in which the box opens connections to several other upstreams: one that succeeds shows that the link works,
+//! and if all fail the link is down until one succeeds.
+
+use std::time::Duration;
+
+use crate::Moment;
+
+/// Age up to which an opened connection shows that the link works.
+const MAX_CONNECT_AGE: Duration = Duration::from_millis(500);
+/// Age up to which data from an upstream shows that a stalled request is the fault of its own upstream.
+const MAX_DATA_AGE: Duration = Duration::from_millis(300);
+
+/// What failed.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Failure {
+    /// No connection could be opened. Open ones may still work.
+    Connect,
+    /// A request on an open connection stalled, or its connection broke.
+    Request,
+}
+
+/// Change of the link's state.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Change {
+    /// No change.
+    None,
+    /// No upstream can be reached any more.
+    Lost,
+    /// An upstream can be reached again.
+    Restored,
+}
+
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+enum State {
+    #[default]
+    Up,
+    /// The first check after a failure is under way.
+    Checking,
+    /// All connections of a check failed.
+    Down { since: Moment },
+}
+
+/// The link of a box to all upstreams.
+#[derive(Clone, Debug, Default)]
+pub struct Uplink {
+    state: State,
+    last_connect: Option<Moment>,
+    last_data: Option<Moment>,
+}
+
+impl Uplink {
+    /// Returns whether no upstream can be reached.
+    pub fn is_down(&self) -> bool {
+        matches!(self.state, State::Down { .. })
+    }
+
+    /// Returns whether the first check after a failure is under way.
+    pub fn is_checking(&self) -> bool {
+        self.state == State::Checking
+    }
+
+    /// Returns whether data has arrived on open connections since no new ones can be opened.
+    pub fn has_live_connections(&self) -> bool {
+        match self.state {
+            State::Down { since } => self.last_data > Some(since),
+            State::Up | State::Checking => true,
+        }
+    }
+
+    /// Notes that data from an upstream has arrived.
+    pub fn note_data(&mut self, now: Moment) {
+        self.last_data = Some(now);
+    }
+
+    /// Notes that a connection to an upstream was opened.
+    pub fn note_connected(&mut self, now: Moment) -> Change {
+        let was_down = self.is_down();
+        self.state = State::Up;
+        self.last_connect = Some(now);
+        if was_down { Change::Restored } else { Change::None }
+    }
+
+    /// Notes a failure and returns whether the link has to be checked.
+    pub fn note_failure(&mut self, failure: Failure, now: Moment) -> bool {
+        let is_recent = |at: Option<Moment>, age| at.is_some_and(|at| now < at + age);
+        let is_explained = is_recent(self.last_connect, MAX_CONNECT_AGE)
+            || (failure == Failure::Request && is_recent(self.last_data, MAX_DATA_AGE));
+        let needs_check = self.state == State::Up && !is_explained;
+        if needs_check {
+            self.state = State::Checking;
+        }
+        needs_check
+    }
+
+    /// Notes that a check found no upstream to connect to, which shows nothing.
+    pub fn cancel_check(&mut self) {
+        self.state = State::Up;
+    }
+
+    /// Notes that all connections of a check failed.
+    pub fn note_unreachable(&mut self, now: Moment) -> Change {
+        if self.is_down() {
+            return Change::None;
+        }
+        self.state = State::Down { since: now };
+        Change::Lost
+    }
+}
--- /dev/null
+++ b/crates/jb-policy/tests/uplink.rs
@@ -0,0 +1,48 @@
+//! Detection that a box reaches no upstream.
+
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::uplink::{Change, Failure, Uplink};
+
+fn at(ms: u64) -> Moment {
+    Duration::from_millis(ms)
+}
+
+#[test]
+fn link_is_down_once_a_check_fails_and_up_with_the_next_connection() {
+    let mut uplink = Uplink::default();
+    assert!(uplink.note_failure(Failure::Connect, at(1000)));
+    assert!(uplink.is_checking() && !uplink.is_down());
+    // Failures during a check start no second one.
+    assert!(!uplink.note_failure(Failure::Connect, at(1010)));
+    assert_eq!(uplink.note_unreachable(at(1200)), Change::Lost);
+    assert_eq!(uplink.note_unreachable(at(1500)), Change::None);
+    assert!(uplink.is_down() && !uplink.is_checking());
+    assert_eq!(uplink.note_connected(at(1800)), Change::Restored);
+    assert!(!uplink.is_down());
+}
+
+/// Guards against taking one silent upstream for a partition of the box.
+#[test]
+fn failures_of_one_upstream_are_no_partition() {
+    let mut uplink = Uplink::default();
+    uplink.note_data(at(1000));
+    assert!(!uplink.note_failure(Failure::Request, at(1100)));
+    assert!(uplink.note_failure(Failure::Request, at(1400)));
+    assert_eq!(uplink.note_connected(at(1402)), Change::None);
+    assert!(!uplink.note_failure(Failure::Request, at(1500)));
+    assert!(!uplink.is_down());
+}
+
+/// Guards against missing a partition in which open connections live on and only new ones fail.
+#[test]
+fn data_on_open_connections_does_not_hide_that_none_can_be_opened() {
+    let mut uplink = Uplink::default();
+    uplink.note_data(at(1000));
+    assert!(uplink.note_failure(Failure::Connect, at(1010)));
+    uplink.note_unreachable(at(1200));
+    assert!(uplink.is_down() && !uplink.has_live_connections());
+    uplink.note_data(at(1300));
+    assert!(uplink.is_down() && uplink.has_live_connections());
+}
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -242,6 +242,7 @@
 ) -> Result<(ResponseHead, ParsedHead), http::Error> {
     for _ in 0..MAX_SKIPPED_RESPONSES {
         let answer = pooled.connection.read_response(MAX_HEAD_BYTES).await?;
+        core.uplink.borrow_mut().note_data(core.now());
         if answer.status < 200 {
             continue;
         }
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -209,6 +209,7 @@
         let stall_limit = if has_started { stall_timeout } else { None };
         match next_part(&mut reply, client, left, stall_limit).await {
             Part::Data(data) => {
+                core.uplink.borrow_mut().note_data(core.now());
                 on_data();
                 let before = out.len();
                 if request.route.resumable {
--- a/crates/jb-relay/src/exchange/feedback.rs
+++ b/crates/jb-relay/src/exchange/feedback.rs
@@ -1,11 +1,12 @@
 //! Health feedback: what the attempts of a request show about the upstreams.
 
 use jb_policy::health::Change;
+use jb_policy::uplink::Failure;
 use jb_protocol::{emit, event};
 
 use super::run::Exchange;
-use crate::peers;
 use crate::upstream::{Instance, Upstream};
+use crate::{peers, uplink};
 
 impl Exchange<'_> {
     /// Sets the outcome that the release of the reservation reports.
@@ -31,6 +32,7 @@
             // An engine resets its streams when it loads new weights, which says nothing about its health.
             return;
         }
+        uplink::note_failure(core, Failure::Request);
         self.set_reservation_outcome(peers::Outcome::Failed);
         if core
             .upstreams
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -36,4 +36,5 @@
 pub mod start;
 pub mod stop;
 pub mod unknown_signals;
+pub mod uplink;
 pub mod upstream;
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -60,6 +60,8 @@
     pub rate_limit_decided_locally: Counter,
     /// Connections opened to upstreams.
     pub connections_opened: Counter,
+    /// 1 if no upstream can be reached from this box, else 0.
+    pub uplink_down: Gauge,
     /// Calls to the store.
     pub store_calls: Counter,
     /// Calls to the store that failed.
@@ -102,6 +104,7 @@
         let rate_limit_timeouts = Counter::default();
         let rate_limit_decided_locally = Counter::default();
         let connections_opened = Counter::default();
+        let uplink_down = Gauge::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
         let relay_node = Gauge::default();
@@ -168,6 +171,11 @@
             "Connections opened to upstreams",
             connections_opened.clone(),
         );
+        registry.register(
+            "uplink_down",
+            "Whether no upstream can be reached from this box",
+            uplink_down.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the platform's store",
@@ -215,6 +223,7 @@
             rate_limit_timeouts,
             rate_limit_decided_locally,
             connections_opened,
+            uplink_down,
             store_calls,
             store_failures,
             relay_node,
--- a/crates/jb-relay/src/pool.rs
+++ b/crates/jb-relay/src/pool.rs
@@ -4,11 +4,13 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
+use jb_policy::uplink::Failure;
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
 use crate::core::Shared;
 use crate::http::Connection;
+use crate::uplink;
 use crate::upstream::Instance;
 
 /// Connect timeout: several round trips inside a region.
@@ -73,17 +75,28 @@
 }
 
 /// Opens a connection within a timeout.
-async fn open(core: &Shared, upstream: &Instance, time: Duration) -> Result<PooledConnection, Error> {
+///
+/// # Errors
+/// As [`checkout`].
+pub async fn open(core: &Shared, upstream: &Instance, time: Duration) -> Result<PooledConnection, Error> {
     let address = core
         .upstreams
         .borrow()
         .instance(upstream)
         .map(|u| u.entry.address)
         .ok_or(Error::Gone)?;
-    let stream = match timeout(time, connect(address)).await {
-        Ok(stream) => stream.map_err(Error::Refused)?,
-        Err(_) => return Err(Error::TimedOut(time)),
+    let connected = match timeout(time, connect(address)).await {
+        Ok(stream) => stream.map_err(Error::Refused),
+        Err(_) => Err(Error::TimedOut(time)),
+    };
+    let stream = match connected {
+        Ok(stream) => stream,
+        Err(why) => {
+            uplink::note_failure(core, Failure::Connect);
+            return Err(why);
+        }
     };
+    uplink::note_connected(core);
     core.metrics.connections_opened.inc();
     Ok(PooledConnection {
         connection: Connection::new(stream),
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -4,7 +4,7 @@
 
 use jb_policy::Moment;
 use jb_policy::backoff::Backoff;
-use jb_policy::health::Change;
+use jb_policy::health::{Change, Health};
 use jb_policy::rate_limit::Limit;
 use jb_policy::rendezvous;
 use jb_policy::signal::Signals;
@@ -364,6 +364,13 @@
         self.upstreams.of_service(service)
     }
 
+    /// Forgets the failures of all upstreams.
+    pub fn reset_health(&mut self) {
+        for upstream in self.values_mut() {
+            upstream.health = Health::default();
+        }
+    }
+
     /// Applies the outcome of a request to the health of its upstream.
     pub fn record_outcome(&mut self, instance: &Instance, success: bool, now: Moment) -> Change {
         let Some(upstream) = self.instance_mut(instance) else {
--- a/crates/jb-relay/src/upstream/selection.rs
+++ b/crates/jb-relay/src/upstream/selection.rs
@@ -129,6 +129,19 @@
             .collect()
     }
 
+    /// Returns some upstreams in rotation, spread over all; each round returns others.
+    pub fn spread_sample(&self, count: usize, round: usize, now: Moment) -> Vec<Instance> {
+        let in_rotation = |upstream: &&Upstream| upstream.is_in_rotation() && now >= upstream.loading_until;
+        let all: Vec<&Upstream> = self
+            .iter()
+            .map(|(_, upstream)| upstream)
+            .filter(in_rotation)
+            .collect();
+        let count = count.min(all.len());
+        let at = |step: usize| (step * all.len() / count + round) % all.len();
+        (0..count).map(|step| all[at(step)].instance.clone()).collect()
+    }
+
     /// Returns when the first upstream is available again if all eligible ones are throttled, `None` otherwise.
     pub fn next_available_at(&self, criteria: &Criteria<'_>, now: Moment) -> Option<Moment> {
         let ends = self.eligible(criteria, now).map(Upstream::throttled_until);
