--- a/crates/jb-soak/src/boxes.rs
+++ b/crates/jb-soak/src/boxes.rs
@@ -9,7 +9,7 @@
 use jb_site_fakes::document;
 use rustix::process::{Pid, Signal, kill_process};
 
-use crate::proxy::{Link, Proxy};
+use jb_site_fakes::proxy::{Link, Proxy};
 
 /// A box under test.
 pub struct Box {
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -10,10 +10,10 @@
 use tokio::time::sleep;
 
 use crate::limits;
-use crate::proxy::Link;
 use crate::restores;
 use crate::signals;
 use crate::world::{EVENTS, World, config};
+use jb_site_fakes::proxy::Link;
 
 /// A fault to inject.
 #[derive(Clone, Copy, Debug)]
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -12,7 +12,6 @@
 pub mod faults;
 pub mod limits;
 pub mod poison;
-pub mod proxy;
 pub mod restores;
 pub mod run;
 pub mod signals;
--- a/crates/jb-soak/src/restores.rs
+++ b/crates/jb-soak/src/restores.rs
@@ -8,8 +8,8 @@
 use tokio::time::sleep;
 
 use crate::checks::{Checks, Promise};
-use crate::proxy::Link;
 use crate::world::World;
+use jb_site_fakes::proxy::Link;
 
 /// Age of the backup, in milliseconds.
 const BACKUP_AGE_MS: std::ops::Range<u64> = 50..4000;
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -17,10 +17,10 @@
 use crate::faults::{self, Set};
 use crate::limits;
 use crate::poison;
-use crate::proxy::Link;
 use crate::restores;
 use crate::signals;
 use crate::world::World;
+use jb_site_fakes::proxy::Link;
 
 /// Time after a key's revocation within which boxes may still accept it.
 const REVOCATION_BOUND: Duration = Duration::from_millis(5000);
