Send requests through another box while no upstream can be reached

Callers of a box whose links to all engines were cut got 503 for every request, while the other boxes served nearly all. Cause: a box judged each upstream by itself, so it tried one after the other until all were ejected, and it had no other way to an upstream. Change: the uplink of a service is down when a check of three upstreams fails. Boxes of the own hall come first, unless two of them reach no upstream either.

--- a/crates/jb-policy/src/uplink.rs
+++ b/crates/jb-policy/src/uplink.rs
@@ -1,4 +1,4 @@
-//! Whether a box reaches any upstream at all.
+//! Whether a box reaches any upstream of a service.
 //!
 //! A failed request alone doesn't tell a broken upstream from a broken link of the box. So a failure only starts a
 //! check, in which the box opens connections to several other upstreams: one that succeeds shows that the link works,
@@ -9,7 +9,7 @@
 use crate::Moment;
 
 /// Age up to which an opened connection shows that the link works.
-const MAX_CONNECT_AGE: Duration = Duration::from_millis(500);
+const MAX_CONNECT_AGE: Duration = Duration::from_millis(250);
 /// Age up to which data from an upstream shows that a stalled request is the fault of its own upstream.
 const MAX_DATA_AGE: Duration = Duration::from_millis(300);
 
@@ -43,7 +43,7 @@
     Down { since: Moment },
 }
 
-/// The link of a box to all upstreams.
+/// The link of a box to the upstreams of a service.
 #[derive(Clone, Debug, Default)]
 pub struct Uplink {
     state: State,
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -77,8 +77,8 @@
     UPSTREAM_LIMITED = 5013, "upstream_limited", "An upstream has announced or lifted a rate limit that applies to all boxes together.";
     SIGNAL_UNKNOWN = 5014, "signal_unknown", "An upstream sent a signal that this version does not support.";
     UPSTREAMS_CHANGED = 5015, "upstreams_changed", "An update has changed many upstreams; no separate event is logged for each.";
-    UPSTREAMS_UNREACHABLE = 5016, "upstreams_unreachable", "This box can open no connection to any upstream.";
-    UPSTREAMS_REACHABLE = 5017, "upstreams_reachable", "This box reaches upstreams again.";
+    UPSTREAMS_UNREACHABLE = 5016, "upstreams_unreachable", "This box can open no connection to any upstream of a service.";
+    UPSTREAMS_REACHABLE = 5017, "upstreams_reachable", "This box reaches upstreams of a service again.";
     CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
     LEADER_ELECTED = 7001, "leader_elected", "The box has become its hall's leader.";
     LEADER_LOST = 7002, "leader_lost", "The box is no longer its hall's leader.";
--- a/crates/jb-relay/src/admission.rs
+++ b/crates/jb-relay/src/admission.rs
@@ -9,6 +9,7 @@
 
 use crate::configuration::{Configuration, QuotaUnit, Route};
 use crate::core::Core;
+use crate::detour::Envelope;
 use crate::http::RequestHead;
 use crate::salt;
 
@@ -49,6 +50,8 @@
     pub arrived_at: Moment,
     /// When it must be answered: the caller's deadline, or the route's timeout if that is earlier.
     pub deadline: Moment,
+    /// Whether another box admitted it and sent it on.
+    pub is_forwarded: bool,
 }
 
 /// Why a request is rejected at admission. It has not been sent to any upstream.
@@ -152,16 +155,12 @@
     let wait = query.headers.number(names.deadline).map(Duration::from_millis);
     let deadline = arrived + wait.unwrap_or(route.timeout);
     let until = deadline.min(arrived + route.timeout);
-    let model = query.headers.text(names.model).map(str::to_owned);
-    let prompt = parse_segments(
-        query.headers.text(names.prompt_segments).unwrap_or_default(),
-        &cache_salt,
-    );
-    let size = query
-        .headers
-        .text(names.token_counts)
-        .and_then(parse_token_counts);
-    let max_output_tokens = size.map_or(DEFAULT_OUTPUT_TOKENS, |(_, out)| out);
+    let Content {
+        model,
+        prompt,
+        size,
+        max_output_tokens,
+    } = Content::parse(core, query, &cache_salt);
     let quota = customer.as_ref().and_then(|customer| customer.quota);
     let quota_cost = quota.map(|quota| match quota.unit {
         QuotaUnit::Requests => 1,
@@ -181,9 +180,58 @@
         deadline: until,
         configuration,
         route,
+        is_forwarded: false,
+    })
+}
+
+/// Admits a request that another box has admitted, with that box's decisions. `None` if it lacks an id, or if this box
+/// has no configuration.
+pub fn admit_forwarded(core: &Core, query: &RequestHead, envelope: &Envelope) -> Option<AdmittedRequest> {
+    let id = query.headers.text(core.header_names.request_id)?.to_owned();
+    let configuration = core.configuration()?;
+    let now = core.now();
+    let content = Content::parse(core, query, &envelope.cache_salt);
+    Some(AdmittedRequest {
+        id,
+        configuration,
+        route: envelope.route(),
+        service: envelope.service.clone(),
+        customer: envelope.customer.clone(),
+        quota_cost: None,
+        cache_salt: envelope.cache_salt.clone(),
+        urgency: envelope.urgency,
+        model: content.model,
+        prompt: content.prompt,
+        max_output_tokens: content.max_output_tokens,
+        arrived_at: envelope.arrived_at(now),
+        deadline: now + envelope.left,
+        is_forwarded: true,
     })
 }
 
+/// What the head of a request says about its content.
+struct Content {
+    model: Option<String>,
+    prompt: Vec<Segment>,
+    /// Prompt tokens and maximum output tokens.
+    size: Option<(u64, u64)>,
+    max_output_tokens: u64,
+}
+
+impl Content {
+    fn parse(core: &Core, query: &RequestHead, cache_salt: &str) -> Self {
+        let names = &core.header_names;
+        let text = |name| query.headers.text(name);
+        let size = text(names.token_counts).and_then(parse_token_counts);
+        Self {
+            model: text(names.model).map(str::to_owned),
+            prompt: parse_segments(text(names.prompt_segments).unwrap_or_default(), cache_salt),
+            size,
+            max_output_tokens: size.map_or(DEFAULT_OUTPUT_TOKENS, |(_, out)| out),
+        }
+    }
+}
+
 fn bearer(value: &str) -> Option<&str> {
     let (scheme, key) = value.split_once(' ')?;
     scheme.eq_ignore_ascii_case("bearer").then(|| key.trim())
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -9,7 +9,9 @@
 
 use crate::admission::AdmittedRequest;
 use crate::core::{Core, Shared};
-use crate::http::{self, BodyDecoder, Framing, RequestHead, ResponseHead, Step, write_request_head};
+use crate::http::{
+    self, BodyDecoder, Connection, Framing, RequestHead, ResponseHead, Step, write_request_head,
+};
 use crate::peers::Permit;
 use crate::pool::{self, PooledConnection};
 use crate::port::Entry;
@@ -18,7 +20,7 @@
 use crate::{salt, unknown_signals};
 
 /// Upper bound on a response head.
-const MAX_HEAD_BYTES: usize = 64 * 1024;
+pub const MAX_HEAD_BYTES: usize = 64 * 1024;
 /// Responses to earlier requests that are skipped before the one to this request.
 const MAX_SKIPPED_RESPONSES: u32 = 4;
 /// Upper bound on the body of a skipped response.
@@ -47,9 +49,15 @@
     /// State of the body's decoder.
     pub body: BodyDecoder,
     /// Connection that the body is read from.
-    pub pooled: PooledConnection,
-    /// Whether the connection may be reused after the body.
-    pub reusable: bool,
+    pub connection: Connection,
+    /// Pool that the connection returns to after the body; `None` if it must not be used again.
+    pub pool: Option<PoolSlot>,
+}
+
+/// Place of a connection in the pool of an upstream.
+pub struct PoolSlot {
+    /// Upstream that the connection leads to.
+    pub upstream: Instance,
     /// Idle time after which the upstream closes the connection, if it states one.
     pub keep_alive_timeout: Option<Duration>,
 }
@@ -71,6 +79,13 @@
 }
 
 impl Message<'_> {
+    /// Returns the framing of the body on the way to an upstream; `None` for a request without a body.
+    pub fn framing(&self) -> Option<Framing> {
+        let is_bodiless = self.body.is_empty() && self.head.framing == Framing::Length(0);
+        let is_stated = self.head.headers.get("content-length").is_some();
+        (!is_bodiless || is_stated).then(|| Framing::Length(self.body.len() as u64))
+    }
+
     /// Returns the hash of the content, which is the same on other boxes and for the caller's retries.
     pub fn fingerprint(&self) -> Fingerprint {
         let host = self.head.headers.get("host").unwrap_or_default();
@@ -103,7 +118,7 @@
         }
     };
     if !core.accepts_requests(instance, permit) {
-        pool::put_back(core, pooled, None);
+        pool::put_back(core, pooled.connection, &pooled.upstream, None);
         return AttemptOutcome::Withdrawn;
     }
     let head = head(core, &instance.id, &entry, message);
@@ -188,16 +203,13 @@
         .end_to_end()
         .filter(|h| !is_replaced(&h.name));
     let lines = passed.map(|h| (h.name.as_ref(), h.value.as_ref())).chain(added);
-    let bodiless = message.body.is_empty() && message.head.framing == Framing::Length(0);
-    let stated = message.head.headers.get("content-length").is_some();
-    let framing = (!bodiless || stated).then(|| Framing::Length(message.body.len() as u64));
     let mut out = BytesMut::with_capacity(1024);
     write_request_head(
         &mut out,
         &message.head.method,
         &message.head.target,
         lines,
-        framing,
+        message.framing(),
     );
     out
 }
@@ -242,7 +254,7 @@
 ) -> Result<(ResponseHead, ParsedHead), http::Error> {
     for _ in 0..MAX_SKIPPED_RESPONSES {
         let answer = pooled.connection.read_response(MAX_HEAD_BYTES).await?;
-        core.uplink.borrow_mut().note_data(core.now());
+        core.uplinks.note_data(&request.service, core.now());
         if answer.status < 200 {
             continue;
         }
@@ -277,12 +289,15 @@
 ) -> AttemptOutcome {
     let mut body = BodyDecoder::new(answer.framing);
     if !head.not_executed {
+        let pool = reusable.then_some(PoolSlot {
+            upstream: pooled.upstream,
+            keep_alive_timeout: head.keep_alive_timeout,
+        });
         return AttemptOutcome::Answered(Box::new(Reply {
             answer,
             body,
-            pooled,
-            reusable,
-            keep_alive_timeout: head.keep_alive_timeout,
+            connection: pooled.connection,
+            pool,
         }));
     }
     let complete = matches!(body.decode(&mut pooled.connection.buffer), Ok(Step::End))
@@ -292,7 +307,7 @@
             .await
             .is_ok();
     if reusable && complete && answer.keep_alive {
-        pool::put_back(core, pooled, head.keep_alive_timeout);
+        pool::put_back(core, pooled.connection, &pooled.upstream, head.keep_alive_timeout);
     }
     AttemptOutcome::NotRun(answer.status)
 }
--- a/crates/jb-relay/src/configuration.rs
+++ b/crates/jb-relay/src/configuration.rs
@@ -7,9 +7,10 @@
 use jb_policy::quota::Limit;
 use jb_policy::rendezvous;
 use jb_protocol::id;
+use serde::{Deserialize, Serialize};
 
 /// How often a request of a route may be executed, and how it is answered.
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub enum RouteKind {
     /// May be executed more than once.
     Idempotent,
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -12,14 +12,13 @@
 use jb_policy::placement::CostModel;
 use jb_policy::prefill_rate::PrefillRate;
 use jb_policy::retry_budget::{Budget, Config, FixedPart};
-use jb_policy::uplink::Uplink;
 use jb_policy::weights::History;
 use jb_protocol::id;
 use slog::Logger;
-use tokio::sync::Notify;
 
 use crate::cache_store::CacheStores;
 use crate::configuration::Configuration;
+use crate::detour::Helpers;
 use crate::header_names::HeaderNames;
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
@@ -33,6 +32,7 @@
 use crate::settings::Settings;
 use crate::stop::Stop;
 use crate::unknown_signals::UnknownSignals;
+use crate::uplink::Uplinks;
 use crate::upstream::{Instance, Registry};
 
 /// Reference to the shared state.
@@ -106,10 +106,10 @@
     pub reservations: Reservations,
     /// Which data halls this box can connect to.
     pub hall_reachability: RefCell<HallReachability>,
-    /// Whether this box reaches any upstream.
-    pub uplink: RefCell<Uplink>,
-    /// Notified when a check of the uplink has a result.
-    pub uplink_checked: Notify,
+    /// Which services' upstreams this box reaches.
+    pub uplinks: Uplinks,
+    /// Boxes that serve requests of this one while it reaches no upstream.
+    pub helpers: Helpers,
     /// Which boxes can reach each other.
     pub box_reachability: RefCell<Reachability>,
     /// Quotas of customers.
@@ -188,8 +188,8 @@
             round_trips: RoundTrips::default(),
             reservations: Reservations::default(),
             hall_reachability: RefCell::default(),
-            uplink: RefCell::default(),
-            uplink_checked: Notify::new(),
+            uplinks: Uplinks::default(),
+            helpers: Helpers::default(),
             box_reachability: RefCell::default(),
             quotas: Quotas::default(),
             rate_limits: RateLimits::default(),
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -52,7 +52,7 @@
 ) -> Part {
     let wait = stall_timeout.map_or(left, |stall_timeout| stall_timeout.min(left));
     tokio::select! {
-        part = reply.pooled.connection.read_data(&mut reply.body) => match part {
+        part = reply.connection.read_data(&mut reply.body) => match part {
             Ok(Some(data)) => Part::Data(data),
             Ok(None) => Part::End,
             Err(http::Error::Malformed(why)) => Part::Broken(why),
@@ -74,8 +74,8 @@
 }
 
 fn release(core: &Shared, reply: Reply) {
-    if reply.reusable && reply.answer.keep_alive {
-        pool::put_back(core, reply.pooled, reply.keep_alive_timeout);
+    if let Some(slot) = reply.pool.filter(|_| reply.answer.keep_alive) {
+        pool::put_back(core, reply.connection, &slot.upstream, slot.keep_alive_timeout);
     }
 }
 
@@ -209,7 +209,6 @@
         let stall_limit = if has_started { stall_timeout } else { None };
         match next_part(&mut reply, client, left, stall_limit).await {
             Part::Data(data) => {
-                core.uplink.borrow_mut().note_data(core.now());
                 on_data();
                 let before = out.len();
                 if request.route.resumable {
--- /dev/null
+++ b/crates/jb-relay/src/detour/serve.rs
@@ -0,0 +1,119 @@
+//! Serves a request for another box.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+use super::message::{Envelope, FAILURE_HEADER, Failure, Verdict};
+use crate::admission;
+use crate::attempt::MAX_HEAD_BYTES;
+use crate::core::{Core, Shared};
+use crate::exchange::{Exchange, RequestOutcome};
+use crate::http::{self, BodyDecoder, Connection, RequestHead};
+use crate::{front, peers, ready};
+
+/// Time within which an accepted request must arrive.
+const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
+/// Requests of other boxes may use one descriptor in this many: each needs one, and its upstream another.
+const DESCRIPTOR_DIVISOR: usize = 8;
+
+/// Replies to the offer of a request, and serves the request if it is accepted.
+///
+/// # Errors
+/// The connection failed before the request was read.
+pub async fn serve(core: Shared, mut stream: TcpStream, envelope: Envelope) -> Result<(), http::Error> {
+    let verdict = verdict(&core, &envelope.service);
+    peers::reply_to_offer(&mut stream, verdict).await?;
+    if verdict != Verdict::Accepted {
+        return Ok(());
+    }
+    let _open = core.stop.track_connection();
+    let _accepted = Accepted::new(&core);
+    stream.set_nodelay(true)?;
+    let mut client = Connection::new(stream);
+    let (head, body) = timeout(REQUEST_TIMEOUT, read(&core, &mut client))
+        .await
+        .map_err(|_| http::Error::Io(std::io::ErrorKind::TimedOut.into()))??;
+    run(&core, &mut client, &head, &body, &envelope).await;
+    Ok(())
+}
+
+/// Returns whether this box can serve a request for another one.
+fn verdict(core: &Core, service: &str) -> Verdict {
+    if core.uplinks.is_down(service) {
+        Verdict::Partitioned
+    } else if !ready::is_ready(core) {
+        Verdict::NotReady
+    } else if core.helpers.accepted.get() >= core.settings.capacity.max_descriptors / DESCRIPTOR_DIVISOR {
+        Verdict::Busy
+    } else {
+        Verdict::Accepted
+    }
+}
+
+/// Counts a request of another box until it is dropped.
+struct Accepted<'a>(&'a Core);
+
+impl<'a> Accepted<'a> {
+    fn new(core: &'a Core) -> Self {
+        core.metrics.requests_helped.inc();
+        core.helpers.accepted.set(core.helpers.accepted.get() + 1);
+        Self(core)
+    }
+}
+
+impl Drop for Accepted<'_> {
+    fn drop(&mut self) {
+        let accepted = &self.0.helpers.accepted;
+        accepted.set(accepted.get() - 1);
+    }
+}
+
+async fn read(core: &Core, client: &mut Connection) -> Result<(RequestHead, Bytes), http::Error> {
+    let head = client.read_request(MAX_HEAD_BYTES).await?;
+    let limits = core.configuration().map(|configuration| configuration.limits);
+    let most = limits.unwrap_or_default().max_body_bytes;
+    let body = client.read_body(BodyDecoder::new(head.framing), most).await?;
+    Ok((head, body))
+}
+
+async fn run(core: &Shared, client: &mut Connection, head: &RequestHead, body: &Bytes, envelope: &Envelope) {
+    let Some(request) = admission::admit_forwarded(core, head, envelope) else {
+        let id = head
+            .headers
+            .text(core.header_names.request_id)
+            .unwrap_or_default();
+        return fail(core, client, id, Failure::NotRun, None).await;
+    };
+    let _body = front::HeldBody::new(core, body.len());
+    let mut exchange = Exchange::new(core, head, body, &request);
+    let outcome = exchange.run(client).await;
+    front::report(core, &request, &exchange, outcome);
+    let failure = match outcome {
+        RequestOutcome::Answered(_) | RequestOutcome::CallerGone | RequestOutcome::Broken(_) => return,
+        // Only the missing end of the body shows that the response is incomplete.
+        RequestOutcome::Lost(_) | RequestOutcome::Late if exchange.has_begun() => return,
+        RequestOutcome::NotRun(_) => Failure::NotRun,
+        RequestOutcome::Lost(_) => Failure::MayHaveRun,
+        RequestOutcome::Late => Failure::Late,
+    };
+    fail(core, client, &request.id, failure, exchange.retry_after()).await;
+}
+
+async fn fail(core: &Core, client: &mut Connection, id: &str, failure: Failure, after: Option<Duration>) {
+    let lines = [
+        (core.header_names.request_id, id),
+        (FAILURE_HEADER, failure.name()),
+    ];
+    let status = match failure {
+        Failure::NotRun => 503,
+        Failure::MayHaveRun => 502,
+        Failure::Late => 504,
+    };
+    // If the other box has gone, so has the caller.
+    let _ = client
+        .send(&front::error_response(status, &lines, after, false))
+        .await;
+}
--- a/crates/jb-relay/src/exchange/feedback.rs
+++ b/crates/jb-relay/src/exchange/feedback.rs
@@ -32,7 +32,7 @@
             // An engine resets its streams when it loads new weights, which says nothing about its health.
             return;
         }
-        uplink::note_failure(core, Failure::Request);
+        uplink::note_failure(core, &self.message.request.service, Failure::Request);
         self.set_reservation_outcome(peers::Outcome::Failed);
         if core
             .upstreams
--- a/crates/jb-relay/src/exchange/mod.rs
+++ b/crates/jb-relay/src/exchange/mod.rs
@@ -1,5 +1,6 @@
 //! Runs an admitted request: selects an upstream, sends, retries, and delivers the response.
 
+mod detour;
 mod feedback;
 mod isolation;
 mod kv_transfer;
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -7,9 +7,10 @@
 use bytes::Bytes;
 use jb_policy::Moment;
 use jb_policy::poison::Fingerprint;
-use jb_protocol::{emit, event};
+use jb_protocol::{emit, event, id};
 use tokio::time::sleep;
 
+use super::detour::Path;
 use super::isolation::CRASH_WINDOW;
 use super::load_guard::LoadGuard;
 use super::pick::Rejection;
@@ -60,6 +61,8 @@
     /// Result of the current attempt, which the release of the reservation reports.
     pub(super) ending: Option<Rc<Cell<peers::Outcome>>>,
     pub(super) timing: StreamTiming,
+    /// Box that the request was sent through.
+    pub(super) helper: Option<id::Box>,
 }
 
 /// What to do after an attempt.
@@ -97,6 +100,7 @@
             fingerprint: OnceCell::new(),
             ending: None,
             timing: StreamTiming::default(),
+            helper: None,
         }
     }
 
@@ -104,12 +108,18 @@
     /// responses are left to the caller of this function.
     pub async fn run(&mut self, client: &mut Connection) -> RequestOutcome {
         let request = self.message.request;
-        self.core.count_request(&request.service);
+        if !request.is_forwarded {
+            // The box that admitted the request counts it.
+            self.core.count_request(&request.service);
+        }
         let mut why = "no_upstream";
         loop {
             if self.left().is_zero() {
                 return self.terminal_outcome(why);
             }
+            if let Path::Ended(outcome) = self.detour_if_partitioned(client).await {
+                return outcome;
+            }
             let Some(choice) = self.pick(client).await else {
                 return self.terminal_outcome(self.rejection.map_or(why, |rejection| rejection.why));
             };
@@ -117,8 +127,7 @@
             let Ok(permit) = peers::acquire_permit(self.core, &choice.instance).await else {
                 continue;
             };
-            let retry_granted = std::mem::take(&mut self.retry_granted) || self.sends == 0;
-            if !retry_granted && !self.core.take_retry(&request.service) {
+            if !self.take_attempt() {
                 return self.terminal_outcome("retry_budget");
             }
             match self.attempt(choice, permit, client).await {
@@ -135,12 +144,19 @@
         }
     }
 
-    fn left(&self) -> Duration {
+    /// Returns whether the request may be sent now: for the first time, or with a retry from the budget.
+    pub(super) fn take_attempt(&mut self) -> bool {
+        std::mem::take(&mut self.retry_granted)
+            || self.sends == 0
+            || self.core.take_retry(&self.message.request.service)
+    }
+
+    pub(super) fn left(&self) -> Duration {
         self.message.request.deadline.saturating_sub(self.core.now())
     }
 
     /// Returns the outcome of a request that is given up.
-    fn terminal_outcome(&self, why: &'static str) -> RequestOutcome {
+    pub(super) fn terminal_outcome(&self, why: &'static str) -> RequestOutcome {
         match (self.runs, self.left().is_zero()) {
             (0, _) => RequestOutcome::NotRun(why),
             (_, true) => RequestOutcome::Late,
@@ -291,7 +307,10 @@
                     may_retry && selection::can_retry_elsewhere(core, request, body, &self.tried);
                 self.retry_granted
             };
-            let on_data = || counted.note_first_token(&request.service);
+            let on_data = || {
+                core.uplinks.note_data(&request.service, core.now());
+                counted.note_first_token(&request.service);
+            };
             let timing = &mut self.timing;
             deliver::deliver_stream(core, &mut self.message, reply, client, timing, on_data, can_move).await
         } else {
@@ -349,6 +368,11 @@
         self.rejection.map(|rejection| rejection.after)
     }
 
+    /// Returns the box that the request was sent through; `None` if it was sent directly.
+    pub fn helper(&self) -> Option<&id::Box> {
+        self.helper.as_ref()
+    }
+
     /// Returns the upstreams that the request was sent to, in order.
     pub fn tried(&self) -> &[Instance] {
         &self.tried
--- a/crates/jb-relay/src/exchange/selection.rs
+++ b/crates/jb-relay/src/exchange/selection.rs
@@ -173,15 +173,17 @@
     admission::decide(&request, estimate)
 }
 
-/// Returns whether a request can leave a stalled upstream: another one is available, and the retry budget
-/// grants the attempt.
+/// Returns whether a request can leave a stalled upstream: another one is available, or another box may reach one, and
+/// the retry budget grants the attempt.
 pub(super) fn can_retry_elsewhere(
     core: &Core,
     request: &AdmittedRequest,
     body: &Bytes,
     tried: &[Instance],
 ) -> bool {
-    choose(core, request, body, tried, CandidateSet::All).is_some() && core.take_retry(&request.service)
+    let has_other = core.uplinks.is_down(&request.service)
+        || choose(core, request, body, tried, CandidateSet::All).is_some();
+    has_other && core.take_retry(&request.service)
 }
 
 /// Returns when the first upstream accepts requests again, if all that could serve a retry of the request
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -9,7 +9,7 @@
 
 use crate::admission::{self, AdmittedRequest, Refusal};
 use crate::configuration::CallerLimits;
-use crate::core::Shared;
+use crate::core::{Core, Shared};
 use crate::exchange::{Exchange, RequestOutcome};
 use crate::http::{BodyDecoder, Connection, Error, Framing, RequestHead, write_response_head};
 use crate::{accept, peers, stop};
@@ -77,12 +77,33 @@
         Err(None) => return false,
     };
     let size = body.len();
-    core.held_body_bytes.set(core.held_body_bytes.get() + size);
+    let held = HeldBody::new(core, size);
     let goes_on = handle(core, client, &query, &body, arrived).await;
-    core.held_body_bytes.set(core.held_body_bytes.get() - size);
+    drop(held);
     goes_on && query.keep_alive && !core.stop.is_stopping()
 }
 
+/// Counts the bytes of a request body as held until it is dropped.
+pub struct HeldBody<'a> {
+    core: &'a Core,
+    bytes: usize,
+}
+
+impl<'a> HeldBody<'a> {
+    /// Counts the bytes.
+    pub fn new(core: &'a Core, bytes: usize) -> Self {
+        core.held_body_bytes.set(core.held_body_bytes.get() + bytes);
+        Self { core, bytes }
+    }
+}
+
+impl Drop for HeldBody<'_> {
+    fn drop(&mut self) {
+        let held = &self.core.held_body_bytes;
+        held.set(held.get() - self.bytes);
+    }
+}
+
 /// Waits for the first byte of a request; returns false if the connection is closed or should be.
 async fn wait_for_request(core: &Shared, client: &mut Connection, limits: &CallerLimits) -> bool {
     tokio::select! {
@@ -277,7 +298,8 @@
         && keep_alive
 }
 
-fn report(core: &Shared, request: &AdmittedRequest, exchange: &Exchange<'_>, ending: RequestOutcome) {
+/// Logs and counts how a request ended.
+pub fn report(core: &Shared, request: &AdmittedRequest, exchange: &Exchange<'_>, ending: RequestOutcome) {
     let (name, status, why) = match ending {
         RequestOutcome::Answered(status) => ("answered", status, ""),
         RequestOutcome::NotRun(why) => ("not_run", 503, why),
@@ -290,6 +312,7 @@
     emit!(core.logger, info, event::REQUEST_ENDED, "request" => &request.id, "route" => &request.route.name,
         "service" => &request.service, "ending" => name, "status" => status, "why" => why,
         "ms" => exchange.elapsed().as_millis() as u64, "tried" => tried(exchange),
+        "helper" => exchange.helper(), "is_forwarded" => request.is_forwarded,
         "first_ms" => exchange.timing().first.map(|first| first.as_millis() as u64),
         "pause_ms" => exchange.timing().pause.as_millis() as u64, "version" => request.configuration.version);
 }
@@ -305,7 +328,7 @@
 }
 
 /// Builds a response of the box itself, without a body.
-fn error_response(
+pub fn error_response(
     status: u16,
     names: &[(&str, &str)],
     after: Option<Duration>,
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod configuration;
 pub mod core;
 pub mod deliver;
+pub mod detour;
 pub mod events;
 pub mod exchange;
 pub mod follow;
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -60,8 +60,12 @@
     pub rate_limit_decided_locally: Counter,
     /// Connections opened to upstreams.
     pub connections_opened: Counter,
-    /// 1 if no upstream can be reached from this box, else 0.
-    pub uplink_down: Gauge,
+    /// Services of which no upstream can be reached from this box.
+    pub uplinks_down: Gauge,
+    /// Requests sent through another box because no upstream could be reached.
+    pub requests_forwarded: Counter,
+    /// Requests served for other boxes that reach no upstream.
+    pub requests_helped: Counter,
     /// Calls to the store.
     pub store_calls: Counter,
     /// Calls to the store that failed.
@@ -104,7 +108,9 @@
         let rate_limit_timeouts = Counter::default();
         let rate_limit_decided_locally = Counter::default();
         let connections_opened = Counter::default();
-        let uplink_down = Gauge::default();
+        let uplinks_down = Gauge::default();
+        let requests_forwarded = Counter::default();
+        let requests_helped = Counter::default();
         let store_calls = Counter::default();
         let store_failures = Counter::default();
         let relay_node = Gauge::default();
@@ -172,9 +178,19 @@
             connections_opened.clone(),
         );
         registry.register(
-            "uplink_down",
-            "Whether no upstream can be reached from this box",
-            uplink_down.clone(),
+            "uplinks_down",
+            "Services of which no upstream can be reached from this box",
+            uplinks_down.clone(),
+        );
+        registry.register(
+            "requests_forwarded",
+            "Requests sent through another box",
+            requests_forwarded.clone(),
+        );
+        registry.register(
+            "requests_helped",
+            "Requests served for other boxes",
+            requests_helped.clone(),
         );
         registry.register(
             "store_calls",
@@ -223,7 +239,9 @@
             rate_limit_timeouts,
             rate_limit_decided_locally,
             connections_opened,
-            uplink_down,
+            uplinks_down,
+            requests_forwarded,
+            requests_helped,
             store_calls,
             store_failures,
             relay_node,
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -46,5 +46,8 @@
 pub use socket::{bind, receive as receive_messages};
 pub use status::{Loads, ReceivedStatus, SentPrompt, publish as publish_status, record_cache_use};
 pub use suspicion::publish as publish_suspects;
-pub use transfer::{Error as TransferError, Transfer, Transfers, fetch_changes, serve as serve_transfers};
+pub use transfer::{
+    Error as TransferError, Transfer, Transfers, fetch_changes, offer_request, reply_to_offer,
+    serve as serve_connections,
+};
 pub use weights::{MAX_LOADING_TIME, PendingWeights, publish_weights};
--- a/crates/jb-relay/src/peers/transfer.rs
+++ b/crates/jb-relay/src/peers/transfer.rs
@@ -5,7 +5,8 @@
 //! into a few datagrams.
 
 use std::cell::RefCell;
-use std::net::SocketAddr;
+use std::net::{IpAddr, SocketAddr};
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -20,6 +21,7 @@
 use super::message::StoreChange;
 use super::pull::is_fresh;
 use crate::core::{Core, Shared};
+use crate::detour::{self, Envelope, Verdict};
 use crate::port::{Change, Revision};
 use crate::saturating_cast::saturating_cast;
 use crate::{accept, pool};
@@ -32,8 +34,10 @@
 const HOLD_TIME: Duration = Duration::from_secs(4);
 /// Interval at which it checks whether it can reply.
 const CHECK_INTERVAL: Duration = Duration::from_millis(20);
-/// Longest query, and longest reply without its changes, in bytes.
-const MAX_MESSAGE_BYTES: u32 = 64;
+/// Longest query, in bytes: the offer of a request with its names.
+const MAX_QUERY_BYTES: u32 = 4096;
+/// Longest reply without its changes, in bytes.
+const MAX_REPLY_BYTES: u32 = 64;
 /// Longest changes, in bytes, both compressed and uncompressed.
 const MAX_CHANGES_BYTES: u32 = 32 << 20;
 /// Time for which an encoded snapshot is reused: boxes that start together fetch the same one.
@@ -41,11 +45,23 @@
 /// Maximum number of concurrent transfers to other boxes; further ones wait.
 const MAX_TRANSFERS: usize = 24;
 
-/// A query of another box.
+/// What another box wants on a connection. The first two are encoded as the optional revision that boxes of an earlier
+/// version send.
 #[derive(Debug, Serialize, Deserialize)]
-struct Query {
-    /// Revision that the box has; `None` if it has none.
-    after: Option<Revision>,
+enum Query {
+    /// All items of the store.
+    Snapshot,
+    /// The changes after a revision.
+    Changes(Revision),
+    /// That a request is served, which follows if it is accepted.
+    Request(Box<Envelope>),
+}
+
+impl Query {
+    /// Returns the query for the changes after a revision, or for all items.
+    fn after(revision: Option<Revision>) -> Self {
+        revision.map_or(Self::Snapshot, Self::Changes)
+    }
 }
 
 /// Reply to a query. After `Found`, the changes follow in a compressed frame.
@@ -114,7 +130,7 @@
     let late = || Error::Unreachable(std::io::ErrorKind::TimedOut.into());
     let stream = connecting.await.map_err(|_| late())?;
     let mut stream = stream.map_err(Error::Unreachable)?;
-    let query = Query { after };
+    let query = Query::after(after);
     let reply = timeout(TRANSFER_TIMEOUT, request(&mut stream, &query)).await;
     let (header, changes) = reply.map_err(|_| Error::Late)??;
     core.metrics.transfers.inc();
@@ -129,7 +145,7 @@
 
 async fn request(stream: &mut TcpStream, query: &Query) -> Result<(Header, Vec<Change>), Error> {
     write_message(stream, query).await.map_err(Error::Broken)?;
-    let reply = read_frame(stream, MAX_MESSAGE_BYTES).await;
+    let reply = read_frame(stream, MAX_REPLY_BYTES).await;
     let reply = postcard::from_bytes(&reply.map_err(Error::Broken)?);
     let header = match reply.map_err(unreadable)? {
         Reply::Unknown => return Err(Error::Unknown),
@@ -186,32 +202,75 @@
 }
 
 async fn serve_connection(core: Shared, mut stream: TcpStream) {
-    let served = timeout(TRANSFER_TIMEOUT, reply(&core, &mut stream)).await;
-    let why = match served {
-        Ok(Ok(())) => return,
-        Ok(Err(why)) => why,
-        Err(_) => std::io::ErrorKind::TimedOut.into(),
+    let served = match timeout(TRANSFER_TIMEOUT, read_query(&mut stream)).await {
+        Ok(Ok(Query::Request(envelope))) => serve_request(&core, stream, *envelope).await,
+        Ok(Ok(Query::Snapshot)) => transfer(&core, &mut stream, None).await,
+        Ok(Ok(Query::Changes(after))) => transfer(&core, &mut stream, Some(after)).await,
+        Ok(Err(why)) => Err(why),
+        Err(_) => Err(std::io::ErrorKind::TimedOut.into()),
     };
-    emit!(core.logger, debug, event::PEER_REFUSED, "why" => %why);
+    if let Err(why) = served {
+        emit!(core.logger, debug, event::PEER_REFUSED, "why" => %why);
+    }
+}
+
+async fn read_query(stream: &mut TcpStream) -> std::io::Result<Query> {
+    let query = read_frame(stream, MAX_QUERY_BYTES).await?;
+    postcard::from_bytes(&query).map_err(std::io::Error::other)
+}
+
+/// Offers a request to another box; returns the connection for it with the reply.
+///
+/// # Errors
+/// The connection failed. Nothing of the request has been sent.
+pub async fn offer_request(to: SocketAddr, envelope: &Envelope) -> std::io::Result<(TcpStream, Verdict)> {
+    let mut stream = pool::connect(to).await?;
+    write_message(&mut stream, &Query::Request(Box::new(envelope.clone()))).await?;
+    let reply = read_frame(&mut stream, MAX_REPLY_BYTES).await?;
+    let verdict = postcard::from_bytes(&reply).map_err(std::io::Error::other)?;
+    Ok((stream, verdict))
 }
 
-async fn reply(core: &Core, stream: &mut TcpStream) -> std::io::Result<()> {
+/// Replies to the offer of a request.
+///
+/// # Errors
+/// The connection failed.
+pub async fn reply_to_offer(stream: &mut TcpStream, verdict: Verdict) -> std::io::Result<()> {
+    write_message(stream, &verdict).await
+}
+
+async fn serve_request(core: &Shared, stream: TcpStream, envelope: Envelope) -> std::io::Result<()> {
+    check_sender(core, stream.peer_addr()?.ip())?;
+    let served = detour::serve(Rc::clone(core), stream, envelope).await;
+    served.map_err(std::io::Error::other)
+}
+
+/// Checks that a connection comes from a listed box.
+fn check_sender(core: &Core, host: IpAddr) -> std::io::Result<()> {
+    if core.directory.borrow().contains_host(host) {
+        return Ok(());
+    }
+    core.metrics.rejected_datagrams.inc();
+    Err(std::io::ErrorKind::PermissionDenied.into())
+}
+
+async fn transfer(core: &Core, stream: &mut TcpStream, after: Option<Revision>) -> std::io::Result<()> {
+    let replied = timeout(TRANSFER_TIMEOUT, reply(core, stream, after)).await;
+    replied.unwrap_or_else(|_| Err(std::io::ErrorKind::TimedOut.into()))
+}
+
+async fn reply(core: &Core, stream: &mut TcpStream, after: Option<Revision>) -> std::io::Result<()> {
     let host = stream.peer_addr()?.ip();
-    let query = read_frame(stream, MAX_MESSAGE_BYTES).await?;
-    let query: Query = postcard::from_bytes(&query).map_err(std::io::Error::other)?;
     // A box that starts connects right after it has registered, so its address may not have arrived here yet.
     let deadline = core.now() + HOLD_TIME;
-    while core.now() < deadline && !(can_reply(core, &query) && core.directory.borrow().contains_host(host)) {
+    while core.now() < deadline && !(can_reply(core, after) && core.directory.borrow().contains_host(host)) {
         sleep(CHECK_INTERVAL).await;
     }
-    if !core.directory.borrow().contains_host(host) {
-        core.metrics.rejected_datagrams.inc();
-        return Err(std::io::ErrorKind::PermissionDenied.into());
-    }
+    check_sender(core, host)?;
     // The semaphore is never closed.
     let _permit = core.transfers.permits.acquire().await;
-    let found = if can_reply(core, &query) {
-        find_changes(core, query.after)?
+    let found = if can_reply(core, after) {
+        find_changes(core, after)?
     } else {
         None
     };
@@ -227,8 +286,8 @@
 
 /// Returns whether this box can reply to a query. For changes its knowledge must be recent; for a snapshot any is
 /// enough.
-fn can_reply(core: &Core, query: &Query) -> bool {
-    match query.after {
+fn can_reply(core: &Core, after: Option<Revision>) -> bool {
+    match after {
         None => core.has_store_state(),
         Some(_) => core.state_age().is_some_and(is_fresh),
     }
--- a/crates/jb-relay/src/pool.rs
+++ b/crates/jb-relay/src/pool.rs
@@ -79,11 +79,11 @@
 /// # Errors
 /// As [`checkout`].
 pub async fn open(core: &Shared, upstream: &Instance, time: Duration) -> Result<PooledConnection, Error> {
-    let address = core
+    let (address, service) = core
         .upstreams
         .borrow()
         .instance(upstream)
-        .map(|u| u.entry.address)
+        .map(|u| (u.entry.address, u.entry.service.clone()))
         .ok_or(Error::Gone)?;
     let connected = match timeout(time, connect(address)).await {
         Ok(stream) => stream.map_err(Error::Refused),
@@ -92,11 +92,11 @@
     let stream = match connected {
         Ok(stream) => stream,
         Err(why) => {
-            uplink::note_failure(core, Failure::Connect);
+            uplink::note_failure(core, &service, Failure::Connect);
             return Err(why);
         }
     };
-    uplink::note_connected(core);
+    uplink::note_connected(core, &service);
     core.metrics.connections_opened.inc();
     Ok(PooledConnection {
         connection: Connection::new(stream),
@@ -165,7 +165,7 @@
 /// Checks that an upstream accepts a connection, and keeps the connection for the next request.
 async fn probe(core: &Shared, upstream: &Instance) -> Result<(), Error> {
     let pooled = open(core, upstream, PROBE_TIMEOUT).await?;
-    put_back(core, pooled, None);
+    put_back(core, pooled.connection, &pooled.upstream, None);
     Ok(())
 }
 
@@ -209,16 +209,13 @@
 }
 
 /// Keeps a connection for the next request. `max_idle` is the idle timeout that the upstream states.
-pub fn put_back(core: &Shared, pooled: PooledConnection, max_idle: Option<Duration>) {
-    let PooledConnection {
-        connection, upstream, ..
-    } = pooled;
+pub fn put_back(core: &Shared, connection: Connection, upstream: &Instance, max_idle: Option<Duration>) {
     if !connection.buffer.is_empty() {
         // Data after a complete response belongs to no request.
         return;
     }
     let mut upstreams = core.upstreams.borrow_mut();
-    let Some(known) = upstreams.instance_mut(&upstream) else {
+    let Some(known) = upstreams.instance_mut(upstream) else {
         return;
     };
     if known.idle.len() >= MAX_IDLE_CONNECTIONS {
--- a/crates/jb-relay/src/ready.rs
+++ b/crates/jb-relay/src/ready.rs
@@ -18,7 +18,8 @@
 /// Path of the metrics endpoint.
 const METRICS_PATH: &[u8] = b"/metrics";
 
-/// Returns whether the box should receive new callers.
+/// Returns whether the box should receive new callers. One that reaches no upstream still serves them through other
+/// boxes, as long as it finds one.
 ///
 /// A box that receives updates of the store only through other boxes serves requests that arrive, but reports that
 /// it isn't ready, as boxes with direct access to the store have newer state. With three of eight boxes cut off from
@@ -32,7 +33,8 @@
             .max_revocation_delay
             .mul_f64(UNREADY_AGE_SHARE)
     });
-    fresh && core.configuration().is_some() && !core.stop.is_stopping()
+    let serves = !core.uplinks.all_down() || !core.helpers.is_stuck(core.now());
+    fresh && serves && core.configuration().is_some() && !core.stop.is_stopping()
 }
 
 /// Serves checks and metrics until the task is dropped.
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -119,7 +119,7 @@
     core.quotas.set_socket(Rc::clone(&socket));
     core.rate_limits.set_socket(Rc::clone(&socket));
     spawn_local(follow::run(Rc::clone(core), Rc::clone(&socket)));
-    spawn_local(peers::serve_transfers(Rc::clone(core), transfers));
+    spawn_local(peers::serve_connections(Rc::clone(core), transfers));
     spawn_local(front::serve(Rc::clone(core), callers));
     spawn_local(ready::serve(Rc::clone(core), checks));
     spawn_local(peers::register_address(Rc::clone(core)));
--- a/crates/jb-relay/src/uplink.rs
+++ b/crates/jb-relay/src/uplink.rs
@@ -1,11 +1,14 @@
-//! Checks whether this box reaches any upstream, after failures that may be due to its own link.
+//! Checks whether this box reaches any upstream of a service, after failures that may be due to its own links.
 
+use std::cell::{Cell, RefCell};
+use std::collections::BTreeMap;
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use jb_policy::uplink::{Change, Failure};
-use jb_protocol::{emit, event};
+use jb_policy::uplink::{Change, Failure, Uplink};
+use jb_protocol::{emit, event, id};
+use tokio::sync::Notify;
 use tokio::task::spawn_local;
 use tokio::time::sleep;
 
@@ -20,72 +23,136 @@
 /// Number of upstreams in one check. One lost packet or one crashed upstream must not look like a partition.
 const UPSTREAMS_PER_CHECK: usize = 3;
 
-/// Notes a failure at an upstream, and starts a check if it may be due to the link of this box.
-pub fn note_failure(core: &Shared, failure: Failure) {
+/// The links of this box to the upstreams of each service.
+#[derive(Debug, Default)]
+pub struct Uplinks {
+    services: RefCell<BTreeMap<id::Service, Uplink>>,
+    /// Notified when a check has a result.
+    checked: Notify,
+    /// Number of services that can't be reached, which spares lookups in the usual case.
+    down: Cell<usize>,
+}
+
+impl Uplinks {
+    /// Returns whether no upstream of a service can be reached.
+    pub fn is_down(&self, service: &str) -> bool {
+        self.down.get() > 0 && self.services.borrow().get(service).is_some_and(Uplink::is_down)
+    }
+
+    /// Returns whether no upstream of any service can be reached.
+    pub fn all_down(&self) -> bool {
+        self.down.get() > 0 && self.services.borrow().values().all(Uplink::is_down)
+    }
+
+    /// Returns whether data has arrived on open connections since no new ones can be opened.
+    pub fn has_live_connections(&self, service: &str) -> bool {
+        let services = self.services.borrow();
+        services.get(service).is_none_or(Uplink::has_live_connections)
+    }
+
+    /// Notes that data from an upstream of a service has arrived.
+    pub fn note_data(&self, service: &str, now: jb_policy::Moment) {
+        if let Some(uplink) = self.services.borrow_mut().get_mut(service) {
+            uplink.note_data(now);
+        }
+    }
+
+    /// Waits until the check of a service that is under way, if any, has its result.
+    pub async fn wait_checked(&self, service: &str) {
+        let is_checking = || {
+            let services = self.services.borrow();
+            services.get(service).is_some_and(Uplink::is_checking)
+        };
+        while is_checking() {
+            self.checked.notified().await;
+        }
+    }
+
+    /// Applies an observation to the uplink of a service.
+    fn update<R>(&self, service: &str, change: impl FnOnce(&mut Uplink) -> R) -> R {
+        let mut services = self.services.borrow_mut();
+        let result = match services.get_mut(service) {
+            Some(uplink) => change(uplink),
+            None => change(services.entry(service.to_owned()).or_default()),
+        };
+        self.down
+            .set(services.values().filter(|uplink| uplink.is_down()).count());
+        self.checked.notify_waiters();
+        result
+    }
+}
+
+/// Notes a failure at an upstream of a service, and starts a check if it may be due to the links of this box.
+pub fn note_failure(core: &Shared, service: &str, failure: Failure) {
     let now = core.now();
-    if core.uplink.borrow_mut().note_failure(failure, now) {
-        spawn_local(check(Rc::clone(core)));
+    if core
+        .uplinks
+        .update(service, |uplink| uplink.note_failure(failure, now))
+    {
+        spawn_local(check(Rc::clone(core), service.to_owned()));
     }
 }
 
-/// Notes that a connection to an upstream was opened.
-pub fn note_connected(core: &Core) {
+/// Notes that a connection to an upstream of a service was opened.
+pub fn note_connected(core: &Core, service: &str) {
     let now = core.now();
-    let change = core.uplink.borrow_mut().note_connected(now);
-    core.uplink_checked.notify_waiters();
+    let change = core.uplinks.update(service, |uplink| uplink.note_connected(now));
     if change == Change::Restored {
-        core.metrics.uplink_down.set(0);
-        emit!(core.logger, info, event::UPSTREAMS_REACHABLE);
-        // The failures were those of this box's link.
-        core.upstreams.borrow_mut().reset_health();
+        note_change(core);
+        emit!(core.logger, info, event::UPSTREAMS_REACHABLE, "service" => service);
+        // The failures were those of this box's links.
+        core.upstreams.borrow_mut().reset_health(service);
     }
 }
 
-/// Waits until the check that is under way, if any, has its result.
-pub async fn wait_checked(core: &Core) {
-    while core.uplink.borrow().is_checking() {
-        core.uplink_checked.notified().await;
-    }
+fn note_change(core: &Core) {
+    let down = i64::try_from(core.uplinks.down.get()).unwrap_or(i64::MAX);
+    core.metrics.uplinks_down.set(down);
 }
 
-/// Checks the link until an upstream accepts a connection.
-async fn check(core: Shared) {
+/// Checks the uplink of a service until an upstream accepts a connection.
+async fn check(core: Shared, service: id::Service) {
     for round in 0.. {
         let targets = core
             .upstreams
             .borrow()
-            .spread_sample(UPSTREAMS_PER_CHECK, round, core.now());
+            .spread_sample(&service, UPSTREAMS_PER_CHECK, round, core.now());
         if targets.is_empty() {
-            core.uplink.borrow_mut().cancel_check();
-            core.uplink_checked.notify_waiters();
+            core.uplinks.update(&service, Uplink::cancel_check);
+            note_change(&core);
             return;
         }
         let probes = targets.iter().map(|target| probe(&core, target));
-        if join_all(probes).await.contains(&true) || !is_unverified(&core) {
+        if join_all(probes).await.contains(&true) || is_up(&core, &service) {
             return;
         }
         let now = core.now();
-        let change = core.uplink.borrow_mut().note_unreachable(now);
-        core.uplink_checked.notify_waiters();
-        if change == Change::Lost {
-            core.metrics.uplink_down.set(1);
-            emit!(core.logger, warn, event::UPSTREAMS_UNREACHABLE, "tried" => targets.len());
+        if core
+            .uplinks
+            .update(&service, |uplink| uplink.note_unreachable(now))
+            == Change::Lost
+        {
+            note_change(&core);
+            emit!(core.logger, warn, event::UPSTREAMS_UNREACHABLE, "service" => &service,
+                "tried" => targets.len());
         }
         sleep(CHECK_INTERVAL).await;
     }
 }
 
-/// Returns whether no connection has been opened since the check began.
-fn is_unverified(core: &Core) -> bool {
-    let uplink = core.uplink.borrow();
-    uplink.is_checking() || uplink.is_down()
+/// Returns whether a connection has been opened since the check began.
+fn is_up(core: &Core, service: &str) -> bool {
+    let services = core.uplinks.services.borrow();
+    services
+        .get(service)
+        .is_none_or(|uplink| !uplink.is_checking() && !uplink.is_down())
 }
 
 /// Opens a connection to an upstream and keeps it for the next request; returns whether it was accepted.
 async fn probe(core: &Shared, upstream: &Instance) -> bool {
     match pool::open(core, upstream, CHECK_TIMEOUT).await {
         Ok(pooled) => {
-            pool::put_back(core, pooled, None);
+            pool::put_back(core, pooled.connection, &pooled.upstream, None);
             true
         }
         Err(_) => false,
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -364,9 +364,10 @@
         self.upstreams.of_service(service)
     }
 
-    /// Forgets the failures of all upstreams.
-    pub fn reset_health(&mut self) {
-        for upstream in self.values_mut() {
+    /// Forgets the failures of a service's upstreams.
+    pub fn reset_health(&mut self, service: &str) {
+        let all = self.values_mut();
+        for upstream in all.filter(|upstream| upstream.entry.service == service) {
             upstream.health = Health::default();
         }
     }
--- a/crates/jb-relay/src/upstream/selection.rs
+++ b/crates/jb-relay/src/upstream/selection.rs
@@ -129,14 +129,10 @@
             .collect()
     }
 
-    /// Returns some upstreams in rotation, spread over all; each round returns others.
-    pub fn spread_sample(&self, count: usize, round: usize, now: Moment) -> Vec<Instance> {
+    /// Returns some upstreams of a service in rotation, spread over all; each round returns others.
+    pub fn spread_sample(&self, service: &str, count: usize, round: usize, now: Moment) -> Vec<Instance> {
         let in_rotation = |upstream: &&Upstream| upstream.is_in_rotation() && now >= upstream.loading_until;
-        let all: Vec<&Upstream> = self
-            .iter()
-            .map(|(_, upstream)| upstream)
-            .filter(in_rotation)
-            .collect();
+        let all: Vec<&Upstream> = self.of_service(service).filter(in_rotation).collect();
         let count = count.min(all.len());
         let at = |step: usize| (step * all.len() / count + round) % all.len();
         (0..count).map(|step| all[at(step)].instance.clone()).collect()
