Break a resumed stream whose next engine responds with an error

Callers of resumable streams read the head of an HTTP response in the middle of a chunked body. Cause: a response was delivered by its status alone. An error response to the second attempt was written like a first response, though events of the first attempt had been delivered. Change: once a stream has begun, an error response ends it without its last chunk, so the caller sees that it is incomplete and can resume it.

--- a/crates/jb-relay/src/exchange/detour.rs
+++ b/crates/jb-relay/src/exchange/detour.rs
@@ -6,7 +6,7 @@
 use tokio::time::timeout;
 
 use super::pick::Rejection;
-use super::run::{Exchange, RequestOutcome};
+use super::run::{ERROR_WITHIN_STREAM, Exchange, RequestOutcome};
 use crate::attempt::Reply;
 use crate::configuration::RouteKind;
 use crate::deliver::{self, DeliveryOutcome};
@@ -113,7 +113,7 @@
         let status = answer.status;
         let is_success = (200..300).contains(&status);
         if self.has_begun() && !is_success {
-            return RequestOutcome::Broken("error response to a resumed stream");
+            return RequestOutcome::Broken(ERROR_WITHIN_STREAM);
         }
         let is_stream = is_success && request.route.kind == RouteKind::Stream;
         let reply = Reply {
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -27,6 +27,8 @@
 
 /// Upper bound on the attempts of one request, including those that the upstream rejected.
 const MAX_SENDS: u32 = 4;
+/// Why a stream breaks whose next upstream responds with an error: the caller is already reading the events.
+pub(super) const ERROR_WITHIN_STREAM: &str = "error response to a resumed stream";
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -299,6 +301,9 @@
                 "upstream" => %instance, "outcome" => "ran", "status" => status);
             return Err("upstream_error");
         }
+        if self.has_begun() && !success {
+            return Ok(Next::End(RequestOutcome::Broken(ERROR_WITHIN_STREAM)));
+        }
         let delivered = if success && request.route.kind == RouteKind::Stream {
             let body = self.message.body;
             let may_retry = self.runs < request.route.max_attempts;
