Keep the retry of an attempt that was not sent

Callers whose stream had lost its engine got 502 with idle engines at hand. Cause: each connection that could not be opened, and each upstream that was withdrawn after its selection, used up one more retry, although nothing was sent; in the incident budgets were used up within 1.6 s. Change: the next attempt takes over the granted retry. Evidence: the test was red before (502, with one retry granted).

--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -54,7 +54,8 @@
     pub(super) tried: Vec<Instance>,
     pub(super) sends: u32,
     pub(super) runs: u32,
-    /// Whether the retry budget has already granted the next attempt.
+    /// Whether the next attempt needs no retry from the budget: it was granted before, also to an attempt that was then
+    /// not sent.
     pub(super) retry_granted: bool,
     /// Why the request is sent to no upstream now.
     pub(super) rejection: Option<Rejection>,
@@ -202,10 +203,14 @@
         };
         match outcome {
             AttemptOutcome::Unsent(why) => {
+                self.retry_granted = true;
                 self.record_failure(instance, "unsent", &why);
                 Err("unreachable")
             }
-            AttemptOutcome::Withdrawn => Err("withdrawn"),
+            AttemptOutcome::Withdrawn => {
+                self.retry_granted = true;
+                Err("withdrawn")
+            }
             AttemptOutcome::NotRun(status) => {
                 self.sends += 1;
                 emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &request.id,
