Hand over the leadership of a box that reaches no engine

Engines kept old weights while the leader was partitioned from them: it renewed its lease and gave no order, and no other box could. Cause: the lease depends on the store only. Change: a box that reaches no upstream of any service ends its term as at a stop, and takes no new one until it reaches some; failed reports count for that check, as a leader may have no requests.

--- a/crates/jb-relay/src/leader/load.rs
+++ b/crates/jb-relay/src/leader/load.rs
@@ -6,6 +6,7 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
+use jb_policy::uplink::Failure;
 use jb_policy::weights::{History, Overdue};
 use jb_protocol::{emit, event};
 use tokio::time::sleep;
@@ -15,6 +16,7 @@
 use crate::port::{Order, OrderOutcome, Report};
 use crate::restart;
 use crate::signal;
+use crate::uplink;
 use crate::upstream::{Instance, Upstream};
 
 /// First pause before an engine that refused an order or sent no report is tried again; doubles each time.
@@ -192,11 +194,11 @@
     /// Requests an engine's report; `None` if it sent none, is another instance, or is out of rotation.
     async fn report(&self, instance: &Instance) -> Option<(SocketAddr, Report)> {
         let core = &self.core;
-        let address = core
+        let (address, service) = core
             .upstreams
             .borrow()
             .instance(instance)
-            .map(|u| u.entry.address)?;
+            .map(|u| (u.entry.address, u.entry.service.clone()))?;
         let observed = core.engines.report(address).await;
         signal::apply_signals(core, instance, observed.signals, None);
         match observed.result {
@@ -208,6 +210,7 @@
             Err(why) => {
                 emit!(core.logger, info, event::ORDER_FAILED, "upstream" => %instance, "why" => %why);
                 self.unresponsive.borrow_mut().note(instance, core.now());
+                uplink::note_failure(core, &service, Failure::Connect);
                 None
             }
         }
--- a/crates/jb-relay/src/leader/term.rs
+++ b/crates/jb-relay/src/leader/term.rs
@@ -88,24 +88,34 @@
         loop {
             sleep(POLL_INTERVAL).await;
             let stopping = self.core.stop.is_stopping();
+            // A leader that reaches no engine gives way to a box that may reach some.
+            let partitioned = self.core.uplinks.all_down();
             match self.term.get() {
-                Some(term) if stopping && self.loading.borrow().is_empty() => self.release(term).await,
+                Some(term) if (stopping || partitioned) && self.loading.borrow().is_empty() => {
+                    let why = if stopping {
+                        "box is stopping"
+                    } else {
+                        "box reaches no engine"
+                    };
+                    self.release(term, why).await;
+                }
                 Some(term) => self.maintain(term).await,
                 None if stopping => self.core.stop.set_leading(false),
+                None if partitioned => self.vacant_since.set(None),
                 None => self.try_elect().await,
             }
-            if !stopping {
+            if !stopping && !partitioned {
                 self.start_loads().await;
             }
         }
     }
 
-    async fn release(&self, term: Term) {
+    async fn release(&self, term: Term, why: &str) {
         self.core.metrics.store_calls.inc();
         if let Err(why) = self.core.store.revoke_lease(term.lease).await {
             emit!(self.core.logger, info, event::LEADER_LOST, "why" => %why);
         }
-        self.end_term("box is stopping");
+        self.end_term(why);
     }
 
     async fn maintain(&self, term: Term) {
