Soak: cut boxes off from engines, and let engines be silent or brittle

Change: a set of faults (--cuts) with cuts of one box or all but one that hang, reset, or refuse new connections, engines that answer nothing for a second, engines that crash under rejected requests, and faults of boxes and of the store beside them. Two promises: a cut box serves its callers about as often as the others, and brittle engines crash rarely. Each box has a data hall and paths of its own.

--- a/crates/jb-soak/src/boxes.rs
+++ b/crates/jb-soak/src/boxes.rs
@@ -26,13 +26,13 @@
 
 impl Box {
     /// Creates a box that is not started yet; its files go into `folder`.
-    pub async fn new(number: usize, program: &Path, folder: &Path, store: SocketAddr) -> Self {
+    pub async fn new(number: usize, program: &Path, folder: &Path, hall: usize, store: SocketAddr) -> Self {
         Self {
             name: format!("box-{number}"),
             link: Proxy::start(store).await,
             program: program.to_owned(),
             folder: folder.to_owned(),
-            hall: format!("hall-{}", number % 2),
+            hall: format!("hall-{hall}"),
             child: RefCell::default(),
             starts: Cell::default(),
         }
--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -31,6 +31,10 @@
     Backoff,
     /// An engine receives no more requests than its announced rate limit allows.
     Limit,
+    /// A box that is cut off from all engines serves its callers about as often as the others.
+    Reach,
+    /// Engines that crash under rejected requests do so rarely.
+    Brittle,
     /// A request that crashes engines reaches few more once three have crashed.
     Poison,
     /// All boxes serve requests again after the last fault.
@@ -38,7 +42,7 @@
 }
 
 /// All promises, in the order of the report.
-pub const ALL: [Promise; 14] = [
+pub const ALL: [Promise; 16] = [
     Promise::OwnAnswer,
     Promise::Order,
     Promise::Once,
@@ -51,6 +55,8 @@
     Promise::Word,
     Promise::Backoff,
     Promise::Limit,
+    Promise::Reach,
+    Promise::Brittle,
     Promise::Poison,
     Promise::Recovery,
 ];
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -9,6 +9,8 @@
 use rustix::process::Signal;
 use tokio::time::sleep;
 
+use crate::brittle;
+use crate::cuts;
 use crate::limits;
 use crate::restores;
 use crate::signals;
@@ -45,6 +47,12 @@
     Limit,
     /// The store is restored from a backup.
     Restore,
+    /// Boxes are cut off from all engines.
+    Cut,
+    /// An engine answers nothing for a second.
+    Silence,
+    /// All engines crash when they have to reject too many requests.
+    Brittle,
 }
 
 impl Fault {
@@ -72,6 +80,8 @@
     /// Faults of boxes and of the store, which is restored from backups. Leases last for the time
     /// that the store grants.
     Restores,
+    /// Cuts between boxes and engines, silent and brittle engines, and faults of boxes and of the store.
+    Cuts,
     /// The faults of `First` at a lower rate, beside callers whose request crashes engines.
     Poison,
 }
@@ -112,9 +122,30 @@
     }
 }
 
+/// Size of the draw for [`Set::Cuts`].
+const WITH_CUTS: u32 = 20;
+
+fn draw_with_cuts(random: &mut ChaCha8Rng) -> Fault {
+    match random.random_range(0..WITH_CUTS) {
+        0 => Fault::Kill,
+        1 => Fault::Stop,
+        2 => Fault::Pause,
+        3 => Fault::Reload,
+        4 => Fault::Link(Link::Silent),
+        5 => Fault::Store(Behavior::Status(503)),
+        6 => Fault::Weights,
+        7 => Fault::Config,
+        8 => Fault::Engine,
+        9 | 10 => Fault::Silence,
+        11 => Fault::Brittle,
+        _ => Fault::Cut,
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, set: Set) -> Fault {
     let count = match set {
         Set::Restores => return draw_with_restores(random),
+        Set::Cuts => return draw_with_cuts(random),
         Set::First | Set::Poison => FIRST,
         Set::All => ALL,
         Set::Words => WORDS,
@@ -155,7 +186,9 @@
     let duration = Duration::from_millis(random.random_range(FAULT_DURATION_MS));
     world.log(&format!("{fault:?} box {at} engine {engine} for {duration:?}"));
     let target = &world.boxes[at];
-    world.record_fault(at, fault.affects_all_boxes(), duration);
+    if !matches!(fault, Fault::Cut | Fault::Silence | Fault::Brittle) {
+        world.record_fault(at, fault.affects_all_boxes(), duration);
+    }
     match fault {
         Fault::Kill => {
             target.signal(Signal::KILL);
@@ -199,6 +232,9 @@
             world.write_entry(engine);
         }
         Fault::Restore => restores::restore(&world, &mut random).await,
+        Fault::Cut => cuts::cut(&world, &mut random).await,
+        Fault::Silence => cuts::silence(&world, engine),
+        Fault::Brittle => brittle::play(&world, &mut random).await,
         Fault::Compact => world.store.compact(),
         Fault::Leases => world.store.end_leases(),
         Fault::Engine => queue_faulty_responses(&world, engine, &mut random),
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -7,8 +7,10 @@
 #![allow(clippy::expect_used)]
 
 pub mod boxes;
+pub mod brittle;
 pub mod callers;
 pub mod checks;
+pub mod cuts;
 pub mod faults;
 pub mod limits;
 pub mod poison;
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -43,6 +43,9 @@
     /// the faults of --signals, and engines that announce rate limits
     #[argh(switch)]
     limits: bool,
+    /// boxes that are cut off from all engines, silent and brittle engines, and faults of boxes
+    #[argh(switch)]
+    cuts: bool,
     /// faults of boxes and of the store, which is restored from backups
     #[argh(switch)]
     restores: bool,
@@ -53,6 +56,7 @@
         match self {
             Self { poison: true, .. } => Set::Poison,
             Self { restores: true, .. } => Set::Restores,
+            Self { cuts: true, .. } => Set::Cuts,
             Self { limits: true, .. } => Set::Limits,
             Self { signals: true, .. } => Set::Words,
             Self { first: true, .. } => Set::First,
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -14,6 +14,7 @@
 
 use crate::callers;
 use crate::checks::{Checks, Promise};
+use crate::cuts;
 use crate::faults::{self, Set};
 use crate::limits;
 use crate::poison;
@@ -84,7 +85,11 @@
             ChaCha8Rng::from_rng(&mut random),
         )));
         // Faults start without waiting for earlier ones, so that they overlap.
-        let rare = if plan.set == Set::Poison { 4 } else { 1 };
+        let rare = match plan.set {
+            Set::Poison => 4,
+            Set::Cuts => 2,
+            _ => 1,
+        };
         let pause = rare * Duration::from_millis(random.random_range(50..1200));
         let next = Instant::now() + pause;
         while Instant::now() < next {
@@ -111,6 +116,7 @@
     poison::check(&world, &mut checks);
     signals::check(&world, &mut checks);
     limits::check(&world, &mut checks);
+    cuts::check(&world, &mut checks);
     restores::check(&world, &mut checks);
     checks
 }
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -8,6 +8,7 @@
 use std::time::{Duration, Instant};
 
 use jb_site_fakes::caller::request;
+use jb_site_fakes::cut::Paths;
 use jb_site_fakes::document::{self, ROUTES};
 use jb_site_fakes::engine::Engine;
 use jb_site_fakes::store::Store;
@@ -18,6 +19,7 @@
 use crate::boxes::Box;
 use crate::callers::{self, Exchange};
 use crate::checks::Checks;
+use crate::cuts;
 use crate::faults::Set;
 use crate::limits::Limit;
 use crate::poison::{self, PoisonAttempt};
@@ -51,6 +53,10 @@
     pub engines: Vec<Rc<Engine>>,
     /// Boxes under test.
     pub boxes: Vec<Box>,
+    /// Paths from each box to the engines, where cuts are among the faults.
+    pub paths: Vec<Paths>,
+    /// Cuts between boxes and engines.
+    pub cuts: RefCell<Vec<cuts::Period>>,
     /// Requests that were sent, with their outcomes.
     pub exchanges: RefCell<Vec<Exchange>>,
     /// Attempts of the request that crashes engines.
@@ -106,8 +112,17 @@
             engines.push(engine);
         }
         let mut boxes = Vec::new();
+        let mut paths = Vec::new();
         for number in 0..plan.boxes {
-            boxes.push(Box::new(number, program, folder, store.address).await);
+            let (mut hall, mut address) = (number % 2, store.address);
+            if plan.set == Set::Cuts {
+                let own = Paths::open(&engines).await;
+                address = store.address_for(&own).await;
+                paths.push(own);
+                // Boxes of one hall share what one of them reads from the store, with its addresses of engines.
+                hall = number;
+            }
+            boxes.push(Box::new(number, program, folder, hall, address).await);
         }
         Rc::new(Self {
             seed: plan.seed,
@@ -115,6 +130,8 @@
             store,
             engines,
             boxes,
+            paths,
+            cuts: RefCell::default(),
             exchanges: RefCell::default(),
             poison_attempts: RefCell::default(),
             limits: RefCell::default(),
@@ -242,6 +259,13 @@
             .any(|period| period.time.contains(&moment))
     }
 
+    /// Returns whether a box had a fault between two moments.
+    pub fn had_fault_since(&self, at: usize, from: Instant, until: Instant) -> bool {
+        let fault_periods = &self.fault_periods.borrow()[at];
+        let mut periods = fault_periods.iter().map(|period| &period.time);
+        periods.any(|time| time.start <= until && from < time.end)
+    }
+
     /// Returns whether a box had a fault of its own at `moment` or up to `before` earlier.
     pub fn had_own_fault(&self, name: &str, moment: Instant, before: Duration) -> bool {
         let Some(at) = self.boxes.iter().position(|one| one.name == name) else {
