--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -30,6 +30,9 @@
 /// Interval between polls.
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Callers for each one of the plan where brittle engines are among the faults: more than the engines have slots.
+const CALLERS_PER_CALLER: u64 = 5;
+
 /// Size and length of a run.
 #[derive(Clone, Copy, Debug)]
 pub struct Plan {
@@ -67,7 +70,11 @@
         one.start();
     }
     recover(&world).await;
-    let callers: Vec<_> = (0..plan.callers)
+    let callers = match plan.set {
+        Set::Cuts => CALLERS_PER_CALLER * plan.callers,
+        _ => plan.callers,
+    };
+    let callers: Vec<_> = (0..callers)
         .map(|n| spawn_local(callers::run(Rc::clone(&world), n + 1)))
         .collect();
     if plan.set == Set::Poison {
