Check the uplink also after failures right after a connection

A box that was cut off while it opened connections rejected all its callers, 0 of 425, and for 10 s after the cut had healed. Cause: a failure within 250 ms of an opened connection was taken for that of one upstream and forgotten. With refused connections all upstreams were ejected within that time, nothing was tried any more, and no failure came that could start a check. Change: such a failure waits for another connection, or for data in the case of a stalled request, and starts the check if none comes.

--- a/crates/jb-policy/src/uplink.rs
+++ b/crates/jb-policy/src/uplink.rs
@@ -1,8 +1,9 @@
 //! Whether a box reaches any upstream of a service.
 //!
 //! A failed request alone doesn't tell a broken upstream from a broken link of the box. So a failure only starts a
-//! check, in which the box opens connections to several other upstreams: one that succeeds shows that the link works,
-//! and if all fail the link is down until one succeeds.
+//! check, in which the box opens connections to several upstreams: one that succeeds shows that the link works, and if
+//! all fail the link is down until one succeeds. Right after a sign that the link works, the check waits for another
+//! sign first, as most failures are those of one upstream.
 
 use std::time::Duration;
 
@@ -37,6 +38,8 @@
 enum State {
     #[default]
     Up,
+    /// Nothing has shown since the failure that the link works.
+    Suspected { failure: Failure, at: Moment },
     /// The first check after a failure is under way.
     Checking,
     /// All connections of a check failed.
@@ -66,7 +69,7 @@
     pub fn has_live_connections(&self) -> bool {
         match self.state {
             State::Down { since } => self.last_data > Some(since),
-            State::Up | State::Checking => true,
+            State::Up | State::Suspected { .. } | State::Checking => true,
         }
     }
 
@@ -83,16 +86,30 @@
         if was_down { Change::Restored } else { Change::None }
     }
 
-    /// Notes a failure and returns whether the link has to be checked.
-    pub fn note_failure(&mut self, failure: Failure, now: Moment) -> bool {
-        let is_recent = |at: Option<Moment>, age| at.is_some_and(|at| now < at + age);
-        let is_explained = is_recent(self.last_connect, MAX_CONNECT_AGE)
-            || (failure == Failure::Request && is_recent(self.last_data, MAX_DATA_AGE));
-        let needs_check = self.state == State::Up && !is_explained;
-        if needs_check {
-            self.state = State::Checking;
+    /// Notes a failure. Returns the time after which the link has to be checked if [`Self::confirm`] says so; `None`
+    /// if an earlier failure has the same effect.
+    pub fn note_failure(&mut self, failure: Failure, now: Moment) -> Option<Duration> {
+        if self.state != State::Up {
+            return None;
         }
-        needs_check
+        self.state = State::Suspected { failure, at: now };
+        let left = |at: Option<Moment>, age| at.map_or(Duration::ZERO, |at| (at + age).saturating_sub(now));
+        let connect = left(self.last_connect, MAX_CONNECT_AGE);
+        Some(match failure {
+            Failure::Connect => connect,
+            Failure::Request => connect.max(left(self.last_data, MAX_DATA_AGE)),
+        })
+    }
+
+    /// Returns whether the link has to be checked: nothing has shown since the failure that it works.
+    pub fn confirm(&mut self) -> bool {
+        let State::Suspected { failure, at } = self.state else {
+            return false;
+        };
+        let has_data = failure == Failure::Request && self.last_data > Some(at);
+        let is_explained = has_data || self.last_connect > Some(at);
+        self.state = if is_explained { State::Up } else { State::Checking };
+        !is_explained
     }
 
     /// Notes that a check found no upstream to connect to, which shows nothing.
--- a/crates/jb-policy/tests/uplink.rs
+++ b/crates/jb-policy/tests/uplink.rs
@@ -1,4 +1,4 @@
-//! Detection that a box reaches no upstream.
+//! Detection that a box reaches no upstream of a service.
 
 use std::time::Duration;
 
@@ -12,10 +12,11 @@
 #[test]
 fn link_is_down_once_a_check_fails_and_up_with_the_next_connection() {
     let mut uplink = Uplink::default();
-    assert!(uplink.note_failure(Failure::Connect, at(1000)));
+    assert_eq!(uplink.note_failure(Failure::Connect, at(1000)), Some(at(0)));
+    assert!(uplink.confirm());
     assert!(uplink.is_checking() && !uplink.is_down());
     // Failures during a check start no second one.
-    assert!(!uplink.note_failure(Failure::Connect, at(1010)));
+    assert_eq!(uplink.note_failure(Failure::Connect, at(1010)), None);
     assert_eq!(uplink.note_unreachable(at(1200)), Change::Lost);
     assert_eq!(uplink.note_unreachable(at(1500)), Change::None);
     assert!(uplink.is_down() && !uplink.is_checking());
@@ -28,19 +29,36 @@
 fn failures_of_one_upstream_are_no_partition() {
     let mut uplink = Uplink::default();
     uplink.note_data(at(1000));
-    assert!(!uplink.note_failure(Failure::Request, at(1100)));
-    assert!(uplink.note_failure(Failure::Request, at(1400)));
+    assert_eq!(uplink.note_failure(Failure::Request, at(1100)), Some(at(200)));
+    uplink.note_data(at(1150));
+    assert!(!uplink.confirm());
+    uplink.note_failure(Failure::Connect, at(1400));
     assert_eq!(uplink.note_connected(at(1402)), Change::None);
-    assert!(!uplink.note_failure(Failure::Request, at(1500)));
+    assert!(!uplink.confirm());
     assert!(!uplink.is_down());
 }
 
+/// Guards against a partition that starts right after a connection was opened: once all upstreams are ejected, no
+/// further failure shows it.
+#[test]
+fn failure_right_after_a_connection_is_checked_unless_another_one_follows() {
+    let mut uplink = Uplink::default();
+    uplink.note_connected(at(1000));
+    assert_eq!(uplink.note_failure(Failure::Connect, at(1010)), Some(at(240)));
+    assert_eq!(uplink.note_failure(Failure::Connect, at(1020)), None);
+    assert!(!uplink.is_checking());
+    assert!(uplink.confirm());
+    assert!(uplink.is_checking());
+}
+
 /// Guards against missing a partition in which open connections live on and only new ones fail.
 #[test]
 fn data_on_open_connections_does_not_hide_that_none_can_be_opened() {
     let mut uplink = Uplink::default();
     uplink.note_data(at(1000));
-    assert!(uplink.note_failure(Failure::Connect, at(1010)));
+    uplink.note_failure(Failure::Connect, at(1010));
+    uplink.note_data(at(1020));
+    assert!(uplink.confirm());
     uplink.note_unreachable(at(1200));
     assert!(uplink.is_down() && !uplink.has_live_connections());
     uplink.note_data(at(1300));
--- a/crates/jb-relay/src/uplink.rs
+++ b/crates/jb-relay/src/uplink.rs
@@ -85,11 +85,11 @@
 /// Notes a failure at an upstream of a service, and starts a check if it may be due to the links of this box.
 pub fn note_failure(core: &Shared, service: &str, failure: Failure) {
     let now = core.now();
-    if core
+    let delay = core
         .uplinks
-        .update(service, |uplink| uplink.note_failure(failure, now))
-    {
-        spawn_local(check(Rc::clone(core), service.to_owned()));
+        .update(service, |uplink| uplink.note_failure(failure, now));
+    if let Some(delay) = delay {
+        spawn_local(verify(Rc::clone(core), service.to_owned(), delay));
     }
 }
 
@@ -110,6 +110,16 @@
     core.metrics.uplinks_down.set(down);
 }
 
+/// Checks the uplink of a service after a delay, unless something shows meanwhile that it works.
+async fn verify(core: Shared, service: id::Service, delay: Duration) {
+    if !delay.is_zero() {
+        sleep(delay).await;
+    }
+    if core.uplinks.update(&service, Uplink::confirm) {
+        check(core, service).await;
+    }
+}
+
 /// Checks the uplink of a service until an upstream accepts a connection.
 async fn check(core: Shared, service: id::Service) {
     for round in 0.. {
