Let a box help whose open connections to upstreams live on

Callers of a box without upstreams got 503 (1,995 of 4,122 served) while another one served all of its own over connections that lived on. Cause: a box that can open no new connection refused to help, though it used its open ones for its own callers. It also chose upstreams to which it had none. A check may connect to upstreams that load weights, so that it rests on more than one where most of them do.

--- a/crates/jb-relay/src/detour/serve.rs
+++ b/crates/jb-relay/src/detour/serve.rs
@@ -42,7 +42,7 @@
 
 /// Returns whether this box can serve a request for another one.
 fn verdict(core: &Core, service: &str) -> Verdict {
-    if core.uplinks.is_down(service) {
+    if !core.uplinks.has_live_connections(service) {
         Verdict::Partitioned
     } else if !ready::is_ready(core) {
         Verdict::NotReady
--- a/crates/jb-relay/src/exchange/selection.rs
+++ b/crates/jb-relay/src/exchange/selection.rs
@@ -212,6 +212,7 @@
         demand: demand(request, body),
         excluded: tried,
         last_resort: candidate_set == CandidateSet::All,
+        needs_connection: core.uplinks.is_down(&request.service),
         avoided_halls: match candidate_set {
             CandidateSet::Reachable => avoided(core),
             CandidateSet::Listed | CandidateSet::All => Avoided::None,
--- a/crates/jb-relay/src/uplink.rs
+++ b/crates/jb-relay/src/uplink.rs
@@ -126,7 +126,7 @@
         let targets = core
             .upstreams
             .borrow()
-            .spread_sample(&service, UPSTREAMS_PER_CHECK, round, core.now());
+            .spread_sample(&service, UPSTREAMS_PER_CHECK, round);
         if targets.is_empty() {
             core.uplinks.update(&service, Uplink::cancel_check);
             note_change(&core);
--- a/crates/jb-relay/src/upstream/criteria.rs
+++ b/crates/jb-relay/src/upstream/criteria.rs
@@ -28,6 +28,8 @@
     pub excluded: &'a [Instance],
     /// Whether to include upstreams whose entries are missing and which may have ended.
     pub last_resort: bool,
+    /// Whether to exclude upstreams without an idle connection, because no new ones can be opened.
+    pub needs_connection: bool,
     /// Data halls whose upstreams are excluded.
     pub avoided_halls: Avoided,
 }
--- a/crates/jb-relay/src/upstream/selection.rs
+++ b/crates/jb-relay/src/upstream/selection.rs
@@ -130,9 +130,11 @@
     }
 
     /// Returns some upstreams of a service in rotation, spread over all; each round returns others.
-    pub fn spread_sample(&self, service: &str, count: usize, round: usize, now: Moment) -> Vec<Instance> {
-        let in_rotation = |upstream: &&Upstream| upstream.is_in_rotation() && now >= upstream.loading_until;
-        let all: Vec<&Upstream> = self.of_service(service).filter(in_rotation).collect();
+    pub fn spread_sample(&self, service: &str, count: usize, round: usize) -> Vec<Instance> {
+        let all: Vec<&Upstream> = self
+            .of_service(service)
+            .filter(|upstream| upstream.is_in_rotation())
+            .collect();
         let count = count.min(all.len());
         let at = |step: usize| (step * all.len() / count + round) % all.len();
         (0..count).map(|step| all[at(step)].instance.clone()).collect()
@@ -151,7 +153,8 @@
         now: Moment,
     ) -> impl Iterator<Item = &'a Upstream> {
         let eligible = self.eligible(criteria, now);
-        eligible.filter(move |upstream| !upstream.is_throttled(now))
+        let connected = eligible.filter(|upstream| !criteria.needs_connection || !upstream.idle.is_empty());
+        connected.filter(move |upstream| !upstream.is_throttled(now))
     }
 
     /// Returns the upstreams that can receive a request, including those that are throttled.
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -101,6 +101,9 @@
         let next = Instant::now() + pause;
         while Instant::now() < next {
             world.track_draining();
+            if plan.set == Set::Cuts {
+                world.write_loaded_weights();
+            }
             sleep(POLL_INTERVAL).await;
         }
     }
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -67,6 +67,8 @@
     pub stopped: Cell<bool>,
     /// Current version of the configuration.
     pub version: Cell<u64>,
+    /// Version of the weights in the entry of each engine.
+    written_weights: Vec<Cell<u64>>,
     /// Newest version of the weights.
     pub weights: Cell<u64>,
     /// When a key was revoked; `None` before that.
@@ -128,6 +130,10 @@
             seed: plan.seed,
             set: plan.set,
             store,
+            written_weights: engines
+                .iter()
+                .map(|engine| Cell::new(engine.version.get()))
+                .collect(),
             engines,
             boxes,
             paths,
@@ -326,6 +332,16 @@
         self.store.put(&key, &entry);
     }
 
+    /// Writes the entries of engines that have loaded other weights, as engines do.
+    pub fn write_loaded_weights(&self) {
+        for (at, written) in self.written_weights.iter().enumerate() {
+            let loaded = self.engines[at].version.get();
+            if written.replace(loaded) != loaded {
+                self.write_entry(at);
+            }
+        }
+    }
+
     /// Updates the number of requests that each draining engine has run, until its deadline.
     pub fn track_draining(&self) {
         for (engine, (until, runs)) in self.draining.borrow_mut().iter_mut() {
