Ask boxes of other halls after two of the own one, and a restarted box again soon

Cause: a box that refused a connection was avoided as long as a silent one, and all four boxes asked for a request could be of the own hall. Change: a refused connection counts for 200 ms; after two boxes of the own hall a request asks those of others.

--- a/crates/jb-relay/src/detour/helpers.rs
+++ b/crates/jb-relay/src/detour/helpers.rs
@@ -17,10 +17,13 @@
 const PARTITIONED_TIME: Duration = Duration::from_secs(1);
 /// Boxes of the own data hall without upstreams at which the whole hall counts as partitioned.
 const HALL_THRESHOLD: usize = 2;
-/// Time for which a box is not asked again that rejected a request for another reason.
+/// Time for which a box is not asked again that rejected a request for another reason, or refused the connection, as
+/// one does that restarts.
 const BUSY_TIME: Duration = Duration::from_millis(200);
-/// Time for which a box that did not answer is not asked again.
+/// Time for which a box that did not answer is not asked again. Each time it is asked costs a request the timeout.
 const UNREACHABLE_TIME: Duration = Duration::from_secs(3);
+/// Boxes of the own data hall that are asked for one request before those of others.
+const MAX_ASKED_NEAR: usize = 2;
 /// Time for which a box that found no helper sends new callers elsewhere.
 const STUCK_TIME: Duration = Duration::from_secs(4);
 
@@ -73,7 +76,11 @@
         self.avoid(id, now + time, verdict == Verdict::Partitioned);
     }
 
-    pub(super) fn note_unreachable(&self, id: &str, now: Moment) {
+    pub(super) fn note_refused(&self, id: &str, now: Moment) {
+        self.avoid(id, now + BUSY_TIME, false);
+    }
+
+    pub(super) fn note_silent(&self, id: &str, now: Moment) {
         self.avoid(id, now + UNREACHABLE_TIME, false);
     }
 
@@ -110,7 +117,9 @@
         let partitioned_near = avoided
             .iter()
             .filter(|(id, avoided)| avoided.is_partitioned && directory.hall(id) == Some(own_hall));
-        let prefers_own_hall = partitioned_near.count() < HALL_THRESHOLD;
+        let asked_near = asked.iter().filter(|id| directory.hall(id) == Some(own_hall));
+        let prefers_own_hall =
+            partitioned_near.count() < HALL_THRESHOLD && asked_near.count() < MAX_ASKED_NEAR;
         let usable: Vec<(&id::Box, SocketAddr, u64, bool)> = directory
             .others(&core.settings.id)
             .filter(|(id, _)| !asked.contains(id) && !avoided.contains_key(*id))
--- a/crates/jb-relay/src/detour/send.rs
+++ b/crates/jb-relay/src/detour/send.rs
@@ -73,7 +73,8 @@
                 });
             }
             Ok(Ok((_, verdict))) => core.helpers.note_verdict(&id, verdict, core.now()),
-            Ok(Err(_)) | Err(_) => core.helpers.note_unreachable(&id, core.now()),
+            Ok(Err(_)) => core.helpers.note_refused(&id, core.now()),
+            Err(_) => core.helpers.note_silent(&id, core.now()),
         }
         asked.push(id);
     }
