Soak: brittle engines take time for each request without spoiling streams

Cause: the stand-in's late answer is no stream, so boxes ejected engines for it while they were brittle, and served a fifth of what they had room for. Change: a brittle engine takes longer for whatever it answers.

--- a/crates/jb-soak/src/brittle.rs
+++ b/crates/jb-soak/src/brittle.rs
@@ -3,7 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jb_site_fakes::engine::{Action, Engine};
+use jb_site_fakes::engine::Engine;
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::{Instant, sleep};
@@ -39,9 +39,9 @@
     };
     let before = falls();
     set(engines, Some(limit), usize::MAX);
-    work(engines, CONTACT).await;
+    restart_fallen(engines, CONTACT).await;
     set(engines, Some(limit), SLOTS + random.random_range(0..3));
-    work(engines, BRITTLE_TIME).await;
+    restart_fallen(engines, BRITTLE_TIME).await;
     set(engines, None, 0);
     let fallen = falls() - before;
     // Rejections of a fallen engine may still be on their way; it is back before the end of the run.
@@ -58,11 +58,15 @@
     for engine in engines {
         engine.brittle.limit.set(limit);
         engine.brittle.places.set(places);
+        engine
+            .brittle
+            .work
+            .set(if limit.is_some() { WORK } else { Duration::ZERO });
     }
 }
 
-/// Keeps the engines busy, and starts again those that have ended.
-async fn work(engines: &[Rc<Engine>], time: Duration) {
+/// Waits, and starts the engines again that have ended.
+async fn restart_fallen(engines: &[Rc<Engine>], time: Duration) {
     let until = Instant::now() + time;
     let mut ended = vec![None; engines.len()];
     while Instant::now() < until || engines.iter().any(|engine| engine.has_ended()) {
@@ -73,8 +77,6 @@
                     engine.relaunch().await;
                     *ended = None;
                 }
-            } else if engine.actions.borrow().is_empty() {
-                engine.enqueue(&vec![Action::Late(WORK); SLOTS]);
             }
         }
         sleep(POLL_INTERVAL).await;
