--- a/crates/jb-policy/src/uplink.rs
+++ b/crates/jb-policy/src/uplink.rs
@@ -1,6 +1,6 @@
 //! Whether a box reaches any upstream of a service.
 //!
-//! A failed request alone doesn't tell a broken upstream from a broken link of the box. So a failure only starts a
+//! A single failed request can be due to its upstream or to a link of the box. So a failure only starts a
 //! check, in which the box opens connections to several upstreams: one that succeeds shows that the link works, and if
 //! all fail the link is down until one succeeds. Right after a sign that the link works, the check waits for another
 //! sign first, as most failures are those of one upstream.
@@ -38,7 +38,7 @@
 enum State {
     #[default]
     Up,
-    /// Nothing has shown since the failure that the link works.
+    /// A failure that no later connection or data explains yet.
     Suspected { failure: Failure, at: Moment },
     /// The first check after a failure is under way.
     Checking,
@@ -86,8 +86,8 @@
         if was_down { Change::Restored } else { Change::None }
     }
 
-    /// Notes a failure. Returns the time after which the link has to be checked if [`Self::confirm`] says so; `None`
-    /// if an earlier failure has the same effect.
+    /// Notes a failure. Returns the delay until [`Self::confirm`] decides on a check; `None` if an earlier failure
+    /// has the same effect.
     pub fn note_failure(&mut self, failure: Failure, now: Moment) -> Option<Duration> {
         if self.state != State::Up {
             return None;
@@ -101,7 +101,7 @@
         })
     }
 
-    /// Returns whether the link has to be checked: nothing has shown since the failure that it works.
+    /// Returns whether the link has to be checked, as neither a connection nor data explains the failure.
     pub fn confirm(&mut self) -> bool {
         let State::Suspected { failure, at } = self.state else {
             return false;
--- a/crates/jb-relay/src/admission.rs
+++ b/crates/jb-relay/src/admission.rs
@@ -184,12 +184,16 @@
     })
 }
 
-/// Admits a request that another box has admitted, with that box's decisions. `None` if it lacks an id, or if this box
-/// has no configuration.
-pub fn admit_forwarded(core: &Core, query: &RequestHead, envelope: &Envelope) -> Option<AdmittedRequest> {
+/// Admits a request that another box has admitted, with that box's decisions; `received` is when its envelope was
+/// received. `None` if it lacks an id, or if this box has no configuration.
+pub fn admit_forwarded(
+    core: &Core,
+    query: &RequestHead,
+    envelope: &Envelope,
+    received: Moment,
+) -> Option<AdmittedRequest> {
     let id = query.headers.text(core.header_names.request_id)?.to_owned();
     let configuration = core.configuration()?;
-    let now = core.now();
     let content = Content::parse(core, query, &envelope.cache_salt);
     Some(AdmittedRequest {
         id,
@@ -203,13 +207,13 @@
         model: content.model,
         prompt: content.prompt,
         max_output_tokens: content.max_output_tokens,
-        arrived_at: envelope.arrived_at(now),
-        deadline: now + envelope.left,
+        arrived_at: envelope.arrived_at(received),
+        deadline: received + envelope.left,
         is_forwarded: true,
     })
 }
 
-/// What the head of a request says about its content.
+/// Properties of a request's content, from its head.
 struct Content {
     model: Option<String>,
     prompt: Vec<Segment>,
--- a/crates/jb-relay/src/detour/serve.rs
+++ b/crates/jb-relay/src/detour/serve.rs
@@ -7,7 +7,7 @@
 use tokio::time::timeout;
 
 use super::message::{Envelope, FAILURE_HEADER, Failure, Verdict};
-use crate::admission;
+use crate::admission::{self, AdmittedRequest};
 use crate::attempt::MAX_HEAD_BYTES;
 use crate::core::{Core, Shared};
 use crate::exchange::{Exchange, RequestOutcome};
@@ -24,6 +24,7 @@
 /// # Errors
 /// The connection failed before the request was read.
 pub async fn serve(core: Shared, mut stream: TcpStream, envelope: Envelope) -> Result<(), http::Error> {
+    let received = core.now();
     let verdict = verdict(&core, &envelope.service);
     peers::reply_to_offer(&mut stream, verdict).await?;
     if verdict != Verdict::Accepted {
@@ -36,7 +37,8 @@
     let (head, body) = timeout(REQUEST_TIMEOUT, read(&core, &mut client))
         .await
         .map_err(|_| http::Error::Io(std::io::ErrorKind::TimedOut.into()))??;
-    run(&core, &mut client, &head, &body, &envelope).await;
+    let request = admission::admit_forwarded(&core, &head, &envelope, received);
+    run(&core, &mut client, &head, &body, request).await;
     Ok(())
 }
 
@@ -79,8 +81,14 @@
     Ok((head, body))
 }
 
-async fn run(core: &Shared, client: &mut Connection, head: &RequestHead, body: &Bytes, envelope: &Envelope) {
-    let Some(request) = admission::admit_forwarded(core, head, envelope) else {
+async fn run(
+    core: &Shared,
+    client: &mut Connection,
+    head: &RequestHead,
+    body: &Bytes,
+    request: Option<AdmittedRequest>,
+) {
+    let Some(request) = request else {
         let id = head
             .headers
             .text(core.header_names.request_id)
--- a/crates/jb-relay/src/exchange/detour.rs
+++ b/crates/jb-relay/src/exchange/detour.rs
@@ -17,7 +17,7 @@
 /// margin.
 const PARTITIONED_RETRY_AFTER: Duration = Duration::from_millis(500);
 
-/// How a request goes on while this box may reach no upstream.
+/// Next step of a request, depending on whether this box reaches upstreams.
 pub(super) enum Path {
     /// An upstream is selected and sent the request.
     Direct,
@@ -37,7 +37,11 @@
         }
         if !self.message.request.is_forwarded {
             let envelope = Envelope::new(self.core, self.message.request, self.runs);
-            if let Some(helper) = detour::connect(self.core, &envelope).await {
+            let helper = tokio::select! {
+                helper = detour::connect(self.core, &envelope) => helper,
+                () = client.wait_closed() => return Path::Ended(RequestOutcome::CallerGone),
+            };
+            if let Some(helper) = helper {
                 return Path::Ended(self.detour(helper, client).await);
             }
         }
--- a/crates/jb-relay/src/peers/register.rs
+++ b/crates/jb-relay/src/peers/register.rs
@@ -49,7 +49,7 @@
         "{address} {} {}",
         core.settings.hall, core.settings.capacity.link_mbps
     );
-    // Can't be told any more once this process has written its address.
+    // Unknown once this process has written its address.
     core.is_restarted();
     let key = address_key(&core.settings.id);
     let known = core.box_items.borrow().get(&key).cloned();
--- a/crates/jb-relay/src/peers/reservation.rs
+++ b/crates/jb-relay/src/peers/reservation.rs
@@ -309,7 +309,7 @@
         upstream.reservations.reserve(query.id, tokens, prefill, deadline);
         upstream.health.note_sent();
         if query.admission != Admission::Room {
-            // The box that asks for room tells of the prompt in another way.
+            // A box that asks for room also announces the prompt in its status.
             upstream
                 .cache
                 .insert(shared.into_iter(), u64::from(query.unshared));
