--- a/crates/jb-soak/src/cuts.rs
+++ b/crates/jb-soak/src/cuts.rs
@@ -1,5 +1,6 @@
 //! Boxes that are cut off from all engines, while callers, the store and the other boxes reach them.
 
+use std::collections::BTreeSet;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -22,6 +23,8 @@
 const SILENCE: Duration = Duration::from_millis(1100);
 /// Requests that a silent engine holds.
 const SILENT_REQUESTS: usize = 6;
+/// Length of the moments in which boxes are compared.
+const MOMENT: Duration = Duration::from_millis(250);
 /// Failed first attempts that are tolerated in addition to one in [`TOLERATED_ONE_IN`].
 const TOLERATED: usize = 10;
 /// See [`TOLERATED`].
@@ -75,10 +78,18 @@
             let is_undisturbed = !world.had_fault_since(one.request.at, sent - CONTACT, sent);
             from <= sent && sent < period.until && is_undisturbed
         };
-        let (cut, others): (Vec<&Exchange>, Vec<&Exchange>) = exchanges
+        let (mut cut, mut others): (Vec<&Exchange>, Vec<&Exchange>) = exchanges
             .iter()
             .filter(counted)
             .partition(|one| period.boxes.contains(&one.request.at));
+        // Faults of engines and roll-outs hit all boxes, so only the same moments are compared.
+        let moment = |one: &&Exchange| (one.request.sent - from).as_millis() / MOMENT.as_millis();
+        let (of_cut, of_others): (BTreeSet<u128>, BTreeSet<u128>) = (
+            cut.iter().map(moment).collect(),
+            others.iter().map(moment).collect(),
+        );
+        cut.retain(|one| of_others.contains(&moment(one)));
+        others.retain(|one| of_cut.contains(&moment(one)));
         let served = |all: &[&Exchange]| all.iter().filter(|one| one.status == Some(200)).count();
         let failed = cut.len() - served(&cut);
         let tolerated = TOLERATED + (cut.len() + others.len()) / TOLERATED_ONE_IN;
