--- a/crates/jb-soak/src/brittle.rs
+++ b/crates/jb-soak/src/brittle.rs
@@ -39,9 +39,9 @@
     };
     let before = falls();
     set(engines, Some(limit), usize::MAX);
-    restart_fallen(engines, CONTACT).await;
+    restart_fallen(world, CONTACT).await;
     set(engines, Some(limit), SLOTS + random.random_range(0..3));
-    restart_fallen(engines, BRITTLE_TIME).await;
+    restart_fallen(world, BRITTLE_TIME).await;
     set(engines, None, 0);
     let fallen = falls() - before;
     // Rejections of a fallen engine may still be on their way; it is back before the end of the run.
@@ -66,15 +66,18 @@
 }
 
 /// Waits, and starts the engines again that have ended.
-async fn restart_fallen(engines: &[Rc<Engine>], time: Duration) {
+async fn restart_fallen(world: &World, time: Duration) {
+    let engines = &world.engines;
     let until = Instant::now() + time;
     let mut ended = vec![None; engines.len()];
     while Instant::now() < until || engines.iter().any(|engine| engine.has_ended()) {
-        for (engine, ended) in engines.iter().zip(&mut ended) {
+        for (at, (engine, ended)) in engines.iter().zip(&mut ended).enumerate() {
             if engine.has_ended() {
                 let since = *ended.get_or_insert(Instant::now());
                 if Instant::now() > since + RESTART_TIME {
                     engine.relaunch().await;
+                    // The entry names the start time.
+                    world.write_entry(at);
                     *ended = None;
                 }
             }
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -73,3 +73,11 @@
         }
     }
 }
+
+/// Guards against brittle engines that end, and callers that are served worse, while two boxes are cut off and the one
+/// that counts the engines' requests restarts.
+#[test]
+fn brittle_engines_hold_while_their_owner_restarts_and_boxes_are_cut_off() {
+    let checks = run(305, Set::Cuts);
+    assert!(checks.hold(), "{checks}");
+}
