--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -81,3 +81,11 @@
     let checks = run(305, Set::Cuts);
     assert!(checks.hold(), "{checks}");
 }
+
+/// Guards against a box that is stopping, takes new requests of its own callers, and helps nobody, while all others are
+/// cut off.
+#[test]
+fn stopping_box_helps_while_all_others_are_cut_off() {
+    let checks = run(107, Set::Cuts);
+    assert!(checks.hold(), "{checks}");
+}
