--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -89,3 +89,11 @@
     let checks = run(107, Set::Cuts);
     assert!(checks.hold(), "{checks}");
 }
+
+/// Guards against a helper that accepts requests although its open connections to engines have ended, beside a box that
+/// could serve them.
+#[test]
+fn helper_without_open_connections_declines() {
+    let checks = run(410, Set::Cuts);
+    assert!(checks.hold(), "{checks}");
+}
