Log how a response was framed and whether its stream ended within an event

Logs couldn't tell a stream that was cut off within an event from one that ended, nor how its response was framed. request_ended has framing and within_event now. The splitter also finds an empty line after a bare line feed or carriage return, as it shares the list of ends with the new tracker.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -9,7 +9,7 @@
 use crate::admission::AdmittedRequest;
 use crate::attempt::{Message, Reply};
 use crate::core::Shared;
-use crate::events::EventSplitter;
+use crate::events::{Boundary, EventSplitter};
 use crate::http::{self, Connection, Framing, ResponseHead, write_response_head};
 use crate::pool;
 
@@ -155,13 +155,15 @@
     out.put_slice(b"\r\n");
 }
 
-/// Timing of a stream's events as the caller sees them.
+/// Timing of a stream's events as the caller sees them, and how its last response ended.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct StreamTiming {
     /// Time from the request to the first event.
     pub first: Option<Duration>,
     /// Longest gap between two events.
     pub pause: Duration,
+    /// Whether the bytes received last end between two events.
+    pub boundary: Boundary,
     last: Moment,
 }
 
@@ -194,6 +196,7 @@
 ) -> DeliveryOutcome {
     let request = message.request;
     let mut events = EventSplitter::default();
+    pace.boundary = Boundary::default();
     // The head is sent with the first event; for a resumed stream it has already been sent.
     let mut out = match message.last_event {
         Some(_) => BytesMut::new(),
@@ -210,6 +213,7 @@
         match next_part(&mut reply, client, left, stall_limit).await {
             Part::Data(data) => {
                 on_data();
+                pace.boundary.push(&data);
                 let before = out.len();
                 if request.route.resumable {
                     events.push(&data);
--- a/crates/jb-relay/src/events.rs
+++ b/crates/jb-relay/src/events.rs
@@ -53,15 +53,38 @@
     }
 }
 
-fn end_of_event(bytes: &[u8]) -> Option<usize> {
-    let bare = memchr::memmem::find(bytes, b"\n\n").map(|at| at + 2);
-    let full = memchr::memmem::find(bytes, b"\r\n\r\n").map(|at| at + 4);
-    match (bare, full) {
-        (Some(bare), Some(full)) => Some(bare.min(full)),
-        (bare, full) => bare.or(full),
+/// Tracks whether the bytes of a stream received so far end between two events. Unlike [`EventSplitter`], it doesn't
+/// buffer them.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Boundary {
+    /// The last bytes, the latest in the lowest eight bits; zero where there are none yet.
+    tail: u32,
+}
+
+impl Boundary {
+    /// Advances over bytes of the stream.
+    pub fn push(&mut self, bytes: &[u8]) {
+        let last = &bytes[bytes.len().saturating_sub(size_of::<u32>())..];
+        self.tail = last.iter().fold(self.tail, |tail, byte| (tail << 8) | u32::from(*byte));
+    }
+
+    /// Returns whether the stream has begun an event that is not complete.
+    pub fn is_within_event(&self) -> bool {
+        let tail = self.tail.to_be_bytes();
+        self.tail != 0 && !BLANK_LINES.iter().any(|line| tail.ends_with(line))
     }
 }
 
+/// Ends of an event: the end of a line, and an empty line.
+const BLANK_LINES: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+
+fn end_of_event(bytes: &[u8]) -> Option<usize> {
+    let ends = BLANK_LINES
+        .iter()
+        .filter_map(|line| Some(memchr::memmem::find(bytes, line)? + line.len()));
+    ends.min()
+}
+
 fn id_of(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
     let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
--- a/crates/jb-relay/src/exchange/detour.rs
+++ b/crates/jb-relay/src/exchange/detour.rs
@@ -116,6 +116,7 @@
         let core = self.core;
         let request = self.message.request;
         let status = answer.status;
+        self.framing = Some(answer.framing);
         let is_success = (200..300).contains(&status);
         if self.has_begun() && !is_success {
             return RequestOutcome::Broken(ERROR_WITHIN_STREAM);
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -20,7 +20,7 @@
 use crate::configuration::RouteKind;
 use crate::core::Shared;
 use crate::deliver::{self, DeliveryOutcome, StreamTiming};
-use crate::http::{Connection, RequestHead};
+use crate::http::{Connection, Framing, RequestHead};
 use crate::peers::{self, Permit, Reservation};
 use crate::quarantine;
 use crate::upstream::Instance;
@@ -64,6 +64,8 @@
     /// Result of the current attempt, which the release of the reservation reports.
     pub(super) ending: Option<Rc<Cell<peers::Outcome>>>,
     pub(super) timing: StreamTiming,
+    /// Framing of the last response.
+    pub(super) framing: Option<Framing>,
     /// Box that the request was sent through.
     pub(super) helper: Option<id::Box>,
 }
@@ -103,6 +105,7 @@
             fingerprint: OnceCell::new(),
             ending: None,
             timing: StreamTiming::default(),
+            framing: None,
             helper: None,
         }
     }
@@ -291,6 +294,7 @@
         let core = self.core;
         let request = self.message.request;
         let status = reply.answer.status;
+        self.framing = Some(reply.answer.framing);
         let success = (200..300).contains(&status);
         let signed = reply.answer.headers.get(core.header_names.signature).is_some();
         if success && (!signed || reply.answer.headers.get("content-encoding").is_some()) {
@@ -371,6 +375,11 @@
         self.core.now().saturating_sub(self.message.request.arrived_at)
     }
 
+    /// Returns the framing of the last response; `None` if there was none.
+    pub fn framing(&self) -> Option<Framing> {
+        self.framing
+    }
+
     /// Returns the timing of the stream's events.
     pub fn timing(&self) -> StreamTiming {
         self.timing
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -314,7 +314,9 @@
         "ms" => exchange.elapsed().as_millis() as u64, "tried" => tried(exchange),
         "helper" => exchange.helper(), "is_forwarded" => request.is_forwarded,
         "first_ms" => exchange.timing().first.map(|first| first.as_millis() as u64),
-        "pause_ms" => exchange.timing().pause.as_millis() as u64, "version" => request.configuration.version);
+        "pause_ms" => exchange.timing().pause.as_millis() as u64,
+        "framing" => exchange.framing().map(Framing::name),
+        "within_event" => exchange.timing().boundary.is_within_event(), "version" => request.configuration.version);
 }
 
 /// Returns the ids of the upstreams that the request was sent to, in order.
--- a/crates/jb-relay/src/http/body.rs
+++ b/crates/jb-relay/src/http/body.rs
@@ -18,6 +18,17 @@
     UntilClose,
 }
 
+impl Framing {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Length(_) => "length",
+            Self::Chunked => "chunked",
+            Self::UntilClose => "until_close",
+        }
+    }
+}
+
 /// Result of decoding the buffered bytes.
 #[derive(Debug, PartialEq, Eq)]
 pub enum Step {
