--- a/crates/jb-relay/src/events.rs
+++ b/crates/jb-relay/src/events.rs
@@ -65,7 +65,9 @@
     /// Advances over bytes of the stream.
     pub fn push(&mut self, bytes: &[u8]) {
         let last = &bytes[bytes.len().saturating_sub(size_of::<u32>())..];
-        self.tail = last.iter().fold(self.tail, |tail, byte| (tail << 8) | u32::from(*byte));
+        self.tail = last
+            .iter()
+            .fold(self.tail, |tail, byte| (tail << 8) | u32::from(*byte));
     }
 
     /// Returns whether the stream has begun an event that is not complete.
