Treat a stream that closes within an event as broken, on all routes

Callers saw: a stream whose engine had cut it off reached them with the end of a complete response.

Cause: a response with neither a length nor chunks ends with its connection, and an orderly close counted as its end. Only resumable routes looked at events, so on others a close within an event, or before the first one, counted as a complete stream. The class: the absence of a sign of failure was taken for a sign of success.

Change: the tracker of event boundaries decides on all routes. A response that reached its stated length stays complete; a stream without a length that brought no event is broken.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -195,6 +195,9 @@
     mut can_move: impl FnMut() -> bool,
 ) -> DeliveryOutcome {
     let request = message.request;
+    let ends_by_close = reply.body.ends_by_close();
+    // A response that has reached its stated length is complete, whatever its content.
+    let has_length = matches!(reply.answer.framing, Framing::Length(_));
     let mut events = EventSplitter::default();
     pace.boundary = Boundary::default();
     // The head is sent with the first event; for a resumed stream it has already been sent.
@@ -236,7 +239,16 @@
                 }
                 out.clear();
             }
-            Part::End if !events.is_empty() => return cut_off(has_started, "stream ended within an event"),
+            Part::End if !events.is_empty() || (!has_length && pace.boundary.is_within_event()) => {
+                return cut_off(has_started, "stream ended within an event");
+            }
+            // Nothing distinguishes the close of a connection before any event from a crash.
+            Part::End if ends_by_close && pace.boundary.is_empty() => {
+                return cut_off(
+                    has_started,
+                    "stream without a length ended before its first event",
+                );
+            }
             Part::End => break,
             Part::Broken(why) => return cut_off(has_started, why),
             Part::Silent if can_move() => return cut_off(has_started, "stream stalled"),
--- a/crates/jb-relay/src/events.rs
+++ b/crates/jb-relay/src/events.rs
@@ -70,10 +70,15 @@
             .fold(self.tail, |tail, byte| (tail << 8) | u32::from(*byte));
     }
 
+    /// Returns whether nothing of the stream has been received.
+    pub fn is_empty(&self) -> bool {
+        self.tail == 0
+    }
+
     /// Returns whether the stream has begun an event that is not complete.
     pub fn is_within_event(&self) -> bool {
         let tail = self.tail.to_be_bytes();
-        self.tail != 0 && !BLANK_LINES.iter().any(|line| tail.ends_with(line))
+        !self.is_empty() && !BLANK_LINES.iter().any(|line| tail.ends_with(line))
     }
 }
 
