Soak: engines of several software versions, and callers that resume streams

Cause: the soak's engines all had one software version, its streams were over at once, and its callers gave up a stream that broke. So neither a stream that goes on at another version nor one that is cut off without a length could show.

Engines of three versions, by hall in some seeds, are released, rolled back and restarted under their id with another version, beside kills, restarts, pauses and cuts of boxes from the store, and engines that break streams midway or send them without a length: whole, cut off within an event, or before the first one. Streams pause between events. Callers take broken streams up at another box with Last-Event-Id and Resumes, three attempts at most. Two new promises: Version (at most two streams of two versions) and Resume (half as many go on as begin). Order is stricter for all sets: a complete stream has to end with a whole event, and the events of a broken one have to follow each other where callers resume.

--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -12,8 +12,10 @@
 use tokio::time::{sleep, timeout};
 
 use crate::checks::Promise;
+use crate::faults::Set;
 use crate::limits;
 use crate::signals;
+use crate::versions;
 use crate::world::World;
 
 /// Maximum wait for a response: the longest route time-out and one second.
@@ -95,7 +97,11 @@
             }
         };
         count += 1;
-        let path = PATHS[random.random_range(0..PATHS.len())];
+        let paths = match world.set {
+            Set::Versions => versions::PATHS.as_slice(),
+            _ => PATHS.as_slice(),
+        };
+        let path = paths[random.random_range(0..paths.len())];
         let key = if random.random_bool(0.8) {
             "key-ann"
         } else {
@@ -111,9 +117,18 @@
             starts: world.boxes[at].starts(),
             sent: Instant::now(),
         };
-        let got = timeout(RESPONSE_TIMEOUT, caller.raw(bytes.as_bytes())).await;
-        let got = got.ok().and_then(Result::ok);
-        check_response(&world, &sent_request.id, path, got.as_ref());
+        let got = match world.set {
+            Set::Versions => versions::ask(&mut caller, &bytes).await,
+            _ => timeout(RESPONSE_TIMEOUT, caller.raw(bytes.as_bytes()))
+                .await
+                .ok()
+                .and_then(Result::ok),
+        };
+        check_response(&world, &sent_request.id, path, 0, got.as_ref());
+        let takes_up = world.set == Set::Versions && path.starts_with("/resume");
+        if takes_up {
+            versions::take_up(&world, &sent_request, got.as_ref(), &mut random).await;
+        }
         world.exchanges.borrow_mut().push(sent_request.end(got.as_ref()));
         let is_reusable = got.is_some_and(|got| got.complete && got.answer.keep_alive);
         connection = is_reusable.then_some((at, caller));
@@ -130,8 +145,8 @@
     timeout(max_wait, response).await.ok().flatten()
 }
 
-/// Checks the promises that a single response can show.
-fn check_response(world: &World, id: &str, path: &str, got: Option<&Response>) {
+/// Checks the promises that a single response can show; `after` is the last event that the caller had before.
+pub fn check_response(world: &World, id: &str, path: &str, after: u64, got: Option<&Response>) {
     let Some(got) = got else { return };
     let mut checks = world.checks.borrow_mut();
     let own = got.answer.headers.text(ID);
@@ -146,10 +161,13 @@
         let whole = got.body.starts_with(&format!("done {id} at "));
         checks.check(Promise::OwnAnswer, whole, || format!("{id} got {:?}", got.body));
     } else {
-        let events = got.events();
-        let rising = events.iter().copied().eq(1..=crate::world::EVENTS);
-        checks.check(Promise::Order, rising, || {
-            format!("{id} got the events {events:?}")
+        let (events, rest) = got.whole_events();
+        let rising = events
+            .iter()
+            .map(|(id, _)| *id)
+            .eq(after + 1..=crate::world::EVENTS);
+        checks.check(Promise::Order, rising && rest.is_empty(), || {
+            format!("{id} got the events {events:?} and {rest:?} after {after}")
         });
     }
 }
--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -37,12 +37,16 @@
     Brittle,
     /// A request that crashes engines reaches few more once three have crashed.
     Poison,
+    /// Streams hold events of one software version only, within one response and over the attempts of a caller.
+    Version,
+    /// Streams that callers take up again go on about as often as new ones begin.
+    Resume,
     /// All boxes serve requests again after the last fault.
     Recovery,
 }
 
 /// All promises, in the order of the report.
-pub const ALL: [Promise; 16] = [
+pub const ALL: [Promise; 18] = [
     Promise::OwnAnswer,
     Promise::Order,
     Promise::Once,
@@ -58,6 +62,8 @@
     Promise::Reach,
     Promise::Brittle,
     Promise::Poison,
+    Promise::Version,
+    Promise::Resume,
     Promise::Recovery,
 ];
 
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -1,6 +1,6 @@
 //! Fault injection; the faults are drawn from the seed.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jb_site_fakes::engine::Action;
 use jb_site_fakes::store::Behavior;
@@ -14,6 +14,7 @@
 use crate::limits;
 use crate::restores;
 use crate::signals;
+use crate::versions;
 use crate::world::{EVENTS, World, config};
 use jb_site_fakes::proxy::Link;
 
@@ -53,6 +54,12 @@
     Silence,
     /// All engines crash when they have to reject too many requests.
     Brittle,
+    /// Engines of one software version replace some of the others.
+    Release,
+    /// An engine restarts under its id with another software version.
+    Renew,
+    /// An engine breaks its next streams, or ends them with their connections.
+    Streams,
 }
 
 impl Fault {
@@ -82,6 +89,8 @@
     Restores,
     /// Cuts between boxes and engines, silent and brittle engines, and faults of boxes and of the store.
     Cuts,
+    /// Releases of engine software, streams that break, and faults of boxes and of their links to the store.
+    Versions,
     /// The faults of `First` at a lower rate, beside callers whose request crashes engines.
     Poison,
 }
@@ -142,10 +151,27 @@
     }
 }
 
+/// Size of the draw for [`Set::Versions`].
+const WITH_VERSIONS: u32 = 20;
+
+fn draw_with_versions(random: &mut ChaCha8Rng) -> Fault {
+    match random.random_range(0..WITH_VERSIONS) {
+        0..=5 => Fault::Kill,
+        6 | 7 => Fault::Stop,
+        8 => Fault::Pause,
+        9 => Fault::Link(Link::Silent),
+        10 => Fault::Link(Link::Reset),
+        11..=14 => Fault::Release,
+        15 | 16 => Fault::Renew,
+        _ => Fault::Streams,
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, set: Set) -> Fault {
     let count = match set {
         Set::Restores => return draw_with_restores(random),
         Set::Cuts => return draw_with_cuts(random),
+        Set::Versions => return draw_with_versions(random),
         Set::First | Set::Poison => FIRST,
         Set::All => ALL,
         Set::Words => WORDS,
@@ -186,7 +212,11 @@
     let duration = Duration::from_millis(random.random_range(FAULT_DURATION_MS));
     world.log(&format!("{fault:?} box {at} engine {engine} for {duration:?}"));
     let target = &world.boxes[at];
-    if !matches!(fault, Fault::Cut | Fault::Silence | Fault::Brittle) {
+    let affects_engines = matches!(
+        fault,
+        Fault::Cut | Fault::Silence | Fault::Brittle | Fault::Release | Fault::Renew | Fault::Streams
+    );
+    if !affects_engines {
         world.record_fault(at, fault.affects_all_boxes(), duration);
     }
     match fault {
@@ -235,6 +265,9 @@
         Fault::Cut => cuts::cut(&world, &mut random).await,
         Fault::Silence => cuts::silence(&world, engine),
         Fault::Brittle => brittle::play(&world, &mut random).await,
+        Fault::Release => versions::release(&world, &mut random).await,
+        Fault::Renew => versions::renew(&world, &mut random).await,
+        Fault::Streams => versions::queue_faulty_streams(&world, &mut random),
         Fault::Compact => world.store.compact(),
         Fault::Leases => world.store.end_leases(),
         Fault::Engine => queue_faulty_responses(&world, engine, &mut random),
@@ -257,6 +290,7 @@
     const POLL_INTERVAL: Duration = Duration::from_millis(50);
     let target = &world.boxes[at];
     let process = target.starts();
+    let from = Instant::now();
     while target.is_running() && target.starts() == process {
         sleep(POLL_INTERVAL).await;
     }
@@ -264,6 +298,12 @@
     if target.starts() == process && !world.stopped.get() {
         target.start();
     }
+    if world.set == Set::Versions {
+        while target.is_running() && target.address().is_none() {
+            sleep(POLL_INTERVAL).await;
+        }
+        world.record_fault_since(at, from);
+    }
 }
 
 /// Queues faulty responses on an engine for its next requests.
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -17,4 +17,5 @@
 pub mod restores;
 pub mod run;
 pub mod signals;
+pub mod versions;
 pub mod world;
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -46,6 +46,9 @@
     /// boxes that are cut off from all engines, silent and brittle engines, and faults of boxes
     #[argh(switch)]
     cuts: bool,
+    /// engines of several software versions, releases, streams that break, and faults of boxes
+    #[argh(switch)]
+    versions: bool,
     /// faults of boxes and of the store, which is restored from backups
     #[argh(switch)]
     restores: bool,
@@ -57,6 +60,7 @@
             Self { poison: true, .. } => Set::Poison,
             Self { restores: true, .. } => Set::Restores,
             Self { cuts: true, .. } => Set::Cuts,
+            Self { versions: true, .. } => Set::Versions,
             Self { limits: true, .. } => Set::Limits,
             Self { signals: true, .. } => Set::Words,
             Self { first: true, .. } => Set::First,
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -20,6 +20,7 @@
 use crate::poison;
 use crate::restores;
 use crate::signals;
+use crate::versions;
 use crate::world::World;
 use jb_site_fakes::proxy::Link;
 
@@ -72,6 +73,7 @@
     recover(&world).await;
     let callers = match plan.set {
         Set::Cuts => CALLERS_PER_CALLER * plan.callers,
+        Set::Versions => versions::CALLERS_PER_CALLER * plan.callers,
         _ => plan.callers,
     };
     let callers: Vec<_> = (0..callers)
@@ -83,6 +85,9 @@
         }
         spawn_local(poison::restart_crashed(Rc::clone(&world)));
     }
+    if plan.set == Set::Versions {
+        spawn_local(versions::sample(Rc::clone(&world)));
+    }
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
     let end = Instant::now() + plan.duration;
     let mut faults = Vec::new();
@@ -127,6 +132,7 @@
     signals::check(&world, &mut checks);
     limits::check(&world, &mut checks);
     cuts::check(&world, &mut checks);
+    versions::check(&world, &mut checks);
     restores::check(&world, &mut checks);
     checks
 }
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -24,6 +24,7 @@
 use crate::limits::Limit;
 use crate::poison::{self, PoisonAttempt};
 use crate::run::Plan;
+use crate::versions::{self, Fleet};
 
 /// Number of events in a complete stream.
 pub const EVENTS: u64 = 6;
@@ -84,6 +85,8 @@
     pub callers: usize,
     /// Rate limits that engines announced.
     pub limits: RefCell<Vec<Limit>>,
+    /// Engines in service, and the streams of callers, where software versions are among the faults.
+    pub fleet: Fleet,
     /// Fault periods of each box.
     fault_periods: RefCell<Vec<Vec<FaultPeriod>>>,
     began: Instant,
@@ -101,7 +104,11 @@
         let store = Store::start().await;
         store.put_config(&config(1, &["key-ann", "key-cut"]));
         let mut engines = Vec::new();
-        for number in 0..plan.engines {
+        let count = match plan.set {
+            Set::Versions => plan.engines * versions::ENGINES_PER_ENGINE,
+            _ => plan.engines,
+        };
+        for number in 0..count {
             let engine = Engine::start(&format!("engine-{number}")).await;
             engine.events.set(EVENTS);
             if plan.set != Set::First {
@@ -110,9 +117,15 @@
             if plan.set == Set::Poison {
                 engine.crash_body.replace(Some(poison::CRASH_BODY.to_owned()));
             }
-            store.put_engine(&engine, false);
+            if plan.set != Set::Versions {
+                store.put_engine(&engine, false);
+            }
             engines.push(engine);
         }
+        let fleet = match plan.set {
+            Set::Versions => Fleet::start(plan, &store, &engines),
+            _ => Fleet::default(),
+        };
         let mut boxes = Vec::new();
         let mut paths = Vec::new();
         for number in 0..plan.boxes {
@@ -141,6 +154,7 @@
             exchanges: RefCell::default(),
             poison_attempts: RefCell::default(),
             limits: RefCell::default(),
+            fleet,
             fault_periods: RefCell::new(vec![Vec::new(); plan.boxes]),
             checks: RefCell::default(),
             stopped: Cell::default(),
@@ -163,6 +177,11 @@
         }
     }
 
+    /// Returns a moment in seconds since the start of the run.
+    pub fn seconds(&self, moment: Instant) -> f64 {
+        (moment - self.began).as_secs_f64()
+    }
+
     /// Returns the keys that are valid.
     pub fn keys(&self) -> Vec<&'static str> {
         if self.revoked.get().is_some() {
@@ -207,12 +226,17 @@
     /// Drains an engine through its entry, if enough others stay.
     pub fn drain(&self, engine: usize) {
         if self.may_drain(engine) {
-            self.store.put_engine(&self.engines[engine], true);
-            let until = Instant::now() + DRAIN_BOUND;
-            self.draining.borrow_mut().insert(engine, (until, 0));
+            self.write_drain(engine);
         }
     }
 
+    /// Writes the entry of an engine that drains.
+    pub fn write_drain(&self, engine: usize) {
+        self.store.put_engine(&self.engines[engine], true);
+        let until = Instant::now() + DRAIN_BOUND;
+        self.draining.borrow_mut().insert(engine, (until, 0));
+    }
+
     /// Deletes an engine's entry while the engine keeps serving, if enough others stay.
     pub fn delete_entry(&self, engine: usize) {
         if self.may_drain(engine) {
@@ -250,6 +274,14 @@
         }
     }
 
+    /// Records a fault period of one box that ends now.
+    pub fn record_fault_since(&self, at: usize, from: Instant) {
+        self.fault_periods.borrow_mut()[at].push(FaultPeriod {
+            time: from..Instant::now(),
+            each: false,
+        });
+    }
+
     /// Returns whether a box has had no fault for longer than `time`.
     pub fn is_fault_free(&self, at: usize, time: Duration) -> bool {
         let fault_periods = &self.fault_periods.borrow()[at];
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -31,7 +31,7 @@
         // Cuts are checked from three seconds after their start on.
         duration: Duration::from_secs(match set {
             Set::Poison => 12,
-            Set::Cuts => 10,
+            Set::Cuts | Set::Versions => 10,
             _ => 6,
         }),
         set,
@@ -97,3 +97,14 @@
     let checks = run(410, Set::Cuts);
     assert!(checks.hold(), "{checks}");
 }
+
+/// Guards against streams that go on at an engine of another software version, in a box or with the attempt of a caller at
+/// another box.
+#[test]
+fn streams_stay_at_their_software_version() {
+    let checks = run(1, Set::Versions);
+    assert!(checks.hold(), "{checks}");
+    for promise in [Promise::Order, Promise::Version, Promise::Recovery] {
+        assert!(checks.seen(promise) > 0, "{promise:?} was not exercised");
+    }
+}
