--- a/crates/jb-soak/src/versions.rs
+++ b/crates/jb-soak/src/versions.rs
@@ -26,9 +26,9 @@
 /// Callers for each one of the plan, so that the end of a box breaks several streams.
 pub const CALLERS_PER_CALLER: u64 = 4;
 /// Engines that serve at the start for each one of the plan, so that several of each version serve.
-const SERVING_PER_ENGINE: usize = 2;
+const SERVING_PER_ENGINE: usize = 3;
 /// Engines that are created for each one of the plan; releases register those that don't serve at the start.
-pub const ENGINES_PER_ENGINE: usize = 10;
+pub const ENGINES_PER_ENGINE: usize = 12;
 /// Paths of the requests, each as often as it is listed.
 pub const PATHS: [&str; 4] = ["/stream/a", "/resume/a", "/resume/a", "/resume/a"];
 /// Software versions.
@@ -55,6 +55,8 @@
 const LINGER: Duration = Duration::from_secs(1);
 /// Time that the restart of an engine takes, in milliseconds.
 const RESTART_MS: std::ops::Range<u64> = 100..600;
+/// Number of faulty streams that are queued on an engine at once.
+const QUEUED_STREAMS: std::ops::Range<usize> = 4..12;
 /// Interval at which the engines that serve are counted.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
 /// Number of streams that may hold events of two versions.
@@ -236,7 +238,7 @@
         return;
     };
     let engine = &world.engines[at];
-    let actions: Vec<Action> = (0..random.random_range(1..6))
+    let actions: Vec<Action> = (0..random.random_range(QUEUED_STREAMS))
         .map(|_| draw_stream(engine, random))
         .collect();
     world.log(&format!("engine {at}: {actions:?}"));
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -102,9 +102,17 @@
 /// another box.
 #[test]
 fn streams_stay_at_their_software_version() {
-    let checks = run(1, Set::Versions);
-    assert!(checks.hold(), "{checks}");
-    for promise in [Promise::Order, Promise::Version, Promise::Recovery] {
-        assert!(checks.seen(promise) > 0, "{promise:?} was not exercised");
+    let runs = [4, 6].map(|seed| run(seed, Set::Versions));
+    for checks in &runs {
+        assert!(checks.hold(), "{checks}");
+    }
+    for promise in [
+        Promise::Order,
+        Promise::Version,
+        Promise::Resume,
+        Promise::Recovery,
+    ] {
+        let seen: u32 = runs.iter().map(|checks| checks.seen(promise)).sum();
+        assert!(seen > 0, "{promise:?} was not exercised");
     }
 }
