Log software versions of upstreams and the request that a stream resumes

Logs couldn't tell which software version ran a request, nor which stream an attempt of a caller takes up. upstream_seen and request_placed name the software version, which was decoded and dropped before; request_ended names the request in Resumes.

--- a/crates/jb-protocol/src/id.rs
+++ b/crates/jb-protocol/src/id.rs
@@ -22,5 +22,7 @@
 pub type Edit = String;
 /// Version of a model's weights.
 pub type Weights = String;
+/// Version of the software of an upstream.
+pub type SoftwareVersion = String;
 /// Fencing token, which the platform increases whenever a lease gets another holder.
 pub type Fence = u64;
--- a/crates/jb-relay/src/admission.rs
+++ b/crates/jb-relay/src/admission.rs
@@ -34,6 +34,9 @@
     pub service: id::Service,
     /// Customer that sent it; `None` on public routes.
     pub customer: Option<id::Customer>,
+    /// Id of the request that brought the first event of the stream that this one takes up again; `None` if it names
+    /// none.
+    pub resumes: Option<String>,
     /// Units charged to the customer's quota; `None` without a quota.
     pub quota_cost: Option<u64>,
     /// Salt under which engines cache its prompt, without the weights version.
@@ -170,6 +173,7 @@
         id: id.to_owned(),
         service,
         customer: customer.map(|c| c.name),
+        resumes: query.headers.text(names.resumes).map(str::to_owned),
         quota_cost,
         cache_salt,
         urgency: priority.min(9),
@@ -201,6 +205,7 @@
         route: envelope.route(),
         service: envelope.service.clone(),
         customer: envelope.customer.clone(),
+        resumes: query.headers.text(core.header_names.resumes).map(str::to_owned),
         quota_cost: None,
         cache_salt: envelope.cache_salt.clone(),
         urgency: envelope.urgency,
--- a/crates/jb-relay/src/exchange/kv_transfer.rs
+++ b/crates/jb-relay/src/exchange/kv_transfer.rs
@@ -76,7 +76,8 @@
             "from" => self.message.kv_source.map(|from| from.to_string()), "to_store" => self.message.kv_target.is_some(),
             "family" => self.demand().prefix_group(),
             "running" => upstream.map(|upstream| upstream.running + upstream.peer_load.running),
-            "waiting" => upstream.map(|upstream| upstream.waiting + upstream.peer_load.waiting), "weights" => version);
+            "waiting" => upstream.map(|upstream| upstream.waiting + upstream.peer_load.waiting), "weights" => version,
+            "software" => upstream.map(|upstream| upstream.entry.software.as_str()));
         unread
     }
 
@@ -116,8 +117,12 @@
             .prompt_tokens()
             .saturating_sub(reserved.found + plan.tokens)
             .max(own);
+        let upstreams = core.upstreams.borrow();
+        let software = upstreams
+            .instance(instance)
+            .map(|upstream| upstream.entry.software.as_str());
         emit!(core.logger, info, event::REQUEST_PLACED, "request" => &request.id, "upstream" => %instance,
-            "tokens" => request.prompt_tokens(), "shared" => shared, "found" => reserved.found,
+            "software" => software, "tokens" => request.prompt_tokens(), "shared" => shared, "found" => reserved.found,
             "brought" => plan.tokens, "unread" => unread, "origin" => ?plan.origin, "stored" => reserved.stored,
             "from" => self.message.kv_source.map(|from| from.to_string()), "to_store" => self.message.kv_target.is_some(),
             "family" => self.demand().prefix_group(), "running" => reserved.load.running,
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -139,7 +139,7 @@
     }
     if let Some(Upstream { entry, .. }) = core.upstreams.borrow().get(id) {
         emit!(core.logger, info, event::UPSTREAM_SEEN, "upstream" => id, "service" => &entry.service,
-            "address" => %entry.address, "hall" => &entry.hall);
+            "address" => %entry.address, "hall" => &entry.hall, "software" => &entry.software);
     }
 }
 
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -315,7 +315,7 @@
         "helper" => exchange.helper(), "is_forwarded" => request.is_forwarded,
         "first_ms" => exchange.timing().first.map(|first| first.as_millis() as u64),
         "pause_ms" => exchange.timing().pause.as_millis() as u64,
-        "framing" => exchange.framing().map(Framing::name),
+        "resumes" => &request.resumes, "framing" => exchange.framing().map(Framing::name),
         "within_event" => exchange.timing().boundary.is_within_event(), "version" => request.configuration.version);
 }
 
--- a/crates/jb-relay/src/header_names.rs
+++ b/crates/jb-relay/src/header_names.rs
@@ -15,6 +15,8 @@
     pub prompt_segments: &'static str,
     /// Last event that the receiver of a stream has received.
     pub last_event: &'static str,
+    /// Id of the request that brought the first event of a stream that a caller takes up again.
+    pub resumes: &'static str,
     /// Signature of the engine that generated the response.
     pub signature: &'static str,
     /// Customer that sent the request.
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -80,6 +80,8 @@
     pub address: SocketAddr,
     /// Data hall that the upstream is in.
     pub hall: id::Hall,
+    /// Version of its software; an instance never changes it.
+    pub software: id::SoftwareVersion,
     /// Number of requests that the upstream processes concurrently.
     pub slots: u32,
     /// Whether the upstream drains; its own responses may say so before the store does.
--- a/crates/jb-relay/tests/instances.rs
+++ b/crates/jb-relay/tests/instances.rs
@@ -23,6 +23,7 @@
         hall: "hall-a".to_owned(),
         slots: 8,
         draining,
+        software: "v1".to_owned(),
         warm_up: Duration::ZERO,
         models: Vec::new(),
     })
