Tell the owners of a stream which software version began it

Cause: a caller that takes a broken stream up at another box names the request id of the attempt that began it. Only the first box knew which version began it, and that box is often the one that was lost.

Change: a box records the version that began each of its streams. While a service has several versions, it sends the origin to three owners, chosen by rendezvous hashing of the request id over all listed boxes, one of them in another data hall. A box that resumes the stream asks the owners in parallel. The messages are appended; a box of the previous version rejects them, so unanswered queries don't count towards its silence. A query that is dropped no longer leaves its entry behind. Whether a service has several versions comes from the registry later; until then it is never so, and nothing is sent on its own.

--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -34,6 +34,7 @@
 pub mod route;
 pub mod signal;
 pub mod stream;
+pub mod stream_origin;
 pub mod transfer;
 pub mod uplink;
 pub mod upstream;
--- a/crates/jb-protocol/src/id.rs
+++ b/crates/jb-protocol/src/id.rs
@@ -24,3 +24,5 @@
 pub type Weights = String;
 /// Fencing token, which the platform increases whenever a lease gets another holder.
 pub type Fence = u64;
+/// Version of the software of an upstream.
+pub type SoftwareVersion = String;
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -24,7 +24,7 @@
 use crate::mirror::Mirror;
 use crate::peers::{
     self, ChangeLog, Directory, Loads, Outbox, PendingPull, PendingWeights, Permit, Quotas, RateLimits,
-    Reachability, Reservations, RoundTrips, Source, Transfers,
+    Reachability, Reservations, RoundTrips, Source, StreamOrigins, Transfers,
 };
 use crate::port::{Change, Engines, Era, Revision, Store};
 use crate::quarantine::Quarantine;
@@ -116,6 +116,8 @@
     pub quotas: Quotas,
     /// Rate limits of upstreams.
     pub rate_limits: RateLimits,
+    /// Software versions that began streams.
+    pub stream_origins: StreamOrigins,
     /// Upstream signals that this version doesn't support.
     pub unknown_signals: UnknownSignals,
     /// Requests that crash engines.
@@ -193,6 +195,7 @@
             box_reachability: RefCell::default(),
             quotas: Quotas::default(),
             rate_limits: RateLimits::default(),
+            stream_origins: StreamOrigins::default(),
             unknown_signals: UnknownSignals::default(),
             quarantine: Quarantine::default(),
             peer_loads: RefCell::default(),
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -58,6 +58,12 @@
     pub rate_limit_timeouts: Counter,
     /// Permits decided by this box's own share of a rate limit.
     pub rate_limit_decided_locally: Counter,
+    /// Origins of streams sent to their owners, each counted once for every owner.
+    pub stream_origins_sent: Counter,
+    /// Queries to other boxes about the origin of a stream.
+    pub stream_origin_queries: Counter,
+    /// Streams whose origin neither this box nor the owners that replied knew.
+    pub stream_origins_unknown: Counter,
     /// Connections opened to upstreams.
     pub connections_opened: Counter,
     /// Services of which no upstream can be reached from this box.
@@ -109,6 +115,9 @@
         let rate_limit_denied = Counter::default();
         let rate_limit_timeouts = Counter::default();
         let rate_limit_decided_locally = Counter::default();
+        let stream_origins_sent = Counter::default();
+        let stream_origin_queries = Counter::default();
+        let stream_origins_unknown = Counter::default();
         let connections_opened = Counter::default();
         let uplinks_down = Gauge::default();
         let requests_forwarded = Counter::default();
@@ -175,6 +184,21 @@
             "Permits decided by this box's own share of a rate limit",
             rate_limit_decided_locally.clone(),
         );
+        registry.register(
+            "stream_origins_sent",
+            "Origins of streams sent to their owners",
+            stream_origins_sent.clone(),
+        );
+        registry.register(
+            "stream_origin_queries",
+            "Queries to other boxes about the origin of a stream",
+            stream_origin_queries.clone(),
+        );
+        registry.register(
+            "stream_origins_unknown",
+            "Streams whose origin no box knew",
+            stream_origins_unknown.clone(),
+        );
         registry.register(
             "upstream_connections",
             "Connections opened to upstreams",
@@ -246,6 +270,9 @@
             rate_limit_denied,
             rate_limit_timeouts,
             rate_limit_decided_locally,
+            stream_origins_sent,
+            stream_origin_queries,
+            stream_origins_unknown,
             connections_opened,
             uplinks_down,
             requests_forwarded,
--- a/crates/jb-relay/src/peers/directory.rs
+++ b/crates/jb-relay/src/peers/directory.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 
 use jb_policy::dissemination::{self, Level};
+use jb_policy::stream_origin::{self, Member};
 use jb_policy::{Moment, rendezvous};
 use jb_protocol::id;
 
@@ -163,6 +164,21 @@
         self.highest(now, |_, peer| Some(rendezvous::weight(key, peer.name_hash)))
     }
 
+    /// Returns the boxes that own the origin of a request's stream. Silent ones are among them, because a box that
+    /// resumes the stream has to ask the same boxes whatever it reaches.
+    pub fn stream_owners(&self, request: u64) -> Vec<(id::Box, SocketAddr)> {
+        let peers: Vec<(&id::Box, &Peer)> = self.peers.iter().collect();
+        let members = self.peers.values().map(|peer| Member {
+            name_hash: peer.name_hash,
+            hall: &peer.hall,
+        });
+        let members: Vec<Member<'_>> = members.collect();
+        let owners = stream_origin::owners(request, &members).into_iter();
+        owners
+            .map(|index| (peers[index].0.clone(), peers[index].1.address))
+            .collect()
+    }
+
     /// Returns the box of a data hall that owns such state while the owner `silent` does not reply.
     pub fn fallback_owner(
         &self,
--- a/crates/jb-relay/src/peers/message/datagram.rs
+++ b/crates/jb-relay/src/peers/message/datagram.rs
@@ -4,8 +4,8 @@
 
 use super::{
     Acquire, Charge, ChargeReply, Draining, Forward, Limits, LongPrompts, Permit, Pull, PullMore, PullReply,
-    QueryReleases, ReachableCount, Releases, Replaced, ReservationUpdate, Reserve, ReserveReply, Status,
-    Suspects,
+    QueryReleases, QueryStreamOrigin, ReachableCount, Releases, Replaced, ReservationUpdate, Reserve,
+    ReserveReply, Status, StreamOrigin, StreamOriginReply, Suspects,
 };
 
 /// Longest datagram, in bytes: it fits into one packet.
@@ -54,4 +54,10 @@
     Permit(Permit),
     /// A message that the receiver forwards to other boxes.
     Forward(Forward),
+    /// Announces which software versions began streams.
+    StreamOrigin(StreamOrigin),
+    /// Asks an owner which software version began a stream.
+    QueryStreamOrigin(QueryStreamOrigin),
+    /// Answers [`QueryStreamOrigin`].
+    StreamOriginReply(StreamOriginReply),
 }
--- a/crates/jb-relay/src/peers/message/mod.rs
+++ b/crates/jb-relay/src/peers/message/mod.rs
@@ -8,6 +8,7 @@
 mod releases;
 mod reservation;
 mod status;
+mod stream_origin;
 mod suspicion;
 
 pub(super) use datagram::{MAX_DATAGRAM_BYTES, Message};
@@ -20,4 +21,5 @@
 pub(super) use reservation::{ReservationUpdate, Reserve, ReserveReply};
 pub(super) use status::{CacheUse, Draining, LongPrompts, Replaced, Status, StoreSpan};
 pub use status::{LoadedWeights, UpstreamLoad};
+pub(super) use stream_origin::{OriginRow, QueryStreamOrigin, StreamOrigin, StreamOriginReply};
 pub(super) use suspicion::{Suspect, Suspects};
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -20,6 +20,7 @@
 mod round_trip;
 mod socket;
 mod status;
+mod stream_origin;
 mod suspicion;
 mod transfer;
 mod weights;
@@ -45,6 +46,9 @@
 pub use round_trip::RoundTrips;
 pub use socket::{bind, receive as receive_messages};
 pub use status::{Loads, ReceivedStatus, SentPrompt, publish as publish_status, record_cache_use};
+pub use stream_origin::{
+    Finding, StreamOrigins, announce_streams, begin_stream, end_stream, expire_stream_origins, find_origin,
+};
 pub use suspicion::publish as publish_suspects;
 pub use transfer::{
     Error as TransferError, Transfer, Transfers, fetch_changes, offer_request, reply_to_offer,
--- a/crates/jb-relay/src/peers/query.rs
+++ b/crates/jb-relay/src/peers/query.rs
@@ -57,6 +57,23 @@
     /// Sends a query to a box, which has `time` to reply in addition to the round trip. Returns `None` if it does not
     /// reply in time; the directory then counts the query as unanswered.
     pub async fn query(
+        &self,
+        core: &Core,
+        to: (&id::Box, SocketAddr),
+        key: K,
+        message: &Message,
+        time: Duration,
+    ) -> Option<R> {
+        let reply = self.query_uncounted(core, to, key, message, time).await;
+        if reply.is_none() {
+            core.directory.borrow_mut().note_unanswered(to.0, core.now());
+        }
+        reply
+    }
+
+    /// Sends a query like [`Self::query`], but the directory doesn't count it as unanswered: boxes of the previous
+    /// version may not reply to it.
+    pub async fn query_uncounted(
         &self,
         core: &Core,
         (id, address): (&id::Box, SocketAddr),
@@ -68,17 +85,12 @@
         let (sent, time) = (core.now(), core.round_trips.timeout(&hall, time));
         let (sender, receiver) = oneshot::channel();
         self.waiting.borrow_mut().insert(key, sender);
+        let _waiting = Waiting { queries: self, key };
         self.send(core, address, message);
-        let reply = timeout(time, receiver).await;
-        self.waiting.borrow_mut().remove(&key);
-        let mut directory = core.directory.borrow_mut();
-        if let Ok(Ok(reply)) = reply {
-            directory.mark_alive(id);
-            core.round_trips.record(&hall, core.now().saturating_sub(sent));
-            return Some(reply);
-        }
-        directory.note_unanswered(id, core.now());
-        None
+        let reply = timeout(time, receiver).await.ok()?.ok()?;
+        core.directory.borrow_mut().mark_alive(id);
+        core.round_trips.record(&hall, core.now().saturating_sub(sent));
+        Some(reply)
     }
 
     /// Passes a reply to the query that it belongs to.
@@ -90,3 +102,15 @@
         }
     }
 }
+
+/// A query in flight, which no longer waits for its reply when dropped.
+struct Waiting<'a, K: Copy + Eq + Hash, R> {
+    queries: &'a Queries<K, R>,
+    key: K,
+}
+
+impl<K: Copy + Eq + Hash, R> Drop for Waiting<'_, K, R> {
+    fn drop(&mut self) {
+        self.queries.waiting.borrow_mut().remove(&self.key);
+    }
+}
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -10,7 +10,8 @@
 
 use super::message::{MAX_DATAGRAM_BYTES, Message};
 use super::{
-    broadcast, outbox, pull, quota, rate_limit, reachability, releases, reservation, status, suspicion,
+    broadcast, outbox, pull, quota, rate_limit, reachability, releases, reservation, status, stream_origin,
+    suspicion,
 };
 use crate::core::{Core, Shared};
 
@@ -134,6 +135,9 @@
         Message::Limits(limits) => rate_limit::receive_limits(core, from, &limits),
         Message::Acquire(query) => rate_limit::receive_acquire(core, socket, from, &query),
         Message::Permit(answer) => rate_limit::deliver(core, answer),
+        Message::StreamOrigin(origins) => stream_origin::receive_origins(core, from, origins),
+        Message::QueryStreamOrigin(query) => stream_origin::receive_query(core, socket, from, &query),
+        Message::StreamOriginReply(reply) => stream_origin::deliver(core, from, reply),
         Message::Forward(_) => reject(core, from, &"a forwarded message must not contain another one"),
     }
 }
--- /dev/null
+++ b/crates/jb-relay/src/peers/stream_origin.rs
@@ -0,0 +1,244 @@
+//! Software versions that began streams, for boxes that resume the streams of others.
+//!
+//! While a service has several versions, the box that begins a stream sends the version to the owners of the stream,
+//! chosen by rendezvous hashing of the request id over all listed boxes. A box that resumes the stream asks them.
+
+use std::cell::RefCell;
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use futures_util::StreamExt;
+use futures_util::stream::FuturesUnordered;
+use jb_policy::stream_origin::{MAX_VERSION_BYTES, Origins};
+use jb_policy::{Moment, rendezvous};
+use jb_protocol::id;
+use tokio::net::UdpSocket;
+
+use super::message::{
+    MAX_DATAGRAM_BYTES, Message, OriginRow, QueryStreamOrigin, StreamOrigin, StreamOriginReply,
+};
+use super::owner::Owner;
+use super::query::Queries;
+use super::reservation::is_from_listed_box;
+use super::socket::try_send;
+use crate::core::Core;
+
+/// Time that an owner has to reply, in addition to the round trip: it may have used up its share of a CPU core for the
+/// moment.
+const REPLY_TIMEOUT: Duration = Duration::from_millis(30);
+/// Upper bound of the bytes of a message besides its rows: its kind and the number of rows.
+const MAX_HEAD_BYTES: usize = 3;
+/// Upper bound of the bytes of a row besides its version: the request and the length of the version.
+const MAX_ROW_HEAD_BYTES: usize = 11;
+
+/// Origins of streams that one box knows.
+#[derive(Debug, Default)]
+pub struct StreamOrigins {
+    queries: Queries<u64, StreamOriginReply>,
+    /// Streams of this box that are running or broke.
+    own: RefCell<Origins>,
+    /// Those of them that have not been sent to their owners, with their services.
+    unsent: RefCell<HashMap<u64, id::Service>>,
+    /// Streams of other boxes.
+    others: RefCell<Origins>,
+}
+
+impl StreamOrigins {
+    /// Sets the socket for queries.
+    pub fn set_socket(&self, socket: Rc<UdpSocket>) {
+        self.queries.set_socket(socket);
+    }
+
+    /// Returns the version that began a stream, as this box knows it.
+    fn get(&self, request: u64, now: Moment) -> Option<id::SoftwareVersion> {
+        let own = self.own.borrow().get(request, now).cloned();
+        own.or_else(|| self.others.borrow().get(request, now).cloned())
+    }
+
+    /// Returns the streams of a service that have not been sent yet, and counts them as sent.
+    fn take_unsent(&self, service: &str, now: Moment) -> Vec<OriginRow> {
+        let own = self.own.borrow();
+        let mut unsent = self.unsent.borrow_mut();
+        let taken = unsent.extract_if(|_, unsent| unsent == service);
+        let row = |(request, _)| {
+            let version = own.get(request, now)?.clone();
+            Some(OriginRow { request, version })
+        };
+        taken.filter_map(row).collect()
+    }
+}
+
+/// What a box finds out about the origin of a stream.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum Finding {
+    /// The version that began the stream.
+    Known(id::SoftwareVersion),
+    /// No box that replied knows the stream.
+    Unknown {
+        /// Number of other boxes that replied.
+        replies: usize,
+        /// Whether this box or one that replied knows upstreams of several versions in the service.
+        has_several_versions: bool,
+    },
+}
+
+/// Records the version that began a stream of this box; has to be called before the first event reaches the caller. If
+/// the service has several versions, the stream's owners are told at once.
+pub fn begin_stream(core: &Core, service: &str, request: &str, version: &str) {
+    let request = rendezvous::name_hash(request);
+    let (origins, now) = (&core.stream_origins, core.now());
+    if origins.own.borrow().get(request, now).is_some() {
+        return;
+    }
+    origins.own.borrow_mut().insert(request, version.to_owned(), now);
+    origins.unsent.borrow_mut().insert(request, service.to_owned());
+    if has_several_versions(core, service) {
+        announce_streams(core, service);
+    }
+}
+
+/// Forgets a stream of this box that was delivered completely.
+pub fn end_stream(core: &Core, request: &str) {
+    let request = rendezvous::name_hash(request);
+    core.stream_origins.own.borrow_mut().remove(request);
+    core.stream_origins.unsent.borrow_mut().remove(&request);
+}
+
+/// Sends the origins of this box's streams of a service to their owners, except those that were sent before.
+pub fn announce_streams(core: &Core, service: &str) {
+    let rows = core.stream_origins.take_unsent(service, core.now());
+    for (owner, rows) in by_owner(core, rows) {
+        core.metrics.stream_origins_sent.inc_by(rows.len() as u64);
+        for rows in batches(rows) {
+            let message = Message::StreamOrigin(StreamOrigin { rows });
+            core.stream_origins.queries.send(core, owner, &message);
+        }
+    }
+}
+
+/// Groups rows by the addresses of their owners, without this box.
+fn by_owner(core: &Core, rows: Vec<OriginRow>) -> BTreeMap<SocketAddr, Vec<OriginRow>> {
+    let mut by_owner: BTreeMap<SocketAddr, Vec<OriginRow>> = BTreeMap::new();
+    for row in rows {
+        for (_, address) in other_owners(core, row.request) {
+            by_owner.entry(address).or_default().push(row.clone());
+        }
+    }
+    by_owner
+}
+
+/// Returns the owners of a stream's origin, without this box.
+fn other_owners(core: &Core, request: u64) -> Vec<Owner> {
+    let mut owners = core.directory.borrow().stream_owners(request);
+    owners.retain(|(id, _)| *id != core.settings.id);
+    owners
+}
+
+/// Splits rows into as many as fit into a datagram each.
+fn batches(rows: Vec<OriginRow>) -> Vec<Vec<OriginRow>> {
+    let mut batches: Vec<Vec<OriginRow>> = Vec::new();
+    let mut free = 0;
+    for row in rows {
+        let bytes = MAX_ROW_HEAD_BYTES + row.version.len();
+        match batches.last_mut() {
+            Some(batch) if bytes <= free => batch.push(row),
+            _ => {
+                batches.push(vec![row]);
+                free = MAX_DATAGRAM_BYTES - MAX_HEAD_BYTES;
+            }
+        }
+        free -= bytes;
+    }
+    batches
+}
+
+/// Returns which version began a stream, as this box knows it or as the stream's owners reply.
+pub async fn find_origin(core: &Core, service: &str, request: &str) -> Finding {
+    let request = rendezvous::name_hash(request);
+    if let Some(version) = core.stream_origins.get(request, core.now()) {
+        return Finding::Known(version);
+    }
+    let owners = other_owners(core, request);
+    let queries = owners.iter().map(|owner| query(core, owner, service, request));
+    let mut queries: FuturesUnordered<_> = queries.collect();
+    let (mut replies, mut has_several_versions) = (0, has_several_versions(core, service));
+    while let Some(reply) = queries.next().await {
+        let Some(reply) = reply else { continue };
+        if let Some(version) = reply.version {
+            return Finding::Known(version);
+        }
+        replies += 1;
+        has_several_versions |= reply.has_several_versions;
+    }
+    core.metrics.stream_origins_unknown.inc();
+    Finding::Unknown {
+        replies,
+        has_several_versions,
+    }
+}
+
+async fn query(core: &Core, owner: &Owner, service: &str, request: u64) -> Option<StreamOriginReply> {
+    let queries = &core.stream_origins.queries;
+    let nonce = queries.next_nonce();
+    let message = Message::QueryStreamOrigin(QueryStreamOrigin {
+        nonce,
+        request,
+        service: service.to_owned(),
+    });
+    core.metrics.stream_origin_queries.inc();
+    let to = (&owner.0, owner.1);
+    queries
+        .query_uncounted(core, to, nonce, &message, REPLY_TIMEOUT)
+        .await
+}
+
+/// Returns whether this box knows upstreams of several versions in a service.
+fn has_several_versions(_core: &Core, _service: &str) -> bool {
+    // Replaced by the registry
+    false
+}
+
+/// Records the origins of streams of another box.
+pub(super) fn receive_origins(core: &Core, from: SocketAddr, origins: StreamOrigin) {
+    if !is_from_listed_box(core, from) {
+        return;
+    }
+    let mut others = core.stream_origins.others.borrow_mut();
+    for OriginRow { request, version } in origins.rows {
+        others.insert(request, version, core.now());
+    }
+}
+
+/// Replies to a box that resumes a stream.
+pub(super) fn receive_query(core: &Core, socket: &UdpSocket, from: SocketAddr, query: &QueryStreamOrigin) {
+    if !is_from_listed_box(core, from) {
+        return;
+    }
+    let reply = StreamOriginReply {
+        nonce: query.nonce,
+        version: core.stream_origins.get(query.request, core.now()),
+        has_several_versions: has_several_versions(core, &query.service),
+    };
+    try_send(core, socket, from, &Message::StreamOriginReply(reply));
+}
+
+/// Passes a reply to the query of this box that it belongs to.
+pub(super) fn deliver(core: &Core, from: SocketAddr, mut reply: StreamOriginReply) {
+    if !is_from_listed_box(core, from) {
+        return;
+    }
+    reply.version = reply.version.filter(|version| version.len() <= MAX_VERSION_BYTES);
+    core.stream_origins.queries.deliver(reply.nonce, reply);
+}
+
+/// Drops the origins of streams that can't be resumed any more.
+pub fn expire_stream_origins(core: &Core) {
+    let (origins, now) = (&core.stream_origins, core.now());
+    origins.others.borrow_mut().expire(now);
+    let mut own = origins.own.borrow_mut();
+    own.expire(now);
+    let mut unsent = origins.unsent.borrow_mut();
+    unsent.retain(|request, _| own.get(*request, now).is_some());
+}
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -118,6 +118,7 @@
     core.reservations.set_socket(Rc::clone(&socket));
     core.quotas.set_socket(Rc::clone(&socket));
     core.rate_limits.set_socket(Rc::clone(&socket));
+    core.stream_origins.set_socket(Rc::clone(&socket));
     spawn_local(follow::run(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::serve_connections(Rc::clone(core), transfers));
     spawn_local(front::serve(Rc::clone(core), callers));
@@ -140,6 +141,7 @@
         suspended = note_suspension(&core, suspended);
         pool::close_expired(&core);
         peers::expire_reservations(&core);
+        peers::expire_stream_origins(&core);
     }
 }
 
