--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -1,5 +1,5 @@
-//! Communication between boxes: status, reservations, quotas, rate limits, loaded weights, evidence on poison requests,
-//! and changes of the store. Messages are datagrams whose loss does no harm; data that is too long for datagrams is
+//! Communication between boxes: status, reservations, quotas, rate limits, loaded weights, origins of streams,
+//! evidence on poison requests, and changes of the store. Messages are datagrams whose loss does no harm; data that is too long for datagrams is
 //! transferred over connections.
 
 mod broadcast;
@@ -20,6 +20,7 @@
 mod round_trip;
 mod socket;
 mod status;
+mod stream_origin;
 mod suspicion;
 mod transfer;
 mod weights;
@@ -45,6 +46,9 @@
 pub use round_trip::RoundTrips;
 pub use socket::{bind, receive as receive_messages};
 pub use status::{Loads, ReceivedStatus, SentPrompt, publish as publish_status, record_cache_use};
+pub use stream_origin::{
+    Finding, StreamOrigins, announce_streams, begin_stream, end_stream, expire_stream_origins, find_origin,
+};
 pub use suspicion::publish as publish_suspects;
 pub use transfer::{
     Error as TransferError, Transfer, Transfers, fetch_changes, offer_request, reply_to_offer,
