Resume a stream only at the software version that began it

Callers saw: a stream that was broken off went on at an engine whose software has another version than that of the engine that began it, in one response or over a caller's attempts.

Cause: the software version in an engine's entry was decoded and dropped, so an upstream was selected without regard to it, and no box but the first one knew where a stream had begun. The class: state that a later step depends on lived only in the process that made the first one.

Change: a stream has the version of the engine that sent its first event. All selection goes by it (resumption after a break or a stall, isolated trials, reservations, detours through another box). An attempt that names an earlier one in Resumes asks the owners of that stream for the version. If nobody knows it, it goes on only while a single version serves and none has left lately; otherwise it is rejected as not run, as is one whose version has no upstream left. Such an attempt doesn't wait for room like a new request.

--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod retry_budget;
 pub mod route;
 pub mod signal;
+pub mod software;
 pub mod stream;
 pub mod stream_origin;
 pub mod transfer;
--- a/crates/jb-protocol/src/id.rs
+++ b/crates/jb-protocol/src/id.rs
@@ -26,5 +26,3 @@
 pub type SoftwareVersion = String;
 /// Fencing token, which the platform increases whenever a lease gets another holder.
 pub type Fence = u64;
-/// Version of the software of an upstream.
-pub type SoftwareVersion = String;
--- a/crates/jb-relay/src/admission.rs
+++ b/crates/jb-relay/src/admission.rs
@@ -7,9 +7,9 @@
 use jb_policy::{Moment, rendezvous};
 use jb_protocol::id;
 
-use crate::configuration::{Configuration, QuotaUnit, Route};
+use crate::configuration::{Configuration, QuotaUnit, Route, RouteKind};
 use crate::core::Core;
-use crate::detour::Envelope;
+use crate::detour::{self, Envelope};
 use crate::http::RequestHead;
 use crate::salt;
 
@@ -37,6 +37,10 @@
     /// Id of the request that brought the first event of the stream that this one takes up again; `None` if it names
     /// none.
     pub resumes: Option<String>,
+    /// Whether the request takes up a stream that began with an earlier one.
+    pub is_resumption: bool,
+    /// Software version that began the stream, as the box that sent this request on has found out.
+    pub software: Option<id::SoftwareVersion>,
     /// Units charged to the customer's quota; `None` without a quota.
     pub quota_cost: Option<u64>,
     /// Salt under which engines cache its prompt, without the weights version.
@@ -173,7 +177,9 @@
         id: id.to_owned(),
         service,
         customer: customer.map(|c| c.name),
+        is_resumption: is_resumption(core, query, &route),
         resumes: query.headers.text(names.resumes).map(str::to_owned),
+        software: None,
         quota_cost,
         cache_salt,
         urgency: priority.min(9),
@@ -199,10 +205,13 @@
     let id = query.headers.text(core.header_names.request_id)?.to_owned();
     let configuration = core.configuration()?;
     let content = Content::parse(core, query, &envelope.cache_salt);
+    let route = envelope.route();
     Some(AdmittedRequest {
         id,
         configuration,
-        route: envelope.route(),
+        is_resumption: is_resumption(core, query, &route),
+        software: query.headers.text(detour::SOFTWARE_HEADER).map(str::to_owned),
+        route,
         service: envelope.service.clone(),
         customer: envelope.customer.clone(),
         resumes: query.headers.text(core.header_names.resumes).map(str::to_owned),
@@ -218,6 +227,12 @@
     })
 }
 
+/// Returns whether a request takes up a stream that began with an earlier one.
+fn is_resumption(core: &Core, query: &RequestHead, route: &Route) -> bool {
+    let names = [core.header_names.resumes, core.header_names.last_event];
+    route.kind == RouteKind::Stream && names.iter().any(|name| query.headers.get(name).is_some())
+}
+
 /// Properties of a request's content, from its head.
 struct Content {
     model: Option<String>,
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -6,9 +6,11 @@
 use bytes::{Bytes, BytesMut};
 use jb_policy::Moment;
 use jb_policy::poison::Fingerprint;
+use jb_protocol::id;
 
 use crate::admission::AdmittedRequest;
 use crate::core::{Core, Shared};
+use crate::detour;
 use crate::http::{
     self, BodyDecoder, Connection, Framing, RequestHead, ResponseHead, Step, write_request_head,
 };
@@ -72,6 +74,8 @@
     pub request: &'a AdmittedRequest,
     /// Last event that the caller has received; set when a stream is resumed.
     pub last_event: Option<u64>,
+    /// Software version that began the stream, and has to go on with it; `None` if it has not begun.
+    pub software: Option<id::SoftwareVersion>,
     /// Engine or cache store from which the engine loads segments that it hasn't cached.
     pub kv_source: Option<SocketAddr>,
     /// Cache store to which the engine writes the prompt's segments after prefill.
@@ -195,6 +199,7 @@
             .any(|r| name.eq_ignore_ascii_case(r.as_bytes()));
         reserved
             || name.eq_ignore_ascii_case(names.deadline.as_bytes())
+            || name.eq_ignore_ascii_case(detour::SOFTWARE_HEADER.as_bytes())
             || (last.is_some() && name.eq_ignore_ascii_case(names.last_event.as_bytes()))
     };
     let passed = message
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -12,6 +12,7 @@
 use jb_policy::placement::CostModel;
 use jb_policy::prefill_rate::PrefillRate;
 use jb_policy::retry_budget::{Budget, Config, FixedPart};
+use jb_policy::software::{Departures, Mix};
 use jb_policy::weights::History;
 use jb_protocol::id;
 use slog::Logger;
@@ -82,6 +83,8 @@
     pub update_origin: Cell<Option<UpdateOrigin>>,
     /// Known upstreams.
     pub upstreams: RefCell<Registry>,
+    /// Software versions that have left their services recently.
+    pub departed_software: RefCell<Departures>,
     /// Shared KV cache stores.
     pub cache_stores: RefCell<CacheStores>,
     /// Released versions of each model's weights.
@@ -178,6 +181,7 @@
             settled_era: Cell::default(),
             update_origin: Cell::default(),
             upstreams: RefCell::default(),
+            departed_software: RefCell::default(),
             cache_stores: RefCell::default(),
             weights: RefCell::default(),
             mirror: RefCell::default(),
@@ -249,6 +253,14 @@
         })
     }
 
+    /// Returns the software versions that a service's upstreams have had recently.
+    pub fn software_mix(&self, service: &str) -> Mix {
+        let upstreams = self.upstreams.borrow();
+        let departed = self.departed_software.borrow();
+        let registered = upstreams.software_versions(service);
+        Mix::of(registered.chain(departed.recent(service, self.now())))
+    }
+
     /// Returns whether the box has received the store's state, however old it may be.
     pub fn has_store_state(&self) -> bool {
         self.change_log.borrow().revision() != Revision::default()
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -4,6 +4,7 @@
 
 use bytes::{BufMut as _, Bytes, BytesMut};
 use jb_policy::Moment;
+use jb_protocol::id;
 use tokio::time::sleep;
 
 use crate::admission::AdmittedRequest;
@@ -181,18 +182,31 @@
     }
 }
 
+/// What the delivery of a stream changes beside the caller's connection.
+pub trait Progress {
+    /// Called for each part of the response that arrives.
+    fn received(&mut self) {}
+
+    /// Called before the first event is sent to the caller. Returns the software version that has to go on with the
+    /// stream; `None` if it is unknown.
+    fn begins(&mut self) -> Option<id::SoftwareVersion> {
+        None
+    }
+
+    /// Returns whether another upstream can resume a stalled stream, with the software version that began it.
+    fn can_move(&mut self, _software: Option<&str>) -> bool {
+        false
+    }
+}
+
 /// Delivers a stream; a resumable one in whole events only.
-///
-/// `on_data` is called for each part that arrives; `can_move` returns whether another upstream can resume a
-/// stalled stream.
 pub async fn deliver_stream(
     core: &Shared,
     message: &mut Message<'_>,
     mut reply: Reply,
     client: &mut Connection,
     pace: &mut StreamTiming,
-    mut on_data: impl FnMut(),
-    mut can_move: impl FnMut() -> bool,
+    mut progress: impl Progress,
 ) -> DeliveryOutcome {
     let request = message.request;
     let ends_by_close = reply.body.ends_by_close();
@@ -215,7 +229,7 @@
         let stall_limit = if has_started { stall_timeout } else { None };
         match next_part(&mut reply, client, left, stall_limit).await {
             Part::Data(data) => {
-                on_data();
+                progress.received();
                 pace.boundary.push(&data);
                 let before = out.len();
                 if request.route.resumable {
@@ -233,6 +247,9 @@
                     continue;
                 }
                 pace.event(core, request);
+                if !has_started {
+                    message.software = progress.begins().or(message.software.take());
+                }
                 has_started = true;
                 if client.send(&out).await.is_err() {
                     return DeliveryOutcome::CallerGone;
@@ -251,7 +268,9 @@
             }
             Part::End => break,
             Part::Broken(why) => return cut_off(has_started, why),
-            Part::Silent if can_move() => return cut_off(has_started, "stream stalled"),
+            Part::Silent if progress.can_move(message.software.as_deref()) => {
+                return cut_off(has_started, "stream stalled");
+            }
             // A stall alone doesn't end a stream, as its events may only be late.
             Part::Silent => {}
             Part::Late if has_started => return DeliveryOutcome::Late,
--- a/crates/jb-relay/src/detour/message.rs
+++ b/crates/jb-relay/src/detour/message.rs
@@ -122,6 +122,8 @@
     NotReady,
 }
 
+/// Header that tells a helper which software version began the stream that it resumes.
+pub const SOFTWARE_HEADER: &str = "Junctionbend-Software";
 /// Header in which a helper reports that no upstream's response is delivered.
 pub(super) const FAILURE_HEADER: &str = "Junctionbend-Failure";
 
--- a/crates/jb-relay/src/detour/mod.rs
+++ b/crates/jb-relay/src/detour/mod.rs
@@ -10,6 +10,6 @@
 mod serve;
 
 pub use helpers::Helpers;
-pub use message::{Envelope, Failure, Verdict};
+pub use message::{Envelope, Failure, SOFTWARE_HEADER, Verdict};
 pub use send::{Helper, connect, failure, send};
 pub use serve::serve;
--- a/crates/jb-relay/src/detour/send.rs
+++ b/crates/jb-relay/src/detour/send.rs
@@ -8,7 +8,7 @@
 use jb_protocol::id;
 use tokio::time::timeout;
 
-use super::message::{Envelope, FAILURE_HEADER, Failure, Verdict};
+use super::message::{Envelope, FAILURE_HEADER, Failure, SOFTWARE_HEADER, Verdict};
 use crate::attempt::{MAX_HEAD_BYTES, Message};
 use crate::core::{Core, Shared};
 use crate::http::{self, Connection, ResponseHead, write_request_head};
@@ -105,21 +105,29 @@
     Ok(answer)
 }
 
-/// Builds the request head for the helper: that of the caller, with the last event if a stream is resumed.
+/// Builds the request head for the helper: that of the caller, with the last event and the software version if a stream
+/// is resumed.
 fn head(core: &Core, message: &Message<'_>) -> BytesMut {
     let last_event = message.last_event.map(|last| last.to_string());
     let resumed = last_event
         .as_deref()
         .map(|last| (core.header_names.last_event.as_bytes(), last.as_bytes()));
+    let software = message
+        .software
+        .as_deref()
+        .map(|software| (SOFTWARE_HEADER.as_bytes(), software.as_bytes()));
     let is_replaced = |name: &[u8]| {
         let is_last_event = name.eq_ignore_ascii_case(core.header_names.last_event.as_bytes());
-        name.eq_ignore_ascii_case(CREDENTIALS) || (resumed.is_some() && is_last_event)
+        name.eq_ignore_ascii_case(CREDENTIALS)
+            || name.eq_ignore_ascii_case(SOFTWARE_HEADER.as_bytes())
+            || (resumed.is_some() && is_last_event)
     };
     let passed = message.head.headers.end_to_end();
     let lines = passed
         .filter(|header| !is_replaced(&header.name))
         .map(|header| (header.name.as_ref(), header.value.as_ref()))
-        .chain(resumed);
+        .chain(resumed)
+        .chain(software);
     let mut out = BytesMut::with_capacity(1024);
     let (method, target) = (&message.head.method, &message.head.target);
     write_request_head(&mut out, method, target, lines, message.framing());
--- a/crates/jb-relay/src/exchange/detour.rs
+++ b/crates/jb-relay/src/exchange/detour.rs
@@ -25,6 +25,11 @@
     Ended(RequestOutcome),
 }
 
+/// The helper moves a stalled stream to another upstream, and publishes which software version began it.
+struct HelperProgress;
+
+impl deliver::Progress for HelperProgress {}
+
 impl Exchange<'_> {
     /// Sends the request through another box if this one reaches no upstream. A request that came from another box is
     /// not sent on, so that it never goes in circles.
@@ -130,8 +135,7 @@
         };
         let delivered = if is_stream {
             let timing = &mut self.timing;
-            // The helper moves a stalled stream to another upstream.
-            deliver::deliver_stream(core, &mut self.message, reply, client, timing, || {}, || false).await
+            deliver::deliver_stream(core, &mut self.message, reply, client, timing, HelperProgress).await
         } else {
             deliver::deliver_buffered(core, request, reply, client).await
         };
--- a/crates/jb-relay/src/exchange/isolation.rs
+++ b/crates/jb-relay/src/exchange/isolation.rs
@@ -92,14 +92,7 @@
             }
             (ledger.trials(now), ledger.crashed_engines(fingerprint))
         };
-        let request = self.message.request;
-        let criteria = selection::criteria(
-            core,
-            request,
-            self.message.body,
-            &self.tried,
-            CandidateSet::Listed,
-        );
+        let criteria = selection::criteria(core, self.placement(), CandidateSet::Listed);
         let instances = |instance: &Instance| !ended.contains(&quarantine::engine_name(instance));
         let free = |instance: &Instance| !trials.contains(&quarantine::engine_name(instance));
         let instance = core
--- a/crates/jb-relay/src/exchange/kv_transfer.rs
+++ b/crates/jb-relay/src/exchange/kv_transfer.rs
@@ -34,13 +34,7 @@
         if let Some(reserved) = reserved {
             return self.plan_transfer_by_reservations(instance, last.tokens, reserved);
         }
-        let criteria = selection::criteria(
-            core,
-            request,
-            self.message.body,
-            &self.tried,
-            CandidateSet::Listed,
-        );
+        let criteria = selection::criteria(core, self.placement(), CandidateSet::Listed);
         let other = core
             .upstreams
             .borrow()
--- a/crates/jb-relay/src/exchange/mod.rs
+++ b/crates/jb-relay/src/exchange/mod.rs
@@ -10,5 +10,6 @@
 mod room;
 mod run;
 mod selection;
+mod version;
 
 pub use run::{Exchange, RequestOutcome};
--- a/crates/jb-relay/src/exchange/pick.rs
+++ b/crates/jb-relay/src/exchange/pick.rs
@@ -35,7 +35,7 @@
     pub(super) async fn pick(&mut self, client: &mut Connection) -> Option<Choice> {
         let request = self.message.request;
         // A resumed stream may pause for as long as its route allows between two events.
-        let until = match self.message.last_event {
+        let until = match self.message.software {
             Some(_) => self.core.now() + request.route.max_event_gap,
             None => request.arrived_at + request.route.target_latency.mul_f64(MAX_WAIT_SHARE),
         };
@@ -53,8 +53,8 @@
                     return None;
                 }
             }
-            let pause = match selection::select(self.core, request, self.message.body, &self.tried).await {
-                Some(choice) if !self.tried.is_empty() => return Some(choice),
+            let pause = match selection::select(self.core, self.placement()).await {
+                Some(choice) if !self.placement().may_wait() => return Some(choice),
                 Some(choice) => match choice.decision {
                     Decision::Send => return Some(choice),
                     Decision::Queue => CAPACITY_POLL_INTERVAL,
@@ -67,7 +67,9 @@
                     }
                 },
                 None => {
-                    self.rejection = self.reject_if_all_held_back(until);
+                    self.rejection = self
+                        .reject_without_version()
+                        .or_else(|| self.reject_if_all_held_back(until));
                     if self.rejection.is_some() || self.core.now() >= until {
                         self.rejection = self.rejection.or_else(|| self.reject_if_brittle());
                         return None;
@@ -82,7 +84,7 @@
     /// Rejects the request if all its upstreams, including those that have rejected it, back off or are
     /// rate-limited until after `until`.
     fn reject_if_all_held_back(&self, until: Moment) -> Option<Rejection> {
-        let back = selection::earliest_availability(self.core, self.message.request, self.message.body)?;
+        let back = selection::earliest_availability(self.core, self.placement())?;
         (back > until).then(|| Rejection {
             why: "all_back_off",
             after: back.saturating_sub(self.core.now()),
--- a/crates/jb-relay/src/exchange/reservation_query.rs
+++ b/crates/jb-relay/src/exchange/reservation_query.rs
@@ -6,13 +6,12 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bytes::Bytes;
 use futures_util::future::join_all;
 use jb_policy::admission::{Decision, Estimate};
 use jb_policy::placement::{self, Candidate, CostModel};
 use jb_policy::reservation::{self, Load, ReservationId};
 
-use super::selection::{self, CandidateSet, Choice};
+use super::selection::{self, CandidateSet, Choice, Placement};
 use crate::admission::AdmittedRequest;
 use crate::core::Shared;
 use crate::peers::{self, Admission, EngineState, Prompt, Reservation};
@@ -53,15 +52,14 @@
 /// Selects the engine for a prompt by the reservations at engines; `None` if there is no candidate.
 pub(super) async fn choose(
     core: &Shared,
-    request: &AdmittedRequest,
-    body: &Bytes,
-    tried: &[Instance],
+    placement: Placement<'_>,
     candidate_set: CandidateSet,
 ) -> Option<Choice> {
+    let request = placement.request;
     let (last, shared) = request.prompt.split_last()?;
     let query = ReservationQuery {
         core,
-        criteria: selection::criteria(core, request, body, tried, candidate_set),
+        criteria: selection::criteria(core, placement, candidate_set),
         prompt: Prompt {
             shared,
             unshared: last.tokens + request.max_output_tokens,
@@ -88,7 +86,7 @@
         QueryRound::Candidates(queried) => queried,
     };
     queried.retain(|queried| queried.view.is_open);
-    query.compare(request, queried, tried.is_empty()).await
+    query.compare(request, queried, placement.may_wait()).await
 }
 
 /// Selection of an engine for one prompt.
@@ -175,7 +173,7 @@
         &self,
         request: &AdmittedRequest,
         mut queried: Vec<QueriedEngine>,
-        first: bool,
+        may_wait: bool,
     ) -> Option<Choice> {
         let most = queried.iter().map(|queried| queried.view.cached_tokens).max()?;
         for queried in &mut queried {
@@ -190,7 +188,7 @@
         let at = placement::best(&candidates, &self.criteria.demand, &cost_model)?;
         let mut best = queried.swap_remove(at);
         let estimate = self.estimate(&best);
-        let decision = if first {
+        let decision = if may_wait {
             selection::admission_verdict(self.core, request, &estimate)
         } else {
             Decision::Send
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -14,7 +14,8 @@
 use super::isolation::CRASH_WINDOW;
 use super::load_guard::LoadGuard;
 use super::pick::Rejection;
-use super::selection::{self, Choice};
+use super::selection::{self, Choice, Placement};
+use super::version::{self, Progress};
 use crate::admission::AdmittedRequest;
 use crate::attempt::{self, AttemptOutcome, Message, Reply};
 use crate::configuration::RouteKind;
@@ -91,6 +92,7 @@
             body,
             request,
             last_event: None,
+            software: request.software.clone(),
             kv_source: None,
             kv_target: None,
         };
@@ -126,6 +128,10 @@
             if let Path::Ended(outcome) = self.detour_if_partitioned(client).await {
                 return outcome;
             }
+            if let Err(rejection) = self.find_software().await {
+                self.rejection = Some(rejection);
+                return self.terminal_outcome(rejection.why);
+            }
             let Some(choice) = self.pick(client).await else {
                 return self.terminal_outcome(self.rejection.map_or(why, |rejection| rejection.why));
             };
@@ -191,6 +197,8 @@
             ..
         } = choice;
         let instance = &instance;
+        // The entry may be removed while the upstream responds.
+        let software = self.software_of(instance);
         let waiting = self.plan_transfer(instance, reserved.as_ref());
         let last = !request.route.is_retryable() || self.runs + 1 >= request.route.max_attempts;
         let reservation = reserved.map(|reserved| reserved.reservation);
@@ -233,7 +241,9 @@
             AttemptOutcome::Answered(reply) => {
                 self.sends += 1;
                 self.runs += 1;
-                let next = self.deliver(instance, *reply, client, &mut counted).await;
+                let next = self
+                    .deliver(instance, software, *reply, client, &mut counted)
+                    .await;
                 if !matches!(
                     next,
                     Ok(Next::End(
@@ -272,8 +282,7 @@
             if self.left().is_zero() {
                 return AttemptOutcome::Failed("deadline exceeded".to_owned());
             }
-            if may_retry && selection::can_retry_elsewhere(self.core, request, self.message.body, &self.tried)
-            {
+            if may_retry && selection::can_retry_elsewhere(self.core, self.placement()) {
                 self.retry_granted = true;
                 return AttemptOutcome::Failed(SILENT.to_owned());
             }
@@ -287,6 +296,7 @@
     async fn deliver(
         &mut self,
         instance: &Instance,
+        software: Option<id::SoftwareVersion>,
         reply: Reply,
         client: &mut Connection,
         counted: &mut LoadGuard<'_>,
@@ -317,24 +327,26 @@
             return Ok(Next::End(RequestOutcome::Broken(ERROR_WITHIN_STREAM)));
         }
         let delivered = if success && request.route.kind == RouteKind::Stream {
-            let body = self.message.body;
-            let may_retry = self.runs < request.route.max_attempts;
-            let can_move = || {
-                self.retry_granted =
-                    may_retry && selection::can_retry_elsewhere(core, request, body, &self.tried);
-                self.retry_granted
-            };
-            let on_data = || {
-                core.uplinks.note_data(&request.service, core.now());
-                counted.note_first_token(&request.service);
+            let progress = Progress {
+                core,
+                software,
+                placement: Placement {
+                    request,
+                    body: self.message.body,
+                    tried: &self.tried,
+                    software: None,
+                },
+                counted,
+                may_retry: self.runs < request.route.max_attempts,
+                retry_granted: &mut self.retry_granted,
             };
-            let timing = &mut self.timing;
-            deliver::deliver_stream(core, &mut self.message, reply, client, timing, on_data, can_move).await
+            deliver::deliver_stream(core, &mut self.message, reply, client, &mut self.timing, progress).await
         } else {
             deliver::deliver_buffered(core, request, reply, client).await
         };
         match delivered {
             DeliveryOutcome::Complete => {
+                peers::end_stream(core, version::origin_id(request));
                 if status < 500 {
                     self.record_success(instance);
                     self.note_run(instance);
--- a/crates/jb-relay/src/exchange/selection.rs
+++ b/crates/jb-relay/src/exchange/selection.rs
@@ -36,6 +36,25 @@
     }
 }
 
+/// A request for which an upstream is selected.
+#[derive(Clone, Copy)]
+pub(super) struct Placement<'a> {
+    pub(super) request: &'a AdmittedRequest,
+    pub(super) body: &'a Bytes,
+    /// Instances that were already tried.
+    pub(super) tried: &'a [Instance],
+    /// Software version that began the stream; `None` if it has not begun.
+    pub(super) software: Option<&'a str>,
+}
+
+impl Placement<'_> {
+    /// Returns whether the request may wait, or be rejected, until an upstream has room: it was not sent yet, and its
+    /// caller has received nothing.
+    pub(super) fn may_wait(&self) -> bool {
+        self.tried.is_empty() && self.software.is_none()
+    }
+}
+
 /// Which upstreams are candidates.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum CandidateSet {
@@ -52,41 +71,27 @@
 ///
 /// An upstream in an unreachable data hall is selected only if no other one has a free slot. After an outage of
 /// the store the same applies to an upstream whose entry is missing, as it may be gone.
-pub(super) async fn select(
-    core: &Shared,
-    request: &AdmittedRequest,
-    body: &Bytes,
-    tried: &[Instance],
-) -> Option<Choice> {
+pub(super) async fn select(core: &Shared, placement: Placement<'_>) -> Option<Choice> {
     if avoided(core) != Avoided::None {
-        let reachable = select_from(core, request, body, tried, CandidateSet::Reachable).await;
+        let reachable = select_from(core, placement, CandidateSet::Reachable).await;
         if reachable.as_ref().is_some_and(Choice::has_capacity) {
             return reachable;
         }
     }
-    let listed = select_from(core, request, body, tried, CandidateSet::Listed).await;
-    if listed.as_ref().is_some_and(Choice::has_capacity) || !has_last_resort(core, request) {
+    let listed = select_from(core, placement, CandidateSet::Listed).await;
+    if listed.as_ref().is_some_and(Choice::has_capacity) || !has_last_resort(core, placement.request) {
         return listed;
     }
-    select_from(core, request, body, tried, CandidateSet::All)
-        .await
-        .or(listed)
+    select_from(core, placement, CandidateSet::All).await.or(listed)
 }
 
-async fn select_from(
-    core: &Shared,
-    request: &AdmittedRequest,
-    body: &Bytes,
-    tried: &[Instance],
-    candidate_set: CandidateSet,
-) -> Option<Choice> {
-    let use_reservations = !request.prompt.is_empty() && !core.directory.borrow().is_small();
-    if use_reservations
-        && let Some(choice) = reservation_query::choose(core, request, body, tried, candidate_set).await
+async fn select_from(core: &Shared, placement: Placement<'_>, candidate_set: CandidateSet) -> Option<Choice> {
+    let use_reservations = !placement.request.prompt.is_empty() && !core.directory.borrow().is_small();
+    if use_reservations && let Some(choice) = reservation_query::choose(core, placement, candidate_set).await
     {
         return Some(choice);
     }
-    choose(core, request, body, tried, candidate_set)
+    choose(core, placement, candidate_set)
 }
 
 /// Returns the data halls that this box can't connect to.
@@ -105,14 +110,9 @@
 }
 
 /// Selects the upstream for the next attempt from the loads that this box knows; `None` if no one is available.
-fn choose(
-    core: &Core,
-    request: &AdmittedRequest,
-    body: &Bytes,
-    tried: &[Instance],
-    candidate_set: CandidateSet,
-) -> Option<Choice> {
-    let criteria = criteria(core, request, body, tried, candidate_set);
+fn choose(core: &Core, placement: Placement<'_>, candidate_set: CandidateSet) -> Option<Choice> {
+    let request = placement.request;
+    let criteria = criteria(core, placement, candidate_set);
     let (ids, candidates) = core.upstreams.borrow().candidates(&criteria, core.now());
     let cost_model = cost_model(core, request);
     let at = placement::best(&candidates, &criteria.demand, &cost_model)?;
@@ -175,31 +175,34 @@
 
 /// Returns whether a request can leave a stalled upstream: another one is available, or another box may reach one, and
 /// the retry budget grants the attempt.
-pub(super) fn can_retry_elsewhere(
-    core: &Core,
-    request: &AdmittedRequest,
-    body: &Bytes,
-    tried: &[Instance],
-) -> bool {
-    let has_other = core.uplinks.is_down(&request.service)
-        || choose(core, request, body, tried, CandidateSet::All).is_some();
-    has_other && core.take_retry(&request.service)
+pub(super) fn can_retry_elsewhere(core: &Core, placement: Placement<'_>) -> bool {
+    let service = &placement.request.service;
+    let has_other = core.uplinks.is_down(service) || choose(core, placement, CandidateSet::All).is_some();
+    has_other && core.take_retry(service)
 }
 
 /// Returns when the first upstream accepts requests again, if all that could serve a retry of the request
 /// back off or are rate-limited.
-pub(super) fn earliest_availability(core: &Core, request: &AdmittedRequest, body: &Bytes) -> Option<Moment> {
-    let criteria = criteria(core, request, body, &[], CandidateSet::All);
+pub(super) fn earliest_availability(core: &Core, placement: Placement<'_>) -> Option<Moment> {
+    let retry = Placement {
+        tried: &[],
+        ..placement
+    };
+    let criteria = criteria(core, retry, CandidateSet::All);
     core.upstreams.borrow().next_available_at(&criteria, core.now())
 }
 
 pub(super) fn criteria<'a>(
     core: &'a Core,
-    request: &'a AdmittedRequest,
-    body: &Bytes,
-    tried: &'a [Instance],
+    placement: Placement<'a>,
     candidate_set: CandidateSet,
 ) -> Criteria<'a> {
+    let Placement {
+        request,
+        body,
+        tried,
+        software,
+    } = placement;
     let model = request.model.as_deref();
     Criteria {
         service: &request.service,
@@ -210,6 +213,7 @@
         old_weights_grace: core.settings.bounds.old_weights_grace.mul_f64(OLD_WEIGHTS_SHARE),
         own_hall: &core.settings.hall,
         demand: demand(request, body),
+        software,
         excluded: tried,
         last_resort: candidate_set == CandidateSet::All,
         needs_connection: core.uplinks.is_down(&request.service),
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -1,7 +1,10 @@
 //! Applies the content of the store to the state of this box.
 
+use std::collections::BTreeSet;
+
 use jb_policy::Moment;
-use jb_protocol::{emit, event};
+use jb_policy::software::Mix;
+use jb_protocol::{emit, event, id};
 
 use super::missing;
 use crate::configuration::Configuration;
@@ -26,6 +29,8 @@
     draining: usize,
     expired: usize,
     gone: usize,
+    /// Services that upstreams have joined.
+    joined: BTreeSet<id::Service>,
 }
 
 impl UpdateSummary {
@@ -48,8 +53,14 @@
         self.expired += 1;
     }
 
-    /// Logs the counts if the upstreams got no log events of their own.
+    /// Announces the running streams of the services that may have another software version now, and logs the counts if
+    /// the upstreams got no log events of their own.
     pub(super) fn finish(self, core: &Core) {
+        for service in &self.joined {
+            if core.software_mix(service) == Mix::Several {
+                peers::announce_streams(core, service);
+            }
+        }
         if self.is_bulk && self.new + self.draining + self.expired + self.gone > 0 {
             emit!(core.logger, info, event::UPSTREAMS_CHANGED, "new" => self.new, "draining" => self.draining,
                 "expired" => self.expired, "gone" => self.gone);
@@ -109,6 +120,7 @@
         Registration::Unreadable(why) => why.clone(),
         Registration::Entry(_) | Registration::Gone => String::new(),
     };
+    let before = software_of(core, id);
     let transition = core
         .upstreams
         .borrow_mut()
@@ -117,8 +129,17 @@
         Transition::Added => {
             summary.new += 1;
             log_added(core, id, summary);
+            summary
+                .joined
+                .extend(software_of(core, id).map(|(service, _)| service));
+        }
+        Transition::Restarted(ended) => {
+            note_departure(core, before);
+            log_restarted(core, id, ended);
+            summary
+                .joined
+                .extend(software_of(core, id).map(|(service, _)| service));
         }
-        Transition::Restarted(ended) => log_restarted(core, id, ended),
         Transition::Draining => {
             summary.draining += 1;
             if summary.has_events() {
@@ -133,6 +154,21 @@
     }
 }
 
+/// Returns the service and the software version of a registered upstream.
+fn software_of(core: &Core, id: &str) -> Option<(id::Service, id::SoftwareVersion)> {
+    let upstreams = core.upstreams.borrow();
+    let entry = &upstreams.get(id)?.entry;
+    Some((entry.service.clone(), entry.software.clone()))
+}
+
+/// Records the software version of an upstream that has left.
+fn note_departure(core: &Core, software: Option<(id::Service, id::SoftwareVersion)>) {
+    if let Some((service, version)) = software {
+        let now = core.now();
+        core.departed_software.borrow_mut().note(&service, &version, now);
+    }
+}
+
 fn log_added(core: &Core, id: &str, summary: &UpdateSummary) {
     if !summary.has_events() {
         return;
@@ -157,9 +193,11 @@
 
 /// Removes an upstream from the registry.
 pub(super) fn remove_upstream(core: &Core, id: &str, summary: &mut UpdateSummary) {
+    let before = software_of(core, id);
     if core.upstreams.borrow_mut().remove(id).is_none() {
         return;
     }
+    note_departure(core, before);
     summary.gone += 1;
     if summary.has_events() {
         emit!(core.logger, info, event::UPSTREAM_GONE, "upstream" => id);
--- a/crates/jb-relay/src/peers/stream_origin.rs
+++ b/crates/jb-relay/src/peers/stream_origin.rs
@@ -11,6 +11,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
+use jb_policy::software::Mix;
 use jb_policy::stream_origin::{MAX_VERSION_BYTES, Origins};
 use jb_policy::{Moment, rendezvous};
 use jb_protocol::id;
@@ -195,9 +196,8 @@
 }
 
 /// Returns whether this box knows upstreams of several versions in a service.
-fn has_several_versions(_core: &Core, _service: &str) -> bool {
-    // Replaced by the registry
-    false
+fn has_several_versions(core: &Core, service: &str) -> bool {
+    core.software_mix(service) == Mix::Several
 }
 
 /// Records the origins of streams of another box.
--- a/crates/jb-relay/src/upstream/criteria.rs
+++ b/crates/jb-relay/src/upstream/criteria.rs
@@ -24,6 +24,8 @@
     pub own_hall: &'a str,
     /// Prompt and size of the request.
     pub demand: Demand<'a>,
+    /// Software version that the upstream must have, because it began the stream; `None` if any will do.
+    pub software: Option<&'a str>,
     /// Instances that were already tried.
     pub excluded: &'a [Instance],
     /// Whether to include upstreams whose entries are missing and which may have ended.
--- a/crates/jb-relay/src/upstream/selection.rs
+++ b/crates/jb-relay/src/upstream/selection.rs
@@ -4,6 +4,7 @@
 use jb_policy::placement::Candidate;
 use jb_policy::rendezvous;
 use jb_policy::weights::Overdue;
+use jb_protocol::id;
 
 use super::{CacheSource, Criteria, Instance, Registry, Upstream};
 
@@ -48,6 +49,23 @@
         self.iter().any(|(_, upstream)| has(upstream))
     }
 
+    /// Returns whether a service has an upstream with a software version that may receive requests now or later.
+    pub fn has_software(&self, service: &str, software: &str, now: Moment) -> bool {
+        let mut all = self.of_service(service);
+        all.any(|upstream| {
+            let may_reappear = upstream.expired.is_none_or(|until| now < until);
+            upstream.entry.software == software
+                && upstream.is_in_rotation()
+                && !upstream.replaced
+                && may_reappear
+        })
+    }
+
+    /// Returns the software versions of a service's upstreams.
+    pub fn software_versions(&self, service: &str) -> impl Iterator<Item = &id::SoftwareVersion> {
+        self.of_service(service).map(|upstream| &upstream.entry.software)
+    }
+
     /// Returns the highest-ranked available engines for a prefix group, in an order that is the same on all boxes.
     pub fn ranked(
         &self,
@@ -161,7 +179,12 @@
     fn eligible<'a>(&'a self, criteria: &'a Criteria<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
         let all = self.of_service(criteria.service);
         let untried = all.filter(|upstream| !criteria.excluded.contains(&upstream.instance));
-        let reached = untried.filter(|upstream| {
+        let same_software = untried.filter(|upstream| {
+            criteria
+                .software
+                .is_none_or(|software| upstream.entry.software == software)
+        });
+        let reached = same_software.filter(|upstream| {
             !criteria
                 .avoided_halls
                 .includes(&upstream.entry.hall, criteria.own_hall)
