--- a/crates/jb-relay/tests/http.rs
+++ b/crates/jb-relay/tests/http.rs
@@ -3,7 +3,7 @@
 #![allow(clippy::expect_used)]
 
 use bytes::{Bytes, BytesMut};
-use jb_relay::events::EventSplitter;
+use jb_relay::events::{Boundary, EventSplitter};
 use jb_relay::http::{BodyDecoder, Framing, RequestHead, ResponseHead, Step};
 use quickcheck::{Gen, QuickCheck};
 
@@ -77,6 +77,27 @@
     check(holds as fn(u8, Vec<usize>) -> bool);
 }
 
+/// Guards against two answers to whether a stream ends within an event, on resumable routes and on others.
+#[test]
+fn boundary_is_the_same_for_every_split_into_reads_and_agrees_with_the_splitter() {
+    for end in ["\n", "\r\n", "\r"] {
+        let whole = format!("id: 1{end}data: one{end}{end}: note{end}{end}data: two{end}{end}");
+        for length in 0..=whole.len() {
+            let mut splitter = EventSplitter::default();
+            splitter.push(&whole.as_bytes()[..length]);
+            while splitter.next_event().is_some() {}
+            for split in 0..=length {
+                let mut boundary = Boundary::default();
+                boundary.push(&whole.as_bytes()[..split]);
+                boundary.push(&whole.as_bytes()[split..length]);
+                let expected = !splitter.is_empty();
+                assert_eq!(boundary.is_within_event(), expected, "{end:?} {length} {split}");
+                assert_eq!(boundary.is_empty(), length == 0, "{end:?} {length} {split}");
+            }
+        }
+    }
+}
+
 #[test]
 fn arbitrary_bytes_never_cause_a_panic() {
     fn holds(bytes: Vec<u8>) -> bool {
