Pass a response's stated length on, also on streaming routes

Callers saw: an unstreamed response on a streaming route, complete at its stated length, broke off where it came through another box. Asked directly, the same response was complete.

Cause: a box sends all responses on streaming routes in chunks. The evidence, the length, was lost on the way.

Change: on a route that isn't resumable a stated length goes on to the caller or the other box, and the body without chunks. Parts are still sent as they arrive. A resumable stream stays in chunks, as it may end at another engine.

Why it works: the end is decided by what the engine stated, at each hop.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -198,12 +198,18 @@
     let ends_by_close = reply.body.ends_by_close();
     // A response that has reached its stated length is complete, whatever its content.
     let has_length = matches!(reply.answer.framing, Framing::Length(_));
+    // A stated length is passed on, as it shows the caller and a box that this one helps where the response ends. A
+    // resumable stream may end at another upstream.
+    let framing = match reply.answer.framing {
+        Framing::Length(length) if !request.route.resumable => Framing::Length(length),
+        _ => Framing::Chunked,
+    };
     let mut events = EventSplitter::default();
     pace.boundary = Boundary::default();
     // The head is sent with the first event; for a resumed stream it has already been sent.
     let mut out = match message.last_event {
         Some(_) => BytesMut::new(),
-        None => head(core, &reply.answer, Framing::Chunked),
+        None => head(core, &reply.answer, framing),
     };
     let mut has_started = message.last_event.is_some();
     let stall_timeout = request
@@ -227,7 +233,7 @@
                         return cut_off(has_started, why);
                     }
                 } else {
-                    put_data(&mut out, Framing::Chunked, &data);
+                    put_data(&mut out, framing, &data);
                 }
                 if out.len() == before {
                     continue;
@@ -259,7 +265,9 @@
             Part::CallerGone => return DeliveryOutcome::CallerGone,
         }
     }
-    out.put_slice(LAST_CHUNK);
+    if framing == Framing::Chunked {
+        out.put_slice(LAST_CHUNK);
+    }
     release(core, reply);
     match client.send(&out).await {
         Ok(()) => DeliveryOutcome::Complete,
