Take a plain service's response that ends within its content for lost

Callers saw: a JSON document or a stream of events that lacks its end, with status 200, from a plain service whose response has neither a length nor chunks and whose connection was closed in an orderly way.

Cause: such a response ends with its connection, and the HTTP client counts any orderly close as its end. The class: the absence of a sign of failure was taken for a sign of success.

Change: where neither a length nor chunks state the end, JSON that ends before its value does, and a stream of events that doesn't end after one, are lost. The request may have run, and is repeated only if it may. Content that is encoded, that is invalid otherwise, or of other types shows nothing and passes as before: an orderly close remains its end. So does a number cut between two digits.

Why it works: content that can't end there is evidence of a break, whatever the close looked like.

--- a/crates/jb-upstream/src/plain.rs
+++ b/crates/jb-upstream/src/plain.rs
@@ -9,9 +9,10 @@
 use jb_policy::signal::Observed;
 use jb_protocol::{header, id};
 use reqwest::Response;
+use serde::de::IgnoredAny;
 
 use crate::error::Failure;
-use crate::head;
+use crate::{head, sse};
 
 /// Maximum length of a response body accepted from a plain service.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
@@ -137,6 +138,7 @@
     }
     let status = answer.status().as_u16();
     let content_type = text("content-type");
+    let may_be_cut_off = ends_by_close(&answer) && text("content-encoding").is_none();
     let body = answer
         .bytes()
         .await
@@ -144,9 +146,29 @@
     if body.len() > MAX_ANSWER_BYTES {
         return Err(Failure::Protocol("the answer is too long".to_owned()));
     }
+    if may_be_cut_off && is_cut_off(content_type.as_deref().unwrap_or_default(), &body) {
+        return Err(Failure::Lost(
+            "the answer without a length ended within its content".to_owned(),
+        ));
+    }
     Ok(Answer {
         status,
         content_type,
         body,
     })
 }
+
+/// Returns whether the body has neither a length nor chunks, so that any orderly close of the connection ends it.
+fn ends_by_close(answer: &Response) -> bool {
+    answer.content_length().is_none() && !answer.headers().contains_key("transfer-encoding")
+}
+
+/// Returns whether the content shows that its end is missing. Content of other types shows nothing.
+fn is_cut_off(content_type: &str, body: &[u8]) -> bool {
+    let media_type = content_type.split(';').next().unwrap_or_default().trim();
+    let media_type = media_type.to_ascii_lowercase();
+    if media_type == "application/json" || media_type.ends_with("+json") {
+        return serde_json::from_slice::<IgnoredAny>(body).is_err_and(|why| why.is_eof());
+    }
+    media_type == "text/event-stream" && !sse::ends_between_events(body)
+}
--- a/crates/jb-upstream/src/sse.rs
+++ b/crates/jb-upstream/src/sse.rs
@@ -6,6 +6,14 @@
 pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 const DATA: &[u8] = b"data:";
 
+/// Ends of an event: the end of a line, and an empty line.
+const BLANK_LINES: [&[u8]; 3] = [b"\n\n", b"\n\r\n", b"\r\r"];
+
+/// Returns whether a stream has events and ends after the last one.
+pub fn ends_between_events(stream: &[u8]) -> bool {
+    BLANK_LINES.iter().any(|line| stream.ends_with(line))
+}
+
 /// Error for an event longer than [`MAX_EVENT_BYTES`].
 #[derive(Clone, Copy, Debug, PartialEq, Eq, thiserror::Error)]
 #[error("an event is longer than {MAX_EVENT_BYTES} bytes")]
