Count a completion without its end as lost in the load tool

Callers saw nothing of it: the load tool and the scenarios counted a completion as complete, with no cached tokens, as long as its text was the expected one.

Cause: only the text and `[DONE]` decided. A missing finish reason was not looked at, and missing token counts were read as zero, which the check for requests that found nothing cached takes for its proof. The class: the absence of a value taken for a value.

Change: a completion is complete with its text, its finish reason and its token counts. Text of a plain service has none, as before.

Why it works: what the box states at the end of a completion is required.

--- a/crates/jb-fakes/src/load/caller.rs
+++ b/crates/jb-fakes/src/load/caller.rs
@@ -226,17 +226,30 @@
     if content.unwrap_or(&text) != expected {
         return Seen::Lost("response text differs from the expected text".to_owned());
     }
-    complete(None, &value)
+    if content.is_some() {
+        return completion(None, &value);
+    }
+    // A response of a plain service is text without token counts.
+    Seen::Complete {
+        first: None,
+        prompt_tokens: 0,
+        cached_tokens: 0,
+    }
 }
 
-fn complete(first: Option<Duration>, value: &Value) -> Seen {
-    let usage = &value["usage"];
-    Seen::Complete {
-        first,
-        prompt_tokens: usage["prompt_tokens"].as_u64().unwrap_or(0),
-        cached_tokens: usage["prompt_tokens_details"]["cached_tokens"]
-            .as_u64()
-            .unwrap_or(0),
+/// Returns the result of a completion with the expected text, whose end is its finish reason and its token counts.
+fn completion(first: Option<Duration>, last: &Value) -> Seen {
+    let usage = &last["usage"];
+    let prompt_tokens = usage["prompt_tokens"].as_u64();
+    let cached_tokens = usage["prompt_tokens_details"]["cached_tokens"].as_u64();
+    let is_finished = last["choices"][0]["finish_reason"].is_string();
+    match (prompt_tokens, cached_tokens) {
+        (Some(prompt_tokens), Some(cached_tokens)) if is_finished => Seen::Complete {
+            first,
+            prompt_tokens,
+            cached_tokens,
+        },
+        _ => Seen::Lost("completion without its finish reason or token counts".to_owned()),
     }
 }
 
@@ -260,7 +273,7 @@
             let data = event.strip_prefix("data: ").unwrap_or_default();
             if data == "[DONE]" {
                 return if text == expected {
-                    complete(first, &last)
+                    completion(first, &last)
                 } else {
                     Seen::Lost("streamed text differs from the expected text".to_owned())
                 };
