Require complete responses where a scenario checks what was cached

Callers saw nothing of it: `expect uncached GROUP` held for a group of which no request was served.

Cause: a request without a complete response counted as one that found no token cached. The class: the absence of a sign of failure taken for success.

Change: both checks of cached tokens fail at a request without a complete response.

All uses of the check stand behind `expect complete` of the same group, so none held in vain.

Why it works: only a response that states its token counts is counted.

--- a/crates/jb-scenario/src/expect.rs
+++ b/crates/jb-scenario/src/expect.rs
@@ -109,12 +109,16 @@
     }
 
     async fn cached_tokens(&mut self, group: &str) -> miette::Result<u64> {
-        let seen = self.group(group)?.finish().await;
-        let cached = seen.iter().map(|s| match s {
-            Seen::Complete { cached_tokens, .. } => *cached_tokens,
-            _ => 0,
-        });
-        Ok(cached.sum())
+        let mut sum = 0;
+        for (n, seen) in self.group(group)?.finish().await.iter().enumerate() {
+            let Seen::Complete { cached_tokens, .. } = seen else {
+                return Err(miette!(
+                    "request {n} got {seen:?}, which doesn't show what was cached"
+                ));
+            };
+            sum += cached_tokens;
+        }
+        Ok(sum)
     }
 
     /// Returns how often the plain services ran each request body. The counts of a
