Count data since the first refused connection as a sign that open ones live on

What callers saw: all requests at a partitioned box got 503 although another box had dozens of open connections to engines that worked.

In the log of the failed test, box-3 has its first refused connection at 873111 ms, gets its last responses on open connections up to 873171 and the check ends at 873178. Its own next request goes through box-2, as that one still reaches engines, so box-3 uses none of its connections and no data can arrive any more. When box-2 is cut off too, box-3 declines as partitioned, and with both declined, open connections are used by nobody.

Change: data since the failure that led to the check counts. New connections have failed since then (one that succeeds ends the suspicion), so data that arrives later arrived on open connections. Data from before the failure still shows nothing.

A test of jb-policy asserted the opposite as its last step: data 10 ms after the first refused connection didn't count. That is the sequence of the log, so it was wrong. It keeps its claim (the link is down although data arrives) and is split: data before the failure doesn't count, data after it does, and data before a stalled request doesn't.

--- a/crates/jb-policy/src/uplink.rs
+++ b/crates/jb-policy/src/uplink.rs
@@ -41,9 +41,9 @@
     /// A failure that no later connection or data explains yet.
     Suspected { failure: Failure, at: Moment },
     /// The first check after a failure is under way.
-    Checking,
+    Checking { failed_at: Moment },
     /// All connections of a check failed.
-    Down { since: Moment },
+    Down { failed_at: Moment },
 }
 
 /// The link of a box to the upstreams of a service.
@@ -62,14 +62,15 @@
 
     /// Returns whether the first check after a failure is under way.
     pub fn is_checking(&self) -> bool {
-        self.state == State::Checking
+        matches!(self.state, State::Checking { .. })
     }
 
-    /// Returns whether data has arrived on open connections since no new ones can be opened.
+    /// Returns whether data has arrived on open connections since no new ones can be opened, which is since the failure
+    /// that led to the check.
     pub fn has_live_connections(&self) -> bool {
         match self.state {
-            State::Down { since } => self.last_data > Some(since),
-            State::Up | State::Suspected { .. } | State::Checking => true,
+            State::Down { failed_at } => self.last_data > Some(failed_at),
+            State::Up | State::Suspected { .. } | State::Checking { .. } => true,
         }
     }
 
@@ -108,7 +109,11 @@
         };
         let has_data = failure == Failure::Request && self.last_data > Some(at);
         let is_explained = has_data || self.last_connect > Some(at);
-        self.state = if is_explained { State::Up } else { State::Checking };
+        self.state = if is_explained {
+            State::Up
+        } else {
+            State::Checking { failed_at: at }
+        };
         !is_explained
     }
 
@@ -119,10 +124,12 @@
 
     /// Notes that all connections of a check failed.
     pub fn note_unreachable(&mut self, now: Moment) -> Change {
-        if self.is_down() {
-            return Change::None;
-        }
-        self.state = State::Down { since: now };
+        let failed_at = match self.state {
+            State::Down { .. } => return Change::None,
+            State::Checking { failed_at } | State::Suspected { at: failed_at, .. } => failed_at,
+            State::Up => now,
+        };
+        self.state = State::Down { failed_at };
         Change::Lost
     }
 }
--- a/crates/jb-policy/tests/uplink.rs
+++ b/crates/jb-policy/tests/uplink.rs
@@ -57,10 +57,33 @@
     let mut uplink = Uplink::default();
     uplink.note_data(at(1000));
     uplink.note_failure(Failure::Connect, at(1010));
-    uplink.note_data(at(1020));
     assert!(uplink.confirm());
     uplink.note_unreachable(at(1200));
     assert!(uplink.is_down() && !uplink.has_live_connections());
     uplink.note_data(at(1300));
     assert!(uplink.is_down() && uplink.has_live_connections());
 }
+
+/// Guards against taking open connections for dead because all responses on them arrived before the check ended: once
+/// other boxes serve the requests, no later data shows that they live on.
+#[test]
+fn data_after_the_first_refused_connection_shows_that_open_ones_live_on() {
+    let mut uplink = Uplink::default();
+    uplink.note_data(at(1000));
+    uplink.note_failure(Failure::Connect, at(1010));
+    uplink.note_data(at(1020));
+    assert!(uplink.confirm());
+    uplink.note_unreachable(at(1200));
+    assert!(uplink.is_down() && uplink.has_live_connections());
+}
+
+/// Guards against taking data from before a stall for a sign of life.
+#[test]
+fn data_before_a_stalled_request_does_not_show_that_connections_live_on() {
+    let mut uplink = Uplink::default();
+    uplink.note_data(at(1000));
+    uplink.note_failure(Failure::Request, at(1010));
+    assert!(uplink.confirm());
+    uplink.note_unreachable(at(1200));
+    assert!(uplink.is_down() && !uplink.has_live_connections());
+}
