Decline requests of other boxes without a usable connection to an upstream

What callers saw: requests at a partitioned box got 503 although a box in reach could serve them, as they were sent through a third box that accepted each of them and rejected it after the wait for an upstream.

It accepted, selected among upstreams with an idle connection, found none and answered that nothing was run, which ends the request at the entrance.

Change: such a box accepts only if an upstream of the service that can take a request has an idle connection that is open and not too old. Dead ones are dropped as they are found, so the check stays cheap. Otherwise it declines as partitioned, and the next box is asked.

Evidence: box_whose_open_connections_have_ended_declines (platform/tests/partition) was red in 3 of 3 runs before, with every second request rejected ([503, 200, 503, 200, ...]: they are spread over the two boxes), and passes in 4 of 4 runs of the file after.

--- a/crates/jb-relay/src/detour/serve.rs
+++ b/crates/jb-relay/src/detour/serve.rs
@@ -12,7 +12,7 @@
 use crate::core::{Core, Shared};
 use crate::exchange::{Exchange, RequestOutcome};
 use crate::http::{self, BodyDecoder, Connection, RequestHead};
-use crate::{front, peers, ready};
+use crate::{front, peers, pool, ready};
 
 /// Time within which an accepted request must arrive.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -45,7 +45,7 @@
 
 /// Returns whether this box can serve a request for another one.
 fn verdict(core: &Core, service: &str) -> Verdict {
-    if !core.uplinks.has_live_connections(service) {
+    if !can_reach_upstream(core, service) {
         Verdict::Partitioned
     } else if !ready::is_ready(core) {
         Verdict::NotReady
@@ -56,6 +56,14 @@
     }
 }
 
+/// Returns whether this box can send a request to an upstream of a service: on a new connection, or on an idle one while
+/// none can be opened.
+fn can_reach_upstream(core: &Core, service: &str) -> bool {
+    let uplinks = &core.uplinks;
+    !uplinks.is_down(service)
+        || (uplinks.has_live_connections(service) && pool::has_usable_connection(core, service))
+}
+
 /// Counts a request of another box until it is dropped.
 struct Accepted<'a>(&'a Core);
 
--- a/crates/jb-relay/src/pool.rs
+++ b/crates/jb-relay/src/pool.rs
@@ -8,7 +8,7 @@
 use tokio::net::{TcpSocket, TcpStream};
 use tokio::time::timeout;
 
-use crate::core::Shared;
+use crate::core::{Core, Shared};
 use crate::http::Connection;
 use crate::uplink;
 use crate::upstream::Instance;
@@ -34,6 +34,13 @@
     max_idle: Duration,
 }
 
+impl IdleConnection {
+    /// Returns whether a request can be sent on the connection now.
+    fn is_usable(&mut self, now: Moment) -> bool {
+        now.saturating_sub(self.idle_since) <= self.max_idle && self.connection.is_reusable()
+    }
+}
+
 /// A connection that carries a request.
 pub struct PooledConnection {
     /// HTTP connection.
@@ -231,6 +238,22 @@
     });
 }
 
+/// Returns whether an upstream of a service that can receive a request has an open idle connection. Drops those that have
+/// ended.
+pub fn has_usable_connection(core: &Core, service: &str) -> bool {
+    let now = core.now();
+    let mut upstreams = core.upstreams.borrow_mut();
+    let of_service = upstreams
+        .values_mut()
+        .filter(|upstream| upstream.entry.service == service);
+    of_service
+        .filter(|upstream| upstream.is_available(now))
+        .any(|upstream| {
+            upstream.idle.retain_mut(|idle| idle.is_usable(now));
+            !upstream.idle.is_empty()
+        })
+}
+
 /// Closes connections that have been idle for too long.
 pub fn close_expired(core: &Shared) {
     let now = core.now();
