--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -4,6 +4,7 @@
 
 use bytes::{BufMut as _, Bytes, BytesMut};
 use jb_policy::Moment;
+use jb_protocol::id;
 use tokio::time::sleep;
 
 use crate::admission::AdmittedRequest;
@@ -181,29 +182,48 @@
     }
 }
 
+/// What the delivery of a stream changes beside the caller's connection.
+pub trait Progress {
+    /// Called for each part of the response that arrives.
+    fn received(&mut self) {}
+
+    /// Called before the first event is sent to the caller. Returns the software version that has to go on with the
+    /// stream; `None` if it is unknown.
+    fn begins(&mut self) -> Option<id::SoftwareVersion> {
+        None
+    }
+
+    /// Returns whether another upstream can resume a stalled stream, with the software version that began it.
+    fn can_move(&mut self, _software: Option<&str>) -> bool {
+        false
+    }
+}
+
 /// Delivers a stream; a resumable one in whole events only.
-///
-/// `on_data` is called for each part that arrives; `can_move` returns whether another upstream can resume a
-/// stalled stream.
 pub async fn deliver_stream(
     core: &Shared,
     message: &mut Message<'_>,
     mut reply: Reply,
     client: &mut Connection,
     pace: &mut StreamTiming,
-    mut on_data: impl FnMut(),
-    mut can_move: impl FnMut() -> bool,
+    mut progress: impl Progress,
 ) -> DeliveryOutcome {
     let request = message.request;
     let ends_by_close = reply.body.ends_by_close();
     // A response that has reached its stated length is complete, whatever its content.
     let has_length = matches!(reply.answer.framing, Framing::Length(_));
+    // A stated length is passed on, as it shows the caller and a box that this one helps where the response ends. A
+    // resumable stream may end at another upstream.
+    let framing = match reply.answer.framing {
+        Framing::Length(length) if !request.route.resumable => Framing::Length(length),
+        _ => Framing::Chunked,
+    };
     let mut events = EventSplitter::default();
     pace.boundary = Boundary::default();
     // The head is sent with the first event; for a resumed stream it has already been sent.
     let mut out = match message.last_event {
         Some(_) => BytesMut::new(),
-        None => head(core, &reply.answer, Framing::Chunked),
+        None => head(core, &reply.answer, framing),
     };
     let mut has_started = message.last_event.is_some();
     let stall_timeout = request
@@ -215,7 +235,7 @@
         let stall_limit = if has_started { stall_timeout } else { None };
         match next_part(&mut reply, client, left, stall_limit).await {
             Part::Data(data) => {
-                on_data();
+                progress.received();
                 pace.boundary.push(&data);
                 let before = out.len();
                 if request.route.resumable {
@@ -227,12 +247,15 @@
                         return cut_off(has_started, why);
                     }
                 } else {
-                    put_data(&mut out, Framing::Chunked, &data);
+                    put_data(&mut out, framing, &data);
                 }
                 if out.len() == before {
                     continue;
                 }
                 pace.event(core, request);
+                if !has_started {
+                    message.software = progress.begins().or(message.software.take());
+                }
                 has_started = true;
                 if client.send(&out).await.is_err() {
                     return DeliveryOutcome::CallerGone;
@@ -251,7 +274,9 @@
             }
             Part::End => break,
             Part::Broken(why) => return cut_off(has_started, why),
-            Part::Silent if can_move() => return cut_off(has_started, "stream stalled"),
+            Part::Silent if progress.can_move(message.software.as_deref()) => {
+                return cut_off(has_started, "stream stalled");
+            }
             // A stall alone doesn't end a stream, as its events may only be late.
             Part::Silent => {}
             Part::Late if has_started => return DeliveryOutcome::Late,
@@ -259,7 +284,9 @@
             Part::CallerGone => return DeliveryOutcome::CallerGone,
         }
     }
-    out.put_slice(LAST_CHUNK);
+    if framing == Framing::Chunked {
+        out.put_slice(LAST_CHUNK);
+    }
     release(core, reply);
     match client.send(&out).await {
         Ok(()) => DeliveryOutcome::Complete,
