Treat an id that registers with other software as another instance

An instance never changes its software. On a platform whose entries lack a start time, an id that came back with other software kept the state of the instance that had ended, and its old version didn't count as departed. The versions of each service are indexed, so that a stream doesn't walk all upstreams of its service.

--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -125,21 +125,17 @@
         .upstreams
         .borrow_mut()
         .apply_registration(id, registration, revision);
+    let after = software_of(core, id);
+    if after != before {
+        note_departure(core, before);
+        summary.joined.extend(after.map(|(service, _)| service));
+    }
     match transition {
         Transition::Added => {
             summary.new += 1;
             log_added(core, id, summary);
-            summary
-                .joined
-                .extend(software_of(core, id).map(|(service, _)| service));
-        }
-        Transition::Restarted(ended) => {
-            note_departure(core, before);
-            log_restarted(core, id, ended);
-            summary
-                .joined
-                .extend(software_of(core, id).map(|(service, _)| service));
         }
+        Transition::Restarted(ended) => log_restarted(core, id, ended),
         Transition::Draining => {
             summary.draining += 1;
             if summary.has_events() {
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -140,6 +140,7 @@
         let same_instance = |known: &&mut Upstream| known.instance.started_at == entry.started_at;
         if let Some(known) = self.upstreams.get_mut(id).filter(same_instance)
             && known.entry.service == entry.service
+            && known.entry.software == entry.software
         {
             let begins_to_drain = entry.draining && !known.entry.draining;
             known.update(entry);
@@ -368,6 +369,11 @@
         self.upstreams.of_service(service)
     }
 
+    /// Returns the software versions of a service's upstreams, each once.
+    pub fn software_versions(&self, service: &str) -> impl Iterator<Item = &id::SoftwareVersion> {
+        self.upstreams.software_versions(service)
+    }
+
     /// Notes that an instance has signalled that it is brittle; returns whether that is new for its service.
     pub fn note_brittle(&mut self, instance: &Instance, now: Moment) -> bool {
         let Some(service) = self
--- a/crates/jb-relay/src/upstream/selection.rs
+++ b/crates/jb-relay/src/upstream/selection.rs
@@ -4,7 +4,6 @@
 use jb_policy::placement::Candidate;
 use jb_policy::rendezvous;
 use jb_policy::weights::Overdue;
-use jb_protocol::id;
 
 use super::{CacheSource, Criteria, Instance, Registry, Upstream};
 
@@ -61,11 +60,6 @@
         })
     }
 
-    /// Returns the software versions of a service's upstreams.
-    pub fn software_versions(&self, service: &str) -> impl Iterator<Item = &id::SoftwareVersion> {
-        self.of_service(service).map(|upstream| &upstream.entry.software)
-    }
-
     /// Returns the highest-ranked available engines for a prefix group, in an order that is the same on all boxes.
     pub fn ranked(
         &self,
--- a/crates/jb-relay/src/upstream/table.rs
+++ b/crates/jb-relay/src/upstream/table.rs
@@ -20,6 +20,8 @@
     by_id: BTreeMap<Id, Slot>,
     by_short_name: HashMap<u32, Slot>,
     by_service: HashMap<id::Service, Vec<Slot>>,
+    /// Number of upstreams of each service with each software version.
+    software: HashMap<id::Service, BTreeMap<id::SoftwareVersion, usize>>,
     /// Slots of the upstreams that may have requests of this box.
     busy: BTreeSet<Slot>,
 }
@@ -36,6 +38,8 @@
         self.by_short_name
             .insert(rendezvous::short_hash(upstream.name_hash), slot);
         let service = upstream.entry.service.clone();
+        let versions = self.software.entry(service.clone()).or_default();
+        *versions.entry(upstream.entry.software.clone()).or_default() += 1;
         self.by_service.entry(service).or_default().push(slot);
         self.upstreams[slot] = Some(upstream);
     }
@@ -51,11 +55,28 @@
         if let Some(slots) = self.by_service.get_mut(&upstream.entry.service) {
             slots.retain(|other| *other != slot);
         }
+        self.remove_software(&upstream);
         self.busy.remove(&slot);
         self.free.push(slot);
         Some(upstream)
     }
 
+    fn remove_software(&mut self, upstream: &Upstream) {
+        let Some(versions) = self.software.get_mut(&upstream.entry.service) else {
+            return;
+        };
+        if let Some(count) = versions.get_mut(&upstream.entry.software) {
+            *count -= 1;
+        }
+        versions.retain(|_, count| *count > 0);
+    }
+
+    /// Returns the software versions of a service's upstreams, each once.
+    pub fn software_versions(&self, service: &str) -> impl Iterator<Item = &id::SoftwareVersion> {
+        let versions = self.software.get(service);
+        versions.into_iter().flatten().map(|(version, _)| version)
+    }
+
     /// Returns the number of upstreams.
     pub fn len(&self) -> usize {
         self.by_id.len()
--- a/crates/jb-relay/tests/instances.rs
+++ b/crates/jb-relay/tests/instances.rs
@@ -388,3 +388,28 @@
     registry.end_request(&instances[3], true);
     assert_eq!(busy(&registry), ["engine-3"]);
 }
+
+/// An id that registers again with other software kept the state of the instance that had ended.
+#[test]
+fn registration_with_other_software_is_another_instance() {
+    let mut registry = Registry::default();
+    registry.apply_registration("engine", entry(None, false), at(1));
+    registry.apply_registration("other", entry(None, false), at(2));
+    let newer = |registration| match registration {
+        Registration::Entry(entry) => Registration::Entry(Entry {
+            software: "v2".to_owned(),
+            ..entry
+        }),
+        other => other,
+    };
+    let versions = |registry: &Registry| -> Vec<String> {
+        let all = registry.software_versions("models");
+        all.cloned().collect()
+    };
+    assert_eq!(versions(&registry), ["v1"]);
+    let transition = registry.apply_registration("engine", newer(entry(None, false)), at(3));
+    assert!(matches!(transition, Transition::Restarted(_)), "{transition:?}");
+    assert_eq!(versions(&registry), ["v1", "v2"]);
+    registry.remove("other");
+    assert_eq!(versions(&registry), ["v2"]);
+}
