--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -31,6 +31,9 @@
     /// callers (8)
     #[argh(option, default = "8")]
     callers: u64,
+    /// keep the logs of runs that hold, too
+    #[argh(switch)]
+    keep: bool,
     /// draw from the original set of faults only
     #[argh(switch)]
     first: bool,
@@ -114,6 +117,8 @@
         print!("{checks}");
         if !checks.hold() {
             failed.push(seed);
+        }
+        if arguments.keep || !checks.hold() {
             println!("  logs: {}", folder.keep().display());
         }
     }
