--- a/crates/jb-soak/src/boxes.rs
+++ b/crates/jb-soak/src/boxes.rs
@@ -76,6 +76,13 @@
         fields["callers"].as_str()?.parse().ok()
     }
 
+    /// Returns the address for callers, once the process has a configuration, before which it reports that it isn't ready.
+    pub fn ready_address(&self) -> Option<SocketAddr> {
+        let text = std::fs::read_to_string(self.log()).ok()?;
+        let is_ready = text.lines().any(|line| line.contains("\"rules_in_force\""));
+        is_ready.then(|| self.address()).flatten()
+    }
+
     /// Sends a signal to the process; does nothing if it has exited.
     pub fn signal(&self, signal: Signal) {
         let child = self.child.borrow();
--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -86,7 +86,11 @@
             Some(open) => open,
             None => {
                 let at = random.random_range(0..world.boxes.len());
-                let Some(address) = world.boxes[at].address() else {
+                let address = match world.set {
+                    Set::Versions => world.boxes[at].ready_address(),
+                    _ => world.boxes[at].address(),
+                };
+                let Some(address) = address else {
                     continue;
                 };
                 let Ok(Ok(stream)) = timeout(CONNECT_TIMEOUT, tokio::net::TcpStream::connect(address)).await
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -299,7 +299,7 @@
         target.start();
     }
     if world.set == Set::Versions {
-        while target.is_running() && target.address().is_none() {
+        while target.is_running() && target.ready_address().is_none() {
             sleep(POLL_INTERVAL).await;
         }
         world.record_fault_since(at, from);
--- a/crates/jb-soak/src/versions.rs
+++ b/crates/jb-soak/src/versions.rs
@@ -335,13 +335,13 @@
     Some(attempt)
 }
 
-/// Draws a running box, other than the last one if there is one.
+/// Draws a running box that is ready, as a balancer does, other than the last one if there is one.
 fn other_box(world: &World, last: usize, random: &mut ChaCha8Rng) -> Option<(usize, SocketAddr)> {
     let mut others: Vec<usize> = (0..world.boxes.len()).filter(|at| *at != last).collect();
     others.shuffle(random);
     let address = |at: usize| {
         let one = &world.boxes[at];
-        Some((at, one.is_running().then(|| one.address()).flatten()?))
+        Some((at, one.is_running().then(|| one.ready_address()).flatten()?))
     };
     others.into_iter().chain([last]).find_map(address)
 }
