--- a/crates/jb-relay/src/exchange/pick.rs
+++ b/crates/jb-relay/src/exchange/pick.rs
@@ -36,9 +36,10 @@
         let request = self.message.request;
         // A resumed stream may pause for as long as its route allows between two events.
         let until = match self.message.software {
-            Some(_) => self.core.now() + request.route.max_event_gap,
+            Some(_) => self.paused_since + request.route.max_event_gap,
             None => request.arrived_at + request.route.target_latency.mul_f64(MAX_WAIT_SHARE),
         };
+        let until = until.min(request.deadline);
         let suspect_until = (self.core.now() + MAX_SUSPECT_WAIT).min(request.deadline);
         loop {
             match self.clearance(suspect_until) {
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -62,6 +62,8 @@
     pub(super) rejection: Option<Rejection>,
     /// Hash of the request's content, computed on first use.
     pub(super) fingerprint: OnceCell<Fingerprint>,
+    /// Since when the caller has been waiting for the stream to go on: since its break, or since the request arrived.
+    pub(super) paused_since: Moment,
     /// Result of the current attempt, which the release of the reservation reports.
     pub(super) ending: Option<Rc<Cell<peers::Outcome>>>,
     pub(super) timing: StreamTiming,
@@ -105,6 +107,7 @@
             retry_granted: false,
             rejection: None,
             fingerprint: OnceCell::new(),
+            paused_since: request.arrived_at,
             ending: None,
             timing: StreamTiming::default(),
             framing: None,
@@ -369,6 +372,7 @@
             }
             DeliveryOutcome::Late => Ok(Next::End(RequestOutcome::Broken("deadline exceeded"))),
             DeliveryOutcome::CallerGone => Ok(Next::End(RequestOutcome::CallerGone)),
+                    self.paused_since = core.now();
         }
     }
 
