--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -66,7 +66,7 @@
         let software = self.message.software.as_deref()?;
         let service = &self.message.request.service;
         let upstreams = self.core.upstreams.borrow();
-        let has_software = upstreams.has_software(service, software, self.core.now());
+        let has_software = upstreams.has_software(service, software, &self.tried, self.core.now());
         (!has_software).then_some(Rejection {
             why: "version_gone",
             after: Duration::ZERO,
--- a/crates/jb-relay/src/upstream/selection.rs
+++ b/crates/jb-relay/src/upstream/selection.rs
@@ -48,8 +48,9 @@
         self.iter().any(|(_, upstream)| has(upstream))
     }
 
-    /// Returns whether a service has an upstream with a software version that may receive requests now or later.
-    pub fn has_software(&self, service: &str, software: &str, now: Moment) -> bool {
+    /// Returns whether a service has an upstream with a software version, other than those that were tried, that may
+    /// receive requests now or later.
+    pub fn has_software(&self, service: &str, software: &str, tried: &[Instance], now: Moment) -> bool {
         let mut all = self.of_service(service);
         all.any(|upstream| {
             let may_reappear = upstream.expired.is_none_or(|until| now < until);
