Trust only recent knowledge that a single software version serves

A box without recent knowledge of the store took up a stream of unknown origin if any owner replied, which may know as little: 200 in a test that expects 503, which was red before. It relies on its own recent knowledge only, and announces all streams while it has none. Streams stay unannounced while no other box is listed.

--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -225,6 +225,13 @@
         self.verified_at.get().map(|at| self.now().saturating_sub(at))
     }
 
+    /// Returns whether the state is older than a configuration may take to be in force, so that an upstream of another
+    /// version may have joined unnoticed.
+    pub fn is_outdated(&self) -> bool {
+        let max_age = self.settings.bounds.max_config_delay;
+        self.state_age().is_some_and(|age| age > max_age)
+    }
+
     /// Returns the age of the state without updates that other boxes passed on; `None` before the first one.
     pub fn direct_state_age(&self) -> Option<Duration> {
         self.verified_directly_at
--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -43,11 +43,10 @@
             (Finding::Known(version), _) => Some(version),
             (
                 Finding::Unknown {
-                    replies,
                     has_several_versions: false,
                 },
                 Mix::One(version),
-            ) if replies > 0 || is_up_to_date(core) => Some(version),
+            ) if !core.is_outdated() => Some(version),
             (Finding::Unknown { .. }, _) => None,
         };
         if self.message.software.is_some() {
@@ -81,14 +80,9 @@
     }
 }
 
-/// Returns whether this box would know an upstream of another version if there were one.
-fn is_up_to_date(core: &Core) -> bool {
-    let age = core.state_age();
-    age.is_some_and(|age| age <= core.settings.bounds.max_config_delay)
-}
-
-/// Returns the id under which the origin of a request's stream is known.
-pub(super) fn origin_id(request: &AdmittedRequest) -> &str {
+/// Returns the name under which the origin of a request's stream is known. Callers choose the ids of their requests, so
+/// it names the customer, too.
+pub(super) fn origin_name(request: &AdmittedRequest) -> String {
     let first = request.resumes.as_deref().filter(|_| request.is_resumption);
     first.unwrap_or(&request.id)
 }
--- a/crates/jb-relay/src/peers/stream_origin.rs
+++ b/crates/jb-relay/src/peers/stream_origin.rs
@@ -4,7 +4,7 @@
 //! chosen by rendezvous hashing of the request id over all listed boxes. A box that resumes the stream asks them.
 
 use std::cell::RefCell;
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -95,11 +95,22 @@
     }
     origins.own.borrow_mut().insert(request, version.to_owned(), now);
     origins.unsent.borrow_mut().insert(request, service.to_owned());
-    if has_several_versions(core, service) {
+    if has_several_versions(core, service) || core.is_outdated() {
         announce_streams(core, service);
     }
 }
 
+/// Announces all streams of this box while it may not know all versions of their services.
+pub fn announce_while_outdated(core: &Core) {
+    if !core.is_outdated() {
+        return;
+    }
+    let services: BTreeSet<id::Service> = core.stream_origins.unsent.borrow().values().cloned().collect();
+    for service in services {
+        announce_streams(core, &service);
+    }
+}
+
 /// Forgets a stream of this box that was delivered completely.
 pub fn end_stream(core: &Core, request: &str) {
     let request = rendezvous::name_hash(request);
@@ -109,6 +120,10 @@
 
 /// Sends the origins of this box's streams of a service to their owners, except those that were sent before.
 pub fn announce_streams(core: &Core, service: &str) {
+    if core.directory.borrow().boxes() < 2 {
+        // The other boxes are not listed yet, or there are none.
+        return;
+    }
     let rows = core.stream_origins.take_unsent(service, core.now());
     for (owner, rows) in by_owner(core, rows) {
         core.metrics.stream_origins_sent.inc_by(rows.len() as u64);
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -142,6 +142,7 @@
         pool::close_expired(&core);
         peers::expire_reservations(&core);
         peers::expire_stream_origins(&core);
+        peers::announce_while_outdated(&core);
     }
 }
 
