--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -140,6 +140,10 @@
             };
             // After a denial the upstream is no longer available when the next one is selected.
             let Ok(permit) = peers::acquire_permit(self.core, &choice.instance).await else {
+            if !self.confirm_software(&choice.instance).await {
+                self.tried.push(choice.instance);
+                continue;
+            }
                 continue;
             };
             let Ok(_room) = self.reserve_room(&choice).await else {
--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -5,6 +5,7 @@
 use jb_policy::Moment;
 use jb_policy::software::Mix;
 use jb_protocol::{emit, event, id};
+use tokio::time::timeout;
 
 use super::load_guard::LoadGuard;
 use super::pick::Rejection;
@@ -15,6 +16,7 @@
 use crate::deliver;
 use crate::peers::{self, Finding};
 use crate::upstream::Instance;
+use crate::{restart, signal};
 
 impl Exchange<'_> {
     /// Returns the request as one for which an upstream is selected.
@@ -73,6 +75,32 @@
     }
 
     /// Returns the software version of an upstream.
+    /// Returns whether an upstream has the software that the stream has to go on at. One that has restarted under its id
+    /// may have other software before its new entry is known, so it is asked when it started.
+    pub(super) async fn confirm_software(&self, instance: &Instance) -> bool {
+        if self.message.software.is_none() || instance.started_at.is_none() {
+            return true;
+        }
+        let core = self.core;
+        let address = {
+            let upstreams = core.upstreams.borrow();
+            upstreams
+                .instance(instance)
+                .map(|upstream| upstream.entry.address)
+        };
+        let Some(address) = address else { return false };
+        let Ok(observed) = timeout(self.left(), core.engines.report(address)).await else {
+            return false;
+        };
+        signal::apply_signals(core, instance, observed.signals, None);
+        let Ok(report) = observed.result else { return false };
+        let is_same = instance.matches_start_time(report.started_at);
+        if !is_same {
+            restart::note(core, instance, report.started_at, "report");
+        }
+        is_same
+    }
+
     pub(super) fn software_of(&self, instance: &Instance) -> Option<id::SoftwareVersion> {
         let upstreams = self.core.upstreams.borrow();
         let entry = &upstreams.instance(instance)?.entry;
