Keep the origin of a stream by its customer, and beyond failed attempts

Two customers may choose the same id: the stream of one was looked for at the version of the other. An error response to an attempt made the box forget the origin, so that the next attempt was rejected. Both tests were red before.

--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -353,7 +353,9 @@
         };
         match delivered {
             DeliveryOutcome::Complete => {
-                peers::end_stream(core, version::origin_id(request));
+                if success {
+                    peers::end_stream(core, &version::origin_name(request));
+                }
                 if status < 500 {
                     self.record_success(instance);
                     self.note_run(instance);
--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -39,8 +39,7 @@
             return Ok(());
         }
         let core = self.core;
-        let first = request.resumes.as_deref().unwrap_or_default();
-        let finding = peers::find_origin(core, &request.service, first).await;
+        let finding = peers::find_origin(core, &request.service, &origin_name(request)).await;
         self.message.software = match (finding, core.software_mix(&request.service)) {
             (Finding::Known(version), _) => Some(version),
             (
@@ -112,7 +111,8 @@
 /// it names the customer, too.
 pub(super) fn origin_name(request: &AdmittedRequest) -> String {
     let first = request.resumes.as_deref().filter(|_| request.is_resumption);
-    first.unwrap_or(&request.id)
+    let customer = request.customer.as_deref().unwrap_or_default();
+    format!("{customer}/{}", first.unwrap_or(&request.id))
 }
 
 /// What the delivery of a stream changes beside the caller's connection.
@@ -139,7 +139,7 @@
         let request = self.placement.request;
         let software = self.software.clone()?;
         if request.route.resumable {
-            peers::begin_stream(self.core, &request.service, origin_id(request), &software);
+            peers::begin_stream(self.core, &request.service, &origin_name(request), &software);
         }
         Some(software)
     }
