--- a/crates/jb-relay/src/admission.rs
+++ b/crates/jb-relay/src/admission.rs
@@ -230,7 +230,9 @@
 /// Returns whether a request takes up a stream that began with an earlier one.
 fn is_resumption(core: &Core, query: &RequestHead, route: &Route) -> bool {
     let names = [core.header_names.resumes, core.header_names.last_event];
-    route.kind == RouteKind::Stream && names.iter().any(|name| query.headers.get(name).is_some())
+    route.kind == RouteKind::Stream
+        && route.resumable
+        && names.iter().any(|name| query.headers.get(name).is_some())
 }
 
 /// Properties of a request's content, from its head.
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -128,22 +128,24 @@
             if self.left().is_zero() {
                 return self.terminal_outcome(why);
             }
+            // Found out first, as a helper may not reach the boxes that know it.
+            let found = self.find_software().await;
             if let Path::Ended(outcome) = self.detour_if_partitioned(client).await {
                 return outcome;
             }
-            if let Err(rejection) = self.find_software().await {
+            if let Err(rejection) = found {
                 self.rejection = Some(rejection);
                 return self.terminal_outcome(rejection.why);
             }
             let Some(choice) = self.pick(client).await else {
                 return self.terminal_outcome(self.rejection.map_or(why, |rejection| rejection.why));
             };
-            // After a denial the upstream is no longer available when the next one is selected.
-            let Ok(permit) = peers::acquire_permit(self.core, &choice.instance).await else {
             if !self.confirm_software(&choice.instance).await {
                 self.tried.push(choice.instance);
                 continue;
             }
+            // After a denial the upstream is no longer available when the next one is selected.
+            let Ok(permit) = peers::acquire_permit(self.core, &choice.instance).await else {
                 continue;
             };
             let Ok(_room) = self.reserve_room(&choice).await else {
@@ -370,6 +372,7 @@
                 self.record_failure(instance, "ran_partly", why);
                 let may_retry = request.route.resumable && self.runs < request.route.max_attempts;
                 if may_retry && self.message.last_event.is_some() {
+                    self.paused_since = core.now();
                     emit!(core.logger, info, event::STREAM_RESUMED, "request" => &request.id,
                         "after" => self.message.last_event, "why" => why);
                     return Ok(Next::Again);
@@ -378,7 +381,6 @@
             }
             DeliveryOutcome::Late => Ok(Next::End(RequestOutcome::Broken("deadline exceeded"))),
             DeliveryOutcome::CallerGone => Ok(Next::End(RequestOutcome::CallerGone)),
-                    self.paused_since = core.now();
         }
     }
 
--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -12,7 +12,7 @@
 use super::run::Exchange;
 use super::selection::{self, Placement};
 use crate::admission::AdmittedRequest;
-use crate::core::{Core, Shared};
+use crate::core::Shared;
 use crate::deliver;
 use crate::peers::{self, Finding};
 use crate::upstream::Instance;
@@ -45,6 +45,7 @@
             (
                 Finding::Unknown {
                     has_several_versions: false,
+                    ..
                 },
                 Mix::One(version),
             ) if !core.is_outdated() => Some(version),
@@ -53,7 +54,8 @@
         if self.message.software.is_some() {
             return Ok(());
         }
-        emit!(core.logger, info, event::STREAM_ORIGIN_UNKNOWN, "request" => &request.id, "resumes" => first);
+        emit!(core.logger, info, event::STREAM_ORIGIN_UNKNOWN, "request" => &request.id,
+            "resumes" => &request.resumes);
         Err(Rejection {
             why: "unknown_version",
             // Another box may know it.
@@ -73,7 +75,6 @@
         })
     }
 
-    /// Returns the software version of an upstream.
     /// Returns whether an upstream has the software that the stream has to go on at. One that has restarted under its id
     /// may have other software before its new entry is known, so it is asked when it started.
     pub(super) async fn confirm_software(&self, instance: &Instance) -> bool {
@@ -100,6 +101,7 @@
         is_same
     }
 
+    /// Returns the software version of an upstream.
     pub(super) fn software_of(&self, instance: &Instance) -> Option<id::SoftwareVersion> {
         let upstreams = self.core.upstreams.borrow();
         let entry = &upstreams.instance(instance)?.entry;
--- a/crates/jb-relay/src/peers/stream_origin.rs
+++ b/crates/jb-relay/src/peers/stream_origin.rs
@@ -86,7 +86,7 @@
 }
 
 /// Records the version that began a stream of this box; has to be called before the first event reaches the caller. If
-/// the service has several versions, the stream's owners are told at once.
+/// the service has several versions, or may have, the version is sent to the stream's owners at once.
 pub fn begin_stream(core: &Core, service: &str, request: &str, version: &str) {
     let request = rendezvous::name_hash(request);
     let (origins, now) = (&core.stream_origins, core.now());
--- a/crates/jb-relay/src/upstream/selection.rs
+++ b/crates/jb-relay/src/upstream/selection.rs
@@ -55,6 +55,7 @@
         all.any(|upstream| {
             let may_reappear = upstream.expired.is_none_or(|until| now < until);
             upstream.entry.software == software
+                && !tried.contains(&upstream.instance)
                 && upstream.is_in_rotation()
                 && !upstream.replaced
                 && may_reappear
