--- a/crates/jb-relay/src/exchange/detour.rs
+++ b/crates/jb-relay/src/exchange/detour.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use jb_policy::Moment;
 use jb_protocol::{emit, event};
 use tokio::time::timeout;
 
@@ -12,6 +13,7 @@
 use crate::deliver::{self, DeliveryOutcome};
 use crate::detour::{self, Envelope, Failure, Helper};
 use crate::http::{BodyDecoder, Connection, ResponseHead};
+use crate::signal;
 
 /// `Retry-After` while no box is known to reach an upstream: the interval at which they check their links, with a
 /// margin.
@@ -77,6 +79,7 @@
         } = helper;
         self.helper = Some(id);
         self.sends += 1;
+        let sent_at = self.core.now();
         let sent = timeout(
             self.left(),
             detour::send(self.core, &mut connection, &self.message),
@@ -89,7 +92,7 @@
             }
         };
         match answer {
-            Ok(Ok(answer)) => self.deliver_detour(answer, connection, client).await,
+            Ok(Ok(answer)) => self.deliver_detour(answer, sent_at, connection, client).await,
             Ok(Err(why)) => self.lose_detour(&why.to_string()),
             Err(_) => self.lose_detour("deadline exceeded"),
         }
@@ -106,6 +109,7 @@
     async fn deliver_detour(
         &mut self,
         answer: ResponseHead,
+        sent_at: Moment,
         connection: Connection,
         client: &mut Connection,
     ) -> RequestOutcome {
@@ -116,6 +120,7 @@
         let core = self.core;
         let request = self.message.request;
         let status = answer.status;
+        signal::apply_forwarded(core, &request.service, &answer, sent_at);
         self.framing = Some(answer.framing);
         let is_success = (200..300).contains(&status);
         if self.has_begun() && !is_success {
--- a/crates/jb-relay/src/signal.rs
+++ b/crates/jb-relay/src/signal.rs
@@ -96,6 +96,17 @@
     }
 }
 
+/// Applies the head of an upstream's response to a request that was sent through another box at `sent`. Only the signal
+/// for the whole service counts, as the upstream is not known.
+pub fn apply_forwarded(core: &Core, service: &str, answer: &ResponseHead, sent: Moment) {
+    let mut upstreams = core.upstreams.borrow_mut();
+    if !signal::is_brittle(answer.headers.all(core.header_names.brittle)) {
+        upstreams.note_not_brittle_service(service, sent);
+    } else if upstreams.note_brittle_service(service, core.now()) {
+        emit!(core.logger, info, event::SERVICE_BRITTLE, "service" => service);
+    }
+}
+
 /// Applies the head of a late response to an earlier request. Its weights version and remaining rate limit are
 /// outdated and are ignored.
 pub fn apply_late(core: &Core, instance: &Instance, head: &ParsedHead) {
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -376,7 +376,13 @@
         else {
             return false;
         };
-        self.brittle.entry(service).or_default().note_signal(now)
+        self.note_brittle_service(&service, now)
+    }
+
+    /// Notes that an upstream of a service has signalled that it is brittle; returns whether that is new.
+    pub fn note_brittle_service(&mut self, service: &str, now: Moment) -> bool {
+        let brittleness = self.brittle.entry(service.to_owned()).or_default();
+        brittleness.note_signal(now)
     }
 
     /// Notes a response without that signal to a request that was sent at `sent`.
@@ -387,7 +393,14 @@
         let service = self
             .instance(instance)
             .map(|upstream| upstream.entry.service.clone());
-        if let Some(brittleness) = service.and_then(|service| self.brittle.get_mut(&service)) {
+        if let Some(service) = service {
+            self.note_not_brittle_service(&service, sent);
+        }
+    }
+
+    /// Notes a response of an upstream of a service without that signal to a request that was sent at `sent`.
+    pub fn note_not_brittle_service(&mut self, service: &str, sent: Moment) {
+        if let Some(brittleness) = self.brittle.get_mut(service) {
             brittleness.note_absence(sent);
         }
     }
