Keep one owner of a brittle engine's reservations while it is heard

What callers saw: brittle engines ended although each box sent only what had a reservation, and the requests that they ran were lost (502).

Cause: a box whose two queries in a row got no answer within 25 ms asked the next box in the order until a status of the first one arrived, 0.1 to 0.8 s later. Boxes then disagreed on who counts: both owners granted all slots of the engine, and loads that boxes report to each other are too old to prevent that. One box of three that takes the other two for silent suffices.

Change: while a service is brittle, a box remains the owner as long as its statuses arrive, 1.5 s at most after the last one. Whoever gets no answer uses its own share of the slots, as before. A box that has ended is replaced after that time. Services that aren't brittle, and large fleets, in which few statuses arrive, keep the order by answers.

--- a/crates/jb-relay/src/peers/directory.rs
+++ b/crates/jb-relay/src/peers/directory.rs
@@ -45,6 +45,11 @@
     )
 }
 
+/// Returns the rank of a box as the owner of the state of an engine in a data hall.
+fn engine_rank(engine: u64, hall: &str, peer: &Peer) -> (bool, u64) {
+    (peer.hall == hall, rendezvous::weight(engine, peer.name_hash))
+}
+
 /// All boxes that have registered their address.
 #[derive(Debug, Default)]
 pub struct Directory {
@@ -154,8 +159,20 @@
 
     /// Returns the box that owns the state of an engine, preferably one of the engine's data hall.
     pub fn owner(&self, engine: u64, hall: &str, now: Moment) -> Option<(id::Box, SocketAddr)> {
-        let rank = |peer: &Peer| (peer.hall == hall, rendezvous::weight(engine, peer.name_hash));
-        self.highest(now, |_, peer| Some(rank(peer)))
+        self.highest(now, |_, peer| Some(engine_rank(engine, hall, peer)))
+    }
+
+    /// Returns the box that owns the state of an engine, where a box that doesn't answer queries remains the owner as long
+    /// as it `is_heard`. Two owners at once would each grant all of the engine's slots.
+    pub fn sole_owner(
+        &self,
+        engine: u64,
+        hall: &str,
+        now: Moment,
+        is_heard: impl Fn(&str) -> bool,
+    ) -> Option<(id::Box, SocketAddr)> {
+        let is_usable = |id: &str| is_heard(id) || !self.is_silent(id, now);
+        self.highest_among(is_usable, |_, peer| Some(engine_rank(engine, hall, peer)))
     }
 
     /// Returns the box of any data hall that owns state of the whole fleet, such as a customer's quota.
@@ -183,8 +200,16 @@
         now: Moment,
         rank: impl Fn(&str, &Peer) -> Option<R>,
     ) -> Option<(id::Box, SocketAddr)> {
-        let reachable = self.peers.iter().filter(|(id, _)| !self.is_silent(id, now));
-        let ranked = reachable.filter_map(|(id, peer)| Some((rank(id, peer)?, id, peer)));
+        self.highest_among(|id| !self.is_silent(id, now), rank)
+    }
+
+    fn highest_among<R: Ord>(
+        &self,
+        is_usable: impl Fn(&str) -> bool,
+        rank: impl Fn(&str, &Peer) -> Option<R>,
+    ) -> Option<(id::Box, SocketAddr)> {
+        let usable = self.peers.iter().filter(|(id, _)| is_usable(id));
+        let ranked = usable.filter_map(|(id, peer)| Some((rank(id, peer)?, id, peer)));
         let highest = ranked.max_by(|(a, ..), (b, ..)| a.cmp(b));
         highest.map(|(_, id, peer)| (id.clone(), peer.address))
     }
--- a/crates/jb-relay/src/peers/reservation.rs
+++ b/crates/jb-relay/src/peers/reservation.rs
@@ -196,7 +196,13 @@
     let upstream = upstreams.instance(engine)?;
     let name = rendezvous::short_hash(upstream.name_hash);
     let directory = core.directory.borrow();
-    let owner = directory.owner(upstream.name_hash, &upstream.entry.hall, core.now());
+    let (now, hash, hall) = (core.now(), upstream.name_hash, &upstream.entry.hall);
+    let owner = if upstreams.is_brittle(&upstream.entry.service, now) {
+        let peer_loads = core.peer_loads.borrow();
+        directory.sole_owner(hash, hall, now, |id| peer_loads.is_heard(id, now))
+    } else {
+        directory.owner(hash, hall, now)
+    };
     let owner = owner.filter(|(id, _)| *id != core.settings.id);
     Some((name, owner))
 }
--- a/crates/jb-relay/src/peers/status/loads.rs
+++ b/crates/jb-relay/src/peers/status/loads.rs
@@ -177,6 +177,12 @@
         received.map(|(id, _)| id.clone()).collect()
     }
 
+    /// Returns whether a recent status of a box has arrived.
+    pub(in crate::peers) fn is_heard(&self, id: &str, now: Moment) -> bool {
+        let received = self.received.get(id);
+        received.is_some_and(|received| now < received.at + MAX_STATUS_AGE)
+    }
+
     /// Returns the boxes that have sent a status since a point in time.
     pub(in crate::peers) fn senders(&self, since: Moment) -> Vec<id::Box> {
         let received = self.received.iter().filter(|(_, received)| received.at >= since);
