Reject a value of the platform whose end is not stated

Callers would see: a request that may run at most once runs twice. Behind the completions door the claims of such requests are stored as records of 32 bytes without a count.

Cause: a response with neither a length nor chunks ends with any orderly close. A document of claims that is cut between two records decodes to fewer claims, an empty one to none. A box then grants a key that another request holds, and its swap, with the right version, overwrites the claims that it didn't read. The class: the absence of a sign of failure taken for a sign of success.

Change: a value needs a length or chunks; without one the read is a protocol error, and the claim is refused or tried again. Documents of the tree show their own end (JSON, digests), and follow the same rule.

Evidence: not seen on a site; the stand-in states lengths.

Why it works: only a stated end shows that all records have arrived.

--- a/crates/jb-platform/src/http.rs
+++ b/crates/jb-platform/src/http.rs
@@ -54,7 +54,12 @@
     version.ok_or_else(|| Error::Protocol("response has no valid version header".to_owned()))
 }
 
+/// Reads a body whose end is stated. Part of a value can be a valid one, which a swap would then overwrite.
 async fn read_body(answer: Response) -> Result<Vec<u8>, Error> {
+    let is_chunked = answer.headers().contains_key("transfer-encoding");
+    if answer.content_length().is_none() && !is_chunked {
+        return Err(Error::Protocol("value without a length".to_owned()));
+    }
     if answer
         .content_length()
         .is_some_and(|n| n > MAX_VALUE_BYTES as u64)
