--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -1,6 +1,6 @@
-//! Communication between boxes: status, reservations, quotas, rate limits, loaded weights, origins of streams,
-//! evidence on poison requests, and changes of the store. Messages are datagrams whose loss does no harm; data that is too long for datagrams is
-//! transferred over connections.
+//! Communication between boxes: status, reservations, quotas, rate limits, loaded weights, origins of streams, evidence
+//! on poison requests, and changes of the store. Messages are datagrams whose loss does no harm; data that is too long
+//! for datagrams is transferred over connections.
 
 mod broadcast;
 mod change_log;
