--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -62,6 +62,8 @@
     pub(super) rejection: Option<Rejection>,
     /// Hash of the request's content, computed on first use.
     pub(super) fingerprint: OnceCell<Fingerprint>,
+    /// Since when the caller has been waiting for the stream to go on: since its break, or since the request arrived.
+    pub(super) paused_since: Moment,
     /// Result of the current attempt, which the release of the reservation reports.
     pub(super) ending: Option<Rc<Cell<peers::Outcome>>>,
     pub(super) timing: StreamTiming,
@@ -105,6 +107,7 @@
             retry_granted: false,
             rejection: None,
             fingerprint: OnceCell::new(),
+            paused_since: request.arrived_at,
             ending: None,
             timing: StreamTiming::default(),
             framing: None,
@@ -125,16 +128,22 @@
             if self.left().is_zero() {
                 return self.terminal_outcome(why);
             }
+            // Found out first, as a helper may not reach the boxes that know it.
+            let found = self.find_software().await;
             if let Path::Ended(outcome) = self.detour_if_partitioned(client).await {
                 return outcome;
             }
-            if let Err(rejection) = self.find_software().await {
+            if let Err(rejection) = found {
                 self.rejection = Some(rejection);
                 return self.terminal_outcome(rejection.why);
             }
             let Some(choice) = self.pick(client).await else {
                 return self.terminal_outcome(self.rejection.map_or(why, |rejection| rejection.why));
             };
+            if !self.confirm_software(&choice.instance).await {
+                self.tried.push(choice.instance);
+                continue;
+            }
             // After a denial the upstream is no longer available when the next one is selected.
             let Ok(permit) = peers::acquire_permit(self.core, &choice.instance).await else {
                 continue;
@@ -346,7 +355,9 @@
         };
         match delivered {
             DeliveryOutcome::Complete => {
-                peers::end_stream(core, version::origin_id(request));
+                if success {
+                    peers::end_stream(core, &version::origin_name(request));
+                }
                 if status < 500 {
                     self.record_success(instance);
                     self.note_run(instance);
@@ -361,6 +372,7 @@
                 self.record_failure(instance, "ran_partly", why);
                 let may_retry = request.route.resumable && self.runs < request.route.max_attempts;
                 if may_retry && self.message.last_event.is_some() {
+                    self.paused_since = core.now();
                     emit!(core.logger, info, event::STREAM_RESUMED, "request" => &request.id,
                         "after" => self.message.last_event, "why" => why);
                     return Ok(Next::Again);
--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -5,16 +5,18 @@
 use jb_policy::Moment;
 use jb_policy::software::Mix;
 use jb_protocol::{emit, event, id};
+use tokio::time::timeout;
 
 use super::load_guard::LoadGuard;
 use super::pick::Rejection;
 use super::run::Exchange;
 use super::selection::{self, Placement};
 use crate::admission::AdmittedRequest;
-use crate::core::{Core, Shared};
+use crate::core::Shared;
 use crate::deliver;
 use crate::peers::{self, Finding};
 use crate::upstream::Instance;
+use crate::{restart, signal};
 
 impl Exchange<'_> {
     /// Returns the request as one for which an upstream is selected.
@@ -37,23 +39,23 @@
             return Ok(());
         }
         let core = self.core;
-        let first = request.resumes.as_deref().unwrap_or_default();
-        let finding = peers::find_origin(core, &request.service, first).await;
+        let finding = peers::find_origin(core, &request.service, &origin_name(request)).await;
         self.message.software = match (finding, core.software_mix(&request.service)) {
             (Finding::Known(version), _) => Some(version),
             (
                 Finding::Unknown {
-                    replies,
                     has_several_versions: false,
+                    ..
                 },
                 Mix::One(version),
-            ) if replies > 0 || is_up_to_date(core) => Some(version),
+            ) if !core.is_outdated() => Some(version),
             (Finding::Unknown { .. }, _) => None,
         };
         if self.message.software.is_some() {
             return Ok(());
         }
-        emit!(core.logger, info, event::STREAM_ORIGIN_UNKNOWN, "request" => &request.id, "resumes" => first);
+        emit!(core.logger, info, event::STREAM_ORIGIN_UNKNOWN, "request" => &request.id,
+            "resumes" => &request.resumes);
         Err(Rejection {
             why: "unknown_version",
             // Another box may know it.
@@ -66,13 +68,39 @@
         let software = self.message.software.as_deref()?;
         let service = &self.message.request.service;
         let upstreams = self.core.upstreams.borrow();
-        let has_software = upstreams.has_software(service, software, self.core.now());
+        let has_software = upstreams.has_software(service, software, &self.tried, self.core.now());
         (!has_software).then_some(Rejection {
             why: "version_gone",
             after: Duration::ZERO,
         })
     }
 
+    /// Returns whether an upstream has the software that the stream has to go on at. One that has restarted under its id
+    /// may have other software before its new entry is known, so it is asked when it started.
+    pub(super) async fn confirm_software(&self, instance: &Instance) -> bool {
+        if self.message.software.is_none() || instance.started_at.is_none() {
+            return true;
+        }
+        let core = self.core;
+        let address = {
+            let upstreams = core.upstreams.borrow();
+            upstreams
+                .instance(instance)
+                .map(|upstream| upstream.entry.address)
+        };
+        let Some(address) = address else { return false };
+        let Ok(observed) = timeout(self.left(), core.engines.report(address)).await else {
+            return false;
+        };
+        signal::apply_signals(core, instance, observed.signals, None);
+        let Ok(report) = observed.result else { return false };
+        let is_same = instance.matches_start_time(report.started_at);
+        if !is_same {
+            restart::note(core, instance, report.started_at, "report");
+        }
+        is_same
+    }
+
     /// Returns the software version of an upstream.
     pub(super) fn software_of(&self, instance: &Instance) -> Option<id::SoftwareVersion> {
         let upstreams = self.core.upstreams.borrow();
@@ -81,16 +109,12 @@
     }
 }
 
-/// Returns whether this box would know an upstream of another version if there were one.
-fn is_up_to_date(core: &Core) -> bool {
-    let age = core.state_age();
-    age.is_some_and(|age| age <= core.settings.bounds.max_config_delay)
-}
-
-/// Returns the id under which the origin of a request's stream is known.
-pub(super) fn origin_id(request: &AdmittedRequest) -> &str {
+/// Returns the name under which the origin of a request's stream is known. Callers choose the ids of their requests, so
+/// it names the customer, too.
+pub(super) fn origin_name(request: &AdmittedRequest) -> String {
     let first = request.resumes.as_deref().filter(|_| request.is_resumption);
-    first.unwrap_or(&request.id)
+    let customer = request.customer.as_deref().unwrap_or_default();
+    format!("{customer}/{}", first.unwrap_or(&request.id))
 }
 
 /// What the delivery of a stream changes beside the caller's connection.
@@ -117,7 +141,7 @@
         let request = self.placement.request;
         let software = self.software.clone()?;
         if request.route.resumable {
-            peers::begin_stream(self.core, &request.service, origin_id(request), &software);
+            peers::begin_stream(self.core, &request.service, &origin_name(request), &software);
         }
         Some(software)
     }
