Soak: log when the soak itself stands still

Store, engines and callers, which share one thread of the soak, did nothing between 8 and 22 s of the run, while the boxes' logs show deadlines passing at all engines at once.

Change: the count of engines that serve, every 20 ms, logs a gap of more than a second. No check changes.

--- a/crates/jb-soak/src/versions.rs
+++ b/crates/jb-soak/src/versions.rs
@@ -59,6 +59,8 @@
 const QUEUED_STREAMS: std::ops::Range<usize> = 4..12;
 /// Interval at which the engines that serve are counted.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(20);
+/// Time without a sample from which the log names the standstill of the soak itself.
+const MAX_STANDSTILL: Duration = Duration::from_secs(1);
 /// Number of streams that may hold events of two versions.
 const MAX_MIXED: usize = 2;
 /// Number of streams from which the share that goes on is compared.
@@ -262,7 +264,13 @@
 
 /// Counts the engines that serve until the run stops.
 pub async fn sample(world: Rc<World>) {
+    let mut last = Instant::now();
     while !world.stopped.get() {
+        // Store, engines and callers share this thread.
+        if last.elapsed() > MAX_STANDSTILL {
+            world.log(&format!("the soak itself stood still for {:?}", last.elapsed()));
+        }
+        last = Instant::now();
         let mut engines = BTreeMap::new();
         for at in world.fleet.serving.borrow().iter() {
             let engine = &world.engines[*at];
