Break a response that ends with its connection if its upstream has crashed

Callers would see: a part of a stream or body, shown as complete, when an engine crashed while it sent a response with neither a length nor chunks. The operating system closes the connections of a process in an orderly way, and a stream is mostly between two events.

Cause: the close was the only evidence that was looked at.

Change: after such a response the box opens a connection to the upstream and keeps it for the next request. A refused one, with the conditions of pool::has_crashed (no drain, another upstream of the hall accepts one), shows the crash; the response is then broken like any other.

Evidence: three tests of platform/tests/unframed (streams on both kinds of route, a buffered response) were red before: 200 with the part, complete.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -64,6 +64,18 @@
     }
 }
 
+/// Why a response that ends with its connection is broken although its content may be complete.
+const ENDED: &str = "upstream ended together with a response without a length";
+
+/// Returns whether the upstream has crashed by the end of a response that ends with its connection. The close is then no
+/// sign of a complete response: the operating system closes the connections of a process in an orderly way.
+async fn has_ended(core: &Shared, reply: &Reply) -> bool {
+    match &reply.pool {
+        Some(slot) if reply.body.ends_by_close() => pool::has_crashed(core, &slot.upstream).await,
+        _ => false,
+    }
+}
+
 fn head(core: &Shared, answer: &ResponseHead, framing: Framing) -> BytesMut {
     let mut out = BytesMut::with_capacity(1024);
     let lines = answer
@@ -96,6 +108,7 @@
                 return deliver_unbuffered(core, request, reply, client, body).await;
             }
             Part::Data(data) => body.extend_from_slice(&data),
+            Part::End if has_ended(core, &reply).await => return DeliveryOutcome::Nothing(ENDED),
             Part::End => break,
             Part::Broken(why) => return DeliveryOutcome::Nothing(why),
             Part::Silent | Part::Late => return DeliveryOutcome::Nothing("deadline exceeded"),
@@ -133,6 +146,7 @@
         let left = request.deadline.saturating_sub(core.now());
         match next_part(&mut reply, client, left, None).await {
             Part::Data(data) => put_data(&mut out, framing, &data),
+            Part::End if has_ended(core, &reply).await => return DeliveryOutcome::Partly(ENDED),
             Part::End => break,
             Part::Broken(why) => return DeliveryOutcome::Partly(why),
             Part::Silent | Part::Late => return DeliveryOutcome::Late,
@@ -272,6 +286,7 @@
                     "stream without a length ended before its first event",
                 );
             }
+            Part::End if has_ended(core, &reply).await => return cut_off(has_started, ENDED),
             Part::End => break,
             Part::Broken(why) => return cut_off(has_started, why),
             Part::Silent if progress.can_move(message.software.as_deref()) => {
