--- a/crates/jb-policy/src/software.rs
+++ b/crates/jb-policy/src/software.rs
@@ -1,4 +1,4 @@
-//! Software versions of upstreams that have left their services.
+//! Software versions that may have begun the streams of a service.
 //!
 //! A stream can be taken up again some time after the last engine of its version has left, so a service in which one
 //! version serves now may have had several when the stream began.
@@ -12,7 +12,7 @@
 
 /// Software versions that may have begun the streams of a service.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Mix {
+pub enum Versions {
     /// None is known.
     Empty,
     /// All streams were begun by this version.
@@ -21,8 +21,8 @@
     Several,
 }
 
-impl Mix {
-    /// Combines versions.
+impl Versions {
+    /// Returns whether there are none, one, or several.
     pub fn of<'a>(mut versions: impl Iterator<Item = &'a id::SoftwareVersion>) -> Self {
         match versions.next() {
             None => Self::Empty,
@@ -32,7 +32,7 @@
     }
 }
 
-/// Software versions that have left each service recently.
+/// Software versions of upstreams that were deregistered, or have restarted with other software.
 #[derive(Debug, Default)]
 pub struct Departures {
     last: BTreeMap<id::Service, BTreeMap<id::SoftwareVersion, Moment>>,
@@ -46,7 +46,8 @@
         versions.insert(version.to_owned(), now);
     }
 
-    /// Returns the versions that have left a service so recently that streams which they began may be taken up.
+    /// Returns the versions that have left a service so recently that callers may still resume the streams that they
+    /// began.
     pub fn recent(&self, service: &str, now: Moment) -> impl Iterator<Item = &id::SoftwareVersion> {
         let versions = self.last.get(service).into_iter().flatten();
         versions
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -12,7 +12,7 @@
 use jb_policy::placement::CostModel;
 use jb_policy::prefill_rate::PrefillRate;
 use jb_policy::retry_budget::{Budget, Config, FixedPart};
-use jb_policy::software::{Departures, Mix};
+use jb_policy::software::{Departures, Versions};
 use jb_policy::weights::History;
 use jb_protocol::id;
 use slog::Logger;
@@ -261,11 +261,11 @@
     }
 
     /// Returns the software versions that a service's upstreams have had recently.
-    pub fn software_mix(&self, service: &str) -> Mix {
+    pub fn software_versions(&self, service: &str) -> Versions {
         let upstreams = self.upstreams.borrow();
         let departed = self.departed_software.borrow();
         let registered = upstreams.software_versions(service);
-        Mix::of(registered.chain(departed.recent(service, self.now())))
+        Versions::of(registered.chain(departed.recent(service, self.now())))
     }
 
     /// Returns whether the box has received the store's state, however old it may be.
--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -1,9 +1,9 @@
-//! The software version that a stream has to go on at: what two versions write doesn't fit together.
+//! The software version at which a stream has to continue, as the events of two versions don't form one stream.
 
 use std::time::Duration;
 
 use jb_policy::Moment;
-use jb_policy::software::Mix;
+use jb_policy::software::Versions;
 use jb_protocol::{emit, event, id};
 use tokio::time::timeout;
 
@@ -14,12 +14,12 @@
 use crate::admission::AdmittedRequest;
 use crate::core::Shared;
 use crate::deliver;
-use crate::peers::{self, Finding};
+use crate::peers::{self, OriginLookup};
 use crate::upstream::Instance;
 use crate::{restart, signal};
 
 impl Exchange<'_> {
-    /// Returns the request as one for which an upstream is selected.
+    /// Returns what the selection of an upstream depends on.
     pub(super) fn placement(&self) -> Placement<'_> {
         Placement {
             request: self.message.request,
@@ -29,7 +29,7 @@
         }
     }
 
-    /// Finds out which software version began the stream that the caller takes up again.
+    /// Looks up the software version that began the stream which the caller resumes.
     ///
     /// # Errors
     /// The version is unknown, and more than one may have begun it.
@@ -40,16 +40,16 @@
         }
         let core = self.core;
         let finding = peers::find_origin(core, &request.service, &origin_name(request)).await;
-        self.message.software = match (finding, core.software_mix(&request.service)) {
-            (Finding::Known(version), _) => Some(version),
+        self.message.software = match (finding, core.software_versions(&request.service)) {
+            (OriginLookup::Known(version), _) => Some(version),
             (
-                Finding::Unknown {
+                OriginLookup::Unknown {
                     has_several_versions: false,
                     ..
                 },
-                Mix::One(version),
+                Versions::One(version),
             ) if !core.is_outdated() => Some(version),
-            (Finding::Unknown { .. }, _) => None,
+            (OriginLookup::Unknown { .. }, _) => None,
         };
         if self.message.software.is_some() {
             return Ok(());
@@ -75,8 +75,8 @@
         })
     }
 
-    /// Returns whether an upstream has the software that the stream has to go on at. One that has restarted under its id
-    /// may have other software before its new entry is known, so it is asked when it started.
+    /// Returns whether an upstream has the software at which the stream has to continue. One that has restarted under its
+    /// id may have other software before its new entry is known, so its report has to name the known start time.
     pub(super) async fn confirm_software(&self, instance: &Instance) -> bool {
         if self.message.software.is_none() || instance.started_at.is_none() {
             return true;
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 
 use jb_policy::Moment;
-use jb_policy::software::Mix;
+use jb_policy::software::Versions;
 use jb_protocol::{emit, event, id};
 
 use super::missing;
@@ -57,7 +57,7 @@
     /// the upstreams got no log events of their own.
     pub(super) fn finish(self, core: &Core) {
         for service in &self.joined {
-            if core.software_mix(service) == Mix::Several {
+            if core.software_versions(service) == Versions::Several {
                 peers::announce_streams(core, service);
             }
         }
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -47,7 +47,7 @@
 pub use socket::{bind, receive as receive_messages};
 pub use status::{Loads, ReceivedStatus, SentPrompt, publish as publish_status, record_cache_use};
 pub use stream_origin::{
-    Finding, StreamOrigins, announce_streams, announce_while_outdated, begin_stream, end_stream,
+    OriginLookup, StreamOrigins, announce_streams, announce_while_outdated, begin_stream, end_stream,
     expire_stream_origins, find_origin,
 };
 pub use suspicion::publish as publish_suspects;
--- a/crates/jb-relay/src/peers/stream_origin.rs
+++ b/crates/jb-relay/src/peers/stream_origin.rs
@@ -11,7 +11,7 @@
 
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
-use jb_policy::software::Mix;
+use jb_policy::software::Versions;
 use jb_policy::stream_origin::{MAX_VERSION_BYTES, Origins};
 use jb_policy::{Moment, rendezvous};
 use jb_protocol::id;
@@ -71,9 +71,9 @@
     }
 }
 
-/// What a box finds out about the origin of a stream.
+/// Result of the lookup of a stream's origin.
 #[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Finding {
+pub enum OriginLookup {
     /// The version that began the stream.
     Known(id::SoftwareVersion),
     /// No box that replied knows the stream.
@@ -85,7 +85,7 @@
     },
 }
 
-/// Records the version that began a stream of this box; has to be called before the first event reaches the caller. If
+/// Records the version that began a stream of this box. Must be called before the first event reaches the caller. If
 /// the service has several versions, or may have, the version is sent to the stream's owners at once.
 pub fn begin_stream(core: &Core, service: &str, request: &str, version: &str) {
     let request = rendezvous::name_hash(request);
@@ -171,10 +171,10 @@
 }
 
 /// Returns which version began a stream, as this box knows it or as the stream's owners reply.
-pub async fn find_origin(core: &Core, service: &str, request: &str) -> Finding {
+pub async fn find_origin(core: &Core, service: &str, request: &str) -> OriginLookup {
     let request = rendezvous::name_hash(request);
     if let Some(version) = core.stream_origins.get(request, core.now()) {
-        return Finding::Known(version);
+        return OriginLookup::Known(version);
     }
     let owners = other_owners(core, request);
     let queries = owners.iter().map(|owner| query(core, owner, service, request));
@@ -183,13 +183,13 @@
     while let Some(reply) = queries.next().await {
         let Some(reply) = reply else { continue };
         if let Some(version) = reply.version {
-            return Finding::Known(version);
+            return OriginLookup::Known(version);
         }
         replies += 1;
         has_several_versions |= reply.has_several_versions;
     }
     core.metrics.stream_origins_unknown.inc();
-    Finding::Unknown {
+    OriginLookup::Unknown {
         replies,
         has_several_versions,
     }
@@ -212,7 +212,7 @@
 
 /// Returns whether this box knows upstreams of several versions in a service.
 fn has_several_versions(core: &Core, service: &str) -> bool {
-    core.software_mix(service) == Mix::Several
+    core.software_versions(service) == Versions::Several
 }
 
 /// Records the origins of streams of another box.
