--- a/crates/jb-relay/src/peers/directory.rs
+++ b/crates/jb-relay/src/peers/directory.rs
@@ -164,15 +164,15 @@
     }
 
     /// Returns the box that owns the state of an engine, where a box that doesn't answer queries remains the owner as long
-    /// as it `is_heard`. Two owners at once would each grant all of the engine's slots.
+    /// as it `has_recent_status`. Two owners at once would each grant all of the engine's slots.
     pub fn sole_owner(
         &self,
         engine: u64,
         hall: &str,
         now: Moment,
-        is_heard: impl Fn(&str) -> bool,
+        has_recent_status: impl Fn(&str) -> bool,
     ) -> Option<(id::Box, SocketAddr)> {
-        let is_usable = |id: &str| is_heard(id) || !self.is_silent(id, now);
+        let is_usable = |id: &str| has_recent_status(id) || !self.is_silent(id, now);
         self.highest_among(is_usable, |_, peer| Some(engine_rank(engine, hall, peer)))
     }
 
--- a/crates/jb-relay/src/peers/reservation.rs
+++ b/crates/jb-relay/src/peers/reservation.rs
@@ -199,7 +199,7 @@
     let (now, hash, hall) = (core.now(), upstream.name_hash, &upstream.entry.hall);
     let owner = if upstreams.is_brittle(&upstream.entry.service, now) {
         let peer_loads = core.peer_loads.borrow();
-        directory.sole_owner(hash, hall, now, |id| peer_loads.is_heard(id, now))
+        directory.sole_owner(hash, hall, now, |id| peer_loads.has_recent_status(id, now))
     } else {
         directory.owner(hash, hall, now)
     };
--- a/crates/jb-relay/src/peers/status/loads.rs
+++ b/crates/jb-relay/src/peers/status/loads.rs
@@ -178,7 +178,7 @@
     }
 
     /// Returns whether a recent status of a box has arrived.
-    pub(in crate::peers) fn is_heard(&self, id: &str, now: Moment) -> bool {
+    pub(in crate::peers) fn has_recent_status(&self, id: &str, now: Moment) -> bool {
         let received = self.received.get(id);
         received.is_some_and(|received| now < received.at + MAX_STATUS_AGE)
     }
--- a/crates/jb-relay/src/ready.rs
+++ b/crates/jb-relay/src/ready.rs
@@ -23,8 +23,8 @@
     can_serve(core) && !core.stop.is_stopping()
 }
 
-/// Returns whether the state of the box and its links allow it to serve requests. One that reaches no upstream still serves them through other
-/// boxes, as long as it finds one.
+/// Returns whether the state of the box and its links allow it to serve requests. One that reaches no upstream still
+/// serves them through other boxes, as long as it finds one.
 ///
 /// A box that receives updates of the store only through other boxes serves requests that arrive, but reports that
 /// it isn't ready, as boxes with direct access to the store have newer state. With three of eight boxes cut off from
