Log whether a lost attempt's upstream has crashed, and a prompt's shared segments

Cause: after a lost attempt the logs told neither whether the upstream was taken for crashed, which is what evidence against a request rests on, nor which segments of the prompt other requests may share. Two of the three hypotheses on engines that crash one after the other couldn't be told apart. Change: crash_checked (2015) with the finding; attempt_failed names the shared segments. The check returns a finding instead of a yes or no; what follows from it is as before.

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -39,6 +39,7 @@
     REQUEST_POISONOUS = 2012, "request_poisonous", "A request crashes engines and has been quarantined.";
     REQUEST_CLEARED = 2013, "request_cleared", "A request is no longer suspected of crashing engines.";
     STREAM_ORIGIN_UNKNOWN = 2014, "stream_origin_unknown", "A caller takes up a stream, and no box knows which software version began it.";
+    CRASH_CHECKED = 2015, "crash_checked", "An attempt was lost; the upstream was checked for a crash.";
     TREE_IN_FORCE = 3001, "tree_in_force", "A newer revision of the settings tree has taken effect.";
     TREE_REJECTED = 3002, "tree_rejected", "A settings tree was rejected because it is invalid or incomplete.";
     TREE_OLDER = 3003, "tree_older", "The platform has an older settings tree than the box.";
--- a/crates/jb-relay/src/admission.rs
+++ b/crates/jb-relay/src/admission.rs
@@ -18,6 +18,8 @@
 const KEY_AGE_SHARE: f64 = 0.85;
 /// Output tokens assumed for a request that states no maximum.
 const DEFAULT_OUTPUT_TOKENS: u64 = 64;
+/// Maximum number of shared segments of a prompt that are looked at, so that a long list costs little.
+const MAX_SHARED_SEGMENTS: usize = 16;
 /// Cache salt of customers that share cached segments.
 const SHARED_SALT: &str = "shared";
 
@@ -51,6 +53,8 @@
     pub model: Option<String>,
     /// Segments of its prompt.
     pub prompt: Vec<Segment>,
+    /// Ids of the segments that other requests may share, as the caller names them.
+    pub shared_segments: Vec<String>,
     /// Upper bound on output tokens.
     pub max_output_tokens: u64,
     /// When its head had been received.
@@ -165,6 +169,7 @@
     let Content {
         model,
         prompt,
+        shared_segments,
         size,
         max_output_tokens,
     } = Content::parse(core, query, &cache_salt);
@@ -185,6 +190,7 @@
         urgency: priority.min(9),
         model,
         prompt,
+        shared_segments,
         max_output_tokens,
         arrived_at: arrived,
         deadline: until,
@@ -220,6 +226,7 @@
         urgency: envelope.urgency,
         model: content.model,
         prompt: content.prompt,
+        shared_segments: content.shared_segments,
         max_output_tokens: content.max_output_tokens,
         arrived_at: envelope.arrived_at(received),
         deadline: received + envelope.left,
@@ -239,6 +246,7 @@
 struct Content {
     model: Option<String>,
     prompt: Vec<Segment>,
+    shared_segments: Vec<String>,
     /// Prompt tokens and maximum output tokens.
     size: Option<(u64, u64)>,
     max_output_tokens: u64,
@@ -249,9 +257,12 @@
         let names = &core.header_names;
         let text = |name| query.headers.text(name);
         let size = text(names.token_counts).and_then(parse_token_counts);
+        let segments = text(names.prompt_segments).unwrap_or_default();
+        let prompt = parse_segments(segments, cache_salt);
         Self {
             model: text(names.model).map(str::to_owned),
-            prompt: parse_segments(text(names.prompt_segments).unwrap_or_default(), cache_salt),
+            shared_segments: shared_segments(segments, prompt.len()),
+            prompt,
             size,
             max_output_tokens: size.map_or(DEFAULT_OUTPUT_TOKENS, |(_, out)| out),
         }
@@ -281,6 +292,14 @@
     text.split(',').map_while(segment).collect()
 }
 
+/// Returns the ids of all segments but the last of a prompt, which belongs to the request or its session.
+fn shared_segments(text: &str, count: usize) -> Vec<String> {
+    let ids = text.split(',').filter_map(|part| Some(part.trim().split_once(':')?.0));
+    ids.take(count.saturating_sub(1).min(MAX_SHARED_SEGMENTS))
+        .map(str::to_owned)
+        .collect()
+}
+
 impl AdmittedRequest {
     /// Returns the number of tokens of the prompt.
     pub fn prompt_tokens(&self) -> u64 {
--- a/crates/jb-relay/src/exchange/feedback.rs
+++ b/crates/jb-relay/src/exchange/feedback.rs
@@ -26,7 +26,8 @@
             .map(|upstream| upstream.running);
         emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.request.id,
             "upstream" => %instance, "outcome" => outcome, "why" => why,
-            "content" => %self.fingerprint(), "running" => running);
+            "content" => %self.fingerprint(), "segments" => self.message.request.shared_segments.join(","),
+            "running" => running);
         let loads = |upstream: &Upstream| core.now() < upstream.loading_until;
         if core.upstreams.borrow().instance(instance).is_some_and(loads) {
             // An engine resets its streams when it loads new weights, which says nothing about its health.
--- a/crates/jb-relay/src/exchange/isolation.rs
+++ b/crates/jb-relay/src/exchange/isolation.rs
@@ -4,12 +4,14 @@
 
 use jb_policy::admission::{Decision, Estimate};
 use jb_policy::{Moment, poison};
+use jb_protocol::{emit, event};
 
 use super::pick::Rejection;
 use super::run::Exchange;
 use super::selection::{self, CandidateSet, Choice};
+use crate::pool::{self, Liveness};
+use crate::quarantine;
 use crate::upstream::Instance;
-use crate::{pool, quarantine};
 
 /// `Retry-After` of a suspect request while another trial of it is running, or no engine can be spared.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -115,7 +117,10 @@
     /// Records a crash if the engine process has ended. A lost connection alone is no evidence, as network
     /// faults and engine errors cause it too; in those cases the engine still accepts a new connection.
     pub(super) async fn note_end(&self, instance: &Instance, isolated: bool) {
-        if pool::has_crashed(self.core, instance).await {
+        let finding = pool::check_liveness(self.core, instance).await;
+        emit!(self.core.logger, info, event::CRASH_CHECKED, "request" => &self.message.request.id,
+            "upstream" => %instance, "finding" => finding.name());
+        if finding == Liveness::Crashed {
             let fingerprint = self.fingerprint();
             quarantine::note_crash(self.core, fingerprint, instance, isolated);
         }
--- a/crates/jb-relay/src/pool.rs
+++ b/crates/jb-relay/src/pool.rs
@@ -143,30 +143,60 @@
 /// Upper bound on other upstreams that are probed to check the path to a data hall.
 const MAX_WITNESSES: usize = 2;
 
-/// Returns whether an upstream has crashed while it executed a request. A lost connection alone doesn't show it:
-/// a running upstream accepts a new connection, which is kept for the next request. As a partition of the data hall
-/// may also refuse connections, another upstream there has to accept one. A draining upstream is expected to end,
-/// which is no crash.
-pub async fn has_crashed(core: &Shared, upstream: &Instance) -> bool {
+/// What a check of an upstream found after a connection to it was lost.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Liveness {
+    /// It has crashed.
+    Crashed,
+    /// It accepts connections.
+    Running,
+    /// It is draining, and expected to end.
+    Draining,
+    /// It may have crashed, or be partitioned from this box.
+    Unknown,
+}
+
+impl Liveness {
+    /// Returns the name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Crashed => "crashed",
+            Self::Running => "running",
+            Self::Draining => "draining",
+            Self::Unknown => "unknown",
+        }
+    }
+}
+
+/// Checks whether an upstream has crashed while it executed a request. A lost connection alone doesn't show it: a
+/// running upstream accepts a new connection, which is kept for the next request. As a partition of the data hall may
+/// also refuse connections, another upstream there has to accept one.
+pub async fn check_liveness(core: &Shared, upstream: &Instance) -> Liveness {
     if let Some(known) = core.upstreams.borrow().instance(upstream) {
         if known.entry.draining {
-            return false;
+            return Liveness::Draining;
         }
         if core.now() < known.down_until {
-            return true;
+            return Liveness::Crashed;
         }
     }
-    let refuses = match probe(core, upstream).await {
-        Err(Error::Refused(why)) => why.kind() == std::io::ErrorKind::ConnectionRefused,
-        _ => false,
-    };
-    if !refuses || !is_hall_connectable(core, upstream).await {
-        return false;
+    match probe(core, upstream).await {
+        Ok(()) => return Liveness::Running,
+        Err(Error::Refused(why)) if why.kind() == std::io::ErrorKind::ConnectionRefused => {}
+        Err(_) => return Liveness::Unknown,
+    }
+    if !is_hall_connectable(core, upstream).await {
+        return Liveness::Unknown;
     }
     if let Some(known) = core.upstreams.borrow_mut().instance_mut(upstream) {
         known.mark_down(core.now());
     }
-    true
+    Liveness::Crashed
+}
+
+/// Returns whether an upstream is known to have crashed.
+pub async fn has_crashed(core: &Shared, upstream: &Instance) -> bool {
+    check_liveness(core, upstream).await == Liveness::Crashed
 }
 
 /// Checks that an upstream accepts a connection, and keeps the connection for the next request.
