--- a/crates/jb-relay/src/admission.rs
+++ b/crates/jb-relay/src/admission.rs
@@ -294,7 +294,9 @@
 
 /// Returns the ids of all segments but the last of a prompt, which belongs to the request or its session.
 fn shared_segments(text: &str, count: usize) -> Vec<String> {
-    let ids = text.split(',').filter_map(|part| Some(part.trim().split_once(':')?.0));
+    let ids = text
+        .split(',')
+        .filter_map(|part| Some(part.trim().split_once(':')?.0));
     ids.take(count.saturating_sub(1).min(MAX_SHARED_SEGMENTS))
         .map(str::to_owned)
         .collect()
