Attribute crashes to segments that prompts share

What callers saw: one kind of request crashed engine after engine, and with each one 2 to 46 other requests broke off. Cause: evidence was kept by the hash of caller, path and body. Requests with the deadly segment are no two alike, so each had crashed at most a few engines when it was judged. Change: the ledger judges features: the content, and each segment but the last of the prompt. A response that begins, and whose engine lives on, clears the segments of its prompt, so that evidence is the crashes since then; a segment that was sound can be found deadly later. Segments that always came together form a group: only requests with all of them are rejected, others run in isolated trials, which tell the segments apart. The completions endpoint judges the same features.

--- a/crates/jb-daemon/src/quarantine.rs
+++ b/crates/jb-daemon/src/quarantine.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use futures_util::future::select_ok;
-use jb_policy::poison::{EngineId, Evidence, Fingerprint, Ledger, Row, Verdict};
+use jb_policy::poison::{EngineId, Evidence, Fingerprint, Ledger, Observation, Row, Verdict};
 use jb_policy::{Moment, rendezvous};
 use jb_protocol::{event, id};
 use jb_wire::peer::Suspect;
@@ -37,13 +37,28 @@
         self.ledger.lock().unwrap_or_else(PoisonError::into_inner)
     }
 
-    /// Returns the verdict on a request. The fingerprint is computed only if the ledger has any entry.
-    pub fn verdict(&self, fingerprint: impl FnOnce() -> Fingerprint, now: Moment) -> Verdict {
+    /// Returns whether there is no evidence on any feature.
+    pub fn is_empty(&self) -> bool {
+        self.lock().is_empty()
+    }
+
+    /// Returns the verdict on a request; one whose segments are due for a probe is suspected. Its features are computed
+    /// only if the ledger has any entry.
+    pub fn verdict(&self, features: impl FnOnce() -> Vec<Fingerprint>, now: Moment) -> Verdict {
         let ledger = self.lock();
         if ledger.is_empty() {
             return Verdict::Unsuspected;
         }
-        ledger.verdict(fingerprint(), now)
+        let features = features();
+        match ledger.verdict(&features, now) {
+            Verdict::Quarantined if ledger.due_probe(&features, now).is_some() => Verdict::Suspected,
+            verdict => verdict,
+        }
+    }
+
+    /// Returns whether engines have crashed under a feature since it was last cleared.
+    pub fn has_crashes(&self, feature: Fingerprint) -> bool {
+        self.lock().has_crashes(feature)
     }
 
     /// Returns the engines that are running a suspected request.
@@ -51,23 +66,29 @@
         self.lock().trials(now)
     }
 
-    /// Records that an engine is given a suspected request. Returns `false`, and records nothing, if another
-    /// trial of the request is in progress.
-    pub fn begin_trial(&self, fingerprint: Fingerprint, engine: EngineId, now: Moment) -> bool {
+    /// Records that an engine is given a request with suspected features. Returns `false`, and records nothing, if
+    /// another trial of one of them is in progress.
+    pub fn begin_trial(&self, features: &[Fingerprint], engine: EngineId, now: Moment) -> bool {
         let mut ledger = self.lock();
-        let is_allowed = !ledger.has_trial(fingerprint, now);
+        let suspects = ledger.suspects_among(features, now);
+        let is_allowed = !suspects.iter().any(|suspect| ledger.has_trial(*suspect, now));
         if is_allowed {
-            ledger.begin_trial(fingerprint, engine, now);
+            for suspect in suspects {
+                ledger.begin_trial(suspect, engine, now);
+            }
         }
         is_allowed
     }
 
-    /// Records that an engine is no longer running a suspected request.
-    pub fn end_trial(&self, fingerprint: Fingerprint, engine: EngineId) {
-        self.lock().end_trial(fingerprint, engine);
+    /// Records that an engine is no longer running a request with suspected features.
+    pub fn end_trial(&self, features: &[Fingerprint], engine: EngineId) {
+        let mut ledger = self.lock();
+        for feature in features {
+            ledger.end_trial(*feature, engine);
+        }
     }
 
-    /// Returns the most dangerous requests, as many as fit in one probe, to send to another box.
+    /// Returns the most dangerous features, as many as fit in one probe, to send to another box.
     pub fn most_dangerous(&self, now: Moment) -> Vec<Suspect> {
         let mut ledger = self.lock();
         if ledger.is_empty() {
@@ -75,28 +96,32 @@
         }
         ledger.forget(now);
         let rows = ledger.suspects(now).into_iter().take(MAX_PER_PROBE);
-        rows.map(|row| to_wire(&row, now)).collect()
+        rows.filter_map(|row| Some(to_wire(row.crashes()?, now)))
+            .collect()
     }
 }
 
-fn to_wire(row: &Row, now: Moment) -> Suspect {
-    let age = now.saturating_sub(row.at);
+fn to_wire(observed: Observation, now: Moment) -> Suspect {
+    let age = now.saturating_sub(observed.at);
     Suspect {
-        content: row.fingerprint.0.to_le_bytes().to_vec(),
+        content: observed.fingerprint.0.to_le_bytes().to_vec(),
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        ended: row.evidence.crashed().collect(),
-        isolated: row.evidence.isolated().collect(),
-        well: row.evidence.completed().collect(),
+        ended: observed.crashed,
+        isolated: observed.isolated,
+        well: observed.survived,
     }
 }
 
 fn from_wire(received: &Suspect, now: Moment) -> Option<Row> {
     let fingerprint = u128::from_le_bytes(received.content.as_slice().try_into().ok()?);
-    Some(Row {
+    let observed = Observation {
         fingerprint: Fingerprint(fingerprint),
-        evidence: Evidence::from_parts(&received.ended, &received.isolated, &received.well),
         at: now.saturating_sub(Duration::from_millis(received.age_ms)),
-    })
+        crashed: received.ended.clone(),
+        isolated: received.isolated.clone(),
+        survived: received.well.clone(),
+    };
+    Some(observed.into())
 }
 
 /// Returns the short hash that identifies an engine instance. An engine whose incarnation is not known yet
@@ -114,17 +139,18 @@
     }
 }
 
-/// Records local evidence about a request.
-pub fn record(context: &Context, fingerprint: Fingerprint, evidence: Evidence) {
-    let at = context.clock.now();
-    merge_row(
-        context,
-        &Row {
-            fingerprint,
-            evidence,
-            at,
-        },
-    );
+/// Records local evidence about the features of a request.
+pub fn record(context: &Context, features: &[Fingerprint], evidence: &Evidence) {
+    for fingerprint in features.iter().copied() {
+        let evidence = evidence.clone();
+        merge_row(
+            context,
+            &Row {
+                fingerprint,
+                evidence,
+            },
+        );
+    }
 }
 
 fn merge_row(context: &Context, row: &Row) {
--- a/crates/jb-daemon/src/run/session/isolation.rs
+++ b/crates/jb-daemon/src/run/session/isolation.rs
@@ -14,15 +14,27 @@
 /// network failure.
 const MAX_NEIGHBOURS: usize = 16;
 
+/// Maximum number of shared segments of a prompt that are looked at, so that a long list costs little.
+const MAX_SHARED_SEGMENTS: usize = 16;
+
 impl Session {
     fn fingerprint(&self) -> Fingerprint {
         let request = &self.request;
         Fingerprint::new(&request.customer, &[request.endpoint.as_bytes()], &request.body)
     }
 
+    /// Returns the fingerprints of the request: of its content, and of the segments that its prompt may share with
+    /// others, which are all but the last.
+    fn features(&self) -> Vec<Fingerprint> {
+        let levels = &self.request.parsed.levels;
+        let shared = &levels[..levels.len().saturating_sub(1).min(MAX_SHARED_SEGMENTS)];
+        let segments = shared.iter().map(|segment| Fingerprint::of_segment(segment));
+        [self.fingerprint()].into_iter().chain(segments).collect()
+    }
+
     pub(super) fn verdict(&self) -> Verdict {
         let now = self.context.clock.now();
-        self.context.quarantine.verdict(|| self.fingerprint(), now)
+        self.context.quarantine.verdict(|| self.features(), now)
     }
 
     /// Returns the error for a quarantined request.
@@ -42,7 +54,7 @@
         let now = self.context.clock.now();
         let quarantine = &self.context.quarantine;
         let free = !quarantine.trials(now).contains(&engine)
-            && quarantine.begin_trial(self.fingerprint(), engine, now);
+            && quarantine.begin_trial(&self.features(), engine, now);
         self.trial = free.then_some(engine);
         free
     }
@@ -50,7 +62,7 @@
     /// Ends the trial of the request, if one is running.
     pub(super) fn end_trial(&mut self) {
         if let Some(engine) = self.trial.take() {
-            self.context.quarantine.end_trial(self.fingerprint(), engine);
+            self.context.quarantine.end_trial(&self.features(), engine);
         }
     }
 
@@ -69,22 +81,29 @@
             .iter()
             .filter(|u| u.hall == config.hall && u.id != config.id && !self.tried.contains(&u.id));
         let neighbours: Vec<SocketAddr> = near.take(MAX_NEIGHBOURS).map(|u| u.address).collect();
+        let lost_at = self.context.clock.now();
         if quarantine::has_crashed(config.address, &neighbours).await {
-            let evidence = Evidence::from_crash(upstream.instance, self.trial.is_some());
-            quarantine::record(&self.context, self.fingerprint(), evidence);
+            let evidence = Evidence::from_crash(upstream.instance, self.trial.is_some(), lost_at);
+            // An engine that has begun to respond has survived the segments of the prompt.
+            let features = if self.attempt_has_begun {
+                vec![self.fingerprint()]
+            } else {
+                self.features()
+            };
+            quarantine::record(&self.context, &features, &evidence);
         }
     }
 
-    /// Records that an engine completed the request, if the request is suspected.
+    /// Records that an engine completed the request, if there is evidence against its features.
     pub(super) fn record_completion(&self) {
         if let (Some(Attempt::Engine(_)), Some(upstream)) = (&self.attempt, &self.last_engine)
-            && self.verdict() != Verdict::Unsuspected
+            && !self.context.quarantine.is_empty()
         {
-            quarantine::record(
-                &self.context,
-                self.fingerprint(),
-                Evidence::from_completion(upstream.instance),
-            );
+            let now = self.context.clock.now();
+            let mut features = self.features();
+            features.retain(|feature| self.context.quarantine.has_crashes(*feature));
+            let evidence = Evidence::from_survival(upstream.instance, now);
+            quarantine::record(&self.context, &features, &evidence);
         }
     }
 }
--- a/crates/jb-daemon/src/run/session/mod.rs
+++ b/crates/jb-daemon/src/run/session/mod.rs
@@ -78,6 +78,8 @@
     last_engine: Option<LastEngine>,
     /// Engine on which the request runs as the only suspect.
     trial: Option<EngineId>,
+    /// Whether the current attempt has delivered a token.
+    attempt_has_begun: bool,
 }
 
 /// Engine of the last attempt.
@@ -114,6 +116,7 @@
             lost_before: false,
             last_engine: None,
             trial: None,
+            attempt_has_begun: false,
         }
     }
 
@@ -148,6 +151,7 @@
 
     fn token(&mut self, text: String) -> Delivery {
         let index = self.next;
+        self.attempt_has_begun = true;
         self.next += 1;
         self.phase = match std::mem::replace(&mut self.phase, Phase::Over) {
             Phase::Sent(call) => Phase::Streaming(call.deliver()),
@@ -177,6 +181,7 @@
             Err(none) => return Err(self.give_up(none.kind, no_target_detail(none.kind), none.after)),
         };
         self.last_engine = None;
+        self.attempt_has_begun = false;
         if let Target::Engine {
             upstream, instance, ..
         } = &target
--- a/crates/jb-policy/tests/poison.rs
+++ b/crates/jb-policy/tests/poison.rs
@@ -17,16 +17,15 @@
     Row {
         fingerprint: Fingerprint(fingerprint),
         evidence,
-        at: NOW,
     }
 }
 
 fn crash(fingerprint: u128, engine: EngineId) -> Row {
-    row(fingerprint, Evidence::from_crash(engine, false))
+    row(fingerprint, Evidence::from_crash(engine, false, NOW))
 }
 
 fn isolated_crash(fingerprint: u128, engine: EngineId) -> Row {
-    row(fingerprint, Evidence::from_crash(engine, true))
+    row(fingerprint, Evidence::from_crash(engine, true, NOW))
 }
 
 fn ledger(rows: &[Row]) -> Ledger {
@@ -38,7 +37,7 @@
 }
 
 fn verdict(ledger: &Ledger, fingerprint: u128) -> Verdict {
-    ledger.verdict(Fingerprint(fingerprint), NOW)
+    ledger.verdict(&[Fingerprint(fingerprint)], NOW)
 }
 
 #[test]
@@ -59,7 +58,7 @@
 
 #[test]
 fn completed_run_clears_a_suspect() {
-    let rows = [crash(1, 1), crash(1, 2), row(1, Evidence::from_completion(3))];
+    let rows = [crash(1, 1), crash(1, 2), row(1, Evidence::from_survival(3, NOW))];
     assert_eq!(verdict(&ledger(&rows), 1), Verdict::Unsuspected);
 }
 
@@ -97,13 +96,19 @@
 fn quarantine_ends_ten_minutes_after_the_last_crash() {
     let quarantined = ledger(&[crash(1, 1), crash(1, 2), isolated_crash(1, 3)]);
     let later = NOW + Duration::from_secs(599);
-    assert_eq!(quarantined.verdict(Fingerprint(1), later), Verdict::Quarantined);
     assert_eq!(
-        quarantined.retention_left(Fingerprint(1), later),
+        quarantined.verdict(&[Fingerprint(1)], later),
+        Verdict::Quarantined
+    );
+    assert_eq!(
+        quarantined.quarantine_left(&[Fingerprint(1)], later),
         Duration::from_secs(1)
     );
     let later = later + Duration::from_secs(1);
-    assert_eq!(quarantined.verdict(Fingerprint(1), later), Verdict::Unsuspected);
+    assert_eq!(
+        quarantined.verdict(&[Fingerprint(1)], later),
+        Verdict::Unsuspected
+    );
 }
 
 /// All engines of a large fleet crash at once, with all requests that they run.
@@ -136,7 +141,7 @@
     let fingerprint = rng.random_range(0..6);
     let engine = rng.random_range(0..12);
     match rng.random_range(0..8) {
-        0 => row(fingerprint, Evidence::from_completion(engine)),
+        0 => row(fingerprint, Evidence::from_survival(engine, NOW)),
         1 | 2 => isolated_crash(fingerprint, engine),
         _ => crash(fingerprint, engine),
     }
@@ -189,7 +194,7 @@
             Verdict::Quarantined => continue,
             verdict => verdict == Verdict::Suspected,
         };
-        let mut rows = vec![row(culprit, Evidence::from_crash(engine, isolated))];
+        let mut rows = vec![row(culprit, Evidence::from_crash(engine, isolated, NOW))];
         let mut suspects = u32::from(isolated);
         for (innocent, left) in INNOCENT.zip(&mut left) {
             let suspected = verdict(&ledger, innocent) == Verdict::Suspected;
@@ -197,7 +202,7 @@
             if is_running && verdict(&ledger, innocent) != Verdict::Quarantined {
                 *left -= 1;
                 suspects += u32::from(suspected);
-                rows.push(row(innocent, Evidence::from_crash(engine, suspected)));
+                rows.push(row(innocent, Evidence::from_crash(engine, suspected, NOW)));
             }
         }
         for row in rows {
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -35,9 +35,9 @@
     ACCEPT_FAILED = 2008, "accept_failed", "A connection from a caller could not be accepted.";
     REQUEST_PLACED = 2009, "request_placed", "A request is sent to an upstream; the fields give the estimates for it.";
     REQUEST_LIMITED = 2010, "request_limited", "A request was rejected because its customer's limit is exhausted.";
-    REQUEST_SUSPECTED = 2011, "request_suspected", "Engines have crashed under a request; it runs in isolated trials.";
-    REQUEST_POISONOUS = 2012, "request_poisonous", "A request crashes engines and has been quarantined.";
-    REQUEST_CLEARED = 2013, "request_cleared", "A request is no longer suspected of crashing engines.";
+    REQUEST_SUSPECTED = 2011, "request_suspected", "Engines have crashed under a request or a segment; it runs in isolated trials.";
+    REQUEST_POISONOUS = 2012, "request_poisonous", "A request or a segment crashes engines and has been quarantined.";
+    REQUEST_CLEARED = 2013, "request_cleared", "A request or a segment is no longer suspected of crashing engines.";
     STREAM_ORIGIN_UNKNOWN = 2014, "stream_origin_unknown", "A caller takes up a stream, and no box knows which software version began it.";
     CRASH_CHECKED = 2015, "crash_checked", "An attempt was lost; the upstream was checked for a crash.";
     TREE_IN_FORCE = 3001, "tree_in_force", "A newer revision of the settings tree has taken effect.";
--- a/crates/jb-relay/src/exchange/isolation.rs
+++ b/crates/jb-relay/src/exchange/isolation.rs
@@ -1,26 +1,37 @@
 //! Isolated trials of requests that may crash the engine that runs them.
 
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use jb_policy::admission::{Decision, Estimate};
+use jb_policy::poison::EngineId;
 use jb_policy::{Moment, poison};
 use jb_protocol::{emit, event};
 
 use super::pick::Rejection;
 use super::run::Exchange;
 use super::selection::{self, CandidateSet, Choice};
+use crate::admission::AdmittedRequest;
+use crate::core::Core;
 use crate::pool::{self, Liveness};
-use crate::quarantine;
 use crate::upstream::Instance;
+use crate::{peers, quarantine};
 
 /// `Retry-After` of a suspect request while another trial of it is running, or no engine can be spared.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(500);
 
 /// Time after the first event of a request within which a crash of the engine counts as caused by it.
-pub(super) const CRASH_WINDOW: Duration = Duration::from_secs(1);
+const CRASH_WINDOW: Duration = Duration::from_secs(1);
+/// Time after the first data of a response after which its engine has survived the segments of the prompt: they take
+/// effect when it begins to respond.
+const BEGIN_WINDOW: Duration = Duration::from_millis(100);
 /// Time for which a suspect request waits for an engine without other suspects.
 pub(super) const MAX_SUSPECT_WAIT: Duration = Duration::from_secs(1);
 
+/// Part of it, at its end, in which a request may run that has other features under which engines have crashed: a crash
+/// would show little.
+const INCONCLUSIVE_WAIT: Duration = Duration::from_millis(500);
+
 /// Which engines a request may be sent to now.
 pub(super) enum Clearance {
     /// Any engine.
@@ -38,7 +49,11 @@
     pub(super) fn clearance(&self, until: Moment) -> Clearance {
         match self.verdict() {
             poison::Verdict::Unsuspected => Clearance::AnyEngine,
-            poison::Verdict::Suspected => match self.choose_isolated() {
+            poison::Verdict::Quarantined => match self.choose_probe() {
+                Some(choice) => Clearance::Isolated(Box::new(choice)),
+                None => Clearance::Rejected(self.reject_quarantined()),
+            },
+            poison::Verdict::Suspected => match self.choose_trial(until) {
                 Some(choice) => Clearance::Isolated(Box::new(choice)),
                 None if self.core.now() >= until => Clearance::Rejected(Rejection {
                     why: "suspect_waits",
@@ -46,33 +61,60 @@
                 }),
                 None => Clearance::Wait,
             },
-            poison::Verdict::Quarantined => Clearance::Rejected(self.reject_quarantined()),
         }
     }
 
-    /// Returns the quarantine verdict on the request. Without any evidence the content isn't hashed.
+    /// Returns the quarantine verdict on the request. Without any evidence its features aren't hashed.
     fn verdict(&self) -> poison::Verdict {
         let quarantine = &self.core.quarantine;
         if quarantine.is_empty() {
             return poison::Verdict::Unsuspected;
         }
-        let fingerprint = self.fingerprint();
-        quarantine.ledger().verdict(fingerprint, self.core.now())
+        quarantine.ledger().verdict(self.features(), self.core.now())
+    }
+
+    /// Selects the engine for a probe of the quarantined segments if one is due. Only the owner of a segment makes it, so
+    /// that the fleet makes no more probes than one box.
+    fn choose_probe(&self) -> Option<Choice> {
+        let due = self
+            .core
+            .quarantine
+            .ledger()
+            .due_probe(self.features(), self.core.now())?;
+        let owns_all = due
+            .iter()
+            .all(|segment| peers::owns_quarantine(self.core, *segment));
+        owns_all.then(|| self.choose_isolated()).flatten()
+    }
+
+    /// Returns the fingerprints of the request: of its content, and of the segments that it may share. They are the same
+    /// on other boxes.
+    pub(super) fn features(&self) -> &[poison::Fingerprint] {
+        self.features.get_or_init(|| {
+            let segments = &self.message.request.shared_segments;
+            let segments = segments.iter().map(|id| poison::Fingerprint::of_segment(id));
+            [self.message.fingerprint()].into_iter().chain(segments).collect()
+        })
     }
 
-    /// Returns the hash of the request's content, which is the same on other boxes and for later retries.
+    /// Returns the fingerprint of the request's content, which is the same for later retries.
     pub(super) fn fingerprint(&self) -> poison::Fingerprint {
-        *self.fingerprint.get_or_init(|| self.message.fingerprint())
+        self.features()[0]
+    }
+
+    /// Returns the features for which the request needs an isolated trial.
+    pub(super) fn suspects(&self) -> Vec<poison::Fingerprint> {
+        let ledger = self.core.quarantine.ledger();
+        ledger.suspects_among(self.features(), self.core.now())
     }
 
     /// Rejects a request that is known to crash engines.
     fn reject_quarantined(&self) -> Rejection {
-        let fingerprint = self.fingerprint();
         let after = self
             .core
             .quarantine
             .ledger()
-            .retention_left(fingerprint, self.core.now());
+            .quarantine_left(self.features(), self.core.now());
         self.core.metrics.quarantine_rejections.inc();
         Rejection {
             why: "ends_engines",
@@ -80,19 +122,31 @@
         }
     }
 
+    /// Selects the engine for a trial that can't wait for a more conclusive request; `until` is the end of the wait.
+    fn choose_trial(&self, until: Moment) -> Option<Choice> {
+        let now = self.core.now();
+        let is_conclusive = self.core.quarantine.ledger().is_conclusive(self.features(), now);
+        if !is_conclusive && now + INCONCLUSIVE_WAIT < until {
+            return None;
+        }
+        self.choose_isolated()
+    }
+
     /// Selects the engine for an isolated trial: one without another suspect and with the fewest running requests,
-    /// so that a crash does the least harm. `None` while a trial of the same request runs on any engine, or if only
-    /// the last available engine is left.
+    /// so that a crash does the least harm. `None` while a trial of one of its suspected features runs on any engine,
+    /// or if only the last available engine is left.
     fn choose_isolated(&self) -> Option<Choice> {
-        let fingerprint = self.fingerprint();
+        let suspects = self.suspects();
         let core = self.core;
         let now = core.now();
         let (trials, ended) = {
             let ledger = core.quarantine.ledger();
-            if ledger.has_trial(fingerprint, now) {
+            if suspects.iter().any(|suspect| ledger.has_trial(*suspect, now)) {
                 return None;
             }
-            (ledger.trials(now), ledger.crashed_engines(fingerprint))
+            let crashed = suspects.iter().map(|suspect| ledger.crashed_engines(*suspect));
+            let crashed: BTreeSet<EngineId> = crashed.flatten().collect();
+            (ledger.trials(now), crashed)
         };
         let criteria = selection::criteria(core, self.placement(), CandidateSet::Listed);
         let instances = |instance: &Instance| !ended.contains(&quarantine::engine_name(instance));
@@ -115,22 +169,59 @@
     }
 
     /// Records a crash if the engine process has ended. A lost connection alone is no evidence, as network
-    /// faults and engine errors cause it too; in those cases the engine still accepts a new connection.
-    pub(super) async fn note_end(&self, instance: &Instance, isolated: bool) {
+    /// faults and engine errors cause it too; in those cases the engine still accepts a new connection. `running` is the
+    /// time since the first data of the response, zero before it.
+    pub(super) async fn note_end(&self, instance: &Instance, isolated: bool, running: Duration) {
+        let lost_at = self.core.now();
         let finding = pool::check_liveness(self.core, instance).await;
         emit!(self.core.logger, info, event::CRASH_CHECKED, "request" => &self.message.request.id,
             "upstream" => %instance, "finding" => finding.name());
         if finding == Liveness::Crashed {
-            let fingerprint = self.fingerprint();
-            quarantine::note_crash(self.core, fingerprint, instance, isolated);
+            let features = if running < BEGIN_WINDOW {
+                self.features()
+            } else {
+                &self.features()[..1]
+            };
+            let isolated = isolated && running < CRASH_WINDOW;
+            quarantine::note_crash(self.core, features, instance, isolated, lost_at);
+        }
+    }
+
+    /// Records that an engine has executed the request without a crash, `running` after the first data of the response.
+    pub(super) fn note_run(&self, instance: &Instance, running: Duration) {
+        if self.core.quarantine.is_empty() {
+            return;
         }
+        let features = if running < BEGIN_WINDOW {
+            self.features()
+        } else {
+            // The segments were cleared when the window ended.
+            &self.features()[..1]
+        };
+        quarantine::note_survival(self.core, features, instance);
     }
+}
 
-    /// Records that an engine has executed the request without a crash.
-    pub(super) fn note_run(&self, instance: &Instance) {
-        if !self.core.quarantine.is_empty() {
-            let fingerprint = self.fingerprint();
-            quarantine::note_success(self.core, fingerprint, instance);
+/// Clears the segments of a prompt once the engine has survived the begin of its response.
+pub(super) struct BeginWatch<'a> {
+    pub(super) core: &'a Core,
+    pub(super) request: &'a AdmittedRequest,
+    pub(super) instance: &'a Instance,
+    pub(super) is_over: bool,
+}
+
+impl BeginWatch<'_> {
+    /// Notes data that arrives `running` after the first data of the response.
+    pub(super) fn note_data(&mut self, running: Duration) {
+        if self.is_over || running < BEGIN_WINDOW {
+            return;
+        }
+        self.is_over = true;
+        if self.core.quarantine.is_empty() {
+            return;
         }
+        let segments = self.request.shared_segments.iter();
+        let segments: Vec<_> = segments.map(|id| poison::Fingerprint::of_segment(id)).collect();
+        quarantine::note_survival(self.core, &segments, self.instance);
     }
 }
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -11,7 +11,7 @@
 use tokio::time::sleep;
 
 use super::detour::Path;
-use super::isolation::CRASH_WINDOW;
+use super::isolation::BeginWatch;
 use super::load_guard::LoadGuard;
 use super::pick::Rejection;
 use super::selection::{self, Choice, Placement};
@@ -60,8 +60,8 @@
     pub(super) retry_granted: bool,
     /// Why the request is sent to no upstream now.
     pub(super) rejection: Option<Rejection>,
-    /// Hash of the request's content, computed on first use.
-    pub(super) fingerprint: OnceCell<Fingerprint>,
+    /// Fingerprints of the request's content and of its shared segments, computed on first use.
+    pub(super) features: OnceCell<Vec<Fingerprint>>,
     /// Since when the caller has been waiting for the stream to go on: since its break, or since the request arrived.
     pub(super) paused_since: Moment,
     /// Result of the current attempt, which the release of the reservation reports.
@@ -106,7 +106,7 @@
             runs: 0,
             retry_granted: false,
             rejection: None,
-            fingerprint: OnceCell::new(),
+            features: OnceCell::new(),
             paused_since: request.arrived_at,
             ending: None,
             timing: StreamTiming::default(),
@@ -215,7 +215,7 @@
         let mut counted = LoadGuard::new(core, instance, waiting, last, reservation);
         self.tried.push(instance.clone());
         // Marks the isolated trial as running until this attempt ends.
-        let _tried = isolated.then(|| quarantine::begin_trial(core, self.fingerprint(), instance));
+        let _tried = isolated.then(|| quarantine::begin_trial(core, self.suspects(), instance));
         let outcome = tokio::select! {
             outcome = self.send_until_stalled(instance, permit, estimate.ttft) => outcome,
             () = client.wait_closed() => {
@@ -244,7 +244,7 @@
                 self.sends += 1;
                 self.runs += 1;
                 self.record_failure(instance, "may_have_run", &why);
-                self.note_end(instance, isolated).await;
+                self.note_end(instance, isolated, Duration::ZERO).await;
                 Err("upstream_failed")
             }
             AttemptOutcome::Answered(reply) => {
@@ -259,8 +259,7 @@
                         RequestOutcome::Answered(_) | RequestOutcome::CallerGone
                     ))
                 ) {
-                    self.note_end(instance, isolated && counted.running_time() < CRASH_WINDOW)
-                        .await;
+                    self.note_end(instance, isolated, counted.running_time()).await;
                 }
                 next
             }
@@ -339,6 +338,12 @@
             let progress = Progress {
                 core,
                 software,
+                begin: BeginWatch {
+                    core,
+                    request,
+                    instance,
+                    is_over: false,
+                },
                 placement: Placement {
                     request,
                     body: self.message.body,
@@ -360,7 +365,7 @@
                 }
                 if status < 500 {
                     self.record_success(instance);
-                    self.note_run(instance);
+                    self.note_run(instance, counted.running_time());
                 }
                 Ok(Next::End(RequestOutcome::Answered(status)))
             }
--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -7,6 +7,7 @@
 use jb_protocol::{emit, event, id};
 use tokio::time::timeout;
 
+use super::isolation::BeginWatch;
 use super::load_guard::LoadGuard;
 use super::pick::Rejection;
 use super::run::Exchange;
@@ -123,6 +124,7 @@
     pub(super) placement: Placement<'a>,
     /// Software version of the upstream that sends the stream.
     pub(super) software: Option<id::SoftwareVersion>,
+    pub(super) begin: BeginWatch<'a>,
     pub(super) counted: &'a mut LoadGuard<'b>,
     /// Whether another upstream may run the request.
     pub(super) may_retry: bool,
@@ -135,6 +137,7 @@
         let now: Moment = self.core.now();
         self.core.uplinks.note_data(service, now);
         self.counted.note_first_token(service);
+        self.begin.note_data(self.counted.running_time());
     }
 
     fn begins(&mut self) -> Option<id::SoftwareVersion> {
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -30,7 +30,7 @@
 pub use message::{Admission, UpstreamLoad};
 pub use outbox::{Outbox, announce_draining, announce_prompt, announce_rate_limit, announce_replaced};
 pub use pull::{Error as PullError, PendingPull, Source, Update, is_fresh, pull_changes};
-pub use quarantine_record::apply_record as apply_quarantine_record;
+pub use quarantine_record::{apply_record as apply_quarantine_record, owns as owns_quarantine};
 pub use quota::{ChargedRequest, Quotas, charge};
 pub use rate_limit::{Permit, RateLimits, acquire_permit, log_rate_limit};
 pub use reachability::{FleetSize, Reachability, is_hall_isolated};
--- a/crates/jb-relay/src/peers/quarantine_record.rs
+++ b/crates/jb-relay/src/peers/quarantine_record.rs
@@ -19,7 +19,7 @@
 use crate::core::{Core, Shared};
 use crate::port::{Change, StoreError, Write};
 
-/// Prefix of the records' keys; the rest is the hash of the request.
+/// Prefix of the records' keys; the rest is the fingerprint of the feature.
 const KEY_PREFIX: &str = "junctionbend/poison/";
 /// Number of attempts to write a record.
 const MAX_ATTEMPTS: u32 = 5;
@@ -30,9 +30,9 @@
     format!("{KEY_PREFIX}{fingerprint}")
 }
 
-/// Returns whether a request is quarantined and the store has no record of it.
+/// Returns whether a feature is quarantined and the store has no record of it.
 pub(super) fn is_due(core: &Core, fingerprint: Fingerprint) -> bool {
-    let quarantined = core.quarantine.ledger().verdict(fingerprint, core.now()) == Verdict::Quarantined;
+    let quarantined = core.quarantine.ledger().verdict(&[fingerprint], core.now()) == Verdict::Quarantined;
     let own = core.box_items.borrow();
     let is_recorded = own
         .get(&key(fingerprint))
@@ -52,14 +52,14 @@
     }
 }
 
-/// Returns whether this box owns a record.
-fn owns(core: &Core, fingerprint: Fingerprint) -> bool {
+/// Returns whether this box owns the record of a feature, and its probes.
+pub fn owns(core: &Core, fingerprint: Fingerprint) -> bool {
     let key = rendezvous::name_hash(&key(fingerprint));
     let owner = core.directory.borrow().fleet_owner(key, core.now());
     owner.is_none_or(|(id, _)| id == core.settings.id)
 }
 
-/// Writes the record of a request, unless the store already has it.
+/// Writes the record of a feature, unless the store already has it.
 pub(super) async fn write(core: Shared, fingerprint: Fingerprint) {
     for _ in 0..MAX_ATTEMPTS {
         if !is_due(&core, fingerprint) {
@@ -76,10 +76,10 @@
 }
 
 async fn try_write(core: &Core, fingerprint: Fingerprint) -> Result<(), StoreError> {
-    let Some(row) = core.quarantine.ledger().row(fingerprint) else {
+    let row = core.quarantine.ledger().row(fingerprint);
+    let Some(suspect) = row.and_then(|row| suspicion::crash_row(core, &row)) else {
         return Ok(());
     };
-    let suspect = suspicion::suspect(core, &row, None);
     let Ok(value) = serde_json::to_vec(&suspect) else {
         // Numbers and lists of numbers can always be serialised.
         return Ok(());
--- a/crates/jb-relay/src/peers/suspicion.rs
+++ b/crates/jb-relay/src/peers/suspicion.rs
@@ -1,6 +1,6 @@
 //! Exchanges evidence on poison requests between boxes.
 //!
-//! New evidence is broadcast immediately, because callers retry such a request at any box. Requests that are still
+//! New evidence is broadcast immediately, because callers send such requests to any box. Features that are still
 //! suspected are sent again to a few boxes at intervals, for boxes that lost the datagram, have started since, or were
 //! partitioned.
 
@@ -8,7 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jb_policy::poison::{Evidence, Fingerprint, Row};
+use jb_policy::poison::{Fingerprint, Observation, Row};
 use tokio::net::UdpSocket;
 use tokio::task::spawn_local;
 use tokio::time::timeout;
@@ -21,12 +21,12 @@
 use crate::core::{Core, Shared};
 use crate::quarantine::{self, EvidenceUpdate, Trial};
 
-/// Interval at which suspected requests are sent again.
+/// Interval at which suspected features are sent again.
 const RESEND_INTERVAL: Duration = Duration::from_secs(1);
 /// Number of boxes that receive them each time: the next ones in the order of ids, so that each box receives them from
 /// the same number of others.
 const BOXES_PER_RESEND: usize = 3;
-/// Maximum number of requests in one datagram; a row with eight engines has 150 bytes.
+/// Maximum number of features in one datagram; a row with eight engines has 150 bytes.
 const MAX_ROWS_PER_DATAGRAM: usize = 8;
 /// Maximum number of datagrams to each box in one interval.
 const MAX_DATAGRAMS_PER_BOX: usize = 4;
@@ -38,7 +38,7 @@
     loop {
         let left = due.saturating_sub(core.now());
         if let Ok(updates) = timeout(left, core.quarantine.next_updates()).await {
-            let suspects = updates.iter().filter_map(|update| to_suspect(&core, update));
+            let suspects = updates.iter().flat_map(|update| rows_of(&core, update));
             for message in messages(suspects) {
                 broadcast(&core, &socket, &message).await;
             }
@@ -65,7 +65,7 @@
 
 async fn broadcast_dangerous(core: &Core, socket: &UdpSocket) {
     let rows = core.quarantine.ledger().suspects(core.now());
-    let suspects = rows.iter().map(|row| suspect(core, row, None));
+    let suspects = rows.iter().filter_map(|row| crash_row(core, row));
     let messages: Vec<Message> = messages(suspects)
         .into_iter()
         .take(MAX_DATAGRAMS_PER_BOX)
@@ -88,19 +88,30 @@
     next.map(|(_, peer)| peer.address).collect()
 }
 
-fn to_suspect(core: &Core, update: &EvidenceUpdate) -> Option<Suspect> {
-    let row = core.quarantine.ledger().row(update.fingerprint)?;
-    Some(suspect(core, &row, update.trial))
+/// Returns the rows of an update: the last survival and the crashes since then, as a row has one age.
+fn rows_of(core: &Core, update: &EvidenceUpdate) -> Vec<Suspect> {
+    let Some(row) = core.quarantine.ledger().row(update.fingerprint) else {
+        return Vec::new();
+    };
+    let survival = row.survival().map(|survival| to_suspect(core, survival, None));
+    let crashes = row.crashes().unwrap_or_else(|| row.observation(core.now()));
+    let crashes = to_suspect(core, crashes, update.trial);
+    survival.into_iter().chain([crashes]).collect()
+}
+
+/// Returns the row with the crashes of a feature.
+pub(super) fn crash_row(core: &Core, row: &Row) -> Option<Suspect> {
+    Some(to_suspect(core, row.crashes()?, None))
 }
 
-pub(super) fn suspect(core: &Core, row: &Row, trial: Option<Trial>) -> Suspect {
-    let age = core.now().saturating_sub(row.at);
+fn to_suspect(core: &Core, observed: Observation, trial: Option<Trial>) -> Suspect {
+    let age = core.now().saturating_sub(observed.at);
     Suspect {
-        fingerprint: row.fingerprint.0,
+        fingerprint: observed.fingerprint.0,
         age_ms: u64::try_from(age.as_millis()).unwrap_or(u64::MAX),
-        crashed: row.evidence.crashed().collect(),
-        isolated: row.evidence.isolated().collect(),
-        completed: row.evidence.completed().collect(),
+        crashed: observed.crashed,
+        isolated: observed.isolated,
+        completed: observed.survived,
         trial,
     }
 }
@@ -125,13 +136,15 @@
     }
 }
 
-/// Applies the evidence on one request.
+/// Applies the evidence on one feature.
 pub(super) fn receive_suspect(core: &Core, suspect: &Suspect) {
     let age = Duration::from_millis(suspect.age_ms);
-    let row = Row {
+    let observed = Observation {
         fingerprint: Fingerprint(suspect.fingerprint),
-        evidence: Evidence::from_parts(&suspect.crashed, &suspect.isolated, &suspect.completed),
         at: core.now().saturating_sub(age),
+        crashed: suspect.crashed.clone(),
+        isolated: suspect.isolated.clone(),
+        survived: suspect.completed.clone(),
     };
-    quarantine::apply_evidence(core, &row);
+    quarantine::apply_evidence(core, &observed.into());
 }
--- a/crates/jb-relay/src/quarantine.rs
+++ b/crates/jb-relay/src/quarantine.rs
@@ -1,4 +1,5 @@
-//! Evidence on requests that crash engines ("poison requests"), and the updates to publish to other boxes.
+//! Evidence on requests that crash engines ("poison requests"), by their features, and the updates to publish to other
+//! boxes.
 
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -12,10 +13,10 @@
 use crate::core::{Core, Shared};
 use crate::upstream::Instance;
 
-/// New evidence on one request, to be published to other boxes.
+/// New evidence on one feature of requests, to be published to other boxes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct EvidenceUpdate {
-    /// Content hash of the request.
+    /// Fingerprint of the feature.
     pub fingerprint: Fingerprint,
     /// Trial that this box has started or ended, if any.
     pub trial: Option<Trial>,
@@ -39,12 +40,12 @@
 }
 
 impl Quarantine {
-    /// Returns whether there is no evidence on any request.
+    /// Returns whether there is no evidence on any feature.
     pub fn is_empty(&self) -> bool {
         self.ledger.borrow().is_empty()
     }
 
-    /// Returns the evidence on all requests.
+    /// Returns the evidence on all features.
     pub fn ledger(&self) -> std::cell::Ref<'_, Ledger> {
         self.ledger.borrow()
     }
@@ -68,7 +69,7 @@
         self.wake.notify_one();
     }
 
-    /// Applies the start or end of another box's trial.
+    /// Applies the start or end of a trial at this box or another one.
     pub fn apply_trial(&self, fingerprint: Fingerprint, trial: Trial, now: Moment) {
         let mut ledger = self.ledger.borrow_mut();
         if trial.over {
@@ -84,23 +85,23 @@
     rendezvous::short_hash(instance.name_hash())
 }
 
-/// Records that an engine crashed while it executed a request; `isolated` if the request was in an isolated trial.
-pub fn note_crash(core: &Core, fingerprint: Fingerprint, instance: &Instance, isolated: bool) {
-    note(
-        core,
-        fingerprint,
-        Evidence::from_crash(engine_name(instance), isolated),
-    );
+/// Records that an engine crashed while it executed a request with these features; `isolated` if the request was in an
+/// isolated trial.
+pub fn note_crash(core: &Core, features: &[Fingerprint], instance: &Instance, isolated: bool, at: Moment) {
+    let evidence = Evidence::from_crash(engine_name(instance), isolated, at);
+    for feature in features {
+        note(core, *feature, evidence.clone());
+    }
 }
 
-/// Records that an engine executed a request without a crash, if there is evidence against the request.
-pub fn note_success(core: &Core, fingerprint: Fingerprint, instance: &Instance) {
-    if core.quarantine.ledger().contains(fingerprint) {
-        note(
-            core,
-            fingerprint,
-            Evidence::from_completion(engine_name(instance)),
-        );
+/// Records that an engine survived a request with these features, where there is evidence against them.
+pub fn note_survival(core: &Core, features: &[Fingerprint], instance: &Instance) {
+    for feature in features {
+        let has_crashes = core.quarantine.ledger().has_crashes(*feature);
+        if has_crashes {
+            let evidence = Evidence::from_survival(engine_name(instance), core.now());
+            note(core, *feature, evidence);
+        }
     }
 }
 
@@ -108,7 +109,6 @@
     let row = Row {
         fingerprint,
         evidence,
-        at: core.now(),
     };
     if apply_evidence(core, &row) {
         core.quarantine.enqueue(EvidenceUpdate {
@@ -136,10 +136,11 @@
         .row(fingerprint)
         .map(|row| row.evidence)
         .unwrap_or_default();
-    let (ended, well) = (evidence.crashed().count(), evidence.completed().count());
+    let ended = evidence.crashed().count();
     match change.after {
         Verdict::Unsuspected => {
-            emit!(core.logger, info, event::REQUEST_CLEARED, "content" => %fingerprint, "ended" => ended, "well" => well);
+            emit!(core.logger, info, event::REQUEST_CLEARED, "content" => %fingerprint, "ended" => ended,
+                "well" => evidence.cleared().is_some());
         }
         Verdict::Suspected => {
             emit!(core.logger, warn, event::REQUEST_SUSPECTED, "content" => %fingerprint, "ended" => ended);
@@ -152,41 +153,43 @@
     }
 }
 
-/// A running trial of a suspect request; dropping it ends the trial.
+/// A running trial of suspected features; dropping it ends the trial.
 pub struct TrialGuard {
     core: Shared,
-    fingerprint: Fingerprint,
+    suspects: Vec<Fingerprint>,
     engine: EngineId,
 }
 
-/// Starts a trial of a suspect request at an engine.
-pub fn begin_trial(core: &Shared, fingerprint: Fingerprint, instance: &Instance) -> TrialGuard {
-    let engine = engine_name(instance);
-    let now = core.now();
-    core.quarantine
-        .ledger
-        .borrow_mut()
-        .begin_trial(fingerprint, engine, now);
-    let trial = Some(Trial { engine, over: false });
-    core.quarantine.enqueue(EvidenceUpdate { fingerprint, trial });
-    TrialGuard {
+/// Starts a trial of suspected features at an engine.
+pub fn begin_trial(core: &Shared, suspects: Vec<Fingerprint>, instance: &Instance) -> TrialGuard {
+    let guard = TrialGuard {
         core: Rc::clone(core),
-        fingerprint,
-        engine,
+        suspects,
+        engine: engine_name(instance),
+    };
+    guard.announce(false);
+    guard
+}
+
+impl TrialGuard {
+    fn announce(&self, over: bool) {
+        let quarantine = &self.core.quarantine;
+        let trial = Trial {
+            engine: self.engine,
+            over,
+        };
+        for fingerprint in self.suspects.iter().copied() {
+            quarantine.apply_trial(fingerprint, trial, self.core.now());
+            quarantine.enqueue(EvidenceUpdate {
+                fingerprint,
+                trial: Some(trial),
+            });
+        }
     }
 }
 
 impl Drop for TrialGuard {
     fn drop(&mut self) {
-        let (fingerprint, engine) = (self.fingerprint, self.engine);
-        self.core
-            .quarantine
-            .ledger
-            .borrow_mut()
-            .end_trial(fingerprint, engine);
-        let trial = Some(Trial { engine, over: true });
-        self.core
-            .quarantine
-            .enqueue(EvidenceUpdate { fingerprint, trial });
+        self.announce(true);
     }
 }
