Count crashes that no neighbour in the data hall can confirm at once

What callers saw: engines that crashed together went on crashing under the same segment, as few of the crashes counted. Cause: a crash counts if the engine refuses a connection while another upstream of its hall accepts one, as a partition may refuse connections, too. Where all of them had crashed, nothing was recorded, and nothing looked again. Up to six neighbours are asked instead of two, which may have crashed themselves. An engine that accepts again after its neighbour did was behind a partition that has just ended.

--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -19,6 +19,7 @@
 
 use crate::cache_store::CacheStores;
 use crate::configuration::Configuration;
+use crate::crash_check::LostAttempts;
 use crate::detour::Helpers;
 use crate::header_names::HeaderNames;
 use crate::metrics::Metrics;
@@ -125,6 +126,8 @@
     pub unknown_signals: UnknownSignals,
     /// Requests that crash engines.
     pub quarantine: Quarantine,
+    /// Attempts that may have been lost in crashes.
+    pub lost_attempts: LostAttempts,
     /// Status of the other boxes.
     pub peer_loads: RefCell<Loads>,
     /// Weight loads that wait to be published in one message.
@@ -202,6 +205,7 @@
             stream_origins: StreamOrigins::default(),
             unknown_signals: UnknownSignals::default(),
             quarantine: Quarantine::default(),
+            lost_attempts: LostAttempts::default(),
             peer_loads: RefCell::default(),
             pending_weights: RefCell::default(),
             outbox: RefCell::default(),
--- a/crates/jb-relay/src/exchange/isolation.rs
+++ b/crates/jb-relay/src/exchange/isolation.rs
@@ -13,6 +13,7 @@
 use super::selection::{self, CandidateSet, Choice};
 use crate::admission::AdmittedRequest;
 use crate::core::Core;
+use crate::crash_check::{self, LostAttempt};
 use crate::pool::{self, Liveness};
 use crate::upstream::Instance;
 use crate::{peers, quarantine};
@@ -176,14 +177,23 @@
         let finding = pool::check_liveness(self.core, instance).await;
         emit!(self.core.logger, info, event::CRASH_CHECKED, "request" => &self.message.request.id,
             "upstream" => %instance, "finding" => finding.name());
-        if finding == Liveness::Crashed {
-            let features = if running < BEGIN_WINDOW {
-                self.features()
-            } else {
-                &self.features()[..1]
-            };
-            let isolated = isolated && running < CRASH_WINDOW;
-            quarantine::note_crash(self.core, features, instance, isolated, lost_at);
+        let features = if running < BEGIN_WINDOW {
+            self.features()
+        } else {
+            &self.features()[..1]
+        };
+        let isolated = isolated && running < CRASH_WINDOW;
+        match finding {
+            Liveness::Crashed => quarantine::note_crash(self.core, features, instance, isolated, lost_at),
+            Liveness::Unknown => {
+                let attempt = LostAttempt {
+                    features: features.to_vec(),
+                    isolated,
+                    at: lost_at,
+                };
+                crash_check::check_later(self.core, instance, attempt);
+            }
+            Liveness::Running | Liveness::Draining => {}
         }
     }
 
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod cache_store;
 pub mod configuration;
 pub mod core;
+pub mod crash_check;
 pub mod deliver;
 pub mod detour;
 pub mod events;
--- a/crates/jb-relay/src/pool.rs
+++ b/crates/jb-relay/src/pool.rs
@@ -140,8 +140,8 @@
 /// Connect timeout of a probe that only shows whether an upstream has crashed; a retried request waits for it. A
 /// round trip inside a region takes 2 to 10 ms.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
-/// Upper bound on other upstreams that are probed to check the path to a data hall.
-const MAX_WITNESSES: usize = 2;
+/// Upper bound on other upstreams that are probed to check the path to a data hall. Several may have crashed as well.
+const MAX_WITNESSES: usize = 6;
 
 /// What a check of an upstream found after a connection to it was lost.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -180,14 +180,18 @@
             return Liveness::Crashed;
         }
     }
-    match probe(core, upstream).await {
-        Ok(()) => return Liveness::Running,
-        Err(Error::Refused(why)) if why.kind() == std::io::ErrorKind::ConnectionRefused => {}
-        Err(_) => return Liveness::Unknown,
+    match refuses(core, upstream).await {
+        Some(true) => {}
+        Some(false) => return Liveness::Running,
+        None => return Liveness::Unknown,
     }
     if !is_hall_connectable(core, upstream).await {
         return Liveness::Unknown;
     }
+    // A partition that ended between the two probes looked like a crash.
+    if refuses(core, upstream).await != Some(true) {
+        return Liveness::Unknown;
+    }
     if let Some(known) = core.upstreams.borrow_mut().instance_mut(upstream) {
         known.mark_down(core.now());
     }
@@ -199,6 +203,15 @@
     check_liveness(core, upstream).await == Liveness::Crashed
 }
 
+/// Returns whether an upstream refuses connections; `None` if it neither accepts nor refuses one.
+async fn refuses(core: &Shared, upstream: &Instance) -> Option<bool> {
+    match probe(core, upstream).await {
+        Ok(()) => Some(false),
+        Err(Error::Refused(why)) if why.kind() == std::io::ErrorKind::ConnectionRefused => Some(true),
+        Err(_) => None,
+    }
+}
+
 /// Checks that an upstream accepts a connection, and keeps the connection for the next request.
 async fn probe(core: &Shared, upstream: &Instance) -> Result<(), Error> {
     let pooled = open(core, upstream, PROBE_TIMEOUT).await?;
