Soak: requests with a deadly segment, and a box that gets most new connections

--segments plays faults of boxes and of the store beside callers whose requests, no two alike, share a segment under which engines crash when they begin to respond, and crowds: for 4 to 9 s nine in ten new connections go to one box, and callers open new ones more often. Checked: no more than three sends after the fifth crash, half of the sound requests with the same customer and first segment served, and three quarters of what a crowded box reads.

--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -12,6 +12,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::checks::Promise;
+use crate::crowd;
 use crate::faults::Set;
 use crate::limits;
 use crate::signals;
@@ -85,7 +86,7 @@
         let (at, mut caller) = match connection.take() {
             Some(open) => open,
             None => {
-                let at = random.random_range(0..world.boxes.len());
+                let at = crowd::choose(&world, &mut random);
                 let address = match world.set {
                     Set::Versions => world.boxes[at].ready_address(),
                     _ => world.boxes[at].address(),
@@ -134,7 +135,8 @@
             versions::take_up(&world, &sent_request, got.as_ref(), &mut random).await;
         }
         world.exchanges.borrow_mut().push(sent_request.end(got.as_ref()));
-        let is_reusable = got.is_some_and(|got| got.complete && got.answer.keep_alive);
+        let is_reusable = got.is_some_and(|got| got.complete && got.answer.keep_alive)
+            && !crowd::closes(&world, &mut random);
         connection = is_reusable.then_some((at, caller));
     }
 }
--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -37,6 +37,10 @@
     Brittle,
     /// A request that crashes engines reaches few more once three have crashed.
     Poison,
+    /// Sound requests that share customer and segments with requests that crash engines are served.
+    Sound,
+    /// A box that gets most new connections serves the requests that it reads about as often as before.
+    Crowd,
     /// Streams hold events of one software version only, within one response and over the attempts of a caller.
     Version,
     /// Streams that callers take up again go on about as often as new ones begin.
@@ -46,7 +50,7 @@
 }
 
 /// All promises, in the order of the report.
-pub const ALL: [Promise; 18] = [
+pub const ALL: [Promise; 20] = [
     Promise::OwnAnswer,
     Promise::Order,
     Promise::Once,
@@ -62,6 +66,8 @@
     Promise::Reach,
     Promise::Brittle,
     Promise::Poison,
+    Promise::Sound,
+    Promise::Crowd,
     Promise::Version,
     Promise::Resume,
     Promise::Recovery,
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::brittle;
+use crate::crowd;
 use crate::cuts;
 use crate::limits;
 use crate::restores;
@@ -60,6 +61,8 @@
     Renew,
     /// An engine breaks its next streams, or ends them with their connections.
     Streams,
+    /// One box gets most new connections.
+    Crowd,
 }
 
 impl Fault {
@@ -93,6 +96,9 @@
     Versions,
     /// The faults of `First` at a lower rate, beside callers whose request crashes engines.
     Poison,
+    /// Faults of boxes and of the store, and boxes that get most new connections, beside callers whose requests crash
+    /// engines by a segment that they share.
+    Segments,
 }
 
 /// Size of the draw for [`Set::First`]; some faults have more than one number.
@@ -167,8 +173,27 @@
     }
 }
 
+/// Size of the draw for [`Set::Segments`].
+const WITH_SEGMENTS: u32 = 16;
+
+fn draw_with_segments(random: &mut ChaCha8Rng) -> Fault {
+    match random.random_range(0..WITH_SEGMENTS) {
+        0 => Fault::Kill,
+        1 | 2 => Fault::Stop,
+        3 => Fault::Pause,
+        4 => Fault::Reload,
+        5 => Fault::Link(Link::Silent),
+        6 => Fault::Link(Link::Reset),
+        7 => Fault::Store(Behavior::Status(503)),
+        8 => Fault::Config,
+        9 => Fault::Engine,
+        _ => Fault::Crowd,
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, set: Set) -> Fault {
     let count = match set {
+        Set::Segments => return draw_with_segments(random),
         Set::Restores => return draw_with_restores(random),
         Set::Cuts => return draw_with_cuts(random),
         Set::Versions => return draw_with_versions(random),
@@ -214,7 +239,13 @@
     let target = &world.boxes[at];
     let affects_engines = matches!(
         fault,
-        Fault::Cut | Fault::Silence | Fault::Brittle | Fault::Release | Fault::Renew | Fault::Streams
+        Fault::Cut
+            | Fault::Silence
+            | Fault::Brittle
+            | Fault::Release
+            | Fault::Renew
+            | Fault::Streams
+            | Fault::Crowd
     );
     if !affects_engines {
         world.record_fault(at, fault.affects_all_boxes(), duration);
@@ -268,6 +299,7 @@
         Fault::Release => versions::release(&world, &mut random).await,
         Fault::Renew => versions::renew(&world, &mut random).await,
         Fault::Streams => versions::queue_faulty_streams(&world, &mut random),
+        Fault::Crowd => crowd::gather(&world, at, &mut random).await,
         Fault::Compact => world.store.compact(),
         Fault::Leases => world.store.end_leases(),
         Fault::Engine => queue_faulty_responses(&world, engine, &mut random),
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod brittle;
 pub mod callers;
 pub mod checks;
+pub mod crowd;
 pub mod cuts;
 pub mod faults;
 pub mod limits;
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -40,6 +40,10 @@
     /// fewer faults, beside callers whose request crashes engines
     #[argh(switch)]
     poison: bool,
+    /// boxes that get most new connections, and faults of boxes, beside callers whose requests crash engines by a
+    /// segment of their prompts
+    #[argh(switch)]
+    segments: bool,
     /// all faults, and engines that announce a drain or Retry-After in their responses only
     #[argh(switch)]
     signals: bool,
@@ -61,6 +65,7 @@
     fn set(&self) -> Set {
         match self {
             Self { poison: true, .. } => Set::Poison,
+            Self { segments: true, .. } => Set::Segments,
             Self { restores: true, .. } => Set::Restores,
             Self { cuts: true, .. } => Set::Cuts,
             Self { versions: true, .. } => Set::Versions,
--- a/crates/jb-soak/src/poison.rs
+++ b/crates/jb-soak/src/poison.rs
@@ -1,17 +1,20 @@
-//! Callers whose request crashes each engine that starts to run it.
+//! Callers whose request crashes each engine that starts to run it, or whose requests, no two alike, do so by a segment
+//! that their prompts share.
 
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use jb_site_fakes::caller::request;
 use jb_site_fakes::document::MODEL_HEADERS;
+use jb_site_fakes::engine::{CrashPoint, Engine};
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use tokio::time::sleep;
 
-use crate::callers::{Request, ask_once};
+use crate::callers::{Exchange, Request, ask_once};
 use crate::checks::{Checks, Promise};
+use crate::faults::Set;
 use crate::world::World;
 
 /// Body of the request that crashes engines.
@@ -24,14 +27,38 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time without a fault after which a box is expected to act on what other boxes know.
 const CONTACT: Duration = Duration::from_secs(3);
-/// Number of engine crashes after which the request is known to be dangerous.
-const KNOWN_AFTER_CRASHES: usize = 3;
+/// Number of engine crashes after which a request is known to be dangerous.
+const REQUEST_KNOWN_AFTER: usize = 3;
+/// The same for a segment.
+const SEGMENT_KNOWN_AFTER: usize = 5;
+/// Segment that crashes engines. All other segments of its prompts are those of sound ones.
+const CRASH_SEGMENT: &str = "dead";
+/// How far a response gets whose prompt has it, in turn.
+const CRASH_POINTS: [CrashPoint; 3] = [CrashPoint::Head, CrashPoint::Nothing, CrashPoint::WithinEvent];
+/// Number of sound requests from which on their share is checked.
+const MIN_SOUND: usize = 20;
 /// Number of sends that are allowed after that.
 const MAX_SENDS_ONCE_KNOWN: usize = 3;
 /// Time after which a crashed engine is restarted.
 const RESTART_DELAY: Duration = Duration::from_millis(1500);
 const POLL_INTERVAL: Duration = Duration::from_millis(50);
 
+/// Makes an engine crash under the segment.
+pub fn crash_under_segment(engine: &Engine) {
+    engine.crash_segments.replace(vec![CRASH_SEGMENT.to_owned()]);
+    engine.crash_points.replace(CRASH_POINTS.to_vec());
+}
+
+/// Returns a request that crashes engines.
+fn message(set: Set, path: &str, id: &str) -> String {
+    if set != Set::Segments {
+        return request("POST", path, id, MODEL_HEADERS, CRASH_BODY);
+    }
+    let own = id.replace(['d', '-'], "");
+    let headers = MODEL_HEADERS.replace("c3:40", &format!("{CRASH_SEGMENT}:300,{own}:40"));
+    request("POST", path, id, &headers, &format!("body of {id}"))
+}
+
 /// One attempt to send the request.
 #[derive(Debug)]
 pub struct PoisonAttempt {
@@ -58,13 +85,7 @@
             sent: Instant::now(),
         };
         let in_touch = world.is_fault_free(at, CONTACT);
-        let bytes = request(
-            "POST",
-            sent_request.path,
-            &sent_request.id,
-            MODEL_HEADERS,
-            CRASH_BODY,
-        );
+        let bytes = message(world.set, sent_request.path, &sent_request.id);
         let got = match world.boxes[at].address() {
             Some(address) => ask_once(address, &bytes, RESPONSE_TIMEOUT).await,
             None => None,
@@ -93,22 +114,47 @@
     }
 }
 
-/// Checks that the request reached few engines once three had crashed.
+/// Checks that at least half of the sound requests were served since a time, as all of them share the customer and the
+/// first segment with those that crash engines.
+fn check_sound(world: &World, from: Instant, checks: &mut Checks) {
+    let exchanges = world.exchanges.borrow();
+    let is_counted = |one: &&Exchange| {
+        let sent = one.request.sent;
+        let is_sound = !one.request.id.starts_with('d') && one.request.path.starts_with("/resume");
+        is_sound && sent > from && !world.had_fault_since(one.request.at, sent - CONTACT, one.ended)
+    };
+    let sound: Vec<&Exchange> = exchanges.iter().filter(is_counted).collect();
+    let served = sound.iter().filter(|one| one.status == Some(200)).count();
+    if sound.len() >= MIN_SOUND {
+        checks.check(Promise::Sound, 2 * served >= sound.len(), || {
+            format!("{served} of {} sound requests were served", sound.len())
+        });
+    }
+}
+
+/// Checks that the requests reached few engines once some had crashed.
 pub fn check(world: &World, checks: &mut Checks) {
     let mut crashes: Vec<Instant> = Vec::new();
     for engine in &world.engines {
         crashes.extend(engine.crash_times.borrow().iter());
     }
     crashes.sort_unstable();
-    world.log(&format!("{} engines crashed under one request", crashes.len()));
-    let Some(third) = crashes.get(KNOWN_AFTER_CRASHES - 1).copied() else {
+    world.log(&format!("{} crashes of engines", crashes.len()));
+    let known_after = match world.set {
+        Set::Segments => SEGMENT_KNOWN_AFTER,
+        _ => REQUEST_KNOWN_AFTER,
+    };
+    let Some(known) = crashes.get(known_after - 1).copied() else {
         return;
     };
+    if world.set == Set::Segments {
+        check_sound(world, known + 2 * CONTACT, checks);
+    }
     let ran: Vec<String> = world.engines.iter().flat_map(|engine| engine.ran()).collect();
     let poison_attempts = world.poison_attempts.borrow();
     let bound: Vec<&PoisonAttempt> = poison_attempts
         .iter()
-        .filter(|one| one.in_touch && one.sent > third + CONTACT)
+        .filter(|one| one.in_touch && one.sent > known + CONTACT)
         .collect();
     let arrived = |one: &&PoisonAttempt| ran.iter().filter(|id| **id == one.id).count();
     let more: usize = bound.iter().map(arrived).sum();
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -14,6 +14,7 @@
 
 use crate::callers;
 use crate::checks::{Checks, Promise};
+use crate::crowd;
 use crate::cuts;
 use crate::faults::{self, Set};
 use crate::limits;
@@ -79,7 +80,7 @@
     let callers: Vec<_> = (0..callers)
         .map(|n| spawn_local(callers::run(Rc::clone(&world), n + 1)))
         .collect();
-    if plan.set == Set::Poison {
+    if matches!(plan.set, Set::Poison | Set::Segments) {
         for number in 0..poison::CALLERS {
             spawn_local(poison::send(Rc::clone(&world), number + 1));
         }
@@ -99,7 +100,7 @@
         // Faults start without waiting for earlier ones, so that they overlap.
         let rare = match plan.set {
             Set::Poison => 4,
-            Set::Cuts => 2,
+            Set::Cuts | Set::Segments => 2,
             _ => 1,
         };
         let pause = rare * Duration::from_millis(random.random_range(50..1200));
@@ -129,6 +130,7 @@
     });
     check_records(&world, &mut checks);
     poison::check(&world, &mut checks);
+    crowd::check(&world, &mut checks);
     signals::check(&world, &mut checks);
     limits::check(&world, &mut checks);
     cuts::check(&world, &mut checks);
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -19,6 +19,7 @@
 use crate::boxes::Box;
 use crate::callers::{self, Exchange};
 use crate::checks::Checks;
+use crate::crowd;
 use crate::cuts;
 use crate::faults::Set;
 use crate::limits::Limit;
@@ -62,6 +63,10 @@
     pub exchanges: RefCell<Vec<Exchange>>,
     /// Attempts of the request that crashes engines.
     pub poison_attempts: RefCell<Vec<PoisonAttempt>>,
+    /// Box that gets most new connections.
+    pub crowded: Cell<Option<usize>>,
+    /// Times in which a box got most new connections.
+    pub crowds: RefCell<Vec<crowd::Period>>,
     /// Results of the checks so far.
     pub checks: RefCell<Checks>,
     /// Set when callers must stop.
@@ -117,6 +122,9 @@
             if plan.set == Set::Poison {
                 engine.crash_body.replace(Some(poison::CRASH_BODY.to_owned()));
             }
+            if plan.set == Set::Segments {
+                poison::crash_under_segment(&engine);
+            }
             if plan.set != Set::Versions {
                 store.put_engine(&engine, false);
             }
@@ -153,6 +161,8 @@
             cuts: RefCell::default(),
             exchanges: RefCell::default(),
             poison_attempts: RefCell::default(),
+            crowded: Cell::default(),
+            crowds: RefCell::default(),
             limits: RefCell::default(),
             fleet,
             fault_periods: RefCell::new(vec![Vec::new(); plan.boxes]),
