--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -27,10 +27,10 @@
     let folder = tempfile::tempdir().unwrap_or_else(|why| panic!("{why}"));
     let plan = Plan {
         seed,
-        // The checks of a request that crashes engines start three seconds after it is known.
+        // The checks of a request or segment that crashes engines start three to six seconds after it is known.
         // Cuts are checked from three seconds after their start on.
         duration: Duration::from_secs(match set {
-            Set::Poison => 12,
+            Set::Poison | Set::Segments => 12,
             Set::Cuts | Set::Versions => 10,
             _ => 6,
         }),
@@ -98,6 +98,20 @@
     assert!(checks.hold(), "{checks}");
 }
 
+/// Guards against a segment that crashes engine after engine, sound requests that are rejected with it, and a box that can't
+/// serve the requests of most new connections.
+#[test]
+fn deadly_segment_and_crowded_box_leave_sound_requests_served() {
+    let checks = run(2, Set::Segments);
+    assert!(checks.hold(), "{checks}");
+    for promise in [Promise::Poison, Promise::Sound, Promise::Crowd] {
+        assert!(
+            checks.seen(promise) > 0,
+            "{promise:?} was not exercised\n{checks}"
+        );
+    }
+}
+
 /// Guards against streams that go on at an engine of another software version, in a box or with the attempt of a caller at
 /// another box.
 #[test]
