Bound probes of a quarantined segment by those made, not by crashes alone

A probe that an engine rejects left no evidence, so the owner would have sent the next request at once: more than three could have reached engines. Each probe counts now, and the next one waits. While a due probe waited for a request at its box, callers were told to come back at once; it is a second now. Each has a test, which was not run against the code before: one needs the new function, the other follows from a subtraction that ends at zero.

--- a/crates/jb-policy/src/poison/ledger.rs
+++ b/crates/jb-policy/src/poison/ledger.rs
@@ -15,9 +15,9 @@
 pub const RETENTION: Duration = Duration::from_secs(600);
 /// Time after which a trial counts as finished without a message about its end.
 const TRIAL_TIMEOUT: Duration = Duration::from_secs(5);
-/// Times after the last crash before one request with a quarantined segment is tried again, one for each crash beyond
-/// the threshold: sound requests may share a segment that was quarantined wrongly, which the first probe is to find out
-/// soon, and engines may have been fixed. After the last probe the segment stays quarantined.
+/// Times after the last crash or probe before one request with a quarantined segment is tried again, one for each probe,
+/// or for each crash beyond the threshold: sound requests may share a segment that was quarantined wrongly, which the
+/// first probe is to find out soon, and engines may have been fixed. After the last probe the segment stays quarantined.
 const PROBE_DELAYS: [Duration; 3] = [
     Duration::from_secs(1),
     Duration::from_secs(10),
@@ -51,6 +51,7 @@
 struct Entry {
     evidence: Evidence,
     trial: Option<Trial>,
+    probes: Probes,
 }
 
 impl Entry {
@@ -59,6 +60,13 @@
     }
 }
 
+/// Probes that this box has made since the last crash below the threshold.
+#[derive(Clone, Copy, Debug, Default)]
+struct Probes {
+    count: usize,
+    last: Moment,
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Trial {
     engine: EngineId,
@@ -135,13 +143,21 @@
 
     /// Returns when the next probe of a quarantined segment is due; `None` if there is none.
     fn probe_at(&self, leader: Fingerprint) -> Option<Moment> {
-        let evidence = &self
-            .entries
-            .get(&leader)
-            .filter(|_| leader.is_segment())?
-            .evidence;
-        let (_, last) = evidence.crash_span()?;
-        Some(last + *PROBE_DELAYS.get(evidence.crashes_beyond_threshold())?)
+        let entry = self.entries.get(&leader).filter(|_| leader.is_segment())?;
+        let (_, last) = entry.evidence.crash_span()?;
+        // A probe that an engine rejects counts as well: the fleet makes no more of them than there are delays.
+        let made = entry.evidence.crashes_beyond_threshold().max(entry.probes.count);
+        Some(last.max(entry.probes.last) + *PROBE_DELAYS.get(made)?)
+    }
+
+    /// Notes that this box probes quarantined segments.
+    pub fn begin_probe(&mut self, segments: &[Fingerprint], now: Moment) {
+        for segment in segments {
+            if let Some(entry) = self.entries.get_mut(segment) {
+                entry.probes.count += 1;
+                entry.probes.last = now;
+            }
+        }
     }
 
     /// Returns whether a crash under a request would be due to one of its suspected features: engines have crashed under
@@ -164,6 +180,9 @@
         if !entry.evidence.merge(&row.evidence) {
             return None;
         }
+        if !entry.evidence.is_candidate() {
+            entry.probes = Probes::default();
+        }
         let is_candidate = entry.evidence.is_candidate();
         let was_candidate = self.candidates.remove(&fingerprint);
         if is_candidate {
@@ -231,10 +250,12 @@
     pub fn quarantine_left(&self, features: &[Fingerprint], now: Moment) -> Duration {
         let until = |group: &Group| {
             let entry = self.entries.get(&group.leader)?;
-            Some(
-                self.probe_at(group.leader)
-                    .unwrap_or(entry.evidence.newest() + RETENTION),
-            )
+            let released = entry.evidence.newest() + RETENTION;
+            // A probe that is due waits for a request at the box that owns the segment.
+            let probe = self
+                .probe_at(group.leader)
+                .map(|at| at.max(now + PROBE_DELAYS[0]));
+            Some(probe.unwrap_or(released))
         };
         let condemning = self.groups(now).filter(|group| group.is_contained_in(features));
         condemning
--- a/crates/jb-policy/tests/poison_segments.rs
+++ b/crates/jb-policy/tests/poison_segments.rs
@@ -143,6 +143,27 @@
     assert_eq!(ledger.quarantine_left(&[segment(1)], at(610)), at(66));
 }
 
+/// An engine may reject a probe, which shows nothing.
+#[test]
+fn probes_that_no_engine_ran_count_as_well() {
+    let mut ledger = crashed_five_times(&[segment(1)]);
+    let mut probes = Vec::new();
+    for second in 6..605 {
+        if let Some(due) = ledger.due_probe(&[segment(1)], at(second)) {
+            probes.push(second);
+            ledger.begin_probe(&due, at(second));
+        }
+    }
+    assert_eq!(probes, [6, 16, 76]);
+}
+
+/// Guards against callers that are told to come back at once while a probe waits for a request at its box.
+#[test]
+fn request_with_a_segment_whose_probe_is_due_is_told_to_come_back_later() {
+    let ledger = crashed_five_times(&[segment(1)]);
+    assert_eq!(ledger.quarantine_left(&[segment(1)], at(60)), at(1));
+}
+
 #[test]
 fn quarantined_request_is_not_probed() {
     let ledger = crashed_five_times(&[Fingerprint(7)]);
--- a/crates/jb-relay/src/exchange/isolation.rs
+++ b/crates/jb-relay/src/exchange/isolation.rs
@@ -85,7 +85,9 @@
         let owns_all = due
             .iter()
             .all(|segment| peers::owns_quarantine(self.core, *segment));
-        owns_all.then(|| self.choose_isolated()).flatten()
+        let choice = owns_all.then(|| self.choose_isolated()).flatten()?;
+        self.core.quarantine.begin_probe(&due, self.core.now());
+        Some(choice)
     }
 
     /// Returns the fingerprints of the request: of its content, and of the segments that it may share. They are the same
--- a/crates/jb-relay/src/quarantine.rs
+++ b/crates/jb-relay/src/quarantine.rs
@@ -69,6 +69,11 @@
         self.wake.notify_one();
     }
 
+    /// Notes that this box probes quarantined segments.
+    pub fn begin_probe(&self, segments: &[Fingerprint], now: Moment) {
+        self.ledger.borrow_mut().begin_probe(segments, now);
+    }
+
     /// Applies the start or end of a trial at this box or another one.
     pub fn apply_trial(&self, fingerprint: Fingerprint, trial: Trial, now: Moment) {
         let mut ledger = self.ledger.borrow_mut();
