--- a/crates/jb-relay/src/exchange/isolation.rs
+++ b/crates/jb-relay/src/exchange/isolation.rs
@@ -20,7 +20,6 @@
 
 /// `Retry-After` of a suspect request while another trial of it is running, or no engine can be spared.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(500);
-
 /// Time after the first event of a request within which a crash of the engine counts as caused by it.
 const CRASH_WINDOW: Duration = Duration::from_secs(1);
 /// Time after the first data of a response after which its engine has survived the segments of the prompt: they take
@@ -28,9 +27,8 @@
 const BEGIN_WINDOW: Duration = Duration::from_millis(100);
 /// Time for which a suspect request waits for an engine without other suspects.
 pub(super) const MAX_SUSPECT_WAIT: Duration = Duration::from_secs(1);
-
-/// Part of it, at its end, in which a request may run that has other features under which engines have crashed: a crash
-/// would show little.
+/// Last part of that wait, in which a request may run although engines have crashed under its other features, too, so
+/// that a crash would not show which feature caused it.
 const INCONCLUSIVE_WAIT: Duration = Duration::from_millis(500);
 
 /// Which engines a request may be sent to now.
@@ -105,6 +103,17 @@
         self.features()[0]
     }
 
+    /// Returns the features that may crash the engine `running` after the first data of the response: segments do so only
+    /// when the response begins, and were cleared once the window had ended.
+    fn features_at_risk(&self, running: Duration) -> &[poison::Fingerprint] {
+        let features = self.features();
+        if running < BEGIN_WINDOW {
+            features
+        } else {
+            &features[..1]
+        }
+    }
+
     /// Returns the features for which the request needs an isolated trial.
     pub(super) fn suspects(&self) -> Vec<poison::Fingerprint> {
         let ledger = self.core.quarantine.ledger();
@@ -179,11 +188,7 @@
         let finding = pool::check_liveness(self.core, instance).await;
         emit!(self.core.logger, info, event::CRASH_CHECKED, "request" => &self.message.request.id,
             "upstream" => %instance, "finding" => finding.name());
-        let features = if running < BEGIN_WINDOW {
-            self.features()
-        } else {
-            &self.features()[..1]
-        };
+        let features = self.features_at_risk(running);
         let isolated = isolated && running < CRASH_WINDOW;
         match finding {
             Liveness::Crashed => quarantine::note_crash(self.core, features, instance, isolated, lost_at),
@@ -204,13 +209,7 @@
         if self.core.quarantine.is_empty() {
             return;
         }
-        let features = if running < BEGIN_WINDOW {
-            self.features()
-        } else {
-            // The segments were cleared when the window ended.
-            &self.features()[..1]
-        };
-        quarantine::note_survival(self.core, features, instance);
+        quarantine::note_survival(self.core, self.features_at_risk(running), instance);
     }
 }
 
