Derive a prompt's shared segments when they are needed, in one place

Each admitted request parsed its segments twice and kept their ids, which only evidence against a request and the log of a failed attempt read. The ids are taken from the head now, by the same parser as the prompt, and the fingerprints in one function instead of two. The bound on segments stood in two crates; it is one constant beside the fingerprint. Behaviour is as it was.

--- a/crates/jb-daemon/src/run/session/isolation.rs
+++ b/crates/jb-daemon/src/run/session/isolation.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use jb_policy::poison::{EngineId, Evidence, Fingerprint, Verdict};
+use jb_policy::poison::{EngineId, Evidence, Fingerprint, MAX_SHARED_SEGMENTS, Verdict};
 use jb_protocol::error::Kind;
 
 use super::Session;
@@ -14,9 +14,6 @@
 /// network failure.
 const MAX_NEIGHBOURS: usize = 16;
 
-/// Maximum number of shared segments of a prompt that are looked at, so that a long list costs little.
-const MAX_SHARED_SEGMENTS: usize = 16;
-
 impl Session {
     fn fingerprint(&self) -> Fingerprint {
         let request = &self.request;
--- a/crates/jb-policy/src/poison/fingerprint.rs
+++ b/crates/jb-policy/src/poison/fingerprint.rs
@@ -2,6 +2,8 @@
 
 use sha2::{Digest as _, Sha256};
 
+/// Maximum number of shared segments of a prompt that are looked at, so that a long list costs little.
+pub const MAX_SHARED_SEGMENTS: usize = 16;
 /// Length of the truncated hash in bytes, enough to avoid collisions.
 const FINGERPRINT_BYTES: usize = 16;
 /// Bit that tells fingerprints of segments from those of requests.
--- a/crates/jb-policy/src/poison/mod.rs
+++ b/crates/jb-policy/src/poison/mod.rs
@@ -18,6 +18,6 @@
 mod row;
 
 pub use evidence::{EngineId, Evidence};
-pub use fingerprint::Fingerprint;
+pub use fingerprint::{Fingerprint, MAX_SHARED_SEGMENTS};
 pub use ledger::{Change, Ledger, RETENTION, Verdict};
 pub use row::{Observation, Row};
--- a/crates/jb-relay/src/admission.rs
+++ b/crates/jb-relay/src/admission.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jb_policy::poison::MAX_SHARED_SEGMENTS;
 use jb_policy::prefix_cache::Segment;
 use jb_policy::{Moment, rendezvous};
 use jb_protocol::id;
@@ -18,8 +19,6 @@
 const KEY_AGE_SHARE: f64 = 0.85;
 /// Output tokens assumed for a request that states no maximum.
 const DEFAULT_OUTPUT_TOKENS: u64 = 64;
-/// Maximum number of shared segments of a prompt that are looked at, so that a long list costs little.
-const MAX_SHARED_SEGMENTS: usize = 16;
 /// Cache salt of customers that share cached segments.
 const SHARED_SALT: &str = "shared";
 
@@ -53,8 +52,6 @@
     pub model: Option<String>,
     /// Segments of its prompt.
     pub prompt: Vec<Segment>,
-    /// Ids of the segments that other requests may share, as the caller names them.
-    pub shared_segments: Vec<String>,
     /// Upper bound on output tokens.
     pub max_output_tokens: u64,
     /// When its head had been received.
@@ -169,7 +166,6 @@
     let Content {
         model,
         prompt,
-        shared_segments,
         size,
         max_output_tokens,
     } = Content::parse(core, query, &cache_salt);
@@ -190,7 +186,6 @@
         urgency: priority.min(9),
         model,
         prompt,
-        shared_segments,
         max_output_tokens,
         arrived_at: arrived,
         deadline: until,
@@ -226,7 +221,6 @@
         urgency: envelope.urgency,
         model: content.model,
         prompt: content.prompt,
-        shared_segments: content.shared_segments,
         max_output_tokens: content.max_output_tokens,
         arrived_at: envelope.arrived_at(received),
         deadline: received + envelope.left,
@@ -246,7 +240,6 @@
 struct Content {
     model: Option<String>,
     prompt: Vec<Segment>,
-    shared_segments: Vec<String>,
     /// Prompt tokens and maximum output tokens.
     size: Option<(u64, u64)>,
     max_output_tokens: u64,
@@ -257,12 +250,9 @@
         let names = &core.header_names;
         let text = |name| query.headers.text(name);
         let size = text(names.token_counts).and_then(parse_token_counts);
-        let segments = text(names.prompt_segments).unwrap_or_default();
-        let prompt = parse_segments(segments, cache_salt);
         Self {
             model: text(names.model).map(str::to_owned),
-            shared_segments: shared_segments(segments, prompt.len()),
-            prompt,
+            prompt: parse_segments(text(names.prompt_segments).unwrap_or_default(), cache_salt),
             size,
             max_output_tokens: size.map_or(DEFAULT_OUTPUT_TOKENS, |(_, out)| out),
         }
@@ -280,26 +270,33 @@
     Some((read.trim().parse().ok()?, made.trim().parse().ok()?))
 }
 
-/// Parses the segments of a prompt, as `ID:TOKENS,...`. The first malformed segment ends the list.
+/// Parses the segments of a prompt.
 fn parse_segments(text: &str, salt: &str) -> Vec<Segment> {
-    let segment = |part: &str| {
-        let (id, tokens) = part.trim().split_once(':')?;
-        Some(Segment {
-            id: salt::segment_id(id, salt),
-            tokens: tokens.parse().ok()?,
-        })
+    let segment = |(id, tokens)| Segment {
+        id: salt::segment_id(id, salt),
+        tokens,
     };
-    text.split(',').map_while(segment).collect()
+    split_segments(text).map(segment).collect()
+}
+
+/// Returns the ids and tokens of a prompt's segments, as `ID:TOKENS,...`. The first malformed segment ends the list.
+fn split_segments(text: &str) -> impl Iterator<Item = (&str, u64)> {
+    text.split(',').map_while(|part| {
+        let (id, tokens) = part.trim().split_once(':')?;
+        Some((id, tokens.parse().ok()?))
+    })
 }
 
-/// Returns the ids of all segments but the last of a prompt, which belongs to the request or its session.
-fn shared_segments(text: &str, count: usize) -> Vec<String> {
-    let ids = text
-        .split(',')
-        .filter_map(|part| Some(part.trim().split_once(':')?.0));
-    ids.take(count.saturating_sub(1).min(MAX_SHARED_SEGMENTS))
-        .map(str::to_owned)
-        .collect()
+/// Returns the ids of the segments of a prompt that other requests may share: all but the last, which belongs to the
+/// request or its session.
+pub fn shared_segments<'a>(core: &Core, query: &'a RequestHead) -> Vec<&'a str> {
+    let text = query.headers.text(core.header_names.prompt_segments);
+    let mut ids: Vec<&str> = split_segments(text.unwrap_or_default())
+        .map(|(id, _)| id)
+        .collect();
+    ids.pop();
+    ids.truncate(MAX_SHARED_SEGMENTS);
+    ids
 }
 
 impl AdmittedRequest {
--- a/crates/jb-relay/src/exchange/feedback.rs
+++ b/crates/jb-relay/src/exchange/feedback.rs
@@ -6,7 +6,7 @@
 
 use super::run::Exchange;
 use crate::upstream::{Instance, Upstream};
-use crate::{peers, uplink};
+use crate::{admission, peers, uplink};
 
 impl Exchange<'_> {
     /// Sets the outcome that the release of the reservation reports.
@@ -26,7 +26,7 @@
             .map(|upstream| upstream.running);
         emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.request.id,
             "upstream" => %instance, "outcome" => outcome, "why" => why,
-            "content" => %self.fingerprint(), "segments" => self.message.request.shared_segments.join(","),
+            "content" => %self.fingerprint(), "segments" => admission::shared_segments(core, self.message.head).join(","),
             "running" => running);
         let loads = |upstream: &Upstream| core.now() < upstream.loading_until;
         if core.upstreams.borrow().instance(instance).is_some_and(loads) {
--- a/crates/jb-relay/src/exchange/isolation.rs
+++ b/crates/jb-relay/src/exchange/isolation.rs
@@ -11,12 +11,12 @@
 use super::pick::Rejection;
 use super::run::Exchange;
 use super::selection::{self, CandidateSet, Choice};
-use crate::admission::AdmittedRequest;
 use crate::core::Core;
 use crate::crash_check::{self, LostAttempt};
+use crate::http::RequestHead;
 use crate::pool::{self, Liveness};
 use crate::upstream::Instance;
-use crate::{peers, quarantine};
+use crate::{admission, peers, quarantine};
 
 /// `Retry-After` of a suspect request while another trial of it is running, or no engine can be spared.
 const SUSPECT_RETRY_AFTER: Duration = Duration::from_millis(500);
@@ -92,8 +92,7 @@
     /// on other boxes.
     pub(super) fn features(&self) -> &[poison::Fingerprint] {
         self.features.get_or_init(|| {
-            let segments = &self.message.request.shared_segments;
-            let segments = segments.iter().map(|id| poison::Fingerprint::of_segment(id));
+            let segments = segments(self.core, self.message.head);
             [self.message.fingerprint()].into_iter().chain(segments).collect()
         })
     }
@@ -213,10 +212,16 @@
     }
 }
 
+/// Returns the fingerprints of the segments that a request may share with others.
+fn segments(core: &Core, head: &RequestHead) -> impl Iterator<Item = poison::Fingerprint> {
+    let ids = admission::shared_segments(core, head);
+    ids.into_iter().map(poison::Fingerprint::of_segment)
+}
+
 /// Clears the segments of a prompt once the engine has survived the begin of its response.
 pub(super) struct BeginWatch<'a> {
     pub(super) core: &'a Core,
-    pub(super) request: &'a AdmittedRequest,
+    pub(super) head: &'a RequestHead,
     pub(super) instance: &'a Instance,
     pub(super) is_over: bool,
 }
@@ -231,8 +236,7 @@
         if self.core.quarantine.is_empty() {
             return;
         }
-        let segments = self.request.shared_segments.iter();
-        let segments: Vec<_> = segments.map(|id| poison::Fingerprint::of_segment(id)).collect();
+        let segments: Vec<_> = segments(self.core, self.head).collect();
         quarantine::note_survival(self.core, &segments, self.instance);
     }
 }
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -340,7 +340,7 @@
                 software,
                 begin: BeginWatch {
                     core,
-                    request,
+                    head: self.message.head,
                     instance,
                     is_over: false,
                 },
