Log what a box waited for when its copy of the store got old

Logs told nothing between two updates of a box, so a copy that got old couldn't be explained: eight boxes had no update for 3.5 s and logged nothing meanwhile. Now each step of getting an update is timed; an update that replaces a copy too old to be passed on logs its age, the longest step before it and where it came from (store_copy_outdated), and the age of each replaced copy goes into the histogram store_copy_age_seconds.

--- a/crates/jb-relay/src/follow/mod.rs
+++ b/crates/jb-relay/src/follow/mod.rs
@@ -5,5 +5,6 @@
 mod resurrected;
 mod run;
 mod start_up;
+mod steps;
 
 pub use run::{POLL_INTERVAL, run};
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -17,6 +17,7 @@
 use super::missing::{self, Partition};
 use super::resurrected::Resurrected;
 use super::start_up;
+use super::steps::{Step, Steps};
 use crate::core::{Core, Shared, UpdateOrigin};
 use crate::peers;
 use crate::port::{Change, ChangeBatch, Consistency, Revision, StoreError};
@@ -47,6 +48,8 @@
     partition: Partition,
     /// Entries that reappeared in a restore of the store.
     resurrected: Resurrected,
+    /// Times of the steps since the last update.
+    steps: Steps,
 }
 
 /// Failure of this box's calls to the store.
@@ -77,17 +80,22 @@
         apply_update(&core, &mut progress, update);
     }
     loop {
-        match ask_peers(&core, &socket, &progress).await {
+        let asked = ask_peers(&core, &socket, &progress);
+        match progress.steps.time(&core, Step::Pull, asked).await {
             PeerAnswer::Update(update) => {
                 apply_update(&core, &mut progress, update);
-                sleep(PEER_POLL_INTERVAL).await;
+                pause(&core, &progress, PEER_POLL_INTERVAL).await;
             }
-            PeerAnswer::Wait => sleep(PEER_POLL_INTERVAL).await,
+            PeerAnswer::Wait => pause(&core, &progress, PEER_POLL_INTERVAL).await,
             PeerAnswer::ReadStore => read_store(&core, &mut progress).await,
         }
     }
 }
 
+async fn pause(core: &Core, progress: &Progress, time: Duration) {
+    progress.steps.time(core, Step::Pause, sleep(time)).await;
+}
+
 /// Result of requesting an update from other boxes.
 enum PeerAnswer {
     Update(Update),
@@ -156,7 +164,7 @@
 /// Reads from the store, or from another box if the whole content is needed and another box has it.
 async fn read_store(core: &Core, progress: &mut Progress) {
     if progress.after.is_none()
-        && let Some(update) = catch_up(core).await
+        && let Some(update) = progress.steps.time(core, Step::CatchUp, catch_up(core)).await
     {
         apply_update(core, progress, update);
         return;
@@ -172,10 +180,13 @@
     // After failed calls or a stale read, the store must respond at once: the response proves that it is available.
     let may_wait = !progress.is_stale && progress.failing.is_none();
     let wait = if may_wait { POLL_INTERVAL } else { Duration::ZERO };
-    let result = match progress.after {
-        Some(after) => core.store.changes(after, wait).await,
-        None => core.store.all_items(consistency).await,
+    let call = async {
+        match progress.after {
+            Some(after) => core.store.changes(after, wait).await,
+            None => core.store.all_items(consistency).await,
+        }
     };
+    let result = progress.steps.time(core, Step::Call, call).await;
     let stale = progress.after.is_none() && consistency == Consistency::Stale;
     match result {
         Ok(ChangeBatch { changes, revision }) => {
@@ -192,7 +203,8 @@
                 },
             );
             if !stale {
-                sleep((requested_at + POLL_INTERVAL).saturating_sub(core.now())).await;
+                let left = (requested_at + POLL_INTERVAL).saturating_sub(core.now());
+                pause(core, progress, left).await;
             }
         }
         Err(why @ (StoreError::HistoryGone | StoreError::Restored)) => {
@@ -202,12 +214,12 @@
                 "why" => %why);
             progress.is_history_gone = true;
             if after.is_none() {
-                sleep(FAILURE_PAUSE).await;
+                pause(core, progress, FAILURE_PAUSE).await;
             }
         }
         Err(why) => {
             note_failure(core, progress, &why);
-            sleep(FAILURE_PAUSE).await;
+            pause(core, progress, FAILURE_PAUSE).await;
         }
     }
 }
@@ -243,6 +255,19 @@
     true
 }
 
+/// Records the age of the copy that an update replaces.
+fn note_copy_age(core: &Core, progress: &Progress, from: UpdateOrigin) {
+    let longest = progress.steps.take_longest();
+    let Some(age) = core.state_age() else { return };
+    core.metrics.store_copy_age.observe(age.as_secs_f64());
+    if peers::is_fresh(age) {
+        return;
+    }
+    emit!(core.logger, info, event::STORE_COPY_OUTDATED, "age_ms" => age.as_millis() as u64, "from" => ?from,
+        "step" => longest.map(|(step, _)| step.name()),
+        "step_ms" => longest.map(|(_, took)| took.as_millis() as u64));
+}
+
 /// Applies an update.
 fn apply_update(core: &Core, progress: &mut Progress, update: Update) {
     let Update {
@@ -269,6 +294,7 @@
             "changed" => changed.count());
     }
     if let Some(at) = proven {
+        note_copy_age(core, progress, from);
         core.note_store_seen(Span::at(at));
     }
     progress
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -27,6 +27,10 @@
     }
 }
 
+/// Upper bounds of the buckets for the age of the copy of the store, in seconds. A copy that is regularly updated is up to
+/// 1.8 s old; operators allow 2 to 5 s until a change is in force.
+const COPY_AGES: [f64; 9] = [0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 5.0, 10.0];
+
 /// Metrics of a box.
 #[derive(Debug)]
 pub struct Metrics {
@@ -74,6 +78,8 @@
     pub requests_helped: Counter,
     /// Requests of other boxes that this one declined to serve.
     pub requests_declined: Counter,
+    /// Seconds since the last proof that the copy of the store was current, at each update.
+    pub store_copy_age: Histogram,
     /// Calls to the store.
     pub store_calls: Counter,
     /// Calls to the store that failed.
@@ -123,6 +129,7 @@
         let requests_forwarded = Counter::default();
         let requests_helped = Counter::default();
         let requests_declined = Counter::default();
+        let store_copy_age = Histogram::new(COPY_AGES);
         let store_calls = Counter::default();
         let store_failures = Counter::default();
         let relay_node = Gauge::default();
@@ -224,6 +231,11 @@
             "Requests of other boxes that were declined",
             requests_declined.clone(),
         );
+        registry.register(
+            "store_copy_age_seconds",
+            "Age of the copy of the store that an update replaced",
+            store_copy_age.clone(),
+        );
         registry.register(
             "store_calls",
             "Calls to the platform's store",
@@ -278,6 +290,7 @@
             requests_forwarded,
             requests_helped,
             requests_declined,
+            store_copy_age,
             store_calls,
             store_failures,
             relay_node,
