Call the store by the age of the own copy, within the bound for configurations

Callers were handled by an old configuration for up to 2.3 s, and 3.2 s together with a lost history or large documents, at boxes that nothing had struck (bound 3 s): their relay node was alive and cut off from the store, told them that its copy was outdated, and they waited until theirs was 1.25 or 2.5 s old. That share was taken of the 5 s for revoked keys, and on deployments with a bound of 2 s it left nothing for the third level. The wait also didn't count while a relay node answered with something that wasn't newer.

Now a box calls the store at an age of its own copy that leaves 0.6 s of the smaller bound, whatever other boxes send; the last questions before that are close together, so a renewal that comes a moment late doesn't make a whole hall call.

--- a/crates/jb-policy/src/dissemination.rs
+++ b/crates/jb-policy/src/dissemination.rs
@@ -9,9 +9,14 @@
 
 /// Number of boxes to which a box forwards updates.
 const FAN_OUT: usize = 8;
-/// Fraction of the maximum age of usable content that each level adds to the wait.
-const WAIT_FRACTION: f64 = 0.25;
-/// Largest fraction: a box without updates must call the store before its copy is too old to be used.
+/// Age of its copy above which a box sends no updates. What a relay node knows is between one and two of its polling
+/// intervals old, and a box that pulls from it at the same rate would always meet a limit of two slightly too late.
+pub const MAX_RELAYED_AGE: Duration = Duration::from_millis(1800);
+/// Time kept free for a call to the store: a few documents of half a megabyte over the narrowest links.
+const CALL_TIME: Duration = Duration::from_millis(600);
+/// Fraction of the time between [`MAX_RELAYED_AGE`] and the latest call that each level below the first waits.
+const WAIT_FRACTION: f64 = 0.3;
+/// Largest fraction. The rest lets a box that has waited longest report itself as ready until its call returns.
 const MAX_WAIT_FRACTION: f64 = 0.6;
 /// Interval at which a box of the second level below the root retries a failing store; each further level
 /// adds the same amount.
@@ -36,11 +41,12 @@
         Self(ancestors(position).count())
     }
 
-    /// Returns the age of its copy up to which a box waits for a live relay node whose copy is outdated;
-    /// `bound` is the age beyond which a copy must not be used.
+    /// Returns the age of its copy up to which a box waits for updates from other boxes before it calls the store itself;
+    /// `bound` is the age that no copy may reach while the store can be called.
     pub fn max_wait(self, bound: Duration) -> Duration {
-        let level = f64::from(u32::try_from(self.0).unwrap_or(u32::MAX));
-        bound.mul_f64((WAIT_FRACTION * level).min(MAX_WAIT_FRACTION))
+        let levels = f64::from(u32::try_from(self.0.saturating_sub(1)).unwrap_or(u32::MAX));
+        let room = bound.saturating_sub(MAX_RELAYED_AGE + CALL_TIME);
+        MAX_RELAYED_AGE + room.mul_f64((WAIT_FRACTION * levels).min(MAX_WAIT_FRACTION))
     }
 
     /// Returns the interval at which a box without updates retries a failing store, in addition to the
--- a/crates/jb-policy/tests/dissemination.rs
+++ b/crates/jb-policy/tests/dissemination.rs
@@ -29,6 +29,18 @@
     }
 }
 
+/// Guards against waits that leave a box no time to call the store before its copy is older than allowed.
+#[test]
+fn every_box_calls_the_store_in_time_whatever_the_bound() {
+    for bound in [2, 3, 4, 5].map(Duration::from_secs) {
+        for level in levels(FLEETS[1]) {
+            let wait = level.max_wait(bound);
+            assert!(wait >= OUTDATED, "{level:?} of {bound:?}: {wait:?}");
+            assert!(wait <= bound.mul_f64(0.9), "{level:?} of {bound:?}: {wait:?}");
+        }
+    }
+}
+
 /// A box reports itself as not ready after 0.7 of the bound.
 #[test]
 fn every_box_calls_the_store_while_it_is_ready() {
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -27,6 +27,10 @@
 pub const POLL_INTERVAL: Duration = Duration::from_millis(700);
 /// Interval between two requests to the relay node of the data hall; it adds to the age of the relay node's own call.
 const PEER_POLL_INTERVAL: Duration = Duration::from_millis(350);
+/// Shortest interval, for a box whose copy should have been renewed by now.
+const MIN_PEER_POLL_INTERVAL: Duration = Duration::from_millis(100);
+/// Age of its copy within which a box regularly gets a newer one: two calls of its relay node, with round trips.
+const RENEWAL_AGE: Duration = Duration::from_millis(1450);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// Interval between two calls while calls fail and other boxes send updates. With a shorter one, a single box that
@@ -48,6 +52,8 @@
     partition: Partition,
     /// Entries that reappeared in a restore of the store.
     resurrected: Resurrected,
+    /// When this box began to follow the store, after its first load.
+    started_at: Moment,
     /// Times of the steps since the last update.
     steps: Steps,
 }
@@ -79,14 +85,15 @@
     if let Some(update) = start_up::load(&core).await {
         apply_update(&core, &mut progress, update);
     }
+    progress.started_at = core.now();
     loop {
         let asked = ask_peers(&core, &socket, &progress);
         match progress.steps.time(&core, Step::Pull, asked).await {
             PeerAnswer::Update(update) => {
                 apply_update(&core, &mut progress, update);
-                pause(&core, &progress, PEER_POLL_INTERVAL).await;
+                pause(&core, &progress, until_next_pull(&core, &progress)).await;
             }
-            PeerAnswer::Wait => pause(&core, &progress, PEER_POLL_INTERVAL).await,
+            PeerAnswer::Wait => pause(&core, &progress, until_next_pull(&core, &progress)).await,
             PeerAnswer::ReadStore => read_store(&core, &mut progress).await,
         }
     }
@@ -107,11 +114,10 @@
 
 /// Requests an update from other boxes, unless this box must read the store itself.
 async fn ask_peers(core: &Core, socket: &UdpSocket, progress: &Progress) -> PeerAnswer {
-    let level = level(core);
+    if core.now() >= next_call(core, progress) {
+        return PeerAnswer::ReadStore;
+    }
     let (after, source) = match progress.failing {
-        Some(failing) if core.now() > failing.last + RETRY_INTERVAL.max(level.retry_interval()) => {
-            return PeerAnswer::ReadStore;
-        }
         // Also if this box must read everything and can't: other boxes may have what it lacks.
         Some(_) => (known_revision(core), peers::Source::AnyRelayNode),
         None => (progress.after, peers::Source::RelayNode),
@@ -127,22 +133,44 @@
             revision: update.revision,
             proven: Some(update.verified_at),
         }),
-        Err(why) if should_ask_again(core, progress, level, why) => PeerAnswer::Wait,
+        Err(why) if should_ask_again(core, progress, why) => PeerAnswer::Wait,
         Err(_) => PeerAnswer::ReadStore,
     }
 }
 
 /// Returns whether to ask other boxes again, after they sent no update, before calling the store.
-fn should_ask_again(core: &Core, progress: &Progress, level: Level, why: peers::PullError) -> bool {
+fn should_ask_again(core: &Core, progress: &Progress, why: peers::PullError) -> bool {
     match progress.failing {
-        Some(failing) => core.now() < failing.last + level.retry_interval(),
+        Some(failing) => core.now() < failing.last + level(core).retry_interval(),
+        None => why == peers::PullError::Outdated && core.state_age().is_some(),
+    }
+}
+
+/// Returns the time at which this box calls the store, whatever other boxes send until then. It depends on the age of the
+/// own copy alone, so that no sequence of steps with other boxes can exceed the bound.
+fn next_call(core: &Core, progress: &Progress) -> Moment {
+    let level = level(core);
+    match progress.failing {
+        Some(failing) => failing.last + RETRY_INTERVAL.max(level.retry_interval()),
         None => {
-            let max_wait = level.max_wait(core.settings.bounds.max_revocation_delay);
-            why == peers::PullError::Outdated && core.state_age().is_some_and(|age| age < max_wait)
+            let proven_at = core.verified_at.get().unwrap_or(progress.started_at);
+            proven_at + level.max_wait(core.settings.bounds.max_copy_age())
         }
     }
 }
 
+/// Returns the pause until other boxes are asked again. The last questions before the box would call the store are close
+/// together, so that a late renewal at the relay node doesn't make all boxes of the hall call it.
+fn until_next_pull(core: &Core, progress: &Progress) -> Duration {
+    let until_renewal = core
+        .state_age()
+        .map_or(Duration::ZERO, |age| RENEWAL_AGE.saturating_sub(age));
+    let until_call = next_call(core, progress).saturating_sub(core.now());
+    until_renewal
+        .clamp(MIN_PEER_POLL_INTERVAL, PEER_POLL_INTERVAL)
+        .min(until_call)
+}
+
 /// Returns the level of this box in the dissemination tree of its data hall.
 fn level(core: &Core) -> Level {
     let (own, hall) = (&core.settings.id, &core.settings.hall);
--- a/crates/jb-relay/src/peers/pull.rs
+++ b/crates/jb-relay/src/peers/pull.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
+use jb_policy::dissemination::MAX_RELAYED_AGE;
 use jb_protocol::{emit, event, id};
 use tokio::net::UdpSocket;
 use tokio::sync::oneshot;
@@ -23,9 +24,6 @@
 
 /// Time within which the relay node must reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
-/// Age above which knowledge is not sent. What a relay node knows is between one and two of its polling intervals
-/// old. With a limit of two intervals, requesters that poll at the same rate always met it slightly too old.
-const MAX_AGE: Duration = Duration::from_millis(1800);
 /// Upper bound of the size of a message without its changes, in bytes.
 const MAX_HEADER_BYTES: usize = 64;
 /// Size of the changes above which they are sent over a connection instead of in datagrams, in bytes.
@@ -296,7 +294,7 @@
 
 /// Returns whether knowledge of this age may be sent to other boxes.
 pub fn is_fresh(age: Duration) -> bool {
-    age < MAX_AGE
+    age < MAX_RELAYED_AGE
 }
 
 /// Replies to another box, which already has the first `skip` changes.
--- a/crates/jb-relay/src/settings.rs
+++ b/crates/jb-relay/src/settings.rs
@@ -80,6 +80,13 @@
     pub heartbeat_interval: Duration,
 }
 
+impl Bounds {
+    /// Returns the age that a box's copy of the store must not reach while the box can call the store.
+    pub fn max_copy_age(&self) -> Duration {
+        self.max_config_delay.min(self.max_revocation_delay)
+    }
+}
+
 impl Default for Bounds {
     fn default() -> Self {
         Self {
