Limit pulls from other boxes by the time of the own call to the store

A box whose relay node froze, lost its power or was cut off in the middle of a transfer waited for it for up to 6 s, and the relay node holds a query for 4 s that it can't answer yet; neither limit knew how old the requester's copy was. Each pull now ends when the box has to call the store, and a box that had time for a reply and sent only a part counts as silent.

Test: transfer_that_hangs_does_not_keep_a_box_from_the_store, red before (copy 6.7 s old of 4 s).

--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -114,7 +114,8 @@
 
 /// Requests an update from other boxes, unless this box must read the store itself.
 async fn ask_peers(core: &Core, socket: &UdpSocket, progress: &Progress) -> PeerAnswer {
-    if core.now() >= next_call(core, progress) {
+    let next_call = next_call(core, progress);
+    if core.now() >= next_call {
         return PeerAnswer::ReadStore;
     }
     let (after, source) = match progress.failing {
@@ -125,7 +126,7 @@
     let Some(after) = after else {
         return PeerAnswer::ReadStore;
     };
-    match peers::pull_changes(core, socket, after, source).await {
+    match peers::pull_changes(core, socket, after, source, next_call).await {
         Ok(update) => PeerAnswer::Update(Update {
             from: UpdateOrigin::Box(source),
             whole: update.is_snapshot,
--- a/crates/jb-relay/src/peers/pull.rs
+++ b/crates/jb-relay/src/peers/pull.rs
@@ -122,7 +122,7 @@
     AnyRelayNode,
 }
 
-/// Pulls the changes after a revision from relay nodes.
+/// Pulls the changes after a revision from relay nodes, until a given time.
 ///
 /// # Errors
 /// Why the last relay node that was asked sent none.
@@ -131,6 +131,7 @@
     socket: &UdpSocket,
     after: Revision,
     source: Source,
+    until: Moment,
 ) -> Result<Update, Error> {
     let relay_nodes = match source {
         Source::RelayNode => own_relay_node(core).into_iter().collect(),
@@ -138,7 +139,7 @@
     };
     let mut error = Error::Nobody;
     for relay_node in relay_nodes {
-        match pull_from(core, socket, after, &relay_node).await {
+        match pull_in_time(core, socket, after, &relay_node, until).await {
             Ok(update) => return Ok(update),
             Err(why) => error = why,
         }
@@ -154,7 +155,7 @@
 pub enum Error {
     /// No box but this one is known as a relay node.
     Nobody,
-    /// The relay node is no longer listed, or did not reply in time.
+    /// The relay node is no longer listed, or did not send everything in time.
     Silent,
     /// What the relay node knows is too old.
     Outdated,
@@ -164,6 +165,25 @@
     OutOfTurn,
 }
 
+/// Pulls from one box until a given time. A box that has sent only a part by then, although it had time for a reply, is
+/// taken to be silent: it may have frozen or lost its power in the middle of a transfer.
+async fn pull_in_time(
+    core: &Core,
+    socket: &UdpSocket,
+    after: Revision,
+    relay_node: &str,
+    until: Moment,
+) -> Result<Update, Error> {
+    let limit = until.saturating_sub(core.now());
+    let pulled = timeout(limit, pull_from(core, socket, after, relay_node)).await;
+    pulled.unwrap_or_else(|_| {
+        if limit >= REPLY_TIMEOUT {
+            core.directory.borrow_mut().mark_silent(relay_node, core.now());
+        }
+        Err(Error::Silent)
+    })
+}
+
 /// Pulls from one box until it has sent all changes: another box may have the rest in another order.
 async fn pull_from(
     core: &Core,
