Catch up with other boxes only for as long as the bound leaves

After the store had lost its history, a box waited up to 3 s for an ancestor in the dissemination tree, from an age of its copy of 1.8 s on: over each bound in use when the ancestor hangs or is cut off from the store. Now it waits until the bound leaves 0.6 s to read the store, and half of the bound when its copy is older than that anyway, so that the boxes of a hall don't all read the whole store at the end of an outage.

--- a/crates/jb-policy/src/dissemination.rs
+++ b/crates/jb-policy/src/dissemination.rs
@@ -63,6 +63,19 @@
     }
 }
 
+/// Returns the time for which a box whose copy has this age waits for what the store's history no longer has, before it
+/// reads the whole store; `bound` is as for [`Level::max_wait`].
+///
+/// A copy that is older than the bound was cut off together with those of other boxes, which would all read the store at the
+/// same time.
+pub fn catch_up_time(age: Duration, bound: Duration) -> Duration {
+    if age < bound {
+        bound.saturating_sub(age + CALL_TIME)
+    } else {
+        bound / 2
+    }
+}
+
 /// Returns the number of groups into which the recipients of a message are split: it balances the messages of
 /// the sender, which sends to the head of each group, and those of the heads.
 pub fn group_count(recipients: usize) -> usize {
--- a/crates/jb-policy/tests/dissemination.rs
+++ b/crates/jb-policy/tests/dissemination.rs
@@ -41,6 +41,28 @@
     }
 }
 
+/// Guards against a box waiting for other boxes, after the store has lost its history, until its copy is too old.
+#[test]
+fn catching_up_leaves_time_to_read_the_store() {
+    for bound in [2, 3, 4, 5].map(Duration::from_secs) {
+        for level in levels(FLEETS[1]) {
+            let age = level.max_wait(bound);
+            let read_at = age + dissemination::catch_up_time(age, bound);
+            assert!(
+                read_at <= bound.mul_f64(0.9),
+                "{level:?} of {bound:?}: {read_at:?}"
+            );
+        }
+    }
+}
+
+/// Guards against all boxes of a hall reading the whole store at the end of an outage.
+#[test]
+fn boxes_wait_for_each_other_after_an_outage() {
+    let waits = dissemination::catch_up_time(Duration::from_secs(60), BOUND);
+    assert!(waits >= Duration::from_secs(2), "{waits:?}");
+}
+
 /// A box reports itself as not ready after 0.7 of the bound.
 #[test]
 fn every_box_calls_the_store_while_it_is_ready() {
--- a/crates/jb-relay/src/follow/start_up.rs
+++ b/crates/jb-relay/src/follow/start_up.rs
@@ -8,6 +8,7 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
+use jb_policy::dissemination;
 use jb_protocol::{emit, event};
 use tokio::time::{sleep, timeout};
 
@@ -21,8 +22,6 @@
 const REGISTRATION_TIME: Duration = Duration::from_millis(700);
 /// Time after which a starting box reads the store itself.
 const LOAD_TIMEOUT: Duration = Duration::from_secs(8);
-/// Time after which a box that has earlier content reads the store itself: that content soon expires.
-const CATCH_UP_TIMEOUT: Duration = Duration::from_secs(3);
 /// Pause before other boxes are tried again.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 
@@ -79,8 +78,10 @@
 /// Fetches the changes after a revision that the store's history no longer reaches back to; `None` if the box must
 /// read the store itself.
 pub(super) async fn catch_up(core: &Core, after: Revision) -> Option<Update> {
-    let fetched = fetch(core, Some(after), core.now() + CATCH_UP_TIMEOUT);
-    timeout(CATCH_UP_TIMEOUT, fetched).await.ok().flatten()
+    let bound = core.settings.bounds.max_copy_age();
+    let limit = dissemination::catch_up_time(core.state_age().unwrap_or(bound), bound);
+    let fetched = fetch(core, Some(after), core.now() + limit);
+    timeout(limit, fetched).await.ok().flatten()
 }
 
 /// Fetches the content of the store, or the changes after a revision, from the nearest ancestor in the dissemination
