Pull updates from the next box while a relay node's copy is outdated

A relay node that was alive and cut off from the store kept its place: all boxes of its hall asked it, heard that its copy was outdated, and called the store themselves for as long as it was cut off, over links that take 0.35 s for a document of 1,450 routes. Now it loses its place for 2 s at a time to the next box in the order of the hall, which finds nobody before itself and calls the store for the others. In an outage of the store all copies are outdated; a box asks two boxes before it pauses, and calls the store by the age of its copy as before.

Test: next_box_takes_the_place_of_a_relay_node_without_the_store, red before (5 calls by a box behind it, 2 allowed).

--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -143,7 +143,10 @@
 fn should_ask_again(core: &Core, progress: &Progress, why: peers::PullError) -> bool {
     match progress.failing {
         Some(failing) => core.now() < failing.last + level(core).retry_interval(),
-        None => why == peers::PullError::Outdated && core.state_age().is_some(),
+        None => {
+            let may_recover = matches!(why, peers::PullError::Outdated | peers::PullError::Silent);
+            may_recover && core.state_age().is_some()
+        }
     }
 }
 
--- a/crates/jb-relay/src/peers/directory.rs
+++ b/crates/jb-relay/src/peers/directory.rs
@@ -19,6 +19,8 @@
 /// Time for which a box that did not reply is not used.
 const SILENCE_PERIOD: Duration = Duration::from_secs(8);
 
+/// Time for which no updates of the store are pulled from a box whose copy was outdated.
+const OUTDATED_PERIOD: Duration = Duration::from_secs(2);
 /// Time after its last status for which a box counts as the acting relay node of another data hall.
 const ACTING_TIMEOUT: Duration = Duration::from_millis(700);
 
@@ -63,6 +65,8 @@
     halls: BTreeMap<id::Hall, Vec<id::Box>>,
     /// Boxes that did not reply, with the time until which they are not used.
     silent: BTreeMap<id::Box, Moment>,
+    /// Boxes whose copy of the store was outdated, with the time until which no updates are pulled from them.
+    outdated: BTreeMap<id::Box, Moment>,
     /// Boxes that have acted as relay nodes of other data halls, with the time of their last status.
     relay_nodes: BTreeMap<id::Hall, (id::Box, Moment)>,
     /// Boxes that have not replied to the last query.
@@ -73,6 +77,7 @@
     /// Replaces the list of boxes by that of the store.
     pub fn replace(&mut self, peers: BTreeMap<id::Box, Peer>) {
         self.silent.retain(|id, _| peers.contains_key(id));
+        self.outdated.retain(|id, _| peers.contains_key(id));
         self.addresses = peers.values().map(|peer| peer.address).collect();
         let by_short_name = |peer: &Peer| (rendezvous::short_hash(peer.name_hash), peer.address);
         self.by_short_name = peers.values().map(by_short_name).collect();
@@ -242,6 +247,19 @@
         in_order.find(|id| !self.is_silent(id, now))
     }
 
+    /// Notes that a box's copy of the store is outdated.
+    pub fn mark_outdated(&mut self, id: &str, now: Moment) {
+        self.outdated.insert(id.to_owned(), now + OUTDATED_PERIOD);
+    }
+
+    /// Returns the box from which the others of a data hall pull updates of the store: its relay node, or the most
+    /// preferred box whose copy isn't outdated while the relay node itself can't reach the store.
+    pub fn update_source(&self, hall: &str, now: Moment) -> Option<&id::Box> {
+        let mut in_order = self.halls.get(hall)?.iter();
+        let is_outdated = |id: &str| self.outdated.get(id).is_some_and(|until| now < *until);
+        in_order.find(|id| !self.is_silent(id, now) && !is_outdated(id))
+    }
+
     /// Notes that a box acts as the relay node of another data hall.
     pub fn note_relay_node(&mut self, id: &str, now: Moment) {
         if let Some(hall) = self.hall(id).cloned() {
--- a/crates/jb-relay/src/peers/pull.rs
+++ b/crates/jb-relay/src/peers/pull.rs
@@ -24,6 +24,8 @@
 
 /// Time within which the relay node must reply.
 const REPLY_TIMEOUT: Duration = Duration::from_millis(250);
+/// Number of boxes of the own data hall that are asked before a pause. In an outage of the store all of them are outdated.
+const MAX_SOURCES: usize = 2;
 /// Upper bound of the size of a message without its changes, in bytes.
 const MAX_HEADER_BYTES: usize = 64;
 /// Size of the changes above which they are sent over a connection instead of in datagrams, in bytes.
@@ -116,7 +118,7 @@
 /// Boxes from which changes of the store are pulled.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Source {
-    /// The relay node of its own data hall.
+    /// The relay node of its own data hall, or the box that takes its place.
     RelayNode,
     /// The relay nodes of all data halls in turn, because the box can't reach the store itself.
     AnyRelayNode,
@@ -133,19 +135,48 @@
     source: Source,
     until: Moment,
 ) -> Result<Update, Error> {
-    let relay_nodes = match source {
-        Source::RelayNode => own_relay_node(core).into_iter().collect(),
-        Source::AnyRelayNode => all_relay_nodes(core),
-    };
+    match source {
+        Source::RelayNode => pull_in_hall(core, socket, after, until).await,
+        Source::AnyRelayNode => pull_from_all(core, socket, after, until).await,
+    }
+}
+
+/// Pulls from the box that has the latest updates in the own data hall. If that one is silent or its copy is outdated, the
+/// next one takes its place.
+async fn pull_in_hall(
+    core: &Core,
+    socket: &UdpSocket,
+    after: Revision,
+    until: Moment,
+) -> Result<Update, Error> {
+    let mut error = Error::Nobody;
+    for _ in 0..MAX_SOURCES {
+        let source = own_update_source(core).ok_or(Error::Nobody)?;
+        match pull_in_time(core, socket, after, &source, until).await {
+            Err(why @ (Error::Outdated | Error::Silent)) => error = why,
+            result => return result,
+        }
+        if error == Error::Outdated {
+            core.directory.borrow_mut().mark_outdated(&source, core.now());
+        }
+    }
+    Err(error)
+}
+
+/// Pulls from the relay nodes of all data halls in turn.
+async fn pull_from_all(
+    core: &Core,
+    socket: &UdpSocket,
+    after: Revision,
+    until: Moment,
+) -> Result<Update, Error> {
     let mut error = Error::Nobody;
-    for relay_node in relay_nodes {
+    for relay_node in all_relay_nodes(core) {
         match pull_in_time(core, socket, after, &relay_node, until).await {
             Ok(update) => return Ok(update),
             Err(why) => error = why,
         }
-        if source == Source::AnyRelayNode {
-            emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => relay_node, "why" => ?error);
-        }
+        emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => relay_node, "why" => ?error);
     }
     Err(error)
 }
@@ -153,7 +184,7 @@
 /// Why a relay node sent no changes.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Error {
-    /// No box but this one is known as a relay node.
+    /// This box is the relay node, or takes its place.
     Nobody,
     /// The relay node is no longer listed, or did not send everything in time.
     Silent,
@@ -268,13 +299,11 @@
     }
 }
 
-fn own_relay_node(core: &Core) -> Option<id::Box> {
-    let relay_node = core
-        .directory
-        .borrow()
-        .relay_node(&core.settings.hall, core.now())
-        .cloned();
-    relay_node.filter(|relay_node| *relay_node != core.settings.id)
+/// Returns the box of the own data hall that has the latest updates; `None` if that is this box.
+fn own_update_source(core: &Core) -> Option<id::Box> {
+    let directory = core.directory.borrow();
+    let source = directory.update_source(&core.settings.hall, core.now());
+    source.filter(|source| **source != core.settings.id).cloned()
 }
 
 /// Returns the relay nodes of all data halls, starting with a different one each time: the store may reject a relay
@@ -282,7 +311,7 @@
 fn all_relay_nodes(core: &Core) -> Vec<id::Box> {
     let (own, hall) = (&core.settings.id, &core.settings.hall);
     let mut relay_nodes = core.directory.borrow().other_relay_nodes(hall, core.now());
-    relay_nodes.extend(own_relay_node(core));
+    relay_nodes.extend(own_update_source(core));
     if !relay_nodes.is_empty() {
         let first = core.pending_pull.nonce.get() as usize % relay_nodes.len();
         relay_nodes.rotate_left(first);
