Ask another box first where a copy is older than the bound

With calls by the age of the copy alone, a box that returned from a freeze of 5 s went to the store first and read each version that it had missed: current after 1.4 s, where its relay node had sent it the latest one in 0.1 s. A box whose copy is older than the bound has been suspended or partitioned; it asks other boxes once, for a second at most, before each call.

Test: box_that_was_suspended_catches_up_with_another_box, red before.

--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -3,6 +3,7 @@
 //! A response proves what the store held when the call was sent, at the earliest, and a call that waits proves
 //! nothing until it returns. Calls are therefore short.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -31,6 +32,8 @@
 const MIN_PEER_POLL_INTERVAL: Duration = Duration::from_millis(100);
 /// Age of its copy within which a box regularly gets a newer one: two calls of its relay node, with round trips.
 const RENEWAL_AGE: Duration = Duration::from_millis(1450);
+/// Time for which a box with a copy older than the bound asks other boxes before it calls the store.
+const CATCH_UP_PULL_TIME: Duration = Duration::from_secs(1);
 /// Pause after a failed call.
 const FAILURE_PAUSE: Duration = Duration::from_millis(400);
 /// Interval between two calls while calls fail and other boxes send updates. With a shorter one, a single box that
@@ -54,6 +57,8 @@
     resurrected: Resurrected,
     /// When this box began to follow the store, after its first load.
     started_at: Moment,
+    /// Whether other boxes have been asked since the last call to the store, although that call was due.
+    has_caught_up: Cell<bool>,
     /// Times of the steps since the last update.
     steps: Steps,
 }
@@ -114,9 +119,13 @@
 
 /// Requests an update from other boxes, unless this box must read the store itself.
 async fn ask_peers(core: &Core, socket: &UdpSocket, progress: &Progress) -> PeerAnswer {
-    let next_call = next_call(core, progress);
-    if core.now() >= next_call {
-        return PeerAnswer::ReadStore;
+    let mut until = next_call(core, progress);
+    if core.now() >= until {
+        if !may_catch_up(core, progress) {
+            return PeerAnswer::ReadStore;
+        }
+        progress.has_caught_up.set(true);
+        until = core.now() + CATCH_UP_PULL_TIME;
     }
     let (after, source) = match progress.failing {
         // Also if this box must read everything and can't: other boxes may have what it lacks.
@@ -126,7 +135,7 @@
     let Some(after) = after else {
         return PeerAnswer::ReadStore;
     };
-    match peers::pull_changes(core, socket, after, source, next_call).await {
+    match peers::pull_changes(core, socket, after, source, until).await {
         Ok(update) => PeerAnswer::Update(Update {
             from: UpdateOrigin::Box(source),
             whole: update.is_snapshot,
@@ -150,6 +159,15 @@
     }
 }
 
+/// Returns whether a box that is late to call the store may ask other boxes once before: its copy is older than the bound,
+/// so it has been suspended or partitioned. Another box sends the latest value of each item, but the store's history has all
+/// values in between.
+fn may_catch_up(core: &Core, progress: &Progress) -> bool {
+    let bound = core.settings.bounds.max_copy_age();
+    let is_too_old = core.state_age().is_some_and(|age| age >= bound);
+    is_too_old && progress.failing.is_none() && !progress.has_caught_up.get()
+}
+
 /// Returns the time at which this box calls the store, whatever other boxes send until then. It depends on the age of the
 /// own copy alone, so that no sequence of steps with other boxes can exceed the bound.
 fn next_call(core: &Core, progress: &Progress) -> Moment {
@@ -201,6 +219,7 @@
         apply_update(core, progress, update);
         return;
     }
+    progress.has_caught_up.set(false);
     let requested_at = core.now();
     core.metrics.store_calls.inc();
     // A stale read may be older than the remaining history.
