--- a/crates/jb-soak/src/boxes.rs
+++ b/crates/jb-soak/src/boxes.rs
@@ -5,6 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 use jb_site_fakes::document;
 use rustix::process::{Pid, Signal, kill_process};
@@ -20,19 +21,29 @@
     program: PathBuf,
     folder: PathBuf,
     hall: String,
+    /// Time within which a configuration must be in force.
+    config_delay: Duration,
     child: RefCell<Option<Child>>,
     starts: Cell<u32>,
 }
 
 impl Box {
     /// Creates a box that is not started yet; its files go into `folder`.
-    pub async fn new(number: usize, program: &Path, folder: &Path, hall: usize, store: SocketAddr) -> Self {
+    pub async fn new(
+        number: usize,
+        program: &Path,
+        folder: &Path,
+        hall: usize,
+        store: SocketAddr,
+        config_delay: Duration,
+    ) -> Self {
         Self {
             name: format!("box-{number}"),
             link: Proxy::start(store).await,
             program: program.to_owned(),
             folder: folder.to_owned(),
             hall: format!("hall-{hall}"),
+            config_delay,
             child: RefCell::default(),
             starts: Cell::default(),
         }
@@ -44,7 +55,12 @@
         let settings = self.folder.join(format!("{}.toml", self.name));
         std::fs::write(
             &settings,
-            document::settings(&self.name, &self.hall, self.link.address),
+            document::settings(
+                &self.name,
+                &self.hall,
+                self.link.address,
+                self.config_delay.as_millis(),
+            ),
         )
         .expect("settings");
         let log = File::create(self.log()).expect("a log");
@@ -83,6 +99,13 @@
         is_ready.then(|| self.address()).flatten()
     }
 
+    /// Returns whether the process has last logged that it is the relay node of its hall.
+    pub fn is_relay_node(&self) -> bool {
+        let text = std::fs::read_to_string(self.log()).unwrap_or_default();
+        let last = text.lines().rfind(|line| line.contains("\"relay_node_role\""));
+        last.is_some_and(|line| line.contains("\"is_relay_node\":true"))
+    }
+
     /// Sends a signal to the process; does nothing if it has exited.
     pub fn signal(&self, signal: Signal) {
         let child = self.child.borrow();
--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -45,12 +45,14 @@
     Version,
     /// Streams that callers take up again go on about as often as new ones begin.
     Resume,
+    /// Boxes that nothing has struck use a configuration once its bound has passed.
+    Config,
     /// All boxes serve requests again after the last fault.
     Recovery,
 }
 
 /// All promises, in the order of the report.
-pub const ALL: [Promise; 20] = [
+pub const ALL: [Promise; 21] = [
     Promise::OwnAnswer,
     Promise::Order,
     Promise::Once,
@@ -70,6 +72,7 @@
     Promise::Crowd,
     Promise::Version,
     Promise::Resume,
+    Promise::Config,
     Promise::Recovery,
 ];
 
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -10,6 +10,7 @@
 use tokio::time::sleep;
 
 use crate::brittle;
+use crate::changes;
 use crate::crowd;
 use crate::cuts;
 use crate::limits;
@@ -63,6 +64,8 @@
     Streams,
     /// One box gets most new connections.
     Crowd,
+    /// A box's open connections to the store go silent.
+    Mute,
 }
 
 impl Fault {
@@ -99,6 +102,8 @@
     /// Faults of boxes and of the store, and boxes that get most new connections, beside callers whose requests crash
     /// engines by a segment that they share.
     Segments,
+    /// Faults of boxes and of their links to the store, while configurations follow each other.
+    Changes,
 }
 
 /// Size of the draw for [`Set::First`]; some faults have more than one number.
@@ -191,8 +196,27 @@
     }
 }
 
+/// Size of the draw for [`Set::Changes`].
+const WITH_CHANGES: u32 = 15;
+
+fn draw_with_changes(random: &mut ChaCha8Rng) -> Fault {
+    match random.random_range(0..WITH_CHANGES) {
+        0 | 1 => Fault::Kill,
+        2 => Fault::Stop,
+        3 | 4 => Fault::Pause,
+        5 => Fault::Reload,
+        6..=8 => Fault::Link(Link::Silent),
+        9 => Fault::Link(Link::OneWay),
+        10 => Fault::Link(Link::Reset),
+        11 => Fault::Link(Link::Slow(Duration::from_millis(150))),
+        12 | 13 => Fault::Mute,
+        _ => Fault::Compact,
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, set: Set) -> Fault {
     let count = match set {
+        Set::Changes => return draw_with_changes(random),
         Set::Segments => return draw_with_segments(random),
         Set::Restores => return draw_with_restores(random),
         Set::Cuts => return draw_with_cuts(random),
@@ -236,6 +260,11 @@
     let engine = random.random_range(0..world.engines.len());
     let duration = Duration::from_millis(random.random_range(FAULT_DURATION_MS));
     world.log(&format!("{fault:?} box {at} engine {engine} for {duration:?}"));
+    let at = match world.set {
+        // The relay node is the box that matters most.
+        Set::Changes => changes::target(&world, at, &mut random),
+        _ => at,
+    };
     let target = &world.boxes[at];
     let affects_engines = matches!(
         fault,
@@ -247,7 +276,9 @@
             | Fault::Streams
             | Fault::Crowd
     );
-    if !affects_engines {
+    // A store that loses its history still serves each call, so it excuses no late configuration.
+    let is_excused = !(world.set == Set::Changes && matches!(fault, Fault::Compact));
+    if !affects_engines && is_excused {
         world.record_fault(at, fault.affects_all_boxes(), duration);
     }
     match fault {
@@ -300,6 +331,7 @@
         Fault::Renew => versions::renew(&world, &mut random).await,
         Fault::Streams => versions::queue_faulty_streams(&world, &mut random),
         Fault::Crowd => crowd::gather(&world, at, &mut random).await,
+        Fault::Mute => target.link.silence_open_connections(),
         Fault::Compact => world.store.compact(),
         Fault::Leases => world.store.end_leases(),
         Fault::Engine => queue_faulty_responses(&world, engine, &mut random),
@@ -330,7 +362,7 @@
     if target.starts() == process && !world.stopped.get() {
         target.start();
     }
-    if world.set == Set::Versions {
+    if matches!(world.set, Set::Versions | Set::Changes) {
         while target.is_running() && target.ready_address().is_none() {
             sleep(POLL_INTERVAL).await;
         }
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod boxes;
 pub mod brittle;
 pub mod callers;
+pub mod changes;
 pub mod checks;
 pub mod crowd;
 pub mod cuts;
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -56,6 +56,9 @@
     /// engines of several software versions, releases, streams that break, and faults of boxes
     #[argh(switch)]
     versions: bool,
+    /// configurations in quick succession, beside faults of boxes and of their links to the store
+    #[argh(switch)]
+    changes: bool,
     /// faults of boxes and of the store, which is restored from backups
     #[argh(switch)]
     restores: bool,
@@ -68,6 +71,7 @@
             Self { segments: true, .. } => Set::Segments,
             Self { restores: true, .. } => Set::Restores,
             Self { cuts: true, .. } => Set::Cuts,
+            Self { changes: true, .. } => Set::Changes,
             Self { versions: true, .. } => Set::Versions,
             Self { limits: true, .. } => Set::Limits,
             Self { signals: true, .. } => Set::Words,
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -13,6 +13,7 @@
 use tokio::time::sleep;
 
 use crate::callers;
+use crate::changes;
 use crate::checks::{Checks, Promise};
 use crate::crowd;
 use crate::cuts;
@@ -89,6 +90,12 @@
     if plan.set == Set::Versions {
         spawn_local(versions::sample(Rc::clone(&world)));
     }
+    if plan.set == Set::Changes {
+        spawn_local(changes::publish(Rc::clone(&world)));
+        for number in 0..changes::PROBERS {
+            spawn_local(changes::probe(Rc::clone(&world), number + 1));
+        }
+    }
     let mut random = ChaCha8Rng::seed_from_u64(plan.seed);
     let end = Instant::now() + plan.duration;
     let mut faults = Vec::new();
@@ -100,7 +107,7 @@
         // Faults start without waiting for earlier ones, so that they overlap.
         let rare = match plan.set {
             Set::Poison => 4,
-            Set::Cuts | Set::Segments => 2,
+            Set::Cuts | Set::Segments | Set::Changes => 2,
             _ => 1,
         };
         let pause = rare * Duration::from_millis(random.random_range(50..1200));
@@ -135,6 +142,7 @@
     limits::check(&world, &mut checks);
     cuts::check(&world, &mut checks);
     versions::check(&world, &mut checks);
+    changes::check(&world, &mut checks);
     restores::check(&world, &mut checks);
     checks
 }
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -18,6 +18,7 @@
 
 use crate::boxes::Box;
 use crate::callers::{self, Exchange};
+use crate::changes::{self, Releases};
 use crate::checks::Checks;
 use crate::crowd;
 use crate::cuts;
@@ -92,6 +93,8 @@
     pub limits: RefCell<Vec<Limit>>,
     /// Engines in service, and the streams of callers, where software versions are among the faults.
     pub fleet: Fleet,
+    /// Configurations that followed each other.
+    pub releases: Releases,
     /// Fault periods of each box.
     fault_periods: RefCell<Vec<Vec<FaultPeriod>>>,
     began: Instant,
@@ -145,7 +148,11 @@
                 // Boxes of one hall share what one of them reads from the store, with its addresses of engines.
                 hall = number;
             }
-            boxes.push(Box::new(number, program, folder, hall, address).await);
+            if plan.set == Set::Changes {
+                hall = 0;
+            }
+            let config_delay = changes::config_delay(plan.set);
+            boxes.push(Box::new(number, program, folder, hall, address, config_delay).await);
         }
         Rc::new(Self {
             seed: plan.seed,
@@ -165,6 +172,7 @@
             crowds: RefCell::default(),
             limits: RefCell::default(),
             fleet,
+            releases: Releases::default(),
             fault_periods: RefCell::new(vec![Vec::new(); plan.boxes]),
             checks: RefCell::default(),
             stopped: Cell::default(),
