--- a/crates/jb-soak/src/boxes.rs
+++ b/crates/jb-soak/src/boxes.rs
@@ -5,9 +5,8 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
 
-use jb_site_fakes::document;
+use jb_site_fakes::document::{self, Bounds};
 use rustix::process::{Pid, Signal, kill_process};
 
 use jb_site_fakes::proxy::{Link, Proxy};
@@ -20,9 +19,9 @@
     pub link: Proxy,
     program: PathBuf,
     folder: PathBuf,
-    hall: String,
-    /// Time within which a configuration must be in force.
-    config_delay: Duration,
+    /// Data hall in the settings of the box.
+    pub hall: String,
+    bounds: Bounds,
     child: RefCell<Option<Child>>,
     starts: Cell<u32>,
 }
@@ -35,7 +34,7 @@
         folder: &Path,
         hall: usize,
         store: SocketAddr,
-        config_delay: Duration,
+        bounds: Bounds,
     ) -> Self {
         Self {
             name: format!("box-{number}"),
@@ -43,7 +42,7 @@
             program: program.to_owned(),
             folder: folder.to_owned(),
             hall: format!("hall-{hall}"),
-            config_delay,
+            bounds,
             child: RefCell::default(),
             starts: Cell::default(),
         }
@@ -55,12 +54,7 @@
         let settings = self.folder.join(format!("{}.toml", self.name));
         std::fs::write(
             &settings,
-            document::settings(
-                &self.name,
-                &self.hall,
-                self.link.address,
-                self.config_delay.as_millis(),
-            ),
+            document::settings(&self.name, &self.hall, self.link.address, self.bounds),
         )
         .expect("settings");
         let log = File::create(self.log()).expect("a log");
@@ -99,13 +93,6 @@
         is_ready.then(|| self.address()).flatten()
     }
 
-    /// Returns whether the process has last logged that it is the relay node of its hall.
-    pub fn is_relay_node(&self) -> bool {
-        let text = std::fs::read_to_string(self.log()).unwrap_or_default();
-        let last = text.lines().rfind(|line| line.contains("\"relay_node_role\""));
-        last.is_some_and(|line| line.contains("\"is_relay_node\":true"))
-    }
-
     /// Sends a signal to the process; does nothing if it has exited.
     pub fn signal(&self, signal: Signal) {
         let child = self.child.borrow();
--- a/crates/jb-soak/src/changes.rs
+++ b/crates/jb-soak/src/changes.rs
@@ -5,28 +5,34 @@
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
+use jb_policy::{Moment, rendezvous};
+use jb_relay::peers::{Directory, Peer};
 use jb_site_fakes::caller::request;
+use jb_site_fakes::document::Bounds;
 use rand::Rng as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
 use serde_json::Value;
 use tokio::time::sleep;
 
+use crate::boxes::Box;
 use crate::callers;
 use crate::checks::{Checks, Promise};
 use crate::faults::Set;
 use crate::world::{World, config};
 
 /// Time within which a configuration must be in force.
-const CONFIG_DELAY: Duration = Duration::from_secs(4);
-/// The same in runs without this check.
-const OTHER_CONFIG_DELAY: Duration = Duration::from_secs(2);
+const CONFIG_DELAY: Duration = Duration::from_secs(3);
+/// Far longer, so that no limit taken from it keeps the bound for configurations by chance.
+const REVOCATION_DELAY: Duration = Duration::from_secs(12);
 /// Time without a fault of its own and of the store after which a box is bound.
 const CONTACT: Duration = Duration::from_secs(4);
+/// Duration of faults, in milliseconds. Longer ones than in other runs outlast the limits of calls between boxes.
+pub const FAULT_DURATION_MS: std::ops::Range<u64> = 200..7000;
 /// Pause between two configurations, in milliseconds.
-const PAUSE_MS: std::ops::Range<u64> = 100..1500;
-/// Number of configurations in which a route stays.
-const LIFETIME: usize = 24;
+const PAUSE_MS: std::ops::Range<u64> = 500..1500;
+/// Number of configurations in which a route stays: more than are published within the bound.
+const LIFETIME: usize = 8;
 /// Routes that a large configuration has in addition.
 const MANY_ROUTES: usize = 700;
 /// Share of configurations that are large.
@@ -40,12 +46,14 @@
 /// Share of faults that strike the box that reads the store for the others.
 const RELAY_NODE_SHARE: f64 = 0.4;
 
-/// Returns the time within which a configuration must be in force in a run.
-pub fn config_delay(set: Set) -> Duration {
-    if set == Set::Changes {
-        CONFIG_DELAY
-    } else {
-        OTHER_CONFIG_DELAY
+/// Returns the delays that the boxes of a run are told to keep.
+pub fn bounds(set: Set) -> Bounds {
+    if set != Set::Changes {
+        return Bounds::default();
+    }
+    Bounds {
+        config: CONFIG_DELAY,
+        revocation: REVOCATION_DELAY,
     }
 }
 
@@ -81,38 +89,66 @@
     /// Returns the newest route that has been there for longer than the bound.
     fn added(&self) -> Option<usize> {
         let confirmed = self.confirmed.borrow();
-        confirmed.iter().rposition(|at| at.elapsed() > CONFIG_DELAY)
+        let newest = confirmed.iter().rposition(|at| at.elapsed() > CONFIG_DELAY);
+        newest.map(newest_route)
     }
 
-    /// Returns the newest route that was dropped longer ago than the bound.
+    /// Returns the newest route that was dropped longer ago than the bound; the first configuration dropped none.
     fn dropped(&self) -> Option<usize> {
-        self.added()?.checked_sub(LIFETIME)
+        let route = self.added()?.checked_sub(LIFETIME)?;
+        (route >= oldest_route(0)).then_some(route)
     }
 }
 
+/// Returns the route that a configuration adds.
+fn newest_route(release: usize) -> usize {
+    release + LIFETIME
+}
+
+/// Returns the oldest route of a configuration, which the next one drops.
+fn oldest_route(release: usize) -> usize {
+    newest_route(release) + 1 - LIFETIME
+}
+
 /// Returns the box that a fault strikes: often the one that the others ask for updates.
 pub fn target(world: &World, at: usize, random: &mut ChaCha8Rng) -> usize {
-    let is_relay_node = |one: &crate::boxes::Box| one.is_relay_node();
-    let relay_node = world.boxes.iter().position(is_relay_node);
-    relay_node
-        .filter(|_| random.random_bool(RELAY_NODE_SHARE))
-        .unwrap_or(at)
+    if random.random_bool(RELAY_NODE_SHARE) {
+        relay_node(world).unwrap_or(at)
+    } else {
+        at
+    }
+}
+
+/// Returns the box that is preferred by the boxes of its hall.
+fn relay_node(world: &World) -> Option<usize> {
+    let peer = |one: &Box| Peer {
+        address: one.link.address,
+        hall: one.hall.clone(),
+        name_hash: rendezvous::name_hash(&one.name),
+        link_mbps: 0,
+    };
+    let peers = world.boxes.iter().map(|one| (one.name.clone(), peer(one)));
+    let mut directory = Directory::default();
+    directory.replace(peers.collect());
+    let hall = &world.boxes.first()?.hall;
+    let preferred = directory.relay_node(hall, Moment::ZERO)?;
+    world.boxes.iter().position(|one| one.name == *preferred)
 }
 
 /// Publishes configurations until the run stops.
 pub async fn publish(world: Rc<World>) {
     let mut random = ChaCha8Rng::seed_from_u64(world.seed ^ 0xc0f1);
     while !world.stopped.get() {
-        let newest = world.releases.confirmed.borrow().len();
+        let release = world.releases.confirmed.borrow().len();
         let large = random.random_bool(LARGE_SHARE);
         world.version.set(world.version.get() + 1);
-        world.store.put_config(&document(&world, newest, large));
+        world.store.put_config(&document(&world, release, large));
         world.releases.confirmed.borrow_mut().push(Instant::now());
         sleep(Duration::from_millis(random.random_range(PAUSE_MS))).await;
     }
 }
 
-fn document(world: &World, newest: usize, large: bool) -> Value {
+fn document(world: &World, release: usize, large: bool) -> Value {
     let mut document = config(world.version.get(), &world.keys());
     let template = document["routes"][0].clone();
     let named = |name: String| {
@@ -121,8 +157,8 @@
         route["name"] = name.into();
         route
     };
-    let oldest = (newest + 1).saturating_sub(LIFETIME);
-    let added = (oldest..=newest).map(|route| named(format!("added-{route}")));
+    let routes = oldest_route(release)..=newest_route(release);
+    let added = routes.map(|route| named(format!("added-{route}")));
     let many = (0..MANY_ROUTES).filter(|_| large);
     let all = added.chain(many.map(|route| named(format!("idle-{route}"))));
     if let Some(routes) = document["routes"].as_array_mut() {
@@ -168,9 +204,8 @@
             continue;
         }
         let holds = match (probe.kind, probe.status) {
-            (Kind::Added, Some(status)) => !matches!(status, 401 | 403 | 404),
-            (Kind::Dropped, Some(status)) => status != 200,
-            (_, None) => true,
+            (Kind::Added, status) => status == Some(200),
+            (Kind::Dropped, status) => status != Some(200),
         };
         checks.check(Promise::Config, holds, || {
             format!(
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -201,15 +201,15 @@
 
 fn draw_with_changes(random: &mut ChaCha8Rng) -> Fault {
     match random.random_range(0..WITH_CHANGES) {
-        0 | 1 => Fault::Kill,
-        2 => Fault::Stop,
-        3 | 4 => Fault::Pause,
-        5 => Fault::Reload,
-        6..=8 => Fault::Link(Link::Silent),
-        9 => Fault::Link(Link::OneWay),
-        10 => Fault::Link(Link::Reset),
-        11 => Fault::Link(Link::Slow(Duration::from_millis(150))),
-        12 | 13 => Fault::Mute,
+        0 => Fault::Kill,
+        1 => Fault::Stop,
+        2 => Fault::Pause,
+        3 => Fault::Reload,
+        4..=9 => Fault::Link(Link::Silent),
+        10 => Fault::Link(Link::OneWay),
+        11 => Fault::Link(Link::Reset),
+        12 => Fault::Link(Link::Slow(Duration::from_millis(150))),
+        13 => Fault::Mute,
         _ => Fault::Compact,
     }
 }
@@ -257,14 +257,18 @@
 pub async fn inject(world: std::rc::Rc<World>, mut random: ChaCha8Rng) {
     let fault = draw(&mut random, world.set);
     let at = random.random_range(0..world.boxes.len());
-    let engine = random.random_range(0..world.engines.len());
-    let duration = Duration::from_millis(random.random_range(FAULT_DURATION_MS));
-    world.log(&format!("{fault:?} box {at} engine {engine} for {duration:?}"));
     let at = match world.set {
         // The relay node is the box that matters most.
         Set::Changes => changes::target(&world, at, &mut random),
         _ => at,
     };
+    let engine = random.random_range(0..world.engines.len());
+    let durations = match world.set {
+        Set::Changes => changes::FAULT_DURATION_MS,
+        _ => FAULT_DURATION_MS,
+    };
+    let duration = Duration::from_millis(random.random_range(durations));
+    world.log(&format!("{fault:?} box {at} engine {engine} for {duration:?}"));
     let target = &world.boxes[at];
     let affects_engines = matches!(
         fault,
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -151,8 +151,8 @@
             if plan.set == Set::Changes {
                 hall = 0;
             }
-            let config_delay = changes::config_delay(plan.set);
-            boxes.push(Box::new(number, program, folder, hall, address, config_delay).await);
+            let bounds = changes::bounds(plan.set);
+            boxes.push(Box::new(number, program, folder, hall, address, bounds).await);
         }
         Rc::new(Self {
             seed: plan.seed,
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -28,13 +28,19 @@
     let plan = Plan {
         seed,
         // The checks of a request or segment that crashes engines start three to six seconds after it is known.
-        // Cuts are checked from three seconds after their start on.
+        // Cuts are checked from three seconds after their start on, configurations from five seconds after the first.
         duration: Duration::from_secs(match set {
             Set::Poison | Set::Segments => 12,
             Set::Cuts | Set::Versions => 10,
+            Set::Changes => 16,
             _ => 6,
         }),
         set,
+        boxes: match set {
+            // Three levels of boxes that pass on what the first one reads from the store.
+            Set::Changes => 16,
+            _ => Plan::default().boxes,
+        },
         ..Plan::default()
     };
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
@@ -112,6 +118,15 @@
     }
 }
 
+/// Guards against boxes that use an old configuration for longer than allowed while the box that reads the store for them
+/// is cut off from it.
+#[test]
+fn configurations_are_in_force_in_time_while_a_relay_node_is_cut_off() {
+    let checks = run(2, Set::Changes);
+    assert!(checks.hold(), "{checks}");
+    assert!(checks.seen(Promise::Config) > 0, "not exercised\n{checks}");
+}
+
 /// Guards against streams that go on at an engine of another software version, in a box or with the attempt of a caller at
 /// another box.
 #[test]
