Let requests wait for a box that waits for others at its start

A caller that met a box right after its start was rejected with 503 and told to come back in 50 ms, although the box was about to serve. Requests wait 0.8 s from the start of the process for the first proven configuration, but a box that finds no other one pauses for 0.7 s before it loads the store, so that boxes that start together learn of each other. With a slow store or processor the rest wasn't enough. The wait now counts from the end of that pause.

--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -69,6 +69,8 @@
     pub stop: Stop,
     /// Active configuration; `None` before the first one is received.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
+    /// When this box begins to load the store's content: at its start, or after it has waited for boxes that start with it.
+    pub load_starts_at: Cell<Moment>,
     /// Time as of which the state is known to match the store: when the call was sent that confirmed it.
     pub verified_at: Cell<Option<Moment>>,
     /// Like `verified_at`, without updates that other boxes passed on while this box couldn't reach the store.
@@ -177,6 +179,7 @@
             metrics: Metrics::default(),
             stop: Stop::default(),
             configuration: RefCell::default(),
+            load_starts_at: Cell::default(),
             verified_at: Cell::default(),
             verified_directly_at: Cell::default(),
             store_uptime: Cell::default(),
--- a/crates/jb-relay/src/follow/start_up.rs
+++ b/crates/jb-relay/src/follow/start_up.rs
@@ -35,6 +35,7 @@
         .iter()
         .any(|item| item.key.starts_with(peers::ADDRESS_KEY_PREFIX));
     if !has_boxes {
+        core.load_starts_at.set(core.now() + REGISTRATION_TIME);
         // Boxes that start together then learn of each other with one more call, and follow the store through one of
         // them.
         peers::write_address(core, first.revision.era).await;
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -28,8 +28,8 @@
 /// Time from the start of a graceful shutdown in which new requests are still accepted. Later ones could be cut off
 /// at the end of the grace period, which the platform counts as a failure of the box.
 const STOP_ADMISSION_PERIOD: Duration = Duration::from_millis(2900);
-/// Time after the start of the process in which requests wait for the first verified configuration. In a fleet of
-/// 295, a box with an eighth of a core has it after 0.15 to 0.4 s. Without the wait, a restart of all boxes made
+/// Time after the box begins to load the store's content in which requests wait for the first verified configuration. In a
+/// fleet of 295, a box with an eighth of a core has it after 0.15 to 0.4 s. Without the wait, a restart of all boxes made
 /// callers meet two rejections in a row for 600 of 3,400 requests.
 const STARTUP_PERIOD: Duration = Duration::from_millis(800);
 /// Interval at which the wait for the first configuration checks for it.
@@ -192,8 +192,8 @@
 /// Waits for the first verified configuration if the box has just started. A rejected caller would retry at once,
 /// probably at another box that has just started too.
 async fn wait_for_startup(core: &Shared) {
-    while core.now() < STARTUP_PERIOD && core.state_age().is_none() && core.metrics.store_failures.get() == 0
-    {
+    let is_loading = || core.now() < core.load_starts_at.get() + STARTUP_PERIOD;
+    while is_loading() && core.state_age().is_none() && core.metrics.store_failures.get() == 0 {
         sleep(STARTUP_POLL_INTERVAL).await;
     }
 }
