Pull updates with one query that carries its end

Four functions passed the same four arguments on to each other since pulls have an end. No change of behaviour; some comments say more exactly what they bound.

--- a/crates/jb-policy/src/dissemination.rs
+++ b/crates/jb-policy/src/dissemination.rs
@@ -12,7 +12,7 @@
 /// Age of its copy above which a box sends no updates. What a relay node knows is between one and two of its polling
 /// intervals old, and a box that pulls from it at the same rate would always meet a limit of two slightly too late.
 pub const MAX_RELAYED_AGE: Duration = Duration::from_millis(1800);
-/// Time kept free for a call to the store: a few documents of half a megabyte over the narrowest links.
+/// Time left for a call to the store: one or two documents of half a megabyte over a link of 10 Mbit/s.
 const CALL_TIME: Duration = Duration::from_millis(600);
 /// Fraction of the time between [`MAX_RELAYED_AGE`] and the latest call that each level below the first waits.
 const WAIT_FRACTION: f64 = 0.3;
@@ -66,8 +66,8 @@
 /// Returns the time for which a box whose copy has this age waits for what the store's history no longer has, before it
 /// reads the whole store; `bound` is as for [`Level::max_wait`].
 ///
-/// A copy that is older than the bound was cut off together with those of other boxes, which would all read the store at the
-/// same time.
+/// A copy that is older than the bound has probably missed an outage of the store together with those of other boxes, which
+/// would all read the store at the same time.
 pub fn catch_up_time(age: Duration, bound: Duration) -> Duration {
     if age < bound {
         bound.saturating_sub(age + CALL_TIME)
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -57,8 +57,8 @@
     resurrected: Resurrected,
     /// When this box began to follow the store, after its first load.
     started_at: Moment,
-    /// Whether other boxes have been asked since the last call to the store, although that call was due.
-    has_caught_up: Cell<bool>,
+    /// Whether other boxes have been asked while a call to the store was due, since the last call.
+    has_asked_late: Cell<bool>,
     /// Times of the steps since the last update.
     steps: Steps,
 }
@@ -124,7 +124,7 @@
         if !may_catch_up(core, progress) {
             return PeerAnswer::ReadStore;
         }
-        progress.has_caught_up.set(true);
+        progress.has_asked_late.set(true);
         until = core.now() + CATCH_UP_PULL_TIME;
     }
     let (after, source) = match progress.failing {
@@ -165,7 +165,7 @@
 fn may_catch_up(core: &Core, progress: &Progress) -> bool {
     let bound = core.settings.bounds.max_copy_age();
     let is_too_old = core.state_age().is_some_and(|age| age >= bound);
-    is_too_old && progress.failing.is_none() && !progress.has_caught_up.get()
+    is_too_old && progress.failing.is_none() && !progress.has_asked_late.get()
 }
 
 /// Returns the time at which this box calls the store, whatever other boxes send until then. It depends on the age of the
@@ -219,7 +219,7 @@
         apply_update(core, progress, update);
         return;
     }
-    progress.has_caught_up.set(false);
+    progress.has_asked_late.set(false);
     let requested_at = core.now();
     core.metrics.store_calls.inc();
     // A stale read may be older than the remaining history.
--- a/crates/jb-relay/src/peers/pull.rs
+++ b/crates/jb-relay/src/peers/pull.rs
@@ -135,50 +135,16 @@
     source: Source,
     until: Moment,
 ) -> Result<Update, Error> {
+    let query = Query {
+        core,
+        socket,
+        after,
+        until,
+    };
     match source {
-        Source::RelayNode => pull_in_hall(core, socket, after, until).await,
-        Source::AnyRelayNode => pull_from_all(core, socket, after, until).await,
-    }
-}
-
-/// Pulls from the box that has the latest updates in the own data hall. If that one is silent or its copy is outdated, the
-/// next one takes its place.
-async fn pull_in_hall(
-    core: &Core,
-    socket: &UdpSocket,
-    after: Revision,
-    until: Moment,
-) -> Result<Update, Error> {
-    let mut error = Error::Nobody;
-    for _ in 0..MAX_SOURCES {
-        let source = own_update_source(core).ok_or(Error::Nobody)?;
-        match pull_in_time(core, socket, after, &source, until).await {
-            Err(why @ (Error::Outdated | Error::Silent)) => error = why,
-            result => return result,
-        }
-        if error == Error::Outdated {
-            core.directory.borrow_mut().mark_outdated(&source, core.now());
-        }
+        Source::RelayNode => query.pull_in_hall().await,
+        Source::AnyRelayNode => query.pull_from_all().await,
     }
-    Err(error)
-}
-
-/// Pulls from the relay nodes of all data halls in turn.
-async fn pull_from_all(
-    core: &Core,
-    socket: &UdpSocket,
-    after: Revision,
-    until: Moment,
-) -> Result<Update, Error> {
-    let mut error = Error::Nobody;
-    for relay_node in all_relay_nodes(core) {
-        match pull_in_time(core, socket, after, &relay_node, until).await {
-            Ok(update) => return Ok(update),
-            Err(why) => error = why,
-        }
-        emit!(core.logger, info, event::STORE_UPDATE_FAILED, "peer" => relay_node, "why" => ?error);
-    }
-    Err(error)
 }
 
 /// Why a relay node sent no changes.
@@ -196,79 +162,113 @@
     OutOfTurn,
 }
 
-/// Pulls from one box until a given time. A box that has sent only a part by then, although it had time for a reply, is
-/// taken to be silent: it may have frozen or lost its power in the middle of a transfer.
-async fn pull_in_time(
-    core: &Core,
-    socket: &UdpSocket,
+/// What is pulled, and until when.
+struct Query<'a> {
+    core: &'a Core,
+    socket: &'a UdpSocket,
     after: Revision,
-    relay_node: &str,
     until: Moment,
-) -> Result<Update, Error> {
-    let limit = until.saturating_sub(core.now());
-    let pulled = timeout(limit, pull_from(core, socket, after, relay_node)).await;
-    pulled.unwrap_or_else(|_| {
-        if limit >= REPLY_TIMEOUT {
-            core.directory.borrow_mut().mark_silent(relay_node, core.now());
-        }
-        Err(Error::Silent)
-    })
 }
 
-/// Pulls from one box until it has sent all changes: another box may have the rest in another order.
-async fn pull_from(
-    core: &Core,
-    socket: &UdpSocket,
-    after: Revision,
-    relay_node: &str,
-) -> Result<Update, Error> {
-    let address = core.directory.borrow().address(relay_node).ok_or(Error::Silent)?;
-    let mut all: Vec<Change> = Vec::new();
-    // The chunks of the next value that have arrived.
-    let mut value = Vec::new();
-    let mut era = None;
-    loop {
-        let requested_at = core.now();
-        let pull = Pull {
-            nonce: 0,
-            after,
-            offset: saturating_cast(value.len()),
-        };
-        let Some(reply) = request(core, socket, address, pull, saturating_cast(all.len())).await else {
-            core.directory.borrow_mut().mark_silent(relay_node, core.now());
-            return Err(Error::Silent);
-        };
-        if let Some(received) = era_of(&reply.body)
-            && *era.get_or_insert(received) != received
-        {
-            return Err(Error::OutOfTurn);
+impl Query<'_> {
+    /// Pulls from the box that has the latest updates in the own data hall. If that one is silent or its copy is outdated, the
+    /// next one takes its place.
+    async fn pull_in_hall(&self) -> Result<Update, Error> {
+        let core = self.core;
+        let mut error = Error::Nobody;
+        for _ in 0..MAX_SOURCES {
+            let source = own_update_source(core).ok_or(Error::Nobody)?;
+            match self.pull_in_time(&source).await {
+                Err(why @ (Error::Outdated | Error::Silent)) => error = why,
+                result => return result,
+            }
+            if error == Error::Outdated {
+                core.directory.borrow_mut().mark_outdated(&source, core.now());
+            }
         }
-        match reply.body {
-            PullBody::ReadStore => return Err(Error::Outdated),
-            PullBody::UseTransfer => return transfer_from(core, address, after).await,
-            PullBody::Changes {
-                changes,
-                revision,
-                is_complete,
-            } => {
-                all.extend(changes.into_iter().map(Change::from));
-                if is_complete {
-                    return Ok(Update {
-                        is_snapshot: after.era < revision.era,
-                        changes: all,
-                        revision,
-                        verified_at: requested_at.saturating_sub(Duration::from_millis(reply.age_ms)),
-                    });
-                }
+        Err(error)
+    }
+
+    /// Pulls from the relay nodes of all data halls in turn.
+    async fn pull_from_all(&self) -> Result<Update, Error> {
+        let mut error = Error::Nobody;
+        for relay_node in all_relay_nodes(self.core) {
+            match self.pull_in_time(&relay_node).await {
+                Ok(update) => return Ok(update),
+                Err(why) => error = why,
             }
-            PullBody::Chunk(chunk) => {
-                // A late reply to a previous request.
-                if chunk.offset != pull.offset || chunk.bytes.is_empty() {
-                    return Err(Error::OutOfTurn);
+            emit!(self.core.logger, info, event::STORE_UPDATE_FAILED, "peer" => relay_node, "why" => ?error);
+        }
+        Err(error)
+    }
+
+    /// Pulls from one box until the end of the query. A box that has sent only a part by then, although it had time for a
+    /// reply, is taken to be silent: it may have frozen or lost its power in the middle of a transfer.
+    async fn pull_in_time(&self, relay_node: &str) -> Result<Update, Error> {
+        let limit = self.until.saturating_sub(self.core.now());
+        let pulled = timeout(limit, self.pull_from(relay_node)).await;
+        pulled.unwrap_or_else(|_| {
+            if limit >= REPLY_TIMEOUT {
+                let mut directory = self.core.directory.borrow_mut();
+                directory.mark_silent(relay_node, self.core.now());
+            }
+            Err(Error::Silent)
+        })
+    }
+
+    /// Pulls from one box until it has sent all changes: another box may have the rest in another order.
+    async fn pull_from(&self, relay_node: &str) -> Result<Update, Error> {
+        let Self {
+            core, socket, after, ..
+        } = *self;
+        let address = core.directory.borrow().address(relay_node).ok_or(Error::Silent)?;
+        let mut all: Vec<Change> = Vec::new();
+        // The chunks of the next value that have arrived.
+        let mut value = Vec::new();
+        let mut era = None;
+        loop {
+            let requested_at = core.now();
+            let pull = Pull {
+                nonce: 0,
+                after,
+                offset: saturating_cast(value.len()),
+            };
+            let Some(reply) = request(core, socket, address, pull, saturating_cast(all.len())).await else {
+                core.directory.borrow_mut().mark_silent(relay_node, core.now());
+                return Err(Error::Silent);
+            };
+            if let Some(received) = era_of(&reply.body)
+                && *era.get_or_insert(received) != received
+            {
+                return Err(Error::OutOfTurn);
+            }
+            match reply.body {
+                PullBody::ReadStore => return Err(Error::Outdated),
+                PullBody::UseTransfer => return transfer_from(core, address, after).await,
+                PullBody::Changes {
+                    changes,
+                    revision,
+                    is_complete,
+                } => {
+                    all.extend(changes.into_iter().map(Change::from));
+                    if is_complete {
+                        return Ok(Update {
+                            is_snapshot: after.era < revision.era,
+                            changes: all,
+                            revision,
+                            verified_at: requested_at.saturating_sub(Duration::from_millis(reply.age_ms)),
+                        });
+                    }
                 }
-                value.extend_from_slice(&chunk.bytes);
-                if value.len() >= chunk.total as usize {
-                    all.push(chunk.change.with_value(std::mem::take(&mut value)));
+                PullBody::Chunk(chunk) => {
+                    // A late reply to a previous request.
+                    if chunk.offset != pull.offset || chunk.bytes.is_empty() {
+                        return Err(Error::OutOfTurn);
+                    }
+                    value.extend_from_slice(&chunk.bytes);
+                    if value.len() >= chunk.total as usize {
+                        all.push(chunk.change.with_value(std::mem::take(&mut value)));
+                    }
                 }
             }
         }
--- a/crates/jb-soak/src/changes.rs
+++ b/crates/jb-soak/src/changes.rs
@@ -46,7 +46,7 @@
 /// Share of faults that strike the box that reads the store for the others.
 const RELAY_NODE_SHARE: f64 = 0.4;
 
-/// Returns the delays that the boxes of a run are told to keep.
+/// Returns the bounds in the settings of a run's boxes.
 pub fn bounds(set: Set) -> Bounds {
     if set != Set::Changes {
         return Bounds::default();
