Let boxes of the first level call the store earlier than those below

The log shows why: the relay node's link to the store became slow, the first level called the store at an age of 1.8 s, and some fifty boxes of the second level followed 0.18 s later, before the first had read what they needed; the stand-in of the store took 2.2 s for all of them at once.

Boxes of the first level now call the store at an age of 1.6 s, above the 1.5 s at which a relay node regularly renews their copy, and the second level has 0.4 s and more for what they read.

--- a/crates/jb-policy/src/dissemination.rs
+++ b/crates/jb-policy/src/dissemination.rs
@@ -14,10 +14,13 @@
 pub const MAX_RELAYED_AGE: Duration = Duration::from_millis(1800);
 /// Time left for a call to the store: one or two documents of half a megabyte over a link of 10 Mbit/s.
 const CALL_TIME: Duration = Duration::from_millis(600);
-/// Fraction of the time between [`MAX_RELAYED_AGE`] and the latest call that each level below the first waits.
-const WAIT_FRACTION: f64 = 0.3;
+/// Age of its copy at which a box of the first level calls the store. Its relay node regularly renews the copy a little
+/// earlier, and the boxes below it need time to get what it reads.
+const FIRST_CALL_AGE: Duration = Duration::from_millis(1600);
+/// Fraction of the time between [`FIRST_CALL_AGE`] and the latest call that each level below the first waits.
+const WAIT_FRACTION: f64 = 0.5;
 /// Largest fraction. The rest lets a box that has waited longest report itself as ready until its call returns.
-const MAX_WAIT_FRACTION: f64 = 0.6;
+const MAX_WAIT_FRACTION: f64 = 0.65;
 /// Interval at which a box of the second level below the root retries a failing store; each further level
 /// adds the same amount.
 const RETRY_INTERVAL: Duration = Duration::from_secs(2);
@@ -45,8 +48,8 @@
     /// `bound` is the age that no copy may reach while the store can be called.
     pub fn max_wait(self, bound: Duration) -> Duration {
         let levels = f64::from(u32::try_from(self.0.saturating_sub(1)).unwrap_or(u32::MAX));
-        let room = bound.saturating_sub(MAX_RELAYED_AGE + CALL_TIME);
-        MAX_RELAYED_AGE + room.mul_f64((WAIT_FRACTION * levels).min(MAX_WAIT_FRACTION))
+        let room = bound.saturating_sub(FIRST_CALL_AGE + CALL_TIME);
+        FIRST_CALL_AGE + room.mul_f64((WAIT_FRACTION * levels).min(MAX_WAIT_FRACTION))
     }
 
     /// Returns the interval at which a box without updates retries a failing store, in addition to the
