Log what a retry budget consisted of when it denies a retry

A box that gave up because its retries were used up left nothing in the log, and no metric told granted retries from denied ones. So whether a restarted process spent its fixed part or what its requests had earned had to be counted from all requests.

retry_budget_exhausted (2016) is written once in each window and service, with the inputs of the decision; retries_denied counts. The functions move from core to a module of their own.

--- a/crates/jb-policy/src/retry_budget.rs
+++ b/crates/jb-policy/src/retry_budget.rs
@@ -50,11 +50,23 @@
     }
 }
 
+/// What a budget consisted of when it denied a retry.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Balance {
+    /// Retries that requests have earned.
+    pub earned: f64,
+    /// Fixed retries of this box in one window.
+    pub fixed: f64,
+    /// Retries spent in the last window.
+    pub spent: usize,
+}
+
 /// Retry budget of one service at one box.
 #[derive(Clone, Debug, Default)]
 pub struct Budget {
     requests: VecDeque<Moment>,
     retries: VecDeque<Moment>,
+    reported_at: Option<Moment>,
 }
 
 impl Budget {
@@ -76,6 +88,19 @@
         }
         granted
     }
+
+    /// Returns the balance after a denied retry, once in each window; `None` otherwise.
+    pub fn report_denial(&mut self, now: Moment, config: &Config, fixed: FixedPart) -> Option<Balance> {
+        if self.reported_at.is_some_and(|at| now < at + config.window) {
+            return None;
+        }
+        self.reported_at = Some(now);
+        Some(Balance {
+            earned: SPENT_SHARE * config.ratio * self.requests.len() as f64,
+            fixed: SPENT_SHARE * fixed.retries(config, now),
+            spent: self.retries.len(),
+        })
+    }
 }
 
 fn prune(moments: &mut VecDeque<Moment>, now: Moment, window: Duration) {
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -11,7 +11,7 @@
 use jb_policy::outage::{self, Span};
 use jb_policy::placement::CostModel;
 use jb_policy::prefill_rate::PrefillRate;
-use jb_policy::retry_budget::{Budget, Config, FixedPart};
+use jb_policy::retry_budget::Budget;
 use jb_policy::software::{Departures, Versions};
 use jb_policy::weights::History;
 use jb_protocol::id;
@@ -357,32 +357,4 @@
             items.contains_key(&peers::address_key(&self.settings.id))
         })
     }
-
-    /// Adds a new request to the retry budget of its service.
-    pub fn count_request(&self, service: &str) {
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let budget = budgets.entry(service.to_owned()).or_default();
-        budget.record_request(self.now(), self.settings.bounds.retry_window);
-    }
-
-    /// Takes one retry from a service's budget; returns whether it is granted.
-    pub fn take_retry(&self, service: &str) -> bool {
-        let bounds = &self.settings.bounds;
-        let bound = Config {
-            ratio: bounds.retry_ratio,
-            extra: bounds.retry_burst,
-            window: bounds.retry_window,
-        };
-        let fixed = FixedPart {
-            boxes: self.directory.borrow().boxes(),
-            restarted_at: self.is_restarted().then_some(Moment::ZERO),
-        };
-        let mut budgets = self.retry_budgets.borrow_mut();
-        let spent = budgets
-            .entry(service.to_owned())
-            .or_default()
-            .try_spend(self.now(), &bound, fixed);
-        self.metrics.retries.inc_by(u64::from(spent));
-        spent
-    }
 }
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -30,6 +30,7 @@
 pub mod ready;
 mod restart;
 pub mod restore;
+mod retry;
 pub mod salt;
 mod saturating_cast;
 pub mod settings;
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -40,6 +40,8 @@
     pub first_byte: Histogram,
     /// Retries granted by the retry budgets.
     pub retries: Counter,
+    /// Retries denied by the retry budgets.
+    pub retries_denied: Counter,
     /// Rejected datagrams: malformed, or not from a box.
     pub rejected_datagrams: Counter,
     /// Reservation queries that timed out.
@@ -110,6 +112,7 @@
             FIRST_BYTE_BUCKETS.2,
         ));
         let retries = Counter::default();
+        let retries_denied = Counter::default();
         let reservation_timeouts = Counter::default();
         let rejected_datagrams = Counter::default();
         let quota_exceeded = Counter::default();
@@ -140,6 +143,11 @@
         registry.register("requests", "Finished requests by outcome", requests.clone());
         registry.register("first_byte_seconds", "Time to the first byte", first_byte.clone());
         registry.register("retries", "Retries", retries.clone());
+        registry.register(
+            "retries_denied",
+            "Retries that the budget denied",
+            retries_denied.clone(),
+        );
         registry.register("strange", "Rejected datagrams", rejected_datagrams.clone());
         registry.register(
             "unadvised",
@@ -271,6 +279,7 @@
             requests,
             first_byte,
             retries,
+            retries_denied,
             reservation_timeouts,
             rejected_datagrams,
             quota_exceeded,
