--- /dev/null
+++ b/crates/jb-policy/tests/retry_budget.rs
@@ -0,0 +1,198 @@
+//! Retries of a whole fleet in each window, over the processes that its boxes run one after the other.
+
+#![allow(clippy::expect_used)]
+
+use std::time::Duration;
+
+use jb_policy::Moment;
+use jb_policy::retry_budget::{Budget, Config, FixedPart};
+use rand::{Rng as _, SeedableRng as _};
+use rand_chacha::ChaCha8Rng;
+
+/// Start of the requests.
+const BEGIN: Duration = Duration::from_secs(100);
+/// Start of the failures, once budgets are full.
+const FAILURE: Duration = Duration::from_secs(120);
+const END: Duration = Duration::from_secs(160);
+/// Interval at which windows are compared with the limit.
+const STEP: Duration = Duration::from_millis(100);
+/// Retries that a failing request asks for at the most.
+const MAX_RETRIES: usize = 3;
+
+/// A fleet, its load and the limit of its retries.
+#[derive(Clone, Copy, Debug)]
+struct Load {
+    boxes: usize,
+    /// Requests per second, for all boxes.
+    rate: f64,
+    /// Retries in one window beyond those that requests earn.
+    extra: f64,
+    /// Share of the attempts that fail once failures have begun.
+    failures: f64,
+}
+
+const MANY_SMALL_BOXES: Load = Load {
+    boxes: 90,
+    rate: 737.0,
+    extra: 220.0,
+    failures: 1.0,
+};
+
+const FEW_BOXES: Load = Load {
+    boxes: 8,
+    rate: 77.0,
+    extra: 56.0,
+    failures: 1.0,
+};
+
+/// One box of the fleet, and when its processes end.
+struct Box {
+    ends: Vec<Moment>,
+    started_at: Option<Moment>,
+    budget: Budget,
+}
+
+impl Box {
+    /// Replaces the process if it has ended by `now`.
+    fn restart(&mut self, now: Moment) {
+        while let Some(at) = self.ends.first().copied().filter(|at| *at <= now) {
+            self.ends.remove(0);
+            self.started_at = Some(at);
+            self.budget = Budget::default();
+        }
+    }
+
+    fn try_spend(&mut self, now: Moment, load: &Load) -> bool {
+        let fixed = FixedPart {
+            boxes: load.boxes,
+            restarted_at: self.started_at,
+        };
+        self.budget.try_spend(now, &config(load), fixed)
+    }
+}
+
+fn config(load: &Load) -> Config {
+    Config {
+        ratio: 0.2,
+        extra: load.extra,
+        window: Duration::from_secs(10),
+    }
+}
+
+/// When the requests of a fleet arrived, and its retries.
+#[derive(Default)]
+struct Record {
+    requests: Vec<Moment>,
+    retries: Vec<Moment>,
+}
+
+impl Record {
+    /// Returns the highest number of retries in a window, as a share of what is allowed there.
+    fn worst_window(&self, load: &Load) -> f64 {
+        let window = config(load).window;
+        let mut worst: f64 = 0.0;
+        let mut from = BEGIN + window;
+        while from + window <= END {
+            let requests =
+                [from, from - window, from - window / 2].map(|at| count(&self.requests, at, window));
+            let most = requests.into_iter().max().unwrap_or_default();
+            let allowed = config(load).ratio * most as f64 + load.extra;
+            worst = worst.max(count(&self.retries, from, window) as f64 / allowed);
+            from += STEP;
+        }
+        worst
+    }
+}
+
+fn count(moments: &[Moment], from: Moment, window: Duration) -> usize {
+    let before = |end: Moment| moments.partition_point(|at| *at < end);
+    before(from + window) - before(from)
+}
+
+/// Plays requests that fail and are retried as often as the budgets allow; `ends` draws when the processes of a box end.
+fn play(
+    load: &Load,
+    random: &mut ChaCha8Rng,
+    ends: impl Fn(usize, &mut ChaCha8Rng) -> Vec<Moment>,
+) -> Record {
+    let mut boxes: Vec<Box> = (0..load.boxes)
+        .map(|number| Box {
+            ends: ends(number, random),
+            started_at: None,
+            budget: Budget::default(),
+        })
+        .collect();
+    let mut record = Record::default();
+    let mut now = BEGIN;
+    while now < END {
+        now += Duration::from_secs_f64(-random.random_range(f64::EPSILON..1.0).ln() / load.rate);
+        let at = random.random_range(0..load.boxes);
+        boxes[at].restart(now);
+        boxes[at].budget.record_request(now, config(load).window);
+        record.requests.push(now);
+        for _ in 0..MAX_RETRIES {
+            let fails = now >= FAILURE && random.random_bool(load.failures);
+            if !fails || !boxes[at].try_spend(now, load) {
+                break;
+            }
+            record.retries.push(now);
+        }
+    }
+    record
+}
+
+/// Guards against processes that spend what their requests earn, although the processes before them have spent as much
+/// in the same window.
+#[test]
+fn one_restart_of_all_boxes_while_all_upstreams_fail_stays_within_the_limit() {
+    for load in [MANY_SMALL_BOXES, FEW_BOXES] {
+        for after_ms in [500, 1500, 3000, 6000] {
+            let mut random = ChaCha8Rng::seed_from_u64(after_ms);
+            let end = FAILURE + Duration::from_millis(after_ms);
+            let worst = play(&load, &mut random, |_, _| vec![end]).worst_window(&load);
+            assert!(
+                worst <= 1.0,
+                "{worst:.2} of the limit, restart after {after_ms} ms, {load:?}"
+            );
+        }
+    }
+}
+
+/// Guards against the same with series of restarts that overlap from box to box.
+#[test]
+fn retries_of_any_series_of_processes_stay_within_the_limit() {
+    for seed in 0..60 {
+        let mut random = ChaCha8Rng::seed_from_u64(seed);
+        let load = Load {
+            failures: random.random_range(0.2..=1.0),
+            rate: random.random_range(40.0..900.0),
+            ..if seed % 2 == 0 {
+                MANY_SMALL_BOXES
+            } else {
+                FEW_BOXES
+            }
+        };
+        // Mean life of a process, and the share of the boxes that restart at all.
+        let life = Duration::from_millis(random.random_range(500..15_000));
+        let share = random.random_range(0.3..=1.0);
+        let worst = play(&load, &mut random, |_, random| series(life, share, random)).worst_window(&load);
+        assert!(
+            worst <= 1.0,
+            "{worst:.2} of the limit, seed {seed}, processes of {life:?} on {share:.2} of the boxes, {load:?}"
+        );
+    }
+}
+
+/// Draws when the processes of one box end.
+fn series(life: Duration, share: f64, random: &mut ChaCha8Rng) -> Vec<Moment> {
+    if !random.random_bool(share) {
+        return Vec::new();
+    }
+    let mut ends = Vec::new();
+    let mut at = FAILURE - Duration::from_secs(2);
+    while at < END {
+        at += life.mul_f64(random.random_range(0.2..1.8));
+        ends.push(at);
+    }
+    ends
+}
