Keep earned retries in a token bucket that is empty when a process starts

What callers saw: nothing directly.

Cause: a process could spend at once what its requests of the last 10 s had earned (0.16 retries each). It was killed, and the next one earned and spent again in the same window. Logs: 1,532 retries by the first processes, 1,257 by the second, together the arrivals. The budget of a window was kept by processes that live for less than it.

Change: a request earns 0.62 of the ratio, and the bucket holds the earnings of half a window at the most. A window can spend what is earned in it and what the buckets held at its begin, 0.93 of the ratio, for any series of processes; a restart only loses tokens. Nobody has to know what an earlier process spent. Fixed retries pay what an earned retry lacks to one, so that fractions aren't lost.

New test: of the requests lost with a tenth of the upstreams after a calm time, at least 95 in 100 are retried; it held before, too. The expectation of the completions door's test follows the share of 0.62; it stays exact.

--- a/crates/jb-policy/src/route/pool.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -118,19 +118,24 @@
 
     /// Records a new request, which earns retries.
     pub fn record_request(&mut self, now: Moment) {
-        self.budget.record_request(now, RETRY_WINDOW);
+        let config = self.retry_config(1);
+        self.budget.record_request(now, &config);
     }
 
     /// Spends one retry of this box's share of the budget, and returns whether there was one.
     pub fn try_spend_retry(&mut self, boxes: u32, now: Moment) -> bool {
         let boxes = boxes.max(1);
-        let config = Config {
+        let config = self.retry_config(boxes);
+        self.budget
+            .try_spend(now, &config, FixedPart::of_new_box(boxes as usize))
+    }
+
+    fn retry_config(&self, boxes: u32) -> Config {
+        Config {
             ratio: f64::from(self.service.retry_percent) / 100.0,
             extra: EXTRA_RETRIES_PER_BOX * f64::from(boxes),
             window: RETRY_WINDOW,
-        };
-        self.budget
-            .try_spend(now, &config, FixedPart::of_new_box(boxes as usize))
+        }
     }
 
     /// Chooses an upstream and counts the request there.
--- a/crates/jb-policy/tests/backoff.rs
+++ b/crates/jb-policy/tests/backoff.rs
@@ -125,7 +125,7 @@
             window: Duration::from_secs(10),
         };
         self.figures.requests += 1;
-        self.budgets[by].record_request(now, config.window);
+        self.budgets[by].record_request(now, &config);
         let mut tried = Vec::new();
         while tried.len() < MAX_SENDS {
             let own = |engine: &usize| self.running(by, *engine);
--- a/crates/jb-policy/tests/placement.rs
+++ b/crates/jb-policy/tests/placement.rs
@@ -136,7 +136,7 @@
         let mut budget = Budget::default();
         for number in 0..requests {
             let now = Duration::from_millis(number * 100);
-            budget.record_request(now, bound.window);
+            budget.record_request(now, &bound);
             spent += u32::from(budget.try_spend(now, &bound, FixedPart::of_new_box(boxes)));
             spent += u32::from(budget.try_spend(now, &bound, FixedPart::of_new_box(boxes)));
         }
--- a/crates/jb-policy/tests/retry_budget.rs
+++ b/crates/jb-policy/tests/retry_budget.rs
@@ -2,6 +2,7 @@
 
 #![allow(clippy::expect_used)]
 
+use std::ops::Range;
 use std::time::Duration;
 
 use jb_policy::Moment;
@@ -14,6 +15,8 @@
 /// Start of the failures, once budgets are full.
 const FAILURE: Duration = Duration::from_secs(120);
 const END: Duration = Duration::from_secs(160);
+/// Time in which more callers come.
+const SURGE: Range<Duration> = Duration::from_secs(117)..Duration::from_secs(122);
 /// Interval at which windows are compared with the limit.
 const STEP: Duration = Duration::from_millis(100);
 /// Retries that a failing request asks for at the most.
@@ -29,6 +32,8 @@
     extra: f64,
     /// Share of the attempts that fail once failures have begun.
     failures: f64,
+    /// Factor of the rate in [`SURGE`].
+    surge: f64,
 }
 
 const MANY_SMALL_BOXES: Load = Load {
@@ -36,6 +41,7 @@
     rate: 737.0,
     extra: 220.0,
     failures: 1.0,
+    surge: 1.0,
 };
 
 const FEW_BOXES: Load = Load {
@@ -43,6 +49,7 @@
     rate: 77.0,
     extra: 56.0,
     failures: 1.0,
+    surge: 1.0,
 };
 
 /// One box of the fleet, and when its processes end.
@@ -53,6 +60,14 @@
 }
 
 impl Box {
+    fn new(ends: Vec<Moment>) -> Self {
+        Self {
+            ends,
+            started_at: None,
+            budget: Budget::default(),
+        }
+    }
+
     /// Replaces the process if it has ended by `now`.
     fn restart(&mut self, now: Moment) {
         while let Some(at) = self.ends.first().copied().filter(|at| *at <= now) {
@@ -109,30 +124,31 @@
     before(from + window) - before(from)
 }
 
+/// Draws the arrivals of requests, each with the box that receives it.
+fn arrivals(load: &Load, until: Moment, random: &mut ChaCha8Rng) -> Vec<(Moment, usize)> {
+    let mut arrivals = Vec::new();
+    let mut now = BEGIN;
+    while now < until {
+        let surge = if SURGE.contains(&now) { load.surge } else { 1.0 };
+        let mean = 1.0 / (load.rate * surge);
+        now += Duration::from_secs_f64(-random.random_range(f64::EPSILON..1.0).ln() * mean);
+        arrivals.push((now, random.random_range(0..load.boxes)));
+    }
+    arrivals
+}
+
 /// Plays requests that fail and are retried as often as the budgets allow; `ends` draws when the processes of a box end.
-fn play(
-    load: &Load,
-    random: &mut ChaCha8Rng,
-    ends: impl Fn(usize, &mut ChaCha8Rng) -> Vec<Moment>,
-) -> Record {
-    let mut boxes: Vec<Box> = (0..load.boxes)
-        .map(|number| Box {
-            ends: ends(number, random),
-            started_at: None,
-            budget: Budget::default(),
-        })
-        .collect();
+fn play(load: &Load, random: &mut ChaCha8Rng, ends: impl Fn(&mut ChaCha8Rng) -> Vec<Moment>) -> Record {
+    let mut boxes: Vec<Box> = (0..load.boxes).map(|_| Box::new(ends(random))).collect();
     let mut record = Record::default();
-    let mut now = BEGIN;
-    while now < END {
-        now += Duration::from_secs_f64(-random.random_range(f64::EPSILON..1.0).ln() / load.rate);
-        let at = random.random_range(0..load.boxes);
-        boxes[at].restart(now);
-        boxes[at].budget.record_request(now, config(load).window);
+    for (now, at) in arrivals(load, END, random) {
+        let receiver = &mut boxes[at];
+        receiver.restart(now);
+        receiver.budget.record_request(now, &config(load));
         record.requests.push(now);
         for _ in 0..MAX_RETRIES {
             let fails = now >= FAILURE && random.random_bool(load.failures);
-            if !fails || !boxes[at].try_spend(now, load) {
+            if !fails || !receiver.try_spend(now, load) {
                 break;
             }
             record.retries.push(now);
@@ -149,7 +165,7 @@
         for after_ms in [500, 1500, 3000, 6000] {
             let mut random = ChaCha8Rng::seed_from_u64(after_ms);
             let end = FAILURE + Duration::from_millis(after_ms);
-            let worst = play(&load, &mut random, |_, _| vec![end]).worst_window(&load);
+            let worst = play(&load, &mut random, |_| vec![end]).worst_window(&load);
             assert!(
                 worst <= 1.0,
                 "{worst:.2} of the limit, restart after {after_ms} ms, {load:?}"
@@ -166,6 +182,7 @@
         let load = Load {
             failures: random.random_range(0.2..=1.0),
             rate: random.random_range(40.0..900.0),
+            surge: random.random_range(1.0..3.0),
             ..if seed % 2 == 0 {
                 MANY_SMALL_BOXES
             } else {
@@ -175,7 +192,7 @@
         // Mean life of a process, and the share of the boxes that restart at all.
         let life = Duration::from_millis(random.random_range(500..15_000));
         let share = random.random_range(0.3..=1.0);
-        let worst = play(&load, &mut random, |_, random| series(life, share, random)).worst_window(&load);
+        let worst = play(&load, &mut random, |random| series(life, share, random)).worst_window(&load);
         assert!(
             worst <= 1.0,
             "{worst:.2} of the limit, seed {seed}, processes of {life:?} on {share:.2} of the boxes, {load:?}"
@@ -196,3 +213,35 @@
     }
     ends
 }
+
+/// Guards against budgets that are too small for requests that fail together, although nothing failed before.
+#[test]
+fn requests_in_flight_at_a_tenth_of_the_upstreams_are_retried_after_a_calm_time() {
+    // Upstreams that crash, and requests in flight at each.
+    for (load, crashed, in_flight) in [(MANY_SMALL_BOXES, 9, 20), (FEW_BOXES, 1, 30)] {
+        let load = Load {
+            failures: 0.0,
+            ..load
+        };
+        let mut random = ChaCha8Rng::seed_from_u64(7);
+        let (mut lost, mut retried) = (0, 0);
+        for _ in 0..20 {
+            let mut boxes = calm_boxes(&load, &mut random);
+            for _ in 0..crashed * in_flight {
+                let at = random.random_range(0..load.boxes);
+                lost += 1;
+                retried += u32::from(boxes[at].try_spend(FAILURE, &load));
+            }
+        }
+        assert!(20 * retried >= 19 * lost, "{retried} of {lost} retried, {load:?}");
+    }
+}
+
+/// Returns boxes that have served requests until [`FAILURE`] without a restart.
+fn calm_boxes(load: &Load, random: &mut ChaCha8Rng) -> Vec<Box> {
+    let mut boxes: Vec<Box> = (0..load.boxes).map(|_| Box::new(Vec::new())).collect();
+    for (now, at) in arrivals(load, FAILURE, random) {
+        boxes[at].budget.record_request(now, &config(load));
+    }
+    boxes
+}
--- a/crates/jb-policy/tests/route.rs
+++ b/crates/jb-policy/tests/route.rs
@@ -211,6 +211,6 @@
         pool.record_request(at(20_000 + number));
     }
     let percent = service(4, "").retry_percent as usize;
-    assert_eq!(spent(&mut pool, at(20_500)), 20 + 500 * percent * 8 / 1000);
+    assert_eq!(spent(&mut pool, at(20_500)), 20 + 500 * percent * 62 / 10_000);
     assert_eq!(spent(&mut pool, at(40_000)), 20);
 }
--- a/crates/jb-relay/src/retry.rs
+++ b/crates/jb-relay/src/retry.rs
@@ -11,7 +11,7 @@
     pub fn count_request(&self, service: &str) {
         let mut budgets = self.retry_budgets.borrow_mut();
         let budget = budgets.entry(service.to_owned()).or_default();
-        budget.record_request(self.now(), self.settings.bounds.retry_window);
+        budget.record_request(self.now(), &self.retry_config());
     }
 
     /// Takes one retry from a service's budget; returns whether it is granted.
