Give a process no fixed retries in its first window, and divide them by all boxes of a window

Found while the earned retries were looked at: for some 0.2 s after its start a box lists no other box (retry_budget_exhausted, boxes = 1). One whose address the store doesn't know, because it is new or the store was restored from a copy that is older, was not taken for restarted, and its fixed part was that of the whole fleet. The same holds for all boxes after a restore that lost their addresses, until they are written again.

Change: the fixed part begins one window after the start of any process. That needs no knowledge of earlier processes, so what the first copy of the store said of the box is no longer asked. The part is divided by the largest number of boxes of the last window. A box that is really new loses its fixed retries for one window; a restarted one had none before.

--- a/crates/jb-daemon/src/decide/worker.rs
+++ b/crates/jb-daemon/src/decide/worker.rs
@@ -111,7 +111,7 @@
     fn choose(&mut self, selection: Selection) {
         let now = self.clock.now();
         let result = match self.pools.get_mut(&selection.service) {
-            Some(pool) => choose_from(pool, &selection, self.boxes, now),
+            Some(pool) => choose_from(pool, &selection, now),
             None => Err(Rejection {
                 kind: Kind::NoUpstream,
                 retry_after: std::time::Duration::from_secs(2),
@@ -278,13 +278,8 @@
     }
 }
 
-fn choose_from(
-    pool: &mut Pool,
-    selection: &Selection,
-    boxes: u32,
-    now: jb_policy::Moment,
-) -> Result<Choice, Rejection> {
-    if selection.retry && !pool.try_spend_retry(boxes, now) {
+fn choose_from(pool: &mut Pool, selection: &Selection, now: jb_policy::Moment) -> Result<Choice, Rejection> {
+    if selection.retry && !pool.try_spend_retry(now) {
         return Err(Rejection {
             kind: Kind::UpstreamRefused,
             retry_after: std::time::Duration::from_secs(1),
--- a/crates/jb-policy/src/retry_budget.rs
+++ b/crates/jb-policy/src/retry_budget.rs
@@ -6,7 +6,7 @@
 //! A process doesn't know what earlier processes of its box have spent in the current window. Earned retries are tokens
 //! of a bucket that is empty when the process starts and holds the earnings of [`HELD_SHARE`] of a window. A window
 //! therefore spends at most what was earned in it and in that time before it, however often processes start: a restart
-//! only loses tokens. A restarted box has no fixed part until one window has passed.
+//! only loses tokens. A process has no fixed part until it has lived for a window, whether its box is new or not.
 
 use std::collections::VecDeque;
 use std::time::Duration;
@@ -27,8 +27,6 @@
 pub struct Config {
     /// Retries that each request earns.
     pub ratio: f64,
-    /// Additional retries in one window, for all boxes together.
-    pub extra: f64,
     /// Length of the window.
     pub window: Duration,
 }
@@ -39,30 +37,62 @@
     }
 }
 
-/// Part of the fixed retries that one box may spend.
-#[derive(Clone, Copy, Debug)]
+/// Part of a box in the fixed retries, which all boxes of the fleet divide.
+///
+/// A process may not know the other boxes for some time after its start, and all boxes may lose sight of each other when
+/// the store that lists them is restored. So the largest number of boxes within a window counts.
+#[derive(Clone, Debug)]
 pub struct FixedPart {
-    /// Number of boxes that divide the fixed retries, at least 1.
-    pub boxes: usize,
-    /// Start of this process if the box may have spent its part in an earlier one; `None` otherwise.
-    pub restarted_at: Option<Moment>,
+    /// Start of the process; `None` if no earlier one can have spent retries.
+    started_at: Option<Moment>,
+    /// Start of the current period of one window.
+    period_from: Moment,
+    /// Largest number of boxes in the current period and in the one before.
+    boxes: usize,
+    boxes_before: usize,
 }
 
 impl FixedPart {
-    /// Returns the part of a box that has had no earlier process.
-    pub fn of_new_box(boxes: usize) -> Self {
+    /// Creates the part of a process that starts at `now`.
+    pub fn new(now: Moment) -> Self {
+        Self {
+            started_at: Some(now),
+            period_from: now,
+            boxes: 1,
+            boxes_before: 1,
+        }
+    }
+
+    /// Creates the part of a process that knows that no retries have been spent before it started.
+    pub fn unspent() -> Self {
         Self {
-            boxes,
-            restarted_at: None,
+            started_at: None,
+            ..Self::new(Moment::ZERO)
         }
     }
 
-    fn retries(self, config: &Config, now: Moment) -> f64 {
-        let is_spent = |at: Moment| now < at + config.window;
-        if self.restarted_at.is_some_and(is_spent) {
+    /// Records the number of listed boxes.
+    pub fn observe(&mut self, boxes: usize, now: Moment, window: Duration) {
+        if now >= self.period_from + window {
+            self.period_from = now;
+            self.boxes_before = self.boxes;
+            self.boxes = boxes;
+        }
+        self.boxes = self.boxes.max(boxes);
+    }
+
+    /// Returns the number of boxes that divide the fixed retries, at least 1.
+    pub fn boxes(&self) -> usize {
+        self.boxes.max(self.boxes_before)
+    }
+
+    /// Returns the box's part of `extra` retries in each window.
+    pub fn retries(&self, extra: f64, now: Moment, window: Duration) -> f64 {
+        // An earlier process of the box may have spent its part.
+        if self.started_at.is_some_and(|at| now < at + window) {
             return 0.0;
         }
-        config.extra / self.boxes.max(1) as f64
+        extra / self.boxes() as f64
     }
 }
 
@@ -99,10 +129,11 @@
         self.expire(now, config);
     }
 
-    /// Spends one retry if the budget allows it, and returns whether it did.
-    pub fn try_spend(&mut self, now: Moment, config: &Config, fixed: FixedPart) -> bool {
+    /// Spends one retry if the budget allows it, and returns whether it did. `fixed` retries are allowed in each window
+    /// besides those earned.
+    pub fn try_spend(&mut self, now: Moment, config: &Config, fixed: f64) -> bool {
         self.expire(now, config);
-        if self.earned + self.fixed_left(now, config, fixed) < 1.0 {
+        if self.earned + self.fixed_left(fixed) < 1.0 {
             return false;
         }
         let earned = self.earned.min(1.0);
@@ -115,21 +146,21 @@
     }
 
     /// Returns the balance after a denied retry, once in each window; `None` otherwise.
-    pub fn report_denial(&mut self, now: Moment, config: &Config, fixed: FixedPart) -> Option<Balance> {
+    pub fn report_denial(&mut self, now: Moment, config: &Config, fixed: f64) -> Option<Balance> {
         if self.reported_at.is_some_and(|at| now < at + config.window) {
             return None;
         }
         self.reported_at = Some(now);
         Some(Balance {
             earned: self.earned,
-            fixed: self.fixed_left(now, config, fixed),
+            fixed: self.fixed_left(fixed),
             spent: std::mem::take(&mut self.spent),
         })
     }
 
-    fn fixed_left(&self, now: Moment, config: &Config, fixed: FixedPart) -> f64 {
+    fn fixed_left(&self, fixed: f64) -> f64 {
         let spent: f64 = self.fixed_spent.iter().map(|(_, retries)| retries).sum();
-        FIXED_SHARE * fixed.retries(config, now) - spent
+        FIXED_SHARE * fixed - spent
     }
 
     /// Drops earnings that have expired, and fixed retries that count no longer.
--- a/crates/jb-policy/src/route/pool.rs
+++ b/crates/jb-policy/src/route/pool.rs
@@ -17,7 +17,7 @@
 use crate::health::Change;
 use crate::prefix::Chain;
 use crate::prefix_index::{EngineIndex, PrefixIndex};
-use crate::retry_budget::{Budget, Config, FixedPart};
+use crate::retry_budget::{Budget, Config};
 use crate::signal::Signals;
 use crate::stream::Start;
 use crate::upstream::{Changes, Upstream};
@@ -118,22 +118,19 @@
 
     /// Records a new request, which earns retries.
     pub fn record_request(&mut self, now: Moment) {
-        let config = self.retry_config(1);
+        let config = self.retry_config();
         self.budget.record_request(now, &config);
     }
 
-    /// Spends one retry of this box's share of the budget, and returns whether there was one.
-    pub fn try_spend_retry(&mut self, boxes: u32, now: Moment) -> bool {
-        let boxes = boxes.max(1);
-        let config = self.retry_config(boxes);
-        self.budget
-            .try_spend(now, &config, FixedPart::of_new_box(boxes as usize))
+    /// Spends one retry of this box's budget, and returns whether there was one.
+    pub fn try_spend_retry(&mut self, now: Moment) -> bool {
+        let config = self.retry_config();
+        self.budget.try_spend(now, &config, EXTRA_RETRIES_PER_BOX)
     }
 
-    fn retry_config(&self, boxes: u32) -> Config {
+    fn retry_config(&self) -> Config {
         Config {
             ratio: f64::from(self.service.retry_percent) / 100.0,
-            extra: EXTRA_RETRIES_PER_BOX * f64::from(boxes),
             window: RETRY_WINDOW,
         }
     }
--- a/crates/jb-policy/tests/backoff.rs
+++ b/crates/jb-policy/tests/backoff.rs
@@ -11,7 +11,7 @@
 
 use jb_policy::Moment;
 use jb_policy::backoff::Backoff;
-use jb_policy::retry_budget::{Budget, Config, FixedPart};
+use jb_policy::retry_budget::{Budget, Config};
 use jb_policy::signal::Signals;
 use rand::{Rng as _, SeedableRng as _};
 use rand_chacha::ChaCha8Rng;
@@ -121,7 +121,6 @@
     fn request(&mut self, by: usize, now: Moment, takes: Duration) {
         let config = Config {
             ratio: 0.2,
-            extra: 50.0,
             window: Duration::from_secs(10),
         };
         self.figures.requests += 1;
@@ -137,9 +136,7 @@
             let Some(engine) = open.min_by_key(own) else {
                 return;
             };
-            if !tried.is_empty()
-                && !self.budgets[by].try_spend(now, &config, FixedPart::of_new_box(self.boxes))
-            {
+            if !tried.is_empty() && !self.budgets[by].try_spend(now, &config, 50.0 / self.boxes as f64) {
                 return;
             }
             tried.push(engine);
--- a/crates/jb-policy/tests/placement.rs
+++ b/crates/jb-policy/tests/placement.rs
@@ -6,7 +6,7 @@
 
 use jb_policy::placement::{Candidate, CostModel, Demand, best};
 use jb_policy::prefix_cache::{PrefixCache, Segment};
-use jb_policy::retry_budget::{Budget, Config, FixedPart};
+use jb_policy::retry_budget::{Budget, Config};
 use jb_policy::weights::{History, Overdue};
 
 fn candidate(name_hash: u64) -> Candidate {
@@ -125,9 +125,9 @@
 
 #[test]
 fn retries_of_all_boxes_together_stay_within_the_limit() {
+    let extra = 56.0;
     let bound = Config {
         ratio: 0.2,
-        extra: 56.0,
         window: Duration::from_secs(10),
     };
     let (boxes, requests) = (8, 50);
@@ -137,28 +137,28 @@
         for number in 0..requests {
             let now = Duration::from_millis(number * 100);
             budget.record_request(now, &bound);
-            spent += u32::from(budget.try_spend(now, &bound, FixedPart::of_new_box(boxes)));
-            spent += u32::from(budget.try_spend(now, &bound, FixedPart::of_new_box(boxes)));
+            spent += u32::from(budget.try_spend(now, &bound, extra / f64::from(boxes)));
+            spent += u32::from(budget.try_spend(now, &bound, extra / f64::from(boxes)));
         }
     }
-    let allowed = bound.ratio * f64::from(8 * 50) + bound.extra;
+    let allowed = bound.ratio * f64::from(8 * 50) + extra;
     assert!(spent > 0 && f64::from(spent) <= allowed, "{spent} of {allowed}");
 }
 
 #[test]
 fn retry_budget_is_restored_after_the_window() {
+    let fixed = 8.0;
     let bound = Config {
         ratio: 0.2,
-        extra: 8.0,
         window: Duration::from_secs(10),
     };
     let mut budget = Budget::default();
     let start = Duration::from_secs(1);
     let spent = (0..100)
-        .filter(|_| budget.try_spend(start, &bound, FixedPart::of_new_box(1)))
+        .filter(|_| budget.try_spend(start, &bound, fixed))
         .count();
     assert_eq!(spent, 6);
-    assert!(budget.try_spend(start + Duration::from_secs(11), &bound, FixedPart::of_new_box(1)));
+    assert!(budget.try_spend(start + Duration::from_secs(11), &bound, fixed));
 }
 
 /// Guards against engines with old weights that count as recent again after another version is released.
--- a/crates/jb-policy/tests/retry_budget.rs
+++ b/crates/jb-policy/tests/retry_budget.rs
@@ -55,7 +55,9 @@
 /// One box of the fleet, and when its processes end.
 struct Box {
     ends: Vec<Moment>,
-    started_at: Option<Moment>,
+    /// Times in which the process knows no other box.
+    alone: Vec<Range<Moment>>,
+    fixed: FixedPart,
     budget: Budget,
 }
 
@@ -63,7 +65,8 @@
     fn new(ends: Vec<Moment>) -> Self {
         Self {
             ends,
-            started_at: None,
+            alone: Vec::new(),
+            fixed: FixedPart::new(Moment::ZERO),
             budget: Budget::default(),
         }
     }
@@ -72,28 +75,29 @@
     fn restart(&mut self, now: Moment) {
         while let Some(at) = self.ends.first().copied().filter(|at| *at <= now) {
             self.ends.remove(0);
-            self.started_at = Some(at);
+            self.fixed = FixedPart::new(at);
             self.budget = Budget::default();
         }
     }
 
-    fn try_spend(&mut self, now: Moment, load: &Load) -> bool {
-        let fixed = FixedPart {
-            boxes: load.boxes,
-            restarted_at: self.started_at,
-        };
-        self.budget.try_spend(now, &config(load), fixed)
+    fn record_request(&mut self, now: Moment, load: &Load) {
+        let is_alone = self.alone.iter().any(|time| time.contains(&now));
+        let listed = if is_alone { 1 } else { load.boxes };
+        self.fixed.observe(listed, now, CONFIG.window);
+        self.budget.record_request(now, &CONFIG);
     }
-}
 
-fn config(load: &Load) -> Config {
-    Config {
-        ratio: 0.2,
-        extra: load.extra,
-        window: Duration::from_secs(10),
+    fn try_spend(&mut self, now: Moment, load: &Load) -> bool {
+        let fixed = self.fixed.retries(load.extra, now, CONFIG.window);
+        self.budget.try_spend(now, &CONFIG, fixed)
     }
 }
 
+const CONFIG: Config = Config {
+    ratio: 0.2,
+    window: Duration::from_secs(10),
+};
+
 /// When the requests of a fleet arrived, and its retries.
 #[derive(Default)]
 struct Record {
@@ -104,14 +108,14 @@
 impl Record {
     /// Returns the highest number of retries in a window, as a share of what is allowed there.
     fn worst_window(&self, load: &Load) -> f64 {
-        let window = config(load).window;
+        let window = CONFIG.window;
         let mut worst: f64 = 0.0;
         let mut from = BEGIN + window;
         while from + window <= END {
             let requests =
                 [from, from - window, from - window / 2].map(|at| count(&self.requests, at, window));
             let most = requests.into_iter().max().unwrap_or_default();
-            let allowed = config(load).ratio * most as f64 + load.extra;
+            let allowed = CONFIG.ratio * most as f64 + load.extra;
             worst = worst.max(count(&self.retries, from, window) as f64 / allowed);
             from += STEP;
         }
@@ -139,12 +143,16 @@
 
 /// Plays requests that fail and are retried as often as the budgets allow; `ends` draws when the processes of a box end.
 fn play(load: &Load, random: &mut ChaCha8Rng, ends: impl Fn(&mut ChaCha8Rng) -> Vec<Moment>) -> Record {
-    let mut boxes: Vec<Box> = (0..load.boxes).map(|_| Box::new(ends(random))).collect();
+    let boxes = (0..load.boxes).map(|_| Box::new(ends(random))).collect();
+    play_boxes(load, boxes, random)
+}
+
+fn play_boxes(load: &Load, mut boxes: Vec<Box>, random: &mut ChaCha8Rng) -> Record {
     let mut record = Record::default();
     for (now, at) in arrivals(load, END, random) {
         let receiver = &mut boxes[at];
         receiver.restart(now);
-        receiver.budget.record_request(now, &config(load));
+        receiver.record_request(now, load);
         record.requests.push(now);
         for _ in 0..MAX_RETRIES {
             let fails = now >= FAILURE && random.random_bool(load.failures);
@@ -241,7 +249,30 @@
 fn calm_boxes(load: &Load, random: &mut ChaCha8Rng) -> Vec<Box> {
     let mut boxes: Vec<Box> = (0..load.boxes).map(|_| Box::new(Vec::new())).collect();
     for (now, at) in arrivals(load, FAILURE, random) {
-        boxes[at].budget.record_request(now, &config(load));
+        boxes[at].record_request(now, load);
     }
     boxes
 }
+
+/// Guards against processes that take the fixed retries of the whole fleet while they know no other box: new boxes, and
+/// all boxes after the store has lost their registrations.
+#[test]
+fn boxes_that_know_no_other_box_stay_within_the_limit() {
+    let quiet = Load {
+        rate: 20.0,
+        ..FEW_BOXES
+    };
+    for is_replaced in [false, true] {
+        let mut random = ChaCha8Rng::seed_from_u64(3);
+        let boxes = (0..quiet.boxes).map(|number| {
+            let joins = FAILURE + Duration::from_millis(300 * number as u64);
+            let is_replaced = is_replaced && number % 2 == 0;
+            Box {
+                alone: vec![joins..joins + Duration::from_secs(2)],
+                ..Box::new(if is_replaced { vec![joins] } else { Vec::new() })
+            }
+        });
+        let worst = play_boxes(&quiet, boxes.collect(), &mut random).worst_window(&quiet);
+        assert!(worst <= 1.0, "{worst:.2} of the limit, new boxes: {is_replaced}");
+    }
+}
--- a/crates/jb-policy/tests/route.rs
+++ b/crates/jb-policy/tests/route.rs
@@ -204,7 +204,7 @@
 #[test]
 fn retries_are_a_share_of_the_requests_plus_a_fixed_number() {
     let mut pool = Pool::new(&service(4, ""), "h");
-    let spent = |pool: &mut Pool, now| (0..1000).take_while(|_| pool.try_spend_retry(2, now)).count();
+    let spent = |pool: &mut Pool, now| (0..1000).take_while(|_| pool.try_spend_retry(now)).count();
     assert_eq!(spent(&mut pool, at(0)), 20);
     assert_eq!(spent(&mut pool, at(5_000)), 0);
     for number in 0..500 {
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -11,7 +11,7 @@
 use jb_policy::outage::{self, Span};
 use jb_policy::placement::CostModel;
 use jb_policy::prefill_rate::PrefillRate;
-use jb_policy::retry_budget::Budget;
+use jb_policy::retry_budget::{Budget, FixedPart};
 use jb_policy::software::{Departures, Versions};
 use jb_policy::weights::History;
 use jb_protocol::id;
@@ -25,7 +25,7 @@
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
 use crate::peers::{
-    self, ChangeLog, Directory, Loads, Outbox, PendingPull, PendingWeights, Permit, Quotas, RateLimits,
+    ChangeLog, Directory, Loads, Outbox, PendingPull, PendingWeights, Permit, Quotas, RateLimits,
     Reachability, Reservations, RoundTrips, Source, StreamOrigins, Transfers,
 };
 use crate::port::{Change, Engines, Era, Revision, Store};
@@ -98,8 +98,6 @@
     pub box_items: RefCell<BTreeMap<String, Change>>,
     /// Port for messages between boxes and for transfers.
     pub peer_port: OnceCell<u16>,
-    /// Whether an earlier process of this box has registered its address; unset until it is first asked for.
-    restarted: OnceCell<bool>,
     /// When this box's address was last written to the store.
     pub address_written: Cell<Option<Moment>>,
     /// Whether addresses of boxes have changed since the list was last updated.
@@ -144,6 +142,8 @@
     pub transfers: Transfers,
     /// Retry budget of each service.
     pub retry_budgets: RefCell<HashMap<id::Service, Budget>>,
+    /// This box's part of the fixed retries of each service.
+    pub fixed_retries: RefCell<FixedPart>,
     /// Measured prefill rate of each service's engines.
     pub prefill_rates: RefCell<HashMap<id::Service, PrefillRate>>,
     /// Bytes of request bodies held in memory.
@@ -193,7 +193,6 @@
             mirror: RefCell::default(),
             box_items: RefCell::default(),
             peer_port: OnceCell::new(),
-            restarted: OnceCell::new(),
             address_written: Cell::default(),
             addresses_changed: Cell::default(),
             directory: RefCell::default(),
@@ -216,6 +215,7 @@
             pending_pull: PendingPull::default(),
             transfers: Transfers::default(),
             retry_budgets: RefCell::default(),
+            fixed_retries: RefCell::new(FixedPart::new(Moment::ZERO)),
             prefill_rates: RefCell::default(),
             held_body_bytes: Cell::default(),
             clock: Clock::start(),
@@ -348,13 +348,4 @@
     pub fn configuration(&self) -> Option<Rc<Configuration>> {
         self.configuration.borrow().clone()
     }
-
-    /// Returns whether an earlier process of this box has registered its address. The first call has to come after the
-    /// first read of the store, and before this process registers its own address.
-    pub fn is_restarted(&self) -> bool {
-        *self.restarted.get_or_init(|| {
-            let items = self.box_items.borrow();
-            items.contains_key(&peers::address_key(&self.settings.id))
-        })
-    }
 }
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -35,8 +35,7 @@
 pub use rate_limit::{Permit, RateLimits, acquire_permit, log_rate_limit};
 pub use reachability::{FleetSize, Reachability, is_hall_isolated};
 pub use register::{
-    ADDRESS_KEY_PREFIX, address_key, refresh_directory, refresh_small_directory, register_address,
-    write_address,
+    ADDRESS_KEY_PREFIX, refresh_directory, refresh_small_directory, register_address, write_address,
 };
 pub use releases::discover as discover_releases;
 pub use reservation::{
--- a/crates/jb-relay/src/peers/register.rs
+++ b/crates/jb-relay/src/peers/register.rs
@@ -17,7 +17,7 @@
 /// Prefix of the keys under which boxes register their addresses; the rest is the id of the box.
 pub const ADDRESS_KEY_PREFIX: &str = "junctionbend/box/";
 /// Returns the key under which a box registers its address.
-pub fn address_key(id: &str) -> String {
+fn address_key(id: &str) -> String {
     format!("{ADDRESS_KEY_PREFIX}{id}")
 }
 
@@ -49,8 +49,6 @@
         "{address} {} {}",
         core.settings.hall, core.settings.capacity.link_mbps
     );
-    // Unknown once this process has written its address.
-    core.is_restarted();
     let key = address_key(&core.settings.id);
     let known = core.box_items.borrow().get(&key).cloned();
     let registered = known.filter(|item| item.value.is_some() && item.revision.era == era);
