Soak: count retries of all boxes in each window while engines fail and boxes restart

The soak didn't look at the retry budget. Now each run adds up, from what engines see, the arrivals beyond the first of each request in every window that begins with one, over all processes of all boxes. A set of its own (--retries) makes all engines answer errors, mostly kills all boxes shortly after, and draws kills, stops, pauses and cut links beside it; window and fixed part are small there, so that several lives fall into one window.

--- a/crates/jb-soak/src/changes.rs
+++ b/crates/jb-soak/src/changes.rs
@@ -18,7 +18,6 @@
 use crate::boxes::Box;
 use crate::callers;
 use crate::checks::{Checks, Promise};
-use crate::faults::Set;
 use crate::world::{World, config};
 
 /// Time within which a configuration must be in force.
@@ -47,13 +46,11 @@
 const RELAY_NODE_SHARE: f64 = 0.4;
 
 /// Returns the bounds in the settings of a run's boxes.
-pub fn bounds(set: Set) -> Bounds {
-    if set != Set::Changes {
-        return Bounds::default();
-    }
+pub fn bounds() -> Bounds {
     Bounds {
         config: CONFIG_DELAY,
         revocation: REVOCATION_DELAY,
+        ..Bounds::default()
     }
 }
 
--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -47,12 +47,14 @@
     Resume,
     /// Boxes that nothing has struck use a configuration once its bound has passed.
     Config,
+    /// Retries of all boxes together stay within the budget in each window, over all processes of a box.
+    Retries,
     /// All boxes serve requests again after the last fault.
     Recovery,
 }
 
 /// All promises, in the order of the report.
-pub const ALL: [Promise; 21] = [
+pub const ALL: [Promise; 22] = [
     Promise::OwnAnswer,
     Promise::Order,
     Promise::Once,
@@ -73,6 +75,7 @@
     Promise::Version,
     Promise::Resume,
     Promise::Config,
+    Promise::Retries,
     Promise::Recovery,
 ];
 
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -15,6 +15,7 @@
 use crate::cuts;
 use crate::limits;
 use crate::restores;
+use crate::retries;
 use crate::signals;
 use crate::versions;
 use crate::world::{EVENTS, World, config};
@@ -66,6 +67,10 @@
     Crowd,
     /// A box's open connections to the store go silent.
     Mute,
+    /// All engines answer errors.
+    Fail,
+    /// All boxes are killed at the same moment.
+    KillAll,
 }
 
 impl Fault {
@@ -73,7 +78,7 @@
     fn affects_all_boxes(self) -> bool {
         matches!(
             self,
-            Self::Store(_) | Self::Compact | Self::Leases | Self::Restore
+            Self::Store(_) | Self::Compact | Self::Leases | Self::Restore | Self::KillAll
         )
     }
 }
@@ -104,6 +109,8 @@
     Segments,
     /// Faults of boxes and of their links to the store, while configurations follow each other.
     Changes,
+    /// Engines that fail all requests, and boxes that restart, one or all at once.
+    Retries,
 }
 
 /// Size of the draw for [`Set::First`]; some faults have more than one number.
@@ -214,9 +221,27 @@
     }
 }
 
+/// Size of the draw for [`Set::Retries`].
+const WITH_RETRIES: u32 = 16;
+
+fn draw_with_retries(random: &mut ChaCha8Rng) -> Fault {
+    match random.random_range(0..WITH_RETRIES) {
+        0..=2 => Fault::Kill,
+        3 => Fault::Stop,
+        4 => Fault::Pause,
+        5 => Fault::Link(Link::Silent),
+        6 => Fault::Store(Behavior::Status(503)),
+        7 => Fault::Restart,
+        8 => Fault::Engine,
+        9..=11 => Fault::KillAll,
+        _ => Fault::Fail,
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, set: Set) -> Fault {
     let count = match set {
         Set::Changes => return draw_with_changes(random),
+        Set::Retries => return draw_with_retries(random),
         Set::Segments => return draw_with_segments(random),
         Set::Restores => return draw_with_restores(random),
         Set::Cuts => return draw_with_cuts(random),
@@ -279,6 +304,7 @@
             | Fault::Renew
             | Fault::Streams
             | Fault::Crowd
+            | Fault::Fail
     );
     // A store that loses its history still serves each call, so it excuses no late configuration.
     let is_excused = !(world.set == Set::Changes && matches!(fault, Fault::Compact));
@@ -335,6 +361,8 @@
         Fault::Renew => versions::renew(&world, &mut random).await,
         Fault::Streams => versions::queue_faulty_streams(&world, &mut random),
         Fault::Crowd => crowd::gather(&world, at, &mut random).await,
+        Fault::Fail => retries::fail(&world, duration, &mut random).await,
+        Fault::KillAll => retries::kill_all(&world).await,
         Fault::Mute => target.link.silence_open_connections(),
         Fault::Compact => world.store.compact(),
         Fault::Leases => world.store.end_leases(),
@@ -353,11 +381,15 @@
     }
 }
 
-/// Restarts a box once its process has exited.
+/// Restarts a box once its current process has exited.
 async fn restart(world: &World, at: usize) {
+    replace(world, at, world.boxes[at].starts()).await;
+}
+
+/// Starts a box again once `process`, the number of its start, has exited.
+pub async fn replace(world: &World, at: usize, process: u32) {
     const POLL_INTERVAL: Duration = Duration::from_millis(50);
     let target = &world.boxes[at];
-    let process = target.starts();
     let from = Instant::now();
     while target.is_running() && target.starts() == process {
         sleep(POLL_INTERVAL).await;
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod limits;
 pub mod poison;
 pub mod restores;
+pub mod retries;
 pub mod run;
 pub mod signals;
 pub mod versions;
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -59,6 +59,9 @@
     /// configurations in quick succession, beside faults of boxes and of their links to the store
     #[argh(switch)]
     changes: bool,
+    /// engines that fail all requests, and boxes that restart, one or all at once
+    #[argh(switch)]
+    retries: bool,
     /// faults of boxes and of the store, which is restored from backups
     #[argh(switch)]
     restores: bool,
@@ -72,6 +75,7 @@
             Self { restores: true, .. } => Set::Restores,
             Self { cuts: true, .. } => Set::Cuts,
             Self { changes: true, .. } => Set::Changes,
+            Self { retries: true, .. } => Set::Retries,
             Self { versions: true, .. } => Set::Versions,
             Self { limits: true, .. } => Set::Limits,
             Self { signals: true, .. } => Set::Words,
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -21,6 +21,7 @@
 use crate::limits;
 use crate::poison;
 use crate::restores;
+use crate::retries;
 use crate::signals;
 use crate::versions;
 use crate::world::World;
@@ -107,6 +108,8 @@
         // Faults start without waiting for earlier ones, so that they overlap.
         let rare = match plan.set {
             Set::Poison => 4,
+            // Boxes earn retries between two faults.
+            Set::Retries => 3,
             Set::Cuts | Set::Segments | Set::Changes => 2,
             _ => 1,
         };
@@ -144,6 +147,7 @@
     versions::check(&world, &mut checks);
     changes::check(&world, &mut checks);
     restores::check(&world, &mut checks);
+    retries::check(&world, &mut checks);
     checks
 }
 
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -25,6 +25,7 @@
 use crate::faults::Set;
 use crate::limits::Limit;
 use crate::poison::{self, PoisonAttempt};
+use crate::retries;
 use crate::run::Plan;
 use crate::versions::{self, Fleet};
 
@@ -151,7 +152,10 @@
             if plan.set == Set::Changes {
                 hall = 0;
             }
-            let bounds = changes::bounds(plan.set);
+            let bounds = match plan.set {
+                Set::Changes => changes::bounds(),
+                other => retries::bounds(other),
+            };
             boxes.push(Box::new(number, program, folder, hall, address, bounds).await);
         }
         Rc::new(Self {
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -32,7 +32,7 @@
         duration: Duration::from_secs(match set {
             Set::Poison | Set::Segments => 12,
             Set::Cuts | Set::Versions => 10,
-            Set::Changes => 16,
+            Set::Changes | Set::Retries => 16,
             _ => 6,
         }),
         set,
@@ -127,6 +127,14 @@
     assert!(checks.seen(Promise::Config) > 0, "not exercised\n{checks}");
 }
 
+/// Guards against retries beyond the fleet's limit while engines fail and all boxes restart.
+#[test]
+fn retries_stay_within_the_limit_while_all_boxes_restart() {
+    let checks = run(2, Set::Retries);
+    assert!(checks.hold(), "{checks}");
+    assert!(checks.seen(Promise::Retries) > 0, "not exercised\n{checks}");
+}
+
 /// Guards against streams that go on at an engine of another software version, in a box or with the attempt of a caller at
 /// another box.
 #[test]
