Pass the count of boxes on to boxes that ask another one than their relay node

Cause: a box that gets no reply from its relay node in time judges it silent for 8 s and sends its status to the next box of the hall. That one answers with the loads of the others, but only relay nodes send counts. After 1.5 s without a count the box took itself to be alone. Where it owned a customer's token bucket, it refilled it at 1/90 of the rate, for requests of all 90 boxes.

Evidence: the rejections have the scope of the fleet, one owner, and left and after_ms fit 1/90 of capacity and rate; they begin 1.9 s after the crash and end when the 8 s are over.

Change: a box that is asked for the sum of loads and isn't the relay node passes on its latest count, if it is at most 300 ms old, so that a partition is noticed at most that much later.

--- a/crates/jb-relay/src/peers/reachability.rs
+++ b/crates/jb-relay/src/peers/reachability.rs
@@ -21,6 +21,9 @@
 const MAX_MEMBER_AGE: Duration = Duration::from_millis(700);
 /// The same for counts of relay nodes, and for boxes of a small fleet, which send less often.
 const MAX_COUNT_AGE: Duration = Duration::from_millis(1500);
+/// Age of a count up to which a box passes it on to one that doesn't receive counts of the relay node. It is short, as
+/// the receiver uses it for [`MAX_COUNT_AGE`] from its arrival.
+const MAX_FORWARDED_AGE: Duration = Duration::from_millis(300);
 /// Time after its start in which a box assumes that all listed boxes are reachable, while it has received no count:
 /// boxes that start together are up after 0.2 to 2 s.
 const STARTUP_PERIOD: Duration = Duration::from_millis(4000);
@@ -70,6 +73,12 @@
         self.relay_node = Some((now, fleet));
     }
 
+    /// Returns the count of the local relay node if it is so recent that it may be passed on.
+    fn forwardable(&self, now: Moment) -> Option<FleetSize> {
+        let (_, fleet) = self.relay_node.filter(|(at, _)| now < *at + MAX_FORWARDED_AGE)?;
+        Some(fleet)
+    }
+
     /// Adds the counts of the other relay nodes to the boxes of the local hall.
     fn sum(&self, hall: u32, now: Moment) -> FleetSize {
         let fresh = self.halls.values().filter(|(at, _)| now < *at + MAX_COUNT_AGE);
@@ -94,11 +103,7 @@
     let hall = saturating_cast(members.len() + 1);
     let fleet = core.box_reachability.borrow().sum(hall, now);
     core.box_reachability.borrow_mut().record(fleet, now);
-    let count = Message::ReachableCount(ReachableCount {
-        from: core.settings.id.clone(),
-        hall: fleet.hall,
-        all: fleet.all,
-    });
+    let count = message(core, fleet);
     let relay_nodes = core
         .directory
         .borrow()
@@ -111,6 +116,22 @@
     }
 }
 
+/// Passes the count of the relay node on to a box that asks this one instead, because it got no reply from the relay node.
+pub(super) async fn forward(core: &Core, socket: &UdpSocket, to: SocketAddr) {
+    let count = core.box_reachability.borrow().forwardable(core.now());
+    if let Some(fleet) = count {
+        send(core, socket, to, &message(core, fleet)).await;
+    }
+}
+
+fn message(core: &Core, fleet: FleetSize) -> Message {
+    Message::ReachableCount(ReachableCount {
+        from: core.settings.id.clone(),
+        hall: fleet.hall,
+        all: fleet.all,
+    })
+}
+
 /// Receives the count of a relay node.
 pub(super) fn receive(core: &Core, from: SocketAddr, count: &ReachableCount) {
     if !reservation::is_from_listed_box(core, from) {
--- a/crates/jb-relay/src/peers/status.rs
+++ b/crates/jb-relay/src/peers/status.rs
@@ -226,6 +226,10 @@
         }) {
             send(core, socket, from, &message).await;
         }
+        let is_relay_node = core.metrics.relay_node.get() != 0;
+        if !is_relay_node {
+            reachability::forward(core, socket, from).await;
+        }
     }
 }
 
