Search the preferred box of a hall in one place; correct an age in a comment

relay_node and update_source repeated the search. A copy that a relay node renews regularly is up to 1.5 s old (RENEWAL_AGE), not 1.8 s. No change of behaviour.

--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -28,7 +28,7 @@
 }
 
 /// Upper bounds of the buckets for the age of the copy of the store, in seconds. A copy that is regularly updated is up to
-/// 1.8 s old; operators allow 2 to 5 s until a change is in force.
+/// 1.5 s old; operators allow 2 to 5 s until a change is in force.
 const COPY_AGES: [f64; 9] = [0.5, 1.0, 1.5, 2.0, 2.5, 3.0, 4.0, 5.0, 10.0];
 
 /// Metrics of a box.
--- a/crates/jb-relay/src/peers/directory.rs
+++ b/crates/jb-relay/src/peers/directory.rs
@@ -243,8 +243,7 @@
 
     /// Returns the relay node of a data hall: the most preferred box that isn't silent.
     pub fn relay_node(&self, hall: &str, now: Moment) -> Option<&id::Box> {
-        let mut in_order = self.halls.get(hall)?.iter();
-        in_order.find(|id| !self.is_silent(id, now))
+        self.most_preferred(hall, |id| !self.is_silent(id, now))
     }
 
     /// Notes that a box's copy of the store is outdated.
@@ -255,9 +254,12 @@
     /// Returns the box from which the others of a data hall pull updates of the store: its relay node, or the most
     /// preferred box whose copy isn't outdated while the relay node itself can't reach the store.
     pub fn update_source(&self, hall: &str, now: Moment) -> Option<&id::Box> {
-        let mut in_order = self.halls.get(hall)?.iter();
         let is_outdated = |id: &str| self.outdated.get(id).is_some_and(|until| now < *until);
-        in_order.find(|id| !self.is_silent(id, now) && !is_outdated(id))
+        self.most_preferred(hall, |id| !self.is_silent(id, now) && !is_outdated(id))
+    }
+
+    fn most_preferred(&self, hall: &str, is_eligible: impl Fn(&str) -> bool) -> Option<&id::Box> {
+        self.halls.get(hall)?.iter().find(|id| is_eligible(id))
     }
 
     /// Notes that a box acts as the relay node of another data hall.
