Keep earned retries when the fixed part becomes smaller

Found in the read of the diff: where the fleet grows, the fixed part of a box falls below what it has spent of it, and the difference was taken from what requests had earned, for up to one window. Test smaller_fixed_part_leaves_what_requests_have_earned, red before.

--- a/crates/jb-policy/src/retry_budget.rs
+++ b/crates/jb-policy/src/retry_budget.rs
@@ -112,12 +112,13 @@
 pub struct Budget {
     /// Requests whose earnings have not expired.
     requests: VecDeque<Moment>,
-    /// Earned retries that are left, less than one after a denial without a fixed part.
+    /// Earned retries that are left.
     earned: f64,
-    /// Fixed retries spent in the last window. A retry may take part of its cost from here.
+    /// Fixed retries spent in the last window. They pay what an earned retry lacks to a whole one.
     fixed_spent: VecDeque<(Moment, f64)>,
     /// Retries spent since the last report.
     spent: usize,
+    /// When a denial was reported last.
     reported_at: Option<Moment>,
 }
 
@@ -160,7 +161,7 @@
 
     fn fixed_left(&self, fixed: f64) -> f64 {
         let spent: f64 = self.fixed_spent.iter().map(|(_, retries)| retries).sum();
-        FIXED_SHARE * fixed - spent
+        (FIXED_SHARE * fixed - spent).max(0.0)
     }
 
     /// Drops earnings that have expired, and fixed retries that count no longer.
--- a/crates/jb-policy/tests/retry_budget.rs
+++ b/crates/jb-policy/tests/retry_budget.rs
@@ -276,3 +276,20 @@
         assert!(worst <= 1.0, "{worst:.2} of the limit, new boxes: {is_replaced}");
     }
 }
+
+/// Guards against earned retries that are denied because the fixed part has become smaller than what was spent of it.
+#[test]
+fn smaller_fixed_part_leaves_what_requests_have_earned() {
+    let mut budget = Budget::default();
+    let fixed = 10.0;
+    let spent = (0..100)
+        .filter(|_| budget.try_spend(BEGIN, &CONFIG, fixed))
+        .count();
+    assert_eq!(spent, 8);
+    // Nine requests earn one retry.
+    for _ in 0..9 {
+        budget.record_request(BEGIN, &CONFIG);
+    }
+    assert!(budget.try_spend(BEGIN, &CONFIG, fixed / 4.0));
+    assert!(!budget.try_spend(BEGIN, &CONFIG, fixed / 4.0));
+}
