--- a/crates/jb-policy/tests/quota.rs
+++ b/crates/jb-policy/tests/quota.rs
@@ -396,8 +396,7 @@
 /// Time in which a box that was killed doesn't serve.
 const RESTART_S: f64 = 0.5;
 
-/// Returns the requests that a fleet admits whose boxes all restart at these times, so that nobody knows the level of the
-/// bucket before.
+/// Returns the requests that a fleet admits whose boxes all restart at these times, which loses the level of the bucket.
 fn admitted_over_restarts(rate: f64, seed: u64, restarts: &[f64]) -> Admissions {
     let parameters = parameters(rate, 1.0);
     let mut bucket = full(&parameters);
--- a/crates/jb-relay/src/peers/status.rs
+++ b/crates/jb-relay/src/peers/status.rs
@@ -226,7 +226,8 @@
         }) {
             send(core, socket, from, &message).await;
         }
-        let is_relay_node = core.metrics.relay_node.get() != 0;
+        let is_relay_node =
+            core.directory.borrow().relay_node(&core.settings.hall, now) == Some(&core.settings.id);
         if !is_relay_node {
             reachability::forward(core, socket, from).await;
         }
