--- a/review/engine.py
+++ b/review/engine.py
@@ -1,4 +1,4 @@
-"""An engine as a process of its own: `engine.py ID SERVICE PORT`. Says its port, then what it does.
+"""An engine as a process of its own: `engine.py ID SERVICE PORT SOFTWARE`. Says its port, then what it does.
 
 The rest of a request's path says how the stand-in answers: /.../plain, /.../unframed/BYTES/MS,
 /.../events/N/MS, /.../unframed-events/N/MS, /.../status/CODE.
@@ -9,7 +9,7 @@
 
 from standins import head, read_body, read_head
 
-ID, SERVICE = sys.argv[1], sys.argv[2]
+ID, SERVICE, SOFTWARE = sys.argv[1], sys.argv[2], sys.argv[4]
 leaving = False
 
 
@@ -68,7 +68,7 @@
         lines = [*own(headers), ("Content-Type", "text/event-stream"), ("X-Junctionbend-Weight-Versions", "1")]
         writer.write(head(200, lines + ([("Transfer-Encoding", "chunked")] if framed else [])))
         for at in range(after + 1, count + 1):
-            event = f"id: {at}\ndata: piece {at} of {ID}\n\n".encode()
+            event = f"id: {at}\ndata: piece {at} of {ID} by {SOFTWARE}\n\n".encode()
             writer.write(b"%x\r\n%s\r\n" % (len(event), event) if framed else event)
             await writer.drain()
             await asyncio.sleep(pause)
--- a/review/standins.py
+++ b/review/standins.py
@@ -303,7 +303,12 @@
 ttl_min_ms = 1000
 ''')
 
-    def start(self):
+    def start(self, bootstrap=True):
+        """Starts the process; `bootstrap` is true only at the very first start of the whole system."""
+        with open(self.path) as f:
+            text = f.read()
+        with open(self.path, "w") as f:
+            f.write(text.replace("bootstrap = true", f"bootstrap = {str(bootstrap).lower()}"))
         environment = {k: os.environ[k] for k in ("PATH", "HOME", "LANG") if k in os.environ}
         environment["JUNCTIONBEND_BOOT"] = self.path
         self.process = subprocess.Popen(["target/release/junctionbendd"], cwd=ROOT, env=environment,
@@ -335,19 +340,20 @@
 class EngineProcess:
     """An engine as a process of its own; its entry is written to the store as the engine would do it."""
 
-    def __init__(self, store, record, id, service, zone="hall-a", program="engine.py", folder=None, port=0):
+    def __init__(self, store, record, id, service, zone="hall-a", program="engine.py", folder=None, port=0,
+                 software="v1"):
         self.store, self.record, self.id, self.service, self.zone = store, record, id, service, zone
         program = os.path.join(folder or os.path.dirname(os.path.abspath(__file__)), program)
-        self.process = subprocess.Popen([sys.executable, program, id, service, str(port)], stdin=subprocess.PIPE,
+        self.process = subprocess.Popen([sys.executable, program, id, service, str(port), software], stdin=subprocess.PIPE,
                                         stdout=subprocess.PIPE, text=True)
         self.port = int(self.process.stdout.readline())
         os.set_blocking(self.process.stdout.fileno(), False)
         self.state, self.sequence, self.lines, self.left = "ready", 0, [], False
-        self.version = 1
+        self.version, self.software = 1, software
 
     def entry(self):
         self.sequence += 1
-        entry = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": "v1",
+        entry = {"service": self.service, "address": f"127.0.0.1:{self.port}", "zone": self.zone, "version": self.software,
                  "slots": 64 if self.service == "models" else 6, "state": self.state, "cold_remaining_ms": 0,
                  "sequence": self.sequence}
         if self.service == "models":
@@ -372,6 +378,13 @@
         self.record(f"store: {self.id} says draining (acknowledged)")
         self.tell("leaving")
 
+    def leave_silently(self):
+        """The engine's entry goes without a word; the engine serves on."""
+        self.left = True
+        self.store.remove(f"servers/{self.id}")
+        self.record(f"store: the entry of {self.id} is gone; it serves on")
+        self.tell("leaving")
+
     def tell(self, what):
         if self.process.poll() is None:
             self.process.stdin.write(what + "\n")
@@ -417,6 +430,7 @@
 async def ask(box, method, path, id, key="key-ann", headers=(), body=b"", deadline_ms=12000, timeout=15):
     """Sends a request on a new connection and reads the answer to its end."""
     answer = Answer()
+    deadline_ms = int(deadline_ms)
     lines = [("Host", HOST), ("X-Junctionbend-Request-Id", id), ("X-Junctionbend-Deadline-Ms", deadline_ms),
              ("Authorization", f"Bearer {key}"), *headers]
     if body or method == "POST":
