--- a/review/standins.py
+++ b/review/standins.py
@@ -436,15 +436,18 @@
     if body or method == "POST":
         lines.append(("Content-Length", len(body)))
     whole = (f"{method} {path} HTTP/1.1\r\n" + "".join(f"{k}: {v}\r\n" for k, v in lines) + "\r\n").encode() + body
+    writer = None
     try:
         reader, writer = await asyncio.open_connection(box.ip, box.front)
         writer.write(whole)
         await asyncio.wait_for(read_answer(reader, answer), timeout)
-        writer.close()
     except (OSError, asyncio.IncompleteReadError, ValueError) as why:
         answer.why = repr(why)
     except asyncio.TimeoutError:
-        answer.why = "client timed out"
+        answer.why = "the client left"
+    finally:
+        if writer:
+            writer.close()
     return answer
 
 
