--- a/review/build.sh
+++ b/review/build.sh
@@ -3,6 +3,6 @@
 set -e
 cd "$(dirname "$0")"
 python3 -c 'import asyncio, sys; sys.exit(sys.version_info < (3, 9))'
-for file in standins.py engine.py [0-9]/*.py; do
+for file in standins.py engine.py [0-9]/*.py trials/*.py; do
     python3 -c 'import ast, sys; ast.parse(open(sys.argv[1]).read())' "$file"
 done
--- a/review/standins.py
+++ b/review/standins.py
@@ -230,10 +230,10 @@
 class Box:
     """A box: the program of the deploy file, with a settings file like that of a small deployment."""
 
-    def __init__(self, folder, name, zone, store_port, ip="127.0.0.1"):
-        self.name, self.front, self.ready = name, free_port(), free_port()
-        self.ip = ip
-        ports = free_port()
+    def __init__(self, folder, name, zone, store_port, ip, ports):
+        self.name, self.ip = name, ip
+        # Ports are alike on all machines, which differ in their addresses.
+        self.front, self.ready, first = ports
         self.path = os.path.join(folder, f"{name}.toml")
         self.log = os.path.join(folder, f"{name}.log")
         with open(self.path, "w") as f:
@@ -244,7 +244,7 @@
 ip = "{ip}"
 zone = "{zone}"
 region = "west"
-port_range = [{ports}, {ports + 15}]
+port_range = [{first}, {first + 15}]
 seeds = []
 bootstrap = true
 in_tolerance = false
@@ -538,9 +538,10 @@
     async def start_boxes(self, zones):
         if not os.path.exists(os.path.join(ROOT, "target/release/junctionbendd")):
             raise Could("target/release/junctionbendd isn't built")
+        ports = free_port(), free_port(), free_port()
         for at, zone in enumerate(zones):
             # Each box has an address of its own, as each machine has.
-            box = Box(self.folder, f"front-{zone}-{at + 1}", zone, self.store.port, f"127.0.{1 + at}.1")
+            box = Box(self.folder, f"front-{zone}-{at + 1}", zone, self.store.port, f"127.0.{1 + at}.1", ports)
             self.boxes.append(box)
             box.start()
             self.processes.append(box.process)
