Record software versions in the store, so that restarted boxes know those that left

Cause: a box took the only registered version for the one that began every stream. Which versions had left was known to the memory of boxes only, so after a restart of all of them the state "one version" and the state "one version is left" looked alike. Also the first read of a box may be stale, and was trusted.

Change: each version of a service with resumable streams has a record in the store, under a lease of twice a stream's lifetime. Its owner writes it again each 30 s while the version is registered; another box writes a missing one after 3 s; a record that a restored store lacks counts as a departure and is written again. A box takes one version for the only one if neither registrations, nor departures, nor records know another one, and not before its state has been verified once.

It works since a stream can only begin while a box is up that knows the version from its registration, and the record then outlasts the stream whatever happens to boxes. A service with one version pays two calls each 30 s for the whole fleet; its streams go on as before after a restart.

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -66,6 +66,7 @@
     RELAY_NODE_ROLE = 4015, "relay_node_role", "The box has become the relay node of its hall, or has ceased to be.";
     STORE_READ_AGAIN = 4016, "store_read_again", "The whole store was read again, or received from another box.";
     STORE_COPY_OUTDATED = 4017, "store_copy_outdated", "An update replaced a copy of the store that was too old to pass on to other boxes.";
+    SOFTWARE_RECORD_UNWRITTEN = 4018, "software_record_unwritten", "The record that a software version serves could not be written to the store.";
     UPSTREAM_DRAINING = 5001, "upstream_draining", "An upstream is draining and receives no new requests.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine has restarted with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream receives no requests after repeated failures.";
--- a/crates/jb-relay/src/configuration.rs
+++ b/crates/jb-relay/src/configuration.rs
@@ -1,6 +1,6 @@
 //! The active configuration, indexed for lookups.
 
-use std::collections::HashMap;
+use std::collections::{BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -257,6 +257,14 @@
         same.map(|route| route.target_latency).min()
     }
 
+    /// Returns the services to which routes send streams that may be resumed.
+    pub fn resumable_services(&self) -> BTreeSet<&id::Service> {
+        let routes = self.hosts.values().flatten();
+        let resumable = routes.filter(|route| route.kind == RouteKind::Stream && route.resumable);
+        let services = resumable.flat_map(|route| &route.services);
+        services.map(|share| &share.service).collect()
+    }
+
     /// Returns the customer that holds a key.
     pub fn customer_by_key(&self, key: &str) -> Option<&Customer> {
         self.customers.get(*self.keys.get(key)?)
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -26,7 +26,7 @@
 use crate::mirror::Mirror;
 use crate::peers::{
     ChangeLog, Directory, Loads, Outbox, PendingPull, PendingWeights, Permit, Quotas, RateLimits,
-    Reachability, Reservations, RoundTrips, Source, StreamOrigins, Transfers,
+    Reachability, Reservations, RoundTrips, SoftwareRecords, Source, StreamOrigins, Transfers,
 };
 use crate::port::{Change, Engines, Era, Revision, Store};
 use crate::quarantine::Quarantine;
@@ -122,6 +122,8 @@
     pub rate_limits: RateLimits,
     /// Software versions that began streams.
     pub stream_origins: StreamOrigins,
+    /// Software versions that the store has records of.
+    pub software_records: SoftwareRecords,
     /// Upstream signals that this version doesn't support.
     pub unknown_signals: UnknownSignals,
     /// Requests that crash engines.
@@ -205,6 +207,7 @@
             quotas: Quotas::default(),
             rate_limits: RateLimits::default(),
             stream_origins: StreamOrigins::default(),
+            software_records: SoftwareRecords::default(),
             unknown_signals: UnknownSignals::default(),
             quarantine: Quarantine::default(),
             lost_attempts: LostAttempts::default(),
@@ -267,12 +270,15 @@
         })
     }
 
-    /// Returns the software versions that a service's upstreams have had recently.
+    /// Returns the software versions that a service's upstreams have had recently: those registered, those that this box
+    /// saw leave, and those recorded in the store.
     pub fn software_versions(&self, service: &str) -> Versions {
         let upstreams = self.upstreams.borrow();
         let departed = self.departed_software.borrow();
+        let recorded = self.software_records.versions(service);
         let registered = upstreams.software_versions(service);
-        Versions::of(registered.chain(departed.recent(service, self.now())))
+        let known = registered.chain(departed.recent(service, self.now()));
+        Versions::of(known.chain(&recorded))
     }
 
     /// Returns whether the box has received the store's state, however old it may be.
--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -5,7 +5,7 @@
 use jb_policy::Moment;
 use jb_policy::software::Versions;
 use jb_protocol::{emit, event, id};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use super::isolation::BeginWatch;
 use super::load_guard::LoadGuard;
@@ -19,6 +19,11 @@
 use crate::upstream::Instance;
 use crate::{restart, signal};
 
+/// Time for which a stream that is taken up waits for a verified state: a few calls to the store.
+const MAX_VERIFICATION_TIME: Duration = Duration::from_millis(300);
+/// Interval at which it is checked.
+const VERIFICATION_POLL_INTERVAL: Duration = Duration::from_millis(10);
+
 impl Exchange<'_> {
     /// Returns what the selection of an upstream depends on.
     pub(super) fn placement(&self) -> Placement<'_> {
@@ -40,6 +45,7 @@
             return Ok(());
         }
         let core = self.core;
+        self.wait_until_verified().await;
         let finding = peers::find_origin(core, &request.service, &origin_name(request)).await;
         self.message.software = match (finding, core.software_versions(&request.service)) {
             (OriginLookup::Known(version), _) => Some(version),
@@ -49,7 +55,7 @@
                     ..
                 },
                 Versions::One(version),
-            ) if !core.is_outdated() => Some(version),
+            ) if core.state_age().is_some() && !core.is_outdated() => Some(version),
             (OriginLookup::Unknown { .. }, _) => None,
         };
         if self.message.software.is_some() {
@@ -64,6 +70,15 @@
         })
     }
 
+    /// Waits until the state is verified for the first time. The first read of a box may be stale, so it may lack the
+    /// version that began a stream.
+    async fn wait_until_verified(&self) {
+        let end = self.core.now() + MAX_VERIFICATION_TIME.min(self.left());
+        while self.core.state_age().is_none() && self.core.now() < end {
+            sleep(VERIFICATION_POLL_INTERVAL).await;
+        }
+    }
+
     /// Rejects the request if no upstream of the version that began its stream is left.
     pub(super) fn reject_without_version(&self) -> Option<Rejection> {
         let software = self.message.software.as_deref()?;
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -56,6 +56,9 @@
     /// Announces the running streams of the services that may have another software version now, and logs the counts if
     /// the upstreams got no log events of their own.
     pub(super) fn finish(self, core: &Core) {
+        if !self.joined.is_empty() {
+            core.software_records.check_soon();
+        }
         for service in &self.joined {
             if core.software_versions(service) == Versions::Several {
                 peers::announce_streams(core, service);
@@ -214,6 +217,7 @@
             core.settled_era.set(core.settled_era.get().max(Some(era)));
         }
         peers::apply_quarantine_record(core, &item);
+        peers::apply_software_record(core, &item, is_lost);
         own.insert(item.key.clone(), item);
     }
 }
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -19,6 +19,7 @@
 mod reservation;
 mod round_trip;
 mod socket;
+mod software_record;
 mod status;
 mod stream_origin;
 mod suspicion;
@@ -44,6 +45,7 @@
 };
 pub use round_trip::RoundTrips;
 pub use socket::{bind, receive as receive_messages};
+pub use software_record::{SoftwareRecords, apply_software_record, record_software};
 pub use status::{Loads, ReceivedStatus, SentPrompt, publish as publish_status, record_cache_use};
 pub use stream_origin::{
     OriginLookup, StreamOrigins, announce_streams, announce_while_outdated, begin_stream, end_stream,
