Record in the store which version began each stream, while a service has several

Cause: which version began a stream was known to the memory of four boxes, and to nothing that outlives them. Rejecting such streams is right, as the versions don't fit together; forgetting them is not.

Change: while several versions of a service are known, a box writes the origins of its streams that are running or broke into an item of its own in the store, in batches of at least 100 ms and at most a quarter of the store's writes for the whole fleet. In a fleet of more than 16 boxes the relay node of each hall writes for its hall. Items have a lease of twice a stream's lifetime and are replaced by the next one at half of it, or at 512 rows, so none is rewritten for long. A box that takes up a stream which no box knows reads all items, with a read that begins after the attempt came; concurrent lookups share one. No box mirrors them or passes them on. What the last batch loses is rejected as before. Streams that begin while the store is away are written when it is back, and all again after a restore. Streams of a service whose second version becomes known through a record are announced and recorded, too, which closes a gap that the postmortem on versions lists.

Weighed: a write a stream (thousands a second on a large fleet); choosing the version by a hash of the id (splits cached prompts by id); holding the first event back until it is written (adds a call to each first token, and stops streams while the store is away).

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -38,7 +38,7 @@
     REQUEST_SUSPECTED = 2011, "request_suspected", "Engines have crashed under a request or a segment; it runs in isolated trials.";
     REQUEST_POISONOUS = 2012, "request_poisonous", "A request or a segment crashes engines and has been quarantined.";
     REQUEST_CLEARED = 2013, "request_cleared", "A request or a segment is no longer suspected of crashing engines.";
-    STREAM_ORIGIN_UNKNOWN = 2014, "stream_origin_unknown", "A caller takes up a stream, and no box knows which software version began it.";
+    STREAM_ORIGIN_UNKNOWN = 2014, "stream_origin_unknown", "A caller takes up a stream, and neither a box nor the store knows which software version began it.";
     CRASH_CHECKED = 2015, "crash_checked", "An attempt was lost; the upstream was checked for a crash.";
     RETRY_BUDGET_EXHAUSTED = 2016, "retry_budget_exhausted", "A service's retries are used up at this box; failed attempts are not retried until requests earn more.";
     TREE_IN_FORCE = 3001, "tree_in_force", "A newer revision of the settings tree has taken effect.";
@@ -67,6 +67,7 @@
     STORE_READ_AGAIN = 4016, "store_read_again", "The whole store was read again, or received from another box.";
     STORE_COPY_OUTDATED = 4017, "store_copy_outdated", "An update replaced a copy of the store that was too old to pass on to other boxes.";
     SOFTWARE_RECORD_UNWRITTEN = 4018, "software_record_unwritten", "The record that a software version serves could not be written to the store.";
+    STREAM_ORIGINS_UNWRITTEN = 4019, "stream_origins_unwritten", "The software versions that began streams could not be written to the store.";
     UPSTREAM_DRAINING = 5001, "upstream_draining", "An upstream is draining and receives no new requests.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine has restarted with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream receives no requests after repeated failures.";
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -25,8 +25,8 @@
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
 use crate::peers::{
-    ChangeLog, Directory, Loads, Outbox, PendingPull, PendingWeights, Permit, Quotas, RateLimits,
-    Reachability, Reservations, RoundTrips, SoftwareRecords, Source, StreamOrigins, Transfers,
+    ChangeLog, Directory, Loads, OriginRecords, Outbox, PendingPull, PendingWeights, Permit, Quotas,
+    RateLimits, Reachability, Reservations, RoundTrips, SoftwareRecords, Source, StreamOrigins, Transfers,
 };
 use crate::port::{Change, Engines, Era, Revision, Store};
 use crate::quarantine::Quarantine;
@@ -122,6 +122,8 @@
     pub rate_limits: RateLimits,
     /// Software versions that began streams.
     pub stream_origins: StreamOrigins,
+    /// Origins of streams that this box writes to the store.
+    pub origin_records: OriginRecords,
     /// Software versions that the store has records of.
     pub software_records: SoftwareRecords,
     /// Upstream signals that this version doesn't support.
@@ -207,6 +209,7 @@
             quotas: Quotas::default(),
             rate_limits: RateLimits::default(),
             stream_origins: StreamOrigins::default(),
+            origin_records: OriginRecords::default(),
             software_records: SoftwareRecords::default(),
             unknown_signals: UnknownSignals::default(),
             quarantine: Quarantine::default(),
@@ -313,6 +316,7 @@
             noticed_at: self.now(),
             verified_at: self.keys_verified_at(),
         }));
+        self.origin_records.write_again(self.now());
     }
 
     /// Records the first answer of the store. A store with an era above 0 may have been restored right before
--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -16,6 +16,7 @@
 use crate::core::Shared;
 use crate::deliver;
 use crate::peers::{self, OriginLookup};
+use crate::port::StoreError;
 use crate::upstream::Instance;
 use crate::{restart, signal};
 
@@ -56,13 +57,11 @@
                 },
                 Versions::One(version),
             ) if core.state_age().is_some() && !core.is_outdated() => Some(version),
-            (OriginLookup::Unknown { .. }, _) => None,
+            (OriginLookup::Unknown { .. }, _) => self.find_recorded().await,
         };
         if self.message.software.is_some() {
             return Ok(());
         }
-        emit!(core.logger, info, event::STREAM_ORIGIN_UNKNOWN, "request" => &request.id,
-            "resumes" => &request.resumes);
         Err(Rejection {
             why: "unknown_version",
             // Another box may know it.
@@ -70,6 +69,24 @@
         })
     }
 
+    /// Looks up the version that began a stream in the store.
+    async fn find_recorded(&self) -> Option<id::SoftwareVersion> {
+        let (core, request) = (self.core, self.message.request);
+        let name = origin_name(request);
+        let found = match timeout(self.left(), peers::find_recorded(core, &name)).await {
+            Ok(found) => found,
+            Err(_) => Err(StoreError::Lost("the deadline has passed".to_owned())),
+        };
+        let why = match found {
+            Ok(Some(version)) => return Some(version),
+            Ok(None) => "no record".to_owned(),
+            Err(why) => why.to_string(),
+        };
+        emit!(core.logger, info, event::STREAM_ORIGIN_UNKNOWN, "request" => &request.id,
+            "resumes" => &request.resumes, "why" => why);
+        None
+    }
+
     /// Waits until the state is verified for the first time. The first read of a box may be stale, so it may lack the
     /// version that began a stream.
     async fn wait_until_verified(&self) {
--- a/crates/jb-relay/src/follow/facts.rs
+++ b/crates/jb-relay/src/follow/facts.rs
@@ -29,8 +29,8 @@
     draining: usize,
     expired: usize,
     gone: usize,
-    /// Services that upstreams have joined.
-    joined: BTreeSet<id::Service>,
+    /// Services that may have another software version than before.
+    changed_software: BTreeSet<id::Service>,
 }
 
 impl UpdateSummary {
@@ -53,15 +53,16 @@
         self.expired += 1;
     }
 
-    /// Announces the running streams of the services that may have another software version now, and logs the counts if
+    /// Announces and records the running streams of the services that may have another software version now, and logs the counts if
     /// the upstreams got no log events of their own.
     pub(super) fn finish(self, core: &Core) {
-        if !self.joined.is_empty() {
+        if !self.changed_software.is_empty() {
             core.software_records.check_soon();
         }
-        for service in &self.joined {
+        for service in &self.changed_software {
             if core.software_versions(service) == Versions::Several {
                 peers::announce_streams(core, service);
+                peers::record_streams(core, service);
             }
         }
         if self.is_bulk && self.new + self.draining + self.expired + self.gone > 0 {
@@ -87,7 +88,7 @@
                 emit!(core.logger, info, event::WEIGHTS_RELEASED, "model" => named.model, "version" => named.version);
             }
         }
-        DecodedItem::BoxItem(item) => apply_box_item(core, item),
+        DecodedItem::BoxItem(item) => apply_box_item(core, item, summary),
         DecodedItem::Unreadable { key, why } => {
             emit!(core.logger, error, event::STORE_UNREADABLE, "key" => key, "why" => why);
         }
@@ -131,7 +132,7 @@
     let after = software_of(core, id);
     if after != before {
         note_departure(core, before);
-        summary.joined.extend(after.map(|(service, _)| service));
+        summary.changed_software.extend(after.map(|(service, _)| service));
     }
     match transition {
         Transition::Added => {
@@ -203,7 +204,7 @@
     }
 }
 
-fn apply_box_item(core: &Core, item: Change) {
+fn apply_box_item(core: &Core, item: Change, summary: &mut UpdateSummary) {
     let mut own = core.box_items.borrow_mut();
     let known = own.get(&item.key);
     let newer = known.is_none_or(|known| known.revision < item.revision);
@@ -217,7 +218,9 @@
             core.settled_era.set(core.settled_era.get().max(Some(era)));
         }
         peers::apply_quarantine_record(core, &item);
-        peers::apply_software_record(core, &item, is_lost);
+        summary
+            .changed_software
+            .extend(peers::apply_software_record(core, &item, is_lost));
         own.insert(item.key.clone(), item);
     }
 }
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -328,6 +328,8 @@
         revision,
         proven,
     } = update;
+    // Only lookups of streams use them, and they read them from the store.
+    changes.retain(|change| !peers::is_origin_record(&change.key));
     if known_revision(core).is_none() {
         core.note_first_answer(revision.era);
         emit!(core.logger, info, event::STORE_LOADED, "from" => ?from, "items" => changes.len(),
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -70,6 +70,8 @@
     pub stream_origin_queries: Counter,
     /// Streams whose origin neither this box nor the owners that replied knew.
     pub stream_origins_unknown: Counter,
+    /// Rows written to the store with origins of streams.
+    pub stream_origins_recorded: Counter,
     /// Connections opened to upstreams.
     pub connections_opened: Counter,
     /// Services of which no upstream can be reached from this box.
@@ -127,6 +129,7 @@
         let stream_origins_sent = Counter::default();
         let stream_origin_queries = Counter::default();
         let stream_origins_unknown = Counter::default();
+        let stream_origins_recorded = Counter::default();
         let connections_opened = Counter::default();
         let uplinks_down = Gauge::default();
         let requests_forwarded = Counter::default();
@@ -214,6 +217,11 @@
             "Streams whose origin no box knew",
             stream_origins_unknown.clone(),
         );
+        registry.register(
+            "stream_origins_recorded",
+            "Rows with origins of streams written to the store",
+            stream_origins_recorded.clone(),
+        );
         registry.register(
             "upstream_connections",
             "Connections opened to upstreams",
@@ -294,6 +302,7 @@
             stream_origins_sent,
             stream_origin_queries,
             stream_origins_unknown,
+            stream_origins_recorded,
             connections_opened,
             uplinks_down,
             requests_forwarded,
--- a/crates/jb-relay/src/peers/directory.rs
+++ b/crates/jb-relay/src/peers/directory.rs
@@ -96,6 +96,11 @@
         self.halls.get(hall).map_or(1, Vec::len)
     }
 
+    /// Returns the number of data halls with listed boxes, at least 1.
+    pub fn halls(&self) -> usize {
+        self.halls.len().max(1)
+    }
+
     /// Returns whether the fleet is so small that each box sends its status to all others.
     pub fn is_small(&self) -> bool {
         self.boxes() <= MAX_SMALL_FLEET
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -6,6 +6,7 @@
 mod change_log;
 mod directory;
 mod message;
+mod origin_record;
 mod outbox;
 mod owner;
 mod pull;
@@ -29,6 +30,7 @@
 pub use change_log::ChangeLog;
 pub use directory::{Directory, Peer};
 pub use message::{Admission, UpstreamLoad};
+pub use origin_record::{OriginRecords, find_recorded, is_origin_record, record_origins};
 pub use outbox::{Outbox, announce_draining, announce_prompt, announce_rate_limit, announce_replaced};
 pub use pull::{Error as PullError, PendingPull, Source, Update, is_fresh, pull_changes};
 pub use quarantine_record::{apply_record as apply_quarantine_record, owns as owns_quarantine};
@@ -49,7 +51,7 @@
 pub use status::{Loads, ReceivedStatus, SentPrompt, publish as publish_status, record_cache_use};
 pub use stream_origin::{
     OriginLookup, StreamOrigins, announce_streams, announce_while_outdated, begin_stream, end_stream,
-    expire_stream_origins, find_origin,
+    expire_stream_origins, find_origin, record_streams,
 };
 pub use suspicion::publish as publish_suspects;
 pub use transfer::{
--- a/crates/jb-relay/src/peers/software_record.rs
+++ b/crates/jb-relay/src/peers/software_record.rs
@@ -167,10 +167,10 @@
 }
 
 /// Applies an item of the store if it is a record of a version. `is_lost` if it was deleted by a restore of the store:
-/// the version counts as one that has just left, so its record is written again.
-pub fn apply_software_record(core: &Core, item: &Change, is_lost: bool) {
+/// the version counts as one that has just left, so its record is written again. Returns the service if the record is new.
+pub fn apply_software_record(core: &Core, item: &Change, is_lost: bool) -> Option<id::Service> {
     if !item.key.starts_with(KEY_PREFIX) {
-        return;
+        return None;
     }
     let mut known = core.software_records.known.borrow_mut();
     let Some(value) = &item.value else {
@@ -179,14 +179,17 @@
             let mut departed = core.departed_software.borrow_mut();
             departed.note(&record.service, &record.version, now);
         }
-        return;
+        return None;
     };
-    match serde_json::from_slice(value) {
+    match serde_json::from_slice::<SoftwareRecord>(value) {
         Ok(record) => {
-            known.insert(item.key.clone(), record);
+            let service = record.service.clone();
+            let is_new = known.insert(item.key.clone(), record).is_none();
+            is_new.then_some(service)
         }
         Err(why) => {
             emit!(core.logger, warn, event::STORE_UNREADABLE, "key" => &item.key, "why" => %why);
+            None
         }
     }
 }
--- a/crates/jb-relay/src/peers/stream_origin.rs
+++ b/crates/jb-relay/src/peers/stream_origin.rs
@@ -1,7 +1,8 @@
 //! Software versions that began streams, for boxes that resume the streams of others.
 //!
 //! While a service has several versions, the box that begins a stream sends the version to the owners of the stream,
-//! chosen by rendezvous hashing of the request id over all listed boxes. A box that resumes the stream asks them.
+//! chosen by rendezvous hashing of the request id over all listed boxes. A box that resumes the stream asks them. The store
+//! has a record of it for the case that all of them have restarted.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
@@ -34,14 +35,19 @@
 /// Upper bound of the bytes of a row besides its version: the request and the length of the version.
 const MAX_ROW_HEAD_BYTES: usize = 11;
 
+/// Streams, by the hash of the request, with their services.
+type Waiting = RefCell<HashMap<u64, id::Service>>;
+
 /// Origins of streams that one box knows.
 #[derive(Debug, Default)]
 pub struct StreamOrigins {
     queries: Queries<u64, StreamOriginReply>,
     /// Streams of this box that are running or broke.
     own: RefCell<Origins>,
-    /// Those of them that have not been sent to their owners, with their services.
-    unsent: RefCell<HashMap<u64, id::Service>>,
+    /// Those of them that have not been sent to their owners.
+    unsent: Waiting,
+    /// Those of them that have not been passed on to be recorded in the store.
+    unrecorded: Waiting,
     /// Streams of other boxes.
     others: RefCell<Origins>,
 }
@@ -53,16 +59,24 @@
     }
 
     /// Returns the version that began a stream, as this box knows it.
-    fn get(&self, request: u64, now: Moment) -> Option<id::SoftwareVersion> {
+    pub(super) fn get(&self, request: u64, now: Moment) -> Option<id::SoftwareVersion> {
         let own = self.own.borrow().get(request, now).cloned();
         own.or_else(|| self.others.borrow().get(request, now).cloned())
     }
 
-    /// Returns the streams of a service that have not been sent yet, and counts them as sent.
-    fn take_unsent(&self, service: &str, now: Moment) -> Vec<OriginRow> {
+    /// Records the origins of streams of other boxes.
+    pub(super) fn learn(&self, rows: Vec<OriginRow>, now: Moment) {
+        let mut others = self.others.borrow_mut();
+        for OriginRow { request, version } in rows {
+            others.insert(request, version, now);
+        }
+    }
+
+    /// Returns the streams of a service that `waiting` holds, and removes them from it.
+    fn take(&self, waiting: &Waiting, service: &str, now: Moment) -> Vec<OriginRow> {
         let own = self.own.borrow();
-        let mut unsent = self.unsent.borrow_mut();
-        let taken = unsent.extract_if(|_, unsent| unsent == service);
+        let mut waiting = waiting.borrow_mut();
+        let taken = waiting.extract_if(|_, of| of == service);
         let row = |(request, _)| {
             let version = own.get(request, now)?.clone();
             Some(OriginRow { request, version })
@@ -85,8 +99,9 @@
     },
 }
 
-/// Records the version that began a stream of this box. Must be called before the first event reaches the caller. If
-/// the service has several versions, or may have, the version is sent to the stream's owners at once.
+/// Notes the version that began a stream of this box. Must be called before the first event reaches the caller. If the
+/// service has several versions, or may have, the version is sent to the stream's owners at once. It is recorded in the
+/// store if several are known.
 pub fn begin_stream(core: &Core, service: &str, request: &str, version: &str) {
     let request = rendezvous::name_hash(request);
     let (origins, now) = (&core.stream_origins, core.now());
@@ -94,8 +109,13 @@
         return;
     }
     origins.own.borrow_mut().insert(request, version.to_owned(), now);
-    origins.unsent.borrow_mut().insert(request, service.to_owned());
-    if has_several_versions(core, service) || core.is_outdated() {
+    for waiting in [&origins.unsent, &origins.unrecorded] {
+        waiting.borrow_mut().insert(request, service.to_owned());
+    }
+    if has_several_versions(core, service) {
+        announce_streams(core, service);
+        record_streams(core, service);
+    } else if core.is_outdated() {
         announce_streams(core, service);
     }
 }
@@ -114,8 +134,22 @@
 /// Forgets a stream of this box that was delivered completely.
 pub fn end_stream(core: &Core, request: &str) {
     let request = rendezvous::name_hash(request);
-    core.stream_origins.own.borrow_mut().remove(request);
-    core.stream_origins.unsent.borrow_mut().remove(&request);
+    let origins = &core.stream_origins;
+    origins.own.borrow_mut().remove(request);
+    for waiting in [&origins.unsent, &origins.unrecorded] {
+        waiting.borrow_mut().remove(&request);
+    }
+    core.origin_records.remove(request);
+}
+
+/// Has the origins of this box's streams of a service recorded in the store, each once.
+pub fn record_streams(core: &Core, service: &str) {
+    let (origins, now) = (&core.stream_origins, core.now());
+    let rows = origins.take(&origins.unrecorded, service, now);
+    match recorder(core) {
+        None => core.origin_records.add(&rows, now),
+        Some(recorder) => send_rows(core, recorder, rows),
+    }
 }
 
 /// Sends the origins of this box's streams of a service to their owners, except those that were sent before.
@@ -124,13 +158,18 @@
         // The other boxes are not listed yet, or there are none.
         return;
     }
-    let rows = core.stream_origins.take_unsent(service, core.now());
+    let origins = &core.stream_origins;
+    let rows = origins.take(&origins.unsent, service, core.now());
     for (owner, rows) in by_owner(core, rows) {
         core.metrics.stream_origins_sent.inc_by(rows.len() as u64);
-        for rows in batches(rows) {
-            let message = Message::StreamOrigin(StreamOrigin { rows });
-            core.stream_origins.queries.send(core, owner, &message);
-        }
+        send_rows(core, owner, rows);
+    }
+}
+
+fn send_rows(core: &Core, to: SocketAddr, rows: Vec<OriginRow>) {
+    for rows in batches(rows) {
+        let message = Message::StreamOrigin(StreamOrigin { rows });
+        core.stream_origins.queries.send(core, to, &message);
     }
 }
 
@@ -145,6 +184,18 @@
     by_owner
 }
 
+/// Returns the box that records the origins of this box's streams in the store: in a large fleet, the relay node of its
+/// data hall. `None` if it is this box.
+fn recorder(core: &Core) -> Option<SocketAddr> {
+    let directory = core.directory.borrow();
+    if directory.is_small() {
+        return None;
+    }
+    let relay_node = directory.relay_node(&core.settings.hall, core.now())?;
+    let is_other = *relay_node != core.settings.id;
+    directory.address(relay_node).filter(|_| is_other)
+}
+
 /// Returns the owners of a stream's origin, without this box.
 fn other_owners(core: &Core, request: u64) -> Vec<Owner> {
     let mut owners = core.directory.borrow().stream_owners(request);
@@ -220,10 +271,18 @@
     if !is_from_listed_box(core, from) {
         return;
     }
-    let mut others = core.stream_origins.others.borrow_mut();
-    for OriginRow { request, version } in origins.rows {
-        others.insert(request, version, core.now());
+    let now = core.now();
+    if records_for(core, from) {
+        core.origin_records.add(&origins.rows, now);
     }
+    core.stream_origins.learn(origins.rows, now);
+}
+
+/// Returns whether this box records the origins of another one's streams in the store.
+fn records_for(core: &Core, sender: SocketAddr) -> bool {
+    let directory = core.directory.borrow();
+    let is_local = || directory.addresses_in(&core.settings.hall).contains(&sender);
+    !directory.is_small() && recorder(core).is_none() && is_local()
 }
 
 /// Replies to a box that resumes a stream.
@@ -251,9 +310,12 @@
 /// Drops the origins of streams that can't be resumed any more.
 pub fn expire_stream_origins(core: &Core) {
     let (origins, now) = (&core.stream_origins, core.now());
+    core.origin_records.expire(now);
     origins.others.borrow_mut().expire(now);
     let mut own = origins.own.borrow_mut();
     own.expire(now);
-    let mut unsent = origins.unsent.borrow_mut();
-    unsent.retain(|request, _| own.get(*request, now).is_some());
+    for waiting in [&origins.unsent, &origins.unrecorded] {
+        let is_known = |request: &u64| own.get(*request, now).is_some();
+        waiting.borrow_mut().retain(|request, _| is_known(request));
+    }
 }
--- a/crates/jb-relay/src/settings.rs
+++ b/crates/jb-relay/src/settings.rs
@@ -41,6 +41,8 @@
     pub max_descriptors: usize,
     /// Bandwidth of the machine's link, in Mbit/s.
     pub link_mbps: u32,
+    /// Writing calls a second that the store accepts from all boxes together.
+    pub store_writes_per_second: f64,
 }
 
 impl Default for Capacity {
@@ -49,6 +51,7 @@
             memory_bytes: 64 << 20,
             max_descriptors: 1024,
             link_mbps: 1000,
+            store_writes_per_second: 400.0,
         }
     }
 }
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -125,6 +125,7 @@
     spawn_local(ready::serve(Rc::clone(core), checks));
     spawn_local(peers::register_address(Rc::clone(core)));
     spawn_local(peers::record_software(Rc::clone(core)));
+    spawn_local(peers::record_origins(Rc::clone(core)));
     spawn_local(peers::publish_status(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::receive_messages(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::discover_releases(Rc::clone(core), Rc::clone(&socket)));
