Count events, not bytes, as the progress of a stream, and repeat bodies that do not end

Cause: the stall timeout of a stream ran from its last byte, and there was none before its first event; any blank event began the stream, so that no other engine could. A buffered body could only end or break.

Change: progress of a resumable stream is an event with an id or data. Without progress it moves to another engine after its stall timeout, whatever arrives; before the first event nothing is sent. With no other engine, the caller gets 502 after half of the time left at the head. More than 256 KB without an event break the response. A request that may be repeated runs elsewhere if its body stalls, or hasn't ended after half of the time left, within the retry budget. A stream without an event that ends with its connection is broken. An engine that is only silent is waited for as before.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -9,8 +9,8 @@
 
 use crate::admission::AdmittedRequest;
 use crate::attempt::{Message, Reply};
-use crate::core::Shared;
-use crate::events::{Boundary, EventSplitter};
+use crate::core::{Core, Shared};
+use crate::events::{Boundary, EventSplitter, MAX_EVENT_BYTES};
 use crate::http::{self, Connection, Framing, ResponseHead, write_response_head};
 use crate::pool;
 
@@ -39,11 +39,34 @@
     Data(Bytes),
     End,
     Broken(&'static str),
-    Silent,
+    Stalled,
     Late,
     CallerGone,
 }
 
+/// Time of the last progress of a response. Bytes may arrive without any, and without end.
+struct Stall {
+    /// When the response last made progress, or no other upstream could take over.
+    since: Moment,
+    /// When it is given up if nothing of it could be delivered.
+    give_up_at: Moment,
+}
+
+impl Stall {
+    /// Begins with the head of a response. Half of the remaining time is left for an error that the caller can react to.
+    fn new(core: &Core, request: &AdmittedRequest) -> Self {
+        let (now, left) = (core.now(), request.deadline.saturating_sub(core.now()));
+        Self {
+            since: now,
+            give_up_at: now + request.route.response_stall_timeout().max(left / 2),
+        }
+    }
+
+    fn left(&self, timeout: Duration, now: Moment) -> Duration {
+        (self.since + timeout).saturating_sub(now)
+    }
+}
+
 /// Waits for the next part of a body, until the caller closes the connection, the stall timeout or the deadline.
 async fn next_part(
     reply: &mut Reply,
@@ -51,6 +74,10 @@
     left: Duration,
     stall_timeout: Option<Duration>,
 ) -> Part {
+    if stall_timeout.is_some_and(|stall_timeout| stall_timeout.is_zero()) {
+        // Bytes that arrive without a pause must not prevent it.
+        return Part::Stalled;
+    }
     let wait = stall_timeout.map_or(left, |stall_timeout| stall_timeout.min(left));
     tokio::select! {
         part = reply.connection.read_data(&mut reply.body) => match part {
@@ -60,7 +87,7 @@
             Err(_) => Part::Broken("connection closed before the end of the response"),
         },
         () = client.wait_closed() => Part::CallerGone,
-        () = sleep(wait) => if wait == left { Part::Late } else { Part::Silent },
+        () = sleep(wait) => if wait == left { Part::Late } else { Part::Stalled },
     }
 }
 
@@ -92,26 +119,47 @@
     }
 }
 
-/// Buffers a response and delivers it as a whole; one that is too large is forwarded as it arrives.
+/// Buffers a response and delivers it as a whole; one that is too large is forwarded as it arrives. While none of it has
+/// been delivered, another upstream may take over.
 pub async fn deliver_buffered(
     core: &Shared,
     request: &AdmittedRequest,
     mut reply: Reply,
     client: &mut Connection,
+    mut progress: impl Progress,
 ) -> DeliveryOutcome {
     let mut body = BytesMut::new();
+    let mut stall = Stall::new(core, request);
+    let stall_timeout = request
+        .route
+        .is_retryable()
+        .then(|| request.route.response_stall_timeout());
     loop {
-        let left = request.deadline.saturating_sub(core.now());
-        match next_part(&mut reply, client, left, None).await {
+        let now = core.now();
+        let left = request.deadline.saturating_sub(now);
+        let stall_left = stall_timeout.map(|timeout| {
+            let overdue = stall.give_up_at.saturating_sub(now);
+            stall.left(timeout, now).min(overdue)
+        });
+        match next_part(&mut reply, client, left, stall_left).await {
+            Part::Stalled if progress.can_move(None) => return DeliveryOutcome::Nothing("response stalled"),
+            Part::Stalled => {
+                // Its end may only be late.
+                stall.since = core.now();
+                stall.give_up_at = request.deadline;
+            }
             Part::Data(data) if body.len() + data.len() > MAX_BUFFERED_BYTES => {
                 body.extend_from_slice(&data);
                 return deliver_unbuffered(core, request, reply, client, body).await;
             }
-            Part::Data(data) => body.extend_from_slice(&data),
+            Part::Data(data) => {
+                body.extend_from_slice(&data);
+                stall.since = core.now();
+            }
             Part::End if has_ended(core, &reply).await => return DeliveryOutcome::Nothing(ENDED),
             Part::End => break,
             Part::Broken(why) => return DeliveryOutcome::Nothing(why),
-            Part::Silent | Part::Late => return DeliveryOutcome::Nothing("deadline exceeded"),
+            Part::Late => return DeliveryOutcome::Nothing("deadline exceeded"),
             Part::CallerGone => return DeliveryOutcome::CallerGone,
         }
     }
@@ -149,7 +197,7 @@
             Part::End if has_ended(core, &reply).await => return DeliveryOutcome::Partly(ENDED),
             Part::End => break,
             Part::Broken(why) => return DeliveryOutcome::Partly(why),
-            Part::Silent | Part::Late => return DeliveryOutcome::Late,
+            Part::Stalled | Part::Late => return DeliveryOutcome::Late,
             Part::CallerGone => return DeliveryOutcome::CallerGone,
         }
     }
@@ -207,7 +255,8 @@
         None
     }
 
-    /// Returns whether another upstream can resume a stalled stream, with the software version that began it.
+    /// Returns whether another upstream can take over from one that has stalled: it resumes the stream, with the software
+    /// version that began it, or runs the request.
     fn can_move(&mut self, _software: Option<&str>) -> bool {
         false
     }
@@ -240,33 +289,52 @@
         None => head(core, &reply.answer, framing),
     };
     let mut has_started = message.last_event.is_some();
-    let stall_timeout = request
-        .route
-        .resumable
-        .then(|| request.route.stream_stall_timeout());
+    let mut has_event = false;
+    let mut stall = Stall::new(core, request);
+    // Bytes since the last event.
+    let mut idle_bytes = 0;
     loop {
-        let left = request.deadline.saturating_sub(core.now());
-        let stall_limit = if has_started { stall_timeout } else { None };
-        match next_part(&mut reply, client, left, stall_limit).await {
+        let now = core.now();
+        let left = request.deadline.saturating_sub(now);
+        let stall_timeout = match (request.route.resumable, has_started) {
+            (true, true) => Some(request.route.stream_stall_timeout()),
+            // An engine sends nothing while it prefills.
+            (true, false) if idle_bytes > 0 => Some(request.route.response_stall_timeout()),
+            _ => None,
+        };
+        let stall_left = stall_timeout.map(|timeout| stall.left(timeout, now));
+        match next_part(&mut reply, client, left, stall_left).await {
             Part::Data(data) => {
                 progress.received();
                 pace.boundary.push(&data);
-                let before = out.len();
-                if request.route.resumable {
+                idle_bytes += data.len();
+                let is_progress = if request.route.resumable {
                     events.push(&data);
                     if events.exceeds_limit() {
                         return cut_off(has_started, "event exceeds the size limit");
                     }
-                    if let Err(why) = forward_events(&mut events, message, &mut out) {
-                        return cut_off(has_started, why);
+                    match forward_events(&mut events, message, &mut out) {
+                        Ok(is_progress) => is_progress,
+                        Err(why) => return cut_off(has_started, why),
                     }
                 } else {
                     put_data(&mut out, framing, &data);
+                    true
+                };
+                if is_progress {
+                    has_event = true;
+                    idle_bytes = 0;
+                    stall.since = core.now();
+                } else if idle_bytes > MAX_EVENT_BYTES {
+                    return cut_off(has_started, "no event within the size limit");
                 }
-                if out.len() == before {
+                // Without an event nothing is sent, so that another upstream can still begin the stream.
+                if out.is_empty() || !(has_started || is_progress) {
                     continue;
                 }
-                pace.event(core, request);
+                if is_progress {
+                    pace.event(core, request);
+                }
                 if !has_started {
                     message.software = progress.begins().or(message.software.take());
                 }
@@ -280,7 +348,7 @@
                 return cut_off(has_started, "stream ended within an event");
             }
             // Nothing distinguishes the close of a connection before any event from a crash.
-            Part::End if ends_by_close && pace.boundary.is_empty() => {
+            Part::End if ends_by_close && !has_event => {
                 return cut_off(
                     has_started,
                     "stream without a length ended before its first event",
@@ -289,11 +357,14 @@
             Part::End if has_ended(core, &reply).await => return cut_off(has_started, ENDED),
             Part::End => break,
             Part::Broken(why) => return cut_off(has_started, why),
-            Part::Silent if progress.can_move(message.software.as_deref()) => {
+            Part::Stalled if progress.can_move(message.software.as_deref()) => {
                 return cut_off(has_started, "stream stalled");
             }
+            Part::Stalled if !has_started && core.now() >= stall.give_up_at => {
+                return DeliveryOutcome::Nothing("no event in the response");
+            }
             // A stall alone doesn't end a stream, as its events may only be late.
-            Part::Silent => {}
+            Part::Stalled => stall.since = core.now(),
             Part::Late if has_started => return DeliveryOutcome::Late,
             Part::Late => return DeliveryOutcome::Nothing("deadline exceeded"),
             Part::CallerGone => return DeliveryOutcome::CallerGone,
@@ -317,14 +388,16 @@
     }
 }
 
-/// Appends the complete events to the output, each once and in order. After a resume, the new upstream may send
-/// events again that the caller already has.
+/// Appends the complete events to the output, each once and in order, and returns whether any has content. After a
+/// resume, the new upstream may send events again that the caller already has.
 fn forward_events(
     events: &mut EventSplitter,
     message: &mut Message<'_>,
     out: &mut BytesMut,
-) -> Result<(), &'static str> {
+) -> Result<bool, &'static str> {
+    let mut has_content = false;
     while let Some(event) = events.next_event() {
+        has_content |= event.has_content;
         if let Some(id) = event.id {
             let expected = message.last_event.map(|last| last + 1);
             if expected.is_some_and(|expected| id < expected) {
@@ -337,5 +410,5 @@
         }
         put_data(out, Framing::Chunked, &event.bytes);
     }
-    Ok(())
+    Ok(has_content)
 }
--- a/crates/jb-relay/src/events.rs
+++ b/crates/jb-relay/src/events.rs
@@ -3,14 +3,16 @@
 
 use bytes::{Bytes, BytesMut};
 
-/// Upper bound on an event, in bytes.
-const MAX_EVENT_BYTES: usize = 256 * 1024;
+/// Upper bound on an event, and on the comments and blank lines before it, in bytes.
+pub const MAX_EVENT_BYTES: usize = 256 * 1024;
 
 /// A complete event including the blank line that ends it.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct Event {
     /// Numeric id, if it has one.
     pub id: Option<u64>,
+    /// Whether it has an id or data. Comments and blank lines carry nothing of the stream.
+    pub has_content: bool,
     /// Raw bytes.
     pub bytes: Bytes,
 }
@@ -33,6 +35,7 @@
         let bytes = self.rest.split_to(end).freeze();
         Some(Event {
             id: id_of(&bytes),
+            has_content: has_content(&bytes),
             bytes,
         })
     }
@@ -92,6 +95,15 @@
     ends.min()
 }
 
+fn has_content(event: &[u8]) -> bool {
+    let mut lines = event.split(|byte| matches!(byte, b'\n' | b'\r'));
+    let is_content = |line: &[u8]| {
+        let name = line.split(|byte| *byte == b':').next();
+        matches!(name, Some(b"id" | b"data"))
+    };
+    lines.any(is_content)
+}
+
 fn id_of(event: &[u8]) -> Option<u64> {
     let lines = event.split(|byte| *byte == b'\n');
     let value = lines.filter_map(|line| line.strip_prefix(b"id:")).next()?;
--- a/crates/jb-relay/src/exchange/detour.rs
+++ b/crates/jb-relay/src/exchange/detour.rs
@@ -142,7 +142,7 @@
             let timing = &mut self.timing;
             deliver::deliver_stream(core, &mut self.message, reply, client, timing, HelperProgress).await
         } else {
-            deliver::deliver_buffered(core, request, reply, client).await
+            deliver::deliver_buffered(core, request, reply, client, HelperProgress).await
         };
         match delivered {
             DeliveryOutcome::Complete => RequestOutcome::Answered(status),
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -334,29 +334,30 @@
         if self.has_begun() && !success {
             return Ok(Next::End(RequestOutcome::Broken(ERROR_WITHIN_STREAM)));
         }
-        let delivered = if success && request.route.kind == RouteKind::Stream {
-            let progress = Progress {
+        let software_of_stream = self.message.software.clone();
+        let progress = Progress {
+            core,
+            software,
+            begin: BeginWatch {
                 core,
-                software,
-                begin: BeginWatch {
-                    core,
-                    head: self.message.head,
-                    instance,
-                    is_over: false,
-                },
-                placement: Placement {
-                    request,
-                    body: self.message.body,
-                    tried: &self.tried,
-                    software: None,
-                },
-                counted,
-                may_retry: self.runs < request.route.max_attempts,
-                retry_granted: &mut self.retry_granted,
-            };
+                head: self.message.head,
+                instance,
+                is_over: false,
+            },
+            placement: Placement {
+                request,
+                body: self.message.body,
+                tried: &self.tried,
+                software: software_of_stream.as_deref(),
+            },
+            counted,
+            may_retry: request.route.is_retryable() && self.runs < request.route.max_attempts,
+            retry_granted: &mut self.retry_granted,
+        };
+        let delivered = if success && request.route.kind == RouteKind::Stream {
             deliver::deliver_stream(core, &mut self.message, reply, client, &mut self.timing, progress).await
         } else {
-            deliver::deliver_buffered(core, request, reply, client).await
+            deliver::deliver_buffered(core, request, reply, client, progress).await
         };
         match delivered {
             DeliveryOutcome::Complete => {
--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -183,7 +183,7 @@
 
     fn can_move(&mut self, software: Option<&str>) -> bool {
         let placement = Placement {
-            software,
+            software: software.or(self.placement.software),
             ..self.placement
         };
         *self.retry_granted = self.may_retry && selection::can_retry_elsewhere(self.core, placement);
