Limit the trailers of a body to 16 KB and one second

An engine that sends trailers without end kept its caller waiting for the whole deadline (504), with the whole answer in the box's memory: each trailer line had a limit, all of them together had none, and no time. Such a body is broken now, so a request that may be repeated runs elsewhere, and others get 502 at once.

The cases with trailers in `endless` are red without the change (504 at the deadline) and pass.

--- a/crates/jb-relay/src/http/body.rs
+++ b/crates/jb-relay/src/http/body.rs
@@ -6,6 +6,8 @@
 
 /// Maximum length of a chunk size line, and of a trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 4096;
+/// Maximum length of all trailer lines of a body, in bytes.
+const MAX_TRAILER_BYTES: usize = 16 * 1024;
 
 /// How the end of a body is determined.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -45,7 +47,8 @@
     Size,
     Data(u64),
     DataEnd,
-    Trailer,
+    /// After the last chunk; the length of the trailer lines so far.
+    Trailer(usize),
     Done,
 }
 
@@ -77,6 +80,11 @@
         self.framing == Framing::UntilClose
     }
 
+    /// Returns whether all data of the body has arrived, and trailer lines follow.
+    pub fn is_in_trailers(&self) -> bool {
+        matches!(self.chunk, Chunk::Trailer(bytes) if bytes > 0)
+    }
+
     /// Decodes the next part of the body and removes it from `buffer`.
     ///
     /// # Errors
@@ -117,7 +125,7 @@
                     };
                     buffer.advance(used);
                     self.chunk = if size == 0 {
-                        Chunk::Trailer
+                        Chunk::Trailer(0)
                     } else {
                         Chunk::Data(size)
                     };
@@ -136,7 +144,7 @@
                     buffer.advance(2);
                     self.chunk = Chunk::Size;
                 }
-                Chunk::Trailer => {
+                Chunk::Trailer(bytes) => {
                     let Some(end) = memchr::memmem::find(buffer, b"\r\n") else {
                         return if buffer.len() > MAX_LINE_BYTES {
                             Err(Error::Malformed("trailer line too long"))
@@ -145,6 +153,10 @@
                         };
                     };
                     buffer.advance(end + 2);
+                    *bytes += end;
+                    if *bytes > MAX_TRAILER_BYTES {
+                        return Err(Error::Malformed("trailers too long"));
+                    }
                     if end == 0 {
                         self.chunk = Chunk::Done;
                     }
--- a/crates/jb-relay/src/http/connection.rs
+++ b/crates/jb-relay/src/http/connection.rs
@@ -1,11 +1,13 @@
 //! One connection with a read buffer that keeps bytes not yet consumed.
 
 use std::io;
+use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
+use tokio::time::{Instant, timeout_at};
 
 use super::{BodyDecoder, Error, RequestHead, ResponseHead, Step};
 
@@ -14,12 +16,17 @@
 /// Maximum size of pipelined requests that are buffered while one is served, in bytes.
 const MAX_PIPELINED_BYTES: usize = 16 * 1024;
 
+/// Time within which the trailers of a body have to end, as nothing is left to compute then.
+const TRAILER_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A connection with its read buffer.
 #[derive(Debug)]
 pub struct Connection {
     stream: TcpStream,
     /// Bytes read and not yet consumed.
     pub buffer: BytesMut,
+    /// Time at which the trailers that are being read have to end.
+    trailers_until: Option<Instant>,
 }
 
 impl Connection {
@@ -28,6 +35,7 @@
         Self {
             stream,
             buffer: BytesMut::new(),
+            trailers_until: None,
         }
     }
 
@@ -102,15 +110,24 @@
     /// Reads the next data of a body; `None` at its end.
     ///
     /// # Errors
-    /// Returns [`Error::Truncated`] if the connection closes before the end of the body.
+    /// Returns [`Error::Truncated`] if the connection closes before the end of the body, and [`Error::Malformed`] if its
+    /// trailers don't end.
     pub async fn read_data(&mut self, body: &mut BodyDecoder) -> Result<Option<Bytes>, Error> {
         loop {
             match body.decode(&mut self.buffer)? {
                 Step::Data(data) => return Ok(Some(data)),
-                Step::End => return Ok(None),
+                Step::End => {
+                    self.trailers_until = None;
+                    return Ok(None);
+                }
                 Step::NeedMore => {}
             }
-            if self.fill().await? == 0 {
+            let read = if body.is_in_trailers() {
+                self.fill_trailers().await?
+            } else {
+                self.fill().await?
+            };
+            if read == 0 {
                 return if body.ends_by_close() {
                     Ok(None)
                 } else {
@@ -120,6 +137,14 @@
         }
     }
 
+    /// Reads available bytes of trailers. The time limit outlasts the call, which may be cancelled.
+    async fn fill_trailers(&mut self) -> Result<usize, Error> {
+        let now = Instant::now();
+        let until = *self.trailers_until.get_or_insert(now + TRAILER_TIMEOUT);
+        let read = timeout_at(until, self.fill()).await;
+        Ok(read.map_err(|_| Error::Malformed("trailers do not end"))??)
+    }
+
     /// Reads a whole body of at max_bytes `max_bytes` bytes.
     ///
     /// # Errors
