Soak: kill all boxes beside several software versions, at once and in turn

The `--versions` runs killed single boxes, and their callers came back after 0.1 s, so no stream depended on what outlives all boxes. They now also kill all boxes, and four in ten callers come back when restarted boxes are in touch again.

--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -71,6 +71,8 @@
     Fail,
     /// All boxes are killed at the same moment.
     KillAll,
+    /// All boxes are killed one after another, each once the one before is back.
+    KillInTurn,
 }
 
 impl Fault {
@@ -78,7 +80,7 @@
     fn affects_all_boxes(self) -> bool {
         matches!(
             self,
-            Self::Store(_) | Self::Compact | Self::Leases | Self::Restore | Self::KillAll
+            Self::Store(_) | Self::Compact | Self::Leases | Self::Restore | Self::KillAll | Self::KillInTurn
         )
     }
 }
@@ -100,7 +102,8 @@
     Restores,
     /// Cuts between boxes and engines, silent and brittle engines, and faults of boxes and of the store.
     Cuts,
-    /// Releases of engine software, streams that break, and faults of boxes and of their links to the store.
+    /// Releases of engine software, streams that break, and faults of boxes, also of all of them, and of their links to the
+    /// store.
     Versions,
     /// The faults of `First` at a lower rate, beside callers whose request crashes engines.
     Poison,
@@ -170,7 +173,7 @@
 }
 
 /// Size of the draw for [`Set::Versions`].
-const WITH_VERSIONS: u32 = 20;
+const WITH_VERSIONS: u32 = 24;
 
 fn draw_with_versions(random: &mut ChaCha8Rng) -> Fault {
     match random.random_range(0..WITH_VERSIONS) {
@@ -181,6 +184,8 @@
         10 => Fault::Link(Link::Reset),
         11..=14 => Fault::Release,
         15 | 16 => Fault::Renew,
+        17 | 18 => Fault::KillAll,
+        19 | 20 => Fault::KillInTurn,
         _ => Fault::Streams,
     }
 }
@@ -363,6 +368,7 @@
         Fault::Crowd => crowd::gather(&world, at, &mut random).await,
         Fault::Fail => retries::fail(&world, duration, &mut random).await,
         Fault::KillAll => retries::kill_all(&world).await,
+        Fault::KillInTurn => versions::kill_in_turn(&world).await,
         Fault::Mute => target.link.silence_open_connections(),
         Fault::Compact => world.store.compact(),
         Fault::Leases => world.store.end_leases(),
--- a/crates/jb-soak/src/versions.rs
+++ b/crates/jb-soak/src/versions.rs
@@ -15,11 +15,13 @@
 use rand::SeedableRng as _;
 use rand::seq::SliceRandom as _;
 use rand_chacha::ChaCha8Rng;
+use rustix::process::Signal;
 use tokio::net::TcpStream;
 use tokio::time::{sleep, timeout};
 
 use crate::callers::{Request, check_response};
 use crate::checks::{Checks, Promise};
+use crate::faults;
 use crate::run::Plan;
 use crate::world::{EVENTS, World};
 
@@ -37,6 +39,12 @@
 const PACES_MS: [u64; 5] = [0, 150, 250, 100, 400];
 /// Time for which a caller has a use for its stream.
 const DEADLINE: Duration = Duration::from_secs(4);
+/// Share of the callers that come back when restarted boxes are in touch again.
+const PATIENT_SHARE: f64 = 0.4;
+/// Their pause before they take a stream up: the time after which a box that has restarted counts.
+const PATIENT_PAUSE: Duration = Duration::from_millis(3300);
+/// Time for which they have a use for their stream.
+const PATIENT_DEADLINE: Duration = Duration::from_secs(8);
 /// Time before the deadline from which a caller doesn't take its stream up any more.
 const MIN_LEFT: Duration = Duration::from_millis(500);
 /// Time after the deadline until which a caller reads.
@@ -234,6 +242,15 @@
     world.write_entry(at);
 }
 
+/// Kills all boxes one after another, each once the one before is back.
+pub async fn kill_in_turn(world: &World) {
+    for (at, one) in world.boxes.iter().enumerate() {
+        let process = one.starts();
+        one.signal(Signal::KILL);
+        faults::replace(world, at, process).await;
+    }
+}
+
 /// Queues streams that break, or that end with their connections, on an engine.
 pub fn queue_faulty_streams(world: &World, random: &mut ChaCha8Rng) {
     let Some(at) = world.fleet.shuffled(random).pop() else {
@@ -294,15 +311,20 @@
 /// Takes a stream up again at other boxes as long as it is incomplete.
 pub async fn take_up(world: &World, first: &Request, got: Option<&Response>, random: &mut ChaCha8Rng) {
     let mut attempts = vec![Attempt::new(first, 0, got)];
+    let (deadline, pause) = if random.random_bool(PATIENT_SHARE) {
+        (PATIENT_DEADLINE, PATIENT_PAUSE)
+    } else {
+        (DEADLINE, RETRY_PAUSE)
+    };
     let is_begun = !attempts[0].events.is_empty();
     while is_begun && attempts.len() < MAX_ATTEMPTS {
         let last = &attempts[attempts.len() - 1];
-        let left = DEADLINE.saturating_sub(first.sent.elapsed() + RETRY_PAUSE);
+        let left = deadline.saturating_sub(first.sent.elapsed() + pause);
         if last.complete || left < MIN_LEFT {
             break;
         }
-        sleep(RETRY_PAUSE).await;
-        if let Some(next) = resume(world, first, last, left, attempts.len(), random).await {
+        sleep(pause).await;
+        if let Some(next) = resume(world, first, last, left.min(DEADLINE), attempts.len(), random).await {
             attempts.push(next);
         }
     }
