End a stalled request at its deadline, and keep streams pending over a restore of the store

A buffered response that stalled until the deadline would have been reported as stalled again and again without a pause; it ends as late now (request_without_another_engine_ends_at_its_deadline). A batch that was written just before the store was restored counted as written; its streams stay pending. Reads of recorded origins wait for each other for half a second at most, whatever the store's limit is.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -76,7 +76,7 @@
 ) -> Part {
     if stall_timeout.is_some_and(|stall_timeout| stall_timeout.is_zero()) {
         // Bytes that arrive without a pause must not prevent it.
-        return Part::Stalled;
+        return if left.is_zero() { Part::Late } else { Part::Stalled };
     }
     let wait = stall_timeout.map_or(left, |stall_timeout| stall_timeout.min(left));
     tokio::select! {
--- a/crates/jb-relay/src/peers/origin_record.rs
+++ b/crates/jb-relay/src/peers/origin_record.rs
@@ -35,6 +35,8 @@
 const WRITE_SHARE: f64 = 0.25;
 /// Pause after a failed write.
 const RETRY_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest time between two reads, within which a lookup can still be answered.
+const MAX_READ_INTERVAL: Duration = Duration::from_millis(500);
 /// Time after which a lookup in the store is given up.
 const LOOKUP_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -209,6 +211,10 @@
     };
     let revision = core.store.write(item.lease.era, &[write]).await?;
     core.metrics.stream_origins_recorded.inc_by(rows.len() as u64);
+    if core.era() > item.lease.era {
+        // The store has been restored meanwhile, so the streams stay pending.
+        return Ok(());
+    }
     records.note_written(&requests);
     records.item.set(Some(Item {
         revision: Some(revision),
@@ -252,7 +258,8 @@
         return Ok(());
     }
     if let Some(at) = *last_read {
-        sleep((at + interval(core)).saturating_sub(core.now())).await;
+        let pause = interval(core).min(MAX_READ_INTERVAL);
+        sleep((at + pause).saturating_sub(core.now())).await;
     }
     let begun = core.now();
     core.metrics.store_calls.inc();
--- a/crates/jb-relay/src/peers/stream_origin.rs
+++ b/crates/jb-relay/src/peers/stream_origin.rs
@@ -1,8 +1,8 @@
 //! Software versions that began streams, for boxes that resume the streams of others.
 //!
 //! While a service has several versions, the box that begins a stream sends the version to the owners of the stream,
-//! chosen by rendezvous hashing of the request id over all listed boxes. A box that resumes the stream asks them. The store
-//! has a record of it for the case that all of them have restarted.
+//! chosen by rendezvous hashing of the request id over all listed boxes. A box that resumes the stream asks them.
+//! The store has a record of the version for the case that all of them have restarted.
 
 use std::cell::RefCell;
 use std::collections::{BTreeMap, BTreeSet, HashMap};
