Write the origin of a stream at once where the last batch is old enough

A batch collected streams for 100 ms before its write, so a stream of some 100 ms was known to no record when all boxes were killed. A box writes at once now, and the next batch 100 ms later; a stream costs one write at most, as before. The tests of origin_record pass.

--- a/crates/jb-relay/src/peers/origin_record.rs
+++ b/crates/jb-relay/src/peers/origin_record.rs
@@ -4,7 +4,7 @@
 //! While a service has several versions, its streams are written in batches: by the box that began them, or in a large
 //! fleet by the relay node of its data hall, so that the number of writes doesn't grow with the fleet. A box writes the
 //! origins into an item of its own, which is replaced by the next one when it is full, or when half of the time of its
-//! lease has passed. A stream that ends before the next batch is never written.
+//! lease has passed. A stream that ends before its batch is never written.
 //!
 //! Boxes keep no copy of these items, as only the lookup of an unknown stream needs them: it reads all of them.
 
@@ -29,7 +29,7 @@
 const RETENTION: Duration = Duration::from_secs(2 * LIFETIME.as_secs());
 /// Maximum number of origins in an item, which is written as a whole each time.
 const MAX_ROWS: usize = 512;
-/// Shortest time in which streams are collected for a batch, and between two reads. Many streams end within it.
+/// Shortest time between two batches, and between two reads.
 const MIN_INTERVAL: Duration = Duration::from_millis(100);
 /// Part of the store's writes a second that all boxes together use for origins.
 const WRITE_SHARE: f64 = 0.25;
@@ -153,7 +153,7 @@
     key.starts_with(KEY_PREFIX)
 }
 
-/// Returns the time in which this box collects streams for a batch.
+/// Returns the time from a batch of this box to the next one.
 fn interval(core: &Core) -> Duration {
     let directory = core.directory.borrow();
     let writers = if directory.is_small() {
@@ -171,7 +171,6 @@
     let records = &core.origin_records;
     loop {
         records.wake.notified().await;
-        sleep(interval(&core)).await;
         while !records.pending.borrow().is_empty() {
             if let Err(why) = write_batch(&core).await {
                 emit!(core.logger, info, event::STREAM_ORIGINS_UNWRITTEN,
@@ -180,6 +179,7 @@
                 records.write_again(core.now());
                 sleep(RETRY_INTERVAL).await;
             }
+            sleep(interval(&core)).await;
         }
     }
 }
