--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -9,10 +9,11 @@
 
 use crate::admission::AdmittedRequest;
 use crate::attempt::{Message, Reply};
-use crate::core::{Core, Shared};
+use crate::core::Shared;
 use crate::events::{Boundary, EventSplitter, MAX_EVENT_BYTES};
 use crate::http::{self, Connection, Framing, ResponseHead, write_response_head};
 use crate::pool;
+use crate::stall::Stall;
 
 /// Largest response body that is buffered as a whole, so that a response that is cut off never reaches the caller.
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
@@ -44,29 +45,6 @@
     CallerGone,
 }
 
-/// Time of the last progress of a response. Bytes may arrive without any, and without end.
-struct Stall {
-    /// When the response last made progress, or no other upstream could take over.
-    since: Moment,
-    /// When it is given up if nothing of it could be delivered.
-    give_up_at: Moment,
-}
-
-impl Stall {
-    /// Begins with the head of a response. Half of the remaining time is left for an error that the caller can react to.
-    fn new(core: &Core, request: &AdmittedRequest) -> Self {
-        let (now, left) = (core.now(), request.deadline.saturating_sub(core.now()));
-        Self {
-            since: now,
-            give_up_at: now + request.route.response_stall_timeout().max(left / 2),
-        }
-    }
-
-    fn left(&self, timeout: Duration, now: Moment) -> Duration {
-        (self.since + timeout).saturating_sub(now)
-    }
-}
-
 /// Waits for the next part of a body, until the caller closes the connection, the stall timeout or the deadline.
 async fn next_part(
     reply: &mut Reply,
@@ -145,7 +123,7 @@
             Part::Stalled if progress.can_move(None) => return DeliveryOutcome::Nothing("response stalled"),
             Part::Stalled => {
                 // Its end may only be late.
-                stall.since = core.now();
+                stall.restart(core.now());
                 stall.give_up_at = request.deadline;
             }
             Part::Data(data) if body.len() + data.len() > MAX_BUFFERED_BYTES => {
@@ -154,7 +132,7 @@
             }
             Part::Data(data) => {
                 body.extend_from_slice(&data);
-                stall.since = core.now();
+                stall.restart(core.now());
             }
             Part::End if has_ended(core, &reply).await => return DeliveryOutcome::Nothing(ENDED),
             Part::End => break,
@@ -281,7 +259,7 @@
         Framing::Length(length) if !request.route.resumable => Framing::Length(length),
         _ => Framing::Chunked,
     };
-    let mut events = EventSplitter::default();
+    let mut arrival = Arrival::new(request.route.resumable, framing);
     pace.boundary = Boundary::default();
     // The head is sent with the first event; for a resumed stream it has already been sent.
     let mut out = match message.last_event {
@@ -289,17 +267,14 @@
         None => head(core, &reply.answer, framing),
     };
     let mut has_started = message.last_event.is_some();
-    let mut has_event = false;
     let mut stall = Stall::new(core, request);
-    // Bytes since the last event.
-    let mut idle_bytes = 0;
     loop {
         let now = core.now();
         let left = request.deadline.saturating_sub(now);
         let stall_timeout = match (request.route.resumable, has_started) {
             (true, true) => Some(request.route.stream_stall_timeout()),
             // An engine sends nothing while it prefills.
-            (true, false) if idle_bytes > 0 => Some(request.route.response_stall_timeout()),
+            (true, false) if arrival.idle_bytes > 0 => Some(request.route.response_stall_timeout()),
             _ => None,
         };
         let stall_left = stall_timeout.map(|timeout| stall.left(timeout, now));
@@ -307,26 +282,12 @@
             Part::Data(data) => {
                 progress.received();
                 pace.boundary.push(&data);
-                idle_bytes += data.len();
-                let is_progress = if request.route.resumable {
-                    events.push(&data);
-                    if events.exceeds_limit() {
-                        return cut_off(has_started, "event exceeds the size limit");
-                    }
-                    match forward_events(&mut events, message, &mut out) {
-                        Ok(is_progress) => is_progress,
-                        Err(why) => return cut_off(has_started, why),
-                    }
-                } else {
-                    put_data(&mut out, framing, &data);
-                    true
+                let is_progress = match arrival.push(&data, message, &mut out) {
+                    Ok(is_progress) => is_progress,
+                    Err(why) => return cut_off(has_started, why),
                 };
                 if is_progress {
-                    has_event = true;
-                    idle_bytes = 0;
-                    stall.since = core.now();
-                } else if idle_bytes > MAX_EVENT_BYTES {
-                    return cut_off(has_started, "no event within the size limit");
+                    stall.restart(core.now());
                 }
                 // Without an event nothing is sent, so that another upstream can still begin the stream.
                 if out.is_empty() || !(has_started || is_progress) {
@@ -344,11 +305,11 @@
                 }
                 out.clear();
             }
-            Part::End if !events.is_empty() || (!has_length && pace.boundary.is_within_event()) => {
+            Part::End if !arrival.events.is_empty() || (!has_length && pace.boundary.is_within_event()) => {
                 return cut_off(has_started, "stream ended within an event");
             }
             // Nothing distinguishes the close of a connection before any event from a crash.
-            Part::End if ends_by_close && !has_event => {
+            Part::End if ends_by_close && !arrival.has_event => {
                 return cut_off(
                     has_started,
                     "stream without a length ended before its first event",
@@ -364,7 +325,7 @@
                 return DeliveryOutcome::Nothing("no event in the response");
             }
             // A stall alone doesn't end a stream, as its events may only be late.
-            Part::Stalled => stall.since = core.now(),
+            Part::Stalled => stall.restart(core.now()),
             Part::Late if has_started => return DeliveryOutcome::Late,
             Part::Late => return DeliveryOutcome::Nothing("deadline exceeded"),
             Part::CallerGone => return DeliveryOutcome::CallerGone,
@@ -388,6 +349,59 @@
     }
 }
 
+/// What has arrived of a stream's response.
+struct Arrival {
+    resumable: bool,
+    framing: Framing,
+    /// Bytes of an incomplete event, if the stream is resumable; others are passed on as they are.
+    events: EventSplitter,
+    /// Bytes since the last event.
+    idle_bytes: usize,
+    /// Whether an event has arrived.
+    has_event: bool,
+}
+
+impl Arrival {
+    fn new(resumable: bool, framing: Framing) -> Self {
+        Self {
+            resumable,
+            framing,
+            events: EventSplitter::default(),
+            idle_bytes: 0,
+            has_event: false,
+        }
+    }
+
+    /// Appends to the output what can be passed on of a part of the body, and returns whether it completes an event.
+    fn push(
+        &mut self,
+        data: &[u8],
+        message: &mut Message<'_>,
+        out: &mut BytesMut,
+    ) -> Result<bool, &'static str> {
+        let is_progress = if self.resumable {
+            self.events.push(data);
+            if self.events.exceeds_limit() {
+                return Err("event exceeds the size limit");
+            }
+            forward_events(&mut self.events, message, out)?
+        } else {
+            put_data(out, self.framing, data);
+            true
+        };
+        self.has_event |= is_progress;
+        self.idle_bytes = if is_progress {
+            0
+        } else {
+            self.idle_bytes + data.len()
+        };
+        if self.idle_bytes > MAX_EVENT_BYTES {
+            return Err("no event within the size limit");
+        }
+        Ok(is_progress)
+    }
+}
+
 /// Appends the complete events to the output, each once and in order, and returns whether any has content. After a
 /// resume, the new upstream may send events again that the caller already has.
 fn forward_events(
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -334,7 +334,7 @@
         if self.has_begun() && !success {
             return Ok(Next::End(RequestOutcome::Broken(ERROR_WITHIN_STREAM)));
         }
-        let software_of_stream = self.message.software.clone();
+        let required_software = self.message.software.clone();
         let progress = Progress {
             core,
             software,
@@ -348,7 +348,7 @@
                 request,
                 body: self.message.body,
                 tried: &self.tried,
-                software: software_of_stream.as_deref(),
+                software: required_software.as_deref(),
             },
             counted,
             may_retry: request.route.is_retryable() && self.runs < request.route.max_attempts,
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod settings;
 pub mod settled;
 pub mod signal;
+mod stall;
 pub mod start;
 pub mod stop;
 pub mod unknown_signals;
--- a/crates/jb-relay/src/peers/software_record.rs
+++ b/crates/jb-relay/src/peers/software_record.rs
@@ -123,8 +123,8 @@
     all
 }
 
-/// Returns whether this box has to write a record. Only records of registered versions are written again while they exist:
-/// those of versions that have left must end.
+/// Returns whether this box has to write a record. An existing record is written again only if its version is registered;
+/// that of a version that has left must end.
 fn is_due(core: &Core, record: &SoftwareRecord, is_registered: bool) -> bool {
     let (records, key, now) = (&core.software_records, record.key(), core.now());
     let is_known = records.known.borrow().contains_key(&key);
