Reject a stream of unknown origin at once while the store is known to be away

A box that doesn't reach the store asked it for the origin all the same, so the caller would have waited for up to a second (the limit of a lookup) for a rejection that was certain.

--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -238,6 +238,13 @@
         self.verified_at.get().map(|at| self.now().saturating_sub(at))
     }
 
+    /// Returns whether this box may get an answer from the store: its last call didn't fail, or the relay node of its data
+    /// hall reaches the store.
+    pub fn may_reach_store(&self) -> bool {
+        let origin = self.update_origin.get();
+        !matches!(origin, None | Some(UpdateOrigin::Box(Source::AnyRelayNode)))
+    }
+
     /// Returns whether the state is older than a configuration may take to be in force, so that an upstream of another
     /// version may have joined unnoticed.
     pub fn is_outdated(&self) -> bool {
--- a/crates/jb-relay/src/peers/origin_record.rs
+++ b/crates/jb-relay/src/peers/origin_record.rs
@@ -242,8 +242,12 @@
 /// after it, so that it finds every stream recorded before; lookups at the same time share one.
 ///
 /// # Errors
-/// The store doesn't answer in time.
+/// The store can't be reached, or doesn't answer in time.
 pub async fn find_recorded(core: &Core, request: &str) -> Result<Option<id::SoftwareVersion>, StoreError> {
+    if !core.may_reach_store() {
+        // The caller would only wait for its rejection.
+        return Err(StoreError::Lost("this box does not reach the store".to_owned()));
+    }
     let request = rendezvous::name_hash(request);
     let found = timeout(LOOKUP_TIMEOUT, read_after(core, core.now())).await;
     let late = |_| StoreError::Lost("the lookup of a stream's origin took too long".to_owned());
