--- a/review/6/case.py
+++ b/review/6/case.py
@@ -2,9 +2,11 @@
 import asyncio
 import json
 import os
+import shutil
 import sys
 import tempfile
 import time
+import traceback
 
 from standins import HOST, Box, EngineProcess, Record, Store, end_all, read_head, wait_ready
 
@@ -154,6 +156,12 @@
         return 1 if late > 3 else 0
     finally:
         end_all([engine.process for engine in engines] + [box.process for box in boxes])
+        shutil.rmtree(folder, ignore_errors=True)
 
 
-sys.exit(asyncio.run(main()))
+try:
+    code = asyncio.run(main())
+except Exception:
+    traceback.print_exc()
+    code = 2
+sys.exit(code)
