Log the requests that a stopping box cuts off, and when it last ran

box_stopping counts open requests by phase and says for how long the box had not run; request_cut (2017) names each request that is open at the exit; peer_refused comes at most once a second with a count. No behaviour of requests changes.

--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -14,6 +14,7 @@
 use crate::http::{
     self, BodyDecoder, Connection, Framing, RequestHead, ResponseHead, Step, write_request_head,
 };
+use crate::open_request::OpenRequest;
 use crate::peers::Permit;
 use crate::pool::{self, PooledConnection};
 use crate::port::Entry;
@@ -72,6 +73,8 @@
     pub body: &'a Bytes,
     /// Properties determined at admission.
     pub request: &'a AdmittedRequest,
+    /// The request among those that are open at this box.
+    pub open: &'a OpenRequest<'a>,
     /// Last event that the caller has received; set when a stream is resumed.
     pub last_event: Option<u64>,
     /// Software version that began the stream, and has to go on with it; `None` if it has not begun.
@@ -128,6 +131,7 @@
     let head = head(core, &instance.id, &entry, message);
     let mut reusable = true;
     let sent = core.now();
+    message.open.note_sent();
     match write_request(&mut pooled, &head, message.body, &mut reusable).await {
         Ok(()) => {}
         Err(why) => return AttemptOutcome::Failed(why.to_string()),
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -17,6 +17,7 @@
 use jb_protocol::id;
 use slog::Logger;
 
+use crate::activity::Activity;
 use crate::cache_store::CacheStores;
 use crate::configuration::Configuration;
 use crate::crash_check::LostAttempts;
@@ -24,9 +25,11 @@
 use crate::header_names::HeaderNames;
 use crate::metrics::Metrics;
 use crate::mirror::Mirror;
+use crate::open_request::OpenRequests;
 use crate::peers::{
     ChangeLog, Directory, Loads, OriginRecords, Outbox, PendingPull, PendingWeights, Permit, Quotas,
-    RateLimits, Reachability, Reservations, RoundTrips, SoftwareRecords, Source, StreamOrigins, Transfers,
+    RateLimits, Reachability, Refusals, Reservations, RoundTrips, SoftwareRecords, Source, StreamOrigins,
+    Transfers,
 };
 use crate::port::{Change, Engines, Era, Revision, Store};
 use crate::quarantine::Quarantine;
@@ -67,6 +70,10 @@
     pub metrics: Metrics,
     /// Progress of a graceful shutdown.
     pub stop: Stop,
+    /// Requests that are open.
+    pub open_requests: OpenRequests,
+    /// When this box last ran, and how late its tasks are.
+    pub activity: Activity,
     /// Active configuration; `None` before the first one is received.
     pub configuration: RefCell<Option<Rc<Configuration>>>,
     /// When this box begins to load the store's content: at its start, or after it has waited for boxes that start with it.
@@ -116,6 +123,8 @@
     pub helpers: Helpers,
     /// Which boxes can reach each other.
     pub box_reachability: RefCell<Reachability>,
+    /// Messages of other boxes that this one has rejected.
+    pub refusals: Refusals,
     /// Quotas of customers.
     pub quotas: Quotas,
     /// Rate limits of upstreams.
@@ -182,6 +191,8 @@
             logger: components.logger,
             metrics: Metrics::default(),
             stop: Stop::default(),
+            open_requests: OpenRequests::default(),
+            activity: Activity::default(),
             configuration: RefCell::default(),
             load_starts_at: Cell::default(),
             verified_at: Cell::default(),
@@ -206,6 +217,7 @@
             uplinks: Uplinks::default(),
             helpers: Helpers::default(),
             box_reachability: RefCell::default(),
+            refusals: Refusals::default(),
             quotas: Quotas::default(),
             rate_limits: RateLimits::default(),
             stream_origins: StreamOrigins::default(),
--- a/crates/jb-relay/src/detour/serve.rs
+++ b/crates/jb-relay/src/detour/serve.rs
@@ -12,6 +12,7 @@
 use crate::core::{Core, Shared};
 use crate::exchange::{Exchange, RequestOutcome};
 use crate::http::{self, BodyDecoder, Connection, RequestHead};
+use crate::open_request::OpenRequest;
 use crate::{front, peers, pool, ready};
 
 /// Time within which an accepted request must arrive.
@@ -38,6 +39,7 @@
     peers::reply_to_offer(&mut stream, verdict).await?;
     stream.set_nodelay(true)?;
     let mut client = Connection::new(stream);
+    let open = core.open_requests.begin(received, client.write_mark());
     let (head, body) = timeout(REQUEST_TIMEOUT, read(&core, &mut client))
         .await
         .map_err(|_| http::Error::Io(std::io::ErrorKind::TimedOut.into()))??;
@@ -45,7 +47,8 @@
     let admitted =
         (!front::is_too_late(&core)).then(|| admission::admit_forwarded(&core, &head, &envelope, received));
     let request = admitted.flatten();
-    run(&core, &mut client, &head, &body, request).await;
+    open.begin_waiting();
+    run(&core, &mut client, &head, &body, request, &open).await;
     Ok(())
 }
 
@@ -103,6 +106,7 @@
     head: &RequestHead,
     body: &Bytes,
     request: Option<AdmittedRequest>,
+    open: &OpenRequest<'_>,
 ) {
     let Some(request) = request else {
         let id = head
@@ -112,7 +116,8 @@
         return fail(core, client, id, Failure::NotRun, None).await;
     };
     let _body = front::HeldBody::new(core, body.len());
-    let mut exchange = Exchange::new(core, head, body, &request);
+    open.set_id(&request.id);
+    let mut exchange = Exchange::new(core, head, body, &request, open);
     let outcome = exchange.run(client).await;
     front::report(core, &request, &exchange, outcome);
     let failure = match outcome {
--- a/crates/jb-relay/src/exchange/detour.rs
+++ b/crates/jb-relay/src/exchange/detour.rs
@@ -85,6 +85,7 @@
         self.helper = Some(id);
         self.sends += 1;
         let sent_at = self.core.now();
+        self.message.open.note_sent();
         let sent = timeout(
             self.left(),
             detour::send(self.core, &mut connection, &self.message),
@@ -157,6 +158,9 @@
         match failure {
             Failure::NotRun => {
                 const WHY: &str = "helper_rejected";
+                if self.runs == 0 {
+                    self.message.open.note_not_run();
+                }
                 self.rejection = Some(Rejection { why: WHY, after });
                 self.terminal_outcome(WHY)
             }
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -22,6 +22,7 @@
 use crate::core::Shared;
 use crate::deliver::{self, DeliveryOutcome, StreamTiming};
 use crate::http::{Connection, Framing, RequestHead};
+use crate::open_request::OpenRequest;
 use crate::peers::{self, Permit, Reservation};
 use crate::quarantine;
 use crate::upstream::Instance;
@@ -88,11 +89,13 @@
         query: &'a RequestHead,
         body: &'a Bytes,
         request: &'a AdmittedRequest,
+        open: &'a OpenRequest<'a>,
     ) -> Self {
         let message = Message {
             head: query,
             body,
             request,
+            open,
             last_event: None,
             software: request.software.clone(),
             kv_source: None,
@@ -236,6 +239,9 @@
             }
             AttemptOutcome::NotRun(status) => {
                 self.sends += 1;
+                if self.runs == 0 {
+                    self.message.open.note_not_run();
+                }
                 emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &request.id,
                     "upstream" => %instance, "outcome" => "not_run", "status" => status);
                 Err("turned_away")
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -12,6 +12,7 @@
 use crate::core::{Core, Shared};
 use crate::exchange::{Exchange, RequestOutcome};
 use crate::http::{BodyDecoder, Connection, Error, Framing, RequestHead, write_response_head};
+use crate::open_request::OpenRequest;
 use crate::{accept, peers, stop};
 
 /// Time within which the body of a request must be received.
@@ -65,12 +66,19 @@
     if client.buffer.is_empty() && !wait_for_request(core, client, &limits).await {
         return false;
     }
+    let open = core.open_requests.begin(core.now(), client.write_mark());
     let query = match timeout(limits.head_timeout, client.read_request(limits.max_head_bytes)).await {
         Ok(Ok(query)) => query,
         Ok(Err(why)) => return reject_head(core, client, &why).await,
         Err(_) => return reject_unread(core, client, 408, "slow_head").await,
     };
     let arrived = core.now();
+    open.set_id(
+        query
+            .headers
+            .text(core.header_names.request_id)
+            .unwrap_or_default(),
+    );
     let body = match read_body(core, client, &query, &limits).await {
         Ok(body) => body,
         Err(Some(status)) => return reject_unread(core, client, status, "body").await,
@@ -78,7 +86,8 @@
     };
     let size = body.len();
     let held = HeldBody::new(core, size);
-    let goes_on = handle(core, client, &query, &body, arrived).await;
+    open.begin_waiting();
+    let goes_on = handle(core, client, &query, &body, arrived, &open).await;
     drop(held);
     goes_on && query.keep_alive && !core.stop.is_stopping()
 }
@@ -211,6 +220,7 @@
     query: &RequestHead,
     body: &Bytes,
     arrived: jb_policy::Moment,
+    open: &OpenRequest<'_>,
 ) -> bool {
     wait_for_startup(core).await;
     let request = match admission::admit(core, query, arrived) {
@@ -222,7 +232,7 @@
         Ok(charged) => charged,
         Err(after) => return reject_over_quota(core, client, &request, after).await,
     };
-    let mut exchange = Exchange::new(core, query, body, &request);
+    let mut exchange = Exchange::new(core, query, body, &request, open);
     let ending = exchange.run(client).await;
     if let Some(charged) = charged {
         charged.settle(exchange.possible_runs());
--- a/crates/jb-relay/src/http/connection.rs
+++ b/crates/jb-relay/src/http/connection.rs
@@ -1,6 +1,8 @@
 //! One connection with a read buffer that keeps bytes not yet consumed.
 
+use std::cell::Cell;
 use std::io;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -19,6 +21,23 @@
 /// Time within which the trailers of a body have to end, as nothing is left to compute then.
 const TRAILER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Whether anything has been written to a connection since the mark was cleared. It can be read while the connection is in
+/// use.
+#[derive(Clone, Debug, Default)]
+pub struct WriteMark(Rc<Cell<bool>>);
+
+impl WriteMark {
+    /// Clears the mark.
+    pub fn clear(&self) {
+        self.0.set(false);
+    }
+
+    /// Returns whether anything has been written, or may have been.
+    pub fn is_set(&self) -> bool {
+        self.0.get()
+    }
+}
+
 /// A connection with its read buffer.
 #[derive(Debug)]
 pub struct Connection {
@@ -27,6 +46,7 @@
     pub buffer: BytesMut,
     /// Time at which the trailers that are being read have to end.
     trailers_until: Option<Instant>,
+    written: WriteMark,
 }
 
 impl Connection {
@@ -36,6 +56,7 @@
             stream,
             buffer: BytesMut::new(),
             trailers_until: None,
+            written: WriteMark::default(),
         }
     }
 
@@ -172,9 +193,15 @@
     /// # Errors
     /// Returns I/O errors of the operating system.
     pub async fn send(&mut self, bytes: &[u8]) -> io::Result<()> {
+        self.written.0.set(true);
         self.stream.write_all(bytes).await
     }
 
+    /// Returns the mark that tells whether anything has been written.
+    pub fn write_mark(&self) -> WriteMark {
+        self.written.clone()
+    }
+
     /// Shuts down the write side, so that the peer can read everything sent.
     pub async fn shutdown_write(&mut self) {
         // Fails if the peer has already closed, which needs no handling.
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -5,6 +5,7 @@
 //! in `jb-policy`.
 
 pub mod accept;
+pub mod activity;
 pub mod admission;
 pub mod attempt;
 pub mod cache_scan;
@@ -23,6 +24,7 @@
 pub mod leader;
 pub mod metrics;
 pub mod mirror;
+pub mod open_request;
 pub mod peers;
 pub mod pool;
 pub mod port;
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -15,6 +15,7 @@
 mod quota;
 mod rate_limit;
 mod reachability;
+mod refusal;
 mod register;
 mod releases;
 mod reservation;
@@ -37,6 +38,7 @@
 pub use quota::{ChargedRequest, Quotas, charge};
 pub use rate_limit::{Permit, RateLimits, acquire_permit, log_rate_limit};
 pub use reachability::{FleetSize, Reachability, is_hall_isolated};
+pub use refusal::Refusals;
 pub use register::{
     ADDRESS_KEY_PREFIX, refresh_directory, refresh_small_directory, register_address, write_address,
 };
--- a/crates/jb-relay/src/peers/reservation.rs
+++ b/crates/jb-relay/src/peers/reservation.rs
@@ -18,6 +18,7 @@
 
 use super::message::{Admission, Message, ReservationUpdate, Reserve, ReserveReply};
 use super::query::Queries;
+use super::refusal;
 use super::socket::try_send;
 use crate::core::{Core, Shared};
 use crate::saturating_cast::saturating_cast;
@@ -250,9 +251,7 @@
 pub(super) fn is_from_listed_box(core: &Core, from: SocketAddr) -> bool {
     let is_listed = core.directory.borrow().contains_address(from);
     if !is_listed {
-        core.metrics.rejected_datagrams.inc();
-        emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from,
-            "why" => "datagram dropped: sender is not a listed box");
+        refusal::note(core, from, &"datagram dropped: sender is not a listed box");
     }
     is_listed
 }
--- a/crates/jb-relay/src/peers/socket.rs
+++ b/crates/jb-relay/src/peers/socket.rs
@@ -10,8 +10,8 @@
 
 use super::message::{MAX_DATAGRAM_BYTES, Message};
 use super::{
-    broadcast, outbox, pull, quota, rate_limit, reachability, releases, reservation, status, stream_origin,
-    suspicion,
+    broadcast, outbox, pull, quota, rate_limit, reachability, refusal, releases, reservation, status,
+    stream_origin, suspicion,
 };
 use crate::core::{Core, Shared};
 
@@ -143,6 +143,5 @@
 }
 
 fn reject(core: &Core, from: SocketAddr, why: &dyn std::fmt::Display) {
-    core.metrics.rejected_datagrams.inc();
-    emit!(core.logger, debug, event::PEER_REFUSED, "peer" => %from, "why" => %why);
+    refusal::note(core, from, why);
 }
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jb_policy::Moment;
 use jb_protocol::{emit, event};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -12,8 +13,9 @@
 
 use crate::core::{Components, Core, Shared};
 use crate::leader::Leader;
+use crate::open_request::Phase;
 use crate::settings::Settings;
-use crate::{cache_scan, follow, front, peers, pool, ready, stop};
+use crate::{activity, cache_scan, follow, front, peers, pool, ready, stop};
 
 /// Length of the queue of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1024;
@@ -23,6 +25,8 @@
 const MIN_LOGGED_SUSPENSION: Duration = Duration::from_millis(100);
 /// Part of the grace period that is reserved for the process to exit.
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
+/// Maximum number of requests that are logged as cut off at the exit.
+const MAX_LOGGED_REQUESTS: usize = 256;
 /// Interval at which a graceful shutdown checks for open connections.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -119,6 +123,7 @@
     core.quotas.set_socket(Rc::clone(&socket));
     core.rate_limits.set_socket(Rc::clone(&socket));
     core.stream_origins.set_socket(Rc::clone(&socket));
+    spawn_local(activity::watch(Rc::clone(core)));
     spawn_local(follow::run(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(peers::serve_connections(Rc::clone(core), transfers));
     spawn_local(front::serve(Rc::clone(core), callers));
@@ -164,7 +169,7 @@
 pub async fn shut_down(core: &Shared) {
     let since = core.now();
     core.stop.begin(since);
-    emit!(core.logger, info, event::BOX_STOPPING, "open" => core.stop.connections());
+    log_stopping(core, since);
     let end = (since + core.settings.bounds.stop_grace).saturating_sub(EXIT_RESERVE);
     loop {
         sleep(STOP_POLL_INTERVAL).await;
@@ -174,9 +179,30 @@
             break;
         }
     }
+    log_cut_requests(core);
     emit!(core.logger, info, event::BOX_STOPPED, "open" => core.stop.connections());
 }
 
+fn log_stopping(core: &Core, now: Moment) {
+    let open = &core.open_requests;
+    emit!(core.logger, info, event::BOX_STOPPING, "open" => core.stop.connections(),
+        "receiving" => open.count(Phase::Receiving), "waiting" => open.count(Phase::Waiting),
+        "sent" => open.count(Phase::Sent), "answering" => open.count(Phase::Answering),
+        "idle_ms" => now.saturating_sub(core.activity.last()).as_millis() as u64,
+        "late_ms" => core.activity.worst_delay(now).as_millis() as u64);
+}
+
+/// Logs the requests whose response isn't complete as the box exits.
+fn log_cut_requests(core: &Core) {
+    let now = core.now();
+    let stopping_for = now.saturating_sub(core.stop.since().unwrap_or(now));
+    for request in core.open_requests.summaries().iter().take(MAX_LOGGED_REQUESTS) {
+        emit!(core.logger, warn, event::REQUEST_CUT, "request" => &request.id, "phase" => request.phase.name(),
+            "ms" => now.saturating_sub(request.since).as_millis() as u64,
+            "stopping_ms" => stopping_for.as_millis() as u64);
+    }
+}
+
 fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
