--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -16,6 +16,7 @@
 use crate::faults::Set;
 use crate::limits;
 use crate::signals;
+use crate::stops;
 use crate::versions;
 use crate::world::World;
 
@@ -40,6 +41,8 @@
     pub limited: Option<String>,
     /// Status; `None` without a response.
     pub status: Option<u16>,
+    /// Whether the whole response arrived.
+    pub complete: bool,
 }
 
 /// A request that a caller sends.
@@ -72,6 +75,7 @@
             draining: got.and_then(signals::draining_engine),
             limited: got.and_then(limits::limited_engine),
             status: got.map(Response::status),
+            complete: got.is_some_and(|got| got.complete),
         }
     }
 }
@@ -113,7 +117,11 @@
             "key-cut"
         };
         let id = format!("{number}-{count}");
-        let bytes = request("POST", path, &id, MODEL_HEADERS, "hello").replace("key-ann", key);
+        let headers = match world.set {
+            Set::Stops => stops::HEADERS,
+            _ => MODEL_HEADERS,
+        };
+        let bytes = request("POST", path, &id, headers, "hello").replace("key-ann", key);
         let sent_request = Request {
             id,
             path,
@@ -124,7 +132,7 @@
         };
         let got = match world.set {
             Set::Versions => versions::ask(&mut caller, &bytes).await,
-            _ => timeout(RESPONSE_TIMEOUT, caller.raw(bytes.as_bytes()))
+            set => timeout(response_timeout(set), caller.raw(bytes.as_bytes()))
                 .await
                 .ok()
                 .and_then(Result::ok),
@@ -141,6 +149,13 @@
     }
 }
 
+fn response_timeout(set: Set) -> Duration {
+    match set {
+        Set::Stops => stops::RESPONSE_TIMEOUT,
+        _ => RESPONSE_TIMEOUT,
+    }
+}
+
 /// Sends one request on a new connection; returns `None` without a response in time.
 pub async fn ask_once(address: SocketAddr, request: &str, max_wait: Duration) -> Option<Response> {
     let response = async {
--- a/crates/jb-soak/src/changes.rs
+++ b/crates/jb-soak/src/changes.rs
@@ -146,7 +146,7 @@
 }
 
 fn document(world: &World, release: usize, large: bool) -> Value {
-    let mut document = config(world.version.get(), &world.keys());
+    let mut document = config(world.set, world.version.get(), &world.keys());
     let template = document["routes"][0].clone();
     let named = |name: String| {
         let mut route = template.clone();
--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -49,12 +49,14 @@
     Config,
     /// Retries of all boxes together stay within the budget in each window, over all processes of a box.
     Retries,
+    /// A request that a stopping box has read gets a whole answer.
+    Stop,
     /// All boxes serve requests again after the last fault.
     Recovery,
 }
 
 /// All promises, in the order of the report.
-pub const ALL: [Promise; 22] = [
+pub const ALL: [Promise; 23] = [
     Promise::OwnAnswer,
     Promise::Order,
     Promise::Once,
@@ -76,6 +78,7 @@
     Promise::Resume,
     Promise::Config,
     Promise::Retries,
+    Promise::Stop,
     Promise::Recovery,
 ];
 
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -17,6 +17,7 @@
 use crate::restores;
 use crate::retries;
 use crate::signals;
+use crate::stops;
 use crate::versions;
 use crate::world::{EVENTS, World, config};
 use jb_site_fakes::proxy::Link;
@@ -71,6 +72,8 @@
     Fail,
     /// All boxes are killed at the same moment.
     KillAll,
+    /// Two boxes are stopped shortly after each other.
+    StopTwo,
     /// All boxes are killed one after another, each once the one before is back.
     KillInTurn,
 }
@@ -114,6 +117,8 @@
     Changes,
     /// Engines that fail all requests, and boxes that restart, one or all at once.
     Retries,
+    /// Planned stops, new configurations and reloads, while engines keep requests waiting, and rarely a frozen box.
+    Stops,
 }
 
 /// Size of the draw for [`Set::First`]; some faults have more than one number.
@@ -243,10 +248,24 @@
     }
 }
 
+/// Size of the draw for [`Set::Stops`].
+const WITH_STOPS: u32 = 12;
+
+fn draw_with_stops(random: &mut ChaCha8Rng) -> Fault {
+    match random.random_range(0..WITH_STOPS) {
+        0..=4 => Fault::Stop,
+        5..=7 => Fault::StopTwo,
+        8 => Fault::Reload,
+        9 | 10 => Fault::Config,
+        _ => Fault::Pause,
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, set: Set) -> Fault {
     let count = match set {
         Set::Changes => return draw_with_changes(random),
         Set::Retries => return draw_with_retries(random),
+        Set::Stops => return draw_with_stops(random),
         Set::Segments => return draw_with_segments(random),
         Set::Restores => return draw_with_restores(random),
         Set::Cuts => return draw_with_cuts(random),
@@ -313,7 +332,8 @@
     );
     // A store that loses its history still serves each call, so it excuses no late configuration.
     let is_excused = !(world.set == Set::Changes && matches!(fault, Fault::Compact));
-    if !affects_engines && is_excused {
+    let is_planned = world.set == Set::Stops && !matches!(fault, Fault::Pause);
+    if !affects_engines && is_excused && !is_planned {
         world.record_fault(at, fault.affects_all_boxes(), duration);
     }
     match fault {
@@ -321,6 +341,8 @@
             target.signal(Signal::KILL);
             restart(&world, at).await;
         }
+        Fault::Stop if world.set == Set::Stops => stops::stop(&world, at).await,
+        Fault::StopTwo => stops::stop_two(&world, at, &mut random).await,
         Fault::Stop => {
             target.signal(Signal::TERM);
             restart(&world, at).await;
@@ -382,7 +404,9 @@
         Fault::Config => {
             world.version.set(world.version.get() + 3);
             let keys = world.keys();
-            world.store.put_config(&config(world.version.get(), &keys));
+            world
+                .store
+                .put_config(&config(world.set, world.version.get(), &keys));
         }
     }
 }
--- a/crates/jb-soak/src/lib.rs
+++ b/crates/jb-soak/src/lib.rs
@@ -20,5 +20,6 @@
 pub mod retries;
 pub mod run;
 pub mod signals;
+pub mod stops;
 pub mod versions;
 pub mod world;
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -62,6 +62,9 @@
     /// engines that fail all requests, and boxes that restart, one or all at once
     #[argh(switch)]
     retries: bool,
+    /// planned stops of boxes, while engines keep requests waiting
+    #[argh(switch)]
+    stops: bool,
     /// faults of boxes and of the store, which is restored from backups
     #[argh(switch)]
     restores: bool,
@@ -72,6 +75,7 @@
         match self {
             Self { poison: true, .. } => Set::Poison,
             Self { segments: true, .. } => Set::Segments,
+            Self { stops: true, .. } => Set::Stops,
             Self { restores: true, .. } => Set::Restores,
             Self { cuts: true, .. } => Set::Cuts,
             Self { changes: true, .. } => Set::Changes,
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -23,6 +23,7 @@
 use crate::restores;
 use crate::retries;
 use crate::signals;
+use crate::stops;
 use crate::versions;
 use crate::world::World;
 use jb_site_fakes::proxy::Link;
@@ -77,6 +78,7 @@
     let callers = match plan.set {
         Set::Cuts => CALLERS_PER_CALLER * plan.callers,
         Set::Versions => versions::CALLERS_PER_CALLER * plan.callers,
+        Set::Stops => stops::CALLERS_PER_CALLER * plan.callers,
         _ => plan.callers,
     };
     let callers: Vec<_> = (0..callers)
@@ -110,6 +112,8 @@
             Set::Poison => 4,
             // Boxes earn retries between two faults.
             Set::Retries => 3,
+            // Some boxes stay.
+            Set::Stops => 3,
             Set::Cuts | Set::Segments | Set::Changes => 2,
             _ => 1,
         };
@@ -148,6 +152,7 @@
     changes::check(&world, &mut checks);
     restores::check(&world, &mut checks);
     retries::check(&world, &mut checks);
+    stops::check(&world, &mut checks);
     checks
 }
 
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -27,6 +27,7 @@
 use crate::poison::{self, PoisonAttempt};
 use crate::retries;
 use crate::run::Plan;
+use crate::stops::{self, Stop};
 use crate::versions::{self, Fleet};
 
 /// Number of events in a complete stream.
@@ -90,6 +91,8 @@
     announcing: RefCell<BTreeSet<usize>>,
     /// Number of callers.
     pub callers: usize,
+    /// Planned stops of boxes.
+    pub stops: RefCell<Vec<Stop>>,
     /// Rate limits that engines announced.
     pub limits: RefCell<Vec<Limit>>,
     /// Engines in service, and the streams of callers, where software versions are among the faults.
@@ -103,15 +106,18 @@
 }
 
 /// Returns a configuration with one route of each kind.
-pub fn config(version: u64, keys: &[&str]) -> Value {
-    document::config(version, &ROUTES, keys)
+pub fn config(set: Set, version: u64, keys: &[&str]) -> Value {
+    match set {
+        Set::Stops => document::config(version, &stops::routes(), keys),
+        _ => document::config(version, &ROUTES, keys),
+    }
 }
 
 impl World {
     /// Starts the fake store and engines and creates the boxes, which are not started yet.
     pub async fn new(plan: &Plan, program: &Path, folder: &Path, verbose: bool) -> Rc<Self> {
         let store = Store::start().await;
-        store.put_config(&config(1, &["key-ann", "key-cut"]));
+        store.put_config(&config(plan.set, 1, &["key-ann", "key-cut"]));
         let mut engines = Vec::new();
         let count = match plan.set {
             Set::Versions => plan.engines * versions::ENGINES_PER_ENGINE,
@@ -126,6 +132,9 @@
             if plan.set == Set::Poison {
                 engine.crash_body.replace(Some(poison::CRASH_BODY.to_owned()));
             }
+            if plan.set == Set::Stops {
+                stops::prepare(&engine);
+            }
             if plan.set == Set::Segments {
                 poison::crash_under_segment(&engine);
             }
@@ -174,6 +183,7 @@
             poison_attempts: RefCell::default(),
             crowded: Cell::default(),
             crowds: RefCell::default(),
+            stops: RefCell::default(),
             limits: RefCell::default(),
             fleet,
             releases: Releases::default(),
@@ -230,7 +240,8 @@
         if self.revoked.get().is_none() {
             self.revoked.set(Some(Instant::now()));
             self.version.set(self.version.get() + 3);
-            self.store.put_config(&config(self.version.get(), &["key-ann"]));
+            self.store
+                .put_config(&config(self.set, self.version.get(), &["key-ann"]));
         }
     }
 
@@ -352,7 +363,8 @@
 
     /// Rewrites the configuration, the weights and all engine entries.
     pub fn rewrite_entries(&self) {
-        self.store.put_config(&config(self.version.get(), &self.keys()));
+        self.store
+            .put_config(&config(self.set, self.version.get(), &self.keys()));
         if self.weights.get() > 1 {
             self.store.put_weights(self.weights.get());
         }
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -32,7 +32,7 @@
         duration: Duration::from_secs(match set {
             Set::Poison | Set::Segments => 12,
             Set::Cuts | Set::Versions => 10,
-            Set::Changes | Set::Retries => 16,
+            Set::Changes | Set::Retries | Set::Stops => 16,
             _ => 6,
         }),
         set,
@@ -135,6 +135,14 @@
     assert!(checks.seen(Promise::Retries) > 0, "not exercised\n{checks}");
 }
 
+/// Guards against boxes that exit while engines keep requests waiting, so that callers get no answer.
+#[test]
+fn requests_at_stopping_boxes_get_whole_answers() {
+    let checks = run(1, Set::Stops);
+    assert!(checks.hold(), "{checks}");
+    assert!(checks.seen(Promise::Stop) > 0, "not exercised\n{checks}");
+}
+
 /// Guards against streams that go on at an engine of another software version, in a box or with the attempt of a caller at
 /// another box.
 #[test]
