--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -132,6 +132,8 @@
     }
     world.store.behavior.set(Behavior::Healthy);
     world.boxes.iter().for_each(|one| one.link(Link::Well));
+    // Under more load than the engines bear, a box that serves isn't told from one that doesn't.
+    world.stopped.set(plan.set == Set::Stops);
     let recovered = recover(&world).await;
     world.stopped.set(true);
     for caller in callers {
--- a/crates/jb-soak/src/stops.rs
+++ b/crates/jb-soak/src/stops.rs
@@ -16,17 +16,19 @@
 use crate::world::World;
 
 /// Callers for each one of the plan: several times the requests that the engines begin at once.
-pub const CALLERS_PER_CALLER: u64 = 4;
+pub const CALLERS_PER_CALLER: u64 = 6;
 /// Longest wait for a response: the deadline, and time for a late answer.
 pub const RESPONSE_TIMEOUT: Duration = Duration::from_secs(12);
 /// Time that a caller has a use for its response.
 const DEADLINE: Duration = Duration::from_secs(10);
-/// Header lines of a request: its deadline, and a prompt.
+/// Header lines of a request: its deadline.
 pub const HEADERS: &str = "X-Junctionbend-Deadline-Ms: 10000\r\n";
 /// Requests that an engine begins at once.
 const PLACES: usize = 2;
 /// Pauses between the events of streams, in milliseconds.
-const PACES_MS: [u64; 4] = [60, 200, 350, 600];
+const PACES_MS: [u64; 4] = [200, 350, 500, 600];
+/// Time that each request takes in addition.
+const WORK: Duration = Duration::from_millis(200);
 /// Time from SIGTERM to SIGKILL, as in the settings of the boxes.
 const GRACE: Duration = Duration::from_secs(8);
 /// Time after the grace period in which connections still count as ended by the stop.
@@ -56,9 +58,10 @@
     ROUTES.map(|route| Route { timeout_ms, ..route }).to_vec()
 }
 
-/// Makes an engine begin few requests at once, and pause within streams.
+/// Makes an engine begin few requests at once, so that they wait for seconds, and pause within streams.
 pub fn prepare(engine: &Engine) {
     engine.begin_at_most(PLACES);
+    engine.brittle.work.set(WORK);
     engine.paces.replace(PACES_MS.map(Duration::from_millis).to_vec());
 }
 
