Answer the requests that are open before a stopping box exits

Cause: the exit is the one deadline of a request that nothing else knew of. Attempts were placed, retried and waited for with the caller's deadline, and shut_down returned at its own time. Evidence: request_cut with phase sent, an age of seconds and stopping_ms 7,700; no engine had begun them.

It is one place around all attempts of an exchange, so every wait in it is covered; a request that is still being received gets 503.

A request that fits no more is rejected at once as not run, so its caller goes to a box that stays.

--- /dev/null
+++ b/crates/jb-policy/tests/shutdown.rs
@@ -0,0 +1,61 @@
+//! Requests at a box that shuts down: which it still begins, and when it answers them.
+
+use std::time::Duration;
+
+use jb_policy::response_time::ResponseTime;
+use jb_policy::shutdown::Schedule;
+
+const GRACE: Duration = Duration::from_secs(8);
+const SIGNALLED_AT: Duration = Duration::from_secs(100);
+
+fn after_signal(ms: u64) -> Duration {
+    SIGNALLED_AT + Duration::from_millis(ms)
+}
+
+#[test]
+fn open_requests_are_answered_before_the_exit_and_that_is_before_the_kill() {
+    let schedule = Schedule::new(SIGNALLED_AT, GRACE);
+    assert!(schedule.answer_by() < schedule.exit_by());
+    assert!(schedule.exit_by() < SIGNALLED_AT + GRACE);
+}
+
+/// Guards against requests that are admitted so late that the platform counts their cut as a failure of the box.
+#[test]
+fn requests_are_admitted_until_three_seconds_after_the_signal() {
+    let schedule = Schedule::new(SIGNALLED_AT, GRACE);
+    assert!(schedule.admits(after_signal(2800)));
+    assert!(!schedule.admits(after_signal(3000)));
+}
+
+/// Guards against attempts that the end of the grace period is sure to cut.
+#[test]
+fn attempt_fits_only_if_it_ends_before_open_requests_are_answered() {
+    let schedule = Schedule::new(SIGNALLED_AT, GRACE);
+    let time = Duration::from_millis(3600);
+    assert!(schedule.fits(after_signal(2000), time));
+    assert!(!schedule.fits(after_signal(6000), time));
+    assert!(schedule.fits(after_signal(6000), Duration::ZERO));
+    assert!(!schedule.fits(after_signal(7900), Duration::ZERO));
+}
+
+#[test]
+fn grace_period_that_is_shorter_than_its_reserves_has_no_time_left() {
+    let schedule = Schedule::new(SIGNALLED_AT, Duration::from_millis(100));
+    assert_eq!(schedule.exit_by(), SIGNALLED_AT);
+    assert!(!schedule.fits(after_signal(1), Duration::ZERO));
+}
+
+/// Most responses of a route whose times vary end within the estimate.
+#[test]
+fn estimate_covers_most_responses_of_a_route() {
+    let mut time = ResponseTime::default();
+    assert_eq!(time.upper(), Duration::ZERO);
+    let samples = (0..200_u64).map(|number| Duration::from_millis(1000 + number * 389 % 1000));
+    let mut covered = 0;
+    for sample in samples.clone() {
+        covered += usize::from(sample <= time.upper());
+        time.record(sample);
+    }
+    assert!(covered * 10 >= samples.count() * 9, "{covered} of 200");
+    assert!(time.upper() < Duration::from_secs(3), "{:?}", time.upper());
+}
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -162,8 +162,8 @@
 fn head(core: &Core, instance: &str, entry: &Entry, message: &Message<'_>) -> BytesMut {
     let names = &core.header_names;
     let request = message.request;
-    let left = request
-        .deadline
+    let left = core
+        .answer_by(request.deadline)
         .saturating_sub(core.now() + RETURN_LATENCY)
         .as_millis()
         .to_string();
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -11,6 +11,7 @@
 use jb_policy::outage::{self, Span};
 use jb_policy::placement::CostModel;
 use jb_policy::prefill_rate::PrefillRate;
+use jb_policy::response_time::ResponseTime;
 use jb_policy::retry_budget::{Budget, FixedPart};
 use jb_policy::software::{Departures, Versions};
 use jb_policy::weights::History;
@@ -159,6 +160,8 @@
     pub fixed_retries: RefCell<FixedPart>,
     /// Measured prefill rate of each service's engines.
     pub prefill_rates: RefCell<HashMap<id::Service, PrefillRate>>,
+    /// Time that the responses of each route take.
+    pub response_times: RefCell<HashMap<id::Route, ResponseTime>>,
     /// Bytes of request bodies held in memory.
     pub held_body_bytes: Cell<usize>,
     /// The clock.
@@ -183,6 +186,7 @@
     /// Creates the state of a box that has just started.
     pub fn new(components: Components) -> Shared {
         Rc::new(Self {
+            stop: Stop::new(components.settings.bounds.stop_grace),
             settings: components.settings,
             header_names: components.header_names,
             cost_model: CostModel::default(),
@@ -190,7 +194,6 @@
             engines: components.engines,
             logger: components.logger,
             metrics: Metrics::default(),
-            stop: Stop::default(),
             open_requests: OpenRequests::default(),
             activity: Activity::default(),
             configuration: RefCell::default(),
@@ -235,6 +238,7 @@
             retry_budgets: RefCell::default(),
             fixed_retries: RefCell::new(FixedPart::new(Moment::ZERO)),
             prefill_rates: RefCell::default(),
+            response_times: RefCell::default(),
             held_body_bytes: Cell::default(),
             clock: Clock::start(),
         })
--- a/crates/jb-relay/src/exchange/load_guard.rs
+++ b/crates/jb-relay/src/exchange/load_guard.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Returns the time since the request was sent.
+    pub(super) fn elapsed(&self) -> Duration {
+        self.core.now().saturating_sub(self.sent)
+    }
+
     /// Returns the time since the first event; zero before it.
     pub(super) fn running_time(&self) -> Duration {
         let first_event_at = self.first_event_at.unwrap_or(self.core.now());
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -22,13 +22,16 @@
 use crate::core::Shared;
 use crate::deliver::{self, DeliveryOutcome, StreamTiming};
 use crate::http::{Connection, Framing, RequestHead};
-use crate::open_request::OpenRequest;
+use crate::open_request::{OpenRequest, Phase};
 use crate::peers::{self, Permit, Reservation};
 use crate::quarantine;
+use crate::stop;
 use crate::upstream::Instance;
 
 /// Upper bound on the attempts of one request, including those that the upstream rejected.
 const MAX_SENDS: u32 = 4;
+/// Why a request is given up that can't be answered before the box exits.
+const STOPPING: &str = "stopping";
 /// Why a stream breaks whose next upstream responds with an error: the caller is already reading the events.
 pub(super) const ERROR_WITHIN_STREAM: &str = "error response to a resumed stream";
 
@@ -118,9 +121,27 @@
         }
     }
 
-    /// Sends the request until it succeeds or is given up. Delivers only responses of upstreams; error
-    /// responses are left to the caller of this function.
+    /// Sends the request until it succeeds or is given up, which it is before the box exits. Delivers only responses of
+    /// upstreams; error responses are left to the caller of this function.
     pub async fn run(&mut self, client: &mut Connection) -> RequestOutcome {
+        let core = self.core;
+        let response = client.write_mark();
+        tokio::select! {
+            biased;
+            outcome = self.run_attempts(client) => outcome,
+            () = stop::wait_answer_time(core, &response) => self.give_up_at_exit(),
+        }
+    }
+
+    /// Gives the request up. Dropping its attempt has closed the connection to the upstream, which ends its work.
+    fn give_up_at_exit(&mut self) -> RequestOutcome {
+        if self.message.open.phase() == Phase::Sent {
+            self.runs = self.runs.max(1);
+        }
+        self.terminal_outcome(STOPPING)
+    }
+
+    async fn run_attempts(&mut self, client: &mut Connection) -> RequestOutcome {
         let request = self.message.request;
         if !request.is_forwarded {
             // The box that admitted the request counts it.
@@ -131,6 +152,9 @@
             if self.left().is_zero() {
                 return self.terminal_outcome(why);
             }
+            if !self.core.can_answer_before_exit(&request.route.name) {
+                return self.terminal_outcome(STOPPING);
+            }
             // Found out first, as a helper may not reach the boxes that know it.
             let found = self.find_software().await;
             if let Path::Ended(outcome) = self.detour_if_partitioned(client).await {
@@ -329,7 +353,10 @@
             );
             return Err("spoiled");
         }
-        let again = status >= 500 && request.route.is_retryable() && self.runs < request.route.max_attempts;
+        let again = status >= 500
+            && request.route.is_retryable()
+            && self.runs < request.route.max_attempts
+            && core.can_answer_before_exit(&request.route.name);
         if again && self.core.take_retry(&request.service) {
             // Without a retry from the budget, the caller gets the engine's error response.
             self.retry_granted = true;
@@ -371,6 +398,7 @@
                     peers::end_stream(core, &version::origin_name(request));
                 }
                 if status < 500 {
+                    core.note_response_time(&request.route.name, counted.elapsed());
                     self.record_success(instance);
                     self.note_run(instance, counted.running_time());
                 }
--- a/crates/jb-relay/src/exchange/selection.rs
+++ b/crates/jb-relay/src/exchange/selection.rs
@@ -173,10 +173,13 @@
     admission::decide(&request, estimate)
 }
 
-/// Returns whether a request can leave a stalled upstream: another one is available, or another box may reach one, and
-/// the retry budget grants the attempt.
+/// Returns whether a request can leave a stalled upstream: another one is available, or another box may reach one, the
+/// retry budget grants the attempt, and the box stays for long enough.
 pub(super) fn can_retry_elsewhere(core: &Core, placement: Placement<'_>) -> bool {
     let service = &placement.request.service;
+    if !core.can_answer_before_exit(&placement.request.route.name) {
+        return false;
+    }
     let has_other = core.uplinks.is_down(service) || choose(core, placement, CandidateSet::All).is_some();
     has_other && core.take_retry(service)
 }
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
+use jb_policy::Moment;
 use jb_protocol::{emit, event};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::time::{sleep, timeout};
@@ -26,9 +27,6 @@
 const BODY_MEMORY_DIVISOR: usize = 4;
 /// `Retry-After` of a box that may be able to serve soon; the caller may also retry at another box.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
-/// Time from the start of a graceful shutdown in which new requests are still accepted. Later ones could be cut off
-/// at the end of the grace period, which the platform counts as a failure of the box.
-const STOP_ADMISSION_PERIOD: Duration = Duration::from_millis(2900);
 /// Time after the box begins to load the store's content in which requests wait for the first verified configuration. In a
 /// fleet of 295, a box with an eighth of a core has it after 0.15 to 0.4 s. Without the wait, a restart of all boxes made
 /// callers meet two rejections in a row for 600 of 3,400 requests.
@@ -66,11 +64,64 @@
     if client.buffer.is_empty() && !wait_for_request(core, client, &limits).await {
         return false;
     }
-    let open = core.open_requests.begin(core.now(), client.write_mark());
+    let response = client.write_mark();
+    let open = core.open_requests.begin(core.now(), response.clone());
+    let received = tokio::select! {
+        biased;
+        received = receive(core, client, &limits, &open) => received,
+        () = stop::wait_answer_time(core, &response) => Err(ReceiveError::stopping()),
+    };
+    let Received { query, body, arrived } = match received {
+        Ok(received) => received,
+        Err(ReceiveError::Rejected { status, why }) => return reject_unread(core, client, status, why).await,
+        Err(ReceiveError::Closed) => return false,
+    };
+    let held = HeldBody::new(core, body.len());
+    open.begin_waiting();
+    let goes_on = handle(core, client, &query, &body, arrived, &open).await;
+    drop(held);
+    goes_on && query.keep_alive && !core.stop.is_stopping()
+}
+
+/// A request that has been received.
+struct Received {
+    query: RequestHead,
+    body: Bytes,
+    /// When its head had been received.
+    arrived: Moment,
+}
+
+/// Why a request was not received.
+enum ReceiveError {
+    /// It is rejected with this status.
+    Rejected { status: u16, why: &'static str },
+    /// The caller has closed the connection.
+    Closed,
+}
+
+impl ReceiveError {
+    fn stopping() -> Self {
+        Self::Rejected {
+            status: 503,
+            why: "stopping",
+        }
+    }
+}
+
+/// Receives the head and the body of a request.
+async fn receive(
+    core: &Shared,
+    client: &mut Connection,
+    limits: &CallerLimits,
+    open: &OpenRequest<'_>,
+) -> Result<Received, ReceiveError> {
+    let rejected = |status, why| Err(ReceiveError::Rejected { status, why });
     let query = match timeout(limits.head_timeout, client.read_request(limits.max_head_bytes)).await {
         Ok(Ok(query)) => query,
-        Ok(Err(why)) => return reject_head(core, client, &why).await,
-        Err(_) => return reject_unread(core, client, 408, "slow_head").await,
+        Ok(Err(Error::HeadTooLong(_))) => return rejected(431, "long_head"),
+        Ok(Err(Error::Malformed(why))) => return rejected(400, why),
+        Ok(Err(_)) => return Err(ReceiveError::Closed),
+        Err(_) => return rejected(408, "slow_head"),
     };
     let arrived = core.now();
     open.set_id(
@@ -79,17 +130,11 @@
             .text(core.header_names.request_id)
             .unwrap_or_default(),
     );
-    let body = match read_body(core, client, &query, &limits).await {
-        Ok(body) => body,
-        Err(Some(status)) => return reject_unread(core, client, status, "body").await,
-        Err(None) => return false,
-    };
-    let size = body.len();
-    let held = HeldBody::new(core, size);
-    open.begin_waiting();
-    let goes_on = handle(core, client, &query, &body, arrived, &open).await;
-    drop(held);
-    goes_on && query.keep_alive && !core.stop.is_stopping()
+    match read_body(core, client, &query, limits).await {
+        Ok(body) => Ok(Received { query, body, arrived }),
+        Err(Some(status)) => rejected(status, "body"),
+        Err(None) => Err(ReceiveError::Closed),
+    }
 }
 
 /// Counts the bytes of a request body as held until it is dropped.
@@ -124,9 +169,8 @@
 
 /// Waits until an idle connection may be closed during a graceful shutdown.
 async fn wait_idle_stop(core: &Shared) {
-    core.stop.wait_begun().await;
-    let since = core.stop.since().unwrap_or_default();
-    let noticed = (since + stop::UNREADY_NOTICE_TIME).saturating_sub(core.now());
+    let schedule = core.stop.wait_begun().await;
+    let noticed = (schedule.signalled_at() + stop::UNREADY_NOTICE_TIME).saturating_sub(core.now());
     sleep(noticed.max(STOP_IDLE_TIME)).await;
 }
 
@@ -153,6 +197,8 @@
             .send(b"HTTP/1.1 100 Continue\r\n\r\n")
             .await
             .map_err(|_| None)?;
+        // The response has not begun.
+        client.write_mark().clear();
     }
     match timeout(
         BODY_TIMEOUT,
@@ -169,14 +215,6 @@
     }
 }
 
-async fn reject_head(core: &Shared, client: &mut Connection, why: &Error) -> bool {
-    match why {
-        Error::HeadTooLong(_) => reject_unread(core, client, 431, "long_head").await,
-        Error::Malformed(why) => reject_unread(core, client, 400, why).await,
-        _ => false,
-    }
-}
-
 /// Rejects a request that was not read completely, and closes the connection.
 async fn reject_unread(core: &Shared, client: &mut Connection, status: u16, why: &str) -> bool {
     core.metrics.count_outcome("bad_input", status);
@@ -209,9 +247,8 @@
 
 /// Returns whether a request arrives too late in a graceful shutdown to be finished.
 pub fn is_too_late(core: &Core) -> bool {
-    core.stop
-        .since()
-        .is_some_and(|since| core.now() > since + STOP_ADMISSION_PERIOD)
+    let schedule = core.stop.schedule();
+    schedule.is_some_and(|schedule| !schedule.admits(core.now()))
 }
 
 async fn handle(
@@ -219,7 +256,7 @@
     client: &mut Connection,
     query: &RequestHead,
     body: &Bytes,
-    arrived: jb_policy::Moment,
+    arrived: Moment,
     open: &OpenRequest<'_>,
 ) -> bool {
     wait_for_startup(core).await;
--- a/crates/jb-relay/src/open_request.rs
+++ b/crates/jb-relay/src/open_request.rs
@@ -122,9 +122,8 @@
         self.state.id.replace(id.to_owned());
     }
 
-    /// Notes that the whole request has been received. An interim response is no part of the answer.
+    /// Notes that the whole request has been received.
     pub fn begin_waiting(&self) {
-        self.state.response.clear();
         self.state.phase.set(Phase::Waiting);
     }
 
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -23,8 +23,6 @@
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest suspension that is logged. Shorter ones can be an artefact of reading two clocks one after the other.
 const MIN_LOGGED_SUSPENSION: Duration = Duration::from_millis(100);
-/// Part of the grace period that is reserved for the process to exit.
-const EXIT_RESERVE: Duration = Duration::from_millis(300);
 /// Maximum number of requests that are logged as cut off at the exit.
 const MAX_LOGGED_REQUESTS: usize = 256;
 /// Interval at which a graceful shutdown checks for open connections.
@@ -165,17 +163,16 @@
     suspended
 }
 
-/// Finishes the open requests within the grace period, then returns.
+/// Answers the open requests within the grace period, then returns.
 pub async fn shut_down(core: &Shared) {
     let since = core.now();
-    core.stop.begin(since);
+    let schedule = core.stop.begin(since);
     log_stopping(core, since);
-    let end = (since + core.settings.bounds.stop_grace).saturating_sub(EXIT_RESERVE);
     loop {
         sleep(STOP_POLL_INTERVAL).await;
         let now = core.now();
         let idle = core.stop.is_done() && now > since + stop::UNREADY_NOTICE_TIME;
-        if idle || now > end {
+        if idle || now > schedule.exit_by() {
             break;
         }
     }
@@ -195,11 +192,14 @@
 /// Logs the requests whose response isn't complete as the box exits.
 fn log_cut_requests(core: &Core) {
     let now = core.now();
-    let stopping_for = now.saturating_sub(core.stop.since().unwrap_or(now));
+    let stopping_for = core
+        .stop
+        .schedule()
+        .map(|schedule| now.saturating_sub(schedule.signalled_at()));
     for request in core.open_requests.summaries().iter().take(MAX_LOGGED_REQUESTS) {
         emit!(core.logger, warn, event::REQUEST_CUT, "request" => &request.id, "phase" => request.phase.name(),
             "ms" => now.saturating_sub(request.since).as_millis() as u64,
-            "stopping_ms" => stopping_for.as_millis() as u64);
+            "stopping_ms" => stopping_for.map(|time| time.as_millis() as u64));
     }
 }
 
--- a/crates/jb-relay/src/stop.rs
+++ b/crates/jb-relay/src/stop.rs
@@ -1,43 +1,67 @@
-//! Graceful shutdown: the box reports that it isn't ready, finishes open requests, and exits.
+//! Graceful shutdown: the box reports that it isn't ready, answers open requests, and exits.
 
 use std::cell::Cell;
 use std::time::Duration;
 
 use jb_policy::Moment;
+use jb_policy::shutdown::Schedule;
 use tokio::sync::Notify;
+use tokio::time::sleep;
+
+use crate::core::Core;
+use crate::http::WriteMark;
 
 /// Time within which the load balancer notices that the box isn't ready, plus a margin of a second.
 pub const UNREADY_NOTICE_TIME: Duration = Duration::from_millis(3200);
+/// Maximum number of routes whose response times are kept.
+const MAX_TIMED_ROUTES: usize = 4096;
 
 /// Progress of a graceful shutdown.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Stop {
-    since: Cell<Option<Moment>>,
+    grace: Duration,
+    schedule: Cell<Option<Schedule>>,
     connections: Cell<usize>,
     leading: Cell<bool>,
     changed: Notify,
 }
 
 impl Stop {
-    /// Starts the shutdown.
-    pub fn begin(&self, now: Moment) {
-        self.since.set(Some(now));
+    /// Creates the state of a box that is killed `grace` after it is told to stop.
+    pub fn new(grace: Duration) -> Self {
+        Self {
+            grace,
+            schedule: Cell::default(),
+            connections: Cell::default(),
+            leading: Cell::default(),
+            changed: Notify::default(),
+        }
+    }
+
+    /// Starts the shutdown of a box that was told to stop at `signalled_at`.
+    pub fn begin(&self, signalled_at: Moment) -> Schedule {
+        let schedule = Schedule::new(signalled_at, self.grace);
+        self.schedule.set(Some(schedule));
         self.changed.notify_waiters();
+        schedule
     }
 
-    /// Returns when the shutdown started; `None` before it.
-    pub fn since(&self) -> Option<Moment> {
-        self.since.get()
+    /// Returns the times of the shutdown; `None` before it.
+    pub fn schedule(&self) -> Option<Schedule> {
+        self.schedule.get()
     }
 
     /// Returns whether the shutdown has started.
     pub fn is_stopping(&self) -> bool {
-        self.since.get().is_some()
+        self.schedule.get().is_some()
     }
 
     /// Waits until the shutdown has started.
-    pub async fn wait_begun(&self) {
-        while !self.is_stopping() {
+    pub async fn wait_begun(&self) -> Schedule {
+        loop {
+            if let Some(schedule) = self.schedule.get() {
+                return schedule;
+            }
             self.changed.notified().await;
         }
     }
@@ -75,3 +99,41 @@
         self.stop.connections.set(self.stop.connections.get() - 1);
     }
 }
+
+/// Waits until a request has to be answered because the box exits; for ever if its response has begun by then, since
+/// nothing but the rest of that response can follow.
+pub async fn wait_answer_time(core: &Core, response: &WriteMark) {
+    let schedule = core.stop.wait_begun().await;
+    sleep(schedule.answer_by().saturating_sub(core.now())).await;
+    if response.is_set() {
+        std::future::pending::<()>().await;
+    }
+}
+
+impl Core {
+    /// Returns when a request has to be answered: at its deadline, or before the box exits.
+    pub fn answer_by(&self, deadline: Moment) -> Moment {
+        let schedule = self.stop.schedule();
+        schedule.map_or(deadline, |schedule| schedule.answer_by().min(deadline))
+    }
+
+    /// Returns whether a response of a route that is requested now is complete before the box exits.
+    pub fn can_answer_before_exit(&self, route: &str) -> bool {
+        let Some(schedule) = self.stop.schedule() else {
+            return true;
+        };
+        let times = self.response_times.borrow();
+        let time = times.get(route).copied().unwrap_or_default().upper();
+        schedule.fits(self.now(), time)
+    }
+
+    /// Records the time that a route's response took.
+    pub fn note_response_time(&self, route: &str, took: Duration) {
+        let mut times = self.response_times.borrow_mut();
+        if let Some(time) = times.get_mut(route) {
+            time.record(took);
+        } else if times.len() < MAX_TIMED_ROUTES {
+            times.entry(route.to_owned()).or_default().record(took);
+        }
+    }
+}
