Keep a connection open whose response promised it, also when a stop begins

Callers met a closed connection: a box that was told to stop closed each connection at the end of the response under way, although its head, sent before, had promised to keep it.

Cause: serve_request decided by the state of the stop at the end of a response, the head by the one at its beginning. Of a request and the end of the idle time that are noticed together, the request goes first.

connection_that_a_response_keeps_is_not_closed_at_once: red before (Closed), green now.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -81,13 +81,16 @@
     }
 }
 
-fn head(core: &Shared, answer: &ResponseHead, framing: Framing) -> BytesMut {
+/// Builds the head of the response to the caller. What it promises of the connection has to be kept, also if the box is
+/// told to stop before the response ends.
+fn head(core: &Shared, client: &mut Connection, answer: &ResponseHead, framing: Framing) -> BytesMut {
+    client.announce_keep_alive(!core.stop.is_stopping());
     let mut out = BytesMut::with_capacity(1024);
     let lines = answer
         .headers
         .end_to_end()
         .map(|h| (h.name.as_ref(), h.value.as_ref()));
-    write_response_head(&mut out, answer.status, lines, framing, !core.stop.is_stopping());
+    write_response_head(&mut out, answer.status, lines, framing, client.keeps_alive());
     out
 }
 
@@ -141,7 +144,7 @@
             Part::CallerGone => return DeliveryOutcome::CallerGone,
         }
     }
-    let mut out = head(core, &reply.answer, Framing::Length(body.len() as u64));
+    let mut out = head(core, client, &reply.answer, Framing::Length(body.len() as u64));
     out.put_slice(&body);
     release(core, reply);
     match client.send(&out).await {
@@ -162,7 +165,7 @@
         Framing::Length(length) => Framing::Length(length),
         Framing::Chunked | Framing::UntilClose => Framing::Chunked,
     };
-    let mut out = head(core, &reply.answer, framing);
+    let mut out = head(core, client, &reply.answer, framing);
     put_data(&mut out, framing, &first);
     loop {
         if client.send(&out).await.is_err() {
@@ -264,7 +267,7 @@
     // The head is sent with the first event; for a resumed stream it has already been sent.
     let mut out = match message.last_event {
         Some(_) => BytesMut::new(),
-        None => head(core, &reply.answer, framing),
+        None => head(core, client, &reply.answer, framing),
     };
     let mut has_started = message.last_event.is_some();
     let mut stall = Stall::new(core, request);
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -80,7 +80,7 @@
     open.begin_waiting();
     let goes_on = handle(core, client, &query, &body, arrived, &open).await;
     drop(held);
-    goes_on && query.keep_alive && !core.stop.is_stopping()
+    goes_on && query.keep_alive && client.keeps_alive()
 }
 
 /// A request that has been received.
@@ -161,6 +161,8 @@
 /// Waits for the first byte of a request; returns false if the connection is closed or should be.
 async fn wait_for_request(core: &Shared, client: &mut Connection, limits: &CallerLimits) -> bool {
     tokio::select! {
+        // A request that has arrived goes before a close.
+        biased;
         filled = client.fill() => matches!(filled, Ok(read) if read > 0),
         () = sleep(limits.idle_timeout) => false,
         () = wait_idle_stop(core) => false,
@@ -336,6 +338,7 @@
     keep_alive: bool,
 ) -> bool {
     let keep_alive = keep_alive && !core.stop.is_stopping();
+    client.announce_keep_alive(keep_alive);
     let lines = [(core.header_names.request_id, id)];
     let lines = if id.is_empty() { &lines[..0] } else { &lines[..] };
     client
--- a/crates/jb-relay/src/http/connection.rs
+++ b/crates/jb-relay/src/http/connection.rs
@@ -47,6 +47,7 @@
     /// Time at which the trailers that are being read have to end.
     trailers_until: Option<Instant>,
     written: WriteMark,
+    keeps_alive: bool,
 }
 
 impl Connection {
@@ -57,6 +58,7 @@
             buffer: BytesMut::new(),
             trailers_until: None,
             written: WriteMark::default(),
+            keeps_alive: true,
         }
     }
 
@@ -197,6 +199,16 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Notes whether the response that is being sent tells the peer that the connection stays open.
+    pub fn announce_keep_alive(&mut self, keeps_alive: bool) {
+        self.keeps_alive = keeps_alive;
+    }
+
+    /// Returns whether the peer has been told, or may assume, that the connection stays open.
+    pub fn keeps_alive(&self) -> bool {
+        self.keeps_alive
+    }
+
     /// Returns the mark that tells whether anything has been written.
     pub fn write_mark(&self) -> WriteMark {
         self.written.clone()
