Stay until the callers of a stopping box have their last responses

A box that stopped exited up to 50 ms after it had written its last response. On a machine or container that goes with its process, or behind a slow link, what the operating system still holds by then is lost, and a close with unread input resets the connection: the box logs a request as answered, and its caller has part of the answer.

After its last response on a connection, which says Connection: close, a stopping box now closes its write side and waits, for a second at most, until the caller has closed the other one. The exit at the end of the grace period stays.

--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -21,6 +21,8 @@
 /// Time for which input is still read after an error response. Closing with unread input would reset the connection,
 /// and the caller could lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
+/// The same for the last response on a connection of a box that stops: a few retransmissions.
+const STOP_LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Descriptors reserved for upstreams, the store, health checks and files.
 const RESERVED_DESCRIPTORS: usize = 400;
 /// Request bodies may use one part in this many of the box's memory.
@@ -53,6 +55,10 @@
     }
     let mut client = Connection::new(stream);
     while serve_request(&core, &mut client).await {}
+    if core.stop.is_stopping() && !client.keeps_alive() {
+        // Bytes that the operating system still holds may be lost when the process exits.
+        close_gracefully(&mut client, STOP_LINGER_TIMEOUT).await;
+    }
 }
 
 /// Serves one request; returns whether the connection stays open.
@@ -226,18 +232,23 @@
         .await
         .is_ok()
     {
-        client.shutdown_write().await;
-        let drained = async {
-            while matches!(client.fill().await, Ok(read) if read > 0) {
-                client.buffer.clear()
-            }
-        };
-        // A caller that keeps sending beyond the timeout is cut off.
-        let _ = timeout(LINGER_TIMEOUT, drained).await;
+        close_gracefully(client, LINGER_TIMEOUT).await;
     }
     false
 }
 
+/// Closes the write side, and reads until the caller has closed its side, which shows that it has the whole response. One
+/// that doesn't close it within the timeout is cut off.
+async fn close_gracefully(client: &mut Connection, limit: Duration) {
+    client.shutdown_write().await;
+    let drained = async {
+        while matches!(client.fill().await, Ok(read) if read > 0) {
+            client.buffer.clear()
+        }
+    };
+    let _ = timeout(limit, drained).await;
+}
+
 /// Waits for the first verified configuration if the box has just started. A rejected caller would retry at once,
 /// probably at another box that has just started too.
 async fn wait_for_startup(core: &Shared) {
