Count a shutdown from before the standstill in which its signal came

A box that is frozen, or gets no processor, as SIGTERM is sent counted its times from when it noticed the signal: with 1.0 s it admitted requests until 3.9 s and was killed at 8.0 s, before its exit.

Cause: the moment at which an event is noticed was taken for the moment at which it happened. The shutdown counts from the last such moment before the signal, up to half of the grace period back, and its reserves grow by how late tasks ran in the last 10 s, up to 0.5 s.

--- a/crates/jb-policy/src/shutdown.rs
+++ b/crates/jb-policy/src/shutdown.rs
@@ -11,6 +11,22 @@
 const EXIT_RESERVE: Duration = Duration::from_millis(300);
 /// Time before the exit in which requests that are still open are answered, and the answers reach their callers.
 const ANSWER_RESERVE: Duration = Duration::from_millis(200);
+/// Longest delay of the box's tasks that both reserves grow by. Responses that have begun may run on into the last sixth of
+/// the grace period.
+const MAX_DELAY: Duration = Duration::from_millis(500);
+/// Largest part of the grace period by which the signal may have been sent before it was noticed.
+const MAX_UNNOTICED_SHARE: f64 = 0.5;
+
+/// What a box knows of the signal that tells it to stop.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Signal {
+    /// When the box noticed it.
+    pub noticed_at: Moment,
+    /// When the box last ran before, so that it can't have been sent earlier unnoticed.
+    pub ran_before: Moment,
+    /// How late the tasks of the box have run lately.
+    pub delay: Duration,
+}
 
 /// Times of one shutdown.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -21,9 +37,15 @@
 }
 
 impl Schedule {
-    /// Creates the schedule of a box that is killed `grace` after it was told to stop.
-    pub fn new(signalled_at: Moment, grace: Duration) -> Self {
-        let time_to_exit = grace.saturating_sub(EXIT_RESERVE);
+    /// Creates the schedule of a box that is killed `grace` after the signal was sent, which may be long before it was
+    /// noticed if the box didn't run.
+    pub fn new(signal: Signal, grace: Duration) -> Self {
+        let longest = grace.mul_f64(MAX_UNNOTICED_SHARE);
+        let signalled_at = signal
+            .ran_before
+            .max(signal.noticed_at.saturating_sub(longest))
+            .min(signal.noticed_at);
+        let time_to_exit = grace.saturating_sub(EXIT_RESERVE + signal.delay.min(MAX_DELAY));
         Self {
             signalled_at,
             answer_by: signalled_at + time_to_exit.saturating_sub(ANSWER_RESERVE),
@@ -31,7 +53,7 @@
         }
     }
 
-    /// Returns when the box was told to stop.
+    /// Returns the earliest time at which the box may have been told to stop.
     pub fn signalled_at(&self) -> Moment {
         self.signalled_at
     }
--- a/crates/jb-policy/tests/shutdown.rs
+++ b/crates/jb-policy/tests/shutdown.rs
@@ -3,10 +3,16 @@
 use std::time::Duration;
 
 use jb_policy::response_time::ResponseTime;
-use jb_policy::shutdown::Schedule;
+use jb_policy::shutdown::{Schedule, Signal};
 
 const GRACE: Duration = Duration::from_secs(8);
 const SIGNALLED_AT: Duration = Duration::from_secs(100);
+/// A signal that a box notices at once.
+const SIGNAL: Signal = Signal {
+    noticed_at: SIGNALLED_AT,
+    ran_before: SIGNALLED_AT,
+    delay: Duration::ZERO,
+};
 
 fn after_signal(ms: u64) -> Duration {
     SIGNALLED_AT + Duration::from_millis(ms)
@@ -14,7 +20,7 @@
 
 #[test]
 fn open_requests_are_answered_before_the_exit_and_that_is_before_the_kill() {
-    let schedule = Schedule::new(SIGNALLED_AT, GRACE);
+    let schedule = Schedule::new(SIGNAL, GRACE);
     assert!(schedule.answer_by() < schedule.exit_by());
     assert!(schedule.exit_by() < SIGNALLED_AT + GRACE);
 }
@@ -22,7 +28,7 @@
 /// Guards against requests that are admitted so late that the platform counts their cut as a failure of the box.
 #[test]
 fn requests_are_admitted_until_three_seconds_after_the_signal() {
-    let schedule = Schedule::new(SIGNALLED_AT, GRACE);
+    let schedule = Schedule::new(SIGNAL, GRACE);
     assert!(schedule.admits(after_signal(2800)));
     assert!(!schedule.admits(after_signal(3000)));
 }
@@ -30,7 +36,7 @@
 /// Guards against attempts that the end of the grace period is sure to cut.
 #[test]
 fn attempt_fits_only_if_it_ends_before_open_requests_are_answered() {
-    let schedule = Schedule::new(SIGNALLED_AT, GRACE);
+    let schedule = Schedule::new(SIGNAL, GRACE);
     let time = Duration::from_millis(3600);
     assert!(schedule.fits(after_signal(2000), time));
     assert!(!schedule.fits(after_signal(6000), time));
@@ -40,11 +46,53 @@
 
 #[test]
 fn grace_period_that_is_shorter_than_its_reserves_has_no_time_left() {
-    let schedule = Schedule::new(SIGNALLED_AT, Duration::from_millis(100));
+    let schedule = Schedule::new(SIGNAL, Duration::from_millis(100));
     assert_eq!(schedule.exit_by(), SIGNALLED_AT);
     assert!(!schedule.fits(after_signal(1), Duration::ZERO));
 }
 
+/// Guards against a box that was frozen as it was told to stop, and counts the grace period from when it goes on.
+#[test]
+fn times_count_from_when_the_box_last_ran_before_the_signal() {
+    let frozen = Duration::from_secs(1);
+    let signal = Signal {
+        noticed_at: SIGNALLED_AT + frozen,
+        ..SIGNAL
+    };
+    let schedule = Schedule::new(signal, GRACE);
+    assert_eq!(schedule, Schedule::new(SIGNAL, GRACE));
+    assert!(!schedule.admits(signal.noticed_at + Duration::from_millis(2000)));
+}
+
+/// Guards against a box that ends all requests at once since it didn't run for longer than its grace period: the signal
+/// may have come at the end of that time.
+#[test]
+fn box_that_did_not_run_for_long_still_has_half_of_its_grace_period() {
+    let signal = Signal {
+        ran_before: Duration::ZERO,
+        ..SIGNAL
+    };
+    let schedule = Schedule::new(signal, GRACE);
+    assert!(schedule.fits(SIGNALLED_AT, Duration::from_secs(3)));
+}
+
+/// Guards against a box with little processor time that is killed while it answers its last requests.
+#[test]
+fn reserves_grow_by_the_delay_of_the_tasks() {
+    let delay = Duration::from_millis(300);
+    let slow = Schedule::new(Signal { delay, ..SIGNAL }, GRACE);
+    let quick = Schedule::new(SIGNAL, GRACE);
+    assert_eq!(slow.exit_by() + delay, quick.exit_by());
+    let stuck = Schedule::new(
+        Signal {
+            delay: GRACE,
+            ..SIGNAL
+        },
+        GRACE,
+    );
+    assert!(stuck.exit_by() > SIGNALLED_AT + GRACE.mul_f64(5.0 / 6.0));
+}
+
 /// Most responses of a route whose times vary end within the estimate.
 #[test]
 fn estimate_covers_most_responses_of_a_route() {
--- a/crates/jb-relay/src/activity.rs
+++ b/crates/jb-relay/src/activity.rs
@@ -6,7 +6,7 @@
 use jb_policy::Moment;
 use tokio::time::sleep;
 
-use crate::core::{Core, Shared};
+use crate::core::Shared;
 
 /// Interval at which the box notes that it runs.
 const INTERVAL: Duration = Duration::from_millis(100);
@@ -17,6 +17,7 @@
 #[derive(Debug, Default)]
 pub struct Activity {
     last: Cell<Moment>,
+    before_last: Cell<Moment>,
     worst: Cell<Delay>,
 }
 
@@ -28,20 +29,20 @@
 }
 
 impl Activity {
-    /// Notes that the box runs, `expected` after it last did.
-    pub fn note(&self, now: Moment, expected: Duration) {
-        let late = now
-            .saturating_sub(self.last.replace(now))
-            .saturating_sub(expected);
-        let worst = self.worst.get();
-        if late >= worst.time || now > worst.at + MEMORY {
+    /// Notes that the box runs.
+    pub fn note(&self, now: Moment) {
+        let last = self.last.replace(now);
+        self.before_last.set(last);
+        let late = now.saturating_sub(last + INTERVAL);
+        if late >= self.worst_delay(now) {
             self.worst.set(Delay { time: late, at: now });
         }
     }
 
-    /// Returns the last moment at which the box is known to have run.
-    pub fn last(&self) -> Moment {
-        self.last.get()
+    /// Returns the last moment at which the box is known to have run before an event that it notices now. After a
+    /// standstill the box may have noted that it runs just before it noticed the event.
+    pub fn ran_before_event(&self) -> Moment {
+        self.before_last.get()
     }
 
     /// Returns how late tasks were lately, at worst.
@@ -57,13 +58,8 @@
 
 /// Notes that the box runs, until the task is dropped.
 pub async fn watch(core: Shared) {
-    core.activity.last.set(core.now());
     loop {
+        core.activity.note(core.now());
         sleep(INTERVAL).await;
-        note(&core);
     }
 }
-
-fn note(core: &Core) {
-    core.activity.note(core.now(), INTERVAL);
-}
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -4,7 +4,6 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use jb_policy::Moment;
 use jb_protocol::{emit, event};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -165,13 +164,12 @@
 
 /// Answers the open requests within the grace period, then returns.
 pub async fn shut_down(core: &Shared) {
-    let since = core.now();
-    let schedule = core.stop.begin(since);
-    log_stopping(core, since);
+    let schedule = core.begin_stop();
+    log_stopping(core);
     loop {
         sleep(STOP_POLL_INTERVAL).await;
         let now = core.now();
-        let idle = core.stop.is_done() && now > since + stop::UNREADY_NOTICE_TIME;
+        let idle = core.stop.is_done() && now > schedule.signalled_at() + stop::UNREADY_NOTICE_TIME;
         if idle || now > schedule.exit_by() {
             break;
         }
@@ -180,12 +178,13 @@
     emit!(core.logger, info, event::BOX_STOPPED, "open" => core.stop.connections());
 }
 
-fn log_stopping(core: &Core, now: Moment) {
+fn log_stopping(core: &Core) {
+    let now = core.now();
     let open = &core.open_requests;
     emit!(core.logger, info, event::BOX_STOPPING, "open" => core.stop.connections(),
         "receiving" => open.count(Phase::Receiving), "waiting" => open.count(Phase::Waiting),
         "sent" => open.count(Phase::Sent), "answering" => open.count(Phase::Answering),
-        "idle_ms" => now.saturating_sub(core.activity.last()).as_millis() as u64,
+        "idle_ms" => now.saturating_sub(core.activity.ran_before_event()).as_millis() as u64,
         "late_ms" => core.activity.worst_delay(now).as_millis() as u64);
 }
 
--- a/crates/jb-relay/src/stop.rs
+++ b/crates/jb-relay/src/stop.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
-use jb_policy::shutdown::Schedule;
+use jb_policy::shutdown::{Schedule, Signal};
 use tokio::sync::Notify;
 use tokio::time::sleep;
 
@@ -38,9 +38,9 @@
         }
     }
 
-    /// Starts the shutdown of a box that was told to stop at `signalled_at`.
-    pub fn begin(&self, signalled_at: Moment) -> Schedule {
-        let schedule = Schedule::new(signalled_at, self.grace);
+    /// Starts the shutdown.
+    pub fn begin(&self, signal: Signal) -> Schedule {
+        let schedule = Schedule::new(signal, self.grace);
         self.schedule.set(Some(schedule));
         self.changed.notify_waiters();
         schedule
@@ -111,6 +111,16 @@
 }
 
 impl Core {
+    /// Starts the shutdown of a box that notices now that it has to stop.
+    pub fn begin_stop(&self) -> Schedule {
+        let now = self.now();
+        self.stop.begin(Signal {
+            noticed_at: now,
+            ran_before: self.activity.ran_before_event(),
+            delay: self.activity.worst_delay(now),
+        })
+    }
+
     /// Returns when a request has to be answered: at its deadline, or before the box exits.
     pub fn answer_by(&self, deadline: Moment) -> Moment {
         let schedule = self.stop.schedule();
