Return to a silent engine if the others reject its request

Callers saw streams break with status 200, and 502 before the first byte, although their engine was sound: a request leaves an engine that is silent for longer than its route allows once another one is available, but the other one may still reject it, have no permit, or be of no use by then. Nothing was left to try, as the silent engine counted as tried.

An engine that was left only for its silence is now available again, once, when no other one is. It costs one more retry from the budget, and no more runs than the route allows.

stream_returns_to_a_silent_engine_if_the_other_one_rejects_it: red before (one event of four, not complete), green now.

--- a/crates/jb-relay/src/exchange/pick.rs
+++ b/crates/jb-relay/src/exchange/pick.rs
@@ -67,6 +67,7 @@
                         return None;
                     }
                 },
+                None if self.return_to_silent() => continue,
                 None => {
                     self.rejection = self
                         .reject_without_version()
@@ -82,6 +83,14 @@
         }
     }
 
+    /// Makes the upstreams available again that the request left only since they were silent; returns whether there are any.
+    /// They may go on, while all others have rejected the request or have no room.
+    fn return_to_silent(&mut self) -> bool {
+        let returned = std::mem::take(&mut self.left_silent);
+        self.tried.retain(|instance| !returned.contains(instance));
+        !returned.is_empty()
+    }
+
     /// Rejects the request if all its upstreams, including those that have rejected it, back off or are
     /// rate-limited until after `until`.
     fn reject_if_all_held_back(&self, until: Moment) -> Option<Rejection> {
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -57,6 +57,8 @@
     pub(super) core: &'a Shared,
     pub(super) message: Message<'a>,
     pub(super) tried: Vec<Instance>,
+    /// Those of them that the request has left only since they were silent.
+    pub(super) left_silent: Vec<Instance>,
     pub(super) sends: u32,
     pub(super) runs: u32,
     /// Whether the next attempt needs no retry from the budget: it was granted before, also to an attempt that was then
@@ -108,6 +110,7 @@
             core,
             message,
             tried: Vec::new(),
+            left_silent: Vec::new(),
             sends: 0,
             runs: 0,
             retry_granted: false,
@@ -322,6 +325,7 @@
             }
             if may_retry && selection::can_retry_elsewhere(self.core, self.placement()) {
                 self.retry_granted = true;
+                self.left_silent.push(instance.clone());
                 return AttemptOutcome::Failed(SILENT.to_owned());
             }
             if !blamed {
@@ -392,6 +396,10 @@
         } else {
             deliver::deliver_buffered(core, request, reply, client, progress).await
         };
+        // Granted for a move to another upstream.
+        if self.retry_granted {
+            self.left_silent.push(instance.clone());
+        }
         match delivered {
             DeliveryOutcome::Complete => {
                 if success {
