Confirm with the store that one software version serves, where no other box replies

Reported from a system like ours: streams that had begun at engines of a version that had just joined, through other boxes, were taken up at a box that was out of step and went on at an engine of another version (ORDER).

It can happen here: a box that knows one version took it for the one that began any stream of unknown origin, while its state was younger than 2 s and no owner of the stream said otherwise. A box that is cut off from the store and from the others gets no reply, and notices neither for that long.

A frozen box was no fault: after it goes on, the owners reply, and past 2 s its state counts as outdated. Open: boxes of one hall that are cut off together and reply to each other with state up to 2 s old.

--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -53,10 +53,10 @@
             (
                 OriginLookup::Unknown {
                     has_several_versions: false,
-                    ..
+                    replies,
                 },
                 Versions::One(version),
-            ) if core.state_age().is_some() && !core.is_outdated() => Some(version),
+            ) if self.is_only_version(&version, replies).await => Some(version),
             (OriginLookup::Unknown { .. }, _) => self.find_recorded().await,
         };
         if self.message.software.is_some() {
@@ -69,6 +69,15 @@
         })
     }
 
+    /// Returns whether no other version can have joined the service unnoticed. Boxes that reply would know it; without a
+    /// reply this box may be cut off from the others and from the store.
+    async fn is_only_version(&self, version: &str, replies: usize) -> bool {
+        let core = self.core;
+        let service = &self.message.request.service;
+        let is_recent = core.state_age().is_some() && !core.is_outdated();
+        is_recent && (replies > 0 || peers::confirm_software(core, service, version).await)
+    }
+
     /// Looks up the version that began a stream in the store.
     async fn find_recorded(&self) -> Option<id::SoftwareVersion> {
         let (core, request) = (self.core, self.message.request);
--- a/crates/jb-relay/src/peers/mod.rs
+++ b/crates/jb-relay/src/peers/mod.rs
@@ -4,6 +4,7 @@
 
 mod broadcast;
 mod change_log;
+mod confirmation;
 mod directory;
 mod message;
 mod origin_record;
@@ -29,6 +30,7 @@
 mod weights;
 
 pub use change_log::ChangeLog;
+pub use confirmation::confirm_software;
 pub use directory::{Directory, Peer};
 pub use message::{Admission, UpstreamLoad};
 pub use origin_record::{OriginRecords, find_recorded, is_origin_record, record_origins};
