Count a shutdown from the moment of its signal unless the box stood still

Only a gap of more than 120 ms between two ticks, or since the last one, moves the start of the shutdown back now.

--- a/crates/jb-policy/src/shutdown.rs
+++ b/crates/jb-policy/src/shutdown.rs
@@ -22,8 +22,8 @@
 pub struct Signal {
     /// When the box noticed it.
     pub noticed_at: Moment,
-    /// When the box last ran before, so that it can't have been sent earlier unnoticed.
-    pub ran_before: Moment,
+    /// When it may have been sent at the earliest: when the box last ran before, if it has stood still.
+    pub earliest_at: Moment,
     /// How late the tasks of the box have run lately.
     pub delay: Duration,
 }
@@ -42,7 +42,7 @@
     pub fn new(signal: Signal, grace: Duration) -> Self {
         let longest = grace.mul_f64(MAX_UNNOTICED_SHARE);
         let signalled_at = signal
-            .ran_before
+            .earliest_at
             .max(signal.noticed_at.saturating_sub(longest))
             .min(signal.noticed_at);
         let time_to_exit = grace.saturating_sub(EXIT_RESERVE + signal.delay.min(MAX_DELAY));
--- a/crates/jb-policy/tests/shutdown.rs
+++ b/crates/jb-policy/tests/shutdown.rs
@@ -10,7 +10,7 @@
 /// A signal that a box notices at once.
 const SIGNAL: Signal = Signal {
     noticed_at: SIGNALLED_AT,
-    ran_before: SIGNALLED_AT,
+    earliest_at: SIGNALLED_AT,
     delay: Duration::ZERO,
 };
 
@@ -69,7 +69,7 @@
 #[test]
 fn box_that_did_not_run_for_long_still_has_half_of_its_grace_period() {
     let signal = Signal {
-        ran_before: Duration::ZERO,
+        earliest_at: Duration::ZERO,
         ..SIGNAL
     };
     let schedule = Schedule::new(signal, GRACE);
--- a/crates/jb-relay/src/activity.rs
+++ b/crates/jb-relay/src/activity.rs
@@ -10,6 +10,8 @@
 
 /// Interval at which the box notes that it runs.
 const INTERVAL: Duration = Duration::from_millis(100);
+/// Delay from which on the box counts as having stood still.
+const MIN_STANDSTILL: Duration = Duration::from_millis(20);
 /// Time for which a delay is remembered.
 const MEMORY: Duration = Duration::from_secs(10);
 
@@ -39,10 +41,18 @@
         }
     }
 
-    /// Returns the last moment at which the box is known to have run before an event that it notices now. After a
-    /// standstill the box may have noted that it runs just before it noticed the event.
-    pub fn ran_before_event(&self) -> Moment {
-        self.before_last.get()
+    /// Returns the earliest time at which an event can have happened that the box notices now: if it has just stood still,
+    /// when it last ran before. It may have noted that it runs again before it notices the event.
+    pub fn earliest_event(&self, now: Moment) -> Moment {
+        let (last, before_last) = (self.last.get(), self.before_last.get());
+        let has_gap = |from: Moment, until: Moment| until > from + INTERVAL + MIN_STANDSTILL;
+        if has_gap(last, now) {
+            last
+        } else if has_gap(before_last, last) {
+            before_last
+        } else {
+            now
+        }
     }
 
     /// Returns how late tasks were lately, at worst.
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -184,7 +184,7 @@
     emit!(core.logger, info, event::BOX_STOPPING, "open" => core.stop.connections(),
         "receiving" => open.count(Phase::Receiving), "waiting" => open.count(Phase::Waiting),
         "sent" => open.count(Phase::Sent), "answering" => open.count(Phase::Answering),
-        "idle_ms" => now.saturating_sub(core.activity.ran_before_event()).as_millis() as u64,
+        "idle_ms" => now.saturating_sub(core.activity.earliest_event(now)).as_millis() as u64,
         "late_ms" => core.activity.worst_delay(now).as_millis() as u64);
 }
 
--- a/crates/jb-relay/src/stop.rs
+++ b/crates/jb-relay/src/stop.rs
@@ -116,7 +116,7 @@
         let now = self.now();
         self.stop.begin(Signal {
             noticed_at: now,
-            ran_before: self.activity.ran_before_event(),
+            earliest_at: self.activity.earliest_event(now),
             delay: self.activity.worst_delay(now),
         })
     }
