Look at the first 128 shared segments of a prompt for one that crashes engines

128 segments, a conversation of as many turns, count now; evidence beyond the ledger's 4,096 features is evicted, the least suspected and oldest first, as before. A deadly segment beyond the 128th is still not seen.

--- a/crates/jb-policy/src/poison/fingerprint.rs
+++ b/crates/jb-policy/src/poison/fingerprint.rs
@@ -2,8 +2,9 @@
 
 use sha2::{Digest as _, Sha256};
 
-/// Maximum number of shared segments of a prompt that are looked at, so that a long list costs little.
-pub const MAX_SHARED_SEGMENTS: usize = 16;
+/// Maximum number of shared segments of a prompt that are looked at: a conversation of as many turns. The evidence of each
+/// crash is kept and sent for all of them.
+pub const MAX_SHARED_SEGMENTS: usize = 128;
 /// Length of the truncated hash in bytes, enough to avoid collisions.
 const FINGERPRINT_BYTES: usize = 16;
 /// Bit that tells fingerprints of segments from those of requests.
