--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -19,6 +19,7 @@
 use slog::Logger;
 
 use crate::activity::Activity;
+use crate::body_memory::BodyMemory;
 use crate::cache_store::CacheStores;
 use crate::configuration::Configuration;
 use crate::crash_check::LostAttempts;
@@ -162,8 +163,8 @@
     pub prefill_rates: RefCell<HashMap<id::Service, PrefillRate>>,
     /// Time that the responses of each route take.
     pub response_times: RefCell<HashMap<id::Route, ResponseTime>>,
-    /// Bytes of request bodies held in memory.
-    pub held_body_bytes: Cell<usize>,
+    /// Memory for request bodies.
+    pub body_memory: BodyMemory,
     /// The clock.
     pub clock: Clock,
 }
@@ -185,6 +186,7 @@
 impl Core {
     /// Creates the state of a box that has just started.
     pub fn new(components: Components) -> Shared {
+        let body_memory = BodyMemory::new(components.settings.capacity.memory_bytes);
         Rc::new(Self {
             stop: Stop::new(components.settings.bounds.stop_grace),
             settings: components.settings,
@@ -239,7 +241,7 @@
             fixed_retries: RefCell::new(FixedPart::new(Moment::ZERO)),
             prefill_rates: RefCell::default(),
             response_times: RefCell::default(),
-            held_body_bytes: Cell::default(),
+            body_memory,
             clock: Clock::start(),
         })
     }
--- a/crates/jb-relay/src/detour/serve.rs
+++ b/crates/jb-relay/src/detour/serve.rs
@@ -9,9 +9,10 @@
 use super::message::{Envelope, FAILURE_HEADER, Failure, Verdict};
 use crate::admission::{self, AdmittedRequest};
 use crate::attempt::MAX_HEAD_BYTES;
+use crate::body_memory::HeldBody;
 use crate::core::{Core, Shared};
 use crate::exchange::{Exchange, RequestOutcome};
-use crate::http::{self, BodyDecoder, Connection, RequestHead};
+use crate::http::{self, Connection, RequestHead};
 use crate::open_request::OpenRequest;
 use crate::{front, peers, pool, ready};
 
@@ -40,9 +41,13 @@
     stream.set_nodelay(true)?;
     let mut client = Connection::new(stream);
     let open = core.open_requests.begin(received, client.write_mark());
-    let (head, body) = timeout(REQUEST_TIMEOUT, read(&core, &mut client))
-        .await
-        .map_err(|_| http::Error::Io(std::io::ErrorKind::TimedOut.into()))??;
+    let request = timeout(REQUEST_TIMEOUT, read(&core, &mut client)).await;
+    let (head, body) = request.map_err(|_| http::Error::Io(std::io::ErrorKind::TimedOut.into()))??;
+    let Some((body, _held)) = body else {
+        let id = head.headers.text(core.header_names.request_id);
+        fail(&core, &mut client, id.unwrap_or_default(), Failure::NotRun, None).await;
+        return Ok(());
+    };
     core.metrics.requests_helped.inc();
     let admitted =
         (!front::is_too_late(&core)).then(|| admission::admit_forwarded(&core, &head, &envelope, received));
@@ -92,12 +97,18 @@
     }
 }
 
-async fn read(core: &Core, client: &mut Connection) -> Result<(RequestHead, Bytes), http::Error> {
+/// Reads a request; the body is `None` if it can't be taken.
+async fn read<'a>(
+    core: &'a Core,
+    client: &mut Connection,
+) -> Result<(RequestHead, Option<(Bytes, HeldBody<'a>)>), http::Error> {
     let head = client.read_request(MAX_HEAD_BYTES).await?;
     let limits = core.configuration().map(|configuration| configuration.limits);
-    let most = limits.unwrap_or_default().max_body_bytes;
-    let body = client.read_body(BodyDecoder::new(head.framing), most).await?;
-    Ok((head, body))
+    match front::read_body(core, client, &head, &limits.unwrap_or_default()).await {
+        Ok(body) => Ok((head, Some(body))),
+        Err(Some(_)) => Ok((head, None)),
+        Err(None) => Err(http::Error::Truncated),
+    }
 }
 
 async fn run(
@@ -115,7 +126,6 @@
             .unwrap_or_default();
         return fail(core, client, id, Failure::NotRun, None).await;
     };
-    let _body = front::HeldBody::new(core, body.len());
     open.set_id(&request.id);
     let mut exchange = Exchange::new(core, head, body, &request, open);
     let outcome = exchange.run(client).await;
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -9,6 +9,7 @@
 use tokio::time::{sleep, timeout};
 
 use crate::admission::{self, AdmittedRequest, Refusal};
+use crate::body_memory::HeldBody;
 use crate::configuration::CallerLimits;
 use crate::core::{Core, Shared};
 use crate::exchange::{Exchange, RequestOutcome};
@@ -25,8 +26,6 @@
 const STOP_LINGER_TIMEOUT: Duration = Duration::from_secs(1);
 /// Descriptors reserved for upstreams, the store, health checks and files.
 const RESERVED_DESCRIPTORS: usize = 400;
-/// Request bodies may use one part in this many of the box's memory.
-const BODY_MEMORY_DIVISOR: usize = 4;
 /// `Retry-After` of a box that may be able to serve soon; the caller may also retry at another box.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Time after the box begins to load the store's content in which requests wait for the first verified configuration. In a
@@ -77,12 +76,16 @@
         received = receive(core, client, &limits, &open) => received,
         () = stop::wait_answer_time(core, &response) => Err(ReceiveError::stopping()),
     };
-    let Received { query, body, arrived } = match received {
+    let Received {
+        query,
+        body,
+        held,
+        arrived,
+    } = match received {
         Ok(received) => received,
         Err(ReceiveError::Rejected { status, why }) => return reject_unread(core, client, status, why).await,
         Err(ReceiveError::Closed) => return false,
     };
-    let held = HeldBody::new(core, body.len());
     open.begin_waiting();
     let goes_on = handle(core, client, &query, &body, arrived, &open).await;
     drop(held);
@@ -90,9 +93,11 @@
 }
 
 /// A request that has been received.
-struct Received {
+struct Received<'a> {
     query: RequestHead,
     body: Bytes,
+    /// Memory of the body.
+    held: HeldBody<'a>,
     /// When its head had been received.
     arrived: Moment,
 }
@@ -115,12 +120,12 @@
 }
 
 /// Receives the head and the body of a request.
-async fn receive(
-    core: &Shared,
+async fn receive<'a>(
+    core: &'a Shared,
     client: &mut Connection,
     limits: &CallerLimits,
     open: &OpenRequest<'_>,
-) -> Result<Received, ReceiveError> {
+) -> Result<Received<'a>, ReceiveError> {
     let rejected = |status, why| Err(ReceiveError::Rejected { status, why });
     let query = match timeout(limits.head_timeout, client.read_request(limits.max_head_bytes)).await {
         Ok(Ok(query)) => query,
@@ -137,33 +142,17 @@
             .unwrap_or_default(),
     );
     match read_body(core, client, &query, limits).await {
-        Ok(body) => Ok(Received { query, body, arrived }),
+        Ok((body, held)) => Ok(Received {
+            query,
+            body,
+            held,
+            arrived,
+        }),
         Err(Some(status)) => rejected(status, "body"),
         Err(None) => Err(ReceiveError::Closed),
     }
 }
 
-/// Counts the bytes of a request body as held until it is dropped.
-pub struct HeldBody<'a> {
-    core: &'a Core,
-    bytes: usize,
-}
-
-impl<'a> HeldBody<'a> {
-    /// Counts the bytes.
-    pub fn new(core: &'a Core, bytes: usize) -> Self {
-        core.held_body_bytes.set(core.held_body_bytes.get() + bytes);
-        Self { core, bytes }
-    }
-}
-
-impl Drop for HeldBody<'_> {
-    fn drop(&mut self) {
-        let held = &self.core.held_body_bytes;
-        held.set(held.get() - self.bytes);
-    }
-}
-
 /// Waits for the first byte of a request; returns false if the connection is closed or should be.
 async fn wait_for_request(core: &Shared, client: &mut Connection, limits: &CallerLimits) -> bool {
     tokio::select! {
@@ -182,24 +171,22 @@
     sleep(noticed.max(STOP_IDLE_TIME)).await;
 }
 
-/// Reads the whole body. `Err` holds the status of the error response, or `None` if the caller closed the connection.
-async fn read_body(
-    core: &Shared,
+/// Reads the whole body. Memory for it is held before it arrives, so that bodies which are being received count. `Err`
+/// holds the status of the error response, or `None` if the caller closed the connection.
+pub async fn read_body<'a>(
+    core: &'a Core,
     client: &mut Connection,
     query: &RequestHead,
     limits: &CallerLimits,
-) -> Result<Bytes, Option<u16>> {
-    let room = (core.settings.capacity.memory_bytes / BODY_MEMORY_DIVISOR)
-        .saturating_sub(core.held_body_bytes.get());
-    let most = limits.max_body_bytes.min(room);
-    if let Framing::Length(length) = query.framing {
-        if length > limits.max_body_bytes as u64 {
-            return Err(Some(413));
-        }
-        if length > most as u64 {
-            return Err(Some(503));
-        }
+) -> Result<(Bytes, HeldBody<'a>), Option<u16>> {
+    let stated = match query.framing {
+        Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
+        Framing::Chunked | Framing::UntilClose => 0,
+    };
+    if stated > limits.max_body_bytes {
+        return Err(Some(413));
     }
+    let mut held = core.body_memory.hold(stated).ok_or(Some(503))?;
     if query.headers.has_token("expect", "100-continue") {
         client
             .send(b"HTTP/1.1 100 Continue\r\n\r\n")
@@ -208,21 +195,39 @@
         // The response has not begun.
         client.write_mark().clear();
     }
-    match timeout(
-        BODY_TIMEOUT,
-        client.read_body(BodyDecoder::new(query.framing), most),
-    )
-    .await
-    {
-        Ok(Ok(body)) => Ok(body),
-        Ok(Err(Error::BodyTooLong(_))) if most < limits.max_body_bytes => Err(Some(503)),
-        Ok(Err(Error::BodyTooLong(_))) => Err(Some(413)),
-        Ok(Err(Error::Malformed(_))) => Err(Some(400)),
-        Ok(Err(_)) => Err(None),
+    let received = receive_body(client, query.framing, &mut held, limits.max_body_bytes);
+    match timeout(BODY_TIMEOUT, received).await {
+        Ok(Ok(body)) => Ok((body, held)),
+        Ok(Err(status)) => Err(status),
         Err(_) => Err(Some(408)),
     }
 }
 
+async fn receive_body(
+    client: &mut Connection,
+    framing: Framing,
+    held: &mut HeldBody<'_>,
+    max_bytes: usize,
+) -> Result<Bytes, Option<u16>> {
+    let mut decoder = BodyDecoder::new(framing);
+    let mut body = BytesMut::with_capacity(held.bytes());
+    loop {
+        let part = match client.read_data(&mut decoder).await {
+            Ok(Some(part)) => part,
+            Ok(None) => return Ok(body.freeze()),
+            Err(Error::Malformed(_)) => return Err(Some(400)),
+            Err(_) => return Err(None),
+        };
+        if body.len() + part.len() > max_bytes {
+            return Err(Some(413));
+        }
+        if !held.grow_to(body.len() + part.len()) {
+            return Err(Some(503));
+        }
+        body.extend_from_slice(&part);
+    }
+}
+
 /// Rejects a request that was not read completely, and closes the connection.
 async fn reject_unread(core: &Shared, client: &mut Connection, status: u16, why: &str) -> bool {
     core.metrics.count_outcome("bad_input", status);
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod activity;
 pub mod admission;
 pub mod attempt;
+pub mod body_memory;
 pub mod cache_scan;
 pub mod cache_store;
 pub mod configuration;
