--- a/crates/jb-relay/src/body_memory.rs
+++ b/crates/jb-relay/src/body_memory.rs
@@ -2,9 +2,9 @@
 
 use std::cell::Cell;
 
-/// Request bodies may use one part in this many of the box's memory. The rest is for its state, its connections, and
-/// bodies that the operating system has received.
-const MEMORY_DIVISOR: usize = 3;
+/// Part of the box's memory that request bodies may use. The rest is for its state, its connections, and bytes that only the
+/// operating system has received.
+const MEMORY_SHARE: f64 = 2.0 / 3.0;
 
 /// Memory for request bodies.
 #[derive(Debug)]
@@ -17,7 +17,7 @@
     /// Creates the part for bodies of a box with this much memory, in bytes.
     pub fn new(memory_bytes: usize) -> Self {
         Self {
-            limit: memory_bytes / MEMORY_DIVISOR,
+            limit: (memory_bytes as f64 * MEMORY_SHARE) as usize,
             held: Cell::default(),
         }
     }
