One loop for bodies, one way to write messages, one error for what isn't received

front read bodies in a loop of its own beside Connection::read_body: both use read_checked_body now, whose check of the growing size is the limit, or the limit and the memory. The reason 'stopping' stood twice: stop::REASON. The shutdown hands its schedule to the log of what it cuts off.

--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -7,8 +7,7 @@
 use jb_policy::Moment;
 use jb_policy::poison::Fingerprint;
 use jb_protocol::id;
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
-use tokio::net::tcp::WriteHalf;
+use tokio::io::AsyncReadExt as _;
 
 use crate::admission::AdmittedRequest;
 use crate::core::{Core, Shared};
@@ -30,8 +29,6 @@
 const MAX_SKIPPED_RESPONSES: u32 = 4;
 /// Upper bound on the body of a skipped response.
 const MAX_SKIPPED_BODY_BYTES: usize = 256 * 1024;
-/// Largest body that is copied to be sent together with its head.
-const MAX_COPIED_BYTES: usize = 64 * 1024;
 /// Part of the remaining time that is reserved for the way of the response back to the caller.
 const RETURN_LATENCY: Duration = Duration::from_millis(5);
 
@@ -238,7 +235,7 @@
     let mut early = [0_u8; 1024];
     tokio::select! {
         biased;
-        written = write_message(&mut write, head, body) => {
+        written = http::write_message(&mut write, head, body) => {
             // The upstream may have answered and closed the connection before it read the whole request.
             *reusable &= written.is_ok();
         }
@@ -254,15 +251,6 @@
     Ok(())
 }
 
-/// Writes a message. A small one is copied, so that it is sent in one piece.
-async fn write_message(write: &mut WriteHalf<'_>, head: &[u8], body: &[u8]) -> std::io::Result<()> {
-    if body.len() <= MAX_COPIED_BYTES {
-        return write.write_all(&[head, body].concat()).await;
-    }
-    write.write_all(head).await?;
-    write.write_all(body).await
-}
-
 /// Reads responses until the one to this request arrives, and applies the head of each.
 async fn read_response(
     core: &Core,
--- a/crates/jb-relay/src/body_memory.rs
+++ b/crates/jb-relay/src/body_memory.rs
@@ -56,11 +56,6 @@
         self.bytes += missing;
         true
     }
-
-    /// Returns the bytes that are held for the body.
-    pub fn bytes(&self) -> usize {
-        self.bytes
-    }
 }
 
 impl Drop for HeldBody<'_> {
--- a/crates/jb-relay/src/detour/send.rs
+++ b/crates/jb-relay/src/detour/send.rs
@@ -103,8 +103,9 @@
     message: &Message<'_>,
 ) -> Result<ResponseHead, http::Error> {
     core.metrics.requests_forwarded.inc();
-    let whole = [&head(core, message), message.body.as_ref()].concat();
-    connection.send(&whole).await?;
+    connection
+        .send_message(&head(core, message), message.body)
+        .await?;
     let answer = connection.read_response(MAX_HEAD_BYTES).await?;
     if answer.headers.text(core.header_names.request_id) != Some(message.request.id.as_str()) {
         return Err(http::Error::Malformed("response to another request"));
--- a/crates/jb-relay/src/detour/serve.rs
+++ b/crates/jb-relay/src/detour/serve.rs
@@ -12,9 +12,10 @@
 use crate::body_memory::HeldBody;
 use crate::core::{Core, Shared};
 use crate::exchange::{Exchange, RequestOutcome};
+use crate::front::{self, ReceiveError};
 use crate::http::{self, Connection, RequestHead};
 use crate::open_request::OpenRequest;
-use crate::{front, peers, pool, ready};
+use crate::{peers, pool, ready};
 
 /// Time within which an accepted request must arrive.
 const REQUEST_TIMEOUT: Duration = Duration::from_secs(2);
@@ -52,7 +53,7 @@
     let admitted =
         (!front::is_too_late(&core)).then(|| admission::admit_forwarded(&core, &head, &envelope, received));
     let request = admitted.flatten();
-    open.begin_waiting();
+    open.note_waiting();
     run(&core, &mut client, &head, &body, request, &open).await;
     Ok(())
 }
@@ -106,8 +107,8 @@
     let limits = core.configuration().map(|configuration| configuration.limits);
     match front::read_body(core, client, &head, &limits.unwrap_or_default()).await {
         Ok(body) => Ok((head, Some(body))),
-        Err(Some(_)) => Ok((head, None)),
-        Err(None) => Err(http::Error::Truncated),
+        Err(ReceiveError::Rejected { .. }) => Ok((head, None)),
+        Err(ReceiveError::Closed) => Err(http::Error::Truncated),
     }
 }
 
--- a/crates/jb-relay/src/exchange/detour.rs
+++ b/crates/jb-relay/src/exchange/detour.rs
@@ -158,9 +158,7 @@
         match failure {
             Failure::NotRun => {
                 const WHY: &str = "helper_rejected";
-                if self.runs == 0 {
-                    self.message.open.note_not_run();
-                }
+                self.note_not_run();
                 self.rejection = Some(Rejection { why: WHY, after });
                 self.terminal_outcome(WHY)
             }
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -30,8 +30,6 @@
 
 /// Upper bound on the attempts of one request, including those that the upstream rejected.
 const MAX_SENDS: u32 = 4;
-/// Why a request is given up that can't be answered before the box exits.
-const STOPPING: &str = "stopping";
 /// Why a stream breaks whose next upstream responds with an error: the caller is already reading the events.
 pub(super) const ERROR_WITHIN_STREAM: &str = "error response to a resumed stream";
 
@@ -141,7 +139,14 @@
         if self.message.open.phase() == Phase::Sent {
             self.runs = self.runs.max(1);
         }
-        self.terminal_outcome(STOPPING)
+        self.terminal_outcome(stop::REASON)
+    }
+
+    /// Notes that the last attempt was not executed.
+    pub(super) fn note_not_run(&self) {
+        if self.runs == 0 {
+            self.message.open.note_waiting();
+        }
     }
 
     async fn run_attempts(&mut self, client: &mut Connection) -> RequestOutcome {
@@ -156,7 +161,7 @@
                 return self.terminal_outcome(why);
             }
             if !self.core.can_answer_before_exit(&request.route.name) {
-                return self.terminal_outcome(STOPPING);
+                return self.terminal_outcome(stop::REASON);
             }
             // Found out first, as a helper may not reach the boxes that know it.
             let found = self.find_software().await;
@@ -266,9 +271,7 @@
             }
             AttemptOutcome::NotRun(status) => {
                 self.sends += 1;
-                if self.runs == 0 {
-                    self.message.open.note_not_run();
-                }
+                self.note_not_run();
                 emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &request.id,
                     "upstream" => %instance, "outcome" => "not_run", "status" => status);
                 Err("turned_away")
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -74,7 +74,10 @@
     let received = tokio::select! {
         biased;
         received = receive(core, client, &limits, &open) => received,
-        () = stop::wait_answer_time(core, &response) => Err(ReceiveError::stopping()),
+        () = stop::wait_answer_time(core, &response) => Err(ReceiveError::Rejected {
+            status: 503,
+            why: stop::REASON,
+        }),
     };
     let Received {
         query,
@@ -86,7 +89,7 @@
         Err(ReceiveError::Rejected { status, why }) => return reject_unread(core, client, status, why).await,
         Err(ReceiveError::Closed) => return false,
     };
-    open.begin_waiting();
+    open.note_waiting();
     let goes_on = handle(core, client, &query, &body, arrived, &open).await;
     drop(held);
     goes_on && query.keep_alive && client.keeps_alive()
@@ -103,18 +106,41 @@
 }
 
 /// Why a request was not received.
-enum ReceiveError {
+pub enum ReceiveError {
     /// It is rejected with this status.
-    Rejected { status: u16, why: &'static str },
+    Rejected {
+        /// The status.
+        status: u16,
+        /// The reason.
+        why: &'static str,
+    },
     /// The caller has closed the connection.
     Closed,
 }
 
 impl ReceiveError {
-    fn stopping() -> Self {
-        Self::Rejected {
-            status: 503,
-            why: "stopping",
+    fn of_body(status: u16) -> Self {
+        Self::Rejected { status, why: "body" }
+    }
+
+    /// Returns the error as one of the body, whatever is wrong with it.
+    fn within_body(self) -> Self {
+        match self {
+            Self::Rejected { status, .. } => Self::of_body(status),
+            Self::Closed => Self::Closed,
+        }
+    }
+}
+
+impl From<Error> for ReceiveError {
+    fn from(why: Error) -> Self {
+        match why {
+            Error::HeadTooLong(_) => Self::Rejected {
+                status: 431,
+                why: "long_head",
+            },
+            Error::Malformed(why) => Self::Rejected { status: 400, why },
+            _ => Self::Closed,
         }
     }
 }
@@ -126,14 +152,11 @@
     limits: &CallerLimits,
     open: &OpenRequest<'_>,
 ) -> Result<Received<'a>, ReceiveError> {
-    let rejected = |status, why| Err(ReceiveError::Rejected { status, why });
-    let query = match timeout(limits.head_timeout, client.read_request(limits.max_head_bytes)).await {
-        Ok(Ok(query)) => query,
-        Ok(Err(Error::HeadTooLong(_))) => return rejected(431, "long_head"),
-        Ok(Err(Error::Malformed(why))) => return rejected(400, why),
-        Ok(Err(_)) => return Err(ReceiveError::Closed),
-        Err(_) => return rejected(408, "slow_head"),
-    };
+    let head = timeout(limits.head_timeout, client.read_request(limits.max_head_bytes)).await;
+    let query = head.map_err(|_| ReceiveError::Rejected {
+        status: 408,
+        why: "slow_head",
+    })??;
     let arrived = core.now();
     open.set_id(
         query
@@ -141,16 +164,13 @@
             .text(core.header_names.request_id)
             .unwrap_or_default(),
     );
-    match read_body(core, client, &query, limits).await {
-        Ok((body, held)) => Ok(Received {
-            query,
-            body,
-            held,
-            arrived,
-        }),
-        Err(Some(status)) => rejected(status, "body"),
-        Err(None) => Err(ReceiveError::Closed),
-    }
+    let (body, held) = read_body(core, client, &query, limits).await?;
+    Ok(Received {
+        query,
+        body,
+        held,
+        arrived,
+    })
 }
 
 /// Waits for the first byte of a request; returns false if the connection is closed or should be.
@@ -171,61 +191,46 @@
     sleep(noticed.max(STOP_IDLE_TIME)).await;
 }
 
-/// Reads the whole body. Memory for it is held before it arrives, so that bodies which are being received count. `Err`
-/// holds the status of the error response, or `None` if the caller closed the connection.
+/// Reads the whole body. Memory for it is held before it arrives, so that bodies which are being received count.
+///
+/// # Errors
+/// The body is rejected, or the caller has closed the connection.
 pub async fn read_body<'a>(
     core: &'a Core,
     client: &mut Connection,
     query: &RequestHead,
     limits: &CallerLimits,
-) -> Result<(Bytes, HeldBody<'a>), Option<u16>> {
+) -> Result<(Bytes, HeldBody<'a>), ReceiveError> {
     let stated = match query.framing {
         Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
         Framing::Chunked | Framing::UntilClose => 0,
     };
     if stated > limits.max_body_bytes {
-        return Err(Some(413));
+        return Err(ReceiveError::of_body(413));
     }
-    let mut held = core.body_memory.hold(stated).ok_or(Some(503))?;
+    let mut held = core.body_memory.hold(stated).ok_or(ReceiveError::of_body(503))?;
     if query.headers.has_token("expect", "100-continue") {
         client
             .send(b"HTTP/1.1 100 Continue\r\n\r\n")
             .await
-            .map_err(|_| None)?;
+            .map_err(|_| ReceiveError::Closed)?;
         // The response has not begun.
         client.write_mark().clear();
     }
-    let received = receive_body(client, query.framing, &mut held, limits.max_body_bytes);
-    match timeout(BODY_TIMEOUT, received).await {
-        Ok(Ok(body)) => Ok((body, held)),
-        Ok(Err(status)) => Err(status),
-        Err(_) => Err(Some(408)),
-    }
-}
-
-async fn receive_body(
-    client: &mut Connection,
-    framing: Framing,
-    held: &mut HeldBody<'_>,
-    max_bytes: usize,
-) -> Result<Bytes, Option<u16>> {
-    let mut decoder = BodyDecoder::new(framing);
-    let mut body = BytesMut::with_capacity(held.bytes());
-    loop {
-        let part = match client.read_data(&mut decoder).await {
-            Ok(Some(part)) => part,
-            Ok(None) => return Ok(body.freeze()),
-            Err(Error::Malformed(_)) => return Err(Some(400)),
-            Err(_) => return Err(None),
-        };
-        if body.len() + part.len() > max_bytes {
-            return Err(Some(413));
-        }
-        if !held.grow_to(body.len() + part.len()) {
-            return Err(Some(503));
+    let check = |bytes| {
+        if bytes > limits.max_body_bytes {
+            Err(ReceiveError::of_body(413))
+        } else if held.grow_to(bytes) {
+            Ok(())
+        } else {
+            Err(ReceiveError::of_body(503))
         }
-        body.extend_from_slice(&part);
-    }
+    };
+    let received = client.read_checked_body(BodyDecoder::new(query.framing), stated, check);
+    let received = timeout(BODY_TIMEOUT, received)
+        .await
+        .map_err(|_| ReceiveError::of_body(408))?;
+    Ok((received.map_err(ReceiveError::within_body)?, held))
 }
 
 /// Rejects a request that was not read completely, and closes the connection.
--- a/crates/jb-relay/src/http/connection.rs
+++ b/crates/jb-relay/src/http/connection.rs
@@ -6,7 +6,7 @@
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
-use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
+use tokio::io::{AsyncReadExt as _, AsyncWrite, AsyncWriteExt as _};
 use tokio::net::TcpStream;
 use tokio::net::tcp::{ReadHalf, WriteHalf};
 use tokio::time::{Instant, timeout_at};
@@ -21,6 +21,25 @@
 /// Time within which the trailers of a body have to end, as nothing is left to compute then.
 const TRAILER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Largest body that is copied to be sent together with its head, in bytes.
+const MAX_COPIED_BYTES: usize = 64 * 1024;
+
+/// Writes a head and a body. A small body is copied, so that both are sent in one piece.
+///
+/// # Errors
+/// Returns I/O errors of the operating system.
+pub async fn write_message(
+    write: &mut (impl AsyncWrite + Unpin),
+    head: &[u8],
+    body: &[u8],
+) -> io::Result<()> {
+    if body.len() <= MAX_COPIED_BYTES {
+        return write.write_all(&[head, body].concat()).await;
+    }
+    write.write_all(head).await?;
+    write.write_all(body).await
+}
+
 /// Whether anything has been written to a connection since the mark was cleared. It can be read while the connection is in
 /// use.
 #[derive(Clone, Debug, Default)]
@@ -168,26 +187,43 @@
         Ok(read.map_err(|_| Error::Malformed("trailers do not end"))??)
     }
 
-    /// Reads a whole body of at max_bytes `max_bytes` bytes.
+    /// Reads a whole body of at most `max_bytes` bytes.
     ///
     /// # Errors
     /// Returns [`Error::BodyTooLong`], and errors as [`Self::read_data`].
-    pub async fn read_body(&mut self, mut body: BodyDecoder, max_bytes: usize) -> Result<Bytes, Error> {
+    pub async fn read_body(&mut self, body: BodyDecoder, max_bytes: usize) -> Result<Bytes, Error> {
+        let check = |bytes| {
+            if bytes > max_bytes {
+                Err(Error::BodyTooLong(max_bytes))
+            } else {
+                Ok(())
+            }
+        };
+        self.read_checked_body(body, 0, check).await
+    }
+
+    /// Reads a whole body, which is expected to have this many bytes. `check` is called with its size before each part is
+    /// added.
+    ///
+    /// # Errors
+    /// Returns those of `check`, and errors as [`Self::read_data`].
+    pub async fn read_checked_body<E: From<Error>>(
+        &mut self,
+        mut body: BodyDecoder,
+        expected_bytes: usize,
+        mut check: impl FnMut(usize) -> Result<(), E>,
+    ) -> Result<Bytes, E> {
         let Some(first) = self.read_data(&mut body).await? else {
             return Ok(Bytes::new());
         };
+        check(first.len())?;
         let mut all = BytesMut::from(first);
+        all.reserve(expected_bytes.saturating_sub(all.len()));
         while let Some(part) = self.read_data(&mut body).await? {
-            if all.len() + part.len() > max_bytes {
-                return Err(Error::BodyTooLong(max_bytes));
-            }
+            check(all.len() + part.len())?;
             all.extend_from_slice(&part);
         }
-        if all.len() > max_bytes {
-            Err(Error::BodyTooLong(max_bytes))
-        } else {
-            Ok(all.freeze())
-        }
+        Ok(all.freeze())
     }
 
     /// Writes all bytes.
@@ -199,6 +235,15 @@
         self.stream.write_all(bytes).await
     }
 
+    /// Writes a head and a body.
+    ///
+    /// # Errors
+    /// Returns I/O errors of the operating system.
+    pub async fn send_message(&mut self, head: &[u8], body: &[u8]) -> io::Result<()> {
+        self.written.0.set(true);
+        write_message(&mut self.stream, head, body).await
+    }
+
     /// Notes whether the response that is being sent tells the peer that the connection stays open.
     pub fn announce_keep_alive(&mut self, keeps_alive: bool) {
         self.keeps_alive = keeps_alive;
--- a/crates/jb-relay/src/open_request.rs
+++ b/crates/jb-relay/src/open_request.rs
@@ -122,13 +122,8 @@
         self.state.id.replace(id.to_owned());
     }
 
-    /// Notes that the whole request has been received.
-    pub fn begin_waiting(&self) {
-        self.state.phase.set(Phase::Waiting);
-    }
-
-    /// Notes that no upstream executes the request, nor has executed it.
-    pub fn note_not_run(&self) {
+    /// Notes that the whole request has been received, and no upstream executes it, nor has executed it.
+    pub fn note_waiting(&self) {
         self.state.phase.set(Phase::Waiting);
     }
 
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jb_policy::shutdown::Schedule;
 use jb_protocol::{emit, event};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
 use tokio::signal::unix::{SignalKind, signal};
@@ -174,7 +175,7 @@
             break;
         }
     }
-    log_cut_requests(core);
+    log_cut_requests(core, &schedule);
     emit!(core.logger, info, event::BOX_STOPPED, "open" => core.stop.connections());
 }
 
@@ -189,16 +190,13 @@
 }
 
 /// Logs the requests whose response isn't complete as the box exits.
-fn log_cut_requests(core: &Core) {
+fn log_cut_requests(core: &Core, schedule: &Schedule) {
     let now = core.now();
-    let stopping_for = core
-        .stop
-        .schedule()
-        .map(|schedule| now.saturating_sub(schedule.signalled_at()));
+    let stopping_for = now.saturating_sub(schedule.signalled_at());
     for request in core.open_requests.summaries().iter().take(MAX_LOGGED_REQUESTS) {
         emit!(core.logger, warn, event::REQUEST_CUT, "request" => &request.id, "phase" => request.phase.name(),
             "ms" => now.saturating_sub(request.since).as_millis() as u64,
-            "stopping_ms" => stopping_for.map(|time| time.as_millis() as u64));
+            "stopping_ms" => stopping_for.as_millis() as u64);
     }
 }
 
--- a/crates/jb-relay/src/stop.rs
+++ b/crates/jb-relay/src/stop.rs
@@ -13,6 +13,8 @@
 
 /// Time within which the load balancer notices that the box isn't ready, plus a margin of a second.
 pub const UNREADY_NOTICE_TIME: Duration = Duration::from_millis(3200);
+/// Why a request is given up that can't be answered before the box exits.
+pub const REASON: &str = "stopping";
 /// Maximum number of routes whose response times are kept.
 const MAX_TIMED_ROUTES: usize = 4096;
 
