Log when a stopping box answers and exits, and how a broken stream ended

Cause: the log could not tell a box that leaves early from a stream that leaves its engine. A stream that broke after a retry was refused was logged as status 502, though its caller had 200, and no line gave the deadline that an engine got.

Change: box_stopping has up_ms, answer_ms and exit_ms; request_cut has the upstream and the deadline that it got; request_ended has the status that the caller got, last_event, handed_ms and stopping_ms. A request whose response has begun ends as broken, whatever the reason, so that the front needs no case of its own for it. What callers get stays as it was.

--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -129,10 +129,13 @@
         pool::put_back(core, pooled.connection, &pooled.upstream, None);
         return AttemptOutcome::Withdrawn;
     }
-    let head = head(core, &instance.id, &entry, message);
+    let time_left = core
+        .answer_by(message.request.deadline)
+        .saturating_sub(core.now() + RETURN_LATENCY);
+    let head = head(core, &instance.id, &entry, message, time_left);
     let mut reusable = true;
     let sent = core.now();
-    message.open.note_sent();
+    message.open.note_sent(&instance.id, time_left);
     match write_request(&mut pooled, &head, message.body, &mut reusable).await {
         Ok(()) => {}
         Err(why) => return AttemptOutcome::Failed(why.to_string()),
@@ -159,15 +162,11 @@
     }
 }
 
-/// Builds the request head for the upstream.
-fn head(core: &Core, instance: &str, entry: &Entry, message: &Message<'_>) -> BytesMut {
+/// Builds the request head for the upstream, which has the time that is left.
+fn head(core: &Core, instance: &str, entry: &Entry, message: &Message<'_>, time_left: Duration) -> BytesMut {
     let names = &core.header_names;
     let request = message.request;
-    let left = core
-        .answer_by(request.deadline)
-        .saturating_sub(core.now() + RETURN_LATENCY)
-        .as_millis()
-        .to_string();
+    let left = time_left.as_millis().to_string();
     let urgency = request.urgency.to_string();
     let last = message.last_event.map(|last| last.to_string());
     let mut added: Vec<(&[u8], &[u8])> = vec![
--- a/crates/jb-relay/src/detour/serve.rs
+++ b/crates/jb-relay/src/detour/serve.rs
@@ -132,9 +132,8 @@
     let outcome = exchange.run(client).await;
     front::report(core, &request, &exchange, outcome);
     let failure = match outcome {
-        RequestOutcome::Answered(_) | RequestOutcome::CallerGone | RequestOutcome::Broken(_) => return,
         // Only the missing end of the body shows that the response is incomplete.
-        RequestOutcome::Lost(_) | RequestOutcome::Late if exchange.has_begun() => return,
+        RequestOutcome::Answered(_) | RequestOutcome::CallerGone | RequestOutcome::Broken(_) => return,
         RequestOutcome::NotRun(_) => Failure::NotRun,
         RequestOutcome::Lost(_) => Failure::MayHaveRun,
         RequestOutcome::Late => Failure::Late,
--- a/crates/jb-relay/src/exchange/detour.rs
+++ b/crates/jb-relay/src/exchange/detour.rs
@@ -85,7 +85,9 @@
         self.helper = Some(id);
         self.sends += 1;
         let sent_at = self.core.now();
-        self.message.open.note_sent();
+        self.message
+            .open
+            .note_sent(self.helper.as_deref().unwrap_or_default(), self.left());
         let sent = timeout(
             self.left(),
             detour::send(self.core, &mut connection, &self.message),
@@ -127,7 +129,7 @@
         let request = self.message.request;
         let status = answer.status;
         signal::apply_forwarded(core, &request.service, &answer, sent_at);
-        self.framing = Some(answer.framing);
+        self.note_response(status, answer.framing);
         let is_success = (200..300).contains(&status);
         if self.has_begun() && !is_success {
             return RequestOutcome::Broken(ERROR_WITHIN_STREAM);
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -71,8 +71,8 @@
     /// Result of the current attempt, which the release of the reservation reports.
     pub(super) ending: Option<Rc<Cell<peers::Outcome>>>,
     pub(super) timing: StreamTiming,
-    /// Framing of the last response.
-    pub(super) framing: Option<Framing>,
+    /// Status that the caller gets, and framing of the last response.
+    pub(super) response: Option<(u16, Framing)>,
     /// Box that the request was sent through.
     pub(super) helper: Option<id::Box>,
 }
@@ -117,7 +117,7 @@
             paused_since: request.arrived_at,
             ending: None,
             timing: StreamTiming::default(),
-            framing: None,
+            response: None,
             helper: None,
         }
     }
@@ -216,6 +216,9 @@
 
     /// Returns the outcome of a request that is given up.
     pub(super) fn terminal_outcome(&self, why: &'static str) -> RequestOutcome {
+        if self.has_begun() {
+            return RequestOutcome::Broken(why);
+        }
         match (self.runs, self.left().is_zero()) {
             (0, _) => RequestOutcome::NotRun(why),
             (_, true) => RequestOutcome::Late,
@@ -349,7 +352,7 @@
         let core = self.core;
         let request = self.message.request;
         let status = reply.answer.status;
-        self.framing = Some(reply.answer.framing);
+        self.note_response(status, reply.answer.framing);
         let success = (200..300).contains(&status);
         let signed = reply.answer.headers.get(core.header_names.signature).is_some();
         if success && (!signed || reply.answer.headers.get("content-encoding").is_some()) {
@@ -436,7 +439,7 @@
     }
 
     /// Returns whether part of a stream has been delivered.
-    pub fn has_begun(&self) -> bool {
+    pub(super) fn has_begun(&self) -> bool {
         self.message.last_event.is_some()
     }
 
@@ -450,9 +453,25 @@
         self.core.now().saturating_sub(self.message.request.arrived_at)
     }
 
-    /// Returns the framing of the last response; `None` if there was none.
-    pub fn framing(&self) -> Option<Framing> {
-        self.framing
+    /// Notes the head of a response. Of one that goes on with a stream, the caller doesn't get the status.
+    pub(super) fn note_response(&mut self, status: u16, framing: Framing) {
+        let begun = self.response.filter(|_| self.has_begun());
+        self.response = Some((begun.map_or(status, |(status, _)| status), framing));
+    }
+
+    /// Returns the status that the caller gets, and the framing of the last response; `None` if there was none.
+    pub fn response(&self) -> Option<(u16, Framing)> {
+        self.response
+    }
+
+    /// Returns the last event that was delivered; `None` if no stream has begun.
+    pub fn last_event(&self) -> Option<u64> {
+        self.message.last_event
+    }
+
+    /// Returns the time that the last upstream was given to respond; zero if there was none.
+    pub fn handed(&self) -> Duration {
+        self.message.open.handed()
     }
 
     /// Returns the timing of the stream's events.
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -297,15 +297,13 @@
     if let Some(charged) = charged {
         charged.settle(exchange.possible_runs());
     }
-    let begun = exchange.has_begun();
     let after = exchange.retry_after().unwrap_or_default().max(MIN_RETRY_AFTER);
     report(core, &request, &exchange, ending);
     match ending {
         RequestOutcome::Answered(_) => true,
+        // The head has already been sent, so only a missing end of the body shows that the response is incomplete.
         RequestOutcome::CallerGone | RequestOutcome::Broken(_) => false,
         RequestOutcome::NotRun(_) => final_answer(core, client, &request.id, 503, Some(after)).await,
-        // The head has already been sent, so only a missing end of the body shows that the response is incomplete.
-        RequestOutcome::Lost(_) | RequestOutcome::Late if begun => false,
         RequestOutcome::Lost(_) => final_answer(core, client, &request.id, 502, None).await,
         RequestOutcome::Late => final_answer(core, client, &request.id, 504, None).await,
     }
@@ -376,7 +374,7 @@
         RequestOutcome::NotRun(why) => ("not_run", 503, why),
         RequestOutcome::Lost(why) => ("may_have_run", 502, why),
         RequestOutcome::Late => ("late", 504, "deadline exceeded"),
-        RequestOutcome::Broken(why) => ("broken", 0, why),
+        RequestOutcome::Broken(why) => ("broken", exchange.response().map_or(0, |(status, _)| status), why),
         RequestOutcome::CallerGone => ("caller_gone", 0, ""),
     };
     core.metrics.count_outcome(name, status);
@@ -386,7 +384,9 @@
         "helper" => exchange.helper(), "is_forwarded" => request.is_forwarded,
         "first_ms" => exchange.timing().first.map(|first| first.as_millis() as u64),
         "pause_ms" => exchange.timing().pause.as_millis() as u64,
-        "resumes" => &request.resumes, "framing" => exchange.framing().map(Framing::name),
+        "resumes" => &request.resumes, "framing" => exchange.response().map(|(_, framing)| framing.name()),
+        "last_event" => exchange.last_event(), "handed_ms" => exchange.handed().as_millis() as u64,
+        "stopping_ms" => core.stopping_for().map(|time| time.as_millis() as u64),
         "within_event" => exchange.timing().boundary.is_within_event(), "version" => request.configuration.version);
 }
 
--- a/crates/jb-relay/src/open_request.rs
+++ b/crates/jb-relay/src/open_request.rs
@@ -3,6 +3,7 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
 use std::rc::Rc;
+use std::time::Duration;
 
 use jb_policy::Moment;
 
@@ -39,6 +40,8 @@
     id: RefCell<String>,
     since: Moment,
     phase: Cell<Phase>,
+    sent_to: RefCell<String>,
+    handed: Cell<Duration>,
     response: WriteMark,
 }
 
@@ -68,6 +71,10 @@
     pub since: Moment,
     /// How far it has come.
     pub phase: Phase,
+    /// Upstream or box that it was last sent to; empty before.
+    pub sent_to: String,
+    /// Time that was handed to it as the deadline.
+    pub handed: Duration,
 }
 
 impl OpenRequests {
@@ -78,6 +85,8 @@
             id: RefCell::default(),
             since,
             phase: Cell::new(Phase::Receiving),
+            sent_to: RefCell::default(),
+            handed: Cell::default(),
             response,
         });
         let number = self.next.get();
@@ -103,6 +112,8 @@
             id: state.id.borrow().clone(),
             since: state.since,
             phase: state.phase(),
+            sent_to: state.sent_to.borrow().clone(),
+            handed: state.handed.get(),
         };
         states.values().map(summary).collect()
     }
@@ -127,9 +138,16 @@
         self.state.phase.set(Phase::Waiting);
     }
 
-    /// Notes that the request is sent to an upstream, or to a box that may send it to one.
-    pub fn note_sent(&self) {
+    /// Notes that the request is sent to an upstream, or to a box that may send it to one, which has this time to respond.
+    pub fn note_sent(&self, to: &str, handed: Duration) {
         self.state.phase.set(Phase::Sent);
+        self.state.sent_to.replace(to.to_owned());
+        self.state.handed.set(handed);
+    }
+
+    /// Returns the time that was last handed to an upstream or a box as the deadline; zero before.
+    pub fn handed(&self) -> Duration {
+        self.state.handed.get()
     }
 
     /// Returns how far the request has come.
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use jb_policy::Moment;
 use jb_policy::shutdown::Schedule;
 use jb_protocol::{emit, event};
 use tokio::net::{TcpListener, TcpSocket, UdpSocket};
@@ -166,7 +167,7 @@
 /// Answers the open requests within the grace period, then returns.
 pub async fn shut_down(core: &Shared) {
     let schedule = core.begin_stop();
-    log_stopping(core);
+    log_stopping(core, &schedule);
     loop {
         sleep(STOP_POLL_INTERVAL).await;
         let now = core.now();
@@ -179,14 +180,17 @@
     emit!(core.logger, info, event::BOX_STOPPED, "open" => core.stop.connections());
 }
 
-fn log_stopping(core: &Core) {
+fn log_stopping(core: &Core, schedule: &Schedule) {
     let now = core.now();
     let open = &core.open_requests;
+    let until = |end: Moment| end.saturating_sub(now).as_millis() as u64;
     emit!(core.logger, info, event::BOX_STOPPING, "open" => core.stop.connections(),
         "receiving" => open.count(Phase::Receiving), "waiting" => open.count(Phase::Waiting),
         "sent" => open.count(Phase::Sent), "answering" => open.count(Phase::Answering),
         "idle_ms" => now.saturating_sub(core.activity.earliest_event(now)).as_millis() as u64,
-        "late_ms" => core.activity.worst_delay(now).as_millis() as u64);
+        "late_ms" => core.activity.worst_delay(now).as_millis() as u64,
+        "up_ms" => now.as_millis() as u64,
+        "answer_ms" => until(schedule.answer_by()), "exit_ms" => until(schedule.exit_by()));
 }
 
 /// Logs the requests whose response isn't complete as the box exits.
@@ -195,6 +199,7 @@
     let stopping_for = now.saturating_sub(schedule.signalled_at());
     for request in core.open_requests.summaries().iter().take(MAX_LOGGED_REQUESTS) {
         emit!(core.logger, warn, event::REQUEST_CUT, "request" => &request.id, "phase" => request.phase.name(),
+            "upstream" => &request.sent_to, "handed_ms" => request.handed.as_millis() as u64,
             "ms" => now.saturating_sub(request.since).as_millis() as u64,
             "stopping_ms" => stopping_for.as_millis() as u64);
     }
--- a/crates/jb-relay/src/stop.rs
+++ b/crates/jb-relay/src/stop.rs
@@ -123,6 +123,12 @@
         })
     }
 
+    /// Returns for how long the box may have been stopping; `None` if it isn't.
+    pub fn stopping_for(&self) -> Option<Duration> {
+        let schedule = self.stop.schedule()?;
+        Some(self.now().saturating_sub(schedule.signalled_at()))
+    }
+
     /// Returns when a request has to be answered: at its deadline, or before the box exits.
     pub fn answer_by(&self, deadline: Moment) -> Moment {
         let schedule = self.stop.schedule();
