--- a/crates/jb-soak/src/callers.rs
+++ b/crates/jb-soak/src/callers.rs
@@ -1,6 +1,7 @@
 //! Callers that keep their connections open until the box closes them.
 
 use std::net::SocketAddr;
+use std::ops::Range;
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -18,7 +19,7 @@
 use crate::signals;
 use crate::stops;
 use crate::versions;
-use crate::world::World;
+use crate::world::{EVENTS, World};
 
 /// Maximum wait for a response: the longest route time-out and one second.
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
@@ -111,6 +112,10 @@
             _ => PATHS.as_slice(),
         };
         let path = paths[random.random_range(0..paths.len())];
+        let events = match world.set {
+            Set::Lag | Set::Silence => stops::draw_events(&mut random),
+            _ => EVENTS,
+        };
         let key = if random.random_bool(0.8) {
             "key-ann"
         } else {
@@ -118,10 +123,11 @@
         };
         let id = format!("{number}-{count}");
         let headers = match world.set {
-            Set::Stops => stops::HEADERS,
+            set if set.plans_stops() => stops::HEADERS,
             _ => MODEL_HEADERS,
         };
-        let bytes = request("POST", path, &id, headers, "hello").replace("key-ann", key);
+        let body = stops::body(world.set, events);
+        let bytes = request("POST", path, &id, headers, &body).replace("key-ann", key);
         let sent_request = Request {
             id,
             path,
@@ -137,7 +143,7 @@
                 .ok()
                 .and_then(Result::ok),
         };
-        check_response(&world, &sent_request.id, path, 0, got.as_ref());
+        check_response(&world, &sent_request.id, path, 0..events, got.as_ref());
         let takes_up = world.set == Set::Versions && path.starts_with("/resume");
         if takes_up {
             versions::take_up(&world, &sent_request, got.as_ref(), &mut random).await;
@@ -151,7 +157,7 @@
 
 fn response_timeout(set: Set) -> Duration {
     match set {
-        Set::Stops => stops::RESPONSE_TIMEOUT,
+        set if set.plans_stops() => stops::RESPONSE_TIMEOUT,
         _ => RESPONSE_TIMEOUT,
     }
 }
@@ -166,8 +172,9 @@
     timeout(max_wait, response).await.ok().flatten()
 }
 
-/// Checks the promises that a single response can show; `after` is the last event that the caller had before.
-pub fn check_response(world: &World, id: &str, path: &str, after: u64, got: Option<&Response>) {
+/// Checks the promises that a single response can show; `events` are the last event that the caller had before, and the
+/// last one of the stream.
+pub fn check_response(world: &World, id: &str, path: &str, events: Range<u64>, got: Option<&Response>) {
     let Some(got) = got else { return };
     let mut checks = world.checks.borrow_mut();
     let own = got.answer.headers.text(ID);
@@ -182,13 +189,13 @@
         let whole = got.body.starts_with(&format!("done {id} at "));
         checks.check(Promise::OwnAnswer, whole, || format!("{id} got {:?}", got.body));
     } else {
-        let (events, rest) = got.whole_events();
-        let rising = events
+        let (received, rest) = got.whole_events();
+        let rising = received
             .iter()
             .map(|(id, _)| *id)
-            .eq(after + 1..=crate::world::EVENTS);
+            .eq(events.start + 1..=events.end);
         checks.check(Promise::Order, rising && rest.is_empty(), || {
-            format!("{id} got the events {events:?} and {rest:?} after {after}")
+            format!("{id} got the events {received:?} and {rest:?} of {events:?}")
         });
     }
 }
--- a/crates/jb-soak/src/checks.rs
+++ b/crates/jb-soak/src/checks.rs
@@ -51,12 +51,14 @@
     Retries,
     /// A request that a stopping box has read gets a whole answer.
     Stop,
+    /// A stream that has begun is whole if its engine goes on with it.
+    Begun,
     /// All boxes serve requests again after the last fault.
     Recovery,
 }
 
 /// All promises, in the order of the report.
-pub const ALL: [Promise; 23] = [
+pub const ALL: [Promise; 24] = [
     Promise::OwnAnswer,
     Promise::Order,
     Promise::Once,
@@ -79,6 +81,7 @@
     Promise::Config,
     Promise::Retries,
     Promise::Stop,
+    Promise::Begun,
     Promise::Recovery,
 ];
 
--- a/crates/jb-soak/src/faults.rs
+++ b/crates/jb-soak/src/faults.rs
@@ -13,10 +13,12 @@
 use crate::changes;
 use crate::crowd;
 use crate::cuts;
+use crate::lag;
 use crate::limits;
 use crate::restores;
 use crate::retries;
 use crate::signals;
+use crate::silence;
 use crate::stops;
 use crate::versions;
 use crate::world::{EVENTS, World, config};
@@ -70,6 +72,10 @@
     Mute,
     /// All engines answer errors.
     Fail,
+    /// A box stands still for moments, and is stopped.
+    LagStop,
+    /// Two engines send nothing for a moment, and go on.
+    Standstill,
     /// All boxes are killed at the same moment.
     KillAll,
     /// Two boxes are stopped shortly after each other.
@@ -119,6 +125,17 @@
     Retries,
     /// Planned stops, new configurations and reloads, while engines keep requests waiting, and rarely a frozen box.
     Stops,
+    /// Planned stops of boxes that stand still for moments before, new configurations and reloads.
+    Lag,
+    /// Engines that send nothing for a moment, while others reject what they have begun, and planned stops.
+    Silence,
+}
+
+impl Set {
+    /// Returns whether boxes are stopped as the platform does it, which no request may notice.
+    pub fn plans_stops(self) -> bool {
+        matches!(self, Self::Stops | Self::Lag | Self::Silence)
+    }
 }
 
 /// Size of the draw for [`Set::First`]; some faults have more than one number.
@@ -261,8 +278,33 @@
     }
 }
 
+/// Size of the draw for [`Set::Lag`].
+const WITH_LAG: u32 = 12;
+
+fn draw_with_lag(random: &mut ChaCha8Rng) -> Fault {
+    match random.random_range(0..WITH_LAG) {
+        0 => Fault::StopTwo,
+        1 => Fault::Reload,
+        2 => Fault::Config,
+        _ => Fault::LagStop,
+    }
+}
+
+/// Size of the draw for [`Set::Silence`].
+const WITH_SILENCE: u32 = 12;
+
+fn draw_with_silence(random: &mut ChaCha8Rng) -> Fault {
+    match random.random_range(0..WITH_SILENCE) {
+        0..=3 => Fault::Stop,
+        4 => Fault::Config,
+        _ => Fault::Standstill,
+    }
+}
+
 fn draw(random: &mut ChaCha8Rng, set: Set) -> Fault {
     let count = match set {
+        Set::Lag => return draw_with_lag(random),
+        Set::Silence => return draw_with_silence(random),
         Set::Changes => return draw_with_changes(random),
         Set::Retries => return draw_with_retries(random),
         Set::Stops => return draw_with_stops(random),
@@ -329,10 +371,11 @@
             | Fault::Streams
             | Fault::Crowd
             | Fault::Fail
+            | Fault::Standstill
     );
     // A store that loses its history still serves each call, so it excuses no late configuration.
     let is_excused = !(world.set == Set::Changes && matches!(fault, Fault::Compact));
-    let is_planned = world.set == Set::Stops && !matches!(fault, Fault::Pause);
+    let is_planned = world.set.plans_stops() && !matches!(fault, Fault::Pause);
     if !affects_engines && is_excused && !is_planned {
         world.record_fault(at, fault.affects_all_boxes(), duration);
     }
@@ -341,7 +384,9 @@
             target.signal(Signal::KILL);
             restart(&world, at).await;
         }
-        Fault::Stop if world.set == Set::Stops => stops::stop(&world, at).await,
+        Fault::Stop if world.set.plans_stops() => stops::stop(&world, at).await,
+        Fault::LagStop => lag::stop(&world, at, &mut random).await,
+        Fault::Standstill => silence::stand_still(&world, engine, &mut random),
         Fault::StopTwo => stops::stop_two(&world, at, &mut random).await,
         Fault::Stop => {
             target.signal(Signal::TERM);
--- a/crates/jb-soak/src/main.rs
+++ b/crates/jb-soak/src/main.rs
@@ -1,5 +1,6 @@
 //! `soak`: plays seeds and reports which promises were broken.
 
+use std::path::PathBuf;
 use std::process::ExitCode;
 use std::time::Duration;
 
@@ -65,6 +66,18 @@
     /// planned stops of boxes, while engines keep requests waiting
     #[argh(switch)]
     stops: bool,
+    /// planned stops of boxes that stand still for moments before
+    #[argh(switch)]
+    lag: bool,
+    /// engines that send nothing for a moment, while others reject what they have begun, and planned stops of boxes
+    #[argh(switch)]
+    silence: bool,
+    /// share of a core that each box gets, in percent (100)
+    #[argh(option, default = "100")]
+    share: u32,
+    /// program of the boxes, of an earlier build to compare with; built from this tree if absent
+    #[argh(option)]
+    program: Option<PathBuf>,
     /// faults of boxes and of the store, which is restored from backups
     #[argh(switch)]
     restores: bool,
@@ -76,6 +89,8 @@
             Self { poison: true, .. } => Set::Poison,
             Self { segments: true, .. } => Set::Segments,
             Self { stops: true, .. } => Set::Stops,
+            Self { lag: true, .. } => Set::Lag,
+            Self { silence: true, .. } => Set::Silence,
             Self { restores: true, .. } => Set::Restores,
             Self { cuts: true, .. } => Set::Cuts,
             Self { changes: true, .. } => Set::Changes,
@@ -103,7 +118,10 @@
 
 fn main() -> miette::Result<ExitCode> {
     let arguments: Arguments = argh::from_env();
-    let program = jb_fakes::fleet::build()?.daemon;
+    let program = match &arguments.program {
+        Some(program) => program.clone(),
+        None => jb_fakes::fleet::build()?.daemon,
+    };
     let mut failed = Vec::new();
     for seed in arguments.seed..arguments.seed + arguments.seeds {
         let folder = tempfile::tempdir().into_diagnostic()?;
@@ -113,6 +131,7 @@
             engines: arguments.engines,
             callers: arguments.callers,
             duration: Duration::from_secs(arguments.seconds),
+            share: f64::from(arguments.share) / 100.0,
             set: arguments.set(),
         };
         println!("seed {seed}");
--- a/crates/jb-soak/src/run.rs
+++ b/crates/jb-soak/src/run.rs
@@ -18,11 +18,13 @@
 use crate::crowd;
 use crate::cuts;
 use crate::faults::{self, Set};
+use crate::lag;
 use crate::limits;
 use crate::poison;
 use crate::restores;
 use crate::retries;
 use crate::signals;
+use crate::silence;
 use crate::stops;
 use crate::versions;
 use crate::world::World;
@@ -51,6 +53,8 @@
     pub callers: u64,
     /// Time during which faults are injected.
     pub duration: Duration,
+    /// Share of a core that each box gets.
+    pub share: f64,
     /// Set of faults to draw from.
     pub set: Set,
 }
@@ -63,6 +67,7 @@
             engines: 4,
             callers: 8,
             duration: Duration::from_secs(10),
+            share: 1.0,
             set: Set::All,
         }
     }
@@ -78,7 +83,7 @@
     let callers = match plan.set {
         Set::Cuts => CALLERS_PER_CALLER * plan.callers,
         Set::Versions => versions::CALLERS_PER_CALLER * plan.callers,
-        Set::Stops => stops::CALLERS_PER_CALLER * plan.callers,
+        set if set.plans_stops() => stops::CALLERS_PER_CALLER * plan.callers,
         _ => plan.callers,
     };
     let callers: Vec<_> = (0..callers)
@@ -90,6 +95,11 @@
         }
         spawn_local(poison::restart_crashed(Rc::clone(&world)));
     }
+    if plan.share < 1.0 {
+        for at in 0..plan.boxes {
+            spawn_local(lag::run_for_share(Rc::clone(&world), at, plan.share));
+        }
+    }
     if plan.set == Set::Versions {
         spawn_local(versions::sample(Rc::clone(&world)));
     }
@@ -113,7 +123,7 @@
             // Boxes earn retries between two faults.
             Set::Retries => 3,
             // Some boxes stay.
-            Set::Stops => 3,
+            Set::Stops | Set::Lag | Set::Silence => 3,
             Set::Cuts | Set::Segments | Set::Changes => 2,
             _ => 1,
         };
@@ -133,7 +143,7 @@
     world.store.behavior.set(Behavior::Healthy);
     world.boxes.iter().for_each(|one| one.link(Link::Well));
     // Under more load than the engines bear, a box that serves isn't told from one that doesn't.
-    world.stopped.set(plan.set == Set::Stops);
+    world.stopped.set(plan.set.plans_stops());
     let recovered = recover(&world).await;
     world.stopped.set(true);
     for caller in callers {
@@ -155,6 +165,7 @@
     restores::check(&world, &mut checks);
     retries::check(&world, &mut checks);
     stops::check(&world, &mut checks);
+    silence::check(&world, &mut checks);
     checks
 }
 
--- a/crates/jb-soak/src/stops.rs
+++ b/crates/jb-soak/src/stops.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeSet;
 use std::time::{Duration, Instant};
 
-use jb_site_fakes::document::{ROUTES, Route};
+use jb_site_fakes::document::{ROUTES, Route, body_for_events};
 use jb_site_fakes::engine::Engine;
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
@@ -12,7 +12,8 @@
 
 use crate::callers::Exchange;
 use crate::checks::{Checks, Promise};
-use crate::faults;
+use crate::faults::{self, Set};
+use crate::silence;
 use crate::world::World;
 
 /// Callers for each one of the plan: several times the requests that the engines begin at once.
@@ -27,6 +28,12 @@
 const PLACES: usize = 2;
 /// Pauses between the events of streams, in milliseconds.
 const PACES_MS: [u64; 4] = [200, 350, 500, 600];
+/// Pauses between the events of streams at engines with room, in milliseconds.
+const SHORT_PACES_MS: [u64; 7] = [60, 90, 120, 140, 160, 210, 300];
+/// Most events of a stream there.
+const MAX_EVENTS: f64 = 40.0;
+/// Part of the deadline at which an engine breaks off, for the way of its response back to the caller.
+const DEADLINE_MARGIN: Duration = Duration::from_millis(20);
 /// Time that each request takes in addition.
 const WORK: Duration = Duration::from_millis(200);
 /// Time from SIGTERM to SIGKILL, as in the settings of the boxes.
@@ -52,17 +59,53 @@
     at: Instant,
 }
 
+impl Stop {
+    /// Returns the process that was told to stop.
+    pub fn process(&self) -> (usize, u32) {
+        self.process
+    }
+}
+
 /// Returns routes whose requests may wait for long.
 pub fn routes() -> Vec<Route> {
     let timeout_ms = u64::try_from(DEADLINE.as_millis()).unwrap_or(u64::MAX);
     ROUTES.map(|route| Route { timeout_ms, ..route }).to_vec()
 }
 
-/// Makes an engine begin few requests at once, so that they wait for seconds, and pause within streams.
-pub fn prepare(engine: &Engine) {
-    engine.begin_at_most(PLACES);
-    engine.brittle.work.set(WORK);
-    engine.paces.replace(PACES_MS.map(Duration::from_millis).to_vec());
+/// Makes an engine pause within streams. In the set of stops it begins few requests at once, so that they wait for seconds.
+pub fn prepare(engine: &Engine, set: Set) {
+    if set == Set::Stops {
+        engine.begin_at_most(PLACES);
+        engine.brittle.work.set(WORK);
+        engine.paces.replace(PACES_MS.map(Duration::from_millis).to_vec());
+        return;
+    }
+    engine
+        .paces
+        .replace(SHORT_PACES_MS.map(Duration::from_millis).to_vec());
+    engine.obeys_deadlines.set(true);
+    if set == Set::Silence {
+        silence::prepare(engine);
+    }
+}
+
+/// Draws the number of events of a stream at engines with room: most are short, and some last for seconds.
+pub fn draw_events(random: &mut ChaCha8Rng) -> u64 {
+    MAX_EVENTS.powf(random.random::<f64>()).round() as u64
+}
+
+/// Returns the body of a request for a stream with this number of events.
+pub fn body(set: Set, events: u64) -> String {
+    if set == Set::Stops {
+        "hello".to_owned()
+    } else {
+        body_for_events(events)
+    }
+}
+
+/// Returns whether a request has used its whole time.
+pub fn has_reached_deadline(one: &Exchange) -> bool {
+    one.ended - one.request.sent >= DEADLINE - DEADLINE_MARGIN
 }
 
 /// Stops a box as the platform does, and starts it again: SIGTERM, and SIGKILL after the grace period.
@@ -137,7 +180,7 @@
         && one.ended >= stop.at + GRACE.mul_f64(LATE_SHARE)
         && one.request.sent <= stop.at + ADMISSION;
     let crossed_the_close = !was_passed_on && took <= CROSSING;
-    one.complete || took >= DEADLINE || is_late_work || crossed_the_close
+    one.complete || has_reached_deadline(one) || is_late_work || crossed_the_close
 }
 
 fn describe(world: &World, stop: &Stop, one: &Exchange, was_passed_on: bool) -> String {
--- a/crates/jb-soak/src/versions.rs
+++ b/crates/jb-soak/src/versions.rs
@@ -359,7 +359,7 @@
     );
     let bytes = request("POST", first.path, &request_sent.id, &headers, "hello");
     let got = ask(&mut caller, &bytes.replace("key-ann", first.key)).await;
-    check_response(world, &request_sent.id, first.path, after, got.as_ref());
+    check_response(world, &request_sent.id, first.path, after..EVENTS, got.as_ref());
     let attempt = Attempt::new(&request_sent, after, got.as_ref());
     world.exchanges.borrow_mut().push(request_sent.end(got.as_ref()));
     Some(attempt)
--- a/crates/jb-soak/src/world.rs
+++ b/crates/jb-soak/src/world.rs
@@ -108,7 +108,7 @@
 /// Returns a configuration with one route of each kind.
 pub fn config(set: Set, version: u64, keys: &[&str]) -> Value {
     match set {
-        Set::Stops => document::config(version, &stops::routes(), keys),
+        set if set.plans_stops() => document::config(version, &stops::routes(), keys),
         _ => document::config(version, &ROUTES, keys),
     }
 }
@@ -132,8 +132,8 @@
             if plan.set == Set::Poison {
                 engine.crash_body.replace(Some(poison::CRASH_BODY.to_owned()));
             }
-            if plan.set == Set::Stops {
-                stops::prepare(&engine);
+            if plan.set.plans_stops() {
+                stops::prepare(&engine, plan.set);
             }
             if plan.set == Set::Segments {
                 poison::crash_under_segment(&engine);
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -32,7 +32,7 @@
         duration: Duration::from_secs(match set {
             Set::Poison | Set::Segments => 12,
             Set::Cuts | Set::Versions => 10,
-            Set::Changes | Set::Retries | Set::Stops => 16,
+            Set::Changes | Set::Retries | Set::Stops | Set::Lag | Set::Silence => 16,
             _ => 6,
         }),
         set,
@@ -143,6 +143,27 @@
     assert!(checks.seen(Promise::Stop) > 0, "not exercised\n{checks}");
 }
 
+/// Guards against a box that lags and leaves before the last sixth of its grace period, with streams that have begun.
+#[test]
+fn streams_at_stopping_boxes_that_lag_run_on() {
+    let checks = run(4, Set::Lag);
+    assert!(checks.hold(), "{checks}");
+    assert!(checks.seen(Promise::Stop) > 0, "not exercised\n{checks}");
+}
+
+/// Guards against a stream that leaves a sound engine which is silent for a moment, and that no other engine takes.
+#[test]
+fn streams_stay_at_silent_engines_until_another_one_takes_them() {
+    let checks = run(2, Set::Silence);
+    assert!(checks.hold(), "{checks}");
+    for promise in [Promise::Stop, Promise::Begun] {
+        assert!(
+            checks.seen(promise) > 0,
+            "{promise:?} was not exercised\n{checks}"
+        );
+    }
+}
+
 /// Guards against streams that go on at an engine of another software version, in a box or with the attempt of a caller at
 /// another box.
 #[test]
