Run begun responses on until a stopping box is killed

Cause: an estimate of the box's end was used for work that can only gain from time. The exit counted from the earliest time at which the signal may have been sent, less the worst delay of the box's tasks, less 0.3 s; engines got that time less 0.2 s as their deadline and broke off. A standstill of 0.35 s and a delay of 0.5 s took 1.6 s of 8.

Change: uncertainty has two sides. What must happen before the kill (answers to requests without a response, admission) counts from the earliest time of the signal; the exit counts from the latest and needs no reserve, as only begun responses are open by then. Responses that may be cut are logged 0.3 s before the earliest kill, since a killed process can't.

--- a/crates/jb-policy/src/shutdown.rs
+++ b/crates/jb-policy/src/shutdown.rs
@@ -1,4 +1,7 @@
 //! Times of a graceful shutdown: until when requests are admitted, and when the last of them are answered.
+//!
+//! A box doesn't know exactly when it was told to stop. What has to happen before it is killed counts from the earliest time
+//! at which the signal may have been sent. What may go on until then counts from the latest, when the signal was noticed.
 
 use std::time::Duration;
 
@@ -7,12 +10,11 @@
 /// Time from the signal in which new requests are admitted. Later ones could be cut off at the end of the grace period,
 /// which the platform counts as a failure of the box.
 const ADMISSION_PERIOD: Duration = Duration::from_millis(2900);
-/// Part of the grace period that is reserved for the process to exit.
-const EXIT_RESERVE: Duration = Duration::from_millis(300);
-/// Time before the exit in which requests that are still open are answered, and the answers reach their callers.
-const ANSWER_RESERVE: Duration = Duration::from_millis(200);
-/// Longest delay of the box's tasks that both reserves grow by. Responses that have begun may run on into the last sixth of
-/// the grace period.
+/// Time before the kill in which requests without a response are answered, and the answers reach their callers.
+const ANSWER_RESERVE: Duration = Duration::from_millis(500);
+/// Time before the kill in which the responses are logged that it may cut off.
+const LOG_RESERVE: Duration = Duration::from_millis(300);
+/// Longest delay of the box's tasks that both reserves grow by.
 const MAX_DELAY: Duration = Duration::from_millis(500);
 /// Largest part of the grace period by which the signal may have been sent before it was noticed.
 const MAX_UNNOTICED_SHARE: f64 = 0.5;
@@ -33,6 +35,7 @@
 pub struct Schedule {
     signalled_at: Moment,
     answer_by: Moment,
+    log_by: Moment,
     exit_by: Moment,
 }
 
@@ -45,11 +48,12 @@
             .earliest_at
             .max(signal.noticed_at.saturating_sub(longest))
             .min(signal.noticed_at);
-        let time_to_exit = grace.saturating_sub(EXIT_RESERVE + signal.delay.min(MAX_DELAY));
+        let time_left = grace.saturating_sub(signal.delay.min(MAX_DELAY));
         Self {
             signalled_at,
-            answer_by: signalled_at + time_to_exit.saturating_sub(ANSWER_RESERVE),
-            exit_by: signalled_at + time_to_exit,
+            answer_by: signalled_at + time_left.saturating_sub(ANSWER_RESERVE),
+            log_by: signalled_at + time_left.saturating_sub(LOG_RESERVE),
+            exit_by: signal.noticed_at + grace,
         }
     }
 
@@ -58,12 +62,18 @@
         self.signalled_at
     }
 
-    /// Returns when the requests that are still open are answered.
+    /// Returns when the requests that have no response yet are answered.
     pub fn answer_by(&self) -> Moment {
         self.answer_by
     }
 
-    /// Returns when the box exits, whatever is open.
+    /// Returns when the responses are logged that are still incomplete, as the box may be killed soon.
+    pub fn log_by(&self) -> Moment {
+        self.log_by
+    }
+
+    /// Returns when the box exits, whatever is open. By then it should have been killed: a response that has begun can only
+    /// gain from each moment before that.
     pub fn exit_by(&self) -> Moment {
         self.exit_by
     }
@@ -73,7 +83,7 @@
         now <= self.signalled_at + ADMISSION_PERIOD
     }
 
-    /// Returns whether an attempt that starts now and takes `time` ends before open requests are answered.
+    /// Returns whether an attempt that starts now and takes `time` ends before requests without a response are answered.
     pub fn fits(&self, now: Moment, time: Duration) -> bool {
         now + time <= self.answer_by
     }
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -129,8 +129,9 @@
         pool::put_back(core, pooled.connection, &pooled.upstream, None);
         return AttemptOutcome::Withdrawn;
     }
-    let time_left = core
-        .answer_by(message.request.deadline)
+    let time_left = message
+        .request
+        .deadline
         .saturating_sub(core.now() + RETURN_LATENCY);
     let head = head(core, &instance.id, &entry, message, time_left);
     let mut reusable = true;
--- a/crates/jb-relay/src/detour/message.rs
+++ b/crates/jb-relay/src/detour/message.rs
@@ -69,9 +69,7 @@
             cache_salt: request.cache_salt.clone(),
             urgency: request.urgency,
             waited: now.saturating_sub(request.arrived_at),
-            left: core
-                .answer_by(request.deadline)
-                .saturating_sub(now + RETURN_LATENCY),
+            left: request.deadline.saturating_sub(now + RETURN_LATENCY),
             max_attempts: max_attempts.saturating_sub(runs).max(1),
             route: RouteFacts {
                 name,
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -24,7 +24,7 @@
 const CLEANUP_INTERVAL: Duration = Duration::from_secs(1);
 /// Shortest suspension that is logged. Shorter ones can be an artefact of reading two clocks one after the other.
 const MIN_LOGGED_SUSPENSION: Duration = Duration::from_millis(100);
-/// Maximum number of requests that are logged as cut off at the exit.
+/// Maximum number of requests that are logged as cut off.
 const MAX_LOGGED_REQUESTS: usize = 256;
 /// Interval at which a graceful shutdown checks for open connections.
 const STOP_POLL_INTERVAL: Duration = Duration::from_millis(50);
@@ -164,10 +164,11 @@
     suspended
 }
 
-/// Answers the open requests within the grace period, then returns.
+/// Answers the open requests within the grace period. Returns when nothing is open, or when the box should have been killed.
 pub async fn shut_down(core: &Shared) {
     let schedule = core.begin_stop();
     log_stopping(core, &schedule);
+    let mut is_logged = false;
     loop {
         sleep(STOP_POLL_INTERVAL).await;
         let now = core.now();
@@ -175,8 +176,11 @@
         if idle || now > schedule.exit_by() {
             break;
         }
+        if now > schedule.log_by() && !is_logged {
+            log_open_requests(core, &schedule);
+            is_logged = true;
+        }
     }
-    log_cut_requests(core, &schedule);
     emit!(core.logger, info, event::BOX_STOPPED, "open" => core.stop.connections());
 }
 
@@ -193,8 +197,8 @@
         "answer_ms" => until(schedule.answer_by()), "exit_ms" => until(schedule.exit_by()));
 }
 
-/// Logs the requests whose response isn't complete as the box exits.
-fn log_cut_requests(core: &Core, schedule: &Schedule) {
+/// Logs the requests whose response isn't complete as the box is about to be killed.
+fn log_open_requests(core: &Core, schedule: &Schedule) {
     let now = core.now();
     let stopping_for = now.saturating_sub(schedule.signalled_at());
     for request in core.open_requests.summaries().iter().take(MAX_LOGGED_REQUESTS) {
--- a/crates/jb-relay/src/stop.rs
+++ b/crates/jb-relay/src/stop.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::time::Duration;
 
-use jb_policy::Moment;
 use jb_policy::shutdown::{Schedule, Signal};
 use tokio::sync::Notify;
 use tokio::time::sleep;
@@ -129,12 +128,6 @@
         Some(self.now().saturating_sub(schedule.signalled_at()))
     }
 
-    /// Returns when a request has to be answered: at its deadline, or before the box exits.
-    pub fn answer_by(&self, deadline: Moment) -> Moment {
-        let schedule = self.stop.schedule();
-        schedule.map_or(deadline, |schedule| schedule.answer_by().min(deadline))
-    }
-
     /// Returns whether a response of a route that is requested now is complete before the box exits.
     pub fn can_answer_before_exit(&self, route: &str) -> bool {
         let Some(schedule) = self.stop.schedule() else {
