--- a/crates/jb-soak/src/boxes.rs
+++ b/crates/jb-soak/src/boxes.rs
@@ -5,9 +5,11 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
+use std::time::Duration;
 
 use jb_site_fakes::document::{self, Bounds};
 use rustix::process::{Pid, Signal, kill_process};
+use tokio::time::sleep;
 
 use jb_site_fakes::proxy::{Link, Proxy};
 
@@ -24,6 +26,8 @@
     bounds: Bounds,
     child: RefCell<Option<Child>>,
     starts: Cell<u32>,
+    /// Whether the process stands still, and gets no share of a core either.
+    stands_still: Cell<bool>,
 }
 
 impl Box {
@@ -45,6 +49,7 @@
             bounds,
             child: RefCell::default(),
             starts: Cell::default(),
+            stands_still: Cell::default(),
         }
     }
 
@@ -105,6 +110,27 @@
         }
     }
 
+    /// Makes the process stand still.
+    pub fn stand_still(&self) {
+        self.stands_still.set(true);
+        self.signal(Signal::STOP);
+    }
+
+    /// Lets the process go on.
+    pub fn go_on(&self) {
+        self.stands_still.set(false);
+        self.signal(Signal::CONT);
+    }
+
+    /// Gives the process a core for this time, unless it stands still.
+    pub async fn run_for(&self, time: Duration) {
+        if !self.stands_still.get() {
+            self.signal(Signal::CONT);
+        }
+        sleep(time).await;
+        self.signal(Signal::STOP);
+    }
+
     /// Returns whether the process is running.
     pub fn is_running(&self) -> bool {
         let mut child = self.child.borrow_mut();
--- a/crates/jb-soak/src/lag.rs
+++ b/crates/jb-soak/src/lag.rs
@@ -5,7 +5,6 @@
 
 use rand::Rng as _;
 use rand_chacha::ChaCha8Rng;
-use rustix::process::Signal;
 use tokio::time::sleep;
 
 use crate::stops;
@@ -25,12 +24,10 @@
     let target = &world.boxes[at];
     sleep(PERIOD.mul_f64(at as f64 / world.boxes.len() as f64)).await;
     while !world.stopped.get() {
-        target.signal(Signal::CONT);
-        sleep(PERIOD.mul_f64(share)).await;
-        target.signal(Signal::STOP);
+        target.run_for(PERIOD.mul_f64(share)).await;
         sleep(PERIOD.mul_f64(1.0 - share)).await;
     }
-    target.signal(Signal::CONT);
+    target.go_on();
 }
 
 /// Stops a box that has stood still some seconds before, and does so until the signal is sent.
@@ -42,11 +39,11 @@
         draw(LAST_STANDSTILL_MS),
     );
     let target = &world.boxes[at];
-    target.signal(Signal::STOP);
+    target.stand_still();
     sleep(earlier).await;
-    target.signal(Signal::CONT);
+    target.go_on();
     sleep(between).await;
-    target.signal(Signal::STOP);
+    target.stand_still();
     sleep(last).await;
-    tokio::join!(stops::stop(world, at), async { target.signal(Signal::CONT) });
+    tokio::join!(stops::stop(world, at), async { target.go_on() });
 }
