Look for input once more when a timer of a connection or of the exit has fired

What callers saw: a request on an open connection of a stopping box, sent while the box stood still, got no answer; the connection was closed 0.6 s after it was sent.

Cause: after a standstill the event loop may notice timers before input that arrived earlier, since the call that waits for both was interrupted. The idle timer then closed a connection with a request in it. The exit could miss connections in the accept queue in the same way.

Change: a connection whose idle timer has fired is read once more in the next turn of the loop, and the box exits when nothing is open in two checks in a row.

An in-process test can't interrupt the call, so that it passes on both; not kept.

--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -178,10 +178,11 @@
     tokio::select! {
         // A request that has arrived goes before a close.
         biased;
-        filled = client.fill() => matches!(filled, Ok(read) if read > 0),
-        () = sleep(limits.idle_timeout) => false,
-        () = wait_idle_stop(core) => false,
+        filled = client.fill() => return matches!(filled, Ok(read) if read > 0),
+        () = sleep(limits.idle_timeout) => {}
+        () = wait_idle_stop(core) => {}
     }
+    client.fill_pending().await
 }
 
 /// Waits until an idle connection may be closed during a graceful shutdown.
--- a/crates/jb-relay/src/http/connection.rs
+++ b/crates/jb-relay/src/http/connection.rs
@@ -21,6 +21,10 @@
 /// Time within which the trailers of a body have to end, as nothing is left to compute then.
 const TRAILER_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time for which input is looked for when a timer has fired: the next turn of the event loop. After a standstill of the box,
+/// timers can be noticed before input that has arrived meanwhile.
+const PENDING_INPUT_TIME: Duration = Duration::from_millis(1);
+
 /// Largest body that is copied to be sent together with its head, in bytes.
 const MAX_COPIED_BYTES: usize = 64 * 1024;
 
@@ -90,6 +94,12 @@
         self.stream.read_buf(&mut self.buffer).await
     }
 
+    /// Reads input that has arrived before a timer fired; returns whether there was any.
+    pub async fn fill_pending(&mut self) -> bool {
+        let until = Instant::now() + PENDING_INPUT_TIME;
+        matches!(timeout_at(until, self.fill()).await, Ok(Ok(read)) if read > 0)
+    }
+
     /// Returns whether an idle connection is still open and no bytes have arrived on it.
     pub fn is_reusable(&mut self) -> bool {
         let mut one = [0_u8; 1];
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -169,13 +169,16 @@
     let schedule = core.begin_stop();
     log_stopping(core, &schedule);
     let mut is_logged = false;
+    let mut was_idle = false;
     loop {
         sleep(STOP_POLL_INTERVAL).await;
         let now = core.now();
-        let idle = core.stop.is_done() && now > schedule.signalled_at() + stop::UNREADY_NOTICE_TIME;
-        if idle || now > schedule.exit_by() {
+        let is_idle = core.stop.is_done() && now > schedule.signalled_at() + stop::UNREADY_NOTICE_TIME;
+        // After a standstill, connections may wait to be accepted until the next turn.
+        if is_idle && was_idle || now > schedule.exit_by() {
             break;
         }
+        was_idle = is_idle;
         if now > schedule.log_by() && !is_logged {
             log_open_requests(core, &schedule);
             is_logged = true;
