Resume a begun stream at a stopping box whatever a whole response takes

What callers saw: a stream with status 200 was cut when its engine broke off or fell silent while its box stopped (LOST), with the reason stopping.

Cause: the time of a whole response of its route was compared with what is left, also for a stream that lacks its last events. Giving it up saves nothing: its caller has the beginning, and no other box can be named in its place.

Change: only requests without a response are held back by the estimate.

--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -160,7 +160,7 @@
             if self.left().is_zero() {
                 return self.terminal_outcome(why);
             }
-            if !self.core.can_answer_before_exit(&request.route.name) {
+            if !self.may_attempt() {
                 return self.terminal_outcome(stop::REASON);
             }
             // Found out first, as a helper may not reach the boxes that know it.
@@ -203,6 +203,12 @@
         }
     }
 
+    /// Returns whether another attempt is worth it while the box stops: a whole response fits into what is left, or a stream
+    /// has begun, which gains from each event.
+    fn may_attempt(&self) -> bool {
+        self.has_begun() || self.core.can_answer_before_exit(&self.message.request.route.name)
+    }
+
     /// Returns whether the request may be sent now: for the first time, or with a retry from the budget.
     pub(super) fn take_attempt(&mut self) -> bool {
         std::mem::take(&mut self.retry_granted)
@@ -366,7 +372,7 @@
         let again = status >= 500
             && request.route.is_retryable()
             && self.runs < request.route.max_attempts
-            && core.can_answer_before_exit(&request.route.name);
+            && self.may_attempt();
         if again && self.core.take_retry(&request.service) {
             // Without a retry from the budget, the caller gets the engine's error response.
             self.retry_granted = true;
--- a/crates/jb-relay/src/exchange/selection.rs
+++ b/crates/jb-relay/src/exchange/selection.rs
@@ -174,10 +174,11 @@
 }
 
 /// Returns whether a request can leave a stalled upstream: another one is available, or another box may reach one, the
-/// retry budget grants the attempt, and the box stays for long enough.
+/// retry budget grants the attempt, and the box stays for long enough, unless the response has begun.
 pub(super) fn can_retry_elsewhere(core: &Core, placement: Placement<'_>) -> bool {
     let service = &placement.request.service;
-    if !core.can_answer_before_exit(&placement.request.route.name) {
+    let has_begun = placement.software.is_some();
+    if !has_begun && !core.can_answer_before_exit(&placement.request.route.name) {
         return false;
     }
     let has_other = core.uplinks.is_down(service) || choose(core, placement, CandidateSet::All).is_some();
