Leave a silent engine only once another one has accepted its stream

Cause: break before make. The box closed the connection to a silent engine when it decided to move, before any other had accepted; then rejections (not run), the retry budget, four sends or the stop ended the stream. The return to the silent engine was tried only where no engine was left, and began anew there.

Change: exchange/handover searches for a successor beside the delivery. The connection stays open, and what still arrives on it is delivered, until the head of another engine's response shows that it has accepted the stream; then the one before is closed at once. If it ends meanwhile, the search's result decides. A search that finds none counts the standstill against the engine's health, once. The steps of an attempt move to exchange/attempt, so that both ways share them. handover_sought (2018) logs a search.

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -41,7 +41,8 @@
     STREAM_ORIGIN_UNKNOWN = 2014, "stream_origin_unknown", "A caller takes up a stream, and neither a box nor the store knows which software version began it.";
     CRASH_CHECKED = 2015, "crash_checked", "An attempt was lost; the upstream was checked for a crash.";
     RETRY_BUDGET_EXHAUSTED = 2016, "retry_budget_exhausted", "A service's retries are used up at this box; failed attempts are not retried until requests earn more.";
-    REQUEST_CUT = 2017, "request_cut", "The box exited before the response to a request was complete.";
+    REQUEST_CUT = 2017, "request_cut", "The response to a request is still incomplete as the box is about to be killed.";
+    HANDOVER_SOUGHT = 2018, "handover_sought", "A stream has stalled, and the box asks other upstreams to go on with it.";
     TREE_IN_FORCE = 3001, "tree_in_force", "A newer revision of the settings tree has taken effect.";
     TREE_REJECTED = 3002, "tree_rejected", "A settings tree was rejected because it is invalid or incomplete.";
     TREE_OLDER = 3003, "tree_older", "The platform has an older settings tree than the box.";
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -58,6 +58,14 @@
     pub pool: Option<PoolSlot>,
 }
 
+impl Reply {
+    /// Returns whether this is the response of an upstream as it was made: signed, and not encoded on the way.
+    pub fn is_genuine(&self, core: &Core) -> bool {
+        let headers = &self.answer.headers;
+        headers.get(core.header_names.signature).is_some() && headers.get("content-encoding").is_none()
+    }
+}
+
 /// Place of a connection in the pool of an upstream.
 pub struct PoolSlot {
     /// Upstream that the connection leads to.
@@ -67,6 +75,7 @@
 }
 
 /// A request with its body, which can be sent several times.
+#[derive(Clone)]
 pub struct Message<'a> {
     /// Request head from the caller.
     pub head: &'a RequestHead,
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -1,5 +1,6 @@
 //! Delivery of an upstream's response to the caller.
 
+use std::future::Future;
 use std::time::Duration;
 
 use bytes::{BufMut as _, Bytes, BytesMut};
@@ -17,6 +18,8 @@
 
 /// Largest response body that is buffered as a whole, so that a response that is cut off never reaches the caller.
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
+/// Why a stream is left that sends nothing.
+pub const STALLED: &str = "stream stalled";
 /// End of a chunked body.
 const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
 
@@ -29,6 +32,8 @@
     Nothing(&'static str),
     /// The response was cut off after part of it was delivered; the reason.
     Partly(&'static str),
+    /// Another upstream has accepted to deliver the rest.
+    TakenOver,
     /// The deadline passed.
     Late,
     /// The caller closed the connection.
@@ -41,6 +46,8 @@
     End,
     Broken(&'static str),
     Stalled,
+    /// The search for another upstream has ended; whether one has taken over.
+    Sought(bool),
     Late,
     CallerGone,
 }
@@ -107,7 +114,7 @@
     request: &AdmittedRequest,
     mut reply: Reply,
     client: &mut Connection,
-    mut progress: impl Progress,
+    progress: &mut impl Progress,
 ) -> DeliveryOutcome {
     let mut body = BytesMut::new();
     let mut stall = Stall::new(core, request);
@@ -123,8 +130,8 @@
             stall.left(timeout, now).min(overdue)
         });
         match next_part(&mut reply, client, left, stall_left).await {
-            Part::Stalled if progress.can_move(None) => return DeliveryOutcome::Nothing("response stalled"),
-            Part::Stalled => {
+            Part::Stalled if progress.may_leave(None) => return DeliveryOutcome::Nothing("response stalled"),
+            Part::Stalled | Part::Sought(_) => {
                 // Its end may only be late.
                 stall.restart(core.now());
                 stall.give_up_at = request.deadline;
@@ -178,7 +185,7 @@
             Part::End if has_ended(core, &reply).await => return DeliveryOutcome::Partly(ENDED),
             Part::End => break,
             Part::Broken(why) => return DeliveryOutcome::Partly(why),
-            Part::Stalled | Part::Late => return DeliveryOutcome::Late,
+            Part::Stalled | Part::Sought(_) | Part::Late => return DeliveryOutcome::Late,
             Part::CallerGone => return DeliveryOutcome::CallerGone,
         }
     }
@@ -236,11 +243,30 @@
         None
     }
 
-    /// Returns whether another upstream can take over from one that has stalled: it resumes the stream, with the software
-    /// version that began it, or runs the request.
-    fn can_move(&mut self, _software: Option<&str>) -> bool {
+    /// Returns whether one that has stalled is left, and another upstream is selected then: it resumes the stream, with the
+    /// software version that began it, or runs the request.
+    fn may_leave(&mut self, _software: Option<&str>) -> bool {
         false
     }
+
+    /// Returns whether this box reaches upstreams itself.
+    fn reaches_upstreams(&self) -> bool {
+        true
+    }
+
+    /// Begins to search for another upstream that goes on after the last event, with the software version that began the
+    /// stream, if one may.
+    fn seek(&mut self, _last_event: Option<u64>, _software: Option<&str>) {}
+
+    /// Returns whether a search is under way.
+    fn is_seeking(&self) -> bool {
+        false
+    }
+
+    /// Waits until the search has ended, and returns whether another upstream has taken over; for ever without a search.
+    fn wait_taken_over(&mut self) -> impl Future<Output = bool> {
+        std::future::pending()
+    }
 }
 
 /// Delivers a stream; a resumable one in whole events only.
@@ -250,7 +276,7 @@
     mut reply: Reply,
     client: &mut Connection,
     pace: &mut StreamTiming,
-    mut progress: impl Progress,
+    progress: &mut impl Progress,
 ) -> DeliveryOutcome {
     let request = message.request;
     let ends_by_close = reply.body.ends_by_close();
@@ -281,7 +307,14 @@
             _ => None,
         };
         let stall_left = stall_timeout.map(|timeout| stall.left(timeout, now));
-        match next_part(&mut reply, client, left, stall_left).await {
+        let part = tokio::select! {
+            biased;
+            is_taken_over = progress.wait_taken_over() => Part::Sought(is_taken_over),
+            part = next_part(&mut reply, client, left, stall_left) => part,
+        };
+        match part {
+            Part::Sought(true) => return DeliveryOutcome::TakenOver,
+            Part::Sought(false) => stall.restart(core.now()),
             Part::Data(data) => {
                 progress.received();
                 pace.boundary.push(&data);
@@ -320,15 +353,22 @@
             }
             Part::End if has_ended(core, &reply).await => return cut_off(has_started, ENDED),
             Part::End => break,
-            Part::Broken(why) => return cut_off(has_started, why),
-            Part::Stalled if progress.can_move(message.software.as_deref()) => {
-                return cut_off(has_started, "stream stalled");
+            Part::Broken(why) if !progress.is_seeking() => return cut_off(has_started, why),
+            Part::Broken(why) => return wait_taken_over(client, progress, has_started, why).await,
+            // Another box has to be asked, which can't be done beside.
+            Part::Stalled
+                if !progress.reaches_upstreams() && progress.may_leave(message.software.as_deref()) =>
+            {
+                return cut_off(has_started, STALLED);
             }
             Part::Stalled if !has_started && core.now() >= stall.give_up_at => {
                 return DeliveryOutcome::Nothing("no event in the response");
             }
             // A stall alone doesn't end a stream, as its events may only be late.
-            Part::Stalled => stall.restart(core.now()),
+            Part::Stalled => {
+                progress.seek(message.last_event, message.software.as_deref());
+                stall.restart(core.now());
+            }
             Part::Late if has_started => return DeliveryOutcome::Late,
             Part::Late => return DeliveryOutcome::Nothing("deadline exceeded"),
             Part::CallerGone => return DeliveryOutcome::CallerGone,
@@ -344,6 +384,23 @@
     }
 }
 
+/// Waits for the search that is under way while its upstream has broken off.
+async fn wait_taken_over(
+    client: &mut Connection,
+    progress: &mut impl Progress,
+    has_started: bool,
+    why: &'static str,
+) -> DeliveryOutcome {
+    tokio::select! {
+        is_taken_over = progress.wait_taken_over() => if is_taken_over {
+            DeliveryOutcome::TakenOver
+        } else {
+            cut_off(has_started, why)
+        },
+        () = client.wait_closed() => DeliveryOutcome::CallerGone,
+    }
+}
+
 fn cut_off(has_started: bool, why: &'static str) -> DeliveryOutcome {
     if has_started {
         DeliveryOutcome::Partly(why)
--- a/crates/jb-relay/src/exchange/detour.rs
+++ b/crates/jb-relay/src/exchange/detour.rs
@@ -143,15 +143,25 @@
         };
         let delivered = if is_stream {
             let timing = &mut self.timing;
-            deliver::deliver_stream(core, &mut self.message, reply, client, timing, HelperProgress).await
+            deliver::deliver_stream(
+                core,
+                &mut self.message,
+                reply,
+                client,
+                timing,
+                &mut HelperProgress,
+            )
+            .await
         } else {
-            deliver::deliver_buffered(core, request, reply, client, HelperProgress).await
+            deliver::deliver_buffered(core, request, reply, client, &mut HelperProgress).await
         };
         match delivered {
             DeliveryOutcome::Complete => RequestOutcome::Answered(status),
             DeliveryOutcome::Nothing(why) => self.terminal_outcome(why),
             DeliveryOutcome::Partly(why) => RequestOutcome::Broken(why),
             DeliveryOutcome::Late => RequestOutcome::Broken("deadline exceeded"),
+            // The helper hands the stream over itself, so this box never does.
+            DeliveryOutcome::TakenOver => RequestOutcome::Broken(deliver::STALLED),
             DeliveryOutcome::CallerGone => RequestOutcome::CallerGone,
         }
     }
--- a/crates/jb-relay/src/exchange/isolation.rs
+++ b/crates/jb-relay/src/exchange/isolation.rs
@@ -8,6 +8,7 @@
 use jb_policy::{Moment, poison};
 use jb_protocol::{emit, event};
 
+use super::attempt::Attempt;
 use super::pick::Rejection;
 use super::run::Exchange;
 use super::selection::{self, CandidateSet, Choice};
@@ -63,6 +64,11 @@
         }
     }
 
+    /// Returns whether the request may run at any engine.
+    pub(super) fn is_unsuspected(&self) -> bool {
+        self.verdict() == poison::Verdict::Unsuspected
+    }
+
     /// Returns the quarantine verdict on the request. Without any evidence its features aren't hashed.
     fn verdict(&self) -> poison::Verdict {
         let quarantine = &self.core.quarantine;
@@ -203,6 +209,17 @@
         }
     }
 
+    /// Checks beside the request whether an upstream that has fallen silent has crashed.
+    pub(super) fn check_end_later(&self, attempt: &Attempt<'_>) {
+        let features = self.features_at_risk(attempt.counted.running_time());
+        let lost = LostAttempt {
+            features: features.to_vec(),
+            isolated: attempt.isolated,
+            at: self.core.now(),
+        };
+        crash_check::check_later(self.core, &attempt.instance, lost);
+    }
+
     /// Records that an engine has executed the request without a crash, `running` after the first data of the response.
     pub(super) fn note_run(&self, instance: &Instance, running: Duration) {
         if self.core.quarantine.is_empty() {
@@ -222,13 +239,12 @@
 pub(super) struct BeginWatch<'a> {
     pub(super) core: &'a Core,
     pub(super) head: &'a RequestHead,
-    pub(super) instance: &'a Instance,
     pub(super) is_over: bool,
 }
 
 impl BeginWatch<'_> {
-    /// Notes data that arrives `running` after the first data of the response.
-    pub(super) fn note_data(&mut self, running: Duration) {
+    /// Notes data of an upstream that arrives `running` after the first data of its response.
+    pub(super) fn note_data(&mut self, instance: &Instance, running: Duration) {
         if self.is_over || running < BEGIN_WINDOW {
             return;
         }
@@ -237,6 +253,6 @@
             return;
         }
         let segments: Vec<_> = segments(self.core, self.head).collect();
-        quarantine::note_survival(self.core, &segments, self.instance);
+        quarantine::note_survival(self.core, &segments, instance);
     }
 }
--- a/crates/jb-relay/src/exchange/load_guard.rs
+++ b/crates/jb-relay/src/exchange/load_guard.rs
@@ -11,7 +11,7 @@
 /// Load of one request at one upstream, counted until the guard is dropped.
 pub(super) struct LoadGuard<'a> {
     core: &'a Shared,
-    instance: &'a Instance,
+    instance: Instance,
     waiting: u64,
     fixed: bool,
     sent: Moment,
@@ -26,7 +26,7 @@
 impl<'a> LoadGuard<'a> {
     pub(super) fn new(
         core: &'a Shared,
-        instance: &'a Instance,
+        instance: &Instance,
         waiting: u64,
         fixed: bool,
         reservation: Option<Reservation>,
@@ -42,7 +42,7 @@
         }
         Self {
             core,
-            instance,
+            instance: instance.clone(),
             waiting,
             fixed,
             sent: core.now(),
@@ -82,7 +82,7 @@
 
     /// Removes the request's prompt tokens from the upstream's queued tokens.
     fn clear_waiting(&mut self) {
-        if let Some(upstream) = self.core.upstreams.borrow_mut().instance_mut(self.instance) {
+        if let Some(upstream) = self.core.upstreams.borrow_mut().instance_mut(&self.instance) {
             upstream.waiting = upstream.waiting.saturating_sub(self.waiting);
         }
         self.waiting = 0;
@@ -95,6 +95,6 @@
         self.core
             .upstreams
             .borrow_mut()
-            .end_request(self.instance, self.fixed);
+            .end_request(&self.instance, self.fixed);
     }
 }
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -10,12 +10,13 @@
 use jb_protocol::{emit, event, id};
 use tokio::time::sleep;
 
+use super::attempt::{Attempt, Withheld};
 use super::detour::Path;
-use super::isolation::BeginWatch;
-use super::load_guard::LoadGuard;
+use super::handover::{Accepted, Source};
 use super::pick::Rejection;
-use super::selection::{self, Choice, Placement};
-use super::version::{self, Progress};
+use super::progress::Progress;
+use super::selection::{self, Choice};
+use super::version;
 use crate::admission::AdmittedRequest;
 use crate::attempt::{self, AttemptOutcome, Message, Reply};
 use crate::configuration::RouteKind;
@@ -23,13 +24,13 @@
 use crate::deliver::{self, DeliveryOutcome, StreamTiming};
 use crate::http::{Connection, Framing, RequestHead};
 use crate::open_request::{OpenRequest, Phase};
-use crate::peers::{self, Permit, Reservation};
+use crate::peers::{self, Permit};
 use crate::quarantine;
 use crate::stop;
 use crate::upstream::Instance;
 
 /// Upper bound on the attempts of one request, including those that the upstream rejected.
-const MAX_SENDS: u32 = 4;
+pub(super) const MAX_SENDS: u32 = 4;
 /// Why a stream breaks whose next upstream responds with an error: the caller is already reading the events.
 pub(super) const ERROR_WITHIN_STREAM: &str = "error response to a resumed stream";
 
@@ -77,6 +78,14 @@
     pub(super) helper: Option<id::Box>,
 }
 
+/// What became of a response.
+enum Delivered<'a> {
+    /// Another upstream delivers the rest of it.
+    TakenOver(Box<Accepted<'a>>),
+    /// Its delivery has ended, and this follows.
+    Ended(Result<Next, &'static str>),
+}
+
 /// What to do after an attempt.
 enum Next {
     /// Select another upstream.
@@ -85,6 +94,31 @@
     End(RequestOutcome),
 }
 
+/// Returns the exchange as its delivery may hand it over.
+fn source<'a, 't>(
+    core: &'a Shared,
+    message: &Message<'a>,
+    tried: &'t [Instance],
+    sends: u32,
+    runs: u32,
+) -> Source<'a, 't> {
+    Source {
+        core,
+        head: message.head,
+        body: message.body,
+        request: message.request,
+        open: message.open,
+        tried,
+        sends,
+        runs,
+    }
+}
+
+/// Returns whether the status is one of success.
+pub(super) fn is_success(status: u16) -> bool {
+    (200..300).contains(&status)
+}
+
 impl<'a> Exchange<'a> {
     /// Creates the exchange of a request that has not been sent yet.
     pub fn new(
@@ -175,21 +209,12 @@
             let Some(choice) = self.pick(client).await else {
                 return self.terminal_outcome(self.rejection.map_or(why, |rejection| rejection.why));
             };
-            if !self.confirm_software(&choice.instance).await {
-                self.tried.push(choice.instance);
-                continue;
-            }
-            // After a denial the upstream is no longer available when the next one is selected.
-            let Ok(permit) = peers::acquire_permit(self.core, &choice.instance).await else {
-                continue;
+            let grant = match self.prepare(&choice).await {
+                Ok(grant) => grant,
+                Err(Withheld::Upstream) => continue,
+                Err(Withheld::Budget) => return self.terminal_outcome("retry_budget"),
             };
-            let Ok(_room) = self.reserve_room(&choice).await else {
-                continue;
-            };
-            if !self.take_attempt() {
-                return self.terminal_outcome("retry_budget");
-            }
-            match self.attempt(choice, permit, client).await {
+            match self.attempt(choice, grant.permit, client).await {
                 Ok(Next::End(ending)) => return ending,
                 Ok(Next::Again) => {}
                 Err(cause) => why = cause,
@@ -205,7 +230,7 @@
 
     /// Returns whether another attempt is worth it while the box stops: a whole response fits into what is left, or a stream
     /// has begun, which gains from each event.
-    fn may_attempt(&self) -> bool {
+    pub(super) fn may_attempt(&self) -> bool {
         self.has_begun() || self.core.can_answer_before_exit(&self.message.request.route.name)
     }
 
@@ -240,75 +265,22 @@
         permit: Permit,
         client: &mut Connection,
     ) -> Result<Next, &'static str> {
-        let core = self.core;
-        let request = self.message.request;
-        let Choice {
-            instance,
-            reserved,
-            estimate,
-            isolated,
-            ..
-        } = choice;
-        let instance = &instance;
-        // The entry may be removed while the upstream responds.
-        let software = self.software_of(instance);
-        let waiting = self.plan_transfer(instance, reserved.as_ref());
-        let last = !request.route.is_retryable() || self.runs + 1 >= request.route.max_attempts;
-        let reservation = reserved.map(|reserved| reserved.reservation);
-        self.ending = reservation.as_ref().map(Reservation::outcome);
-        let mut counted = LoadGuard::new(core, instance, waiting, last, reservation);
-        self.tried.push(instance.clone());
+        let first_token = choice.estimate.ttft;
+        let attempt = self.begin_attempt(choice);
         // Marks the isolated trial as running until this attempt ends.
-        let _tried = isolated.then(|| quarantine::begin_trial(core, self.suspects(), instance));
+        let _tried = attempt
+            .isolated
+            .then(|| quarantine::begin_trial(self.core, self.suspects(), &attempt.instance));
         let outcome = tokio::select! {
-            outcome = self.send_until_stalled(instance, permit, estimate.ttft) => outcome,
+            outcome = self.send_until_stalled(&attempt.instance, permit, first_token) => outcome,
             () = client.wait_closed() => {
                 // The request may already be on its way to the upstream, which may execute it.
                 self.runs += 1;
                 return Ok(Next::End(RequestOutcome::CallerGone));
             }
         };
-        match outcome {
-            AttemptOutcome::Unsent(why) => {
-                self.retry_granted = true;
-                self.record_failure(instance, "unsent", &why);
-                Err("unreachable")
-            }
-            AttemptOutcome::Withdrawn => {
-                self.retry_granted = true;
-                Err("withdrawn")
-            }
-            AttemptOutcome::NotRun(status) => {
-                self.sends += 1;
-                self.note_not_run();
-                emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &request.id,
-                    "upstream" => %instance, "outcome" => "not_run", "status" => status);
-                Err("turned_away")
-            }
-            AttemptOutcome::Failed(why) => {
-                self.sends += 1;
-                self.runs += 1;
-                self.record_failure(instance, "may_have_run", &why);
-                self.note_end(instance, isolated, Duration::ZERO).await;
-                Err("upstream_failed")
-            }
-            AttemptOutcome::Answered(reply) => {
-                self.sends += 1;
-                self.runs += 1;
-                let next = self
-                    .deliver(instance, software, *reply, client, &mut counted)
-                    .await;
-                if !matches!(
-                    next,
-                    Ok(Next::End(
-                        RequestOutcome::Answered(_) | RequestOutcome::CallerGone
-                    ))
-                ) {
-                    self.note_end(instance, isolated, counted.running_time()).await;
-                }
-                next
-            }
-        }
+        let reply = self.conclude(&attempt, outcome).await?;
+        self.deliver(attempt, reply, client).await
     }
 
     /// Sends the request and waits for the response head. A retryable request is moved from a stalled upstream
@@ -347,27 +319,90 @@
         }
     }
 
+    /// Delivers the response, and the rest of it from each upstream that takes over.
     async fn deliver(
         &mut self,
-        instance: &Instance,
-        software: Option<id::SoftwareVersion>,
-        reply: Reply,
+        mut attempt: Attempt<'a>,
+        mut reply: Reply,
         client: &mut Connection,
-        counted: &mut LoadGuard<'_>,
     ) -> Result<Next, &'static str> {
+        loop {
+            let next = match self.deliver_response(&mut attempt, reply, client).await {
+                Delivered::TakenOver(accepted) => {
+                    self.note_taken_over(&attempt);
+                    self.ending = accepted.attempt.ending.clone();
+                    Accepted { attempt, reply } = *accepted;
+                    continue;
+                }
+                Delivered::Ended(next) => next,
+            };
+            let is_settled = matches!(
+                next,
+                Ok(Next::End(
+                    RequestOutcome::Answered(_) | RequestOutcome::CallerGone
+                ))
+            );
+            if !is_settled {
+                let running = attempt.counted.running_time();
+                self.note_end(&attempt.instance, attempt.isolated, running).await;
+            }
+            return next;
+        }
+    }
+
+    /// Notes that an upstream has been left, which may have crashed.
+    fn note_taken_over(&mut self, attempt: &Attempt<'_>) {
+        if !attempt.is_blamed {
+            self.record_failure(&attempt.instance, "ran_partly", deliver::STALLED);
+        }
+        self.check_end_later(attempt);
+        emit!(self.core.logger, info, event::STREAM_RESUMED, "request" => &self.message.request.id,
+            "after" => self.message.last_event, "why" => deliver::STALLED);
+    }
+
+    /// Delivers what one upstream sends.
+    async fn deliver_response(
+        &mut self,
+        attempt: &mut Attempt<'a>,
+        reply: Reply,
+        client: &mut Connection,
+    ) -> Delivered<'a> {
+        let status = reply.answer.status;
+        self.note_response(status, reply.answer.framing);
+        if let Some(next) = self.end_without_delivery(&attempt.instance, &reply) {
+            return Delivered::Ended(next);
+        }
+        let is_stream = is_success(status) && self.message.request.route.kind == RouteKind::Stream;
+        let delivered = if is_stream {
+            match self.deliver_stream(attempt, reply, client).await {
+                (DeliveryOutcome::TakenOver, Some(accepted)) => {
+                    return Delivered::TakenOver(Box::new(accepted));
+                }
+                (delivered, _) => delivered,
+            }
+        } else {
+            self.deliver_buffered(attempt, reply, client).await
+        };
+        Delivered::Ended(self.conclude_delivery(attempt, status, delivered))
+    }
+
+    /// Returns what follows a response that isn't delivered; `None` for one that is.
+    fn end_without_delivery(
+        &mut self,
+        instance: &Instance,
+        reply: &Reply,
+    ) -> Option<Result<Next, &'static str>> {
         let core = self.core;
         let request = self.message.request;
         let status = reply.answer.status;
-        self.note_response(status, reply.answer.framing);
-        let success = (200..300).contains(&status);
-        let signed = reply.answer.headers.get(core.header_names.signature).is_some();
-        if success && (!signed || reply.answer.headers.get("content-encoding").is_some()) {
+        let success = is_success(status);
+        if success && !reply.is_genuine(core) {
             self.record_failure(
                 instance,
                 "may_have_run",
                 "successful response is encoded or lacks the engine's signature",
             );
-            return Err("spoiled");
+            return Some(Err("spoiled"));
         }
         let again = status >= 500
             && request.route.is_retryable()
@@ -378,43 +413,67 @@
             self.retry_granted = true;
             emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &request.id,
                 "upstream" => %instance, "outcome" => "ran", "status" => status);
-            return Err("upstream_error");
-        }
-        if self.has_begun() && !success {
-            return Ok(Next::End(RequestOutcome::Broken(ERROR_WITHIN_STREAM)));
+            return Some(Err("upstream_error"));
         }
+        (self.has_begun() && !success).then_some(Ok(Next::End(RequestOutcome::Broken(ERROR_WITHIN_STREAM))))
+    }
+
+    /// Delivers a stream, and returns the upstream that has taken over.
+    async fn deliver_stream(
+        &mut self,
+        attempt: &mut Attempt<'a>,
+        reply: Reply,
+        client: &mut Connection,
+    ) -> (DeliveryOutcome, Option<Accepted<'a>>) {
+        let core = self.core;
         let required_software = self.message.software.clone();
-        let progress = Progress {
-            core,
-            software,
-            begin: BeginWatch {
-                core,
-                head: self.message.head,
-                instance,
-                is_over: false,
-            },
-            placement: Placement {
-                request,
-                body: self.message.body,
-                tried: &self.tried,
-                software: required_software.as_deref(),
-            },
-            counted,
-            may_retry: request.route.is_retryable() && self.runs < request.route.max_attempts,
-            retry_granted: &mut self.retry_granted,
-        };
-        let delivered = if success && request.route.kind == RouteKind::Stream {
-            deliver::deliver_stream(core, &mut self.message, reply, client, &mut self.timing, progress).await
-        } else {
-            deliver::deliver_buffered(core, request, reply, client, progress).await
+        let source = source(core, &self.message, &self.tried, self.sends, self.runs);
+        let mut progress = Progress::new(source, attempt, required_software.as_deref());
+        let (message, timing) = (&mut self.message, &mut self.timing);
+        let delivered = deliver::deliver_stream(core, message, reply, client, timing, &mut progress).await;
+        let retry_granted = progress.retry_granted;
+        let searched = progress.handover.finish();
+        self.retry_granted |= retry_granted;
+        let Some((searched, accepted)) = searched else {
+            return (delivered, None);
         };
-        // Granted for a move to another upstream.
-        if self.retry_granted {
-            self.left_silent.push(instance.clone());
+        self.merge(*searched);
+        (delivered, accepted)
+    }
+
+    async fn deliver_buffered(
+        &mut self,
+        attempt: &mut Attempt<'a>,
+        reply: Reply,
+        client: &mut Connection,
+    ) -> DeliveryOutcome {
+        let (core, request) = (self.core, self.message.request);
+        let required_software = self.message.software.clone();
+        let source = source(core, &self.message, &self.tried, self.sends, self.runs);
+        let mut progress = Progress::new(source, attempt, required_software.as_deref());
+        let delivered = deliver::deliver_buffered(core, request, reply, client, &mut progress).await;
+        if progress.retry_granted {
+            self.retry_granted = true;
+            self.left_silent.push(attempt.instance.clone());
         }
+        delivered
+    }
+
+    /// Returns what follows the delivery of a response.
+    fn conclude_delivery(
+        &mut self,
+        attempt: &Attempt<'_>,
+        status: u16,
+        delivered: DeliveryOutcome,
+    ) -> Result<Next, &'static str> {
+        let core = self.core;
+        let request = self.message.request;
+        let Attempt {
+            instance, counted, ..
+        } = attempt;
         match delivered {
             DeliveryOutcome::Complete => {
-                if success {
+                if is_success(status) {
                     peers::end_stream(core, &version::origin_name(request));
                 }
                 if status < 500 {
@@ -440,6 +499,8 @@
                 Ok(Next::End(RequestOutcome::Broken(why)))
             }
             DeliveryOutcome::Late => Ok(Next::End(RequestOutcome::Broken("deadline exceeded"))),
+            // The next upstream delivers the rest.
+            DeliveryOutcome::TakenOver => Ok(Next::Again),
             DeliveryOutcome::CallerGone => Ok(Next::End(RequestOutcome::CallerGone)),
         }
     }
--- a/crates/jb-relay/src/exchange/version.rs
+++ b/crates/jb-relay/src/exchange/version.rs
@@ -2,19 +2,14 @@
 
 use std::time::Duration;
 
-use jb_policy::Moment;
 use jb_policy::software::Versions;
 use jb_protocol::{emit, event, id};
 use tokio::time::{sleep, timeout};
 
-use super::isolation::BeginWatch;
-use super::load_guard::LoadGuard;
 use super::pick::Rejection;
 use super::run::Exchange;
-use super::selection::{self, Placement};
+use super::selection::Placement;
 use crate::admission::AdmittedRequest;
-use crate::core::Shared;
-use crate::deliver;
 use crate::peers::{self, OriginLookup};
 use crate::port::StoreError;
 use crate::upstream::Instance;
@@ -158,44 +153,3 @@
     let customer = request.customer.as_deref().unwrap_or_default();
     format!("{customer}/{}", first.unwrap_or(&request.id))
 }
-
-/// What the delivery of a stream changes beside the caller's connection.
-pub(super) struct Progress<'a, 'b> {
-    pub(super) core: &'a Shared,
-    pub(super) placement: Placement<'a>,
-    /// Software version of the upstream that sends the stream.
-    pub(super) software: Option<id::SoftwareVersion>,
-    pub(super) begin: BeginWatch<'a>,
-    pub(super) counted: &'a mut LoadGuard<'b>,
-    /// Whether another upstream may run the request.
-    pub(super) may_retry: bool,
-    pub(super) retry_granted: &'a mut bool,
-}
-
-impl deliver::Progress for Progress<'_, '_> {
-    fn received(&mut self) {
-        let service = &self.placement.request.service;
-        let now: Moment = self.core.now();
-        self.core.uplinks.note_data(service, now);
-        self.counted.note_first_token(service);
-        self.begin.note_data(self.counted.running_time());
-    }
-
-    fn begins(&mut self) -> Option<id::SoftwareVersion> {
-        let request = self.placement.request;
-        let software = self.software.clone()?;
-        if request.route.resumable {
-            peers::begin_stream(self.core, &request.service, &origin_name(request), &software);
-        }
-        Some(software)
-    }
-
-    fn can_move(&mut self, software: Option<&str>) -> bool {
-        let placement = Placement {
-            software: software.or(self.placement.software),
-            ..self.placement
-        };
-        *self.retry_granted = self.may_retry && selection::can_retry_elsewhere(self.core, placement);
-        *self.retry_granted
-    }
-}
