Admit nothing later than three seconds after a signal that was noticed late

Cause: admission counted 2.9 s from when the signal was noticed, which may be 120 ms late without counting as a standstill.

Change: the longest unnoticed time is one constant for the standstill and for admission, which ends after 2.85 s; the compiler checks that they fit. signal_that_is_noticed_late_admits_nothing_after_three_seconds fails with 2.9 s.

--- a/crates/jb-policy/src/shutdown.rs
+++ b/crates/jb-policy/src/shutdown.rs
@@ -7,9 +7,15 @@
 
 use crate::Moment;
 
-/// Time from the signal in which new requests are admitted. Later ones could be cut off at the end of the grace period,
-/// which the platform counts as a failure of the box.
-const ADMISSION_PERIOD: Duration = Duration::from_millis(2900);
+/// Time from when the signal was sent after which a request that is cut off at the end of the grace period counts as a
+/// failure of the box.
+const MAX_ADMISSION_PERIOD: Duration = Duration::from_secs(3);
+/// Longest time for which a box may not notice a signal without counting as having stood still.
+pub const MAX_UNNOTICED: Duration = Duration::from_millis(120);
+/// Time from the signal in which new requests are admitted, however late it was noticed.
+const ADMISSION_PERIOD: Duration = Duration::from_millis(2850);
+const _: () =
+    assert!(ADMISSION_PERIOD.as_millis() + MAX_UNNOTICED.as_millis() < MAX_ADMISSION_PERIOD.as_millis());
 /// Time before the kill in which requests without a response are answered, and the answers reach their callers.
 const ANSWER_RESERVE: Duration = Duration::from_millis(500);
 /// Time before the kill in which the responses are logged that it may cut off.
--- a/crates/jb-policy/tests/shutdown.rs
+++ b/crates/jb-policy/tests/shutdown.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jb_policy::response_time::ResponseTime;
-use jb_policy::shutdown::{Schedule, Signal};
+use jb_policy::shutdown::{MAX_UNNOTICED, Schedule, Signal};
 
 const GRACE: Duration = Duration::from_secs(8);
 const SIGNALLED_AT: Duration = Duration::from_secs(100);
@@ -55,6 +55,19 @@
     assert!(!schedule.admits(after_signal(3000)));
 }
 
+/// Guards against requests that are admitted more than three seconds after the signal was sent, by a box that noticed it late but
+/// hasn't stood still.
+#[test]
+fn signal_that_is_noticed_late_admits_nothing_after_three_seconds() {
+    let noticed_at = SIGNALLED_AT + MAX_UNNOTICED;
+    let signal = Signal {
+        noticed_at,
+        earliest_at: noticed_at,
+        delay: Duration::ZERO,
+    };
+    assert!(!Schedule::new(signal, GRACE).admits(after_signal(3000)));
+}
+
 /// Guards against attempts that the end of the grace period is sure to cut.
 #[test]
 fn attempt_fits_only_if_it_ends_before_open_requests_are_answered() {
--- a/crates/jb-relay/src/activity.rs
+++ b/crates/jb-relay/src/activity.rs
@@ -4,14 +4,14 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
+use jb_policy::shutdown::MAX_UNNOTICED;
 use tokio::time::sleep;
 
 use crate::core::Shared;
 
-/// Interval at which the box notes that it runs.
+/// Interval at which the box notes that it runs, shorter than [`MAX_UNNOTICED`] so that timers which fire slightly late are no
+/// standstill.
 const INTERVAL: Duration = Duration::from_millis(100);
-/// Delay from which on the box counts as having stood still.
-const MIN_STANDSTILL: Duration = Duration::from_millis(20);
 /// Time for which a delay is remembered.
 const MEMORY: Duration = Duration::from_secs(10);
 
@@ -45,7 +45,7 @@
     /// when it last ran before. It may have noted that it runs again before it notices the event.
     pub fn earliest_event(&self, now: Moment) -> Moment {
         let (last, before_last) = (self.last.get(), self.before_last.get());
-        let has_gap = |from: Moment, until: Moment| until > from + INTERVAL + MIN_STANDSTILL;
+        let has_gap = |from: Moment, until: Moment| until > from + MAX_UNNOTICED;
         if has_gap(last, now) {
             last
         } else if has_gap(before_last, last) {
