Take a response without a length and without a body for broken, not for an empty success

What callers could see: a complete 200 with Content-Length 0, where an engine had stopped after the blank line of a head that stated no length (MIXED).

Cause: nothing distinguishes the close of a connection before the first byte of such a body from a crash. Streams had that rule, other responses not.

Change: the same for buffered responses with a status of success.

--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -59,6 +59,11 @@
 }
 
 impl Reply {
+    /// Returns whether its status is one of success.
+    pub fn is_success(&self) -> bool {
+        (200..300).contains(&self.answer.status)
+    }
+
     /// Returns whether this is the response of an upstream as it was made: signed, and not encoded on the way.
     pub fn is_genuine(&self, core: &Core) -> bool {
         let headers = &self.answer.headers;
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -144,6 +144,10 @@
                 body.extend_from_slice(&data);
                 stall.restart(core.now());
             }
+            // As for a stream without an event.
+            Part::End if body.is_empty() && reply.body.ends_by_close() && reply.is_success() => {
+                return DeliveryOutcome::Nothing("response without a length ended before its body");
+            }
             Part::End if has_ended(core, &reply).await => return DeliveryOutcome::Nothing(ENDED),
             Part::End => break,
             Part::Broken(why) => return DeliveryOutcome::Nothing(why),
--- a/crates/jb-relay/src/exchange/handover.rs
+++ b/crates/jb-relay/src/exchange/handover.rs
@@ -10,7 +10,7 @@
 use tokio::time::timeout;
 
 use super::attempt::{Attempt, Withheld};
-use super::run::{Exchange, MAX_SENDS, is_success};
+use super::run::{Exchange, MAX_SENDS};
 use super::selection;
 use crate::admission::AdmittedRequest;
 use crate::attempt::{self, AttemptOutcome, Reply};
@@ -145,7 +145,7 @@
             let Ok(reply) = self.conclude(&attempt, outcome).await else {
                 continue;
             };
-            if is_success(reply.answer.status) && reply.is_genuine(self.core) {
+            if reply.is_success() && reply.is_genuine(self.core) {
                 return Some(Accepted { attempt, reply });
             }
             emit!(self.core.logger, info, event::ATTEMPT_FAILED, "request" => &self.message.request.id,
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -114,11 +114,6 @@
     }
 }
 
-/// Returns whether the status is one of success.
-pub(super) fn is_success(status: u16) -> bool {
-    (200..300).contains(&status)
-}
-
 impl<'a> Exchange<'a> {
     /// Creates the exchange of a request that has not been sent yet.
     pub fn new(
@@ -372,7 +367,8 @@
         if let Some(next) = self.end_without_delivery(&attempt.instance, &reply) {
             return Delivered::Ended(next);
         }
-        let is_stream = is_success(status) && self.message.request.route.kind == RouteKind::Stream;
+        let success = reply.is_success();
+        let is_stream = success && self.message.request.route.kind == RouteKind::Stream;
         let delivered = if is_stream {
             match self.deliver_stream(attempt, reply, client).await {
                 (DeliveryOutcome::TakenOver, Some(accepted)) => {
@@ -383,7 +379,7 @@
         } else {
             self.deliver_buffered(attempt, reply, client).await
         };
-        Delivered::Ended(self.conclude_delivery(attempt, status, delivered))
+        Delivered::Ended(self.conclude_delivery(attempt, status, success, delivered))
     }
 
     /// Returns what follows a response that isn't delivered; `None` for one that is.
@@ -395,7 +391,7 @@
         let core = self.core;
         let request = self.message.request;
         let status = reply.answer.status;
-        let success = is_success(status);
+        let success = reply.is_success();
         if success && !reply.is_genuine(core) {
             self.record_failure(
                 instance,
@@ -464,6 +460,7 @@
         &mut self,
         attempt: &Attempt<'_>,
         status: u16,
+        success: bool,
         delivered: DeliveryOutcome,
     ) -> Result<Next, &'static str> {
         let core = self.core;
@@ -473,7 +470,7 @@
         } = attempt;
         match delivered {
             DeliveryOutcome::Complete => {
-                if is_success(status) {
+                if success {
                     peers::end_stream(core, &version::origin_name(request));
                 }
                 if status < 500 {
