Take a response without a length for whole only if its upstream still accepts connections

Cause: whatever wasn't known to be a crash counted as the regular end. An engine that drains was not looked at; one whose entry was removed couldn't be; and a killed process may accept for some milliseconds after it has closed a connection.

Change: such a response is whole only if its upstream accepts a connection 25 ms after the close, whatever its entry says. Where that can't be shown the response is broken: a failure, or a stream that goes on elsewhere. The connection is kept for the next request, as before. It costs responses without a length 25 ms at their end.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -79,12 +79,16 @@
 /// Why a response that ends with its connection is broken although its content may be complete.
 const ENDED: &str = "upstream ended together with a response without a length";
 
-/// Returns whether the upstream has crashed by the end of a response that ends with its connection. The close is then no
+/// Returns whether the upstream may have ended together with a response that ends with its connection. The close is then no
 /// sign of a complete response: the operating system closes the connections of a process in an orderly way.
 async fn has_ended(core: &Shared, reply: &Reply) -> bool {
-    match &reply.pool {
-        Some(slot) if reply.body.ends_by_close() => pool::has_crashed(core, &slot.upstream).await,
-        _ => false,
+    if !reply.body.ends_by_close() {
+        return false;
+    }
+    let upstream = reply.pool.as_ref().map(|slot| &slot.upstream);
+    match reply.connection.peer_address() {
+        Ok(address) => !pool::lives_on(core, upstream, address).await,
+        Err(_) => true,
     }
 }
 
--- a/crates/jb-relay/src/http/connection.rs
+++ b/crates/jb-relay/src/http/connection.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::io;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -100,6 +101,14 @@
         matches!(timeout_at(until, self.fill()).await, Ok(Ok(read)) if read > 0)
     }
 
+    /// Returns the address of the peer.
+    ///
+    /// # Errors
+    /// The connection has been reset.
+    pub fn peer_address(&self) -> io::Result<SocketAddr> {
+        self.stream.peer_addr()
+    }
+
     /// Returns whether an idle connection is still open and no bytes have arrived on it.
     pub fn is_reusable(&mut self) -> bool {
         let mut one = [0_u8; 1];
--- a/crates/jb-relay/src/pool.rs
+++ b/crates/jb-relay/src/pool.rs
@@ -6,7 +6,7 @@
 use jb_policy::Moment;
 use jb_policy::uplink::Failure;
 use tokio::net::{TcpSocket, TcpStream};
-use tokio::time::timeout;
+use tokio::time::{sleep, timeout};
 
 use crate::core::{Core, Shared};
 use crate::http::Connection;
@@ -140,6 +140,8 @@
 /// Connect timeout of a probe that only shows whether an upstream has crashed; a retried request waits for it. A
 /// round trip inside a region takes 2 to 10 ms.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(50);
+/// Time in which the operating system closes all sockets of a process that has ended, its listener perhaps last.
+const LISTENER_CLOSE_TIME: Duration = Duration::from_millis(25);
 /// Upper bound on other upstreams that are probed to check the path to a data hall. Several may have crashed as well.
 const MAX_WITNESSES: usize = 6;
 
@@ -198,9 +200,19 @@
     Liveness::Crashed
 }
 
-/// Returns whether an upstream is known to have crashed.
-pub async fn has_crashed(core: &Shared, upstream: &Instance) -> bool {
-    check_liveness(core, upstream).await == Liveness::Crashed
+/// Returns whether an upstream still accepts connections at an address, a moment after it has closed one. One that is draining,
+/// or whose entry has been removed, serves on until it ends.
+pub async fn lives_on(core: &Shared, upstream: Option<&Instance>, address: SocketAddr) -> bool {
+    sleep(LISTENER_CLOSE_TIME).await;
+    let probed = match upstream {
+        Some(upstream) => probe(core, upstream).await,
+        None => Err(Error::Gone),
+    };
+    match probed {
+        Ok(()) => true,
+        Err(Error::Gone) => matches!(timeout(PROBE_TIMEOUT, connect(address)).await, Ok(Ok(_))),
+        Err(Error::Refused(_) | Error::TimedOut(_)) => false,
+    }
 }
 
 /// Returns whether an upstream refuses connections; `None` if it neither accepts nor refuses one.
