Look for an upstream's data before its silence counts

What callers saw: after a standstill of the box itself, longer than it waits for an event, its streams left their engines, which had sent all the time, and took retries that others needed.

Cause: the timer and the data were ready at once, and either could win; after an interrupted call only the timer is noticed.

Change: data goes before timers, and input is looked for once more when one has fired. The deadline still ends a response whose bytes arrive without a pause.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -6,7 +6,7 @@
 use bytes::{BufMut as _, Bytes, BytesMut};
 use jb_policy::Moment;
 use jb_protocol::id;
-use tokio::time::sleep;
+use tokio::time::{Instant, sleep_until};
 
 use crate::admission::AdmittedRequest;
 use crate::attempt::{Message, Reply};
@@ -59,20 +59,31 @@
     left: Duration,
     stall_timeout: Option<Duration>,
 ) -> Part {
+    // Bytes that arrive without a pause must prevent neither.
+    if left.is_zero() {
+        return Part::Late;
+    }
     if stall_timeout.is_some_and(|stall_timeout| stall_timeout.is_zero()) {
-        // Bytes that arrive without a pause must not prevent it.
-        return if left.is_zero() { Part::Late } else { Part::Stalled };
+        return Part::Stalled;
     }
     let wait = stall_timeout.map_or(left, |stall_timeout| stall_timeout.min(left));
-    tokio::select! {
-        part = reply.connection.read_data(&mut reply.body) => match part {
-            Ok(Some(data)) => Part::Data(data),
-            Ok(None) => Part::End,
-            Err(http::Error::Malformed(why)) => Part::Broken(why),
-            Err(_) => Part::Broken("connection closed before the end of the response"),
-        },
-        () = client.wait_closed() => Part::CallerGone,
-        () = sleep(wait) => if wait == left { Part::Late } else { Part::Stalled },
+    let until = Instant::now() + wait;
+    loop {
+        tokio::select! {
+            biased;
+            part = reply.connection.read_data(&mut reply.body) => return match part {
+                Ok(Some(data)) => Part::Data(data),
+                Ok(None) => Part::End,
+                Err(http::Error::Malformed(why)) => Part::Broken(why),
+                Err(_) => Part::Broken("connection closed before the end of the response"),
+            },
+            () = client.wait_closed() => return Part::CallerGone,
+            () = sleep_until(until) => {}
+        }
+        // If the box itself has stood still, the upstream may have sent all the time.
+        if !reply.connection.fill_pending().await {
+            return if wait == left { Part::Late } else { Part::Stalled };
+        }
     }
 }
 
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -8,7 +8,7 @@
 use jb_policy::Moment;
 use jb_policy::poison::Fingerprint;
 use jb_protocol::{emit, event, id};
-use tokio::time::sleep;
+use tokio::time::{sleep, timeout};
 
 use super::attempt::{Attempt, Withheld};
 use super::detour::Path;
@@ -22,7 +22,7 @@
 use crate::configuration::RouteKind;
 use crate::core::Shared;
 use crate::deliver::{self, DeliveryOutcome, StreamTiming};
-use crate::http::{Connection, Framing, RequestHead};
+use crate::http::{Connection, Framing, PENDING_INPUT_TIME, RequestHead};
 use crate::open_request::{OpenRequest, Phase};
 use crate::peers::{self, Permit};
 use crate::quarantine;
@@ -296,9 +296,14 @@
         let mut blamed = false;
         loop {
             tokio::select! {
+                biased;
                 outcome = &mut sent => return outcome,
                 () = sleep(patience.min(self.left())) => {}
             }
+            // If the box itself has stood still, the response may have arrived meanwhile.
+            if let Ok(outcome) = timeout(PENDING_INPUT_TIME, &mut sent).await {
+                return outcome;
+            }
             if self.left().is_zero() {
                 return AttemptOutcome::Failed("deadline exceeded".to_owned());
             }
--- a/crates/jb-relay/src/http/connection.rs
+++ b/crates/jb-relay/src/http/connection.rs
@@ -24,7 +24,7 @@
 
 /// Time for which input is looked for when a timer has fired: the next turn of the event loop. After a standstill of the box,
 /// timers can be noticed before input that has arrived meanwhile.
-const PENDING_INPUT_TIME: Duration = Duration::from_millis(1);
+pub const PENDING_INPUT_TIME: Duration = Duration::from_millis(1);
 
 /// Largest body that is copied to be sent together with its head, in bytes.
 const MAX_COPIED_BYTES: usize = 64 * 1024;
--- a/crates/jb-relay/src/http/mod.rs
+++ b/crates/jb-relay/src/http/mod.rs
@@ -8,7 +8,7 @@
 mod head;
 
 pub use body::{BodyDecoder, Framing, Step};
-pub use connection::{Connection, WriteMark, write_message};
+pub use connection::{Connection, PENDING_INPUT_TIME, WriteMark, write_message};
 pub use head::{Header, Headers, RequestHead, ResponseHead, write_request_head, write_response_head};
 
 /// Reasons why no HTTP message could be read from a connection.
