Count an upstream's standstill before another one is searched, and leave a successor that stalls

Cause: streams of engines that stop sending together were placed at each other's engines, as their health was changed only after the search; and a successor that sends no head held the search until the deadline.

Change: a standstill counts against the engine once, when its stream's first search begins, as it did before searches. A search waits for a response as long as any other attempt does.

--- a/crates/jb-relay/src/exchange/feedback.rs
+++ b/crates/jb-relay/src/exchange/feedback.rs
@@ -10,7 +10,7 @@
 
 impl Exchange<'_> {
     /// Sets the outcome that the release of the reservation reports.
-    fn set_reservation_outcome(&self, ending: peers::Outcome) {
+    pub(super) fn set_reservation_outcome(&self, ending: peers::Outcome) {
         if let Some(noted) = &self.ending {
             noted.set(ending);
         }
--- a/crates/jb-relay/src/exchange/handover.rs
+++ b/crates/jb-relay/src/exchange/handover.rs
@@ -7,13 +7,12 @@
 use bytes::Bytes;
 use futures_util::future::LocalBoxFuture;
 use jb_protocol::{emit, event};
-use tokio::time::timeout;
 
 use super::attempt::{Attempt, Withheld};
 use super::run::{Exchange, MAX_SENDS};
 use super::selection;
 use crate::admission::AdmittedRequest;
-use crate::attempt::{self, AttemptOutcome, Reply};
+use crate::attempt::Reply;
 use crate::core::Shared;
 use crate::http::RequestHead;
 use crate::open_request::OpenRequest;
@@ -63,34 +62,25 @@
 }
 
 impl<'a> Handover<'a> {
-    /// Begins to search for an upstream that goes on after the last event, unless a search is under way. Returns whether one
-    /// has begun.
-    pub(super) fn seek(
-        &mut self,
-        source: &Source<'a, '_>,
-        last_event: Option<u64>,
-        software: Option<&str>,
-    ) -> bool {
+    /// Returns the exchange for the next search; `None` while one is under way, or if no other upstream may take over.
+    pub(super) fn take_exchange(&mut self, source: &Source<'a, '_>) -> Option<Box<Exchange<'a>>> {
         if self.is_seeking() {
-            return false;
+            return None;
         }
-        let mut exchange = self.exchange.take().unwrap_or_else(|| source.exchange());
-        if !exchange.may_hand_over() {
-            self.exchange = Some(exchange);
-            return false;
+        let exchange = self.exchange.take().unwrap_or_else(|| source.exchange());
+        if exchange.may_hand_over() {
+            return Some(exchange);
         }
-        exchange.message.last_event = last_event;
-        exchange.message.software = software.map(str::to_owned);
+        self.exchange = Some(exchange);
+        None
+    }
+
+    /// Begins a search for an upstream that goes on with the stream.
+    pub(super) fn seek(&mut self, mut exchange: Box<Exchange<'a>>) {
         self.search = Some(Box::pin(async move {
             let accepted = exchange.find_successor().await;
             (exchange, accepted)
         }));
-        true
-    }
-
-    /// Returns the exchange that has made the searches; `None` while one is under way.
-    pub(super) fn exchange(&self) -> Option<&Exchange<'a>> {
-        self.exchange.as_deref()
     }
 
     /// Returns whether a search is under way.
@@ -138,10 +128,10 @@
                 Err(Withheld::Upstream) => continue,
                 Err(Withheld::Budget) => return None,
             };
+            let first_token = choice.estimate.ttft;
             let attempt = self.begin_attempt(choice);
-            let sent = attempt::send(self.core, &attempt.instance, &self.message, grant.permit);
-            let outcome = timeout(self.left(), sent).await;
-            let outcome = outcome.unwrap_or_else(|_| AttemptOutcome::Failed("deadline exceeded".to_owned()));
+            let sent = self.send_until_stalled(&attempt.instance, grant.permit, first_token);
+            let outcome = sent.await;
             let Ok(reply) = self.conclude(&attempt, outcome).await else {
                 continue;
             };
--- a/crates/jb-relay/src/exchange/progress.rs
+++ b/crates/jb-relay/src/exchange/progress.rs
@@ -1,5 +1,7 @@
 //! What the delivery of a response changes beside the caller's connection.
 
+use std::future::Future;
+
 use jb_protocol::{emit, event, id};
 
 use super::attempt::Attempt;
@@ -41,14 +43,6 @@
             handover: Handover::default(),
         }
     }
-
-    /// Counts the standstill of an upstream that no other one takes over from.
-    fn blame(&mut self) {
-        if let Some(exchange) = self.handover.exchange().filter(|_| !self.attempt.is_blamed) {
-            exchange.record_failure(&self.attempt.instance, "waits", deliver::STALLED);
-            self.attempt.is_blamed = true;
-        }
-    }
 }
 
 impl deliver::Progress for Progress<'_, '_> {
@@ -99,21 +93,28 @@
 
     fn seek(&mut self, last_event: Option<u64>, software: Option<&str>) {
         let software = software.or(self.software);
-        if self.handover.seek(&self.source, last_event, software) {
-            emit!(self.source.core.logger, info, event::HANDOVER_SOUGHT,
-                "request" => &self.source.request.id, "upstream" => %self.attempt.instance, "after" => last_event);
+        let Some(mut exchange) = self.handover.take_exchange(&self.source) else {
+            return;
+        };
+        exchange.message.last_event = last_event;
+        exchange.message.software = software.map(str::to_owned);
+        let Attempt {
+            instance, is_blamed, ..
+        } = &mut *self.attempt;
+        // Before the search, so that engines whose streams have all stalled aren't selected for each other's.
+        if !std::mem::replace(is_blamed, true) {
+            exchange.record_failure(instance, "waits", deliver::STALLED);
         }
+        emit!(self.source.core.logger, info, event::HANDOVER_SOUGHT,
+            "request" => &self.source.request.id, "upstream" => %instance, "after" => last_event);
+        self.handover.seek(exchange);
     }
 
     fn is_seeking(&self) -> bool {
         self.handover.is_seeking()
     }
 
-    async fn wait_taken_over(&mut self) -> bool {
-        let is_taken_over = self.handover.wait_taken_over().await;
-        if !is_taken_over {
-            self.blame();
-        }
-        is_taken_over
+    fn wait_taken_over(&mut self) -> impl Future<Output = bool> {
+        self.handover.wait_taken_over()
     }
 }
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -280,7 +280,7 @@
 
     /// Sends the request and waits for the response head. A retryable request is moved from a stalled upstream
     /// once another one can accept it. A stall alone doesn't fail the attempt, as the response may only be late.
-    async fn send_until_stalled(
+    pub(super) async fn send_until_stalled(
         &mut self,
         instance: &Instance,
         permit: Permit,
@@ -352,9 +352,7 @@
 
     /// Notes that an upstream has been left, which may have crashed.
     fn note_taken_over(&mut self, attempt: &Attempt<'_>) {
-        if !attempt.is_blamed {
-            self.record_failure(&attempt.instance, "ran_partly", deliver::STALLED);
-        }
+        self.set_reservation_outcome(peers::Outcome::Failed);
         self.check_end_later(attempt);
         emit!(self.core.logger, info, event::STREAM_RESUMED, "request" => &self.message.request.id,
             "after" => self.message.last_event, "why" => deliver::STALLED);
