Move the delivery of responses out of the attempts' loop, and hold an attempt's room until it ends

No behaviour changes but one: the room that an attempt of a handover reserves at a brittle engine was released when the engine accepted, not when the stream ended (never landed). It belongs to the attempt now, so that none can drop it earlier.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -273,7 +273,7 @@
         true
     }
 
-    /// Begins to search for another upstream that goes on after the last event, with the software version that began the
+    /// Begins to search for another upstream that continues after the last event, with the software version that began the
     /// stream, if one may.
     fn seek(&mut self, _last_event: Option<u64>, _software: Option<&str>) {}
 
--- a/crates/jb-relay/src/exchange/attempt.rs
+++ b/crates/jb-relay/src/exchange/attempt.rs
@@ -24,15 +24,17 @@
     pub(super) is_blamed: bool,
     /// Load that it puts on the upstream.
     pub(super) counted: LoadGuard<'a>,
+    /// Room at a brittle upstream, which is held until the attempt ends.
+    _room: Option<Reservation>,
     /// Result that the release of its reservation reports.
     pub(super) ending: Option<Rc<Cell<peers::Outcome>>>,
 }
 
-/// What an attempt has to hold until it ends.
+/// What an attempt needs.
 pub(super) struct Grant {
-    pub(super) permit: Permit,
+    permit: Permit,
     /// Room at a brittle upstream.
-    pub(super) _room: Option<Reservation>,
+    room: Option<Reservation>,
 }
 
 /// Why no attempt is made at the selected upstream.
@@ -57,11 +59,11 @@
         if !self.take_attempt() {
             return Err(Withheld::Budget);
         }
-        Ok(Grant { permit, _room: room })
+        Ok(Grant { permit, room })
     }
 
-    /// Counts an attempt at the selected upstream, which is sent next.
-    pub(super) fn begin_attempt(&mut self, choice: Choice) -> Attempt<'a> {
+    /// Counts an attempt at the selected upstream, which is sent next with the permit.
+    pub(super) fn begin_attempt(&mut self, choice: Choice, grant: Grant) -> (Attempt<'a>, Permit) {
         let Choice {
             instance,
             reserved,
@@ -76,14 +78,16 @@
         self.ending = reservation.as_ref().map(Reservation::outcome);
         let counted = LoadGuard::new(self.core, &instance, waiting, last, reservation);
         self.tried.push(instance.clone());
-        Attempt {
+        let attempt = Attempt {
             instance,
             software,
             isolated,
             is_blamed: false,
             counted,
+            _room: grant.room,
             ending: self.ending.clone(),
-        }
+        };
+        (attempt, grant.permit)
     }
 
     /// Notes the outcome of an attempt, and returns the response. `Err` holds the reason of a failed attempt after which
--- a/crates/jb-relay/src/exchange/detour.rs
+++ b/crates/jb-relay/src/exchange/detour.rs
@@ -6,8 +6,9 @@
 use jb_protocol::{emit, event};
 use tokio::time::timeout;
 
+use super::delivery::ERROR_WITHIN_STREAM;
 use super::pick::Rejection;
-use super::run::{ERROR_WITHIN_STREAM, Exchange, RequestOutcome};
+use super::run::{Exchange, RequestOutcome};
 use crate::attempt::Reply;
 use crate::configuration::RouteKind;
 use crate::deliver::{self, DeliveryOutcome};
--- a/crates/jb-relay/src/exchange/handover.rs
+++ b/crates/jb-relay/src/exchange/handover.rs
@@ -75,7 +75,7 @@
         None
     }
 
-    /// Begins a search for an upstream that goes on with the stream.
+    /// Begins a search for an upstream that continues the stream.
     pub(super) fn seek(&mut self, mut exchange: Box<Exchange<'a>>) {
         self.search = Some(Box::pin(async move {
             let accepted = exchange.find_successor().await;
@@ -129,8 +129,8 @@
                 Err(Withheld::Budget) => return None,
             };
             let first_token = choice.estimate.ttft;
-            let attempt = self.begin_attempt(choice);
-            let sent = self.send_until_stalled(&attempt.instance, grant.permit, first_token);
+            let (attempt, permit) = self.begin_attempt(choice, grant);
+            let sent = self.send_until_stalled(&attempt.instance, permit, first_token);
             let outcome = sent.await;
             let Ok(reply) = self.conclude(&attempt, outcome).await else {
                 continue;
--- a/crates/jb-relay/src/exchange/mod.rs
+++ b/crates/jb-relay/src/exchange/mod.rs
@@ -1,6 +1,7 @@
 //! Runs an admitted request: selects an upstream, sends, retries, and delivers the response.
 
 mod attempt;
+mod delivery;
 mod detour;
 mod feedback;
 mod handover;
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -7,21 +7,17 @@
 use bytes::Bytes;
 use jb_policy::Moment;
 use jb_policy::poison::Fingerprint;
-use jb_protocol::{emit, event, id};
+use jb_protocol::id;
 use tokio::time::{sleep, timeout};
 
-use super::attempt::{Attempt, Withheld};
+use super::attempt::{Grant, Withheld};
 use super::detour::Path;
-use super::handover::{Accepted, Source};
 use super::pick::Rejection;
-use super::progress::Progress;
 use super::selection::{self, Choice};
-use super::version;
 use crate::admission::AdmittedRequest;
-use crate::attempt::{self, AttemptOutcome, Message, Reply};
-use crate::configuration::RouteKind;
+use crate::attempt::{self, AttemptOutcome, Message};
 use crate::core::Shared;
-use crate::deliver::{self, DeliveryOutcome, StreamTiming};
+use crate::deliver::StreamTiming;
 use crate::http::{Connection, Framing, PENDING_INPUT_TIME, RequestHead};
 use crate::open_request::{OpenRequest, Phase};
 use crate::peers::{self, Permit};
@@ -31,8 +27,6 @@
 
 /// Upper bound on the attempts of one request, including those that the upstream rejected.
 pub(super) const MAX_SENDS: u32 = 4;
-/// Why a stream breaks whose next upstream responds with an error: the caller is already reading the events.
-pub(super) const ERROR_WITHIN_STREAM: &str = "error response to a resumed stream";
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -78,42 +72,14 @@
     pub(super) helper: Option<id::Box>,
 }
 
-/// What became of a response.
-enum Delivered<'a> {
-    /// Another upstream delivers the rest of it.
-    TakenOver(Box<Accepted<'a>>),
-    /// Its delivery has ended, and this follows.
-    Ended(Result<Next, &'static str>),
-}
-
 /// What to do after an attempt.
-enum Next {
+pub(super) enum Next {
     /// Select another upstream.
     Again,
     /// Finish the request with this outcome.
     End(RequestOutcome),
 }
 
-/// Returns the exchange as its delivery may hand it over.
-fn source<'a, 't>(
-    core: &'a Shared,
-    message: &Message<'a>,
-    tried: &'t [Instance],
-    sends: u32,
-    runs: u32,
-) -> Source<'a, 't> {
-    Source {
-        core,
-        head: message.head,
-        body: message.body,
-        request: message.request,
-        open: message.open,
-        tried,
-        sends,
-        runs,
-    }
-}
-
 impl<'a> Exchange<'a> {
     /// Creates the exchange of a request that has not been sent yet.
     pub fn new(
@@ -209,7 +175,7 @@
                 Err(Withheld::Upstream) => continue,
                 Err(Withheld::Budget) => return self.terminal_outcome("retry_budget"),
             };
-            match self.attempt(choice, grant.permit, client).await {
+            match self.attempt(choice, grant, client).await {
                 Ok(Next::End(ending)) => return ending,
                 Ok(Next::Again) => {}
                 Err(cause) => why = cause,
@@ -257,11 +223,11 @@
     async fn attempt(
         &mut self,
         choice: Choice,
-        permit: Permit,
+        grant: Grant,
         client: &mut Connection,
     ) -> Result<Next, &'static str> {
         let first_token = choice.estimate.ttft;
-        let attempt = self.begin_attempt(choice);
+        let (attempt, permit) = self.begin_attempt(choice, grant);
         // Marks the isolated trial as running until this attempt ends.
         let _tried = attempt
             .isolated
@@ -319,192 +285,6 @@
         }
     }
 
-    /// Delivers the response, and the rest of it from each upstream that takes over.
-    async fn deliver(
-        &mut self,
-        mut attempt: Attempt<'a>,
-        mut reply: Reply,
-        client: &mut Connection,
-    ) -> Result<Next, &'static str> {
-        loop {
-            let next = match self.deliver_response(&mut attempt, reply, client).await {
-                Delivered::TakenOver(accepted) => {
-                    self.note_taken_over(&attempt);
-                    self.ending = accepted.attempt.ending.clone();
-                    Accepted { attempt, reply } = *accepted;
-                    continue;
-                }
-                Delivered::Ended(next) => next,
-            };
-            let is_settled = matches!(
-                next,
-                Ok(Next::End(
-                    RequestOutcome::Answered(_) | RequestOutcome::CallerGone
-                ))
-            );
-            if !is_settled {
-                let running = attempt.counted.running_time();
-                self.note_end(&attempt.instance, attempt.isolated, running).await;
-            }
-            return next;
-        }
-    }
-
-    /// Notes that an upstream has been left, which may have crashed.
-    fn note_taken_over(&mut self, attempt: &Attempt<'_>) {
-        self.set_reservation_outcome(peers::Outcome::Failed);
-        self.check_end_later(attempt);
-        emit!(self.core.logger, info, event::STREAM_RESUMED, "request" => &self.message.request.id,
-            "after" => self.message.last_event, "why" => deliver::STALLED);
-    }
-
-    /// Delivers what one upstream sends.
-    async fn deliver_response(
-        &mut self,
-        attempt: &mut Attempt<'a>,
-        reply: Reply,
-        client: &mut Connection,
-    ) -> Delivered<'a> {
-        let status = reply.answer.status;
-        self.note_response(status, reply.answer.framing);
-        if let Some(next) = self.end_without_delivery(&attempt.instance, &reply) {
-            return Delivered::Ended(next);
-        }
-        let success = reply.is_success();
-        let is_stream = success && self.message.request.route.kind == RouteKind::Stream;
-        let delivered = if is_stream {
-            match self.deliver_stream(attempt, reply, client).await {
-                (DeliveryOutcome::TakenOver, Some(accepted)) => {
-                    return Delivered::TakenOver(Box::new(accepted));
-                }
-                (delivered, _) => delivered,
-            }
-        } else {
-            self.deliver_buffered(attempt, reply, client).await
-        };
-        Delivered::Ended(self.conclude_delivery(attempt, status, success, delivered))
-    }
-
-    /// Returns what follows a response that isn't delivered; `None` for one that is.
-    fn end_without_delivery(
-        &mut self,
-        instance: &Instance,
-        reply: &Reply,
-    ) -> Option<Result<Next, &'static str>> {
-        let core = self.core;
-        let request = self.message.request;
-        let status = reply.answer.status;
-        let success = reply.is_success();
-        if success && !reply.is_genuine(core) {
-            self.record_failure(
-                instance,
-                "may_have_run",
-                "successful response is encoded or lacks the engine's signature",
-            );
-            return Some(Err("spoiled"));
-        }
-        let again = status >= 500
-            && request.route.is_retryable()
-            && self.runs < request.route.max_attempts
-            && self.may_attempt();
-        if again && self.core.take_retry(&request.service) {
-            // Without a retry from the budget, the caller gets the engine's error response.
-            self.retry_granted = true;
-            emit!(core.logger, info, event::ATTEMPT_FAILED, "request" => &request.id,
-                "upstream" => %instance, "outcome" => "ran", "status" => status);
-            return Some(Err("upstream_error"));
-        }
-        (self.has_begun() && !success).then_some(Ok(Next::End(RequestOutcome::Broken(ERROR_WITHIN_STREAM))))
-    }
-
-    /// Delivers a stream, and returns the upstream that has taken over.
-    async fn deliver_stream(
-        &mut self,
-        attempt: &mut Attempt<'a>,
-        reply: Reply,
-        client: &mut Connection,
-    ) -> (DeliveryOutcome, Option<Accepted<'a>>) {
-        let core = self.core;
-        let required_software = self.message.software.clone();
-        let source = source(core, &self.message, &self.tried, self.sends, self.runs);
-        let mut progress = Progress::new(source, attempt, required_software.as_deref());
-        let (message, timing) = (&mut self.message, &mut self.timing);
-        let delivered = deliver::deliver_stream(core, message, reply, client, timing, &mut progress).await;
-        let retry_granted = progress.retry_granted;
-        let searched = progress.handover.finish();
-        self.retry_granted |= retry_granted;
-        let Some((searched, accepted)) = searched else {
-            return (delivered, None);
-        };
-        self.merge(*searched);
-        (delivered, accepted)
-    }
-
-    async fn deliver_buffered(
-        &mut self,
-        attempt: &mut Attempt<'a>,
-        reply: Reply,
-        client: &mut Connection,
-    ) -> DeliveryOutcome {
-        let (core, request) = (self.core, self.message.request);
-        let required_software = self.message.software.clone();
-        let source = source(core, &self.message, &self.tried, self.sends, self.runs);
-        let mut progress = Progress::new(source, attempt, required_software.as_deref());
-        let delivered = deliver::deliver_buffered(core, request, reply, client, &mut progress).await;
-        if progress.retry_granted {
-            self.retry_granted = true;
-            self.left_silent.push(attempt.instance.clone());
-        }
-        delivered
-    }
-
-    /// Returns what follows the delivery of a response.
-    fn conclude_delivery(
-        &mut self,
-        attempt: &Attempt<'_>,
-        status: u16,
-        success: bool,
-        delivered: DeliveryOutcome,
-    ) -> Result<Next, &'static str> {
-        let core = self.core;
-        let request = self.message.request;
-        let Attempt {
-            instance, counted, ..
-        } = attempt;
-        match delivered {
-            DeliveryOutcome::Complete => {
-                if success {
-                    peers::end_stream(core, &version::origin_name(request));
-                }
-                if status < 500 {
-                    core.note_response_time(&request.route.name, counted.elapsed());
-                    self.record_success(instance);
-                    self.note_run(instance, counted.running_time());
-                }
-                Ok(Next::End(RequestOutcome::Answered(status)))
-            }
-            DeliveryOutcome::Nothing(why) => {
-                self.record_failure(instance, "may_have_run", why);
-                Err("broke_off")
-            }
-            DeliveryOutcome::Partly(why) => {
-                self.record_failure(instance, "ran_partly", why);
-                let may_retry = request.route.resumable && self.runs < request.route.max_attempts;
-                if may_retry && self.message.last_event.is_some() {
-                    self.paused_since = core.now();
-                    emit!(core.logger, info, event::STREAM_RESUMED, "request" => &request.id,
-                        "after" => self.message.last_event, "why" => why);
-                    return Ok(Next::Again);
-                }
-                Ok(Next::End(RequestOutcome::Broken(why)))
-            }
-            DeliveryOutcome::Late => Ok(Next::End(RequestOutcome::Broken("deadline exceeded"))),
-            // The next upstream delivers the rest.
-            DeliveryOutcome::TakenOver => Ok(Next::Again),
-            DeliveryOutcome::CallerGone => Ok(Next::End(RequestOutcome::CallerGone)),
-        }
-    }
-
     /// Returns whether part of a stream has been delivered.
     pub(super) fn has_begun(&self) -> bool {
         self.message.last_event.is_some()
@@ -520,7 +300,7 @@
         self.core.now().saturating_sub(self.message.request.arrived_at)
     }
 
-    /// Notes the head of a response. Of one that goes on with a stream, the caller doesn't get the status.
+    /// Notes the head of a response. The status of one that continues a stream doesn't reach the caller.
     pub(super) fn note_response(&mut self, status: u16, framing: Framing) {
         let begun = self.response.filter(|_| self.has_begun());
         self.response = Some((begun.map_or(status, |(status, _)| status), framing));
