Refuse connections once a stopping box has given its last answers

What callers saw: requests sent 7.65 s after SIGTERM to a box that stood still until it was killed got no answer. The box hadn't read them, so the rule excuses it, but no caller can tell.

Cause: since begun responses run on until the kill, the listener was open until then, too.

Change: the listener is closed when the requests without a response are answered. A refused connection may be retried by any caller.

--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -1,5 +1,6 @@
 //! Connections of callers.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::{Bytes, BytesMut};
@@ -37,9 +38,13 @@
 /// Idle time after which a connection is closed during a graceful shutdown.
 const STOP_IDLE_TIME: Duration = Duration::from_millis(500);
 
-/// Accepts callers' connections until the task is dropped.
+/// Accepts callers' connections until the box has to give its last answers. Later ones are refused, so that no request is left
+/// unread when the box is killed.
 pub async fn serve(core: Shared, listener: TcpListener) {
-    accept::serve(core, listener, connection).await;
+    tokio::select! {
+        () = accept::serve(Rc::clone(&core), listener, connection) => {}
+        () = stop::wait_last_answers(&core) => {}
+    }
 }
 
 async fn connection(core: Shared, stream: TcpStream) {
--- a/crates/jb-relay/src/stop.rs
+++ b/crates/jb-relay/src/stop.rs
@@ -101,11 +101,16 @@
     }
 }
 
+/// Waits until the requests without a response have to be answered because the box may be killed soon.
+pub async fn wait_last_answers(core: &Core) {
+    let schedule = core.stop.wait_begun().await;
+    sleep(schedule.answer_by().saturating_sub(core.now())).await;
+}
+
 /// Waits until a request has to be answered because the box exits; for ever if its response has begun by then, since
 /// nothing but the rest of that response can follow.
 pub async fn wait_answer_time(core: &Core, response: &WriteMark) {
-    let schedule = core.stop.wait_begun().await;
-    sleep(schedule.answer_by().saturating_sub(core.now())).await;
+    wait_last_answers(core).await;
     if response.is_set() {
         std::future::pending::<()>().await;
     }
