Handle the end of a search where a stream is delivered

The result of a search was a part of a response, which two of three deliveries could never get. The delivery of streams handles it where it waits for it. Message is no longer cloned, so that it can't be. No behaviour changes.

Checked: format, clippy of the workspace, the tests exchange, unframed and endless, and the soak's silent engines.

--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -80,7 +80,6 @@
 }
 
 /// A request with its body, which can be sent several times.
-#[derive(Clone)]
 pub struct Message<'a> {
     /// Request head from the caller.
     pub head: &'a RequestHead,
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -46,8 +46,6 @@
     End,
     Broken(&'static str),
     Stalled,
-    /// The search for another upstream has ended; whether one has taken over.
-    Sought(bool),
     Late,
     CallerGone,
 }
@@ -146,7 +144,7 @@
         });
         match next_part(&mut reply, client, left, stall_left).await {
             Part::Stalled if progress.may_leave(None) => return DeliveryOutcome::Nothing("response stalled"),
-            Part::Stalled | Part::Sought(_) => {
+            Part::Stalled => {
                 // Its end may only be late.
                 stall.restart(core.now());
                 stall.give_up_at = request.deadline;
@@ -204,7 +202,7 @@
             Part::End if has_ended(core, &reply).await => return DeliveryOutcome::Partly(ENDED),
             Part::End => break,
             Part::Broken(why) => return DeliveryOutcome::Partly(why),
-            Part::Stalled | Part::Sought(_) | Part::Late => return DeliveryOutcome::Late,
+            Part::Stalled | Part::Late => return DeliveryOutcome::Late,
             Part::CallerGone => return DeliveryOutcome::CallerGone,
         }
     }
@@ -328,12 +326,16 @@
         let stall_left = stall_timeout.map(|timeout| stall.left(timeout, now));
         let part = tokio::select! {
             biased;
-            is_taken_over = progress.wait_taken_over() => Part::Sought(is_taken_over),
+            is_taken_over = progress.wait_taken_over() => {
+                if is_taken_over {
+                    return DeliveryOutcome::TakenOver;
+                }
+                stall.restart(core.now());
+                continue;
+            }
             part = next_part(&mut reply, client, left, stall_left) => part,
         };
         match part {
-            Part::Sought(true) => return DeliveryOutcome::TakenOver,
-            Part::Sought(false) => stall.restart(core.now()),
             Part::Data(data) => {
                 progress.received();
                 pace.boundary.push(&data);
