Treat pages of the store that make no progress as an error

Callers saw: none of their requests served at a box that starts while the store answers each page with the first one, or with one that doesn't lie beyond the key it was asked after; the store saw reads as fast as it answered them.

Cause: a read went on while the store said that more items follow, whatever the page held.

Failed reads of the boxes' addresses at the start count as failures, too.

--- a/crates/jb-relay/src/follow/start_up.rs
+++ b/crates/jb-relay/src/follow/start_up.rs
@@ -65,6 +65,7 @@
 
 async fn from_boxes(core: &Core, era: Era, consistency: Consistency, until: Moment) -> Option<Update> {
     while let Err(why) = list_boxes(core, consistency).await {
+        core.metrics.store_failures.inc();
         emit!(core.logger, info, event::STORE_UPDATE_FAILED, "why" => %why);
         if core.now() > until {
             return None;
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -235,7 +235,14 @@
             mut revision,
             mut next,
         } = self.page(prefix, None, consistency).await?;
+        let mut pages = 1;
         while let Some(after) = next {
+            pages += 1;
+            if pages > MAX_PAGES {
+                return Err(StoreError::Unreadable(format!(
+                    "the items have no end after {MAX_PAGES} pages"
+                )));
+            }
             let page = page_with_retries(self, prefix, &after, consistency).await?;
             if page.revision.era != revision.era {
                 return Err(StoreError::Restored);
@@ -263,6 +270,8 @@
     async fn write(&self, era: Era, writes: &[Write]) -> Result<Revision, StoreError>;
 }
 
+/// Maximum number of pages in one read: many times the content of a store with 20,000 upstreams, in pages of 500 items.
+const MAX_PAGES: usize = 1000;
 /// Attempts for each page after the first. Without retries, a single late response would discard all earlier pages.
 const MAX_PAGE_ATTEMPTS: usize = 3;
 
