Leave out rows of the store that can't be used, and use all others

Callers saw: none of their requests served at a box that starts while one item in the store's responses has a field of another type, lacks its key, or holds bytes that are no UTF-8; a running box no longer followed the store.

Cause: a page, or all events of a watch, were decoded as one document, so that one row made all of them unreadable, each time they were read.

Change: rows are decoded one by one; those that are no items are left out, counted (`store_rows_skipped`) and logged (4020).

--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -70,6 +70,7 @@
     STORE_COPY_OUTDATED = 4017, "store_copy_outdated", "An update replaced a copy of the store that was too old to pass on to other boxes.";
     SOFTWARE_RECORD_UNWRITTEN = 4018, "software_record_unwritten", "The record that a software version serves could not be written to the store.";
     STREAM_ORIGINS_UNWRITTEN = 4019, "stream_origins_unwritten", "The software versions that began streams could not be written to the store.";
+    STORE_ROWS_SKIPPED = 4020, "store_rows_skipped", "Items in a response of the store cannot be used; all others are.";
     UPSTREAM_DRAINING = 5001, "upstream_draining", "An upstream is draining and receives no new requests.";
     UPSTREAM_INCARNATION = 5002, "upstream_incarnation", "An engine has restarted with an empty cache.";
     UPSTREAM_EJECTED = 5003, "upstream_ejected", "An upstream receives no requests after repeated failures.";
--- a/crates/jb-relay/src/follow/run.rs
+++ b/crates/jb-relay/src/follow/run.rs
@@ -240,8 +240,13 @@
     let result = progress.steps.time(core, Step::Call, call).await;
     let stale = progress.after.is_none() && consistency == Consistency::Stale;
     match result {
-        Ok(ChangeBatch { changes, revision }) => {
+        Ok(ChangeBatch {
+            changes,
+            revision,
+            skipped,
+        }) => {
             note_recovery(core, progress);
+            note_skipped(core, skipped);
             apply_update(
                 core,
                 progress,
@@ -294,6 +299,14 @@
     }
 }
 
+/// Logs and counts the items in a response of the store that can't be used.
+pub(super) fn note_skipped(core: &Core, rows: usize) {
+    if rows > 0 {
+        core.metrics.store_rows_skipped.inc_by(rows as u64);
+        emit!(core.logger, warn, event::STORE_ROWS_SKIPPED, "rows" => rows);
+    }
+}
+
 /// Records the era of an update; returns whether it is the first one after a restore of the store.
 fn note_era(core: &Core, from: UpdateOrigin, revision: Revision) -> bool {
     core.metrics
--- a/crates/jb-relay/src/follow/start_up.rs
+++ b/crates/jb-relay/src/follow/start_up.rs
@@ -13,7 +13,7 @@
 use tokio::time::{sleep, timeout};
 
 use super::facts::{UpdateSummary, apply};
-use super::run::Update;
+use super::run::{Update, note_skipped};
 use crate::core::{Core, UpdateOrigin};
 use crate::peers::{self, Source, TransferError};
 use crate::port::{ChangeBatch, Consistency, Era, Page, Revision, StoreError};
@@ -29,6 +29,7 @@
 pub(super) async fn load(core: &Core) -> Option<Update> {
     core.metrics.store_calls.inc();
     let first = core.store.page("", None, Consistency::Stale).await.ok()?;
+    note_skipped(core, first.skipped);
     let until = core.now() + LOAD_TIMEOUT;
     let has_boxes = first
         .changes
@@ -137,7 +138,9 @@
 /// Reads the addresses of the other boxes.
 async fn list_boxes(core: &Core, consistency: Consistency) -> Result<(), StoreError> {
     core.metrics.store_calls.inc();
-    let ChangeBatch { changes, .. } = core.store.items(peers::ADDRESS_KEY_PREFIX, consistency).await?;
+    let ChangeBatch { changes, skipped, .. } =
+        core.store.items(peers::ADDRESS_KEY_PREFIX, consistency).await?;
+    note_skipped(core, skipped);
     let mut summary = UpdateSummary::default();
     for change in changes {
         apply(core, core.store.decode(&change), change.revision, &mut summary);
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -88,6 +88,8 @@
     pub store_calls: Counter,
     /// Calls to the store that failed.
     pub store_failures: Counter,
+    /// Items in responses of the store that could not be used.
+    pub store_rows_skipped: Counter,
     /// 1 if the box is the relay node of its data hall, else 0.
     pub relay_node: Gauge,
     /// Transfers of the store's items from other boxes.
@@ -138,6 +140,7 @@
         let store_copy_age = Histogram::new(COPY_AGES);
         let store_calls = Counter::default();
         let store_failures = Counter::default();
+        let store_rows_skipped = Counter::default();
         let relay_node = Gauge::default();
         let transfers = Counter::default();
         let broadcast_datagrams = Counter::default();
@@ -262,6 +265,11 @@
             "Calls to the platform's store that failed",
             store_failures.clone(),
         );
+        registry.register(
+            "store_rows_skipped",
+            "Items in responses of the platform's store that could not be used",
+            store_rows_skipped.clone(),
+        );
         registry.register(
             "relay_node",
             "Whether the box is a relay node",
@@ -311,6 +319,7 @@
             store_copy_age,
             store_calls,
             store_failures,
+            store_rows_skipped,
             relay_node,
             transfers,
             broadcast_datagrams,
--- a/crates/jb-relay/src/port.rs
+++ b/crates/jb-relay/src/port.rs
@@ -147,6 +147,8 @@
     pub changes: Vec<Change>,
     /// Revision from which the next call continues.
     pub revision: Revision,
+    /// Number of changes that were left out, as they can't be used.
+    pub skipped: usize,
 }
 
 /// One page of the items of the store.
@@ -158,6 +160,8 @@
     pub revision: Revision,
     /// Key after which the next page begins; `None` on the last page.
     pub next: Option<String>,
+    /// Number of items that were left out, as they can't be used.
+    pub skipped: usize,
 }
 
 /// Error of a call to the store or to an engine.
@@ -234,6 +238,7 @@
             mut changes,
             mut revision,
             mut next,
+            mut skipped,
         } = self.page(prefix, None, consistency).await?;
         let mut pages = 1;
         while let Some(after) = next {
@@ -250,8 +255,13 @@
             changes.extend(page.changes);
             revision = revision.min(page.revision);
             next = page.next;
+            skipped += page.skipped;
         }
-        Ok(ChangeBatch { changes, revision })
+        Ok(ChangeBatch {
+            changes,
+            revision,
+            skipped,
+        })
     }
     /// Reads all items.
     async fn all_items(&self, consistency: Consistency) -> Result<ChangeBatch, StoreError> {
