Send requests to upstreams that exist, not to entries alone

Callers saw: after a restart of all boxes, beside entries whose engines are gone, most of their requests rejected: `partitioned`, although each box reached nine engines, or `unreachable` after four dead entries, although the next engine would have served.

Cause: an entry was taken for an upstream that exists. Three refused connections in a check made a box believe that it is cut off from all upstreams; since all boxes believed so, none helped another. A refused connection counted as an attempt, and was hardly remembered. The share of engines that load weights at once was taken of all entries, so that all live ones could load at the same time.

Change: `jb-policy/contact`: an upstream whose first connection fails gets no requests until one is accepted, which a task checks apart from requests; while a service has such entries, upstreams that have accepted a connection go first. A check of the uplink goes on with other upstreams while connections are refused, up to 192; three that don't answer at all still end it. A refused connection is no attempt. Entries without contact don't count when weights are loaded. New: gauge `upstreams_without_contact` and event 5019.

--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod brittle;
 pub mod call;
 pub mod cell;
+pub mod contact;
 pub mod customer_limit;
 pub mod dissemination;
 pub mod election;
--- a/crates/jb-policy/src/uplink.rs
+++ b/crates/jb-policy/src/uplink.rs
@@ -4,6 +4,9 @@
 //! check, in which the box opens connections to several upstreams: one that succeeds shows that the link works, and if
 //! all fail the link is down until one succeeds. Right after a sign that the link works, the check waits for another
 //! sign first, as most failures are those of one upstream.
+//!
+//! A refused connection may be due to the link or to an upstream that is gone, whose entry is still there. So a check in which
+//! connections are refused goes on with other upstreams, while a few that get no answer at all show that the link is down.
 
 use std::time::Duration;
 
@@ -14,6 +17,15 @@
 /// Age up to which data from an upstream shows that a stalled request is the fault of its own upstream.
 const MAX_DATA_AGE: Duration = Duration::from_millis(300);
 
+/// Upstreams without any answer at which a check ends. One lost packet or one crashed machine must not look like a partition.
+const MIN_SILENT: usize = 3;
+/// Upstreams in the first batch of a check. Each batch has twice as many as the one before.
+const FIRST_BATCH: usize = MIN_SILENT;
+/// Largest batch of a check.
+pub const MAX_BATCH: usize = 48;
+/// Upstreams after which a check ends, whatever they answered.
+const MAX_PROBED: usize = 192;
+
 /// What failed.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Failure {
@@ -133,3 +145,47 @@
         Change::Lost
     }
 }
+
+/// Result of a connection that a check opens.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Probe {
+    /// The upstream has accepted it.
+    Accepted,
+    /// It was refused at once: by the upstream's machine, or on the way.
+    Refused,
+    /// There was no answer, or the connection broke.
+    Silent,
+}
+
+/// Progress of a check through the upstreams of a service, as long as none accepts a connection.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sweep {
+    batches: u32,
+    probed: usize,
+    silent: usize,
+}
+
+impl Sweep {
+    /// Returns the number of upstreams to probe next.
+    pub fn next_batch(&self) -> usize {
+        let batch = FIRST_BATCH.saturating_mul(1 << self.batches.min(MAX_BATCH.ilog2()));
+        batch.min(MAX_BATCH)
+    }
+
+    /// Notes the results of a batch, none of which was accepted.
+    pub fn note_batch(&mut self, results: &[Probe]) {
+        self.batches += 1;
+        self.probed += results.len();
+        self.silent += results.iter().filter(|probe| **probe == Probe::Silent).count();
+    }
+
+    /// Returns whether the results show that no upstream can be reached, although others were not probed.
+    pub fn is_conclusive(&self) -> bool {
+        self.silent >= MIN_SILENT || self.probed >= MAX_PROBED
+    }
+
+    /// Returns the number of upstreams that were probed.
+    pub fn probed(&self) -> usize {
+        self.probed
+    }
+}
--- a/crates/jb-policy/tests/uplink.rs
+++ b/crates/jb-policy/tests/uplink.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use jb_policy::Moment;
-use jb_policy::uplink::{Change, Failure, Uplink};
+use jb_policy::uplink::{Change, Failure, Probe, Sweep, Uplink};
 
 fn at(ms: u64) -> Moment {
     Duration::from_millis(ms)
@@ -87,3 +87,27 @@
     uplink.note_unreachable(at(1200));
     assert!(uplink.is_down() && !uplink.has_live_connections());
 }
+
+fn sweep(results: impl Iterator<Item = Probe>) -> usize {
+    let mut results = results.peekable();
+    let mut sweep = Sweep::default();
+    while !sweep.is_conclusive() && results.peek().is_some() {
+        let batch: Vec<Probe> = results.by_ref().take(sweep.next_batch()).collect();
+        sweep.note_batch(&batch);
+    }
+    sweep.probed()
+}
+
+#[test]
+fn three_upstreams_without_an_answer_show_that_the_link_is_down() {
+    assert_eq!(sweep(std::iter::repeat(Probe::Silent)), 3);
+}
+
+/// Guards against taking entries of upstreams that are gone for a partition of the box.
+#[test]
+fn refused_connections_make_a_check_go_on_with_other_upstreams() {
+    assert_eq!(sweep(std::iter::repeat_n(Probe::Refused, 9)), 9);
+    assert_eq!(sweep(std::iter::repeat_n(Probe::Refused, 200)), 200);
+    let crashed = [Probe::Silent; 2].into_iter();
+    assert_eq!(sweep(crashed.chain(std::iter::repeat_n(Probe::Refused, 60))), 62);
+}
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -89,6 +89,7 @@
     UPSTREAMS_UNREACHABLE = 5016, "upstreams_unreachable", "This box can open no connection to any upstream of a service.";
     UPSTREAMS_REACHABLE = 5017, "upstreams_reachable", "This box reaches upstreams of a service again.";
     SERVICE_BRITTLE = 5018, "service_brittle", "Upstreams of a service crash when they have to reject too many requests.";
+    UPSTREAMS_WITHOUT_CONTACT = 5019, "upstreams_without_contact", "Upstreams whose entries say that they serve have refused all connections, or no longer.";
     CLAIM_FAILED = 6001, "claim_failed", "Claims could not be written.";
     LEADER_ELECTED = 7001, "leader_elected", "The box has become its hall's leader.";
     LEADER_LOST = 7002, "leader_lost", "The box is no longer its hall's leader.";
--- a/crates/jb-relay/src/attempt.rs
+++ b/crates/jb-relay/src/attempt.rs
@@ -34,8 +34,8 @@
 
 /// Result of an attempt.
 pub enum AttemptOutcome {
-    /// Nothing was sent; the reason.
-    Unsent(String),
+    /// Nothing was sent, as there is no connection.
+    Unsent(pool::Error),
     /// Nothing was sent, as the upstream has begun to drain, back off or limit its rate since it was selected.
     Withdrawn,
     /// The upstream rejected the request without executing it; the status.
@@ -128,14 +128,14 @@
         .instance(instance)
         .map(|upstream| upstream.entry.clone());
     let Some(entry) = entry else {
-        return AttemptOutcome::Unsent("the upstream is no longer registered".to_owned());
+        return AttemptOutcome::Unsent(pool::Error::Gone);
     };
     let once = !message.request.route.is_retryable();
     let mut pooled = match pool::checkout(core, instance, once).await {
         Ok(pooled) => pooled,
         Err(why) => {
             note_connect_timeout(core, &entry, instance, &why);
-            return AttemptOutcome::Unsent(why.to_string());
+            return AttemptOutcome::Unsent(why);
         }
     };
     if !core.accepts_requests(instance, permit) {
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -17,6 +17,7 @@
 use jb_policy::weights::History;
 use jb_protocol::id;
 use slog::Logger;
+use tokio::sync::Notify;
 
 use crate::activity::Activity;
 use crate::body_memory::BodyMemory;
@@ -121,6 +122,8 @@
     pub hall_reachability: RefCell<HallReachability>,
     /// Which services' upstreams this box reaches.
     pub uplinks: Uplinks,
+    /// Notified when a connection to an upstream could not be opened.
+    pub connect_failed: Notify,
     /// Boxes that serve requests of this one while it reaches no upstream.
     pub helpers: Helpers,
     /// Which boxes can reach each other.
@@ -220,6 +223,7 @@
             reservations: Reservations::default(),
             hall_reachability: RefCell::default(),
             uplinks: Uplinks::default(),
+            connect_failed: Notify::new(),
             helpers: Helpers::default(),
             box_reachability: RefCell::default(),
             refusals: Refusals::default(),
--- a/crates/jb-relay/src/exchange/attempt.rs
+++ b/crates/jb-relay/src/exchange/attempt.rs
@@ -101,7 +101,8 @@
         match outcome {
             AttemptOutcome::Unsent(why) => {
                 self.retry_granted = true;
-                self.record_failure(instance, "unsent", &why);
+                self.refused += usize::from(why.is_refusal());
+                self.record_failure(instance, "unsent", &why.to_string());
                 Err("unreachable")
             }
             AttemptOutcome::Withdrawn => {
--- a/crates/jb-relay/src/exchange/handover.rs
+++ b/crates/jb-relay/src/exchange/handover.rs
@@ -9,7 +9,7 @@
 use jb_protocol::{emit, event};
 
 use super::attempt::{Attempt, Withheld};
-use super::run::{Exchange, MAX_SENDS};
+use super::run::Exchange;
 use super::selection;
 use crate::admission::AdmittedRequest;
 use crate::attempt::Reply;
@@ -113,7 +113,7 @@
         let route = &self.message.request.route;
         route.is_retryable()
             && self.runs < route.max_attempts
-            && (self.tried.len() as u32) < MAX_SENDS
+            && self.has_sends_left()
             && self.may_attempt()
             && self.is_unsuspected()
     }
--- a/crates/jb-relay/src/exchange/run.rs
+++ b/crates/jb-relay/src/exchange/run.rs
@@ -25,8 +25,9 @@
 use crate::stop;
 use crate::upstream::Instance;
 
-/// Upper bound on the attempts of one request, including those that the upstream rejected.
-pub(super) const MAX_SENDS: u32 = 4;
+/// Upper bound on the attempts of one request, including those that the upstream rejected. A connection that is refused at once
+/// is none: another upstream may serve the request.
+const MAX_SENDS: usize = 4;
 
 /// How a request ended.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -50,6 +51,8 @@
     pub(super) core: &'a Shared,
     pub(super) message: Message<'a>,
     pub(super) tried: Vec<Instance>,
+    /// Number of those that have refused the connection.
+    pub(super) refused: usize,
     /// Those of them that the request has left only since they were silent.
     pub(super) left_silent: Vec<Instance>,
     pub(super) sends: u32,
@@ -103,6 +106,7 @@
             core,
             message,
             tried: Vec::new(),
+            refused: 0,
             left_silent: Vec::new(),
             sends: 0,
             runs: 0,
@@ -180,7 +184,7 @@
                 Ok(Next::Again) => {}
                 Err(cause) => why = cause,
             }
-            if self.tried.len() as u32 >= MAX_SENDS {
+            if !self.has_sends_left() {
                 return self.terminal_outcome(why);
             }
             if self.runs > 0 && (!request.route.is_retryable() || self.runs >= request.route.max_attempts) {
@@ -195,6 +199,11 @@
         self.has_begun() || self.core.can_answer_before_exit(&self.message.request.route.name)
     }
 
+    /// Returns whether another upstream may be tried after those so far.
+    pub(super) fn has_sends_left(&self) -> bool {
+        self.tried.len() < MAX_SENDS + self.refused
+    }
+
     /// Returns whether the request may be sent now: for the first time, or with a retry from the budget.
     pub(super) fn take_attempt(&mut self) -> bool {
         std::mem::take(&mut self.retry_granted)
--- a/crates/jb-relay/src/leader/load.rs
+++ b/crates/jb-relay/src/leader/load.rs
@@ -148,9 +148,10 @@
         let loading = self.loading.borrow();
         let now = self.core.now();
         let with_model = upstreams.iter().filter(|(_, u)| u.weights(model).is_some());
-        let (mut all, mut outdated) = (0, Vec::new());
+        let (mut all, mut outdated) = (0_u32, Vec::new());
         for (_, upstream) in with_model {
-            all += 1;
+            // Entries whose engines are gone must not let more of the others load at the same time.
+            all += u32::from(!upstream.lacks_contact());
             let instance = &upstream.instance;
             let is_outdated = upstream.weights(model).is_some_and(|has| has < version) && !upstream.replaced;
             let is_barred = self.record.borrow().is_barred(&instance.id, now)
@@ -158,7 +159,7 @@
             let is_free =
                 !is_barred && !self.defers_to_backoff(upstream, model) && !loading.contains(instance);
             if is_outdated && is_free && upstream.is_in_rotation() && upstream.expired.is_none() {
-                let is_ejected = !upstream.health.is_available(now);
+                let is_ejected = upstream.lacks_contact() || !upstream.health.is_available(now);
                 let running = upstream.running + upstream.peer_load.running;
                 let unrecorded = !self.record.borrow().covers(std::slice::from_ref(instance));
                 outdated.push((
--- a/crates/jb-relay/src/lib.rs
+++ b/crates/jb-relay/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod cache_scan;
 pub mod cache_store;
 pub mod configuration;
+pub mod contact_check;
 pub mod core;
 pub mod crash_check;
 pub mod deliver;
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -76,6 +76,8 @@
     pub connections_opened: Counter,
     /// Services of which no upstream can be reached from this box.
     pub uplinks_down: Gauge,
+    /// Upstreams in rotation that have refused all connections.
+    pub upstreams_without_contact: Gauge,
     /// Requests sent through another box because no upstream could be reached.
     pub requests_forwarded: Counter,
     /// Requests served for other boxes that reach no upstream.
@@ -134,6 +136,7 @@
         let stream_origins_recorded = Counter::default();
         let connections_opened = Counter::default();
         let uplinks_down = Gauge::default();
+        let upstreams_without_contact = Gauge::default();
         let requests_forwarded = Counter::default();
         let requests_helped = Counter::default();
         let requests_declined = Counter::default();
@@ -235,6 +238,11 @@
             "Services of which no upstream can be reached from this box",
             uplinks_down.clone(),
         );
+        registry.register(
+            "upstreams_without_contact",
+            "Upstreams whose entries say that they serve and that have refused all connections",
+            upstreams_without_contact.clone(),
+        );
         registry.register(
             "requests_forwarded",
             "Requests sent through another box",
@@ -313,6 +321,7 @@
             stream_origins_recorded,
             connections_opened,
             uplinks_down,
+            upstreams_without_contact,
             requests_forwarded,
             requests_helped,
             requests_declined,
--- a/crates/jb-relay/src/pool.rs
+++ b/crates/jb-relay/src/pool.rs
@@ -65,6 +65,13 @@
     TimedOut(Duration),
 }
 
+impl Error {
+    /// Returns whether the connection was refused at once, so that nothing can have been sent and hardly any time was lost.
+    pub fn is_refusal(&self) -> bool {
+        matches!(self, Self::Refused(why) if why.kind() == std::io::ErrorKind::ConnectionRefused)
+    }
+}
+
 /// Returns an idle connection, or opens a new one. `once` restricts the reuse for requests that may be executed
 /// only once.
 ///
@@ -99,10 +106,15 @@
     let stream = match connected {
         Ok(stream) => stream,
         Err(why) => {
+            core.upstreams
+                .borrow_mut()
+                .note_connect_failure(upstream, core.now());
+            core.connect_failed.notify_one();
             uplink::note_failure(core, &service, Failure::Connect);
             return Err(why);
         }
     };
+    core.upstreams.borrow_mut().note_connected(upstream);
     uplink::note_connected(core, &service);
     core.metrics.connections_opened.inc();
     Ok(PooledConnection {
@@ -219,7 +231,7 @@
 async fn refuses(core: &Shared, upstream: &Instance) -> Option<bool> {
     match probe(core, upstream).await {
         Ok(()) => Some(false),
-        Err(Error::Refused(why)) if why.kind() == std::io::ErrorKind::ConnectionRefused => Some(true),
+        Err(why) if why.is_refusal() => Some(true),
         Err(_) => None,
     }
 }
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -16,7 +16,7 @@
 use crate::leader::Leader;
 use crate::open_request::Phase;
 use crate::settings::Settings;
-use crate::{activity, cache_scan, follow, front, peers, pool, ready, stop};
+use crate::{activity, cache_scan, contact_check, follow, front, peers, pool, ready, stop};
 
 /// Length of the queue of connections that wait to be accepted.
 const ACCEPT_BACKLOG: u32 = 1024;
@@ -136,6 +136,7 @@
     spawn_local(peers::publish_suspects(Rc::clone(core), Rc::clone(&socket)));
     spawn_local(Leader::new(Rc::clone(core), socket).run());
     spawn_local(cache_scan::run(Rc::clone(core)));
+    spawn_local(contact_check::run(Rc::clone(core)));
     spawn_local(sweep(Rc::clone(core)));
     Ok(())
 }
--- a/crates/jb-relay/src/uplink.rs
+++ b/crates/jb-relay/src/uplink.rs
@@ -1,12 +1,12 @@
 //! Checks whether this box reaches any upstream of a service, after failures that may be due to its own links.
 
 use std::cell::{Cell, RefCell};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
 use std::time::Duration;
 
 use futures_util::future::join_all;
-use jb_policy::uplink::{Change, Failure, Uplink};
+use jb_policy::uplink::{Change, Failure, MAX_BATCH, Probe, Sweep, Uplink};
 use jb_protocol::{emit, event, id};
 use tokio::sync::Notify;
 use tokio::task::spawn_local;
@@ -20,7 +20,7 @@
 const CHECK_TIMEOUT: Duration = Duration::from_millis(200);
 /// Interval at which the check is repeated while no upstream can be reached.
 const CHECK_INTERVAL: Duration = Duration::from_millis(250);
-/// Number of upstreams in one check. One lost packet or one crashed upstream must not look like a partition.
+/// Number of upstreams that are probed at each repetition.
 const UPSTREAMS_PER_CHECK: usize = 3;
 
 /// The links of this box to the upstreams of each service.
@@ -122,34 +122,83 @@
 
 /// Checks the uplink of a service until an upstream accepts a connection.
 async fn check(core: Shared, service: id::Service) {
+    let Some(tried) = sweep(&core, &service).await else {
+        return;
+    };
+    let now = core.now();
+    if core
+        .uplinks
+        .update(&service, |uplink| uplink.note_unreachable(now))
+        == Change::Lost
+    {
+        note_change(&core);
+        emit!(core.logger, warn, event::UPSTREAMS_UNREACHABLE, "service" => &service, "tried" => tried);
+    }
     for round in 0.. {
+        sleep(CHECK_INTERVAL).await;
+        let targets = repeated_targets(&core, &service, round);
+        if targets.is_empty() {
+            return cancel(&core, &service);
+        }
+        if is_reached(&core, &service, &probe_all(&core, &targets).await) {
+            return;
+        }
+    }
+}
+
+/// Probes upstreams of a service until one accepts a connection, and returns `None`, or until the results show that none can be
+/// reached, and returns the number of upstreams probed.
+async fn sweep(core: &Shared, service: &id::Service) -> Option<usize> {
+    let mut sweep = Sweep::default();
+    let mut probed = BTreeSet::new();
+    while !sweep.is_conclusive() {
         let targets = core
             .upstreams
             .borrow()
-            .spread_sample(&service, UPSTREAMS_PER_CHECK, round);
-        if targets.is_empty() {
-            core.uplinks.update(&service, Uplink::cancel_check);
-            note_change(&core);
-            return;
+            .unprobed(service, sweep.next_batch(), &probed);
+        if targets.is_empty() && probed.is_empty() {
+            cancel(core, service);
+            return None;
         }
-        let probes = targets.iter().map(|target| probe(&core, target));
-        if join_all(probes).await.contains(&true) || is_up(&core, &service) {
-            return;
+        if targets.is_empty() {
+            break;
         }
-        let now = core.now();
-        if core
-            .uplinks
-            .update(&service, |uplink| uplink.note_unreachable(now))
-            == Change::Lost
-        {
-            note_change(&core);
-            emit!(core.logger, warn, event::UPSTREAMS_UNREACHABLE, "service" => &service,
-                "tried" => targets.len());
+        let results = probe_all(core, &targets).await;
+        if is_reached(core, service, &results) {
+            return None;
         }
-        sleep(CHECK_INTERVAL).await;
+        sweep.note_batch(&results);
+        probed.extend(targets);
+    }
+    Some(sweep.probed())
+}
+
+/// Returns the upstreams that are probed while none can be reached: those to which no connection was tried yet, or else some of
+/// all, others in each round.
+fn repeated_targets(core: &Core, service: &str, round: usize) -> Vec<Instance> {
+    let upstreams = core.upstreams.borrow();
+    let untried = upstreams.untried(service, MAX_BATCH);
+    if untried.is_empty() {
+        upstreams.spread_sample(service, UPSTREAMS_PER_CHECK, round)
+    } else {
+        untried
     }
 }
 
+/// Ends a check that found no upstream to connect to.
+fn cancel(core: &Core, service: &str) {
+    core.uplinks.update(service, Uplink::cancel_check);
+    note_change(core);
+}
+
+async fn probe_all(core: &Shared, targets: &[Instance]) -> Vec<Probe> {
+    join_all(targets.iter().map(|target| probe(core, target))).await
+}
+
+fn is_reached(core: &Core, service: &str, results: &[Probe]) -> bool {
+    results.contains(&Probe::Accepted) || is_up(core, service)
+}
+
 /// Returns whether a connection has been opened since the check began.
 fn is_up(core: &Core, service: &str) -> bool {
     let services = core.uplinks.services.borrow();
@@ -158,13 +207,16 @@
         .is_none_or(|uplink| !uplink.is_checking() && !uplink.is_down())
 }
 
-/// Opens a connection to an upstream and keeps it for the next request; returns whether it was accepted.
-async fn probe(core: &Shared, upstream: &Instance) -> bool {
+/// Opens a connection to an upstream, and keeps it for the next request.
+pub(crate) async fn probe(core: &Shared, upstream: &Instance) -> Probe {
     match pool::open(core, upstream, CHECK_TIMEOUT).await {
         Ok(pooled) => {
             pool::put_back(core, pooled.connection, &pooled.upstream, None);
-            true
+            Probe::Accepted
         }
-        Err(_) => false,
+        Err(why) if why.is_refusal() => Probe::Refused,
+        // It doesn't speak for the link that an upstream has been removed meanwhile.
+        Err(pool::Error::Gone) => Probe::Refused,
+        Err(_) => Probe::Silent,
     }
 }
--- a/crates/jb-relay/src/upstream/mod.rs
+++ b/crates/jb-relay/src/upstream/mod.rs
@@ -2,6 +2,7 @@
 
 mod criteria;
 mod instance;
+mod reach;
 mod registration;
 mod registry;
 mod selection;
--- a/crates/jb-relay/src/upstream/registry.rs
+++ b/crates/jb-relay/src/upstream/registry.rs
@@ -43,6 +43,8 @@
     constraints: VecDeque<Constraints>,
     /// Services whose upstreams have signalled that they are brittle.
     brittle: BTreeMap<id::Service, Brittleness>,
+    /// Whether an upstream may have accepted no connection so far.
+    pub(super) may_lack_contact: bool,
     /// Whether upstreams register their start time. If they do, an entry without one is from another writer.
     has_start_times: bool,
 }
@@ -423,6 +425,7 @@
         let all = self.values_mut();
         for upstream in all.filter(|upstream| upstream.entry.service == service) {
             upstream.health = Health::default();
+            upstream.contact.reset();
         }
     }
 
--- a/crates/jb-relay/src/upstream/selection.rs
+++ b/crates/jb-relay/src/upstream/selection.rs
@@ -136,24 +136,15 @@
         };
         let all = self.iter().map(|(_, upstream)| upstream);
         let near = all.filter(|upstream| upstream.entry.hall == *hall && upstream.instance != *instance);
-        let healthy = near.filter(|upstream| upstream.is_in_rotation() && now >= upstream.down_until);
+        let healthy = near.filter(|upstream| {
+            upstream.is_in_rotation() && now >= upstream.down_until && !upstream.contact.has_failed()
+        });
         healthy
             .take(count)
             .map(|upstream| upstream.instance.clone())
             .collect()
     }
 
-    /// Returns some upstreams of a service in rotation, spread over all; each round returns others.
-    pub fn spread_sample(&self, service: &str, count: usize, round: usize) -> Vec<Instance> {
-        let all: Vec<&Upstream> = self
-            .of_service(service)
-            .filter(|upstream| upstream.is_in_rotation())
-            .collect();
-        let count = count.min(all.len());
-        let at = |step: usize| (step * all.len() / count + round) % all.len();
-        (0..count).map(|step| all[at(step)].instance.clone()).collect()
-    }
-
     /// Returns when the first upstream is available again if all eligible ones are throttled, `None` otherwise.
     pub fn next_available_at(&self, criteria: &Criteria<'_>, now: Moment) -> Option<Moment> {
         let ends = self.eligible(criteria, now).map(Upstream::throttled_until);
@@ -171,8 +162,19 @@
         connected.filter(move |upstream| !upstream.is_throttled(now))
     }
 
-    /// Returns the upstreams that can receive a request, including those that are throttled.
+    /// Returns the upstreams that can receive a request, including those that are throttled. While entries of the service name
+    /// upstreams that are gone, those that have accepted a connection go before all others.
     fn eligible<'a>(&'a self, criteria: &'a Criteria<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
+        let confirmed_only = self.lacks_contact(criteria.service)
+            && self
+                .listed(criteria, now)
+                .any(|upstream| upstream.contact.is_confirmed());
+        let listed = self.listed(criteria, now);
+        listed.filter(move |upstream| !confirmed_only || upstream.contact.is_confirmed())
+    }
+
+    /// Returns the upstreams that can receive a request by their entries and by what is known of them.
+    fn listed<'a>(&'a self, criteria: &'a Criteria<'_>, now: Moment) -> impl Iterator<Item = &'a Upstream> {
         let all = self.of_service(criteria.service);
         let untried = all.filter(|upstream| !criteria.excluded.contains(&upstream.instance));
         let same_software = untried.filter(|upstream| {
--- a/crates/jb-relay/src/upstream/state.rs
+++ b/crates/jb-relay/src/upstream/state.rs
@@ -4,6 +4,7 @@
 
 use jb_policy::Moment;
 use jb_policy::backoff::Backoff;
+use jb_policy::contact::Contact;
 use jb_policy::health::Health;
 use jb_policy::placement::Candidate;
 use jb_policy::prefix_cache::PrefixCache;
@@ -34,6 +35,8 @@
     pub name_hash: u64,
     /// Failure history and ejection state.
     pub health: Health,
+    /// Whether it has accepted a connection of this box.
+    pub contact: Contact,
     /// Requests of this box in progress.
     pub running: u32,
     /// Requests of this box in progress that can't be continued on another upstream.
@@ -85,6 +88,7 @@
             entry,
             unreadable: false,
             health: Health::default(),
+            contact: Contact::default(),
             running: 0,
             pinned: 0,
             waiting: 0,
@@ -145,7 +149,17 @@
     pub fn is_eligible(&self, now: Moment) -> bool {
         let blocked = now < self.loading_until || now < self.down_until;
         let may_reappear = self.expired.is_none_or(|until| now < until);
-        may_reappear && self.is_in_rotation() && !self.replaced && !blocked && self.health.is_available(now)
+        may_reappear
+            && self.is_in_rotation()
+            && !self.replaced
+            && !blocked
+            && !self.contact.has_failed()
+            && self.health.is_available(now)
+    }
+
+    /// Returns whether the upstream, whose entry says that it serves, has refused all connections of this box.
+    pub fn lacks_contact(&self) -> bool {
+        self.is_in_rotation() && self.contact.has_failed()
     }
 
     /// Returns whether a backoff that the upstream requested is still in effect.
@@ -160,6 +174,7 @@
             && !self.replaced
             && !self.unreadable
             && self.expired.is_none()
+            && !self.contact.has_failed()
             && self.health.is_available(now)
     }
 
