--- a/crates/jb-relay/src/http/head.rs
+++ b/crates/jb-relay/src/http/head.rs
@@ -266,11 +266,17 @@
     Headers(lines.iter().map(to_header).collect())
 }
 
-/// Appends one header line.
+/// Appends one header line. Bytes that would end the line become blanks (RFC 9110, section 5.5).
 fn write_line(out: &mut BytesMut, name: &[u8], value: &[u8]) {
     out.put_slice(name);
     out.put_slice(b": ");
+    let begin = out.len();
     out.put_slice(value);
+    for byte in &mut out[begin..] {
+        if matches!(byte, b'\r' | b'\n' | b'\0') {
+            *byte = b' ';
+        }
+    }
     out.put_slice(b"\r\n");
 }
 
--- a/crates/jb-relay/tests/http.rs
+++ b/crates/jb-relay/tests/http.rs
@@ -4,7 +4,7 @@
 
 use bytes::{Bytes, BytesMut};
 use jb_relay::events::{Boundary, EventSplitter};
-use jb_relay::http::{BodyDecoder, Framing, RequestHead, ResponseHead, Step};
+use jb_relay::http::{BodyDecoder, Framing, RequestHead, ResponseHead, Step, write_request_head};
 use quickcheck::{Gen, QuickCheck};
 
 /// Decodes a body that arrives in pieces of the given sizes.
@@ -141,3 +141,15 @@
     assert_eq!(names, ["Host", "X-Own"]);
     assert!(!request.keep_alive);
 }
+
+/// Text from outside that holds a line end could add header lines, or a second message.
+#[test]
+fn value_with_line_ends_stays_one_header_line() {
+    let mut out = BytesMut::new();
+    let value = b"one\r\nTwo: 2\r\n\r\nGET / HTTP/1.1\r\n\0";
+    let lines = [(&b"Host"[..], &b"shop"[..]), (b"One", value)];
+    write_request_head(&mut out, b"GET", b"/a", lines.into_iter(), None);
+    let head = RequestHead::parse(&mut out).expect("valid").expect("complete");
+    assert_eq!(head.headers.0.len(), 2);
+    assert!(out.is_empty());
+}
