Send calls to plain services with the path that the caller encoded

Callers saw: a call to a plain service whose path held an encoded `?`, `#`, `/` or `%` reached another path there, or lost what followed the `#`.

Found by reading; no run of the old code shows it.

Change: the target is the caller's, less the two parts in front.

--- a/crates/jb-daemon/src/serve/mod.rs
+++ b/crates/jb-daemon/src/serve/mod.rs
@@ -8,5 +8,6 @@
 mod plain;
 pub mod refusal;
 mod routes;
+pub mod target;
 
 pub use routes::app;
--- a/crates/jb-daemon/src/serve/plain.rs
+++ b/crates/jb-daemon/src/serve/plain.rs
@@ -15,6 +15,7 @@
 
 use super::caller;
 use super::completions::{admit, claim_key, read_body, refuse};
+use super::target;
 use crate::context::Context;
 use crate::run::run_plain;
 
@@ -26,11 +27,11 @@
 pub async fn plain(
     request: &Request,
     body: Body,
-    Path((service, path)): Path<(String, String)>,
+    Path((service, _)): Path<(String, String)>,
     Data(context): Data<&Arc<Context>>,
 ) -> Response {
     let id = caller::request_id(&context.settings.id);
-    match call(context, request, body, &service, &path, &id).await {
+    match call(context, request, body, &service, &id).await {
         Ok(answer) => forward_response(context, answer, &id),
         Err(refused) => refuse(context, &refused, &id),
     }
@@ -41,7 +42,6 @@
     request: &Request,
     body: Body,
     name: &str,
-    path: &str,
     id: &str,
 ) -> Result<Answer, Refusal> {
     let provisional = Call::new(id.to_owned(), true);
@@ -75,10 +75,9 @@
     let hop = context
         .traces
         .begin("request", SpanKind::Server, headers.traceparent.as_deref());
-    let query = request.uri().query().map(|q| format!("?{q}")).unwrap_or_default();
     let upstream_request = PlainRequest {
         method: request.method().to_string(),
-        path: format!("{path}{query}"),
+        path: target::at_service(request.uri()).to_owned(),
         content_type: request.content_type().map(str::to_owned),
         body: bytes,
         attempt: String::new(),
