--- a/crates/jb-soak/src/boxes.rs
+++ b/crates/jb-soak/src/boxes.rs
@@ -98,13 +98,17 @@
         is_ready.then(|| self.address()).flatten()
     }
 
-    /// Sends a signal to the process; does nothing if it has exited.
-    pub fn signal(&self, signal: Signal) {
+    /// Returns the id of the process; `None` before its first start.
+    pub fn pid(&self) -> Option<Pid> {
         let child = self.child.borrow();
-        let pid = child
+        child
             .as_ref()
-            .and_then(|child| Pid::from_raw(i32::try_from(child.id()).ok()?));
-        if let Some(pid) = pid {
+            .and_then(|child| Pid::from_raw(i32::try_from(child.id()).ok()?))
+    }
+
+    /// Sends a signal to the process; does nothing if it has exited.
+    pub fn signal(&self, signal: Signal) {
+        if let Some(pid) = self.pid() {
             // The process may have exited in the meantime.
             let _ = kill_process(pid, signal);
         }
