Keep one account of what callers hold, and close idle connections for others

Callers saw: a crowd of clients ended the process (it ran out of memory), or kept ordinary callers out: as descriptors ended, one of them was answered in 8 s.

Cause: bodies alone were counted, by the bytes received: a growing buffer held up to three times as much, and heads, connections, requests, and bytes that only the operating system had received counted as nothing. What the state of the box takes wasn't known. Connections had a limit only where they ended, and a connection that waits kept its place for as long as it liked.

Change: `callers/memory` counts connections, heads, requests and bodies by their buffers, in one account. Its limit is three quarters of the memory, or what five sixths leave beside the state, measured once it has loaded; bodies above 64 KB get eight ninths of that. A request waits up to 0.7 s for memory, while bodies that stop for 0.5 s or come with less than 32 KB/s give way (408, not run). `callers/connections`: callers get 45 % of the descriptors less 200; a connection that waits for a request closes for a new one, those first that never had one served. Bytes behind a request beyond 16 KB are dropped and the connection closes after the response. Receive buffers of the operating system are 16 KB, 32 KB for large bodies.

--- a/crates/jb-policy/src/lib.rs
+++ b/crates/jb-policy/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod backoff;
 pub mod brittle;
 pub mod call;
+pub mod caller_limit;
 pub mod cell;
 pub mod contact;
 pub mod customer_limit;
--- a/crates/jb-protocol/src/event.rs
+++ b/crates/jb-protocol/src/event.rs
@@ -25,6 +25,8 @@
     SETTINGS_CHANGED = 1005, "settings_changed", "The settings file has changed; the change takes effect at the next start.";
     BOX_SUSPENDED = 1006, "box_suspended", "The machine was suspended; all ages include the time of the suspension.";
     CLOCK_STEADY = 1007, "clock_steady", "The kernel has no clock that includes suspensions; after a suspension, ages are underestimated.";
+    CALLER_MEMORY = 1008, "caller_memory", "The memory that callers may use is limited by that of the box and of its loaded state.";
+    CONNECTIONS_CLOSED = 1009, "connections_closed", "Callers' connections were closed as there were too many, or no memory for them.";
     REQUEST_ENDED = 2001, "request_ended", "A request completed with a full response.";
     REQUEST_REFUSED = 2002, "request_refused", "A request was rejected.";
     ATTEMPT_FAILED = 2003, "attempt_failed", "One attempt at an upstream failed.";
--- a/crates/jb-relay/src/accept.rs
+++ b/crates/jb-relay/src/accept.rs
@@ -25,6 +25,8 @@
             }
             Err(why) => {
                 emit!(core.logger, warn, event::ACCEPT_FAILED, "why" => %why);
+                // It may be that no descriptor is left.
+                core.callers.connections.evict();
                 sleep(ERROR_DELAY).await;
             }
         }
--- a/crates/jb-relay/src/core.rs
+++ b/crates/jb-relay/src/core.rs
@@ -20,8 +20,8 @@
 use tokio::sync::Notify;
 
 use crate::activity::Activity;
-use crate::body_memory::BodyMemory;
 use crate::cache_store::CacheStores;
+use crate::callers::Callers;
 use crate::configuration::Configuration;
 use crate::crash_check::LostAttempts;
 use crate::detour::Helpers;
@@ -166,8 +166,8 @@
     pub prefill_rates: RefCell<HashMap<id::Service, PrefillRate>>,
     /// Time that the responses of each route take.
     pub response_times: RefCell<HashMap<id::Route, ResponseTime>>,
-    /// Memory for request bodies.
-    pub body_memory: BodyMemory,
+    /// Memory and connections that callers use.
+    pub callers: Callers,
     /// The clock.
     pub clock: Clock,
 }
@@ -189,7 +189,7 @@
 impl Core {
     /// Creates the state of a box that has just started.
     pub fn new(components: Components) -> Shared {
-        let body_memory = BodyMemory::new(components.settings.capacity.memory_bytes);
+        let callers = Callers::new(&components.settings.capacity);
         Rc::new(Self {
             stop: Stop::new(components.settings.bounds.stop_grace),
             settings: components.settings,
@@ -245,7 +245,7 @@
             fixed_retries: RefCell::new(FixedPart::new(Moment::ZERO)),
             prefill_rates: RefCell::default(),
             response_times: RefCell::default(),
-            body_memory,
+            callers,
             clock: Clock::start(),
         })
     }
--- a/crates/jb-relay/src/detour/serve.rs
+++ b/crates/jb-relay/src/detour/serve.rs
@@ -9,12 +9,13 @@
 use super::message::{Envelope, FAILURE_HEADER, Failure, Verdict};
 use crate::admission::{self, AdmittedRequest};
 use crate::attempt::MAX_HEAD_BYTES;
-use crate::body_memory::HeldBody;
+use crate::callers::Hold;
 use crate::core::{Core, Shared};
 use crate::exchange::{Exchange, RequestOutcome};
-use crate::front::{self, ReceiveError};
+use crate::front;
 use crate::http::{self, Connection, RequestHead};
 use crate::open_request::OpenRequest;
+use crate::receive::{self, ReceiveError};
 use crate::{peers, pool, ready};
 
 /// Time within which an accepted request must arrive.
@@ -99,13 +100,13 @@
 }
 
 /// Reads a request; the body is `None` if it can't be taken.
-async fn read<'a>(
-    core: &'a Core,
+async fn read(
+    core: &Core,
     client: &mut Connection,
-) -> Result<(RequestHead, Option<(Bytes, HeldBody<'a>)>), http::Error> {
+) -> Result<(RequestHead, Option<(Bytes, Hold)>), http::Error> {
     let head = client.read_request(MAX_HEAD_BYTES).await?;
     let limits = core.configuration().map(|configuration| configuration.limits);
-    match front::read_body(core, client, &head, &limits.unwrap_or_default()).await {
+    match receive::read_body(core, client, &head, &limits.unwrap_or_default()).await {
         Ok(body) => Ok((head, Some(body))),
         Err(ReceiveError::Rejected { .. }) => Ok((head, None)),
         Err(ReceiveError::Closed) => Err(http::Error::Truncated),
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -10,23 +10,21 @@
 use tokio::time::{sleep, timeout};
 
 use crate::admission::{self, AdmittedRequest, Refusal};
-use crate::body_memory::HeldBody;
-use crate::configuration::CallerLimits;
+use crate::callers::{Admitted, CONNECTION_BYTES, Use, Waiting};
 use crate::core::{Core, Shared};
 use crate::exchange::{Exchange, RequestOutcome};
-use crate::http::{BodyDecoder, Connection, Error, Framing, RequestHead, write_response_head};
+use crate::http::{Connection, Framing, RequestHead, write_response_head};
 use crate::open_request::OpenRequest;
+use crate::receive::{ReceiveError, Received, receive, wait_for_request};
 use crate::{accept, peers, stop};
 
-/// Time within which the body of a request must be received.
-const BODY_TIMEOUT: Duration = Duration::from_secs(10);
+/// Receive buffer of the operating system for each connection, in bytes: any number of callers may send while the box is busy.
+pub const RECEIVE_BUFFER_BYTES: usize = 16 << 10;
 /// Time for which input is still read after an error response. Closing with unread input would reset the connection,
 /// and the caller could lose the response.
 const LINGER_TIMEOUT: Duration = Duration::from_millis(300);
 /// The same for the last response on a connection of a box that stops: a few retransmissions.
 const STOP_LINGER_TIMEOUT: Duration = Duration::from_secs(1);
-/// Descriptors reserved for upstreams, the store, health checks and files.
-const RESERVED_DESCRIPTORS: usize = 400;
 /// `Retry-After` of a box that may be able to serve soon; the caller may also retry at another box.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Time after the box begins to load the store's content in which requests wait for the first verified configuration. In a
@@ -35,9 +33,6 @@
 const STARTUP_PERIOD: Duration = Duration::from_millis(800);
 /// Interval at which the wait for the first configuration checks for it.
 const STARTUP_POLL_INTERVAL: Duration = Duration::from_millis(10);
-/// Idle time after which a connection is closed during a graceful shutdown.
-const STOP_IDLE_TIME: Duration = Duration::from_millis(500);
-
 /// Accepts callers' connections until the box has to give its last answers. Later ones are refused, so that no request is left
 /// unread when the box is killed.
 pub async fn serve(core: Shared, listener: TcpListener) {
@@ -48,37 +43,48 @@
 }
 
 async fn connection(core: Shared, stream: TcpStream) {
-    if core.stop.connections() + RESERVED_DESCRIPTORS >= core.settings.capacity.max_descriptors {
+    let Some(admitted) = core.callers.connections.admit() else {
         // Closing without reading shows the caller that the request was not processed.
-        emit!(core.logger, warn, event::ACCEPT_FAILED, "why" => "file descriptor limit for callers reached");
+        return;
+    };
+    let mut held = core.callers.memory.account(Use::Connection);
+    if !held.grow_to(CONNECTION_BYTES) {
+        core.callers.connections.evict();
+        core.callers.connections.note_refused();
         return;
     }
     let _open = core.stop.track_connection();
     if let Err(why) = stream.set_nodelay(true) {
         emit!(core.logger, debug, event::ACCEPT_FAILED, "why" => %why);
     }
-    let mut client = Connection::new(stream);
-    while serve_request(&core, &mut client).await {}
-    if core.stop.is_stopping() && !client.keeps_alive() {
+    let mut client = Connection::of_caller(stream, held);
+    while serve_request(&core, &mut client, &admitted).await {
+        admitted.note_served();
+    }
+    if client.has_discarded() {
+        close_gracefully(&mut client, LINGER_TIMEOUT, &admitted.wait()).await;
+    } else if core.stop.is_stopping() && !client.keeps_alive() {
         // Bytes that the operating system still holds may be lost when the process exits.
-        close_gracefully(&mut client, STOP_LINGER_TIMEOUT).await;
+        close_gracefully(&mut client, STOP_LINGER_TIMEOUT, &admitted.wait()).await;
     }
 }
 
 /// Serves one request; returns whether the connection stays open.
-async fn serve_request(core: &Shared, client: &mut Connection) -> bool {
+async fn serve_request(core: &Shared, client: &mut Connection, admitted: &Admitted<'_>) -> bool {
     let limits = core
         .configuration()
         .map(|configuration| configuration.limits)
         .unwrap_or_default();
-    if client.buffer.is_empty() && !wait_for_request(core, client, &limits).await {
+    let waiting = admitted.wait();
+    client.shrink_buffer();
+    if client.buffer.is_empty() && !wait_for_request(core, client, &limits, &waiting).await {
         return false;
     }
     let response = client.write_mark();
     let open = core.open_requests.begin(core.now(), response.clone());
     let received = tokio::select! {
         biased;
-        received = receive(core, client, &limits, &open) => received,
+        received = receive(core, client, &limits, &open, waiting) => received,
         () = stop::wait_answer_time(core, &response) => Err(ReceiveError::Rejected {
             status: 503,
             why: stop::REASON,
@@ -91,156 +97,25 @@
         arrived,
     } = match received {
         Ok(received) => received,
-        Err(ReceiveError::Rejected { status, why }) => return reject_unread(core, client, status, why).await,
+        Err(ReceiveError::Rejected { status, why }) => {
+            return reject_unread(core, client, admitted, status, why).await;
+        }
         Err(ReceiveError::Closed) => return false,
     };
     open.note_waiting();
     let goes_on = handle(core, client, &query, &body, arrived, &open).await;
     drop(held);
-    goes_on && query.keep_alive && client.keeps_alive()
-}
-
-/// A request that has been received.
-struct Received<'a> {
-    query: RequestHead,
-    body: Bytes,
-    /// Memory of the body.
-    held: HeldBody<'a>,
-    /// When its head had been received.
-    arrived: Moment,
-}
-
-/// Why a request was not received.
-pub enum ReceiveError {
-    /// It is rejected with this status.
-    Rejected {
-        /// The status.
-        status: u16,
-        /// The reason.
-        why: &'static str,
-    },
-    /// The caller has closed the connection.
-    Closed,
-}
-
-impl ReceiveError {
-    fn of_body(status: u16) -> Self {
-        Self::Rejected { status, why: "body" }
-    }
-
-    /// Returns the error as one of the body, whatever is wrong with it.
-    fn within_body(self) -> Self {
-        match self {
-            Self::Rejected { status, .. } => Self::of_body(status),
-            Self::Closed => Self::Closed,
-        }
-    }
-}
-
-impl From<Error> for ReceiveError {
-    fn from(why: Error) -> Self {
-        match why {
-            Error::HeadTooLong(_) => Self::Rejected {
-                status: 431,
-                why: "long_head",
-            },
-            Error::Malformed(why) => Self::Rejected { status: 400, why },
-            _ => Self::Closed,
-        }
-    }
-}
-
-/// Receives the head and the body of a request.
-async fn receive<'a>(
-    core: &'a Shared,
-    client: &mut Connection,
-    limits: &CallerLimits,
-    open: &OpenRequest<'_>,
-) -> Result<Received<'a>, ReceiveError> {
-    let head = timeout(limits.head_timeout, client.read_request(limits.max_head_bytes)).await;
-    let query = head.map_err(|_| ReceiveError::Rejected {
-        status: 408,
-        why: "slow_head",
-    })??;
-    let arrived = core.now();
-    open.set_id(
-        query
-            .headers
-            .text(core.header_names.request_id)
-            .unwrap_or_default(),
-    );
-    let (body, held) = read_body(core, client, &query, limits).await?;
-    Ok(Received {
-        query,
-        body,
-        held,
-        arrived,
-    })
-}
-
-/// Waits for the first byte of a request; returns false if the connection is closed or should be.
-async fn wait_for_request(core: &Shared, client: &mut Connection, limits: &CallerLimits) -> bool {
-    tokio::select! {
-        // A request that has arrived goes before a close.
-        biased;
-        filled = client.fill() => return matches!(filled, Ok(read) if read > 0),
-        () = sleep(limits.idle_timeout) => {}
-        () = wait_idle_stop(core) => {}
-    }
-    client.fill_pending().await
-}
-
-/// Waits until an idle connection may be closed during a graceful shutdown.
-async fn wait_idle_stop(core: &Shared) {
-    let schedule = core.stop.wait_begun().await;
-    let noticed = (schedule.signalled_at() + stop::UNREADY_NOTICE_TIME).saturating_sub(core.now());
-    sleep(noticed.max(STOP_IDLE_TIME)).await;
-}
-
-/// Reads the whole body. Memory for it is held before it arrives, so that bodies which are being received count.
-///
-/// # Errors
-/// The body is rejected, or the caller has closed the connection.
-pub async fn read_body<'a>(
-    core: &'a Core,
-    client: &mut Connection,
-    query: &RequestHead,
-    limits: &CallerLimits,
-) -> Result<(Bytes, HeldBody<'a>), ReceiveError> {
-    let stated = match query.framing {
-        Framing::Length(length) => usize::try_from(length).unwrap_or(usize::MAX),
-        Framing::Chunked | Framing::UntilClose => 0,
-    };
-    if stated > limits.max_body_bytes {
-        return Err(ReceiveError::of_body(413));
-    }
-    let mut held = core.body_memory.hold(stated).ok_or(ReceiveError::of_body(503))?;
-    if query.headers.has_token("expect", "100-continue") {
-        client
-            .send(b"HTTP/1.1 100 Continue\r\n\r\n")
-            .await
-            .map_err(|_| ReceiveError::Closed)?;
-        // The response has not begun.
-        client.write_mark().clear();
-    }
-    let check = |bytes| {
-        if bytes > limits.max_body_bytes {
-            Err(ReceiveError::of_body(413))
-        } else if held.grow_to(bytes) {
-            Ok(())
-        } else {
-            Err(ReceiveError::of_body(503))
-        }
-    };
-    let received = client.read_checked_body(BodyDecoder::new(query.framing), stated, check);
-    let received = timeout(BODY_TIMEOUT, received)
-        .await
-        .map_err(|_| ReceiveError::of_body(408))?;
-    Ok((received.map_err(ReceiveError::within_body)?, held))
+    goes_on && query.keep_alive && client.keeps_alive() && !client.has_discarded()
 }
 
 /// Rejects a request that was not read completely, and closes the connection.
-async fn reject_unread(core: &Shared, client: &mut Connection, status: u16, why: &str) -> bool {
+async fn reject_unread(
+    core: &Shared,
+    client: &mut Connection,
+    admitted: &Admitted<'_>,
+    status: u16,
+    why: &str,
+) -> bool {
     core.metrics.count_outcome("bad_input", status);
     emit!(core.logger, info, event::REQUEST_REFUSED, "status" => status, "why" => why);
     if client
@@ -248,21 +123,24 @@
         .await
         .is_ok()
     {
-        close_gracefully(client, LINGER_TIMEOUT).await;
+        close_gracefully(client, LINGER_TIMEOUT, &admitted.wait()).await;
     }
     false
 }
 
 /// Closes the write side, and reads until the caller has closed its side, which shows that it has the whole response. One
-/// that doesn't close it within the timeout is cut off.
-async fn close_gracefully(client: &mut Connection, limit: Duration) {
+/// that doesn't close it within the timeout is cut off, earlier if there are too many connections.
+async fn close_gracefully(client: &mut Connection, limit: Duration, waiting: &Waiting<'_>) {
     client.shutdown_write().await;
     let drained = async {
         while matches!(client.fill().await, Ok(read) if read > 0) {
             client.buffer.clear()
         }
     };
-    let _ = timeout(limit, drained).await;
+    tokio::select! {
+        _ = timeout(limit, drained) => {}
+        () = waiting.evicted() => {}
+    }
 }
 
 /// Waits for the first verified configuration if the box has just started. A rejected caller would retry at once,
--- a/crates/jb-relay/src/http/connection.rs
+++ b/crates/jb-relay/src/http/connection.rs
@@ -13,11 +13,18 @@
 use tokio::time::{Instant, timeout_at};
 
 use super::{BodyDecoder, Error, RequestHead, ResponseHead, Step};
+use crate::callers::Hold;
 
 /// Buffer space reserved for one read, in bytes: several times the size of an event of a stream.
 const READ_BYTES: usize = 4096;
-/// Maximum size of pipelined requests that are buffered while one is served, in bytes.
+/// Maximum size of pipelined requests that are buffered while one is served, in bytes. More are read and dropped, as they would
+/// otherwise stay in the memory of the operating system, and the connection closes after the response.
 const MAX_PIPELINED_BYTES: usize = 16 * 1024;
+/// Size of the buffer that the memory of a caller's connection includes, in bytes.
+const INCLUDED_BUFFER_BYTES: usize = 2 * READ_BYTES;
+
+/// Receive buffer of the operating system for a connection with a large body, in bytes.
+const LARGE_RECEIVE_BUFFER_BYTES: usize = 32 << 10;
 
 /// Time within which the trailers of a body have to end, as nothing is left to compute then.
 const TRAILER_TIMEOUT: Duration = Duration::from_secs(1);
@@ -72,6 +79,10 @@
     trailers_until: Option<Instant>,
     written: WriteMark,
     keeps_alive: bool,
+    /// Memory of the connection, if it is a caller's.
+    held: Option<Hold>,
+    /// Whether bytes behind a request were dropped.
+    has_discarded: bool,
 }
 
 impl Connection {
@@ -83,16 +94,55 @@
             trailers_until: None,
             written: WriteMark::default(),
             keeps_alive: true,
+            held: None,
+            has_discarded: false,
+        }
+    }
+
+    /// Wraps the stream of a caller. What `held` holds includes a small buffer.
+    pub fn of_caller(stream: TcpStream, held: Hold) -> Self {
+        Self {
+            held: Some(held),
+            ..Self::new(stream)
         }
     }
 
     /// Reads available bytes into the buffer and returns their number; zero if the peer has closed its side.
     ///
     /// # Errors
-    /// Returns I/O errors of the operating system.
-    pub async fn fill(&mut self) -> io::Result<usize> {
+    /// Returns I/O errors of the operating system, and [`Error::NoMemory`] on a caller's connection.
+    pub async fn fill(&mut self) -> Result<usize, Error> {
+        self.hold_buffer(self.buffer.len() + READ_BYTES)?;
         self.buffer.reserve(READ_BYTES);
-        self.stream.read_buf(&mut self.buffer).await
+        Ok(self.stream.read_buf(&mut self.buffer).await?)
+    }
+
+    /// Holds memory for a buffer that has to grow to this many bytes, which may double its size.
+    fn hold_buffer(&mut self, bytes: usize) -> Result<(), Error> {
+        let Some(held) = &mut self.held else { return Ok(()) };
+        if bytes <= INCLUDED_BUFFER_BYTES || bytes <= self.buffer.capacity() {
+            return Ok(());
+        }
+        let included = held.included();
+        if held.grow_to(included + 2 * bytes) {
+            Ok(())
+        } else {
+            Err(Error::NoMemory)
+        }
+    }
+
+    /// Lets the operating system receive a large body at full speed. A system that doesn't allow it receives it more slowly.
+    pub fn widen_receive_buffer(&self) {
+        let _ = socket2::SockRef::from(&self.stream).set_recv_buffer_size(LARGE_RECEIVE_BUFFER_BYTES);
+    }
+
+    /// Frees a large buffer that is empty.
+    pub fn shrink_buffer(&mut self) {
+        let Some(held) = &mut self.held else { return };
+        if self.buffer.is_empty() && held.bytes() > held.included() {
+            self.buffer = BytesMut::new();
+            held.shrink_to(held.included());
+        }
     }
 
     /// Reads input that has arrived before a timer fired; returns whether there was any.
@@ -117,18 +167,31 @@
         is_empty && self.buffer.is_empty()
     }
 
-    /// Waits until the peer closes the connection, buffering what it sends in the meantime.
+    /// Waits until the peer closes the connection, buffering what it sends in the meantime, up to a limit.
     pub async fn wait_closed(&mut self) {
         loop {
-            if self.buffer.len() >= MAX_PIPELINED_BYTES {
-                std::future::pending::<()>().await;
+            if self.has_discarded || self.buffer.len() >= MAX_PIPELINED_BYTES {
+                self.discard();
             }
-            if !matches!(self.fill().await, Ok(read) if read > 0) {
-                return;
+            match self.fill().await {
+                Ok(read) if read > 0 => {}
+                Err(Error::NoMemory) => self.discard(),
+                _ => return,
             }
         }
     }
 
+    /// Drops what is buffered. What follows on the connection has no beginning any more.
+    fn discard(&mut self) {
+        self.has_discarded = true;
+        self.buffer.clear();
+    }
+
+    /// Returns whether bytes behind a request were dropped, so that the connection can't carry another one.
+    pub fn has_discarded(&self) -> bool {
+        self.has_discarded
+    }
+
     /// Reads the next request head.
     ///
     /// # Errors
@@ -203,43 +266,19 @@
         let now = Instant::now();
         let until = *self.trailers_until.get_or_insert(now + TRAILER_TIMEOUT);
         let read = timeout_at(until, self.fill()).await;
-        Ok(read.map_err(|_| Error::Malformed("trailers do not end"))??)
+        read.map_err(|_| Error::Malformed("trailers do not end"))?
     }
 
     /// Reads a whole body of at most `max_bytes` bytes.
     ///
     /// # Errors
     /// Returns [`Error::BodyTooLong`], and errors as [`Self::read_data`].
-    pub async fn read_body(&mut self, body: BodyDecoder, max_bytes: usize) -> Result<Bytes, Error> {
-        let check = |bytes| {
-            if bytes > max_bytes {
-                Err(Error::BodyTooLong(max_bytes))
-            } else {
-                Ok(())
-            }
-        };
-        self.read_checked_body(body, 0, check).await
-    }
-
-    /// Reads a whole body, which is expected to have this many bytes. `check` is called with its size before each part is
-    /// added.
-    ///
-    /// # Errors
-    /// Returns those of `check`, and errors as [`Self::read_data`].
-    pub async fn read_checked_body<E: From<Error>>(
-        &mut self,
-        mut body: BodyDecoder,
-        expected_bytes: usize,
-        mut check: impl FnMut(usize) -> Result<(), E>,
-    ) -> Result<Bytes, E> {
-        let Some(first) = self.read_data(&mut body).await? else {
-            return Ok(Bytes::new());
-        };
-        check(first.len())?;
-        let mut all = BytesMut::from(first);
-        all.reserve(expected_bytes.saturating_sub(all.len()));
+    pub async fn read_body(&mut self, mut body: BodyDecoder, max_bytes: usize) -> Result<Bytes, Error> {
+        let mut all = BytesMut::new();
         while let Some(part) = self.read_data(&mut body).await? {
-            check(all.len() + part.len())?;
+            if all.len() + part.len() > max_bytes {
+                return Err(Error::BodyTooLong(max_bytes));
+            }
             all.extend_from_slice(&part);
         }
         Ok(all.freeze())
--- a/crates/jb-relay/src/http/mod.rs
+++ b/crates/jb-relay/src/http/mod.rs
@@ -23,6 +23,9 @@
     /// The body exceeds the limit.
     #[error("message body exceeds {0} bytes")]
     BodyTooLong(usize),
+    /// There is no memory for more bytes of the message.
+    #[error("no memory for more bytes of the message")]
+    NoMemory,
     /// The peer closed before the message was complete.
     #[error("connection closed in the middle of a message")]
     Truncated,
--- a/crates/jb-relay/src/metrics.rs
+++ b/crates/jb-relay/src/metrics.rs
@@ -74,6 +74,10 @@
     pub stream_origins_recorded: Counter,
     /// Connections opened to upstreams.
     pub connections_opened: Counter,
+    /// Connections of callers without a request that were closed for others.
+    pub connections_evicted: Counter,
+    /// Connections of callers that were closed at once, as there were too many.
+    pub connections_refused: Counter,
     /// Services of which no upstream can be reached from this box.
     pub uplinks_down: Gauge,
     /// Upstreams in rotation that have refused all connections.
@@ -135,6 +139,8 @@
         let stream_origins_unknown = Counter::default();
         let stream_origins_recorded = Counter::default();
         let connections_opened = Counter::default();
+        let connections_evicted = Counter::default();
+        let connections_refused = Counter::default();
         let uplinks_down = Gauge::default();
         let upstreams_without_contact = Gauge::default();
         let requests_forwarded = Counter::default();
@@ -233,6 +239,16 @@
             "Connections opened to upstreams",
             connections_opened.clone(),
         );
+        registry.register(
+            "connections_evicted",
+            "Connections of callers without a request that were closed for others",
+            connections_evicted.clone(),
+        );
+        registry.register(
+            "connections_refused",
+            "Connections of callers that were closed at once, as there were too many",
+            connections_refused.clone(),
+        );
         registry.register(
             "uplinks_down",
             "Services of which no upstream can be reached from this box",
@@ -320,6 +336,8 @@
             stream_origins_unknown,
             stream_origins_recorded,
             connections_opened,
+            connections_evicted,
+            connections_refused,
             uplinks_down,
             upstreams_without_contact,
             requests_forwarded,
--- a/crates/jb-relay/src/start.rs
+++ b/crates/jb-relay/src/start.rs
@@ -12,6 +12,7 @@
 use tokio::task::{LocalSet, spawn_local};
 use tokio::time::sleep;
 
+use crate::callers::state_size;
 use crate::core::{Components, Core, Shared};
 use crate::leader::Leader;
 use crate::open_request::Phase;
@@ -56,8 +57,11 @@
     /// # Errors
     /// If the box can't listen on one of them.
     pub async fn new(settings: &Settings) -> std::io::Result<Self> {
-        let callers = listen(settings.caller_address)?;
-        let checks = listen(settings.readiness_address)?;
+        let callers = bind(settings.caller_address)?;
+        // Connections take it over. A system that doesn't allow it receives more than is counted.
+        let _ = callers.set_recv_buffer_size(front::RECEIVE_BUFFER_BYTES as u32);
+        let callers = callers.listen(ACCEPT_BACKLOG)?;
+        let checks = bind(settings.readiness_address)?.listen(ACCEPT_BACKLOG)?;
         let (socket, transfers) = peers::bind(settings.ip, settings.peer_ports.clone()).await?;
         Ok(Self {
             callers,
@@ -89,6 +93,7 @@
     let mut reload = signal(SignalKind::hangup())?;
     let listeners = Listeners::new(&core.settings).await?;
     start(&core, listeners)?;
+    spawn_local(state_size::measure(Rc::clone(&core)));
     loop {
         tokio::select! {
             _ = terminate.recv() => break,
@@ -146,6 +151,7 @@
     loop {
         sleep(CLEANUP_INTERVAL).await;
         suspended = note_suspension(&core, suspended);
+        note_closed_connections(&core);
         pool::close_expired(&core);
         peers::expire_reservations(&core);
         peers::expire_stream_origins(&core);
@@ -153,6 +159,17 @@
     }
 }
 
+/// Logs and counts callers' connections that were closed since the last check, as there were too many.
+fn note_closed_connections(core: &Core) {
+    let (evicted, refused) = core.callers.connections.take_closed();
+    core.metrics.connections_evicted.inc_by(evicted);
+    core.metrics.connections_refused.inc_by(refused);
+    if evicted + refused > 0 {
+        emit!(core.logger, warn, event::CONNECTIONS_CLOSED, "evicted" => evicted, "refused" => refused,
+            "open" => core.stop.connections(), "held" => core.callers.memory.held());
+    }
+}
+
 /// Logs a suspension of the machine since the last check. Nothing else has to react to it: the age of the state is
 /// checked whenever the state is used.
 fn note_suspension(core: &Core, before: Duration) -> Duration {
@@ -213,7 +230,7 @@
     }
 }
 
-fn listen(address: SocketAddr) -> std::io::Result<TcpListener> {
+fn bind(address: SocketAddr) -> std::io::Result<TcpSocket> {
     let socket = if address.is_ipv4() {
         TcpSocket::new_v4()?
     } else {
@@ -221,5 +238,5 @@
     };
     socket.set_reuseaddr(true)?;
     socket.bind(address)?;
-    socket.listen(ACCEPT_BACKLOG)
+    Ok(socket)
 }
