Take a response whose status HTTP does not have for none

Callers saw: 600 and 999 given to them as an answer; 504 after their deadline where an engine answered 000 or 099, while others were free; behind the completions door 600 and 999, too.

Cause: any status below 200 was taken for that of an interim response, for whose end the box waited, and none was too high.

Change: a head whose status isn't from 100 to 599, or is 101, is malformed wherever the box reads one: engines, their reports, the store, another box. The request is repeated where its route allows it, or gets 502 at once. Plain services: a status above 599 is a violation of the protocol.

--- a/crates/jb-relay/src/http/head.rs
+++ b/crates/jb-relay/src/http/head.rs
@@ -1,11 +1,17 @@
 //! Parsing and writing of request and response heads.
 
+use std::ops::RangeInclusive;
+
 use bytes::{BufMut as _, Bytes, BytesMut};
 
 use super::{Error, Framing};
 
 /// Maximum number of header lines in a head; a head with more is rejected as malformed.
 const MAX_HEADERS: usize = 96;
+/// Status codes of HTTP (RFC 9110, section 15). Responses with any other one, or with 101, have no defined end.
+const STATUSES: RangeInclusive<u16> = 100..=599;
+/// Status of a response after which the connection carries another protocol.
+const SWITCHING_PROTOCOLS: u16 = 101;
 /// Hop-by-hop headers, which are never forwarded (RFC 9110, section 7.6.1).
 const HOP_BY_HOP: &[&str] = &[
     "connection",
@@ -210,6 +216,12 @@
             return Err(Error::Malformed("invalid response head"));
         }
         let status = parsed.code.unwrap_or_default();
+        if !STATUSES.contains(&status) {
+            return Err(Error::Malformed("status outside the classes of HTTP"));
+        }
+        if status == SWITCHING_PROTOCOLS {
+            return Err(Error::Malformed("switch to a protocol that was not requested"));
+        }
         let is_http_1_0 = parsed.version == Some(0);
         let headers = to_headers(&raw, parsed.headers);
         let empty = status < 200 || status == 204 || status == 304;
--- a/crates/jb-upstream/src/plain.rs
+++ b/crates/jb-upstream/src/plain.rs
@@ -14,6 +14,8 @@
 use crate::error::Failure;
 use crate::{head, sse};
 
+/// Highest status code of HTTP (RFC 9110, section 15).
+const MAX_STATUS: u16 = 599;
 /// Maximum length of a response body accepted from a plain service.
 const MAX_ANSWER_BYTES: usize = 8 << 20;
 
@@ -137,6 +139,9 @@
         return Err(Failure::Protocol("an answer to another attempt".to_owned()));
     }
     let status = answer.status().as_u16();
+    if status > MAX_STATUS {
+        return Err(Failure::Protocol(format!("{status} is no status of HTTP")));
+    }
     let content_type = text("content-type");
     let may_be_cut_off = ends_by_close(&answer) && text("content-encoding").is_none();
     let body = answer
--- a/crates/jb-upstream/tests/cut_off.rs
+++ b/crates/jb-upstream/tests/cut_off.rs
@@ -243,3 +243,15 @@
         assert_eq!(got.body, body, "{answer}");
     }
 }
+
+/// Callers got 600 and 999 as the answer of a service.
+#[tokio::test]
+async fn plain_response_with_a_status_that_http_does_not_have_is_no_answer() {
+    for status in ["000", "099", "00", "600", "999"] {
+        for framing in ["Content-Length: 2\r\n", ""] {
+            let answer = format!("HTTP/1.1 {status} Odd\r\n{framing}\r\nhi");
+            let got = call("GET", answer, Close::Orderly).await;
+            assert!(got.is_err(), "{status} {framing:?}: {got:?}");
+        }
+    }
+}
