Measure the state of a box without what its callers hold

Cause: a reading of the process's memory counted buffered responses as state, since no request held a body just then, and the limit had no lower bound.

Change: one reading as the state has loaded, later ones only while no caller is connected; callers always get a quarter of the memory.

--- a/crates/jb-policy/src/caller_limit.rs
+++ b/crates/jb-policy/src/caller_limit.rs
@@ -7,6 +7,8 @@
 /// Part of the memory that is kept free beside the state of the box: for bytes that only the operating system has received, for
 /// connections to upstreams, and for what the allocator can't use again.
 const MARGIN_SHARE: f64 = 1.0 / 6.0;
+/// Part of the memory that callers get whatever the state of the box takes: without it, nothing could be served.
+const MIN_SHARE: f64 = 0.25;
 /// Part of the callers' memory that large bodies may use. The rest keeps ordinary requests served beside them.
 const LARGE_SHARE: f64 = 8.0 / 9.0;
 /// Size up to which a body is no large one, in bytes.
@@ -37,9 +39,9 @@
 impl MemoryLimit {
     /// Returns the limits of a box with this much memory, of which its state takes a part.
     pub fn new(memory_bytes: usize, state_bytes: usize) -> Self {
-        let share = memory_bytes as f64 * MEMORY_SHARE;
-        let left = memory_bytes as f64 * (1.0 - MARGIN_SHARE) - state_bytes as f64;
-        let total = share.min(left).max(0.0);
+        let memory = memory_bytes as f64;
+        let left = memory * (1.0 - MARGIN_SHARE) - state_bytes as f64;
+        let total = left.clamp(memory * MIN_SHARE, memory * MEMORY_SHARE);
         Self {
             total: total as usize,
             large: (total * LARGE_SHARE) as usize,
--- a/crates/jb-relay/src/callers/state_size.rs
+++ b/crates/jb-relay/src/callers/state_size.rs
@@ -20,28 +20,26 @@
 
 /// Measures the memory of the loaded state, and limits that of callers by it.
 pub async fn measure(core: Shared) {
-    let mut largest = 0;
-    let mut after_load = 0;
-    while after_load < READINGS {
-        largest = largest.max(state_bytes(&core).unwrap_or_default());
+    while core.state_age().is_none() {
+        sleep(LOADING_INTERVAL).await;
+    }
+    let mut largest = state_bytes(&core).unwrap_or_default();
+    for _ in 0..READINGS {
         core.callers.memory.note_state(largest);
-        let is_loaded = core.state_age().is_some();
-        after_load += usize::from(is_loaded);
-        sleep(if is_loaded { INTERVAL } else { LOADING_INTERVAL }).await;
+        sleep(INTERVAL).await;
+        // With callers, the difference would also hold what isn't counted of them, and what they have freed.
+        if core.callers.memory.held() == 0 {
+            largest = largest.max(state_bytes(&core).unwrap_or_default());
+        }
     }
     let limit = core.callers.memory.limit();
     emit!(core.logger, info, event::CALLER_MEMORY, "state" => largest, "callers" => limit.total, "bodies" => limit.large);
 }
 
-/// Returns the memory of the process without what callers hold; `None` while they hold bodies, which may fill only a part of
-/// what is held, or if the operating system doesn't report it.
+/// Returns the memory of the process without what callers hold; `None` if the operating system doesn't report it.
 fn state_bytes(core: &Core) -> Option<usize> {
-    let memory = &core.callers.memory;
-    if memory.held_by_bodies() > 0 {
-        return None;
-    }
     let status = std::fs::read_to_string(STATUS_FILE).ok()?;
     let line = status.lines().find_map(|line| line.strip_prefix(RESIDENT))?;
     let kilobytes: usize = line.trim().strip_suffix("kB")?.trim().parse().ok()?;
-    Some((kilobytes << 10).saturating_sub(memory.held()))
+    Some((kilobytes << 10).saturating_sub(core.callers.memory.held()))
 }
