Count responses that are buffered in the account of callers

Callers saw: with one engine that never ends its responses and 150 callers, a box of 48 MB took 59 MB.

Cause: up to 512 KB of each response are buffered, twice while they are sent, and counted as nothing; a response that was passed on then kept its first buffer until it ended.

Change: a response above 8 KB counts by its buffers; without memory for it, it is passed on as it arrives, as one above 512 KB is.

--- a/crates/jb-relay/src/callers/memory.rs
+++ b/crates/jb-relay/src/callers/memory.rs
@@ -26,6 +26,8 @@
     Connection,
     /// A request with its body.
     Request,
+    /// A response that is buffered.
+    Response,
 }
 
 /// Memory for callers.
@@ -122,6 +124,7 @@
         match self.purpose {
             Use::Connection => CONNECTION_BYTES,
             Use::Request => REQUEST_BYTES,
+            Use::Response => 0,
         }
     }
 
--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -10,6 +10,7 @@
 
 use crate::admission::AdmittedRequest;
 use crate::attempt::{Message, Reply};
+use crate::callers::{Hold, Use};
 use crate::core::Shared;
 use crate::events::{Boundary, EventSplitter, MAX_EVENT_BYTES};
 use crate::http::{self, Connection, Framing, ResponseHead, write_response_head};
@@ -18,6 +19,8 @@
 
 /// Largest response body that is buffered as a whole, so that a response that is cut off never reaches the caller.
 const MAX_BUFFERED_BYTES: usize = 512 * 1024;
+/// Size of a response up to which the memory of its request includes it, in bytes.
+const INCLUDED_BYTES: usize = 8 * 1024;
 /// Why a stream is left that sends nothing.
 pub const STALLED: &str = "stream stalled";
 /// End of a chunked body.
@@ -130,6 +133,7 @@
     progress: &mut impl Progress,
 ) -> DeliveryOutcome {
     let mut body = BytesMut::new();
+    let mut held = core.callers.memory.account(Use::Response);
     let mut stall = Stall::new(core, request);
     let stall_timeout = request
         .route
@@ -149,7 +153,7 @@
                 stall.restart(core.now());
                 stall.give_up_at = request.deadline;
             }
-            Part::Data(data) if body.len() + data.len() > MAX_BUFFERED_BYTES => {
+            Part::Data(data) if !may_buffer(&mut held, body.len() + data.len()) => {
                 body.extend_from_slice(&data);
                 return deliver_unbuffered(core, request, reply, client, body).await;
             }
@@ -177,6 +181,12 @@
     }
 }
 
+/// Returns whether this much of a response is buffered. A small part is included in the memory of its request.
+fn may_buffer(held: &mut Hold, bytes: usize) -> bool {
+    // The buffer doubles as it grows, and is copied once to be sent with the head.
+    bytes <= INCLUDED_BYTES || (bytes <= MAX_BUFFERED_BYTES && held.grow_to(2 * bytes))
+}
+
 /// Forwards a response that is too large to be buffered.
 async fn deliver_unbuffered(
     core: &Shared,
@@ -191,11 +201,13 @@
     };
     let mut out = head(core, client, &reply.answer, framing);
     put_data(&mut out, framing, &first);
+    drop(first);
     loop {
         if client.send(&out).await.is_err() {
             return DeliveryOutcome::CallerGone;
         }
-        out.clear();
+        // Keeps no buffer of the size of the first part.
+        out = BytesMut::new();
         let left = request.deadline.saturating_sub(core.now());
         match next_part(&mut reply, client, left, None).await {
             Part::Data(data) => put_data(&mut out, framing, &data),
--- a/crates/jb-soak/tests/crowds.rs
+++ b/crates/jb-soak/tests/crowds.rs
@@ -13,10 +13,10 @@
 use std::sync::{Mutex, PoisonError};
 use std::time::Duration;
 
-use jb_relay::http::Connection;
+use jb_relay::http::{Connection, Framing};
 use jb_site_fakes::caller::{Caller, request};
 use jb_site_fakes::document::{self, Bounds, ROUTES};
-use jb_site_fakes::engine::Engine;
+use jb_site_fakes::engine::{Action, Engine, Flood, FloodPoint};
 use jb_site_fakes::store::Store;
 use jb_soak::boxes::Box;
 use tokio::io::{AsyncReadExt as _, AsyncWriteExt as _};
@@ -41,6 +41,8 @@
 const CROWD_TIME: Duration = Duration::from_secs(4);
 /// Time after which an ordinary caller tries again.
 const ATTEMPT_TIMEOUT: Duration = Duration::from_secs(2);
+/// The same where an engine is faulty: the time of its route, within which another engine answers.
+const ROUTE_TIMEOUT: Duration = Duration::from_secs(5);
 /// Time after which a process counts as one that hangs.
 const HANG_TIMEOUT: Duration = Duration::from_secs(30);
 /// Interval at which memory and descriptors are looked at.
@@ -101,7 +103,7 @@
             max_fds,
             _folder: folder,
         });
-        world.serve_ordinary_request("first").await;
+        world.serve_ordinary_request("first", ATTEMPT_TIMEOUT).await;
         spawn_local(Rc::clone(&world).sample());
         world
     }
@@ -146,14 +148,18 @@
     }
 
     /// Sends an ordinary request until it is answered, as a client does that tries again.
-    async fn serve_ordinary_request(&self, name: &str) {
+    async fn serve_ordinary_request(&self, name: &str, attempt_timeout: Duration) {
         let until = Instant::now() + HANG_TIMEOUT;
         for attempt in 0.. {
             let id = format!("{name}-{attempt}");
-            if let Ok(Some(200)) = timeout(ATTEMPT_TIMEOUT, self.ask(&id)).await {
+            if let Ok(Some(200)) = timeout(attempt_timeout, self.ask(&id)).await {
                 return;
             }
-            assert!(Instant::now() < until, "no ordinary request is answered");
+            assert!(
+                Instant::now() < until,
+                "no ordinary request is answered: {}",
+                self.log_of(name)
+            );
             sleep(Duration::from_millis(50)).await;
         }
     }
@@ -165,6 +171,13 @@
         Some(answer.status())
     }
 
+    /// Returns the lines of the log that hold a text.
+    fn log_of(&self, text: &str) -> String {
+        let log = std::fs::read_to_string(self.one.log()).unwrap_or_default();
+        let lines = log.lines().filter(|line| line.contains(text));
+        lines.collect::<Vec<_>>().join("\n")
+    }
+
     fn assert_within_bounds(&self) {
         assert!(self.one.is_running(), "the process has ended");
         let (peak, sampled) = (self.memory("VmHWM"), self.peak_bytes.get());
@@ -230,17 +243,17 @@
 where
     F: Future<Output = ()> + 'static,
 {
-    run_in(max_fds, |world| gather(world, count, member));
+    run_in(max_fds, ATTEMPT_TIMEOUT, |world| gather(world, count, member));
 }
 
-fn run_in(max_fds: usize, begin: impl FnOnce(&Rc<World>)) {
+fn run_in(max_fds: usize, attempt_timeout: Duration, begin: impl FnOnce(&Rc<World>)) {
     let _guard = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
     let runtime = tokio::runtime::Builder::new_current_thread().enable_all().build();
     LocalSet::new().block_on(&runtime.expect("a runtime"), async {
         let world = World::start(max_fds).await;
         begin(&world);
         sleep(CROWD_TIME).await;
-        world.serve_ordinary_request("ordinary").await;
+        world.serve_ordinary_request("ordinary", attempt_timeout).await;
         world.assert_within_bounds();
     });
 }
@@ -378,7 +391,7 @@
 /// Guards against a box that keeps, or leaves unread, what clients send behind a request that is being served.
 #[test]
 fn crowd_that_sends_on_behind_a_request() {
-    run_in(1200, |world| {
+    run_in(1200, ATTEMPT_TIMEOUT, |world| {
         for engine in &world.engines {
             engine.prefill.set(Duration::from_secs(1));
         }
@@ -391,6 +404,26 @@
     });
 }
 
+/// Guards against a box that ends at responses without end, which it buffers for many callers at the same time.
+#[test]
+fn crowd_of_callers_whose_engine_never_ends_its_responses() {
+    let piece: &'static str = std::boxed::Box::leak("x".repeat(16 << 10).into_boxed_str());
+    run_in(1200, ROUTE_TIMEOUT, |world| {
+        let flood = Flood {
+            within: FloodPoint::Body(Framing::Chunked),
+            piece,
+            pause: Duration::from_millis(100),
+        };
+        let engine = Rc::clone(&world.engines[0]);
+        engine.enqueue(&vec![Action::Flood(flood); 10_000]);
+        gather(world, 150, |number, mut stream| async move {
+            let first = request("POST", "/safe/a", &format!("crowd-{number}"), "", "");
+            send(&mut stream, [first.into_bytes()]).await;
+            wait_closed(&mut stream).await;
+        });
+    });
+}
+
 /// All of them together.
 #[test]
 fn crowd_of_many_kinds() {
