Read responses behind the completions door up to a limit

Callers saw: with a plain service, or an engine's report, that never ends its response, the process kept all of it until the call's time limit, and could run out of memory with the requests of all callers.

Cause: the body was read whole, and its length checked afterwards, or not at all.

Change: bodies are read part by part, up to 8 MB of a plain service, and 256 KB of a report or an error response, and the connection is closed beyond.

--- a/crates/jb-upstream/src/engine.rs
+++ b/crates/jb-upstream/src/engine.rs
@@ -14,6 +14,7 @@
 use reqwest::Response;
 use tokio::time::timeout;
 
+use crate::body;
 use crate::error::Failure;
 use crate::head;
 use crate::sse;
@@ -22,6 +23,8 @@
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(1000);
 /// Time limit for the response to a report request or an order.
 const CONTROL_TIMEOUT: Duration = Duration::from_millis(1000);
+/// Maximum length of a report, and of an error response, in bytes: many may arrive at once.
+const MAX_CONTROL_BYTES: usize = 256 << 10;
 /// Maximum number of idle connections kept in the pool for each upstream.
 const MAX_IDLE_CONNECTIONS: usize = 64;
 
@@ -107,10 +110,8 @@
             .get(format!("http://{at}{PATH_REPORT}"))
             .timeout(CONTROL_TIMEOUT);
         let answer = request.send().await.map_err(Failure::from_http)?;
-        answer
-            .json()
-            .await
-            .map_err(|e| Failure::Protocol(e.without_url().to_string()))
+        let body = body::read(answer, MAX_CONTROL_BYTES).await?;
+        serde_json::from_slice(&body).map_err(|e| Failure::Protocol(e.to_string()))
     }
 
     async fn order(&self, at: SocketAddr, order: &Order) -> Result<(), Failure> {
@@ -130,8 +131,10 @@
 /// status code alone does not.
 async fn read_refusal(answer: Response) -> Failure {
     let status = answer.status();
-    match answer.json::<Refusal>().await {
-        Ok(refusal) if refusal.not_run => Failure::Denied(Denial::from_upstream(refusal.reason)),
+    let body = timeout(CONTROL_TIMEOUT, body::read(answer, MAX_CONTROL_BYTES)).await;
+    let refusal = body.ok().and_then(Result::ok);
+    match refusal.as_deref().map(serde_json::from_slice::<Refusal>) {
+        Some(Ok(refusal)) if refusal.not_run => Failure::Denied(Denial::from_upstream(refusal.reason)),
         _ => Failure::Lost(format!("status {status} without a word on whether it ran")),
     }
 }
--- a/crates/jb-upstream/src/plain.rs
+++ b/crates/jb-upstream/src/plain.rs
@@ -12,7 +12,7 @@
 use serde::de::IgnoredAny;
 
 use crate::error::Failure;
-use crate::{head, sse};
+use crate::{body, head, sse};
 
 /// Highest status code of HTTP (RFC 9110, section 15).
 const MAX_STATUS: u16 = 599;
@@ -144,13 +144,7 @@
     }
     let content_type = text("content-type");
     let may_be_cut_off = ends_by_close(&answer) && text("content-encoding").is_none();
-    let body = answer
-        .bytes()
-        .await
-        .map_err(|e| Failure::Lost(e.without_url().to_string()))?;
-    if body.len() > MAX_ANSWER_BYTES {
-        return Err(Failure::Protocol("the answer is too long".to_owned()));
-    }
+    let body = body::read(answer, MAX_ANSWER_BYTES).await?;
     if may_be_cut_off && is_cut_off(content_type.as_deref().unwrap_or_default(), &body) {
         return Err(Failure::Lost(
             "the answer without a length ended within its content".to_owned(),
