--- a/crates/jb-policy/src/caller_limit.rs
+++ b/crates/jb-policy/src/caller_limit.rs
@@ -4,7 +4,7 @@
 
 /// Part of the memory that callers may use in all, if the state of the box leaves as much.
 const MEMORY_SHARE: f64 = 0.75;
-/// Part of the memory that is kept free beside the state of the box: for bytes that only the operating system has received, for
+/// Part of the memory that stays free beside the state of the box: for bytes that only the operating system has received, for
 /// connections to upstreams, and for what the allocator can't use again.
 const MARGIN_SHARE: f64 = 1.0 / 6.0;
 /// Part of the memory that callers get whatever the state of the box takes: without it, nothing could be served.
--- a/crates/jb-policy/src/contact.rs
+++ b/crates/jb-policy/src/contact.rs
@@ -2,7 +2,7 @@
 //!
 //! An entry in the store doesn't show that its upstream exists: entries outlive crashed upstreams while the store is away, and
 //! after a restart of the box it has no connection that would show it. So an upstream whose first connection fails receives no
-//! requests until a connection is accepted, which is checked apart from requests. Failures of an upstream that has accepted one
+//! requests until a connection is accepted, which a task of its own checks. Failures of an upstream that has accepted one
 //! count against its health instead.
 
 use std::time::Duration;
--- a/crates/jb-relay/src/callers/connections.rs
+++ b/crates/jb-relay/src/callers/connections.rs
@@ -8,7 +8,7 @@
 use tokio::sync::Notify;
 use tokio::time::Instant;
 
-/// Connections beyond the limit while those that were told to close still do so.
+/// Connections beyond the limit while evicted ones still close.
 const MAX_EXCESS: usize = 16;
 
 /// Order in which connections without a request close: first those that have never had a request served, then the one that has
@@ -23,9 +23,9 @@
     next: Cell<u64>,
     /// Connections whose next request has not been received up to the end of its head.
     waiting: RefCell<BTreeMap<Rank, Rc<Notify>>>,
-    /// Connections that were told to close for others, since this was last taken.
+    /// Connections evicted since this was last taken.
     evicted: Cell<u64>,
-    /// New connections that were closed at once, since this was last taken.
+    /// New connections refused since this was last taken.
     refused: Cell<u64>,
 }
 
@@ -75,7 +75,7 @@
         self.refused.set(self.refused.get() + 1);
     }
 
-    /// Takes the numbers of connections that were told to close for others, and of new ones that were closed at once.
+    /// Takes the numbers of evicted and of refused connections.
     pub fn take_closed(&self) -> (u64, u64) {
         (self.evicted.take(), self.refused.take())
     }
--- a/crates/jb-soak/src/boxes.rs
+++ b/crates/jb-soak/src/boxes.rs
@@ -5,7 +5,7 @@
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use jb_site_fakes::document::{self, Bounds};
 use rustix::process::{Pid, Signal, kill_process};
@@ -13,6 +13,11 @@
 
 use jb_site_fakes::proxy::{Link, Proxy};
 
+/// Longest wait for a process to be ready.
+const START_TIMEOUT: Duration = Duration::from_secs(30);
+/// Interval at which the log of a starting process is read.
+const START_POLL_INTERVAL: Duration = Duration::from_millis(20);
+
 /// A box under test.
 pub struct Box {
     /// Name in the settings of the box.
@@ -98,6 +103,19 @@
         is_ready.then(|| self.address()).flatten()
     }
 
+    /// Starts the process and returns its address for callers once it is ready.
+    pub async fn start_ready(&self) -> SocketAddr {
+        self.start();
+        let until = Instant::now() + START_TIMEOUT;
+        loop {
+            if let Some(address) = self.ready_address() {
+                return address;
+            }
+            assert!(Instant::now() < until, "{} does not start", self.name);
+            sleep(START_POLL_INTERVAL).await;
+        }
+    }
+
     /// Returns the id of the process; `None` before its first start.
     pub fn pid(&self) -> Option<Pid> {
         let child = self.child.borrow();
--- a/crates/jb-soak/tests/crowds.rs
+++ b/crates/jb-soak/tests/crowds.rs
@@ -84,15 +84,7 @@
             ..Bounds::default()
         };
         let one = Box::new(0, &program, folder.path(), 0, store.address, bounds).await;
-        one.start();
-        let until = Instant::now() + HANG_TIMEOUT;
-        let address = loop {
-            if let Some(address) = one.ready_address() {
-                break address;
-            }
-            assert!(Instant::now() < until, "the box does not start");
-            sleep(SAMPLE_INTERVAL).await;
-        };
+        let address = one.start_ready().await;
         let world = Rc::new(Self {
             _store: store,
             engines,
--- a/crates/jb-soak/tests/grace.rs
+++ b/crates/jb-soak/tests/grace.rs
@@ -27,8 +27,6 @@
 const COUNTED_FROM: Duration = Duration::from_secs(3);
 /// Paths by the number of the caller: also such that may not be repeated.
 const PATHS: [&str; 4] = ["/once/a", "/safe/a", "/once/b", "/safe/b"];
-/// Longest wait for the box to start.
-const START_TIMEOUT: Duration = Duration::from_secs(30);
 
 /// Requests that got no whole response, by id.
 type Unanswered = Rc<RefCell<Vec<String>>>;
@@ -41,10 +39,10 @@
     answered: Rc<Cell<usize>>,
     unanswered: Unanswered,
 ) {
-    let mut kept: Option<Caller> = None;
+    let mut open: Option<Caller> = None;
     for request in 0.. {
         let id = format!("{number}-{request}");
-        let mut caller = match kept.take() {
+        let mut caller = match open.take() {
             Some(caller) => caller,
             None => match TcpStream::connect(address).await {
                 Ok(stream) => Caller(Connection::new(stream)),
@@ -64,7 +62,7 @@
         {
             unanswered.borrow_mut().retain(|other| *other != id);
             answered.set(answered.get() + 1);
-            kept = (keeps && got.answer.keep_alive).then_some(caller);
+            open = (keeps && got.answer.keep_alive).then_some(caller);
         }
         sleep(Duration::from_millis(5)).await;
     }
@@ -87,15 +85,7 @@
         engines.push(engine);
     }
     let one = Box::new(0, &program, folder.path(), 0, store.address, Bounds::default()).await;
-    one.start();
-    let until = Instant::now() + START_TIMEOUT;
-    let address = loop {
-        if let Some(address) = one.ready_address() {
-            break address;
-        }
-        assert!(Instant::now() < until, "the box does not start");
-        sleep(Duration::from_millis(20)).await;
-    };
+    let address = one.start_ready().await;
     let (answered, unanswered) = (Rc::new(Cell::new(0)), Unanswered::default());
     for number in 0..CALLERS {
         let (answered, unanswered) = (Rc::clone(&answered), Rc::clone(&unanswered));
