Accept connections that arrived during a standstill before the listener closes

Callers saw: in a planned stop of a box that lags, requests sent 6.7 to 6.8 s after SIGTERM were closed without an answer half a second before the kill, also such as may not be repeated.

Cause: as the box goes on after a standstill, the timer that closes the listener was noticed before the connections that had arrived meanwhile, which were closed unread.

Change: connections are looked for before the timer, and once more after it; their requests are rejected as not run.

--- a/crates/jb-relay/src/accept.rs
+++ b/crates/jb-relay/src/accept.rs
@@ -14,7 +14,7 @@
 const ERROR_DELAY: Duration = Duration::from_millis(20);
 
 /// Accepts connections until the task is dropped; each is served by its own task.
-pub async fn serve<F>(core: Shared, listener: TcpListener, connection: fn(Shared, TcpStream) -> F)
+pub async fn serve<F>(core: Shared, listener: &TcpListener, connection: fn(Shared, TcpStream) -> F)
 where
     F: Future<Output = ()> + 'static,
 {
--- a/crates/jb-relay/src/front.rs
+++ b/crates/jb-relay/src/front.rs
@@ -7,13 +7,14 @@
 use jb_policy::Moment;
 use jb_protocol::{emit, event};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::task::spawn_local;
 use tokio::time::{sleep, timeout};
 
 use crate::admission::{self, AdmittedRequest, Refusal};
 use crate::callers::{Admitted, CONNECTION_BYTES, Use, Waiting};
 use crate::core::{Core, Shared};
 use crate::exchange::{Exchange, RequestOutcome};
-use crate::http::{Connection, Framing, RequestHead, write_response_head};
+use crate::http::{Connection, Framing, PENDING_INPUT_TIME, RequestHead, write_response_head};
 use crate::open_request::OpenRequest;
 use crate::receive::{ReceiveError, Received, receive, wait_for_request};
 use crate::{accept, peers, stop};
@@ -37,9 +38,15 @@
 /// unread when the box is killed.
 pub async fn serve(core: Shared, listener: TcpListener) {
     tokio::select! {
-        () = accept::serve(Rc::clone(&core), listener, connection) => {}
+        biased;
+        () = accept::serve(Rc::clone(&core), &listener, connection) => {}
         () = stop::wait_last_answers(&core) => {}
     }
+    // After a standstill of the box, the timer can be noticed before connections that have arrived meanwhile. Their requests are
+    // rejected, and not closed unread.
+    while let Ok(Ok((stream, _))) = timeout(PENDING_INPUT_TIME, listener.accept()).await {
+        spawn_local(connection(Rc::clone(&core), stream));
+    }
 }
 
 async fn connection(core: Shared, stream: TcpStream) {
--- a/crates/jb-relay/src/peers/transfer.rs
+++ b/crates/jb-relay/src/peers/transfer.rs
@@ -198,7 +198,7 @@
 
 /// Serves transfers to other boxes for as long as the box runs.
 pub async fn serve(core: Shared, listener: TcpListener) {
-    accept::serve(core, listener, serve_connection).await;
+    accept::serve(core, &listener, serve_connection).await;
 }
 
 async fn serve_connection(core: Shared, mut stream: TcpStream) {
--- a/crates/jb-relay/src/ready.rs
+++ b/crates/jb-relay/src/ready.rs
@@ -44,7 +44,7 @@
 
 /// Serves checks and metrics until the task is dropped.
 pub async fn serve(core: Shared, listener: TcpListener) {
-    accept::serve(core, listener, connection).await;
+    accept::serve(core, &listener, connection).await;
 }
 
 async fn connection(core: Shared, stream: TcpStream) {
--- a/crates/jb-soak/tests/short.rs
+++ b/crates/jb-soak/tests/short.rs
@@ -22,19 +22,28 @@
 const FAILED_WITH_CUTS: [u64; 2] = [1, 7];
 
 fn run(seed: u64, set: Set) -> Checks {
+    run_for(usual_duration(set), seed, set)
+}
+
+/// Returns the duration of the faults in a run.
+fn usual_duration(set: Set) -> Duration {
+    // The checks of a request or segment that crashes engines start three to six seconds after it is known.
+    // Cuts are checked from three seconds after their start on, configurations from five seconds after the first.
+    Duration::from_secs(match set {
+        Set::Poison | Set::Segments => 12,
+        Set::Cuts | Set::Versions => 10,
+        Set::Changes | Set::Retries | Set::Stops | Set::Lag | Set::Silence => 16,
+        _ => 6,
+    })
+}
+
+fn run_for(duration: Duration, seed: u64, set: Set) -> Checks {
     let program = jb_fakes::fleet::build().map(|programs| programs.daemon);
     let program = program.unwrap_or_else(|why| panic!("{why}"));
     let folder = tempfile::tempdir().unwrap_or_else(|why| panic!("{why}"));
     let plan = Plan {
         seed,
-        // The checks of a request or segment that crashes engines start three to six seconds after it is known.
-        // Cuts are checked from three seconds after their start on, configurations from five seconds after the first.
-        duration: Duration::from_secs(match set {
-            Set::Poison | Set::Segments => 12,
-            Set::Cuts | Set::Versions => 10,
-            Set::Changes | Set::Retries | Set::Stops | Set::Lag | Set::Silence => 16,
-            _ => 6,
-        }),
+        duration,
         set,
         boxes: match set {
             // Three levels of boxes that pass on what the first one reads from the store.
@@ -151,6 +160,24 @@
     assert!(checks.seen(Promise::Stop) > 0, "not exercised\n{checks}");
 }
 
+/// Duration of the runs of the next two tests, which draw other faults in longer ones.
+const LATE_REQUESTS_DURATION: Duration = Duration::from_secs(12);
+
+/// Guards against connections that arrive while a stopping box stands still, and that it closes unread when it closes its
+/// listener.
+#[test]
+fn connections_that_arrive_while_a_stopping_box_stands_still_are_answered() {
+    let checks = run_for(LATE_REQUESTS_DURATION, 526, Set::Lag);
+    assert!(checks.hold(), "{checks}");
+}
+
+/// Guards against requests in the last half second before the kill of a box that lags, which end without an answer.
+#[test]
+fn requests_right_before_the_kill_of_a_box_that_lags_are_answered_or_refused() {
+    let checks = run_for(LATE_REQUESTS_DURATION, 522, Set::Lag);
+    assert!(checks.hold(), "{checks}");
+}
+
 /// Guards against a stream that leaves a sound engine which is silent for a moment, and that no other engine takes.
 #[test]
 fn streams_stay_at_silent_engines_until_another_one_takes_them() {
