Release the memory of a response's first part once it is passed on

A response that is too large to be buffered, or has no memory for it, kept its place in the callers' account until its end, although its buffer was gone after the first write. What is sent and when stays.

--- a/crates/jb-relay/src/deliver.rs
+++ b/crates/jb-relay/src/deliver.rs
@@ -155,7 +155,7 @@
             }
             Part::Data(data) if !may_buffer(&mut held, body.len() + data.len()) => {
                 body.extend_from_slice(&data);
-                return deliver_unbuffered(core, request, reply, client, body).await;
+                return deliver_unbuffered(core, request, reply, client, (body, held)).await;
             }
             Part::Data(data) => {
                 body.extend_from_slice(&data);
@@ -187,13 +187,13 @@
     bytes <= INCLUDED_BYTES || (bytes <= MAX_BUFFERED_BYTES && held.grow_to(2 * bytes))
 }
 
-/// Forwards a response that is too large to be buffered.
+/// Forwards a response that is too large to be buffered, of which a first part is, with its memory.
 async fn deliver_unbuffered(
     core: &Shared,
     request: &AdmittedRequest,
     mut reply: Reply,
     client: &mut Connection,
-    first: BytesMut,
+    (first, held): (BytesMut, Hold),
 ) -> DeliveryOutcome {
     let framing = match reply.answer.framing {
         Framing::Length(length) => Framing::Length(length),
@@ -202,6 +202,7 @@
     let mut out = head(core, client, &reply.answer, framing);
     put_data(&mut out, framing, &first);
     drop(first);
+    drop(held);
     loop {
         if client.send(&out).await.is_err() {
             return DeliveryOutcome::CallerGone;
