--- a/crates/jb-soak/tests/crowds.rs
+++ b/crates/jb-soak/tests/crowds.rs
@@ -230,6 +230,12 @@
     }
 }
 
+/// Sends the start of a request, and far more than its body may have.
+async fn send_far_over(stream: &mut TcpStream, start: String) {
+    let parts = std::iter::repeat_n(vec![b'x'; 64 << 10], FAR_OVER >> 16);
+    send(stream, std::iter::once(start.into_bytes()).chain(parts)).await;
+}
+
 /// Runs a crowd, an ordinary request while it goes on, and checks the bounds.
 fn run<F>(max_fds: usize, count: usize, member: impl Fn(usize, TcpStream) -> F + Copy + 'static)
 where
@@ -303,8 +309,7 @@
 fn crowd_of_chunks_far_over_the_limit() {
     run(512, BODIES, |number, mut stream| async move {
         let start = head(number, "Transfer-Encoding: chunked") + &format!("{FAR_OVER:x}\r\n");
-        let parts = std::iter::repeat_n(vec![b'x'; 64 << 10], FAR_OVER >> 16);
-        send(&mut stream, std::iter::once(start.into_bytes()).chain(parts)).await;
+        send_far_over(&mut stream, start).await;
     });
 }
 
@@ -313,8 +318,7 @@
 fn crowd_of_bodies_announced_far_over_the_limit() {
     run(512, BODIES, |number, mut stream| async move {
         let start = head(number, &format!("Content-Length: {FAR_OVER}"));
-        let parts = std::iter::repeat_n(vec![b'x'; 64 << 10], FAR_OVER >> 16);
-        send(&mut stream, std::iter::once(start.into_bytes()).chain(parts)).await;
+        send_far_over(&mut stream, start).await;
     });
 }
 
